Start the project: design page, core types, manifest verdicts, checks

Cause: the repository was empty; every slice needs the same error table, manifest types, log interface and record types before work can go on in parallel. Ruled out: a manifest verdict that remembers publication ids. A reader that took a relayed manifest has not read the earlier ids and would reach another verdict; the base alone decides. Before: nothing. Conclusion: slices can be built against these types; docs/design.md is the common page.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,18 @@
+VENV ?= .venv
+PYTHON := $(VENV)/bin/python
+
+.PHONY: setup test format demo binary measure
+
+setup: $(VENV)/.installed
+
+$(VENV)/.installed: requirements.lock
+	test -x $(PYTHON) || python3 -m venv $(VENV)
+	$(PYTHON) -m pip install --quiet --requirement requirements.lock
+	touch $@
+
+test: setup
+	$(PYTHON) -m tools.checks
+
+format: setup
+	$(PYTHON) -m black --quiet .
+	$(PYTHON) -m ruff check --quiet --fix .
--- /dev/null
+++ b/dotterelhill/core/__init__.py
@@ -0,0 +1,27 @@
+"""Types that every slice uses: error kinds, ids, clock bounds, the decision protocol."""
+
+from dotterelhill.core.clock import CLOCK_DRIFT, usable_seconds, waited_seconds
+from dotterelhill.core.decisions import DecisionCode
+from dotterelhill.core.errors import (
+    ERROR_ANSWERS,
+    ErrorAnswer,
+    ErrorKind,
+    Outcome,
+    RequestError,
+)
+from dotterelhill.core.identity import entry_name_of, new_incarnation_id, task_id
+
+__all__ = [
+    "CLOCK_DRIFT",
+    "ERROR_ANSWERS",
+    "DecisionCode",
+    "ErrorAnswer",
+    "ErrorKind",
+    "Outcome",
+    "RequestError",
+    "entry_name_of",
+    "new_incarnation_id",
+    "task_id",
+    "usable_seconds",
+    "waited_seconds",
+]
--- /dev/null
+++ b/dotterelhill/manifest/__init__.py
@@ -0,0 +1,49 @@
+"""The manifest: its document, its validation and the verdicts on publications."""
+
+from dotterelhill.manifest.document import (
+    Constraints,
+    DomainState,
+    FailureDomain,
+    Job,
+    Limits,
+    Manifest,
+    Member,
+    Minion,
+    MinionState,
+    Priority,
+    Resources,
+    Service,
+)
+from dotterelhill.manifest.history import (
+    AcceptedManifest,
+    ManifestHistory,
+    Publication,
+    PublicationVerdict,
+    Verdict,
+)
+from dotterelhill.manifest.interface import ManifestView
+from dotterelhill.manifest.validation import Fault, ManifestError, manifest_from_document
+
+__all__ = [
+    "AcceptedManifest",
+    "Constraints",
+    "DomainState",
+    "FailureDomain",
+    "Fault",
+    "Job",
+    "Limits",
+    "Manifest",
+    "ManifestError",
+    "ManifestHistory",
+    "ManifestView",
+    "Member",
+    "Minion",
+    "MinionState",
+    "Priority",
+    "Publication",
+    "PublicationVerdict",
+    "Resources",
+    "Service",
+    "Verdict",
+    "manifest_from_document",
+]
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Commands for contributors; not shipped."""
--- /dev/null
+++ b/tools/checks.py
@@ -0,0 +1,100 @@
+"""Run every check of the repository and print one verdict line.
+
+Each check is a command of its own; a behave slice is one command, because behave finds ``steps/``
+only beside its first path.
+"""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+CHECK_TIMEOUT_SECONDS = 900
+TREES = ("dotterelhill", "standins", "measure", "tools")
+
+
+@dataclass(frozen=True, slots=True)
+class Check:
+    """One command with a name for the report."""
+
+    name: str
+    command: tuple[str, ...]
+
+
+def _present_trees() -> tuple[str, ...]:
+    return tuple(tree for tree in TREES if (ROOT / tree).is_dir())
+
+
+def _known_red_tag() -> str:
+    return "--tags=not @known-red"
+
+
+def behave_checks() -> list[Check]:
+    """Return one check for each slice that has feature files."""
+    checks = []
+    for tests in sorted(ROOT.glob("*/**/tests")):
+        if not any(tests.glob("*.feature")):
+            continue
+        path = str(tests.relative_to(ROOT))
+        command = (sys.executable, "-m", "behave", "--format=progress", _known_red_tag(), path)
+        checks.append(Check(f"behave {path}", command))
+    return checks
+
+
+def doctest_checks() -> list[Check]:
+    """Return one check that runs every docstring example."""
+    return [Check("doctest", (sys.executable, "-m", "tools.doctests"))]
+
+
+def all_checks() -> list[Check]:
+    """Return the checks in the order in which they run."""
+    python = sys.executable
+    trees = _present_trees()
+    checks = [
+        Check("black", (python, "-m", "black", "--check", "--quiet", *trees)),
+        Check("ruff", (python, "-m", "ruff", "check", "--quiet", *trees)),
+        Check("mypy", (python, "-m", "mypy", "--no-error-summary", *trees)),
+    ]
+    return checks + doctest_checks() + behave_checks()
+
+
+def is_passed(check: Check) -> bool:
+    """Return whether the check's command exits with 0; print its output when it does not."""
+    started = time.monotonic()
+    try:
+        result = subprocess.run(
+            check.command,
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            timeout=CHECK_TIMEOUT_SECONDS,
+        )
+    except subprocess.TimeoutExpired:
+        print(f"FAILED {check.name}: still running after {CHECK_TIMEOUT_SECONDS} s", flush=True)
+        return False
+    seconds = time.monotonic() - started
+    if result.returncode == 0:
+        print(f"passed {check.name} ({seconds:.1f} s)", flush=True)
+        return True
+    print(f"FAILED {check.name} ({seconds:.1f} s)", flush=True)
+    print(result.stdout[-8000:], result.stderr[-8000:], flush=True)
+    return False
+
+
+def main(arguments: list[str]) -> int:
+    """Return the exit status: 0 when every check whose name holds an argument passed."""
+    checks = all_checks()
+    if arguments:
+        checks = [check for check in checks if any(word in check.name for word in arguments)]
+    verdicts = [is_passed(check) for check in checks]
+    failed = verdicts.count(False)
+    print(f"{len(verdicts) - failed} passed, {failed} failed")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
