Add the tools that run a sample fleet on loopback

Cause: the demo, the tests of the whole path and the measurements all need the same processes, started on free ports and stopped by process id. Ruled out: fixed ports, since two runs at a time on one machine would clash. Before: no way to start the path. Not run yet: the entry process does not exist.

--- /dev/null
+++ b/tools/sample_fleet.py
@@ -0,0 +1,244 @@
+"""A small sample fleet: three failure domains in two regions, with its manifest."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+import zmq
+
+from tools.fleet import Fleet, FleetError
+
+REGIONS = {"caxias": "serra", "gramado": "serra", "pelotas": "litoral"}
+SERVICE = "bancada"
+READY_SECONDS = 60.0
+
+
+@dataclass(frozen=True, slots=True)
+class FleetSize:
+    """How many of each kind run in every failure domain.
+
+    :param slots: slots of each minion
+    :param worker_cpu: processors of each worker
+    """
+
+    entries: int = 2
+    minions: int = 2
+    workers: int = 2
+    slots: int = 8
+    connections: int = 64
+    worker_cpu: int = 8
+
+
+def _names(domain: str, kind: str, count: int) -> list[str]:
+    return [f"{domain}-{kind}{index}" for index in range(1, count + 1)]
+
+
+class SampleFleet:
+    """The processes of the sample fleet and the operators' side of it.
+
+    :param service_milliseconds: time that a minion works on each request
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        size: FleetSize | None = None,
+        *,
+        regions: Mapping[str, str] | None = None,
+        service_milliseconds: float = 5.0,
+        trace_directory: Path | None = None,
+    ) -> None:
+        self._fleet = fleet
+        self._size = size or FleetSize()
+        self._regions = dict(regions or REGIONS)
+        self._service_milliseconds = service_milliseconds
+        self._trace_directory = trace_directory
+        public, secret = zmq.curve_keypair()
+        self._keys = {
+            "DOTTERELHILL_PEER_PUBLIC_KEY": public.decode(),
+            "DOTTERELHILL_PEER_SECRET_KEY": secret.decode(),
+            "DOTTERELHILL_DEPLOYMENT_KEY": secrets.token_hex(32),
+        }
+
+    @property
+    def fleet(self) -> Fleet:
+        """Return the processes."""
+        return self._fleet
+
+    @property
+    def log_url(self) -> str:
+        """Return the address of the log service."""
+        return f"http://{self._fleet['log'].address}"
+
+    @property
+    def vm_list_url(self) -> str:
+        """Return the address of the VM list."""
+        return f"http://{self._fleet['vms'].address}"
+
+    @property
+    def domains(self) -> tuple[str, ...]:
+        """Return the failure domains."""
+        return tuple(self._regions)
+
+    def names(self, kind: str) -> list[str]:
+        """Return the names of all ``entry``, ``minion`` or ``worker`` processes."""
+        counts = {
+            "entry": self._size.entries,
+            "minion": self._size.minions,
+            "worker": self._size.workers,
+        }
+        return [name for domain in self._regions for name in _names(domain, kind, counts[kind])]
+
+    def domain_of(self, name: str) -> str:
+        """Return the failure domain of a process by its name."""
+        return name.rpartition("-")[0]
+
+    def addresses(self, kind: str, purpose: str = "main") -> dict[str, str]:
+        """Return ``host:port`` of every running process of a kind, by its name."""
+        return {
+            name: self._fleet[name].addresses[purpose]
+            for name in self.names(kind)
+            if name in self._fleet.names and self._fleet[name].is_running
+        }
+
+    async def start(self) -> None:
+        """Start the platform's stand-ins, then the entry processes."""
+        await asyncio.gather(
+            self._fleet.start("log", "standins.log", "--port", "0"),
+            self._fleet.start("vms", "standins.vm_list", "--port", "0"),
+            *(self._start_minion(name) for name in self.names("minion")),
+            *(self._start_worker(name) for name in self.names("worker")),
+        )
+        for kind in ("minion", "worker"):
+            for name in self.names(kind):
+                await self.list_vm(name, kind, {"main": self._fleet[name].address})
+        await asyncio.gather(*(self.start_entry(name) for name in self.names("entry")))
+
+    async def start_entry(self, name: str) -> None:
+        """Start an entry process and put it into the VM list."""
+        domain = self.domain_of(name)
+        environment = {
+            **self._keys,
+            "DOTTERELHILL_ENTRY_NAME": name,
+            "DOTTERELHILL_FAILURE_DOMAIN": domain,
+            "DOTTERELHILL_REGION": self._regions[domain],
+            "DOTTERELHILL_LOG_URL": self.log_url,
+            "DOTTERELHILL_VM_LIST_URL": self.vm_list_url,
+            "DOTTERELHILL_BALANCER_DELAY_SECONDS": "0.2",
+        }
+        if self._trace_directory is not None:
+            environment["DOTTERELHILL_TRACE_FILE"] = str(self._trace_directory / name)
+        started = await self._fleet.start(name, "dotterelhill", "entry", environment=environment)
+        await self.list_vm(name, "entry", dict(started.addresses))
+
+    async def list_vm(
+        self, name: str, role: str, addresses: Mapping[str, str], state: str = "live"
+    ) -> None:
+        """Put one VM into the platform's VM list."""
+        domain = self.domain_of(name)
+        body = {
+            "role": role,
+            "failure_domain": domain,
+            "region": self._regions[domain],
+            "state": state,
+            "addresses": dict(addresses),
+        }
+        async with (
+            aiohttp.ClientSession() as session,
+            session.put(f"{self.vm_list_url}/vms/{name}", json=body) as answer,
+        ):
+            if answer.status >= 300:
+                raise FleetError(f"VM list refused {name}: {answer.status}")
+
+    async def until_ready(self, names: Sequence[str] | None = None) -> None:
+        """Wait until the named entry processes, or all, say that they are ready.
+
+        :raises FleetError: after 60 s, with the reasons that each one gives
+        """
+        addresses = self.addresses("entry", "admin")
+        waiting = list(names if names is not None else addresses)
+        reasons: dict[str, str] = {}
+        deadline = asyncio.get_running_loop().time() + READY_SECONDS
+        async with aiohttp.ClientSession() as session:
+            while waiting:
+                if asyncio.get_running_loop().time() > deadline:
+                    raise FleetError(f"not ready after {READY_SECONDS:g} s: {reasons}")
+                name = waiting[0]
+                async with session.get(f"http://{addresses[name]}/readyz") as answer:
+                    reasons[name] = await answer.text()
+                    if answer.status == 200:
+                        waiting.pop(0)
+                        continue
+                await asyncio.sleep(0.1)
+
+    def manifest(
+        self,
+        jobs: Mapping[str, Any] | None = None,
+        out: Sequence[str] = (),
+        leaving: Sequence[str] = (),
+    ) -> dict[str, Any]:
+        """Return the document that declares this fleet.
+
+        :param jobs: batch jobs by name
+        :param out: failure domains that are out
+        :param leaving: minions that are leaving
+        """
+        minions = {
+            name: {
+                "address": self._fleet[name].address,
+                "failure_domain": self.domain_of(name),
+                "slots": self._size.slots,
+                "connections": self._size.connections,
+                "state": "leaving" if name in leaving else "in",
+            }
+            for name in self.names("minion")
+        }
+        workers = len(self.names("worker"))
+        limits = {
+            "requests_per_second": 10_000,
+            "in_flight": 2_000,
+            "cpu": self._size.worker_cpu * workers,
+            "memory_gb": 125 * workers,
+        }
+        quota = {"cpu": limits["cpu"], "memory_gb": limits["memory_gb"]}
+        return {
+            "members": {"bonsai": {"limits": limits, "teams": {"registers": quota}}},
+            "limits": limits,
+            "failure_domains": {
+                domain: {"region": region, "state": "out" if domain in out else "in"}
+                for domain, region in self._regions.items()
+            },
+            "services": {
+                SERVICE: {"member": "bonsai", "path_prefix": "/bancada", "minions": minions}
+            },
+            "jobs": dict(jobs or {}),
+        }
+
+    async def _start_minion(self, name: str) -> None:
+        await self._fleet.start(
+            name,
+            "standins.minion",
+            "--port=0",
+            f"--slots={self._size.slots}",
+            f"--connections={self._size.connections}",
+            f"--work-milliseconds={self._service_milliseconds}",
+        )
+
+    async def _start_worker(self, name: str) -> None:
+        domain = self.domain_of(name)
+        await self._fleet.start(
+            name,
+            "standins.worker",
+            "--port=0",
+            f"--name={name}",
+            f"--rack={domain}-rack1",
+            f"--failure-domain={domain}",
+            f"--cpu={self._size.worker_cpu}",
+            "--memory-gb=125",
+        )
