--- /dev/null
+++ b/dotterelhill/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Command line; each command imports only what it needs."""
--- /dev/null
+++ b/dotterelhill/entry/__init__.py
@@ -0,0 +1,1 @@
+"""One entry process: settings, logs, metrics, admin port, composition of the slices."""
--- /dev/null
+++ b/dotterelhill/entry/tests/steps/admin_steps.py
@@ -0,0 +1,124 @@
+from __future__ import annotations
+
+import asyncio
+import io
+
+import aiohttp
+import msgspec
+from behave import given, then, when
+
+from dotterelhill.entry.admin import AdminServer, AdminSources, Explanation
+from dotterelhill.entry.logs import json_lines_handler, logger_of
+from dotterelhill.entry.metrics import LocalMetrics
+
+
+@given('an admin server whose part "batch" raises and part "log" holds 3 reads')
+def make_broken_part(context):
+    parts = {"batch": lambda: {}["gone"], "log": lambda: {"reads": 3}}
+    context.sources = AdminSources(readiness=tuple, state_parts=parts)
+
+
+@given('an admin server that is not ready because "{reason}"')
+def make_unready(context, reason):
+    context.sources = AdminSources(readiness=lambda: (reason,))
+
+
+@given('an admin server that explains job "{name}"')
+def make_explaining(context, name):
+    def explain(asked):
+        return Explanation("job", name, "pending") if asked == name else None
+
+    context.sources = AdminSources(readiness=tuple, explainers={"job": explain})
+
+
+async def fetch_from_server(sources, path):
+    server = AdminServer("127.0.0.1", 0, sources)
+    await server.start()
+    try:
+        async with aiohttp.ClientSession() as session:
+            async with session.get(f"http://127.0.0.1:{server.bound_port}{path}") as answer:
+                return answer.status, await answer.text()
+    finally:
+        await server.stop()
+
+
+@when('"{path}" is fetched')
+def fetch(context, path):
+    context.status, context.body = asyncio.run(fetch_from_server(context.sources, path))
+
+
+@then('the answer has status {status:d} and part "log" holds 3 reads')
+def check_part(context, status):
+    context.parts = msgspec.json.decode(context.body)
+    assert (context.status, context.parts["log"]) == (status, {"reads": 3}), context.body
+
+
+@then('part "batch" names the exception')
+def check_exception(context):
+    assert "KeyError" in context.parts["batch"]["error"]
+
+
+@then('the answer has status {status:d} and names "{text}"')
+def check_answer(context, status, text):
+    assert context.status == status and text in context.body, (context.status, context.body)
+
+
+@given("local metrics")
+def make_metrics(context):
+    context.metrics = LocalMetrics()
+
+
+@then('counting "{name}" is refused')
+def check_refused(context, name):
+    try:
+        context.metrics.count(name)
+    except ValueError as error:
+        assert name in str(error)
+    else:
+        raise AssertionError("accepted")
+
+
+@then('counting "{name}" is accepted')
+def check_accepted(context, name):
+    context.metrics.count(name)
+    assert context.metrics.state.counters == {name: 1}
+
+
+@when('{number:d} labels of "{name}" are counted')
+def count_labels(context, number, name):
+    for index in range(number):
+        context.metrics.count(name, label=f"service-{index}")
+
+
+@then("at most {bound:d} counters exist and the total is {total:d}")
+def check_counters(context, bound, total):
+    counters = context.metrics.state.counters
+    assert len(counters) <= bound and sum(counters.values()) == total, len(counters)
+
+
+@when('the values 1 to 1000 ms of "{name}" are observed')
+def observe(context, name):
+    for index in range(1, 1001):
+        context.metrics.observe(name, index / 1000, label="desk")
+
+
+@then("its p99 is within 2 percent of {value:g}")
+def check_quantile(context, value):
+    (state,) = context.metrics.state.distributions.values()
+    assert abs(state.quantiles["p99"] / value - 1) < 0.02 and state.count == 1000, state
+
+
+@when('a line with the text "first\\nsecond" and field peer "{peer}" is logged')
+def log_line(context, peer):
+    stream = io.StringIO()
+    with json_lines_handler("caxias-1", "info", stream).applicationbound():
+        logger_of("membership").info("first\nsecond", extra={"peer": peer})
+    context.lines = stream.getvalue().splitlines()
+
+
+@then("one JSON line has both and names the process")
+def check_line(context):
+    (line,) = context.lines
+    found = msgspec.json.decode(line)
+    assert found["message"] == "first\nsecond" and found["peer"] == "caxias-2", found
+    assert found["process"] == "caxias-1"
