Add commands to check, publish, show, dump and explain

Operators act only through manifests, so the command must tell them the verdict and not only that the append was sent. "manifest publish" reads the stream back until it holds the publication id; a lost acknowledgement is settled that way, and a repeated append of the same id is harmless because its base is outdated once the first was accepted. Giving up after the first unknown answer was ruled out: the operator would publish again under a new id. A publication whose base is outdated is not appended, and the publication that won is named.

Before: no way to publish.

--- /dev/null
+++ b/dotterelhill/commands/admin_client.py
@@ -0,0 +1,80 @@
+"""Client of an entry process's admin port, for short-lived commands.
+
+It uses ``http.client``: importing aiohttp takes about 240 ms, more than the whole command.
+"""
+
+from __future__ import annotations
+
+import http.client
+from dataclasses import dataclass
+
+import msgspec
+
+from dotterelhill.commands.publication import KnownManifest
+from dotterelhill.commands.status import CommandError, ExitStatus
+
+TIMEOUT_SECONDS = 5.0
+VERSION_HEADER = "Dotterelhill-Manifest-Version"
+READ_OFFSET_HEADER = "Dotterelhill-Config-Offset"
+
+
+@dataclass(frozen=True, slots=True)
+class AdminAnswer:
+    """Answer of the admin port."""
+
+    status: int
+    headers: http.client.HTTPMessage
+    body: bytes
+
+
+class _Fault(msgspec.Struct):
+    error: str = ""
+
+
+def fetched(address: str, path: str) -> AdminAnswer:
+    """Return the answer to a GET of ``path``.
+
+    :param address: ``host:port`` of the admin port
+    :raises CommandError: when the process can't be reached
+    """
+    host, _, port = address.rpartition(":")
+    if not host or not port.isdecimal():
+        raise CommandError(ExitStatus.WRONG_USE, f"address must be HOST:PORT, got {address!r}")
+    connection = http.client.HTTPConnection(host.strip("[]"), int(port), timeout=TIMEOUT_SECONDS)
+    try:
+        connection.request("GET", path)
+        response = connection.getresponse()
+        return AdminAnswer(response.status, response.headers, response.read())
+    except (OSError, http.client.HTTPException) as error:
+        message = f"{address}: {type(error).__name__}: {error}"
+        raise CommandError(ExitStatus.UNREACHABLE, message) from None
+    finally:
+        connection.close()
+
+
+def fetched_body(address: str, path: str) -> bytes:
+    """Return the body of a positive answer.
+
+    :raises CommandError: when the process can't be reached or refuses
+    """
+    answer = fetched(address, path)
+    if answer.status == 200:
+        return answer.body
+    try:
+        text = msgspec.json.decode(answer.body, type=_Fault).error
+    except msgspec.DecodeError:
+        text = ""
+    raise CommandError(ExitStatus.REFUSED, text or f"{address}: status {answer.status}")
+
+
+def manifest_in_force(address: str) -> KnownManifest:
+    """Return the manifest that an entry process has in force.
+
+    :raises CommandError: when the process can't be reached or has none
+    """
+    answer = fetched(address, "/manifest")
+    version = answer.headers.get(VERSION_HEADER, "")
+    offset = answer.headers.get(READ_OFFSET_HEADER, "")
+    if answer.status != 200 or not version.isdecimal() or not offset.isdecimal():
+        raise CommandError(ExitStatus.REFUSED, f"{address} has no manifest in force")
+    return KnownManifest(int(version), answer.body, int(offset))
--- a/dotterelhill/commands/main.py
+++ b/dotterelhill/commands/main.py
@@ -6,14 +6,34 @@
 
 from __future__ import annotations
 
+import os
 import sys
+import traceback
 from collections.abc import Callable, Mapping, Sequence
-from typing import Any
+from pathlib import Path
+from typing import Any, Literal
 
 import defopt
 
 from dotterelhill import __version__
-from dotterelhill.commands.status import EXIT_MEANINGS, CommandError
+from dotterelhill.commands.status import EXIT_MEANINGS, CommandError, ExitStatus
+
+LOG_URL_VARIABLE = "DOTTERELHILL_LOG_URL"
+DEFAULT_ADMIN_ADDRESS = "127.0.0.1:8083"
+
+GROUPS = """groups of commands:
+  manifest {check,publish,show}  check, publish and show what operators decide
+  state {dump}                   state of one entry process
+  settings {show}                settings of an entry process and their sources"""
+
+EXAMPLES = """examples:
+  dotterelhill manifest check fleet.json
+  dotterelhill manifest show --document --log-url http://10.0.0.9:7000 > fleet.json
+  dotterelhill manifest publish fleet.json --base 41 --log-url http://10.0.0.9:7000
+  dotterelhill explain job register-sync --address 10.0.0.5:8083
+  dotterelhill state dump 10.0.0.5:8083
+  dotterelhill replay /run/dotterelhill/trace.holdings --expect single-holder
+  dotterelhill settings show --caller-port 8090"""
 
 ENTRY_DOC = "Run one entry process until it is told to stop (SIGTERM)."
 SETTINGS_DOC = "Show the settings in force and where each value came from; secrets are masked."
@@ -48,16 +68,119 @@
     return settings_command(SETTINGS_DOC)
 
 
+def check_manifest(file: Path, *, json: bool = False) -> int:
+    """Check a manifest file and print every fault with its path in the document.
+
+    :param file: JSON document
+    :param json: print JSON
+    """
+    from dotterelhill.commands.manifest import check
+
+    return check(file, json)
+
+
+def publish_manifest(
+    file: Path,
+    *,
+    log_url: str = "",
+    base: int | None = None,
+    id: str = "",
+    entry: str = "",
+    json: bool = False,
+) -> int:
+    """Publish a manifest file and print the verdict that every reader of the log reaches.
+
+    :param file: JSON document
+    :param log_url: base URL of the log service; DOTTERELHILL_LOG_URL when not given
+    :param base: version that the document was made from; the version in force when not given
+    :param id: publication id of an earlier command whose outcome stayed unknown
+    :param entry: HOST:PORT of an admin port, needed when the log no longer keeps the first version
+    :param json: print JSON
+    """
+    from dotterelhill.commands.manifest import publish_file
+
+    return publish_file(file, _log_url(log_url), base, id, entry, json)
+
+
+def show_manifest(
+    *, log_url: str = "", entry: str = "", document: bool = False, json: bool = False
+) -> int:
+    """Show the manifest in force and the newest refused publications.
+
+    :param log_url: base URL of the log service; DOTTERELHILL_LOG_URL when not given
+    :param entry: HOST:PORT of an admin port, needed when the log no longer keeps the first version
+    :param document: print only the document, to edit and publish it
+    :param json: print JSON
+    """
+    from dotterelhill.commands.manifest import show
+
+    return show(_log_url(log_url), entry, document, json)
+
+
+def dump_state(address: str, *, json: bool = False) -> int:
+    """Print the whole state of an entry process.
+
+    :param address: HOST:PORT of its admin port
+    :param json: print JSON on one line
+    """
+    from dotterelhill.commands.inspection import dump_state
+
+    return dump_state(address, json)
+
+
+def explain(
+    kind: Literal["job", "request", "worker"],
+    name: str,
+    *,
+    address: str = DEFAULT_ADMIN_ADDRESS,
+    json: bool = False,
+) -> int:
+    """Explain why a job, request or worker is in its present condition.
+
+    :param kind: what the name names
+    :param name: name of the job or worker, id of the request
+    :param address: HOST:PORT of an admin port
+    :param json: print JSON
+    """
+    from dotterelhill.commands.inspection import explain
+
+    return explain(kind, name, address, json)
+
+
+def replay(trace: Path, *, expect: list[str] | None = None, json: bool = False) -> int:
+    """Feed a recorded trace to its slice and check stated outcomes after each event.
+
+    :param trace: file that an entry process wrote, see the setting trace_file
+    :param expect: names of outcomes; all outcomes of the slice when not given
+    :param json: print JSON
+    """
+    from dotterelhill.commands.replaying import replay_file
+
+    return replay_file(trace, expect, json)
+
+
+def _log_url(flag: str) -> str:
+    url = flag or os.environ.get(LOG_URL_VARIABLE, "")
+    if not url:
+        message = f"--log-url ({LOG_URL_VARIABLE}): missing; accepted: http://HOST:PORT"
+        raise CommandError(ExitStatus.WRONG_USE, message)
+    return url
+
+
 def _commands(chosen: str) -> _Commands:
     return {
         "entry": _entry_command(chosen == "entry"),
+        "manifest": {"check": check_manifest, "publish": publish_manifest, "show": show_manifest},
+        "state": {"dump": dump_state},
+        "explain": explain,
+        "replay": replay,
         "settings": {"show": _settings_command(chosen == "settings")},
     }
 
 
 def _epilogue() -> str:
     statuses = "\n".join(f"  {status.value}  {text}" for status, text in EXIT_MEANINGS.items())
-    return f"exit statuses:\n{statuses}"
+    return f"{GROUPS}\n\n{EXAMPLES}\n\nexit statuses:\n{statuses}"
 
 
 def run(arguments: Sequence[str]) -> int:
@@ -79,6 +202,9 @@
     except CommandError as error:
         print(f"dotterelhill: {error}", file=sys.stderr)
         return error.status
+    except Exception:
+        traceback.print_exc()
+        return ExitStatus.INTERNAL
     return int(result or 0)
 
 
--- /dev/null
+++ b/dotterelhill/commands/manifest.py
@@ -0,0 +1,214 @@
+"""Commands ``manifest check``, ``manifest publish`` and ``manifest show``."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, TypeVar
+
+import msgspec
+
+from dotterelhill.commands.admin_client import manifest_in_force
+from dotterelhill.commands.output import print_json, print_table
+from dotterelhill.commands.publication import (
+    ConfigReader,
+    KnownManifest,
+    PublishReport,
+    publish,
+    trimmed_error,
+)
+from dotterelhill.commands.status import CommandError, ExitStatus
+from dotterelhill.log.interface import Log, LogError, LogTrimmedError
+from dotterelhill.manifest.document import Manifest
+from dotterelhill.manifest.history import Publication, PublicationVerdict, Verdict
+from dotterelhill.manifest.validation import Fault, ManifestError, manifest_from_document
+
+SHOWN_REJECTIONS = 10
+
+ResultT = TypeVar("ResultT")
+
+
+@dataclass(frozen=True, slots=True)
+class CheckReport:
+    """Whether a document may be published."""
+
+    valid: bool
+    faults: tuple[Fault, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ManifestReport:
+    """Manifest in force and the newest rejections."""
+
+    version: int
+    publication_id: str
+    document: Any
+    rejections: tuple[PublicationVerdict, ...]
+
+
+def _document_of(file: Path) -> object:
+    try:
+        return msgspec.json.decode(file.read_bytes())
+    except OSError as error:
+        raise CommandError(ExitStatus.WRONG_USE, f"{file}: {error.strerror}") from None
+    except msgspec.DecodeError as error:
+        raise CommandError(ExitStatus.REFUSED, f"{file}: not JSON: {error}") from None
+
+
+def _faults_of(document: object) -> tuple[Fault, ...]:
+    try:
+        manifest_from_document(document)
+    except ManifestError as error:
+        return error.faults
+    return ()
+
+
+def _print_faults(faults: tuple[Fault, ...]) -> None:
+    print(f"refused: {len(faults)} faults")
+    print_table([(f"  {fault.path}", fault.reason) for fault in faults])
+
+
+def check(file: Path, json: bool) -> int:
+    """Return the exit status of ``manifest check``."""
+    faults = _faults_of(_document_of(file))
+    if json:
+        print_json(CheckReport(not faults, faults))
+    elif faults:
+        _print_faults(faults)
+    else:
+        print("valid")
+    return ExitStatus.REFUSED if faults else ExitStatus.DONE
+
+
+async def _with_log(log_url: str, use: Callable[[Log], Awaitable[ResultT]]) -> ResultT:
+    from dotterelhill.log.http import HttpLog
+
+    log = HttpLog(log_url)
+    try:
+        return await use(log)
+    finally:
+        await log.close()
+
+
+def _known(entry: str) -> KnownManifest | None:
+    return manifest_in_force(entry) if entry else None
+
+
+def publish_file(
+    file: Path, log_url: str, base: int | None, publication_id: str, entry: str, json: bool
+) -> int:
+    """Return the exit status of ``manifest publish``."""
+    document = _document_of(file)
+    faults = _faults_of(document)
+    if faults:
+        print_json(CheckReport(False, faults)) if json else _print_faults(faults)
+        return ExitStatus.REFUSED
+    chosen_id = publication_id or secrets.token_hex(16)
+    known = _known(entry)
+
+    async def use(log: Log) -> PublishReport:
+        return await publish(log, document, chosen_id, base=base, known=known)
+
+    report = asyncio.run(_with_log(log_url, use))
+    if json:
+        print_json(report)
+    else:
+        print("\n".join(publish_lines(report)))
+    is_accepted = report.verdict is not None and report.verdict.verdict is Verdict.ACCEPTED
+    return ExitStatus.DONE if is_accepted else ExitStatus.REFUSED
+
+
+def publish_lines(report: PublishReport) -> list[str]:
+    """Return the lines that tell an operator what became of a publication."""
+    verdict = report.verdict
+    if verdict is not None and verdict.verdict is Verdict.ACCEPTED:
+        lines = [f"accepted as version {verdict.offset} (publication {report.publication_id})"]
+        if report.attempts > 1:
+            lines.append(f"settled by reading the log back after {report.attempts} appends")
+        if report.version != verdict.offset:
+            lines.append(f"version {report.version} has replaced it since")
+        return lines
+    if verdict is not None and verdict.verdict is Verdict.INVALID:
+        return ["refused by the readers of the log: invalid"] + [
+            f"  {fault.path}: {fault.reason}" for fault in verdict.faults
+        ]
+    lines = [f"refused: made from version {report.base}, version {report.version} is in force"]
+    if report.winner is not None:
+        winner = report.winner
+        lines.append(f"publication {winner.publication_id} won as version {winner.offset}")
+    lines.append("compare with 'manifest show --document', then publish with the new --base")
+    return lines
+
+
+async def _read_history(log: Log, known: KnownManifest | None) -> ConfigReader:
+    reader = ConfigReader(log, known)
+    try:
+        await reader.read_to_end()
+    except LogTrimmedError as error:
+        raise trimmed_error(error) from None
+    except LogError as error:
+        raise CommandError(ExitStatus.UNREACHABLE, str(error)) from None
+    return reader
+
+
+def manifest_report(reader: ConfigReader) -> ManifestReport | None:
+    """Return what ``manifest show`` shows, or None before the first manifest."""
+    current = reader.history.current
+    rejections = [v for v in reader.history.verdicts if v.verdict is not Verdict.ACCEPTED]
+    if current is None:
+        return None
+    publication = msgspec.json.decode(current.record, type=Publication)
+    return ManifestReport(
+        current.version,
+        publication.id,
+        publication.document,
+        tuple(rejections[-SHOWN_REJECTIONS:]),
+    )
+
+
+def _summary_rows(manifest: Manifest) -> list[tuple[str, str]]:
+    domains = ", ".join(f"{name} {item.state}" for name, item in manifest.failure_domains.items())
+    services = ", ".join(
+        f"{name} ({len(item.minions)} minions)" for name, item in manifest.services.items()
+    )
+    return [
+        ("members", ", ".join(manifest.members)),
+        ("failure domains", domains),
+        ("services", services),
+        ("jobs", str(len(manifest.jobs))),
+        ("lost workers", ", ".join(manifest.lost_workers) or "none"),
+        ("autonomy", f"{manifest.autonomy_seconds:g} s"),
+    ]
+
+
+def _print_report(report: ManifestReport) -> None:
+    rows = [("version", str(report.version)), ("publication", report.publication_id)]
+    print_table(rows + _summary_rows(manifest_from_document(report.document)))
+    for item in report.rejections:
+        print(
+            f"refused at offset {item.offset}: {item.verdict} (publication {item.publication_id})"
+        )
+        for fault in item.faults:
+            print(f"  {fault.path}: {fault.reason}")
+
+
+def show(log_url: str, entry: str, document: bool, json: bool) -> int:
+    """Return the exit status of ``manifest show``."""
+    known = _known(entry)
+
+    async def use(log: Log) -> ConfigReader:
+        return await _read_history(log, known)
+
+    report = manifest_report(asyncio.run(_with_log(log_url, use)))
+    if report is None:
+        raise CommandError(ExitStatus.REFUSED, "no manifest has been accepted yet")
+    if document:
+        print_json(report.document)
+    elif json:
+        print_json(report)
+    else:
+        _print_report(report)
+    return ExitStatus.DONE
--- a/dotterelhill/entry/admin.py
+++ b/dotterelhill/entry/admin.py
@@ -11,6 +11,7 @@
 from aiohttp import web
 
 VERSION_HEADER = "Dotterelhill-Manifest-Version"
+READ_OFFSET_HEADER = "Dotterelhill-Config-Offset"
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,10 +32,14 @@
 
 @dataclass(frozen=True, slots=True)
 class RelayableManifest:
-    """Manifest in force as its record, for tools that find the stream trimmed."""
+    """Manifest in force as its record, for tools that find the stream trimmed.
+
+    :param read_offset: offset up to which this process has read the ``config`` stream
+    """
 
     version: int
     record: bytes
+    read_offset: int
 
 
 StatePart = Callable[[], object]
@@ -150,7 +155,10 @@
         manifest = self._sources.manifest()
         if manifest is None:
             return _answer(AdminFault("no manifest is in force"), 404)
-        headers = {VERSION_HEADER: str(manifest.version)}
+        headers = {
+            VERSION_HEADER: str(manifest.version),
+            READ_OFFSET_HEADER: str(manifest.read_offset),
+        }
         return web.Response(body=manifest.record, content_type="application/json", headers=headers)
 
     async def _explanation(self, request: web.Request) -> web.Response:
