--- /dev/null
+++ b/dotterelhill/replay/recorder.py
@@ -0,0 +1,165 @@
+"""Recorder: writes the events of a decision object to a bounded trace."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, BinaryIO
+
+from dotterelhill.core.decisions import DecisionCode
+from dotterelhill.replay.registration import ReplayableSlice
+from dotterelhill.replay.trace import (
+    FULL_LINE,
+    TRACE_VERSION,
+    TraceHeader,
+    encoded_line,
+    event_line,
+    plain_value,
+)
+
+
+def trace_path(trace_file: str, slice_name: str) -> Path:
+    """Return the file of one slice.
+
+    >>> trace_path("/run/dotterelhill/trace", "holdings").name
+    'trace.holdings'
+    """
+    return Path(f"{trace_file}.{slice_name}")
+
+
+class Recorder:
+    """Decision object that writes each event to a trace before it passes the event on.
+
+    Attributes other than ``decide`` are those of the recorded decision object, so that a service
+    uses it in its place. A fault of the trace stops the recording and never the decisions.
+
+    :param replayable: registration of the slice
+    :param decision: object made by ``replayable.build(arguments)`` that has seen no event yet
+    :param arguments: construction arguments, an ``arguments_type`` of the slice
+    :param output: unbuffered binary file, so that a killed process leaves every event
+    :param largest_bytes: bound of the trace
+    :param incarnation: id of this process for the header
+    :param on_count: called with ``trace.events`` or ``trace.dropped`` for each event
+    """
+
+    def __init__(
+        self,
+        replayable: ReplayableSlice,
+        decision: DecisionCode[Any, Any],
+        arguments: Any,
+        output: BinaryIO,
+        largest_bytes: int,
+        *,
+        incarnation: str = "",
+        on_count: Callable[[str], None] = lambda name: None,
+    ) -> None:
+        self._decision = decision
+        self._event_types = frozenset(replayable.event_types)
+        self._output = output
+        self._bytes_left = largest_bytes - len(FULL_LINE)
+        self._on_count = on_count
+        self._events = 0
+        self._dropped = 0
+        self._stop_reason = ""
+        header = TraceHeader(TRACE_VERSION, replayable.name, plain_value(arguments), incarnation)
+        self._write(encoded_line(header))
+
+    @property
+    def decision(self) -> DecisionCode[Any, Any]:
+        """Return the recorded decision object."""
+        return self._decision
+
+    @property
+    def recorded_events(self) -> int:
+        """Return the number of events in the trace."""
+        return self._events
+
+    @property
+    def dropped_events(self) -> int:
+        """Return the number of events after the recording stopped."""
+        return self._dropped
+
+    @property
+    def stop_reason(self) -> str:
+        """Return why the recording stopped, or an empty text."""
+        return self._stop_reason
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._decision, name)
+
+    def decide(self, event: Any, now: float) -> list[Any]:
+        """Return the actions of the recorded decision object."""
+        self._record(event, now)
+        return self._decision.decide(event, now)
+
+    def close(self) -> None:
+        """Close the file of the trace."""
+        self._stop("closed")
+        self._output.close()
+
+    def _record(self, event: Any, now: float) -> None:
+        if not self._stop_reason:
+            self._write_event(event, now)
+        if self._stop_reason:
+            self._dropped += 1
+            self._on_count("trace.dropped")
+            return
+        self._events += 1
+        self._on_count("trace.events")
+
+    def _write_event(self, event: Any, now: float) -> None:
+        if type(event) not in self._event_types:
+            self._stop(f"event type {type(event).__name__} is not registered")
+            return
+        try:
+            line = event_line(event, now)
+        except (TypeError, ValueError, RecursionError) as error:
+            self._stop(f"{type(event).__name__}: {error}")
+            return
+        self._write(line)
+
+    def _write(self, line: bytes) -> None:
+        try:
+            if len(line) > self._bytes_left:
+                self._stop("full")
+                self._output.write(FULL_LINE)
+                return
+            self._output.write(line)
+        except OSError as error:
+            self._stop(f"file: {error.strerror}")
+            return
+        self._bytes_left -= len(line)
+
+    def _stop(self, reason: str) -> None:
+        self._stop_reason = self._stop_reason or reason
+
+
+def open_recorder(
+    replayable: ReplayableSlice,
+    arguments: Any,
+    trace_file: str,
+    trace_bytes: int,
+    *,
+    incarnation: str = "",
+    on_count: Callable[[str], None] = lambda name: None,
+) -> Recorder:
+    """Return a recorder around a new decision object of the slice.
+
+    The file replaces an earlier one: after a restart the loop's clock begins anew.
+
+    :param trace_file: setting of that name; the name of the slice is added to it
+    :param trace_bytes: setting of that name
+    :raises OSError: when the file can't be opened
+    """
+    path = trace_path(trace_file, replayable.name)
+    output: BinaryIO = path.open("wb", buffering=0)
+    decision = replayable.build(arguments)
+    return Recorder(
+        replayable,
+        decision,
+        arguments,
+        output,
+        trace_bytes,
+        incarnation=incarnation,
+        on_count=on_count,
+    )
