Build one file that runs as one process

VMs have no disks and a node may spend 128 MB on control, so the form of the program matters. The archive was chosen. Each compiled module is unpacked when it is imported, loaded and removed again, so that nothing is left and no cache can be stale.

Before: no built file.

--- a/Makefile
+++ b/Makefile
@@ -16,3 +16,7 @@
 format: setup
 	$(PYTHON) -m black --quiet .
 	$(PYTHON) -m ruff check --quiet --fix .
+
+# One file that runs as one process; docs/operators.md has the reasons for its form.
+binary: setup
+	$(PYTHON) -m tools.binary
--- /dev/null
+++ b/tools/tests/steps/binary_steps.py
@@ -0,0 +1,109 @@
+from __future__ import annotations
+
+import os
+import shlex
+import socket
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+from behave import given, then, when
+
+from tools.binary import build
+
+TIMEOUT_SECONDS = 60
+BUILT = []
+
+
+@given("the built file")
+def build_once(context):
+    if not BUILT:
+        BUILT.append(tempfile.TemporaryDirectory())
+        build(Path(BUILT[0].name) / "dotterelhill")
+    context.file = Path(BUILT[0].name) / "dotterelhill"
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.unpacked = folder.name
+    # -S leaves the virtual environment's packages out, -I also the checkout.
+    context.command = [sys.executable, "-I", "-S", str(context.file)]
+    context.environment = {"TMPDIR": folder.name, "PATH": os.environ["PATH"]}
+
+
+def run(context, command):
+    result = subprocess.run(
+        command,
+        env=context.environment,
+        capture_output=True,
+        text=True,
+        cwd="/",
+        timeout=TIMEOUT_SECONDS,
+    )
+    context.status, context.output = result.returncode, result.stdout + result.stderr
+
+
+@when('it runs "{arguments}" without installed packages')
+def run_alone(context, arguments):
+    run(context, context.command + shlex.split(arguments))
+
+
+@when('it runs "{arguments}" where no directory can be written')
+def run_without_directory(context, arguments):
+    script = Path(context.unpacked) / "script.py"
+    # The tests may run as root, who can write everywhere: the roots are replaced.
+    script.write_text(
+        f"import os, sys, runpy\nsys.argv = ['x', *{shlex.split(arguments)!r}]\n"
+        "def refuse(path): raise OSError(30, 'Read-only file system')\nos.statvfs = refuse\n"
+        f"runpy.run_path({str(context.file)!r}, run_name='__main__')\n"
+    )
+    run(context, [sys.executable, "-I", "-S", str(script)])
+
+
+@given("a log that accepts connections and never answers")
+def listen(context):
+    context.listener = socket.create_server(("127.0.0.1", 0))
+    context.listener.settimeout(TIMEOUT_SECONDS)
+    context.add_cleanup(context.listener.close)
+
+
+@when('it runs "{arguments}" until it has connected')
+def run_until_connected(context, arguments):
+    port = context.listener.getsockname()[1]
+    context.process = subprocess.Popen(
+        [*context.command, *shlex.split(arguments), "--log-url", f"http://127.0.0.1:{port}"],
+        env=context.environment,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
+    )
+    context.add_cleanup(context.process.kill)
+    context.connection = context.listener.accept()[0]
+
+
+@when("the log closes the connection")
+def close_connection(context):
+    context.connection.close()
+    context.listener.close()
+    context.output = context.process.communicate(timeout=TIMEOUT_SECONDS)[0]
+    context.status = context.process.returncode
+
+
+@then('it ends with status {status:d} and prints "{text}"')
+def check_end(context, status, text):
+    assert context.status == status and text in context.output, (context.status, context.output)
+
+
+@then("it is one process without children")
+def check_one_process(context):
+    process = Path(f"/proc/{context.process.pid}")
+    children = [path.read_text() for path in process.glob("task/*/children")]
+    assert children and not any(children), children
+    # The connected process is the one that was started.
+    assert str(context.file) in (process / "cmdline").read_text()
+    inodes = [os.readlink(path) for path in (process / "fd").iterdir()]
+    assert any(item.startswith("socket:") for item in inodes), inodes
+
+
+@then("its directory for unpacked modules is empty")
+def check_unpacked(context):
+    assert os.listdir(context.unpacked) == []
