Add the log stand-in, its HTTP adapter, the tail reader and the appender

Cause: every slice needs the platform's log, and the stand-ins of the other slices need one shared set of faults. Ruled out: answering mode "down" by closing the connection, since the adapter could not tell it from a lost answer; it answers 503, which the protocol defines as refused before any effect. Resending GETs on several connections at once is not needed while one silent connection costs less than the 10 s for which evidence is valid. Before: only the interface of the log existed. After: standins/log.py serves the protocol of docs/design.md 3.1; HttpLog tells whether an append may have taken effect; LogTail delivers records with evidence; BatchedAppender repeats batches whose effect is unknown.

--- a/dotterelhill/log/__init__.py
+++ b/dotterelhill/log/__init__.py
@@ -1,5 +1,19 @@
 """Access to the platform's append-only log."""
 
+from dotterelhill.log.appender import AppendQueueFullError, BatchedAppender
+from dotterelhill.log.http import HttpLog
 from dotterelhill.log.interface import Log, LogError, LogRecord, LogTrimmedError, ReadResult
+from dotterelhill.log.tail import LogTail, TailRead
 
-__all__ = ["Log", "LogError", "LogRecord", "LogTrimmedError", "ReadResult"]
+__all__ = [
+    "AppendQueueFullError",
+    "BatchedAppender",
+    "HttpLog",
+    "Log",
+    "LogError",
+    "LogRecord",
+    "LogTail",
+    "LogTrimmedError",
+    "ReadResult",
+    "TailRead",
+]
