Add the ledger: deterministic fold of the control stream

Cause: holdings and batch work need one state that every reader derives from the same records. Ruled out: float sums for reservations, since their value depends on the order of additions and a restored reader could reach another verdict; amounts are whole milli-processors and megabytes. Resetting the token of a resource on Release was ruled out, since a late repeat of the first Hold would then be accepted. Before: records were defined, nothing folded them.

--- a/dotterelhill/ledger/__init__.py
+++ b/dotterelhill/ledger/__init__.py
@@ -1,5 +1,9 @@
 """Deterministic fold of the ``control`` stream."""
 
+from dotterelhill.ledger.amounts import Amounts
+from dotterelhill.ledger.fold import Ledger, VersionNotAcceptedError
+from dotterelhill.ledger.holders import Holders
+from dotterelhill.ledger.placements import Placements
 from dotterelhill.ledger.records import (
     RECORD_VERSION,
     Adopt,
@@ -10,24 +14,59 @@
     Hold,
     Join,
     Leave,
+    NewerVersionError,
     Release,
     StopOutcome,
     Stopped,
     Unfence,
+    decode_record,
+    encode_record,
 )
+from dotterelhill.ledger.state import (
+    Ended,
+    EndReason,
+    Holding,
+    Incarnation,
+    JobLedger,
+    Run,
+    Task,
+    TaskState,
+    Worker,
+)
+from dotterelhill.ledger.verdict import RecordVerdict, Refusal, VerdictKind
 
 __all__ = [
     "RECORD_VERSION",
     "Adopt",
+    "Amounts",
     "Assign",
     "Capacity",
     "ControlRecord",
+    "EndReason",
+    "Ended",
     "Fence",
     "Hold",
+    "Holders",
+    "Holding",
+    "Incarnation",
+    "JobLedger",
     "Join",
     "Leave",
+    "Ledger",
+    "NewerVersionError",
+    "Placements",
+    "RecordVerdict",
+    "Refusal",
     "Release",
+    "Run",
     "StopOutcome",
     "Stopped",
+    "Task",
+    "TaskState",
     "Unfence",
+    "VerdictKind",
+    "VersionNotAcceptedError",
+    "Worker",
+    "decode_record",
+    "encode_record",
 ]
--- /dev/null
+++ b/dotterelhill/ledger/amounts.py
@@ -0,0 +1,65 @@
+"""Amounts in whole units, so that reservations add up to the same sum in any order."""
+
+from __future__ import annotations
+
+import math
+from typing import NamedTuple
+
+from dotterelhill.manifest.document import Resources
+
+MILLI_CPU = 1000
+MEMORY_MB = 1000
+# Absorbs the error of binary fractions: 0.1 * 1000 must not become 101.
+_ROUNDING = 1e-6
+
+
+class Amounts(NamedTuple):
+    """Thousandths of a processor, megabytes of memory and whole accelerators."""
+
+    milli_cpu: int
+    memory_mb: int
+    accelerators: int
+
+    def is_within(self, bound: Amounts) -> bool:
+        """Return whether no amount is above that of ``bound``."""
+        return self[0] <= bound[0] and self[1] <= bound[1] and self[2] <= bound[2]
+
+    def plus(self, other: Amounts) -> Amounts:
+        """Return the sum of each amount."""
+        return Amounts(self[0] + other[0], self[1] + other[1], self[2] + other[2])
+
+    def minus(self, other: Amounts) -> Amounts:
+        """Return the difference of each amount; it may be negative."""
+        return Amounts(self[0] - other[0], self[1] - other[1], self[2] - other[2])
+
+    @property
+    def resources(self) -> Resources:
+        """Return the amounts in the units of the manifest."""
+        return Resources(
+            cpu=self[0] / MILLI_CPU, memory_gb=self[1] / MEMORY_MB, accelerators=self[2]
+        )
+
+
+NOTHING = Amounts(0, 0, 0)
+
+
+def needed_amounts(resources: Resources) -> Amounts:
+    """Return what must be reserved, rounded up.
+
+    >>> needed_amounts(Resources(cpu=0.1, memory_gb=1.0005))
+    Amounts(milli_cpu=100, memory_mb=1001, accelerators=0)
+    """
+    return Amounts(
+        math.ceil(resources.cpu * MILLI_CPU - _ROUNDING),
+        math.ceil(resources.memory_gb * MEMORY_MB - _ROUNDING),
+        resources.accelerators,
+    )
+
+
+def offered_amounts(cpu: float, memory_gb: float, accelerators: int) -> Amounts:
+    """Return what may be reserved, rounded down."""
+    return Amounts(
+        math.floor(cpu * MILLI_CPU + _ROUNDING),
+        math.floor(memory_gb * MEMORY_MB + _ROUNDING),
+        accelerators,
+    )
--- a/dotterelhill/ledger/records.py
+++ b/dotterelhill/ledger/records.py
@@ -20,13 +20,17 @@
     LOST = "lost"
 
 
-class Record(msgspec.Struct, frozen=True, tag=True, kw_only=True):
-    """Base of all control records."""
+class Record(msgspec.Struct, frozen=True, tag=True, kw_only=True, array_like=True):
+    """Base of all control records.
+
+    On the wire a record is the array ``[type, version, field...]``, which takes half the bytes of
+    a map. A later version of a record may add fields only at its end.
+    """
 
     version: int = RECORD_VERSION
 
 
-class Join(Record, frozen=True, tag=True):
+class Join(Record, frozen=True, tag=True, array_like=True):
     """An entry incarnation that may hold minions and workers of its failure domain."""
 
     incarnation: str
@@ -34,13 +38,13 @@
     failure_domain: str
 
 
-class Leave(Record, frozen=True, tag=True):
+class Leave(Record, frozen=True, tag=True, array_like=True):
     """An entry incarnation that holds nothing any more."""
 
     incarnation: str
 
 
-class Adopt(Record, frozen=True, tag=True):
+class Adopt(Record, frozen=True, tag=True, array_like=True):
     """The manifest that applies to jobs from here on.
 
     :param digest: hex SHA-256 of the manifest's record
@@ -50,7 +54,7 @@
     digest: str
 
 
-class Hold(Record, frozen=True, tag=True):
+class Hold(Record, frozen=True, tag=True, array_like=True):
     """Claim to be the one user of a minion or worker.
 
     :param resource: ``minion:NAME`` or ``worker:NAME``
@@ -62,14 +66,14 @@
     previous: int
 
 
-class Release(Record, frozen=True, tag=True):
+class Release(Record, frozen=True, tag=True, array_like=True):
     """End of a holding, after which the holder does not use the resource."""
 
     resource: str
     token: int
 
 
-class Assign(Record, frozen=True, tag=True):
+class Assign(Record, frozen=True, tag=True, array_like=True):
     """Assignment of a task to a worker; its offset is the fencing token.
 
     :param attempt: number of this run of the task, from 1
@@ -83,7 +87,7 @@
     writer: str
 
 
-class Stopped(Record, frozen=True, tag=True):
+class Stopped(Record, frozen=True, tag=True, array_like=True):
     """End of one run of a task."""
 
     task: str
@@ -92,21 +96,21 @@
     checkpoint: str = ""
 
 
-class Fence(Record, frozen=True, tag=True):
+class Fence(Record, frozen=True, tag=True, array_like=True):
     """No lease of this worker is renewed from here on."""
 
     worker: str
     token: int
 
 
-class Unfence(Record, frozen=True, tag=True):
+class Unfence(Record, frozen=True, tag=True, array_like=True):
     """The fenced worker answers again and its lease may be renewed."""
 
     worker: str
     token: int
 
 
-class Capacity(Record, frozen=True, tag=True):
+class Capacity(Record, frozen=True, tag=True, array_like=True):
     """What a worker has."""
 
     worker: str
@@ -120,3 +124,51 @@
 ControlRecord = (
     Join | Leave | Adopt | Hold | Release | Assign | Stopped | Fence | Unfence | Capacity
 )
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(ControlRecord)
+
+
+class NewerVersionError(ValueError):
+    """A record has a version that this program does not know.
+
+    :param version: version of the record
+    """
+
+    def __init__(self, version: int) -> None:
+        super().__init__(f"record of version {version}, this program knows {RECORD_VERSION}")
+        self.version = version
+
+
+def encode_record(record: ControlRecord) -> bytes:
+    """Return the bytes of a record for the ``control`` stream.
+
+    >>> decode_record(encode_record(Leave(incarnation="caxias-1/00"))).incarnation
+    'caxias-1/00'
+    """
+    return _ENCODER.encode(record)
+
+
+def decode_record(data: bytes) -> ControlRecord | None:
+    """Return the record, or None when it is torn or not a control record.
+
+    :raises NewerVersionError: when its verdict can't be known here
+    """
+    try:
+        record = _DECODER.decode(data)
+    except msgspec.DecodeError:
+        _raise_if_newer(data)
+        return None
+    if record.version > RECORD_VERSION:
+        raise NewerVersionError(record.version)
+    return record
+
+
+def _raise_if_newer(data: bytes) -> None:
+    try:
+        content = msgspec.msgpack.decode(data)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return
+    match content:
+        case [str(), int(version), *_] if version > RECORD_VERSION:
+            raise NewerVersionError(version)
--- /dev/null
+++ b/dotterelhill/ledger/state.py
@@ -0,0 +1,320 @@
+"""What the ledger knows of holdings, workers, jobs and tasks.
+
+Classes that are not frozen are changed by the fold only; readers use their properties.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Set
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from dotterelhill.ledger.amounts import NOTHING, Amounts, needed_amounts
+from dotterelhill.ledger.records import StopOutcome
+from dotterelhill.manifest.document import Job, Resources
+
+WORKER_PREFIX = "worker:"
+MINION_PREFIX = "minion:"
+
+
+class EndReason(StrEnum):
+    """How an incarnation ended."""
+
+    LEFT = "left"
+    REPLACED = "replaced"
+
+
+@dataclass(frozen=True, slots=True)
+class Incarnation:
+    """An entry incarnation that has joined.
+
+    :param joined_at: offset of its ``Join``
+    """
+
+    incarnation: str
+    entry: str
+    failure_domain: str
+    joined_at: int
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """An entry incarnation that holds nothing any more.
+
+    :param ended_at: offset of its ``Leave``, or of the ``Join`` of the one that replaced it
+    """
+
+    incarnation: str
+    reason: EndReason
+    ended_at: int
+
+
+@dataclass(frozen=True, slots=True)
+class Holding:
+    """Newest holding of a minion or worker.
+
+    :param resource: ``minion:NAME`` or ``worker:NAME``
+    :param holder: incarnation of the newest accepted ``Hold``; it may have ended since
+    :param token: offset of that ``Hold``; the ``previous`` of the next one, also after a release
+    :param is_released: whether the holder has released it, by ``Release`` or ``Leave``
+    :param follows_release: whether the holding before was released, or there was none
+    :param previous_holder: holder of the holding before; empty for none
+    :param previous_token: token of the holding before; 0 for none
+    """
+
+    resource: str
+    holder: str
+    token: int
+    is_released: bool
+    follows_release: bool
+    previous_holder: str
+    previous_token: int
+
+
+class TaskState(StrEnum):
+    """State of a task of a job that is declared."""
+
+    PENDING = "pending"
+    RUNNING = "running"
+    FINISHED = "finished"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
+@dataclass(frozen=True, slots=True)
+class Task:
+    """One task as the ledger knows it.
+
+    :param attempt: number of the run that is in progress, or of the next one
+    :param checkpoint: checkpoint that this run resumes from; empty for none
+    :param worker: worker of the run; empty when the task does not run
+    :param token: fencing token of the run; 0 when the task does not run
+    """
+
+    task: str
+    job: str
+    index: int
+    state: TaskState
+    attempt: int
+    checkpoint: str
+    worker: str = ""
+    token: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Run:
+    """One accepted assignment whose end has not been recorded.
+
+    :param job: key of the job, ``name@version-of-first-declaration``
+    :param token: offset of the ``Assign``
+    :param amounts: what the run reserves, also when the job's declaration changes later
+    """
+
+    task: str
+    job: str
+    index: int
+    worker: str
+    token: int
+    attempt: int
+    checkpoint: str
+    amounts: Amounts
+    member: str
+    team: str
+
+
+@dataclass(slots=True)
+class Worker:
+    """A worker with what it has and what is reserved on it.
+
+    :param fence: token of the holding under which it was fenced; 0 when it is not
+    :param runs: the runs on it by task
+    """
+
+    name: str
+    rack: str
+    failure_domain: str
+    amounts: Amounts
+    reserved_amounts: Amounts = NOTHING
+    fence: int = 0
+    runs: dict[str, Run] = field(default_factory=dict)
+
+    @property
+    def capacity(self) -> Resources:
+        """Return what the worker has."""
+        return self.amounts.resources
+
+    @property
+    def reserved(self) -> Resources:
+        """Return what the runs on it reserve."""
+        return self.reserved_amounts.resources
+
+    @property
+    def free_amounts(self) -> Amounts:
+        """Return what is not reserved; negative after its capacity shrank."""
+        return self.amounts.minus(self.reserved_amounts)
+
+    @property
+    def free(self) -> Resources:
+        """Return what is not reserved, at least 0."""
+        free = self.free_amounts
+        return Amounts(max(0, free[0]), max(0, free[1]), max(0, free[2])).resources
+
+    @property
+    def is_fenced(self) -> bool:
+        """Return whether no lease of it may be renewed."""
+        return self.fence != 0
+
+
+class JobLedger:
+    """Tasks of one declaration of a job.
+
+    :param declared_at: manifest version that first declared it without a gap since
+    """
+
+    def __init__(self, name: str, declared_at: int, job: Job) -> None:
+        self._name = name
+        self._declared_at = declared_at
+        self._key = f"{name}@{declared_at}"
+        self._job = job
+        self._amounts = needed_amounts(job.resources)
+        self._is_declared = True
+        self._pending = set(range(job.tasks))
+        self._runs: dict[int, Run] = {}
+        self._ended: dict[int, StopOutcome] = {}
+        # Attempt and checkpoint of tasks that ran before and are to run again.
+        self._resumes: dict[int, tuple[int, str]] = {}
+
+    @property
+    def name(self) -> str:
+        """Return the name in the manifest."""
+        return self._name
+
+    @property
+    def declared_at(self) -> int:
+        """Return the manifest version that first declared it."""
+        return self._declared_at
+
+    @property
+    def key(self) -> str:
+        """Return ``name@declared_at``, the part of a task's id before the slash."""
+        return self._key
+
+    @property
+    def job(self) -> Job:
+        """Return the newest declaration."""
+        return self._job
+
+    @property
+    def amounts(self) -> Amounts:
+        """Return what a new run of a task reserves."""
+        return self._amounts
+
+    @property
+    def is_declared(self) -> bool:
+        """Return whether the adopted manifest declares it."""
+        return self._is_declared
+
+    @property
+    def is_open(self) -> bool:
+        """Return whether its pending tasks may be assigned."""
+        return self._is_declared and not self._job.cancelled
+
+    @property
+    def pending(self) -> Set[int]:
+        """Return the indices of tasks that neither run nor have ended for good."""
+        return self._pending
+
+    @property
+    def runs(self) -> Mapping[int, Run]:
+        """Return the runs by task index."""
+        return self._runs
+
+    @property
+    def ended(self) -> Mapping[int, StopOutcome]:
+        """Return the outcome of tasks that have ended for good, by index."""
+        return self._ended
+
+    @property
+    def resumes(self) -> Mapping[int, tuple[int, str]]:
+        """Return attempt and checkpoint of tasks that ran before and do not run now."""
+        return self._resumes
+
+    def attempt_of(self, index: int) -> tuple[int, str]:
+        """Return number and checkpoint of the next run of a pending task."""
+        return self._resumes.get(index, (1, ""))
+
+    def is_wanted(self, index: int) -> bool:
+        """Return whether a run of this task should go on."""
+        return self.is_open and index < self._job.tasks
+
+    def task(self, index: int) -> Task | None:
+        """Return one task; None when the job has no task of this index."""
+        task = f"{self._key}/{index}"
+        run = self._runs.get(index)
+        if run is not None:
+            state = TaskState.RUNNING
+            return Task(
+                task, self._key, index, state, run.attempt, run.checkpoint, run.worker, run.token
+            )
+        attempt, checkpoint = self.attempt_of(index)
+        if index in self._ended:
+            state = TaskState(self._ended[index].value)
+            return Task(task, self._key, index, state, attempt, checkpoint)
+        if index not in self._pending:
+            return None
+        return Task(task, self._key, index, TaskState.PENDING, attempt, checkpoint)
+
+    def redeclare(self, job: Job) -> None:
+        """Apply a newer declaration; tasks that have ended stay ended."""
+        is_resized = job.tasks != self._job.tasks
+        self._job = job
+        self._amounts = needed_amounts(job.resources)
+        if is_resized:
+            self._pending = set(range(job.tasks)) - self._runs.keys() - self._ended.keys()
+
+    def withdraw(self) -> None:
+        """Forget everything but the runs, after the job left the manifest."""
+        self._is_declared = False
+        self._pending = set()
+        self._ended = {}
+        self._resumes = {}
+
+    def start(self, run: Run) -> None:
+        """Record that a pending task runs."""
+        self._pending.discard(run.index)
+        self._resumes.pop(run.index, None)
+        self._runs[run.index] = run
+
+    def stop(self, run: Run, outcome: StopOutcome, checkpoint: str) -> None:
+        """Record the end of a run."""
+        del self._runs[run.index]
+        if not self._is_declared:
+            return
+        if outcome in (StopOutcome.EVICTED, StopOutcome.LOST):
+            self._resumes[run.index] = (run.attempt + 1, checkpoint or run.checkpoint)
+            if run.index < self._job.tasks:
+                self._pending.add(run.index)
+            return
+        self._ended[run.index] = outcome
+
+    def restore(
+        self, ended: Mapping[int, StopOutcome], resumes: Mapping[int, tuple[int, str]]
+    ) -> None:
+        """Take the ended and resumed tasks of a snapshot, before the runs are added."""
+        self._ended = dict(ended)
+        self._resumes = dict(resumes)
+        self._pending.difference_update(self._ended)
+
+
+def parsed_task(task: str) -> tuple[str, int] | None:
+    """Return job key and index of a task's id, or None when it is malformed.
+
+    >>> parsed_task("register-sync@12/3")
+    ('register-sync@12', 3)
+    """
+    key, slash, index = task.rpartition("/")
+    if not slash or not index.isdecimal() or len(index) > 6:
+        return None
+    # One task has one id: "07" or non-ASCII digits would be other names of the same task.
+    number = int(index)
+    return (key, number) if str(number) == index else None
