--- /dev/null
+++ b/dotterelhill/requests/caller.py
@@ -0,0 +1,324 @@
+"""Server side: reads requests of callers, or of peers, and writes their answers."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import msgspec
+from aiohttp import web
+from aiohttp.http_exceptions import LineTooLong
+from aiohttp.web_protocol import RequestHandler
+from multidict import CIMultiDict
+
+from dotterelhill.core import ErrorKind, RequestError
+from dotterelhill.requests.messages import (
+    CHUNK_BYTES,
+    ERROR_HEADER,
+    LARGEST_HEADERS,
+    OUTCOME_HEADER,
+    AnswerHead,
+    Headers,
+    RequestHead,
+)
+
+# A caller that has not sent its first head by then is cut off.
+HEAD_SECONDS = 10.0
+IDLE_SECONDS = 75.0
+# Time in which the rest of an unwanted upload is read, so that the caller sees the answer.
+LINGER_SECONDS = 2.0
+# Connections that are still open after the drain get this long to close.
+CLOSE_SECONDS = 1.0
+DEFAULT_CONNECTIONS_PER_CALLER = 512
+
+
+class _Answer(web.StreamResponse):
+    """Answer that carries only the headers it was given."""
+
+    async def _prepare_headers(self) -> None:
+        names = {name.lower() for name in self.headers}
+        await super()._prepare_headers()
+        for name in ("Content-Type", "Server"):
+            if name.lower() not in names:
+                self.headers.popall(name, None)
+
+
+class Call:
+    """One request of a caller and its answer.
+
+    :param may_keep_alive: the connection is closed after the answer when it returns False
+    """
+
+    def __init__(self, request: web.BaseRequest, may_keep_alive: Callable[[], bool]) -> None:
+        self._request = request
+        self._may_keep_alive = may_keep_alive
+        self._answer: _Answer | None = None
+        self._is_continue_sent = False
+        self._head = _head_of(request)
+
+    @property
+    def head(self) -> RequestHead:
+        """Return the head of the request."""
+        return self._head
+
+    @property
+    def is_answer_started(self) -> bool:
+        """Return whether the head of the answer was sent."""
+        return self._answer is not None
+
+    @property
+    def response(self) -> web.StreamResponse:
+        """Return what the server adapter needs in the end."""
+        assert self._answer is not None
+        return self._answer
+
+    async def read(self) -> bytes:
+        """Return the next bytes of the body, at most ``CHUNK_BYTES``; empty at its end.
+
+        :raises RequestError: ``upload_aborted`` when the caller stops half-way
+        """
+        self._send_continue()
+        try:
+            return await self._request.content.read(CHUNK_BYTES)
+        except (web.RequestPayloadError, ConnectionError, OSError) as error:
+            raise RequestError(ErrorKind.UPLOAD_ABORTED, "the body ended early") from error
+        except Exception as error:
+            raise RequestError(ErrorKind.UPLOAD_ABORTED, "the body can't be read") from error
+
+    async def send_head(self, head: AnswerHead) -> None:
+        """Send the head of an answer; its headers must be end-to-end ones."""
+        answer = _Answer(status=head.status, reason=head.reason, headers=CIMultiDict(head.headers))
+        self._answer = answer
+        if not self._may_keep_alive() or not self._request.content.is_eof():
+            answer.force_close()
+        await answer.prepare(self._request)
+
+    async def send(self, data: bytes) -> None:
+        """Send a part of the answer; waits while the caller reads slowly."""
+        assert self._answer is not None
+        await self._answer.write(data)
+
+    async def finish(self) -> None:
+        """End the answer."""
+        assert self._answer is not None
+        await self._answer.write_eof()
+
+    def abort(self) -> None:
+        """Cut the connection, so that the caller can't take the answer for a whole one."""
+        if self._request.transport is not None:
+            self._request.transport.abort()
+
+    async def send_error(self, error: RequestError) -> None:
+        """Send the answer of an error."""
+        await self.send_head(error_head(error, body := error_body(error)))
+        await self.send(body)
+        await self.finish()
+
+    def _send_continue(self) -> None:
+        if self._is_continue_sent:
+            return
+        self._is_continue_sent = True
+        wants_it = self._request.headers.get("Expect", "").lower() == "100-continue"
+        if wants_it and self._request.transport is not None:
+            self._request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+
+def _head_of(request: web.BaseRequest) -> RequestHead:
+    headers = tuple(
+        (name.decode("utf-8", "surrogateescape"), value.decode("utf-8", "surrogateescape"))
+        for name, value in request.raw_headers
+    )
+    length: int | None = request.content_length
+    if length is None and "Transfer-Encoding" not in request.headers:
+        length = 0
+    return RequestHead(request.method, request.raw_path, headers, length)
+
+
+def error_body(error: RequestError) -> bytes:
+    """Return the JSON body of an error answer."""
+    return msgspec.json.encode(
+        {"error": error.kind, "outcome": error.outcome, "detail": error.detail}
+    )
+
+
+def error_head(error: RequestError, body: bytes) -> AnswerHead:
+    """Return the head of an error answer."""
+    headers: Headers = (
+        ("Content-Type", "application/json"),
+        ("Content-Length", str(len(body))),
+        (OUTCOME_HEADER, str(error.outcome)),
+        (ERROR_HEADER, str(error.kind)),
+    )
+    if error.answer.retry_after_seconds:
+        headers += (("Retry-After", str(error.answer.retry_after_seconds)),)
+    return AnswerHead(error.answer.status, "", headers)
+
+
+class _CallerProtocol(RequestHandler):
+    """Connection of one caller, with a bound on the wait for its first head."""
+
+    __slots__ = ("_head_timer", "_server", "caller")
+
+    def __init__(self, server: CallerServer, **options: Any) -> None:
+        super().__init__(server, **options)
+        self._server = server
+        self._head_timer: asyncio.TimerHandle | None = None
+        self.caller = ""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Count the connection and refuse it above the bound of its caller."""
+        super().connection_made(transport)
+        self.caller = str((transport.get_extra_info("peername") or ("",))[0])
+        if not self._server.admit(self.caller):
+            transport.abort()  # type: ignore[attr-defined]
+            return
+        loop = asyncio.get_running_loop()
+        self._head_timer = loop.call_later(self._server.head_seconds, self._cut_off)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Count the connection off."""
+        self.notice_head()
+        self._server.leave(self.caller)
+        super().connection_lost(exc)
+
+    def notice_head(self) -> None:
+        """Stop the timer, since a whole head has arrived."""
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Return the answer for a request that can't be parsed."""
+        if request.writer.output_size > 0:
+            raise ConnectionError("the answer has been started")
+        error = _parse_error(status, exc, message)
+        self._server.count_refused(error.kind)
+        body = error_body(error)
+        head = error_head(error, body)
+        answer = web.Response(status=head.status, headers=CIMultiDict(head.headers), body=body)
+        answer.force_close()
+        return answer
+
+    def _cut_off(self) -> None:
+        self._server.count_slow()
+        if self.transport is not None:
+            self.transport.abort()
+
+
+def _parse_error(status: int, exc: BaseException | None, message: str | None) -> RequestError:
+    if status >= 500:
+        return RequestError(ErrorKind.INTERNAL, "see the counters of the process")
+    text = str(message or exc or "")
+    if isinstance(exc, LineTooLong) or "too many headers" in text.lower():
+        return RequestError(ErrorKind.HEAD_TOO_LARGE, "a line or the number of headers")
+    return RequestError(ErrorKind.BAD_REQUEST, "the request is not valid HTTP")
+
+
+class CallerServer(web.Server):
+    """HTTP server of one port.
+
+    :param answer: called for each request; settles it on the call
+    :param may_keep_alive: whether connections stay open after an answer
+    :param connections_per_caller: most open connections from one address
+    """
+
+    def __init__(
+        self,
+        answer: Callable[[Call], Awaitable[None]],
+        may_keep_alive: Callable[[], bool],
+        *,
+        connections_per_caller: int = DEFAULT_CONNECTIONS_PER_CALLER,
+        head_seconds: float = HEAD_SECONDS,
+    ) -> None:
+        super().__init__(self._serve, handler_cancellation=True)
+        self._answer = answer
+        self._may_keep_alive = may_keep_alive
+        self._connections_per_caller = connections_per_caller
+        self.head_seconds = head_seconds
+        self._open: Counter[str] = Counter()
+        self._counters: Counter[str] = Counter()
+        self._runner: web.ServerRunner | None = None
+        self._site: web.TCPSite | None = None
+
+    @property
+    def counters(self) -> Counter[str]:
+        """Return what was refused before a request was read."""
+        return self._counters
+
+    @property
+    def open_connections(self) -> int:
+        """Return the number of open connections."""
+        return self._open.total()
+
+    def __call__(self) -> RequestHandler:
+        """Return the protocol of a new connection."""
+        return _CallerProtocol(
+            self,
+            loop=asyncio.get_running_loop(),
+            access_log=None,
+            auto_decompress=False,
+            keepalive_timeout=IDLE_SECONDS,
+            lingering_time=LINGER_SECONDS,
+            read_bufsize=CHUNK_BYTES,
+            max_headers=LARGEST_HEADERS,
+        )
+
+    def admit(self, caller: str) -> bool:
+        """Return whether one more connection of a caller is within its bound."""
+        self._open[caller] += 1
+        if self._open[caller] <= self._connections_per_caller:
+            return True
+        self._counters["connections_refused"] += 1
+        return False
+
+    def leave(self, caller: str) -> None:
+        """Count a closed connection off."""
+        self._open[caller] -= 1
+        if self._open[caller] <= 0:
+            del self._open[caller]
+
+    def count_refused(self, kind: ErrorKind) -> None:
+        """Count a request that could not be parsed."""
+        self._counters[str(kind)] += 1
+
+    def count_slow(self) -> None:
+        """Count a connection that sent no head in time."""
+        self._counters["head_timeouts"] += 1
+
+    async def listen(self, host: str, port: int) -> str:
+        """Listen and return the ``host:port`` that was bound."""
+        self._runner = web.ServerRunner(self, shutdown_timeout=CLOSE_SECONDS)
+        await self._runner.setup()
+        self._site = web.TCPSite(self._runner, host, port, backlog=1024)
+        await self._site.start()
+        bound_host, bound_port = self._runner.addresses[0][:2]
+        return f"{bound_host}:{bound_port}"
+
+    async def stop_listening(self) -> None:
+        """Accept no new connection; those that are open go on."""
+        if self._site is not None:
+            await self._site.stop()
+            self._site = None
+        self.pre_shutdown()
+
+    async def close(self) -> None:
+        """Close every connection."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+            self._runner = None
+
+    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        protocol = request.protocol
+        if isinstance(protocol, _CallerProtocol):
+            protocol.notice_head()
+        call = Call(request, self._may_keep_alive)
+        await self._answer(call)
+        return call.response
--- /dev/null
+++ b/dotterelhill/requests/claim_log.py
@@ -0,0 +1,170 @@
+"""Claims of caller-chosen keys on the log: appended in batches and read back."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+from random import Random
+
+import msgspec
+from mode import Service
+
+from dotterelhill.core import ErrorKind, RequestError
+from dotterelhill.log import Log, LogError, LogTrimmedError
+from dotterelhill.requests.claims import (
+    CLAIM_STREAM,
+    CLAIM_VERSION,
+    Claim,
+    ClaimBatches,
+    ClaimTable,
+    Holder,
+)
+
+POLL_SECONDS = 1.0
+READ_LIMIT = 2000
+APPEND_SECONDS = 5.0
+SHORTEST_BACKOFF_SECONDS = 0.2
+LONGEST_BACKOFF_SECONDS = 5.0
+
+
+class ClaimLog(Service):
+    """Appends claims and follows the ``claims`` stream.
+
+    :param log: the platform's log
+    :param incarnation: this process
+    :param random: seeded generator for the jitter of the backoff
+    """
+
+    def __init__(self, log: Log, incarnation: str, random: Random) -> None:
+        super().__init__()
+        self._log = log
+        self._incarnation = incarnation
+        self._random = random
+        self._table = ClaimTable()
+        self._batches = ClaimBatches()
+        self._waiters: dict[bytes, list[asyncio.Future[None]]] = {}
+        self._wanted = asyncio.Event()
+        self._next_offset = 1
+        self._is_caught_up = False
+        self._failures = 0
+
+    @property
+    def table(self) -> ClaimTable:
+        """Return the claims that are known."""
+        return self._table
+
+    @property
+    def is_caught_up(self) -> bool:
+        """Return whether the stream was read up to its end once."""
+        return self._is_caught_up
+
+    async def claim(self, key: bytes, request: bytes, give_up_at: float) -> Holder:
+        """Return the holder of a key; its first claim is appended when there is none.
+
+        :param give_up_at: loop time after which the request is refused
+        :raises RequestError: ``log_unavailable`` when the claim can't be read back in time
+        """
+        holder = self._table.find(key)
+        if holder is not None:
+            return holder
+        loop = asyncio.get_running_loop()
+        claim_id = secrets.token_bytes(8)
+        waiter: asyncio.Future[None] = loop.create_future()
+        self._waiters.setdefault(key, []).append(waiter)
+        claim = Claim(CLAIM_VERSION, key, request, self._incarnation, claim_id)
+        self._batches.add(claim, give_up_at)
+        self._wanted.set()
+        try:
+            async with asyncio.timeout_at(give_up_at):
+                await waiter
+        except TimeoutError as error:
+            detail = "the claim of the key was not read back in time"
+            raise RequestError(ErrorKind.LOG_UNAVAILABLE, detail) from error
+        finally:
+            self._batches.settle(claim_id)
+            self._drop_waiter(key, waiter)
+        holder = self._table.find(key)
+        assert holder is not None
+        return holder
+
+    @Service.task
+    async def _append(self) -> None:
+        loop = asyncio.get_running_loop()
+        while not self.should_stop:
+            await self._wanted.wait()
+            await asyncio.sleep(self._batches.next_at(loop.time()) - loop.time())
+            batch = self._batches.take(loop.time())
+            if not batch:
+                self._wanted.clear()
+                continue
+            await self._append_batch(batch)
+
+    @Service.task
+    async def _follow(self) -> None:
+        while not self.should_stop:
+            try:
+                await self._read_on()
+            except LogTrimmedError as error:
+                # Claims past retention are beyond what is promised for caller-chosen keys.
+                self._next_offset = error.earliest_offset
+            except (LogError, TimeoutError, OSError):
+                self._failures += 1
+                await asyncio.sleep(self._backoff_seconds())
+
+    async def _append_batch(self, batch: list[Claim]) -> None:
+        records = [msgspec.msgpack.encode(claim) for claim in batch]
+        try:
+            async with asyncio.timeout(APPEND_SECONDS):
+                await self._log.append(CLAIM_STREAM, records)
+        except TimeoutError:
+            is_effect_unknown = True
+        except LogError as error:
+            is_effect_unknown = error.is_effect_unknown
+        else:
+            for claim in batch:
+                self._batches.settle(claim.claim_id)
+            return
+        self._failures += 1
+        if is_effect_unknown:
+            # The same claims are appended again; their first occurrence counts.
+            await asyncio.sleep(self._backoff_seconds())
+            return
+        self._refuse(batch)
+
+    async def _read_on(self) -> None:
+        result = await self._log.read(
+            CLAIM_STREAM, self._next_offset, limit=READ_LIMIT, wait_seconds=POLL_SECONDS
+        )
+        now = asyncio.get_running_loop().time()
+        for record in result.records:
+            self._next_offset = record.offset + 1
+            claim = self._table.apply(record.data, now)
+            if claim is not None:
+                self._wake(claim.key)
+        self._failures = 0
+        if self._next_offset >= result.next_offset:
+            self._is_caught_up = True
+
+    def _refuse(self, batch: list[Claim]) -> None:
+        error = RequestError(ErrorKind.LOG_UNAVAILABLE, "the log took no claim")
+        for claim in batch:
+            self._batches.settle(claim.claim_id)
+            for waiter in self._waiters.get(claim.key, []):
+                if not waiter.done():
+                    waiter.set_exception(error)
+
+    def _wake(self, key: bytes) -> None:
+        for waiter in self._waiters.get(key, []):
+            if not waiter.done():
+                waiter.set_result(None)
+
+    def _drop_waiter(self, key: bytes, waiter: asyncio.Future[None]) -> None:
+        waiters = self._waiters.get(key, [])
+        if waiter in waiters:
+            waiters.remove(waiter)
+        if not waiters:
+            self._waiters.pop(key, None)
+
+    def _backoff_seconds(self) -> float:
+        longest = min(LONGEST_BACKOFF_SECONDS, SHORTEST_BACKOFF_SECONDS * 2**self._failures)
+        return self._random.uniform(SHORTEST_BACKOFF_SECONDS / 2, longest)
--- /dev/null
+++ b/dotterelhill/requests/forwarding.py
@@ -0,0 +1,150 @@
+"""Authentication of requests that one entry process forwards to another."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+from collections import OrderedDict
+from dataclasses import dataclass
+from enum import StrEnum
+
+from dotterelhill.core import ErrorKind, RequestError
+from dotterelhill.requests.messages import RequestHead, end_to_end_headers
+
+FORWARD_HEADER = "Dotterelhill-Forward"
+SIGNATURE_HEADER = "Dotterelhill-Signature"
+SMALLEST_KEY_BYTES = 16
+# Nonces of one sender below its newest by more than this are refused unseen.
+NONCE_WINDOW = 4096
+# Sender incarnations whose nonces are remembered.
+LARGEST_SENDERS = 4096
+
+
+class Purpose(StrEnum):
+    """Why a request is forwarded."""
+
+    DISPATCH = "dispatch"
+    KEY = "key"
+
+
+@dataclass(frozen=True, slots=True)
+class Hop:
+    """Where a forwarded request came from.
+
+    :param sender: incarnation that forwarded it
+    :param target: incarnation that it was meant for; a later one refuses it
+    :param nonce: rises with each request of the sender
+    :param seconds_left: until the request's deadline, when it was sent
+    """
+
+    sender: str
+    target: str
+    nonce: int
+    seconds_left: float
+    purpose: Purpose
+
+    def __str__(self) -> str:
+        return f"1 {self.sender} {self.target} {self.nonce} {self.seconds_left!r} {self.purpose}"
+
+
+def forward_signature(deployment_key: bytes, head: RequestHead, hop: Hop) -> str:
+    """Return the HMAC-SHA256 over the head and the hop, in hex.
+
+    ``Content-Length`` is left out, because it belongs to the framing of one connection.
+    """
+    mac = hmac.new(deployment_key, digestmod=hashlib.sha256)
+    parts = [str(hop), head.method, head.raw_path]
+    for name, value in end_to_end_headers(head.headers):
+        if name.lower() != "content-length":
+            parts += [name.lower(), value]
+    for part in parts:
+        data = part.encode("utf-8", "surrogateescape")
+        mac.update(len(data).to_bytes(4, "big") + data)
+    return mac.hexdigest()
+
+
+def parsed_hop(text: str) -> Hop:
+    """Return the hop that a header states.
+
+    :raises RequestError: ``unauthorized`` when it can't be understood
+
+    >>> parsed_hop("1 a/1 b/2 7 1.5 dispatch").nonce
+    7
+    """
+    try:
+        version, sender, target, nonce, seconds, purpose = text.split(" ")
+        if version != "1":
+            raise ValueError(version)
+        return Hop(sender, target, int(nonce), float(seconds), Purpose(purpose))
+    except ValueError as error:
+        raise RequestError(ErrorKind.UNAUTHORIZED, "forwarded head is not understood") from error
+
+
+class _Nonces:
+    __slots__ = ("highest", "seen")
+
+    def __init__(self) -> None:
+        self.highest = 0
+        self.seen: set[int] = set()
+
+
+class ForwardGuard:
+    """Acceptance of forwarded requests: signature, addressee and nonce.
+
+    Nonces are remembered as a window below the newest one of each sender, so that a repeat is
+    refused at any later time and memory stays bounded.
+    """
+
+    def __init__(self, deployment_key: bytes, incarnation: str) -> None:
+        if len(deployment_key) < SMALLEST_KEY_BYTES:
+            raise ValueError(
+                f"deployment_key needs {SMALLEST_KEY_BYTES} bytes, got {len(deployment_key)}"
+            )
+        self._key = deployment_key
+        self._incarnation = incarnation
+        self._next_nonce = 1
+        self._senders: OrderedDict[str, _Nonces] = OrderedDict()
+
+    def new_hop(self, target: str, seconds_left: float, purpose: Purpose) -> Hop:
+        """Return a hop with a fresh nonce."""
+        hop = Hop(self._incarnation, target, self._next_nonce, seconds_left, purpose)
+        self._next_nonce += 1
+        return hop
+
+    def signed_headers(self, head: RequestHead, hop: Hop) -> tuple[tuple[str, str], ...]:
+        """Return the two headers that authenticate a forwarded request."""
+        signature = forward_signature(self._key, head, hop)
+        return ((FORWARD_HEADER, str(hop)), (SIGNATURE_HEADER, signature))
+
+    def accept(self, head: RequestHead) -> Hop:
+        """Return the hop of a received request.
+
+        :raises RequestError: ``unauthorized`` when it is forged, repeated or meant for another
+        """
+        text = head.header(FORWARD_HEADER)
+        signature = head.header(SIGNATURE_HEADER)
+        if text is None or signature is None:
+            raise RequestError(ErrorKind.UNAUTHORIZED, "only entry processes may use this port")
+        hop = parsed_hop(text)
+        expected = forward_signature(self._key, head, hop)
+        if not hmac.compare_digest(expected.encode(), signature.encode("utf-8", "replace")):
+            raise RequestError(ErrorKind.UNAUTHORIZED, "the signature does not match")
+        if hop.target != self._incarnation:
+            raise RequestError(ErrorKind.UNAUTHORIZED, "it was meant for another incarnation")
+        if not self._is_new(hop):
+            raise RequestError(ErrorKind.UNAUTHORIZED, "it was received before")
+        return hop
+
+    def _is_new(self, hop: Hop) -> bool:
+        nonces = self._senders.setdefault(hop.sender, _Nonces())
+        self._senders.move_to_end(hop.sender)
+        while len(self._senders) > LARGEST_SENDERS:
+            self._senders.popitem(last=False)
+        if hop.nonce <= nonces.highest - NONCE_WINDOW or hop.nonce in nonces.seen:
+            return False
+        nonces.seen.add(hop.nonce)
+        nonces.highest = max(nonces.highest, hop.nonce)
+        if len(nonces.seen) > 2 * NONCE_WINDOW:
+            floor = nonces.highest - NONCE_WINDOW
+            nonces.seen = {nonce for nonce in nonces.seen if nonce > floor}
+        return True
--- /dev/null
+++ b/dotterelhill/requests/keyed.py
@@ -0,0 +1,254 @@
+"""Requests with an idempotency key: who runs them, and the answer to a second call."""
+
+from __future__ import annotations
+
+import asyncio
+
+from dotterelhill.core import ErrorKind, RequestError
+from dotterelhill.membership import Peer, PeerView
+from dotterelhill.requests.claim_log import ClaimLog
+from dotterelhill.requests.claims import Holder, short_digest
+from dotterelhill.requests.idempotency import (
+    ISSUED_PREFIX,
+    LARGEST_ANSWER_BYTES,
+    LARGEST_KEY_CHARACTERS,
+    Answered,
+    IssuedKey,
+    KeyIssuer,
+    KeyState,
+    KeyTable,
+    Runnable,
+    StoredAnswer,
+    Unsettled,
+    digest_of,
+    request_digest,
+)
+from dotterelhill.requests.messages import AnswerHead
+from dotterelhill.requests.proxy import Proxy, Sink, Work
+
+
+class _Recorder:
+    """Sink that keeps a small answer and survives the caller."""
+
+    def __init__(self, sink: Sink) -> None:
+        self._sink = sink
+        self._head: AnswerHead | None = None
+        self._parts: list[bytes] = []
+        self._size = 0
+        self._is_caller_there = True
+        self._is_complete = False
+
+    @property
+    def is_answer_started(self) -> bool:
+        return self._head is not None
+
+    @property
+    def is_complete(self) -> bool:
+        """Return whether the whole answer has arrived from the minion."""
+        return self._is_complete
+
+    @property
+    def answer(self) -> StoredAnswer | None:
+        """Return the whole answer, or None when it was too large to keep."""
+        if self._head is None or self._size > LARGEST_ANSWER_BYTES:
+            return None
+        return StoredAnswer(self._head, b"".join(self._parts))
+
+    def drop_caller(self) -> None:
+        """Go on without the caller, whose connection has ended."""
+        self._is_caller_there = False
+
+    async def send_head(self, head: AnswerHead) -> None:
+        self._head = head
+        if self._is_caller_there:
+            await self._guarded(self._sink.send_head(head))
+
+    async def send(self, data: bytes) -> None:
+        self._size += len(data)
+        if self._size <= LARGEST_ANSWER_BYTES:
+            self._parts.append(data)
+        else:
+            self._parts.clear()
+        if self._is_caller_there:
+            await self._guarded(self._sink.send(data))
+
+    async def finish(self) -> None:
+        self._is_complete = True
+        if self._is_caller_there:
+            await self._guarded(self._sink.finish())
+
+    def abort(self) -> None:
+        if self._is_caller_there:
+            self._sink.abort()
+
+    async def _guarded(self, step: object) -> None:
+        try:
+            await step  # type: ignore[misc]
+        except (ConnectionError, RuntimeError):
+            self._is_caller_there = False
+
+
+class KeyedRequests:
+    """Runs each keyed request at most once.
+
+    :param deployment_key: secret from which issued keys are signed
+    """
+
+    def __init__(
+        self, proxy: Proxy, peers: PeerView, claims: ClaimLog, deployment_key: bytes
+    ) -> None:
+        self._proxy = proxy
+        self._peers = peers
+        self._claims = claims
+        self._table = KeyTable()
+        self._issuer = KeyIssuer(deployment_key, peers.incarnation)
+        self._running: set[asyncio.Task[None]] = set()
+
+    @property
+    def key_count(self) -> int:
+        """Return how many keys are remembered."""
+        return len(self._table)
+
+    def issue(self) -> str:
+        """Return a new key whose request only this incarnation dispatches."""
+        return self._issuer.issue()
+
+    async def run(self, work: Work, key: str, sink: Sink) -> None:
+        """Settle a keyed request on ``sink``.
+
+        :raises RequestError: when it can't be answered
+        """
+        if not key or len(key) > LARGEST_KEY_CHARACTERS or not key.isprintable():
+            raise RequestError(
+                ErrorKind.BAD_REQUEST, f"a key has 1 to {LARGEST_KEY_CHARACTERS} characters"
+            )
+        if key.startswith(ISSUED_PREFIX):
+            await self._run_issued(work, self._issuer.parsed(key), sink)
+        else:
+            await self._run_claimed(work, key, sink)
+
+    async def finish(self, seconds: float) -> None:
+        """Wait for requests that still run for callers that have gone."""
+        if self._running:
+            await asyncio.wait(self._running, timeout=max(0.0, seconds))
+
+    async def close(self) -> None:
+        """Cancel what still runs for callers that have gone."""
+        for task in list(self._running):
+            task.cancel()
+        await asyncio.gather(*self._running, return_exceptions=True)
+
+    async def _run_issued(self, work: Work, key: IssuedKey, sink: Sink) -> None:
+        if key.incarnation != self._peers.incarnation:
+            await self._run_at_holder(work, key.incarnation, sink)
+            return
+        is_known = self._table.state_of(key.digest) is not None
+        if not is_known and not self._issuer.may_be_unused(key):
+            raise RequestError(ErrorKind.KEY_HOLDER_GONE, "the key is no longer remembered")
+        answer = self._table.begin(key.digest, request_digest(work.head, work.start))
+        await self._run_or_replay(work, key.digest, answer, sink)
+
+    async def _run_claimed(self, work: Work, key: str, sink: Sink) -> None:
+        digest = digest_of(work.service.encode(), key.encode("utf-8", "surrogateescape"))
+        request = request_digest(work.head, work.start)
+        holder = self._claims.table.find(digest)
+        if holder is not None:
+            self._check_request(holder, request)
+            if holder.incarnation != self._peers.incarnation:
+                await self._run_at_holder(work, holder.incarnation, sink)
+                return
+            if self._table.state_of(digest) is None:
+                raise RequestError(ErrorKind.KEY_HOLDER_GONE, "the key is no longer remembered")
+        answer = self._table.begin(digest, request)
+        if answer is None:
+            await self._claim(work, digest, request, sink)
+        else:
+            await _replay(answer, sink)
+
+    async def _claim(self, work: Work, digest: bytes, request: bytes, sink: Sink) -> None:
+        """Run the request once the log says that its key is this process's."""
+        try:
+            holder = await self._claims.claim(digest, request, work.deadline.queue_until)
+        except BaseException:
+            # Nothing was dispatched; the claim may be in the log and is then this process's.
+            self._settle(digest, Runnable())
+            raise
+        if holder.incarnation == self._peers.incarnation:
+            await self._run_or_replay(work, digest, None, sink)
+            return
+        self._table.withdraw(digest)
+        self._check_request(holder, request)
+        await self._run_at_holder(work, holder.incarnation, sink)
+
+    def _check_request(self, holder: Holder, request: bytes) -> None:
+        if holder.request != short_digest(request):
+            raise RequestError(ErrorKind.KEY_MISMATCH, "the key was used for another request")
+
+    async def _run_at_holder(self, work: Work, incarnation: str, sink: Sink) -> None:
+        peer = self._live_peer(incarnation)
+        if work.hop is not None or peer is None:
+            # The holder may have dispatched it before it ended; nobody else ever runs it.
+            raise RequestError(ErrorKind.KEY_HOLDER_GONE, "the process that may run it is gone")
+        try:
+            await self._proxy.run_at_peer(work, peer, sink)
+        except RequestError as error:
+            if error.kind is ErrorKind.CONNECT_FAILED and not error.is_dispatched:
+                # An earlier call with this key may have run at the holder.
+                detail = "the process that may run it can't be reached"
+                raise RequestError(ErrorKind.KEY_HOLDER_GONE, detail) from error
+            if sink.is_answer_started:
+                sink.abort()
+            raise
+
+    def _live_peer(self, incarnation: str) -> Peer | None:
+        now = asyncio.get_running_loop().time()
+        peers = self._peers.live_peers(now)
+        return next((peer for peer in peers if peer.incarnation == incarnation), None)
+
+    async def _run_or_replay(
+        self, work: Work, digest: bytes, answer: StoredAnswer | None, sink: Sink
+    ) -> None:
+        if answer is not None:
+            await _replay(answer, sink)
+            return
+        recorder = _Recorder(sink)
+        task = asyncio.get_running_loop().create_task(self._attempt(work, digest, recorder))
+        self._running.add(task)
+        task.add_done_callback(self._running.discard)
+        task.add_done_callback(_retrieve_exception)
+        try:
+            await asyncio.shield(task)
+        except asyncio.CancelledError:
+            # The caller has gone; a second call with the key gets the answer.
+            recorder.drop_caller()
+            raise
+
+    async def _attempt(self, work: Work, digest: bytes, recorder: _Recorder) -> None:
+        try:
+            await self._proxy.run(work, recorder)
+        except RequestError as error:
+            if recorder.is_answer_started:
+                self._settle(digest, Unsettled(ErrorKind.ANSWER_TRUNCATED))
+            elif error.outcome == "not-run":
+                self._settle(digest, Runnable())
+            else:
+                self._settle(digest, Unsettled(error.kind))
+            raise
+        except BaseException:
+            self._settle(digest, Unsettled(ErrorKind.INTERNAL))
+            raise
+        self._settle(digest, Answered(recorder.answer))
+
+    def _settle(self, digest: bytes, state: KeyState) -> None:
+        self._issuer.forget(self._table.settle(digest, state))
+
+
+def _retrieve_exception(task: asyncio.Task[None]) -> None:
+    if not task.cancelled():
+        task.exception()
+
+
+async def _replay(answer: StoredAnswer, sink: Sink) -> None:
+    await sink.send_head(answer.head)
+    await sink.send(answer.body)
+    await sink.finish()
--- /dev/null
+++ b/dotterelhill/requests/messages.py
@@ -0,0 +1,120 @@
+"""Heads of requests and answers, and which headers pass from one side to the other."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from dotterelhill.core import ErrorKind, RequestError
+
+CHUNK_BYTES = 64 * 1024
+LARGEST_HEADERS = 100
+LARGEST_HEAD_BYTES = 32 * 1024
+OWN_HEADER_PREFIX = "dotterelhill-"
+OUTCOME_HEADER = "Dotterelhill-Outcome"
+ERROR_HEADER = "Dotterelhill-Error"
+KEY_HEADER = "Idempotency-Key"
+
+# RFC 9110, section 7.6.1, and the headers that name the framing of one connection.
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+Headers = tuple[tuple[str, str], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class RequestHead:
+    """Head of one request as the caller sent it.
+
+    :param raw_path: request target, path and query, byte for byte
+    :param headers: in order, repeated ones included
+    :param body_length: from ``Content-Length``; None when the body is chunked
+    """
+
+    method: str
+    raw_path: str
+    headers: Headers
+    body_length: int | None
+
+    def header(self, name: str) -> str | None:
+        """Return the only value of a header, or None.
+
+        :raises RequestError: when it is repeated
+        """
+        values = [value for key, value in self.headers if key.lower() == name.lower()]
+        if len(values) > 1:
+            raise RequestError(ErrorKind.BAD_REQUEST, f"header {name} is repeated")
+        return values[0] if values else None
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """Head of one answer."""
+
+    status: int
+    reason: str
+    headers: Headers
+
+    def header(self, name: str) -> str | None:
+        """Return the first value of a header, or None."""
+        return next((value for key, value in self.headers if key.lower() == name.lower()), None)
+
+
+def end_to_end_headers(headers: Iterable[tuple[str, str]]) -> Headers:
+    """Return the headers without those of one connection and without this system's own.
+
+    >>> end_to_end_headers([("Connection", "X-Hop"), ("X-Hop", "1"), ("X-A", "1"), ("X-A", "2")])
+    (('X-A', '1'), ('X-A', '2'))
+    >>> end_to_end_headers([("Dotterelhill-Outcome", "not-run"), ("Host", "a")])
+    (('Host', 'a'),)
+    """
+    listed = tuple(headers)
+    named = {
+        token.strip().lower()
+        for name, value in listed
+        if name.lower() == "connection"
+        for token in value.split(",")
+    }
+    # A caller must not be able to remove these by naming them in Connection.
+    named -= {"host", "content-length", "content-type", "idempotency-key", "authorization"}
+    return tuple(
+        (name, value)
+        for name, value in listed
+        if name.lower() not in HOP_BY_HOP
+        and name.lower() not in named
+        and not name.lower().startswith(OWN_HEADER_PREFIX)
+    )
+
+
+def check_head(head: RequestHead) -> None:
+    """Refuse a head that is too large or that two readers could understand differently.
+
+    :raises RequestError: with the kind that fits
+    """
+    size = sum(len(name) + len(value) + 4 for name, value in head.headers) + len(head.raw_path)
+    if len(head.headers) > LARGEST_HEADERS or size > LARGEST_HEAD_BYTES:
+        raise RequestError(
+            ErrorKind.HEAD_TOO_LARGE,
+            f"{len(head.headers)} headers, {size} bytes; "
+            f"at most {LARGEST_HEADERS} and {LARGEST_HEAD_BYTES}",
+        )
+    if not head.raw_path.startswith("/"):
+        raise RequestError(ErrorKind.BAD_REQUEST, "the request target must start with '/'")
+    names = [name.lower() for name, _ in head.headers]
+    if names.count("host") != 1:
+        raise RequestError(ErrorKind.BAD_REQUEST, "exactly one Host header is needed")
+    if "content-length" in names and "transfer-encoding" in names:
+        raise RequestError(ErrorKind.BAD_REQUEST, "Content-Length and Transfer-Encoding conflict")
+    if names.count("content-length") > 1 or names.count("transfer-encoding") > 1:
+        raise RequestError(ErrorKind.BAD_REQUEST, "the length of the body is stated twice")
--- /dev/null
+++ b/dotterelhill/requests/minion.py
@@ -0,0 +1,400 @@
+"""Client side: sends one request to a minion, or to a peer, and reads the answer."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Callable
+from contextvars import ContextVar
+from dataclasses import dataclass
+from typing import Protocol
+
+import aiohttp
+from aiohttp.client_reqrep import ClientRequest
+from aiohttp.connector import Connection
+from aiohttp.tracing import Trace
+from multidict import CIMultiDict
+from yarl import URL
+
+from dotterelhill.core import ErrorKind, RequestError
+from dotterelhill.requests.messages import CHUNK_BYTES, AnswerHead, Headers
+from dotterelhill.requests.slots import RESERVED_SECONDS
+
+CONNECT_SECONDS = 2.0
+# Below the idle limit of common servers, so that a kept connection is rarely closed under a
+# request that must not be repeated.
+KEEPALIVE_SECONDS = 10.0
+# While it connects or uploads, an exchange looks this often whether the silence bound has changed.
+STEP_SECONDS = 0.1
+_AUTO_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
+_BODILESS_STATUS = frozenset({204, 304})
+
+
+class Body(Protocol):
+    """Body of a request, read in chunks of at most ``CHUNK_BYTES``."""
+
+    async def read(self) -> bytes:
+        """Return the next bytes; empty at the end.
+
+        :raises RequestError: ``upload_aborted`` when the caller stopped half-way
+        """
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class OutgoingRequest:
+    """One attempt.
+
+    :param address: ``host:port``
+    :param start: bytes of the body that were read before the dispatch
+    :param rest: what follows ``start``, or None when that is the whole body
+    :param connections: most open connections to the address
+    :param silence_seconds: longest time without a byte from the minion
+    """
+
+    address: str
+    method: str
+    raw_path: str
+    headers: Headers
+    start: bytes
+    rest: Body | None
+    connections: int
+    silence_seconds: float
+
+
+class _NotPermittedError(Exception):
+    """The permit ended while the connection was made; nothing was sent."""
+
+
+class Exchange:
+    """One request at a minion and its answer.
+
+    :param may_send: asked when the connection is there, right before the first byte
+    :param on_end: called once when the minion can no longer work on the request
+    """
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        request: OutgoingRequest,
+        may_send: Callable[[], bool],
+        on_end: Callable[[], None],
+    ) -> None:
+        self._session = session
+        self._request = request
+        self._may_send = may_send
+        self._on_end = on_end
+        self._connection: Connection | None = None
+        self._response: aiohttp.ClientResponse | None = None
+        self._upload_error: RequestError | None = None
+        self._quiet_since: float | None = None
+        self._is_dispatched = False
+        self._is_ended = False
+        self._is_upload_done = request.rest is None
+        self._abandoned = asyncio.Event()
+        self._loop = asyncio.get_running_loop()
+        self._task = self._loop.create_task(self._send())
+        self._task.add_done_callback(self._notice_failure)
+
+    @property
+    def is_dispatched(self) -> bool:
+        """Return whether a byte of the request may have reached the minion."""
+        return self._is_dispatched
+
+    async def head(self, seconds_left: float) -> AnswerHead:
+        """Return the head of the answer.
+
+        :param seconds_left: until the request's deadline
+        :raises RequestError: when there is no usable answer in time
+        """
+        expires_at = self._loop.time() + seconds_left
+        while not self._task.done() and self._upload_error is None:
+            now = self._loop.time()
+            wait_until = expires_at
+            if self._quiet_since is not None:
+                wait_until = min(expires_at, self._quiet_since + self._request.silence_seconds)
+            if now >= wait_until:
+                raise self._late(is_silent=wait_until < expires_at)
+            is_bound_fixed = self._is_upload_done and self._quiet_since is not None
+            step = wait_until - now if is_bound_fixed else min(wait_until - now, STEP_SECONDS)
+            await asyncio.wait({self._task}, timeout=step)
+        if self._upload_error is not None:
+            raise self._error(self._upload_error.kind, self._upload_error.detail)
+        return self._checked_head(self._outcome_of_task())
+
+    async def read(self, seconds_left: float) -> bytes:
+        """Return the next bytes of the answer, at most ``CHUNK_BYTES``; empty at its end.
+
+        :raises RequestError: when the answer breaks off, stalls or passes the deadline
+        """
+        assert self._response is not None
+        seconds = min(seconds_left, self._request.silence_seconds)
+        try:
+            async with asyncio.timeout(seconds):
+                chunk = await self._response.content.read(CHUNK_BYTES)
+        except TimeoutError as error:
+            raise self._late(is_silent=seconds < seconds_left) from error
+        except (aiohttp.ClientError, OSError) as error:
+            raise self._error(ErrorKind.ANSWER_TRUNCATED, "the answer broke off") from error
+        if not chunk:
+            self._finish()
+        return chunk
+
+    def abandon(self) -> None:
+        """Give up the answer; ``on_end`` follows when the minion is done or time has passed.
+
+        The connection is never used again.
+        """
+        if self._is_ended or self._abandoned.is_set():
+            return
+        self._abandoned.set()
+        if not self._is_dispatched or self._task.done():
+            self._close()
+            return
+        if not self._is_upload_done and self._connection is not None:
+            _end_sending(self._connection)
+        self._loop.call_later(RESERVED_SECONDS, self._close)
+        self._task.add_done_callback(lambda _: self._close())
+
+    async def _send(self) -> aiohttp.ClientResponse:
+        _CURRENT.set(self)
+        request = self._request
+        host, _, port = request.address.rpartition(":")
+        # The whole target as an encoded path, so that not even an empty query is changed.
+        url = URL.build(
+            scheme="http", host=host, port=int(port), path=request.raw_path, encoded=True
+        )
+        self._response = await self._session.request(
+            request.method,
+            url,
+            headers=CIMultiDict(request.headers),
+            data=self._body(),
+            allow_redirects=False,
+            skip_auto_headers=_AUTO_HEADERS,
+        )
+        return self._response
+
+    def _body(self) -> bytes | AsyncIterator[bytes] | None:
+        if self._request.rest is not None:
+            return self._upload()
+        return self._request.start or None
+
+    async def _upload(self) -> AsyncIterator[bytes]:
+        assert self._request.rest is not None
+        chunk = self._request.start
+        try:
+            while True:
+                if chunk:
+                    self._quiet_since = self._loop.time()
+                    yield chunk
+                self._quiet_since = None
+                chunk = await self._request.rest.read()
+                if not chunk:
+                    break
+        except RequestError as error:
+            self._upload_error = error
+            await self._wait_for_end()
+            raise
+        self._is_upload_done = True
+        self._quiet_since = self._loop.time()
+
+    async def _wait_for_end(self) -> None:
+        """Half-close, so that the minion ends the incomplete request and closes."""
+        if self._connection is not None:
+            _end_sending(self._connection)
+        await asyncio.sleep(RESERVED_SECONDS)
+
+    def confirm_dispatch(self, connection: Connection) -> None:
+        """Record that the request is about to be sent on ``connection``.
+
+        :raises _NotPermittedError: when the permit has ended meanwhile
+        """
+        if self._abandoned.is_set() or not self._may_send():
+            raise _NotPermittedError
+        self._connection = connection
+        self._is_dispatched = True
+        if self._is_upload_done:
+            self._quiet_since = self._loop.time()
+
+    def _outcome_of_task(self) -> aiohttp.ClientResponse:
+        try:
+            return self._task.result()
+        except _NotPermittedError as error:
+            raise self._error(ErrorKind.CONNECT_FAILED, "the permit for it ended") from error
+        except (aiohttp.ClientError, OSError, asyncio.CancelledError) as error:
+            if self._is_dispatched:
+                detail = "the connection ended before an answer"
+                raise self._error(ErrorKind.MINION_CONNECTION_LOST, detail) from error
+            raise self._error(ErrorKind.CONNECT_FAILED, "no connection") from error
+
+    def _checked_head(self, response: aiohttp.ClientResponse) -> AnswerHead:
+        headers = tuple(
+            (name.decode("utf-8", "surrogateescape"), value.decode("utf-8", "surrogateescape"))
+            for name, value in response.raw_headers
+        )
+        is_framed = "Content-Length" in response.headers or "chunked" in response.headers.get(
+            "Transfer-Encoding", ""
+        )
+        has_body = self._request.method != "HEAD" and response.status not in _BODILESS_STATUS
+        if has_body and not is_framed:
+            # The end of such an answer looks the same as a minion that died half-way.
+            raise self._error(ErrorKind.ANSWER_TRUNCATED, "the answer states no length")
+        return AnswerHead(response.status, response.reason or "", headers)
+
+    def _late(self, *, is_silent: bool) -> RequestError:
+        if not self._is_dispatched:
+            return self._error(ErrorKind.DEADLINE_BEFORE_DISPATCH, "while connecting")
+        if not self._is_upload_done and self._quiet_since is None:
+            return self._error(ErrorKind.UPLOAD_ABORTED, "the body arrived too slowly")
+        if is_silent:
+            return self._error(ErrorKind.MINION_SILENT, "no byte arrived in time")
+        return self._error(ErrorKind.DEADLINE_AFTER_DISPATCH, "no complete answer in time")
+
+    def _error(self, kind: ErrorKind, detail: str) -> RequestError:
+        return RequestError(kind, detail, is_dispatched=self._is_dispatched)
+
+    def _finish(self) -> None:
+        """End an exchange whose answer is complete; its connection may be used again."""
+        assert self._response is not None
+        if not self._is_upload_done:
+            # The rest of the upload would reach the minion as the start of another request.
+            self._response.close()
+        self._response.release()
+        self._end()
+
+    def _close(self) -> None:
+        if self._is_ended:
+            return
+        if not self._task.done():
+            self._task.cancel()
+        if self._response is not None:
+            self._response.close()
+        self._end()
+
+    def _notice_failure(self, task: asyncio.Task[aiohttp.ClientResponse]) -> None:
+        if task.cancelled() or task.exception() is not None:
+            self._end()
+
+    def _end(self) -> None:
+        if not self._is_ended:
+            self._is_ended = True
+            self._on_end()
+
+
+_CURRENT: ContextVar[Exchange] = ContextVar("current_exchange")
+
+
+def _end_sending(connection: Connection) -> None:
+    transport = connection.transport
+    if transport is not None and not transport.is_closing() and transport.can_write_eof():
+        with contextlib.suppress(OSError, RuntimeError):
+            transport.write_eof()
+
+
+class _GuardedConnector(aiohttp.TCPConnector):
+    """Connector that hands out at most one connection for each exchange.
+
+    The session itself would send a GET or PUT again on a second connection when a kept one turns
+    out to be closed; retries are decided in one place only, see ``retries``.
+    """
+
+    async def connect(
+        self, req: ClientRequest, traces: list[Trace], timeout: aiohttp.ClientTimeout
+    ) -> Connection:
+        exchange = _CURRENT.get()
+        if exchange.is_dispatched:
+            raise aiohttp.ClientConnectionError("the request was sent once already")
+        connection = await super().connect(req, traces, timeout)
+        try:
+            exchange.confirm_dispatch(connection)
+        except _NotPermittedError:
+            connection.release()
+            raise
+        return connection
+
+
+class _Pool:
+    """Connections to one address."""
+
+    def __init__(self) -> None:
+        self.in_use = 0
+        self.most_in_use = 0
+        self.session = aiohttp.ClientSession(
+            connector=_GuardedConnector(limit=0, keepalive_timeout=KEEPALIVE_SECONDS),
+            cookie_jar=aiohttp.DummyCookieJar(),
+            auto_decompress=False,
+            read_bufsize=CHUNK_BYTES,
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS),
+        )
+
+
+class MinionClient:
+    """Connections to minions and peers, one pool for each address."""
+
+    def __init__(self) -> None:
+        self._pools: dict[str, _Pool] = {}
+        self._retired: set[_Pool] = set()
+        self._closing: set[asyncio.Task[None]] = set()
+
+    @property
+    def in_use(self) -> dict[str, int]:
+        """Return the connections in use by address."""
+        return {address: pool.in_use for address, pool in self._pools.items()}
+
+    def exchange(
+        self,
+        request: OutgoingRequest,
+        may_send: Callable[[], bool],
+        on_end: Callable[[], None],
+    ) -> Exchange:
+        """Return the started exchange of one attempt; see ``Exchange`` for the callbacks."""
+        pool = self._pool_for(request)
+        pool.in_use += 1
+        pool.most_in_use = max(pool.most_in_use, pool.in_use)
+
+        def end() -> None:
+            pool.in_use -= 1
+            if pool in self._retired and not pool.in_use:
+                self._retired.discard(pool)
+                self._close_later(pool)
+            on_end()
+
+        return Exchange(pool.session, request, may_send, end)
+
+    def retain(self, addresses: frozenset[str]) -> None:
+        """Close the connections to every other address once they are idle."""
+        for address in [item for item in self._pools if item not in addresses]:
+            self._retire(address)
+
+    async def close(self) -> None:
+        """Close every connection."""
+        pools = [*self._pools.values(), *self._retired]
+        self._pools.clear()
+        self._retired.clear()
+        for pool in pools:
+            await pool.session.close()
+        for task in list(self._closing):
+            await task
+
+    def _pool_for(self, request: OutgoingRequest) -> _Pool:
+        pool = self._pools.get(request.address)
+        # Open connections never exceed the most that were in use at once; when the permit has
+        # shrunk below that, the idle ones are given up.
+        if pool is not None and pool.most_in_use > request.connections:
+            self._retire(request.address)
+            pool = None
+        if pool is None:
+            pool = self._pools[request.address] = _Pool()
+        return pool
+
+    def _retire(self, address: str) -> None:
+        pool = self._pools.pop(address)
+        if pool.in_use:
+            self._retired.add(pool)
+        else:
+            self._close_later(pool)
+
+    def _close_later(self, pool: _Pool) -> None:
+        task = asyncio.get_running_loop().create_task(pool.session.close())
+        self._closing.add(task)
+        task.add_done_callback(self._closing.discard)
--- /dev/null
+++ b/dotterelhill/requests/routing.py
@@ -0,0 +1,239 @@
+"""Choice of a minion, ejection of failing ones, and the order of peers to forward to."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from random import Random
+from statistics import median
+
+from dotterelhill.manifest import DomainState, Manifest, MinionState, Service
+from dotterelhill.membership import Peer
+
+EJECT_AFTER_FAILURES = 5
+EJECT_ABOVE_MEDIANS = 5.0
+EJECT_SECONDS = 5.0
+LONGEST_EJECT_SECONDS = 60.0
+LARGEST_EJECTED_SHARE = 0.3
+# A minion needs this many answers before its latency is compared with the median.
+FEWEST_SAMPLES = 10
+# Weight of the newest answer in the smoothed latency.
+SMOOTHING = 0.2
+# A latency difference below this is noise, whatever its ratio to the median.
+NOISE_SECONDS = 0.02
+FIRST_GUESS_SECONDS = 0.01
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """A minion that may get the request.
+
+    :param in_flight: taken slots, reserved ones included
+    """
+
+    minion: str
+    in_flight: int
+
+
+@dataclass(slots=True)
+class _Health:
+    seconds: float = FIRST_GUESS_SECONDS
+    samples: int = 0
+    failures: int = 0
+    ejected_until: float = -math.inf
+    eject_seconds: float = 0.0
+    is_ejected: bool = False
+    is_probed: bool = False
+
+
+def usable_minions(manifest: Manifest, service: Service, leaving: frozenset[str]) -> list[str]:
+    """Return the names of a service's minions that may get new requests, in a fixed order.
+
+    :param leaving: VMs that the VM list marks as leaving, by minion name or host
+    """
+    usable = []
+    for name, minion in sorted(service.minions.items()):
+        if minion.state is MinionState.LEAVING or name in leaving:
+            continue
+        if minion.address.rpartition(":")[0] in leaving:
+            continue
+        if manifest.failure_domains[minion.failure_domain].state is not DomainState.IN:
+            continue
+        usable.append(name)
+    return usable
+
+
+class Routing:
+    """Health of the minions as this process sees it, and choices from it.
+
+    :param random: seeded generator
+    """
+
+    def __init__(self, random: Random) -> None:
+        self._random = random
+        self._health: dict[str, _Health] = {}
+
+    def ejected(self, now: float) -> frozenset[str]:
+        """Return the minions that get nothing but a probe."""
+        return frozenset(name for name, health in self._health.items() if health.is_ejected)
+
+    def smoothed_seconds(self, minion: str) -> float:
+        """Return the smoothed latency of a minion."""
+        return self._of(minion).seconds
+
+    def choose(self, candidates: Sequence[Candidate], now: float) -> str | None:
+        """Return the minion for the next request, or None when there is none.
+
+        A minion whose ejection is over gets exactly one probe request first.
+        """
+        sound = []
+        for candidate in candidates:
+            health = self._of(candidate.minion)
+            if not health.is_ejected:
+                sound.append(candidate)
+                continue
+            if health.ejected_until <= now and not health.is_probed:
+                health.is_probed = True
+                return candidate.minion
+        if not sound:
+            return None
+        pair = self._random.sample(sound, min(2, len(sound)))
+        return min(pair, key=self._expected_wait).minion
+
+    def record_answer(self, minion: str, seconds: float, group: Sequence[str], now: float) -> None:
+        """Count an answer.
+
+        :param seconds: from dispatch to the head of the answer
+        :param group: minions of the same service and failure domain, this one included
+        """
+        health = self._of(minion)
+        health.failures = 0
+        health.samples += 1
+        health.seconds += SMOOTHING * (seconds - health.seconds)
+        if health.is_ejected and health.is_probed:
+            self._restore(health)
+            return
+        if self._is_slow(minion, group):
+            self._eject(minion, group, now)
+
+    def record_failure(self, minion: str, group: Sequence[str], now: float) -> None:
+        """Count a failed attempt; see ``record_answer`` for the parameters."""
+        health = self._of(minion)
+        health.failures += 1
+        if health.is_ejected and health.is_probed:
+            health.is_probed = False
+            self._extend(health, now)
+            return
+        if health.failures >= EJECT_AFTER_FAILURES:
+            self._eject(minion, group, now)
+
+    def record_unused(self, minion: str) -> None:
+        """Take back a choice that was never dispatched, so that a probe can be sent again."""
+        self._of(minion).is_probed = False
+
+    def retain(self, minions: Iterable[str]) -> None:
+        """Forget every minion that the manifest no longer names."""
+        kept = frozenset(minions)
+        self._health = {name: item for name, item in self._health.items() if name in kept}
+
+    def _of(self, minion: str) -> _Health:
+        return self._health.setdefault(minion, _Health())
+
+    def _expected_wait(self, candidate: Candidate) -> float:
+        return (candidate.in_flight + 1) * self._of(candidate.minion).seconds
+
+    def _is_slow(self, minion: str, group: Sequence[str]) -> bool:
+        health = self._of(minion)
+        others = [self._of(name) for name in group if name != minion]
+        known = [item.seconds for item in others if item.samples >= FEWEST_SAMPLES]
+        if health.samples < FEWEST_SAMPLES or len(known) < 2:
+            return False
+        bound = max(EJECT_ABOVE_MEDIANS * median([*known, health.seconds]), NOISE_SECONDS)
+        return health.seconds > bound
+
+    def _eject(self, minion: str, group: Sequence[str], now: float) -> None:
+        health = self._of(minion)
+        if health.is_ejected or len(group) < 2:
+            return
+        # Of two or three minions one may be ejected, since the share alone would allow none.
+        most = max(1, math.floor(len(group) * LARGEST_EJECTED_SHARE))
+        if sum(self._of(name).is_ejected for name in group) >= most:
+            return
+        health.is_ejected = True
+        self._extend(health, now)
+
+    def _extend(self, health: _Health, now: float) -> None:
+        doubled = health.eject_seconds * 2 if health.eject_seconds else EJECT_SECONDS
+        health.eject_seconds = min(LONGEST_EJECT_SECONDS, doubled)
+        health.ejected_until = now + health.eject_seconds
+
+    def _restore(self, health: _Health) -> None:
+        health.is_ejected = health.is_probed = False
+        health.eject_seconds = 0.0
+        # Its latency is judged anew, from the answers after its return.
+        health.samples = 0
+        health.seconds = FIRST_GUESS_SECONDS
+
+
+class ForwardingOrder:
+    """Which peer gets a request that this process has no free slot for.
+
+    :param failure_domain: of this process
+    :param region: of this process
+    :param random: seeded generator
+    """
+
+    def __init__(self, failure_domain: str, region: str, random: Random) -> None:
+        self._failure_domain = failure_domain
+        self._region = region
+        self._random = random
+        self._sent: dict[str, tuple[float, int]] = {}
+
+    def choose(
+        self, peers: Sequence[Peer], service: str, manifest: Manifest, *, may_cross: bool
+    ) -> Peer | None:
+        """Return the nearest peer with free slots: own domain, own region, other region.
+
+        :param may_cross: whether the byte cap allows another region now
+        """
+        tiers: list[list[Peer]] = [[], [], []]
+        for peer in peers:
+            domain = manifest.failure_domains.get(peer.failure_domain)
+            if domain is None or domain.state is not DomainState.IN or not peer.is_ready:
+                continue
+            if self.free_slots(peer, service) <= 0:
+                continue
+            tiers[self._distance(peer)].append(peer)
+        for distance, tier in enumerate(tiers):
+            if not tier or (distance == 2 and not may_cross):
+                continue
+            pair = self._random.sample(tier, min(2, len(tier)))
+            return max(pair, key=lambda peer: self.free_slots(peer, service))
+        return None
+
+    def is_other_region(self, peer: Peer) -> bool:
+        """Return whether a request to the peer crosses regions."""
+        return peer.region != self._region
+
+    def record_sent(self, peer: Peer) -> None:
+        """Count a forwarded request against the slots of the peer's newest heartbeat."""
+        heard_at, count = self._sent.get(peer.incarnation, (peer.heard_at, 0))
+        if heard_at != peer.heard_at:
+            count = 0
+        self._sent[peer.incarnation] = (peer.heard_at, count + 1)
+
+    def retain(self, incarnations: Iterable[str]) -> None:
+        """Forget every peer that is no longer live."""
+        kept = frozenset(incarnations)
+        self._sent = {name: item for name, item in self._sent.items() if name in kept}
+
+    def free_slots(self, peer: Peer, service: str) -> int:
+        """Return the peer's free slots less those used since its newest heartbeat."""
+        heard_at, count = self._sent.get(peer.incarnation, (peer.heard_at, 0))
+        return peer.free_slots.get(service, 0) - (count if heard_at == peer.heard_at else 0)
+
+    def _distance(self, peer: Peer) -> int:
+        if peer.failure_domain == self._failure_domain:
+            return 0
+        return 1 if peer.region == self._region else 2
--- /dev/null
+++ b/dotterelhill/requests/service.py
@@ -0,0 +1,310 @@
+"""The ``Requests`` service: listens for callers and peers and answers their requests."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections import Counter
+from dataclasses import dataclass
+from random import Random
+from typing import Any
+
+import msgspec
+from mode import Service
+
+from dotterelhill.core import ErrorKind, RequestError
+from dotterelhill.holdings import HoldingsView
+from dotterelhill.log import Log
+from dotterelhill.manifest import ManifestView
+from dotterelhill.membership import PeerView
+from dotterelhill.requests.caller import (
+    DEFAULT_CONNECTIONS_PER_CALLER,
+    HEAD_SECONDS,
+    Call,
+    CallerServer,
+)
+from dotterelhill.requests.claim_log import ClaimLog
+from dotterelhill.requests.deadlines import DEADLINE_HEADER, deadline_of
+from dotterelhill.requests.forwarding import ForwardGuard, Hop, Purpose
+from dotterelhill.requests.keyed import KeyedRequests
+from dotterelhill.requests.messages import KEY_HEADER, AnswerHead, RequestHead, check_head
+from dotterelhill.requests.minion import MinionClient
+from dotterelhill.requests.proxy import (
+    RECHECK_SECONDS,
+    Proxy,
+    Surroundings,
+    Work,
+    body_start,
+    service_of,
+)
+
+KEYS_PATH = "/_dotterelhill/keys"
+FOLLOW_SECONDS = 1.0
+# Largest request deadline; no request in flight lasts longer.
+DRAIN_SECONDS = 30.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RequestsSettings:
+    """Settings of one entry process for its requests.
+
+    :param failure_domain: of this process
+    :param region: of this process
+    :param caller_address: ``host:port`` for callers; port 0 takes a free one
+    :param forward_address: ``host:port`` for other entry processes
+    :param deployment_key: secret that all entry processes of a deployment share
+    :param connections_per_caller: most open connections from one address; the balancer counts as
+        one caller when it hides the addresses behind it
+    :param balancer_seconds: how long the balancer still sends requests after ``/readyz`` fails
+    """
+
+    failure_domain: str
+    region: str
+    caller_address: str
+    forward_address: str
+    deployment_key: bytes
+    connections_per_caller: int = DEFAULT_CONNECTIONS_PER_CALLER
+    balancer_seconds: float = 5.0
+    head_seconds: float = HEAD_SECONDS
+
+
+class Requests(Service):
+    """Answers the requests of callers and peers.
+
+    :param settings: addresses and the deployment key
+    :param manifests: manifest in force
+    :param holdings: permits for minions
+    :param peers: live entry processes
+    :param log: holds the claims of caller-chosen keys
+    :param random: seeded generator
+    """
+
+    def __init__(
+        self,
+        settings: RequestsSettings,
+        manifests: ManifestView,
+        holdings: HoldingsView,
+        peers: PeerView,
+        log: Log,
+        random: Random,
+    ) -> None:
+        super().__init__()
+        self._settings = settings
+        self._around = Surroundings(
+            manifests, holdings, peers, settings.failure_domain, settings.region
+        )
+        self._log = log
+        self._random = random
+        self._guard = ForwardGuard(settings.deployment_key, peers.incarnation)
+        self._claims = ClaimLog(log, peers.incarnation, random)
+        self._counters: Counter[str] = Counter()
+        self._in_flight = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
+        self._is_draining = False
+        self._is_closing = False
+        self._caller_address = ""
+        self._forward_address = ""
+
+    @property
+    def caller_address(self) -> str:
+        """Return the bound ``host:port`` for callers."""
+        return self._caller_address
+
+    @property
+    def forward_address(self) -> str:
+        """Return the bound ``host:port`` for other entry processes."""
+        return self._forward_address
+
+    @property
+    def in_flight(self) -> int:
+        """Return the requests in progress."""
+        return self._in_flight
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether new requests are wanted; ``/readyz`` shows it."""
+        return not self._is_draining and self._around.manifests.current is not None
+
+    def free_slots(self) -> dict[str, int]:
+        """Return the free slots by service, for heartbeats; none while draining."""
+        return {} if self._is_draining else self._proxy.free_slots()
+
+    def dump(self) -> dict[str, Any]:
+        """Return the whole state, for the dump of the process."""
+        proxy = self._proxy
+        return {
+            "caller_address": self._caller_address,
+            "forward_address": self._forward_address,
+            "in_flight": self._in_flight,
+            "is_draining": self._is_draining,
+            "open_connections": self._callers.open_connections,
+            "counters": dict(
+                self._counters + proxy.counters + self._callers.counters + self._forwards.counters
+            ),
+            "slots": dict(proxy.slots.in_flight),
+            "reserved_slots": proxy.slots.reserved,
+            "queue": proxy.queue_length,
+            "ejected": sorted(proxy.routing.ejected(self._now())),
+            "member_in_flight": proxy.limits.in_flight,
+            "crossed_bytes": proxy.crossed_bytes,
+            "keys": self._keyed.key_count,
+            "claims": len(self._claims.table),
+        }
+
+    async def on_start(self) -> None:
+        """Bind both ports."""
+        settings = self._settings
+        self._client = MinionClient()
+        self._proxy = Proxy(self._around, self._client, self._guard, self._random)
+        self._keyed = KeyedRequests(
+            self._proxy, self._around.peers, self._claims, settings.deployment_key
+        )
+        self._callers = CallerServer(
+            self._answer_caller,
+            lambda: not self._is_draining,
+            connections_per_caller=settings.connections_per_caller,
+            head_seconds=settings.head_seconds,
+        )
+        self._forwards = CallerServer(
+            self._answer_peer,
+            lambda: not self._is_closing,
+            connections_per_caller=settings.connections_per_caller,
+            head_seconds=settings.head_seconds,
+        )
+        await self.add_runtime_dependency(self._claims)
+        self._caller_address = await _listen(self._callers, settings.caller_address)
+        self._forward_address = await _listen(self._forwards, settings.forward_address)
+
+    async def drain(self) -> None:
+        """Return once no request is in flight after a planned stop began.
+
+        The listeners stay open for the balancer's delay; requests that arrive until then are
+        answered, and each answer closes its connection.
+        """
+        if self._is_draining:
+            return
+        self._is_draining = True
+        await asyncio.sleep(self._settings.balancer_seconds)
+        self._is_closing = True
+        await self._callers.stop_listening()
+        await self._forwards.stop_listening()
+        ends_at = self._now() + DRAIN_SECONDS
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout_at(ends_at):
+                await self._idle.wait()
+        await self._keyed.finish(ends_at - self._now())
+
+    async def on_stop(self) -> None:
+        """Drain, then close every connection."""
+        await self.drain()
+        await self._callers.close()
+        await self._forwards.close()
+        await self._keyed.close()
+        await self._client.close()
+
+    @Service.task
+    async def _recheck(self) -> None:
+        while not self.should_stop:
+            await asyncio.sleep(RECHECK_SECONDS)
+            self._proxy.recheck()
+
+    @Service.task
+    async def _follow(self) -> None:
+        while not self.should_stop:
+            await asyncio.sleep(FOLLOW_SECONDS)
+            self._proxy.follow_manifest()
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    async def _answer_caller(self, call: Call) -> None:
+        await self._settle(call, is_forwarded=False)
+
+    async def _answer_peer(self, call: Call) -> None:
+        await self._settle(call, is_forwarded=True)
+
+    async def _settle(self, call: Call, *, is_forwarded: bool) -> None:
+        self._in_flight += 1
+        self._idle.clear()
+        try:
+            check_head(call.head)
+            hop = self._guard.accept(call.head) if is_forwarded else None
+            await self._work(call, hop)
+        except RequestError as error:
+            self._counters[str(error.kind)] += 1
+            await self._send_error(call, error)
+        except (ConnectionError, asyncio.CancelledError):
+            self._counters["callers_gone"] += 1
+            raise
+        except Exception:
+            self._counters["internal"] += 1
+            self.log.exception("request failed by a fault of this program")
+            await self._send_error(call, RequestError(ErrorKind.INTERNAL, is_dispatched=True))
+        finally:
+            self._in_flight -= 1
+            if not self._in_flight:
+                self._idle.set()
+
+    async def _send_error(self, call: Call, error: RequestError) -> None:
+        if call.is_answer_started:
+            call.abort()
+        else:
+            await call.send_error(error)
+
+    async def _work(self, call: Call, hop: Hop | None) -> None:
+        if self._is_closing:
+            raise RequestError(ErrorKind.SHUTTING_DOWN, "this process stops")
+        head = call.head
+        if hop is None and head.raw_path == KEYS_PATH:
+            await self._issue_key(call)
+            return
+        manifest = self._proxy.manifest()
+        service_name = service_of(manifest, head.raw_path)
+        service = manifest.services[service_name]
+        stated = repr(hop.seconds_left) if hop else head.header(DEADLINE_HEADER)
+        deadline = deadline_of(stated, service.deadline_seconds, self._now())
+        if hop is None:
+            limits = manifest.members[service.member].limits
+            self._proxy.limits.admit(service.member, limits, self._proxy.processes, self._now())
+        try:
+            start, rest = await self._read_start(call, head, deadline.expires_at)
+            is_idempotent = head.method in service.idempotent_methods
+            work = Work(head, service_name, deadline, is_idempotent, start, rest, hop)
+            await self._run(work, call)
+        finally:
+            if hop is None:
+                self._proxy.limits.settle(service.member)
+
+    async def _read_start(
+        self, call: Call, head: RequestHead, expires_at: float
+    ) -> tuple[bytes, Any]:
+        try:
+            async with asyncio.timeout_at(expires_at):
+                return await body_start(call, head.body_length)
+        except TimeoutError as error:
+            raise RequestError(
+                ErrorKind.DEADLINE_BEFORE_DISPATCH, "the body arrived too slowly"
+            ) from error
+
+    async def _run(self, work: Work, call: Call) -> None:
+        key = work.head.header(KEY_HEADER)
+        settled_by_sender = work.hop is not None and work.hop.purpose is Purpose.DISPATCH
+        if key is None or settled_by_sender:
+            await self._proxy.run(work, call)
+            return
+        await self._keyed.run(work, key, call)
+
+    async def _issue_key(self, call: Call) -> None:
+        if call.head.method != "POST":
+            raise RequestError(ErrorKind.BAD_REQUEST, "keys are issued by POST")
+        body = msgspec.json.encode({"key": self._keyed.issue()})
+        headers = (("Content-Type", "application/json"), ("Content-Length", str(len(body))))
+        await call.send_head(AnswerHead(201, "Created", headers))
+        await call.send(body)
+        await call.finish()
+
+
+async def _listen(server: CallerServer, address: str) -> str:
+    host, _, port = address.rpartition(":")
+    return await server.listen(host, int(port))
