Add membership: VM list, CURVE transport, heartbeats, live view, relays

Cause: entry processes need to know which others are alive, and domains that are cut off from the log need manifests and control records from peers.

Ruled out: a request and reply socket pair for each peer (a lost reply blocks it); counting ages and promises from the time of receipt (a delayed message would extend them), so heartbeats return the receiver's own stamp as an echo.

Before: only the interface PeerView existed.

--- /dev/null
+++ b/dotterelhill/membership/service.py
@@ -0,0 +1,280 @@
+"""Service of membership: heartbeats, polls of the VM list, relay of manifests and records."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
+
+import mode
+from logbook import Logger
+
+from dotterelhill.log.interface import LogRecord
+from dotterelhill.membership.heartbeats import (
+    Heartbeat,
+    ManifestRecord,
+    PeerMessage,
+    Records,
+    RecordsWanted,
+)
+from dotterelhill.membership.interface import Peer
+from dotterelhill.membership.transport import PeerTransport
+from dotterelhill.membership.view import (
+    HEARTBEAT_SECONDS,
+    AskForRecords,
+    HeartbeatHeard,
+    LiveChanged,
+    MembershipAction,
+    MembershipDecision,
+    MembershipEvent,
+    OwnState,
+    RelayManifest,
+    SendHeartbeat,
+    Tick,
+    VmListRead,
+)
+from dotterelhill.membership.vm_list import POLL_SECONDS, Vm, VmList, VmListError
+
+# One batch is at most this many records and bytes, so that a lagging peer can't fill the queues.
+RECORDS_IN_BATCH = 500
+BYTES_IN_BATCH = 60_000
+
+log = Logger("membership.service")
+
+
+@dataclass(frozen=True, slots=True)
+class MembershipSettings:
+    """Addresses and place of this process.
+
+    :param peer_address: ``host:port`` under which peers reach this process
+    :param seeds: peer addresses of the own domain to try besides the VM list
+    """
+
+    incarnation: str
+    entry: str
+    failure_domain: str
+    region: str
+    peer_address: str
+    forward_address: str
+    seeds: tuple[str, ...] = ()
+
+
+@dataclass(slots=True)
+class MembershipHooks:
+    """Callbacks that connect membership with other slices; the entry process sets them.
+
+    :param own_state: what to tell about this process, asked each second
+    :param promise_to: whether this process promises an incarnation to append no ``Hold`` for its
+        resources for 10 s; the one asked remembers the promise
+    :param manifest_record: version and record of the manifest in force, or None
+    :param control_records: ``control`` records from an offset on, at most ``limit``
+    :param on_heartbeat: a heartbeat was heard
+    :param on_live_changed: live incarnations of the own domain, this one included
+    :param on_manifest: a peer relayed version and record of a manifest
+    :param on_records: a peer relayed records from ``start`` through an offset
+    :param on_vms: the VM list changed
+    """
+
+    own_state: Callable[[], OwnState] = OwnState
+    promise_to: Callable[[str], bool] = lambda incarnation: False
+    manifest_record: Callable[[], tuple[int, bytes] | None] = lambda: None
+    control_records: Callable[[int, int], Sequence[LogRecord]] = lambda start, limit: ()
+    on_heartbeat: Callable[[Heartbeat], None] = lambda heartbeat: None
+    on_live_changed: Callable[[frozenset[str]], None] = lambda incarnations: None
+    on_manifest: Callable[[int, bytes], None] = lambda version, record: None
+    on_records: Callable[[int, int, Sequence[LogRecord]], None] = lambda start, through, records: (
+        None
+    )
+    on_vms: Callable[[tuple[Vm, ...]], None] = lambda vms: None
+
+
+class Membership(mode.Service):
+    """Live view of the other entry processes; implements ``PeerView``.
+
+    Wiring: the transport's ``on_message`` is this service's ``receive``.
+
+    :param settings: addresses and place of this process
+    :param transport: sends messages to peers
+    :param vm_list: adapter of the VM list
+    :param hooks: callbacks of other slices
+    """
+
+    def __init__(
+        self,
+        settings: MembershipSettings,
+        transport: PeerTransport,
+        vm_list: VmList,
+        hooks: MembershipHooks | None = None,
+    ) -> None:
+        super().__init__()
+        self._settings = settings
+        self._transport = transport
+        self._vm_list = vm_list
+        self._hooks = hooks or MembershipHooks()
+        self._counts: Counter[str] = Counter()
+        self._is_list_readable = True
+        self._decision = MembershipDecision(
+            settings.incarnation,
+            settings.failure_domain,
+            settings.region,
+            settings.peer_address,
+            settings.forward_address,
+            settings.seeds,
+        )
+
+    @property
+    def incarnation(self) -> str:
+        """Return this process's incarnation id."""
+        return self._decision.incarnation
+
+    @property
+    def counts(self) -> Counter[str]:
+        """Return the counters ``vm_list_failed``, ``heartbeats``, ``manifests`` and ``records``."""
+        return self._counts
+
+    @property
+    def hooks(self) -> MembershipHooks:
+        """Return the callbacks, which may be set until the start."""
+        return self._hooks
+
+    @property
+    def vms(self) -> tuple[Vm, ...]:
+        """Return the VMs as last listed."""
+        return self._decision.vms
+
+    def live_peers(self, now: float) -> tuple[Peer, ...]:
+        """Return the live peers: 3 s in the own domain, 7 s in others, see ``view``."""
+        return self._decision.live_peers(now)
+
+    def leaving_vms(self) -> frozenset[str]:
+        """Return the names that the VM list marks as leaving."""
+        return self._decision.leaving_vms()
+
+    def receive(self, message: PeerMessage) -> None:
+        """Handle a message of a peer."""
+        match message:
+            case Heartbeat():
+                self._counts["heartbeats"] += 1
+                self._hooks.on_heartbeat(message)
+                self._decide(HeartbeatHeard(message))
+            case ManifestRecord():
+                self._counts["manifests"] += 1
+                self._hooks.on_manifest(message.manifest_version, message.record)
+            case RecordsWanted():
+                self._send_records(message)
+            case Records():
+                self._counts["records"] += len(message.records)
+                records = [LogRecord(offset, data) for offset, data in message.records]
+                self._hooks.on_records(message.start, message.through, records)
+
+    def ask_for_records(self, address: str, start: int) -> bool:
+        """Return whether the request for ``control`` records from ``start`` on was queued."""
+        wanted = RecordsWanted(
+            sender=self.incarnation, start=start, reply_to=self._settings.peer_address
+        )
+        return self._transport.send(address, wanted)
+
+    @mode.Service.task
+    async def _beat(self) -> None:
+        while not self.should_stop:
+            self._decide(Tick(self._hooks.own_state()))
+            await self.sleep(HEARTBEAT_SECONDS)
+
+    @mode.Service.task
+    async def _poll_vm_list(self) -> None:
+        while not self.should_stop:
+            try:
+                vms = await self._vm_list.read()
+            except VmListError as error:
+                self._counts["vm_list_failed"] += 1
+                self._note_list_state(False, str(error))
+            else:
+                self._note_list_state(True, "")
+                if vms is not None:
+                    self._decide(VmListRead(vms))
+                    self._hooks.on_vms(vms)
+            await self.sleep(POLL_SECONDS)
+
+    def _note_list_state(self, is_readable: bool, reason: str) -> None:
+        if is_readable == self._is_list_readable:
+            return
+        self._is_list_readable = is_readable
+        if is_readable:
+            log.info("VM list is readable again")
+            return
+        log.warning("VM list is not readable, the last one stays in use: {}", reason)
+
+    def _decide(self, event: MembershipEvent) -> None:
+        now = asyncio.get_running_loop().time()
+        for action in self._decision.decide(event, now):
+            self._perform(action, now)
+
+    def _perform(self, action: MembershipAction, now: float) -> None:
+        match action:
+            case SendHeartbeat():
+                self._transport.send(action.address, self._heartbeat(action, now))
+            case RelayManifest(address):
+                current = self._hooks.manifest_record()
+                if current is not None:
+                    version, record = current
+                    message = ManifestRecord(
+                        sender=self.incarnation, manifest_version=version, record=record
+                    )
+                    self._transport.send(address, message)
+            case AskForRecords(address, start):
+                self.ask_for_records(address, start)
+            case LiveChanged(incarnations):
+                self._hooks.on_live_changed(incarnations)
+
+    def _heartbeat(self, action: SendHeartbeat, now: float) -> Heartbeat:
+        own = self._hooks.own_state()
+        is_promise = bool(action.receiver) and self._hooks.promise_to(action.receiver)
+        return Heartbeat(
+            sender=self.incarnation,
+            entry=self._settings.entry,
+            failure_domain=self._settings.failure_domain,
+            region=self._settings.region,
+            peer_address=self._settings.peer_address,
+            forward_address=self._settings.forward_address,
+            is_ready=own.is_ready,
+            manifest_version=own.manifest_version,
+            control_offset=own.control_offset,
+            control_through=own.control_through,
+            config_age=own.config_age,
+            control_age=own.control_age,
+            stamp=now,
+            echo=action.echo,
+            is_promise=is_promise,
+            free_slots=own.free_slots,
+            summary=list(action.summary),
+        )
+
+    def _send_records(self, wanted: RecordsWanted) -> None:
+        records = self._hooks.control_records(wanted.start, RECORDS_IN_BATCH)
+        batch = bounded_batch(records)
+        if not batch:
+            return
+        answer = Records(
+            sender=self.incarnation,
+            start=wanted.start,
+            through=batch[-1].offset,
+            records=[(record.offset, record.data) for record in batch],
+        )
+        self._transport.send(wanted.reply_to, answer)
+
+
+def bounded_batch(records: Iterable[LogRecord]) -> list[LogRecord]:
+    """Return the first records that fit into one batch, at least one if there is any.
+
+    >>> len(bounded_batch([LogRecord(n, bytes(40_000)) for n in range(1, 4)]))
+    1
+    """
+    batch: list[LogRecord] = []
+    size = 0
+    for record in records:
+        size += len(record.data)
+        if batch and (size > BYTES_IN_BATCH or len(batch) >= RECORDS_IN_BATCH):
+            break
+        batch.append(record)
+    return batch
--- /dev/null
+++ b/dotterelhill/membership/transport.py
@@ -0,0 +1,227 @@
+"""Transport between entry processes: ZeroMQ with CURVE.
+
+Each process receives on one ROUTER socket and sends on one DEALER socket for each peer address.
+All processes of a deployment have the same CURVE key pair; the server accepts no other key.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+import mode
+import zmq
+import zmq.asyncio
+from logbook import Logger
+from zmq.auth.asyncio import AsyncioAuthenticator
+from zmq.utils.monitor import recv_monitor_message
+
+from dotterelhill.membership.heartbeats import (
+    MalformedMessage,
+    PeerMessage,
+    UnknownMessage,
+    decoded,
+    encoded,
+)
+
+ZAP_DOMAIN = "dotterelhill"
+# A queue holds a few seconds of heartbeats; older ones have lost their use.
+QUEUED_MESSAGES = 64
+# Above the largest relayed manifest and the largest batch of records.
+LARGEST_MESSAGE_BYTES = 4 * 1024 * 1024
+# A connection without an answer to ZMTP pings is closed and made anew: some connections stop
+# responding for good while new ones work.
+PING_INTERVAL_MS = 1000
+PING_TIMEOUT_MS = 3000
+HANDSHAKE_TIMEOUT_MS = 3000
+RECONNECT_MS = 100
+LONGEST_RECONNECT_MS = 2000
+# Addresses of replaced VMs must not keep sockets open.
+UNUSED_CONNECTION_SECONDS = 60.0
+
+log = Logger("membership.transport")
+
+
+@dataclass(frozen=True, slots=True)
+class CurveKeys:
+    """CURVE key pair of the deployment, Z85 text of 40 characters each."""
+
+    public: str
+    secret: str
+
+
+class PeerTransport(Protocol):
+    """Sends messages to peer addresses without waiting; they may be lost."""
+
+    def send(self, address: str, message: PeerMessage) -> bool:
+        """Return whether the message was queued for ``address``."""
+        ...
+
+
+@dataclass(slots=True)
+class _Connection:
+    socket: zmq.Socket
+    used_at: float
+
+
+class ZmqTransport(mode.Service):
+    """ZeroMQ transport with CURVE.
+
+    Counters in ``counts``: ``sent``, ``queue_full``, ``received``, ``unknown_type``, ``malformed``,
+    ``wrong_key`` (known server key, other client key), ``failed_handshake`` (any other).
+
+    :param bind_address: ``host:port`` of the peer port; port 0 takes a free one
+    :param keys: key pair of the deployment
+    :param on_message: called in the event loop for each message
+    """
+
+    def __init__(
+        self,
+        bind_address: str,
+        keys: CurveKeys,
+        on_message: Callable[[PeerMessage], None],
+    ) -> None:
+        super().__init__()
+        self._bind_address = bind_address
+        self._bound_address = ""
+        self._keys = keys
+        self._on_message = on_message
+        self._counts: Counter[str] = Counter()
+        self._connections: dict[str, _Connection] = {}
+        self._context: zmq.asyncio.Context | None = None
+        self._router: zmq.asyncio.Socket | None = None
+        self._monitor: zmq.asyncio.Socket | None = None
+        self._authenticator: AsyncioAuthenticator | None = None
+
+    @property
+    def address(self) -> str:
+        """Return the bound ``host:port``; empty before the start."""
+        return self._bound_address
+
+    @property
+    def counts(self) -> Counter[str]:
+        """Return the counters."""
+        return self._counts
+
+    @property
+    def connected_addresses(self) -> tuple[str, ...]:
+        """Return the addresses with a sending socket."""
+        return tuple(self._connections)
+
+    def callback(self, domain: str, key: bytes) -> bool:
+        """Return whether the authenticator accepts a client's public key."""
+        if key.decode() == self._keys.public:
+            return True
+        self._count_refusal("wrong_key")
+        return False
+
+    def send(self, address: str, message: PeerMessage) -> bool:
+        """Return whether the message was queued for ``address``; never waits."""
+        connection = self._connections.get(address)
+        if connection is None:
+            connection = self._connections[address] = self._connect(address)
+        connection.used_at = asyncio.get_running_loop().time()
+        try:
+            connection.socket.send(encoded(message), flags=zmq.NOBLOCK)
+        except zmq.Again:
+            self._counts["queue_full"] += 1
+            return False
+        self._counts["sent"] += 1
+        return True
+
+    async def on_start(self) -> None:
+        """Bind the peer port."""
+        self._context = zmq.asyncio.Context()
+        self._authenticator = AsyncioAuthenticator(self._context)
+        self._authenticator.start()
+        self._authenticator.configure_curve_callback(ZAP_DOMAIN, credentials_provider=self)
+        router = self._context.socket(zmq.ROUTER)
+        _set_common_options(router)
+        router.curve_server = True
+        router.curve_publickey = self._keys.public.encode()
+        router.curve_secretkey = self._keys.secret.encode()
+        router.zap_domain = ZAP_DOMAIN.encode()
+        self._monitor = router.get_monitor_socket(
+            zmq.EVENT_HANDSHAKE_FAILED_PROTOCOL | zmq.EVENT_HANDSHAKE_FAILED_NO_DETAIL
+        )
+        host, _, port = self._bind_address.rpartition(":")
+        router.bind(f"tcp://{host}:{'*' if port == '0' else port}")
+        endpoint = router.getsockopt_string(zmq.LAST_ENDPOINT)
+        self._bound_address = endpoint.removeprefix("tcp://")
+        self._router = router
+
+    async def on_stop(self) -> None:
+        """Close every socket."""
+        for connection in self._connections.values():
+            connection.socket.close(linger=0)
+        self._connections.clear()
+        if self._router is not None:
+            self._router.disable_monitor()
+            self._router.close(linger=0)
+        if self._authenticator is not None:
+            self._authenticator.stop()
+        if self._context is not None:
+            self._context.destroy(linger=0)
+
+    @mode.Service.task
+    async def _receive(self) -> None:
+        assert self._router is not None
+        while not self.should_stop:
+            frames = await self._router.recv_multipart()
+            match decoded(frames[-1]):
+                case UnknownMessage():
+                    self._counts["unknown_type"] += 1
+                case MalformedMessage():
+                    self._counts["malformed"] += 1
+                case message:
+                    self._counts["received"] += 1
+                    self._on_message(message)
+
+    @mode.Service.task
+    async def _count_failed_handshakes(self) -> None:
+        assert self._monitor is not None
+        while not self.should_stop:
+            await recv_monitor_message(self._monitor)
+            self._count_refusal("failed_handshake")
+
+    @mode.Service.timer(10.0)
+    async def _close_unused(self) -> None:
+        oldest = asyncio.get_running_loop().time() - UNUSED_CONNECTION_SECONDS
+        for address, connection in list(self._connections.items()):
+            if connection.used_at > oldest:
+                continue
+            connection.socket.close(linger=0)
+            del self._connections[address]
+
+    def _count_refusal(self, reason: str) -> None:
+        self._counts[reason] += 1
+        if self._counts[reason] == 1:
+            log.warning("refused a peer connection: {}; later ones are only counted", reason)
+
+    def _connect(self, address: str) -> _Connection:
+        assert self._context is not None
+        # A plain socket: sends never wait, so they need no future.
+        socket = zmq.Context(shadow=self._context.underlying).socket(zmq.DEALER)
+        _set_common_options(socket)
+        # Without a finished handshake nothing is queued, so a dead peer gets no stale messages.
+        socket.immediate = True
+        socket.curve_serverkey = self._keys.public.encode()
+        socket.curve_publickey = self._keys.public.encode()
+        socket.curve_secretkey = self._keys.secret.encode()
+        socket.connect(f"tcp://{address}")
+        return _Connection(socket, asyncio.get_running_loop().time())
+
+
+def _set_common_options(socket: zmq.Socket) -> None:
+    socket.linger = 0
+    socket.sndhwm = QUEUED_MESSAGES
+    socket.rcvhwm = QUEUED_MESSAGES
+    socket.maxmsgsize = LARGEST_MESSAGE_BYTES
+    socket.heartbeat_ivl = PING_INTERVAL_MS
+    socket.heartbeat_timeout = PING_TIMEOUT_MS
+    socket.handshake_ivl = HANDSHAKE_TIMEOUT_MS
+    socket.reconnect_ivl = RECONNECT_MS
+    socket.reconnect_ivl_max = LONGEST_RECONNECT_MS
