--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Fake servers for the adapters, used by tests and the demo; not shipped."""
