--- /dev/null
+++ b/dotterelhill/batch/__init__.py
@@ -0,0 +1,1 @@
+"""Placement and execution of batch tasks."""
--- /dev/null
+++ b/dotterelhill/batch/preemption.py
@@ -0,0 +1,89 @@
+"""Choice of the tasks that make room for urgent work."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from dotterelhill.manifest import Resources
+
+# Stop, checkpoint and start again cost about this much, however little work is lost.
+RESTART_SECONDS = 30.0
+
+
+@dataclass(frozen=True, slots=True)
+class Victim:
+    """A running task that may be evicted.
+
+    :param lost_seconds: work since the last checkpoint, in seconds
+    """
+
+    task: str
+    token: int
+    resources: Resources
+    lost_seconds: float
+
+    @property
+    def cost(self) -> float:
+        """Return the cost of evicting it: lost work and restart, times its size."""
+        size = max(self.resources.cpu, self.resources.memory_gb / 4, 8.0 * self.accelerators)
+        return (self.lost_seconds + RESTART_SECONDS) * max(size, 0.1)
+
+    @property
+    def accelerators(self) -> int:
+        """Return the number of accelerators that it uses."""
+        return self.resources.accelerators
+
+
+@dataclass(frozen=True, slots=True)
+class Preemption:
+    """Victims on one worker and their cost together."""
+
+    victims: tuple[Victim, ...]
+    cost: float
+
+
+def cheapest_preemption(
+    candidates: Iterable[Victim], free: Resources, needed: Resources
+) -> Preemption | None:
+    """Return the least costly victims of one worker that make room, or None.
+
+    Victims are taken by rising cost, then those that turn out to be unnecessary are spared,
+    the most costly first.
+
+    >>> small = Victim("a@1/0", 1, Resources(cpu=2.0), 10.0)
+    >>> large = Victim("b@1/0", 2, Resources(cpu=8.0), 10.0)
+    >>> found = cheapest_preemption([large, small], Resources(cpu=1.0), Resources(cpu=3.0))
+    >>> [victim.task for victim in found.victims]
+    ['a@1/0']
+    """
+    chosen: list[Victim] = []
+    room = free
+    for victim in sorted(candidates, key=_cost_of):
+        if needed.is_within(room):
+            break
+        if not _helps(victim, room, needed):
+            continue
+        chosen.append(victim)
+        room = room + victim.resources
+    if not needed.is_within(room):
+        return None
+    for victim in sorted(chosen, key=_cost_of, reverse=True):
+        without = room - victim.resources
+        if needed.is_within(without):
+            chosen.remove(victim)
+            room = without
+    return Preemption(tuple(chosen), sum(victim.cost for victim in chosen))
+
+
+def _cost_of(victim: Victim) -> tuple[float, str]:
+    return victim.cost, victim.task
+
+
+def _helps(victim: Victim, room: Resources, needed: Resources) -> bool:
+    amount = victim.resources
+    return (
+        (needed.cpu > room.cpu and amount.cpu > 0)
+        or (needed.memory_gb > room.memory_gb and amount.memory_gb > 0)
+        or (needed.accelerators > room.accelerators and amount.accelerators > 0)
+    )
