--- a/standins/vm_list.py
+++ b/standins/vm_list.py
@@ -16,7 +16,7 @@
 
 from aiohttp import web
 
-from standins.faults import add_faults, fault_middleware
+from standins.faults import add_faults, run_stand_in
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,7 +82,7 @@
 
 def make_app() -> web.Application:
     """Return the stand-in as an application."""
-    app = web.Application(middlewares=[fault_middleware])
+    app = web.Application()
     app[STATE] = VmListState()
     add_faults(app)
     app.router.add_get("/vms", _get_list)
@@ -92,31 +92,13 @@
     return app
 
 
-async def _serve(host: str, port: int) -> None:
-    runner = web.AppRunner(
-        make_app(), access_log=None, shutdown_timeout=0.1, handler_cancellation=True
-    )
-    await runner.setup()
-    site = web.TCPSite(runner, host, port)
-    await site.start()
-    bound = runner.addresses[0]
-    print(f"listening {bound[0]}:{bound[1]}", flush=True)
-    try:
-        await asyncio.Event().wait()
-    finally:
-        await runner.cleanup()
-
-
 def main() -> None:
     """Serve until interrupted."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--host", default="127.0.0.1")
     parser.add_argument("--port", type=int, default=0)
     options = parser.parse_args()
-    try:
-        asyncio.run(_serve(options.host, options.port))
-    except KeyboardInterrupt:
-        return
+    run_stand_in(make_app(), options.host, options.port)
 
 
 if __name__ == "__main__":
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -13,7 +13,7 @@
 
 from aiohttp import web
 
-from standins.faults import install_faults
+from standins.faults import add_faults, run_stand_in
 
 TICK_SECONDS = 0.05
 USAGE_LAG_SECONDS = 2.0
@@ -402,7 +402,7 @@
 def create_application(worker: StandInWorker) -> web.Application:
     """Return the HTTP application of a worker."""
     application = web.Application()
-    install_faults(application)
+    add_faults(application)
     endpoints = Endpoints(worker)
     application.cleanup_ctx.append(endpoints.ticks)
     application.router.add_get("/", endpoints.capacity)
@@ -414,24 +414,14 @@
     return application
 
 
-async def serve(arguments: argparse.Namespace) -> None:
-    """Serve one worker until the process ends."""
+def worker_of(arguments: argparse.Namespace) -> StandInWorker:
+    """Return the worker that the command line describes."""
     capacity = {
         "cpu": arguments.cpu,
         "memory_gb": arguments.memory_gb,
         "accelerators": arguments.accelerators,
     }
-    worker = StandInWorker(arguments.name, arguments.rack, arguments.failure_domain, capacity)
-    runner = web.AppRunner(create_application(worker), access_log=None)
-    await runner.setup()
-    site = web.TCPSite(runner, arguments.host, arguments.port)
-    await site.start()
-    host, port = runner.addresses[0][:2]
-    print(f"listening {host}:{port}", flush=True)
-    try:
-        await asyncio.Event().wait()
-    finally:
-        await runner.cleanup()
+    return StandInWorker(arguments.name, arguments.rack, arguments.failure_domain, capacity)
 
 
 def main() -> None:
@@ -445,10 +435,8 @@
     parser.add_argument("--cpu", type=float, default=32)
     parser.add_argument("--memory-gb", type=float, default=125)
     parser.add_argument("--accelerators", type=int, default=0)
-    try:
-        asyncio.run(serve(parser.parse_args()))
-    except KeyboardInterrupt:
-        return
+    arguments = parser.parse_args()
+    run_stand_in(create_application(worker_of(arguments)), arguments.host, arguments.port)
 
 
 if __name__ == "__main__":
