--- a/dotterelhill/batch/execution.py
+++ b/dotterelhill/batch/execution.py
@@ -300,7 +300,7 @@
                 worker.unsettled.pop(run.task, None)
             known.confirmed_at = max(known.confirmed_at, sent_at)
             return
-        known.stopped = _stopped(known.assignment, run)
+        known.stopped = stopped_record(known.assignment, run)
         known.phase = Phase.ENDED
         worker.unsettled[run.task] = None
 
@@ -426,7 +426,8 @@
         return self._evidence.control_at >= appended_at + APPEND_RETRY_SECONDS
 
 
-def _stopped(assignment: Assignment, run: RunObserved) -> Stopped:
+def stopped_record(assignment: Assignment, run: RunObserved) -> Stopped:
+    """Return the record for a run that its worker reports as ended."""
     point = decoded_resume_point(assignment.checkpoint)
     if run.checkpoint:
         point = ResumePoint(run.checkpoint, point.failed_on)
--- a/dotterelhill/batch/faulty_workers.py
+++ b/dotterelhill/batch/faulty_workers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from dotterelhill.batch.resume import FAILED_WORKERS
@@ -38,6 +39,11 @@
         """Return the jobs that failed on three different workers."""
         return frozenset(self._failed_jobs)
 
+    @property
+    def suspects(self) -> Iterable[str]:
+        """Return the workers with failures since their last success."""
+        return self._workers.keys()
+
     def set_aside(self, now: float) -> dict[str, float]:
         """Return the workers that get no task now, with the loop time of their return."""
         found = {}
--- a/dotterelhill/batch/interface.py
+++ b/dotterelhill/batch/interface.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from typing import Protocol
 
+from dotterelhill.ledger import Ledger
 from dotterelhill.manifest import Resources
 
 
@@ -59,12 +59,12 @@
     checkpoint: str = ""
 
 
-class BatchLedger(Protocol):
-    """Queries of the ledger that this slice uses."""
+class LedgerView(Protocol):
+    """The ledger and how fresh it is."""
 
     @property
-    def read_offset(self) -> int:
-        """Return the offset of the newest record that was folded."""
+    def ledger(self) -> Ledger:
+        """Return the fold of the ``control`` stream."""
         ...
 
     @property
@@ -72,24 +72,13 @@
         """Return the loop time up to which every control record is known."""
         ...
 
-    @property
-    def workers(self) -> Mapping[str, WorkerFacts]:
-        """Return the known workers by name."""
-        ...
-
-    @property
-    def assignments(self) -> Mapping[str, Assignment]:
-        """Return the current assignments by task."""
-        ...
-
-    def pending_tasks(self) -> Iterable[PendingTask]:
-        """Return the pending tasks of jobs that are not cancelled, oldest job first."""
-        ...
-
 
 class Appender(Protocol):
     """Queue of records for the ``control`` stream."""
 
-    def submit(self, record: bytes) -> object:
-        """Queue a record; its verdict is read back from the ledger."""
+    def submit(self, data: bytes, *, not_after: float = float("inf")) -> None:
+        """Queue a record; its verdict is read back from the ledger.
+
+        :param not_after: loop time after which the record is not sent any more
+        """
         ...
--- /dev/null
+++ b/dotterelhill/batch/service.py
@@ -0,0 +1,488 @@
+"""I/O of the batch slice: runs the decision code against ledger, workers and log."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine, Iterable, Mapping
+from typing import Any
+
+import mode
+from logbook import Logger
+
+from dotterelhill.batch.events import (
+    Append,
+    AssignmentEnded,
+    AssignmentRead,
+    ClockRead,
+    EvidenceRead,
+    ExecutionAction,
+    ForgetTask,
+    LeaseFailed,
+    LeaseRefused,
+    LeaseRenewed,
+    ReadClock,
+    RenewLease,
+    RunAnswered,
+    RunObserved,
+    RunUnanswered,
+    StartTask,
+    StopTask,
+    StopWanted,
+    Tick,
+    WorkerHeld,
+    WorkerUnheld,
+)
+from dotterelhill.batch.execution import Execution, stopped_record
+from dotterelhill.batch.feed import LedgerFeed
+from dotterelhill.batch.interface import Appender, Assignment, LedgerView
+from dotterelhill.batch.placement import EvictTask, MeasuredWorker, Placement, job_of
+from dotterelhill.batch.throttling import ThrottleTask, Throttling
+from dotterelhill.batch.worker import (
+    Refusal,
+    RunReport,
+    Worker,
+    WorkerClock,
+    WorkerError,
+    WorkerReport,
+)
+from dotterelhill.holdings import HoldingsView
+from dotterelhill.ledger import (
+    Capacity,
+    ControlRecord,
+    RecordVerdict,
+    encode_record,
+)
+from dotterelhill.log.appender import AppendQueueFullError
+from dotterelhill.manifest import DomainState, ManifestView
+
+TICK_SECONDS = 0.1
+HOLDINGS_SECONDS = 0.5
+# Messages to workers in progress at once; renewals are not counted, so that nothing delays them.
+MESSAGES_IN_PROGRESS = 64
+# A record that the log has not taken by then is decided anew.
+RECORD_SECONDS = 2.0
+
+_log = Logger(__name__)
+
+
+class Batch(mode.Service):
+    """Placement and execution of batch tasks in one entry process.
+
+    Whoever folds the ``control`` stream calls :meth:`note` with each verdict, and
+    :meth:`note_all` after a snapshot was restored.
+
+    :param incarnation: id of this process, written into each ``Assign``
+    :param failure_domain: failure domain of this process
+    :param worker_names: returns the names of the workers that the platform has
+    :param worker_of: returns the adapter for a worker's name
+    :param is_scheduler: returns whether this process is the preferred scheduler now
+    """
+
+    def __init__(
+        self,
+        *,
+        incarnation: str,
+        failure_domain: str,
+        ledger: LedgerView,
+        manifests: ManifestView,
+        holdings: HoldingsView,
+        appender: Appender,
+        worker_names: Callable[[], Iterable[str]],
+        worker_of: Callable[[str], Worker],
+        is_scheduler: Callable[[], bool],
+    ) -> None:
+        super().__init__()
+        self._failure_domain = failure_domain
+        self._feed = LedgerFeed(ledger)
+        self._manifests = manifests
+        self._holdings = holdings
+        self._appender = appender
+        self._worker_names = worker_names
+        self._worker_of = worker_of
+        self._is_scheduler = is_scheduler
+        self._execution = Execution()
+        self._placement = Placement(incarnation)
+        self._throttling = Throttling(self._placement.interference)
+        self._held: dict[str, int] = {}
+        self._holdings_at = float("-inf")
+        self._manifest_seen: tuple[int, int] = (-1, -1)
+        self._domains_in: frozenset[str] = frozenset()
+        self._in_progress: set[tuple[object, ...]] = set()
+        self._waiting_messages: asyncio.Semaphore | None = None
+        self._capacity_at: dict[str, float] = {}
+        self._counts = {"starts": 0, "stops": 0, "evictions": 0, "records_not_taken": 0}
+
+    @property
+    def placement(self) -> Placement:
+        """Return the scheduler's decision code, for explanations and dumps."""
+        return self._placement
+
+    @property
+    def execution(self) -> Execution:
+        """Return the holder's decision code, for dumps."""
+        return self._execution
+
+    @property
+    def counts(self) -> Mapping[str, int]:
+        """Return counters since the start."""
+        return self._counts
+
+    def dump(self) -> dict[str, object]:
+        """Return the whole state for a dump."""
+        return {
+            "counts": dict(self._counts),
+            "held_workers": dict(self._held),
+            "execution": self._execution.state(),
+            "placement": self._placement.state(),
+        }
+
+    def note(self, verdict: RecordVerdict) -> None:
+        """Take a verdict on a control record; it is acted on at the next tick."""
+        self._feed.note(verdict)
+
+    def note_all(self) -> None:
+        """Read the ledger anew, after a snapshot was restored."""
+        self._feed.note_all()
+
+    @mode.Service.task
+    async def _tick_until_stopped(self) -> None:
+        self._waiting_messages = asyncio.Semaphore(MESSAGES_IN_PROGRESS)
+        while not self.should_stop:
+            self.step(self.loop.time())
+            await self.sleep(TICK_SECONDS)
+
+    def step(self, now: float) -> None:
+        """Do everything that is due at loop time ``now``."""
+        self._read_evidence(now)
+        self._read_manifest(now)
+        self._read_ledger(now)
+        self._read_holdings(now)
+        for action in self._execution.decide(Tick(), now):
+            self._perform(action, now)
+        if not self._is_scheduler() or self._feed.ledger.is_stopped:
+            return
+        for placed in self._placement.tick(now, self._feed.evidence_at):
+            match placed:
+                case Append():
+                    self._submit(placed.record, now)
+                case EvictTask():
+                    self._evict(placed, now)
+
+    def _read_evidence(self, now: float) -> None:
+        current = self._manifests.current
+        if current is None:
+            return
+        domains = current.manifest.failure_domains.items()
+        self._domains_in = frozenset(n for n, d in domains if d.state is DomainState.IN)
+        event = EvidenceRead(
+            read_offset=self._feed.ledger.read_offset,
+            control_at=self._feed.evidence_at,
+            config_at=self._manifests.evidence_at,
+            domains_in=self._domains_in,
+            autonomy_seconds=current.manifest.autonomy_seconds,
+        )
+        self._execution.decide(event, now)
+
+    def _read_manifest(self, now: float) -> None:
+        current = self._manifests.current
+        adopted = self._feed.ledger.placements.manifest
+        if current is None or adopted is None:
+            return
+        seen = (current.version, self._feed.ledger.adopted_version)
+        if seen != self._manifest_seen:
+            self._manifest_seen = seen
+            self._placement.set_manifest(current.manifest, adopted, now)
+
+    def _read_ledger(self, now: float) -> None:
+        for stopped in self._feed.take_ended():
+            known = self._placement.running(stopped.task)
+            if known is not None and known.token == stopped.token:
+                self._end_assignment(known)
+            self._placement.end_running(
+                stopped.task, stopped.token, stopped.outcome, stopped.checkpoint, now
+            )
+        if self._feed.take_all_changed():
+            self._feed.take_tasks()
+            self._feed.take_workers()
+            self._read_all(now)
+            return
+        for name in self._feed.take_workers():
+            facts = self._feed.facts(name)
+            if facts is not None:
+                self._placement.set_worker(facts, now)
+                self._read_held_worker(name)
+        for task in self._feed.take_tasks():
+            self._read_task(task, now)
+
+    def _read_all(self, now: float) -> None:
+        for facts in self._feed.all_facts():
+            self._placement.set_worker(facts, now)
+            self._read_held_worker(facts.name)
+        assignments = {item.task: item for item in self._feed.all_assignments()}
+        for task, known in self._placement.running_tasks():
+            current = assignments.get(task)
+            if current is None or current.token != known.token:
+                self._end_assignment(known)
+                self._placement.drop_running(task)
+        for assignment in assignments.values():
+            self._read_assignment(assignment, now)
+        pending = {item.task: item for item in self._feed.all_pending()}
+        self._placement.keep_pending(pending, now)
+
+    def _read_task(self, task: str, now: float) -> None:
+        known = self._placement.running(task)
+        assignment = self._feed.assignment(task)
+        if known is not None and (assignment is None or assignment.token != known.token):
+            self._end_assignment(known)
+            self._placement.drop_running(task)
+        if assignment is not None:
+            self._read_assignment(assignment, now)
+            return
+        pending = self._feed.pending(task)
+        if pending is not None:
+            self._placement.add_pending(pending, now)
+        else:
+            self._placement.drop_pending(task)
+
+    def _read_assignment(self, assignment: Assignment, now: float) -> None:
+        self._placement.add_running(assignment, now)
+        if assignment.worker in self._held:
+            self._execution.decide(AssignmentRead(assignment), now)
+
+    def _end_assignment(self, known: Assignment) -> None:
+        if known.worker in self._held:
+            event = AssignmentEnded(known.worker, known.task, known.token)
+            for action in self._execution.decide(event, self.loop.time()):
+                self._perform(action, self.loop.time())
+
+    def _read_holdings(self, now: float) -> None:
+        if now - self._holdings_at < HOLDINGS_SECONDS:
+            return
+        self._holdings_at = now
+        held = {}
+        for name in self._worker_names():
+            token = self._holdings.worker_token(name)
+            if token is not None:
+                held[name] = token
+        for name in self._held.keys() - held.keys():
+            self._execution.decide(WorkerUnheld(name), now)
+            self._throttling.forget_worker(name)
+        taken = [name for name, token in held.items() if self._held.get(name) != token]
+        self._held = held
+        for name in taken:
+            self._read_held_worker(name)
+            for assignment in self._feed.assignments_on(name):
+                self._execution.decide(AssignmentRead(assignment), now)
+
+    def _read_held_worker(self, name: str) -> None:
+        token = self._held.get(name)
+        if token is None:
+            return
+        facts = self._feed.facts(name)
+        is_fenced = facts is not None and facts.is_fenced
+        event = WorkerHeld(name, self._failure_domain, token, is_fenced)
+        self._execution.decide(event, self.loop.time())
+
+    def _submit(self, record: ControlRecord, now: float) -> None:
+        try:
+            self._appender.submit(encode_record(record), not_after=now + RECORD_SECONDS)
+        except AppendQueueFullError:
+            self._counts["records_not_taken"] += 1
+
+    def _perform(self, action: ExecutionAction | ThrottleTask, now: float) -> None:
+        match action:
+            case Append():
+                self._submit(action.record, now)
+            case ReadClock():
+                self._send(("lease", action.worker), self._read_clock(action))
+            case RenewLease():
+                self._send(("lease", action.worker), self._renew_lease(action))
+            case StartTask():
+                self._counts["starts"] += 1
+                self._send(("start", action.task, action.token), self._start(action))
+            case StopTask():
+                self._counts["stops"] += 1
+                self._send(("stop", action.task, action.token), self._stop(action))
+            case ForgetTask():
+                self._send(("forget", action.task, action.token), self._forget(action))
+            case ThrottleTask():
+                self._send(("throttle", action.task, action.token), self._throttle(action))
+
+    def _send(self, key: tuple[object, ...], message: Coroutine[Any, Any, None]) -> None:
+        if key in self._in_progress:
+            message.close()
+            return
+        self._in_progress.add(key)
+        self.add_future(self._sent(key, message))
+
+    async def _sent(self, key: tuple[object, ...], message: Coroutine[Any, Any, None]) -> None:
+        try:
+            if key[0] == "lease" or self._waiting_messages is None:
+                await message
+                return
+            async with self._waiting_messages:
+                await message
+        finally:
+            self._in_progress.discard(key)
+
+    async def _read_clock(self, action: ReadClock) -> None:
+        try:
+            answer = await self._worker_of(action.worker).read_clock()
+        except WorkerError:
+            return
+        now = self.loop.time()
+        self._declare_capacity(answer, now)
+        event = ClockRead(action.worker, action.token, answer.boot, answer.clock, now)
+        self._decide(event, now)
+
+    def _declare_capacity(self, answer: WorkerClock, now: float) -> None:
+        """Append what the worker has when the ledger shows something else."""
+        facts = self._feed.facts(answer.name)
+        is_known = (
+            facts is not None
+            and facts.rack == answer.rack
+            and facts.failure_domain == answer.failure_domain
+            and facts.capacity == answer.capacity
+        )
+        if is_known or self._feed.evidence_at < self._capacity_at.get(answer.name, -RECORD_SECONDS):
+            return
+        self._capacity_at[answer.name] = now + RECORD_SECONDS
+        record = Capacity(
+            worker=answer.name,
+            rack=answer.rack,
+            failure_domain=answer.failure_domain,
+            cpu=answer.cpu,
+            memory_gb=answer.memory_gb,
+            accelerators=answer.accelerators,
+        )
+        self._submit(record, now)
+
+    async def _renew_lease(self, action: RenewLease) -> None:
+        sent_at = self.loop.time()
+        try:
+            answer = await self._worker_of(action.worker).renew_lease(
+                action.token, action.seconds, action.not_after, action.boot, action.failure_domain
+            )
+        except WorkerError:
+            self._decide(LeaseFailed(action.worker, action.token, sent_at), self.loop.time())
+            return
+        now = self.loop.time()
+        if isinstance(answer, Refusal):
+            self._decide(LeaseRefused(action.worker, action.token, now, answer.highest), now)
+            return
+        runs = tuple(_observed(run) for run in answer.runs)
+        event = LeaseRenewed(
+            action.worker, action.token, sent_at, now, answer.boot, answer.clock, runs
+        )
+        self._decide(event, now)
+        self._measure(action.worker, answer, now)
+
+    def _measure(self, worker: str, report: WorkerReport, now: float) -> None:
+        weights: dict[str, float] = {}
+        for task, use in report.usage.tasks.items():
+            job = job_of(task)
+            speed = self._throttling.speed_of(worker, task)
+            weights[job] = weights.get(job, 0.0) + speed
+            self._placement.sizes.observe_use(job, use.cpu, use.memory_gb)
+        services = report.usage.services
+        measured = MeasuredWorker(
+            worker,
+            {name: service.load for name, service in services.items()},
+            {name: service.slow_down for name, service in services.items()},
+            weights,
+        )
+        self._placement.measure(measured, now)
+        running = {
+            run.task: assignment
+            for run in report.runs
+            if run.state == "running"
+            and (assignment := self._placement.running(run.task)) is not None
+            and assignment.token == run.token
+        }
+        for action in self._throttling.decide(measured, running, now):
+            match action:
+                case StopWanted():
+                    self._counts["evictions"] += 1
+                    self._execution.decide(action, now)
+                case ThrottleTask():
+                    self._perform(action, now)
+
+    async def _start(self, action: StartTask) -> None:
+        try:
+            answer = await self._worker_of(action.worker).start(
+                action.task,
+                action.token,
+                action.not_after,
+                action.boot,
+                action.resources,
+                action.run_seconds,
+                action.checkpoint,
+            )
+        except WorkerError:
+            event = RunUnanswered(action.worker, action.task, action.token)
+            self._decide(event, self.loop.time())
+            return
+        self._take_run(action.worker, action.task, action.token, answer)
+
+    async def _stop(self, action: StopTask) -> None:
+        try:
+            answer = await self._worker_of(action.worker).stop(
+                action.task, action.token, keeps_work=action.keeps_work
+            )
+        except WorkerError:
+            event = RunUnanswered(action.worker, action.task, action.token)
+            self._decide(event, self.loop.time())
+            return
+        self._take_run(action.worker, action.task, action.token, answer)
+
+    def _take_run(self, worker: str, task: str, token: int, answer: RunReport | Refusal) -> None:
+        match answer:
+            case RunReport():
+                self._decide(RunAnswered(worker, _observed(answer)), self.loop.time())
+            case Refusal(refused="token"):
+                # The worker knows a newer token than this process; the ledger shows it soon.
+                return
+            case Refusal():
+                refused = RunObserved(task, token, "refused", reason=answer.refused)
+                self._decide(RunAnswered(worker, refused), self.loop.time())
+
+    async def _forget(self, action: ForgetTask) -> None:
+        try:
+            await self._worker_of(action.worker).forget(action.task, action.token)
+        except WorkerError:
+            return
+
+    async def _throttle(self, action: ThrottleTask) -> None:
+        try:
+            await self._worker_of(action.worker).throttle(action.task, action.token, action.speed)
+        except WorkerError:
+            return
+
+    def _evict(self, action: EvictTask, now: float) -> None:
+        self._counts["evictions"] += 1
+        if action.worker in self._held:
+            self._execution.decide(StopWanted(action.worker, action.task, action.token), now)
+            return
+        self._send(("stop", action.task, action.token), self._evict_at(action))
+
+    async def _evict_at(self, action: EvictTask) -> None:
+        """Stop a task on a worker of another holder; the worker's answer allows the move."""
+        try:
+            answer = await self._worker_of(action.worker).stop(
+                action.task, action.token, keeps_work=True
+            )
+        except WorkerError:
+            return
+        assignment = self._feed.assignment(action.task)
+        if isinstance(answer, Refusal) or answer.state == "running":
+            return
+        if assignment is not None and assignment.token == action.token:
+            self._submit(stopped_record(assignment, _observed(answer)), self.loop.time())
+
+    def _decide(self, event: Any, now: float) -> None:
+        for action in self._execution.decide(event, now):
+            self._perform(action, now)
+
+
+def _observed(run: RunReport) -> RunObserved:
+    return RunObserved(run.task, run.token, run.state, run.done_seconds, run.checkpoint, run.reason)
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -116,7 +116,7 @@
 
     def journal_time(self) -> float:
         """Return a time that is comparable between the stand-ins of one machine."""
-        return self.now() - (0.0 if self._clock is not None else self._clock_zero)
+        return asyncio.get_running_loop().time()
 
     def advance(self) -> None:
         """Apply the passing of time: work done, ends of tasks, end of the lease."""
