Register membership and the holder's execution for replay

Traces are of use only for the real decision classes. Placement has no single decide method and is not registered.

The admin client no longer imports the log adapter, so that "state dump" and "explain" start without aiohttp. Before: only the example slice.

--- a/dotterelhill/commands/admin_client.py
+++ b/dotterelhill/commands/admin_client.py
@@ -10,7 +10,6 @@
 
 import msgspec
 
-from dotterelhill.commands.publication import KnownManifest
 from dotterelhill.commands.status import CommandError, ExitStatus
 
 TIMEOUT_SECONDS = 5.0
@@ -27,6 +26,18 @@
     body: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class KnownManifest:
+    """Manifest that an entry process has in force, where the stream is trimmed.
+
+    :param read_offset: offset up to which that process has read the stream
+    """
+
+    version: int
+    record: bytes
+    read_offset: int
+
+
 class _Fault(msgspec.Struct):
     error: str = ""
 
--- a/dotterelhill/commands/manifest.py
+++ b/dotterelhill/commands/manifest.py
@@ -11,11 +11,10 @@
 
 import msgspec
 
-from dotterelhill.commands.admin_client import manifest_in_force
+from dotterelhill.commands.admin_client import KnownManifest, manifest_in_force
 from dotterelhill.commands.output import print_json, print_table
 from dotterelhill.commands.publication import (
     ConfigReader,
-    KnownManifest,
     PublishReport,
     publish,
     trimmed_error,
--- a/dotterelhill/commands/publication.py
+++ b/dotterelhill/commands/publication.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from dotterelhill.commands.admin_client import KnownManifest
 from dotterelhill.commands.status import CommandError, ExitStatus
 from dotterelhill.log.interface import Log, LogError, LogTrimmedError
 from dotterelhill.manifest.history import ManifestHistory, Publication, PublicationVerdict, Verdict
@@ -19,18 +20,6 @@
 DEFAULT_WAIT_SECONDS = 30.0
 
 
-@dataclass(frozen=True, slots=True)
-class KnownManifest:
-    """Manifest that an entry process has in force, where the stream is trimmed.
-
-    :param read_offset: offset up to which that process has read the stream
-    """
-
-    version: int
-    record: bytes
-    read_offset: int
-
-
 @dataclass(frozen=True, slots=True)
 class PublishReport:
     """What became of one publication.
--- a/dotterelhill/commands/replaying.py
+++ b/dotterelhill/commands/replaying.py
@@ -10,7 +10,7 @@
 from dotterelhill.commands.output import print_json
 from dotterelhill.commands.status import CommandError, ExitStatus
 from dotterelhill.replay.player import Player, ReplayReport
-from dotterelhill.replay.slices import replayable_slices
+from dotterelhill.replay.slices import registered_slice
 from dotterelhill.replay.trace import TraceError
 
 
@@ -36,7 +36,7 @@
 def replay_file(trace: Path, expected: Sequence[str] | None, json: bool) -> int:
     """Return the exit status of ``replay``."""
     try:
-        report = Player(trace.read_bytes(), replayable_slices()).play(expected)
+        report = Player(trace.read_bytes(), registered_slice).play(expected)
     except OSError as error:
         raise CommandError(ExitStatus.WRONG_USE, f"{trace}: {error.strerror}") from None
     except TraceError as error:
--- a/dotterelhill/commands/tests/steps/publishing_steps.py
+++ b/dotterelhill/commands/tests/steps/publishing_steps.py
@@ -13,7 +13,8 @@
 from behave import given, then, when
 
 from dotterelhill.commands import main, manifest
-from dotterelhill.commands.publication import ConfigReader, KnownManifest, publish
+from dotterelhill.commands.admin_client import KnownManifest
+from dotterelhill.commands.publication import ConfigReader, publish
 from dotterelhill.commands.status import CommandError
 from dotterelhill.log.interface import LogError, LogRecord, LogTrimmedError, ReadResult
 from dotterelhill.manifest.history import Publication, Verdict
--- a/dotterelhill/replay/__init__.py
+++ b/dotterelhill/replay/__init__.py
@@ -3,7 +3,7 @@
 from dotterelhill.replay.player import Break, Player, ReplayReport
 from dotterelhill.replay.recorder import Recorder, open_recorder, trace_path
 from dotterelhill.replay.registration import Check, Outcome, ReplayableSlice, Step, condition
-from dotterelhill.replay.slices import replayable_slices
+from dotterelhill.replay.slices import registered_slice
 from dotterelhill.replay.trace import TRACE_VERSION, TraceError
 
 __all__ = [
@@ -19,6 +19,6 @@
     "TraceError",
     "condition",
     "open_recorder",
-    "replayable_slices",
+    "registered_slice",
     "trace_path",
 ]
--- a/dotterelhill/replay/player.py
+++ b/dotterelhill/replay/player.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any
 
 import msgspec
 
 from dotterelhill.replay.registration import Check, ReplayableSlice, Step
+from dotterelhill.replay.slices import SLICE_NAMES, registered_slice
 from dotterelhill.replay.trace import (
     TRACE_VERSION,
     TraceError,
@@ -79,20 +80,25 @@
     """Replays one trace.
 
     :param content: bytes of the trace
-    :param slices: registrations by name
+    :param find_slice: returns the registration of a name, or None
     :raises TraceError: when the trace has no known version or slice
     """
 
-    def __init__(self, content: bytes, slices: Mapping[str, ReplayableSlice]) -> None:
+    def __init__(
+        self,
+        content: bytes,
+        find_slice: Callable[[str], ReplayableSlice | None] = registered_slice,
+    ) -> None:
         *lines, rest = content.split(b"\n")
         self._header = header_of(lines)
-        if self._header.slice not in slices:
-            known = ", ".join(sorted(slices)) or "none"
+        found = find_slice(self._header.slice)
+        if found is None:
+            known = ", ".join(SLICE_NAMES)
             raise TraceError(f"unknown slice {self._header.slice!r}; known: {known}")
         self._is_torn = bool(rest)
         self._is_full = False
         self._lines = lines[1:]
-        self._slice = slices[self._header.slice]
+        self._slice = found
         self._types = {item.__name__: item for item in self._slice.event_types}
 
     @property
--- a/dotterelhill/replay/recorder.py
+++ b/dotterelhill/replay/recorder.py
@@ -140,23 +140,24 @@
     trace_file: str,
     trace_bytes: int,
     *,
+    decision: DecisionCode[Any, Any] | None = None,
     incarnation: str = "",
     on_count: Callable[[str], None] = lambda name: None,
 ) -> Recorder:
-    """Return a recorder around a new decision object of the slice.
+    """Return a recorder around a decision object of the slice.
 
     The file replaces an earlier one: after a restart the loop's clock begins anew.
 
     :param trace_file: setting of that name; the name of the slice is added to it
     :param trace_bytes: setting of that name
+    :param decision: object that has seen no event yet; a new one when None
     :raises OSError: when the file can't be opened
     """
     path = trace_path(trace_file, replayable.name)
     output: BinaryIO = path.open("wb", buffering=0)
-    decision = replayable.build(arguments)
     return Recorder(
         replayable,
-        decision,
+        replayable.build(arguments) if decision is None else decision,
         arguments,
         output,
         trace_bytes,
--- a/dotterelhill/replay/slices.py
+++ b/dotterelhill/replay/slices.py
@@ -4,8 +4,22 @@
 
 from dotterelhill.replay.registration import ReplayableSlice
 
+SLICE_NAMES = ("execution", "membership")
 
-def replayable_slices() -> dict[str, ReplayableSlice]:
-    """Return the registrations by name; the slices are imported only when this is called."""
-    registrations: tuple[ReplayableSlice, ...] = ()
-    return {item.name: item for item in registrations}
+
+def registered_slice(name: str) -> ReplayableSlice | None:
+    """Return the registration of a slice, or None; only this slice is imported.
+
+    >>> registered_slice("membership").name
+    'membership'
+    """
+    match name:
+        case "execution":
+            from dotterelhill.replay import execution_slice
+
+            return execution_slice.REGISTRATION
+        case "membership":
+            from dotterelhill.replay import membership_slice
+
+            return membership_slice.REGISTRATION
+    return None
--- a/dotterelhill/replay/tests/steps/replay_steps.py
+++ b/dotterelhill/replay/tests/steps/replay_steps.py
@@ -166,7 +166,7 @@
         EXAMPLE.name, EXAMPLE.arguments_type, build, EXAMPLE.event_types, EXAMPLE.outcomes
     )
     try:
-        context.report = Player(context.trace, {EXAMPLE.name: registered}).play(expected)
+        context.report = Player(context.trace, {EXAMPLE.name: registered}.get).play(expected)
         context.replayed = built[-1]
     except TraceError as error:
         context.error = error
@@ -247,7 +247,7 @@
     output = io.StringIO()
     with (
         tempfile.NamedTemporaryFile() as file,
-        mock.patch.object(replaying, "replayable_slices", lambda: {"example": EXAMPLE}),
+        mock.patch.object(replaying, "registered_slice", {"example": EXAMPLE}.get),
         contextlib.redirect_stdout(output),
         contextlib.redirect_stderr(output),
     ):
