--- a/dotterelhill/commands/main.py
+++ b/dotterelhill/commands/main.py
@@ -74,7 +74,7 @@
     :param file: JSON document
     :param json: print JSON
     """
-    from dotterelhill.commands.manifest import check
+    from dotterelhill.commands.checking import check
 
     return check(file, json)
 
--- a/dotterelhill/commands/manifest.py
+++ b/dotterelhill/commands/manifest.py
@@ -1,4 +1,4 @@
-"""Commands ``manifest check``, ``manifest publish`` and ``manifest show``."""
+"""Commands ``manifest publish`` and ``manifest show``."""
 
 from __future__ import annotations
 
@@ -12,6 +12,7 @@
 import msgspec
 
 from dotterelhill.commands.admin_client import KnownManifest, manifest_in_force
+from dotterelhill.commands.checking import document_of, faults_of, print_verdict
 from dotterelhill.commands.output import print_json, print_table
 from dotterelhill.commands.publication import (
     ConfigReader,
@@ -23,21 +24,13 @@
 from dotterelhill.log.interface import Log, LogError, LogTrimmedError
 from dotterelhill.manifest.document import Manifest
 from dotterelhill.manifest.history import Publication, PublicationVerdict, Verdict
-from dotterelhill.manifest.validation import Fault, ManifestError, manifest_from_document
+from dotterelhill.manifest.validation import manifest_from_document
 
 SHOWN_REJECTIONS = 10
 
 ResultT = TypeVar("ResultT")
 
 
-@dataclass(frozen=True, slots=True)
-class CheckReport:
-    """Whether a document may be published."""
-
-    valid: bool
-    faults: tuple[Fault, ...]
-
-
 @dataclass(frozen=True, slots=True)
 class ManifestReport:
     """Manifest in force and the newest rejections."""
@@ -48,40 +41,6 @@
     rejections: tuple[PublicationVerdict, ...]
 
 
-def _document_of(file: Path) -> object:
-    try:
-        return msgspec.json.decode(file.read_bytes())
-    except OSError as error:
-        raise CommandError(ExitStatus.WRONG_USE, f"{file}: {error.strerror}") from None
-    except msgspec.DecodeError as error:
-        raise CommandError(ExitStatus.REFUSED, f"{file}: not JSON: {error}") from None
-
-
-def _faults_of(document: object) -> tuple[Fault, ...]:
-    try:
-        manifest_from_document(document)
-    except ManifestError as error:
-        return error.faults
-    return ()
-
-
-def _print_faults(faults: tuple[Fault, ...]) -> None:
-    print(f"refused: {len(faults)} faults")
-    print_table([(f"  {fault.path}", fault.reason) for fault in faults])
-
-
-def check(file: Path, json: bool) -> int:
-    """Return the exit status of ``manifest check``."""
-    faults = _faults_of(_document_of(file))
-    if json:
-        print_json(CheckReport(not faults, faults))
-    elif faults:
-        _print_faults(faults)
-    else:
-        print("valid")
-    return ExitStatus.REFUSED if faults else ExitStatus.DONE
-
-
 async def _with_log(log_url: str, use: Callable[[Log], Awaitable[ResultT]]) -> ResultT:
     from dotterelhill.log.http import HttpLog
 
@@ -100,11 +59,10 @@
     file: Path, log_url: str, base: int | None, publication_id: str, entry: str, json: bool
 ) -> int:
     """Return the exit status of ``manifest publish``."""
-    document = _document_of(file)
-    faults = _faults_of(document)
+    document = document_of(file)
+    faults = faults_of(document)
     if faults:
-        print_json(CheckReport(False, faults)) if json else _print_faults(faults)
-        return ExitStatus.REFUSED
+        return print_verdict(faults, json)
     chosen_id = publication_id or secrets.token_hex(16)
     known = _known(entry)
 
