Add the holdings decision code and its service

Cause: exactly one entry process may use a minion or worker at a time, also during pauses, cuts and log outages.

Ruled out: counting promises and relayed evidence from their receipt, since a message may be under way for any time; takeovers by a process whose Join the old holder has not read, since the old holder can't ask it for a promise.

Before: only the interface HoldingsView existed.

--- a/dotterelhill/holdings/__init__.py
+++ b/dotterelhill/holdings/__init__.py
@@ -1,5 +1,15 @@
 """Which entry incarnation may use which minion or worker."""
 
+from dotterelhill.holdings.decision import HoldingsDecision
 from dotterelhill.holdings.interface import NO_PERMIT, HoldingsView, Permit
+from dotterelhill.holdings.service import Appender, Holdings, LedgerView
 
-__all__ = ["NO_PERMIT", "HoldingsView", "Permit"]
+__all__ = [
+    "NO_PERMIT",
+    "Appender",
+    "Holdings",
+    "HoldingsDecision",
+    "HoldingsView",
+    "LedgerView",
+    "Permit",
+]
--- /dev/null
+++ b/dotterelhill/holdings/tests/fleet.py
@@ -0,0 +1,274 @@
+"""Simulated domain: holdings decision code of several processes, one log, lossy links."""
+
+from __future__ import annotations
+
+import heapq
+from dataclasses import dataclass, field
+from itertools import count
+
+from dotterelhill.holdings import decision as decision_module
+from dotterelhill.holdings.events import (
+    AppendHold,
+    AppendJoin,
+    AppendLeave,
+    AppendRelease,
+    DrainMinion,
+    EvidenceSeen,
+    Folded,
+    HoldSeen,
+    JoinSeen,
+    LeaveSeen,
+    LiveSeen,
+    MinionDrained,
+    MinionShare,
+    PeerHeard,
+    ReleaseSeen,
+    ResourcesSeen,
+    StopFinished,
+    Tick,
+)
+from dotterelhill.holdings.interface import Permit
+
+DOMAIN = "caxias"
+STEP_SECONDS = 0.5
+ALIVE_SECONDS = 3.0
+REQUEST_SECONDS = 30.0
+
+
+class SimulatedLog:
+    """Order of records and their verdicts, as docs/design.md, section 3.3, states them."""
+
+    def __init__(self):
+        self.accepted = []
+        self.joined, self.ended, self.holdings = {}, set(), {}
+        self.end = 0
+
+    def append(self, record):
+        self.end += 1
+        if self._is_accepted(record):
+            self.accepted.append((self.end, self._event(record)))
+
+    def _is_accepted(self, record):
+        match record:
+            case ("join", incarnation, entry):
+                if incarnation in self.joined or incarnation in self.ended:
+                    return False
+                for one in [one for one, other in self.joined.items() if other == entry]:
+                    self.ended.add(one)
+                    del self.joined[one]
+                self.joined[incarnation] = entry
+            case ("leave", incarnation):
+                return self._is_left(incarnation)
+            case ("hold", resource, holder, previous):
+                if holder not in self.joined or previous != self.token(resource):
+                    return False
+                self.holdings[resource] = (holder, self.end, False)
+            case ("release", resource, token):
+                holder, current, is_released = self.holdings.get(resource, ("", 0, True))
+                if is_released or current != token:
+                    return False
+                self.holdings[resource] = (holder, token, True)
+        return True
+
+    def _is_left(self, incarnation):
+        if self.joined.pop(incarnation, None) is None:
+            return False
+        self.ended.add(incarnation)
+        for resource, (holder, token, _) in list(self.holdings.items()):
+            if holder == incarnation:
+                self.holdings[resource] = (holder, token, True)
+        return True
+
+    def token(self, resource):
+        return self.holdings.get(resource, ("", 0, True))[1]
+
+    def _event(self, record):
+        match record:
+            case ("join", incarnation, entry):
+                return JoinSeen(self.end, incarnation, entry, DOMAIN)
+            case ("leave", incarnation):
+                return LeaveSeen(incarnation)
+            case ("hold", resource, holder, _):
+                return HoldSeen(self.end, resource, holder)
+            case ("release", resource, token):
+                return ReleaseSeen(resource, token)
+
+
+@dataclass
+class Process:
+    incarnation: str
+    decision: object
+    rate: float = 1.0
+    shift: float = 0.0
+    is_paused: bool = False
+    is_dead: bool = False
+    is_log_cut: bool = False
+    is_stopped: bool = False
+    read_seconds: float = 0.0
+    heard: dict = field(default_factory=dict)
+    stamps: dict = field(default_factory=dict)
+    live: frozenset = frozenset()
+    in_flight: dict = field(default_factory=dict)
+    tokens: dict = field(default_factory=dict)
+
+    @property
+    def runs(self):
+        return not (self.is_paused or self.is_dead or self.is_stopped)
+
+    def local(self, now):
+        return now * self.rate + self.shift
+
+    def used(self, minion, now):
+        ends = [end for end in self.in_flight.get(minion, ()) if end > now]
+        self.in_flight[minion] = ends
+        return len(ends)
+
+
+class Domain:
+    def __init__(self, names, minions=2, slots=8, autonomy=120.0):
+        self.now, self.log, self.processes = 0.0, SimulatedLog(), []
+        self.slots, self.autonomy = slots, autonomy
+        self.minions = [f"m{number}" for number in range(minions)]
+        self.cut_links, self.delay = set(), 0.01
+        self.is_log_down, self.loses_answers = False, False
+        self.events, self.order = [], count()
+        for name in names:
+            self.start(name)
+
+    def start(self, name, rate=1.0):
+        incarnation = f"{name}/{len(self.processes):016x}"
+        decision = decision_module.HoldingsDecision(incarnation, name, DOMAIN)
+        process = Process(incarnation, decision, rate, shift=1000.0 * len(self.processes))
+        self.processes.append(process)
+        whole = MinionShare(Permit(self.slots, self.slots * 8))
+        shares = dict.fromkeys(self.minions, whole)
+        self.give(process, ResourcesSeen(shares, frozenset({"w0"}), self.autonomy))
+        return process
+
+    def newest(self, name):
+        return [one for one in self.processes if one.incarnation.startswith(f"{name}/")][-1]
+
+    def give(self, process, event):
+        for action in process.decision.decide(event, process.local(self.now)):
+            self._perform(process, action)
+
+    def advance(self, seconds):
+        end = self.now + seconds
+        while self.now < end:
+            self.now += STEP_SECONDS
+            self._deliver()
+            for process in self.processes:
+                if process.runs:
+                    self._step(process)
+            self.check()
+
+    def permit(self, process, minion):
+        if not process.runs:
+            return Permit(0, 0)
+        return process.decision.permit_for(minion, process.local(self.now))
+
+    def check(self):
+        for minion in self.minions:
+            slots = connections = 0
+            for process in self.processes:
+                used, permit = process.used(minion, self.now), self.permit(process, minion)
+                slots += max(used, permit.slots)
+                connections += max(used, permit.connections)
+            assert slots <= self.slots, f"{minion}: {slots} of {self.slots} at {self.now}"
+            assert connections <= self.slots * 8, f"{minion}: {connections} at {self.now}"
+
+    def _later(self, delay, action):
+        heapq.heappush(self.events, (self.now + delay, next(self.order), action))
+
+    def _deliver(self):
+        while self.events and self.events[0][0] <= self.now:
+            heapq.heappop(self.events)[2]()
+
+    def _step(self, process):
+        if not (process.is_log_cut or self.is_log_down):
+            self._read(process)
+        self._refresh_live(process)
+        for minion in process.decision.draining_minions:
+            if process.used(minion, self.now) == 0:
+                self.give(process, MinionDrained(minion))
+        self.give(process, Tick())
+        if self.now % 1.0 == 0.0:
+            self._beat(process)
+        for minion in self.minions:
+            permit, used = self.permit(process, minion), process.used(minion, self.now)
+            end = self.now + REQUEST_SECONDS / process.rate
+            process.in_flight[minion] += [end] * max(0, permit.slots - used)
+
+    def _read(self, process):
+        sent_at, end = process.local(self.now), self.log.end
+
+        def answer():
+            if process.runs:
+                self._fold(process, end)
+                self.give(process, EvidenceSeen(sent_at, end))
+
+        if process.read_seconds:
+            self._later(process.read_seconds, answer)
+            return
+        answer()
+
+    def _fold(self, process, end):
+        if end <= process.decision.through:
+            return
+        for offset, event in self.log.accepted:
+            if not process.decision.through < offset <= end:
+                continue
+            if isinstance(event, HoldSeen):
+                process.tokens[event.resource] = event.offset
+            self.give(process, event)
+        self.give(process, Folded(end))
+
+    def _refresh_live(self, process):
+        now = process.local(self.now)
+        live = frozenset(one for one, at in process.heard.items() if now - at <= ALIVE_SECONDS)
+        live |= {process.incarnation}
+        if live != process.live:
+            process.live = live
+            self.give(process, LiveSeen(live))
+
+    def _beat(self, process):
+        now = process.local(self.now)
+        for other in self.processes:
+            if other is process:
+                continue
+            if (process.incarnation, other.incarnation) in self.cut_links:
+                continue
+            echo = process.stamps.get(other.incarnation, 0.0)
+            is_promise = process.decision.promise_to(other.incarnation, now)
+            through = process.decision.through
+            age = now - process.decision.evidence_at
+            heard = PeerHeard(process.incarnation, through, through, age, echo, is_promise)
+            self._later(self.delay, lambda o=other, h=heard, s=now: self._hear(o, h, s))
+
+    def _hear(self, process, heard, stamp):
+        if not process.runs:
+            return
+        process.heard[heard.sender] = process.local(self.now)
+        process.stamps[heard.sender] = max(stamp, process.stamps.get(heard.sender, stamp))
+        self.give(process, heard)
+        if process.is_log_cut or self.is_log_down:
+            self._fold(process, heard.control_offset)
+
+    def _perform(self, process, action):
+        match action:
+            case AppendJoin():
+                record = ("join", process.incarnation, process.incarnation.partition("/")[0])
+            case AppendHold(resource):
+                previous = process.tokens.get(resource, 0)
+                record = ("hold", resource, process.incarnation, previous)
+            case AppendRelease(resource, token):
+                record = ("release", resource, token)
+            case AppendLeave():
+                record = ("leave", process.incarnation)
+            case StopFinished():
+                process.is_stopped = True
+                return
+            case DrainMinion():
+                return
+        if not (process.is_log_cut or self.is_log_down):
+            self._later(process.read_seconds / 2, lambda: self.log.append(record))
