Add scenarios for the request path; keep repeated headers of any spelling

Cause: the first scenarios found two faults. aiohttp's session keeps only the last value of a header whose name is repeated in another case, so X-Rep and x-rep arrived as one. A forwarded request that waited in the peer's queue counted as silence of the peer after a quarter of the deadline, so a caller was told unknown for work that had not run. After: one spelling for each repeated name; a peer may be silent for the half of the deadline that its queue may use plus the quarter for its minion.

--- a/dotterelhill/requests/deadlines.py
+++ b/dotterelhill/requests/deadlines.py
@@ -42,6 +42,11 @@
         """Return how long a minion may send nothing."""
         return self.service_seconds * SILENCE_SHARE
 
+    @property
+    def peer_silence_seconds(self) -> float:
+        """Return how long a peer may send nothing; the request may wait in its queue too."""
+        return self.seconds * QUEUE_SHARE + self.silence_seconds
+
     def remaining(self, now: float) -> float:
         """Return the seconds left, never below 0."""
         return max(0.0, self.expires_at - now)
--- a/dotterelhill/requests/minion.py
+++ b/dotterelhill/requests/minion.py
@@ -167,7 +167,7 @@
         self._response = await self._session.request(
             request.method,
             url,
-            headers=CIMultiDict(request.headers),
+            headers=_merged_by_name(request.headers),
             data=self._body(),
             allow_redirects=False,
             skip_auto_headers=_AUTO_HEADERS,
@@ -284,6 +284,15 @@
 _CURRENT: ContextVar[Exchange] = ContextVar("current_exchange")
 
 
+def _merged_by_name(headers: Headers) -> CIMultiDict[str]:
+    """Return the headers with one spelling for each repeated name.
+
+    The session keeps only the last value of a header whose name is repeated in another case.
+    """
+    spelling: dict[str, str] = {}
+    return CIMultiDict((spelling.setdefault(name.lower(), name), value) for name, value in headers)
+
+
 def _end_sending(connection: Connection) -> None:
     transport = connection.transport
     if transport is not None and not transport.is_closing() and transport.can_write_eof():
--- a/dotterelhill/requests/proxy.py
+++ b/dotterelhill/requests/proxy.py
@@ -218,7 +218,7 @@
         if accepted is None:
             return {}
         manifest, now = accepted.manifest, self._now()
-        ejected = self._routing.ejected(now)
+        ejected = self._routing.ejected()
         free: dict[str, int] = {}
         for name, service in manifest.services.items():
             usable = usable_minions(manifest, service, self._around.peers.leaving_vms())
@@ -418,6 +418,7 @@
         hop = self._guard.new_hop(peer.incarnation, left, purpose)
         signed = self._guard.signed_headers(replace(work.head, headers=headers), hop)
         request = _outgoing(work, peer.forward_address, (*headers, *signed), PEER_CONNECTIONS)
+        request = replace(request, silence_seconds=work.deadline.peer_silence_seconds)
         self._order.record_sent(peer)
         self._counters["forwarded"] += 1
         count = self._crossing_counter(peer)
--- a/dotterelhill/requests/routing.py
+++ b/dotterelhill/requests/routing.py
@@ -74,7 +74,7 @@
         self._random = random
         self._health: dict[str, _Health] = {}
 
-    def ejected(self, now: float) -> frozenset[str]:
+    def ejected(self) -> frozenset[str]:
         """Return the minions that get nothing but a probe."""
         return frozenset(name for name, health in self._health.items() if health.is_ejected)
 
--- a/dotterelhill/requests/service.py
+++ b/dotterelhill/requests/service.py
@@ -145,7 +145,7 @@
             "slots": dict(proxy.slots.in_flight),
             "reserved_slots": proxy.slots.reserved,
             "queue": proxy.queue_length,
-            "ejected": sorted(proxy.routing.ejected(self._now())),
+            "ejected": sorted(proxy.routing.ejected()),
             "member_in_flight": proxy.limits.in_flight,
             "crossed_bytes": proxy.crossed_bytes,
             "keys": self._keyed.key_count,
--- /dev/null
+++ b/dotterelhill/requests/tests/input.feature
@@ -0,0 +1,65 @@
+Feature: Bad input and too much of it harm nobody else
+
+  Background:
+    Given minion "m1" in "caxias"
+
+  Scenario Outline: A request that two readers understand differently reaches a minion
+    Given entry "e1" in "caxias" using "m1"
+    When a raw connection sends <bytes>
+    Then the answer is error "<kind>" with outcome "not-run"
+    And minion "m1" got 0 requests
+    Examples:
+      | bytes | kind |
+      | both Content-Length and Transfer-Encoding | bad_request |
+      | two different Content-Lengths | bad_request |
+      | a target without a slash | bad_request |
+      | two Host headers | bad_request |
+      | a header of 20000 bytes | head_too_large |
+      | 90 headers of 500 bytes | head_too_large |
+      | a deadline that is no number | bad_request |
+
+  Scenario: A caller forges the headers of this system
+    Given entry "e1" in "caxias" using "m1"
+    When "e1" gets POST with forged headers of this system
+    Then the minion saw none of them
+
+  Scenario: A caller that sends its head slowly keeps a connection for ever
+    Given entry "e1" in "caxias" using "m1" and 0.3 seconds for a head
+    When a raw connection stops after half a head
+    Then it was closed within 1.0 seconds
+
+  @not-run
+  Scenario: A short upload that stops half-way runs or takes a slot
+    Given entry "e1" in "caxias" using "m1"
+    When an upload of 1000 bytes stops after 500 bytes
+    Then minion "m1" got 0 requests
+    And "e1" has 0 slots in use
+
+  Scenario: A long upload that stops half-way keeps its slot for ever
+    Given entry "e1" in "caxias" using "m1"
+    When an upload of 1000000 bytes stops after 500000 bytes
+    Then "e1" has 0 slots in use
+
+  Scenario: One caller takes every connection
+    Given entry "e1" in "caxias" using "m1" and 5 connections for each caller
+    When 9 raw connections are opened
+    Then 5 of them are still open
+
+  Scenario: A member takes more than was voted
+    Given entry "e1" in "caxias" using "m1"
+    And the member may send 5 requests a second
+    When "e1" gets GET 20 times
+    Then between 5 and 7 answers have status 200 and the rest are "member_limit"
+
+  Scenario: A request waits in the queue until its deadline
+    Given entry "e1" in "caxias" using "m1" with 1 slots
+    When "e1" gets POST while its only slot is taken for 4 seconds
+    Then the answer is error "overloaded" with outcome "not-run"
+    And it took between 1.9 and 2.4 seconds
+    And the answer says when to retry
+
+  Scenario: A slot that becomes free is not given to the request that waits
+    Given entry "e1" in "caxias" using "m1" with 1 slots
+    When 10 callers ask at once for 0.05 seconds of work
+    Then every answer has status 200
+    And no minion had more requests than slots
--- /dev/null
+++ b/dotterelhill/requests/tests/keys.feature
@@ -0,0 +1,94 @@
+Feature: A request with an idempotency key runs at most once
+
+  Background:
+    Given minion "m1" in "caxias"
+    And minion "m2" in "caxias"
+    And entry "e1" in "caxias" using "m1"
+    And entry "e2" in "caxias" using "m2"
+
+  @at-most-once
+  Scenario Outline: A second call with the same key runs the work again
+    Given <kind>
+    When "e1" gets POST with the key and run id "r1"
+    And "<entry>" gets POST with the key and run id "r1"
+    Then both answers are the same whole answer
+    And run id "r1" ran 1 times
+    Examples:
+      | kind | entry |
+      | a key issued by "e1" | e1 |
+      | a key issued by "e1" | e2 |
+      | a key issued by "e2" | e1 |
+      | a chosen key "fee-1" | e1 |
+      | a chosen key "fee-1" | e2 |
+
+  @at-most-once
+  Scenario: A second call during the first attempt runs the work again
+    Given a key issued by "e1"
+    When "e1" gets POST with the key and run id "r1" during a first attempt of 0.5 seconds
+    Then the answer is error "key_in_progress" with outcome "unknown"
+    And run id "r1" ran 1 times
+
+  @at-most-once
+  Scenario: A caller that lost its connection can't get its answer
+    Given a chosen key "fee-2"
+    When a caller with the key and run id "r1" goes away during 0.4 seconds of work
+    And "e2" gets POST with the key and run id "r1"
+    Then every answer has status 200
+    And run id "r1" ran 1 times
+
+  @at-most-once
+  Scenario: Another process runs a key whose issuer is gone
+    Given a key issued by "e1"
+    And "e2" no longer sees its peers
+    When "e2" gets POST with the key and run id "r1"
+    Then the answer is error "key_holder_gone" with outcome "unknown"
+    And run id "r1" ran 0 times
+
+  @at-most-once
+  Scenario: A claim whose owner died before dispatch is run by another process
+    Given a chosen key "fee-3"
+    And the key was claimed by a process that is gone
+    When "e2" gets POST with the key and run id "r1"
+    Then the answer is error "key_holder_gone" with outcome "unknown"
+    And run id "r1" ran 0 times
+
+  @at-most-once
+  Scenario: Two processes that claim a key at once both run it
+    When both entries get POST with each of 40 chosen keys at once
+    Then each of the 40 keys ran exactly once
+
+  @at-most-once
+  Scenario: A claim whose acknowledgement was lost is taken for a claim of another
+    Given the log is in mode "lose_answers"
+    And a chosen key "fee-4"
+    When "e1" gets POST with the key and run id "r1"
+    Then every answer has status 200
+    And run id "r1" ran 1 times
+
+  @not-run
+  Scenario: A keyed request runs without a claim while the log is down
+    Given the log is in mode "down"
+    And a chosen key "fee-5"
+    When "e1" gets POST with the key and run id "r1"
+    Then the answer is error "log_unavailable" with outcome "not-run"
+    And run id "r1" ran 0 times
+    Given the log is in mode "ok"
+    When "e2" gets POST with the key and run id "r1"
+    And "e1" gets POST with the key and run id "r1"
+    Then run id "r1" ran 1 times
+
+  Scenario: A key is used for another request without notice
+    Given a chosen key "fee-6"
+    When "e1" gets POST with the key and run id "r1"
+    And "e2" gets POST with the key, run id "r1" and another body
+    Then the answer is error "key_mismatch" with outcome "not-run"
+    And run id "r1" ran 1 times
+
+  Scenario: A key that was not issued here is accepted
+    Given a key issued by "e1" with one digit changed
+    When "e1" gets POST with the key and run id "r1"
+    Then the answer is error "bad_request" with outcome "not-run"
+
+  @at-most-once
+  Scenario: A key that was forgotten to save memory is run again
+    Then a key table of 3 keys never runs a forgotten issued key again
--- /dev/null
+++ b/dotterelhill/requests/tests/passing.feature
@@ -0,0 +1,54 @@
+Feature: Requests and answers pass unchanged and whole
+
+  Background:
+    Given minion "m1" in "caxias"
+    And minion "m2" in "caxias"
+    And entry "e1" in "caxias" using "m1, m2"
+
+  @own-answer
+  Scenario: A proxy that normalises the target or merges headers changes the request
+    When a raw request asks for "/a/../b%2F%41/?x=1&x=2&y=%zz?" with repeated headers
+    Then the minion saw that target and those headers
+    And the repeated headers of its answer arrived
+
+  Scenario: An empty query is lost on the way
+    When a raw request asks for "/a?" with repeated headers
+    Then the minion saw that target and those headers
+
+  Scenario: A large or encoded body is changed on the way
+    When "e1" gets 3000000 bytes and returns 5000000 bytes
+    Then both bodies arrived whole
+    When "e1" gets a body that is marked as gzip
+    Then the minion saw exactly those bytes
+
+  Scenario: A proxy without backpressure stores an answer that nobody reads
+    When a caller asks for 200000000 bytes and reads none
+    Then the process has grown by less than 24 MB
+
+  @own-answer
+  Scenario Outline: An answer that was cut half-way passes for a whole one
+    Given every minion is in mode "truncate"
+    When "e1" returns 500000 bytes <framing>
+    Then the caller's connection broke
+    Examples:
+      | framing |
+      | with a stated length |
+      | in chunks |
+
+  @own-answer
+  Scenario: The late answer of an abandoned request reaches the next caller
+    When 300 callers ask at once, a third of them with too short a deadline
+    Then each answer is the caller's own or an error with outcome "unknown"
+    And no minion had more requests than slots
+
+  Scenario: Retries of the client library run a request again on a connection that was closed
+    Given every minion drops connections that were used before
+    When "e1" gets PUT twice on one minion connection
+    Then no run id ran more than once
+    And the second answer is error "minion_connection_lost" with outcome "unknown"
+
+  Scenario: A silent minion holds its caller until the deadline
+    Given every minion is in mode "silent"
+    When "e1" gets POST with run id "r1"
+    Then the answer is error "minion_silent" with outcome "unknown"
+    And it took between 0.9 and 1.6 seconds
--- /dev/null
+++ b/dotterelhill/requests/tests/steps/request_steps.py
@@ -0,0 +1,791 @@
+import asyncio
+import gzip
+import hashlib
+import json
+import os
+import time
+from base64 import b64decode
+from random import Random
+
+import msgspec
+from behave import given, then, when
+
+from dotterelhill.holdings import NO_PERMIT
+from dotterelhill.requests.claims import Claim
+from dotterelhill.requests.forwarding import ForwardGuard, Purpose
+from dotterelhill.requests.idempotency import digest_of, request_digest
+from dotterelhill.requests.messages import RequestHead
+from dotterelhill.requests.tests.harness import DEPLOYMENT_KEY
+
+BODY = b"entry of a juniper"
+
+
+def ask(context, *calls):
+    """Run calls at once and keep their answers and the time they took."""
+
+    async def gather():
+        started = time.monotonic()
+        answers = await asyncio.gather(*calls)
+        context.seconds = time.monotonic() - started
+        return list(answers)
+
+    context.answers = context.run(gather())
+    context.answer = context.answers[-1]
+
+
+def echo(answer):
+    assert answer.status == 200, (answer.status, answer.kind, answer.error)
+    return json.loads(answer.body)
+
+
+def runs_of(context, run_id):
+    return sum(minion.runs[run_id] for minion in context.world.minions.values())
+
+
+async def raw_exchange(address, data, wait=2.0):
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(data)
+    answer = b""
+    try:
+        async with asyncio.timeout(wait):
+            while chunk := await reader.read(65536):
+                answer += chunk
+    except (TimeoutError, ConnectionError):
+        pass
+    writer.close()
+    return answer
+
+
+class RawAnswer:
+    def __init__(self, data):
+        head, _, self.body = data.partition(b"\r\n\r\n")
+        lines = head.decode("latin-1").split("\r\n")
+        self.status = int(lines[0].split(" ")[1]) if lines[0] else 0
+        self.headers = [tuple(line.split(": ", 1)) for line in lines[1:]]
+        named = {name.lower(): value for name, value in self.headers}
+        self.kind = named.get("dotterelhill-error", "")
+        self.outcome = named.get("dotterelhill-outcome", "")
+        self.error = ""
+
+
+def raw(context, data, entry="e1", wait=2.0):
+    address = context.world.entries[entry].requests.caller_address
+    context.answer = RawAnswer(context.run(raw_exchange(address, data, wait)))
+
+
+# Surroundings
+
+
+@given('minion "{name}" in "{domain}"')
+def add_minion(context, name, domain):
+    context.run(context.world.add_minion(name, domain))
+
+
+def add_entry(context, name, domain, minions, slots=8, **settings):
+    context.run(context.world.add_entry(name, domain, **settings))
+    for minion in filter(None, minions.split(", ")):
+        context.world.grant(name, minion, slots)
+    context.world.publish()
+
+
+@given('entry "{name}" in "{domain}" using "{minions}"')
+def entry_using(context, name, domain, minions):
+    add_entry(context, name, domain, minions)
+
+
+@given('entry "{name}" in "{domain}" using ""')
+def entry_using_none(context, name, domain):
+    add_entry(context, name, domain, "")
+
+
+@given('entry "{name}" in "{domain}" using "{minions}" with {slots:d} slots')
+def entry_with_slots(context, name, domain, minions, slots):
+    add_entry(context, name, domain, minions, slots)
+
+
+@given('entry "{name}" in "{domain}" using "{minions}" and {seconds:g} seconds for a head')
+def entry_with_head_seconds(context, name, domain, minions, seconds):
+    add_entry(context, name, domain, minions, head_seconds=seconds)
+
+
+@given('entry "{name}" in "{domain}" using "{minions}" and a balancer delay of {seconds:g} seconds')
+def entry_with_delay(context, name, domain, minions, seconds):
+    add_entry(context, name, domain, minions, balancer_seconds=seconds)
+
+
+@given('entry "{name}" in "{domain}" using "{minions}" and {count:d} connections for each caller')
+def entry_with_connections(context, name, domain, minions, count):
+    add_entry(context, name, domain, minions, connections_per_caller=count)
+
+
+@given('every minion is in mode "{mode}"')
+def every_mode(context, mode):
+    for minion in context.world.minions.values():
+        minion.set_faults(mode)
+
+
+@given('minion "{name}" is in mode "{mode}"')
+def one_mode(context, name, mode):
+    context.world.minions[name].set_faults(mode)
+
+
+@given("every minion drops connections that were used before")
+def drop_reused(context):
+    for minion in context.world.minions.values():
+        minion.is_dropping_reused = True
+
+
+@given('minion "{name}" has stopped')
+def minion_stopped(context, name):
+    context.run(context.world.minions[name].stop())
+
+
+@given('the log is in mode "{mode}"')
+def log_mode(context, mode):
+    context.world.log.mode = mode
+
+
+@given('the permits of "{name}" end after they were asked for {count:d} times')
+def permits_end(context, name, count):
+    holdings = context.world.entries[name].holdings
+    permit_for, asked = holdings.permit_for, []
+
+    def ending(minion, now):
+        asked.append(minion)
+        return permit_for(minion, now) if len(asked) <= count else NO_PERMIT
+
+    holdings.permit_for = ending
+
+
+@given('the permits of "{name}" are taken away')
+def no_permits(context, name):
+    context.world.entries[name].holdings.permits.clear()
+
+
+@given("every entry reports 8 free slots whatever it holds")
+def boasting(context):
+    for entry in context.world.entries.values():
+        entry.requests.free_slots = lambda: {"bancada": 8}
+
+
+@given('the manifest marks minion "{name}" as leaving')
+def manifest_leaving(context, name):
+    context.world.states[name] = "leaving"
+    context.world.publish()
+
+
+@given('the VM list marks "{name}" as leaving')
+def list_leaving(context, name):
+    for entry in context.world.entries.values():
+        entry.peers.leaving = frozenset({name})
+
+
+@given('the manifest takes domain "{domain}" out')
+def domain_out(context, domain):
+    context.world.domain_states[domain] = "out"
+    context.world.publish()
+
+
+@given("the manifest allows {count:d} bytes between regions")
+def cross_region(context, count):
+    context.world.cross_region = count
+    context.world.publish()
+
+
+@given("the member may send {rate:d} requests a second")
+def member_rate(context, rate):
+    context.world.limits["requests_per_second"] = rate
+    context.world.publish()
+
+
+@given('"{name}" no longer sees its peers')
+def no_peers(context, name):
+    context.world.entries[name].peers.live = []
+
+
+# Passing
+
+
+@when('a raw request asks for "{target}" with repeated headers')
+def raw_request(context, target):
+    context.target = target
+    context.sent = [["X-Rep", "one"], ["x-rep", "two"], ["X-Name", "Gaúcha"], ["Cookie", "a=1; b"]]
+    lines = [f"PATCH {target} HTTP/1.1", "Host: bancada.example", "Connection: close, X-Hop"]
+    lines += [f"{name}: {value}" for name, value in context.sent] + ["X-Hop: 1", "", ""]
+    raw(context, "\r\n".join(lines).encode())
+
+
+@then("the minion saw that target and those headers")
+def saw_target(context):
+    seen = echo(context.answer)
+    assert seen["raw_path"] == context.target and seen["method"] == "PATCH", seen["raw_path"]
+    headers = [
+        [name, value.encode("latin-1").decode()]
+        for name, value in seen["headers"]
+        if not name.startswith("Dotterelhill-") and [name, value] != ["Content-Length", "0"]
+    ]
+    expected = [["Host", "bancada.example"], *context.sent]
+    lowered = [[[name.lower(), value] for name, value in item] for item in (headers, expected)]
+    assert lowered[0] == lowered[1], headers
+
+
+@then("the repeated headers of its answer arrived")
+def saw_repeated(context):
+    values = [value for name, value in context.answer.headers if name == "X-Repeated"]
+    assert values == ["first", "second"]
+
+
+@when('"{entry}" gets {up:d} bytes and returns {down:d} bytes')
+def large_bodies(context, entry, up, down):
+    data = Random(1).randbytes(up)
+    context.digest, context.down = hashlib.sha256(data).hexdigest(), down
+    world = context.world
+    bulk = {"X-Answer-Bytes": str(down)}
+    ask(
+        context,
+        world.call(entry, "POST", data=data),
+        world.call(entry, "POST", data=data, headers=bulk),
+    )
+
+
+@then("both bodies arrived whole")
+def bodies_whole(context):
+    seen, bulk = context.answers
+    assert echo(seen)["body_sha256"] == context.digest
+    assert bulk.body == b"x" * context.down, (bulk.status, bulk.kind, len(bulk.body))
+
+
+@when('"{entry}" gets a body that is marked as gzip')
+def gzip_body(context, entry):
+    context.packed = gzip.compress(BODY)
+    headers = {"Content-Encoding": "gzip"}
+    ask(context, context.world.call(entry, "POST", data=context.packed, headers=headers))
+
+
+@then("the minion saw exactly those bytes")
+def saw_bytes(context):
+    assert b64decode(echo(context.answer)["body"]) == context.packed
+
+
+def resident_bytes():
+    with open("/proc/self/statm") as file:
+        return int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE")
+
+
+@when("a caller asks for {count:d} bytes and reads none")
+def lazy_reader(context, count):
+    async def read_nothing():
+        before = resident_bytes()
+        address = context.world.entries["e1"].requests.caller_address
+        host, _, port = address.rpartition(":")
+        _, writer = await asyncio.open_connection(host, int(port), limit=1024)
+        writer.write(f"GET / HTTP/1.1\r\nHost: a\r\nX-Answer-Bytes: {count}\r\n\r\n".encode())
+        await asyncio.sleep(1.0)
+        context.grown = resident_bytes() - before
+        writer.transport.abort()
+
+    context.run(read_nothing())
+
+
+@then("the process has grown by less than {megabytes:d} MB")
+def grown_little(context, megabytes):
+    assert context.grown < megabytes * 1_000_000, context.grown
+
+
+@when('"{entry}" returns {count:d} bytes {framing}')
+def returns_bytes(context, entry, count, framing):
+    headers = {"X-Answer-Bytes": str(count)}
+    if framing == "in chunks":
+        headers["X-Answer-Chunked"] = "1"
+    ask(context, context.world.call(entry, "POST", data=BODY, headers=headers))
+
+
+@then("the caller's connection broke")
+def connection_broke(context):
+    assert context.answer.error, (context.answer.status, len(context.answer.body))
+
+
+@when("{count:d} callers ask at once, a third of them with too short a deadline")
+def many_callers(context, count):
+    random = Random(5)
+    calls = []
+    for number in range(count):
+        seconds = random.choice([0.0, 0.02, 0.15])
+        headers = {"X-Mark": str(number), "X-Work-Seconds": str(seconds)}
+        if number % 3 == 0:
+            headers["Dotterelhill-Deadline"] = "0.05"
+        calls.append(context.world.call("e1", "GET", headers=headers))
+    ask(context, *calls)
+
+
+@then('each answer is the caller\'s own or an error with outcome "unknown"')
+def own_answers(context):
+    whole = 0
+    for number, answer in enumerate(context.answers):
+        if answer.status == 200:
+            whole += 1
+            assert ["X-Mark", str(number)] in echo(answer)["headers"]
+            continue
+        assert number % 3 == 0, (number, answer.status, answer.kind)
+        assert answer.outcome == "unknown" or answer.kind in (
+            "overloaded",
+            "deadline_before_dispatch",
+        )
+    assert whole >= 200, whole
+
+
+@then("no minion had more requests than slots")
+def within_slots(context):
+    for name, minion in context.world.minions.items():
+        assert minion.load.over_slots == 0, (name, minion.load)
+        assert minion.load.over_connections == 0, (name, minion.load)
+
+
+@when('"{entry}" gets PUT twice on one minion connection')
+def put_twice(context, entry):
+    world = context.world
+    world.grant(entry, "m2", 0, 0)
+    for run_id in ("first", "second"):
+        ask(context, world.call(entry, "PUT", data=BODY, headers={"X-Run-Id": run_id}))
+
+
+@then("no run id ran more than once")
+def ran_once(context):
+    for minion in context.world.minions.values():
+        assert all(count == 1 for count in minion.runs.values()), minion.runs
+    assert runs_of(context, "first") == 1
+
+
+@then('the second answer is error "{kind}" with outcome "{outcome}"')
+@then('the answer is error "{kind}" with outcome "{outcome}"')
+def error_answer(context, kind, outcome):
+    answer = context.answer
+    assert (answer.kind, answer.outcome) == (kind, outcome), (answer.status, answer.kind)
+    assert json.loads(answer.body)["error"] == kind
+
+
+@then("it took between {low:g} and {high:g} seconds")
+def took(context, low, high):
+    assert low <= context.seconds <= high, context.seconds
+
+
+# Safety
+
+
+@when('"{entry}" gets {method} with run id "{run_id}"')
+def one_request(context, entry, method, run_id):
+    headers = {"X-Run-Id": run_id}
+    ask(context, context.world.call(entry, method, data=BODY, headers=headers))
+
+
+@when('"{entry}" gets GET {count:d} times')
+def many_gets(context, entry, count):
+    ask(context, *[context.world.call(entry) for _ in range(count)])
+
+
+@then('run id "{run_id}" ran {count:d} times')
+def ran_times(context, run_id, count):
+    assert runs_of(context, run_id) == count, runs_of(context, run_id)
+
+
+@then("every answer has status {status:d}")
+def every_status(context, status):
+    seen = [(item.status, item.kind, item.error) for item in context.answers]
+    assert all(item[0] == status for item in seen), seen
+
+
+@then('minion "{name}" got {count:d} requests')
+def minion_requests(context, name, count):
+    assert context.world.minions[name].load.requests == count, context.world.minions[name].load
+
+
+@when("{count:d} callers send work while minions fail at random, seed {seed:d}")
+def chaos(context, count, seed):
+    random, world = Random(seed), context.world
+
+    async def one(number):
+        await asyncio.sleep(random.uniform(0, 3.0))
+        method = random.choice(["POST", "POST", "PUT"])
+        headers = {"X-Run-Id": f"run-{number}", "X-Work-Seconds": "0.02"}
+        headers["Dotterelhill-Deadline"] = random.choice(["0.1", "0.5", "2"])
+        return await world.call(f"e{1 + number % 3}", method, data=BODY, headers=headers)
+
+    async def fail():
+        while True:
+            await asyncio.sleep(0.1)
+            minion = random.choice(list(world.minions.values()))
+            mode = random.choice(["ok", "ok", "lose_answers", "slow", "silent", "down", "truncate"])
+            minion.set_faults(mode, 0.3)
+
+    async def both():
+        failing = asyncio.get_running_loop().create_task(fail())
+        answers = await asyncio.gather(*[one(number) for number in range(count)])
+        failing.cancel()
+        await asyncio.sleep(0.5)
+        return answers
+
+    context.answers = context.run(both())
+
+
+@then("nothing that was reported as not run has run, and nothing ran twice")
+def truth(context):
+    told = 0
+    for number, answer in enumerate(context.answers):
+        runs = runs_of(context, f"run-{number}")
+        assert runs <= 1, (number, runs)
+        if answer.outcome == "not-run":
+            told += 1
+            assert runs == 0, (number, answer.kind)
+        if answer.status == 200:
+            assert runs == 1
+    statuses = [answer.status for answer in context.answers]
+    assert told > 0 and statuses.count(200) > 100, (told, statuses.count(200))
+
+
+@when("{count:d} callers go away while the minion works for {seconds:g} seconds")
+def callers_go(context, count, seconds):
+    async def go():
+        headers = {"X-Work-Seconds": str(seconds)}
+        calls = [context.world.call("e1", "POST", headers=headers) for _ in range(count)]
+        tasks = [asyncio.get_running_loop().create_task(call) for call in calls]
+        await asyncio.sleep(0.2)
+        for task in tasks:
+            task.cancel()
+        await asyncio.sleep(0.05)
+        assert context.world.minions["m1"].load.in_flight == count
+
+    context.run(go())
+
+
+@when("{count:d} more callers ask at once")
+def more_callers(context, count):
+    ask(context, *[context.world.call("e1") for _ in range(count)])
+
+
+@when('the manifest marks "{name}" as leaving while a request waits for its slot')
+def leaving_while_waiting(context, name):
+    world = context.world
+
+    async def both():
+        loop = asyncio.get_running_loop()
+        busy = {"X-Work-Seconds": "0.4"}
+        first = loop.create_task(world.call("e1", "POST", headers=busy))
+        await asyncio.sleep(0.1)
+        waiting = {"X-Run-Id": "waiting"}
+        second = loop.create_task(world.call("e1", "POST", headers=waiting))
+        await asyncio.sleep(0.1)
+        manifest_leaving(context, name)
+        return [await first, await second]
+
+    context.answers = context.run(both())
+    assert [answer.status for answer in context.answers] == [200, 503]
+
+
+@when('"{entry}" stops while {count:d} requests take {seconds:g} seconds')
+def stop_in_flight(context, entry, count, seconds):
+    world = context.world
+
+    async def stop():
+        headers = {"X-Work-Seconds": str(seconds)}
+        loop = asyncio.get_running_loop()
+        calls = [world.call(entry, "POST", headers=headers) for _ in range(count)]
+        tasks = [loop.create_task(call) for call in calls]
+        await asyncio.sleep(0.2)
+        await world.entries[entry].requests.stop()
+        return await asyncio.gather(*tasks)
+
+    context.answers = context.run(stop())
+
+
+@then('"{entry}" refuses new connections')
+def refuses(context, entry):
+    answer = context.run(context.world.call(entry))
+    assert answer.error == "ClientConnectorError", answer.error
+
+
+@when('"{entry}" stops and gets GET {count:d} times {seconds:g} seconds later')
+def stop_then_get(context, entry, count, seconds):
+    world = context.world
+
+    async def stop():
+        stopping = asyncio.get_running_loop().create_task(world.entries[entry].requests.stop())
+        await asyncio.sleep(seconds)
+        assert not world.entries[entry].requests.is_ready
+        answers = await asyncio.gather(*[world.call(entry) for _ in range(count)])
+        await stopping
+        return answers
+
+    context.answers = context.run(stop())
+
+
+# Keys
+
+
+@given('a key issued by "{entry}"')
+def issued_key(context, entry):
+    answer = context.run(context.world.call(entry, "POST", "/_dotterelhill/keys"))
+    context.key, context.earlier = json.loads(answer.body)["key"], []
+
+
+@given('a key issued by "{entry}" with one digit changed')
+def changed_key(context, entry):
+    issued_key(context, entry)
+    context.key = context.key[:-1] + ("0" if context.key[-1] != "0" else "1")
+
+
+@given('a chosen key "{key}"')
+def chosen_key(context, key):
+    context.key, context.earlier = key, []
+
+
+@given("the key was claimed by a process that is gone")
+def claimed_by_gone(context):
+    head = RequestHead("POST", "/bench", (("Content-Type", "application/octet-stream"),), len(BODY))
+    digest = digest_of(b"bancada", context.key.encode())
+    claim = Claim(1, digest, request_digest(head, BODY), "e9/00", b"87654321")
+    context.run(context.world.log.append("claims", [msgspec.msgpack.encode(claim)]))
+
+
+def keyed(context, entry, run_id, body=BODY, seconds="0"):
+    headers = {"Idempotency-Key": context.key, "X-Run-Id": run_id, "X-Work-Seconds": seconds}
+    return context.world.call(entry, "POST", data=body, headers=headers)
+
+
+@when('"{entry}" gets POST with the key and run id "{run_id}"')
+def keyed_request(context, entry, run_id):
+    ask(context, keyed(context, entry, run_id))
+    context.earlier.append(context.answer)
+
+
+@when('"{entry}" gets POST with the key, run id "{run_id}" and another body')
+def keyed_other(context, entry, run_id):
+    ask(context, keyed(context, entry, run_id, b"another entry"))
+
+
+@then("both answers are the same whole answer")
+def same_answers(context):
+    first, second = context.earlier
+    assert first.body == second.body and echo(first), (second.status, second.kind)
+
+
+@when(
+    '"{entry}" gets POST with the key and run id "{run_id}" during a first attempt of 0.5 seconds'
+)
+def keyed_during(context, entry, run_id):
+    async def both():
+        first = asyncio.get_running_loop().create_task(keyed(context, entry, run_id, seconds="0.5"))
+        await asyncio.sleep(0.2)
+        second = await keyed(context, entry, run_id)
+        assert (await first).status == 200
+        return second
+
+    context.answer = context.run(both())
+
+
+@when('a caller with the key and run id "{run_id}" goes away during 0.4 seconds of work')
+def keyed_gone(context, run_id):
+    async def go():
+        call = keyed(context, "e1", run_id, seconds="0.4")
+        task = asyncio.get_running_loop().create_task(call)
+        await asyncio.sleep(0.3)
+        task.cancel()
+        await asyncio.sleep(0.5)
+
+    context.run(go())
+
+
+@when("both entries get POST with each of {count:d} chosen keys at once")
+def racing_claims(context, count):
+    calls = []
+    for number in range(count):
+        headers = {"Idempotency-Key": f"race-{number}", "X-Run-Id": f"race-{number}"}
+        calls += [
+            context.world.call(entry, "POST", data=BODY, headers=headers) for entry in ("e1", "e2")
+        ]
+    ask(context, *calls)
+
+
+@then("each of the {count:d} keys ran exactly once")
+def keys_ran_once(context, count):
+    assert [runs_of(context, f"race-{number}") for number in range(count)] == [1] * count
+    for answer in context.answers:
+        assert answer.status == 200 or answer.kind == "key_in_progress", answer.kind
+
+
+# Forwarding
+
+
+@then('"{entry}" used minion "{minion}" once')
+def used_minion(context, entry, minion):
+    assert context.world.minions[minion].load.requests == 2
+    dump = context.world.entries[entry].requests.dump()
+    assert dump["counters"]["answered"] == 2, dump
+
+
+@then("{count:d} requests were forwarded")
+def forwarded(context, count):
+    dumps = [entry.requests.dump() for entry in context.world.entries.values()]
+    assert sum(dump["counters"].get("forwarded", 0) for dump in dumps) == count
+
+
+@when('the forward port of "{entry}" gets a request {fault}')
+def forged_forward(context, entry, fault):
+    target = context.world.entries[entry]
+    key = DEPLOYMENT_KEY[::-1] if fault == "signed with another key" else DEPLOYMENT_KEY
+    addressee = "e2/ffff" if "incarnation" in fault else target.peers.incarnation
+    guard = ForwardGuard(key, "e1/0123456789abcdef")
+    headers = (("Host", "a"), ("X-Run-Id", "good"))
+    head = RequestHead("POST", "/bench", headers, 0)
+    hop = guard.new_hop(addressee, 2.0, Purpose.DISPATCH)
+    signed = () if fault == "without a signature" else guard.signed_headers(head, hop)
+    path = "/other" if "was changed" in fault else "/bench"
+
+    def request(run_id):
+        own = (("Host", "a"), ("X-Run-Id", run_id), ("Connection", "close"))
+        lines = [f"POST {path} HTTP/1.1"] + [f"{n}: {v}" for n, v in (*own, *signed)]
+        return "\r\n".join([*lines, "", ""]).encode()
+
+    run_id = "good" if signed else "forged"
+    address = target.requests.forward_address
+    first = RawAnswer(context.run(raw_exchange(address, request(run_id))))
+    if fault == "that it got before":
+        assert first.status == 200
+        first = RawAnswer(context.run(raw_exchange(address, request(run_id))))
+    expected = 1 if fault == "that it got before" else 0
+    assert runs_of(context, "good") == expected
+    context.answer = first
+
+
+@then('"{entry}" counted at least {count:d} bytes between regions')
+def counted_bytes(context, entry, count):
+    assert context.answer.status == 200, context.answer.kind
+    assert context.world.entries[entry].requests.dump()["crossed_bytes"] >= count
+
+
+# Input
+
+
+@when("a raw connection sends {what}")
+def bad_bytes(context, what):
+    extra = {
+        "both Content-Length and Transfer-Encoding": "Content-Length: 3\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "two different Content-Lengths": "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+        "a target without a slash": "\r\n",
+        "two Host headers": "Host: b\r\n\r\n",
+        "a header of 20000 bytes": f"X-Large: {'a' * 20000}\r\n\r\n",
+        "90 headers of 500 bytes": "".join(f"X-{n}: {'a' * 500}\r\n" for n in range(90)) + "\r\n",
+        "a deadline that is no number": "Dotterelhill-Deadline: soon\r\n\r\n",
+    }[what]
+    target = "http://a/bench" if "slash" in what else "/bench"
+    raw(context, f"POST {target} HTTP/1.1\r\nHost: a\r\n{extra}".encode(), wait=0.5)
+
+
+@when('"{entry}" gets POST with forged headers of this system')
+def forged_headers(context, entry):
+    headers = {
+        "Dotterelhill-Forward": "1 a/1 b/2 7 1.5 dispatch",
+        "dotterelhill-signature": "00",
+        "Dotterelhill-Outcome": "not-run",
+        "Connection": "Idempotency-Key, Host, Dotterelhill-X",
+    }
+    ask(context, context.world.call(entry, "POST", data=BODY, headers=headers))
+
+
+@then("the minion saw none of them")
+def saw_none(context):
+    names = {name.lower() for name, _ in echo(context.answer)["headers"]}
+    own = {name for name in names if name.startswith("dotterelhill-")}
+    assert own == {"dotterelhill-deadline"} and "host" in names, names
+
+
+@when("a raw connection stops after half a head")
+def half_head(context):
+    async def send():
+        started = time.monotonic()
+        address = context.world.entries["e1"].requests.caller_address
+        await raw_exchange(address, b"GET / HTTP/1.1\r\nHost: a\r\nX-", wait=5.0)
+        return time.monotonic() - started
+
+    context.seconds = context.run(send())
+
+
+@then("it was closed within {seconds:g} seconds")
+def closed_within(context, seconds):
+    assert context.seconds < seconds, context.seconds
+
+
+@when("an upload of {stated:d} bytes stops after {sent:d} bytes")
+def stopped_upload(context, stated, sent):
+    async def send():
+        address = context.world.entries["e1"].requests.caller_address
+        host, _, port = address.rpartition(":")
+        _, writer = await asyncio.open_connection(host, int(port))
+        head = f"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: {stated}\r\n\r\n"
+        writer.write(head.encode() + b"x" * sent)
+        await writer.drain()
+        await asyncio.sleep(0.3)
+        writer.close()
+        await asyncio.sleep(0.5)
+
+    context.run(send())
+
+
+@then('"{entry}" has {count:d} slots in use')
+def slots_in_use(context, entry, count):
+    dump = context.world.entries[entry].requests.dump()
+    assert sum(dump["slots"].values()) == count and dump["in_flight"] == 0, dump
+
+
+@when("{count:d} raw connections are opened")
+def open_connections(context, count):
+    async def connect():
+        address = context.world.entries["e1"].requests.caller_address
+        host, _, port = address.rpartition(":")
+        pairs = [await asyncio.open_connection(host, int(port)) for _ in range(count)]
+        await asyncio.sleep(0.2)
+        context.open = sum(not reader.at_eof() and not reader.exception() for reader, _ in pairs)
+        for _, writer in pairs:
+            writer.close()
+
+    context.run(connect())
+
+
+@then("{count:d} of them are still open")
+def still_open(context, count):
+    assert context.open == count, context.open
+
+
+@then('between {low:d} and {high:d} answers have status 200 and the rest are "{kind}"')
+def rate_limited(context, low, high, kind):
+    passed = [answer for answer in context.answers if answer.status == 200]
+    assert low <= len(passed) <= high, len(passed)
+    assert all(a.status == 200 or (a.kind, a.outcome) == (kind, "not-run") for a in context.answers)
+
+
+@when('"{entry}" gets POST while its only slot is taken for {seconds:g} seconds')
+def while_taken(context, entry, seconds):
+    async def both():
+        loop = asyncio.get_running_loop()
+        busy = {"X-Work-Seconds": str(seconds)}
+        first = loop.create_task(context.world.call(entry, "POST", headers=busy))
+        await asyncio.sleep(0.1)
+        started = loop.time()
+        second = await context.world.call(entry, "POST")
+        context.seconds = loop.time() - started
+        await first
+        return second
+
+    context.answer = context.run(both())
+
+
+@then("the answer says when to retry")
+def retry_after(context):
+    assert int(context.answer.headers["Retry-After"]) >= 1
+
+
+@when("{count:d} callers ask at once for {seconds:g} seconds of work")
+def queued_callers(context, count, seconds):
+    headers = {"X-Work-Seconds": str(seconds)}
+    ask(context, *[context.world.call("e1", "POST", headers=headers) for _ in range(count)])
--- a/standins/minion.py
+++ b/standins/minion.py
@@ -51,6 +51,9 @@
     :param slots: requests at once above which ``over_slots`` counts
     :param connections: open connections above which ``over_connections`` counts
     :param work_seconds: time that each request takes; header ``X-Work-Seconds`` overrides it
+
+    With ``is_dropping_reused`` set, it drops the second request of a connection unread, as a server
+    does whose idle limit has just passed.
     """
 
     def __init__(self, slots: int = 8, connections: int = 64, work_seconds: float = 0.0) -> None:
@@ -59,6 +62,7 @@
         self.work_seconds = work_seconds
         self.mode = FaultMode.OK
         self.fault_seconds = 0.0
+        self.is_dropping_reused = False
         self.load = Load()
         self.runs: Counter[str] = Counter()
         self.address = ""
@@ -67,7 +71,9 @@
 
     async def start(self, host: str = "127.0.0.1", port: int = 0) -> None:
         """Listen; ``address`` holds the result."""
-        server = web.Server(self._handle, handler_cancellation=False, auto_decompress=False)
+        server = web.Server(
+            self._handle, handler_cancellation=False, auto_decompress=False, access_log=None
+        )
         self._runner = web.ServerRunner(server, shutdown_timeout=0.1)
         await self._runner.setup()
         await web.TCPSite(self._runner, host, port).start()
@@ -85,7 +91,8 @@
         self.fault_seconds = seconds
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        self._count_connection(request)
+        if self._count_connection(request) and self.is_dropping_reused:
+            return _dropped(request)
         if request.path == "/faults" and request.method == "POST":
             wanted = await request.json()
             self.set_faults(wanted["mode"], float(wanted.get("seconds", 0.0)))
@@ -97,15 +104,18 @@
             return web.json_response({**asdict(self.load), "runs": dict(self.runs)})
         return await self._work(request)
 
-    def _count_connection(self, request: web.BaseRequest) -> None:
+    def _count_connection(self, request: web.BaseRequest) -> bool:
+        """Return whether the connection was used before."""
         transport = request.transport
-        if transport is not None and transport not in self._open:
+        is_reused = transport in self._open
+        if transport is not None and not is_reused:
             self._open.add(transport)
             self.load.opened_connections += 1
         self._open = {item for item in self._open if not item.is_closing()}
         self.load.connections = len(self._open)
         self.load.most_connections = max(self.load.most_connections, len(self._open))
         self.load.over_connections += len(self._open) > self.connections
+        return is_reused
 
     async def _work(self, request: web.BaseRequest) -> web.StreamResponse:
         if self.mode is FaultMode.DOWN:
