Guard the holder's and scheduler's decisions with features in virtual time

Ruled out: a simulator; the features run the real service, the real ledger and the stand-in worker's class on a looptime loop, with links that delay, lose, repeat and cut messages. Before: no feature.

--- /dev/null
+++ b/dotterelhill/batch/tests/execution.feature
@@ -0,0 +1,206 @@
+Feature: Tasks run in one place, resume once, and nothing starts where it may not
+
+  Background:
+    Given worker "w1" with 8 processors in "kbh"
+    And worker "w2" with 8 processors in "kbh"
+    And processes "a" and "b" in "kbh", "a" is the scheduler
+    And "a" holds "w1" and "b" holds "w2"
+
+  Scenario: A task that finishes is reported once and forgotten by its worker
+    When job "sync" with 3 tasks of 4 processors for 20 s is published
+    And 40 s pass
+    Then job "sync" has 3 tasks finished
+    And no worker keeps a run
+    And every task ran in one place at a time and lost no work
+
+  @domain-out @single-place
+  Scenario: A holder that is paused in the middle of a start starts nothing when it wakes
+    Given each start is delayed by 1 s
+    When job "sync" with 1 tasks of 4 processors for 20 s is published
+    And the process that sends a start is paused before it is delivered
+    And 60 s pass
+    And failure domain "kbh" is taken out
+    And 6 s pass
+    And every process wakes
+    And 30 s pass
+    Then no task started after failure domain "kbh" was taken out
+
+  @domain-out
+  Scenario: A start message that is delayed past the removal of its failure domain is refused
+    Given each start is delayed by 8 s
+    When job "sync" with 4 tasks of 2 processors for 20 s is published
+    And 1 s pass
+    And failure domain "kbh" is taken out
+    And 60 s pass
+    Then no task started after failure domain "kbh" was taken out
+
+  @single-place
+  Scenario: A start that is acknowledged late does not run the task twice
+    Given each answer to a start is 9 s late
+    When job "sync" with 1 tasks of 4 processors for 30 s is published
+    And 60 s pass
+    Then task 0 of "sync" ran 1 times
+    And job "sync" has 1 tasks finished
+
+  @single-place
+  Scenario: A start whose answer is lost is neither forgotten nor run twice
+    Given the next 2 answers to a start are lost
+    When job "sync" with 1 tasks of 4 processors for 30 s is published
+    And 60 s pass
+    Then task 0 of "sync" ran 1 times
+    And job "sync" has 1 tasks finished
+
+  @single-place
+  Scenario: A start that is delivered twice runs once
+    Given each start is delivered twice
+    When job "sync" with 4 tasks of 4 processors for 30 s is published
+    And 60 s pass
+    Then task 0 of "sync" ran 1 times
+    And job "sync" has 4 tasks finished
+
+  @capacity @single-place
+  Scenario: Two processes that both believe to be the scheduler overcommit no worker
+    Given "b" is a scheduler too
+    When job "sync" with 20 tasks of 3 processors for 10 s is published
+    And 150 s pass
+    Then job "sync" has 20 tasks finished
+    And no worker ever ran more than 8 processors
+    And every task ran in one place at a time and lost no work
+
+  @single-place @resume-once
+  Scenario: A worker that is cut off with a running task does not let it run in two places
+    When job "sync" with 1 tasks of 4 processors for 120 s is published
+    And 15 s pass
+    And the worker of task 0 of "sync" is cut off
+    And 70 s pass
+    And all workers are reachable
+    And 200 s pass
+    Then task 0 of "sync" ran 2 times
+    And every task ran in one place at a time
+    And job "sync" has 1 tasks finished
+
+  @resume-once
+  Scenario: A worker that returns before it was given up keeps the checkpoint of its task
+    When job "sync" with 1 tasks of 4 processors for 120 s is published
+    And 15 s pass
+    And the worker of task 0 of "sync" is cut off
+    And 25 s pass
+    And all workers are reachable
+    And 200 s pass
+    Then job "sync" has 1 tasks finished
+    And every task ran in one place at a time and lost no work
+
+  @resume-once
+  Scenario: A stop whose answer is lost keeps its checkpoint and is used once
+    When job "sync" with 2 tasks of 8 processors for 60 s is published
+    And 20 s pass
+    And the next 3 answers to a stop are lost
+    And urgent job "now" with 1 tasks of 8 processors for 5 s is published
+    And 200 s pass
+    Then job "now" has 1 tasks finished
+    And job "sync" has 2 tasks finished
+    And every task ran in one place at a time and lost no work
+
+  @resume-once @single-place
+  Scenario: Running tasks of a failure domain that is taken out resume elsewhere from their checkpoint
+    Given worker "w3" with 8 processors in "aarhus"
+    And process "c" in "aarhus" holds "w3"
+    When job "sync" with 2 tasks of 4 processors for 60 s is published
+    And 20 s pass
+    And failure domain "kbh" is taken out
+    And 100 s pass
+    Then job "sync" has 2 tasks finished
+    And every task ran in one place at a time and lost no work
+
+  @single-place
+  Scenario: The tasks of a dead holder go on under the next holder
+    When job "sync" with 2 tasks of 8 processors for 60 s is published
+    And 15 s pass
+    And process "b" is paused
+    And 5 s pass
+    And "a" holds "w2"
+    And 70 s pass
+    Then task 0 of "sync" ran 1 times
+    And task 1 of "sync" ran 1 times
+    And job "sync" has 2 tasks finished
+
+  @single-place
+  Scenario: A task of a silent holder and worker moves only after the autonomy time
+    Given the autonomy time is 60 s
+    When job "sync" with 1 tasks of 8 processors for 500 s is published
+    And 15 s pass
+    And the worker of task 0 of "sync" and its holder are cut off together
+    And the other process holds that worker
+    And 75 s pass
+    Then task 0 of "sync" ran 1 times
+    When 40 s pass
+    Then task 0 of "sync" ran 2 times
+    And every task ran in one place at a time
+
+  Scenario: Tasks of a worker that operators attest as lost run elsewhere at once
+    When job "sync" with 1 tasks of 8 processors for 30 s is published
+    And 10 s pass
+    And the worker of task 0 of "sync" is switched off and attested as lost
+    And 5 s pass
+    Then task 0 of "sync" ran 2 times
+
+  Scenario: Running tasks go on while the log is down
+    When job "sync" with 2 tasks of 8 processors for 300 s is published
+    And 15 s pass
+    And the log is down
+    And 310 s pass
+    And the log is back
+    And 20 s pass
+    Then job "sync" has 2 tasks finished
+    And task 0 of "sync" ran 1 times
+
+  Scenario: A cancelled task stops and never runs again
+    When job "sync" with 4 tasks of 4 processors for 300 s is published
+    And 15 s pass
+    And job "sync" is cancelled
+    And 10 s pass
+    Then no worker runs a task
+    And job "sync" has 4 tasks cancelled
+    When 60 s pass
+    Then task 0 of "sync" ran 1 times
+
+  Scenario: A burst of cancellations does not delay an urgent start
+    When job "wave" with 2000 tasks of 0.01 processors for 900 s is published
+    And 60 s pass
+    And job "wave" is cancelled
+    And urgent job "now" with 1 tasks of 8 processors for 5 s is published
+    And 7 s pass
+    Then task 0 of "now" ran 1 times
+
+  Scenario: A worker that fails everything is set aside and loses no task
+    Given worker "w1" fails everything it starts
+    When 6 jobs with 2 tasks of 1 processors for 5 s are published
+    And 120 s pass
+    Then every published task is finished
+
+  Scenario: A job that fails everywhere is failed and its workers stay in use
+    Given worker "w3" with 8 processors in "kbh"
+    And worker "w4" with 8 processors in "kbh"
+    And process "a" holds "w3" and "w4"
+    And job "broken" fails on every worker
+    When job "broken" with 1 tasks of 1 processors for 5 s is published
+    And 60 s pass
+    Then job "broken" has 1 tasks failed
+    And task 0 of "broken" ran on 3 workers
+    And no worker is suspected
+
+  Scenario: A job that can never run is reported at once and holds nobody up
+    When job "huge" with 1 tasks of 64 processors for 5 s is published
+    And job "sync" with 1 tasks of 4 processors for 5 s is published
+    And 12 s pass
+    Then job "huge" is reported as infeasible because of "64 processors"
+    And job "sync" has 1 tasks finished
+
+  @single-place
+  Scenario: A worker that restarts does not run a task under its old boot
+    When job "sync" with 1 tasks of 4 processors for 60 s is published
+    And 15 s pass
+    And the worker of task 0 of "sync" restarts
+    And 100 s pass
+    Then job "sync" has 1 tasks finished
+    And every task ran in one place at a time
--- /dev/null
+++ b/dotterelhill/batch/tests/steps/execution_steps.py
@@ -0,0 +1,337 @@
+from __future__ import annotations
+
+from behave import given, step, then, when
+
+from dotterelhill.batch.tests.world import World
+
+
+def world_of(context) -> World:
+    if getattr(context, "world", None) is None:
+        context.world = World()
+    return context.world
+
+
+def running_worker(world: World, job: str, index: int):
+    tasks = [task for task in world.ledger().placements.runs if task.startswith(f"{job}@")]
+    task = next(task for task in tasks if task.endswith(f"/{index}"))
+    return world.workers[world.ledger().placements.runs[task].worker], task
+
+
+@given('worker "{name}" with {cpu:g} processors in "{domain}"')
+def add_worker(context, name, cpu, domain):
+    world = world_of(context)
+    world.add_worker(name, domain, cpu)
+
+
+@given('processes "{first}" and "{second}" in "{domain}", "{scheduler}" is the scheduler')
+def add_processes(context, first, second, domain, scheduler):
+    context.pending_processes = [(first, domain), (second, domain)]
+    context.scheduler = scheduler
+
+
+def start_processes(context):
+    world = world_of(context)
+    world.publish()
+    for name, domain in context.pending_processes:
+        world.add_process(name, domain)
+    world.processes[context.scheduler].is_scheduler = True
+
+
+@given('"{first}" holds "{one}" and "{second}" holds "{other}"')
+def hold_both(context, first, one, second, other):
+    start_processes(context)
+    world = context.world
+    world.hold(first, one)
+    world.hold(second, other)
+    world.run(3)
+
+
+@given('process "{name}" holds "{one}" and "{other}"')
+def hold_more(context, name, one, other):
+    # Links are made with the process, so that a later worker needs new ones.
+    add_links(context.world)
+    context.world.hold(name, one)
+    context.world.hold(name, other)
+    context.world.run(3)
+
+
+def add_links(world):
+    for process in world.processes.values():
+        process.connect()
+
+
+@given('process "{name}" in "{domain}" holds "{worker}"')
+def add_holder(context, name, domain, worker):
+    world = context.world
+    world.publish()
+    world.add_process(name, domain)
+    add_links(world)
+    world.hold(name, worker)
+    world.run(3)
+
+
+@step('"{name}" holds "{worker}"')
+def hold(context, name, worker):
+    context.world.hold(name, worker)
+
+
+@given('"{name}" is a scheduler too')
+def second_scheduler(context, name):
+    context.world.processes[name].is_scheduler = True
+
+
+@given("each start is delayed by {seconds:g} s")
+def delay_starts(context, seconds):
+    context.world.delays["start"] = seconds
+
+
+@given("each answer to a start is {seconds:g} s late")
+def late_answers(context, seconds):
+    context.world.late_answers["start"] = seconds
+
+
+@step("the next {count:d} answers to a {kind} are lost")
+def lose_answers(context, count, kind):
+    context.world.lost_answers[kind] = count
+
+
+@given("each start is delivered twice")
+def duplicate_starts(context):
+    context.world.duplicated.add("start")
+
+
+@given("the autonomy time is {seconds:d} s")
+def set_autonomy(context, seconds):
+    context.world.document["autonomy_seconds"] = seconds
+
+
+@given('worker "{name}" fails everything it starts')
+def fail_everything(context, name):
+    context.world.workers[name].behaviour.is_failing = True
+
+
+@given('job "{name}" fails on every worker')
+def fail_everywhere(context, name):
+    for worker in context.world.workers.values():
+        worker.behaviour.failing_jobs = [name]
+
+
+def publish_job(world, name, tasks, cpu, seconds, priority="normal"):
+    world.document["jobs"][name] = {
+        "member": "m",
+        "team": "t",
+        "tasks": tasks,
+        "cpu": cpu,
+        "run_seconds": seconds,
+        "priority": priority,
+    }
+    world.publish()
+
+
+@when('job "{name}" with {tasks:d} tasks of {cpu:g} processors for {seconds:g} s is published')
+def publish(context, name, tasks, cpu, seconds):
+    publish_job(context.world, name, tasks, cpu, seconds)
+
+
+@when(
+    'urgent job "{name}" with {tasks:d} tasks of {cpu:g} processors for {seconds:g} s is published'
+)
+def publish_urgent(context, name, tasks, cpu, seconds):
+    publish_job(context.world, name, tasks, cpu, seconds, "urgent")
+
+
+@when("{jobs:d} jobs with {tasks:d} tasks of {cpu:g} processors for {seconds:g} s are published")
+def publish_many(context, jobs, tasks, cpu, seconds):
+    context.published = {f"job-{number}": tasks for number in range(jobs)}
+    for name in context.published:
+        publish_job(context.world, name, tasks, cpu, seconds)
+
+
+@when('job "{name}" is cancelled')
+def cancel(context, name):
+    context.world.document["jobs"][name]["cancelled"] = True
+    context.world.publish()
+
+
+@when("{seconds:g} s pass")
+def pass_time(context, seconds):
+    context.world.run(seconds)
+
+
+@when('failure domain "{domain}" is taken out')
+def take_out(context, domain):
+    world = context.world
+    world.document["failure_domains"][domain]["state"] = "out"
+    world.publish()
+    context.out_at = world.loop.time()
+
+
+@when("the process that sends a start is paused before it is delivered")
+def pause_sender(context):
+    world = context.world
+    for _ in range(200):
+        world.run(0.05)
+        for process in world.processes.values():
+            if process.batch.counts["starts"]:
+                process.is_awake.clear()
+                return
+    raise AssertionError("no start was sent")
+
+
+@when('process "{name}" is paused')
+def pause(context, name):
+    context.world.processes[name].is_awake.clear()
+
+
+@when("every process wakes")
+def wake(context):
+    for process in context.world.processes.values():
+        process.is_awake.set()
+
+
+@when('the worker of task {index:d} of "{job}" is cut off')
+def cut_worker(context, index, job):
+    worker, _ = running_worker(context.world, job, index)
+    context.world.cuts.add(("*", worker.name))
+
+
+@when('the worker of task {index:d} of "{job}" and its holder are cut off together')
+def cut_pair(context, index, job):
+    world = context.world
+    worker, _ = running_worker(world, job, index)
+    holding = world.ledger().holders.holding(f"worker:{worker.name}")
+    holder = next(p for p in world.processes.values() if p.incarnation == holding.holder)
+    holder.is_cut_from_log = True
+    context.cut_worker = worker.name
+    context.other = next(p for p in world.processes.values() if p is not holder)
+    context.other.is_scheduler = True
+    world.cuts.add((context.other.name, worker.name))
+
+
+@when("the other process holds that worker")
+def take_over(context):
+    context.world.hold(context.other.name, context.cut_worker)
+
+
+@when("all workers are reachable")
+def reconnect(context):
+    context.world.cuts.clear()
+
+
+@when('the worker of task {index:d} of "{job}" is switched off and attested as lost')
+def attest_lost(context, index, job):
+    world = context.world
+    worker, _ = running_worker(world, job, index)
+    world.cuts.add(("*", worker.name))
+    worker.lease_until = float("-inf")
+    world.document["lost_workers"].append(worker.name)
+    world.publish()
+
+
+@when('the worker of task {index:d} of "{job}" restarts')
+def restart(context, index, job):
+    worker, _ = running_worker(context.world, job, index)
+    context.world.restart(worker)
+
+
+@when("the log is {state}")
+def set_log(context, state):
+    for process in context.world.processes.values():
+        process.is_cut_from_log = state == "down"
+
+
+@then('job "{name}" has {count:d} tasks {outcome}')
+def check_ended(context, name, count, outcome):
+    ended = context.world.ended(name)
+    assert ended == [outcome] * count, ended
+
+
+@then("every published task is finished")
+def check_all_finished(context):
+    for name, tasks in context.published.items():
+        assert context.world.ended(name) == ["finished"] * tasks, (name, context.world.ended(name))
+
+
+@then("no worker keeps a run")
+def check_forgotten(context):
+    assert not any(worker.runs for worker in context.world.workers.values())
+
+
+@then("no worker runs a task")
+def check_stopped(context):
+    runs = [run for worker in context.world.workers.values() for run in worker.runs.values()]
+    assert not any(run.is_running for run in runs), runs
+
+
+@then('task {index:d} of "{job}" ran {count:d} times')
+def check_runs(context, index, job, count):
+    runs = [e for e in context.world.journal(f"{job}@") if e["task"].endswith(f"/{index}")]
+    assert len(runs) == count, runs
+
+
+@then('task {index:d} of "{job}" ran on {count:d} workers')
+def check_workers(context, index, job, count):
+    runs = [e for e in context.world.journal(f"{job}@") if e["task"].endswith(f"/{index}")]
+    assert len(runs) == count and len({entry["worker"] for entry in runs}) == count, runs
+
+
+def check_no_overlap(world):
+    ends: dict[str, float] = {}
+    for entry in world.journal():
+        assert entry["start"] >= ends.get(entry["task"], 0.0), entry
+        ends[entry["task"]] = float("inf") if entry["end"] is None else entry["end"]
+
+
+@then("every task ran in one place at a time")
+def check_single_place(context):
+    check_no_overlap(context.world)
+
+
+@then("every task ran in one place at a time and lost no work")
+def check_no_lost_work(context):
+    check_no_overlap(context.world)
+    done: dict[str, float] = {}
+    for entry in context.world.journal():
+        resumed = entry["resumed_seconds"]
+        assert abs(resumed - done.get(entry["task"], 0.0)) < 0.01, entry
+        done[entry["task"]] = entry["done_seconds"]
+
+
+@then('no task started after failure domain "{domain}" was taken out')
+def check_none_started(context, domain):
+    world = context.world
+    late = [
+        entry
+        for entry in world.journal()
+        if world.workers[entry["worker"]].failure_domain == domain
+        and entry["start"] > context.out_at + 3.0
+    ]
+    assert not late, late
+
+
+@then("no worker ever ran more than {cpu:g} processors")
+def check_capacity(context, cpu):
+    for worker in context.world.workers.values():
+        changes = []
+        for entry in worker.journal:
+            changes.append((entry["start"], 1, 3.0))
+            changes.append((entry["end"], 0, -3.0))
+        used = 0.0
+        for _, _, amount in sorted(changes):
+            used += amount
+            assert used <= cpu, worker.name
+
+
+@then("no worker is suspected")
+def check_no_suspects(context):
+    world = context.world
+    for process in world.processes.values():
+        suspects = process.batch.placement.faulty_workers.set_aside(world.loop.time())
+        assert not suspects, suspects
+
+
+@then('job "{name}" is reported as infeasible because of "{reason}"')
+def check_infeasible(context, name, reason):
+    for process in context.world.processes.values():
+        reported = process.batch.placement.infeasible_jobs.get(name, "")
+        assert reason in reported, reported
