--- /dev/null
+++ b/tools/reference.py
@@ -0,0 +1,113 @@
+"""Write the tables of docs/operators.md from the code; a test compares them.
+
+A table stands between ``<!-- table NAME -->`` and ``<!-- end -->``.
+"""
+
+from __future__ import annotations
+
+import re
+import sys
+from collections.abc import Iterator, Sequence
+from pathlib import Path
+
+from dotterelhill.commands.status import EXIT_MEANINGS
+from dotterelhill.core import ERROR_ANSWERS, ErrorKind
+from dotterelhill.entry.metrics import METRICS
+from dotterelhill.entry.settings import EntrySettings, accepted_of, flag_of, is_secret, variable_of
+
+PAGE = Path(__file__).resolve().parent.parent / "docs" / "operators.md"
+_TABLE = re.compile(r"(<!-- table (?P<name>\w+) -->\n).*?(<!-- end -->)", re.DOTALL)
+
+ERROR_MEANINGS: dict[ErrorKind, str] = {
+    ErrorKind.BAD_REQUEST: "the request is no valid HTTP or lacks something; correct the caller",
+    ErrorKind.HEAD_TOO_LARGE: "shorten the headers",
+    ErrorKind.BODY_TOO_LARGE: "the body is above the limit of the service",
+    ErrorKind.UNKNOWN_SERVICE: "no service of the manifest has this path prefix",
+    ErrorKind.UNAUTHORIZED: "a forwarded request without a valid signature; compare the keys",
+    ErrorKind.MEMBER_LIMIT: "the member is at its voted rate or in-flight limit",
+    ErrorKind.OVERLOADED: "the request would wait longer than half its deadline",
+    ErrorKind.NO_MINION: "no minion of the service can be used from here; see `/state`",
+    ErrorKind.DEADLINE_BEFORE_DISPATCH: "the deadline passed while the request waited",
+    ErrorKind.CONNECT_FAILED: "no minion accepted a connection",
+    ErrorKind.LOG_UNAVAILABLE: "a key chosen by the caller can't be claimed while the log is down",
+    ErrorKind.SHUTTING_DOWN: "this process stops; the balancer should send no more",
+    ErrorKind.NOT_READY: "this process has no manifest or has not read the ledger yet",
+    ErrorKind.KEY_MISMATCH: "the key was used before for a different request",
+    ErrorKind.KEY_IN_PROGRESS: "a request with this key is in progress; ask again",
+    ErrorKind.KEY_HOLDER_GONE: "the process that had the key is gone; the work may have run",
+    ErrorKind.DEADLINE_AFTER_DISPATCH: "the minion had the request when the deadline passed",
+    ErrorKind.MINION_CONNECTION_LOST: "the minion's connection broke during the request",
+    ErrorKind.MINION_SILENT: "the minion sent nothing for a quarter of the deadline",
+    ErrorKind.ANSWER_TRUNCATED: "the minion's answer ended early; the caller got a part",
+    ErrorKind.UPLOAD_ABORTED: "the caller stopped sending the body",
+    ErrorKind.INTERNAL: "a fault of dotterelhill; the log lines of this process name it",
+}
+
+
+def _rows(heads: Sequence[str], rows: Sequence[Sequence[str]]) -> Iterator[str]:
+    yield "| " + " | ".join(heads) + " |"
+    yield "|" + "---|" * len(heads)
+    for row in rows:
+        yield "| " + " | ".join(cell.replace("|", "\\|") for cell in row) + " |"
+
+
+def _settings_rows() -> list[tuple[str, ...]]:
+    rows: list[tuple[str, ...]] = []
+    for name, info in EntrySettings.model_fields.items():
+        default = "required" if info.is_required() else f"`{info.default}`" if info.default else ""
+        meaning = f"{info.description}{' (secret)' if is_secret(name) else ''}"
+        flag = f"`{flag_of(name)}`"
+        rows.append((flag, f"`{variable_of(name)}`", meaning, accepted_of(name), default))
+    return rows
+
+
+def _error_rows() -> list[tuple[str, ...]]:
+    rows: list[tuple[str, ...]] = []
+    for kind, answer in ERROR_ANSWERS.items():
+        wait = f"{answer.retry_after_seconds} s" if answer.retry_after_seconds else ""
+        status = str(answer.status)
+        rows.append((f"`{kind}`", status, str(answer.outcome), wait, ERROR_MEANINGS[kind]))
+    return rows
+
+
+def table(name: str) -> str:
+    """Return one table in Markdown.
+
+    :raises ValueError: when no table has this name
+    """
+    heads: tuple[str, ...]
+    rows: list[tuple[str, ...]]
+    match name:
+        case "settings":
+            heads = ("flag", "variable", "meaning", "accepted", "default")
+            rows = _settings_rows()
+        case "errors":
+            heads = ("kind", "status", "outcome", "Retry-After", "meaning")
+            rows = _error_rows()
+        case "statuses":
+            heads = ("status", "name", "meaning")
+            rows = [(str(key.value), key.name, text) for key, text in EXIT_MEANINGS.items()]
+        case "metrics":
+            heads = ("name", "kind", "unit", "meaning", "label")
+            rows = [
+                (f"`{item.name}`", str(item.kind), item.unit, item.meaning, item.label)
+                for item in METRICS
+            ]
+        case _:
+            raise ValueError(f"name must be a table of the page, got {name!r}")
+    return "\n".join(_rows(heads, rows)) + "\n"
+
+
+def page_with_tables(text: str) -> str:
+    """Return the page with every table as the code has it now."""
+    return _TABLE.sub(lambda found: found[1] + table(found["name"]) + found[3], text)
+
+
+def main() -> int:
+    """Rewrite the page and return the exit status."""
+    PAGE.write_text(page_with_tables(PAGE.read_text()))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
