Register holdings for replay, with calls that change state

HoldingsDecision.promise_to changes the state outside decide, so a replay of events alone would append a Hold that the process did not. A registration can now name such methods; the recorder writes the call as an event. Changing the slice was ruled out: the caller needs the result at once.

--- a/dotterelhill/replay/__init__.py
+++ b/dotterelhill/replay/__init__.py
@@ -2,7 +2,14 @@
 
 from dotterelhill.replay.player import Break, Player, ReplayReport
 from dotterelhill.replay.recorder import Recorder, open_recorder, trace_path
-from dotterelhill.replay.registration import Check, Outcome, ReplayableSlice, Step, condition
+from dotterelhill.replay.registration import (
+    Check,
+    Outcome,
+    RecordedCall,
+    ReplayableSlice,
+    Step,
+    condition,
+)
 from dotterelhill.replay.slices import registered_slice
 from dotterelhill.replay.trace import TRACE_VERSION, TraceError
 
@@ -12,6 +19,7 @@
     "Check",
     "Outcome",
     "Player",
+    "RecordedCall",
     "Recorder",
     "ReplayReport",
     "ReplayableSlice",
--- a/dotterelhill/replay/membership_slice.py
+++ b/dotterelhill/replay/membership_slice.py
@@ -40,7 +40,10 @@
 
 def _counts_itself_live(step: Step) -> bool:
     for action in step.actions:
-        if isinstance(action, LiveChanged) and step.decision.incarnation not in action.incarnations:
+        if (
+            isinstance(action, LiveChanged)
+            and step.arguments.incarnation not in action.incarnations
+        ):
             return False
     return True
 
--- a/dotterelhill/replay/player.py
+++ b/dotterelhill/replay/player.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from dotterelhill.replay.registration import Check, ReplayableSlice, Step
+from dotterelhill.replay.registration import Check, ReplayableSlice, Step, applied
 from dotterelhill.replay.slices import SLICE_NAMES, registered_slice
 from dotterelhill.replay.trace import (
     TRACE_VERSION,
@@ -99,7 +99,7 @@
         self._is_full = False
         self._lines = lines[1:]
         self._slice = found
-        self._types = {item.__name__: item for item in self._slice.event_types}
+        self._types = {item.__name__: item for item in self._slice.all_event_types}
 
     @property
     def header(self) -> TraceHeader:
@@ -125,9 +125,9 @@
         events = actions = 0
         for number, line, event in self._events():
             events = number
-            result = tuple(decision.decide(event, line.at))
+            result = applied(self._slice, decision, event, line.at)
             actions += len(result)
-            step = Step(decision, event, result, line.at)
+            step = Step(decision, event, result, line.at, arguments)
             for name, reason in _broken(checks, step):
                 # The first event is the one to look at; later ones follow from it.
                 breaks.setdefault(
--- a/dotterelhill/replay/recorder.py
+++ b/dotterelhill/replay/recorder.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 from typing import Any, BinaryIO
 
 from dotterelhill.core.decisions import DecisionCode
-from dotterelhill.replay.registration import ReplayableSlice
+from dotterelhill.replay.registration import RecordedCall, ReplayableSlice
 from dotterelhill.replay.trace import (
     FULL_LINE,
     TRACE_VERSION,
@@ -54,7 +55,8 @@
         on_count: Callable[[str], None] = lambda name: None,
     ) -> None:
         self._decision = decision
-        self._event_types = frozenset(replayable.event_types)
+        self._event_types = frozenset(replayable.all_event_types)
+        self._calls = {call.method: call for call in replayable.calls}
         self._output = output
         self._bytes_left = largest_bytes - len(FULL_LINE)
         self._on_count = on_count
@@ -85,6 +87,9 @@
         return self._stop_reason
 
     def __getattr__(self, name: str) -> Any:
+        call = self._calls.get(name)
+        if call is not None:
+            return partial(self._called, call)
         return getattr(self._decision, name)
 
     def decide(self, event: Any, now: float) -> list[Any]:
@@ -92,6 +97,11 @@
         self._record(event, now)
         return self._decision.decide(event, now)
 
+    def _called(self, call: RecordedCall, *arguments: Any) -> Any:
+        *values, now = arguments
+        self._record(call.event_type(*values), now)
+        return getattr(self._decision, call.method)(*arguments)
+
     def close(self) -> None:
         """Close the file of the trace."""
         self._stop("closed")
--- a/dotterelhill/replay/registration.py
+++ b/dotterelhill/replay/registration.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, fields
 from typing import Any
 
 from dotterelhill.core.decisions import DecisionCode
@@ -15,12 +15,14 @@
 
     :param decision: the decision object after the event
     :param at: recorded loop time in seconds
+    :param arguments: construction arguments of the decision object
     """
 
     decision: Any
     event: Any
     actions: tuple[Any, ...]
     at: float
+    arguments: Any = None
 
 
 # Returns what is broken after a step, or None.
@@ -41,6 +43,20 @@
     new_check: Callable[[], Check]
 
 
+@dataclass(frozen=True, slots=True)
+class RecordedCall:
+    """Method besides ``decide`` that changes the state of the decision object.
+
+    It is recorded as an event, since a replay without it would decide otherwise.
+
+    :param method: name; it takes the fields of ``event_type`` and then the loop time
+    :param event_type: frozen data class that stands for the call in a trace
+    """
+
+    method: str
+    event_type: type[Any]
+
+
 @dataclass(frozen=True, slots=True)
 class ReplayableSlice:
     """Registration of one slice.
@@ -51,6 +67,7 @@
     :param build: returns a new decision object for the arguments
     :param event_types: every type of event that the decision class takes
     :param outcomes: conditions that a replay can check
+    :param calls: methods that are recorded like events; a step has their result as its one action
     :raises ValueError: when two event types or two outcomes share a name
     """
 
@@ -59,10 +76,16 @@
     build: Callable[[Any], DecisionCode[Any, Any]]
     event_types: tuple[type[Any], ...]
     outcomes: tuple[Outcome, ...] = ()
+    calls: tuple[RecordedCall, ...] = ()
+
+    @property
+    def all_event_types(self) -> tuple[type[Any], ...]:
+        """Return the types of events, with those that stand for calls."""
+        return self.event_types + tuple(call.event_type for call in self.calls)
 
     def __post_init__(self) -> None:
         for names in (
-            [item.__name__ for item in self.event_types],
+            [item.__name__ for item in self.all_event_types],
             [item.name for item in self.outcomes],
         ):
             if len(set(names)) != len(names):
@@ -82,3 +105,14 @@
         return None if is_kept(step) else meaning
 
     return Outcome(name, meaning, lambda: check)
+
+
+def applied(
+    replayable: ReplayableSlice, decision: DecisionCode[Any, Any], event: Any, at: float
+) -> tuple[Any, ...]:
+    """Return the actions of an event, or the result of the call that it stands for."""
+    for call in replayable.calls:
+        if type(event) is call.event_type:
+            values = [getattr(event, item.name) for item in fields(event)]
+            return (getattr(decision, call.method)(*values, at),)
+    return tuple(decision.decide(event, at))
--- a/dotterelhill/replay/slices.py
+++ b/dotterelhill/replay/slices.py
@@ -4,7 +4,7 @@
 
 from dotterelhill.replay.registration import ReplayableSlice
 
-SLICE_NAMES = ("execution", "membership")
+SLICE_NAMES = ("execution", "holdings", "membership")
 
 
 def registered_slice(name: str) -> ReplayableSlice | None:
@@ -18,6 +18,10 @@
             from dotterelhill.replay import execution_slice
 
             return execution_slice.REGISTRATION
+        case "holdings":
+            from dotterelhill.replay import holdings_slice
+
+            return holdings_slice.REGISTRATION
         case "membership":
             from dotterelhill.replay import membership_slice
 
--- a/dotterelhill/replay/tests/slices.feature
+++ b/dotterelhill/replay/tests/slices.feature
@@ -15,3 +15,13 @@
     Given a recorded membership slice that heard a peer without evidence
     When the real trace is replayed
     Then it gives the recorded actions and keeps all outcomes
+
+  Scenario: A call that changes the state would be missing from the trace
+    Given a recorded holdings slice that promised a silent peer not to take over
+    When the real trace is replayed
+    Then it gives the recorded actions and keeps all outcomes
+
+  Scenario: A broken promise would not be found in a trace
+    Given a recorded holdings slice that promised a silent peer not to take over
+    When the real trace is replayed by a decision class that forgets promises
+    Then outcome keep-promises breaks first at 9.1 s
--- a/dotterelhill/replay/tests/steps/slices_steps.py
+++ b/dotterelhill/replay/tests/steps/slices_steps.py
@@ -19,23 +19,47 @@
 )
 from dotterelhill.batch.execution import Execution
 from dotterelhill.batch.interface import Assignment
+from dotterelhill.holdings import Permit
+from dotterelhill.holdings.decision import HoldingsDecision
+from dotterelhill.holdings.events import (
+    AppendHold,
+    EvidenceSeen,
+    Folded,
+    HoldSeen,
+    JoinSeen,
+    LiveSeen,
+    MinionDrained,
+    MinionShare,
+    PeerHeard,
+    ResourcesSeen,
+    StopRequested,
+)
+from dotterelhill.holdings.events import Tick as HoldingsTick
 from dotterelhill.manifest import Resources
 from dotterelhill.membership.heartbeats import Heartbeat
 from dotterelhill.membership.view import HeartbeatHeard, OwnState
 from dotterelhill.membership.view import Tick as MembershipTick
 from dotterelhill.replay import Player, Recorder, registered_slice
 from dotterelhill.replay.execution_slice import ExecutionArguments
+from dotterelhill.replay.holdings_slice import HoldingsArguments, PromiseAsked
 from dotterelhill.replay.membership_slice import MembershipArguments
 
 TASK, TOKEN = "sync@3/0", 9
 
 
+def apply(decision, event, at):
+    match event:
+        case PromiseAsked(incarnation):
+            return [decision.promise_to(incarnation, at)]
+    return decision.decide(event, at)
+
+
 def record(context, name, arguments, events):
     context.replayable = registered_slice(name)
     output = io.BytesIO()
     decision = context.replayable.build(arguments)
     recorder = Recorder(context.replayable, decision, arguments, output, 100_000)
-    context.actions = [recorder.decide(event, at) for at, event in events]
+    context.actions = [apply(recorder, event, at) for at, event in events]
     assert recorder.stop_reason == "", recorder.stop_reason
     context.trace = output.getvalue()
 
@@ -96,6 +120,68 @@
     record(context, "membership", arguments, events)
 
 
+def holdings_events():
+    me, other = "caxias-1/01", "caxias-2/01"
+    minions = {"b1": MinionShare(Permit(8, 64)), "b2": MinionShare(Permit(8, 64))}
+    heard = PeerHeard(other, 4, 4, 6.0, 0.0, False)
+    return [
+        (1.0, ResourcesSeen(minions, frozenset({"w1"}), 3600.0)),
+        (1.1, LiveSeen(frozenset({me, other}))),
+        (1.2, JoinSeen(1, me, "caxias-1", "caxias")),
+        (1.2, JoinSeen(2, other, "caxias-2", "caxias")),
+        (1.3, Folded(2)),
+        (1.4, EvidenceSeen(1.3, 2)),
+        (5.0, HoldingsTick()),
+        (5.1, HoldSeen(3, "minion:b1", me)),
+        (5.1, HoldSeen(4, "minion:b2", other)),
+        (5.2, Folded(4)),
+        (5.3, EvidenceSeen(5.2, 4)),
+        (5.4, heard),
+        (5.5, PromiseAsked(other)),
+        (6.0, LiveSeen(frozenset({me}))),
+        (9.0, EvidenceSeen(8.9, 4)),
+        (9.1, HoldingsTick()),
+        (15.0, EvidenceSeen(14.9, 4)),
+        (20.0, EvidenceSeen(19.9, 4)),
+        (20.1, HoldingsTick()),
+        (21.0, StopRequested()),
+        (21.5, MinionDrained("b1")),
+    ]
+
+
+@given("a recorded holdings slice that promised a silent peer not to take over")
+def record_holdings(context):
+    arguments = HoldingsArguments("caxias-1/01", "caxias-1", "caxias")
+    record(context, "holdings", arguments, holdings_events())
+    assert AppendHold("minion:b2") in [item for step in context.actions for item in step]
+
+
+class ForgetsPromises:
+    """Promises as it should, and appends as if it had not."""
+
+    def __init__(self, arguments):
+        self.kept = HoldingsDecision(*dataclasses.astuple(arguments))
+        self.permit_for = self.kept.permit_for
+
+    def promise_to(self, incarnation, now):
+        return True
+
+    def decide(self, event, now):
+        return self.kept.decide(event, now)
+
+
+@when("the real trace is replayed by a decision class that forgets promises")
+def replay_forgetting(context):
+    changed = dataclasses.replace(context.replayable, build=ForgetsPromises)
+    context.report = Player(context.trace, lambda name: changed).play()
+
+
+@then("outcome {name} breaks first at {at:g} s")
+def check_break_time(context, name, at):
+    (found,) = context.report.breaks
+    assert (found.outcome, found.at) == (name, at), found
+
+
 class IgnoresDomains:
     """Decides as if every failure domain always took part."""
 
@@ -117,7 +203,12 @@
         inner = decision.decide
 
         class Observed:
-            incarnation = getattr(decision, "incarnation", "")
+            def __getattr__(self, name):
+                return getattr(decision, name)
+
+            def promise_to(self, incarnation, now):
+                context.replayed.append([decision.promise_to(incarnation, now)])
+                return context.replayed[-1][0]
 
             def decide(self, event, now):
                 context.replayed.append(inner(event, now))
