Compose the entry process and run the whole path

Cause: the slices existed on their own; nothing served a request or ran a task from end to end. Ruled out: fixed ports, since a peer address is needed before membership starts; the view of the peers is handed out early and filled when the ports are bound. Before: no entry process.

--- a/Makefile
+++ b/Makefile
@@ -20,3 +20,6 @@
 # One file that runs as one process; docs/operators.md has the reasons for its form.
 binary: setup
 	$(PYTHON) -m tools.binary
+
+demo: setup
+	$(PYTHON) -m tools.demo
--- /dev/null
+++ b/dotterelhill/entry/process.py
@@ -0,0 +1,349 @@
+"""One entry process: composes the slices and stops them in order."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from dataclasses import asdict
+from hashlib import blake2b
+from random import Random
+
+import aiohttp
+import mode
+
+from dotterelhill.batch import Batch, HttpWorker
+from dotterelhill.core import new_incarnation_id
+from dotterelhill.entry.admin import AdminServer, AdminSources, RelayableManifest
+from dotterelhill.entry.feeds import ConfigFeed, ControlFeed
+from dotterelhill.entry.logs import logger_of, start_logging
+from dotterelhill.entry.metrics import LocalMetrics, MetricsFlusher, metrics_for
+from dotterelhill.entry.settings import EntrySettings
+from dotterelhill.holdings import Holdings
+from dotterelhill.ledger import RecordVerdict
+from dotterelhill.log.appender import BatchedAppender
+from dotterelhill.log.http import HttpLog
+from dotterelhill.membership import Peer
+from dotterelhill.membership.service import Membership, MembershipHooks, MembershipSettings
+from dotterelhill.membership.transport import CurveKeys, ZmqTransport
+from dotterelhill.membership.view import OwnState
+from dotterelhill.membership.vm_list import HttpVmList, VmRole
+from dotterelhill.requests import Requests, RequestsSettings
+
+CONTROL_STREAM = "control"
+# At most 4 appends a second for each process, see docs/design.md, section 4.
+CONTROL_SPACING_SECONDS = 0.25
+LEAVE_SECONDS = 5.0
+# Evidence that a process must have to be the preferred scheduler.
+SCHEDULER_EVIDENCE_SECONDS = 3.0
+
+_log = logger_of("entry")
+
+
+class _LatePeers:
+    """View of the peers that can be handed out before the peer addresses are bound."""
+
+    def __init__(self, incarnation: str) -> None:
+        self._incarnation = incarnation
+        self.membership: Membership | None = None
+
+    @property
+    def incarnation(self) -> str:
+        return self._incarnation
+
+    def live_peers(self, now: float) -> tuple[Peer, ...]:
+        return self.membership.live_peers(now) if self.membership else ()
+
+    def leaving_vms(self) -> frozenset[str]:
+        return self.membership.leaving_vms() if self.membership else frozenset()
+
+
+class EntryProcess(mode.Service):
+    """All slices of one entry process.
+
+    :param settings: checked settings
+    :param random: generator for jitter and choices
+    """
+
+    def __init__(self, settings: EntrySettings, random: Random | None = None) -> None:
+        super().__init__()
+        self._settings = settings
+        self._random = random or Random()
+        self._incarnation = new_incarnation_id(settings.entry_name)
+        self._peers = _LatePeers(self._incarnation)
+        self._log_adapter = HttpLog(settings.log_url)
+        self._metrics: LocalMetrics = metrics_for(settings.statsd_host, settings.statsd_port)
+        self._appender = BatchedAppender(
+            self._log_adapter,
+            CONTROL_STREAM,
+            spacing_seconds=CONTROL_SPACING_SECONDS,
+            rng=self._random,
+        )
+        self._config = ConfigFeed(self._log_adapter, self._random)
+        self._control = ControlFeed(self._log_adapter, self._config, self._appender, self._random)
+        self._holdings = Holdings(
+            settings.entry_name,
+            settings.failure_domain,
+            self._control.ledger.holders,
+            self._appender,
+            self._peers,
+            self._in_flight_at,
+            self._close_idle,
+        )
+        self._requests = Requests(
+            self._requests_settings(),
+            self._config,
+            self._holdings,
+            self._peers,
+            self._log_adapter,
+            self._random,
+        )
+        self._batch = Batch(
+            incarnation=self._incarnation,
+            failure_domain=settings.failure_domain,
+            ledger=self._control,
+            manifests=self._config,
+            holdings=self._holdings,
+            appender=self._appender,
+            worker_names=self._worker_names,
+            worker_of=self._worker_of,
+            is_scheduler=self._is_scheduler,
+        )
+        self._transport = ZmqTransport(
+            f"{settings.listen_host}:{settings.peer_port}",
+            CurveKeys(settings.peer_public_key, settings.peer_secret_key.get_secret_value()),
+            self._receive,
+        )
+        self._admin = AdminServer(settings.admin_host, settings.admin_port, self._admin_sources())
+        self._workers: dict[str, HttpWorker] = {}
+        self._worker_addresses: dict[str, str] = {}
+        self._is_stopping = False
+
+    @property
+    def incarnation(self) -> str:
+        """Return the id of this start."""
+        return self._incarnation
+
+    @property
+    def ready_line(self) -> str:
+        """Return the line that names every bound address."""
+        addresses = {
+            "caller": self._requests.caller_address,
+            "forward": self._requests.forward_address,
+            "peer": self._transport.address,
+            "admin": f"{self._settings.admin_host}:{self._admin.bound_port}",
+        }
+        return "listening " + " ".join(f"{name}={value}" for name, value in addresses.items())
+
+    async def on_start(self) -> None:
+        """Start the slices; the ones that others ask come first."""
+        self._session = aiohttp.ClientSession()
+        self._connect_feeds()
+        first: tuple[mode.Service, ...] = (self._transport, self._appender, self._requests)
+        for service in first:
+            await self.add_runtime_dependency(service)
+        self._membership = self._new_membership()
+        self._peers.membership = self._membership
+        others: tuple[mode.Service, ...] = (
+            self._membership,
+            self._config,
+            self._control,
+            self._holdings,
+            self._batch,
+            self._admin,
+            MetricsFlusher(self._metrics),
+        )
+        for service in others:
+            await self.add_runtime_dependency(service)
+        _log.info("entry process started", extra={"incarnation": self._incarnation})
+
+    async def leave(self) -> None:
+        """Finish what is in flight and give back what is held; the slices still run."""
+        self._is_stopping = True
+        await self._requests.drain()
+        try:
+            async with asyncio.timeout(LEAVE_SECONDS):
+                await self._holdings.leave()
+        except TimeoutError:
+            _log.warning("the log did not take Leave in time; successors wait for the lease")
+
+    async def on_shutdown(self) -> None:
+        """Close the connections that the slices shared."""
+        await self._session.close()
+        await self._log_adapter.close()
+
+    def _requests_settings(self) -> RequestsSettings:
+        settings = self._settings
+        return RequestsSettings(
+            failure_domain=settings.failure_domain,
+            region=settings.region,
+            caller_address=f"{settings.listen_host}:{settings.caller_port}",
+            forward_address=f"{settings.listen_host}:{settings.forward_port}",
+            deployment_key=settings.deployment_key.get_secret_value().encode(),
+            balancer_seconds=settings.balancer_delay_seconds,
+        )
+
+    def _new_membership(self) -> Membership:
+        settings = self._settings
+        place = MembershipSettings(
+            incarnation=self._incarnation,
+            entry=settings.entry_name,
+            failure_domain=settings.failure_domain,
+            region=settings.region,
+            peer_address=self._transport.address,
+            forward_address=self._requests.forward_address,
+        )
+        hooks = MembershipHooks(
+            own_state=self._own_state,
+            promise_to=self._holdings.promise_to,
+            manifest_record=self._manifest_record,
+            on_heartbeat=self._holdings.on_heartbeat,
+            on_live_changed=self._holdings.on_live_changed,
+            on_manifest=self._config.apply_relayed,
+            on_vms=self._take_vms,
+        )
+        vm_list = HttpVmList(settings.vm_list_url, self._session)
+        return Membership(place, self._transport, vm_list, hooks)
+
+    def _connect_feeds(self) -> None:
+        self._config.on_change(lambda accepted: self._holdings.on_manifest(accepted.manifest))
+        self._control.on_verdict(self._take_verdict)
+        self._control.on_evidence(self._holdings.on_evidence)
+
+    def _take_verdict(self, verdict: RecordVerdict) -> None:
+        if verdict.is_accepted and verdict.record is not None:
+            self._holdings.on_accepted(verdict.offset, verdict.record)
+        self._holdings.on_folded(verdict.offset)
+        self._batch.note(verdict)
+
+    def _receive(self, message: object) -> None:
+        if self._peers.membership is not None:
+            self._peers.membership.receive(message)  # type: ignore[arg-type]
+
+    def _take_vms(self, vms: tuple[object, ...]) -> None:
+        workers = {
+            vm.name: vm.address
+            for vm in self._membership.vms
+            if vm.role is VmRole.WORKER and vm.failure_domain == self._settings.failure_domain
+        }
+        self._worker_addresses = workers
+        self._holdings.on_workers(workers)
+
+    def _worker_names(self) -> tuple[str, ...]:
+        return tuple(self._worker_addresses)
+
+    def _worker_of(self, name: str) -> HttpWorker:
+        address = self._worker_addresses[name]
+        known = self._workers.get(address)
+        if known is None:
+            known = self._workers[address] = HttpWorker(self._session, address)
+        return known
+
+    def _in_flight_at(self, minion: str) -> int:
+        return self._requests.in_flight_at(minion)
+
+    def _close_idle(self, minion: str) -> None:
+        self._requests.close_idle(minion)
+
+    def _is_scheduler(self) -> bool:
+        """Return whether this process is first among the live ones by rendezvous hash."""
+        now = self.loop.time()
+        if now - self._control.evidence_at > SCHEDULER_EVIDENCE_SECONDS or self._is_stopping:
+            return False
+        peers = [peer.incarnation for peer in self._peers.live_peers(now) if peer.is_ready]
+        return max([*peers, self._incarnation], key=_scheduler_score) == self._incarnation
+
+    def _own_state(self) -> OwnState:
+        now = self.loop.time()
+        return OwnState(
+            is_ready=not self._unready_reasons(),
+            manifest_version=self._config.history.version,
+            control_offset=self._holdings.through,
+            control_through=self._holdings.through,
+            config_age=now - self._config.evidence_at,
+            control_age=now - self._control.evidence_at,
+            free_slots=self._requests.free_slots(),
+        )
+
+    def _manifest_record(self) -> tuple[int, bytes] | None:
+        current = self._config.current
+        return (current.version, current.record) if current else None
+
+    def _unready_reasons(self) -> tuple[str, ...]:
+        reasons = []
+        if self._is_stopping:
+            reasons.append("this process stops")
+        if self._config.current is None:
+            reasons.append("no manifest is known")
+        if not self._control.is_caught_up:
+            reasons.append("the control stream has not been read to its end")
+        return tuple(reasons)
+
+    def _admin_sources(self) -> AdminSources:
+        return AdminSources(
+            readiness=self._unready_reasons,
+            state_parts={
+                "process": lambda: {"incarnation": self._incarnation},
+                "manifest": lambda: {"version": self._config.history.version},
+                "holdings": self._holdings_state,
+                "requests": self._requests.dump,
+                "batch": self._batch.dump,
+                "ledger": lambda: self._control.ledger.counts,
+                "metrics": lambda: self._metrics.state,
+                "peers": lambda: [asdict(peer) for peer in self._live_peers()],
+            },
+            manifest=self._relayable_manifest,
+        )
+
+    def _live_peers(self) -> tuple[Peer, ...]:
+        return self._peers.live_peers(self.loop.time())
+
+    def _holdings_state(self) -> dict[str, object]:
+        now = self.loop.time()
+        current = self._config.current
+        services = current.manifest.services.values() if current else ()
+        minions = [name for service in services for name in service.minions]
+        return {
+            "is_joined": self._holdings.is_joined,
+            "through": self._holdings.through,
+            "usable_minions": [
+                name for name in minions if self._holdings.permit_for(name, now).slots > 0
+            ],
+            "workers": [
+                name for name in self._worker_addresses if self._holdings.worker_token(name)
+            ],
+        }
+
+    def _relayable_manifest(self) -> RelayableManifest | None:
+        current = self._config.current
+        if current is None:
+            return None
+        return RelayableManifest(current.version, current.record, self._config.history.read_offset)
+
+
+def _scheduler_score(incarnation: str) -> bytes:
+    return blake2b(incarnation.encode(), digest_size=8).digest()
+
+
+async def _run(settings: EntrySettings) -> None:
+    process = EntryProcess(settings)
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for stop_signal in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(stop_signal, stop.set)
+    await process.start()
+    try:
+        print(process.ready_line, flush=True)
+        await stop.wait()
+        await process.leave()
+    finally:
+        await process.stop()
+
+
+def run_entry(settings: EntrySettings) -> int:
+    """Run one entry process until SIGTERM or SIGINT and return its exit status."""
+    handler = start_logging(settings.entry_name, settings.log_level)
+    try:
+        asyncio.run(_run(settings))
+    finally:
+        handler.pop_application()
+    return 0
--- a/dotterelhill/requests/minion.py
+++ b/dotterelhill/requests/minion.py
@@ -375,6 +375,11 @@
         for address in [item for item in self._pools if item not in addresses]:
             self._retire(address)
 
+    def close_idle(self, address: str) -> None:
+        """Close the connections to one address, those in use when their exchange has ended."""
+        if address in self._pools:
+            self._retire(address)
+
     async def close(self) -> None:
         """Close every connection."""
         pools = [*self._pools.values(), *self._retired]
--- a/dotterelhill/requests/proxy.py
+++ b/dotterelhill/requests/proxy.py
@@ -272,6 +272,13 @@
             del slot
         self._wake_all()
 
+    def close_idle(self, minion: str) -> None:
+        """Close the connections to a minion that this process no longer uses."""
+        services = self.manifest().services.values()
+        for service in services:
+            if minion in service.minions:
+                self._client.close_idle(service.minions[minion].address)
+
     def follow_manifest(self) -> None:
         """Forget minions and peers that no longer exist."""
         accepted = self._around.manifests.current
--- a/dotterelhill/requests/service.py
+++ b/dotterelhill/requests/service.py
@@ -130,6 +130,14 @@
         """Return the free slots by service, for heartbeats; none while draining."""
         return {} if self._is_draining else self._proxy.free_slots()
 
+    def in_flight_at(self, minion: str) -> int:
+        """Return the taken slots of a minion, those of abandoned requests included."""
+        return self._proxy.slots.in_flight.get(minion, 0)
+
+    def close_idle(self, minion: str) -> None:
+        """Close the connections to a minion that this process no longer uses."""
+        self._proxy.close_idle(minion)
+
     def dump(self) -> dict[str, Any]:
         """Return the whole state, for the dump of the process."""
         proxy = self._proxy
--- a/tools/checks.py
+++ b/tools/checks.py
@@ -59,7 +59,8 @@
         Check("ruff", (python, "-m", "ruff", "check", "--quiet", *trees)),
         Check("mypy", (python, "-m", "mypy", "--no-error-summary", *trees)),
     ]
-    return checks + doctest_checks() + behave_checks()
+    demo = Check("demo", (python, "-m", "tools.demo"))
+    return [*checks, *doctest_checks(), *behave_checks(), demo]
 
 
 def is_passed(check: Check) -> bool:
--- a/tools/load.py
+++ b/tools/load.py
@@ -97,5 +97,5 @@
         if answer.status != 200:
             return answer.headers.get("Dotterelhill-Error", f"status {answer.status}")
         echoed = json.loads(body)
-        is_own = echoed["query"] == f"entry={number}"
+        is_own = echoed["raw_path"] == f"{self._path}?entry={number}"
         return "answered" if is_own else "wrong answer"
--- a/tools/sample_fleet.py
+++ b/tools/sample_fleet.py
@@ -128,6 +128,11 @@
             "DOTTERELHILL_ENTRY_NAME": name,
             "DOTTERELHILL_FAILURE_DOMAIN": domain,
             "DOTTERELHILL_REGION": self._regions[domain],
+            "DOTTERELHILL_LISTEN_HOST": "127.0.0.1",
+            "DOTTERELHILL_CALLER_PORT": "0",
+            "DOTTERELHILL_FORWARD_PORT": "0",
+            "DOTTERELHILL_PEER_PORT": "0",
+            "DOTTERELHILL_ADMIN_PORT": "0",
             "DOTTERELHILL_LOG_URL": self.log_url,
             "DOTTERELHILL_VM_LIST_URL": self.vm_list_url,
             "DOTTERELHILL_BALANCER_DELAY_SECONDS": "0.2",
@@ -147,7 +152,7 @@
             "failure_domain": domain,
             "region": self._regions[domain],
             "state": state,
-            "addresses": dict(addresses),
+            "addresses": addresses.get("main") or dict(addresses),
         }
         async with (
             aiohttp.ClientSession() as session,
@@ -227,7 +232,7 @@
             "--port=0",
             f"--slots={self._size.slots}",
             f"--connections={self._size.connections}",
-            f"--work-milliseconds={self._service_milliseconds}",
+            f"--work-seconds={self._service_milliseconds / 1000.0}",
         )
 
     async def _start_worker(self, name: str) -> None:
