--- a/dotterelhill/entry/metrics.py
+++ b/dotterelhill/entry/metrics.py
@@ -179,6 +179,7 @@
         self._distributions: dict[str, _Distribution] = {}
         self._labels: dict[str, set[str]] = {}
 
+    @property
     def state(self) -> MetricsState:
         """Return the values since the process started, for the state dump."""
         self._read_sources()
--- a/dotterelhill/entry/tests/steps/admin_steps.py
+++ b/dotterelhill/entry/tests/steps/admin_steps.py
@@ -83,7 +83,7 @@
 @then('counting "{name}" is accepted')
 def check_accepted(context, name):
     context.metrics.count(name)
-    assert context.metrics.state().counters == {name: 1}
+    assert context.metrics.state.counters == {name: 1}
 
 
 @when('{number:d} labels of "{name}" are counted')
@@ -94,7 +94,7 @@
 
 @then("at most {bound:d} counters exist and the total is {total:d}")
 def check_counters(context, bound, total):
-    counters = context.metrics.state().counters
+    counters = context.metrics.state.counters
     assert len(counters) <= bound and sum(counters.values()) == total, len(counters)
 
 
@@ -106,7 +106,7 @@
 
 @then("its p99 is within 2 percent of {value:g}")
 def check_quantile(context, value):
-    (state,) = context.metrics.state().distributions.values()
+    (state,) = context.metrics.state.distributions.values()
     assert abs(state.quantiles["p99"] / value - 1) < 0.02 and state.count == 1000, state
 
 
@@ -164,4 +164,4 @@
 
 @then('the counters are "{names}"')
 def check_counter_names(context, names):
-    assert sorted(context.metrics.state().counters) == names.split(", ")
+    assert sorted(context.metrics.state.counters) == names.split(", ")
