Reach log and VM list through a relay for each entry process

Cause: cuts of one process from the log, silent connections and bytes for each node could not be caused or counted on the whole path. Ruled out: fault modes of the stand-ins, which meet every process alike. Before: no such fault could be set.

--- a/tools/demo.py
+++ b/tools/demo.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import secrets
 import sys
 import tempfile
@@ -166,7 +167,9 @@
 async def demo_status(log_directory: Path) -> int:
     """Return the exit status of one demonstration."""
     async with Fleet(log_directory) as fleet:
-        return await Demo(SampleFleet(fleet)).run()
+        sample = SampleFleet(fleet)
+        async with contextlib.aclosing(sample):
+            return await Demo(sample).run()
 
 
 def main() -> int:
--- a/tools/sample_fleet.py
+++ b/tools/sample_fleet.py
@@ -13,6 +13,7 @@
 import zmq
 
 from tools.fleet import Fleet, FleetError
+from tools.relay import Relay
 
 REGIONS = {"caxias": "serra", "gramado": "serra", "pelotas": "litoral"}
 SERVICE = "bancada"
@@ -42,7 +43,10 @@
 class SampleFleet:
     """The processes of the sample fleet and the operators' side of it.
 
+    Each entry process reaches the log and the VM list through relays of its own.
+
     :param service_milliseconds: time that a minion works on each request
+    :param trace_directory: where entry processes write their traces; None records nothing
     """
 
     def __init__(
@@ -59,6 +63,7 @@
         self._regions = dict(regions or REGIONS)
         self._service_milliseconds = service_milliseconds
         self._trace_directory = trace_directory
+        self._relays: dict[tuple[str, str], Relay] = {}
         public, secret = zmq.curve_keypair()
         self._keys = {
             "DOTTERELHILL_PEER_PUBLIC_KEY": public.decode(),
@@ -107,6 +112,15 @@
             if name in self._fleet.names and self._fleet[name].is_running
         }
 
+    def relay(self, name: str, target: str) -> Relay:
+        """Return the relay of an entry process to ``log`` or ``vms``."""
+        return self._relays[name, target]
+
+    async def aclose(self) -> None:
+        """Close the relays."""
+        for relay in self._relays.values():
+            await relay.__aexit__()
+
     async def start(self) -> None:
         """Start the platform's stand-ins, then the entry processes."""
         await asyncio.gather(
@@ -133,8 +147,8 @@
             "DOTTERELHILL_FORWARD_PORT": "0",
             "DOTTERELHILL_PEER_PORT": "0",
             "DOTTERELHILL_ADMIN_PORT": "0",
-            "DOTTERELHILL_LOG_URL": self.log_url,
-            "DOTTERELHILL_VM_LIST_URL": self.vm_list_url,
+            "DOTTERELHILL_LOG_URL": await self._relayed_url(name, "log"),
+            "DOTTERELHILL_VM_LIST_URL": await self._relayed_url(name, "vms"),
             "DOTTERELHILL_BALANCER_DELAY_SECONDS": "0.2",
         }
         if self._trace_directory is not None:
@@ -225,6 +239,12 @@
             "jobs": dict(jobs or {}),
         }
 
+    async def _relayed_url(self, name: str, target: str) -> str:
+        if (name, target) not in self._relays:
+            relay = Relay(self._fleet[target].address)
+            self._relays[name, target] = await relay.__aenter__()
+        return f"http://{self._relays[name, target].address}"
+
     async def _start_minion(self, name: str) -> None:
         await self._fleet.start(
             name,
