--- a/dotterelhill/entry/metrics.py
+++ b/dotterelhill/entry/metrics.py
@@ -221,7 +221,8 @@
 
         :raises ValueError: when ``METRICS`` has no such gauge
         """
-        self._gauges[self._key(name, MetricKind.GAUGE, label)] = value
+        # A boolean would be sent as text.
+        self._gauges[self._key(name, MetricKind.GAUGE, label)] = float(value)
 
     def observe(self, name: str, value: float, label: str = "") -> None:
         """Add a value to a distribution.
--- a/dotterelhill/entry/tests/admin.feature
+++ b/dotterelhill/entry/tests/admin.feature
@@ -34,6 +34,7 @@
     Given a slice whose counter "answered" is 7
     When a statsd server gets two flushes
     Then the first holds "dotterelhill.requests.answered:7|c" and the second does not
+    And the second holds "dotterelhill.process.ready:1.0|g"
     And the second holds "dotterelhill.requests.seconds.desk.p99:0.2"
     And the counters are "metrics.undocumented.invented_answered, requests.answered"
 
--- a/dotterelhill/entry/tests/steps/admin_steps.py
+++ b/dotterelhill/entry/tests/steps/admin_steps.py
@@ -141,7 +141,7 @@
         server.settimeout(5)
         client = metrics_for("127.0.0.1", server.getsockname()[1])
         client.add_counters("requests", lambda: context.slice_counts)
-        client.add_gauges(lambda: {"requests.in_flight": 3, "manifest.version": math.inf})
+        client.add_gauges(lambda: {"process.ready": True, "manifest.version": math.inf})
         client.flush()
         context.datagrams = [server.recv(1024).decode()]
         client.observe("requests.seconds", 0.25, label="desk")
--- a/tools/tests/binary.feature
+++ b/tools/tests/binary.feature
@@ -20,6 +20,16 @@
     When the log closes the connection
     Then it ends with status 3 and prints "dotterelhill:"
 
+  Scenario: The entry process would run as two processes
+    Given the built file
+    And the settings of an entry process whose log can't be reached
+    When it runs "entry" until it listens
+    Then it is one process without children
+    And its directory for unpacked modules is empty
+    And its memory is below 128 MB
+    When it is told to stop
+    Then it ends with status 0 and prints "entry process started"
+
   Scenario: A directory that forbids to map code would be an unexplained failure
     Given the built file
     When it runs "settings show" where no directory can be written
--- a/tools/tests/steps/binary_steps.py
+++ b/tools/tests/steps/binary_steps.py
@@ -2,12 +2,14 @@
 
 import os
 import shlex
+import signal
 import socket
 import subprocess
 import sys
 import tempfile
 from pathlib import Path
 
+import zmq
 from behave import given, then, when
 
 from tools.binary import build
@@ -80,6 +82,53 @@
     context.connection = context.listener.accept()[0]
 
 
+@given("the settings of an entry process whose log can't be reached")
+def set_entry(context):
+    public, secret = zmq.curve_keypair()
+    values = {
+        "ENTRY_NAME": "caxias-1",
+        "FAILURE_DOMAIN": "caxias",
+        "REGION": "serra",
+        "LISTEN_HOST": "127.0.0.1",
+        "LOG_URL": "http://127.0.0.1:1",
+        "VM_LIST_URL": "http://127.0.0.1:1/vms",
+        "PEER_PUBLIC_KEY": public.decode(),
+        "PEER_SECRET_KEY": secret.decode(),
+        "DEPLOYMENT_KEY": "k" * 40,
+        "BALANCER_DELAY_SECONDS": "0",
+    }
+    values |= {f"{name}_PORT": "0" for name in ("CALLER", "FORWARD", "PEER", "ADMIN")}
+    context.environment |= {f"DOTTERELHILL_{name}": value for name, value in values.items()}
+
+
+@when('it runs "{arguments}" until it listens')
+def run_until_listening(context, arguments):
+    context.process = subprocess.Popen(
+        [*context.command, *shlex.split(arguments)],
+        env=context.environment,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+    context.add_cleanup(context.process.kill)
+    line = context.process.stdout.readline()
+    assert line.startswith("listening "), (line, context.process.communicate())
+
+
+@then("its memory is below {megabytes:d} MB")
+def check_memory(context, megabytes):
+    status = Path(f"/proc/{context.process.pid}/status").read_text()
+    peak = next(line for line in status.splitlines() if line.startswith("VmHWM"))
+    assert int(peak.split()[1]) / 1000 < megabytes, peak
+
+
+@when("it is told to stop")
+def stop(context):
+    context.process.send_signal(signal.SIGTERM)
+    context.output = "".join(context.process.communicate(timeout=TIMEOUT_SECONDS))
+    context.status = context.process.returncode
+
+
 @when("the log closes the connection")
 def close_connection(context):
     context.connection.close()
