Test the whole path under failure with separate processes

Cause: each slice was tested by itself; nothing showed that the composed processes keep the invariants while an entry process stops, is paused or killed, or loses the log. Ruled out: one fleet for all scenarios, since what one leaves behind would hide the next one's fault. Before: only the demo. Not shown here: each scenario failing with a fault put in; that run is still to be made.

--- /dev/null
+++ b/dotterelhill/entry/tests/fleet_world.py
@@ -0,0 +1,163 @@
+"""A sample fleet under test: real processes on loopback, with the operators' side."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+import signal
+import tempfile
+from collections import defaultdict
+from collections.abc import Callable, Coroutine
+from pathlib import Path
+from typing import Any, TypeVar
+
+import aiohttp
+
+from dotterelhill.commands.publication import publish
+from dotterelhill.log.http import HttpLog
+from tools.fleet import Fleet
+from tools.load import Load, LoadReport
+from tools.relay import RelayMode
+from tools.sample_fleet import SERVICE, FleetSize, SampleFleet
+
+ResultT = TypeVar("ResultT")
+
+JOB = "register-sync"
+
+
+class FleetWorld:
+    """One fleet for one scenario, driven by its own event loop."""
+
+    def __init__(self) -> None:
+        self.loop = asyncio.new_event_loop()
+        self.directory = tempfile.TemporaryDirectory(prefix="dotterelhill-test-")
+        self.fleet = Fleet(Path(self.directory.name))
+        self.sample = SampleFleet(self.fleet)
+        self.document: dict[str, Any] = {}
+        self.version = 0
+        self.published_at = 0.0
+        self.balanced: set[str] = set()
+        self._load: asyncio.Task[LoadReport] | None = None
+        self._load_end = asyncio.Event()
+        self._jobs: dict[str, Any] = {}
+
+    def run(self, work: Coroutine[Any, Any, ResultT]) -> ResultT:
+        """Return the result of a coroutine on the scenario's loop."""
+        return self.loop.run_until_complete(work)
+
+    def close(self) -> None:
+        """Stop every process."""
+        try:
+            self.run(self.fleet.stop_all())
+            self.run(self.sample.aclose())
+        finally:
+            self.loop.close()
+            self.directory.cleanup()
+
+    async def start(self, size: FleetSize, service_milliseconds: float = 5.0) -> None:
+        """Start a fleet that serves requests."""
+        self.sample = SampleFleet(self.fleet, size, service_milliseconds=service_milliseconds)
+        await self.sample.start()
+        await self.publish()
+        await self.sample.until_ready()
+        self.balanced = set(self.sample.names("entry"))
+        await self.until(self.are_minions_usable, 60.0)
+
+    async def publish(self, **changes: Any) -> None:
+        """Publish the manifest with jobs and changes, made from the last accepted one."""
+        self._jobs |= changes.pop("jobs", {})
+        self.document = self.sample.manifest(self._jobs, **changes)
+        self.published_at = self.loop.time()
+        log = HttpLog(self.sample.log_url)
+        try:
+            report = await publish(log, self.document, secrets.token_hex(8), base=self.version)
+        finally:
+            await log.close()
+        assert report.verdict is not None and report.verdict.verdict == "accepted", report
+        self.version = report.version
+
+    async def publish_job(self, tasks: int, seconds: float) -> None:
+        """Publish a batch job of equal tasks."""
+        job = {"member": "bonsai", "team": "registers", "cpu": 2, "memory_gb": 1}
+        await self.publish(jobs={JOB: {**job, "tasks": tasks, "run_seconds": seconds}})
+
+    async def until(
+        self, is_reached: Callable[[], Coroutine[Any, Any, bool]], seconds: float
+    ) -> None:
+        """Wait for a condition.
+
+        :raises AssertionError: when it does not hold after ``seconds``
+        """
+        deadline = self.loop.time() + seconds
+        while not await is_reached():
+            assert self.loop.time() < deadline, f"not reached in {seconds:g} s: {is_reached}"
+            await asyncio.sleep(0.2)
+
+    async def answers(self, kind: str, path: str, purpose: str = "main") -> dict[str, Any]:
+        """Return the JSON answers of all running processes of a kind, by name."""
+        found = {}
+        timeout = aiohttp.ClientTimeout(total=5.0)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            for name, address in self.sample.addresses(kind, purpose).items():
+                async with session.get(f"http://{address}{path}") as answer:
+                    found[name] = await answer.json()
+        return found
+
+    async def are_minions_usable(self) -> bool:
+        """Return whether some running entry process may use each minion."""
+        states = await self.answers("entry", "/state", "admin")
+        usable = {name for state in states.values() for name in state["holdings"]["usable_minions"]}
+        return usable == set(self.sample.names("minion"))
+
+    async def versions(self) -> dict[str, int]:
+        """Return the manifest version in force in each running entry process."""
+        states = await self.answers("entry", "/state", "admin")
+        return {name: state["manifest"]["version"] for name, state in states.items()}
+
+    async def runs(self) -> dict[str, list[dict[str, Any]]]:
+        """Return all runs by task, in the order of their start."""
+        by_task = defaultdict(list)
+        for worker, journal in (await self.answers("worker", "/journal")).items():
+            for run in journal:
+                by_task[run["task"]].append({**run, "worker": worker})
+        return {task: sorted(runs, key=lambda run: run["start"]) for task, runs in by_task.items()}
+
+    async def is_job_finished(self, tasks: int) -> bool:
+        """Return whether that many tasks have finished."""
+        runs = await self.runs()
+        return sum(any(r["state"] == "finished" for r in one) for one in runs.values()) >= tasks
+
+    def start_load(self, rate: float, seed: int = 1) -> None:
+        """Start callers that use the entry processes in the balancer."""
+        self._load_end = asyncio.Event()
+        load = Load(self._balanced_addresses, rate, seed=seed, path=f"/{SERVICE}/entries")
+        self._load = self.loop.create_task(load.run(self._load_end))
+
+    async def end_load(self) -> LoadReport:
+        """Return what the callers saw."""
+        assert self._load is not None
+        self._load_end.set()
+        return await self._load
+
+    def pause(self, name: str) -> None:
+        """Stop an entry process as a frozen VM would."""
+        self.fleet.send_signal(name, signal.SIGSTOP)
+
+    def resume(self, name: str) -> None:
+        """Let a paused entry process go on."""
+        self.fleet.send_signal(name, signal.SIGCONT)
+
+    def set_log_relays(self, domain: str, mode: RelayMode) -> None:
+        """Change the way of every entry process of a failure domain to the log."""
+        for name in self.sample.names("entry"):
+            if self.sample.domain_of(name) == domain:
+                self.sample.relay(name, "log").set_mode(mode)
+
+    async def set_log_fault(self, mode: str) -> None:
+        """Put the log stand-in into a fault mode."""
+        async with aiohttp.ClientSession() as session:
+            await session.post(f"{self.sample.log_url}/faults", json={"mode": mode})
+
+    def _balanced_addresses(self) -> list[str]:
+        addresses = self.sample.addresses("entry", "caller")
+        return [address for name, address in addresses.items() if name in self.balanced]
--- /dev/null
+++ b/dotterelhill/entry/tests/steps/fleet_steps.py
@@ -0,0 +1,193 @@
+"""Steps for the whole path under failure."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import signal
+from typing import Any
+
+from behave import given, then, when
+
+from dotterelhill.entry.tests.fleet_world import FleetWorld
+from tools.relay import RelayMode
+from tools.sample_fleet import FleetSize
+
+# Clock readings of the stand-ins and of the test come from the same machine.
+CLOCK_TOLERANCE_SECONDS = 0.1
+
+
+@given("a fleet whose minions work {milliseconds:d} ms on each request")
+def start_fleet(context: Any, milliseconds: int) -> None:
+    world = FleetWorld()
+    context.add_cleanup(world.close)
+    context.world = world
+    context.tasks = 0
+    world.run(world.start(FleetSize(), service_milliseconds=milliseconds))
+
+
+@given("a job of {tasks:d} tasks of {seconds:d} s")
+def publish_job(context: Any, tasks: int, seconds: int) -> None:
+    context.tasks = tasks
+    context.world.run(context.world.publish_job(tasks, seconds))
+
+
+@given("callers that send {rate:d} requests a second")
+def start_callers(context: Any, rate: int) -> None:
+    context.world.start_load(rate)
+
+
+@when("{seconds:d} s pass")
+def pass_time(context: Any, seconds: int) -> None:
+    context.world.run(asyncio.sleep(seconds))
+
+
+@when("an entry process gets SIGTERM after {seconds:d} s and the balancer leaves it out")
+def stop_entry(context: Any, seconds: int) -> None:
+    world: FleetWorld = context.world
+    name = world.sample.names("entry")[0]
+
+    async def stop() -> None:
+        await asyncio.sleep(seconds)
+        world.balanced.discard(name)
+        status = await world.fleet.stop(name, signal.SIGTERM)
+        assert status == 0, f"exit status {status}"
+
+    world.run(stop())
+
+
+@when("the entry processes of {domain} are cut off from the log")
+def cut_log(context: Any, domain: str) -> None:
+    context.world.set_log_relays(domain, RelayMode.CUT)
+
+
+@when("the way to the log is silent for the entry processes of {domain}")
+def silence_log(context: Any, domain: str) -> None:
+    context.world.set_log_relays(domain, RelayMode.SILENT)
+
+
+@when("a manifest is published")
+def publish(context: Any) -> None:
+    context.world.run(context.world.publish())
+
+
+@when("a manifest takes {domain} out")
+def take_out(context: Any, domain: str) -> None:
+    context.world.run(context.world.publish(out=[domain]))
+
+
+@when("the log is down for {seconds:d} s")
+def stop_log(context: Any, seconds: int) -> None:
+    world: FleetWorld = context.world
+
+    async def outage() -> None:
+        await asyncio.sleep(2.0)
+        await world.set_log_fault("down")
+        await asyncio.sleep(seconds)
+        await world.set_log_fault("ok")
+
+    world.run(outage())
+
+
+@when("the job has finished within {seconds:d} s")
+def wait_for_job(context: Any, seconds: int) -> None:
+    world: FleetWorld = context.world
+    world.run(world.until(lambda: world.is_job_finished(context.tasks), seconds))
+
+
+@when("{count:d} tasks have finished")
+def wait_for_tasks(context: Any, count: int) -> None:
+    world: FleetWorld = context.world
+    world.run(world.until(lambda: world.is_job_finished(count), 60.0))
+
+
+@when("an entry process is paused for {seconds:d} s and left out by the balancer")
+def pause_entry(context: Any, seconds: int) -> None:
+    world: FleetWorld = context.world
+    context.paused = world.sample.names("entry")[0]
+
+    async def pause() -> None:
+        await asyncio.sleep(2.0)
+        world.balanced.discard(context.paused)
+        # Requests that it has already taken must be over, since a frozen VM answers none.
+        await asyncio.sleep(2.0)
+        world.pause(context.paused)
+        await asyncio.sleep(seconds)
+
+    world.run(pause())
+
+
+@when("it resumes, is balanced again and {seconds:d} s pass")
+def resume_entry(context: Any, seconds: int) -> None:
+    world: FleetWorld = context.world
+    world.resume(context.paused)
+    world.balanced.add(context.paused)
+    world.run(asyncio.sleep(seconds))
+
+
+@when("every entry process is killed and started anew")
+def replace_all(context: Any) -> None:
+    world: FleetWorld = context.world
+
+    async def replace() -> None:
+        names = world.sample.names("entry")
+        for name in names:
+            await world.fleet.stop(name, signal.SIGKILL)
+        await asyncio.gather(*(world.sample.start_entry(name) for name in names))
+        await world.sample.until_ready()
+
+    world.run(replace())
+
+
+@then("every request was answered")
+def check_requests(context: Any) -> None:
+    report = context.world.run(context.world.end_load())
+    assert report.total > 0, "no request was sent"
+    assert dict(report.outcomes) == {"answered": report.total}, report.outcomes
+
+
+@then("every entry process has it in force within {seconds:d} s")
+def check_versions(context: Any, seconds: int) -> None:
+    world: FleetWorld = context.world
+
+    async def is_in_force() -> bool:
+        return set((await world.versions()).values()) == {world.version}
+
+    left = world.published_at + seconds - world.loop.time()
+    world.run(world.until(is_in_force, left))
+
+
+@then("no run started in {domain} more than {seconds:d} s after the manifest")
+def check_starts(context: Any, domain: str, seconds: int) -> None:
+    world: FleetWorld = context.world
+    latest = world.published_at + seconds + CLOCK_TOLERANCE_SECONDS
+    late = [
+        run
+        for runs in world.run(world.runs()).values()
+        for run in runs
+        if world.sample.domain_of(run["worker"]) == domain and run["start"] > latest
+    ]
+    assert not late, late
+
+
+@then("no minion had more requests or connections than it may")
+def check_minions(context: Any) -> None:
+    stats = context.world.run(context.world.answers("minion", "/stats"))
+    over = {
+        name: one for name, one in stats.items() if one["over_slots"] or one["over_connections"]
+    }
+    assert not over, over
+
+
+@then("each task ran in one place at a time and finished once")
+def check_runs(context: Any) -> None:
+    world: FleetWorld = context.world
+    by_task = world.run(world.runs())
+    assert len(by_task) == context.tasks, sorted(by_task)
+    for task, runs in by_task.items():
+        finished = [run for run in runs if run["state"] == "finished"]
+        assert len(finished) == 1, (task, runs)
+        assert finished[0] is runs[-1], (task, runs)
+        for earlier, later in itertools.pairwise(runs):
+            assert earlier["end"] is not None, (task, runs)
+            assert earlier["end"] <= later["start"] + CLOCK_TOLERANCE_SECONDS, (task, runs)
