--- a/dotterelhill/log/http.py
+++ b/dotterelhill/log/http.py
@@ -64,10 +64,19 @@
     """Log service at one address.
 
     :param base_url: ``http://host:port``
+    :param read_timeout_seconds: added to the wait of a long poll
     """
 
-    def __init__(self, base_url: str) -> None:
+    def __init__(
+        self,
+        base_url: str,
+        *,
+        append_timeout_seconds: float = APPEND_TIMEOUT_SECONDS,
+        read_timeout_seconds: float = READ_TIMEOUT_SECONDS,
+    ) -> None:
         self._base_url = base_url.rstrip("/")
+        self._append_timeout_seconds = append_timeout_seconds
+        self._read_timeout_seconds = read_timeout_seconds
         self._session: aiohttp.ClientSession | None = None
 
     async def close(self) -> None:
@@ -82,7 +91,7 @@
         :raises LogError: with ``is_effect_unknown`` unless the log is known not to have acted
         """
         body = msgspec.msgpack.encode(list(records))
-        timeout = _timeout(APPEND_TIMEOUT_SECONDS)
+        timeout = _timeout(self._append_timeout_seconds)
         _, answer = await self._exchange("POST", stream, timeout, data=body, headers=_CONTENT_TYPE)
         return _decoded(_APPEND_DECODER, answer, is_append=True).first
 
@@ -95,7 +104,7 @@
         :raises LogError: when the log can't be reached
         """
         params = {"from": str(start), "limit": str(limit), "wait": f"{wait_seconds:g}"}
-        timeout = _timeout(READ_TIMEOUT_SECONDS + wait_seconds)
+        timeout = _timeout(self._read_timeout_seconds + wait_seconds)
         status, body = await self._exchange("GET", stream, timeout, params=params)
         if status == 410:
             raise LogTrimmedError(_decoded(_TRIMMED_DECODER, body, is_append=False).earliest)
