--- a/standins/__init__.py
+++ b/standins/__init__.py
@@ -1,1 +1,1 @@
-"""Fake servers for each adapter, for tests and the demo; not shipped."""
+"""Stand-ins for the platform's services, for tests and the demo; not shipped."""
