Follow the config stream and keep the manifest in force

Cause: every process needs the accepted manifest with evidence, also in a domain that is cut off from the log. Ruled out: moving the read position of the history to a relayed manifest, since the versions between would then be missing when a control record adopts one of them. Before: the verdicts existed, nothing read the stream.

--- a/dotterelhill/log/tests/memory_log.py
+++ b/dotterelhill/log/tests/memory_log.py
@@ -66,3 +66,26 @@
             raise LogTrimmedError(content.earliest_offset)
         records = tuple(LogRecord(offset, data) for offset, data in content.read(start, limit))
         return ReadResult(records, content.next_offset, content.earliest_offset)
+
+
+class Link:
+    """Access of one process to a shared log; a cut link refuses everything."""
+
+    def __init__(self, log: MemoryLog) -> None:
+        self.log = log
+        self.is_cut = False
+
+    async def append(self, stream: str, records: Sequence[bytes]) -> int:
+        if self.is_cut:
+            raise LogError("link is cut")
+        return await self.log.append(stream, records)
+
+    async def read(
+        self, stream: str, start: int, *, limit: int = 1000, wait_seconds: float = 0.0
+    ) -> ReadResult:
+        if self.is_cut:
+            raise LogError("link is cut")
+        result = await self.log.read(stream, start, limit=limit, wait_seconds=wait_seconds)
+        if self.is_cut:
+            raise LogError("link was cut")
+        return result
--- a/dotterelhill/manifest/__init__.py
+++ b/dotterelhill/manifest/__init__.py
@@ -20,6 +20,7 @@
     Publication,
     PublicationVerdict,
     Verdict,
+    manifest_from_record,
 )
 from dotterelhill.manifest.interface import ManifestView
 from dotterelhill.manifest.validation import Fault, ManifestError, manifest_from_document
@@ -46,4 +47,5 @@
     "Service",
     "Verdict",
     "manifest_from_document",
+    "manifest_from_record",
 ]
--- a/dotterelhill/manifest/history.py
+++ b/dotterelhill/manifest/history.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import hashlib
 from collections import OrderedDict
+from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import Any
@@ -59,6 +61,20 @@
     manifest: Manifest
     record: bytes
 
+    @property
+    def digest(self) -> str:
+        """Return the hex SHA-256 of the record, as an ``Adopt`` names it."""
+        return hashlib.sha256(self.record).hexdigest()
+
+
+def manifest_from_record(version: int, record: bytes) -> AcceptedManifest:
+    """Return an accepted manifest from the bytes of its record.
+
+    :raises ValueError: when the record is not a publication of a valid document
+    """
+    publication = msgspec.json.decode(record, type=Publication)
+    return AcceptedManifest(version, manifest_from_document(publication.document), record)
+
 
 class ManifestHistory:
     """Fold of the ``config`` stream; the verdict depends only on the records before."""
@@ -117,12 +133,21 @@
         """
         if version <= self.version:
             return False
-        publication = msgspec.json.decode(record, type=Publication)
-        manifest = manifest_from_document(publication.document)
-        self._current = AcceptedManifest(version, manifest, record)
+        self._current = manifest_from_record(version, record)
         self._read_offset = max(self._read_offset, version)
         return True
 
+    def restore(
+        self,
+        current: AcceptedManifest | None,
+        read_offset: int,
+        verdicts: Iterable[PublicationVerdict],
+    ) -> None:
+        """Take the state of a snapshot; reading goes on after ``read_offset``."""
+        self._current = current
+        self._read_offset = read_offset
+        self._verdicts = OrderedDict((verdict.publication_id, verdict) for verdict in verdicts)
+
     def _judge(self, offset: int, publication: Publication, data: bytes) -> PublicationVerdict:
         if publication.base != self.version:
             # Only names the reason: every reader rejects on the base, also one that has forgotten
