--- a/dotterelhill/ledger/tests/fold.feature
+++ b/dotterelhill/ledger/tests/fold.feature
@@ -136,6 +136,21 @@
     And task "sync@3/1" attempt 1 is assigned to "w1"
     Then the record is refused as "job_not_open"
 
+  @resume-once
+  Scenario: a job that is shortened and lengthened again forgets what its tasks did
+    Given task "sync@3/0" attempt 1 runs on "w1"
+    And task "sync@3/2" attempt 1 runs on "w1"
+    When the run of "sync@3/0" stops as "finished"
+    And the run of "sync@3/2" leaves checkpoint "c7" and stops as "evicted"
+    And manifest 4 declares job "sync" with 1 tasks of 4 processors
+    And manifest 5 declares job "sync" with 4 tasks of 4 processors
+    And task "sync@3/0" attempt 1 is assigned to "w1"
+    Then the record is refused as "task_not_pending"
+    When task "sync@3/2" attempt 1 is assigned to "w1"
+    Then the record is refused as "attempt_outdated"
+    When task "sync@3/2" attempt 2 is resumed from "c7" on "w1"
+    Then the record is accepted
+
   @domain-out
   Scenario: a task is assigned to a failure domain that was taken out
     When manifest 4 puts "kbh-nord" in state "out"
