--- a/dotterelhill/ledger/__init__.py
+++ b/dotterelhill/ledger/__init__.py
@@ -1,6 +1,7 @@
 """Deterministic fold of the ``control`` stream."""
 
 from dotterelhill.ledger.amounts import Amounts
+from dotterelhill.ledger.feed import ControlFeed, ControlRelay, FeedUpdate
 from dotterelhill.ledger.fold import Ledger, VersionNotAcceptedError
 from dotterelhill.ledger.holders import Holders
 from dotterelhill.ledger.placements import Placements
@@ -22,6 +23,7 @@
     decode_record,
     encode_record,
 )
+from dotterelhill.ledger.snapshot_writer import SnapshotWriter
 from dotterelhill.ledger.state import (
     Ended,
     EndReason,
@@ -41,9 +43,12 @@
     "Amounts",
     "Assign",
     "Capacity",
+    "ControlFeed",
     "ControlRecord",
+    "ControlRelay",
     "EndReason",
     "Ended",
+    "FeedUpdate",
     "Fence",
     "Hold",
     "Holders",
@@ -59,6 +64,7 @@
     "Refusal",
     "Release",
     "Run",
+    "SnapshotWriter",
     "StopOutcome",
     "Stopped",
     "Task",
--- a/dotterelhill/log/tests/memory_log.py
+++ b/dotterelhill/log/tests/memory_log.py
@@ -15,6 +15,7 @@
         self.is_down = False
         self.lost_answers = 0
         self.delay_seconds = 0.0
+        self.append_delay_seconds = 0.0
         self.reads = 0
         self.appends: list[tuple[float, int]] = []
         self.in_flight = 0
@@ -37,7 +38,7 @@
         self.most_in_flight = max(self.most_in_flight, self.in_flight)
         self.appends.append((asyncio.get_running_loop().time(), len(records)))
         try:
-            await asyncio.sleep(self.delay_seconds)
+            await asyncio.sleep(self.delay_seconds + self.append_delay_seconds)
             if self.is_down:
                 raise LogError("refused")
             first = self.put(stream, *records)
--- a/dotterelhill/manifest/__init__.py
+++ b/dotterelhill/manifest/__init__.py
@@ -14,6 +14,7 @@
     Resources,
     Service,
 )
+from dotterelhill.manifest.feed import ConfigFeed, ConfigState
 from dotterelhill.manifest.history import (
     AcceptedManifest,
     ManifestHistory,
@@ -27,6 +28,8 @@
 
 __all__ = [
     "AcceptedManifest",
+    "ConfigFeed",
+    "ConfigState",
     "Constraints",
     "DomainState",
     "FailureDomain",
