--- /dev/null
+++ b/dotterelhill/replay/slices.py
@@ -0,0 +1,29 @@
+"""Table of the slices whose traces can be replayed."""
+
+from __future__ import annotations
+
+from dotterelhill.replay.registration import ReplayableSlice
+
+SLICE_NAMES = ("execution", "holdings", "membership")
+
+
+def registered_slice(name: str) -> ReplayableSlice | None:
+    """Return the registration of a slice, or None; only this slice is imported.
+
+    >>> registered_slice("membership").name
+    'membership'
+    """
+    match name:
+        case "execution":
+            from dotterelhill.replay import execution_slice
+
+            return execution_slice.REGISTRATION
+        case "holdings":
+            from dotterelhill.replay import holdings_slice
+
+            return holdings_slice.REGISTRATION
+        case "membership":
+            from dotterelhill.replay import membership_slice
+
+            return membership_slice.REGISTRATION
+    return None
