Keep the transport alive on bad messages; keep recent records for relays

Cause: an exception in a receiver ended the transport's task and with it the process, for example when a newer program relays a manifest that this one can't validate. The control_records hook had nothing to answer from.

Ruled out: pings from both ends of a connection, since only the sending side can act on a dead one.

Before: a failing receiver crashed the service.

Conclusion: messages are arrays, so new fields may only be added at the end.

--- a/dotterelhill/holdings/decision.py
+++ b/dotterelhill/holdings/decision.py
@@ -279,7 +279,7 @@
             case LeaveSeen(incarnation):
                 return self._on_leave(incarnation, now)
             case HoldSeen():
-                self._on_hold(event, now)
+                return self._on_hold(event, now)
             case ReleaseSeen(resource, token):
                 state = self._resources.get(resource)
                 if state is not None and state.token == token:
@@ -330,15 +330,19 @@
         self._has_left = True
         return [StopFinished()]
 
-    def _on_hold(self, event: HoldSeen, now: float) -> None:
+    def _on_hold(self, event: HoldSeen, now: float) -> list[HoldingsAction]:
         state = self._resources.setdefault(event.resource, _Resource())
         self._appended_at.pop(event.resource, None)
         self._drains.pop(event.resource, None)
+        is_lost = self._is_mine(event.resource) and event.holder != self._incarnation
         # The new holder is no predecessor of itself: it counts its own requests in flight.
         if not state.is_released and state.holder != event.holder:
             self._add_predecessor(state, state.holder, state.token, event.offset, now)
         state.predecessors.pop(event.holder, None)
         state.holder, state.token, state.is_released = event.holder, event.offset, False
+        if is_lost and event.resource.startswith(MINION_PREFIX):
+            return [DrainMinion(event.resource.removeprefix(MINION_PREFIX))]
+        return []
 
     def _add_predecessor(
         self, state: _Resource, holder: str, token: int, superseded_by: int, now: float
--- a/dotterelhill/holdings/service.py
+++ b/dotterelhill/holdings/service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
 from typing import Protocol
 
@@ -123,8 +124,8 @@
     :param ledger: incarnations and holdings, as folded so far
     :param appender: appends to ``control``
     :param peers: gives this process's incarnation and the VMs that are leaving
-    :param busy: number of requests in flight and open connections of a minion
-    :param on_drain: told which minion's idle connections to close
+    :param busy: number of requests in flight at a minion, abandoned ones included
+    :param on_drain: closes a minion's idle connections; called again until nothing is in flight
     """
 
     def __init__(
@@ -149,6 +150,7 @@
         self._workers: frozenset[str] = frozenset()
         self._resources: ResourcesSeen | None = None
         self._left = asyncio.Event()
+        self._counts: Counter[str] = Counter()
         self._decision = HoldingsDecision(peers.incarnation, entry, failure_domain)
 
     @property
@@ -166,6 +168,11 @@
         """Return whether this process may hold things."""
         return self._decision.is_joined
 
+    @property
+    def counts(self) -> Counter[str]:
+        """Return the counters ``taken`` (from another holder) and ``lost`` (to another)."""
+        return self._counts
+
     def permit_for(self, minion: str, now: float) -> Permit:
         """Return what this process may use of a minion at loop time ``now``."""
         return self._decision.permit_for(minion, now)
@@ -192,6 +199,7 @@
             case Leave():
                 self._decide(LeaveSeen(record.incarnation))
             case Hold():
+                self._count_hold(record)
                 self._decide(HoldSeen(offset, record.resource, record.holder))
             case Release():
                 self._decide(ReleaseSeen(record.resource, record.token))
@@ -260,11 +268,22 @@
         while not self.should_stop:
             self._refresh_resources()
             for minion in self._decision.draining_minions:
+                # Requests that ended since the last tick have left idle connections.
+                self._on_drain(minion)
                 if self._busy(minion) == 0:
                     self._decide(MinionDrained(minion))
             self._decide(Tick())
             await self.sleep(TICK_SECONDS)
 
+    def _count_hold(self, record: Hold) -> None:
+        before = self._decision.holder_of(record.resource)
+        if before is None or before == record.holder:
+            return
+        if record.holder == self._peers.incarnation:
+            self._counts["taken"] += 1
+        elif before == self._peers.incarnation:
+            self._counts["lost"] += 1
+
     def _refresh_resources(self) -> None:
         if self._manifest is None:
             return
--- a/dotterelhill/membership/__init__.py
+++ b/dotterelhill/membership/__init__.py
@@ -1,6 +1,7 @@
 """Live view of the other entry processes."""
 
 from dotterelhill.membership.interface import Peer, PeerView
+from dotterelhill.membership.relay import RecentRecords
 from dotterelhill.membership.service import Membership, MembershipHooks, MembershipSettings
 from dotterelhill.membership.transport import CurveKeys, PeerTransport, ZmqTransport
 from dotterelhill.membership.view import OwnState
@@ -16,6 +17,7 @@
     "Peer",
     "PeerTransport",
     "PeerView",
+    "RecentRecords",
     "Vm",
     "VmList",
     "VmListError",
--- a/dotterelhill/membership/heartbeats.py
+++ b/dotterelhill/membership/heartbeats.py
@@ -9,9 +9,11 @@
 MESSAGE_VERSION = 1
 
 
-class Message(msgspec.Struct, frozen=True, tag=True, tag_field="type", kw_only=True):
+class Message(msgspec.Struct, frozen=True, tag=True, array_like=True, kw_only=True):
     """Base of all messages; a reader ignores fields that it doesn't know.
 
+    Messages are arrays, which are half as long as maps; new fields are only added at the end.
+
     :param sender: incarnation that sent the message
     """
 
@@ -108,15 +110,6 @@
 )
 
 
-class MessageHead(msgspec.Struct, frozen=True):
-    """What every message has in any version."""
-
-    type: str
-
-
-_HEADS = msgspec.msgpack.Decoder(MessageHead)
-
-
 @dataclass(frozen=True, slots=True)
 class UnknownMessage:
     """A message of a type that this program doesn't know."""
@@ -139,7 +132,7 @@
 def decoded(data: bytes) -> PeerMessage | UnknownMessage | MalformedMessage:
     """Return the message in ``data``, or what is wrong with it.
 
-    >>> decoded(b"\\x81\\xa4type\\xa5Later")
+    >>> decoded(msgspec.msgpack.encode(["Later", 2, "caxias-1/0"]))
     UnknownMessage(type='Later')
     """
     try:
@@ -147,9 +140,9 @@
     except msgspec.DecodeError as error:
         reason = str(error)
     try:
-        head = _HEADS.decode(data)
-    except msgspec.DecodeError:
+        name, *_ = msgspec.msgpack.decode(data, type=list)
+    except (msgspec.DecodeError, ValueError):
         return MalformedMessage(reason)
-    if head.type in _KNOWN_TYPES:
+    if not isinstance(name, str) or name in _KNOWN_TYPES:
         return MalformedMessage(reason)
-    return UnknownMessage(head.type)
+    return UnknownMessage(name)
--- a/dotterelhill/membership/tests/membership.feature
+++ b/dotterelhill/membership/tests/membership.feature
@@ -57,6 +57,18 @@
     Then every process has control offset 1200
     And no batch held more than 500 records
 
+  Scenario Outline: A relayed batch leaves a gap in the records of the receiver
+    Given recent records from offset 5 on with offsets 5, 6 and 8
+    When a batch from <start> with offsets 8, 9 and 12 arrives
+    Then <new> of its records come next
+    And asking from <asked> gives <given> records
+
+    Examples:
+      | start | new | asked | given |
+      | 8     | 2   | 4     | 0     |
+      | 9     | 2   | 5     | 3     |
+      | 10    | 0   | 7     | 1     |
+
   Scenario: A process with another CURVE key reaches the peer port
     Given a peer port on loopback with the deployment's key
     When a process with another client key sends a heartbeat
@@ -72,6 +84,12 @@
     And a peer sends bytes that are no message
     Then the heartbeat arrives and the others are counted and dropped
 
+  Scenario: A message that only a newer program can handle ends the process
+    Given a peer port on loopback with the deployment's key
+    And a receiver that cannot handle the first message
+    When two messages arrive, the first of which fails
+    Then the second one is received and the failure is counted
+
   Scenario: A send to a peer that does not answer blocks the sender
     Given a peer port on loopback with the deployment's key
     When 500 messages are sent to an address where nobody listens
--- a/dotterelhill/membership/transport.py
+++ b/dotterelhill/membership/transport.py
@@ -33,9 +33,10 @@
 # Above the largest relayed manifest and the largest batch of records.
 LARGEST_MESSAGE_BYTES = 4 * 1024 * 1024
 # A connection without an answer to ZMTP pings is closed and made anew: some connections stop
-# responding for good while new ones work.
+# responding for good while new ones work. It is replaced within 4 s, before the silence of 5 s
+# after which peers take over.
 PING_INTERVAL_MS = 1000
-PING_TIMEOUT_MS = 3000
+PING_TIMEOUT_MS = 2000
 HANDSHAKE_TIMEOUT_MS = 3000
 RECONNECT_MS = 100
 LONGEST_RECONNECT_MS = 2000
@@ -71,7 +72,8 @@
     """ZeroMQ transport with CURVE.
 
     Counters in ``counts``: ``sent``, ``queue_full``, ``received``, ``unknown_type``, ``malformed``,
-    ``wrong_key`` (known server key, other client key), ``failed_handshake`` (any other).
+    ``wrong_key`` (known server key, other client key), ``failed_handshake`` (any other),
+    ``failed`` (a receiver raised an exception), ``bytes_sent`` (without ZeroMQ's own overhead).
 
     :param bind_address: ``host:port`` of the peer port; port 0 takes a free one
     :param keys: key pair of the deployment
@@ -124,12 +126,14 @@
         if connection is None:
             connection = self._connections[address] = self._connect(address)
         connection.used_at = asyncio.get_running_loop().time()
+        data = encoded(message)
         try:
-            connection.socket.send(encoded(message), flags=zmq.NOBLOCK)
+            connection.socket.send(data, flags=zmq.NOBLOCK)
         except zmq.Again:
             self._counts["queue_full"] += 1
             return False
         self._counts["sent"] += 1
+        self._counts["bytes_sent"] += len(data)
         return True
 
     async def on_start(self) -> None:
@@ -178,7 +182,7 @@
                     self._counts["malformed"] += 1
                 case message:
                     self._counts["received"] += 1
-                    self._on_message(message)
+                    self._handle(message)
 
     @mode.Service.task
     async def _count_failed_handshakes(self) -> None:
@@ -196,6 +200,16 @@
             connection.socket.close(linger=0)
             del self._connections[address]
 
+    def _handle(self, message: PeerMessage) -> None:
+        try:
+            self._on_message(message)
+        except Exception:
+            # A peer's message, for example a manifest that only a newer program can read, must
+            # not end this process.
+            self._counts["failed"] += 1
+            if self._counts["failed"] == 1:
+                log.exception("a message of {} failed; later ones are only counted", message.sender)
+
     def _count_refusal(self, reason: str) -> None:
         self._counts[reason] += 1
         if self._counts[reason] == 1:
@@ -208,6 +222,9 @@
         _set_common_options(socket)
         # Without a finished handshake nothing is queued, so a dead peer gets no stale messages.
         socket.immediate = True
+        # Only the sending side pings, since the other one has nothing to send again.
+        socket.heartbeat_ivl = PING_INTERVAL_MS
+        socket.heartbeat_timeout = PING_TIMEOUT_MS
         socket.curve_serverkey = self._keys.public.encode()
         socket.curve_publickey = self._keys.public.encode()
         socket.curve_secretkey = self._keys.secret.encode()
@@ -220,8 +237,7 @@
     socket.sndhwm = QUEUED_MESSAGES
     socket.rcvhwm = QUEUED_MESSAGES
     socket.maxmsgsize = LARGEST_MESSAGE_BYTES
-    socket.heartbeat_ivl = PING_INTERVAL_MS
-    socket.heartbeat_timeout = PING_TIMEOUT_MS
+    socket.tcp_keepalive = 1
     socket.handshake_ivl = HANDSHAKE_TIMEOUT_MS
     socket.reconnect_ivl = RECONNECT_MS
     socket.reconnect_ivl_max = LONGEST_RECONNECT_MS
