Share usage between processes; keep held workers when the VM list drops them; slow log

Cause: the scheduler sees reports only of the workers that it holds, so most workers looked free of services; a worker that the VM list dropped lost its lease; records expired before a slow log (5 s an append) took them; a holder of another domain renewed under its own domain's name. Ruled out: reports through the log, since they are large and soon old; peers carry a summary of at most about 1 KB instead. usage_summary and take_usage_summary still have to be wired to the peers. Shown to fail with the code broken on purpose: VM list rules, adapter without memory, own domain, summaries not merged, loads ignored, retries and proposals that expire early. Not shown: the life of a queued record (15 s), whose shortening only slows tasks down.

--- a/dotterelhill/batch/execution.py
+++ b/dotterelhill/batch/execution.py
@@ -58,7 +58,8 @@
 START_EVIDENCE_SECONDS = 3.0
 MESSAGE_RETRY_SECONDS = 1.0
 # A record that the ledger does not show is appended again when the log was read this much later.
-APPEND_RETRY_SECONDS = 2.0
+# It is above the time that a slow log takes for an append (5 s).
+APPEND_RETRY_SECONDS = 8.0
 # Bounds the loop time of one tick in a burst of cancellations.
 STOPS_PER_TICK = 100
 
--- a/dotterelhill/batch/feed.py
+++ b/dotterelhill/batch/feed.py
@@ -29,6 +29,7 @@
         self._tasks: dict[str, None] = {}
         self._workers: dict[str, None] = {}
         self._ended: list[Stopped] = []
+        self._refused: list[Assign] = []
         self._is_all_changed = True
 
     @property
@@ -44,6 +45,8 @@
     def note(self, verdict: RecordVerdict) -> None:
         """Remember what a folded record has touched."""
         if not verdict.is_accepted:
+            if isinstance(verdict.record, Assign):
+                self._refused.append(verdict.record)
             return
         match verdict.record:
             case Assign(task=task):
@@ -72,6 +75,12 @@
         self._ended = []
         return ended
 
+    def take_refused(self) -> list[Assign]:
+        """Return the refused assignments of all writers since the last call."""
+        refused = self._refused
+        self._refused = []
+        return refused
+
     def take_tasks(self) -> list[str]:
         """Return the touched tasks since the last call."""
         tasks = list(self._tasks)
--- a/dotterelhill/batch/interference.py
+++ b/dotterelhill/batch/interference.py
@@ -107,13 +107,13 @@
         seen = max(LEAST_NOISE_VARIANCE, surprise * surprise - spread)
         self._noise[service] = noise + NOISE_SMOOTHING * (seen - noise)
 
-    def merge(self, effects: Mapping[Pair, Effect]) -> None:
-        """Take over estimates of a peer that are newer than those here."""
-        for pair, effect in effects.items():
-            known = self._effects.get(pair)
-            if known is None or effect.variance < known.variance:
-                self._effects[pair] = effect
-                self._planned.pop(pair, None)
+    def merge(self, effects: Mapping[Pair, Effect], now: float) -> None:
+        """Take over estimates of a peer that are more certain now than those here."""
+        for (service, job), effect in effects.items():
+            grown = effect.variance + VARIANCE_GROWTH * max(0.0, now - effect.updated_at)
+            if grown < self.effect(service, job, now).variance:
+                self._effects[service, job] = effect
+                self._planned.pop((service, job), None)
 
     @property
     def effects(self) -> Mapping[Pair, Effect]:
--- a/dotterelhill/batch/placement.py
+++ b/dotterelhill/batch/placement.py
@@ -25,7 +25,9 @@
 # Jobs that may fail to find a worker in one round of a priority.
 MISSES_PER_ROUND = 64
 # An assignment that the ledger does not show is given up when the log was read this much later.
-PROPOSAL_SECONDS = 2.0
+# It is above the time that a slow log takes for an append (5 s).
+PROPOSAL_SECONDS = 8.0
+REFUSED_SECONDS = 1.0
 # Planned slow-down of a service on one machine by all batch tasks together.
 TOLERATED_EFFECT = log(1.08)
 # A pair is a trial while its estimate is this uncertain (standard deviation of the logarithm).
@@ -40,7 +42,7 @@
 PREEMPTIONS_PER_TICK = 8
 PREEMPTION_CANDIDATES = 24
 EVICTION_SECONDS = 10.0
-LOST_RETRY_SECONDS = 2.0
+LOST_RETRY_SECONDS = 8.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,14 +69,19 @@
     jobs: Mapping[str, float]
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class _Proposal:
+    """An assignment that the ledger has not shown yet.
+
+    :param expires_at: evidence time at which it is given up
+    """
+
     task: PendingTask
     worker: str
     member: str
     team: str
     reserved: Resources
-    proposed_at: float
+    expires_at: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -297,21 +304,33 @@
 
     def measure(self, report: MeasuredWorker, now: float) -> None:
         """Take over a usage report."""
-        node = self._nodes.get(report.worker)
         for service, load in report.loads.items():
             slow_down = report.slow_downs.get(service, 1.0)
             self.interference.observe(service, load, slow_down, report.jobs, now)
-            if node is not None:
-                kept = node.services.get(service, 0.0)
-                elapsed = now - node.measured_at
-                fading = max(0.0, 1.0 - elapsed / LOAD_MEMORY_SECONDS)
-                node.services[service] = max(load, kept * fading)
-        if node is not None:
-            node.measured_at = now
-            for service in node.services.keys() - report.loads.keys():
-                del node.services[service]
-            self._plan_effects(node, now)
-            self._is_changed = True
+        self.set_loads(report.worker, report.loads, now)
+
+    def set_loads(self, worker: str, loads: Mapping[str, float], now: float) -> None:
+        """Take over the loads of the services on a worker; a high load counts for a while."""
+        node = self._nodes.get(worker)
+        if node is None:
+            return
+        fading = max(0.0, 1.0 - (now - node.measured_at) / LOAD_MEMORY_SECONDS)
+        node.services = {
+            service: max(load, node.services.get(service, 0.0) * fading)
+            for service, load in loads.items()
+        }
+        node.measured_at = now
+        self._plan_effects(node, now)
+        self._is_changed = True
+
+    def refuse(self, task: str, worker: str, now: float) -> None:
+        """Give up an assignment that the ledger has refused, after a second.
+
+        A worker whose room the ledger counts differently is then not proposed at each tick.
+        """
+        proposal = self._proposals.get(task)
+        if proposal is not None and proposal.worker == worker:
+            proposal.expires_at = min(proposal.expires_at, now + REFUSED_SECONDS)
 
     def tick(self, now: float, evidence_at: float) -> list[Append | EvictTask]:
         """Return the records and evictions of this moment.
@@ -462,7 +481,7 @@
         job, worker = queue.job, node.facts.name
         self._queue.remove(task.task, queue.name)
         self._proposals[task.task] = _Proposal(
-            task, worker, job.member, job.team, queue.needed, now
+            task, worker, job.member, job.team, queue.needed, now + PROPOSAL_SECONDS
         )
         self._quotas.add(job.member, job.team, queue.needed)
         is_urgent = job.priority is Priority.URGENT
@@ -526,9 +545,7 @@
 
     def _expire_proposals(self, now: float, evidence_at: float) -> None:
         expired = [
-            proposal
-            for proposal in self._proposals.values()
-            if evidence_at >= proposal.proposed_at + PROPOSAL_SECONDS
+            proposal for proposal in self._proposals.values() if evidence_at >= proposal.expires_at
         ]
         for proposal in expired:
             self._withdraw_proposal(proposal.task.task)
--- a/dotterelhill/batch/service.py
+++ b/dotterelhill/batch/service.py
@@ -36,6 +36,7 @@
 from dotterelhill.batch.feed import LedgerFeed
 from dotterelhill.batch.interface import Appender, Assignment, LedgerView
 from dotterelhill.batch.placement import EvictTask, MeasuredWorker, Placement, job_of
+from dotterelhill.batch.sharing import Sharing, decoded_summary, effects_of
 from dotterelhill.batch.throttling import ThrottleTask, Throttling
 from dotterelhill.batch.worker import (
     Refusal,
@@ -59,8 +60,9 @@
 HOLDINGS_SECONDS = 0.5
 # Stops in progress at once. Renewals and starts don't wait, also not behind a burst of stops.
 STOPS_IN_PROGRESS = 64
-# A record that the log has not taken by then is decided anew.
-RECORD_SECONDS = 2.0
+# A record that the log has not taken by then is decided anew. It is above twice the time that a
+# slow log takes for an append (5 s), since one append is in flight at a time.
+RECORD_SECONDS = 15.0
 
 _log = Logger(__name__)
 
@@ -92,6 +94,7 @@
         is_scheduler: Callable[[], bool],
     ) -> None:
         super().__init__()
+        self._incarnation = incarnation
         self._failure_domain = failure_domain
         self._feed = LedgerFeed(ledger)
         self._manifests = manifests
@@ -110,6 +113,9 @@
         self._in_progress: set[tuple[object, ...]] = set()
         self._stop_slots: asyncio.Semaphore | None = None
         self._capacity_at: dict[str, float] = {}
+        self._adapters: dict[str, Worker] = {}
+        self._loads: dict[str, Mapping[str, float]] = {}
+        self._sharing = Sharing()
         self._counts = {"starts": 0, "stops": 0, "evictions": 0, "records_not_taken": 0}
 
     @property
@@ -144,6 +150,22 @@
         """Read the ledger anew, after a snapshot was restored."""
         self._feed.note_all()
 
+    def usage_summary(self) -> bytes:
+        """Return what this process knows of usage, for its peers; about every 5 s is enough."""
+        effects = self._placement.interference.effects
+        return self._sharing.encoded_summary(self._loads, effects, self.loop.time())
+
+    def take_usage_summary(self, data: bytes) -> None:
+        """Take over a peer's summary; an unreadable one is ignored."""
+        summary = decoded_summary(data)
+        if summary is None:
+            return
+        now = self.loop.time()
+        self._placement.interference.merge(effects_of(summary, now), now)
+        for worker, loads in summary.loads.items():
+            if worker not in self._held:
+                self._placement.set_loads(worker, loads, now)
+
     @mode.Service.task
     async def _tick_until_stopped(self) -> None:
         self._stop_slots = asyncio.Semaphore(STOPS_IN_PROGRESS)
@@ -201,6 +223,9 @@
             self._placement.end_running(
                 stopped.task, stopped.token, stopped.outcome, stopped.checkpoint, now
             )
+        for refused in self._feed.take_refused():
+            if refused.writer == self._incarnation:
+                self._placement.refuse(refused.task, refused.worker, now)
         if self._feed.take_all_changed():
             self._feed.take_tasks()
             self._feed.take_workers()
@@ -260,13 +285,16 @@
             return
         self._holdings_at = now
         held = {}
-        for name in self._worker_names():
+        # The VM list only adds names: a held worker that it drops keeps its lease.
+        workers = self._feed.ledger.placements.workers
+        for name in {*self._worker_names(), *workers, *self._held}:
             token = self._holdings.worker_token(name)
             if token is not None:
                 held[name] = token
         for name in self._held.keys() - held.keys():
             self._execution.decide(WorkerUnheld(name), now)
             self._throttling.forget_worker(name)
+            self._loads.pop(name, None)
         taken = [name for name, token in held.items() if self._held.get(name) != token]
         self._held = held
         for name in taken:
@@ -280,7 +308,9 @@
             return
         facts = self._feed.facts(name)
         is_fenced = facts is not None and facts.is_fenced
-        event = WorkerHeld(name, self._failure_domain, token, is_fenced)
+        # A process of another domain holds workers of a domain in which none has joined.
+        failure_domain = facts.failure_domain if facts is not None else self._failure_domain
+        event = WorkerHeld(name, failure_domain, token, is_fenced)
         self._execution.decide(event, self.loop.time())
 
     def _submit(self, record: ControlRecord, now: float) -> None:
@@ -325,9 +355,18 @@
         finally:
             self._in_progress.discard(key)
 
+    def _adapter(self, name: str) -> Worker:
+        """Return the adapter, the last one when the VM list does not name the worker now."""
+        try:
+            self._adapters[name] = self._worker_of(name)
+        except LookupError:
+            if name not in self._adapters:
+                raise WorkerError(f"no address of worker {name}") from None
+        return self._adapters[name]
+
     async def _read_clock(self, action: ReadClock) -> None:
         try:
-            answer = await self._worker_of(action.worker).read_clock()
+            answer = await self._adapter(action.worker).read_clock()
         except WorkerError:
             return
         now = self.loop.time()
@@ -360,7 +399,7 @@
     async def _renew_lease(self, action: RenewLease) -> None:
         sent_at = self.loop.time()
         try:
-            answer = await self._worker_of(action.worker).renew_lease(
+            answer = await self._adapter(action.worker).renew_lease(
                 action.token, action.seconds, action.not_after, action.boot, action.failure_domain
             )
         except WorkerError:
@@ -392,6 +431,7 @@
             weights,
         )
         self._placement.measure(measured, now)
+        self._loads[worker] = measured.loads
         running = {
             run.task: assignment
             for run in report.runs
@@ -409,7 +449,7 @@
 
     async def _start(self, action: StartTask) -> None:
         try:
-            answer = await self._worker_of(action.worker).start(
+            answer = await self._adapter(action.worker).start(
                 action.task,
                 action.token,
                 action.not_after,
@@ -426,7 +466,7 @@
 
     async def _stop(self, action: StopTask) -> None:
         try:
-            answer = await self._worker_of(action.worker).stop(
+            answer = await self._adapter(action.worker).stop(
                 action.task, action.token, keeps_work=action.keeps_work
             )
         except WorkerError:
@@ -448,13 +488,13 @@
 
     async def _forget(self, action: ForgetTask) -> None:
         try:
-            await self._worker_of(action.worker).forget(action.task, action.token)
+            await self._adapter(action.worker).forget(action.task, action.token)
         except WorkerError:
             return
 
     async def _throttle(self, action: ThrottleTask) -> None:
         try:
-            await self._worker_of(action.worker).throttle(action.task, action.token, action.speed)
+            await self._adapter(action.worker).throttle(action.task, action.token, action.speed)
         except WorkerError:
             return
 
@@ -468,7 +508,7 @@
     async def _evict_at(self, action: EvictTask) -> None:
         """Stop a task on a worker of another holder; the worker's answer allows the move."""
         try:
-            answer = await self._worker_of(action.worker).stop(
+            answer = await self._adapter(action.worker).stop(
                 action.task, action.token, keeps_work=True
             )
         except WorkerError:
--- a/dotterelhill/batch/tests/steps/execution_steps.py
+++ b/dotterelhill/batch/tests/steps/execution_steps.py
@@ -3,6 +3,7 @@
 from behave import given, step, then, when
 
 from dotterelhill.batch.tests.world import World
+from dotterelhill.ledger import Assign, Stopped, decode_record
 
 
 def world_of(context) -> World:
@@ -80,6 +81,49 @@
     context.world.processes[name].is_scheduler = True
 
 
+@when("the VM list names no worker")
+def empty_vm_list(context):
+    for process in context.world.processes.values():
+        process.is_vm_list_empty = True
+
+
+@then("the log holds at most {count:d} records of tasks")
+def check_records(context, count):
+    records = [decode_record(data) for data in context.world.log]
+    found = [record for record in records if isinstance(record, Assign | Stopped)]
+    assert len(found) <= count, found
+
+
+@given('service "{service}" with load {load:g} on "{worker}" is slowed to {factor:g} by "{job}"')
+def run_service_on(context, service, load, worker, factor, job):
+    behaviour = context.world.workers[worker].behaviour
+    behaviour.services = {service: load}
+    behaviour.slow_downs = {f"{service}|{job}": factor}
+
+
+@when('"{teller}" tells "{listener}" its usage')
+def tell_usage(context, teller, listener):
+    async def tell() -> None:
+        summary = context.world.processes[teller].batch.usage_summary()
+        assert len(summary) < 1000
+        context.world.processes[listener].batch.take_usage_summary(summary)
+
+    context.world.loop.run_until_complete(tell())
+
+
+@when('"{listener}" is told an unreadable usage summary')
+def tell_garbage(context, listener):
+    context.world.processes[listener].batch.take_usage_summary(b"\x93garbage")
+
+
+@then('"{name}" knows load {load:g} of "{service}" on "{worker}" and that "{job}" slows it')
+def check_known_usage(context, name, load, service, worker, job):
+    placement = context.world.processes[name].batch.placement
+    assert placement.nodes.get(worker).services == {service: load}
+    effect = placement.interference.effect(service, job, context.world.loop.time())
+    assert effect.mean > 0.2, effect
+
+
 @given("each append takes {seconds:g} s")
 def slow_appends(context, seconds):
     context.world.append_seconds = seconds
@@ -116,6 +160,7 @@
     context.world.late_answers["start"] = seconds
 
 
+@step("the next {count:d} answers to an {kind} are lost")
 @step("the next {count:d} answers to a {kind} are lost")
 def lose_answers(context, count, kind):
     context.world.lost_answers[kind] = count
@@ -192,6 +237,12 @@
     context.out_at = world.loop.time()
 
 
+@when('failure domain "{domain}" is put back in')
+def put_in(context, domain):
+    context.world.document["failure_domains"][domain]["state"] = "in"
+    context.world.publish()
+
+
 @when("the process that sends a start is paused before it is delivered")
 def pause_sender(context):
     world = context.world
