--- a/dotterelhill/entry/process.py
+++ b/dotterelhill/entry/process.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import signal
+from collections.abc import Mapping, Sequence
 from dataclasses import asdict
 from hashlib import blake2b
 from random import Random
@@ -13,16 +14,19 @@
 
 from dotterelhill.batch import Batch, HttpWorker
 from dotterelhill.core import new_incarnation_id
-from dotterelhill.entry.admin import AdminServer, AdminSources, RelayableManifest
-from dotterelhill.entry.feeds import ConfigFeed, ControlFeed
+from dotterelhill.entry.admin import AdminServer, AdminSources, Explanation, RelayableManifest
+from dotterelhill.entry.explanations import ledger_explainers
 from dotterelhill.entry.logs import logger_of, start_logging
 from dotterelhill.entry.metrics import LocalMetrics, MetricsFlusher, metrics_for
+from dotterelhill.entry.relaying import RelayingAppender
 from dotterelhill.entry.settings import EntrySettings
 from dotterelhill.holdings import Holdings
-from dotterelhill.ledger import RecordVerdict
-from dotterelhill.log.appender import BatchedAppender
-from dotterelhill.log.http import HttpLog
+from dotterelhill.ledger import ControlFeed, ControlRelay, FeedUpdate, Holders, SnapshotWriter
+from dotterelhill.ledger.state import Ended, Holding, Incarnation
+from dotterelhill.log import BatchedAppender, HttpLog, LogRecord
+from dotterelhill.manifest.feed import ConfigFeed
 from dotterelhill.membership import Peer
+from dotterelhill.membership.heartbeats import Heartbeat
 from dotterelhill.membership.service import Membership, MembershipHooks, MembershipSettings
 from dotterelhill.membership.transport import CurveKeys, ZmqTransport
 from dotterelhill.membership.view import OwnState
@@ -57,6 +61,32 @@
         return self.membership.leaving_vms() if self.membership else frozenset()
 
 
+class _PresentHolders:
+    """Holders of the present ledger, which is replaced when a snapshot is restored."""
+
+    def __init__(self, feed: ControlFeed) -> None:
+        self._feed = feed
+
+    @property
+    def joined(self) -> Mapping[str, Incarnation]:
+        return self._holders.joined
+
+    @property
+    def ended(self) -> Mapping[str, Ended]:
+        return self._holders.ended
+
+    @property
+    def holdings(self) -> Mapping[str, Holding]:
+        return self._holders.holdings
+
+    @property
+    def _holders(self) -> Holders:
+        return self._feed.ledger.holders
+
+    def previous_token(self, resource: str) -> int:
+        return self._holders.previous_token(resource)
+
+
 class EntryProcess(mode.Service):
     """All slices of one entry process.
 
@@ -78,12 +108,21 @@
             spacing_seconds=CONTROL_SPACING_SECONDS,
             rng=self._random,
         )
-        self._config = ConfigFeed(self._log_adapter, self._random)
-        self._control = ControlFeed(self._log_adapter, self._config, self._appender, self._random)
+        self._relaying = RelayingAppender(self._appender, self._random)
+        self._config = ConfigFeed(self._log_adapter, rng=self._random)
+        self._control = ControlFeed(
+            self._log_adapter, self._config, append=self._appender.submit, rng=self._random
+        )
+        self._snapshots = SnapshotWriter(
+            self._log_adapter,
+            self._control,
+            retention_seconds=settings.log_retention_seconds,
+            rng=self._random,
+        )
         self._holdings = Holdings(
             settings.entry_name,
             settings.failure_domain,
-            self._control.ledger.holders,
+            _PresentHolders(self._control),
             self._appender,
             self._peers,
             self._in_flight_at,
@@ -103,7 +142,7 @@
             ledger=self._control,
             manifests=self._config,
             holdings=self._holdings,
-            appender=self._appender,
+            appender=self._relaying,
             worker_names=self._worker_names,
             worker_of=self._worker_of,
             is_scheduler=self._is_scheduler,
@@ -143,10 +182,11 @@
             await self.add_runtime_dependency(service)
         self._membership = self._new_membership()
         self._peers.membership = self._membership
+        self._relaying.connect(self._membership)
         others: tuple[mode.Service, ...] = (
             self._membership,
-            self._config,
             self._control,
+            self._snapshots,
             self._holdings,
             self._batch,
             self._admin,
@@ -196,24 +236,53 @@
             own_state=self._own_state,
             promise_to=self._holdings.promise_to,
             manifest_record=self._manifest_record,
-            on_heartbeat=self._holdings.on_heartbeat,
+            control_records=self._control_records,
+            on_heartbeat=self._take_heartbeat,
             on_live_changed=self._holdings.on_live_changed,
-            on_manifest=self._config.apply_relayed,
+            on_manifest=self._config.accept_relayed,
+            on_records=self._take_relayed_records,
+            on_append_wanted=self._relaying.append_for_peer,
             on_vms=self._take_vms,
         )
         vm_list = HttpVmList(settings.vm_list_url, self._session)
         return Membership(place, self._transport, vm_list, hooks)
 
     def _connect_feeds(self) -> None:
-        self._config.on_change(lambda accepted: self._holdings.on_manifest(accepted.manifest))
-        self._control.on_verdict(self._take_verdict)
-        self._control.on_evidence(self._holdings.on_evidence)
+        self._config.add_listener(lambda accepted: self._holdings.on_manifest(accepted.manifest))
+        self._control.add_listener(self._take_update)
+
+    def _take_update(self, update: FeedUpdate) -> None:
+        through = self._control.ledger.read_offset
+        if update.is_restored:
+            self._holdings.on_loaded(through)
+            self._batch.note_all()
+        for verdict in update.verdicts:
+            if verdict.is_accepted and verdict.record is not None:
+                self._holdings.on_accepted(verdict.offset, verdict.record)
+            self._batch.note(verdict)
+        self._holdings.on_folded(through)
+        if update.evidence_at > float("-inf"):
+            self._holdings.on_evidence(update.evidence_at, through)
+        self._relaying.note_read(self._control.read_evidence_at)
+        self._snapshots.set_active(self._is_scheduler())
+
+    def _take_heartbeat(self, heartbeat: Heartbeat) -> None:
+        self._holdings.on_heartbeat(heartbeat)
+        if not heartbeat.echo:
+            return
+        self._config.accept_evidence(
+            heartbeat.manifest_version, heartbeat.config_age, heartbeat.echo
+        )
+        self._control.accept_evidence(
+            heartbeat.control_through, heartbeat.control_age, heartbeat.echo
+        )
 
-    def _take_verdict(self, verdict: RecordVerdict) -> None:
-        if verdict.is_accepted and verdict.record is not None:
-            self._holdings.on_accepted(verdict.offset, verdict.record)
-        self._holdings.on_folded(verdict.offset)
-        self._batch.note(verdict)
+    def _control_records(self, start: int, limit: int) -> tuple[LogRecord, ...]:
+        relay = self._control.relay_after(start - 1)
+        return relay.records[:limit] if relay else ()
+
+    def _take_relayed_records(self, start: int, through: int, records: Sequence[LogRecord]) -> None:
+        self._control.accept_relay(ControlRelay(start - 1, tuple(records)))
 
     def _receive(self, message: object) -> None:
         if self._peers.membership is not None:
@@ -256,7 +325,7 @@
         now = self.loop.time()
         return OwnState(
             is_ready=not self._unready_reasons(),
-            manifest_version=self._config.history.version,
+            manifest_version=self._config.version,
             control_offset=self._holdings.through,
             control_through=self._holdings.through,
             config_age=now - self._config.evidence_at,
@@ -274,8 +343,8 @@
             reasons.append("this process stops")
         if self._config.current is None:
             reasons.append("no manifest is known")
-        if not self._control.is_caught_up:
-            reasons.append("the control stream has not been read to its end")
+        if not self._control.is_restored:
+            reasons.append(self._control.problem)
         return tuple(reasons)
 
     def _admin_sources(self) -> AdminSources:
@@ -283,17 +352,53 @@
             readiness=self._unready_reasons,
             state_parts={
                 "process": lambda: {"incarnation": self._incarnation},
-                "manifest": lambda: {"version": self._config.history.version},
+                "manifest": self._manifest_state,
                 "holdings": self._holdings_state,
                 "requests": self._requests.dump,
                 "batch": self._batch.dump,
-                "ledger": lambda: self._control.ledger.counts,
+                "ledger": self._ledger_state,
+                "relaying": lambda: dict(self._relaying.counts),
                 "metrics": lambda: self._metrics.state,
                 "peers": lambda: [asdict(peer) for peer in self._live_peers()],
             },
+            explainers={"job": self._explained_job, "worker": self._explained_worker},
             manifest=self._relayable_manifest,
         )
 
+    def _explained_job(self, name: str) -> Explanation | None:
+        return self._explained("job", name)
+
+    def _explained_worker(self, name: str) -> Explanation | None:
+        return self._explained("worker", name)
+
+    def _explained(self, kind: str, name: str) -> Explanation | None:
+        ledger = self._control.ledger
+        explainers = ledger_explainers(
+            ledger.placements, ledger.holders, lambda: self._batch.placement.infeasible_jobs
+        )
+        return explainers[kind](name)
+
+    def _manifest_state(self) -> dict[str, object]:
+        now = self.loop.time()
+        return {
+            "version": self._config.version,
+            "evidence_age_seconds": now - self._config.evidence_at,
+            "refused_relays": self._config.refused_relays,
+        }
+
+    def _ledger_state(self) -> dict[str, object]:
+        ledger = self._control.ledger
+        return {
+            "counts": ledger.counts,
+            "read_offset": ledger.read_offset,
+            "adopted_version": ledger.adopted_version,
+            "evidence_age_seconds": self.loop.time() - self._control.evidence_at,
+            "problem": self._control.problem,
+            "snapshots_written": self._snapshots.written,
+            "appends": self._appender.counts,
+            "append_error": self._appender.last_error,
+        }
+
     def _live_peers(self) -> tuple[Peer, ...]:
         return self._peers.live_peers(self.loop.time())
 
--- a/dotterelhill/entry/settings.py
+++ b/dotterelhill/entry/settings.py
@@ -118,6 +118,13 @@
         "HMAC key of requests between entry processes",
         f"at least {SMALLEST_DEPLOYMENT_KEY_CHARACTERS} characters",
     )
+    log_retention_seconds: Annotated[float, Field(ge=600, le=31_536_000, allow_inf_nan=False)] = (
+        _setting(
+            "seconds for which the log keeps records",
+            "a number from 600 to 31536000",
+            86_400.0,
+        )
+    )
     statsd_host: Annotated[str, AfterValidator(_checked_optional_address)] = _setting(
         "address of the statsd server", "an IP address; empty sends no metrics", ""
     )
--- a/dotterelhill/ledger/feed.py
+++ b/dotterelhill/ledger/feed.py
@@ -164,6 +164,11 @@
         """Return the loop time up to which every control record is folded."""
         return self._evidence_at
 
+    @property
+    def read_evidence_at(self) -> float:
+        """Return the loop time before the newest read that this process itself sent."""
+        return self._read_evidence
+
     @property
     def is_restored(self) -> bool:
         """Return whether there is a state to serve from; it may be older than the log."""
--- a/dotterelhill/membership/heartbeats.py
+++ b/dotterelhill/membership/heartbeats.py
@@ -102,11 +102,21 @@
     records: list[tuple[int, bytes]]
 
 
-PeerMessage = Heartbeat | ManifestRecord | RecordsWanted | Records
+class AppendWanted(Message, frozen=True, tag=True):
+    """Records for ``control`` of a process that can't reach the log.
+
+    The message may be lost or repeated: the verdict of each record makes a repeat harmless, and the
+    sender reads the stream, relayed if need be, to learn what became of them.
+    """
+
+    records: list[bytes]
+
+
+PeerMessage = Heartbeat | ManifestRecord | RecordsWanted | Records | AppendWanted
 
 _MESSAGES = msgspec.msgpack.Decoder(PeerMessage)
 _KNOWN_TYPES = frozenset(
-    kind.__name__ for kind in (Heartbeat, ManifestRecord, RecordsWanted, Records)
+    kind.__name__ for kind in (Heartbeat, ManifestRecord, RecordsWanted, Records, AppendWanted)
 )
 
 
--- a/dotterelhill/membership/service.py
+++ b/dotterelhill/membership/service.py
@@ -12,6 +12,7 @@
 
 from dotterelhill.log.interface import LogRecord
 from dotterelhill.membership.heartbeats import (
+    AppendWanted,
     Heartbeat,
     ManifestRecord,
     PeerMessage,
@@ -73,6 +74,7 @@
     :param on_live_changed: live incarnations of the own domain, this one included
     :param on_manifest: a peer relayed version and record of a manifest
     :param on_records: a peer relayed records from ``start`` through an offset
+    :param on_append_wanted: a peer that can't reach the log asks to append records to ``control``
     :param on_vms: the VM list changed
     """
 
@@ -82,10 +84,11 @@
     control_records: Callable[[int, int], Sequence[LogRecord]] = lambda start, limit: ()
     on_heartbeat: Callable[[Heartbeat], None] = lambda heartbeat: None
     on_live_changed: Callable[[frozenset[str]], None] = lambda incarnations: None
-    on_manifest: Callable[[int, bytes], None] = lambda version, record: None
+    on_manifest: Callable[[int, bytes], object] = lambda version, record: None
     on_records: Callable[[int, int, Sequence[LogRecord]], None] = lambda start, through, records: (
         None
     )
+    on_append_wanted: Callable[[Sequence[bytes]], None] = lambda records: None
     on_vms: Callable[[tuple[Vm, ...]], None] = lambda vms: None
 
 
@@ -130,7 +133,8 @@
 
     @property
     def counts(self) -> Counter[str]:
-        """Return the counters ``vm_list_failed``, ``heartbeats``, ``manifests`` and ``records``."""
+        """Return the counters ``vm_list_failed``, ``heartbeats``, ``manifests``, ``records`` and
+        ``appends``."""
         return self._counts
 
     @property
@@ -147,6 +151,10 @@
         """Return the live peers: 3 s in the own domain, 7 s in others, see ``view``."""
         return self._decision.live_peers(now)
 
+    def addresses_outside(self, now: float) -> tuple[str, ...]:
+        """Return the peer addresses of live processes in other failure domains."""
+        return self._decision.addresses_outside(now)
+
     def leaving_vms(self) -> frozenset[str]:
         """Return the names that the VM list marks as leaving."""
         return self._decision.leaving_vms()
@@ -163,11 +171,19 @@
                 self._hooks.on_manifest(message.manifest_version, message.record)
             case RecordsWanted():
                 self._send_records(message)
+            case AppendWanted():
+                self._counts["appends"] += len(message.records)
+                self._hooks.on_append_wanted(message.records)
             case Records():
                 self._counts["records"] += len(message.records)
                 records = [LogRecord(offset, data) for offset, data in message.records]
                 self._hooks.on_records(message.start, message.through, records)
 
+    def ask_to_append(self, address: str, records: Sequence[bytes]) -> bool:
+        """Return whether the request to append ``control`` records was queued for a peer."""
+        wanted = AppendWanted(sender=self.incarnation, records=list(records))
+        return self._transport.send(address, wanted)
+
     def ask_for_records(self, address: str, start: int) -> bool:
         """Return whether the request for ``control`` records from ``start`` on was queued."""
         wanted = RecordsWanted(
--- a/dotterelhill/membership/view.py
+++ b/dotterelhill/membership/view.py
@@ -210,6 +210,17 @@
             if self._is_alive(known, now)
         )
 
+    def addresses_outside(self, now: float) -> tuple[str, ...]:
+        """Return the peer addresses of live processes in other failure domains.
+
+        They may reach the log when the own domain can't.
+        """
+        return tuple(
+            known.summary.peer_address
+            for known in self._known.values()
+            if known.summary.failure_domain != self._failure_domain and self._is_alive(known, now)
+        )
+
     def live_in_domain(self, now: float) -> frozenset[str]:
         """Return the live incarnations of the own domain, this one included."""
         return frozenset(self._live_of(self._failure_domain, now))
