Record decisions, send metrics and explain jobs from a running entry process

Cause: the settings for traces had no effect, no metric was sent, and explain knew no kind, because the composed process did not connect these parts. Before: trace_file ignored.

--- a/dotterelhill/batch/service.py
+++ b/dotterelhill/batch/service.py
@@ -78,6 +78,7 @@
     :param worker_names: returns the names of the workers that the platform has
     :param worker_of: returns the adapter for a worker's name
     :param is_scheduler: returns whether this process is the preferred scheduler now
+    :param execution: the holder's decision code, or a recorder around it
     """
 
     def __init__(
@@ -92,6 +93,7 @@
         worker_names: Callable[[], Iterable[str]],
         worker_of: Callable[[str], Worker],
         is_scheduler: Callable[[], bool],
+        execution: Execution | None = None,
     ) -> None:
         super().__init__()
         self._incarnation = incarnation
@@ -103,7 +105,7 @@
         self._worker_names = worker_names
         self._worker_of = worker_of
         self._is_scheduler = is_scheduler
-        self._execution = Execution()
+        self._execution = execution or Execution()
         self._placement = Placement(incarnation)
         self._throttling = Throttling(self._placement.interference)
         self._held: dict[str, int] = {}
--- a/dotterelhill/entry/process.py
+++ b/dotterelhill/entry/process.py
@@ -5,21 +5,22 @@
 import asyncio
 import signal
 from collections.abc import Mapping, Sequence
-from dataclasses import asdict
 from hashlib import blake2b
 from random import Random
+from typing import Any
 
 import aiohttp
 import mode
 
 from dotterelhill.batch import Batch, HttpWorker
 from dotterelhill.core import new_incarnation_id
-from dotterelhill.entry.admin import AdminServer, AdminSources, Explanation, RelayableManifest
-from dotterelhill.entry.explanations import ledger_explainers
+from dotterelhill.entry.admin import AdminServer
+from dotterelhill.entry.inspection import admin_sources, connect_metrics
 from dotterelhill.entry.logs import logger_of, start_logging
 from dotterelhill.entry.metrics import LocalMetrics, MetricsFlusher, metrics_for
 from dotterelhill.entry.relaying import RelayingAppender
 from dotterelhill.entry.settings import EntrySettings
+from dotterelhill.entry.slices import Slices
 from dotterelhill.holdings import Holdings
 from dotterelhill.ledger import ControlFeed, ControlRelay, FeedUpdate, Holders, SnapshotWriter
 from dotterelhill.ledger.state import Ended, Holding, Incarnation
@@ -31,6 +32,11 @@
 from dotterelhill.membership.transport import CurveKeys, ZmqTransport
 from dotterelhill.membership.view import OwnState
 from dotterelhill.membership.vm_list import HttpVmList, VmRole
+from dotterelhill.replay.execution_slice import ExecutionArguments
+from dotterelhill.replay.holdings_slice import HoldingsArguments
+from dotterelhill.replay.membership_slice import MembershipArguments
+from dotterelhill.replay.recorder import open_recorder
+from dotterelhill.replay.slices import registered_slice
 from dotterelhill.requests import Requests, RequestsSettings
 
 CONTROL_STREAM = "control"
@@ -127,6 +133,10 @@
             self._peers,
             self._in_flight_at,
             self._close_idle,
+            decision=self._decision_of(
+                "holdings",
+                HoldingsArguments(self._incarnation, settings.entry_name, settings.failure_domain),
+            ),
         )
         self._requests = Requests(
             self._requests_settings(),
@@ -146,13 +156,13 @@
             worker_names=self._worker_names,
             worker_of=self._worker_of,
             is_scheduler=self._is_scheduler,
+            execution=self._decision_of("execution", ExecutionArguments()),
         )
         self._transport = ZmqTransport(
             f"{settings.listen_host}:{settings.peer_port}",
             CurveKeys(settings.peer_public_key, settings.peer_secret_key.get_secret_value()),
             self._receive,
         )
-        self._admin = AdminServer(settings.admin_host, settings.admin_port, self._admin_sources())
         self._workers: dict[str, HttpWorker] = {}
         self._worker_addresses: dict[str, str] = {}
         self._is_stopping = False
@@ -183,6 +193,13 @@
         self._membership = self._new_membership()
         self._peers.membership = self._membership
         self._relaying.connect(self._membership)
+        slices = self._slices()
+        connect_metrics(slices)
+        self._admin = AdminServer(
+            self._settings.admin_host,
+            self._settings.admin_port,
+            admin_sources(slices, self._unready_reasons),
+        )
         others: tuple[mode.Service, ...] = (
             self._membership,
             self._control,
@@ -211,6 +228,22 @@
         await self._session.close()
         await self._log_adapter.close()
 
+    def _slices(self) -> Slices:
+        return Slices(
+            incarnation=self._incarnation,
+            appender=self._appender,
+            relaying=self._relaying,
+            config=self._config,
+            control=self._control,
+            snapshots=self._snapshots,
+            holdings=self._holdings,
+            requests=self._requests,
+            batch=self._batch,
+            membership=self._membership,
+            transport=self._transport,
+            metrics=self._metrics,
+        )
+
     def _requests_settings(self) -> RequestsSettings:
         settings = self._settings
         return RequestsSettings(
@@ -245,7 +278,16 @@
             on_vms=self._take_vms,
         )
         vm_list = HttpVmList(settings.vm_list_url, self._session)
-        return Membership(place, self._transport, vm_list, hooks)
+        arguments = MembershipArguments(
+            place.incarnation,
+            place.failure_domain,
+            place.region,
+            place.peer_address,
+            place.forward_address,
+            place.seeds,
+        )
+        decision = self._decision_of("membership", arguments)
+        return Membership(place, self._transport, vm_list, hooks, decision)
 
     def _connect_feeds(self) -> None:
         self._config.add_listener(lambda accepted: self._holdings.on_manifest(accepted.manifest))
@@ -347,82 +389,21 @@
             reasons.append(self._control.problem)
         return tuple(reasons)
 
-    def _admin_sources(self) -> AdminSources:
-        return AdminSources(
-            readiness=self._unready_reasons,
-            state_parts={
-                "process": lambda: {"incarnation": self._incarnation},
-                "manifest": self._manifest_state,
-                "holdings": self._holdings_state,
-                "requests": self._requests.dump,
-                "batch": self._batch.dump,
-                "ledger": self._ledger_state,
-                "relaying": lambda: dict(self._relaying.counts),
-                "metrics": lambda: self._metrics.state,
-                "peers": lambda: [asdict(peer) for peer in self._live_peers()],
-            },
-            explainers={"job": self._explained_job, "worker": self._explained_worker},
-            manifest=self._relayable_manifest,
-        )
-
-    def _explained_job(self, name: str) -> Explanation | None:
-        return self._explained("job", name)
-
-    def _explained_worker(self, name: str) -> Explanation | None:
-        return self._explained("worker", name)
-
-    def _explained(self, kind: str, name: str) -> Explanation | None:
-        ledger = self._control.ledger
-        explainers = ledger_explainers(
-            ledger.placements, ledger.holders, lambda: self._batch.placement.infeasible_jobs
+    def _decision_of(self, name: str, arguments: Any) -> Any:
+        """Return a slice's decision code, recorded when the settings name a trace file."""
+        replayable = registered_slice(name)
+        assert replayable is not None
+        settings = self._settings
+        if not settings.trace_file:
+            return replayable.build(arguments)
+        return open_recorder(
+            replayable,
+            arguments,
+            settings.trace_file,
+            settings.trace_bytes,
+            incarnation=self._incarnation,
+            on_count=lambda counter: self._metrics.count(counter, label=name),
         )
-        return explainers[kind](name)
-
-    def _manifest_state(self) -> dict[str, object]:
-        now = self.loop.time()
-        return {
-            "version": self._config.version,
-            "evidence_age_seconds": now - self._config.evidence_at,
-            "refused_relays": self._config.refused_relays,
-        }
-
-    def _ledger_state(self) -> dict[str, object]:
-        ledger = self._control.ledger
-        return {
-            "counts": ledger.counts,
-            "read_offset": ledger.read_offset,
-            "adopted_version": ledger.adopted_version,
-            "evidence_age_seconds": self.loop.time() - self._control.evidence_at,
-            "problem": self._control.problem,
-            "snapshots_written": self._snapshots.written,
-            "appends": self._appender.counts,
-            "append_error": self._appender.last_error,
-        }
-
-    def _live_peers(self) -> tuple[Peer, ...]:
-        return self._peers.live_peers(self.loop.time())
-
-    def _holdings_state(self) -> dict[str, object]:
-        now = self.loop.time()
-        current = self._config.current
-        services = current.manifest.services.values() if current else ()
-        minions = [name for service in services for name in service.minions]
-        return {
-            "is_joined": self._holdings.is_joined,
-            "through": self._holdings.through,
-            "usable_minions": [
-                name for name in minions if self._holdings.permit_for(name, now).slots > 0
-            ],
-            "workers": [
-                name for name in self._worker_addresses if self._holdings.worker_token(name)
-            ],
-        }
-
-    def _relayable_manifest(self) -> RelayableManifest | None:
-        current = self._config.current
-        if current is None:
-            return None
-        return RelayableManifest(current.version, current.record, self._config.history.read_offset)
 
 
 def _scheduler_score(incarnation: str) -> bytes:
--- a/dotterelhill/holdings/service.py
+++ b/dotterelhill/holdings/service.py
@@ -137,6 +137,7 @@
         peers: PeerView,
         busy: Callable[[str], int],
         on_drain: Callable[[str], None] = lambda minion: None,
+        decision: HoldingsDecision | None = None,
     ) -> None:
         super().__init__()
         self._entry = entry
@@ -151,7 +152,7 @@
         self._resources: ResourcesSeen | None = None
         self._left = asyncio.Event()
         self._counts: Counter[str] = Counter()
-        self._decision = HoldingsDecision(peers.incarnation, entry, failure_domain)
+        self._decision = decision or HoldingsDecision(peers.incarnation, entry, failure_domain)
 
     @property
     def through(self) -> int:
--- a/dotterelhill/membership/service.py
+++ b/dotterelhill/membership/service.py
@@ -101,6 +101,7 @@
     :param transport: sends messages to peers
     :param vm_list: adapter of the VM list
     :param hooks: callbacks of other slices
+    :param decision: decision code, or a recorder around it
     """
 
     def __init__(
@@ -109,6 +110,7 @@
         transport: PeerTransport,
         vm_list: VmList,
         hooks: MembershipHooks | None = None,
+        decision: MembershipDecision | None = None,
     ) -> None:
         super().__init__()
         self._settings = settings
@@ -117,7 +119,7 @@
         self._hooks = hooks or MembershipHooks()
         self._counts: Counter[str] = Counter()
         self._is_list_readable = True
-        self._decision = MembershipDecision(
+        self._decision = decision or MembershipDecision(
             settings.incarnation,
             settings.failure_domain,
             settings.region,
