End the process when a slice crashes; keep metrics from ending it

Cause: in the pause scenario all six entry processes stopped reading the log 10 s after their start, and 6 of 30 tasks never ran. The metrics asked for a gauge that the table did not have; mode then crashed every service of the process, which went on answering health checks. Ruled out: the relays and the log, whose state showed no error; the pause itself, since processes that were never paused stopped too. Before: a crashed slice left a process that did nothing. After: such a process logs the crash and exits with status 5, and an error in the metrics is logged once and harms nothing else. Conclusion: an entry process either runs all its slices or is started anew by the platform.

--- a/dotterelhill/entry/inspection.py
+++ b/dotterelhill/entry/inspection.py
@@ -113,14 +113,21 @@
     )
 
 
-def _gauges(slices: Slices) -> Mapping[str, float]:
+def _gauges(slices: Slices, is_ready: bool) -> Mapping[str, float]:
     now = _now()
+    requests = slices.requests.dump()
     return {
         "requests.in_flight": slices.requests.in_flight,
-        "minions.held": len(_usable_minions(slices)),
-        "workers.held": len(_held_workers(slices)),
+        "requests.queued": requests["queue"],
+        "requests.ejected": len(requests["ejected"]),
+        "log.pending": slices.appender.pending,
+        "log.config_evidence_seconds": now - slices.config.evidence_at,
+        "log.control_evidence_seconds": now - slices.control.evidence_at,
         "manifest.version": slices.config.version,
         "peers.live": len(slices.membership.live_peers(now)),
+        "holdings.minions": len(_usable_minions(slices)),
+        "holdings.workers": len(_held_workers(slices)),
+        "process.ready": is_ready,
     }
 
 
@@ -128,12 +135,15 @@
     return slices.membership.counts + slices.transport.counts
 
 
-def connect_metrics(slices: Slices) -> None:
-    """Let the metrics read the counters and gauges that the slices keep."""
+def connect_metrics(slices: Slices, readiness: Callable[[], tuple[str, ...]]) -> None:
+    """Let the metrics read the counters and gauges that the slices keep.
+
+    :param readiness: reasons why the process is not ready
+    """
     metrics = slices.metrics
     metrics.add_counters("requests", lambda: slices.requests.dump()["counters"])
     metrics.add_counters("log", lambda: slices.appender.counts)
     metrics.add_counters("ledger", lambda: slices.control.ledger.counts)
     metrics.add_counters("peers", lambda: _peer_counts(slices))
     metrics.add_counters("tasks", lambda: slices.batch.counts)
-    metrics.add_gauges(lambda: _gauges(slices))
+    metrics.add_gauges(lambda: _gauges(slices, not readiness()))
--- a/dotterelhill/entry/metrics.py
+++ b/dotterelhill/entry/metrics.py
@@ -13,6 +13,8 @@
 import statsd
 from ddsketch import LogCollapsingLowestDenseDDSketch
 
+from dotterelhill.entry.logs import logger_of
+
 FLUSH_SECONDS = 10.0
 # Ten values for each flush, at a cost far below 0.1% of a core.
 DELAY_PROBE_SECONDS = 1.0
@@ -26,6 +28,9 @@
 PREFIX = "dotterelhill"
 
 
+_log = logger_of("metrics")
+
+
 class MetricKind(StrEnum):
     """How the values of a metric are combined."""
 
@@ -304,10 +309,19 @@
     def __init__(self, metrics: LocalMetrics) -> None:
         super().__init__()
         self._metrics = metrics
+        self._is_flushed = True
 
     @mode.Service.timer(FLUSH_SECONDS)
     async def _flush(self) -> None:
-        self._metrics.flush()
+        # A crash here would end the whole process, and metrics are not worth a request.
+        try:
+            self._metrics.flush()
+        except Exception as error:
+            if self._is_flushed:
+                _log.error("metrics can't be sent", extra={"error": repr(error)})
+            self._is_flushed = False
+        else:
+            self._is_flushed = True
 
     @mode.Service.task
     async def _measure_delay(self) -> None:
--- a/dotterelhill/entry/process.py
+++ b/dotterelhill/entry/process.py
@@ -13,6 +13,7 @@
 import mode
 
 from dotterelhill.batch import Batch, HttpWorker
+from dotterelhill.commands.status import ExitStatus
 from dotterelhill.core import new_incarnation_id
 from dotterelhill.entry.admin import AdminServer
 from dotterelhill.entry.inspection import admin_sources, connect_metrics
@@ -194,7 +195,7 @@
         self._peers.membership = self._membership
         self._relaying.connect(self._membership)
         slices = self._slices()
-        connect_metrics(slices)
+        connect_metrics(slices, self._unready_reasons)
         self._admin = AdminServer(
             self._settings.admin_host,
             self._settings.admin_port,
@@ -410,26 +411,32 @@
     return blake2b(incarnation.encode(), digest_size=8).digest()
 
 
-async def _run(settings: EntrySettings) -> None:
+async def _exit_status(settings: EntrySettings) -> ExitStatus:
     process = EntryProcess(settings)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for stop_signal in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(stop_signal, stop.set)
     await process.start()
+    print(process.ready_line, flush=True)
     try:
-        print(process.ready_line, flush=True)
-        await stop.wait()
+        await process.wait(stop.wait())
+    except Exception:
+        _log.exception("a slice crashed; the process exits to be started anew")
+    if not process.crashed:
         await process.leave()
-    finally:
-        await process.stop()
+    await process.stop()
+    return ExitStatus.INTERNAL if process.crashed else ExitStatus.DONE
 
 
 def run_entry(settings: EntrySettings) -> int:
-    """Run one entry process until SIGTERM or SIGINT and return its exit status."""
+    """Run one entry process until SIGTERM or SIGINT and return its exit status.
+
+    A crash of any slice ends the whole process: with only some of its slices left it would answer
+    health checks and renew nothing.
+    """
     handler = start_logging(settings.entry_name, settings.log_level)
     try:
-        asyncio.run(_run(settings))
+        return asyncio.run(_exit_status(settings))
     finally:
         handler.pop_application()
-    return 0
--- a/dotterelhill/entry/tests/fleet.feature
+++ b/dotterelhill/entry/tests/fleet.feature
@@ -49,6 +49,7 @@
     And every request was answered
     When the job has finished within 90 s
     Then each task ran in one place at a time and finished once
+    And the recorded traces keep every stated outcome when they are replayed
 
   @single-place @resume-once
   Scenario: All entry VMs are replaced at once and a finished task starts again
--- a/dotterelhill/entry/tests/fleet_world.py
+++ b/dotterelhill/entry/tests/fleet_world.py
@@ -15,6 +15,8 @@
 
 from dotterelhill.commands.publication import publish
 from dotterelhill.log.http import HttpLog
+from dotterelhill.replay.player import Player
+from dotterelhill.replay.slices import SLICE_NAMES, registered_slice
 from tools.fleet import Fleet
 from tools.load import Load, LoadReport
 from tools.relay import RelayMode
@@ -56,7 +58,12 @@
 
     async def start(self, size: FleetSize, service_milliseconds: float = 5.0) -> None:
         """Start a fleet that serves requests."""
-        self.sample = SampleFleet(self.fleet, size, service_milliseconds=service_milliseconds)
+        self.sample = SampleFleet(
+            self.fleet,
+            size,
+            service_milliseconds=service_milliseconds,
+            trace_directory=Path(self.directory.name),
+        )
         await self.sample.start()
         await self.publish()
         await self.sample.until_ready()
@@ -158,6 +165,17 @@
         async with aiohttp.ClientSession() as session:
             await session.post(f"{self.sample.log_url}/faults", json={"mode": mode})
 
+    def broken_outcomes(self) -> list[str]:
+        """Return the outcomes that the recorded traces break when they are replayed."""
+        broken = []
+        for name in self.sample.names("entry"):
+            for slice_name in SLICE_NAMES:
+                path = Path(self.directory.name) / f"{name}.{slice_name}"
+                report = Player(path.read_bytes(), registered_slice).play()
+                assert report.events > 0, f"{path.name} is empty"
+                broken.extend(f"{path.name}: {one}" for one in report.breaks)
+        return broken
+
     def _balanced_addresses(self) -> list[str]:
         addresses = self.sample.addresses("entry", "caller")
         return [address for name, address in addresses.items() if name in self.balanced]
--- a/dotterelhill/entry/tests/steps/fleet_steps.py
+++ b/dotterelhill/entry/tests/steps/fleet_steps.py
@@ -191,3 +191,9 @@
         for earlier, later in itertools.pairwise(runs):
             assert earlier["end"] is not None, (task, runs)
             assert earlier["end"] <= later["start"] + CLOCK_TOLERANCE_SECONDS, (task, runs)
+
+
+@then("the recorded traces keep every stated outcome when they are replayed")
+def check_traces(context: Any) -> None:
+    broken = context.world.broken_outcomes()
+    assert not broken, broken
