--- a/Makefile
+++ b/Makefile
@@ -23,3 +23,7 @@
 
 demo: setup
 	$(PYTHON) -m tools.demo
+
+# One part: make measure PART=agreement
+measure: setup
+	$(PYTHON) -m measure $(PART)
--- a/tools/reference.py
+++ b/tools/reference.py
@@ -1,4 +1,4 @@
-"""Write the tables of docs/operators.md from the code; a test compares them.
+"""Write the tables of the pages from the code and the features; a test compares them.
 
 A table stands between ``<!-- table NAME -->`` and ``<!-- end -->``.
 """
@@ -15,8 +15,14 @@
 from dotterelhill.entry.metrics import METRICS
 from dotterelhill.entry.settings import EntrySettings, accepted_of, flag_of, is_secret, variable_of
 
-PAGE = Path(__file__).resolve().parent.parent / "docs" / "operators.md"
-_TABLE = re.compile(r"(<!-- table (?P<name>\w+) -->\n).*?(<!-- end -->)", re.DOTALL)
+ROOT = Path(__file__).resolve().parent.parent
+PAGE = ROOT / "docs" / "operators.md"
+GUARANTEES = ROOT / "docs" / "guarantees.md"
+PAGES = (PAGE, GUARANTEES)
+_SCENARIO = re.compile(
+    r"^ +@(?P<tags>[^\n]+)\n +Scenario(?: Outline)?: (?P<name>[^\n]+)", re.MULTILINE
+)
+_TABLE = re.compile(r"(<!-- table (?P<name>[\w-]+) -->\n).*?(<!-- end -->)", re.DOTALL)
 
 ERROR_MEANINGS: dict[ErrorKind, str] = {
     ErrorKind.BAD_REQUEST: "the request is no valid HTTP or lacks something; correct the caller",
@@ -70,6 +76,15 @@
     return rows
 
 
+def _scenario_rows(tag: str) -> list[tuple[str, ...]]:
+    rows: list[tuple[str, ...]] = []
+    for feature in sorted(ROOT.glob("[!.]*/**/tests/*.feature")):
+        for found in _SCENARIO.finditer(feature.read_text()):
+            if f"@{tag}" in f"@{found['tags']}".split():
+                rows.append((found["name"], f"`{feature.relative_to(ROOT)}`"))
+    return rows
+
+
 def table(name: str) -> str:
     """Return one table in Markdown.
 
@@ -93,8 +108,11 @@
                 (f"`{item.name}`", str(item.kind), item.unit, item.meaning, item.label)
                 for item in METRICS
             ]
+        case _ if name.startswith("scenarios-"):
+            heads = ("failure that the scenario guards against", "feature")
+            rows = _scenario_rows(name.removeprefix("scenarios-"))
         case _:
-            raise ValueError(f"name must be a table of the page, got {name!r}")
+            raise ValueError(f"name must be a table of a page, got {name!r}")
     return "\n".join(_rows(heads, rows)) + "\n"
 
 
@@ -104,8 +122,9 @@
 
 
 def main() -> int:
-    """Rewrite the page and return the exit status."""
-    PAGE.write_text(page_with_tables(PAGE.read_text()))
+    """Rewrite the pages and return the exit status."""
+    for page in PAGES:
+        page.write_text(page_with_tables(page.read_text()))
     return 0
 
 
--- a/tools/tests/steps/reference_steps.py
+++ b/tools/tests/steps/reference_steps.py
@@ -22,6 +22,19 @@
     assert sorted(re.findall(r"<!-- table (\w+) -->", context.page)) == sorted(names.split(", "))
 
 
+@given("the page of guarantees")
+def read_guarantees(context):
+    context.page = reference.GUARANTEES.read_text()
+
+
+@then("each invariant's table has at least one scenario")
+def check_scenarios(context):
+    names = re.findall(r"<!-- table (scenarios-[\w-]+) -->", context.page)
+    assert len(names) == 10, names
+    empty = [name for name in names if reference.table(name).count("\n") < 3]
+    assert not empty, empty
+
+
 @given("the glossary")
 def read_glossary(context):
     page = (reference.PAGE.parent / "glossary.md").read_text()
