--- a/dotterelhill/ledger/feed.py
+++ b/dotterelhill/ledger/feed.py
@@ -14,9 +14,8 @@
 from dotterelhill.core import waited_seconds
 from dotterelhill.ledger.fold import Ledger, VersionNotAcceptedError
 from dotterelhill.ledger.records import Adopt, encode_record
+from dotterelhill.ledger.restoring import SnapshotReader, is_beginning_trimmed
 from dotterelhill.ledger.snapshot import (
-    SNAPSHOT_STREAM,
-    SnapshotAssembler,
     SnapshotContent,
     SnapshotError,
     decode_snapshot,
@@ -31,7 +30,6 @@
     LogError,
     LogRecord,
     LogTail,
-    LogTrimmedError,
     TailRead,
 )
 from dotterelhill.log.backoff import Backoff
@@ -50,8 +48,6 @@
 CONTROL_SPACING_SECONDS = 0.1
 RECENT_RECORDS = 4096
 RELAY_RECORDS = 500
-# One read of chunks of 64 KB takes at most 1 MB of memory.
-CHUNKS_PER_READ = 16
 
 _logger = logbook.Logger("ledger")
 
@@ -82,34 +78,6 @@
     records: tuple[LogRecord, ...]
 
 
-async def newest_snapshot(log: Log) -> SnapshotContent | None:
-    """Return the best snapshot in the log, or None when there is no complete one.
-
-    :raises LogError: when the log can't be read
-    """
-    assembler = SnapshotAssembler()
-    start = 1
-    while True:
-        try:
-            result = await log.read(SNAPSHOT_STREAM, start, limit=CHUNKS_PER_READ)
-        except LogTrimmedError as error:
-            start = error.earliest_offset
-            continue
-        for record in result.records:
-            assembler.add(record.data)
-        if not result.records:
-            return assembler.best
-        start = result.records[-1].offset + 1
-
-
-async def _is_trimmed(log: Log, stream: str) -> bool:
-    try:
-        await log.read(stream, 1, limit=1)
-    except LogTrimmedError:
-        return True
-    return False
-
-
 class ControlFeed(mode.Service):
     """Reader of ``control``; restores from a snapshot first and starts the feed of ``config``.
 
@@ -134,6 +102,7 @@
         self._rng = rng or random.Random()
         self._backoff = Backoff(self._rng)
         self._ledger = Ledger(self._manifest_at)
+        self._snapshots = SnapshotReader(log)
         self._tail: LogTail | None = None
         self._is_restored = False
         self._trimmed_to = 0
@@ -256,6 +225,8 @@
                 await self.sleep(self._backoff.next_seconds())
                 continue
             self._backoff.reset()
+            # Frees the chunks and the content; a later restore reads the stream again.
+            self._snapshots = SnapshotReader(self._log)
             await self._follow()
             self._state_wanted.clear()
             await self._state_wanted.wait()
@@ -275,13 +246,13 @@
             self._note_problem(f"the log can't be read: {error}")
 
     async def _restore(self) -> None:
-        content = await newest_snapshot(self._log)
+        content = await self._snapshots.newest()
         if content is not None and self._needs_state() and self._is_taken(content):
             return
         if self._is_restored or not self._needs_state():
             return
         for stream in (CONTROL_STREAM, CONFIG_STREAM):
-            if await _is_trimmed(self._log, stream):
+            if await is_beginning_trimmed(self._log, stream):
                 self._note_problem(f"{stream} is past retention and no snapshot reaches it")
                 return
         if self._needs_state():
--- a/dotterelhill/ledger/snapshot.py
+++ b/dotterelhill/ledger/snapshot.py
@@ -4,7 +4,6 @@
 
 import hashlib
 import zlib
-from dataclasses import astuple
 
 import msgspec
 
@@ -128,9 +127,11 @@
         adopted_version=ledger.adopted_version,
         adopted_digest=ledger.adopted_digest,
         config=_config_row(config),
-        joined=sorted(astuple(item) for item in holders.joined.values()),
+        joined=sorted(
+            (i.incarnation, i.entry, i.failure_domain, i.joined_at) for i in holders.joined.values()
+        ),
         ended=[(item.incarnation, item.reason, item.ended_at) for item in holders.ended.values()],
-        holdings=sorted(astuple(item) for item in holders.holdings.values()),
+        holdings=sorted(_holding_row(item) for item in holders.holdings.values()),
         workers=[(w.name, w.rack, w.failure_domain, w.amounts, w.fence) for w in workers],
         jobs=[_job_row(placements.jobs[key], numbers) for key in sorted(placements.jobs)],
     )
@@ -285,6 +286,18 @@
     )
 
 
+def _holding_row(holding: Holding) -> tuple[str, str, int, bool, bool, str, int]:
+    return (
+        holding.resource,
+        holding.holder,
+        holding.token,
+        holding.is_released,
+        holding.follows_release,
+        holding.previous_holder,
+        holding.previous_token,
+    )
+
+
 def _job_row(job: JobLedger, worker_numbers: dict[str, int]) -> _JobRow:
     ended: dict[str, list[int]] = {}
     for index in sorted(job.ended):
--- a/dotterelhill/ledger/tests/feed.feature
+++ b/dotterelhill/ledger/tests/feed.feature
@@ -130,6 +130,7 @@
     And 60 seconds pass
     Then process 2 was restored 1 time
     And the evidence of process 2 is at least 60 seconds old
+    And the snapshot was read at most 2 times
 
   Scenario: a process whose config was trimmed goes back to the control records of a snapshot
     Given process 2 is cut off from the log
--- a/dotterelhill/ledger/tests/steps/feed_steps.py
+++ b/dotterelhill/ledger/tests/steps/feed_steps.py
@@ -230,3 +230,9 @@
 def check_restores(context, number, count):
     found = [update for update in context.fleet.processes[number].updates if update.is_restored]
     assert len(found) == count, found
+
+
+@then("the snapshot was read at most {count:d} times")
+def check_snapshot_reads(context, count):
+    found = context.fleet.log.delivered["snapshots"]
+    assert 1 <= found <= count, found
--- a/dotterelhill/log/tests/memory_log.py
+++ b/dotterelhill/log/tests/memory_log.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import Sequence
 
 from dotterelhill.log import LogError, LogRecord, LogTrimmedError, ReadResult
@@ -17,6 +18,7 @@
         self.delay_seconds = 0.0
         self.append_delay_seconds = 0.0
         self.reads = 0
+        self.delivered: Counter[str] = Counter()
         self.appends: list[tuple[float, int]] = []
         self.in_flight = 0
         self.most_in_flight = 0
@@ -66,6 +68,7 @@
         if start < content.earliest_offset:
             raise LogTrimmedError(content.earliest_offset)
         records = tuple(LogRecord(offset, data) for offset, data in content.read(start, limit))
+        self.delivered[stream] += len(records)
         return ReadResult(records, content.next_offset, content.earliest_offset)
 
 
