Keep poison records from ending every reader

It also found that msgspec wrote the version after the fields of each record, because only the base class had keyword-only fields; a record of an unknown type with a newer version was then ignored instead of stopping the reader. Ruled out: catching every exception in the fold, which would hide faults and could give readers different verdicts. Before: ValueError, OverflowError and RecursionError left the fold; the version stood last on the wire. After: impossible capacities are refused as capacity_invalid, deep nesting counts as unreadable, counts of a manifest are at most 2**53, and the version stands second in every record.

--- a/dotterelhill/ledger/fold.py
+++ b/dotterelhill/ledger/fold.py
@@ -134,8 +134,7 @@
             case Leave():
                 return self._holders.leave(offset, record)
             case Capacity():
-                self._placements.set_capacity(record)
-                return None
+                return self._placements.set_capacity(record)
             case Fence() | Unfence():
                 return self._fold_fence(record)
             case Adopt():
--- a/dotterelhill/ledger/placements.py
+++ b/dotterelhill/ledger/placements.py
@@ -10,6 +10,11 @@
 from dotterelhill.ledger.verdict import Refusal
 from dotterelhill.manifest.document import DomainState, Manifest
 
+# Far above any machine; a larger report is a fault of its writer.
+LARGEST_CPU = 1e6
+LARGEST_MEMORY_GB = 1e9
+LARGEST_ACCELERATORS = 10**6
+
 _NO_DOMAINS: frozenset[str] = frozenset()
 
 
@@ -159,16 +164,19 @@
         known.fence = 0
         return None
 
-    def set_capacity(self, record: Capacity) -> None:
+    def set_capacity(self, record: Capacity) -> Refusal | None:
         """Fold a ``Capacity``."""
+        if not _is_possible(record):
+            return Refusal.CAPACITY_INVALID
         amounts = offered_amounts(record.cpu, record.memory_gb, record.accelerators)
         known = self._workers.get(record.worker)
         if known is None:
             self.add_worker(Worker(record.worker, record.rack, record.failure_domain, amounts))
-            return
+            return None
         known.rack = record.rack
         known.failure_domain = record.failure_domain
         known.amounts = amounts
+        return None
 
     def restore_manifest(self, manifest: Manifest) -> None:
         """Take the adopted manifest of a snapshot; its jobs are added one by one."""
@@ -255,6 +263,15 @@
                 del self._workers[name]
 
 
+def _is_possible(record: Capacity) -> bool:
+    # Also refuses NaN and infinity, which would end every reader in the conversion to integers.
+    return (
+        0 <= record.cpu <= LARGEST_CPU
+        and 0 <= record.memory_gb <= LARGEST_MEMORY_GB
+        and 0 <= record.accelerators <= LARGEST_ACCELERATORS
+    )
+
+
 def _task_refusal(job: JobLedger, index: int, record: Assign) -> Refusal | None:
     if index not in job.pending:
         return Refusal.TASK_NOT_PENDING
--- a/dotterelhill/ledger/records.py
+++ b/dotterelhill/ledger/records.py
@@ -24,13 +24,14 @@
     """Base of all control records.
 
     On the wire a record is the array ``[type, version, field...]``, which takes half the bytes of
-    a map. A later version of a record may add fields only at its end.
+    a map. A later version of a record may add fields only at its end. All fields are keyword-only,
+    because msgspec would otherwise put the version after them, where a reader can't find it.
     """
 
     version: int = RECORD_VERSION
 
 
-class Join(Record, frozen=True, tag=True, array_like=True):
+class Join(Record, frozen=True, tag=True, kw_only=True, array_like=True):
     """An entry incarnation that may hold minions and workers of its failure domain."""
 
     incarnation: str
@@ -38,13 +39,13 @@
     failure_domain: str
 
 
-class Leave(Record, frozen=True, tag=True, array_like=True):
+class Leave(Record, frozen=True, tag=True, kw_only=True, array_like=True):
     """An entry incarnation that holds nothing any more."""
 
     incarnation: str
 
 
-class Adopt(Record, frozen=True, tag=True, array_like=True):
+class Adopt(Record, frozen=True, tag=True, kw_only=True, array_like=True):
     """The manifest that applies to jobs from here on.
 
     :param digest: hex SHA-256 of the manifest's record
@@ -54,7 +55,7 @@
     digest: str
 
 
-class Hold(Record, frozen=True, tag=True, array_like=True):
+class Hold(Record, frozen=True, tag=True, kw_only=True, array_like=True):
     """Claim to be the one user of a minion or worker.
 
     :param resource: ``minion:NAME`` or ``worker:NAME``
@@ -66,14 +67,14 @@
     previous: int
 
 
-class Release(Record, frozen=True, tag=True, array_like=True):
+class Release(Record, frozen=True, tag=True, kw_only=True, array_like=True):
     """End of a holding, after which the holder does not use the resource."""
 
     resource: str
     token: int
 
 
-class Assign(Record, frozen=True, tag=True, array_like=True):
+class Assign(Record, frozen=True, tag=True, kw_only=True, array_like=True):
     """Assignment of a task to a worker; its offset is the fencing token.
 
     :param attempt: number of this run of the task, from 1
@@ -87,7 +88,7 @@
     writer: str
 
 
-class Stopped(Record, frozen=True, tag=True, array_like=True):
+class Stopped(Record, frozen=True, tag=True, kw_only=True, array_like=True):
     """End of one run of a task."""
 
     task: str
@@ -96,21 +97,21 @@
     checkpoint: str = ""
 
 
-class Fence(Record, frozen=True, tag=True, array_like=True):
+class Fence(Record, frozen=True, tag=True, kw_only=True, array_like=True):
     """No lease of this worker is renewed from here on."""
 
     worker: str
     token: int
 
 
-class Unfence(Record, frozen=True, tag=True, array_like=True):
+class Unfence(Record, frozen=True, tag=True, kw_only=True, array_like=True):
     """The fenced worker answers again and its lease may be renewed."""
 
     worker: str
     token: int
 
 
-class Capacity(Record, frozen=True, tag=True, array_like=True):
+class Capacity(Record, frozen=True, tag=True, kw_only=True, array_like=True):
     """What a worker has."""
 
     worker: str
@@ -143,8 +144,8 @@
 def encode_record(record: ControlRecord) -> bytes:
     """Return the bytes of a record for the ``control`` stream.
 
-    >>> decode_record(encode_record(Leave(incarnation="caxias-1/00"))).incarnation
-    'caxias-1/00'
+    >>> msgspec.msgpack.decode(encode_record(Leave(incarnation="caxias-1/00")))
+    ['Leave', 1, 'caxias-1/00']
     """
     return _ENCODER.encode(record)
 
@@ -156,7 +157,7 @@
     """
     try:
         record = _DECODER.decode(data)
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, RecursionError):
         _raise_if_newer(data)
         return None
     if record.version > RECORD_VERSION:
@@ -167,7 +168,7 @@
 def _raise_if_newer(data: bytes) -> None:
     try:
         content = msgspec.msgpack.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
         return
     match content:
         case [str(), int(version), *_] if version > RECORD_VERSION:
--- a/dotterelhill/ledger/snapshot.py
+++ b/dotterelhill/ledger/snapshot.py
@@ -145,7 +145,7 @@
     """
     try:
         content = _CONTENT_DECODER.decode(zlib.decompress(data))
-    except (zlib.error, msgspec.DecodeError) as error:
+    except (zlib.error, msgspec.DecodeError, RecursionError) as error:
         raise SnapshotError(f"not a snapshot of version {SNAPSHOT_VERSION}: {error}") from error
     if content.version != SNAPSHOT_VERSION:
         raise SnapshotError(f"version {content.version}, this program knows {SNAPSHOT_VERSION}")
@@ -242,7 +242,7 @@
         """Take the record of one chunk, in any order."""
         try:
             chunk = _CHUNK_DECODER.decode(data)
-        except msgspec.DecodeError:
+        except (msgspec.DecodeError, RecursionError):
             self._unusable += 1
             return
         if not 0 <= chunk.part < chunk.parts <= LARGEST_PARTS:
--- a/dotterelhill/ledger/tests/fold.feature
+++ b/dotterelhill/ledger/tests/fold.feature
@@ -222,12 +222,33 @@
       | 3     |
       | 12    |
 
+  Scenario Outline: a record with an impossible amount ends every reader
+    When worker "w1" reports <cpu> processors in "kbh-nord"
+    Then the record is refused as "capacity_invalid"
+    And worker "w1" has 10 processors free
+
+    Examples:
+      | cpu   |
+      | nan   |
+      | inf   |
+      | -1    |
+      | 1e300 |
+
+  Scenario: a record with very deep nesting ends every reader
+    When a record of 100000 nested arrays arrives
+    Then the record is "unreadable"
+    When a record with 100000 nested arrays at its end arrives
+    Then the record is "unreadable"
+
   Scenario: a reader decides after a record whose meaning it does not know
     When a record of version 2 arrives
     Then the record is "newer_version"
     When "kbh-1/a" leaves
     Then the record is "newer_version"
 
+  Scenario: a record type keeps its version where a reader does not look
+    Then every record type has its version in the second place
+
   Scenario: a reader takes an unknown record of a newer version for a torn one
     When an unknown record type of version 2 arrives
     Then the record is "newer_version"
--- a/dotterelhill/ledger/tests/steps/ledger_steps.py
+++ b/dotterelhill/ledger/tests/steps/ledger_steps.py
@@ -1,11 +1,14 @@
 from __future__ import annotations
 
+from typing import get_args
+
 import msgspec
 from behave import given, then, when
 
 from dotterelhill.ledger import (
     Assign,
     Capacity,
+    ControlRecord,
     Fence,
     Hold,
     Join,
@@ -27,15 +30,15 @@
     assert context.bench.adopt(3).is_accepted
 
 
-@given('worker "{name}" with {cpu:g} processors in "{domain}"')
-@when('worker "{name}" reports {cpu:g} processors in "{domain}"')
+@given('worker "{name}" with {cpu} processors in "{domain}"')
+@when('worker "{name}" reports {cpu} processors in "{domain}"')
 def report_capacity(context, name, cpu, domain):
     context.bench.append(
         Capacity(
             worker=name,
             rack="rack-1",
             failure_domain=domain,
-            cpu=cpu,
+            cpu=float(cpu),
             memory_gb=100.0,
             accelerators=0,
         )
@@ -123,6 +126,16 @@
     context.bench.append(Leave(version=version, incarnation="kbh-1/a"))
 
 
+@when("a record of {depth:d} nested arrays arrives")
+def append_nested(context, depth):
+    context.bench.append_bytes(b"\x91" * depth)
+
+
+@when("a record with {depth:d} nested arrays at its end arrives")
+def append_nested_end(context, depth):
+    context.bench.append_bytes(b"\x94\xa5Leave\x01\xa1x" + b"\x91" * depth + b"\x90")
+
+
 @when("an unknown record type of version {version:d} arrives")
 def append_unknown(context, version):
     context.bench.append_bytes(msgspec.msgpack.encode(["Merge", version, "x"]))
@@ -174,6 +187,14 @@
     context.bench.verdict = context.bench.ledger.apply(*context.bench.stream[-1])
 
 
+@then("every record type has its version in the second place")
+def check_version_place(context):
+    record_types = get_args(ControlRecord)
+    assert len(record_types) == 10
+    for record_type in record_types:
+        assert record_type.__struct_encode_fields__[0] == "version", record_type
+
+
 @then("the record is accepted")
 def check_accepted(context):
     assert context.bench.verdict.is_accepted, context.bench.verdict
--- a/dotterelhill/ledger/verdict.py
+++ b/dotterelhill/ledger/verdict.py
@@ -36,6 +36,7 @@
     TASK_NOT_PENDING = "task_not_pending"
     ATTEMPT_OUTDATED = "attempt_outdated"
     CHECKPOINT_DIFFERS = "checkpoint_differs"
+    CAPACITY_INVALID = "capacity_invalid"
     CAPACITY_EXCEEDED = "capacity_exceeded"
     QUOTA_EXCEEDED = "quota_exceeded"
     LOSS_NOT_CERTAIN = "loss_not_certain"
--- a/dotterelhill/manifest/document.py
+++ b/dotterelhill/manifest/document.py
@@ -14,7 +14,10 @@
 Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
 Positive = Annotated[float, Field(gt=0, allow_inf_nan=False)]
 NotNegative = Annotated[float, Field(ge=0, allow_inf_nan=False)]
-Count = Annotated[int, Field(ge=0)]
+# Largest integer that every JSON and msgpack library keeps exact; a larger one could not be written
+# to a snapshot.
+LARGEST_COUNT = 2**53
+Count = Annotated[int, Field(ge=0, le=LARGEST_COUNT)]
 
 _STRICT = ConfigDict(extra="forbid")
 
--- a/dotterelhill/manifest/history.py
+++ b/dotterelhill/manifest/history.py
@@ -118,7 +118,8 @@
         self._read_offset = offset
         try:
             publication = msgspec.json.decode(data, type=Publication)
-        except msgspec.DecodeError:
+        except (msgspec.DecodeError, RecursionError):
+            # Nesting deep enough for RecursionError is in no valid document.
             return None
         verdict = self._judge(offset, publication, data)
         if verdict.verdict is not Verdict.REPEATED:
--- a/dotterelhill/manifest/tests/feed.feature
+++ b/dotterelhill/manifest/tests/feed.feature
@@ -38,13 +38,24 @@
     And the verdict on "a" is "invalid" in processes "1 2 3"
     And the verdict on "a" names a fault at "autonomy_seconds"
 
+  Scenario: a count that no snapshot can hold comes into force
+    When publication "a" on base 1 with 10**30 accelerators is appended
+    And 2 seconds pass
+    Then version 1 with autonomy 100 is in force in processes "1 2 3"
+    And the verdict on "a" names a fault at "limits.accelerators"
+
   @manifest
-  Scenario: a torn publication stops the readers
-    When torn bytes are appended
+  Scenario Outline: an unreadable publication stops the readers
+    When <bytes> bytes are appended
     And publication "a" on base 1 with autonomy 200 is appended
     And 2 seconds pass
     Then version 3 with autonomy 200 is in force in processes "1 2 3"
 
+    Examples:
+      | bytes         |
+      | torn          |
+      | deeply nested |
+
   @manifest
   Scenario: a process that is cut off gets no manifest from its peers
     Given process 3 is cut off from the log
--- a/dotterelhill/manifest/tests/steps/feed_steps.py
+++ b/dotterelhill/manifest/tests/steps/feed_steps.py
@@ -52,11 +52,25 @@
     context.log.put(CONFIG_STREAM, publication(name, base, autonomy))
 
 
+@when('publication "{name}" on base {base:d} with 10**30 accelerators is appended')
+def publish_large(context, name, base):
+    record = publication(name, base, 200).replace(
+        b'"cpu": 1,', b'"cpu": 1, "accelerators": %d,' % (10**30)
+    )
+    context.log.put(CONFIG_STREAM, record)
+
+
 @when("torn bytes are appended")
 def append_torn(context):
     context.log.put(CONFIG_STREAM, publication("torn", 1, 200)[:40])
 
 
+@when("deeply nested bytes are appended")
+def append_nested(context):
+    nested = b'{"id": "n", "base": 1, "document": ' + b"[" * 100_000
+    context.log.put(CONFIG_STREAM, nested)
+
+
 @given("{seconds:g} seconds pass")
 @when("{seconds:g} seconds pass")
 def pass_time(context, seconds):
