Relay a manifest to a peer that only few others reach

Cause: only two processes of a domain sent a newer manifest to a lagging one. When both were cut off from it, it kept the outdated manifest although another one reached it.

Ruled out: every process sending at once, which multiplies a record of 5 KB by the domain's size.

Conclusion: the 5 s of @manifest hold in the scenario also when the preferred senders are cut off.

--- a/dotterelhill/membership/tests/fleet.py
+++ b/dotterelhill/membership/tests/fleet.py
@@ -52,6 +52,7 @@
 class Fleet:
     def __init__(self):
         self.nodes, self.vms, self.is_list_down = {}, [], False
+        self.cut = set()
         self.silent, self.sent, self.batches = set(), [], []
 
     def add(self, name, domain):
@@ -68,6 +69,8 @@
         self.sent.append((sender.name, address))
         if receiver is None or {sender.name, receiver.name} & self.silent:
             return True
+        if frozenset({sender.name, receiver.name}) in self.cut:
+            return True
         asyncio.get_running_loop().call_later(0.01, receiver.service.receive, decoded(data))
         return True
 
--- a/dotterelhill/membership/tests/membership.feature
+++ b/dotterelhill/membership/tests/membership.feature
@@ -50,6 +50,23 @@
     And 5 seconds pass
     Then every process has manifest version 7
 
+  @manifest
+  Scenario Outline: A process that hears only one peer keeps an outdated manifest
+    Given a fleet with "kbh-nord" of 6 and "roskilde" of 0 processes
+    When 5 seconds pass
+    And "kbh-nord-1" hears and is heard by "<peer>" only
+    And all others read manifest version 7 from the log
+    And 5 seconds pass
+    Then every process has manifest version 7
+
+    Examples:
+      | peer       |
+      | kbh-nord-2 |
+      | kbh-nord-3 |
+      | kbh-nord-4 |
+      | kbh-nord-5 |
+      | kbh-nord-6 |
+
   Scenario: A process that is cut off from the log does not learn control records
     Given a fleet with "kbh-nord" of 3 and "roskilde" of 0 processes
     When "kbh-nord-1" has folded 1200 control records and the others are cut off at 0
--- a/dotterelhill/membership/tests/steps/membership_steps.py
+++ b/dotterelhill/membership/tests/steps/membership_steps.py
@@ -79,6 +79,19 @@
     context.fleet.nodes[name].manifest = (version, b"record")
 
 
+@when('"{name}" hears and is heard by "{peer}" only')
+def _(context, name, peer):
+    context.lagging = name
+    context.fleet.cut = {frozenset({name, one}) for one in context.fleet.nodes if one != peer}
+
+
+@when("all others read manifest version {version:d} from the log")
+def _(context, version):
+    for name, node in context.fleet.nodes.items():
+        if name != context.lagging:
+            node.manifest = (version, b"record")
+
+
 @when('"{name}" has folded {count:d} control records and the others are cut off at 0')
 def _(context, name, count):
     for node in context.fleet.nodes.values():
--- a/dotterelhill/membership/view.py
+++ b/dotterelhill/membership/view.py
@@ -42,7 +42,8 @@
 DELEGATES = 2
 # A relayed manifest takes well under this; without the pause each heartbeat would repeat it.
 RELAY_PAUSE_SECONDS = 2.0
-# Processes of the domain that send a newer manifest to the same lagging peer.
+# Processes of the domain that send a newer manifest to the same lagging peer at first; all do when
+# it still lags after the pause.
 RELAYING_PEERS = 2
 # Without evidence of the log for this long, records are asked of peers.
 CUT_OFF_SECONDS = 3.0
@@ -182,6 +183,7 @@
         self._live: frozenset[str] = frozenset()
         self._ticks = 0
         self._relayed_at: dict[str, float] = {}
+        self._lagging_since: dict[str, float] = {}
         self._asked_at = float("-inf")
 
     @property
@@ -286,11 +288,16 @@
 
     def _has_to_relay(self, heartbeat: Heartbeat, now: float) -> bool:
         if heartbeat.manifest_version >= self._own.manifest_version:
+            self._lagging_since.pop(heartbeat.peer_address, None)
             return False
+        lagging_since = self._lagging_since.setdefault(heartbeat.peer_address, now)
         if now - self._relayed_at.get(heartbeat.peer_address, float("-inf")) < RELAY_PAUSE_SECONDS:
             return False
         if heartbeat.failure_domain != self._failure_domain:
             return True
+        if now - lagging_since >= RELAY_PAUSE_SECONDS:
+            # The preferred senders may be cut off from the lagging peer.
+            return True
         able = [self._incarnation]
         for name in self._live_of(self._failure_domain, now):
             known = self._known.get(name)
@@ -312,9 +319,10 @@
         for name, known in list(self._known.items()):
             if now - known.heard_at > FORGET_SECONDS:
                 del self._known[name]
-        for address, relayed_at in list(self._relayed_at.items()):
-            if now - relayed_at > FORGET_SECONDS:
-                del self._relayed_at[address]
+        addresses = {known.summary.peer_address for known in self._known.values()}
+        for times in (self._relayed_at, self._lagging_since):
+            for address in times.keys() - addresses:
+                del times[address]
         actions = self._live_changes(now)
         actions += self._heartbeats_inside(now)
         if self._ticks % TICKS_BETWEEN_DOMAINS == 0 and self._is_delegate(now):
