--- a/dotterelhill/log/tests/memory_log.py
+++ b/dotterelhill/log/tests/memory_log.py
@@ -15,6 +15,7 @@
         self.is_down = False
         self.lost_answers = 0
         self.delay_seconds = 0.0
+        self.append_delay_seconds = 0.0
         self.reads = 0
         self.appends: list[tuple[float, int]] = []
         self.in_flight = 0
@@ -37,7 +38,7 @@
         self.most_in_flight = max(self.most_in_flight, self.in_flight)
         self.appends.append((asyncio.get_running_loop().time(), len(records)))
         try:
-            await asyncio.sleep(self.delay_seconds)
+            await asyncio.sleep(self.delay_seconds + self.append_delay_seconds)
             if self.is_down:
                 raise LogError("refused")
             first = self.put(stream, *records)
@@ -66,3 +67,26 @@
             raise LogTrimmedError(content.earliest_offset)
         records = tuple(LogRecord(offset, data) for offset, data in content.read(start, limit))
         return ReadResult(records, content.next_offset, content.earliest_offset)
+
+
+class Link:
+    """Access of one process to a shared log; a cut link refuses everything."""
+
+    def __init__(self, log: MemoryLog) -> None:
+        self.log = log
+        self.is_cut = False
+
+    async def append(self, stream: str, records: Sequence[bytes]) -> int:
+        if self.is_cut:
+            raise LogError("link is cut")
+        return await self.log.append(stream, records)
+
+    async def read(
+        self, stream: str, start: int, *, limit: int = 1000, wait_seconds: float = 0.0
+    ) -> ReadResult:
+        if self.is_cut:
+            raise LogError("link is cut")
+        result = await self.log.read(stream, start, limit=limit, wait_seconds=wait_seconds)
+        if self.is_cut:
+            raise LogError("link was cut")
+        return result
