Let the simulated log use the ledger's own fold of holdings

Cause: the simulation repeated the verdicts on Join, Leave, Hold and Release, so it could differ from what the ledger decides.

Before: the test had its own fold of 45 lines.

--- a/dotterelhill/holdings/tests/fleet.py
+++ b/dotterelhill/holdings/tests/fleet.py
@@ -28,6 +28,8 @@
     Tick,
 )
 from dotterelhill.holdings.interface import Permit
+from dotterelhill.ledger import Hold, Join, Leave, Release
+from dotterelhill.ledger.holders import Holders
 
 DOMAIN = "caxias"
 STEP_SECONDS = 0.5
@@ -36,62 +38,30 @@
 
 
 class SimulatedLog:
-    """Order of records and their verdicts, as docs/design.md, section 3.3, states them."""
+    """Order of records, with the verdicts of the ledger."""
 
     def __init__(self):
-        self.accepted = []
-        self.joined, self.ended, self.holdings = {}, set(), {}
-        self.end = 0
+        self.holders, self.accepted, self.end = Holders(), [], 0
 
     def append(self, record):
         self.end += 1
-        if self._is_accepted(record):
-            self.accepted.append((self.end, self._event(record)))
-
-    def _is_accepted(self, record):
-        match record:
-            case ("join", incarnation, entry):
-                if incarnation in self.joined or incarnation in self.ended:
-                    return False
-                for one in [one for one, other in self.joined.items() if other == entry]:
-                    self.ended.add(one)
-                    del self.joined[one]
-                self.joined[incarnation] = entry
-            case ("leave", incarnation):
-                return self._is_left(incarnation)
-            case ("hold", resource, holder, previous):
-                if holder not in self.joined or previous != self.token(resource):
-                    return False
-                self.holdings[resource] = (holder, self.end, False)
-            case ("release", resource, token):
-                holder, current, is_released = self.holdings.get(resource, ("", 0, True))
-                if is_released or current != token:
-                    return False
-                self.holdings[resource] = (holder, token, True)
-        return True
-
-    def _is_left(self, incarnation):
-        if self.joined.pop(incarnation, None) is None:
-            return False
-        self.ended.add(incarnation)
-        for resource, (holder, token, _) in list(self.holdings.items()):
-            if holder == incarnation:
-                self.holdings[resource] = (holder, token, True)
-        return True
-
-    def token(self, resource):
-        return self.holdings.get(resource, ("", 0, True))[1]
-
-    def _event(self, record):
         match record:
-            case ("join", incarnation, entry):
-                return JoinSeen(self.end, incarnation, entry, DOMAIN)
-            case ("leave", incarnation):
-                return LeaveSeen(incarnation)
-            case ("hold", resource, holder, _):
-                return HoldSeen(self.end, resource, holder)
-            case ("release", resource, token):
-                return ReleaseSeen(resource, token)
+            case Join(incarnation=incarnation, entry=entry):
+                refusal = self.holders.join(self.end, record)
+                event = JoinSeen(self.end, incarnation, entry, DOMAIN)
+            case Leave():
+                refusal, event = self.holders.leave(self.end, record), LeaveSeen(record.incarnation)
+            case Hold(resource=resource, holder=holder):
+                refusal = self.holders.hold(self.end, record)
+                event = HoldSeen(self.end, resource, holder)
+            case Release(resource=resource, token=token):
+                refusal, event = self.holders.release(record), ReleaseSeen(resource, token)
+        if refusal is None:
+            self.accepted.append((self.end, event))
+
+    def holder_of(self, resource):
+        holding = self.holders.holding(resource)
+        return holding.holder if holding else ""
 
 
 @dataclass
@@ -255,16 +225,18 @@
             self._fold(process, heard.control_offset)
 
     def _perform(self, process, action):
+        name = process.incarnation
         match action:
             case AppendJoin():
-                record = ("join", process.incarnation, process.incarnation.partition("/")[0])
+                entry = name.partition("/")[0]
+                record = Join(incarnation=name, entry=entry, failure_domain=DOMAIN)
             case AppendHold(resource):
                 previous = process.tokens.get(resource, 0)
-                record = ("hold", resource, process.incarnation, previous)
+                record = Hold(resource=resource, holder=name, previous=previous)
             case AppendRelease(resource, token):
-                record = ("release", resource, token)
+                record = Release(resource=resource, token=token)
             case AppendLeave():
-                record = ("leave", process.incarnation)
+                record = Leave(incarnation=name)
             case StopFinished():
                 process.is_stopped = True
                 return
--- a/dotterelhill/holdings/tests/machine.py
+++ b/dotterelhill/holdings/tests/machine.py
@@ -34,7 +34,7 @@
     def holder(self, number):
         """Return a process that holds a minion; faults matter most there."""
         minion = self.domain.minions[number % len(self.domain.minions)]
-        name = self.domain.log.holdings.get(f"minion:{minion}", ("", 0, True))[0]
+        name = self.domain.log.holder_of(f"minion:{minion}")
         able = [one for one in self.domain.processes if one.incarnation == name]
         return able[0] if able and not able[0].is_dead else self.picked(number)
 
--- a/dotterelhill/holdings/tests/steps/holdings_steps.py
+++ b/dotterelhill/holdings/tests/steps/holdings_steps.py
@@ -32,7 +32,7 @@
 
 
 def holder_of(context, minion):
-    name = context.domain.log.holdings[f"minion:{minion}"][0]
+    name = context.domain.log.holder_of(f"minion:{minion}")
     (holder,) = [one for one in context.domain.processes if one.incarnation == name]
     return holder
 
@@ -121,13 +121,13 @@
 @then('it releases "m0" only after its 8 requests are over and then leaves')
 def _(context):
     domain, holder = context.domain, context.holder
-    while not domain.log.holdings["minion:m0"][2]:
+    while not domain.log.holders.holding("minion:m0").is_released:
         is_busy = holder.used("m0", domain.now) > 0
         assert domain.permit(holder, "m0").slots == 0
         domain.advance(0.5)
-        assert not (is_busy and domain.log.holdings["minion:m0"][2])
+        assert not (is_busy and domain.log.holders.holding("minion:m0").is_released)
     domain.advance(3)
-    assert holder.is_stopped and holder.incarnation in domain.log.ended
+    assert holder.is_stopped and holder.incarnation in domain.log.holders.ended
 
 
 def make_decision(name, *events):
