Keep this system's paths from services; dump the health of minions

Cause: POST /_dotterelhill/keys with a query went to a service whose prefix is '/'. After: every path below /_dotterelhill/ is answered here. The state dump shows the health of each minion, the retry budget and the state of the claim stream.

--- a/dotterelhill/requests/proxy.py
+++ b/dotterelhill/requests/proxy.py
@@ -196,6 +196,11 @@
         """Return how many requests wait for a slot."""
         return len(self._queue)
 
+    @property
+    def retries_left(self) -> float:
+        """Return how many retries the budget allows now."""
+        return self._budget.left
+
     @property
     def crossed_bytes(self) -> int:
         """Return the bytes that forwarded requests moved between regions."""
@@ -312,7 +317,10 @@
         )
         if not is_safe or work.rest is not None or work.deadline.remaining(self._now()) <= 0:
             return None
-        return self._budget.take(attempts)
+        pause = self._budget.take(attempts)
+        if pause is None:
+            self._metrics.count("requests.retry_budget_spent")
+        return pause
 
     async def _target(self, work: Work, failed: set[str]) -> _Target:
         manifest = self.manifest()
--- a/dotterelhill/requests/routing.py
+++ b/dotterelhill/requests/routing.py
@@ -97,9 +97,17 @@
         """Return the minions that get nothing but a probe."""
         return frozenset(name for name, health in self._health.items() if health.is_ejected)
 
-    def smoothed_seconds(self, minion: str) -> float:
-        """Return the smoothed latency of a minion."""
-        return self._of(minion).seconds
+    def dump(self) -> dict[str, dict[str, float]]:
+        """Return the health of each minion, for the state dump."""
+        return {
+            name: {
+                "smoothed_seconds": health.seconds,
+                "failures_in_a_row": health.failures,
+                "is_ejected": health.is_ejected,
+                "ejected_until": health.ejected_until if health.is_ejected else 0.0,
+            }
+            for name, health in self._health.items()
+        }
 
     def choose(self, candidates: Sequence[Candidate], now: float) -> str | None:
         """Return the minion for the next request, or None when there is none.
--- a/dotterelhill/requests/service.py
+++ b/dotterelhill/requests/service.py
@@ -46,7 +46,9 @@
     service_of,
 )
 
-KEYS_PATH = "/_dotterelhill/keys"
+# Never passed to a service, whatever its path prefix.
+OWN_PATHS = "/_dotterelhill/"
+KEYS_PATH = OWN_PATHS + "keys"
 FOLLOW_SECONDS = 1.0
 # Largest request deadline; no request in flight lasts longer.
 DRAIN_SECONDS = 30.0
@@ -164,11 +166,14 @@
             "slots": dict(proxy.slots.in_flight),
             "reserved_slots": proxy.slots.reserved,
             "queue": proxy.queue_length,
-            "ejected": sorted(proxy.routing.ejected()),
+            "minions": proxy.routing.dump(),
+            "retries_left": proxy.retries_left,
             "member_in_flight": proxy.limits.in_flight,
             "crossed_bytes": proxy.crossed_bytes,
             "keys": self._keyed.key_count,
             "claims": len(self._claims.table),
+            "claims_ignored": self._claims.table.ignored,
+            "is_claim_stream_read": self._claims.is_caught_up,
         }
 
     async def on_start(self) -> None:
@@ -279,8 +284,8 @@
         if self._is_closing:
             raise RequestError(ErrorKind.SHUTTING_DOWN, "this process stops")
         head = call.head
-        if hop is None and head.raw_path == KEYS_PATH:
-            await self._issue_key(call)
+        if hop is None and head.raw_path.startswith(OWN_PATHS):
+            await self._answer_own_path(call)
             return
         manifest = self._proxy.manifest()
         service_name = service_of(manifest, head.raw_path)
@@ -325,7 +330,9 @@
             return
         await self._keyed.run(work, key, call)
 
-    async def _issue_key(self, call: Call) -> None:
+    async def _answer_own_path(self, call: Call) -> None:
+        if call.head.raw_path != KEYS_PATH:
+            raise RequestError(ErrorKind.UNKNOWN_SERVICE, f"only {KEYS_PATH} is there")
         if call.head.method != "POST":
             raise RequestError(ErrorKind.BAD_REQUEST, "keys are issued by POST")
         body = msgspec.json.encode({"key": self._keyed.issue()})
--- a/dotterelhill/requests/tests/input.feature
+++ b/dotterelhill/requests/tests/input.feature
@@ -20,6 +20,12 @@
       | a header that is not UTF-8 | bad_request |
       | a bad chunk | bad_request |
 
+  Scenario: A path of this system reaches a service with a short prefix
+    Given entry "e1" in "caxias" using "m1"
+    When a raw connection sends a path of this system
+    Then the answer is error "unknown_service" with outcome "not-run"
+    And minion "m1" got 0 requests
+
   Scenario: A caller forges the headers of this system
     Given entry "e1" in "caxias" using "m1"
     When "e1" gets POST with forged headers of this system
--- a/dotterelhill/requests/tests/steps/request_steps.py
+++ b/dotterelhill/requests/tests/steps/request_steps.py
@@ -840,6 +840,7 @@
         "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
         "two different Content-Lengths": "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
         "a target without a slash": "\r\n",
+        "a path of this system": "\r\n",
         "two Host headers": "Host: b\r\n\r\n",
         "a header of 20000 bytes": f"X-Large: {'a' * 20000}\r\n\r\n",
         "90 headers of 500 bytes": "".join(f"X-{n}: {'a' * 500}\r\n" for n in range(90)) + "\r\n",
@@ -847,7 +848,11 @@
         "a bad chunk": "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\nZZ\r\n",
         "a deadline that is no number": "Dotterelhill-Deadline: soon\r\n\r\n",
     }[what]
-    target = "http://a/bench" if "slash" in what else "/bench"
+    targets = {
+        "a target without a slash": "http://a/bench",
+        "a path of this system": "/_dotterelhill/keys?x",
+    }
+    target = targets.get(what, "/bench")
     raw(context, f"POST {target} HTTP/1.1\r\nHost: a\r\n{extra}".encode("latin-1"), wait=0.5)
 
 
--- a/measure/requests_cost.py
+++ b/measure/requests_cost.py
@@ -86,7 +86,7 @@
     for number in range(29):
         # The rest of a service of today's size, held by other entry processes.
         world.minions[f"other{number}"] = _RemoteMinion(f"127.0.0.1:{number + 1}")
-        world.domains[f"other{number}"] = "caxias"
+        world.domains[f"other{number}"] = ("caxias", "gramado", "pelotas")[number % 3]
     world.publish()
     entry = await world.add_entry("e1", "caxias", connections_per_caller=10 * CONNECTIONS)
     world.grant("e1", "m1", 64)
