Let forwarded requests use a peer's slots again before its next heartbeat

Cause: forwarded requests were counted against the free slots of the newest heartbeat and never counted off, so a process without minions got at most as many answers a second as slots were reported, and none while 0 were reported. Ruled out: more frequent heartbeats; they cost bytes on the link between regions. Conclusion: the hop no longer limits a process that holds nothing, as after a start.

--- a/dotterelhill/requests/proxy.py
+++ b/dotterelhill/requests/proxy.py
@@ -40,6 +40,8 @@
 # peers change without an event here.
 RECHECK_SECONDS = 0.05
 PEER_CONNECTIONS = 256
+# Requests that may wait in the queue of a peer beyond the slots that it reported.
+WAITING_AT_PEER = 32
 
 
 class Sink(Protocol):
@@ -318,7 +320,7 @@
         if not is_safe or work.rest is not None or work.deadline.remaining(self._now()) <= 0:
             return None
         pause = self._budget.take(attempts)
-        if pause is None:
+        if pause is None and self._budget.left < 1.0:
             self._metrics.count("requests.retry_budget_spent")
         return pause
 
@@ -379,15 +381,29 @@
         target = self._free_minion(manifest, work.service, failed)
         if target is not None or work.hop is not None:
             return target
-        peers = self._around.peers.live_peers(self._now())
-        peer = self._order.choose(
-            [peer for peer in peers if peer.incarnation not in failed],
-            work.service,
-            manifest,
-            may_cross=self._may_cross(manifest),
-        )
+        peer = self._free_peer(manifest, work.service, failed)
         return None if peer is None else _PeerTarget(peer)
 
+    def _free_peer(self, manifest: Manifest, service: str, failed: set[str]) -> Peer | None:
+        peers = [
+            peer
+            for peer in self._around.peers.live_peers(self._now())
+            if peer.incarnation not in failed
+        ]
+        may_cross = self._may_cross(manifest)
+        peer = self._order.choose(peers, service, manifest, may_cross=may_cross)
+        usable = self._usable_minions(manifest, service)
+        if peer is not None or self._has_other_minion(usable, failed):
+            return peer
+        # Nothing becomes free here, so the request waits at a process that holds a minion; its
+        # next heartbeat may be a second away.
+        holder_of = self._around.holdings.holder_of
+        holders = {holder_of(f"minion:{name}") for name in usable}
+        holding = [peer for peer in peers if peer.incarnation in holders]
+        return self._order.choose(
+            holding, service, manifest, may_cross=may_cross, least_free=-WAITING_AT_PEER
+        )
+
     def _free_minion(
         self, manifest: Manifest, service_name: str, failed: set[str]
     ) -> _MinionTarget | None:
@@ -481,6 +497,7 @@
                 raise await _peer_error(exchange, head, kind, left)
             await self._pass_on(work, exchange, head, sink, count)
         finally:
+            self._order.record_settled(peer)
             exchange.abandon()
 
     async def _pass_on(
--- a/dotterelhill/requests/routing.py
+++ b/dotterelhill/requests/routing.py
@@ -218,18 +218,25 @@
         self._sent: dict[str, tuple[float, int]] = {}
 
     def choose(
-        self, peers: Sequence[Peer], service: str, manifest: Manifest, *, may_cross: bool
+        self,
+        peers: Sequence[Peer],
+        service: str,
+        manifest: Manifest,
+        *,
+        may_cross: bool,
+        least_free: int = 1,
     ) -> Peer | None:
         """Return the nearest peer with free slots: own domain, own region, other region.
 
         :param may_cross: whether the byte cap allows another region now
+        :param least_free: fewest free slots; below 0 lets requests wait in the peer's queue
         """
         tiers: list[list[Peer]] = [[], [], []]
         for peer in peers:
             domain = manifest.failure_domains.get(peer.failure_domain)
             if domain is None or domain.state is not DomainState.IN or not peer.is_ready:
                 continue
-            if self.free_slots(peer, service) <= 0:
+            if self.free_slots(peer, service) < least_free:
                 continue
             tiers[self._distance(peer)].append(peer)
         for distance, tier in enumerate(tiers):
@@ -245,10 +252,12 @@
 
     def record_sent(self, peer: Peer) -> None:
         """Count a forwarded request against the slots of the peer's newest heartbeat."""
+        self._sent[peer.incarnation] = (peer.heard_at, self._net_sent(peer) + 1)
+
+    def record_settled(self, peer: Peer) -> None:
+        """Count a forwarded request off; its slot is free again before the next heartbeat."""
         heard_at, count = self._sent.get(peer.incarnation, (peer.heard_at, 0))
-        if heard_at != peer.heard_at:
-            count = 0
-        self._sent[peer.incarnation] = (peer.heard_at, count + 1)
+        self._sent[peer.incarnation] = (heard_at, count - 1)
 
     def retain(self, incarnations: Iterable[str]) -> None:
         """Forget every peer that is no longer live."""
@@ -256,9 +265,12 @@
         self._sent = {name: item for name, item in self._sent.items() if name in kept}
 
     def free_slots(self, peer: Peer, service: str) -> int:
-        """Return the peer's free slots less those used since its newest heartbeat."""
+        """Return the peer's free slots, corrected by what was sent and settled since."""
+        return peer.free_slots.get(service, 0) - self._net_sent(peer)
+
+    def _net_sent(self, peer: Peer) -> int:
         heard_at, count = self._sent.get(peer.incarnation, (peer.heard_at, 0))
-        return peer.free_slots.get(service, 0) - (count if heard_at == peer.heard_at else 0)
+        return count if heard_at == peer.heard_at else 0
 
     def _distance(self, peer: Peer) -> int:
         if peer.failure_domain == self._failure_domain:
--- a/dotterelhill/requests/tests/harness.py
+++ b/dotterelhill/requests/tests/harness.py
@@ -28,12 +28,13 @@
 class FakeHoldings:
     def __init__(self) -> None:
         self.permits: dict[str, Permit] = {}
+        self.holders: dict[str, str] = {}
 
     def permit_for(self, minion: str, now: float) -> Permit:
         return self.permits.get(minion, NO_PERMIT)
 
     def holder_of(self, resource: str) -> str | None:
-        return None
+        return self.holders.get(resource)
 
     def worker_token(self, worker: str) -> int | None:
         return None
@@ -44,8 +45,11 @@
         self.incarnation = incarnation
         self.live: list[Entry] = []
         self.leaving: frozenset[str] = frozenset()
+        self.last_heard: tuple[Peer, ...] | None = None
 
     def live_peers(self, now: float) -> tuple[Peer, ...]:
+        if self.last_heard is not None:
+            return self.last_heard
         return tuple(entry.as_peer(now) for entry in self.live)
 
     def leaving_vms(self) -> frozenset[str]:
@@ -97,6 +101,7 @@
         self.name = name
         self.domain = domain
         self.holdings = FakeHoldings()
+        self.holdings.holders = world.holders
         self.peers = FakePeers(f"{name}/0123456789abcdef")
         options = {"balancer_seconds": 0.0, **settings}
         self.requests = Requests(
@@ -152,6 +157,7 @@
         self.manifests = FakeManifests()
         self.log = FakeLog()
         self.minions: dict[str, MinionStandin] = {}
+        self.holders: dict[str, str] = {}
         self.entries: dict[str, Entry] = {}
         self.domains: dict[str, str] = {}
         self.states: dict[str, str] = {}
@@ -180,6 +186,8 @@
 
     def grant(self, entry: str, minion: str, slots: int = 8, connections: int = 64) -> None:
         self.entries[entry].holdings.permits[minion] = Permit(slots, connections)
+        if slots:
+            self.holders[f"minion:{minion}"] = self.entries[entry].peers.incarnation
 
     def manifest(self) -> Manifest:
         limits = {"cpu": 1, "memory_gb": 1, **self.limits}
--- a/dotterelhill/requests/tests/steps/request_steps.py
+++ b/dotterelhill/requests/tests/steps/request_steps.py
@@ -6,6 +6,7 @@
 import sys
 import time
 from base64 import b64decode
+from dataclasses import replace
 from random import Random
 
 import msgspec
@@ -796,6 +797,21 @@
     assert sum(dump["counters"].get("forwarded", 0) for dump in dumps) == count
 
 
+@given('the last heartbeat of "{name}" reported {slots:d} free slots')
+def last_heartbeat(context, name, slots):
+    async def freeze():
+        peer = context.world.entries[name].as_peer(asyncio.get_running_loop().time())
+        return replace(peer, free_slots={"bancada": slots})
+
+    context.world.entries["e1"].peers.last_heard = (context.run(freeze()),)
+
+
+@when('{count:d} callers ask "{entry}" at once for {seconds:g} seconds of work')
+def callers_of(context, count, entry, seconds):
+    headers = {"X-Work-Seconds": str(seconds)}
+    ask(context, *[context.world.call(entry, headers=headers) for _ in range(count)])
+
+
 @when('the forward port of "{entry}" gets a request {fault}')
 def forged_forward(context, entry, fault):
     target = context.world.entries[entry]
