--- a/dotterelhill/manifest/__init__.py
+++ b/dotterelhill/manifest/__init__.py
@@ -14,18 +14,22 @@
     Resources,
     Service,
 )
+from dotterelhill.manifest.feed import ConfigFeed, ConfigState
 from dotterelhill.manifest.history import (
     AcceptedManifest,
     ManifestHistory,
     Publication,
     PublicationVerdict,
     Verdict,
+    manifest_from_record,
 )
 from dotterelhill.manifest.interface import ManifestView
 from dotterelhill.manifest.validation import Fault, ManifestError, manifest_from_document
 
 __all__ = [
     "AcceptedManifest",
+    "ConfigFeed",
+    "ConfigState",
     "Constraints",
     "DomainState",
     "FailureDomain",
@@ -46,4 +50,5 @@
     "Service",
     "Verdict",
     "manifest_from_document",
+    "manifest_from_record",
 ]
