--- a/dotterelhill/requests/tests/steps/request_steps.py
+++ b/dotterelhill/requests/tests/steps/request_steps.py
@@ -6,6 +6,7 @@
 import sys
 import time
 from base64 import b64decode
+from dataclasses import replace
 from random import Random
 
 import msgspec
@@ -384,6 +385,50 @@
     assert low <= context.seconds <= high, context.seconds
 
 
+@given('minion "{name}" sends one more answer {seconds:g} seconds after its first')
+def unsolicited(context, name, seconds):
+    count = [0]
+
+    async def serve(reader, writer):
+        while not reader.at_eof():
+            try:
+                await reader.readuntil(b"\r\n\r\n")
+            except (asyncio.IncompleteReadError, ConnectionError):
+                break
+            count[0] += 1
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nown-%d" % count[0])
+            if count[0] == 1:
+                late = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nLATE!"
+                asyncio.get_running_loop().call_later(seconds, writer.write, late)
+        writer.close()
+
+    server = context.run(asyncio.start_server(serve, "127.0.0.1", 0))
+    context.server = server
+    port = server.sockets[0].getsockname()[1]
+    context.world.minions[name].address = f"127.0.0.1:{port}"
+    context.world.grant("e1", "m2", 0, 0)
+    context.world.publish()
+
+
+@when('"{entry}" gets GET {count:d} times, {seconds:g} seconds apart')
+def spaced_gets(context, entry, count, seconds):
+    async def get():
+        answers = []
+        for _ in range(count):
+            answers.append(await context.world.call(entry))
+            await asyncio.sleep(seconds)
+        context.server.close()
+        return answers
+
+    context.answers = context.run(get())
+
+
+@then("the answers are those to its {count:d} requests")
+def own_bodies(context, count):
+    bodies = [answer.body for answer in context.answers]
+    assert bodies == [b"own-%d" % number for number in range(1, count + 1)], bodies
+
+
 # Safety
 
 
@@ -752,6 +797,21 @@
     assert sum(dump["counters"].get("forwarded", 0) for dump in dumps) == count
 
 
+@given('the last heartbeat of "{name}" reported {slots:d} free slots')
+def last_heartbeat(context, name, slots):
+    async def freeze():
+        peer = context.world.entries[name].as_peer(asyncio.get_running_loop().time())
+        return replace(peer, free_slots={"bancada": slots})
+
+    context.world.entries["e1"].peers.last_heard = (context.run(freeze()),)
+
+
+@when('{count:d} callers ask "{entry}" at once for {seconds:g} seconds of work')
+def callers_of(context, count, entry, seconds):
+    headers = {"X-Work-Seconds": str(seconds)}
+    ask(context, *[context.world.call(entry, headers=headers) for _ in range(count)])
+
+
 @when('the forward port of "{entry}" gets a request {fault}')
 def forged_forward(context, entry, fault):
     target = context.world.entries[entry]
@@ -796,6 +856,7 @@
         "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
         "two different Content-Lengths": "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
         "a target without a slash": "\r\n",
+        "a path of this system": "\r\n",
         "two Host headers": "Host: b\r\n\r\n",
         "a header of 20000 bytes": f"X-Large: {'a' * 20000}\r\n\r\n",
         "90 headers of 500 bytes": "".join(f"X-{n}: {'a' * 500}\r\n" for n in range(90)) + "\r\n",
@@ -803,7 +864,11 @@
         "a bad chunk": "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\nZZ\r\n",
         "a deadline that is no number": "Dotterelhill-Deadline: soon\r\n\r\n",
     }[what]
-    target = "http://a/bench" if "slash" in what else "/bench"
+    targets = {
+        "a target without a slash": "http://a/bench",
+        "a path of this system": "/_dotterelhill/keys?x",
+    }
+    target = targets.get(what, "/bench")
     raw(context, f"POST {target} HTTP/1.1\r\nHost: a\r\n{extra}".encode("latin-1"), wait=0.5)
 
 
