Declare nothing lost on an old view of the log; learn speeds set by an earlier holder

Cause: a holder that wakes with an old fence could append Stopped(lost) while another holder has unfenced the worker and fenced it again; a new holder did not know which tasks were throttled. Shown to fail: both scenarios, with the new lines taken out. Conclusion: a delayed Stopped(lost) that is already under way stays a gap until the ledger checks which fence it rests on.

--- a/dotterelhill/batch/execution.py
+++ b/dotterelhill/batch/execution.py
@@ -364,6 +364,9 @@
             yield ReadClock(worker.name, worker.token)
         if now < self._lease_over_at(worker):
             return
+        # After a pause another holder may have unfenced the worker and fenced it again.
+        if now - self._evidence.control_at > START_EVIDENCE_SECONDS:
+            return
         # An Unfence on its way would let a later Stopped(lost) refer to the next fence.
         if not worker.is_losing and not self._may_append(worker.unfence_appended_at, now):
             return
--- a/dotterelhill/batch/service.py
+++ b/dotterelhill/batch/service.py
@@ -417,6 +417,7 @@
         self._measure(action.worker, answer, now)
 
     def _measure(self, worker: str, report: WorkerReport, now: float) -> None:
+        self._throttling.learn_speeds(worker, {run.task: run.speed for run in report.runs})
         weights: dict[str, float] = {}
         for task, use in report.usage.tasks.items():
             job = job_of(task)
--- a/dotterelhill/batch/tests/policy.feature
+++ b/dotterelhill/batch/tests/policy.feature
@@ -113,3 +113,15 @@
     Then the harmful task is throttled twice before it is moved, at least 60 s after the last throttle
     When the service is fast for 200 s beside a throttled task
     Then the task is released once in 60 s
+
+  Scenario: A new holder knows the speeds that an earlier one has set
+    When a holder learns that a task runs at a quarter of its speed and the service is fast for 200 s
+    Then the task is released once in 60 s
+
+  @single-place
+  Scenario: A holder that wakes with an old fence declares nothing lost before it has read the log
+    Given a holder whose silent worker is fenced
+    When it wakes 100 s later without having read the log
+    Then it declares no task lost
+    When it reads the log and finds its fence in place
+    Then it declares the task lost
--- a/dotterelhill/batch/tests/steps/policy_steps.py
+++ b/dotterelhill/batch/tests/steps/policy_steps.py
@@ -6,14 +6,23 @@
 
 from behave import given, then, when
 
-from dotterelhill.batch.events import Append, StopWanted
+from dotterelhill.batch.events import (
+    Append,
+    AssignmentRead,
+    EvidenceRead,
+    LeaseRenewed,
+    StopWanted,
+    Tick,
+    WorkerHeld,
+)
+from dotterelhill.batch.execution import Execution
 from dotterelhill.batch.interface import Assignment, PendingTask, WorkerFacts
 from dotterelhill.batch.interference import Interference, slow_down_of
 from dotterelhill.batch.placement import MeasuredWorker, Placement, job_of
 from dotterelhill.batch.preemption import Victim, cheapest_preemption
 from dotterelhill.batch.sizes import Sizes
 from dotterelhill.batch.throttling import ThrottleTask, Throttling
-from dotterelhill.ledger import Assign
+from dotterelhill.ledger import Assign, Stopped
 from dotterelhill.manifest import (
     Constraints,
     FailureDomain,
@@ -304,3 +313,52 @@
 def check_released(context):
     times = [second for second, _ in context.changes]
     assert times and all(b - a >= 60 for a, b in itertools.pairwise(times)), times
+
+
+@when(
+    "a holder learns that a task runs at a quarter of its speed and the service is fast for 200 s"
+)
+def learn_speeds(context):
+    throttling = Throttling(Interference())
+    throttling.learn_speeds("w0", {"harmful@1/0": 0.25, "harmless@1/0": 1.0})
+    context.changes = drive(throttling, 1.0, NOW)
+
+
+def evidence_at(now):
+    return EvidenceRead(99, now, now, frozenset(["d"]), 3600.0)
+
+
+@given("a holder whose silent worker is fenced")
+def fence_worker(context):
+    execution = context.execution = Execution()
+    execution.decide(evidence_at(NOW), NOW)
+    execution.decide(WorkerHeld("w0", "d", 1, False), NOW)
+    execution.decide(AssignmentRead(running_tasks()["harmful@1/0"]), NOW)
+    execution.decide(LeaseRenewed("w0", 1, NOW, NOW, "b", 5.0, ()), NOW)
+    execution.decide(WorkerHeld("w0", "d", 1, True), NOW + 11)
+
+
+@when("it wakes 100 s later without having read the log")
+def wake_late(context):
+    context.actions = context.execution.decide(Tick(), NOW + 111)
+
+
+@when("it reads the log and finds its fence in place")
+def read_log(context):
+    context.execution.decide(evidence_at(NOW + 112), NOW + 112)
+    context.actions = context.execution.decide(Tick(), NOW + 112)
+
+
+def lost_records(context):
+    records = [action.record for action in context.actions if isinstance(action, Append)]
+    return [record for record in records if isinstance(record, Stopped)]
+
+
+@then("it declares no task lost")
+def check_nothing_lost(context):
+    assert lost_records(context) == []
+
+
+@then("it declares the task lost")
+def check_lost(context):
+    assert [record.task for record in lost_records(context)] == ["harmful@1/0"]
--- a/dotterelhill/batch/throttling.py
+++ b/dotterelhill/batch/throttling.py
@@ -55,6 +55,13 @@
         state = self._workers.get(worker)
         return state.speeds.get(task, 1.0) if state else 1.0
 
+    def learn_speeds(self, worker: str, speeds: Mapping[str, float]) -> None:
+        """Take over speeds below 1 that an earlier holder has set."""
+        state = self._workers.setdefault(worker, _Worker())
+        for task, speed in speeds.items():
+            if speed < 1.0:
+                state.speeds.setdefault(task, speed)
+
     def forget_worker(self, worker: str) -> None:
         """Drop what is known of a worker that is not held any more."""
         self._workers.pop(worker, None)
--- a/dotterelhill/batch/worker.py
+++ b/dotterelhill/batch/worker.py
@@ -42,11 +42,13 @@
 
     :param state: running, finished, failed, stopped, refused or never_started
     :param done_seconds: work done, with that of the checkpoint it resumed from
+    :param speed: part of its full speed that a throttled run has
     """
 
     task: str
     token: int
     state: str
+    speed: float = 1.0
     done_seconds: float = 0.0
     checkpoint: str = ""
     reason: str = ""
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -51,9 +51,7 @@
 
     def answer(self) -> dict[str, Any]:
         """Return the run as reported to holders."""
-        fields = asdict(self)
-        del fields["speed"]
-        return fields
+        return asdict(self)
 
 
 @dataclass(slots=True)
