Give the holder's decision code a time that never goes back

Cause: the batch service passed the time from the start of its tick to decide() after events that had read the clock themselves, so a recorded trace went back by parts of a millisecond. Ruled out: sorting in the recorder, which would hide that decide() got a lower time. Before: replaying the trace of the pause scenario stopped at event 72. Conclusion: decide() now gets the loop's time at each call.

--- a/dotterelhill/batch/service.py
+++ b/dotterelhill/batch/service.py
@@ -181,7 +181,7 @@
         self._read_manifest(now)
         self._read_ledger(now)
         self._read_holdings(now)
-        for action in self._execution.decide(Tick(), now):
+        for action in self._execution.decide(Tick(), self.loop.time()):
             self._perform(action, now)
         if not self._is_scheduler() or self._feed.ledger.is_stopped:
             return
@@ -205,7 +205,7 @@
             domains_in=self._domains_in,
             autonomy_seconds=current.manifest.autonomy_seconds,
         )
-        self._execution.decide(event, now)
+        self._execution.decide(event, self.loop.time())
 
     def _read_manifest(self, now: float) -> None:
         current = self._manifests.current
@@ -274,7 +274,7 @@
     def _read_assignment(self, assignment: Assignment, now: float) -> None:
         self._placement.add_running(assignment, now)
         if assignment.worker in self._held:
-            self._execution.decide(AssignmentRead(assignment), now)
+            self._execution.decide(AssignmentRead(assignment), self.loop.time())
 
     def _end_assignment(self, known: Assignment) -> None:
         if known.worker in self._held:
@@ -294,7 +294,7 @@
             if token is not None:
                 held[name] = token
         for name in self._held.keys() - held.keys():
-            self._execution.decide(WorkerUnheld(name), now)
+            self._execution.decide(WorkerUnheld(name), self.loop.time())
             self._throttling.forget_worker(name)
             self._loads.pop(name, None)
         taken = [name for name, token in held.items() if self._held.get(name) != token]
@@ -302,7 +302,7 @@
         for name in taken:
             self._read_held_worker(name)
             for assignment in self._feed.assignments_on(name):
-                self._execution.decide(AssignmentRead(assignment), now)
+                self._execution.decide(AssignmentRead(assignment), self.loop.time())
 
     def _read_held_worker(self, name: str) -> None:
         token = self._held.get(name)
@@ -446,7 +446,7 @@
             match action:
                 case StopWanted():
                     self._counts["evictions"] += 1
-                    self._execution.decide(action, now)
+                    self._execution.decide(action, self.loop.time())
                 case ThrottleTask():
                     self._perform(action, now)
 
@@ -504,7 +504,9 @@
     def _evict(self, action: EvictTask, now: float) -> None:
         self._counts["evictions"] += 1
         if action.worker in self._held:
-            self._execution.decide(StopWanted(action.worker, action.task, action.token), now)
+            self._execution.decide(
+                StopWanted(action.worker, action.task, action.token), self.loop.time()
+            )
             return
         self._send(("stop", action.task, action.token), self._evict_at(action))
 
@@ -523,7 +525,7 @@
             self._submit(stopped_record(assignment, _observed(answer)), self.loop.time())
 
     def _decide(self, event: Any, now: float) -> None:
-        for action in self._execution.decide(event, now):
+        for action in self._execution.decide(event, self.loop.time()):
             self._perform(action, now)
 
 
