Bind a lost run to the fence under which its lease was waited for

Cause: Stopped(lost) named no fence, so a delayed one of an earlier holder was accepted under the fence of its successor, which has not waited for the worker's lease: the task could run twice. Ruled out: trusting the holder's check of its evidence alone, since the record may be delayed after it. Before: the new scenario fails when the check ignores the fence (seen on a scratch copy). After: the ledger, holdings, membership and replay features pass. The preferred scheduler also gets the usage of workers that others hold, and can reach the workers of every domain for urgent evictions. Conclusion: a loss counts only under the fence of the holder that waited.

--- a/dotterelhill/batch/execution.py
+++ b/dotterelhill/batch/execution.py
@@ -377,7 +377,7 @@
                 continue
             worker.is_losing = True
             task.appended_at = now
-            yield Append(_stopped_as_lost(task))
+            yield Append(_stopped_as_lost(task, worker.token))
 
     def _lease_over_at(self, worker: _Worker) -> float:
         if worker.reached_at is not None:
@@ -464,7 +464,7 @@
     yield StopTask(worker.name, assignment.task, assignment.token, keeps_work=keeps_work)
 
 
-def _stopped_as_lost(task: _Task) -> Stopped:
+def _stopped_as_lost(task: _Task, fence: int) -> Stopped:
     if task.stopped is not None:
         return task.stopped
     assignment = task.assignment
@@ -473,4 +473,5 @@
         token=assignment.token,
         outcome=StopOutcome.LOST,
         checkpoint=assignment.checkpoint,
+        fence=fence,
     )
--- a/dotterelhill/entry/process.py
+++ b/dotterelhill/entry/process.py
@@ -32,7 +32,7 @@
 from dotterelhill.membership.service import Membership, MembershipHooks, MembershipSettings
 from dotterelhill.membership.transport import CurveKeys, ZmqTransport
 from dotterelhill.membership.view import OwnState
-from dotterelhill.membership.vm_list import HttpVmList, VmRole
+from dotterelhill.membership.vm_list import HttpVmList, Vm, VmRole
 from dotterelhill.replay.execution_slice import ExecutionArguments
 from dotterelhill.replay.holdings_slice import HoldingsArguments
 from dotterelhill.replay.membership_slice import MembershipArguments
@@ -44,6 +44,7 @@
 # At most 4 appends a second for each process, see docs/design.md, section 4.
 CONTROL_SPACING_SECONDS = 0.25
 LEAVE_SECONDS = 5.0
+USAGE_SECONDS = 5.0
 # Evidence that a process must have to be the preferred scheduler.
 SCHEDULER_EVIDENCE_SECONDS = 3.0
 
@@ -166,6 +167,7 @@
         )
         self._workers: dict[str, HttpWorker] = {}
         self._worker_addresses: dict[str, str] = {}
+        self._own_workers: tuple[str, ...] = ()
         self._is_stopping = False
 
     @property
@@ -275,6 +277,7 @@
             on_live_changed=self._holdings.on_live_changed,
             on_manifest=self._config.accept_relayed,
             on_records=self._take_relayed_records,
+            on_usage_summary=self._batch.take_usage_summary,
             on_append_wanted=self._relaying.append_for_peer,
             on_vms=self._take_vms,
         )
@@ -331,17 +334,16 @@
         if self._peers.membership is not None:
             self._peers.membership.receive(message)  # type: ignore[arg-type]
 
-    def _take_vms(self, vms: tuple[object, ...]) -> None:
-        workers = {
-            vm.name: vm.address
-            for vm in self._membership.vms
-            if vm.role is VmRole.WORKER and vm.failure_domain == self._settings.failure_domain
-        }
-        self._worker_addresses = workers
-        self._holdings.on_workers(workers)
+    def _take_vms(self, vms: tuple[Vm, ...]) -> None:
+        workers = [vm for vm in vms if vm.role is VmRole.WORKER]
+        own = self._settings.failure_domain
+        # The scheduler evicts for urgent work at any worker; leases are for the own domain.
+        self._worker_addresses = {vm.name: vm.address for vm in workers}
+        self._own_workers = tuple(vm.name for vm in workers if vm.failure_domain == own)
+        self._holdings.on_workers(self._own_workers)
 
     def _worker_names(self) -> tuple[str, ...]:
-        return tuple(self._worker_addresses)
+        return self._own_workers
 
     def _worker_of(self, name: str) -> HttpWorker:
         address = self._worker_addresses[name]
@@ -357,12 +359,22 @@
         self._requests.close_idle(minion)
 
     def _is_scheduler(self) -> bool:
-        """Return whether this process is first among the live ones by rendezvous hash."""
         now = self.loop.time()
         if now - self._control.evidence_at > SCHEDULER_EVIDENCE_SECONDS or self._is_stopping:
             return False
-        peers = [peer.incarnation for peer in self._peers.live_peers(now) if peer.is_ready]
-        return max([*peers, self._incarnation], key=_scheduler_score) == self._incarnation
+        return self._preferred_scheduler() == self._incarnation
+
+    def _preferred_scheduler(self) -> str:
+        """Return the first of the live incarnations by rendezvous hash, this one included."""
+        peers = self._peers.live_peers(self.loop.time())
+        ready = [peer.incarnation for peer in peers if peer.is_ready]
+        return max([*ready, self._incarnation], key=_scheduler_score)
+
+    @mode.Service.timer(USAGE_SECONDS)
+    async def _send_usage(self) -> None:
+        scheduler = self._preferred_scheduler()
+        if scheduler != self._incarnation:
+            self._membership.send_usage_summary(scheduler, self._batch.usage_summary())
 
     def _own_state(self) -> OwnState:
         now = self.loop.time()
--- a/dotterelhill/ledger/placements.py
+++ b/dotterelhill/ledger/placements.py
@@ -131,7 +131,7 @@
         if run is None or run.token != record.token:
             return Refusal.TOKEN_OUTDATED
         worker = self._workers[run.worker]
-        if record.outcome is StopOutcome.LOST and not self._is_loss_certain(worker):
+        if record.outcome is StopOutcome.LOST and not self._is_loss_certain(worker, record.fence):
             return Refusal.LOSS_NOT_CERTAIN
         job = self._jobs[run.job]
         del self._runs[run.task]
@@ -236,8 +236,10 @@
                 return Refusal.QUOTA_EXCEEDED
         return None
 
-    def _is_loss_certain(self, worker: Worker) -> bool:
-        return worker.is_fenced or self.is_attested_lost(worker)
+    def _is_loss_certain(self, worker: Worker, fence: int) -> bool:
+        # A delayed record of an earlier holder must not count under the fence of its successor,
+        # which has not waited for the lease yet.
+        return (worker.is_fenced and worker.fence == fence) or self.is_attested_lost(worker)
 
     def _add_used(self, key: tuple[str, str], amounts: Amounts) -> None:
         total = self._used.get(key, NOTHING).plus(amounts)
--- a/dotterelhill/ledger/records.py
+++ b/dotterelhill/ledger/records.py
@@ -89,12 +89,16 @@
 
 
 class Stopped(Record, frozen=True, tag=True, kw_only=True, array_like=True):
-    """End of one run of a task."""
+    """End of one run of a task.
+
+    :param fence: for a lost run, the token of the fence under which the lease was waited for
+    """
 
     task: str
     token: int
     outcome: StopOutcome
     checkpoint: str = ""
+    fence: int = 0
 
 
 class Fence(Record, frozen=True, tag=True, kw_only=True, array_like=True):
--- a/dotterelhill/ledger/tests/fold.feature
+++ b/dotterelhill/ledger/tests/fold.feature
@@ -53,7 +53,7 @@
     When the run of "sync@3/0" stops as "lost"
     Then the record is refused as "loss_not_certain"
     When <certainty>
-    And the run of "sync@3/0" stops as "lost"
+    And the run of "sync@3/0" is lost under the fence of token 6
     Then the record is accepted
     And task "sync@3/0" is "pending" with attempt 2
 
@@ -63,6 +63,17 @@
       | manifest 4 attests worker "w1" as lost         |
       | manifest 4 puts "kbh-nord" in state "lost"     |
 
+  @single-place
+  Scenario: a delayed loss of an earlier holder counts under the fence of its successor
+    Given "kbh-1/a" holds "worker:w1" after token 0
+    And task "sync@3/0" attempt 1 runs on "w1"
+    And "kbh-2/a" holds "worker:w1" after token 6
+    When worker "w1" is fenced with token 8
+    And the run of "sync@3/0" is lost under the fence of token 6
+    Then the record is refused as "loss_not_certain"
+    When the run of "sync@3/0" is lost under the fence of token 8
+    Then the record is accepted
+
   @single-place
   Scenario: a holder that was replaced fences a worker of its successor
     Given "kbh-1/a" holds "worker:w1" after token 0
--- a/dotterelhill/ledger/tests/steps/ledger_steps.py
+++ b/dotterelhill/ledger/tests/steps/ledger_steps.py
@@ -95,6 +95,12 @@
     )
 
 
+@when('the run of "{task}" is lost under the fence of token {fence:d}')
+def lose_run(context, task, fence):
+    token = context.bench.tokens[task]
+    context.bench.append(Stopped(task=task, token=token, outcome=StopOutcome.LOST, fence=fence))
+
+
 @when('the run with token {token:d} of "{task}" stops as "{outcome}"')
 def stop_by_token(context, token, task, outcome):
     context.bench.append(Stopped(task=task, token=token, outcome=StopOutcome(outcome)))
--- a/dotterelhill/membership/heartbeats.py
+++ b/dotterelhill/membership/heartbeats.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import get_args
 
 import msgspec
 
@@ -112,12 +113,19 @@
     records: list[bytes]
 
 
-PeerMessage = Heartbeat | ManifestRecord | RecordsWanted | Records | AppendWanted
+class UsageSummary(Message, frozen=True, tag=True):
+    """Usage of the workers that the sender holds, for the preferred scheduler.
+
+    :param data: summary as the batch slice encodes it
+    """
+
+    data: bytes
+
+
+PeerMessage = Heartbeat | ManifestRecord | RecordsWanted | Records | AppendWanted | UsageSummary
 
 _MESSAGES = msgspec.msgpack.Decoder(PeerMessage)
-_KNOWN_TYPES = frozenset(
-    kind.__name__ for kind in (Heartbeat, ManifestRecord, RecordsWanted, Records, AppendWanted)
-)
+_KNOWN_TYPES = frozenset(kind.__name__ for kind in get_args(PeerMessage))
 
 
 @dataclass(frozen=True, slots=True)
--- a/dotterelhill/membership/service.py
+++ b/dotterelhill/membership/service.py
@@ -18,6 +18,7 @@
     PeerMessage,
     Records,
     RecordsWanted,
+    UsageSummary,
 )
 from dotterelhill.membership.interface import Peer
 from dotterelhill.membership.transport import PeerTransport
@@ -75,6 +76,7 @@
     :param on_manifest: a peer relayed version and record of a manifest
     :param on_records: a peer relayed records from ``start`` through an offset
     :param on_append_wanted: a peer that can't reach the log asks to append records to ``control``
+    :param on_usage_summary: a peer sent the usage of its workers
     :param on_vms: the VM list changed
     """
 
@@ -89,6 +91,7 @@
         None
     )
     on_append_wanted: Callable[[Sequence[bytes]], None] = lambda records: None
+    on_usage_summary: Callable[[bytes], None] = lambda data: None
     on_vms: Callable[[tuple[Vm, ...]], None] = lambda vms: None
 
 
@@ -173,6 +176,8 @@
                 self._hooks.on_manifest(message.manifest_version, message.record)
             case RecordsWanted():
                 self._send_records(message)
+            case UsageSummary():
+                self._hooks.on_usage_summary(message.data)
             case AppendWanted():
                 self._counts["appends"] += len(message.records)
                 self._hooks.on_append_wanted(message.records)
@@ -181,6 +186,12 @@
                 records = [LogRecord(offset, data) for offset, data in message.records]
                 self._hooks.on_records(message.start, message.through, records)
 
+    def send_usage_summary(self, incarnation: str, data: bytes) -> None:
+        """Send the usage of this process's workers to a peer, if its address is known."""
+        address = self._decision.address_of(incarnation)
+        if address:
+            self._transport.send(address, UsageSummary(sender=self.incarnation, data=data))
+
     def ask_to_append(self, address: str, records: Sequence[bytes]) -> bool:
         """Return whether the request to append ``control`` records was queued for a peer."""
         wanted = AppendWanted(sender=self.incarnation, records=list(records))
--- a/dotterelhill/membership/view.py
+++ b/dotterelhill/membership/view.py
@@ -212,6 +212,11 @@
             if self._is_alive(known, now)
         )
 
+    def address_of(self, incarnation: str) -> str:
+        """Return the peer address of a known incarnation; empty when it is not known."""
+        known = self._known.get(incarnation)
+        return known.summary.peer_address if known else ""
+
     def addresses_outside(self, now: float) -> tuple[str, ...]:
         """Return the peer addresses of live processes in other failure domains.
 
