Run all measurements by one command; drop an unused buffer of records

Cause: three measurements printed in formats of their own, and membership kept a buffer of records that only its test used, since the control feed keeps the same records for relays. Ruled out: two buffers; the feed's own scenario "relayed records with a gap are folded" and the relay scenario of membership guard the same failures on the code that runs. Before: make measure ran two parts. Request metrics by service reach the entry process's metrics.

--- a/dotterelhill/entry/inspection.py
+++ b/dotterelhill/entry/inspection.py
@@ -141,7 +141,6 @@
     :param readiness: reasons why the process is not ready
     """
     metrics = slices.metrics
-    metrics.add_counters("requests", lambda: slices.requests.dump()["counters"])
     metrics.add_counters("log", lambda: slices.appender.counts)
     metrics.add_counters("ledger", lambda: slices.control.ledger.counts)
     metrics.add_counters("peers", lambda: _peer_counts(slices))
--- a/dotterelhill/entry/process.py
+++ b/dotterelhill/entry/process.py
@@ -147,6 +147,7 @@
             self._peers,
             self._log_adapter,
             self._random,
+            self._metrics,
         )
         self._batch = Batch(
             incarnation=self._incarnation,
--- a/dotterelhill/membership/__init__.py
+++ b/dotterelhill/membership/__init__.py
@@ -1,7 +1,6 @@
 """Live view of the other entry processes."""
 
 from dotterelhill.membership.interface import Peer, PeerView
-from dotterelhill.membership.relay import RecentRecords
 from dotterelhill.membership.service import Membership, MembershipHooks, MembershipSettings
 from dotterelhill.membership.transport import CurveKeys, PeerTransport, ZmqTransport
 from dotterelhill.membership.view import OwnState
@@ -17,7 +16,6 @@
     "Peer",
     "PeerTransport",
     "PeerView",
-    "RecentRecords",
     "Vm",
     "VmList",
     "VmListError",
--- a/dotterelhill/membership/tests/membership.feature
+++ b/dotterelhill/membership/tests/membership.feature
@@ -74,18 +74,6 @@
     Then every process has control offset 1200
     And no batch held more than 500 records
 
-  Scenario Outline: A relayed batch leaves a gap in the records of the receiver
-    Given recent records from offset 5 on with offsets 5, 6 and 8
-    When a batch from <start> with offsets 8, 9 and 12 arrives
-    Then <new> of its records come next
-    And asking from <asked> gives <given> records
-
-    Examples:
-      | start | new | asked | given |
-      | 8     | 2   | 4     | 0     |
-      | 9     | 2   | 5     | 3     |
-      | 10    | 0   | 7     | 1     |
-
   Scenario: A process with another CURVE key reaches the peer port
     Given a peer port on loopback with the deployment's key
     When a process with another client key sends a heartbeat
--- a/dotterelhill/membership/tests/steps/membership_steps.py
+++ b/dotterelhill/membership/tests/steps/membership_steps.py
@@ -3,8 +3,6 @@
 import looptime
 from behave import given, then, when
 
-from dotterelhill.log.interface import LogRecord
-from dotterelhill.membership.relay import RecentRecords
 from dotterelhill.membership.tests.fleet import Fleet, heartbeat, listed_vm
 from dotterelhill.membership.view import HeartbeatHeard, MembershipDecision
 
@@ -164,26 +162,3 @@
 def _(context, name):
     (peer,) = context.decision.live_peers(1.0)
     assert peer.incarnation == f"{name}/0" and peer.is_ready
-
-
-@given("recent records from offset 5 on with offsets 5, 6 and 8")
-def _(context):
-    context.recent = RecentRecords(first_offset=5)
-    for offset in (5, 6, 8):
-        context.recent.add(LogRecord(offset, b"r"))
-
-
-@when("a batch from {start:d} with offsets 8, 9 and 12 arrives")
-def _(context, start):
-    batch = [LogRecord(offset, b"r") for offset in (8, 9, 12)]
-    context.new = context.recent.new_records(start, batch)
-
-
-@then("{count:d} of its records come next")
-def _(context, count):
-    assert len(context.new) == count, context.new
-
-
-@then("asking from {start:d} gives {count:d} records")
-def _(context, start, count):
-    assert len(context.recent.from_offset(start, limit=10)) == count
--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -6,14 +6,15 @@
 from __future__ import annotations
 
 import argparse
-import asyncio
 import importlib
 from pathlib import Path
 
-from measure.report import Figure, encoded_figures, print_figures
+from measure.report import Figure, encoded_figures, printed_figures
 
-# Modules by part; each has ``async def measured() -> list[Figure]``.
+# Modules by part; each has ``figures()``, which returns or yields ``Figure``.
 PARTS: dict[str, tuple[str, ...]] = {
+    "requests": ("measure.requests_cost",),
+    "batch": ("measure.batch_cost", "measure.batch_policy"),
     "agreement": ("measure.agreement",),
     "cost": ("measure.fold_cost", "measure.node_cost"),
 }
@@ -26,14 +27,12 @@
     parser.add_argument("--json", type=Path, default=Path("build/measured.json"))
     options = parser.parse_args()
     parts = PARTS if options.part == "all" else {options.part: PARTS[options.part]}
-    figures: list[Figure] = []
+    measured: list[Figure] = []
     for modules in parts.values():
         for name in modules:
-            measured = asyncio.run(importlib.import_module(name).measured())
-            print_figures(measured)
-            figures += measured
+            measured += printed_figures(importlib.import_module(name).figures())
     options.json.parent.mkdir(parents=True, exist_ok=True)
-    options.json.write_bytes(encoded_figures(figures))
+    options.json.write_bytes(encoded_figures(measured))
 
 
 if __name__ == "__main__":
--- a/measure/agreement.py
+++ b/measure/agreement.py
@@ -13,7 +13,7 @@
 
 from dotterelhill.commands.publication import publish
 from dotterelhill.log import HttpLog
-from measure.report import Figure, figure_of
+from measure.report import Figure, figure_of, printed_figures
 from tools.fleet import Fleet
 from tools.relay import RelayMode
 from tools.sample_fleet import SampleFleet
@@ -71,7 +71,7 @@
             return int((await answer.json())["manifest"]["version"])
 
 
-async def measured() -> list[Figure]:
+async def _measured() -> list[Figure]:
     """Return the figures of one fleet with 6 entry VMs in 3 failure domains."""
     with tempfile.TemporaryDirectory(prefix="dotterelhill-measure-") as directory:
         async with (
@@ -94,7 +94,16 @@
             takeover = await agreement.takeover_seconds(session)
     target = IN_FORCE_TARGET_SECONDS
     return [
-        figure_of("manifest in force everywhere, s", whole, target=target),
-        figure_of("the same, one domain cut from the log, s", cut, target=target),
-        figure_of("entry VM killed: its minions are in use again, s", [takeover]),
+        figure_of("manifest in force everywhere", "s", whole, at_most=target),
+        figure_of("the same, one domain cut from the log", "s", cut, at_most=target),
+        figure_of("entry VM killed, its minions are in use again", "s", [takeover]),
     ]
+
+
+def figures() -> list[Figure]:
+    """Return the figures of one fleet with 6 entry VMs in 3 failure domains."""
+    return asyncio.run(_measured())
+
+
+if __name__ == "__main__":
+    printed_figures(figures())
--- a/measure/batch_cost.py
+++ b/measure/batch_cost.py
@@ -11,7 +11,7 @@
 import subprocess
 import sys
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
 import aiohttp
@@ -53,6 +53,7 @@
     Priority,
     Resources,
 )
+from measure.report import Figure, judged_figure, printed_figures
 
 SEED = 20260
 # 1.4% of a core at 180 starts a second.
@@ -90,12 +91,6 @@
     now: float = 1000.0
 
 
-def report(name: str, target: str, baseline: str, measured: str, *, is_met: bool) -> None:
-    """Print one figure."""
-    verdict = "met" if is_met else "short"
-    print(f"{name}, {target}, {baseline}, {measured}, {verdict}", flush=True)
-
-
 def manifest_of(size: Size, rng: random.Random) -> Manifest:
     """Return a manifest with two jobs for each team."""
     limits = Limits(requests_per_second=9, in_flight=9, cpu=1e6, memory_gb=1e6, accelerators=940)
@@ -435,8 +430,8 @@
     return time.process_time() - begun
 
 
-def main() -> None:
-    """Print every figure."""
+def figures() -> Iterator[Figure]:
+    """Yield every figure."""
     small_decision, small_life = placement_seconds(TODAY)
     half_decision, _ = placement_seconds(HALF)
     decision, life = placement_seconds(TARGET)
@@ -447,21 +442,21 @@
         ("placement decision, 430 workers", TARGET, decision, scan),
     ):
         compared = f"full scan {baseline * 1e6:.1f} us" if baseline is not None else "none"
-        report(
+        yield judged_figure(
             f"{name} and {size.running} tasks",
             f"at most {BUDGET_MICROSECONDS:g} us a start",
             compared,
             f"{seconds * 1e6:.1f} us",
             is_met=seconds * 1e6 <= BUDGET_MICROSECONDS,
         )
-    report(
+    yield judged_figure(
         "slope of the decision from 30 to 430 workers",
         "at most 2 times",
         f"full scan {scan / small_scan:.1f} times",
         f"{decision / small_decision:.2f} times",
         is_met=decision <= 2 * small_decision,
     )
-    report(
+    yield judged_figure(
         "placement with queue, confirmation and end, 430 workers",
         f"at most {BUDGET_MICROSECONDS:g} us a start",
         f"30 workers {small_life * 1e6:.1f} us",
@@ -469,14 +464,14 @@
         is_met=life * 1e6 <= BUDGET_MICROSECONDS,
     )
     start, renewal = holder_seconds(50, 20)
-    report(
+    yield judged_figure(
         "holder's decisions for a task's life, 50 workers",
         f"at most {BUDGET_MICROSECONDS:g} us a start",
         "none",
         f"{start * 1e6:.1f} us",
         is_met=start * 1e6 <= BUDGET_MICROSECONDS,
     )
-    report(
+    yield judged_figure(
         "holder's decision for a renewal with 20 tasks",
         "at most 1000 us",
         "none",
@@ -484,7 +479,7 @@
         is_met=renewal <= 0.001,
     )
     message = message_seconds()
-    report(
+    yield judged_figure(
         "start message over HTTP, client side",
         f"at most {BUDGET_MICROSECONDS:g} us a start",
         "none",
@@ -492,7 +487,7 @@
         is_met=message * 1e6 <= BUDGET_MICROSECONDS,
     )
     longest = burst_seconds()
-    report(
+    yield judged_figure(
         "longest tick in a burst of 6200 cancellations",
         "at most 1000 ms",
         "none",
@@ -500,7 +495,7 @@
         is_met=longest <= 1.0,
     )
     step = asyncio.run(cancelled_step_seconds())
-    report(
+    yield judged_figure(
         "step that reads 6200 cancellations among 8400 tasks at one holder of all",
         "at most 1000 ms",
         "none",
@@ -510,4 +505,4 @@
 
 
 if __name__ == "__main__":
-    main()
+    printed_figures(figures())
--- a/measure/batch_policy.py
+++ b/measure/batch_policy.py
@@ -1,6 +1,6 @@
 """Placement policy against first fit and against strict separation, for both members.
 
-Run with ``python -m measure.batch_policy [seed]``. Each line: name, target, baseline in the same
+Run with ``python -m measure.batch_policy``. Each line: name, target, baseline in the same
 run, measured, met or short.
 
 Stated beforehand: half of the workers host two minions of the service each and leave three
@@ -16,7 +16,7 @@
 
 import math
 import random
-import sys
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -26,7 +26,9 @@
 from dotterelhill.batch.throttling import HIGH_SLOW_DOWN, Throttling
 from dotterelhill.ledger import Assign, StopOutcome
 from dotterelhill.manifest import FailureDomain, Job, Limits, Manifest, Member, Priority, Resources
+from measure.report import Figure, judged_figure, printed_figures
 
+SEEDS = (1, 2, 3)
 SECONDS = 3600
 REPORT_SECONDS = 5
 LAG_SECONDS = 3
@@ -421,13 +423,8 @@
     return fake.totals
 
 
-def report(name: str, target: str, baseline: str, measured: str, *, is_met: bool) -> None:
-    """Print one figure."""
-    print(f"{name}, {target}, {baseline}, {measured}, {'met' if is_met else 'short'}", flush=True)
-
-
-def compare(deployment: Deployment, seed: int) -> None:
-    """Print the figures of one member."""
+def compared_figures(deployment: Deployment, seed: int) -> Iterator[Figure]:
+    """Yield the figures of one member."""
     deployment.slow_downs.setdefault("urgent", 1.0)
     kinds = Deployment(
         deployment.member,
@@ -445,8 +442,8 @@
     shipped = run(fakes[2], ShippedPolicy(fakes[2], manifest_of(jobs)), arrivals)
     base = strict.percentile(0.99)
     tail, other_tail = shipped.percentile(0.99) / base, first_fit.percentile(0.99) / base
-    report(
-        f"{deployment.member}: p99 of {deployment.service} against strict separation",
+    yield judged_figure(
+        f"seed {seed}, {deployment.member}: p99 of {deployment.service} against strict separation",
         "at most 1.10 times",
         f"first fit {other_tail:.3f} times",
         f"{tail:.3f} times",
@@ -454,23 +451,23 @@
     )
     gain = shipped.done_cpu_seconds / strict.done_cpu_seconds
     other_gain = first_fit.done_cpu_seconds / strict.done_cpu_seconds
-    report(
-        f"{deployment.member}: batch throughput against strict separation",
+    yield judged_figure(
+        f"seed {seed}, {deployment.member}: batch throughput against strict separation",
         "at least 1.5 times",
         f"first fit {other_gain:.2f} times",
         f"{gain:.2f} times",
         is_met=gain >= 1.5,
     )
-    report(
-        f"{deployment.member}: evictions in an hour",
+    yield judged_figure(
+        f"seed {seed}, {deployment.member}: evictions in an hour",
         f"at most {first_fit.evictions / 4:g} (a quarter of first fit)",
         f"first fit {first_fit.evictions}, strict separation {strict.evictions}",
         str(shipped.evictions),
         is_met=shipped.evictions <= first_fit.evictions / 4,
     )
     longest = max(shipped.urgent_waits, default=float("inf"))
-    report(
-        f"{deployment.member}: longest wait of an urgent task for its decision",
+    yield judged_figure(
+        f"seed {seed}, {deployment.member}: longest wait of an urgent task for its decision",
         "at most 7 s",
         f"first fit {max(first_fit.urgent_waits):g} s",
         f"{longest:g} s",
@@ -478,12 +475,12 @@
     )
 
 
-def main() -> None:
-    """Print the figures of both members."""
-    seed = int(sys.argv[1]) if len(sys.argv) > 1 else 1
-    for deployment in (BONSAI, LICENS):
-        compare(deployment, seed)
+def figures() -> Iterator[Figure]:
+    """Yield the figures of both members for each seed."""
+    for seed in SEEDS:
+        for deployment in (BONSAI, LICENS):
+            yield from compared_figures(deployment, seed)
 
 
 if __name__ == "__main__":
-    main()
+    printed_figures(figures())
--- a/measure/fold_cost.py
+++ b/measure/fold_cost.py
@@ -4,6 +4,7 @@
 
 import time
 import tracemalloc
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 from dotterelhill.core import task_id
@@ -21,7 +22,7 @@
 from dotterelhill.manifest import Manifest, manifest_from_document
 from dotterelhill.manifest.feed import ConfigState
 from dotterelhill.membership.heartbeats import Heartbeat, PeerSummary, decoded, encoded
-from measure.report import Figure
+from measure.report import Figure, informing_figure, printed_figures
 
 DOMAINS = 7
 TASKS_PER_JOB = 100
@@ -100,13 +101,15 @@
     del kept
     label = f"{size.workers} workers, {size.tasks} running tasks"
     figures = [
-        Figure(f"{label}: fold, us a record", fold_seconds / len(records) * MICROSECONDS),
-        Figure(f"{label}: memory of the ledger, MB", memory / 2**20),
+        informing_figure(
+            f"{label}: fold of a record", "us", fold_seconds / len(records) * MICROSECONDS
+        ),
+        informing_figure(f"{label}: memory of the ledger", "MB", memory / 2**20),
         _evictions_figure(label, size, ledger, len(records)),
         *_snapshot_figures(label, ledger, manifest, len(records)),
     ]
     assign = encode_record(_records(size)[-1])
-    figures.append(Figure(f"{label}: bytes of an Assign record", len(assign)))
+    figures.append(informing_figure(f"{label}: an Assign record", "bytes", len(assign)))
     return figures
 
 
@@ -127,7 +130,9 @@
     for offset, record in enumerate(records, start=folded + 1):
         ledger.apply(offset, record)
     seconds = time.process_time() - started
-    return Figure(f"{label}: fold of Stopped, us", seconds / len(records) * MICROSECONDS)
+    return informing_figure(
+        f"{label}: fold of Stopped", "us", seconds / len(records) * MICROSECONDS
+    )
 
 
 def _snapshot_figures(label: str, ledger: Ledger, manifest: Manifest, folded: int) -> list[Figure]:
@@ -138,9 +143,9 @@
     decode_snapshot(data)
     decoded_seconds = time.process_time() - started
     return [
-        Figure(f"{label}: snapshot, bytes", len(data)),
-        Figure(f"{label}: snapshot written, ms", written * 1000.0),
-        Figure(f"{label}: snapshot decoded, ms", decoded_seconds * 1000.0),
+        informing_figure(f"{label}: snapshot", "bytes", len(data)),
+        informing_figure(f"{label}: snapshot written", "ms", written * 1000.0),
+        informing_figure(f"{label}: snapshot decoded", "ms", decoded_seconds * 1000.0),
     ]
 
 
@@ -191,14 +196,17 @@
             decoded(encoded(message))
         microseconds = (time.process_time() - started) / HEARTBEATS * MICROSECONDS
         label = f"heartbeat with {count} processes in its summary"
-        figures.append(Figure(f"{label}: bytes", len(data)))
-        figures.append(Figure(f"{label}: encode and decode, us", microseconds))
+        figures.append(informing_figure(f"{label}: size", "bytes", len(data)))
+        figures.append(informing_figure(f"{label}: encode and decode", "us", microseconds))
     return figures
 
 
-async def measured() -> list[Figure]:
-    """Return the figures for each size."""
-    figures = []
+def figures() -> Iterator[Figure]:
+    """Yield the figures for each size."""
     for size in SIZES:
-        figures += _ledger_figures(size)
-    return figures + _heartbeat_figures()
+        yield from _ledger_figures(size)
+    yield from _heartbeat_figures()
+
+
+if __name__ == "__main__":
+    printed_figures(figures())
--- a/measure/node_cost.py
+++ b/measure/node_cost.py
@@ -10,7 +10,7 @@
 import os
 import statistics
 import tempfile
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from contextlib import aclosing
 from dataclasses import dataclass
 from pathlib import Path
@@ -19,7 +19,7 @@
 
 from dotterelhill.commands.publication import publish
 from dotterelhill.log import HttpLog
-from measure.report import Figure, figure_of
+from measure.report import Figure, figure_of, informing_figure, printed_figures
 from tools.fleet import Fleet
 from tools.sample_fleet import FleetSize, SampleFleet
 
@@ -109,50 +109,41 @@
             return await _costs(sample)
 
 
-def _figures(label: str, costs: Sequence[NodeCost]) -> list[Figure]:
-    return [
-        figure_of(
-            f"{label}: processor time of a node, % of a core",
-            [cost.cpu_percent for cost in costs],
-            target=CPU_PERCENT_TARGET,
-        ),
-        figure_of(
-            f"{label}: resident memory of a node, MB",
-            [cost.memory_mb for cost in costs],
-            target=MEMORY_MB_TARGET,
-        ),
-        figure_of(
-            f"{label}: bytes a second to and from log and VM list",
-            [cost.platform_bytes for cost in costs],
-            target=BYTES_PER_SECOND_TARGET,
-        ),
-        figure_of(f"{label}: messages a second to peers", [cost.peer_messages for cost in costs]),
-    ]
-
-
-def _slope(low: Sequence[NodeCost], high: Sequence[NodeCost], added: int, name: str) -> float:
-    medians = [statistics.median(getattr(cost, name) for cost in costs) for costs in (low, high)]
-    return (medians[1] - medians[0]) / added
-
-
-async def measured() -> list[Figure]:
-    """Return the figures at each size and the slopes between them."""
-    figures = []
+def _size_figures(label: str, costs: Sequence[NodeCost]) -> Iterator[Figure]:
+    cpu = [cost.cpu_percent for cost in costs]
+    yield figure_of(f"{label}: processor time", "% of a core", cpu, at_most=CPU_PERCENT_TARGET)
+    memory = [cost.memory_mb for cost in costs]
+    yield figure_of(f"{label}: resident memory", "MB", memory, at_most=MEMORY_MB_TARGET)
+    passed = [cost.platform_bytes for cost in costs]
+    yield figure_of(
+        f"{label}: to and from log and VM list", "B/s", passed, at_most=BYTES_PER_SECOND_TARGET
+    )
+    yield figure_of(f"{label}: messages to peers", "a second", [c.peer_messages for c in costs])
+
+
+def _slopes(
+    what: str, low: Sequence[NodeCost], high: Sequence[NodeCost], added: int
+) -> Iterator[Figure]:
+    units = {"cpu_percent": "% of a core", "memory_mb": "MB", "platform_bytes": "B/s"}
+    for name, unit in units.items():
+        medians = [statistics.median(getattr(c, name) for c in costs) for costs in (low, high)]
+        yield informing_figure(f"slope for {what}", unit, (medians[1] - medians[0]) / added)
+
+
+def figures() -> Iterator[Figure]:
+    """Yield the figures at each size and the slopes between them."""
     by_entries = {}
     for count in ENTRY_COUNTS:
-        size = FleetSize(entries=count, minions=2, workers=2)
-        by_entries[count] = await node_costs(size)
-        figures += _figures(f"{3 * count} entry VMs, 6 workers", by_entries[count])
-    most, fewest = ENTRY_COUNTS[-1], ENTRY_COUNTS[0]
+        by_entries[count] = asyncio.run(node_costs(FleetSize(entries=count)))
+        yield from _size_figures(f"{3 * count} entry VMs, 6 workers", by_entries[count])
+    fewest, most = ENTRY_COUNTS[0], ENTRY_COUNTS[-1]
     added = 3 * (most - fewest)
-    for name in ("cpu_percent", "memory_mb", "platform_bytes", "peer_messages"):
-        slope = _slope(by_entries[fewest], by_entries[most], added, name)
-        figures.append(Figure(f"slope for each entry VM: {name}", slope))
-    size = FleetSize(entries=1, minions=2, workers=WORKER_COUNTS[1])
-    many_workers = await node_costs(size)
-    figures += _figures(f"3 entry VMs, {3 * WORKER_COUNTS[1]} workers", many_workers)
-    added = WORKER_COUNTS[1] - WORKER_COUNTS[0]
-    for name in ("cpu_percent", "memory_mb"):
-        slope = _slope(by_entries[fewest], many_workers, added, name)
-        figures.append(Figure(f"slope for each held worker: {name}", slope))
-    return figures
+    yield from _slopes("each entry VM", by_entries[fewest], by_entries[most], added)
+    workers = WORKER_COUNTS[1]
+    many = asyncio.run(node_costs(FleetSize(entries=1, workers=workers)))
+    yield from _size_figures(f"3 entry VMs, {3 * workers} workers", many)
+    yield from _slopes("each held worker", by_entries[fewest], many, workers - WORKER_COUNTS[0])
+
+
+if __name__ == "__main__":
+    printed_figures(figures())
--- a/measure/report.py
+++ b/measure/report.py
@@ -3,68 +3,68 @@
 from __future__ import annotations
 
 import statistics
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import asdict, dataclass
 
 import msgspec
 
+NO_VERDICT = "-"
+
 
 @dataclass(frozen=True, slots=True)
 class Figure:
-    """One measured figure.
-
-    :param name: what was measured, with its unit
-    :param measured: median over the runs
-    :param spread: largest less smallest of the runs
-    :param target: bound that was set beforehand; None for a figure that only informs
-    :param is_lower_better: whether ``measured`` must not be above the target, else not below it
-    :param baseline: figure of the simpler way in the same run; None where there is none
+    """One measured figure, as text with units.
+
+    :param target: bound that was set beforehand; empty for a figure that only informs
+    :param baseline: figure of the simpler way in the same run; empty where there is none
+    :param verdict: ``met``, ``short``, or ``-`` without a target
     """
 
     name: str
-    measured: float
-    spread: float = 0.0
-    target: float | None = None
-    is_lower_better: bool = True
-    baseline: float | None = None
-
-    @property
-    def verdict(self) -> str:
-        """Return ``met``, ``short``, or ``-`` when there is no target."""
-        if self.target is None:
-            return "-"
-        is_met = (
-            self.measured <= self.target if self.is_lower_better else self.measured >= self.target
-        )
-        return "met" if is_met else "short"
-
-
-def figure_of(name: str, values: Sequence[float], **options: float | bool | None) -> Figure:
-    """Return the figure of several runs.
-
-    >>> figure_of("placement, us", [3.0, 1.0, 2.0], target=5.0).verdict
-    'met'
+    target: str
+    baseline: str
+    measured: str
+    verdict: str
+
+
+def judged_figure(name: str, target: str, baseline: str, measured: str, *, is_met: bool) -> Figure:
+    """Return a figure with its verdict."""
+    return Figure(name, target, baseline, measured, "met" if is_met else "short")
+
+
+def figure_of(
+    name: str, unit: str, values: Sequence[float], *, at_most: float | None = None
+) -> Figure:
+    """Return the figure of several runs: their median and spread.
+
+    >>> figure_of("placement", "us", [3.0, 1.0, 2.0], at_most=5.0).measured
+    '2 us (spread 2, 3 runs)'
     """
+    median = statistics.median(values)
     spread = max(values) - min(values)
-    return Figure(name, statistics.median(values), spread, **options)  # type: ignore[arg-type]
+    measured = f"{median:.4g} {unit} (spread {spread:.3g}, {len(values)} runs)"
+    if at_most is None:
+        return Figure(name, "", "", measured, NO_VERDICT)
+    return judged_figure(
+        name, f"at most {at_most:g} {unit}", "", measured, is_met=median <= at_most
+    )
 
 
-def _text(value: float | None) -> str:
-    return "-" if value is None else f"{value:,.4g}"
+def informing_figure(name: str, unit: str, value: float) -> Figure:
+    """Return a figure without a target."""
+    return Figure(name, "", "", f"{value:.4g} {unit}", NO_VERDICT)
 
 
-def print_figures(figures: Sequence[Figure]) -> None:
-    """Print a line for each figure: name, target, baseline, measured, verdict."""
+def printed_figures(figures: Iterable[Figure]) -> list[Figure]:
+    """Return the figures after printing a line for each as it comes."""
+    printed = []
     for one in figures:
-        measured = f"{_text(one.measured)} (spread {_text(one.spread)})"
-        print(
-            f"{one.name:<66} target {_text(one.target):>8}  baseline {_text(one.baseline):>8}  "
-            f"measured {measured:<30} {one.verdict}",
-            flush=True,
-        )
+        target, baseline = one.target or "no target", one.baseline or "no baseline"
+        print(f"{one.name}, {target}, {baseline}, {one.measured}, {one.verdict}", flush=True)
+        printed.append(one)
+    return printed
 
 
 def encoded_figures(figures: Sequence[Figure]) -> bytes:
-    """Return the figures as JSON, with their verdicts."""
-    rows = [{**asdict(one), "verdict": one.verdict} for one in figures]
-    return msgspec.json.format(msgspec.json.encode(rows))
+    """Return the figures as JSON."""
+    return msgspec.json.format(msgspec.json.encode([asdict(one) for one in figures]))
--- a/measure/requests_cost.py
+++ b/measure/requests_cost.py
@@ -19,12 +19,14 @@
 from aiohttp import web
 
 from dotterelhill.requests.tests.harness import World
+from measure.report import Figure, judged_figure, printed_figures
 from standins.minion import MinionStandin
 
 REQUESTS = 4000
 ROUNDS = 3
 CONCURRENCY = 16
 CONNECTIONS = 1000
+SEED = 1
 LARGEST_CPU_RATIO = 2.0
 LARGEST_ADDED_MILLISECONDS = 1.0
 LARGEST_MEMORY_RATIO = 1.5
@@ -180,12 +182,17 @@
     return costs
 
 
-def _line(name: str, target: float, baseline: float, measured: float) -> str:
-    verdict = "met" if measured <= target else "short"
-    return f"{name}, {target:.2f}, {baseline:.2f}, {measured:.2f}, {verdict}"
+def _figure(name: str, unit: str, target: float, baseline: float, measured: float) -> Figure:
+    return judged_figure(
+        name,
+        f"at most {target:.2f} {unit}",
+        f"bare pass-through {baseline:.2f} {unit}",
+        f"{measured:.2f} {unit}",
+        is_met=measured <= target,
+    )
 
 
-async def _measure(seed: int) -> None:
+async def _measured(seed: int) -> list[Figure]:
     random = Random(seed)
     minion, address = await _start("minion")
     rounds = []
@@ -201,13 +208,19 @@
 
     cpu, memory = middle("bare", "cpu_microseconds"), middle("bare", "memory_mb")
     mine = middle("requests", "cpu_microseconds")
-    print(_line("cpu_us_per_request", cpu * LARGEST_CPU_RATIO, cpu, mine))
-    for field in ("median_ms", "p99_ms"):
+    measured = [_figure("processor time of a request", "us", cpu * LARGEST_CPU_RATIO, cpu, mine)]
+    for field, name in (("median_ms", "median latency"), ("p99_ms", "p99 latency")):
         bare = middle("bare", field)
         target = bare + LARGEST_ADDED_MILLISECONDS
-        print(_line(f"latency_{field}", target, bare, middle("requests", field)))
-    mine = middle("requests", "memory_mb")
-    print(_line("memory_mb_per_1000_connections", memory * LARGEST_MEMORY_RATIO, memory, mine))
+        measured.append(_figure(name, "ms", target, bare, middle("requests", field)))
+    mine, target = middle("requests", "memory_mb"), memory * LARGEST_MEMORY_RATIO
+    measured.append(_figure("memory of 1,000 connections", "MB", target, memory, mine))
+    return measured
+
+
+def figures() -> list[Figure]:
+    """Return the figures of the request path against a bare pass-through."""
+    return asyncio.run(_measured(SEED))
 
 
 def main() -> None:
@@ -215,12 +228,11 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--serve", choices=sorted(SERVERS))
     parser.add_argument("--minion", default="")
-    parser.add_argument("--seed", type=int, default=1)
     arguments = parser.parse_args()
     if arguments.serve:
         asyncio.run(_serve(arguments.serve, arguments.minion))
     else:
-        asyncio.run(_measure(arguments.seed))
+        printed_figures(figures())
 
 
 if __name__ == "__main__":
