Count requests under names that the table of metrics has

Ruled out: ignoring unknown names, which would hide a figure that nobody sends. Conclusion: the table and its uses can't drift apart unnoticed.

--- a/dotterelhill/entry/inspection.py
+++ b/dotterelhill/entry/inspection.py
@@ -135,12 +135,27 @@
     return slices.membership.counts + slices.transport.counts
 
 
+# The request path counts the others itself, with labels.
+_REQUEST_COUNTERS = (
+    "callers_gone",
+    "connections_refused",
+    "head_timeouts",
+    "reservations_expired",
+)
+
+
+def _request_counts(slices: Slices) -> Mapping[str, int]:
+    counters = slices.requests.dump()["counters"]
+    return {name: counters.get(name, 0) for name in _REQUEST_COUNTERS}
+
+
 def connect_metrics(slices: Slices, readiness: Callable[[], tuple[str, ...]]) -> None:
     """Let the metrics read the counters and gauges that the slices keep.
 
     :param readiness: reasons why the process is not ready
     """
     metrics = slices.metrics
+    metrics.add_counters("requests", lambda: _request_counts(slices))
     metrics.add_counters("log", lambda: slices.appender.counts)
     metrics.add_counters("ledger", lambda: slices.control.ledger.counts)
     metrics.add_counters("peers", lambda: _peer_counts(slices))
--- a/dotterelhill/entry/metrics.py
+++ b/dotterelhill/entry/metrics.py
@@ -57,11 +57,12 @@
 _C, _G, _Q = MetricKind.COUNTER, MetricKind.GAUGE, MetricKind.QUANTILES
 
 METRICS: tuple[Metric, ...] = (
-    Metric("requests.answered", _C, "requests", "whole answers of minions passed on"),
+    Metric("requests.received", _C, "requests", "heads of callers read", "service"),
+    Metric("requests.answered", _C, "requests", "whole answers of minions passed on", "service"),
     Metric("requests.errors", _C, "requests", "requests answered with an error", "error kind"),
-    Metric("requests.forwarded", _C, "requests", "requests sent on to a peer"),
-    Metric("requests.retries", _C, "attempts", "further attempts of idempotent requests"),
-    Metric("requests.shed", _C, "requests", "requests refused because the queue was too long"),
+    Metric("requests.forwarded", _C, "requests", "requests sent on to a peer", "domain"),
+    Metric("requests.retried", _C, "attempts", "further attempts of idempotent requests"),
+    Metric("requests.retry_budget_spent", _C, "requests", "retries that the budget refused"),
     Metric("requests.callers_gone", _C, "requests", "callers that left before their answer"),
     Metric("requests.connections_refused", _C, "connections", "callers with too many connections"),
     Metric("requests.head_timeouts", _C, "connections", "connections that sent no head in time"),
@@ -70,6 +71,8 @@
     Metric("requests.queued", _G, "requests", "requests that wait for a slot"),
     Metric("requests.ejected", _G, "minions", "minions that get no new requests for a while"),
     Metric("requests.seconds", _Q, "seconds", "from the head to the end of the answer", "service"),
+    Metric("requests.wait_seconds", _Q, "seconds", "from the head to the dispatch", "service"),
+    Metric("minions.silent", _C, "connections", "connections closed for silence", "service"),
     Metric("log.appended", _C, "records", "control records that the log acknowledged"),
     Metric("log.repeated_batches", _C, "batches", "appends repeated after a lost answer"),
     Metric("log.expired", _C, "records", "control records given up before they were appended"),
--- /dev/null
+++ b/dotterelhill/entry/tests/steps/metric_steps.py
@@ -0,0 +1,52 @@
+"""Steps for the names of metrics.
+
+Regression: requests were counted under a name that the table lacked, and each was answered with an
+internal error.
+"""
+
+from __future__ import annotations
+
+import ast
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+from behave import given, then
+
+import dotterelhill
+from dotterelhill.entry.metrics import METRICS, MetricKind
+
+KINDS = {
+    "count": MetricKind.COUNTER,
+    "gauge": MetricKind.GAUGE,
+    "observe": MetricKind.QUANTILES,
+}
+
+
+def uses_in(source: str) -> Iterator[tuple[str, str, bool]]:
+    for node in ast.walk(ast.parse(source)):
+        if not isinstance(node, ast.Call) or not isinstance(node.func, ast.Attribute):
+            continue
+        if node.func.attr not in KINDS or not ast.unparse(node.func.value).endswith("metrics"):
+            continue
+        if not isinstance(node.args[0], ast.Constant):
+            continue
+        has_label = len(node.args) > 2 or any(word.arg == "label" for word in node.keywords)
+        yield node.func.attr, str(node.args[0].value), has_label
+
+
+@given("every name of a metric that the package counts, sets or observes")
+def read_uses(context: Any) -> None:
+    root = Path(dotterelhill.__file__).parent
+    sources = [path for path in root.glob("**/*.py") if "tests" not in path.parts]
+    context.uses = [use for path in sources for use in uses_in(path.read_text())]
+    assert len(context.uses) >= 10, context.uses
+
+
+@then("each one is in the table with the kind and label of its use")
+def check_uses(context: Any) -> None:
+    rows = {metric.name: metric for metric in METRICS}
+    for method, name, has_label in context.uses:
+        assert name in rows, name
+        assert rows[name].kind is KINDS[method], name
+        assert bool(rows[name].label) == has_label, name
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -138,7 +138,7 @@
 
     def _status(self, report: LoadReport, runs: dict[str, list[dict[str, Any]]]) -> int:
         is_job_done = self._outcomes(runs)["finished"] == JOB_TASKS
-        return 0 if is_job_done and report.outcomes["wrong answer"] == 0 else 1
+        return 0 if is_job_done and report.outcomes["answered"] == report.total else 1
 
     def _print(self, report: LoadReport, runs: dict[str, list[dict[str, Any]]]) -> None:
         outcomes = self._outcomes(runs)
