Keep a relayed manifest out of the fold of config

Cause: ConfigFeed.apply_relayed moved the read position behind the relayed record. Accepted versions in between were never read, and manifest_at took them for refused. The process then refused an Adopt that every other reader accepted, so its ledger differed from theirs for good: jobs got other keys and their Assign records other verdicts.

Ruled out: accepting an Adopt of an unread version without its document; the jobs and domains of that version are needed for the verdicts that follow.

The two first scenarios of entry/tests/feeds.feature fail.

Conclusion: what is in force and what is folded are two things. Only on a trimmed stream does the relayed manifest take the place of the records that are gone.

--- a/dotterelhill/entry/feeds.py
+++ b/dotterelhill/entry/feeds.py
@@ -33,6 +33,7 @@
         super().__init__()
         self._history = ManifestHistory()
         self._accepted: dict[int, Manifest] = {}
+        self._announced_version = 0
         self._evidence_at = float("-inf")
         self._listeners: list[Callable[[AcceptedManifest], None]] = []
         self._tail = LogTail(
@@ -72,7 +73,6 @@
     def apply_relayed(self, version: int, record: bytes) -> None:
         """Take a manifest that a peer relayed."""
         if self._history.apply_relayed(version, record):
-            self._tail.seek(self._history.read_offset + 1)
             self._announce()
 
     async def on_start(self) -> None:
@@ -86,14 +86,23 @@
         for record in read.records:
             verdict = self._history.apply(record.offset, record.data)
             if verdict is not None and verdict.verdict is Verdict.ACCEPTED:
-                self._announce()
+                self._take_accepted()
         if read.is_complete:
             self._evidence_at = read.evidence_at
 
+    def _take_accepted(self) -> None:
+        folded = self._history.folded
+        assert folded is not None
+        self._accepted[folded.version] = folded.manifest
+        # A relayed manifest may be in force already.
+        if folded.version > self._announced_version:
+            self._announce()
+
     def _announce(self) -> None:
         current = self._history.current
         assert current is not None
         self._accepted[current.version] = current.manifest
+        self._announced_version = current.version
         for listener in self._listeners:
             listener(current)
 
--- a/dotterelhill/entry/process.py
+++ b/dotterelhill/entry/process.py
@@ -317,7 +317,9 @@
         current = self._config.current
         if current is None:
             return None
-        return RelayableManifest(current.version, current.record, self._config.history.read_offset)
+        # A relayed manifest may be ahead of what was read; nothing before it matters to a reader.
+        read_offset = max(current.version, self._config.history.read_offset)
+        return RelayableManifest(current.version, current.record, read_offset)
 
 
 def _scheduler_score(incarnation: str) -> bytes:
--- a/dotterelhill/manifest/history.py
+++ b/dotterelhill/manifest/history.py
@@ -61,22 +61,35 @@
 
 
 class ManifestHistory:
-    """Fold of the ``config`` stream; the verdict depends only on the records before."""
+    """Fold of the ``config`` stream; the verdict depends only on the records before.
+
+    A relayed manifest may be in force before the stream is read up to it. It takes no part in the
+    fold, so that every reader still learns each accepted version in between.
+    """
 
     def __init__(self) -> None:
-        self._current: AcceptedManifest | None = None
+        self._folded: AcceptedManifest | None = None
+        self._relayed: AcceptedManifest | None = None
         self._read_offset = 0
         self._verdicts: OrderedDict[str, PublicationVerdict] = OrderedDict()
 
     @property
     def current(self) -> AcceptedManifest | None:
         """Return the manifest in force, or None before the first."""
-        return self._current
+        if self._relayed is not None and self._relayed.version > self._folded_version:
+            return self._relayed
+        return self._folded
+
+    @property
+    def folded(self) -> AcceptedManifest | None:
+        """Return the newest manifest that the fold has accepted, or None before the first."""
+        return self._folded
 
     @property
     def version(self) -> int:
         """Return the version in force; 0 before the first."""
-        return self._current.version if self._current else 0
+        current = self.current
+        return current.version if current else 0
 
     @property
     def read_offset(self) -> int:
@@ -100,6 +113,7 @@
         if offset <= self._read_offset:
             return None
         self._read_offset = offset
+        self._skip_trimmed(offset)
         try:
             publication = msgspec.json.decode(data, type=Publication)
         except msgspec.DecodeError:
@@ -112,19 +126,28 @@
     def apply_relayed(self, version: int, record: bytes) -> bool:
         """Return whether a manifest relayed by a peer is now in force.
 
-        The peer has judged it; a lower version than the one in force is ignored. Reading of the
-        stream goes on after the relayed record.
+        The peer has judged it; a lower version than the one in force is ignored. The stream is
+        still read from where the fold is.
         """
         if version <= self.version:
             return False
         publication = msgspec.json.decode(record, type=Publication)
         manifest = manifest_from_document(publication.document)
-        self._current = AcceptedManifest(version, manifest, record)
-        self._read_offset = max(self._read_offset, version)
+        self._relayed = AcceptedManifest(version, manifest, record)
         return True
 
+    @property
+    def _folded_version(self) -> int:
+        return self._folded.version if self._folded else 0
+
+    def _skip_trimmed(self, offset: int) -> None:
+        # A record beyond the relayed one without the relayed one before it: the stream is trimmed,
+        # and what the peer judged takes the place of the records that are gone.
+        if self._relayed is not None and offset > self._relayed.version > self._folded_version:
+            self._folded = self._relayed
+
     def _judge(self, offset: int, publication: Publication, data: bytes) -> PublicationVerdict:
-        if publication.base != self.version:
+        if publication.base != self._folded_version:
             # Only names the reason: every reader rejects on the base, also one that has forgotten
             # the earlier record.
             is_repeated = publication.id in self._verdicts
@@ -134,7 +157,7 @@
             manifest = manifest_from_document(publication.document)
         except ManifestError as error:
             return PublicationVerdict(offset, publication.id, Verdict.INVALID, error.faults)
-        self._current = AcceptedManifest(offset, manifest, data)
+        self._folded = AcceptedManifest(offset, manifest, data)
         return PublicationVerdict(offset, publication.id, Verdict.ACCEPTED)
 
     def _remember(self, verdict: PublicationVerdict) -> None:
