Add a seeded search over interleavings of the composed decision code

Ruled out: an own copy of the composition. The explorer drives the shipped services (feeds, appender, membership, holdings, batch) without an event loop and replaces only the loops that wait for time, so their wiring is searched too. Keyed requests are wired anew, since their futures need a real loop.

Before: no search.

--- /dev/null
+++ b/explorer/faults.py
@@ -0,0 +1,337 @@
+"""Faults put into the code on purpose, at run time, to show that the search finds them.
+
+Each fault replaces one rule of the shipped code, or of the fakes, by one that is wrong. Nothing
+here changes a file.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Iterator
+from contextlib import ExitStack, contextmanager
+from dataclasses import dataclass, replace
+from typing import Any
+from unittest.mock import patch
+
+import msgspec
+
+from dotterelhill.batch import execution
+from dotterelhill.batch.events import Append, RenewLease, StartTask
+from dotterelhill.batch.execution import Execution
+from dotterelhill.entry.feeds import ControlFeed
+from dotterelhill.holdings.authority import Authority
+from dotterelhill.holdings.decision import HoldingsDecision
+from dotterelhill.holdings.events import ResourcesSeen
+from dotterelhill.holdings.reservation import Predecessor
+from dotterelhill.ledger import Refusal, StopOutcome
+from dotterelhill.ledger.placements import Placements
+from dotterelhill.ledger.state import JobLedger, Run
+from dotterelhill.log.tail import TailRead
+from dotterelhill.manifest.history import AcceptedManifest, ManifestHistory, Publication
+from dotterelhill.manifest.validation import manifest_from_document
+from explorer.keyed_model import KeyedModel
+from explorer.worker_model import WorkerModel
+
+# A reader that starts with fewer records than this has no tail to leave out.
+SHORTEST_TAIL_RECORDS = 20
+UNBOUNDED_SECONDS = 1e6
+
+Patches = list[Any]
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """A wrong rule.
+
+    :param rule: what the code does with the fault
+    :param invariants: those that the search finds broken by it
+    """
+
+    name: str
+    rule: str
+    invariants: tuple[str, ...]
+    patches: Callable[[], Patches]
+
+    @contextmanager
+    def applied(self) -> Iterator[None]:
+        """Put the fault into the code until the end of the block."""
+        with ExitStack() as stack:
+            for item in self.patches():
+                stack.enter_context(item)
+            yield
+
+
+def _start_token_unchecked() -> Patches:
+    return [patch.object(WorkerModel, "_accepts_start", lambda worker, task, token: True)]
+
+
+def _lapsed_lease_ignored() -> Patches:
+    return [patch.object(WorkerModel, "_is_lease_over", lambda worker, now: False)]
+
+
+def _not_after_ignored() -> Patches:
+    shipped = WorkerModel._start_refusal
+    return [
+        patch.object(
+            WorkerModel, "_start_refusal", lambda self, end, boot: shipped(self, math.inf, boot)
+        )
+    ]
+
+
+def _lease_from_answer() -> Patches:
+    shipped = Execution._lease_actions
+
+    def without_end(self: Execution, worker: Any, now: float) -> Iterator[Any]:
+        for action in shipped(self, worker, now):
+            if isinstance(action, RenewLease):
+                action = replace(action, not_after=math.inf)
+            yield action
+
+    return [patch.object(Execution, "_lease_actions", without_end)]
+
+
+def _start_evidence_unchecked() -> Patches:
+    return [patch.object(execution, "START_EVIDENCE_SECONDS", UNBOUNDED_SECONDS)]
+
+
+def _fence_skipped() -> Patches:
+    shipped = Execution._lease_actions
+
+    def lose_silent(self: Execution, worker: Any, now: float) -> Iterator[Any]:
+        last_heard = max(worker.heard_at, worker.held_at)
+        if now - last_heard < execution.SILENCE_SECONDS or worker.is_superseded:
+            yield from shipped(self, worker, now)
+            return
+        for task in worker.tasks.values():
+            if self._may_append(task.appended_at, now):
+                task.appended_at = now
+                yield Append(execution._stopped_as_lost(task))
+
+    return [
+        patch.object(Execution, "_lease_actions", lose_silent),
+        patch.object(Placements, "_is_loss_certain", lambda self, worker: True),
+    ]
+
+
+def _checkpoint_from_message() -> Patches:
+    shipped_observe, shipped_start = Execution._observe, Execution._start_actions
+
+    def heard_by(holder: Execution) -> dict[str, str]:
+        heard: dict[str, str] = holder.__dict__.setdefault("_heard_checkpoints", {})
+        return heard
+
+    def observe(self: Execution, worker: Any, known: Any, run: Any, sent_at: float) -> None:
+        if run.checkpoint:
+            heard_by(self)[run.task] = run.checkpoint
+        shipped_observe(self, worker, known, run, sent_at)
+
+    def start(self: Execution, worker: Any, task: Any, now: float) -> Iterator[Any]:
+        for action in shipped_start(self, worker, task, now):
+            if isinstance(action, StartTask):
+                checkpoint = heard_by(self).get(action.task, action.checkpoint)
+                action = replace(action, checkpoint=checkpoint)
+            yield action
+
+    return [
+        patch.object(Execution, "_observe", observe),
+        patch.object(Execution, "_start_actions", start),
+    ]
+
+
+def _stopped_token_unchecked() -> Patches:
+    shipped = Placements.stopped
+
+    def stopped(self: Placements, record: Any) -> Refusal | None:
+        run = self.runs.get(record.task)
+        token = run.token if run is not None else record.token
+        return shipped(self, msgspec.structs.replace(record, token=token))
+
+    return [patch.object(Placements, "stopped", stopped)]
+
+
+def _capacity_unchecked() -> Patches:
+    shipped = Placements._place_refusal
+
+    def refusal(self: Placements, job: Any, worker: str) -> Refusal | None:
+        found = shipped(self, job, worker)
+        return None if found is Refusal.CAPACITY_EXCEEDED else found
+
+    return [patch.object(Placements, "_place_refusal", refusal)]
+
+
+def _finished_task_pending_again() -> Patches:
+    shipped = JobLedger.stop
+
+    def stop(self: JobLedger, run: Run, outcome: StopOutcome, checkpoint: str) -> None:
+        is_finished = outcome is StopOutcome.FINISHED
+        shipped(self, run, StopOutcome.EVICTED if is_finished else outcome, checkpoint)
+
+    return [patch.object(JobLedger, "stop", stop)]
+
+
+def _restart_without_tail() -> Patches:
+    shipped = ControlFeed._take
+
+    def take(self: ControlFeed, read: TailRead) -> None:
+        if self.is_caught_up or len(read.records) < SHORTEST_TAIL_RECORDS:
+            shipped(self, read)
+            return
+        state = read.records[: len(read.records) // 2]
+        shipped(self, replace(read, records=state))
+        version, digest = self.ledger.adopted_version, self.ledger.adopted_digest
+        self.ledger.restore_position(read.records[-1].offset, version, digest)
+
+    return [patch.object(ControlFeed, "_take", take)]
+
+
+def _manifest_by_arrival() -> Patches:
+    def apply_relayed(self: ManifestHistory, version: int, record: bytes) -> bool:
+        if version == self.version:
+            return False
+        publication = msgspec.json.decode(record, type=Publication)
+        manifest = manifest_from_document(publication.document)
+        self._folded = self._relayed = AcceptedManifest(version, manifest, record)
+        return True
+
+    return [patch.object(ManifestHistory, "apply_relayed", apply_relayed)]
+
+
+def _promise_ignored() -> Patches:
+    return [patch.object(Authority, "has_promises_of", lambda *arguments: True)]
+
+
+def _evidence_ignored() -> Patches:
+    return [patch.object(HoldingsDecision, "_has_full_authority", lambda *arguments: True)]
+
+
+def _takeover_without_wait() -> Patches:
+    return [patch.object(Predecessor, "is_on_base_share", lambda *arguments: True)]
+
+
+def _leaving_ignored() -> Patches:
+    shipped = HoldingsDecision._on_resources
+
+    def on_resources(self: HoldingsDecision, event: ResourcesSeen, now: float) -> None:
+        minions = {n: replace(share, is_leaving=False) for n, share in event.minions.items()}
+        shipped(self, replace(event, minions=minions), now)
+
+    return [patch.object(HoldingsDecision, "_on_resources", on_resources)]
+
+
+def _claim_not_read_back() -> Patches:
+    def dispatch_at_once(self: KeyedModel, batch: list[Any]) -> None:
+        for claim in batch:
+            waiting = self._waiting.pop(claim.key, None)
+            if waiting is not None:
+                self._batches.settle(waiting[0])
+                self._dispatch(claim.key)
+
+    return [patch.object(KeyedModel, "_on_lost_answer", dispatch_at_once)]
+
+
+_FAULTS = (
+    Fault(
+        "start-token-unchecked",
+        "a worker accepts a start with an outdated token",
+        ("single-place", "resume-once", "ended-task"),
+        _start_token_unchecked,
+    ),
+    Fault(
+        "lapsed-lease-ignored",
+        "a worker runs tasks on after its lease has lapsed",
+        ("single-place",),
+        _lapsed_lease_ignored,
+    ),
+    Fault(
+        "not-after-ignored",
+        "a worker accepts a start after its not_after",
+        ("domain-out", "ended-task"),
+        _not_after_ignored,
+    ),
+    Fault(
+        "lease-from-answer",
+        "a lease is counted from its arrival instead of from before it was sent",
+        ("single-place",),
+        _lease_from_answer,
+    ),
+    Fault(
+        "start-evidence-unchecked",
+        "a holder starts tasks whatever the age of its evidence",
+        ("domain-out", "ended-task", "single-place"),
+        _start_evidence_unchecked,
+    ),
+    Fault(
+        "fence-skipped",
+        "a silent worker's tasks are declared lost without fence and wait",
+        ("single-place",),
+        _fence_skipped,
+    ),
+    Fault(
+        "checkpoint-from-message",
+        "a holder resumes a task from a checkpoint it has heard, not from the ledger's",
+        ("resume-once",),
+        _checkpoint_from_message,
+    ),
+    Fault(
+        "stopped-token-unchecked",
+        "the ledger accepts a Stopped with an outdated token",
+        ("resume-once",),
+        _stopped_token_unchecked,
+    ),
+    Fault(
+        "capacity-unchecked",
+        "the ledger accepts an Assign beyond a worker's capacity",
+        ("capacity",),
+        _capacity_unchecked,
+    ),
+    Fault(
+        "finished-task-pending-again",
+        "the ledger takes a finished task for an evicted one",
+        ("ended-task",),
+        _finished_task_pending_again,
+    ),
+    Fault(
+        "restart-without-tail",
+        "a new incarnation leaves out the records between its state and the end of the log",
+        ("same-verdict",),
+        _restart_without_tail,
+    ),
+    Fault(
+        "manifest-by-arrival",
+        "the manifest that arrives last is in force, whatever its version",
+        ("manifest", "same-verdict"),
+        _manifest_by_arrival,
+    ),
+    Fault(
+        "promise-ignored",
+        "a holder without evidence uses its whole share without its peers' promises",
+        ("slots",),
+        _promise_ignored,
+    ),
+    Fault(
+        "evidence-ignored",
+        "a holder uses its whole share whatever the age of its evidence",
+        ("slots",),
+        _evidence_ignored,
+    ),
+    Fault(
+        "takeover-without-wait",
+        "a new holder does not wait for the requests of the one before",
+        ("slots",),
+        _takeover_without_wait,
+    ),
+    Fault(
+        "leaving-ignored",
+        "a holder goes on dispatching to a minion that is leaving",
+        ("leaving",),
+        _leaving_ignored,
+    ),
+    Fault(
+        "claim-not-read-back",
+        "a request is dispatched after a lost acknowledgement without reading its claim back",
+        ("at-most-once",),
+        _claim_not_read_back,
+    ),
+)
+
+FAULTS = {fault.name: fault for fault in _FAULTS}
--- /dev/null
+++ b/explorer/steps.py
@@ -0,0 +1,252 @@
+"""Steps of a walk.
+
+A step names its subject by a number that is taken modulo what there is, so a walk still has a
+meaning when steps are left out.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from random import Random
+
+from explorer.log_model import LogMode
+from explorer.network import MESSAGE_KINDS, Effect
+from explorer.operators import CHANGES
+
+
+@dataclass(frozen=True, slots=True)
+class Advance:
+    """Let time pass; messages that are due arrive."""
+
+    seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class Disturb:
+    """Drop, delay or double the next message of a kind."""
+
+    kind: str
+    effect: Effect
+    seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class Crash:
+    """End a process without notice."""
+
+    process: int
+
+
+@dataclass(frozen=True, slots=True)
+class Start:
+    """Start a new incarnation on an entry VM, in place of the one that runs there."""
+
+    entry: int
+
+
+@dataclass(frozen=True, slots=True)
+class Leave:
+    """Stop a process as planned."""
+
+    process: int
+
+
+@dataclass(frozen=True, slots=True)
+class Pause:
+    """Pause a process."""
+
+    process: int
+
+
+@dataclass(frozen=True, slots=True)
+class Resume:
+    """Resume the paused processes."""
+
+    order: int
+
+
+@dataclass(frozen=True, slots=True)
+class Cut:
+    """Cut a process off from the log, its peers or its workers."""
+
+    process: int
+    side: str
+
+
+@dataclass(frozen=True, slots=True)
+class IsolateWorker:
+    """Cut a worker off from all processes."""
+
+    worker: int
+
+
+@dataclass(frozen=True, slots=True)
+class RestartWorker:
+    """Restart a worker, which loses its runs and tokens."""
+
+    worker: int
+
+
+@dataclass(frozen=True, slots=True)
+class IsolateDomain:
+    """Cut a failure domain off from the log and the other domains."""
+
+    domain: int
+
+
+@dataclass(frozen=True, slots=True)
+class Heal:
+    """End every cut."""
+
+
+@dataclass(frozen=True, slots=True)
+class Repair:
+    """End every cut and pause, make the log work and start an incarnation on each dead VM."""
+
+
+@dataclass(frozen=True, slots=True)
+class SetLog:
+    """Change how the log behaves."""
+
+    mode: LogMode
+
+
+@dataclass(frozen=True, slots=True)
+class Publish:
+    """Publish a change made from the manifest in force; ``is_racing`` adds another one."""
+
+    change: str
+    number: int
+    is_racing: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """Send requests to a minion through a process."""
+
+    process: int
+    minion: int
+    count: int
+
+
+@dataclass(frozen=True, slots=True)
+class EndRequest:
+    """End the oldest request at a minion."""
+
+    minion: int
+
+
+@dataclass(frozen=True, slots=True)
+class KeyedRequest:
+    """Send a request with a key to a process."""
+
+    process: int
+    key: int
+
+
+Step = (
+    Advance
+    | Disturb
+    | Crash
+    | Start
+    | Leave
+    | Pause
+    | Resume
+    | Cut
+    | IsolateWorker
+    | RestartWorker
+    | IsolateDomain
+    | Heal
+    | Repair
+    | SetLog
+    | Publish
+    | Request
+    | EndRequest
+    | KeyedRequest
+)
+
+SIDES = ("log", "peers", "workers")
+# A key is asked for several times within this many steps, and then no more.
+STEPS_OF_A_KEY = 40
+KEYS_AT_A_TIME = 3
+
+_WEIGHTS = {
+    "advance": 40,
+    "disturb": 18,
+    "crash": 2,
+    "start": 4,
+    "leave": 1,
+    "pause": 3,
+    "resume": 4,
+    "cut": 4,
+    "isolate worker": 3,
+    "restart worker": 1,
+    "isolate domain": 1,
+    "heal": 3,
+    "repair": 3,
+    "set log": 3,
+    "publish": 8,
+    "request": 6,
+    "end request": 4,
+    "keyed request": 6,
+}
+# Without new jobs a walk would soon have nothing to start.
+_CHANGES = [*CHANGES, "declare", "declare", "declare", "back", "keep"]
+_ADVANCES = (0.05, 0.2, 0.5, 1.0, 2.0, 5.0, 11.0, 25.0)
+_DELAYS = (0.1, 0.5, 2.0, 4.5, 8.0, 15.0, 25.0)
+
+
+def random_steps(random: Random, count: int) -> list[Step]:
+    """Return the steps of a walk."""
+    kinds = random.choices(list(_WEIGHTS), list(_WEIGHTS.values()), k=count)
+    return [_random_step(kind, place, random) for place, kind in enumerate(kinds)]
+
+
+def _random_step(kind: str, place: int, random: Random) -> Step:
+    number = random.randrange(60)
+    match kind:
+        case "disturb":
+            effect = random.choice(list(Effect))
+            return Disturb(random.choice(MESSAGE_KINDS), effect, random.choice(_DELAYS))
+        case "publish":
+            return Publish(random.choice(_CHANGES), number, random.random() < 0.2)
+        case "set log":
+            modes = [LogMode.OK] * 3 + [LogMode.DOWN, LogMode.SILENT, LogMode.LOSE_ANSWERS]
+            return SetLog(random.choice(modes))
+        case "cut":
+            return Cut(number, random.choice(SIDES))
+        case "request":
+            return Request(number, random.randrange(60), random.randrange(1, 9))
+        case "keyed request":
+            first = place // STEPS_OF_A_KEY * KEYS_AT_A_TIME
+            return KeyedRequest(number, first + random.randrange(KEYS_AT_A_TIME))
+        case "advance":
+            return Advance(random.choice(_ADVANCES))
+        case _:
+            return _plain_step(kind, number)
+
+
+def _plain_step(kind: str, number: int) -> Step:
+    match kind:
+        case "crash":
+            return Crash(number)
+        case "start":
+            return Start(number)
+        case "leave":
+            return Leave(number)
+        case "pause":
+            return Pause(number)
+        case "resume":
+            return Resume(number)
+        case "isolate worker":
+            return IsolateWorker(number)
+        case "restart worker":
+            return RestartWorker(number)
+        case "isolate domain":
+            return IsolateDomain(number)
+        case "end request":
+            return EndRequest(number)
+        case "repair":
+            return Repair()
+        case _:
+            return Heal()
--- a/tools/checks.py
+++ b/tools/checks.py
@@ -14,7 +14,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 CHECK_TIMEOUT_SECONDS = 900
-TREES = ("dotterelhill", "standins", "measure", "tools")
+TREES = ("dotterelhill", "standins", "measure", "tools", "explorer")
 
 
 @dataclass(frozen=True, slots=True)
