Draw each walk from its own part of the steps

Cause: with one mix of all steps most of a deployment is broken most of the time, and few tasks run.

--- a/explorer/operators.py
+++ b/explorer/operators.py
@@ -2,18 +2,17 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from copy import deepcopy
 from typing import Any
 
 import msgspec
 
-DOMAINS = ("d0", "d1", "d2")
 REGIONS = {"d0": "r0", "d1": "r0", "d2": "r1"}
 SLOTS = 8
 LARGEST_JOBS = 6
 AUTONOMY_SECONDS = 60
-RUN_SECONDS = (15.0, 40.0, 90.0)
+RUN_SECONDS = (8.0, 40.0, 120.0)
 
 Document = dict[str, Any]
 
@@ -23,19 +22,19 @@
     return (f"m-{failure_domain}",)
 
 
-def first_document() -> Document:
+def first_document(domains: Sequence[str]) -> Document:
     """Return the first manifest's document."""
     amounts = {"cpu": 100, "memory_gb": 100}
     limits = {"requests_per_second": 1000, "in_flight": 1000, **amounts}
     minions = {
         name: {"address": f"{name}:80", "failure_domain": domain, "slots": SLOTS}
-        for domain in DOMAINS
+        for domain in domains
         for name in minions_of(domain)
     }
     return {
         "members": {"m": {"limits": limits, "teams": {"t": amounts}}},
         "limits": limits,
-        "failure_domains": {name: {"region": region} for name, region in REGIONS.items()},
+        "failure_domains": {name: {"region": REGIONS[name]} for name in domains},
         "services": {"s": {"member": "m", "path_prefix": "/", "minions": minions}},
         "jobs": {"j0": _job(0), "j1": _job(1)},
         "autonomy_seconds": AUTONOMY_SECONDS,
@@ -119,7 +118,7 @@
     return {
         "member": "m",
         "team": "t",
-        "tasks": 1 + number % 3,
+        "tasks": 1 + number % 4,
         "cpu": 1 + number % 2,
         "memory_gb": 1,
         "run_seconds": RUN_SECONDS[number % len(RUN_SECONDS)],
@@ -128,5 +127,5 @@
 
 def _domain(document: Document, number: int) -> Document:
     domains = document["failure_domains"]
-    domain: Document = domains[DOMAINS[number % len(DOMAINS)]]
+    domain: Document = domains[sorted(domains)[number % len(domains)]]
     return domain
--- a/explorer/steps.py
+++ b/explorer/steps.py
@@ -174,7 +174,7 @@
     "advance": 40,
     "disturb": 18,
     "crash": 2,
-    "start": 4,
+    "start": 3,
     "leave": 1,
     "pause": 3,
     "resume": 4,
@@ -183,33 +183,69 @@
     "restart worker": 1,
     "isolate domain": 1,
     "heal": 3,
-    "repair": 3,
+    "repair": 4,
     "set log": 3,
-    "publish": 8,
-    "request": 6,
-    "end request": 4,
+    "publish": 10,
+    "request": 5,
+    "end request": 3,
     "keyed request": 6,
 }
+# Without these nothing would happen, or nothing would work again.
+_ESSENTIAL = ("advance", "repair", "publish")
+# Walks that leave out some kinds of steps reach states that a mix of all kinds never does.
+_FACTORS = (0, 0, 1, 3)
+_KINDS_OF_A_WALK = 5
 # Without new jobs a walk would soon have nothing to start.
-_CHANGES = [*CHANGES, "declare", "declare", "declare", "back", "keep"]
-_ADVANCES = (0.05, 0.2, 0.5, 1.0, 2.0, 5.0, 11.0, 25.0)
-_DELAYS = (0.1, 0.5, 2.0, 4.5, 8.0, 15.0, 25.0)
+_CHANGES = [*CHANGES, "declare", "declare", "declare", "out", "back", "back", "keep"]
+_ADVANCES = (
+    (0.05, 0.2, 0.5, 1.0, 2.0),
+    (0.2, 0.5, 1.0, 2.0, 5.0, 11.0),
+    (0.5, 2.0, 5.0, 11.0, 25.0),
+)
+_DELAYS = (0.1, 0.5, 1.0, 2.0, 2.5, 4.5, 8.0, 12.0, 15.0, 18.0, 25.0)
+
+
+@dataclass(frozen=True, slots=True)
+class Profile:
+    """What the steps of one walk are drawn from.
+
+    :param kinds: kinds of messages that are disturbed
+    :param advances: seconds that pass in one step
+    """
+
+    weights: dict[str, int]
+    kinds: tuple[str, ...]
+    changes: tuple[str, ...]
+    advances: tuple[float, ...]
+
+
+def random_profile(random: Random) -> Profile:
+    """Return a profile with a part of all kinds of steps, messages and changes."""
+    weights = {
+        kind: weight if kind in _ESSENTIAL else weight * random.choice(_FACTORS)
+        for kind, weight in _WEIGHTS.items()
+    }
+    kinds = random.sample(MESSAGE_KINDS, _KINDS_OF_A_WALK)
+    left_out = random.sample(list(CHANGES), 2)
+    changes = [change for change in _CHANGES if change not in left_out or change == "declare"]
+    return Profile(weights, tuple(kinds), tuple(changes), random.choice(_ADVANCES))
 
 
 def random_steps(random: Random, count: int) -> list[Step]:
     """Return the steps of a walk."""
-    kinds = random.choices(list(_WEIGHTS), list(_WEIGHTS.values()), k=count)
-    return [_random_step(kind, place, random) for place, kind in enumerate(kinds)]
+    profile = random_profile(random)
+    kinds = random.choices(list(profile.weights), list(profile.weights.values()), k=count)
+    return [_random_step(kind, place, profile, random) for place, kind in enumerate(kinds)]
 
 
-def _random_step(kind: str, place: int, random: Random) -> Step:
+def _random_step(kind: str, place: int, profile: Profile, random: Random) -> Step:
     number = random.randrange(60)
     match kind:
         case "disturb":
             effect = random.choice(list(Effect))
-            return Disturb(random.choice(MESSAGE_KINDS), effect, random.choice(_DELAYS))
+            return Disturb(random.choice(profile.kinds), effect, random.choice(_DELAYS))
         case "publish":
-            return Publish(random.choice(_CHANGES), number, random.random() < 0.2)
+            return Publish(random.choice(profile.changes), number, random.random() < 0.2)
         case "set log":
             modes = [LogMode.OK] * 3 + [LogMode.DOWN, LogMode.SILENT, LogMode.LOSE_ANSWERS]
             return SetLog(random.choice(modes))
@@ -221,7 +257,7 @@
             first = place // STEPS_OF_A_KEY * KEYS_AT_A_TIME
             return KeyedRequest(number, first + random.randrange(KEYS_AT_A_TIME))
         case "advance":
-            return Advance(random.choice(_ADVANCES))
+            return Advance(random.choice(profile.advances))
         case _:
             return _plain_step(kind, number)
 
--- a/explorer/world.py
+++ b/explorer/world.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from dataclasses import dataclass
 from random import Random
 
 import msgspec
@@ -15,7 +16,6 @@
 from explorer.network import Disturbance, Network
 from explorer.observer import Observer
 from explorer.operators import (
-    DOMAINS,
     REGIONS,
     SLOTS,
     changed_document,
@@ -48,8 +48,20 @@
 from explorer.timeline import Timeline
 from explorer.worker_model import Run, WorkerModel
 
-ENTRIES = {"d0": 2, "d1": 2, "d2": 1}
-WORKERS = {"d0": 2, "d1": 1, "d2": 1}
+
+@dataclass(frozen=True, slots=True)
+class Size:
+    """Number of entry VMs and of workers in each failure domain."""
+
+    entries: dict[str, int]
+    workers: dict[str, int]
+
+
+# A small deployment takes more steps in the same time; a larger one has more orders.
+SIZES = (
+    Size({"d0": 2, "d1": 1}, {"d0": 2, "d1": 1}),
+    Size({"d0": 2, "d1": 2, "d2": 1}, {"d0": 2, "d1": 1, "d2": 1}),
+)
 # Rates of all clocks, so that two of them differ by at most the drift bound of 0.2%.
 SLOWEST_RATE, FASTEST_RATE = 0.999, 1.001
 # A read in progress at the end of an outage times out after 4 s, and the next one waits up to 5 s.
@@ -65,6 +77,8 @@
 
     def __init__(self, seed: int) -> None:
         self._seed = seed
+        self._size = SIZES[seed % len(SIZES)]
+        self._domains = tuple(self._size.entries)
         self._random = Random(f"world {seed}")
         self._timeline = Timeline()
         self._observer = Observer(self._timeline)
@@ -74,13 +88,13 @@
         self._isolated: set[str] = set()
         self._starts: Counter[str] = Counter()
         self._publications = 0
-        self._places = _places()
+        self._places = _places(self._size)
         self._processes: dict[str, ProcessModel] = {}
         self._by_name: dict[str, ProcessModel] = {}
         self._workers = self._new_workers()
         self._minions = {
             name: MinionModel(name, SLOTS, self._timeline)
-            for domain in DOMAINS
+            for domain in self._domains
             for name in minions_of(domain)
         }
         self._around = Surroundings(
@@ -93,7 +107,7 @@
             _vms(self._places, self._workers),
             self._send_to_peer,
         )
-        self._publish(0, first_document())
+        self._publish(0, first_document(self._domains))
         for entry in range(len(self._places)):
             self._start(entry)
 
@@ -152,7 +166,7 @@
             case RestartWorker(worker):
                 self._worker(worker).restart()
             case IsolateDomain(domain):
-                self._isolated.add(DOMAINS[domain % len(DOMAINS)])
+                self._isolated.add(self._domains[domain % len(self._domains)])
             case Heal():
                 self._heal()
             case Repair():
@@ -209,7 +223,7 @@
 
     def _new_workers(self) -> dict[str, WorkerModel]:
         workers = {}
-        for domain, count in WORKERS.items():
+        for domain, count in self._size.workers.items():
             for number in range(count):
                 name = f"w-{domain}-{number}"
                 rate = self._random.uniform(SLOWEST_RATE, FASTEST_RATE)
@@ -289,10 +303,10 @@
     return document
 
 
-def _places() -> list[Place]:
+def _places(size: Size) -> list[Place]:
     return [
         Place(f"e-{domain}-{number}", domain, REGIONS[domain], f"e-{domain}-{number}:1")
-        for domain, count in ENTRIES.items()
+        for domain, count in size.entries.items()
         for number in range(count)
     ]
 
