--- a/explorer/network.py
+++ b/explorer/network.py
@@ -22,7 +22,7 @@
 
 
 # Kinds of messages that steps can disturb; an answer is a message of its own.
-MESSAGE_KINDS = (
+BATCH_KINDS = (
     "clock",
     "lease",
     "lease answer",
@@ -32,6 +32,9 @@
     "stop answer",
     "forget",
     "append control",
+)
+LOG_KINDS = (
+    "append control",
     "append control answer",
     "append claims",
     "append claims answer",
@@ -40,9 +43,8 @@
     "read control",
     "read control answer",
     "read claims answer",
-    "heartbeat",
-    "relay",
 )
+PEER_KINDS = ("heartbeat", "relay", "read config", "read control answer")
 
 
 @dataclass(frozen=True, slots=True)
--- a/explorer/steps.py
+++ b/explorer/steps.py
@@ -10,7 +10,7 @@
 from random import Random
 
 from explorer.log_model import LogMode
-from explorer.network import MESSAGE_KINDS, Effect
+from explorer.network import BATCH_KINDS, LOG_KINDS, PEER_KINDS, Effect
 from explorer.operators import CHANGES
 
 
@@ -23,11 +23,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Disturb:
-    """Drop, delay or double the next message of a kind."""
+    """Drop, delay or double the next messages of a kind."""
 
     kind: str
     effect: Effect
     seconds: float
+    messages: int = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -194,7 +195,8 @@
 _ESSENTIAL = ("advance", "repair", "publish")
 # Walks that leave out some kinds of steps reach states that a mix of all kinds never does.
 _FACTORS = (0, 0, 1, 3)
-_KINDS_OF_A_WALK = 5
+_KINDS_OF_A_WALK = 3
+_MESSAGES = (1, 1, 2, 4, 8)
 # Without new jobs a walk would soon have nothing to start.
 _CHANGES = [*CHANGES, "declare", "declare", "declare", "out", "back", "back", "keep"]
 _ADVANCES = (
@@ -202,7 +204,9 @@
     (0.2, 0.5, 1.0, 2.0, 5.0, 11.0),
     (0.5, 2.0, 5.0, 11.0, 25.0),
 )
-_DELAYS = (0.1, 0.5, 1.0, 2.0, 2.5, 4.5, 8.0, 12.0, 15.0, 18.0, 25.0)
+# Around the 3 s of a start's evidence, and around the 20 s of a lease.
+_DELAYS = ((0.1, 0.5, 1.0, 2.0, 2.5, 4.5), (4.5, 8.0, 12.0, 15.0, 18.0, 25.0))
+_REPEATS_OF_A_CHANGE = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -211,12 +215,14 @@
 
     :param kinds: kinds of messages that are disturbed
     :param advances: seconds that pass in one step
+    :param delays: seconds by which messages are late
     """
 
     weights: dict[str, int]
     kinds: tuple[str, ...]
     changes: tuple[str, ...]
     advances: tuple[float, ...]
+    delays: tuple[float, ...]
 
 
 def random_profile(random: Random) -> Profile:
@@ -225,10 +231,13 @@
         kind: weight if kind in _ESSENTIAL else weight * random.choice(_FACTORS)
         for kind, weight in _WEIGHTS.items()
     }
-    kinds = random.sample(MESSAGE_KINDS, _KINDS_OF_A_WALK)
-    left_out = random.sample(list(CHANGES), 2)
+    group = random.choice((BATCH_KINDS, BATCH_KINDS, LOG_KINDS, PEER_KINDS))
+    kinds = random.sample(group, _KINDS_OF_A_WALK)
+    left_out = random.sample(list(CHANGES), 3)
     changes = [change for change in _CHANGES if change not in left_out or change == "declare"]
-    return Profile(weights, tuple(kinds), tuple(changes), random.choice(_ADVANCES))
+    changes += [random.choice(list(CHANGES))] * _REPEATS_OF_A_CHANGE
+    advances, delays = random.choice(_ADVANCES), random.choice(_DELAYS)
+    return Profile(weights, tuple(kinds), tuple(changes), advances, delays)
 
 
 def random_steps(random: Random, count: int) -> list[Step]:
@@ -243,7 +252,8 @@
     match kind:
         case "disturb":
             effect = random.choice(list(Effect))
-            return Disturb(random.choice(profile.kinds), effect, random.choice(_DELAYS))
+            kind, seconds = random.choice(profile.kinds), random.choice(profile.delays)
+            return Disturb(kind, effect, seconds, random.choice(_MESSAGES))
         case "publish":
             return Publish(random.choice(profile.changes), number, random.random() < 0.2)
         case "set log":
--- a/explorer/world.py
+++ b/explorer/world.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from dataclasses import dataclass
 from random import Random
@@ -129,8 +130,9 @@
         match step:
             case Advance(seconds):
                 self._timeline.advance(seconds)
-            case Disturb(kind, effect, seconds):
-                self._network.disturb(kind, Disturbance(effect, seconds))
+            case Disturb(kind, effect, seconds, messages):
+                for _ in range(messages):
+                    self._network.disturb(kind, Disturbance(effect, seconds))
             case Publish(change, number, is_racing):
                 self._publish_change(change, number, is_racing)
             case SetLog(mode):
@@ -289,7 +291,9 @@
         for process in self._processes.values():
             is_well = self._is_connected(process.name, LOG) and self._log.mode is LogMode.OK
             if process.is_paused or not is_well:
-                process.well_since = max(process.well_since, self.now + RECOVERY_SECONDS)
+                process.well_since = math.inf
+            elif math.isinf(process.well_since):
+                process.well_since = self.now + RECOVERY_SECONDS
 
 
 def _side_of(other: str) -> str:
