--- a/explorer/__main__.py
+++ b/explorer/__main__.py
@@ -31,6 +31,7 @@
     )
     parser.add_argument("--fault", choices=sorted(FAULTS), help="put one fault into the code")
     parser.add_argument("--list-faults", action="store_true", help="print the faults and exit")
+    parser.add_argument("--row", action="store_true", help="print the result as a table row")
     return parser.parse_args()
 
 
@@ -48,15 +49,23 @@
     print(f"broken: {finding.invariant}: {finding.detail}", flush=True)
 
 
-def main() -> int:
-    """Return 1 when an invariant was broken, else 0."""
-    arguments = _arguments()
-    if arguments.list_faults:
-        for fault in FAULTS.values():
-            print(f"{fault.name}: {fault.rule}")
-        return 0
+def _row(fault: str, result: SearchResult) -> str:
+    rule = FAULTS[fault].rule if fault else "none"
+    if result.finding is None:
+        found = "not found"
+    else:
+        found = f"`{result.finding.invariant}`, seed {result.finding.walk.seed}"
+    seconds = f"{result.real_seconds:.0f}"
+    cells = (fault or "-", rule, found, str(result.walks), str(result.steps), seconds)
+    return f"| {' | '.join(cells)} |"
+
+
+def _searched(arguments: argparse.Namespace) -> int:
     with FAULTS[arguments.fault].applied() if arguments.fault else nullcontext():
         result = search(arguments.seed, arguments.steps, arguments.walks, arguments.seconds)
+        if arguments.row:
+            print(_row(arguments.fault, result))
+            return 0 if result.finding is None else FOUND_STATUS
         _print_result(result)
         if result.finding is None:
             print("no invariant was broken")
@@ -70,6 +79,16 @@
     return FOUND_STATUS
 
 
+def main() -> int:
+    """Return 1 when an invariant was broken, else 0."""
+    arguments = _arguments()
+    if arguments.list_faults:
+        for fault in FAULTS.values():
+            print(f"{fault.name}: {fault.rule}")
+        return 0
+    return _searched(arguments)
+
+
 if __name__ == "__main__":
     if os.environ.get("PYTHONHASHSEED") != HASH_SEED:
         environment = {**os.environ, "PYTHONHASHSEED": HASH_SEED}
--- a/explorer/network.py
+++ b/explorer/network.py
@@ -45,6 +45,7 @@
     "read claims answer",
 )
 PEER_KINDS = ("heartbeat", "relay", "read config", "read control answer")
+ALL_KINDS = tuple(dict.fromkeys((*BATCH_KINDS, *LOG_KINDS, *PEER_KINDS)))
 
 
 @dataclass(frozen=True, slots=True)
--- a/explorer/world.py
+++ b/explorer/world.py
@@ -280,7 +280,7 @@
         self._network.send(kind, source, target.name, lambda: target.receive(message))
 
     def _note_disturbed(self, kind: str) -> None:
-        if kind.startswith("read config"):
+        if kind.startswith("read config") or kind in ("heartbeat", "relay"):
             self._note_all_unwell()
 
     def _note_all_unwell(self) -> None:
@@ -289,12 +289,26 @@
 
     def _note_unwell(self) -> None:
         for process in self._processes.values():
-            is_well = self._is_connected(process.name, LOG) and self._log.mode is LogMode.OK
-            if process.is_paused or not is_well:
+            if not self._can_learn(process):
                 process.well_since = math.inf
             elif math.isinf(process.well_since):
                 process.well_since = self.now + RECOVERY_SECONDS
 
+    def _can_learn(self, process: ProcessModel) -> bool:
+        """Return whether a process can reach the log, or a peer of its domain that can."""
+        if self._can_read(process):
+            return True
+        return not process.is_paused and any(
+            self._can_read(peer) and self._is_connected(process.name, peer.name)
+            for peer in self._processes.values()
+            if peer.place.failure_domain == process.place.failure_domain
+        )
+
+    def _can_read(self, process: ProcessModel) -> bool:
+        if process.is_dead or process.is_paused or self._log.mode is not LogMode.OK:
+            return False
+        return self._is_connected(process.name, LOG)
+
 
 def _side_of(other: str) -> str:
     if other == LOG:
@@ -322,7 +336,14 @@
         for one in places
     ]
     machines = [
-        Vm(name, VmRole.WORKER, one.failure_domain, REGIONS[one.failure_domain], live, f"{name}:1")
+        Vm(
+            name,
+            VmRole.WORKER,
+            one.failure_domain,
+            REGIONS[one.failure_domain],
+            live,
+            f"{name}:1",
+        )
         for name, one in workers.items()
     ]
     return (*entries, *machines)
