--- a/explorer/world.py
+++ b/explorer/world.py
@@ -289,7 +289,8 @@
 
     def _note_unwell(self) -> None:
         for process in self._processes.values():
-            if not self._can_learn(process):
+            # A process without a state isn't ready; it reads control before config.
+            if process.version == 0 or not self._can_learn(process):
                 process.well_since = math.inf
             elif math.isinf(process.well_since):
                 process.well_since = self.now + RECOVERY_SECONDS
