Let a taken-over resource rest before the next takeover

Cause: the seeded search found that two processes of a domain that reach the log but not each other take each other's minions and workers without end: 758 records accepted in 120 s, and nobody used the minion, because each new holder waits 40 s. Silence was taken for death although the log showed the other's Hold. Ruled out: counting an accepted Hold as a sign of life of its process for all its resources, which would also delay the takeover of what a process held when it died soon after a start. Before: the scenario was red. After: it passes, as do the holdings features; the first takeover is as fast as before, later ones of the same resource wait 60 s, doubling to 960 s, until a release. Conclusion: a domain that is cut inside keeps each resource with one user. The fence-skipped fault of the search follows the new argument of the loss record.

--- a/dotterelhill/holdings/decision.py
+++ b/dotterelhill/holdings/decision.py
@@ -82,6 +82,10 @@
 WORKER_PREFIX = "worker:"
 # Silence after which a live holder's resources are taken over, on top of the 3 s of the live view.
 TAKEOVER_AFTER_SECONDS = 2.0
+# Two processes that reach the log but not each other would take a resource from each other without
+# end. After each takeover the next one waits for longer.
+QUIET_AFTER_TAKEOVER_SECONDS = 60.0
+LONGEST_QUIET_SECONDS = 960.0
 # A peer whose evidence is older than this gets promises. Promising earlier would delay a takeover
 # by the 10 s of the promise in normal operation.
 PROMISE_FROM_AGE_SECONDS = 4.0
@@ -100,11 +104,17 @@
 
 @dataclass(slots=True)
 class _Resource:
-    """Newest holding of a resource and the earlier holders that may still use it."""
+    """Newest holding of a resource and the earlier holders that may still use it.
+
+    :param held_at: loop time at which the newest ``Hold`` was read
+    :param takeovers: how often it was taken over since it was last released
+    """
 
     holder: str = ""
     token: int = 0
     is_released: bool = True
+    held_at: float = float("-inf")
+    takeovers: int = 0
     predecessors: dict[str, Predecessor] = field(default_factory=dict)
 
 
@@ -117,6 +127,17 @@
     released_at: float | None = None
 
 
+def _quiet_seconds(takeovers: int) -> float:
+    """Return how long a holding lasts at least, after so many takeovers without a release.
+
+    >>> [_quiet_seconds(count) for count in (0, 1, 2, 9)]
+    [0.0, 60.0, 120.0, 960.0]
+    """
+    if not takeovers:
+        return 0.0
+    return min(QUIET_AFTER_TAKEOVER_SECONDS * 2.0 ** min(takeovers - 1, 10), LONGEST_QUIET_SECONDS)
+
+
 class HoldingsDecision:
     """Decision code of holdings; see the module's explanation.
 
@@ -336,10 +357,14 @@
         self._drains.pop(event.resource, None)
         is_lost = self._is_mine(event.resource) and event.holder != self._incarnation
         # The new holder is no predecessor of itself: it counts its own requests in flight.
-        if not state.is_released and state.holder != event.holder:
+        if state.is_released:
+            state.takeovers = 0
+        elif state.holder != event.holder:
+            state.takeovers += 1
             self._add_predecessor(state, state.holder, state.token, event.offset, now)
         state.predecessors.pop(event.holder, None)
         state.holder, state.token, state.is_released = event.holder, event.offset, False
+        state.held_at = now
         if is_lost and event.resource.startswith(MINION_PREFIX):
             return [DrainMinion(event.resource.removeprefix(MINION_PREFIX))]
         return []
@@ -555,6 +580,8 @@
             return False
         if now <= self._promised_until.get(state.holder, float("-inf")):
             return False
+        if now - state.held_at < _quiet_seconds(state.takeovers):
+            return False
         if resource.startswith(WORKER_PREFIX):
             return True
         return self._knows_joiner_at(state.holder, state.token, now) is not None
--- a/explorer/faults.py
+++ b/explorer/faults.py
@@ -102,11 +102,11 @@
         for task in worker.tasks.values():
             if self._may_append(task.appended_at, now):
                 task.appended_at = now
-                yield Append(execution._stopped_as_lost(task))
+                yield Append(execution._stopped_as_lost(task, worker.token))
 
     return [
         patch.object(Execution, "_lease_actions", lose_silent),
-        patch.object(Placements, "_is_loss_certain", lambda self, worker: True),
+        patch.object(Placements, "_is_loss_certain", lambda self, worker, fence: True),
     ]
 
 
--- a/explorer/tests/walks.feature
+++ b/explorer/tests/walks.feature
@@ -19,7 +19,6 @@
     Then the invariant "ended-task" is broken
     And the shortened trace has fewer than 10 steps
 
-  @known-red
   Scenario: Two processes that can't hear each other take each other's minions all the time
     Given a domain with two entry processes that hold its minion and its workers
     When the two can't hear each other for 120 seconds, while both reach the log
