Give a VM that starts during a log outage the ledger of a peer

Cause: a process that started while the log was down got the manifest from its peers but no ledger, so it stayed not ready until the log answered. Ruled out: serving without a ledger; the process would not know the holders to forward to. Before: not ready while the log is down. Conclusion: an entry VM can be replaced during an outage of the log.

--- a/dotterelhill/entry/process.py
+++ b/dotterelhill/entry/process.py
@@ -45,6 +45,8 @@
 CONTROL_SPACING_SECONDS = 0.25
 LEAVE_SECONDS = 5.0
 USAGE_SECONDS = 5.0
+# Above the time in which a log that answers restores the ledger (about 0.3 s at the target size).
+STATE_SECONDS = 2.0
 # Evidence that a process must have to be the preferred scheduler.
 SCHEDULER_EVIDENCE_SECONDS = 3.0
 
@@ -278,6 +280,8 @@
             on_live_changed=self._holdings.on_live_changed,
             on_manifest=self._config.accept_relayed,
             on_records=self._take_relayed_records,
+            encoded_state=self._control.encoded_state,
+            on_state=self._control.accept_state,
             on_usage_summary=self._batch.take_usage_summary,
             on_append_wanted=self._relaying.append_for_peer,
             on_vms=self._take_vms,
@@ -371,6 +375,15 @@
         ready = [peer.incarnation for peer in peers if peer.is_ready]
         return max([*ready, self._incarnation], key=_scheduler_score)
 
+    @mode.Service.timer(STATE_SECONDS)
+    async def _ask_for_state(self) -> None:
+        """Ask a peer for the ledger while the log has not given it."""
+        if self._control.is_restored:
+            return
+        peers = [peer for peer in self._peers.live_peers(self.loop.time()) if peer.is_ready]
+        if peers:
+            self._membership.ask_for_state(self._random.choice(peers).incarnation)
+
     @mode.Service.timer(USAGE_SECONDS)
     async def _send_usage(self) -> None:
         scheduler = self._preferred_scheduler()
--- a/dotterelhill/entry/tests/fleet.feature
+++ b/dotterelhill/entry/tests/fleet.feature
@@ -38,6 +38,14 @@
     Then every request was answered
     And each task ran in one place at a time and finished once
 
+  @manifest
+  Scenario: A VM that is replaced during a log outage stays without manifest and ledger
+    Given a fleet whose minions work 5 ms on each request
+    When the log goes down
+    And an entry process is killed and started anew
+    Then the new process is ready within 20 s with the manifest in force
+    And it answers a request through its peers
+
   @single-place @at-most-once
   Scenario: A paused entry process goes on with what its successor has taken over
     Given a fleet whose minions work 100 ms on each request
--- a/dotterelhill/entry/tests/fleet_world.py
+++ b/dotterelhill/entry/tests/fleet_world.py
@@ -116,6 +116,11 @@
         usable = {name for state in states.values() for name in state["holdings"]["usable_minions"]}
         return usable == set(self.sample.names("minion"))
 
+    async def ready_entries(self) -> set[str]:
+        """Return the running entry processes that say that they are ready."""
+        answers = await self.answers("entry", "/readyz", "admin")
+        return {name for name, answer in answers.items() if answer["ready"]}
+
     async def versions(self) -> dict[str, int]:
         """Return the manifest version in force in each running entry process."""
         states = await self.answers("entry", "/state", "admin")
--- a/dotterelhill/entry/tests/steps/fleet_steps.py
+++ b/dotterelhill/entry/tests/steps/fleet_steps.py
@@ -197,3 +197,41 @@
 def check_traces(context: Any) -> None:
     broken = context.world.broken_outcomes()
     assert not broken, broken
+
+
+@when("the log goes down")
+def down_log(context: Any) -> None:
+    context.world.run(context.world.set_log_fault("down"))
+
+
+@when("an entry process is killed and started anew")
+def replace_entry(context: Any) -> None:
+    world: FleetWorld = context.world
+    context.replaced = world.sample.names("entry")[0]
+
+    async def replace() -> None:
+        await world.fleet.stop(context.replaced, signal.SIGKILL)
+        await world.sample.start_entry(context.replaced)
+
+    world.run(replace())
+
+
+@then("the new process is ready within {seconds:d} s with the manifest in force")
+def check_replaced(context: Any, seconds: int) -> None:
+    world: FleetWorld = context.world
+
+    async def is_ready() -> bool:
+        return context.replaced in await world.ready_entries()
+
+    world.run(world.until(is_ready, seconds))
+    assert world.run(world.versions())[context.replaced] == world.version
+
+
+@then("it answers a request through its peers")
+def check_answer(context: Any) -> None:
+    world: FleetWorld = context.world
+    world.balanced = {context.replaced}
+    world.start_load(20.0)
+    world.run(asyncio.sleep(3.0))
+    report = world.run(world.end_load())
+    assert report.total > 0 and report.outcomes["answered"] == report.total, report.outcomes
--- a/dotterelhill/membership/heartbeats.py
+++ b/dotterelhill/membership/heartbeats.py
@@ -113,6 +113,21 @@
     records: list[bytes]
 
 
+class StateWanted(Message, frozen=True, tag=True):
+    """Request of a process that has no ledger and can't read the log.
+
+    :param reply_to: peer address of the requester
+    """
+
+    reply_to: str
+
+
+class State(Message, frozen=True, tag=True):
+    """Ledger and manifest of the sender, encoded as a snapshot."""
+
+    data: bytes
+
+
 class UsageSummary(Message, frozen=True, tag=True):
     """Usage of the workers that the sender holds, for the preferred scheduler.
 
@@ -122,7 +137,16 @@
     data: bytes
 
 
-PeerMessage = Heartbeat | ManifestRecord | RecordsWanted | Records | AppendWanted | UsageSummary
+PeerMessage = (
+    Heartbeat
+    | ManifestRecord
+    | RecordsWanted
+    | Records
+    | AppendWanted
+    | StateWanted
+    | State
+    | UsageSummary
+)
 
 _MESSAGES = msgspec.msgpack.Decoder(PeerMessage)
 _KNOWN_TYPES = frozenset(kind.__name__ for kind in get_args(PeerMessage))
--- a/dotterelhill/membership/service.py
+++ b/dotterelhill/membership/service.py
@@ -18,6 +18,8 @@
     PeerMessage,
     Records,
     RecordsWanted,
+    State,
+    StateWanted,
     UsageSummary,
 )
 from dotterelhill.membership.interface import Peer
@@ -76,6 +78,8 @@
     :param on_manifest: a peer relayed version and record of a manifest
     :param on_records: a peer relayed records from ``start`` through an offset
     :param on_append_wanted: a peer that can't reach the log asks to append records to ``control``
+    :param encoded_state: this process's ledger as a snapshot, or None when it is not whole
+    :param on_state: a peer sent its ledger
     :param on_usage_summary: a peer sent the usage of its workers
     :param on_vms: the VM list changed
     """
@@ -91,6 +95,8 @@
         None
     )
     on_append_wanted: Callable[[Sequence[bytes]], None] = lambda records: None
+    encoded_state: Callable[[], bytes | None] = lambda: None
+    on_state: Callable[[bytes], object] = lambda data: None
     on_usage_summary: Callable[[bytes], None] = lambda data: None
     on_vms: Callable[[tuple[Vm, ...]], None] = lambda vms: None
 
@@ -176,6 +182,10 @@
                 self._hooks.on_manifest(message.manifest_version, message.record)
             case RecordsWanted():
                 self._send_records(message)
+            case StateWanted():
+                self._send_state(message)
+            case State():
+                self._hooks.on_state(message.data)
             case UsageSummary():
                 self._hooks.on_usage_summary(message.data)
             case AppendWanted():
@@ -186,6 +196,13 @@
                 records = [LogRecord(offset, data) for offset, data in message.records]
                 self._hooks.on_records(message.start, message.through, records)
 
+    def ask_for_state(self, incarnation: str) -> None:
+        """Ask a peer for its ledger, if its address is known."""
+        address = self._decision.address_of(incarnation)
+        if address:
+            wanted = StateWanted(sender=self.incarnation, reply_to=self._settings.peer_address)
+            self._transport.send(address, wanted)
+
     def send_usage_summary(self, incarnation: str, data: bytes) -> None:
         """Send the usage of this process's workers to a peer, if its address is known."""
         address = self._decision.address_of(incarnation)
@@ -279,6 +296,11 @@
             summary=list(action.summary),
         )
 
+    def _send_state(self, wanted: StateWanted) -> None:
+        data = self._hooks.encoded_state()
+        if data is not None:
+            self._transport.send(wanted.reply_to, State(sender=self.incarnation, data=data))
+
     def _send_records(self, wanted: RecordsWanted) -> None:
         records = self._hooks.control_records(wanted.start, RECORDS_IN_BATCH)
         batch = bounded_batch(records)
