--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -13,7 +13,7 @@
 
 # Modules by part; each has ``figures()``, which returns or yields ``Figure``.
 PARTS: dict[str, tuple[str, ...]] = {
-    "requests": ("measure.requests_cost",),
+    "requests": ("measure.requests_cost", "measure.requests_policy"),
     "batch": ("measure.batch_cost", "measure.batch_policy"),
     "agreement": ("measure.agreement",),
     "cost": ("measure.fold_cost", "measure.node_cost"),
--- a/standins/minion.py
+++ b/standins/minion.py
@@ -45,19 +45,31 @@
     over_connections: int = 0
 
 
+UNBOUNDED = 1_000_000
+
+
 class MinionStandin:
     """Echoing HTTP server with fault modes.
 
     :param slots: requests at once above which ``over_slots`` counts
     :param connections: open connections above which ``over_connections`` counts
     :param work_seconds: time that each request takes; header ``X-Work-Seconds`` overrides it
+    :param is_queueing: whether requests above the slots wait, as in a pool of that many threads
 
     With ``is_dropping_reused`` set, it drops the second request of a connection unread, as a server
     does whose idle limit has just passed.
     """
 
-    def __init__(self, slots: int = 8, connections: int = 64, work_seconds: float = 0.0) -> None:
+    def __init__(
+        self,
+        slots: int = 8,
+        connections: int = 64,
+        work_seconds: float = 0.0,
+        *,
+        is_queueing: bool = False,
+    ) -> None:
         self.slots = slots
+        self._threads = asyncio.Semaphore(slots if is_queueing else UNBOUNDED)
         self.connections = connections
         self.work_seconds = work_seconds
         self.mode = FaultMode.OK
@@ -126,7 +138,8 @@
         load.most_in_flight = max(load.most_in_flight, load.in_flight)
         load.over_slots += load.in_flight > self.slots
         try:
-            return await self._answer(request)
+            async with self._threads:
+                return await self._answer(request)
         finally:
             load.in_flight -= 1
 
@@ -193,7 +206,12 @@
 
 
 async def _serve(arguments: argparse.Namespace) -> None:
-    standin = MinionStandin(arguments.slots, arguments.connections, arguments.work_seconds)
+    standin = MinionStandin(
+        arguments.slots,
+        arguments.connections,
+        arguments.work_seconds,
+        is_queueing=arguments.queueing,
+    )
     await standin.start(arguments.host, arguments.port)
     print(f"listening {standin.address}", flush=True)
     await asyncio.Event().wait()
@@ -207,6 +225,7 @@
     parser.add_argument("--slots", type=int, default=8)
     parser.add_argument("--connections", type=int, default=64)
     parser.add_argument("--work-seconds", type=float, default=0.0)
+    parser.add_argument("--queueing", action="store_true")
     try:
         asyncio.run(_serve(parser.parse_args()))
     except KeyboardInterrupt:
--- a/tools/sample_fleet.py
+++ b/tools/sample_fleet.py
@@ -253,6 +253,7 @@
             f"--slots={self._size.slots}",
             f"--connections={self._size.connections}",
             f"--work-seconds={self._service_milliseconds / 1000.0}",
+            "--queueing",
         )
 
     async def _start_worker(self, name: str) -> None:
