Share the wiring of feeds and slices between the process and the search

Cause: the explorer had a copy of how updates, heartbeats and relayed records reach the slices, and of the choice of the scheduler; a fault in the shipped wiring would not have been found. Ruled out: starting the whole entry process in the explorer, whose services need a real event loop. Conclusion: the search exercises the wiring that ships.

--- a/dotterelhill/entry/process.py
+++ b/dotterelhill/entry/process.py
@@ -4,8 +4,6 @@
 
 import asyncio
 import signal
-from collections.abc import Mapping, Sequence
-from hashlib import blake2b
 from random import Random
 from typing import Any
 
@@ -22,13 +20,12 @@
 from dotterelhill.entry.relaying import RelayingAppender
 from dotterelhill.entry.settings import EntrySettings
 from dotterelhill.entry.slices import Slices
+from dotterelhill.entry.wiring import FeedWiring, PresentHolders, preferred_scheduler
 from dotterelhill.holdings import Holdings
-from dotterelhill.ledger import ControlFeed, ControlRelay, FeedUpdate, Holders, SnapshotWriter
-from dotterelhill.ledger.state import Ended, Holding, Incarnation
-from dotterelhill.log import BatchedAppender, HttpLog, LogRecord
+from dotterelhill.ledger import ControlFeed, FeedUpdate, SnapshotWriter
+from dotterelhill.log import BatchedAppender, HttpLog
 from dotterelhill.manifest.feed import ConfigFeed
 from dotterelhill.membership import Peer
-from dotterelhill.membership.heartbeats import Heartbeat
 from dotterelhill.membership.service import Membership, MembershipHooks, MembershipSettings
 from dotterelhill.membership.transport import CurveKeys, ZmqTransport
 from dotterelhill.membership.view import OwnState
@@ -71,32 +68,6 @@
         return self.membership.leaving_vms() if self.membership else frozenset()
 
 
-class _PresentHolders:
-    """Holders of the present ledger, which is replaced when a snapshot is restored."""
-
-    def __init__(self, feed: ControlFeed) -> None:
-        self._feed = feed
-
-    @property
-    def joined(self) -> Mapping[str, Incarnation]:
-        return self._holders.joined
-
-    @property
-    def ended(self) -> Mapping[str, Ended]:
-        return self._holders.ended
-
-    @property
-    def holdings(self) -> Mapping[str, Holding]:
-        return self._holders.holdings
-
-    @property
-    def _holders(self) -> Holders:
-        return self._feed.ledger.holders
-
-    def previous_token(self, resource: str) -> int:
-        return self._holders.previous_token(resource)
-
-
 class EntryProcess(mode.Service):
     """All slices of one entry process.
 
@@ -132,7 +103,7 @@
         self._holdings = Holdings(
             settings.entry_name,
             settings.failure_domain,
-            _PresentHolders(self._control),
+            PresentHolders(self._control),
             self._appender,
             self._peers,
             self._in_flight_at,
@@ -163,6 +134,9 @@
             is_scheduler=self._is_scheduler,
             execution=self._decision_of("execution", ExecutionArguments()),
         )
+        self._wiring = FeedWiring(
+            self._config, self._control, self._holdings, self._batch, self._relaying
+        )
         self._transport = ZmqTransport(
             f"{settings.listen_host}:{settings.peer_port}",
             CurveKeys(settings.peer_public_key, settings.peer_secret_key.get_secret_value()),
@@ -192,7 +166,8 @@
     async def on_start(self) -> None:
         """Start the slices; the ones that others ask come first."""
         self._session = aiohttp.ClientSession()
-        self._connect_feeds()
+        self._wiring.connect()
+        self._control.add_listener(self._follow_scheduling)
         first: tuple[mode.Service, ...] = (self._transport, self._appender, self._requests)
         for service in first:
             await self.add_runtime_dependency(service)
@@ -274,12 +249,12 @@
         hooks = MembershipHooks(
             own_state=self._own_state,
             promise_to=self._holdings.promise_to,
-            manifest_record=self._manifest_record,
-            control_records=self._control_records,
-            on_heartbeat=self._take_heartbeat,
+            manifest_record=self._wiring.manifest_record,
+            control_records=self._wiring.control_records,
+            on_heartbeat=self._wiring.take_heartbeat,
             on_live_changed=self._holdings.on_live_changed,
             on_manifest=self._config.accept_relayed,
-            on_records=self._take_relayed_records,
+            on_records=self._wiring.take_records,
             encoded_state=self._control.encoded_state,
             on_state=self._control.accept_state,
             on_usage_summary=self._batch.take_usage_summary,
@@ -298,43 +273,9 @@
         decision = self._decision_of("membership", arguments)
         return Membership(place, self._transport, vm_list, hooks, decision)
 
-    def _connect_feeds(self) -> None:
-        self._config.add_listener(lambda accepted: self._holdings.on_manifest(accepted.manifest))
-        self._control.add_listener(self._take_update)
-
-    def _take_update(self, update: FeedUpdate) -> None:
-        through = self._control.ledger.read_offset
-        if update.is_restored:
-            self._holdings.on_loaded(through)
-            self._batch.note_all()
-        for verdict in update.verdicts:
-            if verdict.is_accepted and verdict.record is not None:
-                self._holdings.on_accepted(verdict.offset, verdict.record)
-            self._batch.note(verdict)
-        self._holdings.on_folded(through)
-        if update.evidence_at > float("-inf"):
-            self._holdings.on_evidence(update.evidence_at, through)
-        self._relaying.note_read(self._control.read_evidence_at)
+    def _follow_scheduling(self, update: FeedUpdate) -> None:
         self._snapshots.set_active(self._is_scheduler())
 
-    def _take_heartbeat(self, heartbeat: Heartbeat) -> None:
-        self._holdings.on_heartbeat(heartbeat)
-        if not heartbeat.echo:
-            return
-        self._config.accept_evidence(
-            heartbeat.manifest_version, heartbeat.config_age, heartbeat.echo
-        )
-        self._control.accept_evidence(
-            heartbeat.control_through, heartbeat.control_age, heartbeat.echo
-        )
-
-    def _control_records(self, start: int, limit: int) -> tuple[LogRecord, ...]:
-        relay = self._control.relay_after(start - 1)
-        return relay.records[:limit] if relay else ()
-
-    def _take_relayed_records(self, start: int, through: int, records: Sequence[LogRecord]) -> None:
-        self._control.accept_relay(ControlRelay(start - 1, tuple(records)))
-
     def _receive(self, message: object) -> None:
         if self._peers.membership is not None:
             self._peers.membership.receive(message)  # type: ignore[arg-type]
@@ -370,10 +311,7 @@
         return self._preferred_scheduler() == self._incarnation
 
     def _preferred_scheduler(self) -> str:
-        """Return the first of the live incarnations by rendezvous hash, this one included."""
-        peers = self._peers.live_peers(self.loop.time())
-        ready = [peer.incarnation for peer in peers if peer.is_ready]
-        return max([*ready, self._incarnation], key=_scheduler_score)
+        return preferred_scheduler(self._incarnation, self._peers.live_peers(self.loop.time()))
 
     @mode.Service.timer(STATE_SECONDS)
     async def _ask_for_state(self) -> None:
@@ -402,10 +340,6 @@
             free_slots=self._requests.free_slots(),
         )
 
-    def _manifest_record(self) -> tuple[int, bytes] | None:
-        current = self._config.current
-        return (current.version, current.record) if current else None
-
     def _unready_reasons(self) -> tuple[str, ...]:
         reasons = []
         if self._is_stopping:
@@ -433,10 +367,6 @@
         )
 
 
-def _scheduler_score(incarnation: str) -> bytes:
-    return blake2b(incarnation.encode(), digest_size=8).digest()
-
-
 async def _exit_status(settings: EntrySettings) -> ExitStatus:
     process = EntryProcess(settings)
     stop = asyncio.Event()
--- a/explorer/process_model.py
+++ b/explorer/process_model.py
@@ -6,28 +6,26 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Coroutine, Sequence
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
-from hashlib import blake2b
 from random import Random
 from typing import Any
 
 import mode
 
 from dotterelhill.batch.service import Batch
-from dotterelhill.entry.process import CONTROL_STREAM, _PresentHolders
+from dotterelhill.entry.process import CONTROL_STREAM, SCHEDULER_EVIDENCE_SECONDS
 from dotterelhill.entry.relaying import RelayingAppender
+from dotterelhill.entry.wiring import FeedWiring, PresentHolders, preferred_scheduler
 from dotterelhill.holdings import Holdings
 from dotterelhill.holdings.events import MinionDrained, StopRequested, Tick
-from dotterelhill.ledger import ControlFeed, ControlRelay, FeedUpdate
+from dotterelhill.ledger import ControlFeed, FeedUpdate
 from dotterelhill.ledger.feed import ADOPT_JITTER_SECONDS, SnapshotReader
 from dotterelhill.log.appender import BatchedAppender
-from dotterelhill.log.interface import LogRecord
 from dotterelhill.log.tail import LogTail
 from dotterelhill.manifest import AcceptedManifest
 from dotterelhill.manifest.feed import ConfigFeed
-from dotterelhill.membership import Peer
-from dotterelhill.membership.heartbeats import Heartbeat, PeerMessage
+from dotterelhill.membership.heartbeats import PeerMessage
 from dotterelhill.membership.service import Membership, MembershipHooks, MembershipSettings
 from dotterelhill.membership.view import OwnState, VmListRead
 from dotterelhill.membership.view import Tick as MembershipTick
@@ -48,7 +46,6 @@
 CONTROL_SPACING_SECONDS = 0.25
 QUEUE_POLL_SECONDS = 0.2
 STATE_POLL_SECONDS = 1.0
-SCHEDULER_EVIDENCE_SECONDS = 3.0
 # A request is over this long after its dispatch, by the clock of its process.
 LONGEST_REQUEST_SECONDS = 30.0
 ABANDONED_PART = 0.2
@@ -206,12 +203,14 @@
         hooks = MembershipHooks(
             own_state=self._own_state,
             promise_to=self._promise_to,
-            manifest_record=self._manifest_record,
-            control_records=self._control_records,
-            on_heartbeat=self._on_heartbeat,
+            manifest_record=lambda: self._wiring.manifest_record(),
+            control_records=lambda start, limit: self._wiring.control_records(start, limit),
+            on_heartbeat=lambda heartbeat: self._wiring.take_heartbeat(heartbeat),
             on_live_changed=lambda live: self._holdings.on_live_changed(live),
             on_manifest=self._config.accept_relayed,
-            on_records=self._on_records,
+            on_records=lambda start, through, records: self._wiring.take_records(
+                start, through, records
+            ),
             on_append_wanted=self._relaying.append_for_peer,
         )
         self._membership = Membership(settings, self, self, hooks)
@@ -219,7 +218,7 @@
         self._holdings = Holdings(
             place.entry,
             place.failure_domain,
-            _PresentHolders(self._control),
+            PresentHolders(self._control),
             self._appender,
             self._membership,
             lambda minion: self._slots.in_flight.get(minion, 0),
@@ -235,6 +234,9 @@
             worker_of=lambda name: self._workers[name],
             is_scheduler=self._is_scheduler,
         )
+        self._wiring = FeedWiring(
+            self._config, self._control, self._holdings, self._batch, self._relaying
+        )
         self._keyed = KeyedModel(
             self._log,
             self.incarnation,
@@ -248,8 +250,8 @@
         for service in services:
             self._drive(service)
         self._config.add_listener(self._on_manifest)
-        self._config.add_listener(lambda accepted: self._holdings.on_manifest(accepted.manifest))
         self._control.add_listener(self._on_update)
+        self._wiring.connect()
 
     def _drive(self, service: mode.Service) -> None:
         """Let a service use this process's clock and coroutines in place of an event loop."""
@@ -421,52 +423,18 @@
         self._around.observer.on_manifest(self.name, accepted)
 
     def _on_update(self, update: FeedUpdate) -> None:
-        through = self._control.ledger.read_offset
-        if update.is_restored:
-            self._holdings.on_loaded(through)
-            self._batch.note_all()
         for verdict in update.verdicts:
             self._around.observer.on_verdict(self.name, verdict)
-            if verdict.is_accepted and verdict.record is not None:
-                self._holdings.on_accepted(verdict.offset, verdict.record)
-            self._batch.note(verdict)
-        self._holdings.on_folded(through)
-        if update.evidence_at > float("-inf"):
-            self._holdings.on_evidence(update.evidence_at, through)
-        self._relaying.note_read(self._control.read_evidence_at)
-
-    def _on_heartbeat(self, heartbeat: Heartbeat) -> None:
-        self._holdings.on_heartbeat(heartbeat)
-        if not heartbeat.echo:
-            return
-        self._config.accept_evidence(
-            heartbeat.manifest_version, heartbeat.config_age, heartbeat.echo
-        )
-        self._control.accept_evidence(
-            heartbeat.control_through, heartbeat.control_age, heartbeat.echo
-        )
-
-    def _control_records(self, start: int, limit: int) -> tuple[LogRecord, ...]:
-        relay = self._control.relay_after(start - 1)
-        return relay.records[:limit] if relay else ()
-
-    def _on_records(self, start: int, through: int, records: Sequence[LogRecord]) -> None:
-        self._control.accept_relay(ControlRelay(start - 1, tuple(records)))
 
     def _promise_to(self, incarnation: str) -> bool:
         return self._holdings.promise_to(incarnation)
 
-    def _manifest_record(self) -> tuple[int, bytes] | None:
-        current = self._config.current
-        return (current.version, current.record) if current else None
-
     def _is_scheduler(self) -> bool:
         now = self._loop.time()
         if now - self._control.evidence_at > SCHEDULER_EVIDENCE_SECONDS or self._is_stopping:
             return False
-        peers: tuple[Peer, ...] = self._membership.live_peers(now)
-        ready = [peer.incarnation for peer in peers if peer.is_ready]
-        return max([*ready, self.incarnation], key=_score) == self.incarnation
+        peers = self._membership.live_peers(now)
+        return preferred_scheduler(self.incarnation, peers) == self.incarnation
 
     def _own_state(self) -> OwnState:
         now = self._loop.time()
@@ -488,7 +456,3 @@
             tail._backoff.reset()
             continue
         await Sleep(tail._backoff.next_seconds())
-
-
-def _score(incarnation: str) -> bytes:
-    return blake2b(incarnation.encode(), digest_size=8).digest()
