Take a slice's key for a label only where one counter can have it; run two checks at a time

Ruled out: dropping the scenarios; they now use a counter that the table still has without a label, with the same assertions. After: the admin, metric and crash features pass. The checks took about 7 min one after another, most of it waiting in the longest slice; two now run at a time, and a failing scenario is printed with its assertion. Conclusion: the verdict does not depend on the order of checks.

--- a/dotterelhill/entry/metrics.py
+++ b/dotterelhill/entry/metrics.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import math
+from collections import Counter
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from enum import StrEnum
@@ -104,10 +105,18 @@
 ReadGauges = Callable[[], Mapping[str, float]]
 
 _ROWS = {metric.name: metric for metric in METRICS}
+_LABELLED_PREFIXES = Counter(
+    metric.name.partition(".")[0]
+    for metric in METRICS
+    if metric.label and metric.kind is MetricKind.COUNTER
+)
+# A key of a slice is taken for a label only where the prefix has one labelled counter.
 _LABELLED_COUNTERS = {
     metric.name.partition(".")[0]: metric.name
     for metric in METRICS
-    if metric.label and metric.kind is MetricKind.COUNTER and not metric.name.startswith("trace.")
+    if metric.label
+    and metric.kind is MetricKind.COUNTER
+    and _LABELLED_PREFIXES[metric.name.partition(".")[0]] == 1
 }
 
 
--- a/dotterelhill/entry/tests/admin.feature
+++ b/dotterelhill/entry/tests/admin.feature
@@ -23,7 +23,7 @@
   Scenario: A metric that no table documents would be sent
     Given local metrics
     Then counting "requests.invented" is refused
-    And counting "requests.retries" is accepted
+    And counting "requests.retried" is accepted
 
   Scenario: Unbounded labels would use up the memory of the node
     Given local metrics
@@ -31,12 +31,12 @@
     Then at most 257 counters exist and the total is 300
 
   Scenario: Counters of a slice would be sent again and again, or under a name of their own
-    Given a slice whose counter "answered" is 7
+    Given a slice whose counter "callers_gone" is 7
     When a statsd server gets two flushes
-    Then the first holds "dotterelhill.requests.answered:7|c" and the second does not
+    Then the first holds "dotterelhill.requests.callers_gone:7|c" and the second does not
     And the second holds "dotterelhill.process.ready:1.0|g"
     And the second holds "dotterelhill.requests.seconds.desk.p99:0.2"
-    And the counters are "metrics.undocumented.invented_answered, requests.answered"
+    And the counters are "metrics.undocumented.invented_callers_gone, requests.callers_gone"
 
   Scenario: Quantiles would be off by more than the stated accuracy
     Given local metrics
--- a/tools/checks.py
+++ b/tools/checks.py
@@ -9,11 +9,13 @@
 import subprocess
 import sys
 import time
+from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
 CHECK_TIMEOUT_SECONDS = 900
+LONGEST_SLICE = "dotterelhill/entry/tests"
 TREES = ("dotterelhill", "standins", "measure", "tools", "explorer")
 
 
@@ -40,7 +42,15 @@
         if not any(tests.glob("*.feature")):
             continue
         path = str(tests.relative_to(ROOT))
-        command = (sys.executable, "-m", "behave", "--format=progress", _known_red_tag(), path)
+        command = (
+            sys.executable,
+            "-m",
+            "behave",
+            "--format=plain",
+            "--no-capture",
+            _known_red_tag(),
+            path,
+        )
         checks.append(Check(f"behave {path}", command))
     return checks
 
@@ -86,12 +96,18 @@
     return False
 
 
+def _is_after_longest(check: Check) -> bool:
+    return check.name != f"behave {LONGEST_SLICE}"
+
+
 def main(arguments: list[str]) -> int:
     """Return the exit status: 0 when every check whose name holds an argument passed."""
     checks = all_checks()
     if arguments:
         checks = [check for check in checks if any(word in check.name for word in arguments)]
-    verdicts = [is_passed(check) for check in checks]
+    # Most of the time of the longest check is waiting, so the others run beside it.
+    with ThreadPoolExecutor(max_workers=2) as pool:
+        verdicts = list(pool.map(is_passed, sorted(checks, key=_is_after_longest)))
     failed = verdicts.count(False)
     print(f"{len(verdicts) - failed} passed, {failed} failed")
     return 1 if failed else 0
