--- a/dotterelhill/entry/process.py
+++ b/dotterelhill/entry/process.py
@@ -26,6 +26,7 @@
 from dotterelhill.log import BatchedAppender, HttpLog
 from dotterelhill.manifest.feed import ConfigFeed
 from dotterelhill.membership import Peer
+from dotterelhill.membership.heartbeats import PeerMessage
 from dotterelhill.membership.service import Membership, MembershipHooks, MembershipSettings
 from dotterelhill.membership.transport import CurveKeys, ZmqTransport
 from dotterelhill.membership.view import OwnState
@@ -276,9 +277,9 @@
     def _follow_scheduling(self, update: FeedUpdate) -> None:
         self._snapshots.set_active(self._is_scheduler())
 
-    def _receive(self, message: object) -> None:
+    def _receive(self, message: PeerMessage) -> None:
         if self._peers.membership is not None:
-            self._peers.membership.receive(message)  # type: ignore[arg-type]
+            self._peers.membership.receive(message)
 
     def _take_vms(self, vms: tuple[Vm, ...]) -> None:
         workers = [vm for vm in vms if vm.role is VmRole.WORKER]
