Start the stand-in worker of the cost measurement through the fleet launcher

Cause: the launch of a process and the wait for its ready line stood a second time in batch_cost. Before: a Popen in batch_cost. Conclusion: one place starts the processes of this measurement.

--- a/measure/batch_cost.py
+++ b/measure/batch_cost.py
@@ -8,8 +8,6 @@
 
 import asyncio
 import random
-import subprocess
-import sys
 import time
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
@@ -54,6 +52,7 @@
     Resources,
 )
 from measure.report import Figure, judged_figure, printed_figures
+from tools.fleet import Fleet
 
 SEED = 20260
 # 1.4% of a core at 180 starts a second.
@@ -282,17 +281,11 @@
         return (time.process_time() - begun) / count
 
 
-def message_seconds() -> float:
+async def message_seconds() -> float:
     """Return the cost of a start message to a stand-in worker in a process of its own."""
-    command = [sys.executable, "-m", "standins.worker", "--name", "w1", "--cpu", "100000"]
-    stand_in = subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
-    assert stand_in.stdout is not None
-    try:
-        address = stand_in.stdout.readline().split()[1]
-        return asyncio.run(start_message_seconds(address))
-    finally:
-        stand_in.terminate()
-        stand_in.wait()
+    async with Fleet() as fleet:
+        worker = await fleet.start("w1", "standins.worker", "--name=w1", "--cpu=100000")
+        return await start_message_seconds(worker.address)
 
 
 def burst_seconds() -> float:
@@ -478,7 +471,7 @@
         f"{renewal * 1e6:.1f} us",
         is_met=renewal <= 0.001,
     )
-    message = message_seconds()
+    message = asyncio.run(message_seconds())
     yield judged_figure(
         "start message over HTTP, client side",
         f"at most {BUDGET_MICROSECONDS:g} us a start",
