Start the servers of the request measurement through the fleet launcher

Cause: requests_cost launched and stopped its processes in code of its own, a second time beside tools.fleet. Ruled out: keeping both; the launcher also bounds the start and the stop. Before: create_subprocess_exec in requests_cost. After: Fleet. Targets and rounds are unchanged.

--- a/measure/requests_cost.py
+++ b/measure/requests_cost.py
@@ -10,7 +10,6 @@
 import asyncio
 import os
 import statistics
-import sys
 import time
 from dataclasses import dataclass
 from random import Random
@@ -21,6 +20,7 @@
 from dotterelhill.requests.tests.harness import World
 from measure.report import Figure, judged_figure, printed_figures
 from standins.minion import MinionStandin
+from tools.fleet import Fleet, FleetProcess
 
 REQUESTS = 4000
 ROUNDS = 3
@@ -106,17 +106,13 @@
 
 
 async def _serve(role: str, minion: str) -> None:
-    print(await SERVERS[role](minion), flush=True)
+    print(f"listening {await SERVERS[role](minion)}", flush=True)
     await asyncio.Event().wait()
 
 
-async def _start(role: str, minion: str = "") -> tuple[asyncio.subprocess.Process, str]:
-    process = await asyncio.create_subprocess_exec(
-        *(sys.executable, "-m", "measure.requests_cost", "--serve", role, "--minion", minion),
-        stdout=asyncio.subprocess.PIPE,
-    )
-    assert process.stdout is not None
-    return process, (await process.stdout.readline()).decode().strip()
+async def _start(fleet: Fleet, name: str, role: str, minion: str = "") -> FleetProcess:
+    arguments = ("--serve", role, "--minion", minion)
+    return await fleet.start(name, "measure.requests_cost", *arguments)
 
 
 def _cpu_seconds(pid: int) -> float:
@@ -170,15 +166,13 @@
     return Cost(cpu * 1e6, statistics.median(latencies), p99, memory)
 
 
-async def _round(minion: str, order: list[str]) -> dict[str, Cost]:
+async def _round(fleet: Fleet, number: int, minion: str, order: list[str]) -> dict[str, Cost]:
     costs = {}
     for role in order:
-        process, address = await _start(role, minion)
-        try:
-            costs[role] = await _cost(process, address)
-        finally:
-            process.terminate()
-            await process.wait()
+        name = f"{role}{number}"
+        server = await _start(fleet, name, role, minion)
+        costs[role] = await _cost(server.process, server.address)
+        await fleet.stop(name)
     return costs
 
 
@@ -194,14 +188,12 @@
 
 async def _measured(seed: int) -> list[Figure]:
     random = Random(seed)
-    minion, address = await _start("minion")
-    rounds = []
-    try:
-        for _ in range(ROUNDS):
-            rounds.append(await _round(address, random.sample(["bare", "requests"], 2)))
-    finally:
-        minion.terminate()
-        await minion.wait()
+    async with Fleet() as fleet:
+        minion = await _start(fleet, "minion", "minion")
+        rounds = [
+            await _round(fleet, number, minion.address, random.sample(["bare", "requests"], 2))
+            for number in range(ROUNDS)
+        ]
 
     def middle(role: str, field: str) -> float:
         return statistics.median(getattr(costs[role], field) for costs in rounds)
