Pass the process id rather than the process to the cost of a server

Cause: the function reads /proc by id and needs nothing else of the process. Before: a process object as argument.

--- a/measure/requests_cost.py
+++ b/measure/requests_cost.py
@@ -152,16 +152,16 @@
     return grown * 1000 / CONNECTIONS
 
 
-async def _cost(process: asyncio.subprocess.Process, address: str) -> Cost:
+async def _cost(pid: int, address: str) -> Cost:
     url = f"http://{address}/bench"
     async with aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0)) as session:
         await _load(session, url, 200)
         latencies = [item * 1000 for item in await _load(session, url, REQUESTS // 4)]
-        before = _cpu_seconds(process.pid)
+        before = _cpu_seconds(pid)
         share = REQUESTS // CONCURRENCY
         await asyncio.gather(*[_load(session, url, share) for _ in range(CONCURRENCY)])
-        cpu = (_cpu_seconds(process.pid) - before) / (share * CONCURRENCY)
-    memory = await _memory_mb(process.pid, address)
+        cpu = (_cpu_seconds(pid) - before) / (share * CONCURRENCY)
+    memory = await _memory_mb(pid, address)
     p99 = statistics.quantiles(latencies, n=100)[98]
     return Cost(cpu * 1e6, statistics.median(latencies), p99, memory)
 
@@ -171,7 +171,7 @@
     for role in order:
         name = f"{role}{number}"
         server = await _start(fleet, name, role, minion)
-        costs[role] = await _cost(server.process, server.address)
+        costs[role] = await _cost(server.process.pid, server.address)
         await fleet.stop(name)
     return costs
 
