Add jobs, leadership and the adapter to the prepared platform

Cause: the platform hands in work as jobs over HTTP and runs it on minions that are told what to run; the product served requests and manifest jobs only. One elected leader plans all starts; each plan is durable before it is sent; entry processes store submissions themselves.

Ruled out: partitions of jobs with an owner each (a job's tasks need minions of every partition, so owners would have to reserve room with one another); folding one control stream in every process (each start would cross to every process between regions).

Before: nothing ran on the platform.

--- a/dotterelhill/commands/main.py
+++ b/dotterelhill/commands/main.py
@@ -159,6 +159,22 @@
     return replay_file(trace, expect, json)
 
 
+def scheduler(*, log_level: Literal["debug", "info", "notice", "warning", "error"] = "info") -> int:
+    """Run one scheduler process on the prepared platform until it is told to stop (SIGTERM).
+
+    The variable DOTTERELHILL_BOOT holds the path of its settings file.
+
+    :param log_level: least level of the log lines on standard output
+    """
+    from dotterelhill.platform.process import run_scheduler
+    from dotterelhill.platform.settings import SettingsError
+
+    try:
+        return run_scheduler(log_level)
+    except SettingsError as error:
+        raise CommandError(ExitStatus.WRONG_USE, str(error)) from None
+
+
 def _log_url(flag: str) -> str:
     url = flag or os.environ.get(LOG_URL_VARIABLE, "")
     if not url:
@@ -170,6 +186,7 @@
 def _commands(chosen: str) -> _Commands:
     return {
         "entry": _entry_command(chosen == "entry"),
+        "scheduler": scheduler,
         "manifest": {"check": check_manifest, "publish": publish_manifest, "show": show_manifest},
         "state": {"dump": dump_state},
         "explain": explain,
--- /dev/null
+++ b/dotterelhill/control/__init__.py
@@ -0,0 +1,1 @@
+"""Processes between clients, the store and minions."""
--- /dev/null
+++ b/dotterelhill/control/election.py
@@ -0,0 +1,163 @@
+"""Finds the leader, and makes this process the leader when there is none."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from random import Random
+
+import mode
+
+from dotterelhill.control.interface import StoreError
+from dotterelhill.control.leader import Leader
+from dotterelhill.control.leadership import RENEW_SECONDS, Leadership, Standing, Suspicion
+from dotterelhill.control.peers import PeerClient, PeerUnreachableError
+from dotterelhill.entry.logs import logger_of
+
+CHECK_SECONDS = 0.5
+# A process far from the store or with a slow processor waits longer, so that a nearer one leads.
+DISTANCE_FACTOR = 8.0
+LONGEST_PREFERENCE_SECONDS = 1.5
+JITTER_SECONDS = 0.1
+
+_log = logger_of("election")
+
+
+class Election(mode.Service):
+    """Keeps this process informed of the leader and lets it lead when no other does.
+
+    :param new_leader: makes a term of leadership after a claim
+    :param handicap_seconds: delay of claims by what the process lacks, such as processors
+    """
+
+    def __init__(
+        self,
+        leadership: Leadership,
+        incarnation: str,
+        peers: PeerClient,
+        new_leader: Callable[[], Leader],
+        clock: Callable[[], float],
+        random: Random,
+        handicap_seconds: float = 0.0,
+    ) -> None:
+        super().__init__()
+        self._leadership = leadership
+        self._incarnation = incarnation
+        self._peers = peers
+        self._new_leader = new_leader
+        self._clock = clock
+        self._random = random
+        self._handicap_seconds = handicap_seconds
+        self._suspicion = Suspicion(clock)
+        self._leader: Leader | None = None
+        self._leader_address = ""
+        self._term: asyncio.Task[None] | None = None
+        self._is_leaving = False
+
+    @property
+    def incarnation(self) -> str:
+        """Return the id of this process."""
+        return self._incarnation
+
+    @property
+    def has_claim(self) -> bool:
+        """Return whether this process has the newest claim that it knows."""
+        return self._leadership.has_claim
+
+    @property
+    def leader(self) -> Leader | None:
+        """Return the present term, if this process leads."""
+        return self._leader
+
+    @property
+    def leader_address(self) -> str:
+        """Return the address of the last known leader; empty before the first."""
+        return self._leader_address
+
+    def leave(self) -> None:
+        """Claim no more; the process is about to stop."""
+        self._is_leaving = True
+
+    async def resign(self) -> None:
+        """End an own term, so that others may claim at once."""
+        self.leave()
+        if self._term is not None:
+            self._term.cancel()
+            await asyncio.gather(self._term, return_exceptions=True)
+        await self._leadership.resign()
+
+    @mode.Service.task
+    async def _renew(self) -> None:
+        while not self.should_stop:
+            await asyncio.sleep(RENEW_SECONDS)
+            try:
+                await self._leadership.renew()
+            except StoreError as error:
+                _log.warning("renewal failed", extra={"reason": str(error)})
+
+    @mode.Service.task
+    async def _check(self) -> None:
+        while not self.should_stop:
+            try:
+                await self._check_once()
+            except StoreError as error:
+                _log.warning("leadership can't be read", extra={"reason": str(error)})
+            await asyncio.sleep(CHECK_SECONDS * self._random.uniform(0.8, 1.2))
+
+    async def _check_once(self) -> None:
+        if self._leadership.has_claim or self._is_leaving:
+            return
+        if self._leader_address and await self._is_present(self._leader_address):
+            self._suspicion.clear()
+            return
+        started_at = self._clock()
+        standing = await self._leadership.read()
+        distance = self._clock() - started_at
+        is_gone = await self._is_gone(standing)
+        if is_gone is None:
+            return
+        if not self._suspicion.may_claim(standing, is_gone=is_gone):
+            return
+        preference = min(LONGEST_PREFERENCE_SECONDS, DISTANCE_FACTOR * distance)
+        await asyncio.sleep(
+            preference + self._handicap_seconds + self._random.uniform(0, JITTER_SECONDS)
+        )
+        if not self._is_leaving and await self._leadership.claim(standing):
+            self._begin_term()
+
+    async def _is_present(self, address: str) -> bool:
+        try:
+            return (await self._peers.status(address)).has_claim
+        except PeerUnreachableError:
+            return False
+
+    async def _is_gone(self, standing: Standing) -> bool | None:
+        """Return whether the claiming process is known to have ended; None when it answers."""
+        claim = standing.claim
+        if claim is None or claim.is_resigned:
+            return True
+        self._leader_address = claim.address
+        try:
+            status = await self._peers.status(claim.address)
+        except PeerUnreachableError as error:
+            return error.is_refused
+        if status.incarnation == claim.incarnation and status.has_claim:
+            self._suspicion.clear()
+            return None
+        # Another process has its address, or it has given up.
+        return True
+
+    def _begin_term(self) -> None:
+        leader = self._new_leader()
+        self._leader = leader
+        self._term = asyncio.create_task(self._lead(leader))
+
+    async def _lead(self, leader: Leader) -> None:
+        try:
+            await leader.run()
+        except Exception as error:
+            _log.exception("term of leadership failed", extra={"reason": repr(error)})
+            self._leadership.drop("internal error")
+        finally:
+            self._leader = None
+            self._leader_address = ""
--- /dev/null
+++ b/dotterelhill/control/peers.py
@@ -0,0 +1,205 @@
+"""Calls between the processes of the system: who leads, states of jobs, stores on behalf of."""
+
+from __future__ import annotations
+
+import errno
+from collections.abc import Callable
+from typing import Protocol
+
+import aiohttp
+import mode
+import msgspec
+from aiohttp import web
+
+from dotterelhill.control.interface import Record, Store, StoreError, Stream
+from dotterelhill.control.leader import Leader, NotReadyError
+from dotterelhill.entry.logs import logger_of
+
+STATUS_PATH = "/leader/status"
+JOBS_PATH = "/leader/jobs/"
+QUEUES_PATH = "/leader/queues"
+SUBMISSIONS_PATH = "/leader/submissions"
+# Two regions are 40 ms apart there and back; a peer that needs longer is in trouble.
+PEER_TIMEOUT_SECONDS = 0.8
+
+_log = logger_of("peers")
+
+
+class PeerStatus(msgspec.Struct, frozen=True):
+    """What a process says of its own part.
+
+    :param has_claim: whether it holds the newest claim that it knows
+    """
+
+    incarnation: str
+    has_claim: bool
+
+
+class _StoredRecord(msgspec.Struct, frozen=True, array_like=True):
+    key: str
+    value: bytes | None
+
+
+_STATUS_DECODER = msgspec.json.Decoder(PeerStatus)
+_COUNTS_DECODER = msgspec.json.Decoder(dict[str, int])
+_RECORD_DECODER = msgspec.msgpack.Decoder(_StoredRecord)
+
+
+class PeerUnreachableError(Exception):
+    """A peer gave no usable answer.
+
+    :param is_refused: whether nothing listens at its address
+    :param is_effect_unknown: whether what was asked for may have been done
+    """
+
+    def __init__(
+        self, message: str, *, is_refused: bool = False, is_effect_unknown: bool = True
+    ) -> None:
+        super().__init__(message)
+        self.is_refused = is_refused
+        self.is_effect_unknown = is_effect_unknown
+
+
+class LeaderSource(Protocol):
+    """What the server tells of this process."""
+
+    @property
+    def incarnation(self) -> str:
+        """Return the id of this process."""
+        ...
+
+    @property
+    def has_claim(self) -> bool:
+        """Return whether this process has the newest claim that it knows."""
+        ...
+
+    @property
+    def leader(self) -> Leader | None:
+        """Return the present term of leadership, if this process leads."""
+        ...
+
+
+class PeerServer(mode.Service):
+    """Answers other processes of the system.
+
+    :param host: own address
+    """
+
+    def __init__(self, source: LeaderSource, store: Store, host: str, port: int) -> None:
+        super().__init__()
+        self._source = source
+        self._store = store
+        self._host = host
+        self._port = port
+        self._runner: web.ServerRunner | None = None
+
+    async def on_start(self) -> None:
+        """Open the port."""
+        self._runner = web.ServerRunner(web.Server(self._answer, access_log=None))
+        await self._runner.setup()
+        await web.TCPSite(self._runner, self._host, self._port, reuse_address=True).start()
+
+    async def on_stop(self) -> None:
+        """Close the port."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
+        path = request.path
+        if path == STATUS_PATH:
+            status = PeerStatus(self._source.incarnation, self._source.has_claim)
+            return web.Response(body=msgspec.json.encode(status))
+        if path == SUBMISSIONS_PATH:
+            return await self._store_for_peer(request)
+        leader = self._source.leader
+        if leader is None:
+            return web.Response(status=503, text="not leading")
+        try:
+            if path == QUEUES_PATH:
+                return web.Response(body=msgspec.json.encode(leader.waiting_by_queue()))
+            if path.startswith(JOBS_PATH):
+                state = leader.state_of(path.removeprefix(JOBS_PATH))
+                return web.Response(text=str(state) if state else "", status=200 if state else 404)
+        except NotReadyError as error:
+            return web.Response(status=503, text=str(error))
+        return web.Response(status=400)
+
+    async def _store_for_peer(self, request: web.BaseRequest) -> web.StreamResponse:
+        try:
+            record = _RECORD_DECODER.decode(await request.read())
+        except msgspec.MsgspecError as error:
+            return web.Response(status=400, text=str(error))
+        try:
+            await self._store.append(Stream.SUBMISSIONS, [Record(record.key, record.value)])
+        except StoreError as error:
+            # 504 says that the record may be stored, 503 that it is not.
+            return web.Response(status=504 if error.is_effect_unknown else 503, text=str(error))
+        return web.Response()
+
+
+class PeerClient:
+    """Calls to another process of the system.
+
+    :param session: shared by all calls of this process to peers
+    """
+
+    def __init__(self, session: Callable[[], aiohttp.ClientSession]) -> None:
+        self._session = session
+
+    async def status(self, address: str) -> PeerStatus:
+        """Return what the process at ``address`` says of itself.
+
+        :raises PeerUnreachableError: when it gives no usable answer
+        """
+        status, body = await self._call("GET", address, STATUS_PATH)
+        if status != 200:
+            raise PeerUnreachableError(f"status {status}")
+        return _STATUS_DECODER.decode(body)
+
+    async def state_of(self, address: str, job_id: str) -> str | None:
+        """Return the state of a job, or None when the leader knows no such job.
+
+        :raises PeerUnreachableError: when the peer can't tell
+        """
+        status, body = await self._call("GET", address, JOBS_PATH + job_id)
+        if status == 404:
+            return None
+        if status != 200:
+            raise PeerUnreachableError(f"status {status}: {body.decode(errors='replace')}")
+        return body.decode()
+
+    async def waiting_by_queue(self, address: str) -> dict[str, int]:
+        """Return the number of waiting jobs by queue.
+
+        :raises PeerUnreachableError: when the peer can't tell
+        """
+        status, body = await self._call("GET", address, QUEUES_PATH)
+        if status != 200:
+            raise PeerUnreachableError(f"status {status}: {body.decode(errors='replace')}")
+        return _COUNTS_DECODER.decode(body)
+
+    async def store_submission(self, address: str, record: Record) -> None:
+        """Let a peer store a record of the submission stream.
+
+        :raises PeerUnreachableError: when the record may not be stored
+        """
+        body = msgspec.msgpack.encode(_StoredRecord(record.key, record.value))
+        status, _ = await self._call("POST", address, SUBMISSIONS_PATH, body)
+        if status != 200:
+            raise PeerUnreachableError(f"status {status}", is_effect_unknown=status != 503)
+
+    async def _call(
+        self, method: str, address: str, path: str, body: bytes | None = None
+    ) -> tuple[int, bytes]:
+        timeout = aiohttp.ClientTimeout(total=PEER_TIMEOUT_SECONDS)
+        url = f"http://{address}{path}"
+        try:
+            async with self._session().request(method, url, data=body, timeout=timeout) as answer:
+                return answer.status, await answer.read()
+        except aiohttp.ClientConnectorError as error:
+            is_refused = error.os_error.errno == errno.ECONNREFUSED
+            raise PeerUnreachableError(
+                str(error), is_refused=is_refused, is_effect_unknown=False
+            ) from error
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise PeerUnreachableError(f"{type(error).__name__}: {error}") from error
--- /dev/null
+++ b/dotterelhill/jobs/placement.py
@@ -0,0 +1,232 @@
+"""Order of waiting tasks and the choice of a minion for each."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator, Sequence
+from dataclasses import dataclass, field
+from enum import IntEnum
+
+from dotterelhill.jobs.fleet import Minion
+from dotterelhill.jobs.model import LATE_FACTOR, Job, Step, Task, TaskKey, chain_seconds
+from dotterelhill.jobs.queues import Queue
+from dotterelhill.jobs.sharing import Sharing
+
+# A filler is placed only where it gets at least this share of the processors that it asks for.
+LEAST_FILLER_SHARE = 0.75
+
+QueueOf = Callable[[Job], Queue]
+Place = tuple[int, int]
+
+
+class Worth(IntEnum):
+    """What finishing a job from now on is still worth to its client."""
+
+    IN_TIME = 0
+    LATE = 1
+    TOO_LATE = 2
+
+
+@dataclass(slots=True)
+class _Waiting:
+    """Tasks of one job that could start, by occurrence and step."""
+
+    job: Job
+    pending: dict[Place, list[TaskKey]] = field(default_factory=dict)
+
+
+class Placement:
+    """Waiting tasks of all active jobs.
+
+    :param sharing: estimates of interference between fillers and serving tasks
+    """
+
+    def __init__(self, sharing: Sharing) -> None:
+        self._sharing = sharing
+        self._waiting: dict[str, _Waiting] = {}
+
+    @property
+    def waiting_tasks(self) -> int:
+        """Return the number of tasks that could start."""
+        count = 0
+        for waiting in self._waiting.values():
+            count += sum(len(keys) for keys in waiting.pending.values())
+        return count
+
+    def add_job(self, job: Job) -> None:
+        """Take over the tasks of a job whose turn has come."""
+        waiting = self._waiting[job.job_id] = _Waiting(job)
+        for occurrence in range(job.submission.occurrences):
+            for step in range(len(job.submission.steps)):
+                self._open_step(waiting, occurrence, step)
+
+    def remove_job(self, job: Job) -> None:
+        """Drop a job that has ended."""
+        self._waiting.pop(job.job_id, None)
+
+    def requeue(self, job: Job, task: Task) -> None:
+        """Let a task wait for another run."""
+        waiting = self._waiting.get(job.job_id)
+        if waiting is None or task.is_done:
+            return
+        keys = waiting.pending.setdefault((task.key.occurrence, task.key.step), [])
+        if task.key not in keys:
+            keys.append(task.key)
+
+    def step_progressed(self, job: Job, key: TaskKey) -> None:
+        """Take over the steps that waited for the step of ``key``, if that is done now."""
+        waiting = self._waiting.get(job.job_id)
+        if waiting is None or not job.is_step_done(key.occurrence, key.step):
+            return
+        waiting.pending.pop((key.occurrence, key.step), None)
+        for step, later in enumerate(job.submission.steps):
+            if key.step in later.after:
+                self._open_step(waiting, key.occurrence, step)
+
+    def _open_step(self, waiting: _Waiting, occurrence: int, step: int) -> None:
+        job = waiting.job
+        if not job.is_step_ready(occurrence, step) or job.is_step_done(occurrence, step):
+            return
+        keys = []
+        for index in range(job.submission.steps[step].count):
+            key = TaskKey(job.job_id, occurrence, step, index)
+            task = job.tasks.get(key)
+            if task is not None and (task.is_done or task.is_assigned):
+                continue
+            keys.append(key)
+        if keys:
+            waiting.pending[occurrence, step] = keys
+
+    def choose(
+        self, minions: Sequence[Minion], queue_of: QueueOf, now: float, unix_ms: int
+    ) -> Iterator[tuple[Job, TaskKey, Minion]]:
+        """Yield starts in order of worth; the caller reserves room before it asks for the next.
+
+        :param minions: minions on which something may start
+        :param unix_ms: time of day, for jobs with set times
+        """
+        by_service: dict[str, list[Minion]] = {}
+        for minion in minions:
+            by_service.setdefault(minion.facts.service, []).append(minion)
+        ranked = []
+        for waiting in self._waiting.values():
+            if waiting.pending:
+                queue = queue_of(waiting.job)
+                ranked.append((_rank(waiting.job, queue, unix_ms), queue, waiting))
+        ranked.sort(key=lambda entry: entry[0])
+        self._sharing.begin_round(now)
+        for _, queue, waiting in ranked:
+            pool = by_service.get(queue.service, [])
+            if not pool or queue.needs_advice:
+                continue
+            yield from self._choose_for(waiting, pool, now, unix_ms)
+
+    def _choose_for(
+        self, waiting: _Waiting, pool: Sequence[Minion], now: float, unix_ms: int
+    ) -> Iterator[tuple[Job, TaskKey, Minion]]:
+        job = waiting.job
+        for place, keys in list(waiting.pending.items()):
+            occurrence, index = place
+            if unix_ms < job.submission.due_ms(occurrence):
+                continue
+            step = job.submission.steps[index]
+            if step.is_gang:
+                yield from self._choose_gang(job, step, keys, pool, now)
+            else:
+                while keys:
+                    minion = self._minion_for(job, step, keys[0], pool, now)
+                    if minion is None:
+                        break
+                    yield job, keys.pop(0), minion
+            if not keys:
+                waiting.pending.pop(place, None)
+
+    def _choose_gang(
+        self, job: Job, step: Step, keys: list[TaskKey], pool: Sequence[Minion], now: float
+    ) -> Iterator[tuple[Job, TaskKey, Minion]]:
+        """Yield starts for all members of a gang, or none: members work only together."""
+        if len(keys) < step.count:
+            return
+        free = {id(minion): minion.free for minion in pool}
+        chosen: list[tuple[TaskKey, Minion]] = []
+        for key in keys:
+            for minion in pool:
+                if not _is_allowed(minion, step) or not free[id(minion)].has(step.reserved):
+                    continue
+                free[id(minion)] = free[id(minion)].minus(step.reserved)
+                chosen.append((key, minion))
+                break
+            else:
+                return
+        # Members share the number of their run.
+        newest = max(job.task(key).run_id for key in keys)
+        for key in keys:
+            job.task(key).run_id = newest
+        keys.clear()
+        for key, minion in chosen:
+            yield job, key, minion
+
+    def _minion_for(
+        self, job: Job, step: Step, key: TaskKey, pool: Sequence[Minion], now: float
+    ) -> Minion | None:
+        best: Minion | None = None
+        best_cost: tuple[float, ...] = ()
+        for minion in pool:
+            if not minion.free.has(step.reserved) or not _is_allowed(minion, step):
+                continue
+            if key in minion.runs:
+                continue
+            if step.anti_affinity:
+                count = minion.count_on(job.job_id, key.occurrence, key.step)
+                if count >= step.anti_affinity:
+                    continue
+            cost = self._cost(step, minion, now)
+            if cost is None:
+                continue
+            if best is None or cost < best_cost:
+                best, best_cost = minion, cost
+        return best
+
+    def _cost(self, step: Step, minion: Minion, now: float) -> tuple[float, ...] | None:
+        """Return what a start there costs, lower is better; None when it must not be."""
+        distance = 1.0 if step.data_rack and step.data_rack != minion.facts.rack else 0.0
+        if step.is_filler:
+            idle = self._sharing.idle_cpu(minion)
+            if idle < LEAST_FILLER_SHARE * step.room.cpu:
+                return None
+            harm = self._sharing.predicted_harm(minion, step, now)
+            if harm is None:
+                return None
+            return (distance, harm, -idle)
+        if step.is_lasting:
+            # Serving tasks share few minions, so that fillers find others without any.
+            return (distance, self._sharing.filler_pressure(minion), minion.free.cpu)
+        # Other tasks neither disturb nor suffer; they leave minions without serving tasks free.
+        return (distance, 0.0 if self._sharing.has_serving(minion) else 1.0, minion.free.cpu)
+
+
+def _is_allowed(minion: Minion, step: Step) -> bool:
+    return not step.required_label or step.required_label in minion.facts.labels
+
+
+def _rank(job: Job, queue: Queue, unix_ms: int) -> tuple[int, int, float]:
+    """Return the place of a job in the order: priority, worth, time by which it has to end."""
+    age_seconds = (unix_ms - job.submission.accepted_ms) / 1000.0
+    steps = job.submission.steps
+    objective = queue.stretch * chain_seconds(steps) + queue.target_seconds
+    left = _remaining_seconds(job)
+    worth = Worth.IN_TIME
+    if age_seconds + left > LATE_FACTOR * objective:
+        worth = Worth.TOO_LATE
+    elif age_seconds + left > objective:
+        worth = Worth.LATE
+    return (queue.priority, worth, objective - age_seconds - left)
+
+
+def _remaining_seconds(job: Job) -> float:
+    """Return the estimate of the longest chain of steps that are not done."""
+    ends: list[float] = []
+    for number, step in enumerate(job.submission.steps):
+        start = max((ends[index] for index in step.after), default=0.0)
+        is_left = not job.is_step_done(0, number)
+        ends.append(start + (step.estimate_seconds if is_left else 0.0))
+    return max(ends, default=0.0)
--- /dev/null
+++ b/dotterelhill/platform/ingress.py
@@ -0,0 +1,324 @@
+"""Requests of clients: HTTP in the platform's format, answered by the job desk."""
+
+from __future__ import annotations
+
+import asyncio
+import string
+import time
+from collections.abc import Callable
+
+import mode
+import msgspec
+from aiohttp import web
+
+from dotterelhill.control.desk import JobDesk, NotStoredError, OutcomeUnknownError
+from dotterelhill.control.leader import NotReadyError
+from dotterelhill.entry.logs import logger_of
+from dotterelhill.jobs.model import JobState, Room, Schedule, Step, Submission
+from dotterelhill.jobs.queues import FleetConfig, Queue
+from dotterelhill.platform.settings import Address
+
+JOB_ID_LENGTH = 16
+LARGEST_SPEC_BYTES = 4000
+# A job of more tasks than this is refused: no fleet of the target size holds it.
+LARGEST_TASK_COUNT = 20000
+LARGEST_STEP_COUNT = 200
+DEADLINE_HEADER = "Deadline-Ms"
+# Left for the answer's way back to the client.
+ANSWER_RESERVE_SECONDS = 0.15
+RETRY_AFTER_SECONDS = 1
+LARGEST_HEADER_BYTES = 65536
+
+_HEX_DIGITS = frozenset(string.hexdigits)
+
+_log = logger_of("requests")
+
+
+class _Step(msgspec.Struct, frozen=True):
+    """One step as clients send it; absent fields are 0, false or empty."""
+
+    count: int = 0
+    cpu: int = 0
+    memMb: int = 0
+    gpu: int = 0
+    estimateMs: float = 0
+    after: list[int] = []
+    checkpointing: bool = False
+    gang: bool = False
+    sameRack: bool = False
+    requires: str = ""
+    dataRack: str = ""
+    # Most tasks of the step on one minion.
+    antiAffinity: int = 0
+    speculative: bool = False
+    # Whether the tasks run until the job is cancelled.
+    perpetual: bool = False
+    image: str = ""
+    targetMs: int = 0
+    # Whether the tasks use only processors that others leave idle.
+    fills: bool = False
+    mayMiss: int | None = None
+
+
+class _Job(msgspec.Struct, frozen=True):
+    spec: str
+    steps: list[_Step]
+    repeatCount: int = 0
+    firstRunMs: int = 0
+    intervalMs: int = 0
+
+
+_JOB_DECODER = msgspec.json.Decoder(_Job)
+
+
+class BadJobError(Exception):
+    """A submission is malformed; the message names the field."""
+
+
+def decode_job(body: bytes, job_id: str, queue: Queue, accepted_ms: int) -> Submission:
+    """Return the submission of a request's body.
+
+    :raises BadJobError: when the body is malformed
+    """
+    try:
+        job = _JOB_DECODER.decode(body)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        raise BadJobError(str(error)) from error
+    if len(job.spec.encode()) > LARGEST_SPEC_BYTES:
+        raise BadJobError(f"spec: expected at most {LARGEST_SPEC_BYTES} bytes")
+    if not 1 <= len(job.steps) <= LARGEST_STEP_COUNT:
+        raise BadJobError(f"steps: expected 1 to {LARGEST_STEP_COUNT}, got {len(job.steps)}")
+    steps = tuple(_step(step, index) for index, step in enumerate(job.steps))
+    schedule = None
+    if job.repeatCount > 0:
+        schedule = Schedule(job.repeatCount, job.firstRunMs, job.intervalMs)
+    submission = Submission(job_id, queue, accepted_ms, job.spec, steps, schedule)
+    tasks = submission.occurrences * sum(step.count for step in steps)
+    if tasks > LARGEST_TASK_COUNT:
+        raise BadJobError(f"steps: expected at most {LARGEST_TASK_COUNT} tasks, got {tasks}")
+    return submission
+
+
+def _step(step: _Step, index: int) -> Step:
+    if step.count < 1:
+        raise BadJobError(f"steps[{index}].count: expected 1 or more, got {step.count}")
+    if min(step.cpu, step.memMb, step.gpu, step.estimateMs, step.antiAffinity, step.targetMs) < 0:
+        raise BadJobError(f"steps[{index}]: expected no negative numbers")
+    for earlier in step.after:
+        if not 0 <= earlier < index:
+            raise BadJobError(f"steps[{index}].after: {earlier} is no earlier step")
+    return Step(
+        count=step.count,
+        room=Room(step.cpu, step.memMb, step.gpu),
+        estimate_seconds=step.estimateMs / 1000.0,
+        after=tuple(step.after),
+        is_checkpointing=step.checkpointing,
+        is_gang=step.gang,
+        is_same_rack=step.sameRack,
+        required_label=step.requires,
+        data_rack=step.dataRack,
+        anti_affinity=step.antiAffinity,
+        is_speculative=step.speculative,
+        is_lasting=step.perpetual,
+        image=step.image,
+        target_tail_ms=step.targetMs,
+        is_filler=step.fills,
+        may_miss=step.mayMiss,
+    )
+
+
+class Ingress(mode.Service):
+    """Serves clients and the platform's question whether this process takes clients.
+
+    :param config: newest configuration; version 0 before the first
+    """
+
+    def __init__(
+        self,
+        desk: JobDesk,
+        config: Callable[[], FleetConfig],
+        callers: Address,
+        readiness: Address,
+    ) -> None:
+        super().__init__()
+        self._desk = desk
+        self._config = config
+        self._callers = callers
+        self._readiness = readiness
+        self._runners: list[web.ServerRunner] = []
+        self._is_draining = False
+        self._in_flight = 0
+        self.idle = asyncio.Event()
+        self.idle.set()
+
+    @property
+    def in_flight(self) -> int:
+        """Return the number of requests in progress."""
+        return self._in_flight
+
+    def drain(self) -> None:
+        """Ask for no more clients; close each connection after its next answer."""
+        self._is_draining = True
+
+    async def on_start(self) -> None:
+        """Open both ports."""
+        for handler, address in (
+            (self._answer_client, self._callers),
+            (self._answer_readiness, self._readiness),
+        ):
+            server = web.Server(
+                handler,
+                access_log=None,
+                max_line_size=LARGEST_HEADER_BYTES,
+                max_field_size=LARGEST_HEADER_BYTES,
+                keepalive_timeout=75.0,
+            )
+            runner = web.ServerRunner(server, shutdown_timeout=1.0)
+            await runner.setup()
+            await web.TCPSite(runner, address.host, address.port, reuse_address=True).start()
+            self._runners.append(runner)
+
+    async def on_stop(self) -> None:
+        """Close both ports; requests in progress are answered first."""
+        for runner in self._runners:
+            await runner.cleanup()
+
+    async def _answer_readiness(self, request: web.BaseRequest) -> web.StreamResponse:
+        is_ready = not self._is_draining and self._config().version > 0
+        return web.Response(status=200 if is_ready else 503)
+
+    async def _answer_client(self, request: web.BaseRequest) -> web.StreamResponse:
+        self._in_flight += 1
+        self.idle.clear()
+        try:
+            response = await self._response_to(request)
+        finally:
+            self._in_flight -= 1
+            if not self._in_flight:
+                self.idle.set()
+        if self._is_draining:
+            response.force_close()
+        return response
+
+    async def _response_to(self, request: web.BaseRequest) -> web.Response:
+        started_at = time.monotonic()
+        config = self._config()
+        if config.version == 0:
+            return _refusal(503, "no configuration yet")
+        queue = config.queue_for(request.host.partition(":")[0], request.path)
+        if queue is None:
+            return _answer(404, {"error": "no such queue"})
+        name = request.path.removeprefix(queue.path_prefix)
+        seconds = _seconds_left(request, queue)
+        match request.method:
+            case "POST" if _is_job_id(name):
+                response = await self._submit(request, config, queue, name, seconds)
+            case "GET" if not name:
+                response = await self._queue_length(queue)
+            case "GET" if _is_job_id(name):
+                response = await self._state(name)
+            case "DELETE" if _is_job_id(name):
+                response = await self._cancel(name, seconds)
+            case "POST" | "GET" | "DELETE":
+                response = _answer(400, {"error": "expected a job id of 16 hexadecimal digits"})
+            case _:
+                response = _answer(405, {"error": "method not allowed"})
+        _log.info(
+            "request answered",
+            extra={
+                "job": name,
+                "method": request.method,
+                "queue": queue.name,
+                "config": config.version,
+                "status": response.status,
+                "took_ms": round(1000 * (time.monotonic() - started_at)),
+                "reason": response.headers.get("X-Reason", ""),
+            },
+        )
+        return response
+
+    async def _submit(
+        self,
+        request: web.BaseRequest,
+        config: FleetConfig,
+        queue: Queue,
+        job_id: str,
+        seconds: float,
+    ) -> web.Response:
+        limit = config.limits.body_bytes
+        if request.content_length is not None and request.content_length > limit:
+            return _answer(413, {"error": f"body: expected at most {limit} bytes"})
+        body = bytearray()
+        async for chunk in request.content.iter_any():
+            body += chunk
+            if len(body) > limit:
+                return _answer(413, {"error": f"body: expected at most {limit} bytes"})
+        try:
+            submission = decode_job(bytes(body), job_id, queue, int(time.time() * 1000))
+        except BadJobError as error:
+            return _answer(400, {"error": str(error)})
+        try:
+            await self._desk.submit(submission, seconds)
+        except NotStoredError as error:
+            return _refusal(503, str(error))
+        except OutcomeUnknownError as error:
+            return _answer(504, {"error": str(error)})
+        return _answer(200, {})
+
+    async def _state(self, job_id: str) -> web.Response:
+        try:
+            state = await self._desk.state_of(job_id)
+        except NotReadyError as error:
+            return _refusal(503, str(error))
+        if state is None:
+            return _answer(410, {"error": "no such job"})
+        return _answer(200, {"state": _STATE_WORDS[state]})
+
+    async def _cancel(self, job_id: str, seconds: float) -> web.Response:
+        try:
+            await self._desk.cancel(job_id, seconds)
+        except NotStoredError as error:
+            return _refusal(503, str(error))
+        except OutcomeUnknownError as error:
+            return _answer(504, {"error": str(error)})
+        return _answer(200, {})
+
+    async def _queue_length(self, queue: Queue) -> web.Response:
+        try:
+            waiting = await self._desk.waiting_in(queue.name)
+        except NotReadyError as error:
+            return _refusal(503, str(error))
+        return _answer(200, {"waiting": waiting})
+
+
+_STATE_WORDS = {
+    JobState.QUEUED: "queued",
+    JobState.RUNNING: "running",
+    JobState.COMPLETED: "completed",
+    JobState.FAILED: "failed",
+    JobState.CANCELLED: "cancelled",
+}
+
+
+def _is_job_id(name: str) -> bool:
+    return len(name) == JOB_ID_LENGTH and _HEX_DIGITS.issuperset(name)
+
+
+def _seconds_left(request: web.BaseRequest, queue: Queue) -> float:
+    seconds = queue.timeout_seconds
+    deadline = request.headers.get(DEADLINE_HEADER, "")
+    if deadline.isdecimal():
+        seconds = min(seconds, int(deadline) / 1000.0)
+    return max(0.05, seconds - ANSWER_RESERVE_SECONDS)
+
+
+def _answer(status: int, body: object) -> web.Response:
+    return web.Response(
+        status=status, body=msgspec.json.encode(body), content_type="application/json"
+    )
+
+
+def _refusal(status: int, reason: str) -> web.Response:
+    response = _answer(status, {"error": reason})
+    response.headers["Retry-After"] = str(RETRY_AFTER_SECONDS)
+    return response
--- /dev/null
+++ b/dotterelhill/platform/minions.py
@@ -0,0 +1,208 @@
+"""Calls to minions in the platform's format."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import aiohttp
+import msgspec
+
+from dotterelhill.control.interface import (
+    FencedByMinionError,
+    MinionError,
+    OtherIncarnationError,
+)
+from dotterelhill.entry.logs import logger_of
+from dotterelhill.jobs.fleet import EndKind, EndReport, Minion, MinionReport, RunReport
+from dotterelhill.jobs.model import TaskKey
+from dotterelhill.jobs.orders import PaceOrder, StartOrder, StartOutcome, StopOrder
+
+# Regions are 40 ms apart there and back; an answer that takes longer is taken for lost.
+CALL_TIMEOUT_SECONDS = 1.0
+CONNECT_TIMEOUT_SECONDS = 0.7
+INSTANCE_HEADER = "Expect-Instance"
+JSON_HEADERS = {"Content-Type": "application/json"}
+
+_log = logger_of("minions")
+
+
+class _Answer(msgspec.Struct, frozen=True):
+    clockMs: int | None = None
+    reason: str = ""
+
+
+class _RunningRow(msgspec.Struct, array_like=True):
+    task: str
+    run: int
+    checkpoint: str
+    # Share of the time in which the task is at work.
+    percent: int
+    # Tail in ms for a serving task, thousandths of a processor in use for others.
+    measure: float | None = None
+
+
+class _EndedRow(msgspec.Struct, array_like=True):
+    number: int
+    task: str
+    run: int
+    how: str
+    checkpoint: str = ""
+
+
+class _HoldAnswer(msgspec.Struct, frozen=True):
+    clockMs: int
+    running: list[_RunningRow]
+    ended: list[_EndedRow]
+    # Unix ms of the incarnation's start.
+    born: int = 0
+
+
+_ANSWER_DECODER = msgspec.json.Decoder(_Answer)
+_HOLD_DECODER = msgspec.json.Decoder(_HoldAnswer)
+_ENCODER = msgspec.json.Encoder()
+
+_REFUSALS = {
+    "room": StartOutcome.NO_ROOM,
+    "old": StartOutcome.OUTDATED,
+    "late": StartOutcome.LATE,
+}
+
+
+class _NotSentError(MinionError):
+    """The call did not reach the minion."""
+
+
+class PlatformMinions:
+    """Orders to minions by HTTP calls."""
+
+    def __init__(self, session: Callable[[], aiohttp.ClientSession]) -> None:
+        self._session = session
+
+    async def start(
+        self, order: StartOrder, epoch: int, deadline_ms: int
+    ) -> tuple[StartOutcome, int | None]:
+        """Return the outcome of a start and the minion's clock in ms, if it answered."""
+        body: dict[str, Any] = {
+            "task": str(order.run.key),
+            "runId": order.run.run_id,
+            "spec": order.payload,
+            "deadlineMs": deadline_ms,
+            "fenceToken": epoch,
+        }
+        if order.checkpoint:
+            body["checkpoint"] = order.checkpoint
+        try:
+            status, data = await self._call(order.minion, "/run-start", body)
+        except _NotSentError:
+            return StartOutcome.NOT_SENT, None
+        except MinionError:
+            return StartOutcome.UNKNOWN, None
+        answer = _decoded_answer(data)
+        if status == 200:
+            return StartOutcome.STARTED, answer.clockMs
+        if status in (429, 503):
+            return StartOutcome.UNHEALTHY, answer.clockMs
+        if status == 421:
+            return StartOutcome.OTHER_INCARNATION, None
+        if status == 409:
+            self._check_fence(status, answer)
+            return _REFUSALS.get(answer.reason, StartOutcome.REFUSED), answer.clockMs
+        if 400 <= status < 500:
+            fields = {"task": str(order.run.key), "status": status}
+            _log.error("minion rejected a start as malformed", extra=fields)
+            return StartOutcome.REFUSED, answer.clockMs
+        return StartOutcome.UNKNOWN, answer.clockMs
+
+    async def stop(self, order: StopOrder, epoch: int) -> None:
+        """Stop a run."""
+        body = {"task": str(order.key), "runId": order.run_id, "fenceToken": epoch}
+        status, data = await self._call(order.minion, "/run-stop", body)
+        self._check_fence(status, _decoded_answer(data))
+        if status != 200:
+            raise MinionError(f"stop: status {status}")
+
+    async def set_pace(self, order: PaceOrder, epoch: int) -> None:
+        """Set the pace of a run."""
+        body = {
+            "task": str(order.run.key),
+            "runId": order.run.run_id,
+            "percent": order.percent,
+            "fenceToken": epoch,
+        }
+        status, data = await self._call(order.minion, "/pace", body)
+        self._check_fence(status, _decoded_answer(data))
+        if status != 200:
+            raise MinionError(f"pace: status {status}")
+
+    async def renew(
+        self, minion: Minion, epoch: int, deadline_ms: int | None, wait_seconds: float
+    ) -> MinionReport:
+        """Extend the lease of all runs, acknowledge durable ends, and return the lists."""
+        body = {
+            "fenceToken": epoch,
+            "ackedUpto": minion.durable_end,
+            "waitMs": int(1000 * wait_seconds),
+        }
+        if deadline_ms is not None:
+            body["deadlineMs"] = deadline_ms
+        status, data = await self._call(minion, "/hold", body, wait_seconds)
+        if status != 200:
+            self._check_fence(status, _decoded_answer(data))
+            if status == 421:
+                raise OtherIncarnationError(f"another minion at {minion.facts.address}")
+            raise MinionError(f"hold: status {status}")
+        try:
+            answer = _HOLD_DECODER.decode(data)
+        except msgspec.MsgspecError as error:
+            raise MinionError(f"the minion's lists can't be read: {error}") from error
+        return _report(answer)
+
+    @staticmethod
+    def _check_fence(status: int, answer: _Answer) -> None:
+        if status == 409 and answer.reason == "fence":
+            raise FencedByMinionError("a minion has orders of a later leader")
+
+    async def _call(
+        self, minion: Minion, path: str, body: dict[str, Any], wait_seconds: float = 0.0
+    ) -> tuple[int, bytes]:
+        timeout = aiohttp.ClientTimeout(
+            total=CALL_TIMEOUT_SECONDS + wait_seconds, sock_connect=CONNECT_TIMEOUT_SECONDS
+        )
+        headers = {INSTANCE_HEADER: minion.minion_id, **JSON_HEADERS}
+        url = f"http://{minion.facts.address}{path}"
+        try:
+            async with self._session().post(
+                url, data=_ENCODER.encode(body), headers=headers, timeout=timeout
+            ) as answer:
+                return answer.status, await answer.read()
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            raise _NotSentError(f"{path}: {error}") from error
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise MinionError(f"{path}: {type(error).__name__}: {error}") from error
+
+
+def _decoded_answer(data: bytes) -> _Answer:
+    try:
+        return _ANSWER_DECODER.decode(data)
+    except msgspec.MsgspecError:
+        # Refusals may come without a body; the status decides.
+        return _Answer()
+
+
+def _report(answer: _HoldAnswer) -> MinionReport:
+    running = []
+    for row in answer.running:
+        key = TaskKey.parse(row.task)
+        if key is not None:
+            running.append(RunReport(key, row.run, row.checkpoint, row.percent, row.measure))
+    ended = []
+    for end in answer.ended:
+        try:
+            kind = EndKind(end.how)
+        except ValueError:
+            # Any end but these leaves the task to be run again, as a lapsed lease does.
+            kind = EndKind.LAPSED
+            _log.warning("unknown kind of end", extra={"task": end.task, "how": end.how})
+        ended.append(EndReport(end.number, TaskKey.parse(end.task), end.run, kind, end.checkpoint))
+    return MinionReport(answer.born, answer.clockMs, tuple(running), tuple(ended))
--- /dev/null
+++ b/dotterelhill/platform/process.py
@@ -0,0 +1,202 @@
+"""One process of the system on the prepared platform."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import sys
+import time
+from contextlib import suppress
+from pathlib import Path
+from random import Random
+
+import aiohttp
+import mode
+
+from dotterelhill.control.desk import JobDesk
+from dotterelhill.control.election import Election
+from dotterelhill.control.feeds import ConfigurationFeed, Follower
+from dotterelhill.control.interface import Stream
+from dotterelhill.control.leader import Leader, LeaderParts
+from dotterelhill.control.leadership import Leadership
+from dotterelhill.control.peers import PeerClient, PeerServer
+from dotterelhill.core import new_incarnation_id
+from dotterelhill.entry.logs import logger_of, start_logging
+from dotterelhill.jobs.scheduler import SchedulerSettings
+from dotterelhill.platform.ingress import Ingress
+from dotterelhill.platform.minions import PlatformMinions
+from dotterelhill.platform.records import PlatformRecords
+from dotterelhill.platform.settings import (
+    SETTINGS_VARIABLE,
+    ProcessSettings,
+    SettingsError,
+    load_settings,
+)
+from dotterelhill.platform.store import PlatformStore
+
+# The balancer asks every second and stops sending clients after two misses.
+NOT_READY_SECONDS = 2.5
+# Left of the time to stop for closing connections and ending the process.
+CLOSING_RESERVE_SECONDS = 1.5
+KEEPALIVE_SECONDS = 60.0
+# Answers and orders share a minion's connections; a look occupies one while it waits.
+CONNECTIONS_TO_A_MINION = 8
+# Each processor below this number delays a claim, so that a larger VM leads.
+FULL_PROCESSORS = 1.0
+HANDICAP_SECONDS = 0.4
+
+_log = logger_of("process")
+
+
+def boot_seconds() -> float:
+    """Return the time since the VM's start, with the time in which it was suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def unix_ms() -> int:
+    """Return the time of day in milliseconds."""
+    return int(time.time() * 1000)
+
+
+class SchedulerProcess(mode.Service):
+    """All parts of one process.
+
+    :param settings: checked settings
+    """
+
+    def __init__(self, settings: ProcessSettings, random: Random | None = None) -> None:
+        super().__init__()
+        self._settings = settings
+        self._random = random or Random()
+        self._incarnation = new_incarnation_id(settings.vm)
+        self._session: aiohttp.ClientSession | None = None
+        self._store = PlatformStore(self._open_session, settings.store)
+        self._records = PlatformRecords()
+        self._leadership = Leadership(
+            self._store, self._incarnation, str(settings.peers), boot_seconds
+        )
+        self._configuration = ConfigurationFeed(self._records, self._configuration_changed)
+        self._config_follower = Follower(
+            self._store,
+            Stream.CONFIGURATION,
+            self._configuration.take,
+            boot_seconds,
+            self._random,
+        )
+        peers = PeerClient(self._open_session)
+        self._election = Election(
+            self._leadership,
+            self._incarnation,
+            peers,
+            self._new_leader,
+            boot_seconds,
+            self._random,
+            handicap_seconds=HANDICAP_SECONDS * max(0.0, FULL_PROCESSORS - settings.processors),
+        )
+        self._peer_server = PeerServer(
+            self._election, self._store, settings.peers.host, settings.peers.port
+        )
+        desk = JobDesk(self._store, self._election, peers, boot_seconds, self._random)
+        self._ingress = Ingress(
+            desk, lambda: self._configuration.config, settings.callers, settings.readiness
+        )
+
+    def _open_session(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            connector = aiohttp.TCPConnector(
+                limit=0, limit_per_host=CONNECTIONS_TO_A_MINION, keepalive_timeout=KEEPALIVE_SECONDS
+            )
+            self._session = aiohttp.ClientSession(
+                connector=connector, cookie_jar=aiohttp.DummyCookieJar()
+            )
+        return self._session
+
+    def _configuration_changed(self) -> None:
+        if self._election.leader is not None:
+            self._election.leader.configuration_changed()
+
+    def _new_leader(self) -> Leader:
+        settings = self._settings
+        return Leader(
+            LeaderParts(
+                store=self._store,
+                minions=PlatformMinions(self._open_session),
+                decoder=self._records,
+                configuration=self._configuration,
+                leadership=self._leadership,
+                settings=SchedulerSettings(
+                    settings.hold_seconds, settings.retention_seconds, settings.harm_seconds
+                ),
+                clock=boot_seconds,
+                unix_ms=unix_ms,
+                random=self._random,
+            )
+        )
+
+    async def run(self) -> None:
+        """Serve until SIGTERM, then leave without cutting a request."""
+        stop = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, stop.set)
+        loop.add_signal_handler(signal.SIGINT, stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        services: list[mode.Service] = [
+            self._config_follower,
+            self._peer_server,
+            self._election,
+            self._ingress,
+        ]
+        for service in services:
+            await service.start()
+        _log.notice("started", extra={"incarnation": self._incarnation})
+        await stop.wait()
+        await self._leave()
+        for service in reversed(services):
+            await service.stop()
+        if self._session is not None:
+            await self._session.close()
+        _log.notice("stopped", extra={"incarnation": self._incarnation})
+
+    async def _leave(self) -> None:
+        _log.notice("stopping", extra={"in_flight": self._ingress.in_flight})
+        ends_at = boot_seconds() + self._settings.grace_seconds - CLOSING_RESERVE_SECONDS
+        self._ingress.drain()
+        await self._election.resign()
+        await asyncio.sleep(min(NOT_READY_SECONDS, self._settings.grace_seconds / 2))
+        with suppress(TimeoutError):
+            await asyncio.wait_for(self._ingress.idle.wait(), max(0.0, ends_at - boot_seconds()))
+
+    def _reload(self) -> None:
+        try:
+            settings = load_settings(settings_path())
+        except SettingsError as error:
+            _log.error(
+                "changed settings are wrong; the old ones stay", extra={"reason": str(error)}
+            )
+            return
+        changed = settings != self._settings
+        _log.notice("settings read again", extra={"changed": changed})
+
+
+def settings_path() -> Path:
+    """Return the path of the settings file.
+
+    :raises SettingsError: when the variable is not set
+    """
+    path = os.environ.get(SETTINGS_VARIABLE, "")
+    if not path:
+        raise SettingsError(f"{SETTINGS_VARIABLE}: missing; expected the path of a settings file")
+    return Path(path)
+
+
+def run_scheduler(log_level: str) -> int:
+    """Return the exit status of one process of the system.
+
+    :param log_level: least level that is written
+    :raises SettingsError: when the settings can't be used
+    """
+    settings = load_settings(settings_path())
+    start_logging(settings.vm, log_level, sys.stdout)
+    asyncio.run(SchedulerProcess(settings).run())
+    return 0
--- /dev/null
+++ b/dotterelhill/platform/records.py
@@ -0,0 +1,146 @@
+"""Records that operators and minions write to the store."""
+
+from __future__ import annotations
+
+import msgspec
+
+from dotterelhill.control.feeds import Evacuation
+from dotterelhill.control.interface import Record
+from dotterelhill.entry.logs import logger_of
+from dotterelhill.jobs.fleet import MinionFacts
+from dotterelhill.jobs.model import Room
+from dotterelhill.jobs.queues import FleetConfig, Pool, Queue, RequestLimits
+
+CONFIG_KEY = "config"
+EVACUATE_PREFIX = "evacuate/"
+READY = "ready"
+DRAINING = "draining"
+
+_log = logger_of("records")
+
+
+class _Route(msgspec.Struct, frozen=True):
+    name: str
+    host: str
+    pathPrefix: str
+    service: str
+    priority: int = 0
+    maxAttempts: int = 1
+    stretch: float = 2.0
+    # Allowance beyond the stretched duration of a job.
+    targetLatencyMs: float = 1000
+    timeoutMs: float = 3000
+    advice: msgspec.Raw | None = None
+
+
+class _Service(msgspec.Struct, frozen=True):
+    name: str
+    # Whether its minions refuse what does not fit.
+    admissionCheck: bool = False
+
+
+class _Limits(msgspec.Struct, frozen=True):
+    maxHeaderBytes: int = 16384
+    maxBodyBytes: int = 262144
+    headerTimeoutMs: float = 3000
+    idleTimeoutMs: float = 15000
+
+
+class _Config(msgspec.Struct, frozen=True):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = _Limits()
+
+
+class _Capacity(msgspec.Struct, frozen=True):
+    cpu: int
+    memMb: int
+    gpu: int = 0
+
+
+class _Entry(msgspec.Struct, frozen=True):
+    """A minion's report about itself."""
+
+    service: str
+    address: str
+    zone: str
+    state: str
+    capacity: _Capacity
+    # Kind and rack of the machine.
+    labels: list[str] = []
+    # Unix ms of the incarnation's start.
+    born: int = 0
+    # Least time until a draining minion leaves.
+    remainingMs: float = 0
+
+
+_CONFIG_DECODER = msgspec.json.Decoder(_Config)
+_ENTRY_DECODER = msgspec.json.Decoder(_Entry)
+
+
+class PlatformRecords:
+    """Decodes records of the configuration and minion streams."""
+
+    def operator_record(self, record: Record) -> FleetConfig | Evacuation | None:
+        """Return what an operator asks for; None when the record is of no use here."""
+        if record.key.startswith(EVACUATE_PREFIX):
+            domain = record.key.removeprefix(EVACUATE_PREFIX)
+            return Evacuation(domain, record.value is not None)
+        if record.key != CONFIG_KEY or record.value is None:
+            return None
+        try:
+            return _fleet_config(_CONFIG_DECODER.decode(record.value))
+        except msgspec.MsgspecError as error:
+            _log.error("configuration can't be read", extra={"reason": str(error)})
+            return None
+
+    def minion_record(self, record: Record) -> MinionFacts | None:
+        """Return what a minion says of itself; None for an entry of another writer."""
+        if record.value is None:
+            return None
+        try:
+            entry = _ENTRY_DECODER.decode(record.value)
+        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            _log.debug("minion entry ignored", extra={"key": record.key, "reason": str(error)})
+            return None
+        if entry.state not in (READY, DRAINING):
+            return None
+        return MinionFacts(
+            minion_id=record.key,
+            born_ms=entry.born,
+            service=entry.service,
+            address=entry.address,
+            failure_domain=entry.zone,
+            labels=tuple(entry.labels),
+            capacity=Room(entry.capacity.cpu, entry.capacity.memMb, entry.capacity.gpu),
+            is_draining=entry.state == DRAINING,
+            leaves_in_seconds=entry.remainingMs / 1000.0,
+        )
+
+
+def _fleet_config(config: _Config) -> FleetConfig:
+    queues = {}
+    for route in config.routes:
+        queues[route.name] = Queue(
+            name=route.name,
+            host=route.host,
+            path_prefix=route.pathPrefix,
+            service=route.service,
+            priority=route.priority,
+            max_attempts=route.maxAttempts,
+            stretch=route.stretch,
+            target_seconds=route.targetLatencyMs / 1000.0,
+            timeout_seconds=route.timeoutMs / 1000.0,
+            needs_advice=route.advice is not None,
+        )
+    pools = {
+        service.name: Pool(service.name, service.admissionCheck) for service in config.services
+    }
+    limits = RequestLimits(
+        config.limits.maxHeaderBytes,
+        config.limits.maxBodyBytes,
+        config.limits.headerTimeoutMs / 1000.0,
+        config.limits.idleTimeoutMs / 1000.0,
+    )
+    return FleetConfig(config.version, queues, pools, limits)
--- a/tools/binary_main.py
+++ b/tools/binary_main.py
@@ -23,7 +23,7 @@
 def unpack_roots() -> list[str]:
     """Return the directories to try, memory-backed ones first; VMs have no disks."""
     named = os.environ.get("TMPDIR")
-    return ([named] if named else []) + ["/run", "/tmp", "/dev/shm"]
+    return ([named] if named else []) + ["/run", "/tmp"]
 
 
 def new_unpack_directory() -> str:
