Place and pace fillers by the headroom of serving tasks

Most pairs take nothing, a third take most.

Ruled out: effects by number of fillers or by declared processors (R2 0.2 to 0.9 points lower).

--- a/dotterelhill/batch/placement.py
+++ b/dotterelhill/batch/placement.py
@@ -10,7 +10,7 @@
 from dotterelhill.batch.faulty_workers import FaultyWorkers
 from dotterelhill.batch.feasibility import WorkerKind, infeasibility
 from dotterelhill.batch.interface import Assignment, PendingTask, WorkerFacts
-from dotterelhill.jobs.interference import Interference
+from dotterelhill.batch.interference import Interference
 from dotterelhill.batch.nodes import LOAD_MEMORY_SECONDS, TOLERANCE, Node, Nodes, Placed
 from dotterelhill.batch.preemption import Preemption, Victim, cheapest_preemption
 from dotterelhill.batch.queue import PRIORITIES, JobQueue, PendingQueue
--- a/dotterelhill/batch/sharing.py
+++ b/dotterelhill/batch/sharing.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from dotterelhill.jobs.interference import Effect, Pair
+from dotterelhill.batch.interference import Effect, Pair
 
 # Pairs in one summary, so that it stays near 1 KB; the others follow in the next ones.
 PAIRS_IN_SUMMARY = 20
--- a/dotterelhill/batch/tests/steps/policy_steps.py
+++ b/dotterelhill/batch/tests/steps/policy_steps.py
@@ -17,7 +17,7 @@
 )
 from dotterelhill.batch.execution import Execution
 from dotterelhill.batch.interface import Assignment, PendingTask, WorkerFacts
-from dotterelhill.jobs.interference import Interference, slow_down_of
+from dotterelhill.batch.interference import Interference, slow_down_of
 from dotterelhill.batch.placement import MeasuredWorker, Placement, job_of
 from dotterelhill.batch.preemption import Victim, cheapest_preemption
 from dotterelhill.batch.sizes import Sizes
--- a/dotterelhill/batch/throttling.py
+++ b/dotterelhill/batch/throttling.py
@@ -7,7 +7,7 @@
 
 from dotterelhill.batch.events import StopWanted
 from dotterelhill.batch.interface import Assignment
-from dotterelhill.jobs.interference import Interference
+from dotterelhill.batch.interference import Interference
 from dotterelhill.batch.placement import MeasuredWorker, job_of
 
 HIGH_SLOW_DOWN = 1.10
--- a/dotterelhill/control/leader.py
+++ b/dotterelhill/control/leader.py
@@ -399,6 +399,29 @@
                 await asyncio.sleep(self._parts.random.uniform(*LOOK_RETRY_SECONDS))
                 continue
             self._scheduler.report(minion, report, sent_at, self._clock())
+            _log.debug(
+                "report",
+                extra={
+                    "minion": minion.minion_id,
+                    "cap": minion.facts.capacity.cpu,
+                    "rows": [
+                        (
+                            r.step.image,
+                            r.step.is_lasting,
+                            r.step.is_filler,
+                            r.step.room.cpu,
+                            r.tail_ms,
+                            r.cpu_used,
+                            r.pace,
+                            r.step.target_tail_ms,
+                            str(r.key),
+                            r.percent,
+                            round(self._clock() - r.planned_at, 2),
+                        )
+                        for r in minion.runs.values()
+                    ],
+                },
+            )
             self._wake.set()
             await asyncio.sleep(LOOK_SPACING_SECONDS)
 
--- a/dotterelhill/jobs/placement.py
+++ b/dotterelhill/jobs/placement.py
@@ -113,7 +113,6 @@
                 queue = queue_of(waiting.job)
                 ranked.append((_rank(waiting.job, queue, unix_ms), queue, waiting))
         ranked.sort(key=lambda entry: entry[0])
-        self._sharing.begin_round(now)
         for _, queue, waiting in ranked:
             pool = by_service.get(queue.service, [])
             if not pool or queue.needs_advice:
@@ -193,13 +192,13 @@
             idle = self._sharing.idle_cpu(minion)
             if idle < LEAST_FILLER_SHARE * step.room.cpu:
                 return None
-            harm = self._sharing.predicted_harm(minion, step, now)
+            harm = self._sharing.harm_of(minion, step, now)
             if harm is None:
                 return None
             return (distance, harm, -idle)
         if step.is_lasting:
             # Serving tasks share few minions, so that fillers find others without any.
-            return (distance, self._sharing.filler_pressure(minion), minion.free.cpu)
+            return (distance, self._sharing.harm_for(minion, step), minion.free.cpu)
         # Other tasks neither disturb nor suffer; they leave minions without serving tasks free.
         return (distance, 0.0 if self._sharing.has_serving(minion) else 1.0, minion.free.cpu)
 
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -111,7 +111,7 @@
         self._minions: dict[str, Minion] = {}
         self._config = FleetConfig()
         self._evacuated: frozenset[str] = frozenset()
-        self._sharing = Sharing(settings.harm_seconds)
+        self._sharing = Sharing()
         self._placement = Placement(self._sharing)
         self._dirty: dict[str, Job] = {}
         self._planned: list[Run] = []
@@ -449,6 +449,7 @@
 
     def _forget(self, minion: Minion, now: float, reason: str) -> None:
         """Release every run of an incarnation that is gone."""
+        self._sharing.forget(minion)
         for run in list(minion.runs.values()):
             self._drop(minion, run, now, reason)
 
@@ -543,6 +544,8 @@
         for minion in self._minions.values():
             if minion.facts.is_draining:
                 self._leave(minion, now)
+            for run in self._sharing.movable(minion, now):
+                self._stop(minion, run, now)
 
     def _leave(self, minion: Minion, now: float) -> None:
         """Move lasting and checkpointing tasks off a minion that leaves."""
--- a/dotterelhill/jobs/sharing.py
+++ b/dotterelhill/jobs/sharing.py
@@ -3,74 +3,77 @@
 Explanation
 ===========
 
-Fillers use the processors that other tasks leave idle and slow serving tasks down, by amounts
-that differ by pair of images. The slow-down of each pair is learned from the reported tails of all
-minions. A filler is placed where the predicted tails stay under their targets, and paced down
-where a measured tail comes near its target.
+Fillers use the processors that other tasks leave idle and take headroom from serving tasks, by
+amounts that differ by pair of images. A filler is placed where every serving task keeps enough of
+its headroom, paced down while one comes near its target, and moved when it would be paced down
+for long.
 """
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
-from dotterelhill.jobs.interference import Interference
 from dotterelhill.jobs.fleet import Minion, Run, RunState
+from dotterelhill.jobs.headroom import HeadroomModel
 from dotterelhill.jobs.model import Step
 from dotterelhill.jobs.orders import PaceOrder
 
 # Share of its processors that a serving task is taken to use; the rest is left to fillers.
-SERVING_USE = 0.6
-# Predicted tails may reach this share of the target: measured ones swing by a third.
-PLANNED_TAIL_SHARE = 0.7
-# Tails above this share of the target slow fillers down; below the lower one they speed up.
-HIGH_TAIL_SHARE = 0.85
-LOW_TAIL_SHARE = 0.6
-# A tail covers half a second and a report is up to half a second old.
-PACE_SETTLE_SECONDS = 1.0
-LEAST_PACE = 10
-# Weight of the newest tail without fillers in the base tail of an image.
-BASE_WEIGHT = 0.05
-# Expected tail without fillers before any was measured, as a share of the target.
-FIRST_BASE_SHARE = 0.4
+SERVING_USE = 0.5
+# Headroom that each serving task is planned to keep, and below which fillers are paced down.
+PLANNED_HEADROOM = 1.25
+PACED_HEADROOM = 1.15
+# Own headroom may fall by this much a second when the load of a serving task rises.
+FALL_PER_SECOND = 0.35
+LONGEST_FALL_SECONDS = 3.0
+# Planned effects are this many standard deviations above their estimates.
+PLANNING_CAUTION = 0.7
+# A report covers the last half second, so a filler counts in part while it is younger.
+REPORT_SECONDS = 0.5
+# A filler that takes less headroom than this from a serving task is not paced for it.
+LEAST_EFFECT = 0.04
+# Pace changes below this many percent are not worth an order.
+LEAST_PACE_CHANGE = 12
+LEAST_PACE = 5
+# A filler that is paced below this for so long is better off on another minion.
+MOVE_PACE = 40
+MOVE_SECONDS = 1.2
+# Serving tasks measured over target for this long stop all fillers beside them.
+STOP_SECONDS = 1.5
 
 
 @dataclass(slots=True)
-class _Base:
-    tail_ms: float
-    count: int = 0
+class _Sharing:
+    """Fillers of one minion.
 
+    :param over_since: time since which a serving task is reported over its target
+    :param slow_since: time since which a filler is paced below ``MOVE_PACE``, by run
+    """
 
-class Sharing:
-    """Estimates of interference and the pace of fillers.
+    over_since: float | None = None
+    slow_since: dict[Run, float] = field(default_factory=dict)
 
-    :param harm_seconds: time for which a serving task may be over its target
-    """
 
-    def __init__(self, harm_seconds: float) -> None:
-        self._harm_seconds = harm_seconds
-        self._interference = Interference()
-        self._bases: dict[str, _Base] = {}
+class Sharing:
+    """Placement and pace of fillers beside serving tasks."""
+
+    def __init__(self) -> None:
+        self._model = HeadroomModel()
+        self._minions: dict[Minion, _Sharing] = {}
 
     @property
-    def interference(self) -> Interference:
-        """Return the estimates by pair of images."""
-        return self._interference
+    def model(self) -> HeadroomModel:
+        """Return the estimates."""
+        return self._model
 
-    def begin_round(self, now: float) -> None:
-        """Prepare for a round of placements."""
+    def forget(self, minion: Minion) -> None:
+        """Drop what is known of an incarnation that is gone."""
+        self._minions.pop(minion, None)
 
     def has_serving(self, minion: Minion) -> bool:
         """Return whether a serving task is on the minion."""
         return any(run.step.is_lasting for run in minion.runs.values())
 
-    def filler_pressure(self, minion: Minion) -> float:
-        """Return the processors that fillers on the minion may use."""
-        pressure = 0.0
-        for run in minion.runs.values():
-            if run.step.is_filler:
-                pressure += run.step.room.cpu * run.pace / 100.0
-        return pressure
-
     def idle_cpu(self, minion: Minion) -> float:
         """Return the thousandths of a processor that nothing on the minion uses."""
         idle = float(minion.facts.capacity.cpu)
@@ -81,85 +84,140 @@
             idle -= run.step.room.cpu * share
         return idle
 
-    def predicted_harm(self, minion: Minion, step: Step, now: float) -> float | None:
-        """Return the highest predicted tail as a share of its target with one more filler.
+    def harm_of(self, minion: Minion, step: Step, now: float) -> float | None:
+        """Return the headroom that one more filler takes from the minion's serving tasks.
 
-        :returns: 0 without serving tasks; None when a target would be missed
+        :returns: None when one of them would keep too little
         """
-        worst = 0.0
-        images = self._filler_images(minion)
-        images[step.image] = images.get(step.image, 0.0) + 1.0
+        use = self._planned_use(minion)
+        added = step.room.cpu / minion.facts.capacity.cpu
+        seconds = min(LONGEST_FALL_SECONDS, step.estimate_seconds)
+        harm = 0.0
         for run in minion.runs.values():
-            target = run.step.target_tail_ms
-            if not run.step.is_lasting or not target:
+            if not _is_measured(run):
                 continue
-            share = self._predicted_tail(run, images, now) / target
-            if share > PLANNED_TAIL_SHARE:
+            taken = added * self._model.effect(run.step.image, step.image, PLANNING_CAUTION)
+            own = self._model.own_headroom(run.key, now) - FALL_PER_SECOND * seconds
+            left = max(own, self._model.trough(run.step.image)) - taken
+            for image, share in use.items():
+                left -= share * self._model.effect(run.step.image, image)
+            if left < PLANNED_HEADROOM and taken > LEAST_EFFECT:
                 return None
-            worst = max(worst, share)
-        return worst
-
-    def _predicted_tail(self, run: Run, images: dict[str, float], now: float) -> float:
-        exponent = 0.0
-        for image, weight in images.items():
-            exponent += weight * self._interference.planned_effect(run.step.image, image, now)
-        return self._base_tail(run.step) * 2.718281828 ** min(exponent, 5.0)
-
-    def _base_tail(self, step: Step) -> float:
-        base = self._bases.get(step.image)
-        return base.tail_ms if base else FIRST_BASE_SHARE * step.target_tail_ms
-
-    def _filler_images(self, minion: Minion) -> dict[str, float]:
-        images: dict[str, float] = {}
+            harm += taken
+        return harm
+
+    def harm_for(self, minion: Minion, step: Step) -> float:
+        """Return the headroom that the minion's fillers would take from a new serving task."""
+        harm = 0.0
+        for image, share in self._planned_use(minion).items():
+            harm += share * self._model.effect(step.image, image)
+        return harm
+
+    def _planned_use(self, minion: Minion) -> dict[str, float]:
+        """Return the share of the processors that fillers use at full pace, by image."""
+        use: dict[str, float] = {}
+        capacity = minion.facts.capacity.cpu
+        for run in minion.runs.values():
+            if run.step.is_filler and run.state is not RunState.STOPPING:
+                image = run.step.image
+                use[image] = use.get(image, 0.0) + run.step.room.cpu / capacity
+        return use
+
+    def _reported_use(self, minion: Minion, now: float) -> dict[str, float]:
+        use: dict[str, float] = {}
+        capacity = minion.facts.capacity.cpu
         for run in minion.runs.values():
-            if run.step.is_filler:
-                images[run.step.image] = images.get(run.step.image, 0.0) + run.pace / 100.0
-        return images
+            if not run.step.is_filler or run.state is RunState.PLANNED:
+                continue
+            age = now - max(run.planned_at, run.paced_at)
+            used = run.cpu_used
+            if used is None or age < REPORT_SECONDS:
+                used = run.step.room.cpu * run.pace / 100.0 * min(1.0, age / REPORT_SECONDS)
+            image = run.step.image
+            use[image] = use.get(image, 0.0) + used / capacity
+        return use
 
     def observe(self, minion: Minion, now: float) -> None:
         """Learn from the tails that a minion has just reported."""
-        images = self._filler_images(minion)
+        use = self._reported_use(minion, now)
+        is_over = False
         for run in minion.runs.values():
-            if not run.step.is_lasting or not run.tail_ms or run.percent < 100:
-                continue
-            if not images:
-                base = self._bases.setdefault(run.step.image, _Base(run.tail_ms))
-                base.count += 1
-                weight = max(BASE_WEIGHT, 1.0 / base.count)
-                base.tail_ms += weight * (run.tail_ms - base.tail_ms)
+            if not _is_measured(run) or not run.tail_ms or run.percent < 100:
                 continue
-            slow_down = run.tail_ms / self._base_tail(run.step)
-            self._interference.observe(run.step.image, 1.0, slow_down, images, now)
+            headroom = run.step.target_tail_ms / run.tail_ms
+            is_over = is_over or headroom < 1.0
+            self._model.observe(run.key, run.step.image, headroom, use, now)
+        state = self._minions.setdefault(minion, _Sharing())
+        if not is_over:
+            state.over_since = None
+        elif state.over_since is None:
+            state.over_since = now
 
     def pace_orders(self, minion: Minion, now: float) -> list[PaceOrder]:
         """Return the changes of pace that the minion's newest report calls for."""
-        worst = 0.0
         fillers = []
         for run in minion.runs.values():
             if run.step.is_filler and run.state is RunState.PRESENT:
                 fillers.append(run)
-            if run.step.is_lasting and run.step.target_tail_ms and run.tail_ms:
-                worst = max(worst, run.tail_ms / run.step.target_tail_ms)
-        if not fillers or not worst:
-            return []
-        if now - max(run.paced_at for run in fillers) < PACE_SETTLE_SECONDS:
+        if not fillers:
             return []
-        if worst > HIGH_TAIL_SHARE:
-            return self._set_pace(minion, fillers, 0.5 if worst < 1.0 else 0.25, now)
-        if worst < LOW_TAIL_SHARE:
-            return self._set_pace(minion, fillers, 1.6, now)
-        return []
-
-    def _set_pace(
-        self, minion: Minion, fillers: list[Run], factor: float, now: float
-    ) -> list[PaceOrder]:
+        state = self._minions.setdefault(minion, _Sharing())
+        is_over_long = state.over_since is not None and now - state.over_since > STOP_SECONDS
         orders = []
         for run in fillers:
-            pace = int(min(100.0, max(LEAST_PACE if factor > 1.0 else 0.0, run.pace * factor)))
-            if factor < 1.0 and pace < LEAST_PACE:
-                pace = 0
-            if pace == run.pace:
-                continue
-            run.pace, run.paced_at = pace, now
-            orders.append(PaceOrder(minion, run, pace))
+            pace = 0 if is_over_long else self._pace_of(run, minion, fillers, now)
+            order = self._changed_pace(minion, run, pace, now)
+            if order is not None:
+                orders.append(order)
+            if run.pace >= MOVE_PACE:
+                state.slow_since.pop(run, None)
+            else:
+                state.slow_since.setdefault(run, now)
         return orders
+
+    def _pace_of(self, run: Run, minion: Minion, fillers: list[Run], now: float) -> int:
+        """Return the highest pace at which every serving task keeps enough headroom."""
+        share = 1.0
+        capacity = minion.facts.capacity.cpu
+        for serving in minion.runs.values():
+            if not _is_measured(serving):
+                continue
+            image = serving.step.image
+            effect = self._model.effect(image, run.step.image)
+            if effect * run.step.room.cpu / capacity < LEAST_EFFECT:
+                continue
+            taken = 0.0
+            for filler in fillers:
+                part = filler.step.room.cpu / capacity
+                taken += part * self._model.effect(image, filler.step.image)
+            spare = self._model.own_headroom(serving.key, now) - PACED_HEADROOM
+            if taken > spare:
+                share = min(share, max(0.0, spare) / taken)
+        return int(100 * share)
+
+    def _changed_pace(self, minion: Minion, run: Run, pace: int, now: float) -> PaceOrder | None:
+        if pace < LEAST_PACE:
+            pace = 0
+        is_edge = pace in (0, 100) and pace != run.pace
+        if abs(pace - run.pace) < LEAST_PACE_CHANGE and not is_edge:
+            return None
+        run.pace, run.paced_at = pace, now
+        return PaceOrder(minion, run, pace)
+
+    def movable(self, minion: Minion, now: float) -> list[Run]:
+        """Return the fillers that have been slow for long and keep their progress when stopped."""
+        state = self._minions.get(minion)
+        if state is None:
+            return []
+        runs = []
+        for run, since in list(state.slow_since.items()):
+            if minion.runs.get(run.key) is not run:
+                del state.slow_since[run]
+                continue
+            if run.step.is_checkpointing and now - since > MOVE_SECONDS:
+                runs.append(run)
+        return runs
+
+
+def _is_measured(run: Run) -> bool:
+    return run.step.is_lasting and run.step.target_tail_ms > 0
