Let serving tasks of one image share minions; plan fillers nearer to the targets

Cause: at 90% of the rejections of a waiting filler some serving task would have kept too little headroom, while 400 to 700 processors were idle: each minion held two to three serving images.

--- a/dotterelhill/jobs/placement.py
+++ b/dotterelhill/jobs/placement.py
@@ -197,8 +197,10 @@
                 return None
             return (distance, harm, -idle)
         if step.is_lasting:
-            # Serving tasks share few minions, so that fillers find others without any.
-            return (distance, self._sharing.harm_for(minion, step), minion.free.cpu)
+            # Serving tasks of one image share minions, so that more fillers harm none of them, and
+            # leave others without any.
+            strangers = self._sharing.strangers(minion, step)
+            return (distance, strangers, self._sharing.harm_for(minion, step), minion.free.cpu)
         # Other tasks neither disturb nor suffer; they leave minions without serving tasks free.
         return (distance, 0.0 if self._sharing.has_serving(minion) else 1.0, minion.free.cpu)
 
--- a/dotterelhill/jobs/sharing.py
+++ b/dotterelhill/jobs/sharing.py
@@ -21,13 +21,13 @@
 # Share of its processors that a serving task is taken to use; the rest is left to fillers.
 SERVING_USE = 0.5
 # Headroom that each serving task is planned to keep, and below which fillers are paced down.
-PLANNED_HEADROOM = 1.25
+PLANNED_HEADROOM = 1.15
 PACED_HEADROOM = 1.15
 # Own headroom may fall by this much a second when the load of a serving task rises.
-FALL_PER_SECOND = 0.35
+FALL_PER_SECOND = 0.25
 LONGEST_FALL_SECONDS = 3.0
 # Planned effects are this many standard deviations above their estimates.
-PLANNING_CAUTION = 0.7
+PLANNING_CAUTION = 0.3
 # A report covers the last half second, so a filler counts in part while it is younger.
 REPORT_SECONDS = 0.5
 # A filler that takes less headroom than this from a serving task is not paced for it.
@@ -42,6 +42,10 @@
 STOP_SECONDS = 1.5
 
 
+# A minion without serving tasks is taken before one with other images, after one with the same.
+EMPTY_MINION_COST = 0.5
+
+
 @dataclass(slots=True)
 class _Sharing:
     """Fillers of one minion.
@@ -74,6 +78,14 @@
         """Return whether a serving task is on the minion."""
         return any(run.step.is_lasting for run in minion.runs.values())
 
+    def strangers(self, minion: Minion, step: Step) -> float:
+        """Return how badly a serving task's image fits those on the minion, 0 to 1."""
+        images = {run.step.image for run in minion.runs.values() if run.step.is_lasting}
+        if not images:
+            return EMPTY_MINION_COST
+        images.discard(step.image)
+        return float(bool(images))
+
     def idle_cpu(self, minion: Minion) -> float:
         """Return the thousandths of a processor that nothing on the minion uses."""
         idle = float(minion.facts.capacity.cpu)
