Remove the trial logging of reports and plans

Cause: the lines served the estimates of interference and cost processor time in every look. Nothing else changes. Conclusion: the log lines of decisions stay.

--- a/dotterelhill/control/leader.py
+++ b/dotterelhill/control/leader.py
@@ -247,50 +247,6 @@
 
     async def _round(self) -> None:
         self._scheduler.plan(self._clock(), self._parts.unix_ms())
-        if self._parts.random.random() < 0.1:
-            s = self._scheduler
-            w = {}
-            for x in s._placement._waiting.values():
-                for place, keys in x.pending.items():
-                    st = x.job.submission.steps[place[1]]
-                    k = "fill" if st.is_filler else "last" if st.is_lasting else "short"
-                    w[k] = w.get(k, 0) + len(keys)
-            ms = list(s.minions.values())
-            now = self._clock()
-            rej = {"idle": 0, "harm": 0, "mem": 0, "ok": 0}
-            for x in s._placement._waiting.values():
-                for place, keys in x.pending.items():
-                    st = x.job.submission.steps[place[1]]
-                    if st.is_filler:
-                        for m in ms:
-                            if not m.free.has(st.reserved):
-                                rej["mem"] += 1
-                            elif s._sharing.idle_cpu(m) < 0.75 * st.room.cpu:
-                                rej["idle"] += 1
-                            elif s._sharing.harm_of(m, st, now) is None:
-                                rej["harm"] += 1
-                            else:
-                                rej["ok"] += 1
-            _log.debug(
-                "plan",
-                extra={
-                    "waiting": w,
-                    "rej": rej,
-                    "idle": round(sum(max(0, s._sharing.idle_cpu(m)) for m in ms) / 1000),
-                    "unusable": sum(not s._is_usable(m, now) for m in ms),
-                    "fills": sum(r.step.is_filler for m in ms for r in m.runs.values()),
-                    "slowfills": sum(
-                        r.step.is_filler and r.pace < 50 for m in ms for r in m.runs.values()
-                    ),
-                    "lasting": sum(r.step.is_lasting for m in ms for r in m.runs.values()),
-                    "free": sum(1 for m in ms if not s._sharing.has_serving(m)),
-                    "model": {
-                        f"{a}/{b}": (round(e.mean, 1), round(e.variance, 2))
-                        for (a, b), e in s._sharing.model.effects.items()
-                    },
-                    "trough": {k: round(v.trough, 2) for k, v in s._sharing.model.images.items()},
-                },
-            )
         for order in self._scheduler.take_orders():
             self._spawn(self._deliver(order))
         changes = self._scheduler.take_changes()
@@ -443,29 +399,6 @@
                 await asyncio.sleep(self._parts.random.uniform(*LOOK_RETRY_SECONDS))
                 continue
             self._scheduler.report(minion, report, sent_at, self._clock())
-            _log.debug(
-                "report",
-                extra={
-                    "minion": minion.minion_id,
-                    "cap": minion.facts.capacity.cpu,
-                    "rows": [
-                        (
-                            r.step.image,
-                            r.step.is_lasting,
-                            r.step.is_filler,
-                            r.step.room.cpu,
-                            r.tail_ms,
-                            r.cpu_used,
-                            r.pace,
-                            r.step.target_tail_ms,
-                            str(r.key),
-                            r.percent,
-                            round(self._clock() - r.planned_at, 2),
-                        )
-                        for r in minion.runs.values()
-                    ],
-                },
-            )
             self._wake.set()
             await asyncio.sleep(LOOK_SPACING_SECONDS)
 
