Hand leadership over when the leader can't renew; keep leases through outages of the store

After a loss of power of all VMs the claim took 2.2 s longer than the processes' return.

Ruled out: relaying the leader's appends through peers (needs a view of peers; a handover takes 1.9 s).

A leader without renewals keeps leases for 6 s more, which the next one waits for.

--- a/dotterelhill/control/election.py
+++ b/dotterelhill/control/election.py
@@ -10,7 +10,13 @@
 
 from dotterelhill.control.interface import StoreError
 from dotterelhill.control.leader import Leader
-from dotterelhill.control.leadership import RENEW_SECONDS, Leadership, Standing, Suspicion
+from dotterelhill.control.leadership import (
+    RENEW_SECONDS,
+    Claim,
+    LeaderCondition,
+    Leadership,
+    Suspicion,
+)
 from dotterelhill.control.peers import PeerClient, PeerUnreachableError
 from dotterelhill.entry.logs import logger_of
 
@@ -64,6 +70,11 @@
         """Return whether this process has the newest claim that it knows."""
         return self._leadership.has_claim
 
+    @property
+    def is_able(self) -> bool:
+        """Return whether this process can renew its claim."""
+        return self._leadership.is_able
+
     @property
     def leader(self) -> Leader | None:
         """Return the present term, if this process leads."""
@@ -74,6 +85,13 @@
         """Return the address of the last known leader; empty before the first."""
         return self._leader_address
 
+    def superseded(self, claim: Claim) -> None:
+        """Take over that another process has claimed."""
+        if claim.epoch <= self._leadership.epoch or claim.incarnation == self._incarnation:
+            return
+        self._leadership.drop("another process has claimed")
+        self._leader_address = claim.address
+
     def leave(self) -> None:
         """Claim no more; the process is about to stop."""
         self._is_leaving = True
@@ -90,10 +108,12 @@
     async def _renew(self) -> None:
         while not self.should_stop:
             await asyncio.sleep(RENEW_SECONDS)
+            was_able = self._leadership.is_able
             try:
                 await self._leadership.renew()
             except StoreError as error:
-                _log.warning("renewal failed", extra={"reason": str(error)})
+                if was_able and not self._leadership.is_able:
+                    _log.warning("claim can't be renewed", extra={"reason": str(error)})
 
     @mode.Service.task
     async def _check(self) -> None:
@@ -107,45 +127,51 @@
     async def _check_once(self) -> None:
         if self._leadership.has_claim or self._is_leaving:
             return
-        if self._leader_address and await self._is_present(self._leader_address):
+        if self._leader_address and await self._answers_as_leader(self._leader_address):
             self._suspicion.clear()
             return
         started_at = self._clock()
         standing = await self._leadership.read()
         distance = self._clock() - started_at
-        is_gone = await self._is_gone(standing)
-        if is_gone is None:
-            return
-        if not self._suspicion.may_claim(standing, is_gone=is_gone):
+        condition = await self._condition_of(standing.claim)
+        if not self._suspicion.may_claim(standing, condition):
             return
         preference = min(LONGEST_PREFERENCE_SECONDS, DISTANCE_FACTOR * distance)
-        await asyncio.sleep(
-            preference + self._handicap_seconds + self._random.uniform(0, JITTER_SECONDS)
-        )
-        if not self._is_leaving and await self._leadership.claim(standing):
-            self._begin_term()
+        jitter = self._random.uniform(0, JITTER_SECONDS)
+        await asyncio.sleep(preference + self._handicap_seconds + jitter)
+        if self._is_leaving:
+            return
+        _log.notice("claiming leadership", extra={"leader_is": condition.name.lower()})
+        if not await self._leadership.claim(standing):
+            return
+        self._begin_term()
+        own = self._leadership.own_claim
+        if own is None or standing.claim is None or condition is LeaderCondition.GONE:
+            return
+        try:
+            await self._peers.supersede(standing.claim.address, own)
+        except PeerUnreachableError as error:
+            _log.info("earlier leader was not told", extra={"reason": str(error)})
 
-    async def _is_present(self, address: str) -> bool:
+    async def _answers_as_leader(self, address: str) -> bool:
         try:
-            return (await self._peers.status(address)).has_claim
+            status = await self._peers.status(address)
         except PeerUnreachableError:
             return False
+        return status.has_claim and status.is_able
 
-    async def _is_gone(self, standing: Standing) -> bool | None:
-        """Return whether the claiming process is known to have ended; None when it answers."""
-        claim = standing.claim
+    async def _condition_of(self, claim: Claim | None) -> LeaderCondition:
         if claim is None or claim.is_resigned:
-            return True
+            return LeaderCondition.GONE
         self._leader_address = claim.address
         try:
             status = await self._peers.status(claim.address)
         except PeerUnreachableError as error:
-            return error.is_refused
-        if status.incarnation == claim.incarnation and status.has_claim:
-            self._suspicion.clear()
-            return None
-        # Another process has its address, or it has given up.
-        return True
+            return LeaderCondition.REFUSED if error.is_refused else LeaderCondition.SILENT
+        if status.incarnation != claim.incarnation or not status.has_claim:
+            # Another process has its address, or it has given up.
+            return LeaderCondition.GONE
+        return LeaderCondition.PRESENT if status.is_able else LeaderCondition.UNABLE
 
     def _begin_term(self) -> None:
         leader = self._new_leader()
@@ -160,4 +186,3 @@
             self._leadership.drop("internal error")
         finally:
             self._leader = None
-            self._leader_address = ""
--- a/dotterelhill/control/leader.py
+++ b/dotterelhill/control/leader.py
@@ -86,6 +86,7 @@
         self._wake = asyncio.Event()
         self._sequence = 0
         self._is_loaded = False
+        self._is_store_failing = False
         self._background: set[asyncio.Task[None]] = set()
         self._watched: set[Minion] = set()
         self._submissions = Follower(
@@ -239,6 +240,7 @@
                 await asyncio.wait_for(self._wake.wait(), TICK_SECONDS)
             self._wake.clear()
             self._log_decisions()
+            self._send_orders()
             if not self._parts.leadership.is_leading:
                 continue
             self._watch_minions()
@@ -247,13 +249,17 @@
 
     async def _round(self) -> None:
         self._scheduler.plan(self._clock(), self._parts.unix_ms())
-        for order in self._scheduler.take_orders():
-            self._spawn(self._deliver(order))
+        self._send_orders()
         changes = self._scheduler.take_changes()
         await self._store(changes)
         for start in self._scheduler.commit(changes, self._clock()):
             self._spawn(self._start(start))
 
+    def _send_orders(self) -> None:
+        """Send stops and changes of pace, which wait for no write."""
+        for order in self._scheduler.take_orders():
+            self._spawn(self._deliver(order))
+
     async def _store(self, changes: Changes) -> None:
         records = [Record(job.job_id, encode_progress(job)) for job in changes.jobs]
         records += [Record(job_id, None) for job_id in changes.removed]
@@ -293,9 +299,14 @@
             except StoreError as error:
                 if not self._parts.leadership.has_claim:
                     raise StoreFencedError("claim lost during a write") from error
-                _log.warning("append failed; trying again", extra={"reason": str(error)})
+                if not self._is_store_failing:
+                    self._is_store_failing = True
+                    _log.warning("progress can't be stored", extra={"reason": str(error)})
                 await asyncio.sleep(self._parts.random.uniform(0.5, 1.5) * APPEND_RETRY_SECONDS)
                 continue
+            if self._is_store_failing:
+                self._is_store_failing = False
+                _log.notice("progress is stored again", extra={"records": len(records)})
             if records:
                 self._sequence += 1
             return
@@ -345,7 +356,7 @@
             self._wake.set()
 
     async def _deliver(self, order: Order) -> None:
-        if not self._parts.leadership.is_leading:
+        if not self._parts.leadership.is_keeping:
             return
         try:
             match order:
@@ -372,7 +383,7 @@
         """Renew the lease of a minion's runs and read its lists, as long as it is known."""
         hold_seconds = self._parts.settings.hold_seconds
         while self._scheduler.minions.get(minion.minion_id) is minion:
-            if not self._parts.leadership.is_leading:
+            if not self._parts.leadership.is_keeping:
                 if not self._parts.leadership.has_claim:
                     return
                 await asyncio.sleep(TICK_SECONDS)
@@ -399,6 +410,7 @@
                 await asyncio.sleep(self._parts.random.uniform(*LOOK_RETRY_SECONDS))
                 continue
             self._scheduler.report(minion, report, sent_at, self._clock())
+            self._send_orders()
             self._wake.set()
             await asyncio.sleep(LOOK_SPACING_SECONDS)
 
--- a/dotterelhill/control/leadership.py
+++ b/dotterelhill/control/leadership.py
@@ -6,7 +6,7 @@
 A claim is a conditional append to the leadership stream; its epoch fences the leader's writes to
 the store and its orders to minions. The leader renews by further conditional appends and acts only
 within ``LEASE_SECONDS`` of the last renewal that it sent. Others claim when the stream has not
-grown for longer than that, or sooner when the leader's process is known to be gone. Early claims
+grown for longer than that, or sooner when the leader is known to be gone or unable. Early claims
 are safe, since a fenced leader can neither store a start nor reach a minion that the new leader
 has reached; they only cost a takeover.
 """
@@ -15,6 +15,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum, auto
 
 import msgspec
 
@@ -27,13 +28,15 @@
 )
 from dotterelhill.entry.logs import logger_of
 
-# The leader stops acting this long after it sent its last successful renewal.
-LEASE_SECONDS = 3.0
-# Others claim after this time without a renewal: the lease plus the delay of a slow store.
-SILENT_CLAIM_SECONDS = 3.6
-# When the leader's address refuses connections: two missed renewals.
-GONE_CLAIM_SECONDS = 1.5
-RENEW_SECONDS = 0.6
+# The leader orders nothing new this long after it sent its last successful renewal.
+LEASE_SECONDS = 2.0
+# It keeps the leases of present runs for this time longer, so that an outage of the store for all
+# processes ends no work. A later leader adds it to the time in which runs may be present on a
+# minion that it can't reach.
+KEEPING_SECONDS = 6.0
+RENEW_SECONDS = 0.5
+# A leader that has not renewed for this time asks its peers to take over: two renewals missed.
+UNABLE_SECONDS = 1.2
 
 LEADER_KEY = "leader"
 RENEWAL_KEY = "renewal"
@@ -93,6 +96,11 @@
         """Return the epoch of this process's claim; 0 without one."""
         return self._claim.epoch if self._claim else 0
 
+    @property
+    def own_claim(self) -> Claim | None:
+        """Return this process's claim, if no later one is known."""
+        return self._claim
+
     @property
     def has_claim(self) -> bool:
         """Return whether no later claim is known."""
@@ -103,6 +111,17 @@
         """Return whether this process may act as the leader now."""
         return self._claim is not None and self._clock() < self._valid_until
 
+    @property
+    def is_keeping(self) -> bool:
+        """Return whether this process may keep the leases of present runs."""
+        return self._claim is not None and self._clock() < self._valid_until + KEEPING_SECONDS
+
+    @property
+    def is_able(self) -> bool:
+        """Return whether renewals succeed."""
+        unable_at = self._valid_until - LEASE_SECONDS + UNABLE_SECONDS
+        return self._claim is not None and self._clock() < unable_at
+
     async def read(self) -> Standing:
         """Return the newest state of the stream.
 
@@ -184,6 +203,31 @@
         self._valid_until = float("-inf")
 
 
+class LeaderCondition(Enum):
+    """What a process has found out about the leader.
+
+    PRESENT: it answers and renews. UNABLE: it answers and can't renew. SILENT: it does not answer.
+    REFUSED: nothing listens at its address, or a cut looks like that. GONE: it has ended or
+    resigned.
+    """
+
+    PRESENT = auto()
+    UNABLE = auto()
+    SILENT = auto()
+    REFUSED = auto()
+    GONE = auto()
+
+
+# Time without a renewal after which others claim. A silent leader's lease has to end, with the
+# delay of a slow store; one that is refused has missed two renewals; one that is unable has asked.
+CLAIM_PATIENCE_SECONDS = {
+    LeaderCondition.UNABLE: 0.4,
+    LeaderCondition.SILENT: 2.5,
+    LeaderCondition.REFUSED: 1.2,
+    LeaderCondition.GONE: 0.0,
+}
+
+
 class Suspicion:
     """Decides when a process may claim after the leader has stopped answering.
 
@@ -199,16 +243,15 @@
         """Note that the leader answers."""
         self._end = None
 
-    def may_claim(self, standing: Standing, *, is_gone: bool) -> bool:
-        """Return whether the newest state of the stream allows a claim now.
-
-        :param is_gone: whether the leader's process is known to have ended
-        """
-        if standing.claim is None or standing.claim.is_resigned:
+    def may_claim(self, standing: Standing, condition: LeaderCondition) -> bool:
+        """Return whether the newest state of the stream allows a claim now."""
+        if condition is LeaderCondition.GONE:
             return True
+        if condition is LeaderCondition.PRESENT:
+            self.clear()
+            return False
         if self._end != standing.end:
             self._end = standing.end
             self._since = self._clock()
             return False
-        patience = GONE_CLAIM_SECONDS if is_gone else SILENT_CLAIM_SECONDS
-        return self._clock() - self._since >= patience
+        return self._clock() - self._since >= CLAIM_PATIENCE_SECONDS[condition]
--- a/dotterelhill/control/peers.py
+++ b/dotterelhill/control/peers.py
@@ -13,11 +13,13 @@
 
 from dotterelhill.control.interface import Record, Store, StoreError, Stream
 from dotterelhill.control.leader import Leader, NotReadyError
+from dotterelhill.control.leadership import Claim
 from dotterelhill.entry.logs import logger_of
 
 STATUS_PATH = "/leader/status"
 JOBS_PATH = "/leader/jobs/"
 QUEUES_PATH = "/leader/queues"
+SUPERSEDED_PATH = "/leader/superseded"
 SUBMISSIONS_PATH = "/leader/submissions"
 # Two regions are 40 ms apart there and back; a peer that needs longer is in trouble.
 PEER_TIMEOUT_SECONDS = 0.8
@@ -29,10 +31,12 @@
     """What a process says of its own part.
 
     :param has_claim: whether it holds the newest claim that it knows
+    :param is_able: whether it can renew that claim
     """
 
     incarnation: str
     has_claim: bool
+    is_able: bool
 
 
 class _StoredRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -42,6 +46,7 @@
 
 _STATUS_DECODER = msgspec.json.Decoder(PeerStatus)
 _COUNTS_DECODER = msgspec.json.Decoder(dict[str, int])
+_CLAIM_DECODER = msgspec.msgpack.Decoder(Claim)
 _RECORD_DECODER = msgspec.msgpack.Decoder(_StoredRecord)
 
 
@@ -73,11 +78,20 @@
         """Return whether this process has the newest claim that it knows."""
         ...
 
+    @property
+    def is_able(self) -> bool:
+        """Return whether this process can renew its claim."""
+        ...
+
     @property
     def leader(self) -> Leader | None:
         """Return the present term of leadership, if this process leads."""
         ...
 
+    def superseded(self, claim: Claim) -> None:
+        """Take over that another process has claimed."""
+        ...
+
 
 class PeerServer(mode.Service):
     """Answers other processes of the system.
@@ -107,8 +121,11 @@
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         path = request.path
         if path == STATUS_PATH:
-            status = PeerStatus(self._source.incarnation, self._source.has_claim)
+            source = self._source
+            status = PeerStatus(source.incarnation, source.has_claim, source.is_able)
             return web.Response(body=msgspec.json.encode(status))
+        if path == SUPERSEDED_PATH:
+            return await self._take_claim(request)
         if path == SUBMISSIONS_PATH:
             return await self._store_for_peer(request)
         leader = self._source.leader
@@ -124,6 +141,13 @@
             return web.Response(status=503, text=str(error))
         return web.Response(status=400)
 
+    async def _take_claim(self, request: web.BaseRequest) -> web.StreamResponse:
+        try:
+            self._source.superseded(_CLAIM_DECODER.decode(await request.read()))
+        except msgspec.MsgspecError as error:
+            return web.Response(status=400, text=str(error))
+        return web.Response()
+
     async def _store_for_peer(self, request: web.BaseRequest) -> web.StreamResponse:
         try:
             record = _RECORD_DECODER.decode(await request.read())
@@ -156,6 +180,13 @@
             raise PeerUnreachableError(f"status {status}")
         return _STATUS_DECODER.decode(body)
 
+    async def supersede(self, address: str, claim: Claim) -> None:
+        """Tell an earlier leader, which may not reach the store, of a newer claim.
+
+        :raises PeerUnreachableError: when it gives no answer
+        """
+        await self._call("POST", address, SUPERSEDED_PATH, msgspec.msgpack.encode(claim))
+
     async def state_of(self, address: str, job_id: str) -> str | None:
         """Return the state of a job, or None when the leader knows no such job.
 
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -57,11 +57,13 @@
     """Bounds of the platform that the scheduler works with.
 
     :param hold_seconds: longest lease of a run
+    :param keeping_seconds: time for which an earlier leader may have renewed leases meanwhile
     :param retention_seconds: time for which the state of an ended job is known
     :param harm_seconds: time for which a serving task may be over its target because of fillers
     """
 
     hold_seconds: float = 6.0
+    keeping_seconds: float = 0.0
     retention_seconds: float = 120.0
     harm_seconds: float = 4.0
 
@@ -105,7 +107,8 @@
 
     def __init__(self, settings: SchedulerSettings, now: float) -> None:
         self._settings = settings
-        self._taken_over_at = now
+        # Runs that an earlier leader started on a minion that does not answer may last till then.
+        self._earlier_lease_end = lease_end(now, settings.hold_seconds) + settings.keeping_seconds
         self._jobs: dict[str, Job] = {}
         self._active: dict[str, Job] = {}
         self._minions: dict[str, Minion] = {}
@@ -184,7 +187,7 @@
                 return
             key = f"{task.minion_id}@{task.minion_born_ms}"
             # Not listed: its lease may still run.
-            self._unlisted.setdefault(key, lease_end(now, self._settings.hold_seconds))
+            self._unlisted.setdefault(key, self._earlier_lease_end)
             return
         step = job.submission.steps[task.key.step]
         run = Run(
@@ -249,7 +252,7 @@
             return
         if known is not None:
             self._forget(known, now, "minion was reborn")
-        minion = Minion(facts, lease_until=lease_end(now, self._settings.hold_seconds))
+        minion = Minion(facts, lease_until=max(now, self._earlier_lease_end))
         self._minions[facts.minion_id] = minion
         self._note_minion("minion listed", minion)
         self._adopt_waiting(minion, now)
--- /dev/null
+++ b/dotterelhill/jobs/tests/fleet_world.py
@@ -0,0 +1,150 @@
+from __future__ import annotations
+
+from dotterelhill.jobs.fleet import EndKind, EndReport, MinionFacts, MinionReport, RunReport
+from dotterelhill.jobs.model import Job, Room, Schedule, Step, Submission, TaskKey
+from dotterelhill.jobs.orders import StartOrder, StartOutcome, StopOrder
+from dotterelhill.jobs.progress import apply_progress, encode_progress
+from dotterelhill.jobs.queues import FleetConfig, Queue
+from dotterelhill.jobs.scheduler import Scheduler, SchedulerSettings
+
+HOLD_SECONDS = 6.0
+START = 1000.0
+UNIX_START_MS = 1_700_000_000_000
+
+
+class FleetWorld:
+    """A scheduler told by plain calls, and minions that answer as the test says."""
+
+    def __init__(self) -> None:
+        self.now = START
+        self.scheduler = self._new_scheduler()
+        self.queues = {"short": self.queue("short", 0), "long": self.queue("long", 2)}
+        self.running: dict[str, dict[TaskKey, int]] = {}
+        self.tails: dict[TaskKey, float] = {}
+        self.end_numbers: dict[str, int] = {}
+        self.ends: dict[str, list[EndReport]] = {}
+        self.facts: dict[str, MinionFacts] = {}
+        self.sent: list[StartOrder] = []
+        self.stops: list[StopOrder] = []
+        self.paces: list[tuple[TaskKey, int]] = []
+        self.silent: set[str] = set()
+        self.stored: dict[str, bytes] = {}
+        self.submitted: list[Submission] = []
+        self.changes = None
+        self.configure()
+
+    def _new_scheduler(self) -> Scheduler:
+        return Scheduler(SchedulerSettings(HOLD_SECONDS, 0.0, 120.0, 4.0), self.now)
+
+    @staticmethod
+    def queue(name: str, priority: int, attempts: int = 2) -> Queue:
+        return Queue(name, "h", f"/{name}/", "pool", priority, attempts, 2.0, 1.0)
+
+    def configure(self) -> None:
+        self.scheduler.configure(FleetConfig(1, dict(self.queues)))
+
+    @property
+    def unix_ms(self) -> int:
+        return UNIX_START_MS + int(1000 * (self.now - START))
+
+    def list_minion(self, name: str, cpu: int = 4000, **changes) -> None:
+        known = self.facts.get(name)
+        born = changes.pop("born_ms", known.born_ms if known else 1)
+        domain = changes.pop("domain", "caxias")
+        labels = changes.pop("labels", ("a", "r1"))
+        facts = MinionFacts(
+            name, born, "pool", f"{name}:1", domain, labels, Room(cpu, 64000), **changes
+        )
+        if known and known.born_ms != born:
+            self.running[name] = {}
+            self.ends[name] = []
+            self.end_numbers[name] = 0
+        self.facts[name] = facts
+        self.running.setdefault(name, {})
+        self.ends.setdefault(name, [])
+        self.scheduler.see_minion(facts, self.now)
+
+    def submit(self, name: str, steps: tuple[Step, ...], queue: str = "short", **more) -> None:
+        submission = Submission(name, self.queues[queue], self.unix_ms, "spec", steps, **more)
+        self.submitted.append(submission)
+        self.scheduler.submit(submission, self.now)
+
+    def look(self, *, sent_at: float | None = None) -> None:
+        """Let every answering minion report."""
+        for name, minion in list(self.scheduler.minions.items()):
+            if name in self.silent:
+                continue
+            rows = []
+            for key, run in self.running[name].items():
+                rows.append(RunReport(key, run, "", 100, self.tails.get(key)))
+            acked = minion.durable_end
+            ends = tuple(end for end in self.ends[name] if end.number > acked)
+            born = self.facts[name].born_ms
+            report = MinionReport(born, int(1000 * self.now), tuple(rows), ends)
+            sent = self.now if sent_at is None else sent_at
+            minion.extend_lease(sent, HOLD_SECONDS)
+            self.scheduler.report(minion, report, sent, self.now)
+
+    def plan(self) -> None:
+        self.scheduler.plan(self.now, self.unix_ms)
+        self.take_orders()
+        self.changes = self.scheduler.take_changes()
+
+    def commit(self) -> list[StartOrder]:
+        for job in self.changes.jobs:
+            self.stored[job.job_id] = encode_progress(job)
+        orders = self.scheduler.commit(self.changes, self.now)
+        self.sent.extend(orders)
+        return orders
+
+    def take_orders(self) -> None:
+        for order in self.scheduler.take_orders():
+            if isinstance(order, StopOrder):
+                self.stops.append(order)
+            else:
+                self.paces.append((order.run.key, order.percent))
+
+    def deliver(self, orders: list[StartOrder], outcome: StartOutcome) -> None:
+        for order in orders:
+            if outcome is StartOutcome.STARTED:
+                self.running[order.minion.minion_id][order.run.key] = order.run.run_id
+            self.scheduler.start_answered(order.run, outcome, self.now, self.now)
+
+    def turn(self, outcome: StartOutcome = StartOutcome.STARTED) -> list[StartOrder]:
+        """Look, plan, store and deliver once."""
+        self.look()
+        self.plan()
+        orders = self.commit()
+        self.deliver(orders, outcome)
+        self.now += 0.1
+        return orders
+
+    def end(self, name: str, key: TaskKey, kind: EndKind, checkpoint: str = "") -> None:
+        number = self.end_numbers.get(name, 0) + 1
+        self.end_numbers[name] = number
+        run = self.running[name].pop(key)
+        self.ends[name].append(EndReport(number, key, run, kind, checkpoint))
+
+    def place_of(self, key: TaskKey) -> str | None:
+        for name, runs in self.running.items():
+            if key in runs:
+                return name
+        return None
+
+    def take_over(self) -> None:
+        """Let a new leader load what was stored."""
+        self.scheduler = self._new_scheduler()
+        self.configure()
+        for facts in self.facts.values():
+            self.scheduler.see_minion(facts, self.now)
+        for submission in self.submitted:
+            job = Job(submission)
+            if submission.job_id in self.stored:
+                apply_progress(job, self.stored[submission.job_id])
+                self.scheduler.restore(job, self.now)
+            else:
+                self.scheduler.submit(submission, self.now)
+
+
+def schedule(count: int, first_ms: int, interval_ms: int) -> Schedule:
+    return Schedule(count, first_ms, interval_ms)
--- a/dotterelhill/platform/process.py
+++ b/dotterelhill/platform/process.py
@@ -19,7 +19,7 @@
 from dotterelhill.control.feeds import ConfigurationFeed, Follower
 from dotterelhill.control.interface import Stream
 from dotterelhill.control.leader import Leader, LeaderParts
-from dotterelhill.control.leadership import Leadership
+from dotterelhill.control.leadership import KEEPING_SECONDS, Leadership
 from dotterelhill.control.peers import PeerClient, PeerServer
 from dotterelhill.core import new_incarnation_id
 from dotterelhill.entry.logs import logger_of, start_logging
@@ -126,7 +126,10 @@
                 configuration=self._configuration,
                 leadership=self._leadership,
                 settings=SchedulerSettings(
-                    settings.hold_seconds, settings.retention_seconds, settings.harm_seconds
+                    settings.hold_seconds,
+                    KEEPING_SECONDS,
+                    settings.retention_seconds,
+                    settings.harm_seconds,
                 ),
                 clock=boot_seconds,
                 unix_ms=unix_ms,
