Take over sooner from a silent leader; store the interference estimates

A new leader also learned all pairs of images again.

Ruled out: claiming on the first unanswered call (a cut of one process would take the lead from a healthy leader).

--- a/dotterelhill/control/election.py
+++ b/dotterelhill/control/election.py
@@ -21,6 +21,8 @@
 from dotterelhill.entry.logs import logger_of
 
 CHECK_SECONDS = 0.5
+# While the leader does not answer, the stream is looked at this often.
+SUSPECT_SECONDS = 0.25
 # A process far from the store or with a slow processor waits longer, so that a nearer one leads.
 DISTANCE_FACTOR = 8.0
 LONGEST_PREFERENCE_SECONDS = 1.5
@@ -57,6 +59,8 @@
         self._suspicion = Suspicion(clock)
         self._leader: Leader | None = None
         self._leader_address = ""
+        self._leader_incarnation = ""
+        self._is_store_failing = False
         self._term: asyncio.Task[None] | None = None
         self._is_leaving = False
 
@@ -91,6 +95,7 @@
             return
         self._leadership.drop("another process has claimed")
         self._leader_address = claim.address
+        self._leader_incarnation = claim.incarnation
 
     def leave(self) -> None:
         """Claim no more; the process is about to stop."""
@@ -120,55 +125,61 @@
         while not self.should_stop:
             try:
                 await self._check_once()
+                self._set_store_failing(False, "")
             except StoreError as error:
-                _log.warning("leadership can't be read", extra={"reason": str(error)})
-            await asyncio.sleep(CHECK_SECONDS * self._random.uniform(0.8, 1.2))
+                self._set_store_failing(True, str(error))
+            seconds = SUSPECT_SECONDS if self._suspicion.is_raised else CHECK_SECONDS
+            await asyncio.sleep(seconds * self._random.uniform(0.8, 1.2))
+
+    def _set_store_failing(self, is_failing: bool, reason: str) -> None:
+        if is_failing != self._is_store_failing:
+            self._is_store_failing = is_failing
+            what = "leadership can't be read" if is_failing else "leadership is read again"
+            _log.warning(what, extra={"reason": reason})
 
     async def _check_once(self) -> None:
         if self._leadership.has_claim or self._is_leaving:
             return
-        if self._leader_address and await self._answers_as_leader(self._leader_address):
+        known = self._leader_address
+        condition = LeaderCondition.GONE
+        if known:
+            condition = await self._condition_of(known, self._leader_incarnation)
+        if known and condition is LeaderCondition.PRESENT:
             self._suspicion.clear()
             return
         started_at = self._clock()
         standing = await self._leadership.read()
         distance = self._clock() - started_at
-        condition = await self._condition_of(standing.claim)
+        claim = standing.claim
+        if claim is None or claim.is_resigned:
+            condition = LeaderCondition.GONE
+        elif (claim.address, claim.incarnation) != (known, self._leader_incarnation):
+            self._leader_address = claim.address
+            self._leader_incarnation = claim.incarnation
+            condition = await self._condition_of(claim.address, claim.incarnation)
         if not self._suspicion.may_claim(standing, condition):
             return
         preference = min(LONGEST_PREFERENCE_SECONDS, DISTANCE_FACTOR * distance)
         jitter = self._random.uniform(0, JITTER_SECONDS)
         await asyncio.sleep(preference + self._handicap_seconds + jitter)
-        if self._is_leaving:
-            return
-        _log.notice("claiming leadership", extra={"leader_is": condition.name.lower()})
-        if not await self._leadership.claim(standing):
+        if self._is_leaving or not await self._leadership.claim(standing):
             return
+        _log.notice("leader replaced", extra={"condition": condition.name.lower()})
         self._begin_term()
         own = self._leadership.own_claim
-        if own is None or standing.claim is None or condition is LeaderCondition.GONE:
+        if own is None or claim is None or condition is LeaderCondition.GONE:
             return
         try:
-            await self._peers.supersede(standing.claim.address, own)
+            await self._peers.supersede(claim.address, own)
         except PeerUnreachableError as error:
             _log.info("earlier leader was not told", extra={"reason": str(error)})
 
-    async def _answers_as_leader(self, address: str) -> bool:
+    async def _condition_of(self, address: str, incarnation: str) -> LeaderCondition:
         try:
             status = await self._peers.status(address)
-        except PeerUnreachableError:
-            return False
-        return status.has_claim and status.is_able
-
-    async def _condition_of(self, claim: Claim | None) -> LeaderCondition:
-        if claim is None or claim.is_resigned:
-            return LeaderCondition.GONE
-        self._leader_address = claim.address
-        try:
-            status = await self._peers.status(claim.address)
         except PeerUnreachableError as error:
             return LeaderCondition.REFUSED if error.is_refused else LeaderCondition.SILENT
-        if status.incarnation != claim.incarnation or not status.has_claim:
+        if status.incarnation != incarnation or not status.has_claim:
             # Another process has its address, or it has given up.
             return LeaderCondition.GONE
         return LeaderCondition.PRESENT if status.is_able else LeaderCondition.UNABLE
--- a/dotterelhill/control/leader.py
+++ b/dotterelhill/control/leader.py
@@ -34,6 +34,9 @@
 from dotterelhill.jobs.progress import apply_progress, decode_submission, encode_progress
 from dotterelhill.jobs.scheduler import Changes, Scheduler, SchedulerSettings
 
+# Key of the interference estimates beside the progress of jobs, whose ids have no such character.
+MODEL_KEY = "@interference"
+MODEL_STORE_SECONDS = 4.0
 FENCED_WRITER = "leader"
 # Changes within this time share one write; the store takes several hundred writes a second.
 WRITE_SPACING_SECONDS = 0.02
@@ -87,6 +90,7 @@
         self._sequence = 0
         self._is_loaded = False
         self._is_store_failing = False
+        self._model_stored_at = self._clock()
         self._background: set[asyncio.Task[None]] = set()
         self._watched: set[Minion] = set()
         self._submissions = Follower(
@@ -164,7 +168,9 @@
         # Submissions come before their progress, so reading them last finds each of them.
         progress = await self._retried(lambda: self._parts.store.newest(Stream.PROGRESS))
         for record in progress.records:
-            if record.value is not None:
+            if record.key == MODEL_KEY and record.value is not None:
+                self._load_model(record.value)
+            elif record.value is not None:
                 self._stored_progress[record.key] = record.value
         await self._retried(self._minion_list.step)
         await self._retried(self._submissions.step)
@@ -173,6 +179,12 @@
             _log.warning("progress without a submission", extra={"jobs": orphans})
         self._stored_progress.clear()
 
+    def _load_model(self, data: bytes) -> None:
+        try:
+            self._scheduler.sharing.model.load_record(data, self._clock())
+        except msgspec.MsgspecError as error:
+            _log.warning("stored estimates can't be read", extra={"reason": str(error)})
+
     async def _retried(self, call: Callable[[], Coroutine[Any, Any, Any]]) -> Any:
         while True:
             try:
@@ -263,6 +275,9 @@
     async def _store(self, changes: Changes) -> None:
         records = [Record(job.job_id, encode_progress(job)) for job in changes.jobs]
         records += [Record(job_id, None) for job_id in changes.removed]
+        if records and self._clock() - self._model_stored_at > MODEL_STORE_SECONDS:
+            self._model_stored_at = self._clock()
+            records.append(Record(MODEL_KEY, self._scheduler.sharing.model.to_record()))
         if records:
             await self._append(records)
         if changes.removed:
--- a/dotterelhill/control/leadership.py
+++ b/dotterelhill/control/leadership.py
@@ -218,11 +218,12 @@
     GONE = auto()
 
 
-# Time without a renewal after which others claim. A silent leader's lease has to end, with the
-# delay of a slow store; one that is refused has missed two renewals; one that is unable has asked.
+# Time without a renewal after which others claim. A leader that answers nobody has missed three
+# renewals by then, also when the store is slow; one that is refused has missed two; one that is
+# unable has asked for it.
 CLAIM_PATIENCE_SECONDS = {
     LeaderCondition.UNABLE: 0.4,
-    LeaderCondition.SILENT: 2.5,
+    LeaderCondition.SILENT: 1.5,
     LeaderCondition.REFUSED: 1.2,
     LeaderCondition.GONE: 0.0,
 }
@@ -239,6 +240,11 @@
         self._end: int | None = None
         self._since = 0.0
 
+    @property
+    def is_raised(self) -> bool:
+        """Return whether the stream is being watched for growth."""
+        return self._end is not None
+
     def clear(self) -> None:
         """Note that the leader answers."""
         self._end = None
--- a/dotterelhill/control/peers.py
+++ b/dotterelhill/control/peers.py
@@ -22,7 +22,7 @@
 SUPERSEDED_PATH = "/leader/superseded"
 SUBMISSIONS_PATH = "/leader/submissions"
 # Two regions are 40 ms apart there and back; a peer that needs longer is in trouble.
-PEER_TIMEOUT_SECONDS = 0.8
+PEER_TIMEOUT_SECONDS = 0.5
 
 _log = logger_of("peers")
 
--- a/dotterelhill/jobs/headroom.py
+++ b/dotterelhill/jobs/headroom.py
@@ -19,6 +19,8 @@
 from dataclasses import dataclass, field
 from math import sqrt
 
+import msgspec
+
 from dotterelhill.jobs.model import TaskKey
 
 # Own headroom before the first report: a task at half load whose target is five times its tail
@@ -59,6 +61,14 @@
     trough: float = FIRST_TROUGH
 
 
+class _Stored(msgspec.Struct, frozen=True):
+    effects: list[tuple[str, str, float, float]]
+    troughs: dict[str, float]
+
+
+_STORED_DECODER = msgspec.msgpack.Decoder(_Stored)
+
+
 @dataclass(slots=True)
 class HeadroomModel:
     """Estimates for all serving tasks and pairs of images."""
@@ -127,6 +137,23 @@
         """Drop a serving task that has ended."""
         self.own.pop(key, None)
 
+    def to_record(self) -> bytes:
+        """Return the effects and troughs for a later leader; own headrooms are out of date soon."""
+        effects = [(*pair, value.mean, value.variance) for pair, value in self.effects.items()]
+        troughs = {name: image.trough for name, image in self.images.items()}
+        return msgspec.msgpack.encode(_Stored(effects, troughs))
+
+    def load_record(self, data: bytes, now: float) -> None:
+        """Take over what an earlier leader has learned.
+
+        :raises msgspec.ValidationError: when the record is not one of a model
+        """
+        stored = _STORED_DECODER.decode(data)
+        for serving, filler, mean, variance in stored.effects:
+            self.effects[serving, filler] = Estimate(mean, variance, now)
+        for name, trough in stored.troughs.items():
+            self.images[name] = _Image(trough)
+
     def _pair(self, image: str, filler: str, now: float) -> Estimate:
         estimate = self.effects.get((image, filler))
         if estimate is None:
