--- /dev/null
+++ b/dotterelhill/control/tests/cluster.feature
@@ -0,0 +1,103 @@
+Feature: processes lead the fleet one after the other and lose no job
+
+  Background:
+    Given processes "a b c" that have run for 3 seconds
+
+  Scenario: several processes lead at once, or none does
+    Then one process leads
+
+  @own-answer
+  Scenario: a job is known only where it was submitted
+    When job "j" of 2 tasks is submitted at a process that does not lead
+    And 3 seconds pass
+    Then every process shows job "j" as "completed"
+    And 2 starts were carried out
+
+  @single-place
+  Scenario: a leader that dies leaves its jobs waiting, or running twice
+    When job "j" of 4 tasks of 3 seconds is submitted at a process that does not lead
+    And 1 seconds pass
+    And the leader is killed
+    And 3 seconds pass
+    Then one process leads
+    When 4 seconds pass
+    Then every process shows job "j" as "completed"
+    And 4 starts were carried out
+
+  Scenario: a leader that the store turns away keeps the lead
+    When the store turns the leader away
+    And 3.5 seconds pass
+    Then another process leads
+    When job "j" of 2 tasks is submitted at a process that does not lead
+    And 3 seconds pass
+    Then every reachable process shows job "j" as "completed"
+
+  Scenario: tasks lapse while the store is away for all
+    When job "j" of 2 tasks of 12 seconds is submitted at a process that does not lead
+    And 1 seconds pass
+    And the store is away for 8 seconds
+    And 8 seconds pass
+    Then every process shows job "j" as "completed"
+    And 2 starts were carried out
+    And no task lapsed
+
+  @single-place
+  Scenario: a leader that wakes after another took over goes on ordering
+    When job "j" of 2 tasks of 3 seconds is submitted at a process that does not lead
+    And 1 seconds pass
+    And the leader is cut off from everything
+    And 5 seconds pass
+    Then another process leads
+    When the former leader is reachable again
+    And 3 seconds pass
+    Then one process leads
+    And 2 starts were carried out
+
+  @at-most-once
+  Scenario: a submission whose answer was lost is refused or becomes two jobs
+    When the store loses 3 answers to a process that does not lead
+    And job "j" of 2 tasks is submitted there
+    And 3 seconds pass
+    Then every process shows job "j" as "completed"
+    And 2 starts were carried out
+
+  @at-most-once
+  Scenario: a write of the leader whose answer was lost is made twice or skipped
+    When the store loses 2 answers to the leader
+    And job "j" of 2 tasks is submitted at a process that does not lead
+    And 4 seconds pass
+    Then every process shows job "j" as "completed"
+    And 2 starts were carried out
+
+  Scenario: a process that the store turns away refuses what its leader could store
+    When the store turns away a process that does not lead
+    And job "j" of 2 tasks is submitted there
+    And 3 seconds pass
+    Then every process shows job "j" as "completed"
+
+  @not-run
+  Scenario: a job is refused and runs all the same
+    When the store is away for all
+    Then a submission of job "j" is refused as not stored
+    When the store is back
+    And 4 seconds pass
+    Then 0 starts were carried out
+
+  @resume-once
+  Scenario: an accepted job is lost when all processes are killed
+    When job "j" of 2 tasks of 2 seconds is submitted at a process that does not lead
+    And all processes are killed
+    And processes "a b c" start
+    And 7 seconds pass
+    Then every process shows job "j" as "completed"
+    And 2 starts were carried out
+
+  Scenario: submissions are missed when the store drops its history
+    When the store drops the history of submissions unread
+    And 4 seconds pass
+    Then every process shows job "late" as "completed"
+
+  Scenario: a leader that stops lets others wait for its lease
+    When the leader resigns
+    And 1 seconds pass
+    Then another process leads
--- /dev/null
+++ b/dotterelhill/control/tests/cluster_world.py
@@ -0,0 +1,370 @@
+from __future__ import annotations
+
+import asyncio
+import random
+from dataclasses import dataclass, field
+
+import looptime
+
+from dotterelhill.control.desk import JobDesk
+from dotterelhill.control.election import Election
+from dotterelhill.control.feeds import ConfigurationFeed
+from dotterelhill.control.interface import (
+    Batch,
+    FencedByMinionError,
+    HistoryDroppedError,
+    MinionError,
+    Record,
+    StoreConflictError,
+    StoreError,
+    StoreFencedError,
+    StoreSequenceError,
+    Stream,
+)
+from dotterelhill.control.leader import Leader, LeaderParts
+from dotterelhill.control.leadership import KEEPING_SECONDS, Leadership
+from dotterelhill.control.peers import PeerStatus, PeerUnreachableError
+from dotterelhill.jobs.fleet import EndKind, EndReport, MinionFacts, MinionReport, RunReport
+from dotterelhill.jobs.model import Room, Step, Submission
+from dotterelhill.jobs.orders import StartOutcome
+from dotterelhill.jobs.queues import FleetConfig, Queue
+from dotterelhill.jobs.scheduler import SchedulerSettings
+
+HOLD_SECONDS = 6.0
+CALL_SECONDS = 0.005
+QUEUE = Queue("q", "h", "/q/", "pool", 0, 3, 2.0, 1.0)
+
+
+class MemoryStore:
+    """Streams in memory with the conditions of the store."""
+
+    def __init__(self) -> None:
+        self.streams: dict[Stream, list[Record]] = {stream: [] for stream in Stream}
+        self.first: dict[Stream, int] = {stream: 0 for stream in Stream}
+        self.fences: dict[tuple[Stream, str], tuple[int, int]] = {}
+        self.answers: dict[tuple[Stream, str, int, int], int] = {}
+
+    def append(self, stream, records, at, fence) -> int:
+        content = self.streams[stream]
+        if at is not None and at != len(content):
+            raise StoreConflictError("grown")
+        if fence is not None:
+            key = (stream, fence.writer)
+            epoch, following = self.fences.get(key, (0, 0))
+            if fence.epoch < epoch:
+                raise StoreFencedError("fenced")
+            place = (stream, fence.writer, fence.epoch, fence.sequence)
+            if records and place in self.answers:
+                return self.answers[place]
+            if fence.epoch == epoch and fence.sequence != following:
+                raise StoreSequenceError(following)
+            self.fences[key] = (fence.epoch, fence.sequence + (1 if records else 0))
+            if records:
+                self.answers[place] = len(content) + len(records)
+        content.extend(records)
+        return len(content)
+
+    def newest(self, stream) -> Batch:
+        kept: dict[str, Record] = {}
+        for record in self.streams[stream]:
+            kept[record.key] = record
+        alive = tuple(record for record in kept.values() if record.value is not None)
+        return Batch(alive, len(self.streams[stream]))
+
+    def read(self, stream, start) -> Batch:
+        if start < self.first[stream]:
+            raise HistoryDroppedError("dropped")
+        content = self.streams[stream]
+        return Batch(tuple(content[start:]), len(content))
+
+
+class StoreView:
+    """The store as one process reaches it."""
+
+    def __init__(self, store: MemoryStore) -> None:
+        self._store = store
+        self.is_down = False
+        self.lost_answers = 0
+
+    async def _reach(self) -> None:
+        await asyncio.sleep(CALL_SECONDS)
+        if self.is_down:
+            raise StoreError("status 503")
+
+    async def append(self, stream, records, *, at=None, fence=None) -> int:
+        await self._reach()
+        end = self._store.append(stream, records, at, fence)
+        if self.lost_answers:
+            self.lost_answers -= 1
+            raise StoreError("no answer", is_effect_unknown=True)
+        return end
+
+    async def newest(self, stream) -> Batch:
+        await self._reach()
+        return self._store.newest(stream)
+
+    async def read(self, stream, start, wait_seconds) -> Batch:
+        await self._reach()
+        waited = 0.0
+        while True:
+            batch = self._store.read(stream, start)
+            if batch.records or waited >= wait_seconds:
+                return batch
+            await asyncio.sleep(0.02)
+            waited += 0.02
+
+
+@dataclass
+class FakeMinion:
+    """A minion that runs tasks for a second of loop time."""
+
+    name: str
+    run_seconds: float = 1.0
+    fence: int = 0
+    lease_until: float = 0.0
+    running: dict = field(default_factory=dict)
+    ended: list = field(default_factory=list)
+    count: int = 0
+    starts: list = field(default_factory=list)
+    lapses: int = 0
+
+    def advance(self, now: float) -> None:
+        for key, (run_id, ends_at) in list(self.running.items()):
+            kind = None
+            if now > self.lease_until:
+                kind = EndKind.LAPSED
+                self.lapses += 1
+            elif now >= ends_at:
+                kind = EndKind.DONE
+            if kind is not None:
+                self.count += 1
+                self.ended.append(EndReport(self.count, key, run_id, kind, ""))
+                del self.running[key]
+
+    def check_fence(self, epoch: int) -> None:
+        if epoch < self.fence:
+            raise FencedByMinionError("fence")
+        self.fence = epoch
+
+
+class FakeMinions:
+    """Calls of one process to all minions."""
+
+    def __init__(self, cluster: Cluster) -> None:
+        self._cluster = cluster
+        self.is_cut = False
+
+    async def _reach(self, name: str, epoch: int) -> FakeMinion:
+        await asyncio.sleep(CALL_SECONDS)
+        if self.is_cut:
+            raise MinionError("cut")
+        minion = self._cluster.minions[name]
+        minion.advance(self._cluster.loop.time())
+        minion.check_fence(epoch)
+        return minion
+
+    async def start(self, order, epoch, deadline_ms):
+        try:
+            minion = await self._reach(order.minion.minion_id, epoch)
+        except FencedByMinionError:
+            raise
+        except MinionError:
+            return StartOutcome.UNKNOWN, None
+        now = self._cluster.loop.time()
+        minion.lease_until = max(minion.lease_until, deadline_ms / 1000)
+        minion.running[order.run.key] = (order.run.run_id, now + minion.run_seconds)
+        minion.starts.append((now, order.run.key, order.run.run_id))
+        return StartOutcome.STARTED, int(1000 * now)
+
+    async def stop(self, order, epoch):
+        minion = await self._reach(order.minion.minion_id, epoch)
+        run = minion.running.pop(order.key, None)
+        if run is not None:
+            minion.count += 1
+            minion.ended.append(EndReport(minion.count, order.key, run[0], EndKind.STOPPED, ""))
+
+    async def set_pace(self, order, epoch):
+        await self._reach(order.minion.minion_id, epoch)
+
+    async def renew(self, minion, epoch, deadline_ms, wait_seconds):
+        fake = await self._reach(minion.minion_id, epoch)
+        if deadline_ms is not None:
+            fake.lease_until = max(fake.lease_until, deadline_ms / 1000)
+        await asyncio.sleep(min(0.1, wait_seconds))
+        now = self._cluster.loop.time()
+        fake.advance(now)
+        fake.ended = [end for end in fake.ended if end.number > minion.durable_end]
+        running = tuple(
+            RunReport(key, run_id, "", 50, None) for key, (run_id, _) in fake.running.items()
+        )
+        return MinionReport(1, int(1000 * now), running, tuple(fake.ended))
+
+
+class FakePeers:
+    """Calls of one process to the others."""
+
+    def __init__(self, cluster: Cluster) -> None:
+        self._cluster = cluster
+
+    async def _reach(self, address: str) -> Process:
+        await asyncio.sleep(CALL_SECONDS)
+        process = self._cluster.processes.get(address)
+        if process is None or not process.is_running:
+            raise PeerUnreachableError("refused", is_refused=True, is_effect_unknown=False)
+        return process
+
+    async def status(self, address):
+        election = (await self._reach(address)).election
+        return PeerStatus(election.incarnation, election.has_claim, election.is_able)
+
+    async def supersede(self, address, claim):
+        (await self._reach(address)).election.superseded(claim)
+
+    async def state_of(self, address, job_id):
+        leader = (await self._reach(address)).election.leader
+        if leader is None:
+            raise PeerUnreachableError("not leading")
+        return leader.state_of(job_id)
+
+    async def waiting_by_queue(self, address):
+        leader = (await self._reach(address)).election.leader
+        if leader is None:
+            raise PeerUnreachableError("not leading")
+        return leader.waiting_by_queue()
+
+    async def store_submission(self, address, record):
+        process = await self._reach(address)
+        try:
+            await process.store.append(Stream.SUBMISSIONS, [record])
+        except StoreError as error:
+            unknown = error.is_effect_unknown
+            raise PeerUnreachableError(str(error), is_effect_unknown=unknown) from error
+
+
+class Decoder:
+    """Minions of the test; the configuration is set directly."""
+
+    def operator_record(self, record):
+        return None
+
+    def minion_record(self, record):
+        room = Room(8000, 64000)
+        return MinionFacts(record.key, 1, "pool", record.key, "caxias", ("a", "r1"), room)
+
+
+class Process:
+    """One process of the system without its sockets."""
+
+    def __init__(self, cluster: Cluster, name: str, number: int) -> None:
+        self.name = name
+        self.is_running = True
+        self.store = StoreView(cluster.store)
+        self.minions = FakeMinions(cluster)
+        incarnation = f"{name}/{number}"
+        clock = cluster.loop.time
+        rng = random.Random(number)
+        self.leadership = Leadership(self.store, incarnation, name, clock)
+        configuration = ConfigurationFeed(Decoder(), lambda: None)
+        configuration._config = FleetConfig(1, {"q": QUEUE})
+
+        def new_leader() -> Leader:
+            return Leader(
+                LeaderParts(
+                    self.store,
+                    self.minions,
+                    Decoder(),
+                    configuration,
+                    self.leadership,
+                    SchedulerSettings(HOLD_SECONDS, KEEPING_SECONDS, 120.0, 4.0),
+                    clock,
+                    lambda: int(1000 * clock()),
+                    rng,
+                )
+            )
+
+        peers = FakePeers(cluster)
+        self.election = Election(self.leadership, incarnation, peers, new_leader, clock, rng)
+        self.desk = JobDesk(self.store, self.election, peers, clock, rng)
+
+
+class Cluster:
+    """Some processes, a store and minions on one paused clock."""
+
+    def __init__(self, names: list[str]) -> None:
+        self.loop = looptime.new_event_loop()
+        self.store = MemoryStore()
+        self.minions = {name: FakeMinion(name) for name in ("m1", "m2")}
+        for name in self.minions:
+            self.store.streams[Stream.MINIONS].append(Record(name, b"1"))
+        self.processes: dict[str, Process] = {}
+        self.number = 0
+        for name in names:
+            self.start(name)
+
+    def run(self, awaitable):
+        return self.loop.run_until_complete(awaitable)
+
+    def advance(self, seconds: float) -> None:
+        self.run(asyncio.sleep(seconds))
+
+    def start(self, name: str) -> None:
+        self.number += 1
+        number = self.number
+
+        async def begin() -> None:
+            process = Process(self, name, number)
+            self.processes[name] = process
+            await process.election.start()
+
+        self.run(begin())
+
+    def kill(self, name: str) -> None:
+        process = self.processes[name]
+        process.is_running = False
+        # Nothing of a killed process acts any more, and nothing is told to others.
+        process.leadership.drop("killed")
+        process.store.is_down = True
+        process.minions.is_cut = True
+
+        async def end() -> None:
+            election = process.election
+            if election._term is not None:
+                election._term.cancel()
+            await election.stop()
+
+        self.run(end())
+
+    @property
+    def leaders(self) -> list[str]:
+        found = []
+        for name, process in self.processes.items():
+            if process.is_running and process.election.leader is not None:
+                found.append(name)
+        return found
+
+    @property
+    def starts(self) -> list:
+        found = []
+        for minion in self.minions.values():
+            found.extend(minion.starts)
+        return sorted(found)
+
+    def submit(self, name: str, job_id: str, count: int) -> None:
+        step = Step(count, Room(1000, 100), 1.0)
+        now_ms = int(1000 * self.loop.time())
+        submission = Submission(job_id, QUEUE, now_ms, "spec", (step,))
+        self.run(self.processes[name].desk.submit(submission, 3.0))
+
+    def close(self) -> None:
+        for name, process in list(self.processes.items()):
+            if process.is_running:
+                self.kill(name)
+
+        async def finish() -> None:
+            pending = asyncio.all_tasks() - {asyncio.current_task()}
+            for task in pending:
+                task.cancel()
+            await asyncio.gather(*pending, return_exceptions=True)
+
+        self.run(finish())
+        self.loop.close()
--- /dev/null
+++ b/dotterelhill/control/tests/steps/cluster_steps.py
@@ -0,0 +1,172 @@
+from __future__ import annotations
+
+from behave import given, then, use_step_matcher, when
+
+from dotterelhill.control.desk import NotStoredError
+from dotterelhill.control.interface import Record, Stream
+from dotterelhill.control.tests.cluster_world import QUEUE, Cluster
+from dotterelhill.jobs.model import Room, Step, Submission
+from dotterelhill.jobs.progress import encode_submission
+
+use_step_matcher("re")
+
+
+@given(r'processes "(?P<names>[^"]*)" that have run for (?P<seconds>\d+) seconds')
+def new_cluster(context, names, seconds):
+    context.cluster = Cluster(names.split())
+    context.cluster.advance(int(seconds))
+    context.first_leader = context.cluster.leaders[0]
+
+
+@when(r'processes "(?P<names>[^"]*)" start')
+def start_processes(context, names):
+    for name in names.split():
+        context.cluster.start(name)
+
+
+def follower(context):
+    for name, process in context.cluster.processes.items():
+        if process.is_running and process.election.leader is None:
+            return name
+    raise AssertionError("every process leads")
+
+
+@when(
+    r'job "(?P<job>\w+)" of (?P<count>\d+) tasks(?: of (?P<seconds>\d+) seconds)? is submitted '
+    r"at a process that does not lead"
+)
+def submit(context, job, count, seconds):
+    for minion in context.cluster.minions.values():
+        minion.run_seconds = float(seconds or 1)
+    context.cluster.submit(follower(context), job, int(count))
+
+
+@when(r'job "(?P<job>\w+)" of (?P<count>\d+) tasks is submitted there')
+def submit_there(context, job, count):
+    context.cluster.submit(context.chosen, job, int(count))
+
+
+@when(r"(?P<seconds>[\d.]+) seconds pass")
+def pass_time(context, seconds):
+    context.cluster.advance(float(seconds))
+
+
+@when(r"the leader is killed")
+def kill_leader(context):
+    context.cluster.kill(context.cluster.leaders[0])
+
+
+@when(r"all processes are killed")
+def kill_all(context):
+    for name in list(context.cluster.processes):
+        context.cluster.kill(name)
+
+
+@when(r"the store turns the leader away")
+def turn_leader_away(context):
+    context.cluster.processes[context.first_leader].store.is_down = True
+
+
+@when(r"the store turns away a process that does not lead")
+def turn_follower_away(context):
+    context.chosen = follower(context)
+    context.cluster.processes[context.chosen].store.is_down = True
+
+
+def set_store_down(context, is_down):
+    for process in context.cluster.processes.values():
+        process.store.is_down = is_down
+
+
+@when(r"the store is away for all")
+def store_away(context):
+    set_store_down(context, True)
+
+
+@when(r"the store is back")
+def store_back(context):
+    set_store_down(context, False)
+
+
+@when(r"the store is away for (?P<seconds>\d+) seconds")
+def store_away_for(context, seconds):
+    set_store_down(context, True)
+    context.cluster.advance(int(seconds))
+    set_store_down(context, False)
+
+
+@when(r"the leader is cut off from everything")
+def cut_leader(context):
+    process = context.cluster.processes[context.first_leader]
+    process.store.is_down = process.minions.is_cut = True
+    process.is_running = False
+
+
+@when(r"the former leader is reachable again")
+def heal_leader(context):
+    process = context.cluster.processes[context.first_leader]
+    process.store.is_down = process.minions.is_cut = False
+    process.is_running = True
+
+
+@when(r"the store loses (?P<count>\d+) answers to a process that does not lead")
+def lose_answers(context, count):
+    context.chosen = follower(context)
+    context.cluster.processes[context.chosen].store.lost_answers = int(count)
+
+
+@when(r"the store loses (?P<count>\d+) answers to the leader")
+def lose_leader_answers(context, count):
+    context.cluster.processes[context.first_leader].store.lost_answers = int(count)
+
+
+@when(r"the store drops the history of submissions unread")
+def drop_history(context):
+    store = context.cluster.store
+    submission = Submission("late", QUEUE, 0, "spec", (Step(1, Room(1000, 100), 1.0),))
+    store.streams[Stream.SUBMISSIONS].append(Record("late", encode_submission(submission)))
+    store.first[Stream.SUBMISSIONS] = len(store.streams[Stream.SUBMISSIONS])
+
+
+@when(r"the leader resigns")
+def resign(context):
+    leader = context.cluster.processes[context.first_leader]
+    context.cluster.run(leader.election.resign())
+
+
+@then(r"one process leads")
+def one_leads(context):
+    assert len(context.cluster.leaders) == 1, context.cluster.leaders
+
+
+@then(r"another process leads")
+def another_leads(context):
+    leaders = context.cluster.leaders
+    assert len(leaders) == 1 and leaders[0] != context.first_leader, leaders
+
+
+@then(r'every (?:reachable )?process shows job "(?P<job>\w+)" as "(?P<state>\w+)"')
+def all_show(context, job, state):
+    for name, process in context.cluster.processes.items():
+        if process.is_running:
+            shown = context.cluster.run(process.desk.state_of(job))
+            assert shown == state, (name, shown)
+
+
+@then(r"(?P<count>\d+) starts were carried out")
+def starts(context, count):
+    assert len(context.cluster.starts) == int(count), context.cluster.starts
+
+
+@then(r"no task lapsed")
+def none_lapsed(context):
+    assert not any(minion.lapses for minion in context.cluster.minions.values())
+
+
+@then(r'a submission of job "(?P<job>\w+)" is refused as not stored')
+def refused(context, job):
+    try:
+        context.cluster.submit(follower(context), job, 1)
+    except NotStoredError:
+        return
+    raise AssertionError("the submission was accepted")
--- a/dotterelhill/jobs/tests/scheduler.feature
+++ b/dotterelhill/jobs/tests/scheduler.feature
@@ -210,3 +210,15 @@
     When minion "m1" reports a run of an unknown job
     And 1 turns pass
     Then a stop of run 1 was sent
+
+  Scenario: members of a gang start again while another member still runs
+    Given job "b" of a gang of 4 tasks of 2 processors
+    When 1 turns pass
+    And one task of job "b" ends as "failed"
+    And 2 turns pass
+    Then 4 starts were sent in all
+    When all tasks on "m1" end as "broken"
+    And all tasks on "m2" end as "broken"
+    And 2 turns pass
+    Then 4 starts were sent in all
+    And all starts were of job "b" with run 2
