Let the lease of a silent minion come to an end

Ruled out: placement; no start of those tasks was planned at all after the crash.

Before: the new scenario failed.

--- a/dotterelhill/control/leader.py
+++ b/dotterelhill/control/leader.py
@@ -404,7 +404,10 @@
                 await asyncio.sleep(TICK_SECONDS)
                 continue
             sent_at = self._clock()
-            deadline_ms = minion.lease_deadline_ms(sent_at, hold_seconds)
+            deadline_ms = None
+            if minion.is_answering:
+                # A silent minion's lease must come to an end, or its tasks would wait for good.
+                deadline_ms = minion.lease_deadline_ms(sent_at, hold_seconds)
             wait_seconds = self._scheduler.look_wait_seconds(minion)
             if deadline_ms is not None:
                 minion.extend_lease(sent_at, hold_seconds)
--- a/dotterelhill/control/tests/cluster.feature
+++ b/dotterelhill/control/tests/cluster.feature
@@ -101,3 +101,10 @@
     When the leader resigns
     And 1 seconds pass
     Then another process leads
+
+  Scenario: each unanswered look extends the lease of a minion that is gone
+    When job "j" of 2 tasks of 2 seconds is submitted at a process that does not lead
+    And 1 seconds pass
+    And a minion with tasks of job "j" is gone
+    And 11 seconds pass
+    Then every process shows job "j" as "completed"
--- a/dotterelhill/control/tests/cluster_world.py
+++ b/dotterelhill/control/tests/cluster_world.py
@@ -127,6 +127,7 @@
     count: int = 0
     starts: list = field(default_factory=list)
     lapses: int = 0
+    is_dead: bool = False
 
     def advance(self, now: float) -> None:
         for key, (run_id, ends_at) in list(self.running.items()):
@@ -156,9 +157,9 @@
 
     async def _reach(self, name: str, epoch: int) -> FakeMinion:
         await asyncio.sleep(CALL_SECONDS)
-        if self.is_cut:
-            raise MinionError("cut")
         minion = self._cluster.minions[name]
+        if self.is_cut or minion.is_dead:
+            raise MinionError("no answer")
         minion.advance(self._cluster.loop.time())
         minion.check_fence(epoch)
         return minion
--- a/dotterelhill/control/tests/steps/cluster_steps.py
+++ b/dotterelhill/control/tests/steps/cluster_steps.py
@@ -170,3 +170,12 @@
     except NotStoredError:
         return
     raise AssertionError("the submission was accepted")
+
+
+@when(r'a minion with tasks of job "(?P<job>\w+)" is gone')
+def minion_gone(context, job):
+    for minion in context.cluster.minions.values():
+        if any(key.job_id == job for key in minion.running):
+            minion.is_dead = True
+            return
+    raise AssertionError("no minion has tasks of the job")
