--- a/dotterelhill/control/leader.py
+++ b/dotterelhill/control/leader.py
@@ -28,6 +28,7 @@
 from dotterelhill.control.leadership import Leadership
 from dotterelhill.control.submissions import cancelled_job_of, is_cancellation
 from dotterelhill.entry.logs import logger_of
+from dotterelhill.entry.metrics import Metrics
 from dotterelhill.jobs.fleet import Minion
 from dotterelhill.jobs.model import Job, JobState, Submission
 from dotterelhill.jobs.orders import Order, PaceOrder, StartOrder, StartOutcome, StopOrder
@@ -73,6 +74,7 @@
     clock: Callable[[], float]
     unix_ms: Callable[[], int]
     random: Random
+    metrics: Metrics
 
 
 class Leader:
@@ -135,6 +137,14 @@
             raise NotReadyError("not leading")
         return self._scheduler.waiting_by_queue()
 
+    def gauges(self) -> dict[str, float]:
+        """Return the sizes of the fleet for the metrics."""
+        return {
+            "jobs.known": len(self._scheduler.jobs),
+            "jobs.waiting_tasks": self._scheduler.waiting_tasks,
+            "jobs.minions": len(self._scheduler.minions),
+        }
+
     def configuration_changed(self) -> None:
         """Take over the newest configuration."""
         self._scheduler.configure(self._parts.configuration.config)
@@ -366,6 +376,8 @@
                 "waited_ms": round(1000 * (now - run.planned_at)),
             },
         )
+        self._parts.metrics.count("jobs.starts", label=str(outcome))
+        self._parts.metrics.observe("jobs.start_wait_seconds", now - run.planned_at)
         self._scheduler.start_answered(run, outcome, sent_at, now)
         if outcome is not StartOutcome.STARTED:
             self._wake.set()
@@ -424,9 +436,11 @@
                 await asyncio.sleep(LOOK_RETRY_SECONDS[1])
                 continue
             except MinionError as error:
+                self._parts.metrics.count("jobs.looks", label="unanswered")
                 self._scheduler.unanswered(minion, str(error), self._clock())
                 await asyncio.sleep(self._parts.random.uniform(*LOOK_RETRY_SECONDS))
                 continue
+            self._parts.metrics.count("jobs.looks", label="answered")
             self._scheduler.report(minion, report, sent_at, self._clock())
             self._send_orders()
             self._wake.set()
@@ -434,6 +448,7 @@
 
     def _log_decisions(self) -> None:
         for decision in self._scheduler.take_decisions():
+            self._parts.metrics.count("jobs.decisions", label=decision.kind)
             extra: dict[str, object] = dict(decision.fields)
             if decision.job_id:
                 extra["job"] = decision.job_id
--- a/dotterelhill/control/tests/cluster_world.py
+++ b/dotterelhill/control/tests/cluster_world.py
@@ -24,6 +24,7 @@
 from dotterelhill.control.leader import Leader, LeaderParts
 from dotterelhill.control.leadership import KEEPING_SECONDS, Leadership
 from dotterelhill.control.peers import PeerStatus, PeerUnreachableError
+from dotterelhill.entry.metrics import LocalMetrics
 from dotterelhill.jobs.fleet import EndKind, EndReport, MinionFacts, MinionReport, RunReport
 from dotterelhill.jobs.model import Room, Step, Submission
 from dotterelhill.jobs.orders import StartOutcome
@@ -280,6 +281,7 @@
                     clock,
                     lambda: int(1000 * clock()),
                     rng,
+                    LocalMetrics(),
                 )
             )
 
--- a/dotterelhill/entry/metrics.py
+++ b/dotterelhill/entry/metrics.py
@@ -94,6 +94,16 @@
     Metric("tasks.stops", _C, "messages", "stops sent to workers"),
     Metric("tasks.evictions", _C, "tasks", "tasks stopped before their end"),
     Metric("tasks.records_not_taken", _C, "records", "records decided anew after a refusal"),
+    Metric("clients.requests", _C, "requests", "requests of clients answered", "method and status"),
+    Metric("clients.seconds", _Q, "seconds", "from the head to the answer", "method"),
+    Metric("jobs.starts", _C, "orders", "start orders by what became of them", "outcome"),
+    Metric("jobs.start_wait_seconds", _Q, "seconds", "from the plan to the answer of a start"),
+    Metric("jobs.decisions", _C, "decisions", "decisions of the scheduler", "decision"),
+    Metric("jobs.looks", _C, "calls", "looks at minions by what became of them", "result"),
+    Metric("jobs.known", _G, "jobs", "jobs that the leader knows"),
+    Metric("jobs.waiting_tasks", _G, "tasks", "tasks that could start"),
+    Metric("jobs.minions", _G, "minions", "minions that the leader knows"),
+    Metric("jobs.is_leading", _G, "0 or 1", "whether this process leads the fleet"),
     Metric("trace.events", _C, "events", "events written to a trace", "slice"),
     Metric("trace.dropped", _C, "events", "events after the trace had stopped", "slice"),
     Metric("process.ready", _G, "0 or 1", "whether /readyz answers 200"),
@@ -177,6 +187,15 @@
     return {_quantile_name(q): sketch.get_quantile_value(q) or 0.0 for q in QUANTILES}
 
 
+def _text_name(key: str) -> str:
+    """Return a name that metrics collectors accept.
+
+    >>> _text_name("jobs.starts.no room")
+    'dotterelhill_jobs_starts_no_room'
+    """
+    return PREFIX + "_" + "".join(char if char.isalnum() else "_" for char in key)
+
+
 class LocalMetrics:
     """Values of all metrics in memory; flushed to statsd when a client is given.
 
@@ -254,6 +273,22 @@
         distribution.total.add(value)
         distribution.window.add(value)
 
+    def to_text(self) -> str:
+        """Return all values in the text format that metrics collectors read."""
+        state = self.state
+        lines = []
+        for key, count in sorted(state.counters.items()):
+            lines.append(f"{_text_name(key)}_total {count}")
+        for key, value in sorted(state.gauges.items()):
+            lines.append(f"{_text_name(key)} {value:g}")
+        for key, item in sorted(state.distributions.items()):
+            name = _text_name(key)
+            for quantile, value in item.quantiles.items():
+                lines.append(f'{name}{{quantile="{quantile}"}} {value:g}')
+            lines.append(f"{name}_sum {item.mean * item.count:g}")
+            lines.append(f"{name}_count {item.count}")
+        return "\n".join(lines) + "\n"
+
     def flush(self) -> None:
         """Send what changed since the last flush to the statsd server."""
         self._read_sources()
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -97,6 +97,11 @@
     job_id: str
     fields: Mapping[str, object]
 
+    @property
+    def kind(self) -> str:
+        """Return the decision without its reason."""
+        return self.what.partition(":")[0]
+
 
 class Scheduler:
     """All jobs and minions of the fleet, as their one holder sees them.
@@ -139,6 +144,11 @@
         """Return the estimates of interference."""
         return self._sharing
 
+    @property
+    def waiting_tasks(self) -> int:
+        """Return the number of tasks that could start."""
+        return self._placement.waiting_tasks
+
     # Jobs
 
     def submit(self, submission: Submission, now: float) -> None:
--- a/dotterelhill/platform/ingress.py
+++ b/dotterelhill/platform/ingress.py
@@ -6,6 +6,7 @@
 import string
 import time
 from collections.abc import Callable
+from dataclasses import dataclass, field
 
 import mode
 import msgspec
@@ -14,6 +15,7 @@
 from dotterelhill.control.desk import JobDesk, NotStoredError, OutcomeUnknownError
 from dotterelhill.control.leader import NotReadyError
 from dotterelhill.entry.logs import logger_of
+from dotterelhill.entry.metrics import Metrics
 from dotterelhill.jobs.model import JobState, Room, Schedule, Step, Submission
 from dotterelhill.jobs.queues import FleetConfig, Queue
 from dotterelhill.platform.settings import Address
@@ -127,6 +129,30 @@
     )
 
 
+@dataclass(frozen=True, slots=True)
+class _Reply:
+    """Answer to a client.
+
+    :param reason: why there is no success; empty otherwise
+    :param is_retry_wanted: whether the client may come back soon
+    """
+
+    status: int
+    reason: str = ""
+    body: dict[str, object] = field(default_factory=dict)
+    is_retry_wanted: bool = False
+
+    def response(self) -> web.Response:
+        """Return the answer as it is sent."""
+        body = {"error": self.reason} if self.reason else self.body
+        response = web.Response(
+            status=self.status, body=msgspec.json.encode(body), content_type="application/json"
+        )
+        if self.is_retry_wanted:
+            response.headers["Retry-After"] = str(RETRY_AFTER_SECONDS)
+        return response
+
+
 class Ingress(mode.Service):
     """Serves clients and the platform's question whether this process takes clients.
 
@@ -139,12 +165,14 @@
         config: Callable[[], FleetConfig],
         callers: Address,
         readiness: Address,
+        metrics: Metrics,
     ) -> None:
         super().__init__()
         self._desk = desk
         self._config = config
         self._callers = callers
         self._readiness = readiness
+        self._metrics = metrics
         self._runners: list[web.ServerRunner] = []
         self._is_draining = False
         self._in_flight = 0
@@ -204,25 +232,15 @@
         started_at = time.monotonic()
         config = self._config()
         if config.version == 0:
-            return _refusal(503, "no configuration yet")
+            return _Reply(503, "no configuration yet", is_retry_wanted=True).response()
         queue = config.queue_for(request.host.partition(":")[0], request.path)
         if queue is None:
-            return _answer(404, {"error": "no such queue"})
+            return _Reply(404, "no such queue").response()
         name = request.path.removeprefix(queue.path_prefix)
-        seconds = _seconds_left(request, queue)
-        match request.method:
-            case "POST" if _is_job_id(name):
-                response = await self._submit(request, config, queue, name, seconds)
-            case "GET" if not name:
-                response = await self._queue_length(queue)
-            case "GET" if _is_job_id(name):
-                response = await self._state(name)
-            case "DELETE" if _is_job_id(name):
-                response = await self._cancel(name, seconds)
-            case "POST" | "GET" | "DELETE":
-                response = _answer(400, {"error": "expected a job id of 16 hexadecimal digits"})
-            case _:
-                response = _answer(405, {"error": "method not allowed"})
+        reply = await self._reply(request, config, queue, name)
+        seconds = time.monotonic() - started_at
+        self._metrics.count("clients.requests", label=f"{request.method}_{reply.status}")
+        self._metrics.observe("clients.seconds", seconds, label=request.method)
         _log.info(
             "request answered",
             extra={
@@ -230,12 +248,36 @@
                 "method": request.method,
                 "queue": queue.name,
                 "config": config.version,
-                "status": response.status,
-                "took_ms": round(1000 * (time.monotonic() - started_at)),
-                "reason": response.headers.get("X-Reason", ""),
+                "status": reply.status,
+                "took_ms": round(1000 * seconds),
+                "reason": reply.reason,
             },
         )
-        return response
+        return reply.response()
+
+    async def _reply(
+        self, request: web.BaseRequest, config: FleetConfig, queue: Queue, name: str
+    ) -> _Reply:
+        seconds = _seconds_left(request, queue)
+        try:
+            match request.method:
+                case "POST" if _is_job_id(name):
+                    return await self._submit(request, config, queue, name, seconds)
+                case "GET" if not name:
+                    return _Reply(200, body={"waiting": await self._desk.waiting_in(queue.name)})
+                case "GET" if _is_job_id(name):
+                    return await self._state(name)
+                case "DELETE" if _is_job_id(name):
+                    await self._desk.cancel(name, seconds)
+                    return _Reply(200)
+                case "POST" | "GET" | "DELETE":
+                    return _Reply(400, "expected a job id of 16 hexadecimal digits")
+                case _:
+                    return _Reply(405, "method not allowed")
+        except (NotStoredError, NotReadyError) as error:
+            return _Reply(503, str(error), is_retry_wanted=True)
+        except OutcomeUnknownError as error:
+            return _Reply(504, str(error))
 
     async def _submit(
         self,
@@ -244,51 +286,27 @@
         queue: Queue,
         job_id: str,
         seconds: float,
-    ) -> web.Response:
+    ) -> _Reply:
         limit = config.limits.body_bytes
         if request.content_length is not None and request.content_length > limit:
-            return _answer(413, {"error": f"body: expected at most {limit} bytes"})
+            return _Reply(413, f"body: expected at most {limit} bytes")
         body = bytearray()
         async for chunk in request.content.iter_any():
             body += chunk
             if len(body) > limit:
-                return _answer(413, {"error": f"body: expected at most {limit} bytes"})
+                return _Reply(413, f"body: expected at most {limit} bytes")
         try:
             submission = decode_job(bytes(body), job_id, queue, int(time.time() * 1000))
         except BadJobError as error:
-            return _answer(400, {"error": str(error)})
-        try:
-            await self._desk.submit(submission, seconds)
-        except NotStoredError as error:
-            return _refusal(503, str(error))
-        except OutcomeUnknownError as error:
-            return _answer(504, {"error": str(error)})
-        return _answer(200, {})
+            return _Reply(400, str(error))
+        await self._desk.submit(submission, seconds)
+        return _Reply(200)
 
-    async def _state(self, job_id: str) -> web.Response:
-        try:
-            state = await self._desk.state_of(job_id)
-        except NotReadyError as error:
-            return _refusal(503, str(error))
+    async def _state(self, job_id: str) -> _Reply:
+        state = await self._desk.state_of(job_id)
         if state is None:
-            return _answer(410, {"error": "no such job"})
-        return _answer(200, {"state": _STATE_WORDS[state]})
-
-    async def _cancel(self, job_id: str, seconds: float) -> web.Response:
-        try:
-            await self._desk.cancel(job_id, seconds)
-        except NotStoredError as error:
-            return _refusal(503, str(error))
-        except OutcomeUnknownError as error:
-            return _answer(504, {"error": str(error)})
-        return _answer(200, {})
-
-    async def _queue_length(self, queue: Queue) -> web.Response:
-        try:
-            waiting = await self._desk.waiting_in(queue.name)
-        except NotReadyError as error:
-            return _refusal(503, str(error))
-        return _answer(200, {"waiting": waiting})
+            return _Reply(410, "no such job")
+        return _Reply(200, body={"state": _STATE_WORDS[state]})
 
 
 _STATE_WORDS = {
@@ -310,15 +328,3 @@
     if deadline.isdecimal():
         seconds = min(seconds, int(deadline) / 1000.0)
     return max(0.05, seconds - ANSWER_RESERVE_SECONDS)
-
-
-def _answer(status: int, body: object) -> web.Response:
-    return web.Response(
-        status=status, body=msgspec.json.encode(body), content_type="application/json"
-    )
-
-
-def _refusal(status: int, reason: str) -> web.Response:
-    response = _answer(status, {"error": reason})
-    response.headers["Retry-After"] = str(RETRY_AFTER_SECONDS)
-    return response
--- a/dotterelhill/platform/process.py
+++ b/dotterelhill/platform/process.py
@@ -20,9 +20,11 @@
 from dotterelhill.control.interface import Stream
 from dotterelhill.control.leader import Leader, LeaderParts
 from dotterelhill.control.leadership import KEEPING_SECONDS, Leadership
+from dotterelhill.control.metrics_server import MetricsServer
 from dotterelhill.control.peers import PeerClient, PeerServer
 from dotterelhill.core import new_incarnation_id
-from dotterelhill.entry.logs import logger_of, start_logging
+from dotterelhill.entry.logs import BoundedStream, logger_of, start_logging
+from dotterelhill.entry.metrics import LocalMetrics
 from dotterelhill.jobs.scheduler import SchedulerSettings
 from dotterelhill.platform.ingress import Ingress
 from dotterelhill.platform.minions import PlatformMinions
@@ -39,6 +41,8 @@
 NOT_READY_SECONDS = 2.5
 # Left of the time to stop for closing connections and ending the process.
 CLOSING_RESERVE_SECONDS = 1.5
+# Named in deploy/system.toml, which takes no port from the settings.
+METRICS_PORT = 9464
 KEEPALIVE_SECONDS = 60.0
 # Answers and orders share a minion's connections; a look occupies one while it waits.
 CONNECTIONS_TO_A_MINION = 8
@@ -70,6 +74,8 @@
         self._settings = settings
         self._random = random or Random()
         self._incarnation = new_incarnation_id(settings.vm)
+        self._metrics = LocalMetrics()
+        self._metrics.add_gauges(self._gauges)
         self._session: aiohttp.ClientSession | None = None
         self._store = PlatformStore(self._open_session, settings.store)
         self._records = PlatformRecords()
@@ -99,8 +105,13 @@
         )
         desk = JobDesk(self._store, self._election, peers, boot_seconds, self._random)
         self._ingress = Ingress(
-            desk, lambda: self._configuration.config, settings.callers, settings.readiness
+            desk,
+            lambda: self._configuration.config,
+            settings.callers,
+            settings.readiness,
+            self._metrics,
         )
+        self._metrics_server = MetricsServer(self._metrics, settings.peers.host, METRICS_PORT)
 
     def _open_session(self) -> aiohttp.ClientSession:
         if self._session is None:
@@ -134,9 +145,15 @@
                 clock=boot_seconds,
                 unix_ms=unix_ms,
                 random=self._random,
+                metrics=self._metrics,
             )
         )
 
+    def _gauges(self) -> dict[str, float]:
+        leader = self._election.leader
+        gauges = {"jobs.is_leading": float(self._leadership.is_leading)}
+        return gauges if leader is None else {**gauges, **leader.gauges()}
+
     async def run(self) -> None:
         """Serve until SIGTERM, then leave without cutting a request."""
         stop = asyncio.Event()
@@ -145,6 +162,7 @@
         loop.add_signal_handler(signal.SIGINT, stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         services: list[mode.Service] = [
+            self._metrics_server,
             self._config_follower,
             self._peer_server,
             self._election,
@@ -200,6 +218,6 @@
     :raises SettingsError: when the settings can't be used
     """
     settings = load_settings(settings_path())
-    start_logging(settings.vm, log_level, sys.stdout)
+    start_logging(settings.vm, log_level, BoundedStream(sys.stdout.fileno()))
     asyncio.run(SchedulerProcess(settings).run())
     return 0
--- /dev/null
+++ b/dotterelhill/platform/tests/steps/adapter_steps.py
@@ -0,0 +1,267 @@
+from __future__ import annotations
+
+import json
+import os
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+from behave import given, then, use_step_matcher, when
+
+from dotterelhill.control.feeds import ConfigurationFeed
+from dotterelhill.control.interface import Record
+from dotterelhill.jobs.model import Room
+from dotterelhill.jobs.queues import Queue
+from dotterelhill.platform.ingress import BadJobError, decode_job
+from dotterelhill.platform.records import PlatformRecords
+from dotterelhill.platform.settings import SettingsError, load_settings
+from dotterelhill.platform.store import decode_records, encode_records
+
+use_step_matcher("re")
+
+QUEUE = Queue("q", "h", "/q/", "pool")
+JOB_ID = "5c0e7a21d94b36f8"
+
+
+def settings_fields() -> dict:
+    return {
+        "nodeName": "entry-1",
+        "ip": "127.0.0.1",
+        "zone": "caxias",
+        "listen": {"front": "127.0.0.1:8161", "readiness": "127.0.0.1:8167"},
+        "internalPorts": [7720, 7735],
+        "platform": {"address": "127.0.0.1:8169"},
+        "bounds": {"maxHoldMs": 6000},
+    }
+
+
+def set_field(fields: dict, name: str, value) -> None:
+    *parents, last = name.split(".")
+    for parent in parents:
+        fields = fields[parent]
+    if value is None:
+        del fields[last]
+    else:
+        fields[last] = value
+
+
+def write_settings(context, text: str) -> None:
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.path = Path(folder.name) / "settings.json"
+    context.path.write_text(text)
+
+
+@given(r"a settings file with no text at all")
+def empty_settings(context):
+    write_settings(context, "nothing")
+
+
+@given(r"a settings file with no (?P<field>[a-z]\S*[a-zA-Z])")
+def settings_without(context, field):
+    fields = settings_fields()
+    set_field(fields, field, None)
+    write_settings(context, json.dumps(fields))
+
+
+@given(r"a settings file with (?P<field>\S+) of (?P<value>.+)")
+def settings_with(context, field, value):
+    fields = settings_fields()
+    set_field(fields, field, json.loads(value))
+    write_settings(context, json.dumps(fields))
+
+
+@given(r"a settings file with more fields")
+def settings_with_more(context):
+    fields = {**settings_fields(), "later": {"deep": [1]}}
+    fields["bounds"]["later"] = True
+    write_settings(context, json.dumps(fields))
+
+
+@when(r"the settings are loaded")
+def load(context):
+    context.error = context.settings = None
+    try:
+        context.settings = load_settings(context.path)
+    except SettingsError as error:
+        context.error = str(error)
+
+
+@then(r'loading fails and names "(?P<field>[^"]+)"')
+def load_failed(context, field):
+    assert context.error is not None and field in context.error, context.error
+
+
+@then(r"the lease of a run is (?P<seconds>[\d.]+) seconds")
+def lease_is(context, seconds):
+    assert context.error is None, context.error
+    assert context.settings.hold_seconds == float(seconds)
+
+
+@when(r"the scheduler command runs without its variable")
+def run_command(context):
+    environment = {key: value for key, value in os.environ.items() if key != "DOTTERELHILL_BOOT"}
+    command = [sys.executable, "-m", "dotterelhill", "scheduler"]
+    context.result = subprocess.run(
+        command, env=environment, capture_output=True, text=True, timeout=60
+    )
+
+
+@then(r'it ends with status (?P<status>\d+) and names "(?P<name>[^"]+)"')
+def command_failed(context, status, name):
+    assert context.result.returncode == int(status), context.result
+    assert name in context.result.stderr, context.result.stderr
+    assert "Traceback" not in context.result.stderr, context.result.stderr
+
+
+@when(r"a job is submitted as (?P<body>.+)")
+def submit_body(context, body):
+    if body == "deep nesting":
+        body = '{"spec":"x","steps":[{"count":1}],"more":' + "[" * 100_000 + "]" * 100_000 + "}"
+    elif body == "a spec of 5000 bytes":
+        body = json.dumps({"spec": "x" * 5000, "steps": [{"count": 1}]})
+    context.error = None
+    try:
+        decode_job(body.encode(), JOB_ID, QUEUE, 0)
+    except BadJobError as error:
+        context.error = str(error)
+
+
+@then(r'it is refused and "(?P<field>[^"]+)" is named')
+def refused(context, field):
+    assert context.error is not None and field in context.error, context.error
+
+
+@when(r"a job is submitted with every field")
+def submit_all(context):
+    step = {
+        "count": 2,
+        "cpu": 500,
+        "memMb": 256,
+        "gpu": 1,
+        "estimateMs": 900,
+        "checkpointing": True,
+        "gang": True,
+        "sameRack": True,
+        "requires": "a",
+        "dataRack": "r1-3",
+        "antiAffinity": 3,
+        "speculative": True,
+        "perpetual": True,
+        "image": "i",
+        "targetMs": 50,
+        "fills": True,
+        "mayMiss": 0,
+    }
+    job = {"spec": "x", "steps": [{"count": 1}, {**step, "after": [0]}]}
+    job.update(repeatCount=3, firstRunMs=1000, intervalMs=500)
+    context.submission = decode_job(json.dumps(job).encode(), JOB_ID, QUEUE, 5)
+
+
+@then(r"the step has every need")
+def has_all(context):
+    submission = context.submission
+    step = submission.steps[1]
+    assert step.room == Room(500, 256, 1)
+    assert step.reserved == Room(0, 256, 1)
+    assert step.estimate_seconds == 0.9 and step.after == (0,)
+    assert step.is_checkpointing and step.is_gang and step.is_same_rack and step.is_speculative
+    assert step.is_lasting and step.is_filler
+    assert (step.required_label, step.data_rack, step.image) == ("a", "r1-3", "i")
+    assert (step.anti_affinity, step.target_tail_ms, step.may_miss) == (3, 50, 0)
+    assert submission.occurrences == 3 and submission.due_ms(2) == 2000
+
+
+def minion_entry() -> dict:
+    return {
+        "service": "pool",
+        "address": "127.0.0.1:9000",
+        "zone": "caxias",
+        "state": "ready",
+        "capacity": {"cpu": 4000, "memMb": 1000},
+        "labels": ["a", "r1"],
+        "born": 17,
+    }
+
+
+@when(r"a minion entry is read as (?P<change>.+)")
+def read_entry(context, change):
+    entry = minion_entry()
+    data = None
+    if change.startswith("no "):
+        del entry[change.removeprefix("no ")]
+    elif change == "a numeric zone":
+        entry["zone"] = 5
+    elif change == 'state of "resting"':
+        entry["state"] = "resting"
+    elif change == "bytes":
+        data = b"\xff\x00\x17"
+    elif change == "an empty object":
+        data = b"{}"
+    elif change.startswith("draining"):
+        entry.update(state="draining", remainingMs=4000)
+    else:
+        raise AssertionError(change)
+    data = json.dumps(entry).encode() if data is None else data
+    context.minion = PlatformRecords().minion_record(Record("i-1", data))
+
+
+@then(r"it names no minion")
+def no_minion(context):
+    assert context.minion is None, context.minion
+
+
+@then(r"it names a minion that leaves in (?P<seconds>\d+) seconds")
+def leaving_minion(context, seconds):
+    assert context.minion.is_draining and context.minion.leaves_in_seconds == float(seconds)
+
+
+def config_record(version: int) -> Record:
+    route = {"name": "q", "host": "h", "pathPrefix": "/q/", "service": "pool"}
+    config = {"version": version, "routes": [route], "services": [{"name": "pool"}]}
+    return Record("config", json.dumps(config).encode())
+
+
+def read_operator(context, records: list[Record]) -> None:
+    context.feed = ConfigurationFeed(PlatformRecords(), lambda: None)
+    for record in records:
+        context.feed.take((record,), False)
+
+
+@when(r"configurations 7, 9 and 8 are read")
+def read_configurations(context):
+    read_operator(context, [config_record(7), config_record(9), config_record(8)])
+
+
+@when(r"configurations 7 and a broken one are read")
+def read_broken(context):
+    read_operator(context, [config_record(7), Record("config", b'{"version":8}')])
+
+
+@when(r'failure domain "(?P<domain>\w+)" is taken out and back')
+def out_and_back(context, domain):
+    key = f"evacuate/{domain}"
+    read_operator(context, [Record(key, b"{}"), Record(key, None)])
+
+
+@then(r"configuration (?P<version>\d+) is in force")
+def in_force(context, version):
+    assert context.feed.config.version == int(version)
+    assert context.feed.config.queue_for("h", "/q/1") is not None
+
+
+@then(r"no failure domain is taken out")
+def none_out(context):
+    assert not context.feed.evacuated, context.feed.evacuated
+
+
+@when(r"records are read of which the last is cut")
+def read_cut(context):
+    data = encode_records([Record("a", b"1"), Record("b", None), Record("c", b"333")])
+    context.records = decode_records(data[:-2])
+
+
+@then(r"the whole ones are returned")
+def whole_ones(context):
+    assert context.records == (Record("a", b"1"), Record("b", None)), context.records
