Keep room for short tasks from lasting ones

Ruled out: higher priority alone; both kinds have the same, and a lasting task never gives its room back.

--- a/dotterelhill/jobs/placement.py
+++ b/dotterelhill/jobs/placement.py
@@ -14,6 +14,13 @@
 # A filler is placed only where it gets at least this share of the processors that it asks for.
 LEAST_FILLER_SHARE = 0.75
 
+# The room that short tasks needed at their peak is kept from lasting tasks, and halved in
+# this time. A short task's processor second is worth several of a lasting task's.
+RESERVE_HALF_LIFE_SECONDS = 15.0
+# Lasting tasks wait only where one of them would leave less than this share of its own size, so
+# that none waits while there is room for two.
+LARGEST_RESERVE_SHARE = 0.9
+
 QueueOf = Callable[[Job], Queue]
 Place = tuple[int, int]
 
@@ -43,6 +50,8 @@
     def __init__(self, sharing: Sharing) -> None:
         self._sharing = sharing
         self._waiting: dict[str, _Waiting] = {}
+        self._short_peak_cpu = 0.0
+        self._short_peak_at = 0.0
 
     @property
     def waiting_tasks(self) -> int:
@@ -113,12 +122,29 @@
                 queue = queue_of(waiting.job)
                 ranked.append((_rank(waiting.job, queue, unix_ms), queue, waiting))
         ranked.sort(key=lambda entry: entry[0])
+        self._track_short_peak(minions, now)
         for _, queue, waiting in ranked:
             pool = by_service.get(queue.service, [])
             if not pool or queue.needs_advice:
                 continue
             yield from self._choose_for(waiting, pool, now, unix_ms)
 
+    def _track_short_peak(self, minions: Sequence[Minion], now: float) -> None:
+        """Note the processors that short tasks use or wait for."""
+        cpu = 0.0
+        for minion in minions:
+            for run in minion.runs.values():
+                if not run.step.is_lasting:
+                    cpu += run.step.reserved.cpu
+        for waiting in self._waiting.values():
+            for (_, index), keys in waiting.pending.items():
+                step = waiting.job.submission.steps[index]
+                if not step.is_lasting:
+                    cpu += len(keys) * step.reserved.cpu
+        decay = 0.5 ** ((now - self._short_peak_at) / RESERVE_HALF_LIFE_SECONDS)
+        self._short_peak_cpu = max(cpu, self._short_peak_cpu * decay)
+        self._short_peak_at = now
+
     def _choose_for(
         self, waiting: _Waiting, pool: Sequence[Minion], now: float, unix_ms: int
     ) -> Iterator[tuple[Job, TaskKey, Minion]]:
@@ -169,6 +195,7 @@
     ) -> Minion | None:
         best: Minion | None = None
         best_cost: tuple[float, ...] = ()
+        reserve = min(self._short_peak_cpu / len(pool), LARGEST_RESERVE_SHARE * step.room.cpu)
         for minion in pool:
             if not minion.free.has(step.reserved) or not _is_allowed(minion, step):
                 continue
@@ -178,6 +205,8 @@
                 count = minion.count_on(job.job_id, key.occurrence, key.step)
                 if count >= step.anti_affinity:
                     continue
+            if step.is_lasting and minion.free.cpu - step.room.cpu < reserve:
+                continue
             cost = self._cost(step, minion, now)
             if cost is None:
                 continue
--- a/dotterelhill/jobs/tests/scheduler.feature
+++ b/dotterelhill/jobs/tests/scheduler.feature
@@ -222,3 +222,16 @@
     And 2 turns pass
     Then 4 starts were sent in all
     And all starts were of job "b" with run 2
+
+  Scenario: lasting tasks take the room that short tasks need again and again
+    Given job "a" of 4 tasks of 1 processors
+    When 2 turns pass
+    And all tasks on "m1" end as "done"
+    And all tasks on "m2" end as "done"
+    And 1 turns pass
+    And job "l" of 8 lasting tasks of 2 processors is submitted
+    And 3 turns pass
+    Then 2 starts were sent in all
+    When job "b" of 4 tasks of 1 processors is submitted
+    And 2 turns pass
+    Then 6 starts were sent in all
--- a/dotterelhill/jobs/tests/steps/scheduler_steps.py
+++ b/dotterelhill/jobs/tests/steps/scheduler_steps.py
@@ -33,9 +33,12 @@
     context.fleet.submit(job, (tasks(int(count), int(cpu)),))
 
 
-@given(r'job "(?P<job>\w+)" of 1 lasting task of (?P<cpu>\d+) processors')
-def submit_lasting(context, job, cpu):
-    context.fleet.submit(job, (tasks(1, int(cpu), is_lasting=True),))
+@given(r'job "(?P<job>\w+)" of (?P<count>\d+) lasting tasks? of (?P<cpu>\d+) processors')
+@when(
+    r'job "(?P<job>\w+)" of (?P<count>\d+) lasting tasks? of (?P<cpu>\d+) processors is submitted'
+)
+def submit_lasting(context, job, count, cpu):
+    context.fleet.submit(job, (tasks(int(count), int(cpu), is_lasting=True),))
 
 
 @given(
