Refuse submissions at once while the store is known to be away

Once calls have failed for a second the outcome of a new one is known: nothing is sent, and the client is told when to come back.

Ruled out: refusing after a first attempt timed out; its effect is unknown, so the refusal might be untrue.

--- a/dotterelhill/control/desk.py
+++ b/dotterelhill/control/desk.py
@@ -8,7 +8,8 @@
 from random import Random
 
 from dotterelhill.control.election import Election
-from dotterelhill.control.interface import Record, Store, StoreError, Stream
+from dotterelhill.control.health import ObservedStore
+from dotterelhill.control.interface import Record, StoreError, Stream
 from dotterelhill.control.leader import NotReadyError
 from dotterelhill.control.peers import PeerClient, PeerUnreachableError
 from dotterelhill.control.submissions import cancellation_key
@@ -41,7 +42,7 @@
 
     def __init__(
         self,
-        store: Store,
+        store: ObservedStore,
         election: Election,
         peers: PeerClient,
         clock: Callable[[], float],
@@ -80,18 +81,22 @@
     async def _append(self, record: Record, seconds: float) -> None:
         """Append until the outcome is known or the time is over.
 
-        A record of the same key and value may be appended twice without harm.
+        A record of the same key and value may be appended twice without harm. Nothing is sent to a
+        store that is away, so that the refusal is known to be true.
         """
         give_up_at = self._clock() + seconds
         may_be_stored = False
         reason = ""
         while self._clock() < give_up_at:
-            try:
-                await self._store.append(Stream.SUBMISSIONS, [record])
-                return
-            except StoreError as error:
-                may_be_stored = may_be_stored or error.is_effect_unknown
-                reason = str(error)
+            if self._store.is_away:
+                reason = "store is away"
+            else:
+                try:
+                    await self._store.append(Stream.SUBMISSIONS, [record])
+                    return
+                except StoreError as error:
+                    may_be_stored = may_be_stored or error.is_effect_unknown
+                    reason = str(error)
             try:
                 if await self._append_by_leader(record):
                     return
--- a/dotterelhill/control/peers.py
+++ b/dotterelhill/control/peers.py
@@ -11,7 +11,8 @@
 import msgspec
 from aiohttp import web
 
-from dotterelhill.control.interface import Record, Store, StoreError, Stream
+from dotterelhill.control.health import ObservedStore
+from dotterelhill.control.interface import Record, StoreError, Stream
 from dotterelhill.control.leader import Leader, NotReadyError
 from dotterelhill.control.leadership import Claim
 from dotterelhill.entry.logs import logger_of
@@ -99,7 +100,7 @@
     :param host: own address
     """
 
-    def __init__(self, source: LeaderSource, store: Store, host: str, port: int) -> None:
+    def __init__(self, source: LeaderSource, store: ObservedStore, host: str, port: int) -> None:
         super().__init__()
         self._source = source
         self._store = store
@@ -153,6 +154,8 @@
             record = _RECORD_DECODER.decode(await request.read())
         except msgspec.MsgspecError as error:
             return web.Response(status=400, text=str(error))
+        if self._store.is_away:
+            return web.Response(status=503, text="store is away")
         try:
             await self._store.append(Stream.SUBMISSIONS, [Record(record.key, record.value)])
         except StoreError as error:
--- a/dotterelhill/control/tests/cluster.feature
+++ b/dotterelhill/control/tests/cluster.feature
@@ -108,3 +108,10 @@
     And a minion with tasks of job "j" is gone
     And 11 seconds pass
     Then every process shows job "j" as "completed"
+
+  @not-run
+  Scenario: a submission is held to its deadline though the store is known to be away
+    When the store is silent for all
+    And 4 seconds pass
+    Then a submission of job "j" is refused as not stored within 0.1 seconds
+    And nothing of it was sent to the store
--- a/dotterelhill/control/tests/cluster_world.py
+++ b/dotterelhill/control/tests/cluster_world.py
@@ -8,7 +8,8 @@
 
 from dotterelhill.control.desk import JobDesk
 from dotterelhill.control.election import Election
-from dotterelhill.control.feeds import ConfigurationFeed
+from dotterelhill.control.feeds import ConfigurationFeed, Follower
+from dotterelhill.control.health import ObservedStore
 from dotterelhill.control.interface import (
     Batch,
     FencedByMinionError,
@@ -85,14 +86,21 @@
     def __init__(self, store: MemoryStore) -> None:
         self._store = store
         self.is_down = False
+        self.is_silent = False
         self.lost_answers = 0
+        self.appends = 0
 
     async def _reach(self) -> None:
         await asyncio.sleep(CALL_SECONDS)
+        if self.is_silent:
+            await asyncio.sleep(1.2)
+            raise StoreError("no answer", is_effect_unknown=True)
         if self.is_down:
             raise StoreError("status 503")
 
     async def append(self, stream, records, *, at=None, fence=None) -> int:
+        if stream is Stream.SUBMISSIONS:
+            self.appends += 1
         await self._reach()
         end = self._store.append(stream, records, at, fence)
         if self.lost_answers:
@@ -236,6 +244,8 @@
 
     async def store_submission(self, address, record):
         process = await self._reach(address)
+        if process.observed.is_away:
+            raise PeerUnreachableError("store is away", is_effect_unknown=False)
         try:
             await process.store.append(Stream.SUBMISSIONS, [record])
         except StoreError as error:
@@ -261,18 +271,19 @@
         self.name = name
         self.is_running = True
         self.store = StoreView(cluster.store)
+        observed = ObservedStore(self.store, cluster.loop.time)
         self.minions = FakeMinions(cluster)
         incarnation = f"{name}/{number}"
         clock = cluster.loop.time
         rng = random.Random(number)
-        self.leadership = Leadership(self.store, incarnation, name, clock)
+        self.leadership = Leadership(observed, incarnation, name, clock)
         configuration = ConfigurationFeed(Decoder(), lambda: None)
         configuration._config = FleetConfig(1, {"q": QUEUE})
 
         def new_leader() -> Leader:
             return Leader(
                 LeaderParts(
-                    self.store,
+                    observed,
                     self.minions,
                     Decoder(),
                     configuration,
@@ -286,8 +297,12 @@
             )
 
         peers = FakePeers(cluster)
+        self.observed = observed
+        self.follower = Follower(
+            observed, Stream.CONFIGURATION, lambda records, is_whole: None, clock, rng
+        )
         self.election = Election(self.leadership, incarnation, peers, new_leader, clock, rng)
-        self.desk = JobDesk(self.store, self.election, peers, clock, rng)
+        self.desk = JobDesk(observed, self.election, peers, clock, rng)
 
 
 class Cluster:
@@ -318,6 +333,7 @@
             process = Process(self, name, number)
             self.processes[name] = process
             await process.election.start()
+            await process.follower.start()
 
         self.run(begin())
 
@@ -334,6 +350,7 @@
             if election._term is not None:
                 election._term.cancel()
             await election.stop()
+            await process.follower.stop()
 
         self.run(end())
 
--- a/dotterelhill/control/tests/steps/cluster_steps.py
+++ b/dotterelhill/control/tests/steps/cluster_steps.py
@@ -179,3 +179,24 @@
             minion.is_dead = True
             return
     raise AssertionError("no minion has tasks of the job")
+
+
+@when(r"the store is silent for all")
+def store_silent(context):
+    for process in context.cluster.processes.values():
+        process.store.is_silent = True
+
+
+@then(
+    r'a submission of job "(?P<job>\w+)" is refused as not stored within (?P<limit>[\d.]+) seconds'
+)
+def refused_within(context, job, limit):
+    started_at = context.cluster.loop.time()
+    refused(context, job)
+    seconds = context.cluster.loop.time() - started_at
+    assert seconds <= float(limit), seconds
+
+
+@then(r"nothing of it was sent to the store")
+def nothing_appended(context):
+    assert not any(process.store.appends for process in context.cluster.processes.values())
--- a/dotterelhill/platform/process.py
+++ b/dotterelhill/platform/process.py
@@ -17,6 +17,7 @@
 from dotterelhill.control.desk import JobDesk
 from dotterelhill.control.election import Election
 from dotterelhill.control.feeds import ConfigurationFeed, Follower
+from dotterelhill.control.health import ObservedStore
 from dotterelhill.control.interface import Stream
 from dotterelhill.control.leader import Leader, LeaderParts
 from dotterelhill.control.leadership import KEEPING_SECONDS, Leadership
@@ -77,7 +78,7 @@
         self._metrics = LocalMetrics()
         self._metrics.add_gauges(self._gauges)
         self._session: aiohttp.ClientSession | None = None
-        self._store = PlatformStore(self._open_session, settings.store)
+        self._store = ObservedStore(PlatformStore(self._open_session, settings.store), boot_seconds)
         self._records = PlatformRecords()
         self._leadership = Leadership(
             self._store, self._incarnation, str(settings.peers), boot_seconds
