Choose minions for all tasks of a step at once; let lasting tasks wait for short ones only briefly

Cause: each task asked every minion for its cost, and each serving task on it: 2.3 ms a start with 246 minions, so 583 starts of one burst took 1.37 s of the leader.

Ruled out: a lower reserve; the rule counts room anywhere in the service.

Lasting tasks wait at most 1.5 s for short ones, then only for the last place.

--- a/dotterelhill/jobs/fleet.py
+++ b/dotterelhill/jobs/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass, field
 from enum import Enum, StrEnum, auto
 
@@ -143,6 +144,11 @@
     :param processed_end: highest end taken over
     :param durable_end: highest end whose effect is stored
     :param avoid_until: no starts before this time
+    :param lasting_cpu: thousandths of a processor that lasting tasks have reserved
+    :param short_cpu: the same for other tasks but fillers
+    :param filler_cpu: what fillers use at their pace
+    :param lasting_images: number of lasting tasks by image
+    :param change_count: rises when a run comes or goes
     """
 
     facts: MinionFacts
@@ -159,6 +165,11 @@
     avoid_until: float = 0.0
     recent_failures: list[float] = field(default_factory=list)
     used: Room = field(default_factory=Room)
+    lasting_cpu: int = 0
+    short_cpu: int = 0
+    filler_cpu: float = 0.0
+    lasting_images: Counter[str] = field(default_factory=Counter)
+    change_count: int = 0
 
     @property
     def minion_id(self) -> str:
@@ -170,16 +181,50 @@
         """Return the capacity that no run has reserved."""
         return self.facts.capacity.minus(self.used)
 
+    @property
+    def free_cpu(self) -> int:
+        """Return the thousandths of a processor that no run has reserved."""
+        return self.facts.capacity.cpu - self.used.cpu
+
+    def has_room_for(self, step: Step) -> bool:
+        """Return whether a task of the step fits; asked for every minion at every placement."""
+        capacity, used, room = self.facts.capacity, self.used, step.room
+        if capacity.memory_mb - used.memory_mb < room.memory_mb:
+            return False
+        if capacity.gpu - used.gpu < room.gpu:
+            return False
+        return step.is_filler or capacity.cpu - used.cpu >= room.cpu
+
     def attach(self, run: Run) -> None:
         """Reserve room for a run."""
         self.runs[run.key] = run
         self.used = self.used.plus(run.step.reserved)
+        self._count(run, 1)
 
     def detach(self, run: Run) -> None:
         """Give back the room of a run that has ended."""
         if self.runs.get(run.key) is run:
             del self.runs[run.key]
             self.used = self.used.minus(run.step.reserved)
+            self._count(run, -1)
+
+    def set_pace(self, run: Run, pace: int, now: float) -> None:
+        """Note the share at which a filler works from now on."""
+        self.filler_cpu += run.step.room.cpu * (pace - run.pace) / 100.0
+        run.pace, run.paced_at = pace, now
+
+    def _count(self, run: Run, sign: int) -> None:
+        cpu = sign * run.step.room.cpu
+        self.change_count += 1
+        if run.step.is_filler:
+            self.filler_cpu += cpu * run.pace / 100.0
+        elif run.step.is_lasting:
+            self.lasting_cpu += cpu
+            self.lasting_images[run.step.image] += sign
+            if not self.lasting_images[run.step.image]:
+                del self.lasting_images[run.step.image]
+        else:
+            self.short_cpu += cpu
 
     def lease_deadline_ms(self, now: float, hold_seconds: float) -> int | None:
         """Return a deadline on the minion's clock ``hold_seconds`` ahead; None when unknown."""
--- a/dotterelhill/jobs/placement.py
+++ b/dotterelhill/jobs/placement.py
@@ -5,20 +5,35 @@
 from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass, field
 from enum import IntEnum
+from heapq import heapify, heappop, heapreplace
 
 from dotterelhill.jobs.fleet import Minion
-from dotterelhill.jobs.model import LATE_FACTOR, Job, Step, Task, TaskKey, chain_seconds
+from dotterelhill.jobs.model import (
+    LATE_FACTOR,
+    Job,
+    Room,
+    Step,
+    Task,
+    TaskKey,
+    chain_seconds,
+)
 from dotterelhill.jobs.queues import Queue
 from dotterelhill.jobs.sharing import Sharing
 
 # A filler is placed only where it gets at least this share of the processors that it asks for.
 LEAST_FILLER_SHARE = 0.75
 
-# The room that short tasks needed at their peak is kept from lasting tasks, and halved in
-# this time. A short task's processor second is worth several of a lasting task's.
+# Headroom changes within some tenths of a second; with thousands of waiting fillers each attempt to
+# place them costs milliseconds.
+FILLER_RETRY_SECONDS = 0.1
+FILLER_KIND = "filler"
+
+# Room that short tasks needed at their peak is kept from lasting tasks, and halved in this time.
+# A short task's processor second is worth several of a lasting task's.
 RESERVE_HALF_LIFE_SECONDS = 15.0
-# Lasting tasks wait only where one of them would leave less than this share of its own size, so
-# that none waits while there is room for two.
+# A lasting task waits for that for this time at the most; then the last place for one is kept.
+RESERVE_PATIENCE_SECONDS = 1.5
+# No more than this share of a lasting task's own size is kept on a minion.
 LARGEST_RESERVE_SHARE = 0.9
 
 QueueOf = Callable[[Job], Queue]
@@ -35,10 +50,14 @@
 
 @dataclass(slots=True)
 class _Waiting:
-    """Tasks of one job that could start, by occurrence and step."""
+    """Tasks of one job that could start, by occurrence and step.
+
+    :param since: time from which some task of the place has waited
+    """
 
     job: Job
     pending: dict[Place, list[TaskKey]] = field(default_factory=dict)
+    since: dict[Place, float] = field(default_factory=dict)
 
 
 class Placement:
@@ -52,6 +71,8 @@
         self._waiting: dict[str, _Waiting] = {}
         self._short_peak_cpu = 0.0
         self._short_peak_at = 0.0
+        self._refused: dict[str, list[Room]] = {}
+        self._refused_at = float("-inf")
 
     @property
     def waiting_tasks(self) -> int:
@@ -123,19 +144,26 @@
                 ranked.append((_rank(waiting.job, queue, unix_ms), queue, waiting))
         ranked.sort(key=lambda entry: entry[0])
         self._track_short_peak(minions, now)
+        refused = self._recently_refused(now)
         for _, queue, waiting in ranked:
             pool = by_service.get(queue.service, [])
             if not pool or queue.needs_advice:
                 continue
-            yield from self._choose_for(waiting, pool, now, unix_ms)
+            yield from self._choose_for(waiting, pool, now, unix_ms, refused)
+
+    def _recently_refused(self, now: float) -> dict[str, list[Room]]:
+        """Return needs of fillers that found no place just before; others are tried each round."""
+        if now - self._refused_at > FILLER_RETRY_SECONDS:
+            self._refused = {}
+            self._refused_at = now
+            return self._refused
+        for kind in [kind for kind in self._refused if not kind.startswith(FILLER_KIND)]:
+            del self._refused[kind]
+        return self._refused
 
     def _track_short_peak(self, minions: Sequence[Minion], now: float) -> None:
         """Note the processors that short tasks use or wait for."""
-        cpu = 0.0
-        for minion in minions:
-            for run in minion.runs.values():
-                if not run.step.is_lasting:
-                    cpu += run.step.reserved.cpu
+        cpu = float(sum(minion.short_cpu for minion in minions))
         for waiting in self._waiting.values():
             for (_, index), keys in waiting.pending.items():
                 step = waiting.job.submission.steps[index]
@@ -146,7 +174,12 @@
         self._short_peak_at = now
 
     def _choose_for(
-        self, waiting: _Waiting, pool: Sequence[Minion], now: float, unix_ms: int
+        self,
+        waiting: _Waiting,
+        pool: Sequence[Minion],
+        now: float,
+        unix_ms: int,
+        refused: dict[str, list[Room]],
     ) -> Iterator[tuple[Job, TaskKey, Minion]]:
         job = waiting.job
         for place, keys in list(waiting.pending.items()):
@@ -154,16 +187,78 @@
             if unix_ms < job.submission.due_ms(occurrence):
                 continue
             step = job.submission.steps[index]
+            since = waiting.since.setdefault(place, now)
             if step.is_gang:
                 yield from self._choose_gang(job, step, keys, pool, now)
             else:
-                while keys:
-                    minion = self._minion_for(job, step, keys[0], pool, now)
-                    if minion is None:
-                        break
-                    yield job, keys.pop(0), minion
+                yield from self._choose_tasks(job, step, keys, pool, now, since, refused)
             if not keys:
                 waiting.pending.pop(place, None)
+                waiting.since.pop(place, None)
+
+    def _choose_tasks(
+        self,
+        job: Job,
+        step: Step,
+        keys: list[TaskKey],
+        pool: Sequence[Minion],
+        now: float,
+        since: float,
+        refused: dict[str, list[Room]],
+    ) -> Iterator[tuple[Job, TaskKey, Minion]]:
+        """Yield starts for tasks of one step until one finds no place.
+
+        :param refused: needs that found no place in this round, by kind; greater ones find none
+        """
+        kind = _kind_of(step)
+        for room in refused.get(kind, []):
+            if step.room.has(room):
+                return
+        reserve = self._reserve(step, pool, now - since)
+        place = (keys[0].occurrence, keys[0].step)
+        heap: list[tuple[tuple[float, ...], int]] = []
+        for number, minion in enumerate(pool):
+            cost = self._start_cost(job, step, place, minion, now, reserve)
+            if cost is not None:
+                heap.append((cost, number))
+        heapify(heap)
+        while keys and heap:
+            if step.is_lasting and self._is_kept_for_short(step, pool, now - since):
+                return
+            minion = pool[heap[0][1]]
+            if keys[0] in minion.runs:
+                heappop(heap)
+                continue
+            yield job, keys.pop(0), minion
+            # The start changes the cost on its minion only.
+            cost = self._start_cost(job, step, place, minion, now, reserve)
+            if cost is None:
+                heappop(heap)
+            else:
+                heapreplace(heap, (cost, heap[0][1]))
+        # A limit of this step alone says nothing of others.
+        is_limited = step.anti_affinity or step.required_label or step.data_rack
+        if keys and not is_limited:
+            refused.setdefault(kind, []).append(step.room)
+
+    def _reserve(self, step: Step, pool: Sequence[Minion], waited: float) -> float:
+        """Return the thousandths of a processor that a lasting task has to leave on a minion."""
+        if not step.is_lasting or waited >= RESERVE_PATIENCE_SECONDS:
+            return 0.0
+        kept = self._short_peak_cpu / len(pool)
+        return min(kept, LARGEST_RESERVE_SHARE * step.room.cpu)
+
+    def _is_kept_for_short(self, step: Step, pool: Sequence[Minion], waited: float) -> bool:
+        """Return whether the only place for a lasting task is kept for short ones."""
+        if waited < RESERVE_PATIENCE_SECONDS or not self._short_peak_cpu:
+            return False
+        places = 0
+        for minion in pool:
+            if _is_allowed(minion, step) and minion.has_room_for(step):
+                places += minion.free_cpu // max(1, step.room.cpu)
+                if places >= 2:
+                    return False
+        return True
 
     def _choose_gang(
         self, job: Job, step: Step, keys: list[TaskKey], pool: Sequence[Minion], now: float
@@ -190,32 +285,20 @@
         for key, minion in chosen:
             yield job, key, minion
 
-    def _minion_for(
-        self, job: Job, step: Step, key: TaskKey, pool: Sequence[Minion], now: float
-    ) -> Minion | None:
-        best: Minion | None = None
-        best_cost: tuple[float, ...] = ()
-        reserve = min(self._short_peak_cpu / len(pool), LARGEST_RESERVE_SHARE * step.room.cpu)
-        for minion in pool:
-            if not minion.free.has(step.reserved) or not _is_allowed(minion, step):
-                continue
-            if key in minion.runs:
-                continue
-            if step.anti_affinity:
-                count = minion.count_on(job.job_id, key.occurrence, key.step)
-                if count >= step.anti_affinity:
-                    continue
-            if step.is_lasting and minion.free.cpu - step.room.cpu < reserve:
-                continue
-            cost = self._cost(step, minion, now)
-            if cost is None:
-                continue
-            if best is None or cost < best_cost:
-                best, best_cost = minion, cost
-        return best
+    def _start_cost(
+        self, job: Job, step: Step, place: Place, minion: Minion, now: float, reserve: float
+    ) -> tuple[float, ...] | None:
+        """Return what a start there costs, lower is better; None when it must not be."""
+        if not minion.has_room_for(step) or not _is_allowed(minion, step):
+            return None
+        if step.anti_affinity and minion.count_on(job.job_id, *place) >= step.anti_affinity:
+            return None
+        if reserve and minion.free_cpu - step.room.cpu < reserve:
+            return None
+        return self._cost(step, minion, now)
 
     def _cost(self, step: Step, minion: Minion, now: float) -> tuple[float, ...] | None:
-        """Return what a start there costs, lower is better; None when it must not be."""
+        """Return what a start costs that fits; None when it would harm."""
         distance = 1.0 if step.data_rack and step.data_rack != minion.facts.rack else 0.0
         if step.is_filler:
             idle = self._sharing.idle_cpu(minion)
@@ -229,9 +312,16 @@
             # Serving tasks of one image share minions, so that more fillers harm none of them, and
             # leave others without any.
             strangers = self._sharing.strangers(minion, step)
-            return (distance, strangers, self._sharing.harm_for(minion, step), minion.free.cpu)
+            return (distance, strangers, self._sharing.harm_for(minion, step), minion.free_cpu)
         # Other tasks neither disturb nor suffer; they leave minions without serving tasks free.
-        return (distance, 0.0 if self._sharing.has_serving(minion) else 1.0, minion.free.cpu)
+        return (distance, 0.0 if self._sharing.has_serving(minion) else 1.0, minion.free_cpu)
+
+
+def _kind_of(step: Step) -> str:
+    """Return what steps have in common that find the same places by their size alone."""
+    if step.is_filler:
+        return f"{FILLER_KIND} {step.image}"
+    return f"lasting {step.image}" if step.is_lasting else "short"
 
 
 def _is_allowed(minion: Minion, step: Step) -> bool:
--- a/dotterelhill/jobs/sharing.py
+++ b/dotterelhill/jobs/sharing.py
@@ -23,9 +23,10 @@
 # Headroom that each serving task is planned to keep, and below which fillers are paced down.
 PLANNED_HEADROOM = 1.15
 PACED_HEADROOM = 1.3
-# Own headroom may fall by this much a second when the load of a serving task rises.
+# Own headroom may fall by this much a second when the load of a serving task rises, and a filler
+# works for about the other number of seconds.
 FALL_PER_SECOND = 0.25
-LONGEST_FALL_SECONDS = 3.0
+FALL_SECONDS = 2.0
 # Planned effects are this many standard deviations above their estimates.
 PLANNING_CAUTION = 0.3
 # A filler that takes less headroom than this from a serving task is not paced for it.
@@ -49,11 +50,15 @@
     """Fillers of one minion.
 
     :param over_since: time since which a serving task is reported over its target
+    :param planned: serving images, the least headroom planned for their tasks, number of tasks
+    :param planned_change: ``change_count`` of the minion for which that holds
     :param slow_since: time since which a filler is paced below ``MOVE_PACE``, by run
     """
 
     over_since: float | None = None
     slow_since: dict[Run, float] = field(default_factory=dict)
+    planned: list[tuple[str, float, int]] = field(default_factory=list)
+    planned_change: int = -1
 
 
 class Sharing:
@@ -74,47 +79,59 @@
 
     def has_serving(self, minion: Minion) -> bool:
         """Return whether a serving task is on the minion."""
-        return any(run.step.is_lasting for run in minion.runs.values())
+        return bool(minion.lasting_images)
 
     def strangers(self, minion: Minion, step: Step) -> float:
         """Return how badly a serving task's image fits those on the minion, 0 to 1."""
-        images = {run.step.image for run in minion.runs.values() if run.step.is_lasting}
-        if not images:
+        if not minion.lasting_images:
             return EMPTY_MINION_COST
-        images.discard(step.image)
-        return float(bool(images))
+        others = len(minion.lasting_images) - (step.image in minion.lasting_images)
+        return float(bool(others))
 
     def idle_cpu(self, minion: Minion) -> float:
         """Return the thousandths of a processor that nothing on the minion uses."""
-        idle = float(minion.facts.capacity.cpu)
-        for run in minion.runs.values():
-            share = run.pace / 100.0
-            if run.step.is_lasting:
-                share = SERVING_USE
-            idle -= run.step.room.cpu * share
-        return idle
+        used = SERVING_USE * minion.lasting_cpu + minion.short_cpu + minion.filler_cpu
+        return minion.facts.capacity.cpu - used
 
     def harm_of(self, minion: Minion, step: Step, now: float) -> float | None:
         """Return the headroom that one more filler takes from the minion's serving tasks.
 
         :returns: None when one of them would keep too little
         """
-        use = self._planned_use(minion)
         added = step.room.cpu / minion.facts.capacity.cpu
-        seconds = min(LONGEST_FALL_SECONDS, step.estimate_seconds)
         harm = 0.0
+        for image, left, count in self._left_by_image(minion, now):
+            taken = added * self._model.effect(image, step.image, PLANNING_CAUTION)
+            if left - taken < PLANNED_HEADROOM and taken > LEAST_EFFECT:
+                return None
+            harm += taken * count
+        return harm
+
+    def _left_by_image(self, minion: Minion, now: float) -> list[tuple[str, float, int]]:
+        """Return serving images with the least headroom planned and their number of tasks.
+
+        Kept until a run comes or goes or the minion reports: every waiting filler asks for it.
+        """
+        state = self._minions.setdefault(minion, _Sharing())
+        if state.planned_change == minion.change_count:
+            return state.planned
+        use = self._planned_use(minion)
+        lowest: dict[str, tuple[float, int]] = {}
         for run in minion.runs.values():
             if not _is_measured(run):
                 continue
-            taken = added * self._model.effect(run.step.image, step.image, PLANNING_CAUTION)
-            own = self._model.own_headroom(run.key, now) - FALL_PER_SECOND * seconds
-            left = max(own, self._model.trough(run.step.image)) - taken
-            for image, share in use.items():
-                left -= share * self._model.effect(run.step.image, image)
-            if left < PLANNED_HEADROOM and taken > LEAST_EFFECT:
-                return None
-            harm += taken
-        return harm
+            image = run.step.image
+            own = self._model.own_headroom(run.key, now) - FALL_PER_SECOND * FALL_SECONDS
+            left, count = lowest.get(image, (own, 0))
+            lowest[image] = (min(left, own), count + 1)
+        state.planned = []
+        for image, (own, count) in lowest.items():
+            left = max(own, self._model.trough(image))
+            for filler, share in use.items():
+                left -= share * self._model.effect(image, filler)
+            state.planned.append((image, left, count))
+        state.planned_change = minion.change_count
+        return state.planned
 
     def harm_for(self, minion: Minion, step: Step) -> float:
         """Return the headroom that the minion's fillers would take from a new serving task."""
@@ -153,6 +170,7 @@
             is_over = is_over or headroom < 1.0
             self._model.observe(run.key, run.step.image, headroom, use, now)
         state = self._minions.setdefault(minion, _Sharing())
+        state.planned_change = -1
         if not is_over:
             state.over_since = None
         elif state.over_since is None:
@@ -206,7 +224,7 @@
         is_edge = pace in (0, 100) and pace != run.pace
         if abs(pace - run.pace) < LEAST_PACE_CHANGE and not is_edge:
             return None
-        run.pace, run.paced_at = pace, now
+        minion.set_pace(run, pace, now)
         return PaceOrder(minion, run, pace)
 
     def movable(self, minion: Minion, now: float) -> list[Run]:
--- a/dotterelhill/jobs/tests/scheduler.feature
+++ b/dotterelhill/jobs/tests/scheduler.feature
@@ -235,3 +235,15 @@
     When job "b" of 4 tasks of 1 processors is submitted
     And 2 turns pass
     Then 6 starts were sent in all
+
+  Scenario: a lasting task waits for ever though there is room for two
+    Given job "a" of 8 tasks of 1 processors
+    When 2 turns pass
+    And all tasks on "m1" end as "done"
+    And all tasks on "m2" end as "done"
+    And 1 turns pass
+    And job "l" of 4 lasting tasks of 2 processors is submitted
+    And 1.0 seconds pass in turns
+    Then 2 starts were sent in all
+    When 1.0 seconds pass in turns
+    Then 3 starts were sent in all
--- a/dotterelhill/platform/process.py
+++ b/dotterelhill/platform/process.py
@@ -45,6 +45,8 @@
 # Named in deploy/system.toml, which takes no port from the settings.
 METRICS_PORT = 9464
 KEEPALIVE_SECONDS = 60.0
+CLOSING_SECONDS = 0.8
+RESIGN_SECONDS = 1.0
 # Answers and orders share a minion's connections; a look occupies one while it waits.
 CONNECTIONS_TO_A_MINION = 8
 # Each processor below this number delays a claim, so that a larger VM leads.
@@ -174,17 +176,25 @@
         _log.notice("started", extra={"incarnation": self._incarnation})
         await stop.wait()
         await self._leave()
-        for service in reversed(services):
-            await service.stop()
-        if self._session is not None:
-            await self._session.close()
+        try:
+            async with asyncio.timeout(CLOSING_SECONDS):
+                for service in reversed(services):
+                    await service.stop()
+                if self._session is not None:
+                    await self._session.close()
+        except TimeoutError:
+            _log.warning("closing took too long; ending all the same")
         _log.notice("stopped", extra={"incarnation": self._incarnation})
 
     async def _leave(self) -> None:
         _log.notice("stopping", extra={"in_flight": self._ingress.in_flight})
         ends_at = boot_seconds() + self._settings.grace_seconds - CLOSING_RESERVE_SECONDS
         self._ingress.drain()
-        await self._election.resign()
+        try:
+            async with asyncio.timeout(RESIGN_SECONDS):
+                await self._election.resign()
+        except TimeoutError:
+            _log.warning("resignation took too long; others take over without it")
         await asyncio.sleep(min(NOT_READY_SECONDS, self._settings.grace_seconds / 2))
         with suppress(TimeoutError):
             await asyncio.wait_for(self._ingress.idle.wait(), max(0.0, ends_at - boot_seconds()))
