--- a/dotterelhill/jobs/placement.py
+++ b/dotterelhill/jobs/placement.py
@@ -32,7 +32,7 @@
 # A short task's processor second is worth several of a lasting task's.
 RESERVE_HALF_LIFE_SECONDS = 15.0
 # A lasting task waits for that for this time at the most; then the last place for one is kept.
-RESERVE_PATIENCE_SECONDS = 1.5
+RESERVE_PATIENCE_SECONDS = 2.2
 # No more than this share of a lasting task's own size is kept on a minion.
 LARGEST_RESERVE_SHARE = 0.9
 
