Let short tasks make room for a lasting task that has waited for 5 s

Ruled out: pruning of refused needs and the reserve (both logged at each round; no minion had room at any time).

--- a/dotterelhill/jobs/placement.py
+++ b/dotterelhill/jobs/placement.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
 from enum import IntEnum
 from heapq import heapify, heappop, heapreplace
@@ -33,6 +33,8 @@
 RESERVE_HALF_LIFE_SECONDS = 15.0
 # A lasting task waits for that for this time at the most; then the last place for one is kept.
 RESERVE_PATIENCE_SECONDS = 2.2
+# Short tasks make room for a lasting one that has waited for this time; the platform allows 6 s.
+CLAIM_SECONDS = 5.0
 # No more than this share of a lasting task's own size is kept on a minion.
 LARGEST_RESERVE_SHARE = 0.9
 
@@ -73,6 +75,8 @@
         self._short_peak_at = 0.0
         self._refused: dict[str, list[Room]] = {}
         self._refused_at = float("-inf")
+        self._claims: dict[Minion, int] = {}
+        self._claimed: dict[TaskKey, Minion] = {}
 
     @property
     def waiting_tasks(self) -> int:
@@ -145,6 +149,7 @@
         ranked.sort(key=lambda entry: entry[0])
         self._track_short_peak(minions, now)
         refused = self._recently_refused(now)
+        self._claim_room(ranked, by_service, now)
         for _, queue, waiting in ranked:
             pool = by_service.get(queue.service, [])
             if not pool or queue.needs_advice:
@@ -173,6 +178,60 @@
         self._short_peak_cpu = max(cpu, self._short_peak_cpu * decay)
         self._short_peak_at = now
 
+    def _claim_room(
+        self,
+        ranked: Sequence[tuple[object, Queue, _Waiting]],
+        by_service: Mapping[str, Sequence[Minion]],
+        now: float,
+    ) -> None:
+        """Choose minions on which short tasks make room for lasting ones that have waited long.
+
+        Short tasks that follow each other would keep the processors of a lasting task apart for
+        good.
+        """
+        earlier, self._claimed = self._claimed, {}
+        self._claims = {}
+        for _, queue, waiting in ranked:
+            for place, keys in waiting.pending.items():
+                step = waiting.job.submission.steps[place[1]]
+                waited = now - waiting.since.get(place, now)
+                if not step.is_lasting or waited < CLAIM_SECONDS:
+                    continue
+                pool = by_service.get(queue.service, [])
+                for key in keys:
+                    minion = self._minion_to_claim(key, step, pool, earlier.get(key))
+                    if minion is None:
+                        break
+                    self._claimed[key] = minion
+                    self._claims[minion] = self._claims.get(minion, 0) + step.room.cpu
+
+    def _minion_to_claim(
+        self, key: TaskKey, step: Step, pool: Sequence[Minion], earlier: Minion | None
+    ) -> Minion | None:
+        """Return the minion that lacks least for a lasting task once short tasks have ended.
+
+        :param earlier: minion claimed in the round before, which stays claimed if it can
+        """
+        best: Minion | None = None
+        best_missing = 0
+        for minion in pool:
+            claimed = self._claims.get(minion, 0)
+            room = minion.facts.capacity.cpu - minion.lasting_cpu - claimed
+            memory = minion.facts.capacity.memory_mb - minion.used.memory_mb
+            if room < step.room.cpu or memory < step.room.memory_mb:
+                continue
+            if not _is_allowed(minion, step):
+                continue
+            count = minion.count_on(key.job_id, key.occurrence, key.step)
+            if step.anti_affinity and count >= step.anti_affinity:
+                continue
+            if minion is earlier:
+                return minion
+            missing = step.room.cpu + claimed - minion.free_cpu
+            if best is None or missing < best_missing:
+                best, best_missing = minion, missing
+        return best
+
     def _choose_for(
         self,
         waiting: _Waiting,
@@ -223,7 +282,8 @@
                 heap.append((cost, number))
         heapify(heap)
         while keys and heap:
-            if step.is_lasting and self._is_kept_for_short(step, pool, now - since):
+            is_kept = step.is_lasting and self._short_peak_cpu and now - since < CLAIM_SECONDS
+            if is_kept and self._is_last_place(step, pool):
                 return
             minion = pool[heap[0][1]]
             if keys[0] in minion.runs:
@@ -248,10 +308,8 @@
         kept = self._short_peak_cpu / len(pool)
         return min(kept, LARGEST_RESERVE_SHARE * step.room.cpu)
 
-    def _is_kept_for_short(self, step: Step, pool: Sequence[Minion], waited: float) -> bool:
-        """Return whether the only place for a lasting task is kept for short ones."""
-        if waited < RESERVE_PATIENCE_SECONDS or not self._short_peak_cpu:
-            return False
+    def _is_last_place(self, step: Step, pool: Sequence[Minion]) -> bool:
+        """Return whether fewer than two tasks of a step would find room."""
         places = 0
         for minion in pool:
             if _is_allowed(minion, step) and minion.has_room_for(step):
@@ -293,6 +351,9 @@
             return None
         if step.anti_affinity and minion.count_on(job.job_id, *place) >= step.anti_affinity:
             return None
+        is_short = not step.is_lasting and not step.is_filler
+        if is_short and minion.free_cpu - self._claims.get(minion, 0) < step.room.cpu:
+            return None
         if reserve and minion.free_cpu - step.room.cpu < reserve:
             return None
         return self._cost(step, minion, now)
--- a/dotterelhill/jobs/tests/scheduler.feature
+++ b/dotterelhill/jobs/tests/scheduler.feature
@@ -247,3 +247,12 @@
     Then 2 starts were sent in all
     When 2.0 seconds pass in turns
     Then 3 starts were sent in all
+    When 3.0 seconds pass in turns
+    Then 4 starts were sent in all
+
+  Scenario: short tasks that follow each other keep a lasting task out for ever
+    Given job "a" of 4 tasks of 2 processors
+    When 1 turns pass
+    And job "l" of 1 lasting task of 4 processors is submitted
+    And short tasks of 2 processors end and follow each other for 8 seconds
+    Then job "l" has started
--- a/dotterelhill/jobs/tests/steps/scheduler_steps.py
+++ b/dotterelhill/jobs/tests/steps/scheduler_steps.py
@@ -253,3 +253,22 @@
 def all_of_job(context, job, run):
     sent = {(order.run.key.job_id, order.run.run_id) for order in context.fleet.sent}
     assert sent == {(job, int(run))}, sent
+
+
+@when(r"short tasks of 2 processors end and follow each other for (?P<seconds>\d+) seconds")
+def short_tasks_follow(context, seconds):
+    fleet = context.fleet
+    for number in range(int(seconds) * 5):
+        # One minion after the other ends a task, and the next job is there already.
+        for name, runs in fleet.running.items():
+            short = sorted(key for key in runs if key.job_id != "l")
+            if short and number % 2 == int(name == "m1"):
+                fleet.end(name, short[0], EndKind.DONE)
+        fleet.submit(f"next{number}", (tasks(2, 2),))
+        fleet.turn()
+        fleet.turn()
+
+
+@then(r'job "(?P<job>\w+)" has started')
+def has_started(context, job):
+    assert any(order.run.key.job_id == job for order in context.fleet.sent)
