Forget ended runs and early cancellations; end a term before the next claim

Cause: reading the change as a newcomer: estimates of ended serving tasks and cancellations without a submission were kept for ever, the time allowed over target was not used, and the end of an earlier term of a process could clear the next one.

Conclusion: memory is bounded by live tasks and the retention; types that the scheduler hands out have a module.

--- a/dotterelhill/control/election.py
+++ b/dotterelhill/control/election.py
@@ -140,6 +140,9 @@
     async def _check_once(self) -> None:
         if self._leadership.has_claim or self._is_leaving:
             return
+        if self._term is not None and not self._term.done():
+            # An earlier term of this process must not end the next one.
+            return
         known = self._leader_address
         condition = LeaderCondition.GONE
         if known:
--- a/dotterelhill/control/leader.py
+++ b/dotterelhill/control/leader.py
@@ -26,14 +26,19 @@
     Stream,
 )
 from dotterelhill.control.leadership import Leadership
-from dotterelhill.control.submissions import cancelled_job_of, is_cancellation
+from dotterelhill.control.submissions import (
+    cancellation_key,
+    cancelled_job_of,
+    is_cancellation,
+)
 from dotterelhill.entry.logs import logger_of
 from dotterelhill.entry.metrics import Metrics
+from dotterelhill.jobs.changes import Changes, SchedulerSettings
 from dotterelhill.jobs.fleet import Minion
 from dotterelhill.jobs.model import Job, JobState, Submission
 from dotterelhill.jobs.orders import Order, PaceOrder, StartOrder, StartOutcome, StopOrder
 from dotterelhill.jobs.progress import apply_progress, decode_submission, encode_progress
-from dotterelhill.jobs.scheduler import Changes, Scheduler, SchedulerSettings
+from dotterelhill.jobs.scheduler import Scheduler
 
 # Key of the interference estimates beside the progress of jobs, whose ids have no such character.
 MODEL_KEY = "@interference"
@@ -297,6 +302,7 @@
         records = []
         for job_id in job_ids:
             records.append(Record(job_id, None))
+            records.append(Record(cancellation_key(job_id), None))
         try:
             await self._parts.store.append(Stream.SUBMISSIONS, records)
         except StoreError as error:
--- a/dotterelhill/control/tests/cluster_world.py
+++ b/dotterelhill/control/tests/cluster_world.py
@@ -26,11 +26,11 @@
 from dotterelhill.control.leadership import KEEPING_SECONDS, Leadership
 from dotterelhill.control.peers import PeerStatus, PeerUnreachableError
 from dotterelhill.entry.metrics import LocalMetrics
+from dotterelhill.jobs.changes import SchedulerSettings
 from dotterelhill.jobs.fleet import EndKind, EndReport, MinionFacts, MinionReport, RunReport
 from dotterelhill.jobs.model import Room, Step, Submission
 from dotterelhill.jobs.orders import StartOutcome
 from dotterelhill.jobs.queues import FleetConfig, Queue
-from dotterelhill.jobs.scheduler import SchedulerSettings
 
 HOLD_SECONDS = 6.0
 CALL_SECONDS = 0.005
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -12,8 +12,8 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
 
+from dotterelhill.jobs.changes import Changes, Decision, SchedulerSettings
 from dotterelhill.jobs.fleet import (
     END_LIST_LIMIT,
     EndKind,
@@ -28,7 +28,6 @@
 from dotterelhill.jobs.model import FINAL_STATES, Job, JobState, Submission, Task, TaskKey
 from dotterelhill.jobs.orders import (
     Order,
-    PaceOrder,
     StartOrder,
     StartOutcome,
     StopOrder,
@@ -52,57 +51,6 @@
 AVOID_SECONDS = 4.0
 
 
-@dataclass(frozen=True, slots=True)
-class SchedulerSettings:
-    """Bounds of the platform that the scheduler works with.
-
-    :param hold_seconds: longest lease of a run
-    :param keeping_seconds: time for which an earlier leader may have renewed leases meanwhile
-    :param retention_seconds: time for which the state of an ended job is known
-    :param harm_seconds: time for which a serving task may be over its target because of fillers
-    """
-
-    hold_seconds: float = 6.0
-    keeping_seconds: float = 0.0
-    retention_seconds: float = 120.0
-    harm_seconds: float = 4.0
-
-
-@dataclass(slots=True)
-class Changes:
-    """What one durable write covers.
-
-    :param jobs: jobs whose progress is to be stored
-    :param shown: state of each of those jobs at the time of the write
-    :param starts: runs that may be sent once the write is durable
-    :param ends: highest end taken over, by minion
-    :param removed: ids of jobs whose records are to be deleted
-    """
-
-    jobs: list[Job] = field(default_factory=list)
-    shown: dict[str, JobState] = field(default_factory=dict)
-    starts: list[Run] = field(default_factory=list)
-    ends: list[tuple[Minion, int]] = field(default_factory=list)
-    removed: list[str] = field(default_factory=list)
-
-
-@dataclass(frozen=True, slots=True)
-class Decision:
-    """One decision that touches a job, for the log.
-
-    :param fields: inputs that decided it
-    """
-
-    what: str
-    job_id: str
-    fields: Mapping[str, object]
-
-    @property
-    def kind(self) -> str:
-        """Return the decision without its reason."""
-        return self.what.partition(":")[0]
-
-
 class Scheduler:
     """All jobs and minions of the fleet, as their one holder sees them.
 
@@ -119,7 +67,7 @@
         self._minions: dict[str, Minion] = {}
         self._config = FleetConfig()
         self._evacuated: frozenset[str] = frozenset()
-        self._sharing = Sharing()
+        self._sharing = Sharing(settings.harm_seconds)
         self._placement = Placement(self._sharing)
         self._dirty: dict[str, Job] = {}
         self._planned: list[Run] = []
@@ -398,6 +346,7 @@
         is_current = run is not None and run.run_id == end.run_id
         if run is not None and is_current:
             minion.detach(run)
+            self._sharing.forget_run(run)
         job = self._jobs.get(end.key.job_id)
         if job is None or not 0 <= end.key.step < len(job.submission.steps):
             return
@@ -468,6 +417,7 @@
 
     def _drop(self, minion: Minion, run: Run, now: float, reason: str) -> None:
         minion.detach(run)
+        self._sharing.forget_run(run)
         job = self._jobs.get(run.key.job_id)
         if job is None:
             return
@@ -611,6 +561,9 @@
                 continue
             del self._unlisted[key]
             self._release_unlisted(key, now)
+        for job_id, cancelled_at in list(self._cancelled_early.items()):
+            if now - cancelled_at >= self._settings.retention_seconds:
+                del self._cancelled_early[job_id]
         for job_id, job in list(self._jobs.items()):
             if job.state not in FINAL_STATES:
                 continue
@@ -685,6 +638,3 @@
             "domain": minion.facts.failure_domain,
         }
         self._decisions.append(Decision(what, "", fields))
-
-
-__all__ = ["Changes", "Decision", "PaceOrder", "Scheduler", "SchedulerSettings"]
--- a/dotterelhill/jobs/sharing.py
+++ b/dotterelhill/jobs/sharing.py
@@ -37,8 +37,8 @@
 # A filler that is paced below this for so long is better off on another minion.
 MOVE_PACE = 40
 MOVE_SECONDS = 1.2
-# Serving tasks measured over target for this long stop all fillers beside them.
-STOP_SECONDS = 1.5
+# Serving tasks over target for this share of the time that the platform allows stop all fillers.
+STOP_SHARE = 0.35
 
 
 # A minion without serving tasks is taken before one with other images, after one with the same.
@@ -62,9 +62,13 @@
 
 
 class Sharing:
-    """Placement and pace of fillers beside serving tasks."""
+    """Placement and pace of fillers beside serving tasks.
 
-    def __init__(self) -> None:
+    :param harm_seconds: time for which a serving task may be over its target because of fillers
+    """
+
+    def __init__(self, harm_seconds: float) -> None:
+        self._stop_seconds = STOP_SHARE * harm_seconds
         self._model = HeadroomModel()
         self._minions: dict[Minion, _Sharing] = {}
 
@@ -77,6 +81,11 @@
         """Drop what is known of an incarnation that is gone."""
         self._minions.pop(minion, None)
 
+    def forget_run(self, run: Run) -> None:
+        """Drop what is known of a run that has ended."""
+        if run.step.is_lasting:
+            self._model.forget(run.key)
+
     def has_serving(self, minion: Minion) -> bool:
         """Return whether a serving task is on the minion."""
         return bool(minion.lasting_images)
@@ -185,7 +194,7 @@
         if not fillers:
             return []
         state = self._minions.setdefault(minion, _Sharing())
-        is_over_long = state.over_since is not None and now - state.over_since > STOP_SECONDS
+        is_over_long = state.over_since is not None and now - state.over_since > self._stop_seconds
         orders = []
         for run in fillers:
             pace = 0 if is_over_long else self._pace_of(run, minion, fillers, now)
--- a/dotterelhill/jobs/tests/fleet_world.py
+++ b/dotterelhill/jobs/tests/fleet_world.py
@@ -1,11 +1,12 @@
 from __future__ import annotations
 
+from dotterelhill.jobs.changes import SchedulerSettings
 from dotterelhill.jobs.fleet import EndKind, EndReport, MinionFacts, MinionReport, RunReport
 from dotterelhill.jobs.model import Job, Room, Schedule, Step, Submission, TaskKey
 from dotterelhill.jobs.orders import StartOrder, StartOutcome, StopOrder
 from dotterelhill.jobs.progress import apply_progress, encode_progress
 from dotterelhill.jobs.queues import FleetConfig, Queue
-from dotterelhill.jobs.scheduler import Scheduler, SchedulerSettings
+from dotterelhill.jobs.scheduler import Scheduler
 
 HOLD_SECONDS = 6.0
 START = 1000.0
--- a/dotterelhill/platform/process.py
+++ b/dotterelhill/platform/process.py
@@ -26,7 +26,7 @@
 from dotterelhill.core import new_incarnation_id
 from dotterelhill.entry.logs import BoundedStream, logger_of, start_logging
 from dotterelhill.entry.metrics import LocalMetrics
-from dotterelhill.jobs.scheduler import SchedulerSettings
+from dotterelhill.jobs.changes import SchedulerSettings
 from dotterelhill.platform.ingress import Ingress
 from dotterelhill.platform.minions import PlatformMinions
 from dotterelhill.platform.records import PlatformRecords
