Use the field's terms for polls, failure detection and the job service

Cause: the read-through found names of our own (desk, suspicion, look, strangers, keeping) where the field has terms.

--- a/dotterelhill/control/election.py
+++ b/dotterelhill/control/election.py
@@ -13,16 +13,16 @@
 from dotterelhill.control.leadership import (
     RENEW_SECONDS,
     Claim,
+    FailureDetector,
     LeaderCondition,
     Leadership,
-    Suspicion,
 )
 from dotterelhill.control.peers import PeerClient, PeerUnreachableError
 from dotterelhill.entry.logs import logger_of
 
 CHECK_SECONDS = 0.5
 # While the leader does not answer, the stream is looked at this often.
-SUSPECT_SECONDS = 0.25
+DETECTOR_SECONDS = 0.25
 # A process far from the store or with a slow processor waits longer, so that a nearer one leads.
 DISTANCE_FACTOR = 8.0
 LONGEST_PREFERENCE_SECONDS = 1.5
@@ -56,7 +56,7 @@
         self._clock = clock
         self._random = random
         self._handicap_seconds = handicap_seconds
-        self._suspicion = Suspicion(clock)
+        self._detector = FailureDetector(clock)
         self._leader: Leader | None = None
         self._leader_address = ""
         self._leader_incarnation = ""
@@ -128,7 +128,7 @@
                 self._set_store_failing(False, "")
             except StoreError as error:
                 self._set_store_failing(True, str(error))
-            seconds = SUSPECT_SECONDS if self._suspicion.is_raised else CHECK_SECONDS
+            seconds = DETECTOR_SECONDS if self._detector.is_watching else CHECK_SECONDS
             await asyncio.sleep(seconds * self._random.uniform(0.8, 1.2))
 
     def _set_store_failing(self, is_failing: bool, reason: str) -> None:
@@ -148,7 +148,7 @@
         if known:
             condition = await self._condition_of(known, self._leader_incarnation)
         if known and condition is LeaderCondition.PRESENT:
-            self._suspicion.clear()
+            self._detector.clear()
             return
         started_at = self._clock()
         standing = await self._leadership.read()
@@ -160,7 +160,7 @@
             self._leader_address = claim.address
             self._leader_incarnation = claim.incarnation
             condition = await self._condition_of(claim.address, claim.incarnation)
-        if not self._suspicion.may_claim(standing, condition):
+        if not self._detector.may_claim(standing, condition):
             return
         preference = min(LONGEST_PREFERENCE_SECONDS, DISTANCE_FACTOR * distance)
         jitter = self._random.uniform(0, JITTER_SECONDS)
--- a/dotterelhill/control/desk.py
+++ b/dotterelhill/control/job_service.py
@@ -23,7 +23,7 @@
 LARGEST_OWN_COUNT = 5000
 QUEUE_CACHE_SECONDS = 0.5
 
-_log = logger_of("desk")
+_log = logger_of("jobs")
 
 
 class NotStoredError(Exception):
@@ -34,7 +34,7 @@
     """A record may have been stored."""
 
 
-class JobDesk:
+class JobService:
     """Answers requests about jobs.
 
     :param clock: seconds; as of :class:`~dotterelhill.control.leadership.Leadership`
--- a/dotterelhill/control/leader.py
+++ b/dotterelhill/control/leader.py
@@ -1,4 +1,4 @@
-"""The fleet's leader: loads the stored state, looks at every minion, and runs the scheduler."""
+"""The fleet's leader: loads the stored state, polls every minion, and runs the scheduler."""
 
 from __future__ import annotations
 
@@ -49,9 +49,9 @@
 # Leases and retries are looked at this often when nothing else happens.
 TICK_SECONDS = 0.1
 APPEND_RETRY_SECONDS = 0.1
-# Looks at one minion are at least this far apart; ends within it share a look.
-LOOK_SPACING_SECONDS = 0.05
-LOOK_RETRY_SECONDS = (0.2, 0.5)
+# Polls of one minion are at least this far apart; ends within it share a poll.
+POLL_SPACING_SECONDS = 0.05
+POLL_RETRY_SECONDS = (0.2, 0.5)
 MINION_LIST_PAUSE_SECONDS = 0.5
 # A stored submission is known to the leader within this time unless the store is in trouble.
 FRESH_SECONDS = 3.0
@@ -389,7 +389,7 @@
             self._wake.set()
 
     async def _deliver(self, order: Order) -> None:
-        if not self._parts.leadership.is_keeping:
+        if not self._parts.leadership.may_renew_leases:
             return
         try:
             match order:
@@ -416,7 +416,7 @@
         """Renew the lease of a minion's runs and read its lists, as long as it is known."""
         hold_seconds = self._parts.settings.hold_seconds
         while self._scheduler.minions.get(minion.minion_id) is minion:
-            if not self._parts.leadership.is_keeping:
+            if not self._parts.leadership.may_renew_leases:
                 if not self._parts.leadership.has_claim:
                     return
                 await asyncio.sleep(TICK_SECONDS)
@@ -426,7 +426,7 @@
             if minion.is_answering:
                 # A silent minion's lease must come to an end, or its tasks would wait for good.
                 deadline_ms = minion.lease_deadline_ms(sent_at, hold_seconds)
-            wait_seconds = self._scheduler.look_wait_seconds(minion)
+            wait_seconds = self._scheduler.poll_wait_seconds(minion)
             if deadline_ms is not None:
                 minion.extend_lease(sent_at, hold_seconds)
             try:
@@ -439,18 +439,18 @@
             except OtherIncarnationError:
                 self._scheduler.replaced(minion, self._clock())
                 self._wake.set()
-                await asyncio.sleep(LOOK_RETRY_SECONDS[1])
+                await asyncio.sleep(POLL_RETRY_SECONDS[1])
                 continue
             except MinionError as error:
-                self._parts.metrics.count("jobs.looks", label="unanswered")
+                self._parts.metrics.count("jobs.polls", label="unanswered")
                 self._scheduler.unanswered(minion, str(error), self._clock())
-                await asyncio.sleep(self._parts.random.uniform(*LOOK_RETRY_SECONDS))
+                await asyncio.sleep(self._parts.random.uniform(*POLL_RETRY_SECONDS))
                 continue
-            self._parts.metrics.count("jobs.looks", label="answered")
+            self._parts.metrics.count("jobs.polls", label="answered")
             self._scheduler.report(minion, report, sent_at, self._clock())
             self._send_orders()
             self._wake.set()
-            await asyncio.sleep(LOOK_SPACING_SECONDS)
+            await asyncio.sleep(POLL_SPACING_SECONDS)
 
     def _log_decisions(self) -> None:
         for decision in self._scheduler.take_decisions():
--- a/dotterelhill/control/leadership.py
+++ b/dotterelhill/control/leadership.py
@@ -33,7 +33,7 @@
 # It keeps the leases of present runs for this time longer, so that an outage of the store for all
 # processes ends no work. A later leader adds it to the time in which runs may be present on a
 # minion that it can't reach.
-KEEPING_SECONDS = 6.0
+RENEWAL_GRACE_SECONDS = 6.0
 RENEW_SECONDS = 0.5
 # A leader that has not renewed for this time asks its peers to take over: two renewals missed.
 UNABLE_SECONDS = 1.2
@@ -112,9 +112,9 @@
         return self._claim is not None and self._clock() < self._valid_until
 
     @property
-    def is_keeping(self) -> bool:
+    def may_renew_leases(self) -> bool:
         """Return whether this process may keep the leases of present runs."""
-        return self._claim is not None and self._clock() < self._valid_until + KEEPING_SECONDS
+        return self._claim is not None and self._clock() < self._valid_until + RENEWAL_GRACE_SECONDS
 
     @property
     def is_able(self) -> bool:
@@ -229,7 +229,7 @@
 }
 
 
-class Suspicion:
+class FailureDetector:
     """Decides when a process may claim after the leader has stopped answering.
 
     :param clock: as of :class:`Leadership`
@@ -241,7 +241,7 @@
         self._since = 0.0
 
     @property
-    def is_raised(self) -> bool:
+    def is_watching(self) -> bool:
         """Return whether the stream is being watched for growth."""
         return self._end is not None
 
--- a/dotterelhill/control/tests/cluster.feature
+++ b/dotterelhill/control/tests/cluster.feature
@@ -102,7 +102,7 @@
     And 1 seconds pass
     Then another process leads
 
-  Scenario: each unanswered look extends the lease of a minion that is gone
+  Scenario: each unanswered poll extends the lease of a minion that is gone
     When job "j" of 2 tasks of 2 seconds is submitted at a process that does not lead
     And 1 seconds pass
     And a minion with tasks of job "j" is gone
--- a/dotterelhill/control/tests/cluster_world.py
+++ b/dotterelhill/control/tests/cluster_world.py
@@ -6,7 +6,6 @@
 
 import looptime
 
-from dotterelhill.control.desk import JobDesk
 from dotterelhill.control.election import Election
 from dotterelhill.control.feeds import ConfigurationFeed, Follower
 from dotterelhill.control.health import ObservedStore
@@ -22,8 +21,9 @@
     StoreSequenceError,
     Stream,
 )
+from dotterelhill.control.job_service import JobService
 from dotterelhill.control.leader import Leader, LeaderParts
-from dotterelhill.control.leadership import KEEPING_SECONDS, Leadership
+from dotterelhill.control.leadership import RENEWAL_GRACE_SECONDS, Leadership
 from dotterelhill.control.peers import PeerStatus, PeerUnreachableError
 from dotterelhill.entry.metrics import LocalMetrics
 from dotterelhill.jobs.changes import SchedulerSettings
@@ -288,7 +288,7 @@
                     Decoder(),
                     configuration,
                     self.leadership,
-                    SchedulerSettings(HOLD_SECONDS, KEEPING_SECONDS, 120.0, 4.0),
+                    SchedulerSettings(HOLD_SECONDS, RENEWAL_GRACE_SECONDS, 120.0, 4.0),
                     clock,
                     lambda: int(1000 * clock()),
                     rng,
@@ -302,7 +302,7 @@
             observed, Stream.CONFIGURATION, lambda records, is_whole: None, clock, rng
         )
         self.election = Election(self.leadership, incarnation, peers, new_leader, clock, rng)
-        self.desk = JobDesk(observed, self.election, peers, clock, rng)
+        self.job_service = JobService(observed, self.election, peers, clock, rng)
 
 
 class Cluster:
@@ -373,7 +373,7 @@
         step = Step(count, Room(1000, 100), 1.0)
         now_ms = int(1000 * self.loop.time())
         submission = Submission(job_id, QUEUE, now_ms, "spec", (step,))
-        self.run(self.processes[name].desk.submit(submission, 3.0))
+        self.run(self.processes[name].job_service.submit(submission, 3.0))
 
     def close(self) -> None:
         for name, process in list(self.processes.items()):
--- a/dotterelhill/control/tests/steps/cluster_steps.py
+++ b/dotterelhill/control/tests/steps/cluster_steps.py
@@ -2,8 +2,8 @@
 
 from behave import given, then, use_step_matcher, when
 
-from dotterelhill.control.desk import NotStoredError
 from dotterelhill.control.interface import Record, Stream
+from dotterelhill.control.job_service import NotStoredError
 from dotterelhill.control.tests.cluster_world import QUEUE, Cluster
 from dotterelhill.jobs.model import Room, Step, Submission
 from dotterelhill.jobs.progress import encode_submission
@@ -149,7 +149,7 @@
 def all_show(context, job, state):
     for name, process in context.cluster.processes.items():
         if process.is_running:
-            shown = context.cluster.run(process.desk.state_of(job))
+            shown = context.cluster.run(process.job_service.state_of(job))
             assert shown == state, (name, shown)
 
 
--- a/dotterelhill/entry/metrics.py
+++ b/dotterelhill/entry/metrics.py
@@ -99,7 +99,7 @@
     Metric("jobs.starts", _C, "orders", "start orders by what became of them", "outcome"),
     Metric("jobs.start_wait_seconds", _Q, "seconds", "from the plan to the answer of a start"),
     Metric("jobs.decisions", _C, "decisions", "decisions of the scheduler", "decision"),
-    Metric("jobs.looks", _C, "calls", "looks at minions by what became of them", "result"),
+    Metric("jobs.polls", _C, "calls", "polls of minions by what became of them", "result"),
     Metric("jobs.known", _G, "jobs", "jobs that the leader knows"),
     Metric("jobs.waiting_tasks", _G, "tasks", "tasks that could start"),
     Metric("jobs.minions", _G, "minions", "minions that the leader knows"),
--- a/dotterelhill/jobs/changes.py
+++ b/dotterelhill/jobs/changes.py
@@ -14,13 +14,13 @@
     """Bounds of the platform that the scheduler works with.
 
     :param hold_seconds: longest lease of a run
-    :param keeping_seconds: time for which an earlier leader may have renewed leases meanwhile
+    :param renewal_grace_seconds: time for which an earlier leader may have renewed leases meanwhile
     :param retention_seconds: time for which the state of an ended job is known
     :param harm_seconds: time for which a serving task may be over its target because of fillers
     """
 
     hold_seconds: float = 6.0
-    keeping_seconds: float = 0.0
+    renewal_grace_seconds: float = 0.0
     retention_seconds: float = 120.0
     harm_seconds: float = 4.0
 
--- a/dotterelhill/jobs/placement.py
+++ b/dotterelhill/jobs/placement.py
@@ -372,8 +372,8 @@
         if step.is_lasting:
             # Serving tasks of one image share minions, so that more fillers harm none of them, and
             # leave others without any.
-            strangers = self._sharing.strangers(minion, step)
-            return (distance, strangers, self._sharing.harm_for(minion, step), minion.free_cpu)
+            image_mismatch = self._sharing.image_mismatch(minion, step)
+            return (distance, image_mismatch, self._sharing.harm_for(minion, step), minion.free_cpu)
         # Other tasks neither disturb nor suffer; they leave minions without serving tasks free.
         return (distance, 0.0 if self._sharing.has_serving(minion) else 1.0, minion.free_cpu)
 
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -38,11 +38,11 @@
 
 # An unanswered stop is sent again after this time; late orders are carried out after 2 s or more.
 STOP_RETRY_SECONDS = 0.7
-# A look at a minion returns at an end, or after this time (bound of the platform: 2 s).
-LONGEST_LOOK_SECONDS = 2.0
-UNRESOLVED_LOOK_SECONDS = 0.3
+# A poll of a minion returns at an end, or after this time (bound of the platform: 2 s).
+LONGEST_POLL_SECONDS = 2.0
+UNRESOLVED_POLL_SECONDS = 0.3
 # Tails of serving tasks beside fillers cover half a second.
-SHARING_LOOK_SECONDS = 0.4
+SHARING_POLL_SECONDS = 0.4
 # A minion that refused a start gets no other one for this time.
 UNHEALTHY_SECONDS = 1.0
 # Failures of several tasks on one minion within this window set it aside.
@@ -61,7 +61,9 @@
     def __init__(self, settings: SchedulerSettings, now: float) -> None:
         self._settings = settings
         # Runs that an earlier leader started on a minion that does not answer may last till then.
-        self._earlier_lease_end = lease_end(now, settings.hold_seconds) + settings.keeping_seconds
+        self._earlier_lease_end = (
+            lease_end(now, settings.hold_seconds) + settings.renewal_grace_seconds
+        )
         self._jobs: dict[str, Job] = {}
         self._active: dict[str, Job] = {}
         self._minions: dict[str, Minion] = {}
@@ -279,19 +281,19 @@
             self._forget(minion, now, "another minion has its address")
             del self._minions[minion.minion_id]
 
-    def look_wait_seconds(self, minion: Minion) -> float:
-        """Return how long the next look at a minion may wait for an end."""
+    def poll_wait_seconds(self, minion: Minion) -> float:
+        """Return how long the next poll of a minion may wait for an end."""
         if not minion.is_synced:
             return 0.0
-        wait = LONGEST_LOOK_SECONDS
+        wait = LONGEST_POLL_SECONDS
         has_filler = has_serving = False
         for run in minion.runs.values():
             if run.state in (RunState.UNKNOWN, RunState.STOPPING):
-                return UNRESOLVED_LOOK_SECONDS
+                return UNRESOLVED_POLL_SECONDS
             has_filler = has_filler or run.step.is_filler
             has_serving = has_serving or run.step.is_lasting
         if has_filler and has_serving:
-            wait = SHARING_LOOK_SECONDS
+            wait = SHARING_POLL_SECONDS
         return wait
 
     def _take_running(
--- a/dotterelhill/jobs/sharing.py
+++ b/dotterelhill/jobs/sharing.py
@@ -90,7 +90,7 @@
         """Return whether a serving task is on the minion."""
         return bool(minion.lasting_images)
 
-    def strangers(self, minion: Minion, step: Step) -> float:
+    def image_mismatch(self, minion: Minion, step: Step) -> float:
         """Return how badly a serving task's image fits those on the minion, 0 to 1."""
         if not minion.lasting_images:
             return EMPTY_MINION_COST
--- a/dotterelhill/jobs/tests/fleet_world.py
+++ b/dotterelhill/jobs/tests/fleet_world.py
@@ -70,7 +70,7 @@
         self.submitted.append(submission)
         self.scheduler.submit(submission, self.now)
 
-    def look(self, *, sent_at: float | None = None) -> None:
+    def poll(self, *, sent_at: float | None = None) -> None:
         """Let every answering minion report."""
         for name, minion in list(self.scheduler.minions.items()):
             if name in self.silent:
@@ -113,7 +113,7 @@
 
     def turn(self, outcome: StartOutcome = StartOutcome.STARTED) -> list[StartOrder]:
         """Look, plan, store and deliver once."""
-        self.look()
+        self.poll()
         self.plan()
         orders = self.commit()
         self.deliver(orders, outcome)
--- a/dotterelhill/jobs/tests/steps/scheduler_steps.py
+++ b/dotterelhill/jobs/tests/steps/scheduler_steps.py
@@ -82,7 +82,7 @@
 
 @when(r"the minions report")
 def report(context):
-    context.fleet.look()
+    context.fleet.poll()
 
 
 @when(r"the scheduler plans")
--- a/dotterelhill/platform/ingress.py
+++ b/dotterelhill/platform/ingress.py
@@ -1,4 +1,4 @@
-"""Requests of clients: HTTP in the platform's format, answered by the job desk."""
+"""Requests of clients: HTTP in the platform's format, answered by the job job_service."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 import msgspec
 from aiohttp import web
 
-from dotterelhill.control.desk import JobDesk, NotStoredError, OutcomeUnknownError
+from dotterelhill.control.job_service import JobService, NotStoredError, OutcomeUnknownError
 from dotterelhill.control.leader import NotReadyError
 from dotterelhill.entry.logs import logger_of
 from dotterelhill.entry.metrics import Metrics
@@ -161,14 +161,14 @@
 
     def __init__(
         self,
-        desk: JobDesk,
+        job_service: JobService,
         config: Callable[[], FleetConfig],
         callers: Address,
         readiness: Address,
         metrics: Metrics,
     ) -> None:
         super().__init__()
-        self._desk = desk
+        self._job_service = job_service
         self._config = config
         self._callers = callers
         self._readiness = readiness
@@ -264,11 +264,13 @@
                 case "POST" if _is_job_id(name):
                     return await self._submit(request, config, queue, name, seconds)
                 case "GET" if not name:
-                    return _Reply(200, body={"waiting": await self._desk.waiting_in(queue.name)})
+                    return _Reply(
+                        200, body={"waiting": await self._job_service.waiting_in(queue.name)}
+                    )
                 case "GET" if _is_job_id(name):
                     return await self._state(name)
                 case "DELETE" if _is_job_id(name):
-                    await self._desk.cancel(name, seconds)
+                    await self._job_service.cancel(name, seconds)
                     return _Reply(200)
                 case "POST" | "GET" | "DELETE":
                     return _Reply(400, "expected a job id of 16 hexadecimal digits")
@@ -299,11 +301,11 @@
             submission = decode_job(bytes(body), job_id, queue, int(time.time() * 1000))
         except BadJobError as error:
             return _Reply(400, str(error))
-        await self._desk.submit(submission, seconds)
+        await self._job_service.submit(submission, seconds)
         return _Reply(200)
 
     async def _state(self, job_id: str) -> _Reply:
-        state = await self._desk.state_of(job_id)
+        state = await self._job_service.state_of(job_id)
         if state is None:
             return _Reply(410, "no such job")
         return _Reply(200, body={"state": _STATE_WORDS[state]})
--- a/dotterelhill/platform/process.py
+++ b/dotterelhill/platform/process.py
@@ -14,13 +14,13 @@
 import aiohttp
 import mode
 
-from dotterelhill.control.desk import JobDesk
 from dotterelhill.control.election import Election
 from dotterelhill.control.feeds import ConfigurationFeed, Follower
 from dotterelhill.control.health import ObservedStore
 from dotterelhill.control.interface import Stream
+from dotterelhill.control.job_service import JobService
 from dotterelhill.control.leader import Leader, LeaderParts
-from dotterelhill.control.leadership import KEEPING_SECONDS, Leadership
+from dotterelhill.control.leadership import RENEWAL_GRACE_SECONDS, Leadership
 from dotterelhill.control.metrics_server import MetricsServer
 from dotterelhill.control.peers import PeerClient, PeerServer
 from dotterelhill.core import new_incarnation_id
@@ -47,7 +47,7 @@
 KEEPALIVE_SECONDS = 60.0
 CLOSING_SECONDS = 0.8
 RESIGN_SECONDS = 1.0
-# Answers and orders share a minion's connections; a look occupies one while it waits.
+# Answers and orders share a minion's connections; a poll occupies one while it waits.
 CONNECTIONS_TO_A_MINION = 8
 # Each processor below this number delays a claim, so that a larger VM leads.
 FULL_PROCESSORS = 1.0
@@ -106,9 +106,9 @@
         self._peer_server = PeerServer(
             self._election, self._store, settings.peers.host, settings.peers.port
         )
-        desk = JobDesk(self._store, self._election, peers, boot_seconds, self._random)
+        job_service = JobService(self._store, self._election, peers, boot_seconds, self._random)
         self._ingress = Ingress(
-            desk,
+            job_service,
             lambda: self._configuration.config,
             settings.callers,
             settings.readiness,
@@ -141,7 +141,7 @@
                 leadership=self._leadership,
                 settings=SchedulerSettings(
                     settings.hold_seconds,
-                    KEEPING_SECONDS,
+                    RENEWAL_GRACE_SECONDS,
                     settings.retention_seconds,
                     settings.harm_seconds,
                 ),
