Let a lasting task that has just come refuse nothing for older ones

Cause: reading the code: a step that has waited under 2.2 s must leave a reserve; when it finds no place, its size was noted as refused for all steps of its image in the round, also for older ones that need no reserve.

Before: the new scenario failed without the change. After: it passes. No run has shown the fault.

--- a/dotterelhill/jobs/placement.py
+++ b/dotterelhill/jobs/placement.py
@@ -296,8 +296,8 @@
                 heappop(heap)
             else:
                 heapreplace(heap, (cost, heap[0][1]))
-        # A limit of this step alone says nothing of others.
-        is_limited = step.anti_affinity or step.required_label or step.data_rack
+        # A limit of this step alone, or of a task that has just come, says nothing of others.
+        is_limited = step.anti_affinity or step.required_label or step.data_rack or reserve
         if keys and not is_limited:
             refused.setdefault(kind, []).append(step.room)
 
--- a/dotterelhill/jobs/tests/scheduler.feature
+++ b/dotterelhill/jobs/tests/scheduler.feature
@@ -256,3 +256,16 @@
     And job "l" of 1 lasting task of 4 processors is submitted
     And short tasks of 2 processors end and follow each other for 8 seconds
     Then job "l" has started
+
+  Scenario: a lasting task that has just come keeps older ones of its image from starting
+    Given job "a" of 2 tasks of 3 processors
+    And job "b" of 2 tasks of 1 processors
+    When 1 turns pass
+    And job "l" of 1 lasting task of 2 processors is submitted
+    And 4.0 seconds pass in turns
+    And one task of job "a" ends as "done"
+    And one task of job "a" ends as "done"
+    And job "k" of 1 lasting task of 2 processors is submitted
+    And 2 turns pass
+    Then job "l" has started
+    And 5 starts were sent in all
--- a/dotterelhill/platform/ingress.py
+++ b/dotterelhill/platform/ingress.py
@@ -1,4 +1,4 @@
-"""Requests of clients: HTTP in the platform's format, answered by the job job_service."""
+"""Requests of clients: HTTP in the platform's format, answered by the job service."""
 
 from __future__ import annotations
 
