Spread submissions over the partitions of their stream

All submissions went to one partition, which then takes 6 appends a second of the 20 that come. Clients reached their deadline (66 tries), the append queue of the store overflowed (503), and the repeats made it longer. Seen in the times of "request answered" between 12 and 18 s.

Ruled out: a group commit in each process, since each of 43 has half a submission a second; sending all through the leader, which would make submissions wait for its election.

The store has a limit of its own now.

The scenario fails with one partition.

--- a/dotterelhill/control/feeds.py
+++ b/dotterelhill/control/feeds.py
@@ -54,7 +54,7 @@
 
 
 class Follower(mode.Service):
-    """Follows one stream from its newest records on.
+    """Follows one partition of a stream from its newest records on.
 
     :param on_records: called with records in order; ``is_whole`` says that they are all keys
     :param wait_seconds: longest wait of a read
@@ -70,6 +70,7 @@
         random: Random,
         wait_seconds: float = FOLLOW_WAIT_SECONDS,
         pause_seconds: float = 0.0,
+        partition: int = 0,
     ) -> None:
         super().__init__()
         self._store = store
@@ -79,6 +80,7 @@
         self._random = random
         self._wait_seconds = wait_seconds
         self._pause_seconds = pause_seconds
+        self._partition = partition
         self._offset: int | None = None
         self._read_at = float("-inf")
         self._is_failing = False
@@ -96,11 +98,13 @@
         """
         sent_at = self._clock()
         if self._offset is None:
-            batch = await self._store.newest(self._stream)
+            batch = await self._store.newest(self._stream, self._partition)
             self._take(batch, sent_at, is_whole=True)
             return
         try:
-            batch = await self._store.read(self._stream, self._offset, self._wait_seconds)
+            batch = await self._store.read(
+                self._stream, self._offset, self._wait_seconds, self._partition
+            )
         except HistoryDroppedError:
             _log.notice("history dropped; reading all keys", extra={"stream": str(self._stream)})
             self._offset = None
--- a/dotterelhill/control/health.py
+++ b/dotterelhill/control/health.py
@@ -65,37 +65,44 @@
             age = round(self._clock() - self._answered_at, 2)
             _log.warning("store is away", extra={"reason": str(error), "silent_seconds": age})
 
+    def partitions(self, stream: Stream) -> int:
+        """Return the number of partitions of a stream."""
+        return self._store.partitions(stream)
+
     async def append(
         self,
         stream: Stream,
         records: Sequence[Record],
         *,
+        partition: int = 0,
         at: int | None = None,
         fence: Fence | None = None,
     ) -> int:
         """Append as the observed store does."""
         try:
-            end = await self._store.append(stream, records, at=at, fence=fence)
+            end = await self._store.append(stream, records, partition=partition, at=at, fence=fence)
         except StoreError as error:
             self._note_failure(error)
             raise
         self._note_answer()
         return end
 
-    async def newest(self, stream: Stream) -> Batch:
+    async def newest(self, stream: Stream, partition: int = 0) -> Batch:
         """Return the newest records as the observed store does."""
         try:
-            batch = await self._store.newest(stream)
+            batch = await self._store.newest(stream, partition)
         except StoreError as error:
             self._note_failure(error)
             raise
         self._note_answer()
         return batch
 
-    async def read(self, stream: Stream, start: int, wait_seconds: float) -> Batch:
+    async def read(
+        self, stream: Stream, start: int, wait_seconds: float, partition: int = 0
+    ) -> Batch:
         """Return records as the observed store does."""
         try:
-            batch = await self._store.read(stream, start, wait_seconds)
+            batch = await self._store.read(stream, start, wait_seconds, partition)
         except StoreError as error:
             self._note_failure(error)
             raise
--- a/dotterelhill/control/interface.py
+++ b/dotterelhill/control/interface.py
@@ -70,7 +70,7 @@
 
 
 class StoreConflictError(StoreError):
-    """The stream did not end where the append expected."""
+    """The partition did not end where the append expected."""
 
 
 class StoreFencedError(StoreError):
@@ -95,26 +95,33 @@
 class Store(Protocol):
     """Durable streams of the platform."""
 
+    def partitions(self, stream: Stream) -> int:
+        """Return the number of partitions of a stream; each takes one append at a time."""
+        ...
+
     async def append(
         self,
         stream: Stream,
         records: Sequence[Record],
         *,
+        partition: int = 0,
         at: int | None = None,
         fence: Fence | None = None,
     ) -> int:
         """Append all records or none and return the offset after them.
 
-        :param at: offset at which the stream must end
+        :param at: offset at which the partition must end
         :raises StoreError: see the subclasses
         """
         ...
 
-    async def newest(self, stream: Stream) -> Batch:
+    async def newest(self, stream: Stream, partition: int = 0) -> Batch:
         """Return the newest record of each key, and the offset from which to read on."""
         ...
 
-    async def read(self, stream: Stream, start: int, wait_seconds: float) -> Batch:
+    async def read(
+        self, stream: Stream, start: int, wait_seconds: float, partition: int = 0
+    ) -> Batch:
         """Return records from offset ``start`` on; wait for one up to ``wait_seconds``.
 
         :raises HistoryDroppedError: when ``start`` is past retention
--- a/dotterelhill/control/job_service.py
+++ b/dotterelhill/control/job_service.py
@@ -9,10 +9,10 @@
 
 from dotterelhill.control.election import Election
 from dotterelhill.control.health import ObservedStore
-from dotterelhill.control.interface import Record, StoreError, Stream
+from dotterelhill.control.interface import Record, StoreError
 from dotterelhill.control.leader import NotReadyError
 from dotterelhill.control.peers import PeerClient, PeerUnreachableError
-from dotterelhill.control.submissions import cancellation_key
+from dotterelhill.control.submissions import append_submissions, cancellation_key
 from dotterelhill.entry.logs import logger_of
 from dotterelhill.jobs.model import JobState, Submission
 from dotterelhill.jobs.progress import encode_submission
@@ -92,7 +92,7 @@
                 reason = "store is away"
             else:
                 try:
-                    await self._store.append(Stream.SUBMISSIONS, [record])
+                    await append_submissions(self._store, [record])
                     return
                 except StoreError as error:
                     may_be_stored = may_be_stored or error.is_effect_unknown
--- a/dotterelhill/control/leader.py
+++ b/dotterelhill/control/leader.py
@@ -27,6 +27,7 @@
 )
 from dotterelhill.control.leadership import Leadership
 from dotterelhill.control.submissions import (
+    append_submissions,
     cancellation_key,
     cancelled_job_of,
     is_cancellation,
@@ -100,9 +101,17 @@
         self._model_stored_at = self._clock()
         self._background: set[asyncio.Task[None]] = set()
         self._watched: set[Minion] = set()
-        self._submissions = Follower(
-            parts.store, Stream.SUBMISSIONS, self._take_submissions, parts.clock, parts.random
-        )
+        self._submissions: list[Follower] = []
+        for partition in range(parts.store.partitions(Stream.SUBMISSIONS)):
+            follower = Follower(
+                parts.store,
+                Stream.SUBMISSIONS,
+                self._take_submissions,
+                parts.clock,
+                parts.random,
+                partition=partition,
+            )
+            self._submissions.append(follower)
         self._minion_list = Follower(
             parts.store,
             Stream.MINIONS,
@@ -128,7 +137,8 @@
             raise NotReadyError("stored jobs are being loaded")
         state = self._scheduler.state_of(job_id)
         if state is None:
-            is_fresh = self._submissions.age_seconds < FRESH_SECONDS
+            age_seconds = max(follower.age_seconds for follower in self._submissions)
+            is_fresh = age_seconds < FRESH_SECONDS
             if not is_fresh or not self._parts.leadership.is_leading:
                 raise NotReadyError("submissions are not read up to their end")
         return state
@@ -161,19 +171,17 @@
         try:
             await self._load()
             self.configuration_changed()
-            await self._submissions.start()
-            await self._minion_list.start()
-            await self._submissions.loaded.wait()
+            for follower in [*self._submissions, self._minion_list]:
+                await follower.start()
             self._is_loaded = True
             _log.notice("leading", extra={"epoch": self._epoch, "jobs": len(self._scheduler.jobs)})
             await self._work()
         except StoreFencedError as error:
             self._parts.leadership.drop(str(error))
         finally:
-            with suppress(Exception):
-                await self._submissions.stop()
-            with suppress(Exception):
-                await self._minion_list.stop()
+            for follower in [*self._submissions, self._minion_list]:
+                with suppress(Exception):
+                    await follower.stop()
             for task in self._background:
                 task.cancel()
 
@@ -181,14 +189,16 @@
         """Fence earlier leaders, then read what they have stored."""
         await self._append([])
         # Submissions come before their progress, so reading them last finds each of them.
-        progress = await self._retried(lambda: self._parts.store.newest(Stream.PROGRESS))
+        progress, _ = await asyncio.gather(
+            self._retried(lambda: self._parts.store.newest(Stream.PROGRESS)),
+            self._retried(self._minion_list.step),
+        )
         for record in progress.records:
             if record.key == MODEL_KEY and record.value is not None:
                 self._load_model(record.value)
             elif record.value is not None:
                 self._stored_progress[record.key] = record.value
-        await self._retried(self._minion_list.step)
-        await self._retried(self._submissions.step)
+        await asyncio.gather(*(self._retried(follower.step) for follower in self._submissions))
         orphans = len(self._stored_progress)
         if orphans:
             _log.warning("progress without a submission", extra={"jobs": orphans})
@@ -304,7 +314,7 @@
             records.append(Record(job_id, None))
             records.append(Record(cancellation_key(job_id), None))
         try:
-            await self._parts.store.append(Stream.SUBMISSIONS, records)
+            await append_submissions(self._parts.store, records)
         except StoreError as error:
             # The records stay; a later leader finds a job without progress and an old id.
             _log.warning("ended jobs were not removed", extra={"reason": str(error)})
--- a/dotterelhill/control/peers.py
+++ b/dotterelhill/control/peers.py
@@ -12,9 +12,10 @@
 from aiohttp import web
 
 from dotterelhill.control.health import ObservedStore
-from dotterelhill.control.interface import Record, StoreError, Stream
+from dotterelhill.control.interface import Record, StoreError
 from dotterelhill.control.leader import Leader, NotReadyError
 from dotterelhill.control.leadership import Claim
+from dotterelhill.control.submissions import append_submissions
 from dotterelhill.entry.logs import logger_of
 
 STATUS_PATH = "/leader/status"
@@ -157,7 +158,7 @@
         if self._store.is_away:
             return web.Response(status=503, text="store is away")
         try:
-            await self._store.append(Stream.SUBMISSIONS, [Record(record.key, record.value)])
+            await append_submissions(self._store, [Record(record.key, record.value)])
         except StoreError as error:
             # 504 says that the record may be stored, 503 that it is not.
             return web.Response(status=504 if error.is_effect_unknown else 503, text=str(error))
--- a/dotterelhill/control/submissions.py
+++ b/dotterelhill/control/submissions.py
@@ -1,7 +1,12 @@
-"""Keys of the submission stream."""
+"""Keys and partitions of the submission stream."""
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+from zlib import crc32
+
+from dotterelhill.control.interface import Record, Store, Stream
+
 _CANCELLATION_PREFIX = "cancel/"
 
 
@@ -22,3 +27,25 @@
 def cancelled_job_of(key: str) -> str:
     """Return the job that a cancellation names."""
     return key.removeprefix(_CANCELLATION_PREFIX)
+
+
+def partition_of(key: str, partitions: int) -> int:
+    """Return the partition of a record; a job's cancellation lies in that of its submission.
+
+    >>> partition_of("5c0e7a21d94b36f8", 12) == partition_of("cancel/5c0e7a21d94b36f8", 12)
+    True
+    """
+    return crc32(cancelled_job_of(key).encode()) % partitions
+
+
+async def append_submissions(store: Store, records: Sequence[Record]) -> None:
+    """Append submissions and cancellations, each to its partition.
+
+    :raises StoreError: at the first append that fails; earlier ones have taken effect
+    """
+    partitions = store.partitions(Stream.SUBMISSIONS)
+    by_partition: dict[int, list[Record]] = {}
+    for record in records:
+        by_partition.setdefault(partition_of(record.key, partitions), []).append(record)
+    for partition, group in by_partition.items():
+        await store.append(Stream.SUBMISSIONS, group, partition=partition)
--- a/dotterelhill/control/tests/cluster.feature
+++ b/dotterelhill/control/tests/cluster.feature
@@ -115,3 +115,9 @@
     And 4 seconds pass
     Then a submission of job "j" is refused as not stored within 0.1 seconds
     And nothing of it was sent to the store
+
+  Scenario: submissions wait for each other until their clients leave while the store is slow
+    When the store is slow
+    And 24 jobs are submitted at all processes within 2 seconds
+    Then each submission was acknowledged within 1.5 seconds
+    And one process leads
--- a/dotterelhill/control/tests/cluster_world.py
+++ b/dotterelhill/control/tests/cluster_world.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections import defaultdict
 from dataclasses import dataclass, field
 
 import looptime
@@ -25,6 +26,7 @@
 from dotterelhill.control.leader import Leader, LeaderParts
 from dotterelhill.control.leadership import RENEWAL_GRACE_SECONDS, Leadership
 from dotterelhill.control.peers import PeerStatus, PeerUnreachableError
+from dotterelhill.control.submissions import append_submissions
 from dotterelhill.entry.metrics import LocalMetrics
 from dotterelhill.jobs.changes import SchedulerSettings
 from dotterelhill.jobs.fleet import EndKind, EndReport, MinionFacts, MinionReport, RunReport
@@ -37,46 +39,63 @@
 QUEUE = Queue("q", "h", "/q/", "pool", 0, 3, 2.0, 1.0)
 
 
+SUBMISSION_PARTITIONS = 4
+# Of a store that is slowed 80 times: an answer takes 0.32 s, an append occupies its partition for
+# half of that.
+SLOW_CALL_SECONDS = 0.32
+SLOW_APPEND_SECONDS = 0.16
+
+Place = tuple[Stream, int]
+
+
 class MemoryStore:
     """Streams in memory with the conditions of the store."""
 
     def __init__(self) -> None:
-        self.streams: dict[Stream, list[Record]] = {stream: [] for stream in Stream}
-        self.first: dict[Stream, int] = {stream: 0 for stream in Stream}
-        self.fences: dict[tuple[Stream, str], tuple[int, int]] = {}
-        self.answers: dict[tuple[Stream, str, int, int], int] = {}
-
-    def append(self, stream, records, at, fence) -> int:
-        content = self.streams[stream]
+        self.streams: defaultdict[Place, list[Record]] = defaultdict(list)
+        self.first: defaultdict[Place, int] = defaultdict(int)
+        self.fences: dict[tuple[Place, str], tuple[int, int]] = {}
+        self.answers: dict[tuple[Place, str, int, int], int] = {}
+        self.is_slow = False
+        self._busy: defaultdict[Place, asyncio.Lock] = defaultdict(asyncio.Lock)
+
+    async def occupy(self, place: Place) -> None:
+        """Wait as long as an append waits for its turn and for the partition."""
+        if self.is_slow:
+            async with self._busy[place]:
+                await asyncio.sleep(SLOW_APPEND_SECONDS)
+
+    def append(self, place, records, at, fence) -> int:
+        content = self.streams[place]
         if at is not None and at != len(content):
             raise StoreConflictError("grown")
         if fence is not None:
-            key = (stream, fence.writer)
+            key = (place, fence.writer)
             epoch, following = self.fences.get(key, (0, 0))
             if fence.epoch < epoch:
                 raise StoreFencedError("fenced")
-            place = (stream, fence.writer, fence.epoch, fence.sequence)
-            if records and place in self.answers:
-                return self.answers[place]
+            number = (place, fence.writer, fence.epoch, fence.sequence)
+            if records and number in self.answers:
+                return self.answers[number]
             if fence.epoch == epoch and fence.sequence != following:
                 raise StoreSequenceError(following)
             self.fences[key] = (fence.epoch, fence.sequence + (1 if records else 0))
             if records:
-                self.answers[place] = len(content) + len(records)
+                self.answers[number] = len(content) + len(records)
         content.extend(records)
         return len(content)
 
-    def newest(self, stream) -> Batch:
+    def newest(self, place) -> Batch:
         kept: dict[str, Record] = {}
-        for record in self.streams[stream]:
+        for record in self.streams[place]:
             kept[record.key] = record
         alive = tuple(record for record in kept.values() if record.value is not None)
-        return Batch(alive, len(self.streams[stream]))
+        return Batch(alive, len(self.streams[place]))
 
-    def read(self, stream, start) -> Batch:
-        if start < self.first[stream]:
+    def read(self, place, start) -> Batch:
+        if start < self.first[place]:
             raise HistoryDroppedError("dropped")
-        content = self.streams[stream]
+        content = self.streams[place]
         return Batch(tuple(content[start:]), len(content))
 
 
@@ -91,32 +110,36 @@
         self.appends = 0
 
     async def _reach(self) -> None:
-        await asyncio.sleep(CALL_SECONDS)
+        await asyncio.sleep(SLOW_CALL_SECONDS if self._store.is_slow else CALL_SECONDS)
         if self.is_silent:
             await asyncio.sleep(1.2)
             raise StoreError("no answer", is_effect_unknown=True)
         if self.is_down:
             raise StoreError("status 503")
 
-    async def append(self, stream, records, *, at=None, fence=None) -> int:
+    def partitions(self, stream) -> int:
+        return SUBMISSION_PARTITIONS if stream is Stream.SUBMISSIONS else 1
+
+    async def append(self, stream, records, *, partition=0, at=None, fence=None) -> int:
         if stream is Stream.SUBMISSIONS:
             self.appends += 1
         await self._reach()
-        end = self._store.append(stream, records, at, fence)
+        await self._store.occupy((stream, partition))
+        end = self._store.append((stream, partition), records, at, fence)
         if self.lost_answers:
             self.lost_answers -= 1
             raise StoreError("no answer", is_effect_unknown=True)
         return end
 
-    async def newest(self, stream) -> Batch:
+    async def newest(self, stream, partition=0) -> Batch:
         await self._reach()
-        return self._store.newest(stream)
+        return self._store.newest((stream, partition))
 
-    async def read(self, stream, start, wait_seconds) -> Batch:
+    async def read(self, stream, start, wait_seconds, partition=0) -> Batch:
         await self._reach()
         waited = 0.0
         while True:
-            batch = self._store.read(stream, start)
+            batch = self._store.read((stream, partition), start)
             if batch.records or waited >= wait_seconds:
                 return batch
             await asyncio.sleep(0.02)
@@ -247,7 +270,7 @@
         if process.observed.is_away:
             raise PeerUnreachableError("store is away", is_effect_unknown=False)
         try:
-            await process.store.append(Stream.SUBMISSIONS, [record])
+            await append_submissions(process.store, [record])
         except StoreError as error:
             unknown = error.is_effect_unknown
             raise PeerUnreachableError(str(error), is_effect_unknown=unknown) from error
@@ -313,7 +336,7 @@
         self.store = MemoryStore()
         self.minions = {name: FakeMinion(name) for name in ("m1", "m2")}
         for name in self.minions:
-            self.store.streams[Stream.MINIONS].append(Record(name, b"1"))
+            self.store.streams[Stream.MINIONS, 0].append(Record(name, b"1"))
         self.processes: dict[str, Process] = {}
         self.number = 0
         for name in names:
@@ -370,10 +393,30 @@
         return sorted(found)
 
     def submit(self, name: str, job_id: str, count: int) -> None:
+        self.run(self._submitted(name, job_id, count))
+
+    async def _submitted(self, name: str, job_id: str, count: int) -> float:
+        """Return the time that a submission took."""
         step = Step(count, Room(1000, 100), 1.0)
-        now_ms = int(1000 * self.loop.time())
-        submission = Submission(job_id, QUEUE, now_ms, "spec", (step,))
-        self.run(self.processes[name].job_service.submit(submission, 3.0))
+        started_at = self.loop.time()
+        submission = Submission(job_id, QUEUE, int(1000 * started_at), "spec", (step,))
+        await self.processes[name].job_service.submit(submission, 3.0)
+        return self.loop.time() - started_at
+
+    def submit_many(self, count: int, spacing_seconds: float) -> list[float]:
+        """Return the time that each of several submissions at all processes took."""
+
+        async def submit_all() -> list[float]:
+            names = list(self.processes)
+            tasks = []
+            for number in range(count):
+                name = names[number % len(names)]
+                coroutine = self._submitted(name, f"{number:016x}", 1)
+                tasks.append(asyncio.create_task(coroutine))
+                await asyncio.sleep(spacing_seconds)
+            return await asyncio.gather(*tasks)
+
+        return self.run(submit_all())
 
     def close(self) -> None:
         for name, process in list(self.processes.items()):
--- a/dotterelhill/control/tests/steps/cluster_steps.py
+++ b/dotterelhill/control/tests/steps/cluster_steps.py
@@ -4,7 +4,8 @@
 
 from dotterelhill.control.interface import Record, Stream
 from dotterelhill.control.job_service import NotStoredError
-from dotterelhill.control.tests.cluster_world import QUEUE, Cluster
+from dotterelhill.control.submissions import partition_of
+from dotterelhill.control.tests.cluster_world import QUEUE, SUBMISSION_PARTITIONS, Cluster
 from dotterelhill.jobs.model import Room, Step, Submission
 from dotterelhill.jobs.progress import encode_submission
 
@@ -124,8 +125,9 @@
 def drop_history(context):
     store = context.cluster.store
     submission = Submission("late", QUEUE, 0, "spec", (Step(1, Room(1000, 100), 1.0),))
-    store.streams[Stream.SUBMISSIONS].append(Record("late", encode_submission(submission)))
-    store.first[Stream.SUBMISSIONS] = len(store.streams[Stream.SUBMISSIONS])
+    place = (Stream.SUBMISSIONS, partition_of("late", SUBMISSION_PARTITIONS))
+    store.streams[place].append(Record("late", encode_submission(submission)))
+    store.first[place] = len(store.streams[place])
 
 
 @when(r"the leader resigns")
@@ -200,3 +202,19 @@
 @then(r"nothing of it was sent to the store")
 def nothing_appended(context):
     assert not any(process.store.appends for process in context.cluster.processes.values())
+
+
+@when(r"the store is slow")
+def store_slow(context):
+    context.cluster.store.is_slow = True
+
+
+@when(r"(?P<count>\d+) jobs are submitted at all processes within (?P<seconds>\d+) seconds")
+def submit_many(context, count, seconds):
+    spacing_seconds = int(seconds) / int(count)
+    context.submission_seconds = context.cluster.submit_many(int(count), spacing_seconds)
+
+
+@then(r"each submission was acknowledged within (?P<limit>[\d.]+) seconds")
+def acknowledged_within(context, limit):
+    assert max(context.submission_seconds) <= float(limit), sorted(context.submission_seconds)
--- a/dotterelhill/platform/process.py
+++ b/dotterelhill/platform/process.py
@@ -49,6 +49,8 @@
 RESIGN_SECONDS = 1.0
 # Answers and orders share a minion's connections; a poll occupies one while it waits.
 CONNECTIONS_TO_A_MINION = 8
+# The leader waits for records of each partition; its appends and renewals must not queue behind.
+CONNECTIONS_TO_THE_STORE = 64
 # Each processor below this number delays a claim, so that a larger VM leads.
 FULL_PROCESSORS = 1.0
 HANDICAP_SECONDS = 0.4
@@ -79,8 +81,10 @@
         self._incarnation = new_incarnation_id(settings.vm)
         self._metrics = LocalMetrics()
         self._metrics.add_gauges(self._gauges)
-        self._session: aiohttp.ClientSession | None = None
-        self._store = ObservedStore(PlatformStore(self._open_session, settings.store), boot_seconds)
+        self._sessions: dict[int, aiohttp.ClientSession] = {}
+        self._store = ObservedStore(
+            PlatformStore(self._store_session, settings.store, settings.partitions), boot_seconds
+        )
         self._records = PlatformRecords()
         self._leadership = Leadership(
             self._store, self._incarnation, str(settings.peers), boot_seconds
@@ -117,14 +121,22 @@
         self._metrics_server = MetricsServer(self._metrics, settings.peers.host, METRICS_PORT)
 
     def _open_session(self) -> aiohttp.ClientSession:
-        if self._session is None:
+        return self._session_with(CONNECTIONS_TO_A_MINION)
+
+    def _store_session(self) -> aiohttp.ClientSession:
+        return self._session_with(CONNECTIONS_TO_THE_STORE)
+
+    def _session_with(self, limit_per_host: int) -> aiohttp.ClientSession:
+        """Return the session whose connections to one host are limited so."""
+        session = self._sessions.get(limit_per_host)
+        if session is None:
             connector = aiohttp.TCPConnector(
-                limit=0, limit_per_host=CONNECTIONS_TO_A_MINION, keepalive_timeout=KEEPALIVE_SECONDS
+                limit=0, limit_per_host=limit_per_host, keepalive_timeout=KEEPALIVE_SECONDS
             )
-            self._session = aiohttp.ClientSession(
+            session = self._sessions[limit_per_host] = aiohttp.ClientSession(
                 connector=connector, cookie_jar=aiohttp.DummyCookieJar()
             )
-        return self._session
+        return session
 
     def _configuration_changed(self) -> None:
         if self._election.leader is not None:
@@ -180,8 +192,8 @@
             async with asyncio.timeout(CLOSING_SECONDS):
                 for service in reversed(services):
                     await service.stop()
-                if self._session is not None:
-                    await self._session.close()
+                for session in self._sessions.values():
+                    await session.close()
         except TimeoutError:
             _log.warning("closing took too long; ending all the same")
         _log.notice("stopped", extra={"incarnation": self._incarnation})
--- a/dotterelhill/platform/settings.py
+++ b/dotterelhill/platform/settings.py
@@ -24,6 +24,8 @@
     address: str
     recordBytes: int = 262144
     callBytes: int = 2097152
+    # Partitions of each topic that the system keeps.
+    parts: int = 1
 
 
 class _Bounds(msgspec.Struct, frozen=True):
@@ -75,6 +77,7 @@
     :param store: ``host:port`` of the platform's store
     :param record_bytes: longest record of the store
     :param call_bytes: most bytes of one append
+    :param partitions: partitions of each stream of the store
     :param hold_seconds: longest lease of a run
     :param retention_seconds: time for which the state of an ended job is known
     :param harm_seconds: time for which a serving task may miss its target because of fillers
@@ -90,6 +93,7 @@
     store: str
     record_bytes: int
     call_bytes: int
+    partitions: int
     hold_seconds: float
     retention_seconds: float
     harm_seconds: float
@@ -121,6 +125,7 @@
         store=str(_address("platform.address", file.platform.address)),
         record_bytes=file.platform.recordBytes,
         call_bytes=file.platform.callBytes,
+        partitions=int(_positive("platform.parts", file.platform.parts)),
         hold_seconds=_positive("bounds.maxHoldMs", file.bounds.maxHoldMs) / 1000.0,
         retention_seconds=_positive("bounds.status_s", file.bounds.status_s),
         harm_seconds=_positive("bounds.harmMs", file.bounds.harmMs) / 1000.0,
--- a/dotterelhill/platform/store.py
+++ b/dotterelhill/platform/store.py
@@ -25,8 +25,6 @@
 CALL_TIMEOUT_SECONDS = 1.2
 WHOLE_CALL_SECONDS = 12.0
 CONNECT_TIMEOUT_SECONDS = 0.6
-# All streams fit into one partition: it takes several hundred appends a second.
-PARTITION = "0"
 LENGTH_BYTES = 4
 READ_HEADER_BYTES = 16
 
@@ -121,22 +119,36 @@
     """Streams of the control processes as topics of the store.
 
     :param address: ``host:port``
+    :param partitions: partitions of each topic that the system keeps
     """
 
-    def __init__(self, session: Callable[[], aiohttp.ClientSession], address: str) -> None:
+    def __init__(
+        self, session: Callable[[], aiohttp.ClientSession], address: str, partitions: int
+    ) -> None:
         self._session = session
         self._base_url = f"http://{address}"
+        self._partitions = partitions
+
+    def partitions(self, stream: Stream) -> int:
+        """Return the number of partitions of a stream.
+
+        Only submissions use more than one. They are appended one by one, by all processes, and one
+        partition of a store that is slowed 50 times takes 10 appends a second. The other streams
+        have one writer, whose records need one order.
+        """
+        return self._partitions if stream is Stream.SUBMISSIONS else 1
 
     async def append(
         self,
         stream: Stream,
         records: Sequence[Record],
         *,
+        partition: int = 0,
         at: int | None = None,
         fence: Fence | None = None,
     ) -> int:
         """Append all records or none and return the offset after them."""
-        params = {"topic": _TOPICS[stream], "part": PARTITION}
+        params = {"topic": _TOPICS[stream], "part": str(partition)}
         if at is not None:
             params["at"] = str(at)
         if fence is not None:
@@ -157,10 +169,10 @@
         is_refused = 400 <= status < 500 or status in (503, 507)
         raise StoreError(f"append: status {status}", is_effect_unknown=not is_refused)
 
-    async def newest(self, stream: Stream) -> Batch:
+    async def newest(self, stream: Stream, partition: int = 0) -> Batch:
         """Return the newest record of each key; pages are not a snapshot, so read on from it."""
         records: list[Record] = []
-        params = {"topic": _TOPICS[stream], "part": PARTITION}
+        params = {"topic": _TOPICS[stream], "part": str(partition)}
         next_offset: int | None = None
         while True:
             status, body = await self._call("GET", "/log-newest", params)
@@ -175,9 +187,11 @@
                 return Batch(tuple(records), next_offset)
             params["after"] = answer.items[-1].key
 
-    async def read(self, stream: Stream, start: int, wait_seconds: float) -> Batch:
+    async def read(
+        self, stream: Stream, start: int, wait_seconds: float, partition: int = 0
+    ) -> Batch:
         """Return records from offset ``start`` on; wait for one up to ``wait_seconds``."""
-        params = {"topic": _TOPICS[stream], "part": PARTITION, "from": str(start)}
+        params = {"topic": _TOPICS[stream], "part": str(partition), "from": str(start)}
         if wait_seconds:
             params["waitMs"] = str(int(1000 * wait_seconds))
         status, body = await self._call("GET", "/log-read", params, wait_seconds=wait_seconds)
--- a/dotterelhill/platform/tests/steps/store_steps.py
+++ b/dotterelhill/platform/tests/steps/store_steps.py
@@ -63,7 +63,7 @@
     server = await asyncio.start_server(handle, "127.0.0.1", 0)
     port = server.sockets[0].getsockname()[1]
     async with aiohttp.ClientSession() as session:
-        store = PlatformStore(lambda: session, f"127.0.0.1:{port}")
+        store = PlatformStore(lambda: session, f"127.0.0.1:{port}", 12)
         started_at = time.monotonic()
         try:
             context.result, context.error = await call(store), None
