Choose near leaders also while the store is slow

Cause: a process waits before it claims in proportion to the time that the store took to answer it.

Ruled out: the region of a process, which says nothing of where the store is.

Before: the scenario fails with two of the nine processes' orders of checks. After: the shortest answer that a process has had counts; it passes.

--- a/dotterelhill/control/election.py
+++ b/dotterelhill/control/election.py
@@ -63,6 +63,7 @@
         self._is_store_failing = False
         self._term: asyncio.Task[None] | None = None
         self._is_leaving = False
+        self._distance_seconds = float("inf")
 
     @property
     def incarnation(self) -> str:
@@ -152,7 +153,8 @@
             return
         started_at = self._clock()
         standing = await self._leadership.read()
-        distance = self._clock() - started_at
+        # The shortest answer, since a slow store would make all processes look equally far.
+        self._distance_seconds = min(self._distance_seconds, self._clock() - started_at)
         claim = standing.claim
         if claim is None or claim.is_resigned:
             condition = LeaderCondition.GONE
@@ -162,7 +164,7 @@
             condition = await self._condition_of(claim.address, claim.incarnation)
         if not self._detector.may_claim(standing, condition):
             return
-        preference = min(LONGEST_PREFERENCE_SECONDS, DISTANCE_FACTOR * distance)
+        preference = min(LONGEST_PREFERENCE_SECONDS, DISTANCE_FACTOR * self._distance_seconds)
         jitter = self._random.uniform(0, JITTER_SECONDS)
         await asyncio.sleep(preference + self._handicap_seconds + jitter)
         if self._is_leaving or not await self._leadership.claim(standing):
--- a/dotterelhill/control/tests/cluster.feature
+++ b/dotterelhill/control/tests/cluster.feature
@@ -121,3 +121,11 @@
     And 24 jobs are submitted at all processes within 2 seconds
     Then each submission was acknowledged within 1.5 seconds
     And one process leads
+
+  Scenario: a process far from the store leads, since a slow one hides the distance
+    Given processes "d e f g h" far from the store and "i j k l" near to it that have run for 3 seconds
+    Then a process near to the store leads
+    When the store is slow
+    And the leader resigns
+    And 5 seconds pass
+    Then a process near to the store leads
--- a/dotterelhill/control/tests/cluster_world.py
+++ b/dotterelhill/control/tests/cluster_world.py
@@ -45,6 +45,9 @@
 SLOW_CALL_SECONDS = 0.32
 SLOW_APPEND_SECONDS = 0.16
 
+# Between two regions, there and back.
+FAR_SECONDS = 0.04
+
 Place = tuple[Stream, int]
 
 
@@ -108,8 +111,10 @@
         self.is_silent = False
         self.lost_answers = 0
         self.appends = 0
+        self.distance_seconds = 0.0
 
     async def _reach(self) -> None:
+        await asyncio.sleep(self.distance_seconds)
         await asyncio.sleep(SLOW_CALL_SECONDS if self._store.is_slow else CALL_SECONDS)
         if self.is_silent:
             await asyncio.sleep(1.2)
@@ -331,7 +336,8 @@
 class Cluster:
     """Some processes, a store and minions on one paused clock."""
 
-    def __init__(self, names: list[str]) -> None:
+    def __init__(self, names: list[str], far: tuple[str, ...] = ()) -> None:
+        self.far = far
         self.loop = looptime.new_event_loop()
         self.store = MemoryStore()
         self.minions = {name: FakeMinion(name) for name in ("m1", "m2")}
@@ -355,6 +361,8 @@
         async def begin() -> None:
             process = Process(self, name, number)
             self.processes[name] = process
+            if name in self.far:
+                process.store.distance_seconds = FAR_SECONDS
             await process.election.start()
             await process.follower.start()
 
--- a/dotterelhill/control/tests/steps/cluster_steps.py
+++ b/dotterelhill/control/tests/steps/cluster_steps.py
@@ -218,3 +218,20 @@
 @then(r"each submission was acknowledged within (?P<limit>[\d.]+) seconds")
 def acknowledged_within(context, limit):
     assert max(context.submission_seconds) <= float(limit), sorted(context.submission_seconds)
+
+
+@given(
+    r'processes "(?P<names>[^"]*)" far from the store and "(?P<near>[^"]*)" near to it that have '
+    r"run for (?P<seconds>\d+) seconds"
+)
+def new_spread_cluster(context, names, near, seconds):
+    far = tuple(names.split())
+    context.cluster = Cluster([*far, *near.split()], far)
+    context.cluster.advance(int(seconds))
+    context.first_leader = context.cluster.leaders[0]
+
+
+@then(r"a process near to the store leads")
+def near_leads(context):
+    leaders = context.cluster.leaders
+    assert len(leaders) == 1 and leaders[0] not in context.cluster.far, leaders
