Forecast the headroom of serving tasks from the swing of their load

Cause: fillers wait and serving tasks miss targets because the headroom of serving tasks changes within seconds. Of its variance within a task, 80% is one wave whose period all steps of a site share (14 s and 20 s on the small sites), with a phase of its own for each step; the model took headroom as a random walk.

What changed: the period is found online, each step's wave is fitted to its reports, own headroom moves with it between reports, placement looks two seconds ahead and pacing half a second. The cost of a filler on a minion is the share of spare headroom that it takes, no longer the headroom.

--- a/dotterelhill/jobs/sharing.py
+++ b/dotterelhill/jobs/sharing.py
@@ -21,12 +21,12 @@
 # Share of its processors that a serving task is taken to use; the rest is left to fillers.
 SERVING_USE = 0.5
 # Headroom that each serving task is planned to keep, and below which fillers are paced down.
-PLANNED_HEADROOM = 1.15
+PLANNED_HEADROOM = 1.25
 PACED_HEADROOM = 1.3
-# Own headroom may fall by this much a second when the load of a serving task rises, and a filler
-# works for about the other number of seconds.
-FALL_PER_SECOND = 0.25
-FALL_SECONDS = 2.0
+# Spare headroom below this counts as this much, for fillers that take hardly any.
+LEAST_SPARE = 0.1
+# A pace holds from the order until the next report is answered.
+PACE_LAG_SECONDS = 0.5
 # Planned effects are this many standard deviations above their estimates.
 PLANNING_CAUTION = 0.3
 # A filler that takes less headroom than this from a serving task is not paced for it.
@@ -103,17 +103,18 @@
         return minion.facts.capacity.cpu - used
 
     def harm_of(self, minion: Minion, step: Step, now: float) -> float | None:
-        """Return the headroom that one more filler takes from the minion's serving tasks.
+        """Return the share that one more filler takes of what serving tasks can spare, summed.
 
-        :returns: None when one of them would keep too little
+        :returns: None when one of them would keep too little headroom
         """
         added = step.room.cpu / minion.facts.capacity.cpu
         harm = 0.0
         for image, left, count in self._left_by_image(minion, now):
             taken = added * self._model.effect(image, step.image, PLANNING_CAUTION)
-            if left - taken < PLANNED_HEADROOM and taken > LEAST_EFFECT:
+            spare = left - PLANNED_HEADROOM
+            if taken > spare and taken > LEAST_EFFECT:
                 return None
-            harm += taken * count
+            harm += count * taken / max(LEAST_SPARE, spare)
         return harm
 
     def _left_by_image(self, minion: Minion, now: float) -> list[tuple[str, float, int]]:
@@ -130,12 +131,12 @@
             if not _is_measured(run):
                 continue
             image = run.step.image
-            own = self._model.own_headroom(run.key, now) - FALL_PER_SECOND * FALL_SECONDS
+            own = self._model.lowest_headroom(run.key, image, now)
             left, count = lowest.get(image, (own, 0))
             lowest[image] = (min(left, own), count + 1)
         state.planned = []
         for image, (own, count) in lowest.items():
-            left = max(own, self._model.trough(image))
+            left = own
             for filler, share in use.items():
                 left -= share * self._model.effect(image, filler)
             state.planned.append((image, left, count))
@@ -222,7 +223,7 @@
             for filler in fillers:
                 part = filler.step.room.cpu / capacity
                 taken += part * self._model.effect(image, filler.step.image)
-            spare = self._model.own_headroom(serving.key, now) - PACED_HEADROOM
+            spare = self._model.own_headroom(serving.key, now + PACE_LAG_SECONDS) - PACED_HEADROOM
             if taken > spare:
                 share = min(share, max(0.0, spare) / taken)
         return int(100 * share)
