Wait in the demo until all workers are held

Cause: the demo published its job once minions were held, and then waited for a task in one failure domain. Tasks are placed within 0.1 s, so when that domain's workers are listed late, all tasks run elsewhere and none ever starts there.

Ruled out: load alone.

After: passes with workers that are listed 12 s late.

--- a/tools/demo.py
+++ b/tools/demo.py
@@ -60,6 +60,8 @@
         await self._publish(self._sample.manifest())
         await self._sample.until_ready()
         await self._until("minions are held", self._are_minions_held)
+        # A task is placed within 0.1 s; without this all may run before a late domain has a worker.
+        await self._until("workers are held", self._are_workers_held)
         finished = asyncio.Event()
         load = Load(self._caller_addresses, REQUESTS_PER_SECOND, seed=1, path=f"/{SERVICE}/entries")
         callers = asyncio.create_task(load.run(finished))
@@ -111,6 +113,11 @@
         usable = sum(len(state["holdings"]["usable_minions"]) for state in states.values())
         return usable == len(self._sample.names("minion"))
 
+    async def _are_workers_held(self) -> bool:
+        states = await self._get_json("entry", "/state", "admin")
+        held = {name for state in states.values() for name in state["holdings"]["workers"]}
+        return held == set(self._sample.names("worker"))
+
     async def _runs(self) -> dict[str, list[dict[str, Any]]]:
         return await self._get_json("worker", "/journal")
 
