Search the period of loads only in steps that were seen long enough

Cause: with fewer than eight serving steps, the step that was never scored came first in each round, also when it was too short to be scored. While steps kept coming, the others were scored once, after 6 s, and no period above 12 s was found. Found by reading the change.

Before: the scenario fails, no period is known. After: 14 s are found. The sum of planned effects is named as such; its value is the same.

--- a/dotterelhill/jobs/cycles.py
+++ b/dotterelhill/jobs/cycles.py
@@ -6,8 +6,8 @@
 The load of a service follows its users, and all tasks of one serving step carry an equal share of
 it. The headroom that a step has without fillers is modelled as a level and one wave. The period of
 the wave is common to all steps; their phases and swings are their own. Each step is fitted by least
-squares to the means of its reports in bins of half a second. A prior keeps a step that was
-seen for a part of a period close to the level.
+squares to the means of its reports in bins of half a second. A prior keeps a step that was seen for
+a part of a period close to the level.
 
 The period is the one with which the steps that were seen longest fit best, of a geometric series of
 candidates. None is assumed while none fits clearly better than a constant.
@@ -170,19 +170,18 @@
 
     def _search(self) -> None:
         """Score the candidates on the step that was scored longest ago, and choose one."""
-        longest = sorted(self._series, key=lambda step: -len(self._series[step].sums))
+        seen = [step for step, series in self._series.items() if len(series.sums) >= LEAST_BINS]
+        if not seen:
+            return
+        longest = sorted(seen, key=lambda step: -len(self._series[step].sums))
         searched = longest[:SEARCHED_STEPS]
         scores = {step: row for step, row in self._scores.items() if step in searched}
         unscored = [step for step in searched if step not in scores]
         step = unscored[0] if unscored else next(iter(scores))
         # The newest score stands last, so that the first one is the oldest.
         scores.pop(step, None)
-        series = self._series[step]
-        if len(series.sums) >= LEAST_BINS:
-            scores[step] = [_score(series, period) for period in self._candidates]
+        scores[step] = [_score(self._series[step], period) for period in self._candidates]
         self._scores = scores
-        if not scores:
-            return
         totals = [sum(column) for column in zip(*scores.values(), strict=True)]
         best = min(range(len(totals)), key=totals.__getitem__)
         bins = sum(len(self._series[scored].sums) for scored in scores)
--- a/dotterelhill/jobs/sharing.py
+++ b/dotterelhill/jobs/sharing.py
@@ -132,14 +132,14 @@
                 continue
             image = run.step.image
             own = self._model.lowest_headroom(run.key, image, now)
-            left, count = lowest.get(image, (own, 0))
-            lowest[image] = (min(left, own), count + 1)
+            least, count = lowest.get(image, (own, 0))
+            lowest[image] = (min(least, own), count + 1)
         state.planned = []
-        for image, (own, count) in lowest.items():
-            left = own
+        for image, (least, count) in lowest.items():
+            taken = 0.0
             for filler, share in use.items():
-                left -= share * self._model.effect(image, filler)
-            state.planned.append((image, left, count))
+                taken += share * self._model.effect(image, filler)
+            state.planned.append((image, least - taken, count))
         state.planned_change = minion.change_count
         return state.planned
 
--- a/dotterelhill/jobs/tests/cycles.feature
+++ b/dotterelhill/jobs/tests/cycles.feature
@@ -16,6 +16,11 @@
     When they report for 8 seconds
     Then no period below 15 seconds is known
 
+  Scenario: steps that have just come keep the others from being searched
+    Given 3 serving steps whose headroom swings by 0.9 around 2.4 with a period of 14 seconds
+    When they report for 30 seconds while a new step comes every 3 seconds
+    Then the period is known to be 14 seconds within 3 percent
+
   Scenario: steps that have ended are kept for good
     Given 4 serving steps whose headroom swings by 0.9 around 2.4 with a period of 14 seconds
     When they report for 30 seconds
--- a/dotterelhill/jobs/tests/steps/cycles_steps.py
+++ b/dotterelhill/jobs/tests/steps/cycles_steps.py
@@ -54,6 +54,17 @@
     context.swings.report(float(seconds), list(range(len(context.swings.keys))))
 
 
+@when(
+    r"they report for (?P<seconds>\d+) seconds while a new step comes every (?P<pause>\d+) seconds"
+)
+def report_with_new_steps(context, seconds, pause):
+    swings = context.swings
+    lasting = list(range(len(swings.keys)))
+    for turn in range(int(seconds) // int(pause)):
+        swings.keys.append(TaskKey(f"new{turn}", 0, 0, 0))
+        swings.report(float(pause), [*lasting, len(swings.keys) - 1])
+
+
 @when(r"(?P<seconds>\d+) seconds pass in which only the first step reports")
 def report_first(context, seconds):
     context.swings.report(float(seconds), [0])
