Take back the split of a safety scenario

A failing check is to keep its bound and its place.

Ruled out: passing over the whole scenario or slice, which would leave the promises unchecked. Conclusion: open.

--- a/dotterelhill/requests/tests/safety.feature
+++ b/dotterelhill/requests/tests/safety.feature
@@ -59,22 +59,6 @@
       | 1 |
       | 2 |
 
-  @known-red
-  Scenario Outline: Minions that fail in every way leave most callers without an answer
-    Given minion "m1" in "caxias"
-    And minion "m2" in "caxias"
-    And minion "m3" in "caxias"
-    And minion "m4" in "gramado"
-    And entry "e1" in "caxias" using "m1, m2" with 2 slots
-    And entry "e2" in "caxias" using "m3" with 2 slots
-    And entry "e3" in "gramado" using "m4" with 2 slots
-    When 400 callers send work while minions fail at random, seed <seed>
-    Then more than 100 callers got an answer
-    Examples:
-      | seed |
-      | 1 |
-      | 2 |
-
   Scenario: Callers that go away free slots on which the minion still works
     Given minion "m1" in "caxias"
     And entry "e1" in "caxias" using "m1"
--- a/dotterelhill/requests/tests/steps/request_steps.py
+++ b/dotterelhill/requests/tests/steps/request_steps.py
@@ -489,7 +489,7 @@
 
 @then("nothing that was reported as not run has run, and nothing ran twice")
 def truth(context):
-    told = answered = 0
+    told = 0
     for number, answer in enumerate(context.answers):
         runs = runs_of(context, f"run-{number}")
         assert runs <= 1, (number, runs)
@@ -497,16 +497,9 @@
             told += 1
             assert runs == 0, (number, answer.kind)
         if answer.status == 200:
-            answered += 1
             assert runs == 1
-    # Without both, nothing was tried.
-    assert told > 0 and answered > 0, (told, answered)
-
-
-@then("more than {count:d} callers got an answer")
-def many_answered(context, count):
-    answered = sum(answer.status == 200 for answer in context.answers)
-    assert answered > count, answered
+    statuses = [answer.status for answer in context.answers]
+    assert told > 0 and statuses.count(200) > 100, (told, statuses.count(200))
 
 
 @when("{count:d} callers go away while the minion works for {seconds:g} seconds")
