Handle malformed answers of peers, minions, the store and the leadership stream

Conclusion: decoding faults end the one message or the one minion. A damaged newest claim still keeps everybody from claiming: an epoch must not be used twice.

--- a/dotterelhill/control/election.py
+++ b/dotterelhill/control/election.py
@@ -148,6 +148,9 @@
                 self._set_store_failing(False, "")
             except StoreError as error:
                 self._set_store_failing(True, str(error))
+            except Exception as error:
+                # The process keeps serving clients, and the next check may succeed.
+                _log.exception("leader can't be checked", extra={"reason": repr(error)})
             seconds = (
                 DETECTION_INTERVAL_SECONDS if self._detector.is_watching else CHECK_INTERVAL_SECONDS
             )
--- a/dotterelhill/control/feeds.py
+++ b/dotterelhill/control/feeds.py
@@ -132,6 +132,14 @@
                     _log.warning("store does not answer", extra=fields)
                 await asyncio.sleep(self._random.uniform(*RETRY_SECONDS))
                 continue
+            except Exception as error:
+                # A record that can't be processed must not end the process. The newest records are
+                # read again, since some of this batch may not have been processed.
+                fields = {"stream": str(self._stream), "reason": repr(error)}
+                _log.error("records can't be processed; reading every key", extra=fields)
+                self._offset = None
+                await asyncio.sleep(self._random.uniform(*RETRY_SECONDS))
+                continue
             if self._is_failing:
                 self._is_failing = False
                 _log.notice("store answers again", extra={"stream": str(self._stream)})
--- a/dotterelhill/control/job_service.py
+++ b/dotterelhill/control/job_service.py
@@ -147,7 +147,10 @@
             state = await self._peers.state_of(address, job_id)
         except PeerUnreachableError as error:
             raise NotReadyError(f"leader {address}: {error}") from error
-        return JobState(state) if state else None
+        try:
+            return JobState(state) if state else None
+        except ValueError as error:
+            raise NotReadyError(f"leader {address}: unknown state {state!r}") from error
 
     async def waiting_job_count(self, queue: str) -> int:
         """Return the number of accepted jobs of a queue that have not started.
--- a/dotterelhill/control/leadership.py
+++ b/dotterelhill/control/leadership.py
@@ -140,8 +140,13 @@
         batch = await self._store.newest(Stream.LEADERSHIP)
         claim: Claim | None = None
         for record in batch.records:
-            if record.key == LEADER_KEY and record.value is not None:
+            if record.key != LEADER_KEY or record.value is None:
+                continue
+            try:
                 claim = _CLAIM_DECODER.decode(record.value)
+            except msgspec.MsgspecError as error:
+                # Claiming without the newest epoch could reuse an epoch that is already fenced.
+                raise StoreError(f"the newest claim can't be decoded: {error}") from error
         return LeadershipState(claim, batch.next_offset)
 
     async def claim(self, state: LeadershipState) -> bool:
--- a/dotterelhill/control/peers.py
+++ b/dotterelhill/control/peers.py
@@ -6,7 +6,7 @@
 import errno
 from collections.abc import Callable
 from contextlib import suppress
-from typing import Protocol
+from typing import Protocol, TypeVar
 
 import aiohttp
 import mode
@@ -53,6 +53,8 @@
     value: bytes | None
 
 
+AnswerT = TypeVar("AnswerT")
+
 _STATUS_DECODER = msgspec.json.Decoder(PeerStatus)
 _COUNTS_DECODER = msgspec.json.Decoder(dict[str, int])
 _CLAIM_DECODER = msgspec.msgpack.Decoder(Claim)
@@ -227,7 +229,7 @@
         status, body = await self._call("GET", address, STATUS_PATH)
         if status != 200:
             raise PeerUnreachableError(f"status {status}")
-        return _STATUS_DECODER.decode(body)
+        return _decode(_STATUS_DECODER, body)
 
     async def announce_claim(self, address: str, claim: Claim) -> None:
         """Inform an earlier leader, which may be unable to reach the store, of a newer claim.
@@ -246,7 +248,7 @@
             return None
         if status != 200:
             raise PeerUnreachableError(f"status {status}: {body.decode(errors='replace')}")
-        return body.decode()
+        return body.decode(errors="replace")
 
     async def waiting_by_queue(self, address: str) -> dict[str, int]:
         """Return the number of waiting jobs by queue.
@@ -256,7 +258,7 @@
         status, body = await self._call("GET", address, QUEUES_PATH)
         if status != 200:
             raise PeerUnreachableError(f"status {status}: {body.decode(errors='replace')}")
-        return _COUNTS_DECODER.decode(body)
+        return _decode(_COUNTS_DECODER, body)
 
     async def store_submission(self, address: str, record: Record) -> None:
         """Request that a peer append a record to the submission stream.
@@ -283,3 +285,10 @@
             ) from error
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise PeerUnreachableError(f"{type(error).__name__}: {error}") from error
+
+
+def _decode(decoder: msgspec.json.Decoder[AnswerT], body: bytes) -> AnswerT:
+    try:
+        return decoder.decode(body)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise PeerUnreachableError(f"the peer's answer can't be decoded: {error}") from error
--- a/dotterelhill/control/tests/cluster.feature
+++ b/dotterelhill/control/tests/cluster.feature
@@ -155,3 +155,14 @@
     And 4 starts were carried out
     And no minion counted as silent
     And no task lapsed
+
+  Scenario: A record that can't be processed ends the process that follows its stream
+    When a process meets a record of the configuration that it can't process
+    And 3 seconds pass
+    Then that process follows the configuration again
+
+  Scenario: A claim that can't be decoded ends each process that reads it
+    When the newest claim in the store is damaged
+    And the leader is killed
+    And 3 seconds pass
+    Then every remaining process still checks the leader
--- a/dotterelhill/control/tests/steps/cluster_steps.py
+++ b/dotterelhill/control/tests/steps/cluster_steps.py
@@ -4,6 +4,7 @@
 
 from dotterelhill.control.interface import Record, RelayError, Stream
 from dotterelhill.control.job_service import NotStoredError
+from dotterelhill.control.leadership import LEADER_KEY
 from dotterelhill.control.submissions import partition_of
 from dotterelhill.control.tests.cluster_world import QUEUE, SUBMISSION_PARTITIONS, Cluster
 from dotterelhill.jobs.model import ResourceVector, Step, Submission
@@ -278,3 +279,37 @@
 def check_full_processor_leader(context):
     leaders = context.cluster.leaders
     assert len(leaders) == 1 and leaders[0] not in context.cluster.slow_names, leaders
+
+
+@when(r"a process meets a record of the configuration that it can't process")
+def fail_on_record(context):
+    cluster = context.cluster
+    context.follower = cluster.processes[non_leader_name(context)].follower
+    context.processed = []
+
+    def process_records(records, is_snapshot):
+        if not context.processed:
+            context.processed.append("failed")
+            raise KeyError("limits")
+        context.processed.append("processed")
+
+    context.follower._on_records = process_records
+    cluster.store.streams[Stream.CONFIGURATION, 0].append(Record("config", b"{}"))
+
+
+@then(r"that process follows the configuration again")
+def check_follows(context):
+    assert "processed" in context.processed, context.processed
+    assert not context.follower.crashed
+
+
+@when(r"the newest claim in the store is damaged")
+def damage_claim(context):
+    context.cluster.store.streams[Stream.LEADERSHIP, 0].append(Record(LEADER_KEY, b"\xc1"))
+
+
+@then(r"every remaining process still checks the leader")
+def check_elections_run(context):
+    for process in context.cluster.processes.values():
+        if process.is_running:
+            assert not process.election.crashed
--- a/dotterelhill/jobs/model.py
+++ b/dotterelhill/jobs/model.py
@@ -12,6 +12,8 @@
 
 # A job that ends later than this factor times its objective has no value for its client.
 TOO_LATE_FACTOR = 3.0
+# Python refuses to convert numbers of more than 4,300 digits.
+MAX_NUMBER_DIGITS = 18
 # Several times the number of tasks that run at once on a fleet of hundreds of minions.
 MAX_PARSED_NAMES = 32768
 
@@ -200,8 +202,11 @@
         True
         """
         parts = name.split(".")
-        if len(parts) != 4 or not all(part.isdecimal() for part in parts[1:]):
+        if len(parts) != 4:
             return None
+        for part in parts[1:]:
+            if not part.isdecimal() or len(part) > MAX_NUMBER_DIGITS:
+                return None
         return TaskKey(parts[0], int(parts[1]), int(parts[2]), int(parts[3]))
 
 
--- a/dotterelhill/platform/records.py
+++ b/dotterelhill/platform/records.py
@@ -106,6 +106,10 @@
             return None
         if entry.state not in (READY, DRAINING):
             return None
+        if entry.capacity.cpu <= 0:
+            # Shares of the processors are computed for each minion.
+            _log.warning("minion entry without processors ignored", extra={"key": record.key})
+            return None
         return MinionFacts(
             minion_id=record.key,
             born_ms=entry.born,
