Keep the lease of a minion whose poll is lost, and compute effects once a report

A minion without fillers is polled for 2 s, a lost poll is noticed 1 s later, and the next poll, which only asks whether the minion answers, was held back for up to 2 s again: the lease of 6 s ended. A well minion's work was given up and started again.

Change: a poll that renews nothing is answered at once; a minion with runs is polled for at most 1.2 s; retries follow sooner. A minion that no relay reaches is tried through one ever less often. The effects of the fillers on a minion are looked up once for all serving tasks of an image.

Ruled out: the relay as such; direct polls lapse the same way (both are scenarios).

Before: one lost poll fails the three new scenarios. After: two in a row keep the lease.

--- a/dotterelhill/control/leader.py
+++ b/dotterelhill/control/leader.py
@@ -59,7 +59,7 @@
 APPEND_RETRY_SECONDS = 0.1
 # Shortest interval between polls of one minion; a poll reports all runs that ended meanwhile.
 MIN_POLL_INTERVAL_SECONDS = 0.05
-POLL_RETRY_SECONDS = (0.2, 0.5)
+POLL_RETRY_SECONDS = (0.05, 0.3)
 MINION_LIST_INTERVAL_SECONDS = 0.5
 # First polls of minions in progress at a time. A takeover of hundreds of minions would otherwise
 # occupy the event loop for longer than a call may take.
@@ -553,8 +553,10 @@
             if minion.is_answering and is_renewing:
                 # The lease of a silent minion must expire, or its tasks would never be restarted.
                 deadline_ms = minion.lease_deadline_ms(sent_at, hold_seconds)
-            wait_seconds = self._scheduler.poll_wait_seconds(minion)
+            # A poll that renews nothing must be answered at once, or the lease ends meanwhile.
+            wait_seconds = 0.0
             if deadline_ms is not None:
+                wait_seconds = self._scheduler.poll_wait_seconds(minion)
                 minion.extend_lease(sent_at, hold_seconds)
             report = await self._parts.minions.renew(minion, self._epoch, deadline_ms, wait_seconds)
         finally:
--- a/dotterelhill/control/relay_pool.py
+++ b/dotterelhill/control/relay_pool.py
@@ -49,8 +49,10 @@
 # the relay itself gives up the call.
 RELAYED_CALL_SECONDS = 1.6
 CHECK_INTERVAL_SECONDS = 0.1
-# Time for which calls to a minion are sent directly after a relayed call to it failed.
+# Time for which calls to a minion are sent directly after a relayed call to it failed; it doubles
+# with each failure until a relayed call is answered.
 DIRECT_SECONDS = 3.0
+MAX_DIRECT_SECONDS = 24.0
 # Answers may wait unread for as long as the event loop was late, up to this time.
 MAX_LAG_ALLOWANCE_SECONDS = 2.0
 
@@ -234,6 +236,7 @@
         self._minion_counts: Counter[str] = Counter()
         self._relays_by_domain: dict[str, list[RelayLink]] = {}
         self._direct_until: dict[str, float] = {}
+        self._direct_seconds: dict[str, float] = {}
         self._is_closed = False
 
     @property
@@ -323,10 +326,22 @@
             allowance = self._unread_seconds
             return await self._direct.call(replace(call, allowance_seconds=allowance))
         try:
-            return await link.call(call)
+            answer = await link.call(call)
         except RelayError:
-            self._direct_until[call.minion_id] = self._clock() + DIRECT_SECONDS
+            self._avoid_relay(call.minion_id)
             raise
+        if self._direct_seconds:
+            self._direct_seconds.pop(call.minion_id, None)
+        return answer
+
+    def _avoid_relay(self, minion_id: str) -> None:
+        """Send calls to a minion directly for some time, because a relayed call failed."""
+        if minion_id in self._direct_until:
+            # Calls that were under way at the same time fail together and count once.
+            return
+        seconds = self._direct_seconds.get(minion_id, DIRECT_SECONDS)
+        self._direct_seconds[minion_id] = min(MAX_DIRECT_SECONDS, 2.0 * seconds)
+        self._direct_until[minion_id] = self._clock() + seconds
 
     def _relay_for(self, call: MinionCall) -> RelayLink | None:
         """Return the relay of a minion; the choice is stable while the set of relays is."""
--- a/dotterelhill/control/tests/cluster.feature
+++ b/dotterelhill/control/tests/cluster.feature
@@ -166,3 +166,19 @@
     And the leader is killed
     And 3 seconds pass
     Then every remaining process still checks the leader
+
+  Scenario Outline: Work on a minion that was only silent for a while is given up and started again
+    Given minions hold polls back until a run ends
+    When job "j" of 4 tasks of 12 seconds is submitted at a process that does not lead
+    And 3 seconds pass
+    And <count> polls of each minion in a row get no answer <source>
+    And 12 seconds pass
+    Then every process shows job "j" as "completed"
+    And 4 starts were carried out
+    And no task lapsed
+
+    Examples:
+      | count | source       |
+      | 1     |              |
+      | 2     |              |
+      | 1     | from a relay |
--- a/dotterelhill/control/tests/cluster_world.py
+++ b/dotterelhill/control/tests/cluster_world.py
@@ -215,6 +215,8 @@
         self._cluster = cluster
         self.is_cut_off = False
         self.failures: list[Exception] = []
+        self.lost_polls: dict[str, int] = {}
+        self.lost_poll_error: Exception = MinionError("no answer")
         self.lag = LoopLag(cluster.loop.time)
         self.processor = SlowProcessor(cluster, self.lag)
 
@@ -269,13 +271,17 @@
 
     async def renew(self, minion, epoch, deadline_ms, wait_seconds):
         sent_at = self._cluster.loop.time()
+        if self.lost_polls.get(minion.minion_id):
+            self.lost_polls[minion.minion_id] -= 1
+            await asyncio.sleep(CALL_TIMEOUT_SECONDS + wait_seconds)
+            raise self.lost_poll_error
         fake = await self._reach(minion.minion_id, epoch)
         fake.renewals.append(deadline_ms)
         if deadline_ms is not None:
             fake.lease_until = max(fake.lease_until, deadline_ms / 1000)
         await asyncio.sleep(min(0.1, wait_seconds))
         waited = 0.1
-        while self._cluster.seconds_per_message and waited < wait_seconds:
+        while self._cluster.is_polling_long and waited < wait_seconds:
             fake.advance(self._cluster.loop.time())
             if any(end.number > minion.processed_end for end in fake.ended):
                 break
@@ -413,6 +419,8 @@
         self.far_names, self.slow_names = far_names, slow_names
         # Processor time of a process for each call that it sends and each answer that it reads.
         self.seconds_per_message = 0.0
+        # Whether minions hold polls back until a run ends, for as long as the leader asks.
+        self.is_polling_long = False
         self.loop = looptime.new_event_loop()
         self.store = MemoryStore()
         self.minions = {name: FakeMinion(name) for name in minion_names}
--- a/dotterelhill/control/tests/relays.feature
+++ b/dotterelhill/control/tests/relays.feature
@@ -66,3 +66,8 @@
     When the leader drops its claim
     And the connections stay open for 1 seconds
     Then the relays find the leader gone
+
+  Scenario: a minion that no relay reaches loses an order through them every few seconds
+    When no relay reaches minion "m1" any more
+    And every minion is called each second for 60 seconds
+    Then at most 6 calls to minion "m1" were relayed
--- a/dotterelhill/control/tests/steps/cluster_steps.py
+++ b/dotterelhill/control/tests/steps/cluster_steps.py
@@ -313,3 +313,16 @@
     for process in context.cluster.processes.values():
         if process.is_running:
             assert not process.election.crashed
+
+
+@given(r"minions hold polls back until a run ends")
+def poll_long(context):
+    context.cluster.is_polling_long = True
+
+
+@when(r"(?P<count>\d+) polls of each minion in a row get no answer ?(?P<relay>from a relay)?")
+def lose_polls(context, count, relay):
+    minions = context.cluster.processes[context.first_leader].minions
+    minions.lost_polls = dict.fromkeys(context.cluster.minions, int(count))
+    if relay:
+        minions.lost_poll_error = RelayError("no answer")
--- a/dotterelhill/control/tests/steps/overload_steps.py
+++ b/dotterelhill/control/tests/steps/overload_steps.py
@@ -20,6 +20,7 @@
     context.cluster = Cluster(["a"], minion_names=names)
     context.cluster.advance(3.0)
     context.cluster.seconds_per_message = int(ms) / 1000.0
+    context.cluster.is_polling_long = True
     context.cluster.advance(1.0)
     context.job_count = 0
 
--- a/dotterelhill/control/tests/steps/relay_steps.py
+++ b/dotterelhill/control/tests/steps/relay_steps.py
@@ -30,11 +30,14 @@
     def __init__(self) -> None:
         self.calls: Counter[str] = Counter()
         self.failing_minion = ""
+        self.unreachable_minion = ""
 
     async def call(self, call: MinionCall) -> MinionAnswer:
         self.calls[call.minion_id] += 1
         if call.minion_id == self.failing_minion:
             raise ValueError("unexpected")
+        if call.minion_id == self.unreachable_minion:
+            raise MinionError("no answer")
         await asyncio.sleep(0.002 + call.wait_seconds)
         return MinionAnswer(200, call.minion_id.encode())
 
@@ -313,3 +316,22 @@
     for relay in context.relay_world.relays:
         found = relay.session.condition(LEADER)
         assert found is LeaderCondition[condition.upper()], found
+
+
+@when(r'no relay reaches minion "(?P<name>\w+)" any more')
+def cut_off_minion(context, name):
+    for relay in context.relay_world.relays:
+        relay.caller.unreachable_minion = name
+
+
+@when(r"every minion is called each second for (?P<seconds>\d+) seconds")
+def call_for(context, seconds):
+    for _ in range(int(seconds)):
+        context.relay_world.call_all()
+        context.relay_world.run(asyncio.sleep(1.0))
+
+
+@then(r'at most (?P<count>\d+) calls to minion "(?P<name>\w+)" were relayed')
+def check_relayed_to(context, count, name):
+    relayed = sum(relay.caller.calls[name] for relay in context.relay_world.relays)
+    assert 0 < relayed <= int(count), relayed
--- a/dotterelhill/jobs/headroom.py
+++ b/dotterelhill/jobs/headroom.py
@@ -67,6 +67,9 @@
     at: float
 
 
+EffectShare = tuple[Estimate, float]
+
+
 @dataclass(slots=True)
 class _ImageTrough:
     """Estimate of the lowest baseline headroom of an image, reached at its peak load."""
@@ -137,18 +140,33 @@
             return INITIAL_EFFECT + deviations * sqrt(INITIAL_EFFECT_VARIANCE)
         return max(0.0, known.mean + deviations * sqrt(known.variance))
 
+    def effect_shares(
+        self, image: str, filler_shares: Mapping[str, float], now: float
+    ) -> list[EffectShare]:
+        """Return the estimated effects of the fillers on a minion on one serving image.
+
+        All tasks of the image in one report share the result, since it costs more than the update
+        of one task.
+
+        :param filler_shares: share of the minion's processors that fillers use, by image
+        """
+        return [
+            (self._effect_estimate(image, filler, now), share)
+            for filler, share in filler_shares.items()
+        ]
+
     def observe(
         self,
         key: TaskKey,
         image: str,
         headroom: float,
-        filler_shares: Mapping[str, float],
+        effect_shares: list[EffectShare],
         now: float,
     ) -> None:
         """Update the estimates with one report of a serving task.
 
         :param headroom: target divided by the reported tail latency
-        :param filler_shares: share of the minion's processors that fillers use, by image
+        :param effect_shares: result of ``effect_shares`` for the report and the image
         """
         headroom = min(MAX_HEADROOM, headroom)
         baseline = self.baselines.get(key)
@@ -163,12 +181,9 @@
             HEADROOM_VARIANCE, baseline.variance + added_variance * (now - baseline.at)
         )
         baseline.at = now
-        pairs = []
         expected = baseline.mean
         predicted_variance = baseline.variance
-        for filler, share in filler_shares.items():
-            estimate = self._effect_estimate(image, filler, now)
-            pairs.append((estimate, share))
+        for estimate, share in effect_shares:
             expected -= share * estimate.mean
             predicted_variance += share * share * estimate.variance
         noise = (REPORT_RELATIVE_ERROR * max(1.0, headroom)) ** 2
@@ -176,12 +191,12 @@
         gain = baseline.variance / (predicted_variance + noise)
         baseline.mean += gain * innovation
         baseline.variance *= 1.0 - gain
-        for estimate, share in pairs:
+        effect_sum = 0.0
+        for estimate, share in effect_shares:
             gain = -share * estimate.variance / (predicted_variance + noise)
             estimate.mean = max(0.0, estimate.mean + gain * innovation)
-            estimate.variance *= 1.0 + gain * share
-            estimate.variance = max(MIN_EFFECT_VARIANCE, estimate.variance)
-        effect_sum = sum(share * estimate.mean for estimate, share in pairs)
+            estimate.variance = max(MIN_EFFECT_VARIANCE, estimate.variance * (1.0 + gain * share))
+            effect_sum += share * estimate.mean
         self.cycles.observe(key, headroom + effect_sum, now)
         self._update_trough(image, baseline.mean)
 
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -43,6 +43,8 @@
 STOP_RETRY_SECONDS = 0.7
 # A poll of a minion returns when a run ends, or after this time. The platform allows at most 2 s.
 MAX_POLL_SECONDS = 2.0
+# With a shorter wait, two polls in a row can be lost before the lease of 6 s ends.
+MAX_POLL_SECONDS_WITH_RUNS = 1.2
 UNRESOLVED_POLL_SECONDS = 0.3
 # The reported tail of a serving task beside fillers covers half a second.
 SHARING_POLL_SECONDS = 0.4
@@ -294,7 +296,7 @@
         """Return how long the next poll of a minion may wait for the end of a run, in seconds."""
         if not minion.is_synced:
             return 0.0
-        wait = MAX_POLL_SECONDS
+        wait = MAX_POLL_SECONDS_WITH_RUNS if minion.runs else MAX_POLL_SECONDS
         has_filler = has_serving = False
         for run in minion.runs.values():
             if run.state in (RunState.UNKNOWN, RunState.STOPPING):
--- a/dotterelhill/jobs/sharing.py
+++ b/dotterelhill/jobs/sharing.py
@@ -14,7 +14,7 @@
 from dataclasses import dataclass, field
 
 from dotterelhill.jobs.fleet import Minion, Run, RunState
-from dotterelhill.jobs.headroom import HeadroomModel
+from dotterelhill.jobs.headroom import EffectShare, HeadroomModel
 from dotterelhill.jobs.model import Step
 from dotterelhill.jobs.orders import PaceOrder
 
@@ -185,13 +185,17 @@
     def observe(self, minion: Minion, now: float) -> None:
         """Update the estimates with the tails in the newest report of a minion."""
         filler_shares = self._reported_filler_shares(minion)
+        effect_shares: dict[str, list[EffectShare]] = {}
         is_over_target = False
         for run in minion.runs.values():
             if not _has_latency_target(run) or not run.tail_ms or run.percent < 100:
                 continue
             headroom = run.step.target_tail_ms / run.tail_ms
             is_over_target = is_over_target or headroom < 1.0
-            self._model.observe(run.key, run.step.image, headroom, filler_shares, now)
+            image = run.step.image
+            if image not in effect_shares:
+                effect_shares[image] = self._model.effect_shares(image, filler_shares, now)
+            self._model.observe(run.key, image, headroom, effect_shares[image], now)
         state = self._minions.setdefault(minion, _MinionState())
         state.cached_change_count = -1
         if not is_over_target:
--- a/dotterelhill/jobs/tests/steps/cycles_steps.py
+++ b/dotterelhill/jobs/tests/steps/cycles_steps.py
@@ -43,7 +43,7 @@
             for number in numbers:
                 error_factor = 1.0 + self.rng.gauss(0.0, REPORT_RELATIVE_ERROR)
                 headroom = self.headroom(number, self.now) * error_factor
-                self.model.observe(self.keys[number], "web", headroom, {}, self.now)
+                self.model.observe(self.keys[number], "web", headroom, [], self.now)
             self.now += REPORT_SECONDS
 
 
