--- a/dotterelhill/control/tests/cluster.feature
+++ b/dotterelhill/control/tests/cluster.feature
@@ -182,3 +182,24 @@
       | 1     |              |
       | 2     |              |
       | 1     | from a relay |
+
+  @leaving
+  Scenario: After a takeover, work goes to a minion that had left while its entry is still listed
+    When minion "m1" leaves without a word
+    And the leader is killed
+    And 3 seconds pass
+    And job "j" of 4 tasks is submitted at a process that does not lead
+    And 3 seconds pass
+    Then every reachable process shows job "j" as "completed"
+    And no start was sent to minion "m1"
+
+  Scenario: After a restart of all processes, a minion whose entry was removed is in use again
+    When the entry of minion "m1" is removed
+    And 2 seconds pass
+    And all processes are killed
+    And processes "d e" start
+    And 4 seconds pass
+    And job "j" of 4 tasks is submitted at a process that does not lead
+    And 3 seconds pass
+    Then every reachable process shows job "j" as "completed"
+    And no start was sent to minion "m1"
--- a/dotterelhill/control/tests/cluster_world.py
+++ b/dotterelhill/control/tests/cluster_world.py
@@ -216,6 +216,7 @@
         self.is_cut_off = False
         self.failures: list[Exception] = []
         self.lost_polls: dict[str, int] = {}
+        self.sent_starts: list[str] = []
         self.lost_poll_error: Exception = MinionError("no answer")
         self.lag = LoopLag(cluster.loop.time)
         self.processor = SlowProcessor(cluster, self.lag)
@@ -243,6 +244,7 @@
 
     async def start(self, order, epoch, deadline_ms):
         sent_at = self._cluster.loop.time()
+        self.sent_starts.append(order.minion.minion_id)
         try:
             minion = await self._reach(order.minion.minion_id, epoch)
         except FencedByMinionError:
--- a/dotterelhill/control/tests/steps/cluster_steps.py
+++ b/dotterelhill/control/tests/steps/cluster_steps.py
@@ -326,3 +326,19 @@
     minions.lost_polls = dict.fromkeys(context.cluster.minions, int(count))
     if relay:
         minions.lost_poll_error = RelayError("no answer")
+
+
+@when(r'minion "(?P<name>\w+)" leaves without a word')
+def leave_silently(context, name):
+    context.cluster.minions[name].is_dead = True
+
+
+@when(r'the entry of minion "(?P<name>\w+)" is removed')
+def remove_entry(context, name):
+    context.cluster.store.streams[Stream.MINIONS, 0].append(Record(name, None))
+
+
+@then(r'no start was sent to minion "(?P<name>\w+)"')
+def check_no_start_to(context, name):
+    for process in context.cluster.processes.values():
+        assert name not in process.minions.sent_starts
