Give up all silent relays at once

Cause: found while reading the change. The check of the relays closed one silent connection after the other and waited up to 0.3 s for each, so that the calls through the other relays of a failure domain that is cut off, and the expiry of all calls, came later with each of them.

Change: the calls of a removed relay fail at once, its connection closes in the background; an error while closing ends nothing else.

--- a/dotterelhill/control/peers.py
+++ b/dotterelhill/control/peers.py
@@ -165,7 +165,7 @@
         reason = "the relay has closed the connection"
         try:
             hello = HELLO_DECODER.decode(await socket.receive_bytes(timeout=HELLO_TIMEOUT_SECONDS))
-            link = await pool.serve(hello, socket)
+            link = pool.serve(hello, socket)
             if link is None:
                 return socket
             sender = asyncio.create_task(_send_until_failure(link))
@@ -180,7 +180,7 @@
             _log.warning("connection of a relay failed", extra={"reason": reason})
         finally:
             if link is not None:
-                await pool.remove(link, reason)
+                pool.remove(link, reason)
             await socket.close()
         return socket
 
--- a/dotterelhill/control/relay_pool.py
+++ b/dotterelhill/control/relay_pool.py
@@ -21,6 +21,8 @@
 from typing import Protocol
 from zlib import crc32
 
+import aiohttp
+
 from dotterelhill.control.interface import (
     MinionAnswer,
     MinionCall,
@@ -200,10 +202,13 @@
             else:
                 pending.answer.set_exception(RelayError(reason))
 
-    async def close(self, reason: str) -> None:
-        """Fail the calls without an answer and close the connection."""
-        self.fail(reason)
-        await self._socket.close()
+    async def close(self) -> None:
+        """Close the connection."""
+        try:
+            await self._socket.close()
+        except (aiohttp.ClientError, OSError) as error:
+            fields = {"relay": self._hello.incarnation, "reason": repr(error)}
+            _log.debug("connection of a relay could not be closed cleanly", extra=fields)
 
 
 def _resolve(future: asyncio.Future[MinionAnswer], answer: RelayedAnswer) -> None:
@@ -260,7 +265,7 @@
             self._minion_counts = Counter(counts)
             self._choose_relays()
 
-    async def serve(self, hello: Hello, socket: MessageSocket) -> RelayLink | None:
+    def serve(self, hello: Hello, socket: MessageSocket) -> RelayLink | None:
         """Add the connection of a relay; the caller passes its messages to the link.
 
         :returns: None when this term has ended
@@ -269,14 +274,14 @@
             return None
         earlier = self._links.pop(hello.incarnation, None)
         if earlier is not None:
-            await earlier.close("the relay has connected again")
+            self._end(earlier, "the relay has connected again")
         link = RelayLink(hello, socket, self._leadership, self._clock)
         self._links[hello.incarnation] = link
         self._choose_relays()
         return link
 
-    async def remove(self, link: RelayLink, reason: str) -> None:
-        """Close a connection; its calls without an answer fail."""
+    def remove(self, link: RelayLink, reason: str) -> None:
+        """Remove a relay; its calls without an answer fail."""
         if self._links.get(link.hello.incarnation) is link:
             del self._links[link.hello.incarnation]
             _log.info(
@@ -284,15 +289,25 @@
                 extra={"relay": link.hello.incarnation, "reason": reason, "left": len(self._links)},
             )
             self._choose_relays()
-        await link.close(reason)
+        self._end(link, reason)
+
+    def _end(self, link: RelayLink, reason: str) -> None:
+        """Fail the calls of a link now and close its connection in the background.
+
+        Closing waits for the peer, which may be silent, as may those of the next links.
+        """
+        link.fail(reason)
+        task = asyncio.create_task(link.close())
+        self._closing.add(task)
+        task.add_done_callback(self._closing.discard)
 
     async def watch(self) -> None:
         """Expire calls and remove silent relays until the task is cancelled."""
         while True:
             await asyncio.sleep(CHECK_INTERVAL_SECONDS)
-            await self.check()
+            self.check()
 
-    async def check(self) -> None:
+    def check(self) -> None:
         """Expire calls and remove relays that are silent or leaving.
 
         What has arrived while the event loop was late is still unread, so neither is concluded from
@@ -303,7 +318,7 @@
         for link in list(self._links.values()):
             link.expire(allowance)
             if link.silent_seconds > SILENCE_SECONDS + allowance:
-                await self.remove(link, "the relay is silent")
+                self.remove(link, "the relay is silent")
         if not all(link.is_usable for link in was_usable):
             self._choose_relays()
         now = self._clock()
@@ -312,16 +327,10 @@
                 del self._direct_until[minion_id]
 
     def close(self) -> None:
-        """End the term of this pool: fail the calls and let the connections close.
-
-        Closing waits for an answer of each relay, while the claim still has to be resigned.
-        """
+        """End the term of this pool and remove all relays."""
         self._is_closed = True
         for link in self._links.values():
-            link.fail("the term has ended")
-            task = asyncio.create_task(link.close("the term has ended"))
-            self._closing.add(task)
-            task.add_done_callback(self._closing.discard)
+            self._end(link, "the term has ended")
         self._links.clear()
         self._relays_by_domain.clear()
 
--- a/dotterelhill/control/tests/relays.feature
+++ b/dotterelhill/control/tests/relays.feature
@@ -77,3 +77,10 @@
     When the term ends while each relay takes 0.3 seconds to close its connection
     Then the leader can resign within 0.1 seconds
     And after 0.5 seconds all connections are closed
+
+  Scenario: silent relays of a whole failure domain are given up one after the other
+    Given 20 more relays in their failure domain
+    And 2 more relays with 4 processors in their failure domain
+    When all relays freeze, and closing a connection takes 0.5 seconds
+    And every minion is called with a wait of 3 seconds and a relay leaves meanwhile
+    Then every call ends within 2 seconds
--- a/dotterelhill/control/tests/steps/relay_steps.py
+++ b/dotterelhill/control/tests/steps/relay_steps.py
@@ -79,7 +79,7 @@
         self.link = None
 
     async def connect(self, pool: RelayPool) -> None:
-        self.link = await pool.serve(self.hello, self.to_relay)
+        self.link = pool.serve(self.hello, self.to_relay)
         self.tasks = [
             asyncio.create_task(self.link.send()),
             asyncio.create_task(self.session.send()),
@@ -170,6 +170,13 @@
     context.relay_world.call_all()
 
 
+@when(r"all relays freeze, and closing a connection takes (?P<seconds>[\d.]+) seconds")
+def freeze_all(context, seconds):
+    for relay in context.relay_world.relays:
+        relay.to_leader.is_cut = relay.to_relay.is_cut = True
+        relay.to_relay.closing_seconds = float(seconds)
+
+
 @when(r"a relay freezes")
 def freeze_relay(context):
     relay = context.relay_world.relays[0]
@@ -181,7 +188,7 @@
     world = context.relay_world
 
     async def kill() -> None:
-        await world.pool.remove(world.relays[0].link, "connection reset")
+        world.pool.remove(world.relays[0].link, "connection reset")
 
     world.call_all(float(seconds), kill)
 
