Let the clocks of leader and relay drift apart

Cause: found while reading the change. A relay compared each message's transit time with the shortest one since the connection was opened. Clocks that differ by 50 parts in a million are a second apart after 6 hours, and from then on the relay would refuse every call of the leader as too late.

Change: the fastest message of the last one to two minutes counts.

Ruled out: wall clocks, which are set and step.

Before: at 0.1% drift a relay refuses all calls after an hour. After: it carries them out, and still refuses calls that are 3 s late.

--- a/dotterelhill/control/relay_client.py
+++ b/dotterelhill/control/relay_client.py
@@ -43,6 +43,7 @@
 # A message that took this much longer than the fastest one is too old to act on, because this
 # process, the leader or the path between them was paused.
 MAX_EXTRA_TRANSIT_SECONDS = 1.0
+TRANSIT_WINDOW_SECONDS = 60.0
 
 _log = logger_of("relays")
 
@@ -51,14 +52,17 @@
     """Estimates how much longer than the fastest message a message was on its way.
 
     The clocks of two VMs have no common origin, so only differences of transit times are known. The
-    first message may have been on its way since the connection was opened.
+    first message may have been on its way since the connection was opened. The clocks also drift
+    apart, by a second within hours, so the fastest message of the last one to two windows counts.
 
     :param opened_at: time of the receiver in seconds
     """
 
     def __init__(self, opened_at: float) -> None:
         self._opened_at = opened_at
+        self._window_started_at = opened_at
         self._smallest_difference: float | None = None
+        self._smallest_earlier_difference = float("inf")
 
     def extra_seconds(self, sent_at: float, received_at: float) -> float:
         """Return the extra transit time of a message.
@@ -70,8 +74,12 @@
         if self._smallest_difference is None:
             self._smallest_difference = difference
             return received_at - self._opened_at
+        if received_at - self._window_started_at >= TRANSIT_WINDOW_SECONDS:
+            self._window_started_at = received_at
+            self._smallest_earlier_difference = self._smallest_difference
+            self._smallest_difference = difference
         self._smallest_difference = min(self._smallest_difference, difference)
-        return difference - self._smallest_difference
+        return difference - min(self._smallest_difference, self._smallest_earlier_difference)
 
 
 class RelaySession:
--- a/dotterelhill/control/tests/relays.feature
+++ b/dotterelhill/control/tests/relays.feature
@@ -84,3 +84,13 @@
     When all relays freeze, and closing a connection takes 0.5 seconds
     And every minion is called with a wait of 3 seconds and a relay leaves meanwhile
     Then every call ends within 2 seconds
+
+  Scenario: clocks that drift apart make a relay refuse all calls after some hours
+    Given the clock of a relay runs 0.1 percent fast
+    When the connections stay open for 3600 seconds
+    And every minion is called once
+    Then every call is answered
+    When messages to a relay are delayed by 3 seconds
+    And every minion is called once
+    And the connections stay open for 4 seconds
+    Then no further minion was called by that relay
