--- a/dotterelhill/control/peers.py
+++ b/dotterelhill/control/peers.py
@@ -5,7 +5,6 @@
 import asyncio
 import errno
 from collections.abc import Callable
-from contextlib import suppress
 from typing import Protocol, TypeVar
 
 import aiohttp
@@ -17,7 +16,11 @@
 from dotterelhill.control.interface import Record, StoreError
 from dotterelhill.control.leader import Leader, NotReadyError
 from dotterelhill.control.leadership import Claim
-from dotterelhill.control.relay_messages import HELLO_DECODER, MAX_MESSAGE_BYTES
+from dotterelhill.control.relay_messages import (
+    HELLO_DECODER,
+    MAX_MESSAGE_BYTES,
+    send_until_failure,
+)
 from dotterelhill.control.relay_pool import RelayLink, RelayPool
 from dotterelhill.control.submissions import append_submissions
 from dotterelhill.entry.logs import logger_of
@@ -168,7 +171,7 @@
             link = pool.serve(hello, socket)
             if link is None:
                 return socket
-            sender = asyncio.create_task(_send_until_failure(link))
+            sender = asyncio.create_task(send_until_failure(link.send))
             try:
                 async for message in socket:
                     if message.type is web.WSMsgType.BINARY:
@@ -206,12 +209,6 @@
         return web.Response()
 
 
-async def _send_until_failure(link: RelayLink) -> None:
-    """Send the calls of a link; the receiving side notices when the connection has failed."""
-    with suppress(aiohttp.ClientError, OSError):
-        await link.send()
-
-
 class PeerClient:
     """HTTP client for calls to other control processes.
 
--- a/dotterelhill/control/relay_client.py
+++ b/dotterelhill/control/relay_client.py
@@ -31,6 +31,7 @@
     RelayedAnswer,
     RelayedCall,
     RelayMessage,
+    send_until_failure,
 )
 from dotterelhill.control.relay_pool import MessageSocket
 from dotterelhill.entry.logs import logger_of
@@ -256,7 +257,7 @@
         try:
             await socket.send_bytes(ENCODER.encode(self._hello))
             self._relay_session, self._address = session, address
-            sender = asyncio.create_task(_send_until_failure(session))
+            sender = asyncio.create_task(send_until_failure(session.send))
             while self._leader_address() == address:
                 async with asyncio.timeout(SILENCE_SECONDS):
                     message = await socket.receive()
@@ -269,9 +270,3 @@
             if sender is not None:
                 sender.cancel()
             await socket.close()
-
-
-async def _send_until_failure(session: RelaySession) -> None:
-    """Send the answers of a session; the receiving side notices when the connection has failed."""
-    with suppress(aiohttp.ClientError, OSError):
-        await session.send()
--- a/dotterelhill/control/relay_messages.py
+++ b/dotterelhill/control/relay_messages.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from enum import IntEnum
 
+import aiohttp
 import msgspec
 
 # Each side sends a message at least this often, so that the other one notices a lost connection.
@@ -94,3 +97,12 @@
 HELLO_DECODER = msgspec.msgpack.Decoder(Hello)
 LEADER_DECODER = msgspec.msgpack.Decoder(LeaderMessage)
 RELAY_DECODER = msgspec.msgpack.Decoder(RelayMessage)
+
+
+async def send_until_failure(send: Callable[[], Awaitable[None]]) -> None:
+    """Send messages until the connection fails, which its receiving side notices and reports.
+
+    :param send: sends messages until it raises
+    """
+    with suppress(aiohttp.ClientError, OSError):
+        await send()
