Log why a lasting task waits, and the kind of each run

Now the scheduler keeps for each task since when it does not run, as far as this leader knows. From 4 s on, a line each 3 s and step counts the minions of the pool by the first reason that excludes them. Two gauges show the number of waiting lasting tasks and the longest wait. Lines of starts and ends carry the kind of the task.

Ruled out: logging each placement attempt, which grows with tasks times minions. No decision is changed.

--- a/dotterelhill/control/leader.py
+++ b/dotterelhill/control/leader.py
@@ -188,6 +188,8 @@
         return {
             "jobs.known": len(self._scheduler.jobs),
             "jobs.waiting_tasks": self._scheduler.waiting_tasks,
+            "jobs.waiting_lasting_tasks": self._scheduler.lasting_waits.task_count,
+            "jobs.lasting_wait_seconds": self._scheduler.lasting_waits.longest_seconds,
             "jobs.minions": len(self._scheduler.minions),
             "jobs.relays": self._parts.relays.link_count,
             "jobs.start_limit": self._start_window.limit,
@@ -445,6 +447,7 @@
                 "task": str(run.key),
                 "run": run.run_id,
                 "minion": minion.minion_id,
+                "kind": run.step.kind,
                 "outcome": str(outcome),
                 "waited_ms": round(1000 * (now - run.planned_at)),
             },
--- a/dotterelhill/entry/metrics.py
+++ b/dotterelhill/entry/metrics.py
@@ -103,6 +103,8 @@
     Metric("jobs.polls", _C, "calls", "polls of minions by what became of them", "result"),
     Metric("jobs.known", _G, "jobs", "jobs that the leader knows"),
     Metric("jobs.waiting_tasks", _G, "tasks", "tasks that could start"),
+    Metric("jobs.waiting_lasting_tasks", _G, "tasks", "lasting tasks that do not run"),
+    Metric("jobs.lasting_wait_seconds", _G, "seconds", "longest time that one has not run"),
     Metric("jobs.minions", _G, "minions", "minions that the leader knows"),
     Metric("jobs.relays", _G, "processes", "relays that are connected to the leader"),
     Metric("jobs.start_limit", _G, "orders", "largest number of start orders in flight"),
--- a/dotterelhill/jobs/fleet.py
+++ b/dotterelhill/jobs/fleet.py
@@ -41,6 +41,20 @@
         return self.labels[1] if len(self.labels) > 1 else ""
 
 
+class Exclusion(StrEnum):
+    """Reason why no run may start on a minion.
+
+    SILENT: no current report, or its lease has ended. SET_ASIDE: runs failed or starts were refused
+    there lately.
+    """
+
+    UNLISTED = "unlisted"
+    DRAINING = "draining"
+    EVACUATED = "evacuated"
+    SILENT = "silent"
+    SET_ASIDE = "set_aside"
+
+
 class RunState(Enum):
     """State of a run.
 
--- a/dotterelhill/jobs/model.py
+++ b/dotterelhill/jobs/model.py
@@ -91,6 +91,13 @@
     is_filler: bool = False
     may_miss: int | None = None
 
+    @property
+    def kind(self) -> str:
+        """Return the kind of the tasks for the log: lasting, filler or short."""
+        if self.is_lasting:
+            return "lasting"
+        return "filler" if self.is_filler else "short"
+
     @property
     def reserved_resources(self) -> ResourceVector:
         """Return the share of a minion's capacity that a task reserves."""
@@ -219,6 +226,8 @@
     :param minion_born_ms: incarnation of that minion, as Unix ms of its start
     :param failures: number of runs that failed
     :param checkpoint: newest checkpoint; empty for none
+    :param idle_since: loop time from which the task has not run, as far as this leader knows; None
+        while it runs, or before it waits
     """
 
     key: TaskKey
@@ -228,6 +237,7 @@
     minion_born_ms: int = 0
     failures: int = 0
     checkpoint: str = ""
+    idle_since: float | None = None
 
     @property
     def is_assigned(self) -> bool:
--- a/dotterelhill/jobs/placement.py
+++ b/dotterelhill/jobs/placement.py
@@ -8,6 +8,7 @@
 from heapq import heapify, heappop, heapreplace
 
 from dotterelhill.jobs.fleet import Minion
+from dotterelhill.jobs.lasting_waits import WaitingStep
 from dotterelhill.jobs.model import (
     TOO_LATE_FACTOR,
     Job,
@@ -93,6 +94,18 @@
             count += sum(len(keys) for keys in waiting.pending.values())
         return count
 
+    def waiting_lasting_steps(self, queue_of: QueueLookup) -> Iterator[WaitingStep]:
+        """Yield the steps of which lasting tasks wait for a minion.
+
+        :param queue_of: returns the current queue configuration of a job
+        """
+        for waiting in self._waiting_jobs.values():
+            for (_, index), keys in waiting.pending.items():
+                step = waiting.job.submission.steps[index]
+                if step.is_lasting and keys:
+                    service = queue_of(waiting.job).service
+                    yield WaitingStep(waiting.job, step, service, keys)
+
     def add_job(self, job: Job) -> None:
         """Add the ready steps of a job that became active."""
         waiting = self._waiting_jobs[job.job_id] = _WaitingJob(job)
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -19,6 +19,7 @@
     END_LIST_LIMIT,
     EndKind,
     EndReport,
+    Exclusion,
     Minion,
     MinionFacts,
     MinionReport,
@@ -26,6 +27,7 @@
     RunState,
     lease_end,
 )
+from dotterelhill.jobs.lasting_waits import LastingWaits, explain_wait
 from dotterelhill.jobs.model import FINAL_STATES, Job, JobState, Submission, Task, TaskKey
 from dotterelhill.jobs.orders import (
     Order,
@@ -77,6 +79,7 @@
         self._evacuated_domains: frozenset[str] = frozenset()
         self._interference = InterferenceControl(settings.harm_seconds)
         self._placement = Placement(self._interference)
+        self._lasting_waits = LastingWaits()
         self._dirty_jobs: dict[str, Job] = {}
         self._planned_runs: list[Run] = []
         self._orders: list[Order] = []
@@ -100,6 +103,11 @@
         """Return the control of the interference between fillers and serving tasks."""
         return self._interference
 
+    @property
+    def lasting_waits(self) -> LastingWaits:
+        """Return the waiting times of lasting tasks that do not run."""
+        return self._lasting_waits
+
     @property
     def waiting_tasks(self) -> int:
         """Return the number of tasks that wait for a minion."""
@@ -327,11 +335,13 @@
             if run.settled_at is None:
                 run.settled_at = now
             run.percent = row.percent
+            job = self._jobs.get(row.key.job_id)
             if run.step.is_lasting:
                 run.tail_ms = row.measure
+                if job is not None:
+                    job.task(row.key).idle_since = None
             else:
                 run.cpu_used = row.measure
-            job = self._jobs.get(row.key.job_id)
             if row.checkpoint and job is not None:
                 job.task(row.key).checkpoint = row.checkpoint
             if run.state is RunState.STOPPING:
@@ -388,9 +398,11 @@
             case EndKind.FAILED if is_current:
                 self._process_failure(job, task, minion, now)
         if is_current and job.state not in FINAL_STATES:
+            if task.idle_since is None:
+                task.idle_since = now
             self._record_decision(
                 "run ended", job.job_id, task=str(end.key), run=end.run_id, how=str(end.kind),
-                minion=minion.minion_id,
+                minion=minion.minion_id, kind=step.kind,
             )  # fmt: skip
             self._placement.requeue(job, task)
 
@@ -456,7 +468,7 @@
             return
         self._record_decision(
             "run lost", job.job_id, task=str(task.key), run=task.run_id, minion=minion_id,
-            reason=reason,
+            reason=reason, kind=job.submission.steps[task.key.step].kind,
         )  # fmt: skip
         self._placement.requeue(job, task)
 
@@ -534,6 +546,7 @@
         :param max_starts: number of starts to plan at most; a gang is not split
         """
         self._expire_state(now)
+        self._report_waits(now)
         usable = [minion for minion in self._minions.values() if self._is_usable(minion, now)]
         for job, key, minion in self._placement.choose_starts(
             usable, self._queue_of, now, unix_ms, max_starts
@@ -545,6 +558,18 @@
             for run in self._interference.runs_to_move(minion, now):
                 self._stop(minion, run, now)
 
+    def _report_waits(self, now: float) -> None:
+        """Record a decision for each step whose lasting tasks have waited for long."""
+        overdue = self._lasting_waits.update(
+            self._placement.waiting_lasting_steps(self._queue_of), now
+        )
+        if not overdue:
+            return
+        minions = [(minion, self._exclusion(minion, now)) for minion in self._minions.values()]
+        for waiting in overdue:
+            report = explain_wait(waiting, minions, now)
+            self._record_decision("lasting task waits", report.job_id, **report.fields)
+
     def _drain_minion(self, minion: Minion, now: float) -> None:
         """Stop lasting and checkpointing runs on a draining minion, to start them elsewhere."""
         for run in list(minion.runs.values()):
@@ -559,16 +584,21 @@
 
     def _is_usable(self, minion: Minion, now: float) -> bool:
         """Return whether runs may start on a minion."""
+        return self._exclusion(minion, now) is None
+
+    def _exclusion(self, minion: Minion, now: float) -> Exclusion | None:
+        """Return why no run may start on a minion; None when runs may start."""
         facts = minion.facts
-        return (
-            minion.is_listed
-            and minion.is_synced
-            and not facts.is_draining
-            and facts.failure_domain not in self._evacuated_domains
-            and now >= minion.avoid_until
-            and now < minion.lease_until
-            and now - minion.last_report_at < self._settings.hold_seconds / 2
-        )
+        if not minion.is_listed:
+            return Exclusion.UNLISTED
+        if facts.is_draining:
+            return Exclusion.DRAINING
+        if facts.failure_domain in self._evacuated_domains:
+            return Exclusion.EVACUATED
+        is_silent = now - minion.last_report_at >= self._settings.hold_seconds / 2
+        if not minion.is_synced or now >= minion.lease_until or is_silent:
+            return Exclusion.SILENT
+        return Exclusion.SET_ASIDE if now < minion.avoid_until else None
 
     def _plan_run(self, job: Job, key: TaskKey, minion: Minion, now: float) -> None:
         """Assign a task to a minion with a new run, to be sent when the plan is durable."""
--- a/dotterelhill/jobs/tests/fleet_world.py
+++ b/dotterelhill/jobs/tests/fleet_world.py
@@ -1,6 +1,6 @@
 from __future__ import annotations
 
-from dotterelhill.jobs.changes import SchedulerSettings
+from dotterelhill.jobs.changes import Decision, SchedulerSettings
 from dotterelhill.jobs.fleet import EndKind, EndReport, MinionFacts, MinionReport, RunReport
 from dotterelhill.jobs.model import Job, ResourceVector, Schedule, Step, Submission, TaskKey
 from dotterelhill.jobs.orders import PaceOrder, StartOrder, StartOutcome, StopOrder
@@ -30,6 +30,7 @@
         self.stops: list[StopOrder] = []
         self.paces: list[tuple[TaskKey, int]] = []
         self.pace_orders: list[PaceOrder] = []
+        self.decisions: list[Decision] = []
         self.silent: set[str] = set()
         self.stored: dict[str, bytes] = {}
         self.submitted: list[Submission] = []
@@ -91,6 +92,7 @@
     def plan(self, max_starts: int = UNLIMITED_STARTS) -> None:
         self.scheduler.plan(self.now, self.unix_ms, max_starts)
         self.take_orders()
+        self.decisions.extend(self.scheduler.take_decisions())
         self.changes = self.scheduler.take_changes()
 
     def commit(self) -> list[StartOrder]:
--- a/dotterelhill/jobs/tests/scheduler.feature
+++ b/dotterelhill/jobs/tests/scheduler.feature
@@ -295,3 +295,14 @@
     And at most 2 starts are planned
     And the plan is stored
     Then 5 starts were sent
+
+  Scenario: a lasting task waits for long and the log does not say why
+    Given a fleet with minions "m1 m2 m3" of 4 processors
+    And minion "m3" is draining
+    And job "a" of 2 tasks of 4 processors
+    When 1 rounds pass
+    And job "l" of 3 lasting tasks of 3 processors is submitted
+    And 3.9 seconds pass in rounds
+    Then no wait is reported
+    When 4.0 seconds pass in rounds
+    Then 2 waits of job "l" are reported, of 3 tasks, with minions excluded as "draining 1, no_cpu 2"
--- a/dotterelhill/jobs/tests/steps/scheduler_steps.py
+++ b/dotterelhill/jobs/tests/steps/scheduler_steps.py
@@ -304,3 +304,27 @@
     restored = context.fleet.scheduler.jobs[job]
     assert sum(task.is_done for task in restored.tasks.values()) == int(done)
     assert sum(task.is_assigned for task in restored.tasks.values()) == 1
+
+
+def reported_waits(fleet):
+    return [one for one in fleet.decisions if one.message == "lasting task waits"]
+
+
+@then(r"no wait is reported")
+def check_no_wait_reported(context):
+    assert not reported_waits(context.fleet), reported_waits(context.fleet)
+
+
+@then(
+    r'(?P<count>\d+) waits of job "(?P<job>\w+)" are reported, of (?P<tasks>\d+) tasks, '
+    r'with minions excluded as "(?P<reasons>[^"]+)"'
+)
+def check_reported_waits(context, count, job, tasks, reasons):
+    waits = reported_waits(context.fleet)
+    assert len(waits) == int(count), waits
+    for wait in waits:
+        assert (wait.job_id, wait.fields["tasks"]) == (job, int(tasks)), wait
+        assert wait.fields["idle_ms"] >= 4000, wait
+        for reason in reasons.split(", "):
+            name, number = reason.split()
+            assert wait.fields[name] == int(number), wait
