Try lasting tasks on minions that are set aside after failures

Cause: three failed runs within 3 s set a minion aside for 4 s, whatever the reason. Jobs that can never be done and runs that fail by their own fault set aside several minions at once. What ran there ended, so they had room, and no task that waited could use it.

Now one lasting task a second is tried on such a minion if no other has room, since lasting tasks have no limit of attempts; when it works, the minion is used again at once. Failed and refused runs of a minion have a module of their own.

Ruled out: shortening the time set aside (minions that fail every run would get short tasks, whose attempts are limited, more often); books that differ from those of the minions.

--- a/dotterelhill/jobs/fleet.py
+++ b/dotterelhill/jobs/fleet.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from enum import Enum, StrEnum, auto
 
+from dotterelhill.jobs.minion_health import MinionHealth
 from dotterelhill.jobs.model import ResourceVector, Step, TaskKey
 
 # A minion's monotonic clock may run this much slower than true time: a limit of the platform.
@@ -41,20 +42,6 @@
         return self.labels[1] if len(self.labels) > 1 else ""
 
 
-class Exclusion(StrEnum):
-    """Reason why no run may start on a minion.
-
-    SILENT: no current report, or its lease has ended. SET_ASIDE: runs failed or starts were refused
-    there lately.
-    """
-
-    UNLISTED = "unlisted"
-    DRAINING = "draining"
-    EVACUATED = "evacuated"
-    SILENT = "silent"
-    SET_ASIDE = "set_aside"
-
-
 class RunState(Enum):
     """State of a run.
 
@@ -171,8 +158,7 @@
     :param last_report_at: loop time of the newest report
     :param processed_end: highest end number that was processed
     :param durable_end: highest end number whose effect is durable, which acknowledges it
-    :param avoid_until: loop time before which no run is started here
-    :param recent_failures: loop times of recently failed runs
+    :param health: failed and refused runs
     :param used: resources that runs reserve
     :param lasting_cpu: thousandths of a processor that lasting tasks reserve
     :param short_cpu: thousandths of a processor that tasks reserve that are neither lasting nor
@@ -193,8 +179,7 @@
     last_report_at: float = 0.0
     processed_end: int = 0
     durable_end: int = 0
-    avoid_until: float = 0.0
-    recent_failures: list[float] = field(default_factory=list)
+    health: MinionHealth = field(default_factory=MinionHealth)
     used: ResourceVector = field(default_factory=ResourceVector)
     lasting_cpu: int = 0
     short_cpu: int = 0
--- a/dotterelhill/jobs/placement.py
+++ b/dotterelhill/jobs/placement.py
@@ -154,6 +154,7 @@
     def choose_starts(
         self,
         minions: Sequence[Minion],
+        minions_for_trial: Sequence[Minion],
         queue_of: QueueLookup,
         now: float,
         unix_ms: int,
@@ -164,14 +165,15 @@
         The caller has to attach each run to its minion before it requests the next start.
 
         :param minions: minions on which tasks may start
+        :param minions_for_trial: minions on which one lasting task each may start if no other
+            minion has room for it
         :param queue_of: returns the current queue configuration of a job
         :param unix_ms: wall-clock time in Unix ms, for the objectives and schedules of jobs
         :param max_starts: number of starts to yield at most; a gang is not split
         """
         self._remaining_starts = max_starts
-        by_service: dict[str, list[Minion]] = {}
-        for minion in minions:
-            by_service.setdefault(minion.facts.service, []).append(minion)
+        by_service = _group_by_service(minions)
+        for_trial_by_service = _group_by_service(minions_for_trial)
         ranked = []
         for waiting in self._waiting_jobs.values():
             if waiting.pending:
@@ -183,11 +185,12 @@
         self._claim_minions(ranked, by_service, now)
         for _, queue, waiting in ranked:
             pool = by_service.get(queue.service, [])
+            for_trial = for_trial_by_service.get(queue.service, [])
             if self._remaining_starts <= 0:
                 return
-            if not pool or queue.needs_advice:
+            if not (pool or for_trial) or queue.needs_advice:
                 continue
-            yield from self._choose_job_starts(waiting, pool, now, unix_ms, unplaceable)
+            yield from self._choose_job_starts(waiting, pool, for_trial, now, unix_ms, unplaceable)
 
     def _recently_unplaceable(self, now: float) -> dict[str, list[ResourceVector]]:
         """Return the sizes of fillers that recently found no minion, by placement class.
@@ -272,11 +275,16 @@
         self,
         waiting: _WaitingJob,
         pool: Sequence[Minion],
+        for_trial: list[Minion],
         now: float,
         unix_ms: int,
         unplaceable: dict[str, list[ResourceVector]],
     ) -> Iterator[tuple[Job, TaskKey, Minion]]:
-        """Yield starts for the waiting tasks of one job that are due."""
+        """Yield starts for the waiting tasks of one job that are due.
+
+        :param for_trial: minions on which one lasting task each may start; those that got one are
+            removed
+        """
         job = waiting.job
         for occurrence_step, keys in list(waiting.pending.items()):
             occurrence, index = occurrence_step
@@ -286,10 +294,12 @@
             waiting_since = waiting.waiting_since.setdefault(occurrence_step, now)
             if step.is_gang:
                 yield from self._choose_gang_starts(job, step, keys, pool, now)
-            else:
+            elif pool:
                 yield from self._choose_task_starts(
                     job, step, keys, pool, now, waiting_since, unplaceable
                 )
+            if step.is_lasting and not step.is_gang and keys:
+                yield from self._choose_trials(job, step, keys, for_trial, now)
             if not keys:
                 waiting.pending.pop(occurrence_step, None)
                 waiting.waiting_since.pop(occurrence_step, None)
@@ -348,6 +358,22 @@
         if keys and not heap and not is_limited:
             unplaceable.setdefault(placement_class, []).append(step.room)
 
+    def _choose_trials(
+        self, job: Job, step: Step, keys: list[TaskKey], for_trial: list[Minion], now: float
+    ) -> Iterator[tuple[Job, TaskKey, Minion]]:
+        """Yield starts of lasting tasks on minions that are set aside, one for each."""
+        occurrence_step = (keys[0].occurrence, keys[0].step)
+        for minion in list(for_trial):
+            if not keys or self._remaining_starts <= 0:
+                return
+            if keys[0] in minion.runs:
+                continue
+            if self._start_cost(job, step, occurrence_step, minion, now, 0.0) is None:
+                continue
+            for_trial.remove(minion)
+            self._remaining_starts -= 1
+            yield job, keys.pop(0), minion
+
     def _reserved_cpu(self, step: Step, pool: Sequence[Minion], waited: float) -> float:
         """Return the processors that a lasting task has to leave free on a minion.
 
@@ -451,6 +477,14 @@
         )
 
 
+def _group_by_service(minions: Sequence[Minion]) -> dict[str, list[Minion]]:
+    """Return minions by service."""
+    by_service: dict[str, list[Minion]] = {}
+    for minion in minions:
+        by_service.setdefault(minion.facts.service, []).append(minion)
+    return by_service
+
+
 def _placement_class(step: Step) -> str:
     """Return the class of a step: within a class, only the size decides which minions fit."""
     if step.is_filler:
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -19,7 +19,6 @@
     END_LIST_LIMIT,
     EndKind,
     EndReport,
-    Exclusion,
     Minion,
     MinionFacts,
     MinionReport,
@@ -28,6 +27,7 @@
     lease_end,
 )
 from dotterelhill.jobs.lasting_waits import LastingWaits, explain_wait
+from dotterelhill.jobs.minion_health import Exclusion
 from dotterelhill.jobs.model import FINAL_STATES, Job, JobState, Submission, Task, TaskKey
 from dotterelhill.jobs.orders import (
     Order,
@@ -50,12 +50,6 @@
 UNRESOLVED_POLL_SECONDS = 0.3
 # The reported tail of a serving task beside fillers covers half a second.
 SHARING_POLL_SECONDS = 0.4
-# A minion that refused a start gets no other start for this time.
-UNHEALTHY_SECONDS = 1.0
-# A minion with this many failed runs within the window gets no starts for ``AVOID_SECONDS``.
-FAILURE_WINDOW_SECONDS = 3.0
-FAILURES_TO_AVOID = 3
-AVOID_SECONDS = 4.0
 
 
 class Scheduler:
@@ -338,6 +332,8 @@
             job = self._jobs.get(row.key.job_id)
             if run.step.is_lasting:
                 run.tail_ms = row.measure
+                if row.percent >= 100:
+                    minion.health.record_work(run.planned_at, now)
                 if job is not None:
                     job.task(row.key).idle_since = None
             else:
@@ -430,13 +426,7 @@
         task.failures += 1
         self._mark_dirty(job)
         step = job.submission.steps[task.key.step]
-        minion.recent_failures = [
-            at for at in minion.recent_failures if now - at < FAILURE_WINDOW_SECONDS
-        ]
-        minion.recent_failures.append(now)
-        if len(minion.recent_failures) >= FAILURES_TO_AVOID:
-            minion.avoid_until = now + AVOID_SECONDS
-            minion.recent_failures.clear()
+        if minion.health.record_failure(now):
             self._record_minion_decision("minion set aside after failures", minion)
         if step.is_lasting or task.failures < self._queue_of(job).max_attempts:
             return
@@ -493,7 +483,7 @@
                     minion=minion.minion_id,
                 )  # fmt: skip
             case StartOutcome.UNHEALTHY | StartOutcome.NOT_SENT | StartOutcome.NO_ROOM:
-                minion.avoid_until = max(minion.avoid_until, now + UNHEALTHY_SECONDS)
+                minion.health.record_refusal(now)
                 self._release_run(minion, run, now, f"start refused: {outcome}")
             case _:
                 self._release_run(minion, run, now, f"start refused: {outcome}")
@@ -547,11 +537,19 @@
         """
         self._expire_state(now)
         self._report_waits(now)
-        usable = [minion for minion in self._minions.values() if self._is_usable(minion, now)]
+        usable = []
+        for_trial = []
+        for minion in self._minions.values():
+            match self._exclusion(minion, now):
+                case None:
+                    usable.append(minion)
+                case Exclusion.SET_ASIDE if minion.health.is_trial_due(now):
+                    for_trial.append(minion)
         for job, key, minion in self._placement.choose_starts(
-            usable, self._queue_of, now, unix_ms, max_starts
+            usable, for_trial, self._queue_of, now, unix_ms, max_starts
         ):
             self._plan_run(job, key, minion, now)
+            minion.health.record_start(now)
         for minion in self._minions.values():
             if minion.facts.is_draining:
                 self._drain_minion(minion, now)
@@ -582,10 +580,6 @@
         """Return the queue of a job as configured now, or as at acceptance if it was removed."""
         return self._config.queues.get(job.submission.queue.name, job.submission.queue)
 
-    def _is_usable(self, minion: Minion, now: float) -> bool:
-        """Return whether runs may start on a minion."""
-        return self._exclusion(minion, now) is None
-
     def _exclusion(self, minion: Minion, now: float) -> Exclusion | None:
         """Return why no run may start on a minion; None when runs may start."""
         facts = minion.facts
@@ -598,7 +592,7 @@
         is_silent = now - minion.last_report_at >= self._settings.hold_seconds / 2
         if not minion.is_synced or now >= minion.lease_until or is_silent:
             return Exclusion.SILENT
-        return Exclusion.SET_ASIDE if now < minion.avoid_until else None
+        return minion.health.exclusion(now)
 
     def _plan_run(self, job: Job, key: TaskKey, minion: Minion, now: float) -> None:
         """Assign a task to a minion with a new run, to be sent when the plan is durable."""
@@ -677,7 +671,9 @@
             job = self._jobs.get(run.key.job_id)
             if target is None or job is None or target.runs.get(run.key) is not run:
                 continue
-            if not self._is_usable(target, now):
+            exclusion = self._exclusion(target, now)
+            is_trial = exclusion is Exclusion.SET_ASIDE and run.step.is_lasting
+            if exclusion is not None and not is_trial:
                 self._release_run(target, run, now, "minion became unusable")
                 continue
             run.state = RunState.SENT
--- a/dotterelhill/jobs/tests/scheduler.feature
+++ b/dotterelhill/jobs/tests/scheduler.feature
@@ -307,7 +307,6 @@
     When 4.0 seconds pass in rounds
     Then 2 waits of job "l" are reported, of 3 tasks, with minions excluded as "draining 1, no_cpu 2"
 
-  @known-red
   Scenario: a lasting task waits although a minion that was set aside after failures has room for two
     Given job "a" of 8 tasks of 1 processors
     When 1 rounds pass
@@ -321,3 +320,14 @@
     And job "l" of 1 lasting task of 2 processors
     When every run fails as soon as it has started for 20 seconds
     Then between 10 and 30 starts were sent in total
+
+  Scenario: lasting tasks wait for their turn on a minion that was set aside, although one of them works
+    Given a fleet with minions "m1" of 16 processors
+    And job "a" of 16 tasks of 1 processors
+    When 1 rounds pass
+    And job "k" of 7 lasting tasks of 2 processors is submitted
+    And all tasks on "m1" end as "failed"
+    And the minions report
+    And job "a" is cancelled
+    And 3.0 seconds pass in rounds
+    Then 7 starts of job "k" were sent
--- a/dotterelhill/jobs/tests/steps/scheduler_steps.py
+++ b/dotterelhill/jobs/tests/steps/scheduler_steps.py
@@ -216,6 +216,12 @@
     assert len(sent) == int(count), sent
 
 
+@then(r'(?P<count>\d+) starts of job "(?P<job>\w+)" were sent')
+def check_start_count_of_job(context, count, job):
+    sent = [str(order.run.key) for order in context.fleet.sent if order.run.key.job_id == job]
+    assert len(sent) == int(count), sent
+
+
 @then(r"between (?P<minimum>\d+) and (?P<maximum>\d+) starts were sent in total")
 def check_start_count_between(context, minimum, maximum):
     assert int(minimum) <= len(context.fleet.sent) <= int(maximum), len(context.fleet.sent)
