--- a/dotterelhill/control/tests/cluster.feature
+++ b/dotterelhill/control/tests/cluster.feature
@@ -203,3 +203,32 @@
     And 3 seconds pass
     Then every reachable process shows job "j" as "completed"
     And no start was sent to minion "m1"
+
+  @known-red
+  Scenario: Tasks of a minion that is lost together with the leader wait for twice a lease
+    When job "j" of 4 tasks of 3 seconds is submitted at a process that does not lead
+    And 1 seconds pass
+    And a minion with tasks of job "j" stops answering
+    And the leader is killed
+    And 13.5 seconds pass
+    Then every reachable process shows job "j" as "completed"
+
+  @known-red
+  Scenario: A new leader waits for renewals of an earlier leader whose process has restarted
+    When job "j" of 4 tasks of 3 seconds is submitted at a process that does not lead
+    And 1 seconds pass
+    And a minion with tasks of job "j" stops answering
+    And the leader is killed
+    And 1.5 seconds pass
+    And the killed process starts again
+    And 10 seconds pass
+    Then every reachable process shows job "j" as "completed"
+
+  @single-place
+  Scenario: A task starts elsewhere while a leader that the new one can't reach still renews its lease
+    When job "j" of 4 tasks of 30 seconds is submitted at a process that does not lead
+    And 1 seconds pass
+    And the new leader will reach no minion with tasks of job "j"
+    And the leader is cut off from the store and from its peers
+    And 40 seconds pass
+    Then no task ran on two minions at a time
--- a/dotterelhill/control/tests/cluster_world.py
+++ b/dotterelhill/control/tests/cluster_world.py
@@ -169,6 +169,8 @@
     ended: list = field(default_factory=list)
     count: int = 0
     starts: list = field(default_factory=list)
+    # Task, begin and end of each run that has ended.
+    spans: list = field(default_factory=list)
     lapses: int = 0
     renewals: list = field(default_factory=list)
     is_dead: bool = False
@@ -184,6 +186,7 @@
             if kind is not None:
                 self.count += 1
                 self.ended.append(EndReport(self.count, key, run_id, kind, ""))
+                self.spans.append((key, ends_at - self.run_seconds, min(ends_at, self.lease_until)))
                 del self.running[key]
 
     def check_fence(self, epoch: int) -> None:
@@ -214,6 +217,7 @@
     def __init__(self, cluster: Cluster) -> None:
         self._cluster = cluster
         self.is_cut_off = False
+        self.unreachable: set[str] = set()
         self.failures: list[Exception] = []
         self.lost_polls: dict[str, int] = {}
         self.sent_starts: list[str] = []
@@ -236,7 +240,7 @@
         await self.processor.use()
         await asyncio.sleep(CALL_SECONDS)
         minion = self._cluster.minions[name]
-        if self.is_cut_off or minion.is_dead:
+        if self.is_cut_off or minion.is_dead or name in self.unreachable:
             if self._cluster.is_polling_long:
                 await asyncio.sleep(CALL_TIMEOUT_SECONDS)
             raise MinionError("no answer")
@@ -269,6 +273,8 @@
         if run is not None:
             minion.count += 1
             minion.ended.append(EndReport(minion.count, order.key, run[0], EndKind.STOPPED, ""))
+            now = self._cluster.loop.time()
+            minion.spans.append((order.key, run[1] - minion.run_seconds, now))
 
     async def set_pace(self, order, epoch):
         await self._reach(order.minion.minion_id, epoch)
--- a/dotterelhill/control/tests/steps/cluster_steps.py
+++ b/dotterelhill/control/tests/steps/cluster_steps.py
@@ -58,6 +58,51 @@
     context.cluster.kill(context.cluster.leaders[0])
 
 
+@when(r"the killed process starts again")
+def restart_killed(context):
+    context.cluster.start(context.first_leader)
+
+
+def minions_with_tasks(context, job):
+    found = []
+    for name, minion in context.cluster.minions.items():
+        if any(key.job_id == job for key in minion.running):
+            found.append(name)
+    return found
+
+
+@when(r'the new leader will reach no minion with tasks of job "(?P<job>\w+)"')
+def make_unreachable_for_others(context, job):
+    names = minions_with_tasks(context, job)
+    assert names and len(names) < len(context.cluster.minions), names
+    for process in context.cluster.processes.values():
+        if process.name != context.first_leader:
+            process.minions.unreachable.update(names)
+
+
+@when(r"the leader is cut off from the store and from its peers")
+def cut_leader_from_store(context):
+    process = context.cluster.processes[context.first_leader]
+    process.store.is_down = True
+    process.is_running = False
+
+
+@then(r"no task ran on two minions at a time")
+def check_no_overlap(context):
+    cluster = context.cluster
+    now = cluster.loop.time()
+    spans = []
+    for minion in cluster.minions.values():
+        minion.advance(now)
+        spans.extend(minion.spans)
+        for key, (_, ends_at) in minion.running.items():
+            spans.append((key, ends_at - minion.run_seconds, now))
+    spans.sort(key=lambda span: (str(span[0]), span[1]))
+    assert len(spans) > len({span[0] for span in spans}), "no task ran a second time"
+    for earlier, later in zip(spans, spans[1:], strict=False):
+        assert earlier[0] != later[0] or earlier[2] <= later[1], (earlier, later)
+
+
 @when(r"all processes are killed")
 def kill_all(context):
     for name in list(context.cluster.processes):
