Wait only as long for an earlier leader's leases as it can renew them

Cause: a leader may renew leases for some time after its last renewal at the store, so that an outage of the store ends no work. Each new leader added all of that, 6 s, to the lease of 6.2 s of a minion that it can't reach, even when the earlier leader's process had ended, and counted from its own takeover rather than from the earlier leader's last renewal.

Now the new leader counts from the moment at which the earlier term is known to have ended: its process has ended, it has resigned, or it has answered the announcement of the new claim, which is repeated until then. An earlier leader that can't be reached bounds it by its last renewal in the stream. The grace is 1.5 s instead of 6 s, so that the wait fits the 9 s that lasting tasks have also when the earlier leader is never heard of again.

Ruled out: taking a minion that is not listed as gone, since it may be cut off from the store together with the earlier leader; asking other processes whether the store is down for all, which a cut between domains defeats.

--- a/dotterelhill/control/election.py
+++ b/dotterelhill/control/election.py
@@ -23,6 +23,8 @@
 CHECK_INTERVAL_SECONDS = 0.5
 # Interval between reads of the leadership stream while the leader is suspected to have failed.
 DETECTION_INTERVAL_SECONDS = 0.25
+# Interval between attempts to learn that the previous term has ended.
+CONFIRMATION_INTERVAL_SECONDS = 0.3
 # A process claims after a delay of this factor times its latency to the store, so that a process
 # near the store leads.
 LATENCY_DELAY_FACTOR = 8.0
@@ -44,7 +46,8 @@
     :param leadership: lease of this process on the leadership stream
     :param incarnation: incarnation id of this process
     :param peers: client for calls to other processes
-    :param new_leader: creates the term of leadership after a successful claim
+    :param new_leader: creates the term of leadership after a successful claim, given the time until
+        which an earlier leader may renew leases
     :param clock: returns seconds
     :param processors: number of processors that the process may use; fractions are allowed
     :param linked_condition: returns the condition of the leader at an address, given with its
@@ -56,7 +59,7 @@
         leadership: Leadership,
         incarnation: str,
         peers: PeerClient,
-        new_leader: Callable[[], Leader],
+        new_leader: Callable[[float], Leader],
         clock: Callable[[], float],
         random: Random,
         processors: float = FULL_PROCESSORS,
@@ -196,14 +199,32 @@
         if self._has_stopped_claiming or not await self._leadership.claim(state):
             return
         _log.notice("took over leadership", extra={"condition": condition.name.lower()})
-        self._begin_term()
-        own = self._leadership.own_claim
-        if own is None or claim is None or condition is LeaderCondition.GONE:
+        if claim is None or condition is LeaderCondition.GONE:
+            self._begin_term(self._clock(), None)
+        else:
+            self._begin_term(self._detector.renewals_end, claim)
+
+    async def _confirm_end_of_term(self, claim: Claim, renewals_end: float, leader: Leader) -> None:
+        """Announce the own claim until the previous leader is known to have ended its term.
+
+        :param claim: claim of the previous leader
+        :param renewals_end: time from which that leader renews nothing, even if it is not reached
+        """
+        reason = ""
+        while self._clock() < renewals_end:
+            own = self._leadership.own_claim
+            if own is None:
+                return
+            try:
+                await self._peers.announce_claim(claim.address, own)
+            except PeerUnreachableError as error:
+                reason = str(error)
+                await asyncio.sleep(CONFIRMATION_INTERVAL_SECONDS)
+                continue
+            _log.info("previous leader has ended its term", extra={"epoch": claim.epoch})
+            leader.end_earlier_renewals()
             return
-        try:
-            await self._peers.announce_claim(claim.address, own)
-        except PeerUnreachableError as error:
-            _log.info("previous leader could not be informed", extra={"reason": str(error)})
+        _log.info("previous leader could not be informed", extra={"reason": reason})
 
     async def _condition_of(self, address: str, incarnation: str) -> LeaderCondition:
         condition = self._linked_condition(address, incarnation)
@@ -218,16 +239,28 @@
             return LeaderCondition.GONE
         return LeaderCondition.PRESENT if status.is_able else LeaderCondition.UNABLE
 
-    def _begin_term(self) -> None:
-        leader = self._new_leader()
+    def _begin_term(self, renewals_end: float, earlier: Claim | None) -> None:
+        """Begin a term of leadership.
+
+        :param renewals_end: time until which the previous leader may renew leases
+        :param earlier: claim of the previous leader; None when its term has ended
+        """
+        leader = self._new_leader(renewals_end)
         self._leader = leader
-        self._term_task = asyncio.create_task(self._run_term(leader))
+        self._term_task = asyncio.create_task(self._run_term(leader, renewals_end, earlier))
 
-    async def _run_term(self, leader: Leader) -> None:
+    async def _run_term(self, leader: Leader, renewals_end: float, earlier: Claim | None) -> None:
+        confirmation: asyncio.Task[None] | None = None
+        if earlier is not None:
+            confirmation = asyncio.create_task(
+                self._confirm_end_of_term(earlier, renewals_end, leader)
+            )
         try:
             await leader.run()
         except Exception as error:
             _log.exception("term of leadership failed", extra={"reason": repr(error)})
             self._leadership.drop("internal error")
         finally:
+            if confirmation is not None:
+                confirmation.cancel()
             self._leader = None
--- a/dotterelhill/control/leader.py
+++ b/dotterelhill/control/leader.py
@@ -111,13 +111,14 @@
     """One term of leadership, which schedules the fleet while this process holds its claim.
 
     :param parts: dependencies of the leader
+    :param renewals_end: time until which an earlier leader may renew the leases of runs
     """
 
-    def __init__(self, parts: LeaderParts) -> None:
+    def __init__(self, parts: LeaderParts, renewals_end: float) -> None:
         self._parts = parts
         self._clock = parts.clock
         self._epoch = parts.leadership.epoch
-        self._scheduler = Scheduler(parts.settings, parts.clock())
+        self._scheduler = Scheduler(parts.settings, renewals_end)
         self._wake_event = asyncio.Event()
         self._sequence = 0
         self._is_loaded = False
@@ -202,6 +203,10 @@
         self._scheduler.evacuate(self._parts.configuration.evacuated)
         self._wake_event.set()
 
+    def end_earlier_renewals(self) -> None:
+        """Accept that the earlier leader renews no leases from now on."""
+        self._scheduler.end_earlier_renewals(self._clock())
+
     async def run(self) -> None:
         """Lead the fleet until the claim is lost or the task is cancelled."""
         watchers = [
--- a/dotterelhill/control/leadership.py
+++ b/dotterelhill/control/leadership.py
@@ -32,9 +32,9 @@
 # Time after its last successful renewal was sent from which the leader issues no new orders.
 LEASE_SECONDS = 2.0
 # The leader renews the leases of running tasks for this additional time, so that an outage of the
-# store for all processes ends no work. A later leader adds it to the time for which runs may still
-# exist on a minion that it can't reach.
-RENEWAL_GRACE_SECONDS = 6.0
+# store for all processes ends no work: with a lease of 6 s, one of 9 s. A later leader that can't
+# reach the earlier one has to wait for it before it starts the tasks of lost minions again.
+RENEWAL_GRACE_SECONDS = 1.5
 RENEWAL_INTERVAL_SECONDS = 0.5
 # A leader that has not renewed for this time, two missed renewals, reports itself as unable to
 # renew, so that its peers take over.
@@ -267,6 +267,14 @@
         """Return whether a leader is suspected and the stream is watched for growth."""
         return self._end is not None
 
+    @property
+    def renewals_end(self) -> float:
+        """Return the time until which the watched leader may renew the leases of running tasks.
+
+        The renewal of its claim that this process saw last was sent before it was seen.
+        """
+        return self._unchanged_since + LEASE_SECONDS + RENEWAL_GRACE_SECONDS
+
     def reset(self) -> None:
         """Stop watching the stream, because the leader answers."""
         self._end = None
--- a/dotterelhill/jobs/changes.py
+++ b/dotterelhill/jobs/changes.py
@@ -14,14 +14,11 @@
     """Time limits of the scheduler, in seconds.
 
     :param hold_seconds: longest lease that keeps a run
-    :param renewal_grace_seconds: time after takeover in which an earlier leader may still have
-        renewed leases
     :param retention_seconds: time for which an ended job is kept
     :param harm_seconds: longest time for which fillers may keep a serving task over its target
     """
 
     hold_seconds: float = 6.0
-    renewal_grace_seconds: float = 0.0
     retention_seconds: float = 120.0
     harm_seconds: float = 4.0
 
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -56,16 +56,14 @@
     """Scheduler state of all jobs and minions of the fleet, owned by the leader.
 
     :param settings: time limits of the scheduler
-    :param now: loop time in seconds at which this leader took over
+    :param renewals_end: loop time in seconds until which an earlier leader may renew leases
     """
 
-    def __init__(self, settings: SchedulerSettings, now: float) -> None:
+    def __init__(self, settings: SchedulerSettings, renewals_end: float) -> None:
         self._settings = settings
         # A run that an earlier leader started may continue until this loop time on a minion that
         # does not answer.
-        self._earlier_lease_end = (
-            lease_end(now, settings.hold_seconds) + settings.renewal_grace_seconds
-        )
+        self._earlier_lease_end = lease_end(renewals_end, settings.hold_seconds)
         self._jobs: dict[str, Job] = {}
         self._active_jobs: dict[str, Job] = {}
         self._minions: dict[str, Minion] = {}
@@ -209,6 +207,19 @@
 
     # Minions
 
+    def end_earlier_renewals(self, now: float) -> None:
+        """Shorten the leases of an earlier leader, whose term has ended."""
+        until, known_until = lease_end(now, self._settings.hold_seconds), self._earlier_lease_end
+        if until >= known_until:
+            return
+        self._earlier_lease_end = until
+        for minion in self._minions.values():
+            # A lease that this leader has renewed itself ends at another time.
+            if minion.lease_until == known_until:
+                minion.lease_until = until
+        for key, unlisted_until in self._unlisted_lease_ends.items():
+            self._unlisted_lease_ends[key] = min(unlisted_until, until)
+
     def update_minion(self, facts: MinionFacts, now: float) -> None:
         """Add or update a minion that the platform lists."""
         known = self._minions.get(facts.minion_id)
--- a/dotterelhill/platform/process.py
+++ b/dotterelhill/platform/process.py
@@ -20,7 +20,7 @@
 from dotterelhill.control.interface import Stream
 from dotterelhill.control.job_service import JobService
 from dotterelhill.control.leader import Leader, LeaderParts
-from dotterelhill.control.leadership import RENEWAL_GRACE_SECONDS, Leadership
+from dotterelhill.control.leadership import Leadership
 from dotterelhill.control.loop_lag import LoopLag
 from dotterelhill.control.metrics_server import MetricsServer
 from dotterelhill.control.peers import PeerClient, PeerServer
@@ -162,7 +162,7 @@
         """Return the address of the leader; empty while this process leads or knows none."""
         return "" if self._election.has_claim else self._election.leader_address
 
-    def _new_leader(self) -> Leader:
+    def _new_leader(self, renewals_end: float) -> Leader:
         settings = self._settings
         lag = LoopLag(boot_seconds)
         relays = RelayPool(self._minion_caller, self._leadership, boot_seconds, lag)
@@ -177,7 +177,6 @@
                 leadership=self._leadership,
                 settings=SchedulerSettings(
                     settings.hold_seconds,
-                    RENEWAL_GRACE_SECONDS,
                     settings.retention_seconds,
                     settings.harm_seconds,
                 ),
@@ -185,7 +184,8 @@
                 unix_ms=unix_ms,
                 random=self._random,
                 metrics=self._metrics,
-            )
+            ),
+            renewals_end,
         )
 
     def _gauges(self) -> dict[str, float]:
