Count the wait of a lasting task from the end of its last run

Cause: a lasting task leaves the reserve of short tasks alone for 2.2 s and the last slot for 5 s, and claims a minion only then. This clock was kept by step, began when the run was released, up to 6.2 s after the minion was last heard of, and began anew whenever a start order of the task was refused.

Now each lasting task has a clock of its own. It begins with the reported end of the run, or with the last report of the minion that lost it; after a takeover, where that is not known, a lease earlier than the release. It ends only when a minion reports the task as running.

Ruled out: a shorter reserve for all lasting tasks, since short tasks need it while the task is new.

--- a/dotterelhill/jobs/placement.py
+++ b/dotterelhill/jobs/placement.py
@@ -35,11 +35,11 @@
 # processor second of a short task is worth several of a lasting task. The reserve halves in this
 # time.
 RESERVE_HALF_LIFE_SECONDS = 15.0
-# A lasting task observes the reserve for at most this time. From then until it claims a minion,
-# only the last slot for a task of its size stays reserved.
+# A lasting task that has not run for this time ignores the reserve. From then until it claims a
+# minion, only the last slot for a task of its size stays reserved.
 RESERVE_WAIT_SECONDS = 2.2
-# Short tasks have to leave a minion to a lasting task that has waited for this time. The platform
-# allows a wait of 6 s.
+# Short tasks have to leave a minion to a lasting task that has not run for this time. The platform
+# counts it from 6 s after its last run, which may be over when its run is known to be lost.
 CLAIM_AFTER_SECONDS = 5.0
 # Upper bound of the reserve on one minion, as a share of the size of the lasting task.
 MAX_RESERVE_SHARE = 0.9
@@ -61,12 +61,10 @@
     """Waiting tasks of one job, by occurrence and step.
 
     :param pending: keys of the tasks that can start
-    :param waiting_since: loop time since which some task of the step has waited
     """
 
     job: Job
     pending: dict[OccurrenceStep, list[TaskKey]] = field(default_factory=dict)
-    waiting_since: dict[OccurrenceStep, float] = field(default_factory=dict)
 
 
 class Placement:
@@ -233,8 +231,9 @@
         for _, queue, waiting in ranked:
             for occurrence_step, keys in waiting.pending.items():
                 step = waiting.job.submission.steps[occurrence_step[1]]
-                waited = now - waiting.waiting_since.get(occurrence_step, now)
-                if not step.is_lasting or waited < CLAIM_AFTER_SECONDS:
+                if not step.is_lasting:
+                    continue
+                if _idle_seconds(waiting.job, keys, now) < CLAIM_AFTER_SECONDS:
                     continue
                 pool = by_service.get(queue.service, [])
                 for key in keys:
@@ -291,18 +290,14 @@
             if unix_ms < job.submission.due_ms(occurrence):
                 continue
             step = job.submission.steps[index]
-            waiting_since = waiting.waiting_since.setdefault(occurrence_step, now)
             if step.is_gang:
                 yield from self._choose_gang_starts(job, step, keys, pool, now)
             elif pool:
-                yield from self._choose_task_starts(
-                    job, step, keys, pool, now, waiting_since, unplaceable
-                )
+                yield from self._choose_task_starts(job, step, keys, pool, now, unplaceable)
             if step.is_lasting and not step.is_gang and keys:
                 yield from self._choose_trials(job, step, keys, for_trial, now)
             if not keys:
                 waiting.pending.pop(occurrence_step, None)
-                waiting.waiting_since.pop(occurrence_step, None)
 
     def _choose_task_starts(
         self,
@@ -311,12 +306,10 @@
         keys: list[TaskKey],
         pool: Sequence[Minion],
         now: float,
-        waiting_since: float,
         unplaceable: dict[str, list[ResourceVector]],
     ) -> Iterator[tuple[Job, TaskKey, Minion]]:
         """Yield starts for the tasks of one step until one of them fits no minion.
 
-        :param waiting_since: loop time since which the step has waited
         :param unplaceable: sizes that fit no minion in this round, by placement class; tasks of
             the class that are as large are not tried
         """
@@ -324,7 +317,8 @@
         for resources in unplaceable.get(placement_class, []):
             if step.room.is_enough_for(resources):
                 return
-        reserved_cpu = self._reserved_cpu(step, pool, now - waiting_since)
+        idle_seconds = _idle_seconds(job, keys, now) if step.is_lasting else 0.0
+        reserved_cpu = self._reserved_cpu(step, pool, idle_seconds)
         occurrence_step = (keys[0].occurrence, keys[0].step)
         heap: list[tuple[tuple[float, ...], int]] = []
         for number, minion in enumerate(pool):
@@ -334,9 +328,7 @@
         heapify(heap)
         while keys and heap and self._remaining_starts > 0:
             is_slot_kept = (
-                step.is_lasting
-                and self._short_peak_cpu
-                and now - waiting_since < CLAIM_AFTER_SECONDS
+                step.is_lasting and self._short_peak_cpu and idle_seconds < CLAIM_AFTER_SECONDS
             )
             if is_slot_kept and self._is_last_slot(step, pool):
                 return
@@ -374,13 +366,13 @@
             self._remaining_starts -= 1
             yield job, keys.pop(0), minion
 
-    def _reserved_cpu(self, step: Step, pool: Sequence[Minion], waited: float) -> float:
+    def _reserved_cpu(self, step: Step, pool: Sequence[Minion], idle_seconds: float) -> float:
         """Return the processors that a lasting task has to leave free on a minion.
 
-        :param waited: waiting time of the task in seconds
+        :param idle_seconds: time for which the task has not run
         :returns: thousandths of a processor
         """
-        if not step.is_lasting or waited >= RESERVE_WAIT_SECONDS:
+        if not step.is_lasting or idle_seconds >= RESERVE_WAIT_SECONDS:
             return 0.0
         mean_peak_cpu = self._short_peak_cpu / len(pool)
         return min(mean_peak_cpu, MAX_RESERVE_SHARE * step.room.cpu)
@@ -477,6 +469,16 @@
         )
 
 
+def _idle_seconds(job: Job, keys: Sequence[TaskKey], now: float) -> float:
+    """Return the longest time in seconds for which one of the waiting tasks has not run."""
+    idle_seconds = 0.0
+    for key in keys:
+        idle_since = job.task(key).idle_since
+        if idle_since is not None:
+            idle_seconds = max(idle_seconds, now - idle_since)
+    return idle_seconds
+
+
 def _group_by_service(minions: Sequence[Minion]) -> dict[str, list[Minion]]:
     """Return minions by service."""
     by_service: dict[str, list[Minion]] = {}
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -136,9 +136,17 @@
         else:
             self._activate(job)
         for task in job.tasks.values():
-            if not task.is_assigned:
-                continue
-            self._attach_stored_run(job, task, now)
+            if task.is_assigned:
+                self._attach_stored_run(job, task, now)
+            elif task.run_id:
+                task.idle_since = self._unknown_run_end(now)
+
+    def _unknown_run_end(self, now: float) -> float:
+        """Return the time at which a run counts as ended that an earlier leader saw last.
+
+        A task may have waited under that leader already, which is not stored.
+        """
+        return now - self._settings.hold_seconds
 
     def _activate(self, job: Job) -> None:
         """Add a job that has not ended to the active jobs and to placement."""
@@ -150,7 +158,8 @@
         minion = self._minions.get(task.minion_id)
         if minion is None or minion.facts.born_ms != task.minion_born_ms:
             if minion is not None and minion.facts.born_ms > task.minion_born_ms:
-                self._release_task(job, task, now, "minion restarted as another incarnation")
+                ended_at = self._unknown_run_end(now)
+                self._release_task(job, task, ended_at, "minion restarted as another incarnation")
                 return
             key = f"{task.minion_id}@{task.minion_born_ms}"
             # The minion is not listed, but its lease may not have expired yet.
@@ -458,10 +467,16 @@
             return
         task = job.tasks.get(run.key)
         if task is not None and task.minion_id == minion.minion_id and task.run_id == run.run_id:
-            self._release_task(job, task, now, reason)
+            ended_at = max(minion.last_report_at, self._unknown_run_end(now))
+            self._release_task(job, task, ended_at, reason)
+
+    def _release_task(self, job: Job, task: Task, ended_at: float, reason: str) -> None:
+        """Clear the assignment of a task whose run is present nowhere and queue the task again.
 
-    def _release_task(self, job: Job, task: Task, now: float, reason: str) -> None:
-        """Clear the assignment of a task whose run is present nowhere and queue the task again."""
+        :param ended_at: loop time at which the run was last known to be present
+        """
+        if task.idle_since is None:
+            task.idle_since = ended_at
         minion_id = task.minion_id
         task.minion_id, task.minion_born_ms = "", 0
         self._mark_dirty(job)
@@ -651,7 +666,8 @@
         for job in list(self._jobs.values()):
             for task in job.tasks.values():
                 if f"{task.minion_id}@{task.minion_born_ms}" == key:
-                    self._release_task(job, task, now, "lease of unlisted minion expired")
+                    ended_at = self._unknown_run_end(now)
+                    self._release_task(job, task, ended_at, "lease of unlisted minion expired")
 
     # Durable writes
 
--- a/dotterelhill/jobs/tests/scheduler.feature
+++ b/dotterelhill/jobs/tests/scheduler.feature
@@ -331,3 +331,26 @@
     And job "a" is cancelled
     And 3.0 seconds pass in rounds
     Then 7 starts of job "k" were sent
+
+  # The platform allows a lasting task to be idle for 9 s while there is room for two of its size.
+  Scenario: a lasting task leaves room to short tasks when its lost run has already used up the time for that
+    Given job "l" of 1 lasting task of 3 processors
+    When 1 rounds pass
+    And job "a" of 5 tasks of 1 processors is submitted
+    And 1 rounds pass
+    And all tasks of job "a" end as "done"
+    And 1 rounds pass
+    And the minion of job "l" falls silent
+    And 6.5 seconds pass in rounds
+    Then 2 starts of job "l" were sent
+
+  Scenario: the wait of a lasting task begins anew when its start order is refused
+    Given job "a" of 8 tasks of 1 processors
+    When 2 rounds pass
+    And all tasks on "m1" end as "done"
+    And all tasks on "m2" end as "done"
+    And 1 rounds pass
+    And job "l" of 1 lasting task of 4 processors is submitted
+    And 2.5 seconds pass in rounds in which starts are refused
+    And 1.0 seconds pass in rounds
+    Then job "l" has started
--- a/dotterelhill/jobs/tests/steps/scheduler_steps.py
+++ b/dotterelhill/jobs/tests/steps/scheduler_steps.py
@@ -190,6 +190,20 @@
                 context.fleet.end(name, key, EndKind.FAILED)
 
 
+@when(r'all tasks of job "(?P<job>\w+)" end as "(?P<kind>\w+)"')
+def end_all_tasks_of(context, job, kind):
+    for name, runs in context.fleet.running.items():
+        for key in [key for key in runs if key.job_id == job]:
+            context.fleet.end(name, key, EndKind(kind))
+
+
+@when(r"(?P<seconds>[\d.]+) seconds pass in rounds in which starts are refused")
+def run_rounds_refusing_starts(context, seconds):
+    for _ in range(round(float(seconds) / ROUND_SECONDS)):
+        for order in context.fleet.run_round(StartOutcome.REFUSED):
+            context.fleet.sent.remove(order)
+
+
 @when(r'job "(?P<job>\w+)" is cancelled')
 def cancel(context, job):
     context.fleet.scheduler.cancel(job, context.fleet.now)
