Let start orders extend no fresh lease, and order none at silent minions

Cause: each start order extended the lease of its minion by 6 s from its sending, also when the minion refused the connection or the start. A minion that had stopped answering polls still got starts for 3 s after its last report.

Now a start carries the lease that the newest poll has granted, unless less than half of it is left, and a minion that does not answer gets no starts.

Ruled out: taking an extension back when an order was not sent, since other orders may have been sent with the same lease meanwhile.

Before: two new scenarios fail, one in the jobs slice and one in the control slice.

--- a/dotterelhill/control/leader.py
+++ b/dotterelhill/control/leader.py
@@ -425,11 +425,12 @@
     async def _send_start(self, order: StartOrder) -> None:
         run, minion = order.run, order.minion
         sent_at = self._clock()
-        deadline_ms = minion.lease_deadline_ms(sent_at, self._parts.settings.hold_seconds)
-        if deadline_ms is None or not self._parts.leadership.is_leading:
+        deadline_ms = None
+        if self._parts.leadership.is_leading:
+            deadline_ms = minion.start_lease(sent_at, self._parts.settings.hold_seconds)
+        if deadline_ms is None:
             self._scheduler.start_answered(run, StartOutcome.NOT_SENT, sent_at, sent_at)
             return
-        minion.extend_lease(sent_at, self._parts.settings.hold_seconds)
         self._start_window.begin()
         try:
             outcome, clock_ms = await self._parts.minions.start(order, self._epoch, deadline_ms)
@@ -563,12 +564,11 @@
         deadline_ms = None
         if minion.is_answering and is_renewing:
             # The lease of a silent minion must expire, or its tasks would never be restarted.
-            deadline_ms = minion.lease_deadline_ms(sent_at, hold_seconds)
+            deadline_ms = minion.grant_lease(sent_at, hold_seconds)
         # A poll that renews nothing must be answered at once, or the lease ends meanwhile.
         wait_seconds = 0.0
         if deadline_ms is not None:
             wait_seconds = self._scheduler.poll_wait_seconds(minion)
-            minion.extend_lease(sent_at, hold_seconds)
         report = await self._parts.minions.renew(minion, self._epoch, deadline_ms, wait_seconds)
         self._scheduler.report(minion, report, sent_at, self._clock())
 
--- a/dotterelhill/control/tests/cluster.feature
+++ b/dotterelhill/control/tests/cluster.feature
@@ -229,3 +229,11 @@
     And the leader and the minions with tasks of job "j" are cut off from the store and from all others
     And 40 seconds pass
     Then no task ran on two minions at a time
+
+  Scenario: Start orders that a lost minion never gets extend the lease of its tasks
+    When job "j" of 4 tasks of 30 seconds is submitted at a process that does not lead
+    And 1 seconds pass
+    And a minion with tasks of job "j" stops answering
+    And a job of 1 short task is submitted each 0.3 seconds for 6.6 seconds
+    And 0.5 seconds pass
+    Then each lost task of job "j" has started elsewhere
--- a/dotterelhill/control/tests/steps/cluster_steps.py
+++ b/dotterelhill/control/tests/steps/cluster_steps.py
@@ -257,6 +257,33 @@
     raise AssertionError("no minion has tasks of the job")
 
 
+@when(
+    r"a job of 1 short task is submitted each (?P<interval>[\d.]+) seconds for "
+    r"(?P<seconds>[\d.]+) seconds"
+)
+def submit_for_seconds(context, interval, seconds):
+    cluster = context.cluster
+    end = cluster.loop.time() + float(seconds)
+    name = non_leader_name(context)
+    for minion in cluster.minions.values():
+        minion.run_seconds = 0.2
+    while cluster.loop.time() < end:
+        cluster.number += 1
+        cluster.submit(name, f"{cluster.number:016x}", 1)
+        cluster.advance(float(interval))
+
+
+@then(r'each lost task of job "(?P<job>\w+)" has started elsewhere')
+def check_started_elsewhere(context, job):
+    lost = next(minion for minion in context.cluster.minions.values() if minion.is_dead)
+    keys = {key for key in lost.running if key.job_id == job}
+    started = set()
+    for minion in context.cluster.minions.values():
+        if minion is not lost:
+            started.update(key for _, key, _ in minion.starts)
+    assert keys and keys <= started, (keys, started)
+
+
 @when(r"the store answers no process")
 def silence_store(context):
     for process in context.cluster.processes.values():
--- a/dotterelhill/jobs/fleet.py
+++ b/dotterelhill/jobs/fleet.py
@@ -155,6 +155,7 @@
     :param lease_until: loop time by which the last lease has certainly expired
     :param clock_ms: clock of the minion in its newest answer; None before the first
     :param clock_at: loop time at which that answer arrived
+    :param granted_until_ms: end of the newest lease on the minion's clock in ms; None before one
     :param last_report_at: loop time of the newest report
     :param processed_end: highest end number that was processed
     :param durable_end: highest end number whose effect is durable, which acknowledges it
@@ -176,6 +177,7 @@
     runs: dict[TaskKey, Run] = field(default_factory=dict)
     clock_ms: int | None = None
     clock_at: float = 0.0
+    granted_until_ms: int | None = None
     last_report_at: float = 0.0
     processed_end: int = 0
     durable_end: int = 0
@@ -249,16 +251,32 @@
         else:
             self.short_cpu += cpu
 
-    def lease_deadline_ms(self, now: float, hold_seconds: float) -> int | None:
-        """Return the end of a lease on the minion's clock in ms.
+    def grant_lease(self, now: float, hold_seconds: float) -> int | None:
+        """Extend the lease of all runs by an order sent now, and return its end for the order.
 
         :param hold_seconds: duration of the lease
-        :returns: None before the first answer of the minion
+        :returns: end of the lease on the minion's clock in ms; None before its first answer, when
+            no lease can be granted
         """
         if self.clock_ms is None:
             return None
+        self.extend_lease(now, hold_seconds)
         elapsed = (now - self.clock_at) * (1.0 - MINION_CLOCK_DRIFT)
-        return int(self.clock_ms + 1000.0 * (elapsed + hold_seconds))
+        self.granted_until_ms = int(self.clock_ms + 1000.0 * (elapsed + hold_seconds))
+        return self.granted_until_ms
+
+    def start_lease(self, now: float, hold_seconds: float) -> int | None:
+        """Return the end of the lease for a start order sent now.
+
+        The lease that the newest poll has granted is used while it is fresh, since a lease that an
+        order extends delays the restart of all tasks of a minion that is lost.
+
+        :param hold_seconds: duration of a full lease
+        :returns: end of the lease on the minion's clock in ms; None before its first answer
+        """
+        if self.granted_until_ms is not None and self.lease_until - now >= hold_seconds / 2:
+            return self.granted_until_ms
+        return self.grant_lease(now, hold_seconds)
 
     def extend_lease(self, now: float, hold_seconds: float) -> None:
         """Extend the recorded lease for an order sent now that holds for ``hold_seconds``."""
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -616,6 +616,7 @@
         if facts.failure_domain in self._evacuated_domains:
             return Exclusion.EVACUATED
         is_silent = now - minion.last_report_at >= self._settings.hold_seconds / 2
+        is_silent = is_silent or not minion.is_answering
         if not minion.is_synced or now >= minion.lease_until or is_silent:
             return Exclusion.SILENT
         return minion.health.exclusion(now)
--- a/dotterelhill/jobs/tests/scheduler.feature
+++ b/dotterelhill/jobs/tests/scheduler.feature
@@ -354,3 +354,13 @@
     And 2.5 seconds pass in rounds in which starts are refused
     And 1.0 seconds pass in rounds
     Then job "l" has started
+
+  Scenario: a start is ordered at a minion that has just stopped answering
+    Given job "a" of 1 task of 1 processors
+    When the minions report
+    And the scheduler plans
+    And the minion of the planned run stops answering
+    And the plan is stored
+    Then nothing was sent
+    When 2 rounds pass
+    Then 1 starts were sent in total
--- a/dotterelhill/jobs/tests/steps/scheduler_steps.py
+++ b/dotterelhill/jobs/tests/steps/scheduler_steps.py
@@ -136,6 +136,14 @@
     context.fleet.silent.add(context.fleet.minion_running(only_task(job)))
 
 
+@when(r"the minion of the planned run stops answering")
+def stop_planned_minion(context):
+    fleet = context.fleet
+    minion = fleet.scheduler.minions[fleet.changes.starts[0].minion_id]
+    fleet.silent.add(minion.minion_id)
+    fleet.scheduler.mark_minion_silent(minion, "no answer", fleet.now)
+
+
 @when(r'the minion of job "(?P<job>\w+)" starts again under its id')
 def restart_minion(context, job):
     context.fleet.list_minion(context.fleet.minion_running(only_task(job)), born_ms=2)
