Grant leases of at most 6 s, whatever the platform allows

Cause: the scheduler granted the longest lease that the platform allows. The tasks of a lost minion start elsewhere only when its lease is over, 10.3 s after the last poll, and the platform counts a lasting task as lost from 9 s.

Ruled out: taking a minion that the platform no longer lists as lost, since it may be cut off from the store and run on.

--- a/dotterelhill/control/leader.py
+++ b/dotterelhill/control/leader.py
@@ -427,7 +427,7 @@
         sent_at = self._clock()
         deadline_ms = None
         if self._parts.leadership.is_leading:
-            deadline_ms = minion.start_lease(sent_at, self._parts.settings.hold_seconds)
+            deadline_ms = minion.start_lease(sent_at, self._parts.settings.lease_seconds)
         if deadline_ms is None:
             self._scheduler.start_answered(run, StartOutcome.NOT_SENT, sent_at, sent_at)
             return
@@ -554,7 +554,7 @@
         :param is_renewing: whether the poll may extend the lease of the minion's runs
         :raises MinionError: when the minion gave no usable answer
         """
-        hold_seconds = self._parts.settings.hold_seconds
+        hold_seconds = self._parts.settings.lease_seconds
         if minion.clock_ms is None and minion.is_answering:
             await self._first_polls.acquire()
             asyncio.get_running_loop().call_later(
--- a/dotterelhill/jobs/changes.py
+++ b/dotterelhill/jobs/changes.py
@@ -8,12 +8,16 @@
 from dotterelhill.jobs.fleet import Minion, Run
 from dotterelhill.jobs.model import Job, JobState
 
+# The tasks of a minion that is lost without a word start elsewhere when its lease is over, and
+# lasting tasks have to run again within 9 s. Platforms may allow longer leases.
+MAX_LEASE_SECONDS = 6.0
+
 
 @dataclass(frozen=True, slots=True)
 class SchedulerSettings:
     """Time limits of the scheduler, in seconds.
 
-    :param hold_seconds: longest lease that keeps a run
+    :param hold_seconds: longest lease that the platform allows
     :param retention_seconds: time for which an ended job is kept
     :param harm_seconds: longest time for which fillers may keep a serving task over its target
     """
@@ -22,6 +26,11 @@
     retention_seconds: float = 120.0
     harm_seconds: float = 4.0
 
+    @property
+    def lease_seconds(self) -> float:
+        """Return the lease that an order grants to the runs of a minion, in seconds."""
+        return min(self.hold_seconds, MAX_LEASE_SECONDS)
+
 
 @dataclass(slots=True)
 class Changes:
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -63,7 +63,7 @@
         self._settings = settings
         # A run that an earlier leader started may continue until this loop time on a minion that
         # does not answer.
-        self._earlier_lease_end = lease_end(renewals_end, settings.hold_seconds)
+        self._earlier_lease_end = lease_end(renewals_end, settings.lease_seconds)
         self._jobs: dict[str, Job] = {}
         self._active_jobs: dict[str, Job] = {}
         self._minions: dict[str, Minion] = {}
@@ -146,7 +146,7 @@
 
         A task may have waited under that leader already, which is not stored.
         """
-        return now - self._settings.hold_seconds
+        return now - self._settings.lease_seconds
 
     def _activate(self, job: Job) -> None:
         """Add a job that has not ended to the active jobs and to placement."""
@@ -218,7 +218,7 @@
 
     def end_earlier_renewals(self, now: float) -> None:
         """Shorten the leases of an earlier leader, whose term has ended."""
-        until, known_until = lease_end(now, self._settings.hold_seconds), self._earlier_lease_end
+        until, known_until = lease_end(now, self._settings.lease_seconds), self._earlier_lease_end
         if until >= known_until:
             return
         self._earlier_lease_end = until
@@ -615,7 +615,7 @@
             return Exclusion.DRAINING
         if facts.failure_domain in self._evacuated_domains:
             return Exclusion.EVACUATED
-        is_silent = now - minion.last_report_at >= self._settings.hold_seconds / 2
+        is_silent = now - minion.last_report_at >= self._settings.lease_seconds / 2
         is_silent = is_silent or not minion.is_answering
         if not minion.is_synced or now >= minion.lease_until or is_silent:
             return Exclusion.SILENT
--- a/dotterelhill/jobs/tests/fleet_world.py
+++ b/dotterelhill/jobs/tests/fleet_world.py
@@ -17,7 +17,8 @@
 class FleetWorld:
     """Scheduler with in-memory minions, storage and clock, whose outcomes a test controls."""
 
-    def __init__(self) -> None:
+    def __init__(self, hold_seconds: float = HOLD_SECONDS) -> None:
+        self.settings = SchedulerSettings(hold_seconds, 120.0, 4.0)
         self.now = START
         self.scheduler = self._new_scheduler()
         self.queues = {"short": self.queue("short", 0), "long": self.queue("long", 2)}
@@ -38,7 +39,7 @@
         self.configure()
 
     def _new_scheduler(self) -> Scheduler:
-        return Scheduler(SchedulerSettings(HOLD_SECONDS, 120.0, 4.0), self.now)
+        return Scheduler(self.settings, self.now)
 
     @staticmethod
     def queue(name: str, priority: int, attempts: int = 2) -> Queue:
@@ -86,7 +87,7 @@
             born = self.facts[name].born_ms
             report = MinionReport(born, int(1000 * self.now), tuple(rows), ends)
             sent = self.now if sent_at is None else sent_at
-            minion.extend_lease(sent, HOLD_SECONDS)
+            minion.extend_lease(sent, self.settings.lease_seconds)
             self.scheduler.report(minion, report, sent, self.now)
 
     def plan(self, max_starts: int = UNLIMITED_STARTS) -> None:
--- a/dotterelhill/jobs/tests/scheduler.feature
+++ b/dotterelhill/jobs/tests/scheduler.feature
@@ -364,3 +364,11 @@
     Then nothing was sent
     When 2 rounds pass
     Then 1 starts were sent in total
+
+  Scenario: the longest lease that a platform allows keeps the tasks of a lost minion waiting
+    Given a fleet with minions "m1 m2" of 4 processors on a platform that allows leases of 10 seconds
+    And job "l" of 1 lasting task of 1 processors
+    When 1 rounds pass
+    And the minion of job "l" falls silent
+    And 7.0 seconds pass in rounds
+    Then 2 starts of job "l" were sent
--- a/dotterelhill/jobs/tests/steps/scheduler_steps.py
+++ b/dotterelhill/jobs/tests/steps/scheduler_steps.py
@@ -27,6 +27,16 @@
         context.fleet.list_minion(name, 1000 * int(cpu))
 
 
+@given(
+    r'a fleet with minions "(?P<names>[^"]*)" of (?P<cpu>\d+) processors on a platform that allows '
+    r"leases of (?P<seconds>\d+) seconds"
+)
+def new_fleet_with_leases(context, names, cpu, seconds):
+    context.fleet = FleetWorld(float(seconds))
+    for name in names.split():
+        context.fleet.list_minion(name, 1000 * int(cpu))
+
+
 @given(r'job "(?P<job>\w+)" of (?P<count>\d+) tasks? of (?P<cpu>\d+) processors')
 @when(r'job "(?P<job>\w+)" of (?P<count>\d+) tasks? of (?P<cpu>\d+) processors is submitted')
 def submit(context, job, count, cpu):
