Keep apart by pool the sizes that fit no minion

Where two services have pools of their own, a task that fits no minion of one pool keeps tasks of its size and class in the other pool from being tried in that round, in each round.

Cause: sizes that found no minion are remembered by class (short, lasting or filler with its image), and the class did not name the pool.

Ruled out: forgetting them between jobs, which costs an attempt on every minion for each of thousands of waiting fillers.

Not played: no site at hand has two pools.

--- a/dotterelhill/jobs/placement.py
+++ b/dotterelhill/jobs/placement.py
@@ -313,7 +313,7 @@
         :param unplaceable: sizes that fit no minion in this round, by placement class; tasks of
             the class that are as large are not tried
         """
-        placement_class = _placement_class(step)
+        placement_class = _placement_class(step, pool[0].facts.service)
         for resources in unplaceable.get(placement_class, []):
             if step.room.is_enough_for(resources):
                 return
@@ -487,11 +487,11 @@
     return by_service
 
 
-def _placement_class(step: Step) -> str:
+def _placement_class(step: Step, service: str) -> str:
     """Return the class of a step: within a class, only the size decides which minions fit."""
     if step.is_filler:
-        return f"{FILLER_CLASS} {step.image}"
-    return f"lasting {step.image}" if step.is_lasting else "short"
+        return f"{FILLER_CLASS} {step.image} {service}"
+    return f"lasting {step.image} {service}" if step.is_lasting else f"short {service}"
 
 
 def _has_required_label(minion: Minion, step: Step) -> bool:
--- a/dotterelhill/jobs/tests/fleet_world.py
+++ b/dotterelhill/jobs/tests/fleet_world.py
@@ -57,8 +57,9 @@
         born = changes.pop("born_ms", known.born_ms if known else 1)
         domain = changes.pop("domain", "caxias")
         labels = changes.pop("labels", ("a", "r1"))
+        service = changes.pop("service", "pool")
         facts = MinionFacts(
-            name, born, "pool", f"{name}:1", domain, labels, ResourceVector(cpu, 64000), **changes
+            name, born, service, f"{name}:1", domain, labels, ResourceVector(cpu, 64000), **changes
         )
         if known and known.born_ms != born:
             self.running[name] = {}
--- a/dotterelhill/jobs/tests/scheduler.feature
+++ b/dotterelhill/jobs/tests/scheduler.feature
@@ -372,3 +372,17 @@
     And the minion of job "l" falls silent
     And 7.0 seconds pass in rounds
     Then 2 starts of job "l" were sent
+
+  Scenario Outline: a task that fits nowhere in its pool keeps the tasks of another pool from starting
+    Given a fleet with minions "m1" of 4 processors
+    And a minion "n1" of 8 processors in pool "other"
+    And job "a" of 1 <kind> of 5 processors
+    And job "b" of 1 <kind> of 5 processors on a queue of pool "other"
+    When 1 rounds pass
+    Then job "b" has started
+
+    Examples:
+      | kind         |
+      | task         |
+      | lasting task |
+      | filler       |
--- a/dotterelhill/jobs/tests/steps/scheduler_steps.py
+++ b/dotterelhill/jobs/tests/steps/scheduler_steps.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+from dataclasses import replace
+
 from behave import given, then, use_step_matcher, when
 
 from dotterelhill.jobs.fleet import EndKind
@@ -85,6 +87,24 @@
     context.fleet.submit(job, (tasks(1, 1),), schedule=times)
 
 
+@given(r'a minion "(?P<name>\w+)" of (?P<cpu>\d+) processors in pool "(?P<pool>\w+)"')
+def list_minion_in_pool(context, name, cpu, pool):
+    context.fleet.list_minion(name, 1000 * int(cpu), service=pool)
+
+
+@given(
+    r'job "(?P<job>\w+)" of 1 (?P<kind>task|lasting task|filler) of (?P<cpu>\d+) processors'
+    r'(?: on a queue of pool "(?P<pool>\w+)")?'
+)
+def submit_kind(context, job, kind, cpu, pool):
+    fleet = context.fleet
+    if pool:
+        fleet.queues[pool] = replace(fleet.queue(pool, 2), service=pool)
+        fleet.configure()
+    step = tasks(1, int(cpu), is_lasting=kind == "lasting task", is_filler=kind == "filler")
+    fleet.submit(job, (step,), pool or "short")
+
+
 @given(r'minion "(?P<name>\w+)" is draining')
 def drain(context, name):
     context.fleet.list_minion(name, is_draining=True)
