Let the filler of the pool scenario fit nowhere in its pool

Cause: a filler needs three quarters of its processors, so one of 5 fitted the minion of 4, and its example passed without the fix. With 6 processors all three examples fail without the fix.

Ruled out: removing the example.

--- a/dotterelhill/jobs/tests/scheduler.feature
+++ b/dotterelhill/jobs/tests/scheduler.feature
@@ -376,8 +376,8 @@
   Scenario Outline: a task that fits nowhere in its pool keeps the tasks of another pool from starting
     Given a fleet with minions "m1" of 4 processors
     And a minion "n1" of 8 processors in pool "other"
-    And job "a" of 1 <kind> of 5 processors
-    And job "b" of 1 <kind> of 5 processors on a queue of pool "other"
+    And job "a" of 1 <kind> of 6 processors
+    And job "b" of 1 <kind> of 6 processors on a queue of pool "other"
     When 1 rounds pass
     Then job "b" has started
 
