Check the capacity of a minion again before a planned start is sent

Callers see: no start goes to a minion that shrank while the plan was stored.

Cause: the write of a plan takes up to seconds on a slow store. Scheduler.commit checked afterwards whether the minion was usable, not whether the run still fits, so a minion without a guard was brought over its capacity.

Ruled out: the choice of minions; it takes the newest capacity in each round, and runs planned in one round are reserved one by one.

Change: jobs/capacity.py names the planned runs without which each minion fits its present capacity, the latest planned first; commit releases these, and their tasks wait again.

Before: "2 starts were sent" failed with 8 starts (four on each of two minions of 1 processor).

--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -14,6 +14,7 @@
 
 from collections.abc import Iterable, Mapping
 
+from dotterelhill.jobs.capacity import runs_beyond_capacity
 from dotterelhill.jobs.changes import Changes, Decision, SchedulerSettings
 from dotterelhill.jobs.fleet import (
     END_LIST_LIMIT,
@@ -642,6 +643,7 @@
         for minion, number in changes.ends:
             minion.durable_end = max(minion.durable_end, number)
         orders = []
+        beyond_capacity = runs_beyond_capacity(changes.starts, self._minions)
         for run in changes.starts:
             target = self._minions.get(run.minion_id)
             job = self._jobs.get(run.key.job_id)
@@ -650,6 +652,9 @@
             if not self._is_usable(target, now):
                 self._release_run(target, run, now, "minion became unusable")
                 continue
+            if run in beyond_capacity:
+                self._release_run(target, run, now, "minion has shrunk")
+                continue
             run.state = RunState.SENT
             checkpoint = job.task(run.key).checkpoint
             orders.append(StartOrder(target, run, job.submission.payload, checkpoint))
