Start no member of a gang when another one can't start after the write

Callers see: no run that ends alone because a minion shrank, drained, was evacuated or restarted while the plan was stored.

Cause: Scheduler.commit released the runs of that minion one by one. The other members were sent, and waited for members whose tasks only wait again once the whole gang is free.

Ruled out: placement; it chooses all members or none.

Change: commit withholds all members of a gang when one of them is withheld or gone; they are planned again together, with one run number.

--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -12,7 +12,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 
 from dotterelhill.jobs.capacity import runs_beyond_capacity
 from dotterelhill.jobs.changes import Changes, Decision, SchedulerSettings
@@ -643,23 +643,36 @@
         for minion, number in changes.ends:
             minion.durable_end = max(minion.durable_end, number)
         orders = []
-        beyond_capacity = runs_beyond_capacity(changes.starts, self._minions)
+        withheld = self._withheld_starts(changes.starts, now)
         for run in changes.starts:
             target = self._minions.get(run.minion_id)
             job = self._jobs.get(run.key.job_id)
             if target is None or job is None or target.runs.get(run.key) is not run:
                 continue
-            if not self._is_usable(target, now):
-                self._release_run(target, run, now, "minion became unusable")
-                continue
-            if run in beyond_capacity:
-                self._release_run(target, run, now, "minion has shrunk")
+            if run in withheld:
+                self._release_run(target, run, now, withheld[run])
                 continue
             run.state = RunState.SENT
             checkpoint = job.task(run.key).checkpoint
             orders.append(StartOrder(target, run, job.submission.payload, checkpoint))
         return orders
 
+    def _withheld_starts(self, planned: Sequence[Run], now: float) -> dict[Run, str]:
+        """Return the planned runs that may no longer start, each with the reason for the log."""
+        reasons = {}
+        for run in runs_beyond_capacity(planned, self._minions):
+            reasons[run] = "minion has shrunk"
+        for run in planned:
+            minion = self._minions.get(run.minion_id)
+            is_attached = minion is not None and minion.runs.get(run.key) is run
+            if minion is None or not is_attached or not self._is_usable(minion, now):
+                reasons[run] = "minion became unusable"
+        incomplete_gangs = {_step_of(run) for run in reasons if run.step.is_gang}
+        for run in planned:
+            if run.step.is_gang and _step_of(run) in incomplete_gangs:
+                reasons.setdefault(run, "another member of the gang can't start")
+        return reasons
+
     def take_orders(self) -> list[Order]:
         """Return the pending stop and pace orders, which need no durable write."""
         orders, self._orders = self._orders, []
@@ -687,3 +700,8 @@
             "domain": minion.facts.failure_domain,
         }
         self._decisions.append(Decision(message, "", fields))
+
+
+def _step_of(run: Run) -> tuple[str, int, int]:
+    """Return the job, occurrence and step of a run, which all members of a gang share."""
+    return (run.key.job_id, run.key.occurrence, run.key.step)
--- a/dotterelhill/jobs/tests/capacity.feature
+++ b/dotterelhill/jobs/tests/capacity.feature
@@ -13,3 +13,24 @@
     Then 2 starts were sent
     When 3 rounds pass
     Then 2 starts were sent in total
+
+  Scenario: some members of a gang start after the minion of others shrank
+    Given job "b" of a gang of 4 tasks of 2 processors
+    When the minions report
+    And the scheduler plans
+    And minion "m1" has 2 processors
+    And the plan is stored
+    Then nothing was sent
+    When minion "m1" has 4 processors
+    And 2 rounds pass
+    Then 4 starts were sent in total
+    And all starts were of job "b" with run 2
+
+  Scenario: some members of a gang start after the failure domain of others was evacuated
+    Given minion "m1" is in failure domain "serra"
+    And job "b" of a gang of 4 tasks of 2 processors
+    When the minions report
+    And the scheduler plans
+    And failure domain "caxias" is evacuated
+    And the plan is stored
+    Then nothing was sent
--- a/dotterelhill/jobs/tests/steps/capacity_steps.py
+++ b/dotterelhill/jobs/tests/steps/capacity_steps.py
@@ -10,3 +10,8 @@
 def resize_processors(context, names, cpu):
     for name in names.split():
         context.fleet.list_minion(name, 1000 * int(cpu))
+
+
+@given(r'minion "(?P<name>\w+)" is in failure domain "(?P<domain>\w+)"')
+def move_minion(context, name, domain):
+    context.fleet.list_minion(name, domain=domain)
