Plan no start on a minion whose runs exceed its smaller capacity

Callers see: nothing new starts on a minion that has shrunk below what its runs reserve, until it fits again; and no plan is stored in vain.

Cause: a filler reserves no processors, so Minion.has_room_for compared only memory and accelerators. On a minion with more processors reserved than it has, a filler was planned, stored, and withheld by commit in each round: a write and a "run lost" line each 0.1 s.

What happens to the runs that no longer fit: nothing is stopped because of the size alone. Work that is stopped is lost and priced, a stop of a serving task can break AVAIL, and the capacity may be back within seconds. Serving tasks are protected by the existing control, which paces fillers by the reported tails, pauses them after 1.4 s over the target and moves those that save checkpoints.

Ruled out: memory and accelerators; negative room fits nothing there already.

Before: "no plan was withheld" failed with a "run lost" decision of job "f" in each round. After: the 56 scenarios of jobs/tests pass.

--- a/dotterelhill/jobs/fleet.py
+++ b/dotterelhill/jobs/fleet.py
@@ -206,6 +206,7 @@
     def has_room_for(self, step: Step) -> bool:
         """Return whether a task of the step fits into the free capacity.
 
+        Nothing fits while the runs of a minion that has shrunk reserve more than its capacity.
         Placement calls this for every minion and waiting step, so it creates no objects.
         """
         capacity, used, room = self.facts.capacity, self.used, step.room
@@ -213,7 +214,8 @@
             return False
         if capacity.gpu - used.gpu < room.gpu:
             return False
-        return step.is_filler or capacity.cpu - used.cpu >= room.cpu
+        needed_cpu = 0 if step.is_filler else room.cpu
+        return capacity.cpu - used.cpu >= needed_cpu
 
     def attach(self, run: Run) -> None:
         """Add a run and reserve its resources."""
--- a/dotterelhill/jobs/tests/capacity.feature
+++ b/dotterelhill/jobs/tests/capacity.feature
@@ -34,3 +34,18 @@
     And failure domain "caxias" is evacuated
     And the plan is stored
     Then nothing was sent
+
+  @capacity
+  Scenario: a filler is planned in each round on a minion whose runs exceed its smaller capacity
+    Given job "l" of 2 lasting tasks of 3 processors
+    When 2 rounds pass
+    Then 2 starts were sent in total
+    When minions "m1 m2" have 2 processors
+    And job "f" of 2 fillers of 500 thousandths of a processor is submitted
+    And 3 rounds pass
+    Then 2 starts were sent in total
+    And no stop was sent
+    And no plan was withheld
+    When minions "m1 m2" have 4 processors
+    And 2 rounds pass
+    Then 4 starts were sent in total
--- a/dotterelhill/jobs/tests/steps/capacity_steps.py
+++ b/dotterelhill/jobs/tests/steps/capacity_steps.py
@@ -1,6 +1,8 @@
 from __future__ import annotations
 
-from behave import given, use_step_matcher, when
+from behave import given, then, use_step_matcher, when
+
+from dotterelhill.jobs.model import ResourceVector, Step
 
 use_step_matcher("re")
 
@@ -15,3 +17,17 @@
 @given(r'minion "(?P<name>\w+)" is in failure domain "(?P<domain>\w+)"')
 def move_minion(context, name, domain):
     context.fleet.list_minion(name, domain=domain)
+
+
+@given(r'job "(?P<job>\w+)" of (?P<count>\d+) fillers? of (?P<cpu>\d+) thousandths .* submitted')
+@when(r'job "(?P<job>\w+)" of (?P<count>\d+) fillers? of (?P<cpu>\d+) thousandths .* submitted')
+def submit_small_fillers(context, job, count, cpu):
+    room = ResourceVector(int(cpu), 100)
+    step = Step(int(count), room, 1.0, is_filler=True, image="print")
+    context.fleet.submit(job, (step,), "long")
+
+
+@then(r"no plan was withheld")
+def check_no_withheld_plan(context):
+    decisions = context.fleet.scheduler.take_decisions()
+    assert not [decision for decision in decisions if decision.kind == "run lost"], decisions
