Keep the control of fillers defined on a minion that has shrunk to nothing

Callers see: a minion without processors neither ends the leader's round nor lets its fillers work on at full pace beside serving tasks that suffer.

Cause: five places in jobs/sharing.py divided by the minion's processors, which could not be 0 while entries with 0 were ignored; a minion that runs tasks may shrink to 0. With a divisor of 1, reports of fillers that still use 500 thousandths counted as a share of 500, which pushed the estimated effect of their image to 0 on all minions.

Ruled out: a negative cost; idle_cpu below the least share ends the placement of a filler before its cost is computed.

Change: the divisor is at least 1; the reported shares of fillers add up to at most 1, which no minion that has not shrunk exceeds.

--- a/dotterelhill/jobs/sharing.py
+++ b/dotterelhill/jobs/sharing.py
@@ -115,7 +115,7 @@
 
         :returns: None when a serving task would keep too little headroom
         """
-        added_share = step.room.cpu / minion.facts.capacity.cpu
+        added_share = step.room.cpu / _processors(minion)
         interference = 0.0
         for image, remaining, count in self._remaining_headroom_by_image(minion, now):
             effect_sum = added_share * self._model.effect(image, step.image, PLANNING_DEVIATIONS)
@@ -164,23 +164,26 @@
     def _planned_filler_shares(self, minion: Minion) -> dict[str, float]:
         """Return the share of the processors that fillers use at full pace, by image."""
         filler_shares: dict[str, float] = {}
-        capacity = minion.facts.capacity.cpu
+        processors = _processors(minion)
         for run in minion.runs.values():
             if run.step.is_filler and run.state is not RunState.STOPPING:
                 image = run.step.image
-                filler_shares[image] = filler_shares.get(image, 0.0) + run.step.room.cpu / capacity
+                share = run.step.room.cpu / processors
+                filler_shares[image] = filler_shares.get(image, 0.0) + share
         return filler_shares
 
     def _reported_filler_shares(self, minion: Minion) -> dict[str, float]:
-        """Return the share of the processors used by fillers in the newest report, by image."""
-        filler_shares: dict[str, float] = {}
+        """Return the share of the processors used by fillers in the newest report, by image.
+
+        The shares add up to at most 1. On a minion that has shrunk, its fillers may use more than
+        its capacity; larger shares would make the estimated effects of their images too small.
+        """
+        used: dict[str, float] = {}
         for run in minion.runs.values():
             if run.step.is_filler and run.cpu_used:
-                image = run.step.image
-                filler_shares[image] = (
-                    filler_shares.get(image, 0.0) + run.cpu_used / minion.facts.capacity.cpu
-                )
-        return filler_shares
+                used[run.step.image] = used.get(run.step.image, 0.0) + run.cpu_used
+        processors = max(_processors(minion), sum(used.values()))
+        return {image: cpu / processors for image, cpu in used.items()}
 
     def observe(self, minion: Minion, now: float) -> None:
         """Update the estimates with the tails in the newest report of a minion."""
@@ -254,7 +257,7 @@
             effect_sum = sum(
                 cpu * self._model.effect(image, filler) for filler, cpu in shares.items()
             )
-            limits.append((image, spare, effect_sum / minion.facts.capacity.cpu))
+            limits.append((image, spare, effect_sum / _processors(minion)))
         return limits
 
     def _allowed_pace(
@@ -262,7 +265,7 @@
     ) -> int:
         """Return the highest pace in percent at which every serving task keeps enough headroom."""
         share = 1.0
-        cpu_share = run.step.room.cpu / minion.facts.capacity.cpu
+        cpu_share = run.step.room.cpu / _processors(minion)
         for image, spare_headroom, effect_sum in limits:
             if effect_sum <= spare_headroom:
                 continue
@@ -307,6 +310,11 @@
         return runs
 
 
+def _processors(minion: Minion) -> int:
+    """Return the capacity of a minion in thousandths of a processor, at least 1 for divisions."""
+    return max(1, minion.facts.capacity.cpu)
+
+
 def _has_latency_target(run: Run) -> bool:
     """Return whether a run belongs to a serving task with a target for its tail latency."""
     return run.step.is_lasting and run.step.target_tail_ms > 0
--- a/dotterelhill/jobs/tests/capacity.feature
+++ b/dotterelhill/jobs/tests/capacity.feature
@@ -49,3 +49,29 @@
     When minions "m1 m2" have 4 processors
     And 2 rounds pass
     Then 4 starts were sent in total
+
+  Scenario: a minion that shrinks to no processors makes each leader's planning divide by zero
+    Given a fleet with minions "m1 m2" of 32 processors
+    And serving job "s" of image "web" with target 50 ms on "m1 m2"
+    And the tails of job "s" are 15 ms for 5 seconds
+    When job "f" of 2 fillers of image "print" is submitted
+    And 2 rounds pass
+    Then 2 fillers run
+    When minions "m1 m2" have 0 processors
+    And job "g" of 2 fillers of image "print" is submitted
+    And job "t" of 2 lasting tasks of 1 processors is submitted
+    And the tails beside fillers are 70 ms for 2 seconds
+    Then 2 fillers run
+    And every filler beside job "s" is paced below 30 percent
+    And no stop was sent
+
+  Scenario: reports of a minion that is smaller than its fillers make their image look harmless
+    Given a fleet with minions "m1" of 32 processors
+    And serving job "s" of image "web" with target 50 ms on "m1"
+    And the effect of "print" on "web" is known to be 2
+    And job "f" of 1 filler of 500 thousandths of a processor is submitted
+    When 2 rounds pass
+    Then 1 fillers run
+    When minion "m1" has 0 processors
+    And the tails beside fillers are 20 ms for 5 seconds
+    Then the known effect of "print" on "web" is still at least 1
--- a/dotterelhill/jobs/tests/steps/capacity_steps.py
+++ b/dotterelhill/jobs/tests/steps/capacity_steps.py
@@ -27,6 +27,12 @@
     context.fleet.submit(job, (step,), "long")
 
 
+@then(r'the known effect of "(?P<filler>\w+)" on "(?P<image>\w+)" is still at least (?P<least>\d+)')
+def check_effect(context, filler, image, least):
+    effect = context.fleet.scheduler.sharing.model.effect(image, filler)
+    assert effect >= float(least), effect
+
+
 @then(r"no plan was withheld")
 def check_no_withheld_plan(context):
     decisions = context.fleet.scheduler.take_decisions()
