Follow a minion that shrinks to no processors

Callers see: nothing starts on a minion whose capacity has become 0, and its tasks keep their leases through a change of leader.

Cause: an entry with 0 processors was ignored. A known minion kept its earlier size, so starts went on against room that was gone; a new leader did not list the minion, so it let the leases of its tasks end.

Ruled out: unlisting such a minion; a new leader would still drop its tasks.

Change: 0 processors is a size like others; negative amounts stay invalid.

After: the scenarios of fuzz.feature pass.

--- a/dotterelhill/platform/records.py
+++ b/dotterelhill/platform/records.py
@@ -106,9 +106,7 @@
             return None
         if entry.state not in (READY, DRAINING):
             return None
-        if entry.capacity.cpu <= 0:
-            # Shares of the processors are computed for each minion.
-            _log.warning("minion entry without processors ignored", extra={"key": record.key})
+        if entry.capacity.cpu < 0:
             return None
         return MinionFacts(
             minion_id=record.key,
