Ignore minion entries with amounts that no minion has

Callers see: an entry with a negative or an absurd capacity names no minion to use, and doesn't end the term of each leader.

Cause: only the processors were checked, for more than 0. Negative memory or accelerators were taken; an integer of hundreds of digits was decoded, and its sum with a floating-point number raises OverflowError in each round.

Change: amounts are 0 to 2^53, checked by the decoder.

Before: 3 of the 7 new examples of "An invalid minion entry is decoded as a minion" failed (memMb of -1, gpu of -1, cpu of 401 digits); the others passed. After: the scenarios of adapter.feature pass.

--- a/dotterelhill/platform/records.py
+++ b/dotterelhill/platform/records.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 
 from dotterelhill.control.feeds import Evacuation
@@ -15,6 +17,8 @@
 EVACUATE_PREFIX = "evacuate/"
 READY = "ready"
 DRAINING = "draining"
+# Larger amounts can't be converted to floating-point numbers without a loss.
+MAX_AMOUNT = 2**53
 
 _log = logger_of("records")
 
@@ -53,10 +57,13 @@
     limits: _Limits = _Limits()
 
 
+_Amount = Annotated[int, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
+
+
 class _Capacity(msgspec.Struct, frozen=True):
-    cpu: int
-    memMb: int
-    gpu: int = 0
+    cpu: _Amount
+    memMb: _Amount
+    gpu: _Amount = 0
 
 
 class _Entry(msgspec.Struct, frozen=True):
@@ -106,8 +113,6 @@
             return None
         if entry.state not in (READY, DRAINING):
             return None
-        if entry.capacity.cpu < 0:
-            return None
         return MinionFacts(
             minion_id=record.key,
             born_ms=entry.born,
--- a/dotterelhill/platform/tests/adapter.feature
+++ b/dotterelhill/platform/tests/adapter.feature
@@ -62,6 +62,13 @@
       | bytes              |
       | an empty object    |
       | no capacity        |
+      | cpu of -1          |
+      | memMb of -1        |
+      | gpu of -1          |
+      | cpu of null        |
+      | cpu of 1.5         |
+      | memMb of null      |
+      | cpu of 401 digits  |
 
   Scenario: A draining minion is decoded as ready
     When a minion entry is decoded with draining state and 4000 ms left
--- a/dotterelhill/platform/tests/steps/adapter_steps.py
+++ b/dotterelhill/platform/tests/steps/adapter_steps.py
@@ -199,6 +199,11 @@
         data = b"\xff\x00\x17"
     elif change == "an empty object":
         data = b"{}"
+    elif change.endswith(" digits"):
+        entry["capacity"]["cpu"] = 10 ** (int(change.split()[2]) - 1)
+    elif change.startswith(("cpu of ", "memMb of ", "gpu of ")):
+        field, value = change.split(" of ")
+        entry["capacity"][field] = json.loads(value)
     elif change.startswith("draining"):
         entry.update(state="draining", remainingMs=4000)
     else:
