Ignore minion entries that are nested too deeply

Callers see: one such entry doesn't keep the leader from following the list of minions.

Cause: the decoder raises RecursionError, which PlatformRecords didn't handle. The follower took it for a batch that can't be processed and read every key again, for good, without the entries behind it.

Before: the new scenario of fuzz.feature ended with RecursionError. After: the scenarios of fuzz.feature and adapter.feature pass.

Open: the configuration record has the same reaction; only the operator writes it, and the store accepts valid ones only.

--- a/dotterelhill/platform/records.py
+++ b/dotterelhill/platform/records.py
@@ -108,7 +108,7 @@
             return None
         try:
             entry = _ENTRY_DECODER.decode(record.value)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
             _log.debug("minion entry ignored", extra={"key": record.key, "reason": str(error)})
             return None
         if entry.state not in (READY, DRAINING):
--- a/dotterelhill/platform/tests/fuzz.feature
+++ b/dotterelhill/platform/tests/fuzz.feature
@@ -30,3 +30,7 @@
     When a minion's entry with 0 processors is decoded
     Then it names a minion with 0 processors
     And a leader plans with its tasks and reports, and starts nothing on it
+
+  Scenario: an entry of a minion that is nested too deeply keeps each leader from reading the list
+    When a minion's entry with 100000 nested lists is decoded
+    Then it names no minion
--- a/dotterelhill/platform/tests/steps/fuzz_steps.py
+++ b/dotterelhill/platform/tests/steps/fuzz_steps.py
@@ -299,6 +299,12 @@
     context.facts = PlatformRecords().minion_record(Record("m1", json.dumps(entry).encode()))
 
 
+@when(r"a minion's entry with (?P<depth>\d+) nested lists is decoded")
+def decode_nested_entry(context, depth):
+    data = b'{"more":' + b"[" * int(depth) + b"]" * int(depth) + b"}"
+    context.facts = PlatformRecords().minion_record(Record("m1", data))
+
+
 @then(r"it names a minion with 0 processors")
 def check_empty_minion(context):
     assert context.facts.capacity == ResourceVector(0, 1), context.facts
@@ -323,3 +329,8 @@
         scheduler.report(minion, MinionReport(1, 1, tuple(rows), ()), now, now)
         scheduler.plan(now, 1)
     assert not scheduler.take_changes().starts
+
+
+@then(r"it names no minion")
+def check_no_minion(context):
+    assert context.facts is None
