Start nothing on a minion whose newest entry can't be read

Callers see: a minion whose entry names no minion to use gets no start, whether the leader read the entry as it came or with the whole list.

Ruled out: dropping the minion; its tasks run on and its lease is renewed, so the next readable entry lists it again without a new poll.

Before: the new scenario of cluster.feature failed with starts sent to "m1". After: the 47 scenarios of control/tests pass.

--- a/dotterelhill/control/leader.py
+++ b/dotterelhill/control/leader.py
@@ -305,9 +305,12 @@
                 self._scheduler.mark_minion_unlisted(record.key)
                 continue
             facts = self._parts.decoder.minion_record(record)
-            if facts is not None:
-                listed.add(facts.minion_id)
-                self._scheduler.update_minion(facts, now)
+            if facts is None:
+                # What the minion said before, such as its capacity, may no longer hold.
+                self._scheduler.mark_minion_unlisted(record.key)
+                continue
+            listed.add(facts.minion_id)
+            self._scheduler.update_minion(facts, now)
         if is_snapshot:
             for minion_id in list(self._scheduler.minions):
                 if minion_id not in listed:
--- a/dotterelhill/control/tests/cluster.feature
+++ b/dotterelhill/control/tests/cluster.feature
@@ -203,3 +203,14 @@
     And 3 seconds pass
     Then every reachable process shows job "j" as "completed"
     And no start was sent to minion "m1"
+
+  Scenario: A minion whose newest entry can't be read keeps getting starts until the list is reread
+    When the entry of minion "m1" becomes unreadable
+    And 1 seconds pass
+    And job "j" of 4 tasks of 3 seconds is submitted at a process that does not lead
+    And 1 seconds pass
+    Then no start was sent to minion "m1"
+    When the entry of minion "m1" gives 8 processors
+    And job "k" of 12 tasks of 3 seconds is submitted at a process that does not lead
+    And 2 seconds pass
+    Then 16 starts were carried out
--- a/dotterelhill/control/tests/cluster_world.py
+++ b/dotterelhill/control/tests/cluster_world.py
@@ -359,7 +359,9 @@
         return None
 
     def minion_record(self, record):
-        room = ResourceVector(8000, 64000)
+        if record.value is None or not record.value.isdigit():
+            return None
+        room = ResourceVector(int(record.value), 64000)
         return MinionFacts(record.key, 1, "pool", record.key, "caxias", ("a", "r1"), room)
 
 
@@ -429,7 +431,7 @@
         self.store = MemoryStore()
         self.minions = {name: FakeMinion(name) for name in minion_names}
         for name in self.minions:
-            self.store.streams[Stream.MINIONS, 0].append(Record(name, b"1"))
+            self.store.streams[Stream.MINIONS, 0].append(Record(name, b"8000"))
         self.processes: dict[str, Process] = {}
         self.number = 0
         for name in names:
--- a/dotterelhill/control/tests/steps/cluster_steps.py
+++ b/dotterelhill/control/tests/steps/cluster_steps.py
@@ -338,6 +338,12 @@
     context.cluster.store.streams[Stream.MINIONS, 0].append(Record(name, None))
 
 
+@when(r'the entry of minion "(?P<name>\w+)" (?:becomes unreadable|gives (?P<cpu>\d+) processors)')
+def write_entry(context, name, cpu):
+    value = b"unreadable" if cpu is None else str(1000 * int(cpu)).encode()
+    context.cluster.store.streams[Stream.MINIONS, 0].append(Record(name, value))
+
+
 @then(r'no start was sent to minion "(?P<name>\w+)"')
 def check_no_start_to(context, name):
     for process in context.cluster.processes.values():
