Hold starts while the sizes of minions are out of date

Callers see: while the leader can't read the list of minions, nothing starts on minions that don't guard their capacity, instead of starts over a size that has shrunk long ago.

Cause: the leader stores its plans in another partition than the one with the minions. If only the latter is silent, it went on by the sizes it had, however old. A new leader reads the list before the submissions, whose load may take long. A process that was suspended woke with an old list.

Bound: a room that has shrunk counts as it was for stabilityMs and one heartbeat. Its entry may be written one heartbeat late, and one more is left for the start to arrive, so the list may be stabilityMs less one heartbeat old when the start is planned and when it is sent (2.9 s at 4 s and 1.1 s; never under half of stabilityMs). The age counts from the sending of the last read that reached the end; dropped history does not renew it.

Bounded how: only pools that don't guard their capacity, and only until the list is read again. Begin and end are one line each. "starts held back", "starts no longer held back".

Ruled out: ordinary slowness; neither a store that is 80 times slower nor one lost read begins a hold (scenario).

Before, with no bound on the age: "0 starts were carried out" failed with 4 starts in both new scenarios of cluster.feature, "nothing was sent" with 2 in that of capacity.feature. After: the 51 scenarios of control/tests and those of jobs/tests and adapter.feature pass.

--- a/dotterelhill/control/leader.py
+++ b/dotterelhill/control/leader.py
@@ -338,13 +338,19 @@
 
     async def _run_scheduling_round(self) -> None:
         limit = self._start_window.available
+        self._record_minion_list()
         self._scheduler.plan(self._clock(), self._parts.unix_ms(), limit)
         self._send_orders()
         changes = self._scheduler.take_changes()
         await self._store_changes(changes)
+        self._record_minion_list()
         for start in self._scheduler.commit(changes, self._clock()):
             self._spawn(self._send_start(start))
 
+    def _record_minion_list(self) -> None:
+        """Tell the scheduler how recent its list of minions, and so their capacities, is."""
+        self._scheduler.record_minion_list(self._clock() - self._minion_follower.age_seconds)
+
     def _send_orders(self) -> None:
         """Send stops and changes of pace, which need not be stored first."""
         for order in self._scheduler.take_orders():
--- a/dotterelhill/control/tests/cluster.feature
+++ b/dotterelhill/control/tests/cluster.feature
@@ -214,3 +214,60 @@
     And job "k" of 12 tasks of 3 seconds is submitted at a process that does not lead
     And 2 seconds pass
     Then 16 starts were carried out
+
+  @capacity
+  Scenario: A leader that can't read the list of minions starts tasks on sizes that are out of date
+    When the partition of the minions gives no answer
+    And 4 seconds pass
+    And job "j" of 4 tasks is submitted at a process that does not lead
+    And 2 seconds pass
+    Then 0 starts were carried out
+    And starts were held back 1 times
+    When the partition of the minions answers again
+    And 4 seconds pass
+    Then 4 starts were carried out
+    And the end of a hold was recorded 1 times
+
+  @capacity
+  Scenario: A new leader starts tasks on a list of minions that it read before a long load
+    When the entry of minion "m1" gives 0 processors
+    And the entry of minion "m2" gives 0 processors
+    And 1 seconds pass
+    And job "j" of 4 tasks is submitted at a process that does not lead
+    And 1 seconds pass
+    Then 0 starts were carried out
+    When the entry of minion "m1" gives 8 processors
+    And the partitions of the submissions give no answer
+    And the leader is killed
+    And 3 seconds pass
+    And the partition of the minions gives no answer
+    And 5 seconds pass
+    And the partitions of the submissions answer again
+    And 2 seconds pass
+    Then one process leads
+    And 0 starts were carried out
+    When the partition of the minions answers again
+    And 3 seconds pass
+    Then 4 starts were carried out
+
+  Scenario: Starts on minions that guard their capacity wait for a list that can't be read
+    Given the minions guard their capacity
+    When the partition of the minions gives no answer
+    And 4 seconds pass
+    And job "j" of 4 tasks is submitted at a process that does not lead
+    And 2 seconds pass
+    Then 4 starts were carried out
+    And starts were held back 0 times
+
+  Scenario: A lost read of the list of minions, or a slow store, holds starts back
+    When the partition of the minions gives no answer
+    And 1 seconds pass
+    And the partition of the minions answers again
+    And 3 seconds pass
+    Then starts were held back 0 times
+    When the store is slow
+    And 10 seconds pass
+    And job "j" of 4 tasks is submitted at a process that does not lead
+    And 3 seconds pass
+    Then 4 starts were carried out
+    And starts were held back 0 times
--- a/dotterelhill/control/tests/cluster_world.py
+++ b/dotterelhill/control/tests/cluster_world.py
@@ -34,12 +34,15 @@
 from dotterelhill.jobs.fleet import EndKind, EndReport, MinionFacts, MinionReport, RunReport
 from dotterelhill.jobs.model import ResourceVector, Step, Submission
 from dotterelhill.jobs.orders import StartOutcome
-from dotterelhill.jobs.queues import FleetConfig, Queue
+from dotterelhill.jobs.queues import FleetConfig, Pool, Queue
 
 HOLD_SECONDS = 6.0
 CALL_SECONDS = 0.005
 # Time after which an answer that was not read counts as lost.
 CALL_TIMEOUT_SECONDS = 1.0
+# Longest age of the list of minions with which tasks start on minions of "pool", as on a site whose
+# room counts for 4 s and a heartbeat of 1.1 s after it has shrunk.
+CAPACITY_VALID_SECONDS = 2.9
 QUEUE = Queue("q", "h", "/q/", "pool", 0, 3, 2.0, 1.0)
 
 
@@ -115,14 +118,15 @@
         self._store = store
         self.is_down = False
         self.is_silent = False
+        self.silent_streams: set[Stream] = set()
         self.lost_answers = 0
         self.appends = 0
         self.latency_seconds = 0.0
 
-    async def _reach(self) -> None:
+    async def _reach(self, stream: Stream) -> None:
         await asyncio.sleep(self.latency_seconds)
         await asyncio.sleep(SLOW_CALL_SECONDS if self._store.is_slow else CALL_SECONDS)
-        if self.is_silent:
+        if self.is_silent or stream in self.silent_streams:
             await asyncio.sleep(1.2)
             raise StoreError("no answer", is_effect_unknown=True)
         if self.is_down:
@@ -134,7 +138,7 @@
     async def append(self, stream, records, *, partition=0, at=None, fence=None) -> int:
         if stream is Stream.SUBMISSIONS:
             self.appends += 1
-        await self._reach()
+        await self._reach(stream)
         await self._store.wait_for_partition((stream, partition))
         end = self._store.append((stream, partition), records, at, fence)
         if self.lost_answers:
@@ -143,11 +147,11 @@
         return end
 
     async def newest(self, stream, partition=0) -> Batch:
-        await self._reach()
+        await self._reach(stream)
         return self._store.newest((stream, partition))
 
     async def read(self, stream, start, wait_seconds, partition=0) -> Batch:
-        await self._reach()
+        await self._reach(stream)
         waited = 0.0
         while True:
             batch = self._store.read((stream, partition), start)
@@ -380,7 +384,7 @@
         rng = random.Random(number)
         self.leadership = Leadership(observed, incarnation, name, clock)
         configuration = ConfigurationFeed(FakeDecoder(), lambda: None)
-        configuration._config = FleetConfig(1, {"q": QUEUE})
+        configuration._config = FleetConfig(1, {"q": QUEUE}, cluster.pools)
 
         def new_leader() -> Leader:
             lag = self.minions.lag
@@ -393,7 +397,9 @@
                     FakeDecoder(),
                     configuration,
                     self.leadership,
-                    SchedulerSettings(HOLD_SECONDS, RENEWAL_GRACE_SECONDS, 120.0, 4.0),
+                    SchedulerSettings(
+                        HOLD_SECONDS, RENEWAL_GRACE_SECONDS, 120.0, 4.0, CAPACITY_VALID_SECONDS
+                    ),
                     clock,
                     lambda: int(1000 * clock()),
                     rng,
@@ -429,6 +435,7 @@
         self.is_polling_long = False
         self.loop = looptime.new_event_loop()
         self.store = MemoryStore()
+        self.pools = {"pool": Pool("pool")}
         self.minions = {name: FakeMinion(name) for name in minion_names}
         for name in self.minions:
             self.store.streams[Stream.MINIONS, 0].append(Record(name, b"8000"))
--- /dev/null
+++ b/dotterelhill/control/tests/steps/capacity_steps.py
@@ -0,0 +1,45 @@
+from __future__ import annotations
+
+from behave import given, then, use_step_matcher, when
+
+from dotterelhill.control.interface import Stream
+from dotterelhill.jobs.queues import Pool
+
+use_step_matcher("re")
+
+STREAMS = {"minions": Stream.MINIONS, "submissions": Stream.SUBMISSIONS}
+
+
+@given(r"the minions guard their capacity")
+def guard_capacity(context):
+    context.cluster.pools["pool"] = Pool("pool", is_guarded=True)
+
+
+@when(r"the partitions? of the (?P<name>minions|submissions) gives? no answer")
+def silence_stream(context, name):
+    for process in context.cluster.processes.values():
+        process.store.silent_streams.add(STREAMS[name])
+
+
+@when(r"the partitions? of the (?P<name>minions|submissions) answers? again")
+def restore_stream(context, name):
+    for process in context.cluster.processes.values():
+        process.store.silent_streams.discard(STREAMS[name])
+
+
+def decision_count(context, kind: str) -> int:
+    count = 0
+    for process in context.cluster.processes.values():
+        counters = process.metrics.state.counters
+        count += counters.get(f"jobs.decisions.{kind.replace(' ', '_')}", 0)
+    return count
+
+
+@then(r"starts were held back (?P<count>\d+) times")
+def check_holds(context, count):
+    assert decision_count(context, "starts held back") == int(count)
+
+
+@then(r"the end of a hold was recorded (?P<count>\d+) times")
+def check_hold_ends(context, count):
+    assert decision_count(context, "starts no longer held back") == int(count)
--- a/dotterelhill/jobs/changes.py
+++ b/dotterelhill/jobs/changes.py
@@ -18,12 +18,15 @@
         renewed leases
     :param retention_seconds: time for which an ended job is kept
     :param harm_seconds: longest time for which fillers may keep a serving task over its target
+    :param capacity_valid_seconds: longest age of the list of minions with which tasks start on
+        minions that don't guard their capacity
     """
 
     hold_seconds: float = 6.0
     renewal_grace_seconds: float = 0.0
     retention_seconds: float = 120.0
     harm_seconds: float = 4.0
+    capacity_valid_seconds: float = float("inf")
 
 
 @dataclass(slots=True)
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -14,7 +14,7 @@
 
 from collections.abc import Iterable, Mapping, Sequence
 
-from dotterelhill.jobs.capacity import runs_beyond_capacity
+from dotterelhill.jobs.capacity import StartHold, runs_beyond_capacity
 from dotterelhill.jobs.changes import Changes, Decision, SchedulerSettings
 from dotterelhill.jobs.fleet import (
     END_LIST_LIMIT,
@@ -78,6 +78,7 @@
         self._evacuated_domains: frozenset[str] = frozenset()
         self._interference = InterferenceControl(settings.harm_seconds)
         self._placement = Placement(self._interference)
+        self._hold = StartHold(settings.capacity_valid_seconds)
         self._dirty_jobs: dict[str, Job] = {}
         self._planned_runs: list[Run] = []
         self._orders: list[Order] = []
@@ -243,6 +244,10 @@
                 if f"{task.minion_id}@{task.minion_born_ms}" in (incarnation, *unlisted):
                     self._attach_stored_run(job, task, now)
 
+    def record_minion_list(self, read_at: float) -> None:
+        """Record the loop time at which the list of minions was last read to its end."""
+        self._hold.record_list(read_at)
+
     def mark_minion_unlisted(self, minion_id: str) -> None:
         """Mark a minion as no longer listed by the platform; its runs may continue."""
         minion = self._minions.get(minion_id)
@@ -535,6 +540,7 @@
         :param max_starts: number of starts to plan at most; a gang is not split
         """
         self._expire_state(now)
+        self._record_hold(now)
         usable = [minion for minion in self._minions.values() if self._is_usable(minion, now)]
         for job, key, minion in self._placement.choose_starts(
             usable, self._queue_of, now, unix_ms, max_starts
@@ -569,8 +575,21 @@
             and now >= minion.avoid_until
             and now < minion.lease_until
             and now - minion.last_report_at < self._settings.hold_seconds / 2
+            and (not self._hold.is_active(now) or self._is_guarded(minion))
         )
 
+    def _is_guarded(self, minion: Minion) -> bool:
+        """Return whether a minion refuses starts that exceed its capacity."""
+        pool = self._config.pools.get(minion.facts.service)
+        return pool is not None and pool.is_guarded
+
+    def _record_hold(self, now: float) -> None:
+        """Record for the log when starts begin or cease to be held back."""
+        unguarded = [minion for minion in self._minions.values() if not self._is_guarded(minion)]
+        decision = self._hold.changed(now, len(unguarded))
+        if decision is not None:
+            self._decisions.append(decision)
+
     def _plan_run(self, job: Job, key: TaskKey, minion: Minion, now: float) -> None:
         """Assign a task to a minion with a new run, to be sent when the plan is durable."""
         task = job.task(key)
--- a/dotterelhill/jobs/tests/capacity.feature
+++ b/dotterelhill/jobs/tests/capacity.feature
@@ -75,3 +75,16 @@
     When minion "m1" has 0 processors
     And the tails beside fillers are 20 ms for 5 seconds
     Then the known effect of "print" on "web" is still at least 1
+
+  @capacity
+  Scenario: a task starts on a size that went out of date while its plan was being stored
+    Given job "a" of 2 tasks of 1 processors
+    When the minions report
+    And the scheduler plans
+    And the list of minions can't be read
+    And the writing of the plan takes 2.95 seconds
+    And the plan is stored
+    Then nothing was sent
+    When the list of minions can be read again
+    And 2 rounds pass
+    Then 2 starts were sent in total
--- a/dotterelhill/jobs/tests/fleet_world.py
+++ b/dotterelhill/jobs/tests/fleet_world.py
@@ -11,6 +11,7 @@
 
 HOLD_SECONDS = 6.0
 START = 1000.0
+CAPACITY_VALID_SECONDS = 2.9
 UNIX_START_MS = 1_700_000_000_000
 
 
@@ -34,10 +35,13 @@
         self.stored: dict[str, bytes] = {}
         self.submitted: list[Submission] = []
         self.changes = None
+        # Whether the list of minions can't be read, so that its newest state stays unknown.
+        self.is_list_silent = False
         self.configure()
 
     def _new_scheduler(self) -> Scheduler:
-        return Scheduler(SchedulerSettings(HOLD_SECONDS, 0.0, 120.0, 4.0), self.now)
+        settings = SchedulerSettings(HOLD_SECONDS, 0.0, 120.0, 4.0, CAPACITY_VALID_SECONDS)
+        return Scheduler(settings, self.now)
 
     @staticmethod
     def queue(name: str, priority: int, attempts: int = 2) -> Queue:
@@ -88,7 +92,13 @@
             minion.extend_lease(sent, HOLD_SECONDS)
             self.scheduler.report(minion, report, sent, self.now)
 
+    def read_list(self) -> None:
+        """Tell the scheduler that the list of minions was read, unless it can't be read."""
+        if not self.is_list_silent:
+            self.scheduler.record_minion_list(self.now)
+
     def plan(self, max_starts: int = UNLIMITED_STARTS) -> None:
+        self.read_list()
         self.scheduler.plan(self.now, self.unix_ms, max_starts)
         self.take_orders()
         self.changes = self.scheduler.take_changes()
@@ -96,6 +106,7 @@
     def commit(self) -> list[StartOrder]:
         for job in self.changes.jobs:
             self.stored[job.job_id] = encode_progress(job)
+        self.read_list()
         orders = self.scheduler.commit(self.changes, self.now)
         self.sent.extend(orders)
         return orders
--- a/dotterelhill/jobs/tests/steps/capacity_steps.py
+++ b/dotterelhill/jobs/tests/steps/capacity_steps.py
@@ -37,3 +37,13 @@
 def check_no_withheld_plan(context):
     decisions = context.fleet.scheduler.take_decisions()
     assert not [decision for decision in decisions if decision.kind == "run lost"], decisions
+
+
+@when(r"the list of minions can(?P<negation>'t)? be read(?: again)?")
+def silence_list(context, negation):
+    context.fleet.is_list_silent = bool(negation)
+
+
+@when(r"the writing of the plan takes (?P<seconds>[\d.]+) seconds")
+def pass_time(context, seconds):
+    context.fleet.now += float(seconds)
--- a/dotterelhill/platform/process.py
+++ b/dotterelhill/platform/process.py
@@ -180,6 +180,7 @@
                     RENEWAL_GRACE_SECONDS,
                     settings.retention_seconds,
                     settings.harm_seconds,
+                    settings.capacity_valid_seconds,
                 ),
                 clock=boot_seconds,
                 unix_ms=unix_ms,
--- a/dotterelhill/platform/settings.py
+++ b/dotterelhill/platform/settings.py
@@ -37,6 +37,8 @@
     harmMs: float = 4000
     # Time between SIGTERM and SIGKILL in seconds.
     graceS: float = 6
+    # Time in ms, without one heartbeat, for which a room that has shrunk still counts as it was.
+    stabilityMs: float = 4000
 
 
 class _File(msgspec.Struct, frozen=True):
@@ -46,6 +48,8 @@
     listen: _Listen
     internalPorts: list[int]
     platform: _Platform
+    # Interval in ms in which a minion writes its entry.
+    heartbeatMs: float = 1000
     limits: _Limits = _Limits()
     bounds: _Bounds = _Bounds()
 
@@ -83,6 +87,8 @@
     :param retention_seconds: time for which the state of an ended job can be queried
     :param harm_seconds: longest time for which fillers may keep a serving task over its target
     :param grace_seconds: time between SIGTERM and SIGKILL
+    :param capacity_valid_seconds: longest age of the list of minions with which tasks start on
+        minions that don't guard their capacity
     :param processors: number of processors that the process may use
     """
 
@@ -99,6 +105,7 @@
     retention_seconds: float
     harm_seconds: float
     grace_seconds: float
+    capacity_valid_seconds: float
     processors: float
 
 
@@ -131,10 +138,22 @@
         retention_seconds=_require_positive("bounds.status_s", file.bounds.status_s),
         harm_seconds=_require_positive("bounds.harmMs", file.bounds.harmMs) / 1000.0,
         grace_seconds=_require_positive("bounds.graceS", file.bounds.graceS),
+        capacity_valid_seconds=_capacity_valid_seconds(file),
         processors=file.limits.cpuShare * file.limits.cores,
     )
 
 
+def _capacity_valid_seconds(file: _File) -> float:
+    """Return the longest age of the list of minions with which tasks may start.
+
+    A smaller room counts one heartbeat and ``stabilityMs`` after it has shrunk. Its entry may be
+    written up to one heartbeat late, and a start may take as long to arrive.
+    """
+    stability_ms = _require_positive("bounds.stabilityMs", file.bounds.stabilityMs)
+    heartbeat_ms = _require_positive("heartbeatMs", file.heartbeatMs)
+    return max(stability_ms - heartbeat_ms, stability_ms / 2) / 1000.0
+
+
 def _parse_address(field: str, text: str) -> Address:
     host, _, port = text.rpartition(":")
     if not host or not port.isdecimal() or not 0 < int(port) < 65536:
--- a/dotterelhill/platform/tests/adapter.feature
+++ b/dotterelhill/platform/tests/adapter.feature
@@ -13,6 +13,8 @@
       | no nodeName                 | nodeName         |
       | internalPorts of []         | internalPorts    |
       | bounds.maxHoldMs of 0       | bounds.maxHoldMs |
+      | bounds.stabilityMs of 0     | bounds.stabilityMs |
+      | heartbeatMs of -1           | heartbeatMs      |
       | no text at all              | malformed        |
 
   Scenario: A settings file with unknown fields is refused
@@ -20,6 +22,18 @@
     When the settings are loaded
     Then the lease of a run is 6.0 seconds
 
+  Scenario Outline: The sizes of minions count as up to date for longer than the site allows
+    Given a settings file with bounds.stabilityMs of <stability>
+    And its heartbeatMs is <heartbeat>
+    When the settings are loaded
+    Then the list of minions may be <seconds> seconds old
+
+    Examples:
+      | stability | heartbeat | seconds |
+      | 4000      | 1100      | 2.9     |
+      | 5000      | 1100      | 3.9     |
+      | 4000      | 5000      | 2.0     |
+
   Scenario: The scheduler command without settings ends with a traceback
     When the scheduler command runs without its variable
     Then it ends with status 2 and an error that names "DOTTERELHILL_BOOT"
--- a/dotterelhill/platform/tests/steps/adapter_steps.py
+++ b/dotterelhill/platform/tests/steps/adapter_steps.py
@@ -79,6 +79,18 @@
     write_settings(context, json.dumps(fields))
 
 
+@given(r"its heartbeatMs is (?P<value>\d+)")
+def set_heartbeat(context, value):
+    fields = json.loads(context.path.read_text())
+    context.path.write_text(json.dumps({**fields, "heartbeatMs": int(value)}))
+
+
+@then(r"the list of minions may be (?P<seconds>[\d.]+) seconds old")
+def check_capacity_valid(context, seconds):
+    assert context.error is None, context.error
+    assert context.settings.capacity_valid_seconds == float(seconds)
+
+
 @when(r"the settings are loaded")
 def load(context):
     context.error = context.settings = None
