Count records as read only once they were processed

Callers see: starts stay held back, and unknown job ids unanswered, while the records that the leader has read can't be processed.

Cause: Follower took note of the read before it passed the records on. When that failed, the age of the list said that it was up to date, and each new attempt said so again.

--- a/dotterelhill/control/feeds.py
+++ b/dotterelhill/control/feeds.py
@@ -115,9 +115,10 @@
 
     def _apply_batch(self, batch: Batch, sent_at: float, *, is_snapshot: bool) -> None:
         self._offset = batch.next_offset
-        self._last_read_at = sent_at
         if is_snapshot or batch.records:
             self._on_records(batch.records, is_snapshot)
+        # Records that can't be processed leave the age as it was.
+        self._last_read_at = sent_at
         self.loaded.set()
 
     @mode.Service.task
--- a/dotterelhill/control/tests/cluster.feature
+++ b/dotterelhill/control/tests/cluster.feature
@@ -271,3 +271,11 @@
     And 3 seconds pass
     Then 4 starts were carried out
     And starts were held back 0 times
+
+  @capacity
+  Scenario: A list of minions that was read but could not be processed counts as up to date
+    When each record of the minions fails to be processed
+    And 4 seconds pass
+    And job "j" of 4 tasks is submitted at a process that does not lead
+    And 2 seconds pass
+    Then 0 starts were carried out
--- a/dotterelhill/control/tests/cluster_world.py
+++ b/dotterelhill/control/tests/cluster_world.py
@@ -359,10 +359,15 @@
 class FakeDecoder:
     """Decodes records of minions; the tests set the configuration directly."""
 
+    def __init__(self) -> None:
+        self.is_broken = False
+
     def operator_record(self, record):
         return None
 
     def minion_record(self, record):
+        if self.is_broken:
+            raise ValueError("a record that can't be processed")
         if record.value is None or not record.value.isdigit():
             return None
         room = ResourceVector(int(record.value), 64000)
@@ -383,7 +388,8 @@
         clock = cluster.loop.time
         rng = random.Random(number)
         self.leadership = Leadership(observed, incarnation, name, clock)
-        configuration = ConfigurationFeed(FakeDecoder(), lambda: None)
+        self.decoder = FakeDecoder()
+        configuration = ConfigurationFeed(self.decoder, lambda: None)
         configuration._config = FleetConfig(1, {"q": QUEUE}, cluster.pools)
 
         def new_leader() -> Leader:
@@ -394,7 +400,7 @@
                     self.minions,
                     RelayPool(NoCaller(), self.leadership, clock, lag),
                     lag,
-                    FakeDecoder(),
+                    self.decoder,
                     configuration,
                     self.leadership,
                     SchedulerSettings(
--- a/dotterelhill/control/tests/steps/capacity_steps.py
+++ b/dotterelhill/control/tests/steps/capacity_steps.py
@@ -2,7 +2,7 @@
 
 from behave import given, then, use_step_matcher, when
 
-from dotterelhill.control.interface import Stream
+from dotterelhill.control.interface import Record, Stream
 from dotterelhill.jobs.queues import Pool
 
 use_step_matcher("re")
@@ -43,3 +43,10 @@
 @then(r"the end of a hold was recorded (?P<count>\d+) times")
 def check_hold_ends(context, count):
     assert decision_count(context, "starts no longer held back") == int(count)
+
+
+@when(r"each record of the minions fails to be processed")
+def break_records(context):
+    process = context.cluster.processes[context.first_leader]
+    process.decoder.is_broken = True
+    context.cluster.store.streams[Stream.MINIONS, 0].append(Record("m1", b"1000"))
