Count a stream as read only when its end was reached

Callers see: after the minions' partition was silent, starts stay held back until the newest entries are read, and an unknown job id is not answered with 410 while submissions are still unread.

Cause: one read returns up to 1,024 KB. Follower took each batch for the end of the stream, so its age was that of the last read, while the records could be as old as the silence. It also waited 0.5 s between reads that were all cut short.

Ruled out: taking the end from the header of the answer; an answer under half the limit can't have been cut short, as a record takes a quarter of it at most.

Change: Batch.is_at_end; Follower reads on at once until it is there.

Before: "0 starts were carried out" failed with 4 starts while 40 entries were unread; 2 of the 4 examples of store.feature failed (50 and 40 records).

--- a/dotterelhill/control/feeds.py
+++ b/dotterelhill/control/feeds.py
@@ -85,6 +85,7 @@
         self._partition = partition
         self._offset: int | None = None
         self._last_read_at = float("-inf")
+        self._is_at_end = True
         self._is_failing = False
         self.loaded = asyncio.Event()
 
@@ -117,8 +118,10 @@
         self._offset = batch.next_offset
         if is_snapshot or batch.records:
             self._on_records(batch.records, is_snapshot)
-        # Records that can't be processed leave the age as it was.
-        self._last_read_at = sent_at
+        # Records that can't be processed, or that others follow, leave the age as it was.
+        self._is_at_end = batch.is_at_end
+        if batch.is_at_end:
+            self._last_read_at = sent_at
         self.loaded.set()
 
     @mode.Service.task
@@ -144,7 +147,7 @@
             if self._is_failing:
                 self._is_failing = False
                 _log.notice("store answers again", extra={"stream": str(self._stream)})
-            await asyncio.sleep(self._pause_seconds)
+            await asyncio.sleep(self._pause_seconds if self._is_at_end else 0.0)
 
 
 class ConfigurationFeed:
--- a/dotterelhill/control/interface.py
+++ b/dotterelhill/control/interface.py
@@ -42,10 +42,12 @@
     """Consecutive records of a stream.
 
     :param next_offset: offset after the last record, from which to read on
+    :param is_at_end: whether the batch reaches the end of the stream
     """
 
     records: tuple[Record, ...]
     next_offset: int
+    is_at_end: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/dotterelhill/control/tests/cluster.feature
+++ b/dotterelhill/control/tests/cluster.feature
@@ -279,3 +279,15 @@
     And job "j" of 4 tasks is submitted at a process that does not lead
     And 2 seconds pass
     Then 0 starts were carried out
+
+  @capacity
+  Scenario: A list of minions that was read in part, up to the limit of one read, counts as up to date
+    When the store is slow
+    And 40 entries of minions take one read each
+    And 6 seconds pass
+    And job "j" of 4 tasks is submitted at a process that does not lead
+    And 3 seconds pass
+    Then 0 starts were carried out
+    And starts were held back 1 times
+    When 10 seconds pass
+    Then 4 starts were carried out
--- a/dotterelhill/control/tests/cluster_world.py
+++ b/dotterelhill/control/tests/cluster_world.py
@@ -67,6 +67,8 @@
         self.fences: dict[tuple[StreamPartition, str], tuple[int, int]] = {}
         self.append_results: dict[tuple[StreamPartition, str, int, int], int] = {}
         self.is_slow = False
+        # Number of records of a stream that fit into one read, where it is limited.
+        self.records_per_read: dict[Stream, int] = {}
         self._partition_locks: defaultdict[StreamPartition, asyncio.Lock] = defaultdict(
             asyncio.Lock
         )
@@ -108,7 +110,9 @@
         if start < self.first_offsets[stream_partition]:
             raise HistoryDroppedError("offset is past retention")
         stored_records = self.streams[stream_partition]
-        return Batch(tuple(stored_records[start:]), len(stored_records))
+        limit = self.records_per_read.get(stream_partition[0], len(stored_records))
+        end = min(start + limit, len(stored_records))
+        return Batch(tuple(stored_records[start:end]), end, end == len(stored_records))
 
 
 class StoreView:
--- a/dotterelhill/control/tests/steps/capacity_steps.py
+++ b/dotterelhill/control/tests/steps/capacity_steps.py
@@ -50,3 +50,10 @@
     process = context.cluster.processes[context.first_leader]
     process.decoder.is_broken = True
     context.cluster.store.streams[Stream.MINIONS, 0].append(Record("m1", b"1000"))
+
+
+@when(r"(?P<count>\d+) entries of minions take one read each")
+def write_many_entries(context, count):
+    context.cluster.store.records_per_read[Stream.MINIONS] = 1
+    for _ in range(int(count)):
+        context.cluster.store.streams[Stream.MINIONS, 0].append(Record("m1", b"8000"))
--- a/dotterelhill/platform/store.py
+++ b/dotterelhill/platform/store.py
@@ -28,6 +28,9 @@
 CONNECT_TIMEOUT_SECONDS = 0.6
 LENGTH_BYTES = 4
 READ_HEADER_BYTES = 16
+# One read returns up to 1,024 KB, and a record takes up to 256 KB. So a shorter answer than this
+# was not cut short at that limit.
+COMPLETE_READ_BYTES = 512_000
 
 _TOPICS = {
     Stream.LEADERSHIP: "keyed.leadership",
@@ -216,7 +219,7 @@
         if status != 200 or len(body) < READ_HEADER_BYTES:
             raise StoreError(f"read: status {status}")
         records, count = _parse_records(body[READ_HEADER_BYTES:])
-        return Batch(records, start + count)
+        return Batch(records, start + count, len(body) < COMPLETE_READ_BYTES)
 
     async def _call(
         self,
--- a/dotterelhill/platform/tests/steps/store_steps.py
+++ b/dotterelhill/platform/tests/steps/store_steps.py
@@ -9,7 +9,7 @@
 from behave import given, then, use_step_matcher, when
 
 from dotterelhill.control.interface import Record, StoreError, Stream
-from dotterelhill.platform.store import PlatformStore
+from dotterelhill.platform.store import PlatformStore, encode_records
 
 use_step_matcher("re")
 
@@ -50,6 +50,25 @@
     set_answer(context, [answer(int(status), (body or "{}").encode())])
 
 
+@given(
+    r"a store on loopback that answers a read with (?P<count>\d+) records of (?P<size>\d+) bytes"
+)
+def long_store(context, count, size):
+    records = encode_records([Record("k", b"x" * int(size))] * int(count))
+    set_answer(context, [answer(200, bytes(16) + records)])
+
+
+@when(r"records are read")
+def read(context):
+    asyncio.run(call_store(context, lambda store: store.read(Stream.MINIONS, 0, 0.0)))
+
+
+@then(r"(?P<count>\d+) records are read, and it is (?P<known>possible|excluded) that others follow")
+def check_end(context, count, known):
+    assert len(context.result.records) == int(count), context.error
+    assert context.result.is_at_end is (known == "excluded")
+
+
 async def call_store(context, call):
     async def handle(reader, writer):
         context.calls += 1
--- a/dotterelhill/platform/tests/store.feature
+++ b/dotterelhill/platform/tests/store.feature
@@ -36,3 +36,15 @@
       | 409    | {"reason":"fenced"}             | StoreFencedError   |
       | 409    | {"reason":"seq","sequence":7}   | StoreSequenceError |
       | 412    | {"end":9}                       | StoreConflictError |
+
+  Scenario Outline: An answer that the limit of one read cut short counts as the end of the stream
+    Given a store on loopback that answers a read with <count> records of 20000 bytes
+    When records are read
+    Then <count> records are read, and it is <known> that others follow
+
+    Examples:
+      | count | known    |
+      | 50    | possible |
+      | 40    | possible |
+      | 5     | excluded |
+      | 0     | excluded |
