Claim no minion that lacks the accelerators of a lasting task

Callers see: a lasting task that needs accelerators and waits runs again, as short tasks make room for it where it fits (LOST asks for this within 9 s).

Cause: a claim, which keeps short tasks off a minion, checked processors, memory, label and limit, but not accelerators. A minion whose accelerators had gone kept its claim for good, so the short tasks of the others never made room.

Ruled out, by scenarios that passed before: a claim on a minion whose processors have shrunk moves in the next round; a growth is used in the next round by lasting, short and filling tasks, whatever was claimed or found too large before. These three scenarios are kept.

Before: "job "l" has started" failed after 20 rounds of short tasks. After: the scenarios of jobs/tests pass.

--- a/dotterelhill/jobs/placement.py
+++ b/dotterelhill/jobs/placement.py
@@ -241,8 +241,11 @@
             claimed_cpu = self._claimed_cpu.get(minion, 0)
             available_cpu = minion.facts.capacity.cpu - minion.lasting_cpu - claimed_cpu
             available_memory_mb = minion.facts.capacity.memory_mb - minion.used.memory_mb
+            available_gpu = minion.facts.capacity.gpu - minion.used.gpu
             if available_cpu < step.room.cpu or available_memory_mb < step.room.memory_mb:
                 continue
+            if available_gpu < step.room.gpu:
+                continue
             if not _has_required_label(minion, step):
                 continue
             count = minion.run_count(key.job_id, key.occurrence, key.step)
--- a/dotterelhill/jobs/tests/capacity.feature
+++ b/dotterelhill/jobs/tests/capacity.feature
@@ -88,3 +88,41 @@
     When the list of minions can be read again
     And 2 rounds pass
     Then 2 starts were sent in total
+
+  Scenario: a lasting task keeps its claim on a minion whose accelerators are gone
+    Given minions "m1 m2" have 4 processors and 1 accelerators
+    And job "a" of 4 tasks of 2 processors
+    When 1 rounds pass
+    And job "l" of 1 lasting task of 4 processors and 1 accelerators is submitted
+    And 5.5 seconds pass in rounds
+    And the claimed minion loses its accelerators
+    And short tasks of 2 processors end and new ones are submitted for 2 seconds
+    Then job "l" has started
+
+  Scenario: a claim on a minion that has shrunk keeps a lasting task from another minion
+    Given job "a" of 4 tasks of 2 processors
+    When 1 rounds pass
+    And job "l" of 1 lasting task of 4 processors is submitted
+    And 5.5 seconds pass in rounds
+    And the claimed minion shrinks to 2 processors
+    And short tasks of 2 processors end and new ones are submitted for 2 seconds
+    Then job "l" has started
+
+  Scenario: room that has come back stays unused, or a claim on it outlives the shrink
+    Given minions "m1 m2" have 1 processors
+    And job "l" of 1 lasting task of 4 processors
+    And job "a" of 2 tasks of 2 processors
+    When 8.0 seconds pass in rounds
+    Then 0 starts were sent in total
+    When minions "m1 m2" have 4 processors
+    And 1 rounds pass
+    Then 3 starts were sent in total
+
+  Scenario: fillers that found no minion wait on after it has grown
+    Given minions "m1 m2" have 0 processors
+    And job "f" of 2 fillers of 3000 thousandths of a processor is submitted
+    When 2 rounds pass
+    Then 0 starts were sent in total
+    When minions "m1 m2" have 4 processors
+    And 1 rounds pass
+    Then 2 starts were sent in total
--- a/dotterelhill/jobs/tests/fleet_world.py
+++ b/dotterelhill/jobs/tests/fleet_world.py
@@ -59,9 +59,8 @@
         born = changes.pop("born_ms", known.born_ms if known else 1)
         domain = changes.pop("domain", "caxias")
         labels = changes.pop("labels", ("a", "r1"))
-        facts = MinionFacts(
-            name, born, "pool", f"{name}:1", domain, labels, ResourceVector(cpu, 64000), **changes
-        )
+        capacity = ResourceVector(cpu, changes.pop("memory_mb", 64000), changes.pop("gpu", 0))
+        facts = MinionFacts(name, born, "pool", f"{name}:1", domain, labels, capacity, **changes)
         if known and known.born_ms != born:
             self.running[name] = {}
             self.ends[name] = []
--- a/dotterelhill/jobs/tests/steps/capacity_steps.py
+++ b/dotterelhill/jobs/tests/steps/capacity_steps.py
@@ -47,3 +47,33 @@
 @when(r"the writing of the plan takes (?P<seconds>[\d.]+) seconds")
 def pass_time(context, seconds):
     context.fleet.now += float(seconds)
+
+
+@given(r'minions "(?P<names>[^"]*)" have (?P<cpu>\d+) processors and (?P<gpu>\d+) accelerators')
+def resize_accelerators(context, names, cpu, gpu):
+    for name in names.split():
+        context.fleet.list_minion(name, 1000 * int(cpu), gpu=int(gpu))
+
+
+@when(
+    r'job "(?P<job>\w+)" of 1 lasting task of (?P<cpu>\d+) processors and (?P<gpu>\d+) '
+    r"accelerators is submitted"
+)
+def submit_lasting_with_accelerators(context, job, cpu, gpu):
+    room = ResourceVector(1000 * int(cpu), 100, int(gpu))
+    context.fleet.submit(job, (Step(1, room, 1.0, is_lasting=True),))
+
+
+def claimed_minion(context) -> str:
+    (minion,) = context.fleet.scheduler._placement._claimed_minions.values()
+    return minion.minion_id
+
+
+@when(r"the claimed minion loses its accelerators")
+def remove_accelerators(context):
+    context.fleet.list_minion(claimed_minion(context), 4000, gpu=0)
+
+
+@when(r"the claimed minion shrinks to (?P<cpu>\d+) processors")
+def shrink_claimed_minion(context, cpu):
+    context.fleet.list_minion(claimed_minion(context), 1000 * int(cpu))
