Tell the log when the capacity of a minion changes

Callers see: one line "minion capacity changed" for each change, with the old and new capacity and what its runs reserve, in the log and in jobs.decisions; and fillers placed by the headroom that the new size leaves.

Cause: a change of capacity was applied without a trace. It also left the cached headroom of the minion in place until its next report, up to 1.2 s later, so a filler was placed by the shares of the larger size.

Ruled out: a line for each entry; entries that repeat the capacity write none.

--- a/dotterelhill/jobs/model.py
+++ b/dotterelhill/jobs/model.py
@@ -47,6 +47,10 @@
             self.cpu - other.cpu, self.memory_mb - other.memory_mb, self.gpu - other.gpu
         )
 
+    def as_list(self) -> list[int]:
+        """Return the processors in thousandths, memory in MB and accelerators, for the log."""
+        return [self.cpu, self.memory_mb, self.gpu]
+
     def is_enough_for(self, other: ResourceVector) -> bool:
         """Return whether every resource is at least that of ``other``."""
         return self.cpu >= other.cpu and self.memory_mb >= other.memory_mb and self.gpu >= other.gpu
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -218,6 +218,15 @@
             known.is_listed = True
             if facts.is_draining and not known.facts.is_draining:
                 self._record_minion_decision("minion drains", known)
+            if facts.capacity != known.facts.capacity:
+                self._record_minion_decision(
+                    "minion capacity changed",
+                    known,
+                    old_capacity=known.facts.capacity.as_list(),
+                    capacity=facts.capacity.as_list(),
+                    reserved=known.used.as_list(),
+                )
+                self._interference.discard_cached_headroom(known)
             known.facts = facts
             return
         if known is not None:
@@ -710,13 +719,14 @@
         """Record a decision about a job for the log."""
         self._decisions.append(Decision(message, job_id, fields))
 
-    def _record_minion_decision(self, message: str, minion: Minion) -> None:
+    def _record_minion_decision(self, message: str, minion: Minion, **more: object) -> None:
         """Record a decision about a minion for the log."""
         fields: dict[str, object] = {
             "minion": minion.minion_id,
             "born_ms": minion.facts.born_ms,
             "runs": len(minion.runs),
             "domain": minion.facts.failure_domain,
+            **more,
         }
         self._decisions.append(Decision(message, "", fields))
 
--- a/dotterelhill/jobs/sharing.py
+++ b/dotterelhill/jobs/sharing.py
@@ -125,13 +125,19 @@
             interference += count * effect_sum / max(MIN_SPARE_HEADROOM, spare_headroom)
         return interference
 
+    def discard_cached_headroom(self, minion: Minion) -> None:
+        """Compute the remaining headroom on a minion anew, since its capacity has changed."""
+        state = self._minions.get(minion)
+        if state is not None:
+            state.cached_change_count = -1
+
     def _remaining_headroom_by_image(
         self, minion: Minion, now: float
     ) -> list[tuple[str, float, int]]:
         """Return each serving image with the lowest remaining headroom and number of its tasks.
 
-        The result is cached until a run is added or removed or the minion reports, because it is
-        needed for every waiting filler.
+        The result is cached until a run is added or removed, the minion reports or its capacity
+        changes, because it is needed for every waiting filler.
         """
         state = self._minions.setdefault(minion, _MinionState())
         if state.cached_change_count == minion.change_count:
--- a/dotterelhill/jobs/tests/capacity.feature
+++ b/dotterelhill/jobs/tests/capacity.feature
@@ -126,3 +126,27 @@
     When minions "m1 m2" have 4 processors
     And 1 rounds pass
     Then 2 starts were sent in total
+
+  Scenario: a change of capacity leaves no trace in the log
+    Given job "a" of 2 tasks of 2 processors
+    When 2 rounds pass
+    And minion "m1" has 2 processors
+    And minion "m1" has 2 processors
+    And minion "m1" has 4 processors
+    Then these changes of the capacity of "m1" were recorded: 4000 to 2000, 2000 to 4000
+
+  Scenario: a filler is placed by the headroom that a minion had before it shrank
+    Given a fleet with minions "m1" of 32 processors
+    And serving job "s" of image "web" with target 50 ms on "m1"
+    And the tails of job "s" are 15 ms for 5 seconds
+    And the effect of "print" on "web" is known to be 4
+    When job "f" of 1 fillers of image "print" is submitted
+    And the minions report
+    And the scheduler plans
+    And the plan is stored
+    Then 1 fillers run
+    When job "g" of 1 fillers of image "print" is submitted
+    And minion "m1" with label "first" has 12 processors
+    And the scheduler plans
+    And the plan is stored
+    Then 1 fillers run
--- a/dotterelhill/jobs/tests/steps/capacity_steps.py
+++ b/dotterelhill/jobs/tests/steps/capacity_steps.py
@@ -77,3 +77,21 @@
 @when(r"the claimed minion shrinks to (?P<cpu>\d+) processors")
 def shrink_claimed_minion(context, cpu):
     context.fleet.list_minion(claimed_minion(context), 1000 * int(cpu))
+
+
+@then(r'these changes of the capacity of "(?P<name>\w+)" were recorded: (?P<changes>.+)')
+def check_recorded_changes(context, name, changes):
+    recorded = []
+    for decision in context.fleet.scheduler.take_decisions():
+        if decision.kind != "minion capacity changed":
+            continue
+        fields = decision.fields
+        assert fields["minion"] == name, decision
+        assert fields["reserved"] == context.fleet.scheduler.minions[name].used.as_list(), decision
+        recorded.append(f"{fields['old_capacity'][0]} to {fields['capacity'][0]}")
+    assert recorded == changes.split(", "), recorded
+
+
+@when(r'minion "(?P<name>\w+)" with label "(?P<label>\w+)" has (?P<cpu>\d+) processors')
+def resize_labelled(context, name, label, cpu):
+    context.fleet.list_minion(name, 1000 * int(cpu), labels=(label, "r1"))
