Search random histories for starts beyond the room of a minion

Three minions change processors, memory and accelerators at random, write their entries each 1.1 s, and run short, lasting, filling and gang tasks. Reads of the list fail for up to 8 s, plans take up to 3 s to store, starts and stops lose their answers, starts arrive up to 2 s late, and leaders are replaced. Each start is judged by what its minion really runs, stops included, against the largest room of the last stabilityMs and one heartbeat; and when it is sent, against the capacity that the scheduler knows. CAPACITY_SEED moves the seeds.

--- a/dotterelhill/jobs/tests/capacity.feature
+++ b/dotterelhill/jobs/tests/capacity.feature
@@ -150,3 +150,9 @@
     And the scheduler plans
     And the plan is stored
     Then 1 fillers run
+
+  @capacity
+  Scenario: a start exceeds the room of a minion in some history of shrinks, stops and lost answers
+    When 100 random histories of 30 seconds are played
+    Then no start went beyond the room of its minion
+    And at least 2000 starts were carried out and minions shrank at least 1500 times
--- a/dotterelhill/jobs/tests/steps/capacity_steps.py
+++ b/dotterelhill/jobs/tests/steps/capacity_steps.py
@@ -1,8 +1,11 @@
 from __future__ import annotations
 
+import os
+
 from behave import given, then, use_step_matcher, when
 
 from dotterelhill.jobs.model import ResourceVector, Step
+from dotterelhill.jobs.tests.capacity_world import run_history
 
 use_step_matcher("re")
 
@@ -95,3 +98,31 @@
 @when(r'minion "(?P<name>\w+)" with label "(?P<label>\w+)" has (?P<cpu>\d+) processors')
 def resize_labelled(context, name, label, cpu):
     context.fleet.list_minion(name, 1000 * int(cpu), labels=(label, "r1"))
+
+
+@when(r"(?P<count>\d+) random histories of (?P<seconds>\d+) seconds are played")
+def play_histories(context, count, seconds):
+    first_seed = int(os.environ.get("CAPACITY_SEED", "0"))
+    context.failures, context.starts, context.shrinks = [], 0, 0
+    for seed in range(first_seed, first_seed + int(count)):
+        try:
+            world = run_history(seed, float(seconds))
+        except AssertionError as error:
+            context.failures.append((seed, str(error)))
+            continue
+        context.starts += world.start_count
+        context.shrinks += world.shrink_count
+
+
+@then(r"no start went beyond the room of its minion")
+def check_histories(context):
+    assert not context.failures, context.failures[0]
+
+
+@then(
+    r"at least (?P<starts>\d+) starts were carried out and minions shrank at least "
+    r"(?P<shrinks>\d+) times"
+)
+def check_history_sizes(context, starts, shrinks):
+    counts = (context.starts, context.shrinks)
+    assert counts[0] >= int(starts) and counts[1] >= int(shrinks), counts
