Guard starts after dropped history while the list of minions can't be read

Callers see nothing; the follower behaves as it did: dropped history leaves the age of the list as it was, and the whole list is read before it is renewed.

The scenario drops the history while the whole list can't be read, expects no start and one line about the hold, and then that the first starts follow the smaller sizes that were written meanwhile.

--- a/dotterelhill/control/tests/cluster.feature
+++ b/dotterelhill/control/tests/cluster.feature
@@ -291,3 +291,19 @@
     And starts were held back 1 times
     When 10 seconds pass
     Then 4 starts were carried out
+
+  @capacity
+  Scenario: After dropped history, tasks start on earlier sizes while the list can't be read
+    When the history of the minions is dropped and the whole list can't be read
+    And 4 seconds pass
+    And job "j" of 4 tasks is submitted at a process that does not lead
+    And 2 seconds pass
+    Then 0 starts were carried out
+    And starts were held back 1 times
+    When the entry of minion "m1" gives 2 processors
+    And the entry of minion "m2" gives 0 processors
+    And the whole list of minions can be read again
+    And 0.9 seconds pass
+    Then 2 starts were carried out
+    When 5 seconds pass
+    Then 4 starts were carried out
--- a/dotterelhill/control/tests/cluster_world.py
+++ b/dotterelhill/control/tests/cluster_world.py
@@ -123,6 +123,7 @@
         self.is_down = False
         self.is_silent = False
         self.silent_streams: set[Stream] = set()
+        self.streams_without_newest: set[Stream] = set()
         self.lost_answers = 0
         self.appends = 0
         self.latency_seconds = 0.0
@@ -152,6 +153,8 @@
 
     async def newest(self, stream, partition=0) -> Batch:
         await self._reach(stream)
+        if stream in self.streams_without_newest:
+            raise StoreError("status 503")
         return self._store.newest((stream, partition))
 
     async def read(self, stream, start, wait_seconds, partition=0) -> Batch:
--- a/dotterelhill/control/tests/steps/capacity_steps.py
+++ b/dotterelhill/control/tests/steps/capacity_steps.py
@@ -57,3 +57,17 @@
     context.cluster.store.records_per_read[Stream.MINIONS] = 1
     for _ in range(int(count)):
         context.cluster.store.streams[Stream.MINIONS, 0].append(Record("m1", b"8000"))
+
+
+@when(r"the history of the minions is dropped and the whole list can't be read")
+def drop_history(context):
+    context.cluster.store.first_offsets[Stream.MINIONS, 0] = 1000
+    for process in context.cluster.processes.values():
+        process.store.streams_without_newest.add(Stream.MINIONS)
+
+
+@when(r"the whole list of minions can be read again")
+def restore_newest(context):
+    context.cluster.store.first_offsets[Stream.MINIONS, 0] = 0
+    for process in context.cluster.processes.values():
+        process.store.streams_without_newest.clear()
