--- a/dotterelhill/control/tests/cluster_world.py
+++ b/dotterelhill/control/tests/cluster_world.py
@@ -34,12 +34,15 @@
 from dotterelhill.jobs.fleet import EndKind, EndReport, MinionFacts, MinionReport, RunReport
 from dotterelhill.jobs.model import ResourceVector, Step, Submission
 from dotterelhill.jobs.orders import StartOutcome
-from dotterelhill.jobs.queues import FleetConfig, Queue
+from dotterelhill.jobs.queues import FleetConfig, Pool, Queue
 
 HOLD_SECONDS = 6.0
 CALL_SECONDS = 0.005
 # Time after which an answer that was not read counts as lost.
 CALL_TIMEOUT_SECONDS = 1.0
+# Longest age of the list of minions with which tasks start on minions of "pool", as on a site whose
+# room counts for 4 s and a heartbeat of 1.1 s after it has shrunk.
+CAPACITY_VALID_SECONDS = 2.9
 QUEUE = Queue("q", "h", "/q/", "pool", 0, 3, 2.0, 1.0)
 
 
@@ -64,6 +67,8 @@
         self.fences: dict[tuple[StreamPartition, str], tuple[int, int]] = {}
         self.append_results: dict[tuple[StreamPartition, str, int, int], int] = {}
         self.is_slow = False
+        # Number of records of a stream that fit into one read, where it is limited.
+        self.records_per_read: dict[Stream, int] = {}
         self._partition_locks: defaultdict[StreamPartition, asyncio.Lock] = defaultdict(
             asyncio.Lock
         )
@@ -105,7 +110,9 @@
         if start < self.first_offsets[stream_partition]:
             raise HistoryDroppedError("offset is past retention")
         stored_records = self.streams[stream_partition]
-        return Batch(tuple(stored_records[start:]), len(stored_records))
+        limit = self.records_per_read.get(stream_partition[0], len(stored_records))
+        end = min(start + limit, len(stored_records))
+        return Batch(tuple(stored_records[start:end]), end, end == len(stored_records))
 
 
 class StoreView:
@@ -115,14 +122,16 @@
         self._store = store
         self.is_down = False
         self.is_silent = False
+        self.silent_streams: set[Stream] = set()
+        self.streams_without_newest: set[Stream] = set()
         self.lost_answers = 0
         self.appends = 0
         self.latency_seconds = 0.0
 
-    async def _reach(self) -> None:
+    async def _reach(self, stream: Stream) -> None:
         await asyncio.sleep(self.latency_seconds)
         await asyncio.sleep(SLOW_CALL_SECONDS if self._store.is_slow else CALL_SECONDS)
-        if self.is_silent:
+        if self.is_silent or stream in self.silent_streams:
             await asyncio.sleep(1.2)
             raise StoreError("no answer", is_effect_unknown=True)
         if self.is_down:
@@ -134,7 +143,7 @@
     async def append(self, stream, records, *, partition=0, at=None, fence=None) -> int:
         if stream is Stream.SUBMISSIONS:
             self.appends += 1
-        await self._reach()
+        await self._reach(stream)
         await self._store.wait_for_partition((stream, partition))
         end = self._store.append((stream, partition), records, at, fence)
         if self.lost_answers:
@@ -143,11 +152,13 @@
         return end
 
     async def newest(self, stream, partition=0) -> Batch:
-        await self._reach()
+        await self._reach(stream)
+        if stream in self.streams_without_newest:
+            raise StoreError("status 503")
         return self._store.newest((stream, partition))
 
     async def read(self, stream, start, wait_seconds, partition=0) -> Batch:
-        await self._reach()
+        await self._reach(stream)
         waited = 0.0
         while True:
             batch = self._store.read((stream, partition), start)
@@ -361,11 +372,18 @@
 class FakeDecoder:
     """Decodes records of minions; the tests set the configuration directly."""
 
+    def __init__(self) -> None:
+        self.is_broken = False
+
     def operator_record(self, record):
         return None
 
     def minion_record(self, record):
-        room = ResourceVector(8000, 64000)
+        if self.is_broken:
+            raise ValueError("a record that can't be processed")
+        if record.value is None or not record.value.isdigit():
+            return None
+        room = ResourceVector(int(record.value), 64000)
         return MinionFacts(record.key, 1, "pool", record.key, "caxias", ("a", "r1"), room)
 
 
@@ -383,8 +401,9 @@
         clock = cluster.loop.time
         rng = random.Random(number)
         self.leadership = Leadership(observed, incarnation, name, clock)
-        configuration = ConfigurationFeed(FakeDecoder(), lambda: None)
-        configuration._config = FleetConfig(1, {"q": QUEUE})
+        self.decoder = FakeDecoder()
+        configuration = ConfigurationFeed(self.decoder, lambda: None)
+        configuration._config = FleetConfig(1, {"q": QUEUE}, cluster.pools)
 
         def new_leader(renewals_end: float) -> Leader:
             lag = self.minions.lag
@@ -394,10 +413,10 @@
                     self.minions,
                     RelayPool(NoCaller(), self.leadership, clock, lag),
                     lag,
-                    FakeDecoder(),
+                    self.decoder,
                     configuration,
                     self.leadership,
-                    SchedulerSettings(HOLD_SECONDS, 120.0, 4.0),
+                    SchedulerSettings(HOLD_SECONDS, 120.0, 4.0, CAPACITY_VALID_SECONDS),
                     clock,
                     lambda: int(1000 * clock()),
                     rng,
@@ -434,9 +453,10 @@
         self.is_polling_long = False
         self.loop = looptime.new_event_loop()
         self.store = MemoryStore()
+        self.pools = {"pool": Pool("pool")}
         self.minions = {name: FakeMinion(name) for name in minion_names}
         for name in self.minions:
-            self.store.streams[Stream.MINIONS, 0].append(Record(name, b"1"))
+            self.store.streams[Stream.MINIONS, 0].append(Record(name, b"8000"))
         self.processes: dict[str, Process] = {}
         self.number = 0
         for name in names:
--- a/dotterelhill/jobs/minion_health.py
+++ b/dotterelhill/jobs/minion_health.py
@@ -19,15 +19,17 @@
 class Exclusion(StrEnum):
     """Reason why no run may start on a minion.
 
-    SILENT: no current report, or its lease has ended. REFUSING: it refused a start lately, or was
-    not reached. SET_ASIDE: several runs failed there lately; lasting tasks are still tried there,
-    since the cause may lie in the tasks.
+    SILENT: no current report, or its lease has ended. HELD_BACK: its capacity may have shrunk,
+    since the list of minions is out of date. REFUSING: it refused a start lately, or was not
+    reached. SET_ASIDE: several runs failed there lately; lasting tasks are still tried there, since
+    the cause may lie in the tasks.
     """
 
     UNLISTED = "unlisted"
     DRAINING = "draining"
     EVACUATED = "evacuated"
     SILENT = "silent"
+    HELD_BACK = "held_back"
     REFUSING = "refusing"
     SET_ASIDE = "set_aside"
 
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -12,8 +12,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 
+from dotterelhill.jobs.capacity import StartHold, runs_beyond_capacity
 from dotterelhill.jobs.changes import Changes, Decision, SchedulerSettings
 from dotterelhill.jobs.fleet import (
     END_LIST_LIMIT,
@@ -72,6 +73,7 @@
         self._interference = InterferenceControl(settings.harm_seconds)
         self._placement = Placement(self._interference)
         self._lasting_waits = LastingWaits()
+        self._hold = StartHold(settings.capacity_valid_seconds)
         self._dirty_jobs: dict[str, Job] = {}
         self._planned_runs: list[Run] = []
         self._orders: list[Order] = []
@@ -238,6 +240,15 @@
             known.is_listed = True
             if facts.is_draining and not known.facts.is_draining:
                 self._record_minion_decision("minion drains", known)
+            if facts.capacity != known.facts.capacity:
+                self._record_minion_decision(
+                    "minion capacity changed",
+                    known,
+                    old_capacity=known.facts.capacity.as_list(),
+                    capacity=facts.capacity.as_list(),
+                    reserved=known.used.as_list(),
+                )
+                self._interference.discard_cached_headroom(known)
             known.facts = facts
             return
         if known is not None:
@@ -264,6 +275,10 @@
                 if f"{task.minion_id}@{task.minion_born_ms}" in (incarnation, *unlisted):
                     self._attach_stored_run(job, task, now)
 
+    def record_minion_list(self, read_at: float) -> None:
+        """Record the loop time at which the list of minions was last read to its end."""
+        self._hold.record_list(read_at)
+
     def mark_minion_unlisted(self, minion_id: str) -> None:
         """Mark a minion as no longer listed by the platform; its runs may continue."""
         minion = self._minions.get(minion_id)
@@ -562,6 +577,7 @@
         :param max_starts: number of starts to plan at most; a gang is not split
         """
         self._expire_state(now)
+        self._record_hold(now)
         self._report_waits(now)
         usable = []
         for_trial = []
@@ -619,8 +635,31 @@
         is_silent = is_silent or not minion.is_answering
         if not minion.is_synced or now >= minion.lease_until or is_silent:
             return Exclusion.SILENT
+        if self._hold.is_active(now) and not self._is_guarded(minion):
+            return Exclusion.HELD_BACK
         return minion.health.exclusion(now)
 
+    def _may_start(self, run: Run, minion: Minion, now: float) -> bool:
+        """Return whether a planned run may still start on its minion."""
+        match self._exclusion(minion, now):
+            case None:
+                return True
+            case Exclusion.SET_ASIDE:
+                return run.step.is_lasting
+        return False
+
+    def _is_guarded(self, minion: Minion) -> bool:
+        """Return whether a minion refuses starts that exceed its capacity."""
+        pool = self._config.pools.get(minion.facts.service)
+        return pool is not None and pool.is_guarded
+
+    def _record_hold(self, now: float) -> None:
+        """Record for the log when starts begin or cease to be held back."""
+        unguarded = [minion for minion in self._minions.values() if not self._is_guarded(minion)]
+        decision = self._hold.changed(now, len(unguarded))
+        if decision is not None:
+            self._decisions.append(decision)
+
     def _plan_run(self, job: Job, key: TaskKey, minion: Minion, now: float) -> None:
         """Assign a task to a minion with a new run, to be sent when the plan is durable."""
         task = job.task(key)
@@ -694,21 +733,36 @@
         for minion, number in changes.ends:
             minion.durable_end = max(minion.durable_end, number)
         orders = []
+        withheld = self._withheld_starts(changes.starts, now)
         for run in changes.starts:
             target = self._minions.get(run.minion_id)
             job = self._jobs.get(run.key.job_id)
             if target is None or job is None or target.runs.get(run.key) is not run:
                 continue
-            exclusion = self._exclusion(target, now)
-            is_trial = exclusion is Exclusion.SET_ASIDE and run.step.is_lasting
-            if exclusion is not None and not is_trial:
-                self._release_run(target, run, now, "minion became unusable")
+            if run in withheld:
+                self._release_run(target, run, now, withheld[run])
                 continue
             run.state = RunState.SENT
             checkpoint = job.task(run.key).checkpoint
             orders.append(StartOrder(target, run, job.submission.payload, checkpoint))
         return orders
 
+    def _withheld_starts(self, planned: Sequence[Run], now: float) -> dict[Run, str]:
+        """Return the planned runs that may no longer start, each with the reason for the log."""
+        reasons = {}
+        for run in runs_beyond_capacity(planned, self._minions):
+            reasons[run] = "minion has shrunk"
+        for run in planned:
+            minion = self._minions.get(run.minion_id)
+            is_attached = minion is not None and minion.runs.get(run.key) is run
+            if minion is None or not is_attached or not self._may_start(run, minion, now):
+                reasons[run] = "minion became unusable"
+        incomplete_gangs = {_step_of(run) for run in reasons if run.step.is_gang}
+        for run in planned:
+            if run.step.is_gang and _step_of(run) in incomplete_gangs:
+                reasons.setdefault(run, "another member of the gang can't start")
+        return reasons
+
     def take_orders(self) -> list[Order]:
         """Return the pending stop and pace orders, which need no durable write."""
         orders, self._orders = self._orders, []
@@ -727,12 +781,18 @@
         """Record a decision about a job for the log."""
         self._decisions.append(Decision(message, job_id, fields))
 
-    def _record_minion_decision(self, message: str, minion: Minion) -> None:
+    def _record_minion_decision(self, message: str, minion: Minion, **more: object) -> None:
         """Record a decision about a minion for the log."""
         fields: dict[str, object] = {
             "minion": minion.minion_id,
             "born_ms": minion.facts.born_ms,
             "runs": len(minion.runs),
             "domain": minion.facts.failure_domain,
+            **more,
         }
         self._decisions.append(Decision(message, "", fields))
+
+
+def _step_of(run: Run) -> tuple[str, int, int]:
+    """Return the job, occurrence and step of a run, which all members of a gang share."""
+    return (run.key.job_id, run.key.occurrence, run.key.step)
--- a/dotterelhill/jobs/tests/fleet_world.py
+++ b/dotterelhill/jobs/tests/fleet_world.py
@@ -11,6 +11,7 @@
 
 HOLD_SECONDS = 6.0
 START = 1000.0
+CAPACITY_VALID_SECONDS = 2.9
 UNIX_START_MS = 1_700_000_000_000
 
 
@@ -18,7 +19,7 @@
     """Scheduler with in-memory minions, storage and clock, whose outcomes a test controls."""
 
     def __init__(self, hold_seconds: float = HOLD_SECONDS) -> None:
-        self.settings = SchedulerSettings(hold_seconds, 120.0, 4.0)
+        self.settings = SchedulerSettings(hold_seconds, 120.0, 4.0, CAPACITY_VALID_SECONDS)
         self.now = START
         self.scheduler = self._new_scheduler()
         self.queues = {"short": self.queue("short", 0), "long": self.queue("long", 2)}
@@ -36,6 +37,8 @@
         self.stored: dict[str, bytes] = {}
         self.submitted: list[Submission] = []
         self.changes = None
+        # Whether the list of minions can't be read, so that its newest state stays unknown.
+        self.is_list_silent = False
         self.configure()
 
     def _new_scheduler(self) -> Scheduler:
@@ -58,9 +61,8 @@
         domain = changes.pop("domain", "caxias")
         labels = changes.pop("labels", ("a", "r1"))
         service = changes.pop("service", "pool")
-        facts = MinionFacts(
-            name, born, service, f"{name}:1", domain, labels, ResourceVector(cpu, 64000), **changes
-        )
+        capacity = ResourceVector(cpu, changes.pop("memory_mb", 64000), changes.pop("gpu", 0))
+        facts = MinionFacts(name, born, service, f"{name}:1", domain, labels, capacity, **changes)
         if known and known.born_ms != born:
             self.running[name] = {}
             self.ends[name] = []
@@ -91,7 +93,13 @@
             minion.extend_lease(sent, self.settings.lease_seconds)
             self.scheduler.report(minion, report, sent, self.now)
 
+    def read_list(self) -> None:
+        """Tell the scheduler that the list of minions was read, unless it can't be read."""
+        if not self.is_list_silent:
+            self.scheduler.record_minion_list(self.now)
+
     def plan(self, max_starts: int = UNLIMITED_STARTS) -> None:
+        self.read_list()
         self.scheduler.plan(self.now, self.unix_ms, max_starts)
         self.take_orders()
         self.decisions.extend(self.scheduler.take_decisions())
@@ -100,6 +108,7 @@
     def commit(self) -> list[StartOrder]:
         for job in self.changes.jobs:
             self.stored[job.job_id] = encode_progress(job)
+        self.read_list()
         orders = self.scheduler.commit(self.changes, self.now)
         self.sent.extend(orders)
         return orders
--- a/dotterelhill/platform/process.py
+++ b/dotterelhill/platform/process.py
@@ -179,6 +179,7 @@
                     settings.hold_seconds,
                     settings.retention_seconds,
                     settings.harm_seconds,
+                    settings.capacity_valid_seconds,
                 ),
                 clock=boot_seconds,
                 unix_ms=unix_ms,
--- a/dotterelhill/platform/tests/steps/adapter_steps.py
+++ b/dotterelhill/platform/tests/steps/adapter_steps.py
@@ -79,6 +79,18 @@
     write_settings(context, json.dumps(fields))
 
 
+@given(r"its heartbeatMs is (?P<value>\d+)")
+def set_heartbeat(context, value):
+    fields = json.loads(context.path.read_text())
+    context.path.write_text(json.dumps({**fields, "heartbeatMs": int(value)}))
+
+
+@then(r"the list of minions may be (?P<seconds>[\d.]+) seconds old")
+def check_capacity_valid(context, seconds):
+    assert context.error is None, context.error
+    assert context.settings.capacity_valid_seconds == float(seconds)
+
+
 @when(r"the settings are loaded")
 def load(context):
     context.error = context.settings = None
@@ -199,6 +211,11 @@
         data = b"\xff\x00\x17"
     elif change == "an empty object":
         data = b"{}"
+    elif change.endswith(" digits"):
+        entry["capacity"]["cpu"] = 10 ** (int(change.split()[2]) - 1)
+    elif change.startswith(("cpu of ", "memMb of ", "gpu of ")):
+        field, value = change.split(" of ")
+        entry["capacity"][field] = json.loads(value)
     elif change.startswith("draining"):
         entry.update(state="draining", remainingMs=4000)
     else:
