Give up jobs whose tasks crash the minions that start them

Cause: a run that is lost with its minion was queued again without a count.

Ruled out: counting every run of a crashed minion, since innocent runs beside the cause and those that the platform's crashes hit would be given up; counting reports alone, since one can list the run between its start and the crash.

Change: a run is proven when a report lists it 250 ms, on the minion's clock, after it was first known to be present. Sent runs that were not proven when their minion's incarnation ended are suspects, and their tasks count the crash durably. A suspected task starts only where no other run could cause the next crash, and nothing starts beside it until it is proven. If no minion is free for that, one is claimed. While no task of a step has survived, suspected tasks of the job are tested one by one and its other tasks wait, for 5 s at most. A job is given up after two crashes if only it can have caused the newest, after three otherwise, and after four if some of them are in doubt: the run may not have been present, the minion may only have been cut off, or an earlier leader saw it. Minions that fall silent together have a common cause. Suspicion ends when a proven run ends or has lived for 5 s.

--- a/dotterelhill/control/leader.py
+++ b/dotterelhill/control/leader.py
@@ -451,7 +451,7 @@
         )
         self._parts.metrics.count("jobs.starts", label=str(outcome))
         self._parts.metrics.observe("jobs.start_wait_seconds", now - run.planned_at)
-        self._scheduler.start_answered(run, outcome, sent_at, now)
+        self._scheduler.start_answered(run, outcome, sent_at, now, clock_ms)
         if outcome is not StartOutcome.STARTED:
             self._wake_event.set()
 
--- a/dotterelhill/control/tests/cluster.feature
+++ b/dotterelhill/control/tests/cluster.feature
@@ -203,3 +203,20 @@
     And 3 seconds pass
     Then every reachable process shows job "j" as "completed"
     And no start was sent to minion "m1"
+
+  Scenario: A task that crashes its minions is started without limit, and its minions' other work is lost
+    When deadly job "x" of 1 task and job "j" of 6 tasks of 3 seconds are submitted
+    And 25 seconds pass
+    Then every process shows job "x" as "failed"
+    And every process shows job "j" as "completed"
+    And deadly tasks have crashed 2 minions
+
+  Scenario: Each new leader starts a task that crashes its minions as if it were new
+    When deadly job "x" of 1 task and job "j" of 6 tasks of 3 seconds are submitted
+    And the leader is killed after the next crash
+    And the leader is killed after the next crash
+    And process "d" starts
+    And 40 seconds pass
+    Then every reachable process shows job "x" as "failed"
+    And every reachable process shows job "j" as "completed"
+    And deadly tasks have crashed at most 4 minions
--- a/dotterelhill/control/tests/cluster_world.py
+++ b/dotterelhill/control/tests/cluster_world.py
@@ -15,6 +15,7 @@
     FencedByMinionError,
     HistoryDroppedError,
     MinionError,
+    OtherIncarnationError,
     Record,
     StoreConflictError,
     StoreError,
@@ -31,7 +32,14 @@
 from dotterelhill.control.submissions import append_submissions
 from dotterelhill.entry.metrics import LocalMetrics
 from dotterelhill.jobs.changes import SchedulerSettings
-from dotterelhill.jobs.fleet import EndKind, EndReport, MinionFacts, MinionReport, RunReport
+from dotterelhill.jobs.fleet import (
+    EndKind,
+    EndReport,
+    Minion,
+    MinionFacts,
+    MinionReport,
+    RunReport,
+)
 from dotterelhill.jobs.model import ResourceVector, Step, Submission
 from dotterelhill.jobs.orders import StartOutcome
 from dotterelhill.jobs.queues import FleetConfig, Queue
@@ -40,6 +48,9 @@
 CALL_SECONDS = 0.005
 # Time after which an answer that was not read counts as lost.
 CALL_TIMEOUT_SECONDS = 1.0
+# A deadly task crashes its minion this long after its start; the minion is back after the other.
+CRASH_AFTER_SECONDS = 0.01
+DOWN_SECONDS = 2.0
 QUEUE = Queue("q", "h", "/q/", "pool", 0, 3, 2.0, 1.0)
 
 
@@ -172,6 +183,16 @@
     lapses: int = 0
     renewals: list = field(default_factory=list)
     is_dead: bool = False
+    born_ms: int = 1
+
+    def crash(self) -> None:
+        """End the minion with all that it runs and knows."""
+        self.is_dead = True
+        self.running.clear()
+        self.ended.clear()
+        self.count = self.fence = 0
+        self.lease_until = 0.0
+        self.born_ms += 1
 
     def advance(self, now: float) -> None:
         for key, (run_id, ends_at) in list(self.running.items()):
@@ -230,16 +251,18 @@
         if self._cluster.loop.time() - sent_at > CALL_TIMEOUT_SECONDS + wait_seconds + allowance:
             raise MinionError("the answer was read too late")
 
-    async def _reach(self, name: str, epoch: int) -> FakeMinion:
+    async def _reach(self, known: Minion, epoch: int) -> FakeMinion:
         if self.failures:
             raise self.failures.pop(0)
         await self.processor.use()
         await asyncio.sleep(CALL_SECONDS)
-        minion = self._cluster.minions[name]
+        minion = self._cluster.minions[known.minion_id]
         if self.is_cut_off or minion.is_dead:
             if self._cluster.is_polling_long:
                 await asyncio.sleep(CALL_TIMEOUT_SECONDS)
             raise MinionError("no answer")
+        if known.facts.born_ms != minion.born_ms:
+            raise OtherIncarnationError("another incarnation")
         minion.advance(self._cluster.loop.time())
         minion.check_fence(epoch)
         return minion
@@ -248,15 +271,21 @@
         sent_at = self._cluster.loop.time()
         self.sent_starts.append(order.minion.minion_id)
         try:
-            minion = await self._reach(order.minion.minion_id, epoch)
+            minion = await self._reach(order.minion, epoch)
         except FencedByMinionError:
             raise
+        except OtherIncarnationError:
+            return StartOutcome.OTHER_INCARNATION, None
         except MinionError:
             return StartOutcome.UNKNOWN, None
         now = self._cluster.loop.time()
         minion.lease_until = max(minion.lease_until, deadline_ms / 1000)
         minion.running[order.run.key] = (order.run.run_id, now + minion.run_seconds)
         minion.starts.append((now, order.run.key, order.run.run_id))
+        if order.run.key.job_id in self._cluster.deadly_jobs:
+            self._cluster.loop.call_later(
+                CRASH_AFTER_SECONDS, self._cluster.crash, minion.name, minion.born_ms
+            )
         try:
             await self._read_answer(sent_at, 0.0)
         except MinionError:
@@ -264,14 +293,14 @@
         return StartOutcome.STARTED, int(1000 * now)
 
     async def stop(self, order, epoch):
-        minion = await self._reach(order.minion.minion_id, epoch)
+        minion = await self._reach(order.minion, epoch)
         run = minion.running.pop(order.key, None)
         if run is not None:
             minion.count += 1
             minion.ended.append(EndReport(minion.count, order.key, run[0], EndKind.STOPPED, ""))
 
     async def set_pace(self, order, epoch):
-        await self._reach(order.minion.minion_id, epoch)
+        await self._reach(order.minion, epoch)
 
     async def renew(self, minion, epoch, deadline_ms, wait_seconds):
         sent_at = self._cluster.loop.time()
@@ -279,7 +308,7 @@
             self.lost_polls[minion.minion_id] -= 1
             await asyncio.sleep(CALL_TIMEOUT_SECONDS + wait_seconds)
             raise self.lost_poll_error
-        fake = await self._reach(minion.minion_id, epoch)
+        fake = await self._reach(minion, epoch)
         fake.renewals.append(deadline_ms)
         if deadline_ms is not None:
             fake.lease_until = max(fake.lease_until, deadline_ms / 1000)
@@ -291,13 +320,15 @@
                 break
             await asyncio.sleep(0.05)
             waited += 0.05
+        if fake.is_dead or fake.born_ms != minion.facts.born_ms:
+            raise MinionError("connection reset")
         now = self._cluster.loop.time()
         fake.advance(now)
         fake.ended = [end for end in fake.ended if end.number > minion.durable_end]
         running = tuple(
             RunReport(key, run_id, "", 50, None) for key, (run_id, _) in fake.running.items()
         )
-        report = MinionReport(1, int(1000 * now), running, tuple(fake.ended))
+        report = MinionReport(fake.born_ms, int(1000 * now), running, tuple(fake.ended))
         await self._read_answer(sent_at, wait_seconds)
         return report
 
@@ -360,7 +391,8 @@
 
     def minion_record(self, record):
         room = ResourceVector(8000, 64000)
-        return MinionFacts(record.key, 1, "pool", record.key, "caxias", ("a", "r1"), room)
+        born_ms = int(record.value)
+        return MinionFacts(record.key, born_ms, "pool", record.key, "caxias", ("a", "r1"), room)
 
 
 class Process:
@@ -427,6 +459,9 @@
         self.is_polling_long = False
         self.loop = looptime.new_event_loop()
         self.store = MemoryStore()
+        # Jobs whose tasks crash each minion that starts them.
+        self.deadly_jobs: set[str] = set()
+        self.crash_count = 0
         self.minions = {name: FakeMinion(name) for name in minion_names}
         for name in self.minions:
             self.store.streams[Stream.MINIONS, 0].append(Record(name, b"1"))
@@ -435,6 +470,21 @@
         for name in names:
             self.start(name)
 
+    def crash(self, name: str, born_ms: int) -> None:
+        """Crash an incarnation of a minion, which is back seconds later as another one."""
+        minion = self.minions[name]
+        if minion.is_dead or minion.born_ms != born_ms:
+            return
+        minion.crash()
+        self.crash_count += 1
+
+        def start_again() -> None:
+            minion.is_dead = False
+            record = Record(name, str(minion.born_ms).encode())
+            self.store.streams[Stream.MINIONS, 0].append(record)
+
+        self.loop.call_later(DOWN_SECONDS, start_again)
+
     def run(self, awaitable):
         return self.loop.run_until_complete(awaitable)
 
--- a/dotterelhill/control/tests/steps/cluster_steps.py
+++ b/dotterelhill/control/tests/steps/cluster_steps.py
@@ -10,6 +10,9 @@
 from dotterelhill.jobs.model import ResourceVector, Step, Submission
 from dotterelhill.jobs.progress import encode_submission
 
+CRASH_WAIT_STEP_SECONDS = 0.05
+MAX_CRASH_WAIT_STEPS = 400
+
 use_step_matcher("re")
 
 
@@ -342,3 +345,39 @@
 def check_no_start_to(context, name):
     for process in context.cluster.processes.values():
         assert name not in process.minions.sent_starts
+
+
+@when(
+    r'deadly job "(?P<deadly>\w+)" of 1 task and job "(?P<job>\w+)" of (?P<count>\d+) tasks of '
+    r"(?P<seconds>\d+) seconds are submitted"
+)
+def submit_deadly(context, deadly, job, count, seconds):
+    context.cluster.deadly_jobs.add(deadly)
+    submit(context, job, count, seconds)
+    context.cluster.submit(non_leader_name(context), deadly, 1)
+
+
+@when(r"the leader is killed after the next crash")
+def kill_leader_after_crash(context):
+    cluster = context.cluster
+    count = cluster.crash_count
+    for _ in range(MAX_CRASH_WAIT_STEPS):
+        cluster.advance(CRASH_WAIT_STEP_SECONDS)
+        if cluster.crash_count > count and cluster.leaders:
+            cluster.kill(cluster.leaders[0])
+            return
+    raise AssertionError("no minion crashed")
+
+
+@when(r'process "(?P<name>\w+)" starts')
+def start_process(context, name):
+    context.cluster.start(name)
+
+
+@then(r"deadly tasks have crashed (?:(?P<bound>at most) )?(?P<count>\d+) minions")
+def check_crash_count(context, bound, count):
+    crash_count = context.cluster.crash_count
+    if bound:
+        assert 0 < crash_count <= int(count), crash_count
+    else:
+        assert crash_count == int(count), crash_count
--- /dev/null
+++ b/dotterelhill/jobs/crashes.py
@@ -0,0 +1,289 @@
+"""Suspicion against tasks that may crash the minions that start them.
+
+Explanation
+===========
+
+A task may crash each minion that starts it, together with everything that runs there. A crash
+proves nothing by itself, because the platform crashes minions too. So the runs that had just
+started on a crashed minion are suspects. A suspected task starts again only on a minion where no
+other run could have caused the next crash. A job is given up when one of its tasks has crashed
+several minions.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterator, Mapping, Sequence
+from dataclasses import dataclass, field
+from enum import Enum, auto
+
+from dotterelhill.jobs.fleet import Minion, Run, RunState
+from dotterelhill.jobs.model import Job, Task, TaskKey
+
+# A run is proven when a report lists it this long after it was first known to be present, on the
+# minion's clock. A report can also be made between a start and the crash that it causes some
+# milliseconds later.
+PROVEN_AFTER_MS = 250
+# A task whose run has lived for this time is no longer suspected.
+SUSPECT_SURVIVAL_MS = 5000
+# The platform allows a job to be given up once two minions have crashed under a task, and two more
+# starts once three have.
+MIN_CERTAIN_CRASHES = 2
+CRASHES_TO_GIVE_UP = 3
+CRASHES_TO_GIVE_UP_IN_DOUBT = 4
+# Minions that fall silent within this time of each other crash for a common cause.
+COMMON_CRASH_SECONDS = 0.1
+# Several tasks may each crash a minion at the same moment, so one other silent minion is no sign.
+MIN_OTHER_SILENT_MINIONS = 2
+MAX_SILENCES = 512
+# Other tasks of the job of a suspected task wait for at most this time.
+MAX_HELD_SECONDS = 5.0
+# A suspected gang that finds no minions of its own starts like other gangs after this time.
+GANG_ISOLATION_SECONDS = 2.0
+
+OccurrenceStep = tuple[int, int]
+
+
+@dataclass(slots=True)
+class Suspect:
+    """A task that may have crashed minions.
+
+    :param crashed_at: loop time at which its newest crash was noticed
+    :param minion_ids: minions that crashed under it, as far as this leader knows
+    """
+
+    job: Job
+    task: Task
+    crashed_at: float
+    minion_ids: list[str] = field(default_factory=list)
+
+    @property
+    def is_tested(self) -> bool:
+        """Return whether a run may be present that is not proven."""
+        return self.task.is_assigned and not self.task.is_proven
+
+    @property
+    def is_open(self) -> bool:
+        """Return whether the newest run has not shown that it leaves its minion alive."""
+        return not (self.task.is_assigned and self.task.is_proven)
+
+
+@dataclass(frozen=True, slots=True)
+class Crash:
+    """What may have caused the crash of a minion.
+
+    :param suspects: runs that count the crash
+    :param is_of_one_job: whether only one job can have caused the crash, unless the platform did
+    """
+
+    suspects: tuple[Run, ...]
+    is_of_one_job: bool
+
+
+class Presence(Enum):
+    """What a report that lists a run shows about it.
+
+    UNPROVEN: the run may still crash its minion. PROVEN: it has just been proven. SURVIVING: it has
+    lived so long that its task is no longer suspected. KNOWN: nothing new.
+    """
+
+    UNPROVEN = auto()
+    PROVEN = auto()
+    SURVIVING = auto()
+    KNOWN = auto()
+
+
+def observed_presence(run: Run, clock_ms: int) -> Presence:
+    """Update a run that a minion reports as present, and return what the report shows.
+
+    :param clock_ms: clock of the minion when it made the report
+    """
+    if run.present_clock_ms is None:
+        run.present_clock_ms = clock_ms
+    lived_ms = clock_ms - run.present_clock_ms
+    if not run.is_proven and lived_ms >= PROVEN_AFTER_MS:
+        run.is_proven = True
+        return Presence.PROVEN
+    if lived_ms >= SUSPECT_SURVIVAL_MS:
+        return Presence.SURVIVING
+    return Presence.KNOWN if run.is_proven else Presence.UNPROVEN
+
+
+def has_unproven_runs(minion: Minion) -> bool:
+    """Return whether a run on a minion might still crash it."""
+    for run in minion.runs.values():
+        if not run.is_proven:
+            return True
+    return False
+
+
+def is_given_up(task: Task, *, is_of_one_job: bool) -> bool:
+    """Return whether a task has crashed so many minions that its job is given up.
+
+    :param is_of_one_job: whether only its job can have caused the newest crash
+    """
+    if task.crashes >= CRASHES_TO_GIVE_UP_IN_DOUBT:
+        return True
+    if task.crashes - task.doubtful_crashes < MIN_CERTAIN_CRASHES:
+        return False
+    return is_of_one_job or task.crashes >= CRASHES_TO_GIVE_UP
+
+
+class CrashSuspicion:
+    """Suspected tasks of all active jobs. The number of crashes itself is part of the task."""
+
+    def __init__(self) -> None:
+        self._by_job: dict[str, dict[TaskKey, Suspect]] = {}
+        self._silences: deque[float] = deque(maxlen=MAX_SILENCES)
+
+    @property
+    def has_suspects(self) -> bool:
+        """Return whether any task is suspected."""
+        return bool(self._by_job)
+
+    @property
+    def suspects(self) -> Iterator[Suspect]:
+        """Yield all suspected tasks."""
+        for suspects in self._by_job.values():
+            yield from suspects.values()
+
+    def has_suspects_of(self, job: Job) -> bool:
+        """Return whether a task of a job is suspected."""
+        return job.job_id in self._by_job
+
+    def is_suspected(self, key: TaskKey) -> bool:
+        """Return whether a task is suspected."""
+        return key in self._by_job.get(key.job_id, ())
+
+    def restore(self, job: Job, now: float) -> None:
+        """Add the suspected tasks of a job that an earlier leader stored."""
+        for task in job.tasks.values():
+            if task.crashes and not task.is_done:
+                self._by_job.setdefault(job.job_id, {})[task.key] = Suspect(job, task, now)
+
+    def remove_job(self, job: Job) -> None:
+        """Remove a job that has ended."""
+        self._by_job.pop(job.job_id, None)
+
+    def clear(self, task: Task) -> bool:
+        """Lift the suspicion against a task and return whether it was suspected."""
+        suspects = self._by_job.get(task.key.job_id)
+        if suspects is None or suspects.pop(task.key, None) is None:
+            return False
+        if not suspects:
+            del self._by_job[task.key.job_id]
+        task.crashes = task.doubtful_crashes = 0
+        return True
+
+    def count_crash(
+        self, job: Job, task: Task, minion_id: str, now: float, *, is_doubtful: bool
+    ) -> Suspect:
+        """Count a crash of a minion against a task.
+
+        :param is_doubtful: whether the run may not have been present, or the minion not crashed
+        """
+        task.crashes += 1
+        task.doubtful_crashes += is_doubtful
+        suspects = self._by_job.setdefault(job.job_id, {})
+        suspect = suspects.setdefault(task.key, Suspect(job, task, now))
+        suspect.crashed_at = now
+        suspect.minion_ids.append(minion_id)
+        return suspect
+
+    def record_silence(self, now: float) -> None:
+        """Record that a minion has fallen silent."""
+        self._silences.append(now)
+
+    def _has_common_cause(self, minion: Minion) -> bool:
+        """Return whether other minions fell silent at the same time as a crashed one."""
+        if minion.silent_at is None:
+            return False
+        count = 0
+        for silent_at in self._silences:
+            count += abs(silent_at - minion.silent_at) <= COMMON_CRASH_SECONDS
+        # The minion itself is one of them.
+        return count > MIN_OTHER_SILENT_MINIONS
+
+    def crash_of(self, minion: Minion, *, is_certain: bool) -> Crash:
+        """Return the crash of a minion whose incarnation is gone.
+
+        :param is_certain: whether the incarnation has certainly ended, and was not only cut off
+        """
+        unproven = []
+        for run in minion.runs.values():
+            if run.state is not RunState.PLANNED and not run.is_proven:
+                unproven.append(run)
+        # A task that was already suspected started alone, so it is the likelier cause. A start that
+        # was sent to a silent minion is the least likely one.
+        suspects = [run for run in unproven if self.is_suspected(run.key)]
+        if not suspects and minion.silent_at is not None:
+            suspects = [run for run in unproven if run.planned_at <= minion.silent_at]
+        suspects = suspects or unproven
+        is_of_one_job = is_certain and len({run.key.job_id for run in unproven}) == 1
+        if self._has_common_cause(minion):
+            is_of_one_job = False
+        for run in unproven:
+            if run.is_inherited:
+                # This leader can't know whether the run was proven to an earlier one.
+                is_of_one_job = False
+        return Crash(tuple(suspects), is_of_one_job)
+
+    def tasks_to_test(
+        self, job: Job, occurrence_step: OccurrenceStep, keys: Sequence[TaskKey]
+    ) -> list[TaskKey]:
+        """Return the suspected ones of the waiting tasks of a step that may start in isolation.
+
+        If every task of a job crashes its minion, testing several at once would crash as many
+        minions. So they are tested one by one until a task of the step has survived.
+        """
+        suspects = self._by_job.get(job.job_id, {})
+        waiting = [key for key in keys if key in suspects]
+        waiting.sort(key=lambda key: -suspects[key].task.crashes)
+        if not waiting or _has_survivor(job, occurrence_step):
+            return waiting
+        for suspect in suspects.values():
+            if suspect.is_tested:
+                return []
+        return waiting[:1]
+
+    def open_tasks(
+        self, job: Job, occurrence_step: OccurrenceStep, keys: list[TaskKey], now: float
+    ) -> list[TaskKey]:
+        """Return the waiting tasks of a step that may start beside other runs."""
+        suspects = self._by_job.get(job.job_id)
+        if suspects is None:
+            return keys
+        if job.submission.steps[occurrence_step[1]].is_gang:
+            return keys if self._may_gang_start(suspects, keys, now) else []
+        if _is_held(job, suspects, occurrence_step, now):
+            return []
+        return [key for key in keys if key not in suspects]
+
+    @staticmethod
+    def _may_gang_start(
+        suspects: Mapping[TaskKey, Suspect], keys: Sequence[TaskKey], now: float
+    ) -> bool:
+        for key in keys:
+            if key in suspects and now - suspects[key].crashed_at < GANG_ISOLATION_SECONDS:
+                return False
+        return True
+
+
+def _has_survivor(job: Job, occurrence_step: OccurrenceStep) -> bool:
+    """Return whether a task of a step is done or was proven to leave its minion alive."""
+    if job.done_counts.get(occurrence_step, 0):
+        return True
+    for key, task in job.tasks.items():
+        if task.is_proven and (key.occurrence, key.step) == occurrence_step:
+            return True
+    return False
+
+
+def _is_held(
+    job: Job, suspects: Mapping[TaskKey, Suspect], occurrence_step: OccurrenceStep, now: float
+) -> bool:
+    """Return whether the other tasks of a step wait for the test of a suspected task."""
+    for suspect in suspects.values():
+        if suspect.is_open and now - suspect.crashed_at < MAX_HELD_SECONDS:
+            return not _has_survivor(job, occurrence_step)
+    return False
--- a/dotterelhill/jobs/fleet.py
+++ b/dotterelhill/jobs/fleet.py
@@ -70,6 +70,10 @@
     :param paced_at: loop time of the newest order of the pace
     :param pace_repeated_until: loop time until which the pace is ordered again, because an order
         without an answer may be carried out after newer ones
+    :param present_clock_ms: clock of the minion when the run was first known to be present; None
+        before
+    :param is_proven: whether the run has lived long enough to not have crashed its minion
+    :param is_inherited: whether an earlier leader planned the run
     """
 
     key: TaskKey
@@ -86,6 +90,9 @@
     pace: int = 100
     paced_at: float = 0.0
     pace_repeated_until: float = float("-inf")
+    present_clock_ms: int | None = None
+    is_proven: bool = False
+    is_inherited: bool = False
 
 
 class EndKind(StrEnum):
@@ -151,6 +158,7 @@
     :param is_listed: whether the platform currently lists the minion
     :param is_synced: whether this leader has received a complete report of its runs
     :param is_answering: whether the newest poll was answered
+    :param silent_at: loop time of the first poll without an answer; None while polls are answered
     :param lease_until: loop time by which the last lease has certainly expired
     :param clock_ms: clock of the minion in its newest answer; None before the first
     :param clock_at: loop time at which that answer arrived
@@ -173,6 +181,7 @@
     is_listed: bool = True
     is_synced: bool = False
     is_answering: bool = True
+    silent_at: float | None = None
     runs: dict[TaskKey, Run] = field(default_factory=dict)
     clock_ms: int | None = None
     clock_at: float = 0.0
--- /dev/null
+++ b/dotterelhill/jobs/isolation.py
@@ -0,0 +1,161 @@
+"""Choice of minions for tasks that are suspected of crashing them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping, Sequence
+
+from dotterelhill.jobs.crashes import CrashSuspicion, has_unproven_runs
+from dotterelhill.jobs.fleet import Minion
+from dotterelhill.jobs.model import TaskKey
+
+# At most this share of the minions of a service is kept for suspected tasks at a time.
+MAX_ISOLATED_SHARE = 0.25
+
+StartCost = Callable[[Minion], tuple[float, ...] | None]
+
+
+class Isolation:
+    """Minions on which a suspected task starts while nothing else does.
+
+    A minion is isolated while a suspected run on it is not proven. If every minion has runs that
+    are not proven, one is claimed: nothing starts on it until the suspected task can.
+    """
+
+    def __init__(self, suspicion: CrashSuspicion) -> None:
+        self._suspicion = suspicion
+        self._claims: dict[TaskKey, Minion] = {}
+        self._isolated: set[Minion] = set()
+        self._allowance = 0
+
+    def is_claimed(self, minion: Minion) -> bool:
+        """Return whether a minion is claimed for a suspected task."""
+        return minion in self._claims.values()
+
+    def begin_round(self, pools: Mapping[str, Sequence[Minion]]) -> None:
+        """Find the minions that are isolated, and drop claims that are no longer needed.
+
+        :param pools: minions on which tasks may start, by service
+        """
+        tested_incarnations = set()
+        waiting_keys = set()
+        for suspect in self._suspicion.suspects:
+            task = suspect.task
+            if suspect.is_tested:
+                tested_incarnations.add((task.minion_id, task.minion_born_ms))
+            elif not task.is_assigned:
+                waiting_keys.add(task.key)
+        usable = {minion for pool in pools.values() for minion in pool}
+        self._isolated = set()
+        for minion in usable:
+            if (minion.minion_id, minion.facts.born_ms) in tested_incarnations:
+                self._isolated.add(minion)
+        for key, minion in list(self._claims.items()):
+            if key in waiting_keys and minion in usable and minion not in self._isolated:
+                continue
+            del self._claims[key]
+        self._isolated.update(self._claims.values())
+
+    def begin_pool(self, pool: Sequence[Minion]) -> None:
+        """Set how many more minions of a service may be isolated."""
+        isolated_count = sum(minion in self._isolated for minion in pool)
+        self._allowance = max(1, int(MAX_ISOLATED_SHARE * len(pool))) - isolated_count
+
+    def open_minions(self, pool: Sequence[Minion]) -> list[Minion]:
+        """Return the minions of a pool on which other tasks may start."""
+        return [minion for minion in pool if minion not in self._isolated]
+
+    def quiet_minions(self, pool: Sequence[Minion], now: float) -> list[Minion]:
+        """Return the open minions on which all runs are proven, the least occupied first."""
+        quiet = []
+        for minion in self.open_minions(pool):
+            if minion.is_answering and not has_unproven_runs(minion):
+                quiet.append(minion)
+        quiet.sort(key=lambda minion: (_work_at_risk(minion, now), minion.facts.born_ms))
+        return quiet
+
+    def isolate(self, minion: Minion) -> None:
+        """Isolate a minion on which a suspected task is about to start."""
+        self._isolated.add(minion)
+
+    def choose(
+        self, key: TaskKey, pool: Sequence[Minion], start_cost: StartCost, now: float
+    ) -> Minion | None:
+        """Return the minion on which a suspected task starts, and isolate it; None if it waits.
+
+        :param start_cost: returns the cost of the start on a minion, None where it is not allowed;
+            the first value is the distance to the task's data
+        """
+        claimed = self._claims.get(key)
+        if claimed is None and self._allowance <= 0:
+            return None
+        best: Minion | None = None
+        best_rank: tuple[float, ...] = ()
+        for minion in pool:
+            if minion is not claimed and minion in self._isolated:
+                continue
+            # A start on a silent minion may count a crash against a task that never ran.
+            if not minion.is_answering or key in minion.runs or has_unproven_runs(minion):
+                continue
+            cost = start_cost(minion)
+            if cost is None:
+                continue
+            # Freshly started minions come last: the platform may crash one again.
+            rank = (cost[0], _work_at_risk(minion, now), minion.facts.born_ms)
+            if best is None or rank < best_rank:
+                best, best_rank = minion, rank
+        if best is None:
+            return None
+        if claimed is None:
+            self._allowance -= 1
+        else:
+            del self._claims[key]
+            self._isolated.discard(claimed)
+        self._isolated.add(best)
+        return best
+
+    def drop_claim(self, key: TaskKey) -> None:
+        """Drop the claim of a task, if any."""
+        minion = self._claims.pop(key, None)
+        if minion is not None:
+            self._isolated.discard(minion)
+            self._allowance += 1
+
+    def claim(
+        self,
+        key: TaskKey,
+        pool: Sequence[Minion],
+        start_cost: StartCost,
+        with_shortfall: Callable[[Sequence[Minion]], Minion | None],
+    ) -> None:
+        """Claim a minion for a suspected task that found none, if more may be isolated.
+
+        A minion that lacks only the proof of its runs goes before one that lacks room as well.
+
+        :param with_shortfall: returns the minion of a pool on which room comes first
+        """
+        if key in self._claims or self._allowance <= 0:
+            return
+        candidates = self.open_minions(pool)
+        best: Minion | None = None
+        best_count = 0
+        for minion in candidates:
+            if key in minion.runs or start_cost(minion) is None:
+                continue
+            count = sum(not run.is_proven for run in minion.runs.values())
+            if best is None or count < best_count:
+                best, best_count = minion, count
+        if best is None:
+            best = with_shortfall(candidates)
+        if best is None:
+            return
+        self._claims[key] = best
+        self._isolated.add(best)
+        self._allowance -= 1
+
+
+def _work_at_risk(minion: Minion, now: float) -> float:
+    """Return the work that a crash of a minion would lose, in processor seconds."""
+    work = 0.0
+    for run in minion.runs.values():
+        work += run.step.room.cpu / 1000.0 * (now - run.planned_at)
+    return work
--- a/dotterelhill/jobs/model.py
+++ b/dotterelhill/jobs/model.py
@@ -219,6 +219,9 @@
     :param minion_born_ms: incarnation of that minion, as Unix ms of its start
     :param failures: number of runs that failed
     :param checkpoint: newest checkpoint; empty for none
+    :param crashes: number of minions that crashed while a run might have caused it
+    :param doubtful_crashes: number of those crashes under which the task may not have run
+    :param is_proven: whether the newest run has lived long enough to not have crashed its minion
     """
 
     key: TaskKey
@@ -228,6 +231,9 @@
     minion_born_ms: int = 0
     failures: int = 0
     checkpoint: str = ""
+    crashes: int = 0
+    doubtful_crashes: int = 0
+    is_proven: bool = False
 
     @property
     def is_assigned(self) -> bool:
--- a/dotterelhill/jobs/placement.py
+++ b/dotterelhill/jobs/placement.py
@@ -5,9 +5,12 @@
 from collections.abc import Callable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
 from enum import IntEnum
+from functools import partial
 from heapq import heapify, heappop, heapreplace
 
+from dotterelhill.jobs.crashes import CrashSuspicion
 from dotterelhill.jobs.fleet import Minion
+from dotterelhill.jobs.isolation import Isolation
 from dotterelhill.jobs.model import (
     TOO_LATE_FACTOR,
     Job,
@@ -72,10 +75,13 @@
     """Queue of the waiting tasks of all active jobs, and the choice of their minions.
 
     :param interference: control of the interference between fillers and serving tasks
+    :param suspicion: tasks that are suspected of crashing minions
     """
 
-    def __init__(self, interference: InterferenceControl) -> None:
+    def __init__(self, interference: InterferenceControl, suspicion: CrashSuspicion) -> None:
         self._interference = interference
+        self._suspicion = suspicion
+        self._isolation = Isolation(suspicion)
         self._waiting_jobs: dict[str, _WaitingJob] = {}
         self._short_peak_cpu = 0.0
         self._short_peak_at = 0.0
@@ -93,6 +99,11 @@
             count += sum(len(keys) for keys in waiting.pending.values())
         return count
 
+    @property
+    def isolation(self) -> Isolation:
+        """Return the choice of minions for tasks that are suspected of crashing them."""
+        return self._isolation
+
     def add_job(self, job: Job) -> None:
         """Add the ready steps of a job that became active."""
         waiting = self._waiting_jobs[job.job_id] = _WaitingJob(job)
@@ -168,6 +179,10 @@
         self._track_short_peak(minions, now)
         unplaceable = self._recently_unplaceable(now)
         self._claim_minions(ranked, by_service, now)
+        if self._suspicion.has_suspects:
+            yield from self._choose_isolated_starts(ranked, by_service, now, unix_ms)
+            for service, pool in by_service.items():
+                by_service[service] = self._isolation.open_minions(pool)
         for _, queue, waiting in ranked:
             pool = by_service.get(queue.service, [])
             if self._remaining_starts <= 0:
@@ -255,6 +270,65 @@
                 best, smallest_shortfall = minion, shortfall
         return best
 
+    def _choose_isolated_starts(
+        self,
+        ranked: Sequence[tuple[object, Queue, _WaitingJob]],
+        by_service: Mapping[str, Sequence[Minion]],
+        now: float,
+        unix_ms: int,
+    ) -> Iterator[tuple[Job, TaskKey, Minion]]:
+        """Yield starts of suspected tasks, on minions where nothing else starts meanwhile."""
+        self._isolation.begin_round(by_service)
+        for _, queue, waiting in ranked:
+            job = waiting.job
+            pool = by_service.get(queue.service, [])
+            if not pool or queue.needs_advice or not self._suspicion.has_suspects_of(job):
+                continue
+            self._isolation.begin_pool(pool)
+            for occurrence_step, keys in list(waiting.pending.items()):
+                if unix_ms < job.submission.due_ms(occurrence_step[0]):
+                    continue
+                step = job.submission.steps[occurrence_step[1]]
+                if not step.is_gang:
+                    yield from self._choose_isolated_step_starts(job, step, keys, pool, now)
+                elif self._suspicion.tasks_to_test(job, occurrence_step, keys):
+                    quiet = self._isolation.quiet_minions(pool, now)
+                    for start in self._choose_gang_starts(job, step, keys, quiet, now):
+                        self._isolation.isolate(start[2])
+                        yield start
+                if not keys:
+                    waiting.pending.pop(occurrence_step, None)
+                    waiting.waiting_since.pop(occurrence_step, None)
+
+    def _choose_isolated_step_starts(
+        self, job: Job, step: Step, keys: list[TaskKey], pool: Sequence[Minion], now: float
+    ) -> Iterator[tuple[Job, TaskKey, Minion]]:
+        """Yield starts of the suspected tasks of one step, and claim minions for the others."""
+        if not keys:
+            return
+        occurrence_step = (keys[0].occurrence, keys[0].step)
+
+        def start_cost(minion: Minion) -> tuple[float, ...] | None:
+            return self._start_cost(job, step, occurrence_step, minion, now, 0.0)
+
+        for key in self._suspicion.tasks_to_test(job, occurrence_step, keys):
+            if self._remaining_starts <= 0:
+                return
+            minion = self._isolation.choose(key, pool, start_cost, now)
+            if minion is not None:
+                keys.remove(key)
+                self._remaining_starts -= 1
+                yield job, key, minion
+                continue
+            if step.is_filler:
+                # Whether a filler fits changes with the load, so its claim is chosen anew.
+                self._isolation.drop_claim(key)
+                self._isolation.claim(key, pool, start_cost, lambda minions: None)
+                continue
+            self._isolation.claim(
+                key, pool, start_cost, partial(self._claimable_minion, key, step, earlier=None)
+            )
+
     def _choose_job_starts(
         self,
         waiting: _WaitingJob,
@@ -271,12 +345,18 @@
                 continue
             step = job.submission.steps[index]
             waiting_since = waiting.waiting_since.setdefault(occurrence_step, now)
+            open_keys = self._suspicion.open_tasks(job, occurrence_step, keys, now)
+            if not open_keys:
+                continue
+            held_keys = [] if open_keys is keys else [key for key in keys if key not in open_keys]
             if step.is_gang:
-                yield from self._choose_gang_starts(job, step, keys, pool, now)
+                yield from self._choose_gang_starts(job, step, open_keys, pool, now)
             else:
                 yield from self._choose_task_starts(
-                    job, step, keys, pool, now, waiting_since, unplaceable
+                    job, step, open_keys, pool, now, waiting_since, unplaceable
                 )
+            if open_keys is not keys:
+                keys[:] = [*open_keys, *held_keys]
             if not keys:
                 waiting.pending.pop(occurrence_step, None)
                 waiting.waiting_since.pop(occurrence_step, None)
--- a/dotterelhill/jobs/progress.py
+++ b/dotterelhill/jobs/progress.py
@@ -20,6 +20,9 @@
     minion_id: str = ""
     minion_born_ms: int = 0
     checkpoint: str = ""
+    crashes: int = 0
+    doubtful_crashes: int = 0
+    is_proven: bool = False
 
 
 class _DoneRecord(msgspec.Struct, array_like=True):
@@ -87,6 +90,9 @@
                 task.minion_id,
                 task.minion_born_ms,
                 task.checkpoint,
+                task.crashes,
+                task.doubtful_crashes,
+                task.is_proven,
             )
         )
     done_records = []
@@ -112,6 +118,9 @@
             minion_born_ms=row.minion_born_ms,
             failures=row.failures,
             checkpoint=row.checkpoint,
+            crashes=row.crashes,
+            doubtful_crashes=row.doubtful_crashes,
+            is_proven=row.is_proven,
         )
     for step in record.done:
         bits = int.from_bytes(step.bits, "little")
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -15,6 +15,13 @@
 from collections.abc import Iterable, Mapping
 
 from dotterelhill.jobs.changes import Changes, Decision, SchedulerSettings
+from dotterelhill.jobs.crashes import (
+    CrashSuspicion,
+    Presence,
+    Suspect,
+    is_given_up,
+    observed_presence,
+)
 from dotterelhill.jobs.fleet import (
     END_LIST_LIMIT,
     EndKind,
@@ -76,7 +83,8 @@
         self._config = FleetConfig()
         self._evacuated_domains: frozenset[str] = frozenset()
         self._interference = InterferenceControl(settings.harm_seconds)
-        self._placement = Placement(self._interference)
+        self._suspicion = CrashSuspicion()
+        self._placement = Placement(self._interference, self._suspicion)
         self._dirty_jobs: dict[str, Job] = {}
         self._planned_runs: list[Run] = []
         self._orders: list[Order] = []
@@ -135,6 +143,7 @@
             job.ended_at = now
         else:
             self._activate(job)
+            self._suspicion.restore(job, now)
         for task in job.tasks.values():
             if not task.is_assigned:
                 continue
@@ -150,7 +159,7 @@
         minion = self._minions.get(task.minion_id)
         if minion is None or minion.facts.born_ms != task.minion_born_ms:
             if minion is not None and minion.facts.born_ms > task.minion_born_ms:
-                self._release_task(job, task, now, "minion restarted as another incarnation")
+                self._release_stored_task(job, task, now, "minion restarted as another incarnation")
                 return
             key = f"{task.minion_id}@{task.minion_born_ms}"
             # The minion is not listed, but its lease may not have expired yet.
@@ -160,6 +169,7 @@
         run = Run(
             task.key, task.run_id, step, minion.minion_id, RunState.PRESENT, now, settled_at=now
         )
+        run.is_proven, run.is_inherited = task.is_proven, True
         minion.attach(run)
         if job.state in FINAL_STATES:
             self._stop(minion, run, now)
@@ -178,15 +188,21 @@
                 counts[queue] = counts.get(queue, 0) + 1
         return counts
 
-    def _end_job(self, job: Job, state: JobState, now: float) -> None:
-        """Set the final state of a job and stop its runs."""
+    def _end_job(self, job: Job, state: JobState, now: float, **fields: object) -> None:
+        """Set the final state of a job and stop its runs.
+
+        :param fields: extra fields of the log line
+        """
         job.state = state
         job.ended_at = now
         self._active_jobs.pop(job.job_id, None)
         self._placement.remove_job(job)
+        self._suspicion.remove_job(job)
         self._mark_dirty(job)
         failures = sum(task.failures for task in job.tasks.values())
-        self._record_decision("job ended", job.job_id, state=str(state), failures=failures)
+        self._record_decision(
+            "job ended", job.job_id, state=str(state), failures=failures, **fields
+        )
         for task in job.tasks.values():
             if not task.is_assigned:
                 continue
@@ -264,7 +280,7 @@
         minion.clock_ms, minion.clock_at = report.clock_ms, now
         minion.last_report_at = now
         if not minion.is_answering:
-            minion.is_answering = True
+            minion.is_answering, minion.silent_at = True, None
             self._record_minion_decision("minion answers again", minion)
         for end in report.ended:
             if end.number <= minion.processed_end:
@@ -283,7 +299,8 @@
     def mark_minion_silent(self, minion: Minion, reason: str, now: float) -> None:
         """Mark a minion as not answering; its runs are kept until its lease has expired."""
         if minion.is_answering:
-            minion.is_answering = False
+            minion.is_answering, minion.silent_at = False, now
+            self._suspicion.record_silence(now)
             self._record_minion_decision(f"minion does not answer: {reason}", minion)
 
     def remove_replaced_minion(self, minion: Minion, now: float) -> None:
@@ -301,8 +318,12 @@
         for run in minion.runs.values():
             if run.state in (RunState.UNKNOWN, RunState.STOPPING):
                 return UNRESOLVED_POLL_SECONDS
+            if not run.is_proven and self._suspicion.is_suspected(run.key):
+                return UNRESOLVED_POLL_SECONDS
             has_filler = has_filler or run.step.is_filler
             has_serving = has_serving or run.step.is_lasting
+        if self._placement.isolation.is_claimed(minion):
+            return UNRESOLVED_POLL_SECONDS
         if has_filler and has_serving:
             wait = SHARING_POLL_SECONDS
         return wait
@@ -334,11 +355,39 @@
             job = self._jobs.get(row.key.job_id)
             if row.checkpoint and job is not None:
                 job.task(row.key).checkpoint = row.checkpoint
+            if not run.is_proven or self._suspicion.has_suspects:
+                self._process_presence(run, report.clock_ms)
             if run.state is RunState.STOPPING:
                 self._stop(minion, run, now)
         self._interference.observe(minion, now)
         return listed
 
+    def _process_presence(self, run: Run, clock_ms: int) -> None:
+        """Process a report that lists a run, which may clear its task of crashing minions."""
+        presence = observed_presence(run, clock_ms)
+        job = self._jobs.get(run.key.job_id)
+        task = job.tasks.get(run.key) if job is not None else None
+        if job is None or task is None or task.run_id != run.run_id:
+            return
+        match presence:
+            case Presence.PROVEN:
+                task.is_proven = True
+                if self._suspicion.is_suspected(task.key):
+                    # Otherwise a later leader would hold a crash of the platform against the task.
+                    self._mark_dirty(job)
+            case Presence.SURVIVING if self._suspicion.is_suspected(task.key):
+                self._clear_suspicion(job, task)
+
+    def _clear_suspicion(self, job: Job, task: Task) -> None:
+        """Lift the suspicion that a task crashes minions, if there is one."""
+        crashes = task.crashes
+        if not self._suspicion.clear(task):
+            return
+        self._mark_dirty(job)
+        self._record_decision(
+            "task no longer suspected", job.job_id, task=str(task.key), crashes=crashes
+        )
+
     def _process_absence(self, minion: Minion, run: Run, sent_at: float, now: float) -> None:
         """Process a report that lacks a run; ``sent_at`` is the time of its poll."""
         match run.state:
@@ -378,6 +427,8 @@
             self._mark_dirty(job)
         if job.state in FINAL_STATES or task.is_done:
             return
+        if is_current and task.is_proven:
+            self._clear_suspicion(job, task)
         if end.checkpoint:
             task.checkpoint = end.checkpoint
         step = job.submission.steps[end.key.step]
@@ -406,6 +457,7 @@
         for member in members:
             job.mark_done(member)
             member.checkpoint = ""
+            self._clear_suspicion(job, member)
             if member.is_assigned:
                 self._stop_task(member, now)
         self._mark_dirty(job)
@@ -430,11 +482,75 @@
             return
         self._end_job(job, JobState.FAILED, now)
 
-    def _release_minion(self, minion: Minion, now: float, reason: str) -> None:
-        """Release all runs of a minion incarnation that is gone."""
+    def _release_minion(
+        self, minion: Minion, now: float, reason: str, *, is_certain: bool = True
+    ) -> None:
+        """Release all runs of a minion incarnation that is gone.
+
+        :param is_certain: whether the incarnation has certainly ended, and was not only cut off
+        """
         self._interference.remove_minion(minion)
+        given_up = self._process_crash(minion, now, is_certain=is_certain)
         for run in list(minion.runs.values()):
             self._release_run(minion, run, now, reason)
+        for suspect in given_up:
+            self._give_up(suspect, now)
+
+    def _process_crash(self, minion: Minion, now: float, *, is_certain: bool) -> list[Suspect]:
+        """Count a crash against the tasks that may have caused it.
+
+        :returns: the tasks that have crashed so many minions that their jobs are given up
+        """
+        given_up: list[Suspect] = []
+        if not minion.runs or minion.facts.is_draining:
+            return given_up
+        crash = self._suspicion.crash_of(minion, is_certain=is_certain)
+        self._record_minion_decision(
+            "minion crashed under runs", minion, suspects=len(crash.suspects)
+        )
+        for run in crash.suspects:
+            job = self._jobs.get(run.key.job_id)
+            task = job.tasks.get(run.key) if job is not None else None
+            if job is None or task is None or job.state in FINAL_STATES or task.is_done:
+                continue
+            is_doubtful = not is_certain or run.present_clock_ms is None
+            suspect = self._count_crash(job, task, minion.minion_id, now, is_doubtful=is_doubtful)
+            if is_given_up(task, is_of_one_job=crash.is_of_one_job):
+                given_up.append(suspect)
+        return given_up
+
+    def _count_crash(
+        self, job: Job, task: Task, minion_id: str, now: float, *, is_doubtful: bool
+    ) -> Suspect:
+        """Count a crash against a task, which is suspected from now on."""
+        suspect = self._suspicion.count_crash(job, task, minion_id, now, is_doubtful=is_doubtful)
+        self._mark_dirty(job)
+        self._record_decision(
+            "task suspected of crashing minions", job.job_id, task=str(task.key),
+            crashes=task.crashes, minion=minion_id,
+        )  # fmt: skip
+        return suspect
+
+    def _give_up(self, suspect: Suspect, now: float) -> None:
+        """Fail the job of a task that has crashed several minions."""
+        job, task = suspect.job, suspect.task
+        if job.state in FINAL_STATES:
+            return
+        self._record_decision(
+            "task given up after it crashed minions", job.job_id, task=str(task.key),
+            crashes=task.crashes, minions=suspect.minion_ids,
+        )  # fmt: skip
+        self._end_job(job, JobState.FAILED, now, reason="a task crashed its minions")
+
+    def _release_stored_task(self, job: Job, task: Task, now: float, reason: str) -> None:
+        """Release a task that an earlier leader assigned to an incarnation that is gone."""
+        suspect: Suspect | None = None
+        is_waiting = job.state not in FINAL_STATES and not task.is_done
+        if is_waiting and not task.is_proven:
+            suspect = self._count_crash(job, task, task.minion_id, now, is_doubtful=True)
+        self._release_task(job, task, now, reason)
+        if suspect is not None and is_given_up(task, is_of_one_job=False):
+            self._give_up(suspect, now)
 
     def _release_run(self, minion: Minion, run: Run, now: float, reason: str) -> None:
         """Detach a run that can't be present on its minion and release its task."""
@@ -462,8 +578,18 @@
 
     # Answers to orders
 
-    def start_answered(self, run: Run, outcome: StartOutcome, sent_at: float, now: float) -> None:
-        """Process the outcome of a start order."""
+    def start_answered(
+        self,
+        run: Run,
+        outcome: StartOutcome,
+        sent_at: float,
+        now: float,
+        clock_ms: int | None = None,
+    ) -> None:
+        """Process the outcome of a start order.
+
+        :param clock_ms: clock of the minion in its answer; None without an answer
+        """
         minion = self._minions.get(run.minion_id)
         if minion is None or minion.runs.get(run.key) is not run:
             return
@@ -472,6 +598,8 @@
                 if run.state in (RunState.SENT, RunState.UNKNOWN):
                     run.state = RunState.PRESENT
                 run.settled_at = now
+                if run.present_clock_ms is None:
+                    run.present_clock_ms = clock_ms
             case StartOutcome.UNKNOWN:
                 if run.state is RunState.SENT:
                     run.state = RunState.UNKNOWN
@@ -576,6 +704,7 @@
         task.run_id += 1
         task.minion_id = minion.minion_id
         task.minion_born_ms = minion.facts.born_ms
+        task.is_proven = False
         step = job.submission.steps[key.step]
         run = Run(key, task.run_id, step, minion.minion_id, RunState.PLANNED, now)
         minion.attach(run)
@@ -590,7 +719,7 @@
                 continue
             if minion.runs:
                 self._record_minion_decision("lease of unreachable minion has ended", minion)
-                self._release_minion(minion, now, "lease expired")
+                self._release_minion(minion, now, "lease expired", is_certain=False)
             minion.is_synced = False
             if not minion.is_listed:
                 del self._minions[minion.minion_id]
@@ -616,7 +745,7 @@
         for job in list(self._jobs.values()):
             for task in job.tasks.values():
                 if f"{task.minion_id}@{task.minion_born_ms}" == key:
-                    self._release_task(job, task, now, "lease of unlisted minion expired")
+                    self._release_stored_task(job, task, now, "lease of unlisted minion expired")
 
     # Durable writes
 
@@ -673,9 +802,10 @@
         """Record a decision about a job for the log."""
         self._decisions.append(Decision(message, job_id, fields))
 
-    def _record_minion_decision(self, message: str, minion: Minion) -> None:
+    def _record_minion_decision(self, message: str, minion: Minion, **more: object) -> None:
         """Record a decision about a minion for the log."""
         fields: dict[str, object] = {
+            **more,
             "minion": minion.minion_id,
             "born_ms": minion.facts.born_ms,
             "runs": len(minion.runs),
--- a/dotterelhill/jobs/tests/fleet_world.py
+++ b/dotterelhill/jobs/tests/fleet_world.py
@@ -34,6 +34,7 @@
         self.stored: dict[str, bytes] = {}
         self.submitted: list[Submission] = []
         self.changes = None
+        self.is_start_clock_missing = False
         self.configure()
 
     def _new_scheduler(self) -> Scheduler:
@@ -112,7 +113,9 @@
         for order in orders:
             if outcome is StartOutcome.STARTED:
                 self.running[order.minion.minion_id][order.run.key] = order.run.run_id
-            self.scheduler.start_answered(order.run, outcome, self.now, self.now)
+            has_clock = outcome is StartOutcome.STARTED and not self.is_start_clock_missing
+            clock_ms = int(1000 * self.now) if has_clock else None
+            self.scheduler.start_answered(order.run, outcome, self.now, self.now, clock_ms)
 
     def run_round(self, outcome: StartOutcome = StartOutcome.STARTED) -> list[StartOrder]:
         """Run one scheduling round: poll, plan, store and deliver the start orders."""
