Suspect no task when the platform crashes several minions at once

Cause: each crashed minion was judged by itself. Minions without a run that was not proven can only have been crashed by the platform.

Ruled out: taking all minions that fall silent together for a crash of the platform, since a job whose tasks are all deadly crashes several at once; the scenarios of such jobs fail then. Counting a silence that ends, since a lost poll would excuse a deadly task.

Change: if two other minions without such runs fell silent within 0.1 s and are silent still or gone, no task counts the crash. The first polls of a new leader don't count, since all minions that are down fail them together.

--- a/dotterelhill/jobs/crashes.py
+++ b/dotterelhill/jobs/crashes.py
@@ -31,7 +31,7 @@
 MIN_CERTAIN_CRASHES = 2
 CRASHES_TO_GIVE_UP = 3
 CRASHES_TO_GIVE_UP_IN_DOUBT = 4
-# Minions that fall silent within this time of each other crash for a common cause.
+# Minions that fall silent within this time of each other, and stay so, crash for a common cause.
 COMMON_CRASH_SECONDS = 0.1
 # Several tasks may each crash a minion at the same moment, so one other silent minion is no sign.
 MIN_OTHER_SILENT_MINIONS = 2
@@ -68,6 +68,19 @@
         return not (self.task.is_assigned and self.task.is_proven)
 
 
+@dataclass(frozen=True, slots=True)
+class _Silence:
+    """First poll of a minion without an answer.
+
+    :param at: loop time
+    :param is_caused_by_task: whether a run that was not proven may have crashed the minion
+    """
+
+    minion: Minion
+    at: float
+    is_caused_by_task: bool
+
+
 @dataclass(frozen=True, slots=True)
 class Crash:
     """What may have caused the crash of a minion.
@@ -129,12 +142,21 @@
     return is_of_one_job or task.crashes >= CRASHES_TO_GIVE_UP
 
 
+def _unproven_runs(minion: Minion) -> list[Run]:
+    """Return the runs whose start was sent to a minion and that are not proven."""
+    unproven = []
+    for run in minion.runs.values():
+        if run.state is not RunState.PLANNED and not run.is_proven:
+            unproven.append(run)
+    return unproven
+
+
 class CrashSuspicion:
     """Suspected tasks of all active jobs. The number of crashes itself is part of the task."""
 
     def __init__(self) -> None:
         self._by_job: dict[str, dict[TaskKey, Suspect]] = {}
-        self._silences: deque[float] = deque(maxlen=MAX_SILENCES)
+        self._silences: deque[_Silence] = deque(maxlen=MAX_SILENCES)
 
     @property
     def has_suspects(self) -> bool:
@@ -190,29 +212,36 @@
         suspect.minion_ids.append(minion_id)
         return suspect
 
-    def record_silence(self, now: float) -> None:
+    def record_silence(self, minion: Minion, now: float) -> None:
         """Record that a minion has fallen silent."""
-        self._silences.append(now)
+        # To a new leader, all minions that are down fall silent at once.
+        if minion.is_synced:
+            self._silences.append(_Silence(minion, now, bool(_unproven_runs(minion))))
 
-    def _has_common_cause(self, minion: Minion) -> bool:
-        """Return whether other minions fell silent at the same time as a crashed one."""
+    def _simultaneous_silences(self, minion: Minion) -> list[_Silence]:
+        """Return the silences of other minions that began with that of a minion and last."""
         if minion.silent_at is None:
-            return False
-        count = 0
-        for silent_at in self._silences:
-            count += abs(silent_at - minion.silent_at) <= COMMON_CRASH_SECONDS
-        # The minion itself is one of them.
-        return count > MIN_OTHER_SILENT_MINIONS
+            return []
+        silences = []
+        for silence in self._silences:
+            is_lasting = silence.minion.silent_at == silence.at
+            if silence.minion is minion or not is_lasting:
+                continue
+            if abs(silence.at - minion.silent_at) <= COMMON_CRASH_SECONDS:
+                silences.append(silence)
+        return silences
 
     def crash_of(self, minion: Minion, *, is_certain: bool) -> Crash:
         """Return the crash of a minion whose incarnation is gone.
 
         :param is_certain: whether the incarnation has certainly ended, and was not only cut off
         """
-        unproven = []
-        for run in minion.runs.values():
-            if run.state is not RunState.PLANNED and not run.is_proven:
-                unproven.append(run)
+        silences = self._simultaneous_silences(minion)
+        platform_count = sum(not silence.is_caused_by_task for silence in silences)
+        if platform_count >= MIN_OTHER_SILENT_MINIONS:
+            # No task can have crashed the others, so the platform has crashed all of them.
+            return Crash((), False)
+        unproven = _unproven_runs(minion)
         # A task that was already suspected started alone, so it is the likelier cause. A start that
         # was sent to a silent minion is the least likely one.
         suspects = [run for run in unproven if self.is_suspected(run.key)]
@@ -220,7 +249,7 @@
             suspects = [run for run in unproven if run.planned_at <= minion.silent_at]
         suspects = suspects or unproven
         is_of_one_job = is_certain and len({run.key.job_id for run in unproven}) == 1
-        if self._has_common_cause(minion):
+        if len(silences) >= MIN_OTHER_SILENT_MINIONS:
             is_of_one_job = False
         for run in unproven:
             if run.is_inherited:
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -300,7 +300,7 @@
         """Mark a minion as not answering; its runs are kept until its lease has expired."""
         if minion.is_answering:
             minion.is_answering, minion.silent_at = False, now
-            self._suspicion.record_silence(now)
+            self._suspicion.record_silence(minion, now)
             self._record_minion_decision(f"minion does not answer: {reason}", minion)
 
     def remove_replaced_minion(self, minion: Minion, now: float) -> None:
--- a/dotterelhill/jobs/tests/crash_world.py
+++ b/dotterelhill/jobs/tests/crash_world.py
@@ -35,6 +35,8 @@
         self.is_start_answer_lost = False
         self.is_report_before_crash = False
         self.is_silence_noticed = True
+        # Whether polls of the other minions get no answer at the moment of a crash.
+        self.is_silence_shared = False
         # Whether the entry of a crashed minion is removed at once.
         self.is_entry_removed = False
         # Whether a new leader takes over that first hears of the next incarnation.
@@ -73,6 +75,13 @@
             self.scheduler.mark_minion_unlisted(name)
         if minion is not None and self.is_silence_noticed:
             self.scheduler.mark_minion_silent(minion, "connection reset", self.now)
+        if self.is_silence_shared:
+            self._silence_others()
+
+    def _silence_others(self) -> None:
+        for minion in self.scheduler.minions.values():
+            if minion.minion_id not in self.back_at:
+                self.scheduler.mark_minion_silent(minion, "time-out", self.now)
 
     def return_crashed_minions(self) -> None:
         for name, back_at in list(self.back_at.items()):
@@ -212,7 +221,8 @@
         if random.random() < 0.15:
             world.take_over()
         if random.random() < 0.15:
-            world.crash(random.choice(names))
+            for name in random.sample(names, random.choice((1, 1, 3))):
+                world.crash(name)
     # Afterwards no minion crashes but for tasks, so what can be done has to be done.
     for _ in range(24):
         if all(state in ("completed", "failed") for state in world.shown_states().values()):
--- a/dotterelhill/jobs/tests/crashes.feature
+++ b/dotterelhill/jobs/tests/crashes.feature
@@ -178,11 +178,34 @@
     And 10 seconds pass with crashes
     Then all jobs but "x" are shown as "completed"
 
+  Scenario: tasks are suspected after a crash that hit minions without new runs as well
+    Given innocent job "a" of 1 task of 1 processors
+    When 0.2 seconds pass with crashes
+    And minions "m1 m2 m3 m4" crash
+    And 5 seconds pass with crashes
+    Then no task of job "a" has been suspected
+    And job "a" is shown as "completed"
+
+  Scenario: a deadly task isn't suspected because polls of other minions got no answer at its crash
+    Given polls of the other minions get no answer for a moment at each crash
+    And deadly job "x" of 1 task of 1 processors
+    When 20 seconds pass with crashes
+    Then deadly tasks have crashed at most 2 minions
+    And job "x" is shown as "failed"
+
+  Scenario: a deadly job that crashes several minions at once is taken for a crash of the platform
+    Given deadly job "x" of 32 tasks of 1 processors
+    When 30 seconds pass with crashes
+    Then job "x" is shown as "failed"
+    And deadly tasks have crashed at most 6 minions
+
   Scenario: a task is given up because the minion of its test crashed along with others
     Given innocent job "a" of 1 task of 1 processors
     When 0.2 seconds pass with crashes
     And minions "m1 m2" crash
-    And 2.1 seconds pass with crashes
+    And 2 seconds pass with crashes
+    And innocent job "b" of 16 tasks of 1 processors comes
+    And 0.1 seconds pass with crashes
     And minions "m1 m2 m3 m4" crash
     And 10 seconds pass with crashes
     Then no task of job "a" was lost only once
@@ -256,7 +279,7 @@
   Scenario: a task that has survived a crash of the platform stays suspected for its life
     Given innocent job "b" of 2 lasting tasks of 1 processors
     When 0.2 seconds pass with crashes
-    And minions "m1 m2 m3 m4" crash
+    And the minion of job "b" crashes
     And 12 seconds pass with crashes
     Then no task is suspected
     And job "b" runs in full
--- a/dotterelhill/jobs/tests/steps/crashes_steps.py
+++ b/dotterelhill/jobs/tests/steps/crashes_steps.py
@@ -94,6 +94,11 @@
     context.fleet.is_entry_removed = True
 
 
+@given(r"polls of the other minions get no answer for a moment at each crash")
+def share_silence(context):
+    context.fleet.is_silence_shared = True
+
+
 @given(r"the silence of crashed minions is not noticed")
 def hide_silence(context):
     context.fleet.is_silence_noticed = False
