--- a/dotterelhill/jobs/model.py
+++ b/dotterelhill/jobs/model.py
@@ -232,6 +232,9 @@
     :param checkpoint: newest checkpoint; empty for none
     :param idle_since: loop time from which the task has not run, as far as this leader knows; None
         while it runs, or before it waits
+    :param crashes: number of minions that crashed while a run might have caused it
+    :param doubtful_crashes: number of those crashes under which the task may not have run
+    :param is_proven: whether the newest run has lived long enough to not have crashed its minion
     """
 
     key: TaskKey
@@ -242,6 +245,9 @@
     failures: int = 0
     checkpoint: str = ""
     idle_since: float | None = None
+    crashes: int = 0
+    doubtful_crashes: int = 0
+    is_proven: bool = False
 
     @property
     def is_assigned(self) -> bool:
--- a/dotterelhill/jobs/tests/fleet_world.py
+++ b/dotterelhill/jobs/tests/fleet_world.py
@@ -39,6 +39,7 @@
         self.changes = None
         # Whether the list of minions can't be read, so that its newest state stays unknown.
         self.is_list_silent = False
+        self.is_start_clock_missing = False
         self.configure()
 
     def _new_scheduler(self) -> Scheduler:
@@ -125,7 +126,9 @@
         for order in orders:
             if outcome is StartOutcome.STARTED:
                 self.running[order.minion.minion_id][order.run.key] = order.run.run_id
-            self.scheduler.start_answered(order.run, outcome, self.now, self.now)
+            has_clock = outcome is StartOutcome.STARTED and not self.is_start_clock_missing
+            clock_ms = int(1000 * self.now) if has_clock else None
+            self.scheduler.start_answered(order.run, outcome, self.now, self.now, clock_ms)
 
     def run_round(self, outcome: StartOutcome = StartOutcome.STARTED) -> list[StartOrder]:
         """Run one scheduling round: poll, plan, store and deliver the start orders."""
