Count a leader's lease from the renewal that was stored

Cause: when the answer to a renewal is lost, the next attempt finds that the stream has grown, reads its own claim and extends its lease from its own sending. Other processes count from the growth, up to 1.2 s earlier, so a leader that is then cut off renews leases for longer than its successor waits.

Ruled out: appending once more after the conflict, which costs a call and can be lost as well.

The lease counts from the first renewal without an answer.

--- a/dotterelhill/control/leadership.py
+++ b/dotterelhill/control/leadership.py
@@ -95,6 +95,8 @@
         self._claim: Claim | None = None
         self._end = 0
         self._valid_until = float("-inf")
+        # Time at which the first renewal since the last answer was sent; None if all are answered.
+        self._unanswered_at: float | None = None
 
     @property
     def incarnation(self) -> str:
@@ -173,6 +175,7 @@
             end = newest.end
         self._claim, self._end = claim, end
         self._valid_until = sent_at + LEASE_SECONDS
+        self._unanswered_at = None
         _log.notice("leadership claimed", extra={"epoch": epoch, "end": end})
         return True
 
@@ -190,6 +193,11 @@
         except StoreConflictError:
             await self._resolve_conflict(sent_at)
             return
+        except StoreError as error:
+            if error.is_effect_unknown and self._unanswered_at is None:
+                self._unanswered_at = sent_at
+            raise
+        self._unanswered_at = None
         self._valid_until = sent_at + LEASE_SECONDS
 
     async def _resolve_conflict(self, sent_at: float) -> None:
@@ -199,7 +207,11 @@
             self.drop("another process has claimed leadership")
             return
         self._end = state.end
-        self._valid_until = sent_at + LEASE_SECONDS
+        # Other processes count from the growth of the stream, so the renewal that has grown it
+        # counts, not the attempt that found it.
+        renewed_at = sent_at if self._unanswered_at is None else self._unanswered_at
+        self._unanswered_at = None
+        self._valid_until = max(self._valid_until, renewed_at + LEASE_SECONDS)
 
     async def resign(self) -> None:
         """Give up the claim and record this, so that other processes can claim immediately."""
--- a/dotterelhill/control/tests/cluster.feature
+++ b/dotterelhill/control/tests/cluster.feature
@@ -358,3 +358,18 @@
     Then every reachable process shows job "x" as "failed"
     And every reachable process shows job "j" as "completed"
     And deadly tasks have crashed at most 4 minions
+
+  @single-place
+  Scenario Outline: A leader that reads late that its renewal was stored renews leases longer than the next one assumes
+    When job "j" of 4 tasks of 30 seconds is submitted at a process that does not lead
+    And <before> seconds pass
+    And the answer to a renewal is lost, and the leader is cut off with its minions <after> seconds later
+    And 40 seconds pass
+    Then no task ran on two minions at a time
+
+    Examples:
+      | before | after |
+      | 1.0    | 0.2   |
+      | 1.0    | 0.4   |
+      | 1.2    | 0.4   |
+      | 1.2    | 0.6   |
--- a/dotterelhill/control/tests/steps/cluster_steps.py
+++ b/dotterelhill/control/tests/steps/cluster_steps.py
@@ -1,10 +1,11 @@
 from __future__ import annotations
 
+import asyncio
 from itertools import pairwise
 
 from behave import given, then, use_step_matcher, when
 
-from dotterelhill.control.interface import Record, RelayError, Stream
+from dotterelhill.control.interface import Record, RelayError, StoreError, Stream
 from dotterelhill.control.job_service import NotStoredError
 from dotterelhill.control.leadership import LEADER_KEY
 from dotterelhill.control.submissions import partition_of
@@ -12,6 +13,10 @@
 from dotterelhill.jobs.model import ResourceVector, Step, Submission
 from dotterelhill.jobs.progress import encode_submission
 
+# Time after which a call to the store that gets no answer fails.
+LOST_ANSWER_SECONDS = 1.2
+WAIT_STEP_SECONDS = 0.01
+MAX_WAIT_STEPS = 800
 CRASH_WAIT_STEP_SECONDS = 0.05
 MAX_CRASH_WAIT_STEPS = 400
 
@@ -92,6 +97,40 @@
     leader.minions.unreachable = set(cluster.minions) - with_leader
 
 
+@when(
+    r"the answer to a renewal is lost, and the leader is cut off with its minions "
+    r"(?P<seconds>[\d.]+) seconds later"
+)
+def lose_renewal_answer(context, seconds):
+    cluster = context.cluster
+    leader = cluster.processes[context.first_leader]
+    append, resolve = leader.store.append, leader.leadership._resolve_conflict
+    lost = []
+
+    async def append_without_answer(stream, records, **more):
+        end = await append(stream, records, **more)
+        if stream is Stream.LEADERSHIP and not lost:
+            lost.append(end)
+            await asyncio.sleep(LOST_ANSWER_SECONDS)
+            raise StoreError("no answer", is_effect_unknown=True)
+        return end
+
+    async def resolve_and_cut_off(sent_at):
+        await resolve(sent_at)
+        leader.store.is_down = True
+
+    leader.store.append = append_without_answer
+    leader.leadership._resolve_conflict = resolve_and_cut_off
+    for _ in range(MAX_WAIT_STEPS):
+        cluster.advance(WAIT_STEP_SECONDS)
+        if lost:
+            break
+    cluster.advance(float(seconds))
+    cut_leader_off_with_minions(context, "j")
+    # The store answers the leader until it knows that the renewal was stored.
+    leader.store.is_down = False
+
+
 @then(r"no task ran on two minions at a time")
 def check_no_overlap(context):
     cluster = context.cluster
