Take a leader's term as ended only where that is proven

Callers would see: two runs of one task at a time (TWICE).

Cause: a new leader counts from its own takeover when its predecessor is gone. That proves nothing about the leader before that one, which may still renew leases when the predecessor led for a moment only. And a process without a claim counted as gone although the answer to its claim was still on its way.

Now a renewal records its epoch and whether earlier leaders can renew leases no more; without that record, the new leader waits for its predecessor's wait as well. Processes report the newest epoch that they have ended; only that, or another incarnation, ends a term. A claim that was superseded before its answer arrived is dropped, and an announcement counts only when it was accepted.

Ruled out: always waiting for a full lease and grace after a takeover, which starts the tasks of lost minions 3.4 s later after each kill of a leader.

--- a/dotterelhill/control/election.py
+++ b/dotterelhill/control/election.py
@@ -11,13 +11,15 @@
 from dotterelhill.control.interface import StoreError
 from dotterelhill.control.leader import Leader
 from dotterelhill.control.leadership import (
+    LEASE_SECONDS,
+    RENEWAL_GRACE_SECONDS,
     RENEWAL_INTERVAL_SECONDS,
     Claim,
     FailureDetector,
     LeaderCondition,
     Leadership,
 )
-from dotterelhill.control.peers import PeerClient, PeerUnreachableError
+from dotterelhill.control.peers import PeerClient, PeerUnreachableError, condition_in_term
 from dotterelhill.entry.logs import logger_of
 
 CHECK_INTERVAL_SECONDS = 0.5
@@ -51,7 +53,8 @@
     :param clock: returns seconds
     :param processors: number of processors that the process may use; fractions are allowed
     :param linked_condition: returns the condition of the leader at an address, given with its
-        incarnation, as the open connection to it tells; None when there is no such connection
+        incarnation and epoch, as the open connection to it tells; None when there is no such
+        connection
     """
 
     def __init__(
@@ -63,7 +66,7 @@
         clock: Callable[[], float],
         random: Random,
         processors: float = FULL_PROCESSORS,
-        linked_condition: Callable[[str, str], LeaderCondition | None] = lambda *_: None,
+        linked_condition: Callable[[str, str, int], LeaderCondition | None] = lambda *_: None,
     ) -> None:
         super().__init__()
         self._leadership = leadership
@@ -79,6 +82,7 @@
         self._leader: Leader | None = None
         self._leader_address = ""
         self._leader_incarnation = ""
+        self._leader_epoch = 0
         self._is_store_failing = False
         self._term_task: asyncio.Task[None] | None = None
         self._has_stopped_claiming = False
@@ -94,6 +98,11 @@
         """Return whether this process holds the newest claim that it knows of."""
         return self._leadership.has_claim
 
+    @property
+    def ended_epoch(self) -> int:
+        """Return the newest epoch that this process has led and ended; 0 for none."""
+        return self._leadership.ended_epoch
+
     @property
     def is_able(self) -> bool:
         """Return whether this process can renew its claim."""
@@ -116,9 +125,13 @@
         """
         if claim.epoch <= self._leadership.epoch or claim.incarnation == self._incarnation:
             return
-        self._leadership.drop("another process has claimed leadership")
+        self._leadership.supersede(claim.epoch)
+        self._remember(claim)
+
+    def _remember(self, claim: Claim) -> None:
         self._leader_address = claim.address
         self._leader_incarnation = claim.incarnation
+        self._leader_epoch = claim.epoch
 
     def stop_claiming(self) -> None:
         """Make no further claims, because the process is about to stop."""
@@ -171,11 +184,11 @@
         if self._term_task is not None and not self._term_task.done():
             # The previous term must have ended first, or its end would clear the next one.
             return
-        known_address = self._leader_address
+        known = (self._leader_address, self._leader_incarnation, self._leader_epoch)
         condition = LeaderCondition.GONE
-        if known_address:
-            condition = await self._condition_of(known_address, self._leader_incarnation)
-        if known_address and condition is LeaderCondition.PRESENT:
+        if self._leader_address:
+            condition = await self._condition_of(*known)
+        if self._leader_address and condition is LeaderCondition.PRESENT:
             self._detector.reset()
             return
         started_at = self._clock()
@@ -185,10 +198,9 @@
         claim = state.claim
         if claim is None or claim.is_resigned:
             condition = LeaderCondition.GONE
-        elif (claim.address, claim.incarnation) != (known_address, self._leader_incarnation):
-            self._leader_address = claim.address
-            self._leader_incarnation = claim.incarnation
-            condition = await self._condition_of(claim.address, claim.incarnation)
+        elif (claim.address, claim.incarnation, claim.epoch) != known:
+            self._remember(claim)
+            condition = await self._condition_of(claim.address, claim.incarnation, claim.epoch)
         if not self._detector.is_claim_allowed(state, condition):
             return
         latency_delay = min(
@@ -199,16 +211,24 @@
         if self._has_stopped_claiming or not await self._leadership.claim(state):
             return
         _log.notice("took over leadership", extra={"condition": condition.name.lower()})
-        if claim is None or condition is LeaderCondition.GONE:
-            self._begin_term(self._clock(), None)
-        else:
-            self._begin_term(self._detector.renewals_end, claim)
+        renewals_end = self._clock()
+        if condition is not LeaderCondition.GONE:
+            renewals_end = self._detector.renewals_end
+        elif not state.is_settled:
+            # The leader that is gone was itself waiting for renewals of one before it.
+            renewals_end += LEASE_SECONDS + RENEWAL_GRACE_SECONDS
+        self._leadership.settle_at(renewals_end)
+        is_gone = condition is LeaderCondition.GONE
+        self._begin_term(renewals_end, None if is_gone else claim, is_settled=state.is_settled)
 
-    async def _confirm_end_of_term(self, claim: Claim, renewals_end: float, leader: Leader) -> None:
+    async def _confirm_end_of_term(
+        self, claim: Claim, renewals_end: float, leader: Leader, *, is_settled: bool
+    ) -> None:
         """Announce the own claim until the previous leader is known to have ended its term.
 
         :param claim: claim of the previous leader
         :param renewals_end: time from which that leader renews nothing, even if it is not reached
+        :param is_settled: whether no leader before that one can renew leases
         """
         reason = ""
         while self._clock() < renewals_end:
@@ -222,39 +242,39 @@
                 await asyncio.sleep(CONFIRMATION_INTERVAL_SECONDS)
                 continue
             _log.info("previous leader has ended its term", extra={"epoch": claim.epoch})
-            leader.end_earlier_renewals()
+            if is_settled:
+                self._leadership.settle_at(self._clock())
+                leader.end_earlier_renewals()
             return
         _log.info("previous leader could not be informed", extra={"reason": reason})
 
-    async def _condition_of(self, address: str, incarnation: str) -> LeaderCondition:
-        condition = self._linked_condition(address, incarnation)
+    async def _condition_of(self, address: str, incarnation: str, epoch: int) -> LeaderCondition:
+        condition = self._linked_condition(address, incarnation, epoch)
         if condition is not None:
             return condition
         try:
             status = await self._peers.status(address)
         except PeerUnreachableError as error:
             return LeaderCondition.REFUSED if error.is_refused else LeaderCondition.SILENT
-        if status.incarnation != incarnation or not status.has_claim:
-            # Another process uses the address, or the leader has given up its claim.
-            return LeaderCondition.GONE
-        return LeaderCondition.PRESENT if status.is_able else LeaderCondition.UNABLE
+        return condition_in_term(status, incarnation, epoch)
 
-    def _begin_term(self, renewals_end: float, earlier: Claim | None) -> None:
+    def _begin_term(self, renewals_end: float, earlier: Claim | None, *, is_settled: bool) -> None:
         """Begin a term of leadership.
 
-        :param renewals_end: time until which the previous leader may renew leases
+        :param renewals_end: time until which earlier leaders may renew leases
         :param earlier: claim of the previous leader; None when its term has ended
+        :param is_settled: whether no leader before the previous one can renew leases
         """
         leader = self._new_leader(renewals_end)
         self._leader = leader
-        self._term_task = asyncio.create_task(self._run_term(leader, renewals_end, earlier))
-
-    async def _run_term(self, leader: Leader, renewals_end: float, earlier: Claim | None) -> None:
         confirmation: asyncio.Task[None] | None = None
         if earlier is not None:
             confirmation = asyncio.create_task(
-                self._confirm_end_of_term(earlier, renewals_end, leader)
+                self._confirm_end_of_term(earlier, renewals_end, leader, is_settled=is_settled)
             )
+        self._term_task = asyncio.create_task(self._run_term(leader, confirmation))
+
+    async def _run_term(self, leader: Leader, confirmation: asyncio.Task[None] | None) -> None:
         try:
             await leader.run()
         except Exception as error:
--- a/dotterelhill/control/leadership.py
+++ b/dotterelhill/control/leadership.py
@@ -63,7 +63,19 @@
     is_resigned: bool = False
 
 
+class Renewal(msgspec.Struct, frozen=True, array_like=True):
+    """Record of a renewed claim.
+
+    :param epoch: epoch of the claim
+    :param is_settled: whether no earlier leader can renew leases of running tasks any more
+    """
+
+    epoch: int
+    is_settled: bool
+
+
 _CLAIM_DECODER = msgspec.msgpack.Decoder(Claim)
+_RENEWAL_DECODER = msgspec.msgpack.Decoder(Renewal)
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,10 +84,12 @@
 
     :param claim: newest claim; None when there is none
     :param end: end offset of the stream
+    :param is_settled: whether no leader before that claim can renew leases of running tasks
     """
 
     claim: Claim | None
     end: int
+    is_settled: bool = True
 
 
 class Leadership:
@@ -95,6 +109,9 @@
         self._claim: Claim | None = None
         self._end = 0
         self._valid_until = float("-inf")
+        self._ended_epoch = 0
+        self._superseding_epoch = 0
+        self._settled_at = float("inf")
         # Time at which the first renewal since the last answer was sent; None if all are answered.
         self._unanswered_at: float | None = None
 
@@ -108,6 +125,11 @@
         """Return the epoch of this process's claim; 0 when it has none."""
         return self._claim.epoch if self._claim else 0
 
+    @property
+    def ended_epoch(self) -> int:
+        """Return the newest epoch that this process has led and ended; 0 for none."""
+        return self._ended_epoch
+
     @property
     def own_claim(self) -> Claim | None:
         """Return this process's claim; None when it has none or a later claim is known."""
@@ -134,6 +156,18 @@
         unable_at = self._valid_until - LEASE_SECONDS + UNABLE_SECONDS
         return self._claim is not None and self._clock() < unable_at
 
+    def settle_at(self, renewals_end: float) -> None:
+        """Set the time from which no earlier leader can renew leases; renewals record it."""
+        self._settled_at = renewals_end
+
+    def supersede(self, epoch: int) -> None:
+        """End the own term because another process has claimed ``epoch``.
+
+        A claim of this process with a lower epoch whose answer is still on its way ends as well.
+        """
+        self._superseding_epoch = max(self._superseding_epoch, epoch)
+        self.drop("another process has claimed leadership")
+
     async def read(self) -> LeadershipState:
         """Read the current state of the leadership stream.
 
@@ -141,15 +175,22 @@
         """
         batch = await self._store.newest(Stream.LEADERSHIP)
         claim: Claim | None = None
+        renewal: Renewal | None = None
         for record in batch.records:
-            if record.key != LEADER_KEY or record.value is None:
+            if record.value is None:
+                continue
+            if record.key == RENEWAL_KEY:
+                renewal = _decode_renewal(record.value)
+                continue
+            if record.key != LEADER_KEY:
                 continue
             try:
                 claim = _CLAIM_DECODER.decode(record.value)
             except msgspec.MsgspecError as error:
                 # Claiming without the newest epoch could reuse an epoch that is already fenced.
                 raise StoreError(f"the newest claim can't be decoded: {error}") from error
-        return LeadershipState(claim, batch.next_offset)
+        is_settled = claim is None or renewal == Renewal(claim.epoch, True)
+        return LeadershipState(claim, batch.next_offset, is_settled)
 
     async def claim(self, state: LeadershipState) -> bool:
         """Claim leadership.
@@ -173,8 +214,13 @@
             if newest.claim != claim:
                 return False
             end = newest.end
+        if epoch <= self._superseding_epoch:
+            self._ended_epoch = epoch
+            _log.notice("leadership lost", extra={"epoch": epoch, "reason": "claim superseded"})
+            return False
         self._claim, self._end = claim, end
         self._valid_until = sent_at + LEASE_SECONDS
+        self._settled_at = float("inf")
         self._unanswered_at = None
         _log.notice("leadership claimed", extra={"epoch": epoch, "end": end})
         return True
@@ -187,8 +233,9 @@
         if self._claim is None:
             return
         sent_at = self._clock()
+        renewal = Renewal(self._claim.epoch, sent_at >= self._settled_at)
+        record = Record(RENEWAL_KEY, msgspec.msgpack.encode(renewal))
         try:
-            record = Record(RENEWAL_KEY, b"1")
             self._end = await self._store.append(Stream.LEADERSHIP, [record], at=self._end)
         except StoreConflictError:
             await self._resolve_conflict(sent_at)
@@ -233,10 +280,20 @@
         """
         if self._claim is not None:
             _log.notice("leadership lost", extra={"epoch": self._claim.epoch, "reason": reason})
+            self._ended_epoch = max(self._ended_epoch, self._claim.epoch)
         self._claim = None
         self._valid_until = float("-inf")
 
 
+def _decode_renewal(data: bytes) -> Renewal | None:
+    """Return the renewal that a record holds; None for one in another form."""
+    try:
+        return _RENEWAL_DECODER.decode(data)
+    except msgspec.MsgspecError as error:
+        _log.info("renewal can't be decoded", extra={"reason": str(error)})
+        return None
+
+
 class LeaderCondition(Enum):
     """Condition of the leader as observed by another process.
 
--- a/dotterelhill/control/peers.py
+++ b/dotterelhill/control/peers.py
@@ -15,10 +15,11 @@
 from dotterelhill.control.health import ObservedStore
 from dotterelhill.control.interface import Record, StoreError
 from dotterelhill.control.leader import Leader, NotReadyError
-from dotterelhill.control.leadership import Claim
+from dotterelhill.control.leadership import Claim, LeaderCondition
 from dotterelhill.control.relay_messages import (
     HELLO_DECODER,
     MAX_MESSAGE_BYTES,
+    LeaderMessage,
     send_until_failure,
 )
 from dotterelhill.control.relay_pool import RelayLink, RelayPool
@@ -44,11 +45,29 @@
     :param incarnation: incarnation id of the process
     :param has_claim: whether the process holds the newest claim that it knows of
     :param is_able: whether the process can renew that claim
+    :param ended_epoch: newest epoch that the process has led and ended; 0 for none
     """
 
     incarnation: str
     has_claim: bool
     is_able: bool
+    ended_epoch: int = 0
+
+
+def condition_in_term(
+    status: PeerStatus | LeaderMessage, incarnation: str, epoch: int
+) -> LeaderCondition:
+    """Return the condition of a leader in one of its terms, as its process reports it.
+
+    A process without a claim may not have learned yet that its claim was stored. So only an epoch
+    that it has ended, or another incarnation, proves that the term is over.
+
+    :param incarnation: incarnation that has made the claim
+    :param epoch: epoch of the claim
+    """
+    if status.incarnation != incarnation or status.ended_epoch >= epoch:
+        return LeaderCondition.GONE
+    return LeaderCondition.PRESENT if status.is_able else LeaderCondition.UNABLE
 
 
 class _StoredRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -97,6 +116,11 @@
         """Return whether this process can renew its claim."""
         ...
 
+    @property
+    def ended_epoch(self) -> int:
+        """Return the newest epoch that this process has led and ended; 0 for none."""
+        ...
+
     @property
     def leader(self) -> Leader | None:
         """Return the current term of leadership; None unless this process leads."""
@@ -139,7 +163,9 @@
         path = request.path
         if path == STATUS_PATH:
             source = self._source
-            status = PeerStatus(source.incarnation, source.has_claim, source.is_able)
+            status = PeerStatus(
+                source.incarnation, source.has_claim, source.is_able, source.ended_epoch
+            )
             return web.Response(body=msgspec.json.encode(status))
         if path == SUPERSEDED_PATH:
             return await self._receive_claim(request)
@@ -231,9 +257,12 @@
     async def announce_claim(self, address: str, claim: Claim) -> None:
         """Inform an earlier leader, which may be unable to reach the store, of a newer claim.
 
-        :raises PeerUnreachableError: when the peer gives no answer
+        :raises PeerUnreachableError: when the peer gives no answer, or does not accept the claim
         """
-        await self._call("POST", address, SUPERSEDED_PATH, msgspec.msgpack.encode(claim))
+        data = msgspec.msgpack.encode(claim)
+        status, body = await self._call("POST", address, SUPERSEDED_PATH, data)
+        if status != 200:
+            raise PeerUnreachableError(f"status {status}: {body.decode(errors='replace')}")
 
     async def state_of(self, address: str, job_id: str) -> str | None:
         """Return the state of a job; None when the leader has no such job.
--- a/dotterelhill/control/relay_client.py
+++ b/dotterelhill/control/relay_client.py
@@ -18,7 +18,7 @@
     MinionNotReachedError,
 )
 from dotterelhill.control.leadership import LeaderCondition
-from dotterelhill.control.peers import LINK_PATH
+from dotterelhill.control.peers import LINK_PATH, condition_in_term
 from dotterelhill.control.relay_messages import (
     ENCODER,
     HEARTBEAT_SECONDS,
@@ -110,14 +110,16 @@
         self._is_leaving = True
         self._has_answers.set()
 
-    def condition(self, incarnation: str) -> LeaderCondition | None:
-        """Return the condition of the leader; None when its newest message is too old to tell."""
+    def condition(self, incarnation: str, epoch: int) -> LeaderCondition | None:
+        """Return the condition of the leader; None when its newest message is too old to tell.
+
+        :param incarnation: incarnation that has made the newest known claim
+        :param epoch: epoch of that claim
+        """
         message = self._newest
         if message is None or self._clock() - self._heard_at > SILENCE_SECONDS:
             return None
-        if message.incarnation != incarnation or not message.has_claim:
-            return LeaderCondition.GONE
-        return LeaderCondition.PRESENT if message.is_able else LeaderCondition.UNABLE
+        return condition_in_term(message, incarnation, epoch)
 
     def receive(self, data: bytes) -> None:
         """Process one message of the leader and begin its calls.
@@ -213,14 +215,14 @@
         self._address = ""
         self._is_leaving = False
 
-    def condition(self, address: str, incarnation: str) -> LeaderCondition | None:
+    def condition(self, address: str, incarnation: str, epoch: int) -> LeaderCondition | None:
         """Return the condition of the leader as its messages tell it.
 
         :returns: None when this process has no current connection to that address
         """
         if self._relay_session is None or self._address != address:
             return None
-        return self._relay_session.condition(incarnation)
+        return self._relay_session.condition(incarnation, epoch)
 
     def leave(self) -> None:
         """Take no further calls, because the process is about to stop."""
--- a/dotterelhill/control/relay_messages.py
+++ b/dotterelhill/control/relay_messages.py
@@ -74,6 +74,7 @@
     :param sent_at: loop time of the leader in seconds
     :param has_claim: whether the leader holds the newest claim that it knows of
     :param is_able: whether the leader can renew that claim
+    :param ended_epoch: newest epoch that the process has led and ended; 0 for none
     """
 
     incarnation: str
@@ -81,6 +82,7 @@
     has_claim: bool
     is_able: bool
     calls: list[RelayedCall]
+    ended_epoch: int = 0
 
 
 class RelayMessage(msgspec.Struct, frozen=True, array_like=True):
--- a/dotterelhill/control/relay_pool.py
+++ b/dotterelhill/control/relay_pool.py
@@ -162,6 +162,7 @@
                 leadership.has_claim,
                 leadership.is_able,
                 calls,
+                leadership.ended_epoch,
             )
             await self._socket.send_bytes(ENCODER.encode(message))
 
--- a/dotterelhill/control/tests/cluster.feature
+++ b/dotterelhill/control/tests/cluster.feature
@@ -359,6 +359,28 @@
     And every reachable process shows job "j" as "completed"
     And deadly tasks have crashed at most 4 minions
 
+  @single-place
+  Scenario Outline: A leader that ended soon after its takeover makes the next one forget an earlier leader that still renews
+    When job "j" of 4 tasks of 30 seconds is submitted at a process that does not lead
+    And 1 seconds pass
+    And the leader and the minions with tasks of job "j" are cut off from the store and from all others
+    And the next leader <end> as soon as it leads
+    And 40 seconds pass
+    Then no task ran on two minions at a time
+
+    Examples:
+      | end                         |
+      | resigns                     |
+      | is killed and starts again  |
+
+  @single-place
+  Scenario: A claim whose process has not read the answer yet counts as ended, so another process claims as well
+    When the answer to the next claim takes 0.4 seconds
+    And the leader is killed
+    And 5 seconds pass
+    Then one process leads
+    And 1 claims were made after that of the first leader
+
   @single-place
   Scenario Outline: A leader that reads late that its renewal was stored renews leases longer than the next one assumes
     When job "j" of 4 tasks of 30 seconds is submitted at a process that does not lead
--- a/dotterelhill/control/tests/cluster_world.py
+++ b/dotterelhill/control/tests/cluster_world.py
@@ -372,7 +372,9 @@
 
     async def status(self, address):
         election = (await self._reach(address)).election
-        return PeerStatus(election.incarnation, election.has_claim, election.is_able)
+        return PeerStatus(
+            election.incarnation, election.has_claim, election.is_able, election.ended_epoch
+        )
 
     async def announce_claim(self, address, claim):
         (await self._reach(address)).election.accept_claim(claim)
--- a/dotterelhill/control/tests/steps/cluster_steps.py
+++ b/dotterelhill/control/tests/steps/cluster_steps.py
@@ -97,6 +97,49 @@
     leader.minions.unreachable = set(cluster.minions) - with_leader
 
 
+@when(r"the next leader (?P<end>resigns|is killed and starts again) as soon as it leads")
+def end_next_leader(context, end):
+    cluster = context.cluster
+    for _ in range(MAX_WAIT_STEPS):
+        cluster.advance(WAIT_STEP_SECONDS)
+        names = [name for name in cluster.leaders if name != context.first_leader]
+        if not names:
+            continue
+        if end == "resigns":
+            cluster.run(cluster.processes[names[0]].election.resign())
+        else:
+            unreachable = cluster.processes[names[0]].minions.unreachable
+            cluster.kill(names[0])
+            cluster.start(names[0])
+            cluster.processes[names[0]].minions.unreachable = unreachable
+        return
+    raise AssertionError("no next leader")
+
+
+@when(r"the answer to the next claim takes (?P<seconds>[\d.]+) seconds")
+def delay_claim(context, seconds):
+    context.claims = []
+
+    def wrap(append):
+        async def delayed(stream, records, **more):
+            end = await append(stream, records, **more)
+            if stream is Stream.LEADERSHIP and records[0].key == LEADER_KEY:
+                context.claims.append(end)
+                if len(context.claims) == 1:
+                    await asyncio.sleep(float(seconds))
+            return end
+
+        return delayed
+
+    for process in context.cluster.processes.values():
+        process.store.append = wrap(process.store.append)
+
+
+@then(r"(?P<count>\d+) claims were made after that of the first leader")
+def check_claims(context, count):
+    assert len(context.claims) == int(count), context.claims
+
+
 @when(
     r"the answer to a renewal is lost, and the leader is cut off with its minions "
     r"(?P<seconds>[\d.]+) seconds later"
--- a/dotterelhill/control/tests/steps/relay_steps.py
+++ b/dotterelhill/control/tests/steps/relay_steps.py
@@ -326,7 +326,7 @@
 @then(r"the relays find the leader (?P<condition>\w+)")
 def check_condition(context, condition):
     for relay in context.relay_world.relays:
-        found = relay.session.condition(LEADER)
+        found = relay.session.condition(LEADER, 1)
         assert found is LeaderCondition[condition.upper()], found
 
 
