Check the permission to renew leases for the time from which they count

Callers would see: two runs of one task at a time (TWICE), if a process is suspended in the microseconds between the check and the reading of the clock.

Cause: a poll was allowed at one time, and its lease counted from a later one.

Ruled out: a second check after the sending, when the order is already on its way. Before and after: the scenarios of the control slice pass; a test that suspends the process at this point is not written.

--- a/dotterelhill/control/leader.py
+++ b/dotterelhill/control/leader.py
@@ -569,7 +569,10 @@
             asyncio.get_running_loop().call_later(
                 FIRST_POLL_TURN_SECONDS, self._first_polls.release
             )
+        # The permission is checked for the time from which the lease counts, since the process may
+        # be suspended in between.
         sent_at = self._clock()
+        is_renewing = is_renewing and self._parts.leadership.is_lease_renewal_allowed
         deadline_ms = None
         if minion.is_answering and is_renewing:
             # The lease of a silent minion must expire, or its tasks would never be restarted.
