Let lasting tasks that can't start yet claim no minion

Cause: the waiting times and the claims looked at all pending lasting steps, while the choice of starts leaves out those that are not due and those of queues that need advice.

Now both take their steps from one function that leaves these out, too. The wait of a later occurrence begins when it is due. A task that has run keeps the time of its last run while its queue needs advice, since it does not run.

Ruled out: clearing that time when the queue begins to need advice, since the task would wait anew although it has been idle all the time.

Before: the three new scenarios fail.

--- a/dotterelhill/jobs/placement.py
+++ b/dotterelhill/jobs/placement.py
@@ -103,17 +103,18 @@
         """Return the choice of minions for tasks that are suspected of crashing them."""
         return self._isolation
 
-    def waiting_lasting_steps(self, queue_of: QueueLookup) -> Iterator[WaitingStep]:
+    def waiting_lasting_steps(self, queue_of: QueueLookup, unix_ms: int) -> Iterator[WaitingStep]:
         """Yield the steps of which lasting tasks wait for a minion.
 
+        A step that is not due, or whose queue needs advice, does not wait: no minion can help it.
+
         :param queue_of: returns the current queue configuration of a job
+        :param unix_ms: wall-clock time in Unix ms, for the schedules of jobs
         """
         for waiting in self._waiting_jobs.values():
-            for (_, index), keys in waiting.pending.items():
-                step = waiting.job.submission.steps[index]
-                if step.is_lasting and keys:
-                    service = queue_of(waiting.job).service
-                    yield WaitingStep(waiting.job, step, service, keys)
+            queue = queue_of(waiting.job)
+            for step, keys in _startable_lasting_steps(waiting, queue, unix_ms):
+                yield WaitingStep(waiting.job, step, queue.service, keys)
 
     def add_job(self, job: Job) -> None:
         """Add the ready steps of a job that became active."""
@@ -191,7 +192,7 @@
         ranked.sort(key=lambda entry: entry[0])
         self._track_short_peak(minions, now)
         unplaceable = self._recently_unplaceable(now)
-        self._claim_minions(ranked, by_service, now)
+        self._claim_minions(ranked, by_service, now, unix_ms)
         if self._suspicion.has_suspects:
             yield from self._choose_isolated_starts(ranked, by_service, now, unix_ms)
             for service, pool in by_service.items():
@@ -235,6 +236,7 @@
         ranked: Sequence[tuple[object, Queue, _WaitingJob]],
         by_service: Mapping[str, Sequence[Minion]],
         now: float,
+        unix_ms: int,
     ) -> None:
         """Claim minions for lasting tasks that have waited longer than ``CLAIM_AFTER_SECONDS``.
 
@@ -244,10 +246,7 @@
         earlier, self._claimed_minions = self._claimed_minions, {}
         self._claimed_cpu = {}
         for _, queue, waiting in ranked:
-            for occurrence_step, keys in waiting.pending.items():
-                step = waiting.job.submission.steps[occurrence_step[1]]
-                if not step.is_lasting:
-                    continue
+            for step, keys in _startable_lasting_steps(waiting, queue, unix_ms):
                 if _idle_seconds(waiting.job, keys, now) < CLAIM_AFTER_SECONDS:
                     continue
                 pool = by_service.get(queue.service, [])
@@ -551,6 +550,19 @@
         )
 
 
+def _startable_lasting_steps(
+    waiting: _WaitingJob, queue: Queue, unix_ms: int
+) -> Iterator[tuple[Step, list[TaskKey]]]:
+    """Yield the steps of a job with lasting tasks that may start, with the keys of the tasks."""
+    if queue.needs_advice:
+        return
+    submission = waiting.job.submission
+    for (occurrence, index), keys in waiting.pending.items():
+        step = submission.steps[index]
+        if step.is_lasting and keys and unix_ms >= submission.due_ms(occurrence):
+            yield step, keys
+
+
 def _idle_seconds(job: Job, keys: Sequence[TaskKey], now: float) -> float:
     """Return the longest time in seconds for which one of the waiting tasks has not run."""
     idle_seconds = 0.0
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -728,7 +728,7 @@
         """
         self._expire_state(now)
         self._record_hold(now)
-        self._report_waits(now)
+        self._report_waits(now, unix_ms)
         usable = []
         for_trial = []
         for minion in self._minions.values():
@@ -748,10 +748,10 @@
             for run in self._interference.runs_to_move(minion, now):
                 self._stop(minion, run, now)
 
-    def _report_waits(self, now: float) -> None:
+    def _report_waits(self, now: float, unix_ms: int) -> None:
         """Record a decision for each step whose lasting tasks have waited for long."""
         overdue = self._lasting_waits.update(
-            self._placement.waiting_lasting_steps(self._queue_of), now
+            self._placement.waiting_lasting_steps(self._queue_of, unix_ms), now
         )
         if not overdue:
             return
--- a/dotterelhill/jobs/tests/scheduler.feature
+++ b/dotterelhill/jobs/tests/scheduler.feature
@@ -352,6 +352,42 @@
     And 6.5 seconds pass in rounds
     Then 2 starts of job "l" were sent
 
+  Scenario: a lasting task of a later occurrence claims a minion long before it is due
+    Given a fleet with minions "m1" of 4 processors
+    And job "l" of 1 lasting task of 4 processors that runs 1 times, first after 20 seconds
+    When 6.0 seconds pass in rounds
+    And job "a" of 1 task of 1 processors is submitted
+    And 10.0 seconds pass in rounds
+    Then job "a" has started
+    And no wait is reported
+    When all tasks of job "a" end as "done"
+    And 3.9 seconds pass in rounds
+    Then 0 starts of job "l" were sent
+    When 6.0 seconds pass in rounds
+    Then job "l" has started
+
+  Scenario: a lasting task of a queue that needs advice claims a minion that it never gets
+    Given a fleet with minions "m1" of 4 processors
+    And queue "advised" needs advice
+    And job "l" of 1 lasting task of 4 processors on queue "advised"
+    When 6.0 seconds pass in rounds
+    And job "a" of 1 task of 1 processors is submitted
+    And 10.0 seconds pass in rounds
+    Then job "a" has started
+    And no wait is reported
+
+  Scenario: a lasting task that has run claims a minion although its queue needs advice by now
+    Given a fleet with minions "m1" of 4 processors
+    And job "l" of 1 lasting task of 4 processors on queue "long"
+    When 2 rounds pass
+    And queue "long" begins to need advice
+    And the task of job "l" ends as "failed"
+    And 6.0 seconds pass in rounds
+    And job "a" of 1 task of 1 processors is submitted
+    And 1 rounds pass
+    Then job "a" has started
+    And no wait is reported
+
   Scenario: the wait of a lasting task begins anew when its start order is refused
     Given job "a" of 8 tasks of 1 processors
     When 2 rounds pass
--- a/dotterelhill/jobs/tests/steps/scheduler_steps.py
+++ b/dotterelhill/jobs/tests/steps/scheduler_steps.py
@@ -105,6 +105,30 @@
     fleet.submit(job, (step,), pool or "short")
 
 
+@given(
+    r'job "(?P<job>\w+)" of 1 lasting task of (?P<cpu>\d+) processors that runs 1 times, '
+    r"first after (?P<first>\d+) seconds"
+)
+def submit_scheduled_lasting(context, job, cpu, first):
+    first_ms = context.fleet.unix_ms + 1000 * int(first)
+    step = tasks(1, int(cpu), is_lasting=True)
+    context.fleet.submit(job, (step,), schedule=schedule(1, first_ms, 1000))
+
+
+@given(r'queue "(?P<name>\w+)" needs advice')
+@when(r'queue "(?P<name>\w+)" begins to need advice')
+def need_advice(context, name):
+    fleet = context.fleet
+    queue = fleet.queues.get(name) or fleet.queue(name, 1)
+    fleet.queues[name] = replace(queue, needs_advice=True)
+    fleet.configure()
+
+
+@given(r'job "(?P<job>\w+)" of 1 lasting task of (?P<cpu>\d+) processors on queue "(?P<queue>\w+)"')
+def submit_lasting_on_queue(context, job, cpu, queue):
+    context.fleet.submit(job, (tasks(1, int(cpu), is_lasting=True),), queue)
+
+
 @given(r'minion "(?P<name>\w+)" is draining')
 def drain(context, name):
     context.fleet.list_minion(name, is_draining=True)
