Start lasting tasks that have waited long before the ranked ones

Cause: starts are chosen by rank until the window is used up, so a steady sequence of short tasks leaves no start for the queues behind them.

Now lasting tasks that have not run for CLAIM_AFTER_SECONDS are served before the ranked jobs, among themselves by rank. Only the tasks that waited so long are, not the others of their steps or jobs, so fresh lasting tasks keep their rank.

Ruled out: a share of the window for lasting tasks, which would delay short tasks for those that can still wait.

Limit: many tasks that become overdue at once use the window before short tasks until they have started or fit nowhere.

--- a/dotterelhill/jobs/placement.py
+++ b/dotterelhill/jobs/placement.py
@@ -172,6 +172,9 @@
     ) -> Iterator[tuple[Job, TaskKey, Minion]]:
         """Yield starts by priority, timeliness and slack of their jobs.
 
+        Lasting tasks that have not run for ``CLAIM_AFTER_SECONDS`` come first: a steady sequence of
+        tasks that rank before them could use up ``max_starts`` in each round.
+
         The caller has to attach each run to its minion before it requests the next start.
 
         :param minions: minions on which tasks may start
@@ -197,14 +200,22 @@
             yield from self._choose_isolated_starts(ranked, by_service, now, unix_ms)
             for service, pool in by_service.items():
                 by_service[service] = self._isolation.open_minions(pool)
+        turns = []
+        for _, queue, waiting in ranked:
+            if _has_overdue_task(waiting, now):
+                turns.append((queue, waiting, True))
         for _, queue, waiting in ranked:
+            turns.append((queue, waiting, False))
+        for queue, waiting, is_overdue_only in turns:
             pool = by_service.get(queue.service, [])
             for_trial = for_trial_by_service.get(queue.service, [])
             if self._remaining_starts <= 0:
                 return
             if not (pool or for_trial) or queue.needs_advice:
                 continue
-            yield from self._choose_job_starts(waiting, pool, for_trial, now, unix_ms, unplaceable)
+            yield from self._choose_job_starts(
+                waiting, pool, for_trial, now, unix_ms, unplaceable, is_overdue_only=is_overdue_only
+            )
 
     def _recently_unplaceable(self, now: float) -> dict[str, list[ResourceVector]]:
         """Return the sizes of fillers that recently found no minion, by placement class.
@@ -353,11 +364,15 @@
         now: float,
         unix_ms: int,
         unplaceable: dict[str, list[ResourceVector]],
+        *,
+        is_overdue_only: bool,
     ) -> Iterator[tuple[Job, TaskKey, Minion]]:
         """Yield starts for the waiting tasks of one job that are due.
 
         :param for_trial: minions on which one lasting task each may start; those that got one are
             removed
+        :param is_overdue_only: whether to leave out all but the lasting tasks that have not run for
+            ``CLAIM_AFTER_SECONDS``
         """
         job = waiting.job
         for occurrence_step, keys in list(waiting.pending.items()):
@@ -365,10 +380,17 @@
             if unix_ms < job.submission.due_ms(occurrence):
                 continue
             step = job.submission.steps[index]
+            if is_overdue_only and not step.is_lasting:
+                continue
             open_keys = self._suspicion.open_tasks(job, occurrence_step, keys, now)
+            if is_overdue_only:
+                open_keys = [key for key in open_keys if _is_overdue(job, key, now)]
             if not open_keys:
                 continue
-            held_keys = [] if open_keys is keys else [key for key in keys if key not in open_keys]
+            held_keys = []
+            if open_keys is not keys:
+                chosen = set(open_keys)
+                held_keys = [key for key in keys if key not in chosen]
             if step.is_gang:
                 yield from self._choose_gang_starts(job, step, open_keys, pool, now)
             elif pool:
@@ -563,6 +585,20 @@
             yield step, keys
 
 
+def _has_overdue_task(waiting: _WaitingJob, now: float) -> bool:
+    """Return whether a lasting task of a job has not run for ``CLAIM_AFTER_SECONDS``."""
+    for (_, index), keys in waiting.pending.items():
+        if waiting.job.submission.steps[index].is_lasting:
+            if _idle_seconds(waiting.job, keys, now) >= CLAIM_AFTER_SECONDS:
+                return True
+    return False
+
+
+def _is_overdue(job: Job, key: TaskKey, now: float) -> bool:
+    """Return whether a waiting lasting task has not run for ``CLAIM_AFTER_SECONDS``."""
+    return _idle_seconds(job, [key], now) >= CLAIM_AFTER_SECONDS
+
+
 def _idle_seconds(job: Job, keys: Sequence[TaskKey], now: float) -> float:
     """Return the longest time in seconds for which one of the waiting tasks has not run."""
     idle_seconds = 0.0
--- a/dotterelhill/jobs/tests/scheduler.feature
+++ b/dotterelhill/jobs/tests/scheduler.feature
@@ -352,6 +352,32 @@
     And 6.5 seconds pass in rounds
     Then 2 starts of job "l" were sent
 
+  Scenario: starts of short tasks use up the start window, so that a lasting task never starts
+    Given a fleet with minions "m1 m2" of 8 processors
+    And job "l" of 1 lasting task of 2 processors on queue "long"
+    When 2 short tasks are submitted and end each round, with at most 2 starts a round, for 15 seconds
+    Then job "l" has started
+
+  Scenario: a fresh lasting task takes the start window from short tasks of higher priority
+    Given a fleet with minions "m1 m2" of 8 processors
+    And job "l" of 1 lasting task of 2 processors on queue "long"
+    When 2 short tasks are submitted and end each round, with at most 2 starts a round, for 4 seconds
+    Then 0 starts of job "l" were sent
+
+  Scenario: a fresh lasting task takes the start window from short tasks because another of its step waits
+    Given a fleet with minions "m1" of 8 processors
+    And job "l" of 2 lasting tasks of 5 processors on queue "long"
+    When 6.0 seconds pass in rounds
+    Then 1 starts of job "l" were sent
+    When one task of job "l" ends as "failed"
+    And the minions report
+    And job "a" of 2 tasks of 1 processors is submitted
+    And minion "m2" of 16 processors is listed
+    And the minions report
+    And at most 2 starts are planned
+    And the plan is stored
+    Then 2 starts of job "l" were sent
+
   Scenario: a lasting task of a later occurrence claims a minion long before it is due
     Given a fleet with minions "m1" of 4 processors
     And job "l" of 1 lasting task of 4 processors that runs 1 times, first after 20 seconds
--- a/dotterelhill/jobs/tests/steps/scheduler_steps.py
+++ b/dotterelhill/jobs/tests/steps/scheduler_steps.py
@@ -124,9 +124,17 @@
     fleet.configure()
 
 
-@given(r'job "(?P<job>\w+)" of 1 lasting task of (?P<cpu>\d+) processors on queue "(?P<queue>\w+)"')
-def submit_lasting_on_queue(context, job, cpu, queue):
-    context.fleet.submit(job, (tasks(1, int(cpu), is_lasting=True),), queue)
+@given(
+    r'job "(?P<job>\w+)" of (?P<count>\d+) lasting tasks? of (?P<cpu>\d+) processors '
+    r'on queue "(?P<queue>\w+)"'
+)
+def submit_lasting_on_queue(context, job, count, cpu, queue):
+    context.fleet.submit(job, (tasks(int(count), int(cpu), is_lasting=True),), queue)
+
+
+@when(r'minion "(?P<name>\w+)" of (?P<cpu>\d+) processors is listed')
+def list_another_minion(context, name, cpu):
+    context.fleet.list_minion(name, 1000 * int(cpu))
 
 
 @given(r'minion "(?P<name>\w+)" is draining')
@@ -381,6 +389,23 @@
         fleet.run_round()
 
 
+@when(
+    r"2 short tasks are submitted and end each round, with at most 2 starts a round, "
+    r"for (?P<seconds>\d+) seconds"
+)
+def fill_start_window(context, seconds):
+    fleet = context.fleet
+    for number in range(round(int(seconds) / ROUND_SECONDS)):
+        for name, runs in fleet.running.items():
+            for key in [key for key in runs if key.job_id != "l"]:
+                fleet.end(name, key, EndKind.DONE)
+        fleet.submit(f"next{number}", (tasks(2, 1),))
+        fleet.poll()
+        fleet.plan(2)
+        fleet.deliver(fleet.commit(), StartOutcome.STARTED)
+        fleet.now += ROUND_SECONDS
+
+
 @then(r'job "(?P<job>\w+)" has started')
 def has_started(context, job):
     assert any(order.run.key.job_id == job for order in context.fleet.sent)
