Say in the docstring that trials ignore reserved room

A lasting task is also tried on a minion that is set aside when others have room that is only reserved for short tasks. The docstring of choose_starts named only the want of room. In a trial with one minion set aside and 4 free, reserved processors on the other, a task of 3 was tried on the first after 1 s.

--- a/dotterelhill/jobs/placement.py
+++ b/dotterelhill/jobs/placement.py
@@ -178,8 +178,8 @@
         The caller has to attach each run to its minion before it requests the next start.
 
         :param minions: minions on which tasks may start
-        :param minions_for_trial: minions on which one lasting task each may start if no other
-            minion has room for it
+        :param minions_for_trial: minions on which one lasting task each may start that gets none of
+            ``minions``, because they have no room or it is reserved for short tasks
         :param queue_of: returns the current queue configuration of a job
         :param unix_ms: wall-clock time in Unix ms, for the objectives and schedules of jobs
         :param max_starts: number of starts to yield at most; a gang is not split
