--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -452,7 +452,9 @@
             return
         run = minion.runs.get(end.key)
         is_current = run is not None and run.run_id == end.run_id
+        planned_at: float | None = None
         if run is not None and is_current:
+            planned_at = run.planned_at
             minion.detach(run)
             self._interference.remove_run(run)
         job = self._jobs.get(end.key.job_id)
@@ -477,7 +479,7 @@
                 self._process_success(job, task, now)
                 return
             case EndKind.FAILED if is_current:
-                self._process_failure(job, task, minion, now)
+                self._process_failure(job, task, minion, planned_at, now)
         if is_current and job.state not in FINAL_STATES:
             if task.idle_since is None:
                 task.idle_since = now
@@ -507,12 +509,17 @@
         if job.is_complete():
             self._end_job(job, JobState.COMPLETED, now)
 
-    def _process_failure(self, job: Job, task: Task, minion: Minion, now: float) -> None:
-        """Count a failed run for its task and its minion, and fail the job at its limit."""
+    def _process_failure(
+        self, job: Job, task: Task, minion: Minion, planned_at: float | None, now: float
+    ) -> None:
+        """Count a failed run for its task and its minion, and fail the job at its limit.
+
+        :param planned_at: time at which the run was planned; None when it is not known
+        """
         task.failures += 1
         self._mark_dirty(job)
         step = job.submission.steps[task.key.step]
-        if minion.health.record_failure(now):
+        if minion.health.record_failure(planned_at, now):
             self._record_minion_decision("minion set aside after failures", minion)
         if step.is_lasting or task.failures < self._queue_of(job).max_attempts:
             return
@@ -721,7 +728,7 @@
         """
         self._expire_state(now)
         self._record_hold(now)
-        self._report_waits(now)
+        self._report_waits(now, unix_ms)
         usable = []
         for_trial = []
         for minion in self._minions.values():
@@ -741,10 +748,10 @@
             for run in self._interference.runs_to_move(minion, now):
                 self._stop(minion, run, now)
 
-    def _report_waits(self, now: float) -> None:
+    def _report_waits(self, now: float, unix_ms: int) -> None:
         """Record a decision for each step whose lasting tasks have waited for long."""
         overdue = self._lasting_waits.update(
-            self._placement.waiting_lasting_steps(self._queue_of), now
+            self._placement.waiting_lasting_steps(self._queue_of, unix_ms), now
         )
         if not overdue:
             return
--- a/dotterelhill/jobs/tests/scheduler.feature
+++ b/dotterelhill/jobs/tests/scheduler.feature
@@ -321,6 +321,14 @@
     When every run fails as soon as it has started for 20 seconds
     Then between 10 and 30 starts were sent in total
 
+  Scenario: a lasting task that fails every run keeps short tasks from the only minion for ever
+    Given a fleet with minions "m1" of 8 processors
+    And job "l" of 1 lasting task of 2 processors
+    When every run of job "l" fails as soon as it has started for 6 seconds
+    And job "a" of 1 task of 1 processors is submitted
+    And every run of job "l" fails as soon as it has started for 20 seconds
+    Then job "a" has started
+
   Scenario: lasting tasks wait for their turn on a minion that was set aside, although one of them works
     Given a fleet with minions "m1" of 16 processors
     And job "a" of 16 tasks of 1 processors
@@ -344,6 +352,68 @@
     And 6.5 seconds pass in rounds
     Then 2 starts of job "l" were sent
 
+  Scenario: starts of short tasks use up the start window, so that a lasting task never starts
+    Given a fleet with minions "m1 m2" of 8 processors
+    And job "l" of 1 lasting task of 2 processors on queue "long"
+    When 2 short tasks are submitted and end each round, with at most 2 starts a round, for 15 seconds
+    Then job "l" has started
+
+  Scenario: a fresh lasting task takes the start window from short tasks of higher priority
+    Given a fleet with minions "m1 m2" of 8 processors
+    And job "l" of 1 lasting task of 2 processors on queue "long"
+    When 2 short tasks are submitted and end each round, with at most 2 starts a round, for 4 seconds
+    Then 0 starts of job "l" were sent
+
+  Scenario: a fresh lasting task takes the start window from short tasks because another of its step waits
+    Given a fleet with minions "m1" of 8 processors
+    And job "l" of 2 lasting tasks of 5 processors on queue "long"
+    When 6.0 seconds pass in rounds
+    Then 1 starts of job "l" were sent
+    When one task of job "l" ends as "failed"
+    And the minions report
+    And job "a" of 2 tasks of 1 processors is submitted
+    And minion "m2" of 16 processors is listed
+    And the minions report
+    And at most 2 starts are planned
+    And the plan is stored
+    Then 2 starts of job "l" were sent
+
+  Scenario: a lasting task of a later occurrence claims a minion long before it is due
+    Given a fleet with minions "m1" of 4 processors
+    And job "l" of 1 lasting task of 4 processors that runs 1 times, first after 20 seconds
+    When 6.0 seconds pass in rounds
+    And job "a" of 1 task of 1 processors is submitted
+    And 10.0 seconds pass in rounds
+    Then job "a" has started
+    And no wait is reported
+    When all tasks of job "a" end as "done"
+    And 3.9 seconds pass in rounds
+    Then 0 starts of job "l" were sent
+    When 6.0 seconds pass in rounds
+    Then job "l" has started
+
+  Scenario: a lasting task of a queue that needs advice claims a minion that it never gets
+    Given a fleet with minions "m1" of 4 processors
+    And queue "advised" needs advice
+    And job "l" of 1 lasting task of 4 processors on queue "advised"
+    When 6.0 seconds pass in rounds
+    And job "a" of 1 task of 1 processors is submitted
+    And 10.0 seconds pass in rounds
+    Then job "a" has started
+    And no wait is reported
+
+  Scenario: a lasting task that has run claims a minion although its queue needs advice by now
+    Given a fleet with minions "m1" of 4 processors
+    And job "l" of 1 lasting task of 4 processors on queue "long"
+    When 2 rounds pass
+    And queue "long" begins to need advice
+    And the task of job "l" ends as "failed"
+    And 6.0 seconds pass in rounds
+    And job "a" of 1 task of 1 processors is submitted
+    And 1 rounds pass
+    Then job "a" has started
+    And no wait is reported
+
   Scenario: the wait of a lasting task begins anew when its start order is refused
     Given job "a" of 8 tasks of 1 processors
     When 2 rounds pass
--- a/dotterelhill/jobs/tests/steps/scheduler_steps.py
+++ b/dotterelhill/jobs/tests/steps/scheduler_steps.py
@@ -105,6 +105,38 @@
     fleet.submit(job, (step,), pool or "short")
 
 
+@given(
+    r'job "(?P<job>\w+)" of 1 lasting task of (?P<cpu>\d+) processors that runs 1 times, '
+    r"first after (?P<first>\d+) seconds"
+)
+def submit_scheduled_lasting(context, job, cpu, first):
+    first_ms = context.fleet.unix_ms + 1000 * int(first)
+    step = tasks(1, int(cpu), is_lasting=True)
+    context.fleet.submit(job, (step,), schedule=schedule(1, first_ms, 1000))
+
+
+@given(r'queue "(?P<name>\w+)" needs advice')
+@when(r'queue "(?P<name>\w+)" begins to need advice')
+def need_advice(context, name):
+    fleet = context.fleet
+    queue = fleet.queues.get(name) or fleet.queue(name, 1)
+    fleet.queues[name] = replace(queue, needs_advice=True)
+    fleet.configure()
+
+
+@given(
+    r'job "(?P<job>\w+)" of (?P<count>\d+) lasting tasks? of (?P<cpu>\d+) processors '
+    r'on queue "(?P<queue>\w+)"'
+)
+def submit_lasting_on_queue(context, job, count, cpu, queue):
+    context.fleet.submit(job, (tasks(int(count), int(cpu), is_lasting=True),), queue)
+
+
+@when(r'minion "(?P<name>\w+)" of (?P<cpu>\d+) processors is listed')
+def list_another_minion(context, name, cpu):
+    context.fleet.list_minion(name, 1000 * int(cpu))
+
+
 @given(r'minion "(?P<name>\w+)" is draining')
 def drain(context, name):
     context.fleet.list_minion(name, is_draining=True)
@@ -228,6 +260,17 @@
                 context.fleet.end(name, key, EndKind.FAILED)
 
 
+@when(
+    r'every run of job "(?P<job>\w+)" fails as soon as it has started for (?P<seconds>\d+) seconds'
+)
+def fail_every_run_of(context, job, seconds):
+    for _ in range(round(int(seconds) / ROUND_SECONDS)):
+        context.fleet.run_round()
+        for name, runs in context.fleet.running.items():
+            for key in [key for key in runs if key.job_id == job]:
+                context.fleet.end(name, key, EndKind.FAILED)
+
+
 @when(r'all tasks of job "(?P<job>\w+)" end as "(?P<kind>\w+)"')
 def end_all_tasks_of(context, job, kind):
     for name, runs in context.fleet.running.items():
@@ -346,6 +389,23 @@
         fleet.run_round()
 
 
+@when(
+    r"2 short tasks are submitted and end each round, with at most 2 starts a round, "
+    r"for (?P<seconds>\d+) seconds"
+)
+def fill_start_window(context, seconds):
+    fleet = context.fleet
+    for number in range(round(int(seconds) / ROUND_SECONDS)):
+        for name, runs in fleet.running.items():
+            for key in [key for key in runs if key.job_id != "l"]:
+                fleet.end(name, key, EndKind.DONE)
+        fleet.submit(f"next{number}", (tasks(2, 1),))
+        fleet.poll()
+        fleet.plan(2)
+        fleet.deliver(fleet.commit(), StartOutcome.STARTED)
+        fleet.now += ROUND_SECONDS
+
+
 @then(r'job "(?P<job>\w+)" has started')
 def has_started(context, job):
     assert any(order.run.key.job_id == job for order in context.fleet.sent)
