--- a/dotterelhill/control/tests/cluster.feature
+++ b/dotterelhill/control/tests/cluster.feature
@@ -395,3 +395,18 @@
       | 1.0    | 0.4   |
       | 1.2    | 0.4   |
       | 1.2    | 0.6   |
+
+  @known-red
+  Scenario Outline: Tasks of minions that are lost with the VM of the leader wait for longer than lasting tasks may
+    When job "j" of 4 tasks of 30 seconds is submitted at a process that does not lead
+    And <before> seconds pass
+    And a minion with tasks of job "j" stops answering
+    And the VM of the leader is gone without a word
+    And 11.0 seconds pass
+    Then each lost task of job "j" has started elsewhere
+
+    Examples:
+      | before |
+      | 1.0    |
+      | 1.2    |
+      | 1.4    |
--- a/dotterelhill/control/tests/steps/cluster_steps.py
+++ b/dotterelhill/control/tests/steps/cluster_steps.py
@@ -7,7 +7,9 @@
 
 from dotterelhill.control.interface import Record, RelayError, StoreError, Stream
 from dotterelhill.control.job_service import NotStoredError
-from dotterelhill.control.leadership import LEADER_KEY
+from dotterelhill.control.leadership import LEADER_KEY, LeaderCondition
+from dotterelhill.control.peers import PEER_TIMEOUT_SECONDS, PeerUnreachableError
+from dotterelhill.control.relay_messages import SILENCE_SECONDS
 from dotterelhill.control.submissions import partition_of
 from dotterelhill.control.tests.cluster_world import QUEUE, SUBMISSION_PARTITIONS, Cluster
 from dotterelhill.jobs.model import ResourceVector, Step, Submission
@@ -116,6 +118,34 @@
     raise AssertionError("no next leader")
 
 
+@when(r"the VM of the leader is gone without a word")
+def lose_leader_silently(context):
+    cluster = context.cluster
+    gone = context.first_leader
+    gone_at = cluster.loop.time()
+    cluster.kill(gone)
+
+    def wrap(reach):
+        async def reach_or_time_out(address):
+            if address != gone:
+                return await reach(address)
+            await asyncio.sleep(PEER_TIMEOUT_SECONDS)
+            raise PeerUnreachableError("no answer")
+
+        return reach_or_time_out
+
+    def linked_condition(address, incarnation, epoch):
+        # The newest message of the leader counts until the connection is silent for too long.
+        if address == gone and cluster.loop.time() - gone_at <= SILENCE_SECONDS:
+            return LeaderCondition.PRESENT
+        return None
+
+    for name, process in cluster.processes.items():
+        if name != gone:
+            process.election._peers._reach = wrap(process.election._peers._reach)
+            process.election._linked_condition = linked_condition
+
+
 @when(r"the answer to the next claim takes (?P<seconds>[\d.]+) seconds")
 def delay_claim(context, seconds):
     context.claims = []
