--- a/dotterelhill/jobs/tests/steps/scheduler_steps.py
+++ b/dotterelhill/jobs/tests/steps/scheduler_steps.py
@@ -460,3 +460,27 @@
         for reason in reasons.split(", "):
             name, number = reason.split()
             assert wait.fields[name] == int(number), wait
+
+
+@given(
+    r'job "(?P<job>\w+)" of 1 filler of (?P<cpu>\d+) processors on queue "(?P<queue>\w+)" that '
+    r"waits behind fillers of 2 processors"
+)
+def submit_filler_behind_others(context, job, cpu, queue):
+    fleet = context.fleet
+    fleet.submit("first", (tasks(4, 2, is_filler=True),), queue)
+    fleet.run_round()
+    fleet.run_round()
+    fleet.submit(job, (tasks(1, int(cpu), is_filler=True),), queue)
+
+
+@when(r"fillers of 2 processors end and new ones are submitted for (?P<seconds>\d+) seconds")
+def run_filler_sequence(context, seconds):
+    fleet = context.fleet
+    for number in range(round(int(seconds) / ROUND_SECONDS / 5)):
+        oldest = next((key for key in fleet.running["m1"] if key.job_id != "a"), None)
+        if oldest is not None:
+            fleet.end("m1", oldest, EndKind.DONE)
+        fleet.submit(f"next{number}", (tasks(1, 2, is_filler=True),), "long")
+        for _ in range(5):
+            fleet.run_round()
