Move the decisions about jobs into folders by subject

Cause: seventeen modules stood side by side in dotterelhill/jobs, so the tree did not show which decision stands where, and the next parts would add more.

--- /dev/null
+++ b/dotterelhill/jobs/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks that are suspected of crashing the minions that start them."""
--- a/dotterelhill/jobs/isolation.py
+++ b/dotterelhill/jobs/crashes/isolation.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable, Mapping, Sequence
 
-from dotterelhill.jobs.crashes import CrashSuspicion, has_unproven_runs
+from dotterelhill.jobs.crashes.suspicion import CrashSuspicion, has_unproven_runs
 from dotterelhill.jobs.fleet import Minion
 from dotterelhill.jobs.model import TaskKey
 
--- a/dotterelhill/jobs/fleet.py
+++ b/dotterelhill/jobs/fleet.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from enum import Enum, StrEnum, auto
 
-from dotterelhill.jobs.minion_health import MinionHealth
+from dotterelhill.jobs.minions.health import MinionHealth
 from dotterelhill.jobs.model import ResourceVector, Step, TaskKey
 
 # A minion's monotonic clock may run this much slower than true time: a limit of the platform.
--- /dev/null
+++ b/dotterelhill/jobs/interference/__init__.py
@@ -0,0 +1,1 @@
+"""Interference between fillers and the serving tasks on the same minion."""
--- a/dotterelhill/jobs/headroom.py
+++ b/dotterelhill/jobs/interference/headroom.py
@@ -23,7 +23,7 @@
 
 import msgspec
 
-from dotterelhill.jobs.cycles import LoadCycles
+from dotterelhill.jobs.interference.cycles import LoadCycles
 from dotterelhill.jobs.model import TaskKey
 
 # Baseline headroom before the first report: that of a task at half load whose target is five times
--- a/dotterelhill/jobs/sharing.py
+++ b/dotterelhill/jobs/interference/sharing.py
@@ -14,7 +14,7 @@
 from dataclasses import dataclass, field
 
 from dotterelhill.jobs.fleet import Minion, Run, RunState
-from dotterelhill.jobs.headroom import EffectShare, HeadroomModel
+from dotterelhill.jobs.interference.headroom import EffectShare, HeadroomModel
 from dotterelhill.jobs.model import Step
 from dotterelhill.jobs.orders import PaceOrder
 
--- /dev/null
+++ b/dotterelhill/jobs/minions/__init__.py
@@ -0,0 +1,1 @@
+"""Capacity and health of minions, which decide whether runs may start there."""
--- a/dotterelhill/jobs/lasting_waits.py
+++ b/dotterelhill/jobs/placement/lasting_waits.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 
 from dotterelhill.jobs.fleet import Minion
-from dotterelhill.jobs.minion_health import Exclusion
+from dotterelhill.jobs.minions.health import Exclusion
 from dotterelhill.jobs.model import Job, Step, TaskKey
 
 # The platform allows a lasting task to be idle for 9 s while there is room for it.
--- a/dotterelhill/jobs/placement.py
+++ b/dotterelhill/jobs/placement/placement.py
@@ -8,10 +8,10 @@
 from functools import partial
 from heapq import heapify, heappop, heapreplace
 
-from dotterelhill.jobs.crashes import CrashSuspicion
+from dotterelhill.jobs.crashes.isolation import Isolation
+from dotterelhill.jobs.crashes.suspicion import CrashSuspicion
 from dotterelhill.jobs.fleet import Minion
-from dotterelhill.jobs.isolation import Isolation
-from dotterelhill.jobs.lasting_waits import WaitingStep
+from dotterelhill.jobs.interference.sharing import InterferenceControl
 from dotterelhill.jobs.model import (
     TOO_LATE_FACTOR,
     Job,
@@ -21,8 +21,8 @@
     TaskKey,
     critical_path_seconds,
 )
+from dotterelhill.jobs.placement.lasting_waits import WaitingStep
 from dotterelhill.jobs.queues import Queue
-from dotterelhill.jobs.sharing import InterferenceControl
 
 UNLIMITED_STARTS = 1 << 30
 
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -14,9 +14,8 @@
 
 from collections.abc import Iterable, Mapping, Sequence
 
-from dotterelhill.jobs.capacity import StartHold, runs_beyond_capacity
 from dotterelhill.jobs.changes import Changes, Decision, SchedulerSettings
-from dotterelhill.jobs.crashes import (
+from dotterelhill.jobs.crashes.suspicion import (
     CrashSuspicion,
     Presence,
     Suspect,
@@ -34,8 +33,9 @@
     RunState,
     lease_end,
 )
-from dotterelhill.jobs.lasting_waits import LastingWaits, explain_wait
-from dotterelhill.jobs.minion_health import Exclusion
+from dotterelhill.jobs.interference.sharing import InterferenceControl
+from dotterelhill.jobs.minions.capacity import StartHold, runs_beyond_capacity
+from dotterelhill.jobs.minions.health import Exclusion
 from dotterelhill.jobs.model import FINAL_STATES, Job, JobState, Submission, Task, TaskKey
 from dotterelhill.jobs.orders import (
     Order,
@@ -44,9 +44,9 @@
     StartOutcome,
     StopOrder,
 )
-from dotterelhill.jobs.placement import UNLIMITED_STARTS, Placement
+from dotterelhill.jobs.placement.lasting_waits import LastingWaits, explain_wait
+from dotterelhill.jobs.placement.placement import UNLIMITED_STARTS, Placement
 from dotterelhill.jobs.queues import FleetConfig, Queue
-from dotterelhill.jobs.sharing import InterferenceControl
 
 # An unanswered stop order is sent again after this time. A delayed order may still be carried out
 # after 2 s or more.
--- a/dotterelhill/jobs/tests/fleet_world.py
+++ b/dotterelhill/jobs/tests/fleet_world.py
@@ -4,7 +4,7 @@
 from dotterelhill.jobs.fleet import EndKind, EndReport, MinionFacts, MinionReport, RunReport
 from dotterelhill.jobs.model import Job, ResourceVector, Schedule, Step, Submission, TaskKey
 from dotterelhill.jobs.orders import PaceOrder, StartOrder, StartOutcome, StopOrder
-from dotterelhill.jobs.placement import UNLIMITED_STARTS
+from dotterelhill.jobs.placement.placement import UNLIMITED_STARTS
 from dotterelhill.jobs.progress import apply_progress, encode_progress
 from dotterelhill.jobs.queues import FleetConfig, Queue
 from dotterelhill.jobs.scheduler import Scheduler
--- a/dotterelhill/jobs/tests/steps/cycles_steps.py
+++ b/dotterelhill/jobs/tests/steps/cycles_steps.py
@@ -5,7 +5,7 @@
 
 from behave import given, then, use_step_matcher, when
 
-from dotterelhill.jobs.headroom import REPORT_RELATIVE_ERROR, Estimate, HeadroomModel
+from dotterelhill.jobs.interference.headroom import REPORT_RELATIVE_ERROR, Estimate, HeadroomModel
 from dotterelhill.jobs.model import ResourceVector, Step, TaskKey
 from dotterelhill.jobs.tests.fleet_world import FleetWorld
 
--- a/dotterelhill/jobs/tests/steps/sharing_steps.py
+++ b/dotterelhill/jobs/tests/steps/sharing_steps.py
@@ -4,7 +4,7 @@
 
 from behave import given, then, use_step_matcher, when
 
-from dotterelhill.jobs.headroom import Estimate
+from dotterelhill.jobs.interference.headroom import Estimate
 from dotterelhill.jobs.model import ResourceVector, Step, TaskKey
 
 use_step_matcher("re")
