Add tenants to the types of the configuration and of submissions

Cause: the parts that follow need one definition of a tenant, its limit and a job's owner. Change: Tenant, FleetConfig.tenants, Queue.is_anonymous and Submission.tenant, all with defaults that keep stored records readable in both directions; ResourceVector moves to jobs/resources.py, since queues use it and models import queues.

--- a/dotterelhill/control/tests/cluster_world.py
+++ b/dotterelhill/control/tests/cluster_world.py
@@ -40,9 +40,10 @@
     MinionReport,
     RunReport,
 )
-from dotterelhill.jobs.model import ResourceVector, Step, Submission
+from dotterelhill.jobs.model import Step, Submission
 from dotterelhill.jobs.orders import StartOutcome
 from dotterelhill.jobs.queues import FleetConfig, Pool, Queue
+from dotterelhill.jobs.resources import ResourceVector
 
 HOLD_SECONDS = 6.0
 CALL_SECONDS = 0.005
--- a/dotterelhill/control/tests/steps/cluster_steps.py
+++ b/dotterelhill/control/tests/steps/cluster_steps.py
@@ -12,8 +12,9 @@
 from dotterelhill.control.relay_messages import SILENCE_SECONDS
 from dotterelhill.control.submissions import partition_of
 from dotterelhill.control.tests.cluster_world import QUEUE, SUBMISSION_PARTITIONS, Cluster
-from dotterelhill.jobs.model import ResourceVector, Step, Submission
+from dotterelhill.jobs.model import Step, Submission
 from dotterelhill.jobs.progress import encode_submission
+from dotterelhill.jobs.resources import ResourceVector
 
 # Time after which a call to the store that gets no answer fails.
 LOST_ANSWER_SECONDS = 1.2
--- a/dotterelhill/jobs/fleet.py
+++ b/dotterelhill/jobs/fleet.py
@@ -7,7 +7,8 @@
 from enum import Enum, StrEnum, auto
 
 from dotterelhill.jobs.minions.health import MinionHealth
-from dotterelhill.jobs.model import ResourceVector, Step, TaskKey
+from dotterelhill.jobs.model import Step, TaskKey
+from dotterelhill.jobs.resources import ResourceVector
 
 # A minion's monotonic clock may run this much slower than true time: a limit of the platform.
 MINION_CLOCK_DRIFT = 0.02
--- a/dotterelhill/jobs/minions/capacity.py
+++ b/dotterelhill/jobs/minions/capacity.py
@@ -6,7 +6,7 @@
 
 from dotterelhill.jobs.changes import Decision
 from dotterelhill.jobs.fleet import Minion, Run
-from dotterelhill.jobs.model import ResourceVector
+from dotterelhill.jobs.resources import ResourceVector
 
 
 def runs_beyond_capacity(planned: Iterable[Run], minions: Mapping[str, Minion]) -> set[Run]:
--- a/dotterelhill/jobs/model.py
+++ b/dotterelhill/jobs/model.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from dotterelhill.jobs.queues import Queue
+from dotterelhill.jobs.resources import ResourceVector
 
 # A job that ends later than this factor times its objective has no value for its client.
 TOO_LATE_FACTOR = 3.0
@@ -18,44 +19,6 @@
 MAX_PARSED_NAMES = 32768
 
 
-@dataclass(frozen=True, slots=True)
-class ResourceVector:
-    """Resources that a minion offers or a task requests.
-
-    :param cpu: thousandths of a processor
-    :param memory_mb: memory in MB
-    :param gpu: accelerators
-    """
-
-    cpu: int = 0
-    memory_mb: int = 0
-    gpu: int = 0
-
-    def plus(self, other: ResourceVector) -> ResourceVector:
-        """Return the sum of both resource vectors.
-
-        >>> ResourceVector(1000, 10).plus(ResourceVector(500, 5))
-        ResourceVector(cpu=1500, memory_mb=15, gpu=0)
-        """
-        return ResourceVector(
-            self.cpu + other.cpu, self.memory_mb + other.memory_mb, self.gpu + other.gpu
-        )
-
-    def minus(self, other: ResourceVector) -> ResourceVector:
-        """Return the resources that remain after subtracting ``other``."""
-        return ResourceVector(
-            self.cpu - other.cpu, self.memory_mb - other.memory_mb, self.gpu - other.gpu
-        )
-
-    def as_list(self) -> list[int]:
-        """Return the processors in thousandths, memory in MB and accelerators, for the log."""
-        return [self.cpu, self.memory_mb, self.gpu]
-
-    def is_enough_for(self, other: ResourceVector) -> bool:
-        """Return whether every resource is at least that of ``other``."""
-        return self.cpu >= other.cpu and self.memory_mb >= other.memory_mb and self.gpu >= other.gpu
-
-
 @dataclass(frozen=True, slots=True)
 class Step:
     """One step of a job: a set of tasks with the same requirements.
@@ -132,6 +95,7 @@
         later
     :param accepted_ms: Unix millisecond at which the entry process stored it
     :param payload: text that every start order passes to the minion
+    :param tenant: tenant that owns the job; empty for a job of an anonymous queue
     """
 
     job_id: str
@@ -140,6 +104,7 @@
     payload: str
     steps: tuple[Step, ...]
     schedule: Schedule | None = None
+    tenant: str = ""
 
     @property
     def occurrence_count(self) -> int:
--- a/dotterelhill/jobs/placement/placement.py
+++ b/dotterelhill/jobs/placement/placement.py
@@ -12,17 +12,10 @@
 from dotterelhill.jobs.crashes.suspicion import CrashSuspicion
 from dotterelhill.jobs.fleet import Minion
 from dotterelhill.jobs.interference.sharing import InterferenceControl
-from dotterelhill.jobs.model import (
-    TOO_LATE_FACTOR,
-    Job,
-    ResourceVector,
-    Step,
-    Task,
-    TaskKey,
-    critical_path_seconds,
-)
+from dotterelhill.jobs.model import TOO_LATE_FACTOR, Job, Step, Task, TaskKey, critical_path_seconds
 from dotterelhill.jobs.placement.lasting_waits import WaitingStep
 from dotterelhill.jobs.queues import Queue
+from dotterelhill.jobs.resources import ResourceVector
 
 UNLIMITED_STARTS = 1 << 30
 
--- a/dotterelhill/jobs/queues.py
+++ b/dotterelhill/jobs/queues.py
@@ -5,6 +5,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from dotterelhill.jobs.resources import ResourceVector
+
 
 @dataclass(frozen=True, slots=True)
 class Queue:
@@ -20,6 +22,7 @@
     :param target_seconds: constant part of the allowed duration
     :param timeout_seconds: time limit for the answer to a request
     :param needs_advice: whether a policy service has to approve the minion of each start
+    :param is_anonymous: whether calls need no key, so that its jobs belong to no tenant
     """
 
     name: str
@@ -32,6 +35,7 @@
     target_seconds: float = 1.0
     timeout_seconds: float = 3.0
     needs_advice: bool = False
+    is_anonymous: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,6 +49,20 @@
     is_guarded: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Tenant:
+    """Organisation that owns jobs.
+
+    :param weight: share of the room when not all tenants find room; also the jobs per second that
+        it may always submit
+    :param limit: resources that its runs may use at once on all minions; 0 in a field for no limit
+    """
+
+    name: str
+    weight: float = 1.0
+    limit: ResourceVector = field(default_factory=ResourceVector)
+
+
 @dataclass(frozen=True, slots=True)
 class RequestLimits:
     """Size and time limits of client requests."""
@@ -57,12 +75,16 @@
 
 @dataclass(frozen=True, slots=True)
 class FleetConfig:
-    """One version of the queue configuration."""
+    """One version of the queue configuration.
+
+    :param tenants: tenants by name; empty where jobs belong to nobody and calls need no key
+    """
 
     version: int = 0
     queues: Mapping[str, Queue] = field(default_factory=dict)
     pools: Mapping[str, Pool] = field(default_factory=dict)
     limits: RequestLimits = field(default_factory=RequestLimits)
+    tenants: Mapping[str, Tenant] = field(default_factory=dict)
 
     def queue_for(self, host: str, path: str) -> Queue | None:
         """Return the queue with the longest path prefix that matches a request, or None.
--- a/dotterelhill/jobs/tests/capacity_world.py
+++ b/dotterelhill/jobs/tests/capacity_world.py
@@ -6,9 +6,10 @@
 from random import Random
 
 from dotterelhill.jobs.fleet import EndKind, MinionReport, RunReport
-from dotterelhill.jobs.model import FINAL_STATES, ResourceVector, Step, TaskKey
+from dotterelhill.jobs.model import FINAL_STATES, Step, TaskKey
 from dotterelhill.jobs.orders import StartOrder, StartOutcome, StopOrder
 from dotterelhill.jobs.progress import encode_progress
+from dotterelhill.jobs.resources import ResourceVector
 from dotterelhill.jobs.tests.fleet_world import CAPACITY_VALID_SECONDS, HOLD_SECONDS, FleetWorld
 
 STABILITY_SECONDS = 4.0
--- a/dotterelhill/jobs/tests/crash_world.py
+++ b/dotterelhill/jobs/tests/crash_world.py
@@ -5,8 +5,9 @@
 from random import Random
 
 from dotterelhill.jobs.fleet import EndKind
-from dotterelhill.jobs.model import JobState, ResourceVector, Step, TaskKey
+from dotterelhill.jobs.model import JobState, Step, TaskKey
 from dotterelhill.jobs.orders import StartOrder, StartOutcome
+from dotterelhill.jobs.resources import ResourceVector
 from dotterelhill.jobs.tests.fleet_world import FleetWorld
 
 CRASH_AFTER_SECONDS = 0.01
--- a/dotterelhill/jobs/tests/fleet_world.py
+++ b/dotterelhill/jobs/tests/fleet_world.py
@@ -2,11 +2,12 @@
 
 from dotterelhill.jobs.changes import Decision, SchedulerSettings
 from dotterelhill.jobs.fleet import EndKind, EndReport, MinionFacts, MinionReport, RunReport
-from dotterelhill.jobs.model import Job, ResourceVector, Schedule, Step, Submission, TaskKey
+from dotterelhill.jobs.model import Job, Schedule, Step, Submission, TaskKey
 from dotterelhill.jobs.orders import PaceOrder, StartOrder, StartOutcome, StopOrder
 from dotterelhill.jobs.placement.placement import UNLIMITED_STARTS
 from dotterelhill.jobs.progress import apply_progress, encode_progress
 from dotterelhill.jobs.queues import FleetConfig, Queue
+from dotterelhill.jobs.resources import ResourceVector
 from dotterelhill.jobs.scheduler import Scheduler
 
 HOLD_SECONDS = 6.0
--- a/dotterelhill/jobs/tests/steps/burst_steps.py
+++ b/dotterelhill/jobs/tests/steps/burst_steps.py
@@ -5,7 +5,8 @@
 from behave import given, then, use_step_matcher, when
 
 from dotterelhill.jobs.interference.sharing import InterferenceControl
-from dotterelhill.jobs.model import ResourceVector, Step
+from dotterelhill.jobs.model import Step
+from dotterelhill.jobs.resources import ResourceVector
 from dotterelhill.jobs.tests.fleet_world import FleetWorld
 
 use_step_matcher("re")
--- a/dotterelhill/jobs/tests/steps/capacity_steps.py
+++ b/dotterelhill/jobs/tests/steps/capacity_steps.py
@@ -4,7 +4,8 @@
 
 from behave import given, then, use_step_matcher, when
 
-from dotterelhill.jobs.model import ResourceVector, Step
+from dotterelhill.jobs.model import Step
+from dotterelhill.jobs.resources import ResourceVector
 from dotterelhill.jobs.tests.capacity_world import run_history
 
 use_step_matcher("re")
--- a/dotterelhill/jobs/tests/steps/crashes_steps.py
+++ b/dotterelhill/jobs/tests/steps/crashes_steps.py
@@ -3,8 +3,9 @@
 import msgspec
 from behave import given, then, use_step_matcher, when
 
-from dotterelhill.jobs.model import Job, ResourceVector, Step, TaskKey
+from dotterelhill.jobs.model import Job, Step, TaskKey
 from dotterelhill.jobs.progress import apply_progress
+from dotterelhill.jobs.resources import ResourceVector
 from dotterelhill.jobs.tests.crash_world import (
     MAX_STARTS_AFTER_CRASHES,
     MIN_CRASHES_TO_GIVE_UP,
--- a/dotterelhill/jobs/tests/steps/cycles_steps.py
+++ b/dotterelhill/jobs/tests/steps/cycles_steps.py
@@ -6,7 +6,8 @@
 from behave import given, then, use_step_matcher, when
 
 from dotterelhill.jobs.interference.headroom import REPORT_RELATIVE_ERROR, Estimate, HeadroomModel
-from dotterelhill.jobs.model import ResourceVector, Step, TaskKey
+from dotterelhill.jobs.model import Step, TaskKey
+from dotterelhill.jobs.resources import ResourceVector
 from dotterelhill.jobs.tests.fleet_world import FleetWorld
 
 use_step_matcher("re")
--- a/dotterelhill/jobs/tests/steps/scheduler_steps.py
+++ b/dotterelhill/jobs/tests/steps/scheduler_steps.py
@@ -5,8 +5,9 @@
 from behave import given, then, use_step_matcher, when
 
 from dotterelhill.jobs.fleet import EndKind
-from dotterelhill.jobs.model import ResourceVector, Step, TaskKey
+from dotterelhill.jobs.model import Step, TaskKey
 from dotterelhill.jobs.orders import StartOutcome
+from dotterelhill.jobs.resources import ResourceVector
 from dotterelhill.jobs.tests.fleet_world import FleetWorld, schedule
 
 use_step_matcher("re")
--- a/dotterelhill/jobs/tests/steps/sharing_steps.py
+++ b/dotterelhill/jobs/tests/steps/sharing_steps.py
@@ -5,7 +5,8 @@
 from behave import given, then, use_step_matcher, when
 
 from dotterelhill.jobs.interference.headroom import Estimate
-from dotterelhill.jobs.model import ResourceVector, Step, TaskKey
+from dotterelhill.jobs.model import Step, TaskKey
+from dotterelhill.jobs.resources import ResourceVector
 
 use_step_matcher("re")
 
--- a/dotterelhill/platform/ingress.py
+++ b/dotterelhill/platform/ingress.py
@@ -16,8 +16,9 @@
 from dotterelhill.control.leader import NotReadyError
 from dotterelhill.entry.logs import logger_of
 from dotterelhill.entry.metrics import Metrics
-from dotterelhill.jobs.model import JobState, ResourceVector, Schedule, Step, Submission
+from dotterelhill.jobs.model import JobState, Schedule, Step, Submission
 from dotterelhill.jobs.queues import FleetConfig, Queue
+from dotterelhill.jobs.resources import ResourceVector
 from dotterelhill.platform.settings import Address
 
 JOB_ID_LENGTH = 16
--- a/dotterelhill/platform/records.py
+++ b/dotterelhill/platform/records.py
@@ -10,8 +10,8 @@
 from dotterelhill.control.interface import Record
 from dotterelhill.entry.logs import logger_of
 from dotterelhill.jobs.fleet import MinionFacts
-from dotterelhill.jobs.model import ResourceVector
 from dotterelhill.jobs.queues import FleetConfig, Pool, Queue, RequestLimits
+from dotterelhill.jobs.resources import ResourceVector
 
 CONFIG_KEY = "config"
 EVACUATE_PREFIX = "evacuate/"
--- a/dotterelhill/platform/tests/steps/adapter_steps.py
+++ b/dotterelhill/platform/tests/steps/adapter_steps.py
@@ -11,8 +11,8 @@
 
 from dotterelhill.control.feeds import ConfigurationFeed
 from dotterelhill.control.interface import Record
-from dotterelhill.jobs.model import ResourceVector
 from dotterelhill.jobs.queues import Queue
+from dotterelhill.jobs.resources import ResourceVector
 from dotterelhill.platform.ingress import BadJobError, decode_job
 from dotterelhill.platform.records import PlatformRecords
 from dotterelhill.platform.settings import SettingsError, load_settings
--- a/dotterelhill/platform/tests/steps/fuzz_steps.py
+++ b/dotterelhill/platform/tests/steps/fuzz_steps.py
@@ -23,9 +23,10 @@
 )
 from dotterelhill.jobs.changes import SchedulerSettings
 from dotterelhill.jobs.fleet import Minion, MinionFacts, MinionReport, Run, RunReport, RunState
-from dotterelhill.jobs.model import ResourceVector, Step, Submission, TaskKey
+from dotterelhill.jobs.model import Step, Submission, TaskKey
 from dotterelhill.jobs.orders import StartOrder, StopOrder
 from dotterelhill.jobs.queues import Queue
+from dotterelhill.jobs.resources import ResourceVector
 from dotterelhill.jobs.scheduler import Scheduler
 from dotterelhill.platform.ingress import BadJobError, decode_job
 from dotterelhill.platform.minions import PlatformMinions
