Let fillers that have waited for 2 s claim a minion

Ruled out: ranking fillers by size or by wait. Ranking changes the order of all jobs, and on a full minion the processors that become idle one by one still go to tasks that fit them. Change: the longest waiting steps of fillers, at most 4 and a quarter of the minions of a service, claim a minion each. Fillers start there only beside the claim, from 5 s on short tasks as well; lasting tasks are not bound by it. Tests: the scenario loses its tag and asks for a start within 5 s instead of 20 s. One step reads the claims from their new place, the check is the same.

--- a/dotterelhill/jobs/interference/sharing.py
+++ b/dotterelhill/jobs/interference/sharing.py
@@ -18,6 +18,8 @@
 from dotterelhill.jobs.model import Step
 from dotterelhill.jobs.orders import PaceOrder
 
+# A filler is placed only on a minion with at least this share of its requested processors idle.
+MIN_FILLER_CPU_SHARE = 0.75
 # Share of its reserved processors that a lasting task is assumed to use; fillers may use the rest.
 SERVING_CPU_SHARE = 0.5
 # Headroom that placement keeps for each serving task, and headroom that pacing keeps for it.
@@ -107,8 +109,11 @@
 
     def idle_cpu(self, minion: Minion) -> float:
         """Return the idle processor capacity of the minion in thousandths of a processor."""
-        used = SERVING_CPU_SHARE * minion.lasting_cpu + minion.short_cpu + minion.filler_cpu
-        return minion.facts.capacity.cpu - used
+        return self.idle_cpu_of_lasting(minion) - minion.short_cpu - minion.filler_cpu
+
+    def idle_cpu_of_lasting(self, minion: Minion) -> float:
+        """Return the thousandths of a processor that are idle when only lasting tasks are left."""
+        return minion.facts.capacity.cpu - SERVING_CPU_SHARE * minion.lasting_cpu
 
     def filler_interference(self, minion: Minion, step: Step, now: float) -> float | None:
         """Return the share of spare headroom that a new filler takes, summed over serving tasks.
@@ -125,6 +130,19 @@
             interference += count * effect_sum / max(MIN_SPARE_HEADROOM, spare_headroom)
         return interference
 
+    def lacking_headroom(self, minion: Minion, step: Step, now: float) -> float:
+        """Return how much headroom a new filler would take too much from a serving task.
+
+        :returns: the largest lack of all serving tasks; 0 where the filler may start
+        """
+        added_share = step.room.cpu / _processors(minion)
+        lack = 0.0
+        for image, remaining, _ in self._remaining_headroom_by_image(minion, now):
+            effect_sum = added_share * self._model.effect(image, step.image, PLANNING_DEVIATIONS)
+            if effect_sum > NEGLIGIBLE_EFFECT:
+                lack = max(lack, effect_sum - (remaining - MIN_PLANNED_HEADROOM))
+        return lack
+
     def discard_cached_headroom(self, minion: Minion) -> None:
         """Compute the remaining headroom on a minion anew, since its capacity has changed."""
         state = self._minions.get(minion)
--- /dev/null
+++ b/dotterelhill/jobs/placement/filler_claims.py
@@ -0,0 +1,218 @@
+"""Claims of minions by fillers that have waited for long."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator, Mapping, Sequence
+from dataclasses import dataclass
+
+from dotterelhill.jobs.fleet import Minion
+from dotterelhill.jobs.interference.sharing import MIN_FILLER_CPU_SHARE, InterferenceControl
+from dotterelhill.jobs.model import Job, Step, TaskKey
+from dotterelhill.jobs.placement.waiting import (
+    RankedJob,
+    has_required_label,
+    is_anti_affinity_met,
+    startable_steps,
+)
+
+# A step whose fillers have waited for this time claims a minion, so that smaller fillers that start
+# there leave room for it.
+CLAIM_AFTER_SECONDS = 2.0
+# From this time on, short tasks have to leave room as well. The platform counts a job as lost that
+# has not run for 3 s, from 14 s after the end of all traffic.
+CLAIM_FROM_SHORT_AFTER_SECONDS = 5.0
+# Claims keep processors idle until enough runs have ended, so only this share of the minions of a
+# service is claimed at a time, and no more than the maximum.
+MAX_CLAIMED_SHARE = 0.25
+MAX_CLAIMS = 4
+# Looking for a minion costs a pass over all runs of a service.
+CHOICE_INTERVAL_SECONDS = 0.5
+
+OpenTasks = Callable[[Job, list[TaskKey]], list[TaskKey]]
+StepId = tuple[str, int, int]
+
+
+@dataclass(slots=True)
+class FillerClaim:
+    """Claim of a minion by one filler of a step.
+
+    :param key: task that starts there
+    :param service: pool whose minions run the task
+    :param since: loop time from which no filler of the step has started
+    :param minion: claimed minion; None while no minion could ever run the task
+    :param chosen_at: loop time at which a minion was last looked for
+    """
+
+    job: Job
+    step: Step
+    key: TaskKey
+    service: str
+    since: float
+    minion: Minion | None = None
+    chosen_at: float = float("-inf")
+
+    @property
+    def step_id(self) -> StepId:
+        """Return the job, occurrence and step of the task."""
+        return step_id(self.key)
+
+    def is_before_short(self, now: float) -> bool:
+        """Return whether short tasks have to leave room for the task."""
+        return now - self.since >= CLAIM_FROM_SHORT_AFTER_SECONDS
+
+
+class FillerClaims:
+    """Waiting times of fillers, and the minions that the longest waiting ones have claimed.
+
+    A minion has at most one claim. The wait of a step begins anew with each of its starts.
+    """
+
+    def __init__(self, interference: InterferenceControl) -> None:
+        self._interference = interference
+        self._since: dict[StepId, float] = {}
+        self._claims: dict[StepId, FillerClaim] = {}
+        self._by_minion: dict[Minion, FillerClaim] = {}
+        self._now = 0.0
+
+    def __iter__(self) -> Iterator[FillerClaim]:
+        """Return the claims, the longest waiting first."""
+        return iter(list(self._claims.values()))
+
+    def update(
+        self,
+        ranked: Sequence[RankedJob],
+        by_service: Mapping[str, Sequence[Minion]],
+        open_tasks: OpenTasks,
+        now: float,
+        unix_ms: int,
+    ) -> None:
+        """Update the waiting times, and claim minions for the longest waiting fillers.
+
+        :param by_service: minions on which tasks may start
+        :param open_tasks: returns those of a step's tasks that may start beside other tasks
+        """
+        self._now = now
+        since, self._since = self._since, {}
+        overdue: dict[str, list[FillerClaim]] = {}
+        for _, queue, waiting in ranked:
+            for step, keys in startable_steps(waiting, queue, unix_ms):
+                if not step.is_filler or step.is_gang:
+                    continue
+                identity = step_id(keys[0])
+                began = self._since[identity] = since.get(identity, now)
+                if now - began < CLAIM_AFTER_SECONDS:
+                    continue
+                open_keys = open_tasks(waiting.job, keys)
+                if open_keys:
+                    overdue.setdefault(queue.service, []).append(
+                        FillerClaim(waiting.job, step, open_keys[0], queue.service, began)
+                    )
+        self._choose_claims(overdue, by_service)
+
+    def record_start(self, key: TaskKey) -> None:
+        """Record that a filler starts, so that the wait of its step begins anew."""
+        identity = step_id(key)
+        if identity in self._since:
+            self._since[identity] = self._now
+        claim = self._claims.pop(identity, None)
+        if claim is not None and claim.minion is not None:
+            self._by_minion.pop(claim.minion, None)
+
+    def is_start_allowed(self, minion: Minion, step: Step, identity: StepId) -> bool:
+        """Return whether a task may start on a minion without delaying the claim on it.
+
+        :param identity: job, occurrence and step of the task
+        """
+        claim = self._by_minion.get(minion)
+        if claim is None or step.is_lasting or claim.step_id == identity:
+            return True
+        if not step.is_filler and not claim.is_before_short(self._now):
+            return True
+        room, claimed = step.room, claim.step.room
+        idle_cpu = self._interference.idle_cpu(minion)
+        if room.cpu and idle_cpu - room.cpu < MIN_FILLER_CPU_SHARE * claimed.cpu:
+            return False
+        capacity, used = minion.facts.capacity, minion.used
+        if room.memory_mb and capacity.memory_mb - used.memory_mb - room.memory_mb < (
+            claimed.memory_mb
+        ):
+            return False
+        return not room.gpu or capacity.gpu - used.gpu - room.gpu >= claimed.gpu
+
+    def _choose_claims(
+        self,
+        overdue: Mapping[str, list[FillerClaim]],
+        by_service: Mapping[str, Sequence[Minion]],
+    ) -> None:
+        """Claim minions for the longest waiting steps of each service."""
+        earlier, self._claims = self._claims, {}
+        self._by_minion = {}
+        for service, claims in overdue.items():
+            pool = by_service.get(service, [])
+            usable = set(pool)
+            claims.sort(key=lambda claim: claim.since)
+            for claim in claims[: max(1, min(MAX_CLAIMS, int(MAX_CLAIMED_SHARE * len(pool))))]:
+                self._claims[claim.step_id] = claim
+                known = earlier.get(claim.step_id)
+                if known is not None:
+                    claim.chosen_at = known.chosen_at
+                    if known.minion in usable and self._shortfall(known.minion, claim) is not None:
+                        claim.minion = known.minion
+                is_choice_due = self._now - claim.chosen_at >= CHOICE_INTERVAL_SECONDS
+                if claim.minion is None and is_choice_due:
+                    claim.chosen_at = self._now
+                    claim.minion = self._choose_minion(claim, pool)
+                if claim.minion is not None:
+                    self._by_minion[claim.minion] = claim
+
+    def _choose_minion(self, claim: FillerClaim, pool: Sequence[Minion]) -> Minion | None:
+        """Return the minion on which the smallest part of a filler's room has to become free."""
+        best: Minion | None = None
+        smallest: tuple[float, float] = (0.0, 0.0)
+        for minion in pool:
+            shortfall = self._shortfall(minion, claim)
+            if shortfall is None:
+                continue
+            lack = self._interference.lacking_headroom(minion, claim.step, self._now)
+            if best is None or (shortfall, lack) < smallest:
+                best, smallest = minion, (shortfall, lack)
+        return best
+
+    def _shortfall(self, minion: Minion | None, claim: FillerClaim) -> float | None:
+        """Return the largest share of a filler's room that is not free on a minion.
+
+        :returns: None if the filler does not fit even when all runs that end have ended, or if
+            another claim is on the minion
+        """
+        step, room = claim.step, claim.step.room
+        if minion is None or minion in self._by_minion:
+            return None
+        if not has_required_label(minion, step):
+            return None
+        if not is_anti_affinity_met(minion, step, claim.key):
+            return None
+        capacity = minion.facts.capacity
+        needed_cpu = MIN_FILLER_CPU_SHARE * room.cpu
+        lasting_memory_mb = lasting_gpu = 0
+        for run in minion.runs.values():
+            if run.step.is_lasting:
+                lasting_memory_mb += run.step.room.memory_mb
+                lasting_gpu += run.step.room.gpu
+        if self._interference.idle_cpu_of_lasting(minion) < needed_cpu:
+            return None
+        if capacity.memory_mb - lasting_memory_mb < room.memory_mb:
+            return None
+        if capacity.gpu - lasting_gpu < room.gpu:
+            return None
+        free = minion.free
+        return max(
+            0.0,
+            (needed_cpu - self._interference.idle_cpu(minion)) / max(1.0, needed_cpu),
+            (room.memory_mb - free.memory_mb) / max(1, room.memory_mb),
+            (room.gpu - free.gpu) / max(1, room.gpu),
+        )
+
+
+def step_id(key: TaskKey) -> StepId:
+    """Return the job, occurrence and step of a task."""
+    return (key.job_id, key.occurrence, key.step)
--- /dev/null
+++ b/dotterelhill/jobs/placement/lasting_claims.py
@@ -0,0 +1,104 @@
+"""Claims of minions by lasting tasks that have not run for long."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+
+from dotterelhill.jobs.fleet import Minion
+from dotterelhill.jobs.model import Job, Step, TaskKey
+from dotterelhill.jobs.placement.waiting import (
+    RankedJob,
+    WaitingJob,
+    has_required_label,
+    is_anti_affinity_met,
+    longest_idle_seconds,
+    startable_lasting_steps,
+)
+
+# Short tasks have to leave a minion to a lasting task that has not run for this time. The platform
+# counts it from 6 s after its last run, which may be over when its run is known to be lost.
+CLAIM_AFTER_SECONDS = 5.0
+
+
+class LastingClaims:
+    """Processors of minions that are kept free of short tasks for overdue lasting tasks.
+
+    Without claims, a steady sequence of short tasks would fragment the free processors, so that a
+    lasting task never fits.
+    """
+
+    def __init__(self) -> None:
+        self._claimed_cpu: dict[Minion, int] = {}
+        self._minions: dict[TaskKey, Minion] = {}
+
+    @property
+    def minions(self) -> Mapping[TaskKey, Minion]:
+        """Return the claimed minions by task."""
+        return self._minions
+
+    def update(
+        self,
+        ranked: Sequence[RankedJob],
+        by_service: Mapping[str, Sequence[Minion]],
+        now: float,
+        unix_ms: int,
+    ) -> None:
+        """Claim minions for lasting tasks that have waited longer than ``CLAIM_AFTER_SECONDS``."""
+        earlier, self._minions = self._minions, {}
+        self._claimed_cpu = {}
+        for _, queue, waiting in ranked:
+            for step, keys in startable_lasting_steps(waiting, queue, unix_ms):
+                if longest_idle_seconds(waiting.job, keys, now) < CLAIM_AFTER_SECONDS:
+                    continue
+                pool = by_service.get(queue.service, [])
+                for key in keys:
+                    minion = self.claimable_minion(key, step, pool, earlier.get(key))
+                    if minion is None:
+                        break
+                    self._minions[key] = minion
+                    self._claimed_cpu[minion] = self._claimed_cpu.get(minion, 0) + step.room.cpu
+
+    def claimed_cpu(self, minion: Minion) -> int:
+        """Return the thousandths of a processor of a minion that lasting tasks have claimed."""
+        return self._claimed_cpu.get(minion, 0)
+
+    def claimable_minion(
+        self, key: TaskKey, step: Step, pool: Sequence[Minion], earlier: Minion | None
+    ) -> Minion | None:
+        """Return the minion that needs the fewest short tasks to end before a lasting task fits.
+
+        :param earlier: minion claimed in the previous round; stays claimed if it still qualifies
+        """
+        best: Minion | None = None
+        smallest_shortfall = 0
+        for minion in pool:
+            claimed_cpu = self._claimed_cpu.get(minion, 0)
+            available_cpu = minion.facts.capacity.cpu - minion.lasting_cpu - claimed_cpu
+            available_memory_mb = minion.facts.capacity.memory_mb - minion.used.memory_mb
+            available_gpu = minion.facts.capacity.gpu - minion.used.gpu
+            if available_cpu < step.room.cpu or available_memory_mb < step.room.memory_mb:
+                continue
+            if available_gpu < step.room.gpu:
+                continue
+            if not has_required_label(minion, step) or not is_anti_affinity_met(minion, step, key):
+                continue
+            if minion is earlier:
+                return minion
+            shortfall = step.room.cpu + claimed_cpu - minion.free_cpu
+            if best is None or shortfall < smallest_shortfall:
+                best, smallest_shortfall = minion, shortfall
+        return best
+
+
+def has_overdue_task(waiting: WaitingJob, now: float) -> bool:
+    """Return whether a lasting task of a job has not run for ``CLAIM_AFTER_SECONDS``."""
+    for (_, index), keys in waiting.pending.items():
+        if waiting.job.submission.steps[index].is_lasting:
+            if longest_idle_seconds(waiting.job, keys, now) >= CLAIM_AFTER_SECONDS:
+                return True
+    return False
+
+
+def is_overdue(job: Job, key: TaskKey, now: float) -> bool:
+    """Return whether a waiting lasting task has not run for ``CLAIM_AFTER_SECONDS``."""
+    return longest_idle_seconds(job, [key], now) >= CLAIM_AFTER_SECONDS
--- a/dotterelhill/jobs/placement/placement.py
+++ b/dotterelhill/jobs/placement/placement.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator, Mapping, Sequence
-from dataclasses import dataclass, field
 from enum import IntEnum
 from functools import partial
 from heapq import heapify, heappop, heapreplace
@@ -11,17 +10,29 @@
 from dotterelhill.jobs.crashes.isolation import Isolation
 from dotterelhill.jobs.crashes.suspicion import CrashSuspicion
 from dotterelhill.jobs.fleet import Minion
-from dotterelhill.jobs.interference.sharing import InterferenceControl
+from dotterelhill.jobs.interference.sharing import MIN_FILLER_CPU_SHARE, InterferenceControl
 from dotterelhill.jobs.model import TOO_LATE_FACTOR, Job, Step, Task, TaskKey, critical_path_seconds
+from dotterelhill.jobs.placement.filler_claims import FillerClaims
+from dotterelhill.jobs.placement.lasting_claims import (
+    CLAIM_AFTER_SECONDS,
+    LastingClaims,
+    has_overdue_task,
+    is_overdue,
+)
 from dotterelhill.jobs.placement.lasting_waits import WaitingStep
+from dotterelhill.jobs.placement.waiting import (
+    OccurrenceStep,
+    RankedJob,
+    WaitingJob,
+    has_required_label,
+    longest_idle_seconds,
+    startable_lasting_steps,
+)
 from dotterelhill.jobs.queues import Queue
 from dotterelhill.jobs.resources import ResourceVector
 
 UNLIMITED_STARTS = 1 << 30
 
-# A filler is placed only on a minion with at least this share of its requested processors idle.
-MIN_FILLER_CPU_SHARE = 0.75
-
 # With thousands of waiting fillers, each attempt to place them takes milliseconds, while headroom
 # changes within some tenths of a second.
 FILLER_RETRY_SECONDS = 0.1
@@ -34,14 +45,10 @@
 # A lasting task that has not run for this time ignores the reserve. From then until it claims a
 # minion, only the last slot for a task of its size stays reserved.
 RESERVE_WAIT_SECONDS = 2.2
-# Short tasks have to leave a minion to a lasting task that has not run for this time. The platform
-# counts it from 6 s after its last run, which may be over when its run is known to be lost.
-CLAIM_AFTER_SECONDS = 5.0
 # Upper bound of the reserve on one minion, as a share of the size of the lasting task.
 MAX_RESERVE_SHARE = 0.9
 
 QueueLookup = Callable[[Job], Queue]
-OccurrenceStep = tuple[int, int]
 
 
 class Timeliness(IntEnum):
@@ -52,17 +59,6 @@
     TOO_LATE = 2
 
 
-@dataclass(slots=True)
-class _WaitingJob:
-    """Waiting tasks of one job, by occurrence and step.
-
-    :param pending: keys of the tasks that can start
-    """
-
-    job: Job
-    pending: dict[OccurrenceStep, list[TaskKey]] = field(default_factory=dict)
-
-
 class Placement:
     """Queue of the waiting tasks of all active jobs, and the choice of their minions.
 
@@ -74,14 +70,14 @@
         self._interference = interference
         self._suspicion = suspicion
         self._isolation = Isolation(suspicion)
-        self._waiting_jobs: dict[str, _WaitingJob] = {}
+        self._waiting_jobs: dict[str, WaitingJob] = {}
         self._short_peak_cpu = 0.0
         self._short_peak_at = 0.0
         self._unplaceable: dict[str, list[ResourceVector]] = {}
         self._unplaceable_since = float("-inf")
         self._remaining_starts = UNLIMITED_STARTS
-        self._claimed_cpu: dict[Minion, int] = {}
-        self._claimed_minions: dict[TaskKey, Minion] = {}
+        self._lasting_claims = LastingClaims()
+        self._filler_claims = FillerClaims(interference)
 
     @property
     def waiting_tasks(self) -> int:
@@ -106,12 +102,12 @@
         """
         for waiting in self._waiting_jobs.values():
             queue = queue_of(waiting.job)
-            for step, keys in _startable_lasting_steps(waiting, queue, unix_ms):
+            for step, keys in startable_lasting_steps(waiting, queue, unix_ms):
                 yield WaitingStep(waiting.job, step, queue.service, keys)
 
     def add_job(self, job: Job) -> None:
         """Add the ready steps of a job that became active."""
-        waiting = self._waiting_jobs[job.job_id] = _WaitingJob(job)
+        waiting = self._waiting_jobs[job.job_id] = WaitingJob(job)
         for occurrence in range(job.submission.occurrence_count):
             for step in range(len(job.submission.steps)):
                 self._add_ready_step(waiting, occurrence, step)
@@ -139,7 +135,7 @@
             if key.step in dependent.after:
                 self._add_ready_step(waiting, key.occurrence, step)
 
-    def _add_ready_step(self, waiting: _WaitingJob, occurrence: int, step: int) -> None:
+    def _add_ready_step(self, waiting: WaitingJob, occurrence: int, step: int) -> None:
         """Add the unassigned tasks of a step whose dependencies are done."""
         job = waiting.job
         if not job.is_step_ready(occurrence, step) or job.is_step_done(occurrence, step):
@@ -165,8 +161,9 @@
     ) -> Iterator[tuple[Job, TaskKey, Minion]]:
         """Yield starts by priority, timeliness and slack of their jobs.
 
-        Lasting tasks that have not run for ``CLAIM_AFTER_SECONDS`` come first: a steady sequence of
-        tasks that rank before them could use up ``max_starts`` in each round.
+        Lasting tasks that have not run for ``CLAIM_AFTER_SECONDS`` come first, then fillers that
+        have claimed a minion: a steady sequence of tasks that rank before them could use up
+        ``max_starts`` in each round.
 
         The caller has to attach each run to its minion before it requests the next start.
 
@@ -188,18 +185,24 @@
         ranked.sort(key=lambda entry: entry[0])
         self._track_short_peak(minions, now)
         unplaceable = self._recently_unplaceable(now)
-        self._claim_minions(ranked, by_service, now, unix_ms)
+        self._lasting_claims.update(ranked, by_service, now, unix_ms)
         if self._suspicion.has_suspects:
             yield from self._choose_isolated_starts(ranked, by_service, now, unix_ms)
             for service, pool in by_service.items():
                 by_service[service] = self._isolation.open_minions(pool)
+        self._filler_claims.update(
+            ranked, by_service, partial(self._open_tasks, now=now), now, unix_ms
+        )
         turns = []
         for _, queue, waiting in ranked:
-            if _has_overdue_task(waiting, now):
+            if has_overdue_task(waiting, now):
                 turns.append((queue, waiting, True))
+        lasting_turns = len(turns)
         for _, queue, waiting in ranked:
             turns.append((queue, waiting, False))
-        for queue, waiting, is_overdue_only in turns:
+        for number, (queue, waiting, is_overdue_only) in enumerate(turns):
+            if number == lasting_turns:
+                yield from self._choose_claimed_starts(now)
             pool = by_service.get(queue.service, [])
             for_trial = for_trial_by_service.get(queue.service, [])
             if self._remaining_starts <= 0:
@@ -235,65 +238,9 @@
         self._short_peak_cpu = max(cpu, self._short_peak_cpu * decay)
         self._short_peak_at = now
 
-    def _claim_minions(
-        self,
-        ranked: Sequence[tuple[object, Queue, _WaitingJob]],
-        by_service: Mapping[str, Sequence[Minion]],
-        now: float,
-        unix_ms: int,
-    ) -> None:
-        """Claim minions for lasting tasks that have waited longer than ``CLAIM_AFTER_SECONDS``.
-
-        Without claims, a steady sequence of short tasks would fragment the free processors, so
-        that a lasting task never fits.
-        """
-        earlier, self._claimed_minions = self._claimed_minions, {}
-        self._claimed_cpu = {}
-        for _, queue, waiting in ranked:
-            for step, keys in _startable_lasting_steps(waiting, queue, unix_ms):
-                if _idle_seconds(waiting.job, keys, now) < CLAIM_AFTER_SECONDS:
-                    continue
-                pool = by_service.get(queue.service, [])
-                for key in keys:
-                    minion = self._claimable_minion(key, step, pool, earlier.get(key))
-                    if minion is None:
-                        break
-                    self._claimed_minions[key] = minion
-                    self._claimed_cpu[minion] = self._claimed_cpu.get(minion, 0) + step.room.cpu
-
-    def _claimable_minion(
-        self, key: TaskKey, step: Step, pool: Sequence[Minion], earlier: Minion | None
-    ) -> Minion | None:
-        """Return the minion that needs the fewest short tasks to end before a lasting task fits.
-
-        :param earlier: minion claimed in the previous round; stays claimed if it still qualifies
-        """
-        best: Minion | None = None
-        smallest_shortfall = 0
-        for minion in pool:
-            claimed_cpu = self._claimed_cpu.get(minion, 0)
-            available_cpu = minion.facts.capacity.cpu - minion.lasting_cpu - claimed_cpu
-            available_memory_mb = minion.facts.capacity.memory_mb - minion.used.memory_mb
-            available_gpu = minion.facts.capacity.gpu - minion.used.gpu
-            if available_cpu < step.room.cpu or available_memory_mb < step.room.memory_mb:
-                continue
-            if available_gpu < step.room.gpu:
-                continue
-            if not _has_required_label(minion, step):
-                continue
-            count = minion.run_count(key.job_id, key.occurrence, key.step)
-            if step.anti_affinity and count >= step.anti_affinity:
-                continue
-            if minion is earlier:
-                return minion
-            shortfall = step.room.cpu + claimed_cpu - minion.free_cpu
-            if best is None or shortfall < smallest_shortfall:
-                best, smallest_shortfall = minion, shortfall
-        return best
-
     def _choose_isolated_starts(
         self,
-        ranked: Sequence[tuple[object, Queue, _WaitingJob]],
+        ranked: Sequence[RankedJob],
         by_service: Mapping[str, Sequence[Minion]],
         now: float,
         unix_ms: int,
@@ -346,12 +293,35 @@
                 self._isolation.claim(key, pool, start_cost, lambda minions: None)
                 continue
             self._isolation.claim(
-                key, pool, start_cost, partial(self._claimable_minion, key, step, earlier=None)
+                key,
+                pool,
+                start_cost,
+                partial(self._lasting_claims.claimable_minion, key, step, earlier=None),
             )
 
+    def _open_tasks(self, job: Job, keys: list[TaskKey], now: float) -> list[TaskKey]:
+        """Return those of a step's waiting tasks that may start beside other tasks."""
+        return self._suspicion.open_tasks(job, (keys[0].occurrence, keys[0].step), keys, now)
+
+    def _choose_claimed_starts(self, now: float) -> Iterator[tuple[Job, TaskKey, Minion]]:
+        """Yield the starts of fillers on the minions that they have claimed."""
+        for claim in self._filler_claims:
+            key, minion = claim.key, claim.minion
+            if self._remaining_starts <= 0 or minion is None or key in minion.runs:
+                continue
+            occurrence_step = (key.occurrence, key.step)
+            keys = self._waiting_jobs[key.job_id].pending[occurrence_step]
+            cost = self._start_cost(claim.job, claim.step, occurrence_step, minion, now, 0.0)
+            if cost is None:
+                continue
+            keys.remove(key)
+            self._filler_claims.record_start(key)
+            self._remaining_starts -= 1
+            yield claim.job, key, minion
+
     def _choose_job_starts(
         self,
-        waiting: _WaitingJob,
+        waiting: WaitingJob,
         pool: Sequence[Minion],
         for_trial: list[Minion],
         now: float,
@@ -377,7 +347,7 @@
                 continue
             open_keys = self._suspicion.open_tasks(job, occurrence_step, keys, now)
             if is_overdue_only:
-                open_keys = [key for key in open_keys if _is_overdue(job, key, now)]
+                open_keys = [key for key in open_keys if is_overdue(job, key, now)]
             if not open_keys:
                 continue
             held_keys = []
@@ -413,7 +383,7 @@
         for resources in unplaceable.get(placement_class, []):
             if step.room.is_enough_for(resources):
                 return
-        idle_seconds = _idle_seconds(job, keys, now) if step.is_lasting else 0.0
+        idle_seconds = longest_idle_seconds(job, keys, now) if step.is_lasting else 0.0
         reserved_cpu = self._reserved_cpu(step, pool, idle_seconds)
         occurrence_step = (keys[0].occurrence, keys[0].step)
         heap: list[tuple[tuple[float, ...], int]] = []
@@ -433,7 +403,10 @@
                 heappop(heap)
                 continue
             self._remaining_starts -= 1
-            yield job, keys.pop(0), minion
+            key = keys.pop(0)
+            if step.is_filler:
+                self._filler_claims.record_start(key)
+            yield job, key, minion
             # A start changes only the cost on its own minion.
             cost = self._start_cost(job, step, occurrence_step, minion, now, reserved_cpu)
             if cost is None:
@@ -477,7 +450,7 @@
         """Return whether the free capacity of all minions holds fewer than two tasks of a step."""
         slot_count = 0
         for minion in pool:
-            if _has_required_label(minion, step) and minion.has_room_for(step):
+            if has_required_label(minion, step) and minion.has_room_for(step):
                 slot_count += minion.free_cpu // max(1, step.room.cpu)
                 if slot_count >= 2:
                     return False
@@ -493,7 +466,7 @@
         chosen: list[tuple[TaskKey, Minion]] = []
         for key in keys:
             for minion in pool:
-                if not _has_required_label(minion, step) or not free[id(minion)].is_enough_for(
+                if not has_required_label(minion, step) or not free[id(minion)].is_enough_for(
                     step.reserved_resources
                 ):
                     continue
@@ -521,7 +494,7 @@
         reserved_cpu: float,
     ) -> tuple[float, ...] | None:
         """Return the cost of a start on a minion, lower is better; None when it is not allowed."""
-        if not minion.has_room_for(step) or not _has_required_label(minion, step):
+        if not minion.has_room_for(step) or not has_required_label(minion, step):
             return None
         if (
             step.anti_affinity
@@ -529,7 +502,9 @@
         ):
             return None
         is_short = not step.is_lasting and not step.is_filler
-        if is_short and minion.free_cpu - self._claimed_cpu.get(minion, 0) < step.room.cpu:
+        if is_short and minion.free_cpu - self._lasting_claims.claimed_cpu(minion) < step.room.cpu:
+            return None
+        if not self._filler_claims.is_start_allowed(minion, step, (job.job_id, *occurrence_step)):
             return None
         if reserved_cpu and minion.free_cpu - step.room.cpu < reserved_cpu:
             return None
@@ -565,43 +540,6 @@
         )
 
 
-def _startable_lasting_steps(
-    waiting: _WaitingJob, queue: Queue, unix_ms: int
-) -> Iterator[tuple[Step, list[TaskKey]]]:
-    """Yield the steps of a job with lasting tasks that may start, with the keys of the tasks."""
-    if queue.needs_advice:
-        return
-    submission = waiting.job.submission
-    for (occurrence, index), keys in waiting.pending.items():
-        step = submission.steps[index]
-        if step.is_lasting and keys and unix_ms >= submission.due_ms(occurrence):
-            yield step, keys
-
-
-def _has_overdue_task(waiting: _WaitingJob, now: float) -> bool:
-    """Return whether a lasting task of a job has not run for ``CLAIM_AFTER_SECONDS``."""
-    for (_, index), keys in waiting.pending.items():
-        if waiting.job.submission.steps[index].is_lasting:
-            if _idle_seconds(waiting.job, keys, now) >= CLAIM_AFTER_SECONDS:
-                return True
-    return False
-
-
-def _is_overdue(job: Job, key: TaskKey, now: float) -> bool:
-    """Return whether a waiting lasting task has not run for ``CLAIM_AFTER_SECONDS``."""
-    return _idle_seconds(job, [key], now) >= CLAIM_AFTER_SECONDS
-
-
-def _idle_seconds(job: Job, keys: Sequence[TaskKey], now: float) -> float:
-    """Return the longest time in seconds for which one of the waiting tasks has not run."""
-    idle_seconds = 0.0
-    for key in keys:
-        idle_since = job.task(key).idle_since
-        if idle_since is not None:
-            idle_seconds = max(idle_seconds, now - idle_since)
-    return idle_seconds
-
-
 def _group_by_service(minions: Sequence[Minion]) -> dict[str, list[Minion]]:
     """Return minions by service."""
     by_service: dict[str, list[Minion]] = {}
@@ -617,11 +555,6 @@
     return f"lasting {step.image} {service}" if step.is_lasting else f"short {service}"
 
 
-def _has_required_label(minion: Minion, step: Step) -> bool:
-    """Return whether a minion has the label that a step requires, if any."""
-    return not step.required_label or step.required_label in minion.facts.labels
-
-
 def _sort_key(job: Job, queue: Queue, unix_ms: int) -> tuple[int, int, float]:
     """Return the sort key of a job: priority, timeliness, and slack in seconds."""
     age_seconds = (unix_ms - job.submission.accepted_ms) / 1000.0
--- a/dotterelhill/jobs/tests/scheduler.feature
+++ b/dotterelhill/jobs/tests/scheduler.feature
@@ -466,9 +466,14 @@
       | lasting task |
       | filler       |
 
-  @known-red
   Scenario: a steady sequence of smaller fillers keeps a large filler from ever starting
     Given a fleet with minions "m1" of 8 processors
     And job "a" of 1 filler of 8 processors on queue "long" that waits behind fillers of 2 processors
-    When fillers of 2 processors end and new ones are submitted for 20 seconds
+    When fillers of 2 processors end and new ones are submitted for 5 seconds
+    Then job "a" has started
+
+  Scenario: a steady sequence of short tasks and smaller fillers keeps a large filler from ever starting
+    Given a fleet with minions "m1" of 8 processors
+    And job "a" of 1 filler of 8 processors on queue "long" that waits behind fillers of 2 processors
+    When short tasks of 3 processors and fillers of 2 processors come all the time for 9 seconds
     Then job "a" has started
--- a/dotterelhill/jobs/tests/steps/capacity_steps.py
+++ b/dotterelhill/jobs/tests/steps/capacity_steps.py
@@ -69,7 +69,7 @@
 
 
 def claimed_minion(context) -> str:
-    (minion,) = context.fleet.scheduler._placement._claimed_minions.values()
+    (minion,) = context.fleet.scheduler._placement._lasting_claims.minions.values()
     return minion.minion_id
 
 
--- a/dotterelhill/jobs/tests/steps/scheduler_steps.py
+++ b/dotterelhill/jobs/tests/steps/scheduler_steps.py
@@ -485,3 +485,18 @@
         fleet.submit(f"next{number}", (tasks(1, 2, is_filler=True),), "long")
         for _ in range(5):
             fleet.run_round()
+
+
+@when(
+    r"short tasks of 3 processors and fillers of 2 processors come all the time "
+    r"for (?P<seconds>\d+) seconds"
+)
+def run_mixed_sequence(context, seconds):
+    fleet = context.fleet
+    for number in range(round(int(seconds) / ROUND_SECONDS / 5)):
+        for key in [key for key in fleet.running["m1"] if key.job_id != "a"][:2]:
+            fleet.end("m1", key, EndKind.DONE)
+        fleet.submit(f"short{number}", (tasks(1, 3),))
+        fleet.submit(f"next{number}", (tasks(1, 2, is_filler=True),), "long")
+        for _ in range(5):
+            fleet.run_round()
