Start fillers that no minion admits after 6 s where they interfere least

Cause: where each minion has a serving task that would lose too much headroom, a filler waited without bound although the processors were idle. Ruled out: a lower limit of headroom for all fillers. Ranking minions by the planned headroom: it is bounded below by the trough of the image, so that minions tie. Change: a claiming filler of a job that has nothing running starts after 6 s on the minion where the lowest present headroom stays highest, minions with a task over its target last. Each minion has at most one such filler; a service with half of its processors in use on a sixteenth of its minions. Such a filler is moved after 10 s of slow pace instead of 1.2 s. The pace control is unchanged.

--- a/dotterelhill/jobs/interference/sharing.py
+++ b/dotterelhill/jobs/interference/sharing.py
@@ -15,7 +15,7 @@
 
 from dotterelhill.jobs.fleet import Minion, Run, RunState
 from dotterelhill.jobs.interference.headroom import EffectShare, HeadroomModel
-from dotterelhill.jobs.model import Step
+from dotterelhill.jobs.model import Step, TaskKey
 from dotterelhill.jobs.orders import PaceOrder
 
 # A filler is placed only on a minion with at least this share of its requested processors idle.
@@ -43,6 +43,8 @@
 # A filler with a lower pace for longer than this time is moved to another minion.
 MOVE_PACE_PERCENT = 40
 MOVE_AFTER_SECONDS = 1.2
+# A filler that no minion admitted has waited for long and would wait again, so it is moved later.
+MOVE_FORCED_AFTER_SECONDS = 10.0
 # All fillers of a minion are paused once a serving task has been over its target for this share of
 # the time that the platform allows.
 STOP_TIME_SHARE = 0.35
@@ -81,6 +83,7 @@
         self._stop_after_seconds = STOP_TIME_SHARE * harm_seconds
         self._model = HeadroomModel()
         self._minions: dict[Minion, _MinionState] = {}
+        self._forced: set[TaskKey] = set()
 
     @property
     def model(self) -> HeadroomModel:
@@ -93,6 +96,7 @@
 
     def remove_run(self, run: Run) -> None:
         """Remove the state of a run that has ended."""
+        self._forced.discard(run.key)
         if run.step.is_lasting:
             self._model.remove_task(run.key)
 
@@ -143,6 +147,41 @@
                 lack = max(lack, effect_sum - (remaining - MIN_PLANNED_HEADROOM))
         return lack
 
+    def headroom_beside(self, minion: Minion, step: Step, now: float) -> float:
+        """Return the lowest present headroom of a serving task beside a new filler.
+
+        Unlike ``lacking_headroom`` it does not allow for a rise of the load. Serving tasks on which
+        the filler has a negligible effect don't count.
+        """
+        filler_shares = self._planned_filler_shares(minion)
+        added_share = step.room.cpu / _processors(minion)
+        lowest = float("inf")
+        for run in minion.runs.values():
+            if not _has_latency_target(run):
+                continue
+            image = run.step.image
+            added = added_share * self._model.effect(image, step.image)
+            if added < NEGLIGIBLE_EFFECT:
+                continue
+            headroom = self._model.baseline_headroom(run.key, now) - added
+            for filler, share in filler_shares.items():
+                headroom -= share * self._model.effect(image, filler)
+            lowest = min(lowest, headroom)
+        return lowest
+
+    def is_over_target(self, minion: Minion) -> bool:
+        """Return whether a serving task on a minion is over its target."""
+        state = self._minions.get(minion)
+        return state is not None and state.over_target_since is not None
+
+    def record_forced_start(self, key: TaskKey) -> None:
+        """Record that a filler starts although it takes too much headroom."""
+        self._forced.add(key)
+
+    def has_forced_filler(self, minion: Minion) -> bool:
+        """Return whether a filler runs on a minion that takes too much headroom there."""
+        return not self._forced.isdisjoint(minion.runs)
+
     def discard_cached_headroom(self, minion: Minion) -> None:
         """Compute the remaining headroom on a minion anew, since its capacity has changed."""
         state = self._minions.get(minion)
@@ -329,7 +368,9 @@
             if minion.runs.get(run.key) is not run:
                 del state.slow_since[run]
                 continue
-            if run.step.is_checkpointing and now - since > MOVE_AFTER_SECONDS:
+            is_forced = run.key in self._forced
+            limit = MOVE_FORCED_AFTER_SECONDS if is_forced else MOVE_AFTER_SECONDS
+            if run.step.is_checkpointing and now - since > limit:
                 runs.append(run)
         return runs
 
--- /dev/null
+++ b/dotterelhill/jobs/placement/forced_starts.py
@@ -0,0 +1,67 @@
+"""Starts of fillers that the interference control admits on no minion."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+
+from dotterelhill.jobs.fleet import Minion
+from dotterelhill.jobs.interference.sharing import MIN_FILLER_CPU_SHARE, InterferenceControl
+from dotterelhill.jobs.placement.filler_claims import FillerClaim
+
+# The platform counts a job as lost that has not run for 3 s, from 14 s after the end of all
+# traffic. Serving tasks whose load falls usually admit a filler within some seconds.
+FORCE_AFTER_SECONDS = 6.0
+# The platform counts a job as lost only while less of a service's processors is in use.
+IDLE_SHARE = 0.5
+# Share of the minions of a busy service that may have such a filler. Its fillers wait because the
+# service is overloaded, and starting them all would throttle every filler.
+MAX_SHARE_WHILE_BUSY = 1 / 16
+
+StartCheck = Callable[[Minion], bool]
+
+
+class ForcedStarts:
+    """Choice of the minion where a filler of a job that has nothing running interferes least.
+
+    Each minion has at most one such filler, whose pace is controlled as that of the others.
+    """
+
+    def __init__(self, interference: InterferenceControl) -> None:
+        self._interference = interference
+
+    def choose(
+        self, claim: FillerClaim, pool: Sequence[Minion], is_allowed: StartCheck, now: float
+    ) -> Minion | None:
+        """Return the minion on which a filler starts; None while it has to wait.
+
+        :param is_allowed: returns whether the filler fits on a minion, apart from interference
+        """
+        if now - claim.since < FORCE_AFTER_SECONDS:
+            return None
+        if any(task.is_assigned for task in claim.job.tasks.values()):
+            return None
+        forced_count = used_cpu = capacity_cpu = 0
+        best: Minion | None = None
+        lowest: tuple[bool, float, float] = (True, 0.0, 0.0)
+        for minion in pool:
+            capacity_cpu += minion.facts.capacity.cpu
+            used_cpu += minion.used.cpu + int(minion.filler_cpu)
+            if self._interference.has_forced_filler(minion):
+                forced_count += 1
+                continue
+            idle_cpu = self._interference.idle_cpu(minion)
+            if idle_cpu < MIN_FILLER_CPU_SHARE * claim.step.room.cpu or not is_allowed(minion):
+                continue
+            rank = (
+                self._interference.is_over_target(minion),
+                -self._interference.headroom_beside(minion, claim.step, now),
+                -idle_cpu,
+            )
+            if best is None or rank < lowest:
+                best, lowest = minion, rank
+        is_idle = used_cpu < IDLE_SHARE * capacity_cpu
+        if not is_idle and forced_count >= max(1, int(MAX_SHARE_WHILE_BUSY * len(pool))):
+            return None
+        if best is not None:
+            self._interference.record_forced_start(claim.key)
+        return best
--- a/dotterelhill/jobs/placement/placement.py
+++ b/dotterelhill/jobs/placement/placement.py
@@ -13,6 +13,7 @@
 from dotterelhill.jobs.interference.sharing import MIN_FILLER_CPU_SHARE, InterferenceControl
 from dotterelhill.jobs.model import TOO_LATE_FACTOR, Job, Step, Task, TaskKey, critical_path_seconds
 from dotterelhill.jobs.placement.filler_claims import FillerClaims
+from dotterelhill.jobs.placement.forced_starts import ForcedStarts
 from dotterelhill.jobs.placement.lasting_claims import (
     CLAIM_AFTER_SECONDS,
     LastingClaims,
@@ -78,6 +79,7 @@
         self._remaining_starts = UNLIMITED_STARTS
         self._lasting_claims = LastingClaims()
         self._filler_claims = FillerClaims(interference)
+        self._forced_starts = ForcedStarts(interference)
 
     @property
     def waiting_tasks(self) -> int:
@@ -202,7 +204,7 @@
             turns.append((queue, waiting, False))
         for number, (queue, waiting, is_overdue_only) in enumerate(turns):
             if number == lasting_turns:
-                yield from self._choose_claimed_starts(now)
+                yield from self._choose_claimed_starts(by_service, now)
             pool = by_service.get(queue.service, [])
             for_trial = for_trial_by_service.get(queue.service, [])
             if self._remaining_starts <= 0:
@@ -303,18 +305,27 @@
         """Return those of a step's waiting tasks that may start beside other tasks."""
         return self._suspicion.open_tasks(job, (keys[0].occurrence, keys[0].step), keys, now)
 
-    def _choose_claimed_starts(self, now: float) -> Iterator[tuple[Job, TaskKey, Minion]]:
-        """Yield the starts of fillers on the minions that they have claimed."""
+    def _choose_claimed_starts(
+        self, by_service: Mapping[str, Sequence[Minion]], now: float
+    ) -> Iterator[tuple[Job, TaskKey, Minion]]:
+        """Yield the starts of fillers on the minions that they have claimed.
+
+        A filler that has waited for long starts where it interferes least.
+        """
         for claim in self._filler_claims:
+            if self._remaining_starts <= 0:
+                return
             key, minion = claim.key, claim.minion
-            if self._remaining_starts <= 0 or minion is None or key in minion.runs:
-                continue
             occurrence_step = (key.occurrence, key.step)
-            keys = self._waiting_jobs[key.job_id].pending[occurrence_step]
-            cost = self._start_cost(claim.job, claim.step, occurrence_step, minion, now, 0.0)
-            if cost is None:
+            is_allowed = partial(self._is_start_allowed, claim.job, claim.step, occurrence_step)
+            if minion is None or (
+                self._start_cost(claim.job, claim.step, occurrence_step, minion, now, 0.0) is None
+            ):
+                pool = by_service.get(claim.service, [])
+                minion = self._forced_starts.choose(claim, pool, is_allowed, now)
+            if minion is None or key in minion.runs:
                 continue
-            keys.remove(key)
+            self._waiting_jobs[key.job_id].pending[occurrence_step].remove(key)
             self._filler_claims.record_start(key)
             self._remaining_starts -= 1
             yield claim.job, key, minion
@@ -494,22 +505,28 @@
         reserved_cpu: float,
     ) -> tuple[float, ...] | None:
         """Return the cost of a start on a minion, lower is better; None when it is not allowed."""
-        if not minion.has_room_for(step) or not has_required_label(minion, step):
-            return None
-        if (
-            step.anti_affinity
-            and minion.run_count(job.job_id, *occurrence_step) >= step.anti_affinity
-        ):
+        if not self._is_start_allowed(job, step, occurrence_step, minion):
             return None
         is_short = not step.is_lasting and not step.is_filler
         if is_short and minion.free_cpu - self._lasting_claims.claimed_cpu(minion) < step.room.cpu:
             return None
-        if not self._filler_claims.is_start_allowed(minion, step, (job.job_id, *occurrence_step)):
-            return None
         if reserved_cpu and minion.free_cpu - step.room.cpu < reserved_cpu:
             return None
         return self._placement_cost(step, minion, now)
 
+    def _is_start_allowed(
+        self, job: Job, step: Step, occurrence_step: OccurrenceStep, minion: Minion
+    ) -> bool:
+        """Return whether a task fits on a minion, beside the claims of fillers."""
+        if not minion.has_room_for(step) or not has_required_label(minion, step):
+            return False
+        if (
+            step.anti_affinity
+            and minion.run_count(job.job_id, *occurrence_step) >= step.anti_affinity
+        ):
+            return False
+        return self._filler_claims.is_start_allowed(minion, step, (job.job_id, *occurrence_step))
+
     def _placement_cost(self, step: Step, minion: Minion, now: float) -> tuple[float, ...] | None:
         """Return the cost of a start that fits; None when it would take too much headroom."""
         rack_distance = 1.0 if step.data_rack and step.data_rack != minion.facts.rack else 0.0
--- a/dotterelhill/jobs/tests/sharing.feature
+++ b/dotterelhill/jobs/tests/sharing.feature
@@ -10,6 +10,30 @@
     And 2 rounds pass
     Then 0 fillers run
 
+  Scenario: a filler that would take too much headroom everywhere never starts on an idle fleet
+    Given serving job "s" of image "web" with target 50 ms on "m1 m2"
+    And the tails of job "s" are 46 ms for 5 seconds
+    And the tails on "m2" are 43 ms for 3 seconds
+    When job "f" of 2 checkpointing fillers of image "print" is submitted
+    And 5.0 seconds pass in rounds
+    Then 0 fillers run
+    When 2.0 seconds pass in rounds
+    Then 1 fillers run
+    And job "f" runs on "m2" only
+    When the tails beside fillers are 60 ms for 1 seconds
+    Then every filler beside job "s" is paced below 30 percent
+    When the tails beside fillers are 48 ms for 5 seconds
+    Then 1 fillers run
+
+  Scenario: many fillers that would take too much headroom start on a busy fleet and harm all serving tasks
+    Given serving job "s" of image "web" with target 50 ms on "m1 m2"
+    And job "k" of 6 lasting tasks of 5 processors on queue "long"
+    And the tails of job "s" are 46 ms for 5 seconds
+    When job "f" of 1 fillers of image "print" is submitted
+    And job "g" of 1 fillers of image "print" is submitted
+    And 9.0 seconds pass in rounds
+    Then 1 fillers run
+
   Scenario: fillers wait although all serving tasks have headroom
     Given serving job "s" of image "web" with target 50 ms on "m1 m2"
     And the tails of job "s" are 15 ms for 5 seconds
--- a/dotterelhill/jobs/tests/steps/sharing_steps.py
+++ b/dotterelhill/jobs/tests/steps/sharing_steps.py
@@ -90,15 +90,26 @@
         assert (count >= int(limit)) if side == "least" else (count <= int(limit)), counts
 
 
-@when(r'job "(?P<job>\w+)" of (?P<count>\d+) fillers of image "(?P<image>\w+)" is submitted')
-def submit_fillers(context, job, count, image):
+@given(r'the tails on "(?P<name>\w+)" are (?P<tail>\d+) ms for (?P<seconds>\d+) seconds')
+def run_with_tails_on(context, name, tail, seconds):
+    for key in context.fleet.running[name]:
+        context.fleet.tails[key] = float(tail)
+    for _ in range(round(int(seconds) / ROUND_SECONDS)):
+        context.fleet.run_round()
+
+
+@when(
+    r'job "(?P<job>\w+)" of (?P<count>\d+) (?P<checkpointing>checkpointing )?fillers '
+    r'of image "(?P<image>\w+)" is submitted'
+)
+def submit_fillers(context, job, count, checkpointing, image):
     step = Step(
         int(count),
         ResourceVector(3000, 100),
         60.0,
         is_filler=True,
         image=image,
-        is_checkpointing=False,
+        is_checkpointing=bool(checkpointing),
     )
     context.fleet.submit(job, (step,), "long")
 
