Learn the durations of tasks from runs that end done

Cause: the order of jobs and everything that looks ahead relies on clients' estimates, which are off by 20 to 90 %; on one deployment 3 % of all runs take seven times as long as usual. The scheduler kept nothing of the runs that it saw end.

Ruled out: storing the model (a new leader learns within seconds from its own runs, and a stale record could be worse than an estimate); arithmetic means (one straggler moves them for a minute); the loop time of the leader as clock of a run (delays of polls and of the event loop would count as duration).

Change: DurationModel learns durations and their ratio to the estimate by queue and image, with a decay of a minute, and uses the estimate, the mean or the estimate times the ratio, whichever had the smallest measured error. Quantiles come from ddsketch. Runs that resumed from a checkpoint, were throttled or were started by an earlier leader are not learned. MinionSpeed keeps the ratio of observed to expected durations of each minion.

--- /dev/null
+++ b/dotterelhill/jobs/durations/tests/steps/durations_steps.py
@@ -0,0 +1,158 @@
+from __future__ import annotations
+
+from math import e
+from random import Random
+
+from behave import given, then, use_step_matcher, when
+
+from dotterelhill.jobs.durations.model import DurationModel
+from dotterelhill.jobs.durations.speed import MinionSpeed
+from dotterelhill.jobs.fleet import EndKind
+from dotterelhill.jobs.model import Step, TaskKey
+from dotterelhill.jobs.resources import ResourceVector
+from dotterelhill.jobs.tests.fleet_world import FleetWorld
+
+use_step_matcher("re")
+
+RUNS_PER_SECOND = 4
+TAIL_SHARE, TAIL_FACTOR = 0.03, 7.0
+SEED = 20261204
+
+
+def step_of(estimate: float, image: str = "print") -> Step:
+    return Step(1, ResourceVector(1000, 100), estimate, image=image)
+
+
+def duration(kind: str, estimate: float, rng: Random) -> float:
+    match kind:
+        case "2.0/e":
+            return 2.0 * rng.uniform(1 / e**0.1, e**0.1)
+        case "tail":
+            factor = TAIL_FACTOR if rng.random() < TAIL_SHARE else 1.0
+            return estimate * factor * rng.uniform(0.8, 1.2)
+    return float(kind) * estimate
+
+
+@given(
+    r'runs of "(?P<kind>\S+)" times the estimates "(?P<estimates>[^"]+)" '
+    r"that end done for (?P<seconds>\d+) seconds"
+)
+def learn(context, kind, estimates, seconds):
+    context.rng = Random(SEED)
+    context.model, context.now = DurationModel(), 1000.0
+    learn_more(context, kind, estimates, seconds)
+
+
+@when(
+    r'runs of "(?P<kind>\S+)" times the estimates "(?P<estimates>[^"]+)" '
+    r"end done for (?P<seconds>\d+) seconds"
+)
+def learn_more(context, kind, estimates, seconds):
+    for _ in range(int(seconds) * RUNS_PER_SECOND):
+        context.now += 1.0 / RUNS_PER_SECOND
+        context.model.advance(context.now)
+        estimate = float(context.rng.choice(estimates.split()))
+        taken = duration(kind, estimate, context.rng)
+        context.model.record("q", step_of(estimate), taken)
+
+
+@when(r"(?P<seconds>\d+) seconds pass")
+def wait(context, seconds):
+    context.now += int(seconds)
+    context.model.advance(context.now)
+
+
+@then(
+    r"the expected duration of a task estimated at (?P<estimate>\d+) seconds is between "
+    r"(?P<low>\S+) and (?P<high>\S+) seconds"
+)
+def check_expected(context, estimate, low, high):
+    expected = context.model.expected("q", step_of(float(estimate)))
+    assert float(low) <= expected <= float(high), expected
+
+
+@then(
+    r"the (?P<q>[\d.]+) quantile of a task estimated at (?P<estimate>\d+) seconds is between "
+    r"(?P<low>\S+) and (?P<high>\S+) seconds"
+)
+def check_quantile(context, q, estimate, low, high):
+    value = context.model.quantile("q", step_of(float(estimate)), float(q))
+    assert float(low) <= value <= float(high), value
+
+
+@then(r"the confidence is between (?P<low>\S+) and (?P<high>\S+)")
+def check_confidence(context, low, high):
+    confidence = context.model.confidence("q", step_of(2.0))
+    assert float(low) <= confidence <= float(high), confidence
+
+
+@given(r"runs of (?P<count>\d+) images end done")
+def learn_images(context, count):
+    context.model, context.count = DurationModel(), int(count)
+    for number in range(int(count)):
+        context.model.record("q", step_of(1.0, f"image{number}"), 2.0)
+
+
+@then(r"at most (?P<maximum>\d+) families are kept, the newest among them")
+def check_families(context, maximum):
+    known = []
+    for number in range(context.count):
+        known.append(context.model.confidence("q", step_of(1.0, f"image{number}")) > 0.0)
+    assert sum(known) == int(maximum) and known[-1], sum(known)
+
+
+@given(r'a minion whose runs took "(?P<ratios>[^"]+)" times as long as expected')
+def record_speed(context, ratios):
+    context.speed = MinionSpeed()
+    for number, ratio in enumerate(ratios.split()):
+        context.speed.record(2.0 * float(ratio), 2.0, 1000.0 + number)
+
+
+@then(r"its ratio is between (?P<low>\S+) and (?P<high>\S+)")
+def check_ratio(context, low, high):
+    assert float(low) <= context.speed.ratio <= float(high), context.speed
+
+
+@given(
+    r"a fleet whose only minion runs tasks for (?P<taken>\d+) seconds that were estimated at "
+    r"(?P<estimate>\d+) second"
+)
+def new_fleet(context, taken, estimate):
+    context.fleet = FleetWorld()
+    context.fleet.list_minion("m1")
+    context.taken, context.step = int(taken), step_of(float(estimate))
+
+
+@when(r'(?P<count>\d+) runs end as "(?P<kind>\w+)" (?P<condition>.+)')
+def end_runs(context, count, kind, condition):
+    fleet = context.fleet
+    for number in range(int(count)):
+        job = f"a{number}"
+        key = TaskKey(job, 0, 0, 0)
+        fleet.submit(job, (context.step,))
+        if condition == "after a checkpoint":
+            fleet.scheduler.jobs[job].task(key).checkpoint = "c"
+        fleet.run_round()
+        minion = fleet.scheduler.minions["m1"]
+        if condition == "after a throttled period":
+            minion.set_pace(minion.runs[key], 50, fleet.now)
+            minion.set_pace(minion.runs[key], 100, fleet.now)
+        if condition == "under a later leader":
+            fleet.take_over()
+        for _ in range(10 * context.taken - 1):
+            fleet.run_round()
+        fleet.end("m1", key, EndKind(kind))
+        fleet.run_round()
+        fleet.scheduler.cancel(job, fleet.now)
+        fleet.running["m1"].clear()
+        fleet.take_orders()
+        for stop in fleet.stops:
+            fleet.scheduler.stop_answered(stop.minion, stop.key, stop.run_id, fleet.now)
+        fleet.now += 0.1
+        fleet.run_round()
+
+
+@then(r"the expected duration is (?P<seconds>\d+) seconds")
+def check_scheduler_expected(context, seconds):
+    expected = context.fleet.scheduler.durations.expected("short", context.step)
+    assert abs(expected - int(seconds)) < 0.2, expected
--- a/dotterelhill/jobs/fleet.py
+++ b/dotterelhill/jobs/fleet.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from enum import Enum, StrEnum, auto
 
+from dotterelhill.jobs.durations.speed import MinionSpeed
 from dotterelhill.jobs.minions.health import MinionHealth
 from dotterelhill.jobs.model import Step, TaskKey
 from dotterelhill.jobs.resources import ResourceVector
@@ -76,6 +77,7 @@
         before
     :param is_proven: whether the run has lived long enough to not have crashed its minion
     :param is_inherited: whether an earlier leader planned the run
+    :param is_partial: whether its duration is not that of a whole run at full pace
     """
 
     key: TaskKey
@@ -95,6 +97,7 @@
     present_clock_ms: int | None = None
     is_proven: bool = False
     is_inherited: bool = False
+    is_partial: bool = False
 
 
 class EndKind(StrEnum):
@@ -169,6 +172,7 @@
     :param processed_end: highest end number that was processed
     :param durable_end: highest end number whose effect is durable, which acknowledges it
     :param health: failed and refused runs
+    :param speed: ratio of observed to expected durations
     :param used: resources that runs reserve
     :param lasting_cpu: thousandths of a processor that lasting tasks reserve
     :param short_cpu: thousandths of a processor that tasks reserve that are neither lasting nor
@@ -192,6 +196,7 @@
     processed_end: int = 0
     durable_end: int = 0
     health: MinionHealth = field(default_factory=MinionHealth)
+    speed: MinionSpeed = field(default_factory=MinionSpeed)
     used: ResourceVector = field(default_factory=ResourceVector)
     lasting_cpu: int = 0
     short_cpu: int = 0
@@ -248,6 +253,7 @@
         """
         self.filler_cpu += run.step.room.cpu * (pace - run.pace) / 100.0
         run.pace, run.paced_at = pace, now
+        run.is_partial = run.is_partial or pace < 100
 
     def _update_counts(self, run: Run, sign: int) -> None:
         """Update the processor sums for an attached (``sign`` 1) or detached (-1) run."""
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -22,6 +22,7 @@
     is_given_up,
     observed_presence,
 )
+from dotterelhill.jobs.durations.model import DurationModel
 from dotterelhill.jobs.fleet import (
     END_LIST_LIMIT,
     EndKind,
@@ -79,6 +80,7 @@
         self._evacuated_domains: frozenset[str] = frozenset()
         self._interference = InterferenceControl(settings.harm_seconds)
         self._suspicion = CrashSuspicion()
+        self._durations = DurationModel()
         self._placement = Placement(self._interference, self._suspicion)
         self._lasting_waits = LastingWaits()
         self._hold = StartHold(settings.capacity_valid_seconds)
@@ -105,6 +107,11 @@
         """Return the control of the interference between fillers and serving tasks."""
         return self._interference
 
+    @property
+    def durations(self) -> DurationModel:
+        """Return the learned durations of tasks."""
+        return self._durations
+
     @property
     def lasting_waits(self) -> LastingWaits:
         """Return the waiting times of lasting tasks that do not run."""
@@ -450,18 +457,13 @@
         """Process a reported end of a run."""
         if end.key is None:
             return
-        run = minion.runs.get(end.key)
-        is_current = run is not None and run.run_id == end.run_id
-        planned_at: float | None = None
-        if run is not None and is_current:
-            planned_at = run.planned_at
-            minion.detach(run)
-            self._interference.remove_run(run)
+        run = self._detach_ended_run(minion, end.key, end)
+        planned_at = run.planned_at if run is not None else None
         job = self._jobs.get(end.key.job_id)
         if job is None or not 0 <= end.key.step < len(job.submission.steps):
             return
         task = job.task(end.key)
-        is_current = is_current or (
+        is_current = run is not None or (
             task.minion_id == minion.minion_id and task.run_id == end.run_id
         )
         if is_current:
@@ -489,6 +491,18 @@
             )  # fmt: skip
             self._placement.requeue(job, task)
 
+    def _detach_ended_run(self, minion: Minion, key: TaskKey, end: EndReport) -> Run | None:
+        """Detach the run that ended and learn its duration; return None if it is not attached."""
+        run = minion.runs.get(key)
+        if run is None or run.run_id != end.run_id:
+            return None
+        minion.detach(run)
+        self._interference.remove_run(run)
+        job = self._jobs.get(key.job_id)
+        if job is not None and end.kind is EndKind.DONE:
+            self._durations.record_end(job.submission.queue.name, run, minion)
+        return run
+
     def _process_success(self, job: Job, task: Task, now: float) -> None:
         """Mark a task as done; for a gang, mark all its tasks and stop the others."""
         step = job.submission.steps[task.key.step]
@@ -726,6 +740,7 @@
         :param unix_ms: wall-clock time in Unix ms, for the objectives and schedules of jobs
         :param max_starts: number of starts to plan at most; a gang is not split
         """
+        self._durations.advance(now)
         self._expire_state(now)
         self._record_hold(now)
         self._report_waits(now, unix_ms)
@@ -819,6 +834,7 @@
         task.is_proven = False
         step = job.submission.steps[key.step]
         run = Run(key, task.run_id, step, minion.minion_id, RunState.PLANNED, now)
+        run.is_partial = bool(task.checkpoint)
         minion.attach(run)
         job.state = JobState.RUNNING
         self._mark_dirty(job)
