Order jobs by learned durations where estimates are measurably worse

Cause: priority, timeliness and slack of a job rest on clients' estimates, so a job whose tasks take an eighth of their estimate waits behind jobs that have to start later.

Change: the objective and the remaining path of a job take each step's duration from DurationModel.expected, in one pass over the steps. Where the model does not replace the estimate, the order is unchanged.

--- a/dotterelhill/jobs/durations/model.py
+++ b/dotterelhill/jobs/durations/model.py
@@ -88,6 +88,9 @@
     :param log_ratio: logarithm of duration to estimate
     :param errors: absolute error of the logarithm, by predictor
     :param predictor: predictor in use
+    :param learned_until: loop time until which enough observations have enough weight
+    :param mean_seconds: learned mean of the durations
+    :param mean_ratio: learned mean of the ratio of duration to estimate
     :param quantiles: recent results of ``seconds`` or ``ratios``, by whether they are ratios and
         quantile: value and loop time at which it was computed
     """
@@ -99,6 +102,9 @@
     seconds: LogCollapsingLowestDenseDDSketch = field(default_factory=_new_sketch)
     ratios: LogCollapsingLowestDenseDDSketch = field(default_factory=_new_sketch)
     predictor: Predictor = Predictor.ESTIMATE
+    learned_until: float = -inf
+    mean_seconds: float = 0.0
+    mean_ratio: float = 0.0
     quantiles: dict[tuple[bool, float], tuple[float, float]] = field(default_factory=dict)
 
     def observations(self, now: float) -> float:
@@ -118,8 +124,11 @@
         if estimate_seconds > 0.0:
             self.log_ratio.add(log(seconds / estimate_seconds), weight)
             self.ratios.add(seconds / estimate_seconds, weight)
-        if self.observations(now) >= MIN_OBSERVATIONS:
-            self.predictor = self._best_predictor()
+        self.mean_seconds = exp(self.log_seconds.value)
+        self.mean_ratio = exp(self.log_ratio.value) if self.log_ratio.weight else 0.0
+        excess = log(self.log_seconds.weight / MIN_OBSERVATIONS)
+        self.learned_until = self.origin + DECAY_SECONDS * excess
+        self.predictor = self._best_predictor()
 
     def _best_predictor(self) -> Predictor:
         """Return the predictor with the smallest error; a learned one has to be clearly better."""
@@ -136,12 +145,11 @@
 
     def predict(self, predictor: Predictor, estimate_seconds: float) -> float:
         """Return the predicted duration in seconds; 0 while the predictor knows nothing."""
-        match predictor:
-            case Predictor.ESTIMATE:
-                return estimate_seconds
-            case Predictor.MEAN:
-                return exp(self.log_seconds.value) if self.log_seconds.weight else 0.0
-        return exp(self.log_ratio.value) * estimate_seconds if self.log_ratio.weight else 0.0
+        if predictor is Predictor.ESTIMATE:
+            return estimate_seconds
+        if predictor is Predictor.MEAN:
+            return self.mean_seconds
+        return self.mean_ratio * estimate_seconds
 
     def quantile(self, quantile: float, now: float, *, is_ratio: bool) -> float | None:
         """Return a quantile of the ratios or durations; None while there are none."""
@@ -159,7 +167,7 @@
     """Learned durations by family, and the speeds of minions."""
 
     def __init__(self) -> None:
-        self._families: dict[tuple[str, str], _Family] = {}
+        self._families: dict[tuple[str, str, str], _Family] = {}
         self._now = 0.0
 
     def advance(self, now: float) -> None:
@@ -254,9 +262,7 @@
     def _learned_family(self, queue: str, step: Step) -> _Family | None:
         """Return the family of a step if enough of its runs were seen lately."""
         family = self._families.get(_family_key(queue, step))
-        if family is None or family.observations(self._now) < MIN_OBSERVATIONS:
-            return None
-        return family
+        return family if family is not None and self._now <= family.learned_until else None
 
 
 def run_seconds(run: Run, minion: Minion) -> float | None:
@@ -269,6 +275,6 @@
     return max(0, minion.clock_ms - run.present_clock_ms) / 1000.0
 
 
-def _family_key(queue: str, step: Step) -> tuple[str, str]:
+def _family_key(queue: str, step: Step) -> tuple[str, str, str]:
     """Return the queue, and the image or for steps without one the kind."""
-    return (queue, f"image {step.image}" if step.image else step.kind)
+    return (queue, step.image, "" if step.image else step.kind)
--- a/dotterelhill/jobs/durations/tests/durations.feature
+++ b/dotterelhill/jobs/durations/tests/durations.feature
@@ -58,3 +58,14 @@
       | 12    | done    | after a throttled period | 1       |
       | 12    | done    | after a checkpoint       | 1       |
       | 12    | done    | under a later leader     | 1       |
+
+  Scenario Outline: jobs are ordered by estimates that are known to be wrong, or by noise
+    Given tasks estimated at 8 seconds of which <count> took <taken> seconds
+    When a job of such a task and one of a task estimated at 4 seconds wait for one processor
+    Then the job with the estimate of <first> seconds starts first
+
+    Examples:
+      | count | taken | first | note                                |
+      | 12    | 1     | 8     | far too long: its deadline is near  |
+      | 4     | 1     | 4     | too few runs                        |
+      | 12    | 8     | 4     | good estimates                      |
--- a/dotterelhill/jobs/durations/tests/steps/durations_steps.py
+++ b/dotterelhill/jobs/durations/tests/steps/durations_steps.py
@@ -156,3 +156,24 @@
 def check_scheduler_expected(context, seconds):
     expected = context.fleet.scheduler.durations.expected("short", context.step)
     assert abs(expected - int(seconds)) < 0.2, expected
+
+
+@given(r"tasks estimated at 8 seconds of which (?P<count>\d+) took (?P<taken>\d+) seconds")
+def learn_wrong_estimates(context, count, taken):
+    context.fleet = FleetWorld()
+    context.fleet.list_minion("m1", 1000)
+    context.fleet.run_round()
+    for _ in range(int(count)):
+        context.fleet.scheduler.durations.record("short", step_of(8.0), float(taken))
+
+
+@when(r"a job of such a task and one of a task estimated at 4 seconds wait for one processor")
+def submit_both(context):
+    context.fleet.submit("e8", (step_of(8.0),))
+    context.fleet.submit("e4", (step_of(4.0, "scan"),))
+    context.fleet.run_round()
+
+
+@then(r"the job with the estimate of (?P<estimate>\d+) seconds starts first")
+def check_first(context, estimate):
+    assert context.fleet.sent[0].run.key.job_id == f"e{estimate}", context.fleet.sent
--- a/dotterelhill/jobs/placement/placement.py
+++ b/dotterelhill/jobs/placement/placement.py
@@ -10,9 +10,10 @@
 
 from dotterelhill.jobs.crashes.isolation import Isolation
 from dotterelhill.jobs.crashes.suspicion import CrashSuspicion
+from dotterelhill.jobs.durations.model import DurationModel
 from dotterelhill.jobs.fleet import Minion
 from dotterelhill.jobs.interference.sharing import InterferenceControl
-from dotterelhill.jobs.model import TOO_LATE_FACTOR, Job, Step, Task, TaskKey, critical_path_seconds
+from dotterelhill.jobs.model import TOO_LATE_FACTOR, Job, Step, Task, TaskKey
 from dotterelhill.jobs.placement.lasting_waits import WaitingStep
 from dotterelhill.jobs.queues import Queue
 from dotterelhill.jobs.resources import ResourceVector
@@ -68,11 +69,18 @@
 
     :param interference: control of the interference between fillers and serving tasks
     :param suspicion: tasks that are suspected of crashing minions
+    :param durations: learned durations of tasks
     """
 
-    def __init__(self, interference: InterferenceControl, suspicion: CrashSuspicion) -> None:
+    def __init__(
+        self,
+        interference: InterferenceControl,
+        suspicion: CrashSuspicion,
+        durations: DurationModel,
+    ) -> None:
         self._interference = interference
         self._suspicion = suspicion
+        self._durations = durations
         self._isolation = Isolation(suspicion)
         self._waiting_jobs: dict[str, _WaitingJob] = {}
         self._short_peak_cpu = 0.0
@@ -184,7 +192,8 @@
         for waiting in self._waiting_jobs.values():
             if waiting.pending:
                 queue = queue_of(waiting.job)
-                ranked.append((_sort_key(waiting.job, queue, unix_ms), queue, waiting))
+                key = _sort_key(waiting.job, queue, unix_ms, self._durations)
+                ranked.append((key, queue, waiting))
         ranked.sort(key=lambda entry: entry[0])
         self._track_short_peak(minions, now)
         unplaceable = self._recently_unplaceable(now)
@@ -622,12 +631,13 @@
     return not step.required_label or step.required_label in minion.facts.labels
 
 
-def _sort_key(job: Job, queue: Queue, unix_ms: int) -> tuple[int, int, float]:
+def _sort_key(
+    job: Job, queue: Queue, unix_ms: int, durations: DurationModel
+) -> tuple[int, int, float]:
     """Return the sort key of a job: priority, timeliness, and slack in seconds."""
     age_seconds = (unix_ms - job.submission.accepted_ms) / 1000.0
-    steps = job.submission.steps
-    objective = queue.stretch * critical_path_seconds(steps) + queue.target_seconds
-    remaining = _remaining_path_seconds(job)
+    path_seconds, remaining = _path_seconds(job, durations)
+    objective = queue.stretch * path_seconds + queue.target_seconds
     timeliness = Timeliness.IN_TIME
     if age_seconds + remaining > TOO_LATE_FACTOR * objective:
         timeliness = Timeliness.TOO_LATE
@@ -636,11 +646,19 @@
     return (queue.priority, timeliness, objective - age_seconds - remaining)
 
 
-def _remaining_path_seconds(job: Job) -> float:
-    """Return the estimated duration in seconds of the critical path through unfinished steps."""
+def _path_seconds(job: Job, durations: DurationModel) -> tuple[float, float]:
+    """Return the expected durations in seconds of two critical paths of a job.
+
+    :returns: path through all steps, and path through the unfinished steps
+    """
+    queue = job.submission.queue.name
     ends: list[float] = []
+    remaining_ends: list[float] = []
     for number, step in enumerate(job.submission.steps):
+        seconds = durations.expected(queue, step)
+        is_done = job.is_step_done(0, number)
         start = max((ends[index] for index in step.after), default=0.0)
-        is_remaining = not job.is_step_done(0, number)
-        ends.append(start + (step.estimate_seconds if is_remaining else 0.0))
-    return max(ends, default=0.0)
+        ends.append(start + seconds)
+        start = max((remaining_ends[index] for index in step.after), default=0.0)
+        remaining_ends.append(start if is_done else start + seconds)
+    return max(ends, default=0.0), max(remaining_ends, default=0.0)
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -81,7 +81,7 @@
         self._interference = InterferenceControl(settings.harm_seconds)
         self._suspicion = CrashSuspicion()
         self._durations = DurationModel()
-        self._placement = Placement(self._interference, self._suspicion)
+        self._placement = Placement(self._interference, self._suspicion, self._durations)
         self._lasting_waits = LastingWaits()
         self._hold = StartHold(settings.capacity_valid_seconds)
         self._dirty_jobs: dict[str, Job] = {}
