Count what each tenant runs and start nothing beyond its limit

Cause: a configuration can name a limit for the running work of a tenant, and a start beyond it breaks a rule of the platform; nothing counted runs by tenant. Ruled out: counting runs attached to minions, which misses stored runs on minions that are not listed yet; counting only when a start is sent, which lets two plans under way exceed the limit together. Change: TenantUsage counts each run from its plan, or from the stored record, until it is proven absent, by key and run number, so that a second run of a task counts as well. TenantLimits is asked before each start, before claims of minions, and again before a stored plan is sent, in case the limit was lowered meanwhile. An older configuration changes nothing, a removed tenant keeps its limit, and before any configuration is known no task of a tenant starts. The log tells when a tenant reaches its limit or drops below it, and when a task is larger than the limit.

--- a/dotterelhill/jobs/placement/placement.py
+++ b/dotterelhill/jobs/placement/placement.py
@@ -16,6 +16,7 @@
 from dotterelhill.jobs.placement.lasting_waits import WaitingStep
 from dotterelhill.jobs.queues import Queue
 from dotterelhill.jobs.resources import ResourceVector
+from dotterelhill.jobs.tenants.limits import TenantLimits
 
 UNLIMITED_STARTS = 1 << 30
 
@@ -68,10 +69,14 @@
 
     :param interference: control of the interference between fillers and serving tasks
     :param suspicion: tasks that are suspected of crashing minions
+    :param limits: limits of tenants
     """
 
-    def __init__(self, interference: InterferenceControl, suspicion: CrashSuspicion) -> None:
+    def __init__(
+        self, interference: InterferenceControl, suspicion: CrashSuspicion, limits: TenantLimits
+    ) -> None:
         self._interference = interference
+        self._limits = limits
         self._suspicion = suspicion
         self._isolation = Isolation(suspicion)
         self._waiting_jobs: dict[str, _WaitingJob] = {}
@@ -227,10 +232,12 @@
         """Update the peak of the processors that short tasks use or wait for."""
         cpu = float(sum(minion.short_cpu for minion in minions))
         for waiting in self._waiting_jobs.values():
+            tenant = waiting.job.submission.tenant
             for (_, index), keys in waiting.pending.items():
                 step = waiting.job.submission.steps[index]
                 if not step.is_lasting:
-                    cpu += len(keys) * step.reserved_resources.cpu
+                    count = self._limits.allowed_count(tenant, step, len(keys))
+                    cpu += count * step.reserved_resources.cpu
         decay = 0.5 ** ((now - self._short_peak_at) / RESERVE_HALF_LIFE_SECONDS)
         self._short_peak_cpu = max(cpu, self._short_peak_cpu * decay)
         self._short_peak_at = now
@@ -250,11 +257,12 @@
         earlier, self._claimed_minions = self._claimed_minions, {}
         self._claimed_cpu = {}
         for _, queue, waiting in ranked:
+            tenant = waiting.job.submission.tenant
             for step, keys in _startable_lasting_steps(waiting, queue, unix_ms):
                 if _idle_seconds(waiting.job, keys, now) < CLAIM_AFTER_SECONDS:
                     continue
                 pool = by_service.get(queue.service, [])
-                for key in keys:
+                for key in keys[: self._limits.allowed_count(tenant, step, len(keys))]:
                     minion = self._claimable_minion(key, step, pool, earlier.get(key))
                     if minion is None:
                         break
@@ -332,6 +340,9 @@
             return self._start_cost(job, step, occurrence_step, minion, now, 0.0)
 
         for key in self._suspicion.tasks_to_test(job, occurrence_step, keys):
+            if not self._limits.allows(job.submission.tenant, step):
+                self._isolation.drop_claim(key)
+                continue
             if self._remaining_starts <= 0:
                 return
             minion = self._isolation.choose(key, pool, start_cost, now)
@@ -367,13 +378,13 @@
         :param is_overdue_only: whether to leave out all but the lasting tasks that have not run for
             ``CLAIM_AFTER_SECONDS``
         """
-        job = waiting.job
+        job, tenant = waiting.job, waiting.job.submission.tenant
         for occurrence_step, keys in list(waiting.pending.items()):
             occurrence, index = occurrence_step
             if unix_ms < job.submission.due_ms(occurrence):
                 continue
             step = job.submission.steps[index]
-            if is_overdue_only and not step.is_lasting:
+            if (is_overdue_only and not step.is_lasting) or not self._limits.allows(tenant, step):
                 continue
             open_keys = self._suspicion.open_tasks(job, occurrence_step, keys, now)
             if is_overdue_only:
@@ -423,6 +434,8 @@
                 heap.append((cost, number))
         heapify(heap)
         while keys and heap and self._remaining_starts > 0:
+            if not self._limits.allows(job.submission.tenant, step):
+                return
             is_slot_kept = (
                 step.is_lasting and self._short_peak_cpu and idle_seconds < CLAIM_AFTER_SECONDS
             )
@@ -454,6 +467,8 @@
         for minion in list(for_trial):
             if not keys or self._remaining_starts <= 0:
                 return
+            if not self._limits.allows(job.submission.tenant, step):
+                return
             if keys[0] in minion.runs:
                 continue
             if self._start_cost(job, step, occurrence_step, minion, now, 0.0) is None:
@@ -489,6 +504,8 @@
         """Yield starts for all tasks of a gang, or none: its tasks can work only together."""
         if len(keys) < step.count:
             return
+        if not self._limits.allows(job.submission.tenant, step, len(keys)):
+            return
         free = {id(minion): minion.free for minion in pool}
         chosen: list[tuple[TaskKey, Minion]] = []
         for key in keys:
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -47,6 +47,8 @@
 from dotterelhill.jobs.placement.lasting_waits import LastingWaits, explain_wait
 from dotterelhill.jobs.placement.placement import UNLIMITED_STARTS, Placement
 from dotterelhill.jobs.queues import FleetConfig, Queue
+from dotterelhill.jobs.tenants.limits import TenantLimits
+from dotterelhill.jobs.tenants.usage import TenantUsage
 
 # An unanswered stop order is sent again after this time. A delayed order may still be carried out
 # after 2 s or more.
@@ -79,7 +81,9 @@
         self._evacuated_domains: frozenset[str] = frozenset()
         self._interference = InterferenceControl(settings.harm_seconds)
         self._suspicion = CrashSuspicion()
-        self._placement = Placement(self._interference, self._suspicion)
+        self._tenant_usage = TenantUsage()
+        self._tenant_limits = TenantLimits(self._tenant_usage)
+        self._placement = Placement(self._interference, self._suspicion, self._tenant_limits)
         self._lasting_waits = LastingWaits()
         self._hold = StartHold(settings.capacity_valid_seconds)
         self._dirty_jobs: dict[str, Job] = {}
@@ -115,6 +119,16 @@
         """Return the number of tasks that wait for a minion."""
         return self._placement.waiting_tasks
 
+    @property
+    def tenant_usage(self) -> TenantUsage:
+        """Return the resources that the runs of each tenant use."""
+        return self._tenant_usage
+
+    @property
+    def tenant_limits(self) -> TenantLimits:
+        """Return the limits of tenants."""
+        return self._tenant_limits
+
     # Jobs
 
     def submit(self, submission: Submission, now: float) -> None:
@@ -148,6 +162,8 @@
             self._suspicion.restore(job, now)
         for task in job.tasks.values():
             if task.is_assigned:
+                # Counted even if its minion is not listed: the run may exist until its lease ends.
+                self._count_run(job, task)
                 self._attach_stored_run(job, task, now)
             elif task.run_id:
                 task.idle_since = self._unknown_run_end(now)
@@ -163,6 +179,18 @@
         """Add a job that has not ended to the active jobs and to placement."""
         self._active_jobs[job.job_id] = job
         self._placement.add_job(job)
+        if job.submission.tenant:
+            self._decisions.extend(self._tenant_limits.oversize_decisions([job]))
+
+    def _count_run(self, job: Job, task: Task) -> None:
+        """Count the run of an assigned task for the tenant of its job."""
+        tenant = job.submission.tenant
+        if not tenant:
+            return
+        minion = self._minions.get(task.minion_id)
+        service = job.submission.queue.service if minion is None else minion.facts.service
+        step = job.submission.steps[task.key.step]
+        self._tenant_usage.add(tenant, service, task.key, task.run_id, step)
 
     def _attach_stored_run(self, job: Job, task: Task, now: float) -> None:
         """Attach the run that an earlier leader may have started to its minion."""
@@ -226,6 +254,9 @@
     def configure(self, config: FleetConfig) -> None:
         """Replace the configuration by a newer one."""
         self._config = config
+        if self._tenant_limits.configure(config):
+            oversize = self._tenant_limits.oversize_decisions(self._active_jobs.values())
+            self._decisions.extend(oversize)
 
     def evacuate(self, failure_domains: Iterable[str]) -> None:
         """Set the failure domains in which no task may start."""
@@ -466,6 +497,7 @@
         )
         if is_current:
             task.minion_id, task.minion_born_ms = "", 0
+            self._tenant_usage.remove(end.key, end.run_id)
             self._mark_dirty(job)
         if job.state in FINAL_STATES or task.is_done:
             return
@@ -632,6 +664,7 @@
             task.idle_since = ended_at
         minion_id = task.minion_id
         task.minion_id, task.minion_born_ms = "", 0
+        self._tenant_usage.remove(task.key, task.run_id)
         self._mark_dirty(job)
         if job.state in FINAL_STATES or task.is_done:
             return
@@ -742,6 +775,7 @@
         ):
             self._plan_run(job, key, minion, now)
             minion.health.record_start(now)
+        self._decisions.extend(self._tenant_limits.end_round(now))
         for minion in self._minions.values():
             if minion.facts.is_draining:
                 self._drain_minion(minion, now)
@@ -820,6 +854,7 @@
         step = job.submission.steps[key.step]
         run = Run(key, task.run_id, step, minion.minion_id, RunState.PLANNED, now)
         minion.attach(run)
+        self._count_run(job, task)
         job.state = JobState.RUNNING
         self._mark_dirty(job)
         self._planned_runs.append(run)
@@ -907,12 +942,27 @@
             is_attached = minion is not None and minion.runs.get(run.key) is run
             if minion is None or not is_attached or not self._may_start(run, minion, now):
                 reasons[run] = "minion became unusable"
+        for run in self._runs_beyond_tenant_limits(planned, reasons):
+            reasons[run] = "limit of its tenant was lowered"
         incomplete_gangs = {_step_of(run) for run in reasons if run.step.is_gang}
         for run in planned:
             if run.step.is_gang and _step_of(run) in incomplete_gangs:
                 reasons.setdefault(run, "another member of the gang can't start")
         return reasons
 
+    def _runs_beyond_tenant_limits(
+        self, planned: Sequence[Run], withheld: Mapping[Run, str]
+    ) -> set[Run]:
+        """Return the planned runs that a limit no longer allows that was lowered since the plan."""
+        counted: tuple[list[tuple[str, Run]], list[tuple[str, Run]]] = ([], [])
+        for run in planned:
+            job = self._jobs.get(run.key.job_id)
+            minion = self._minions.get(run.minion_id)
+            is_attached = minion is not None and minion.runs.get(run.key) is run
+            if job is not None and job.submission.tenant and is_attached:
+                counted[run in withheld].append((job.submission.tenant, run))
+        return self._tenant_limits.runs_beyond(*counted)
+
     def take_orders(self) -> list[Order]:
         """Return the pending stop and pace orders, which need no durable write."""
         orders, self._orders = self._orders, []
--- a/dotterelhill/jobs/tests/fleet_world.py
+++ b/dotterelhill/jobs/tests/fleet_world.py
@@ -6,7 +6,7 @@
 from dotterelhill.jobs.orders import PaceOrder, StartOrder, StartOutcome, StopOrder
 from dotterelhill.jobs.placement.placement import UNLIMITED_STARTS
 from dotterelhill.jobs.progress import apply_progress, encode_progress
-from dotterelhill.jobs.queues import FleetConfig, Queue
+from dotterelhill.jobs.queues import FleetConfig, Queue, Tenant
 from dotterelhill.jobs.resources import ResourceVector
 from dotterelhill.jobs.scheduler import Scheduler
 
@@ -24,6 +24,8 @@
         self.now = START
         self.scheduler = self._new_scheduler()
         self.queues = {"short": self.queue("short", 0), "long": self.queue("long", 2)}
+        self.tenants: dict[str, Tenant] = {}
+        self.config_version = 1
         self.running: dict[str, dict[TaskKey, int]] = {}
         self.tails: dict[TaskKey, float] = {}
         self.end_numbers: dict[str, int] = {}
@@ -51,7 +53,8 @@
         return Queue(name, "h", f"/{name}/", "pool", priority, attempts, 2.0, 1.0)
 
     def configure(self) -> None:
-        self.scheduler.configure(FleetConfig(1, dict(self.queues)))
+        config = FleetConfig(self.config_version, dict(self.queues), tenants=dict(self.tenants))
+        self.scheduler.configure(config)
 
     @property
     def unix_ms(self) -> int:
