--- a/dotterelhill/jobs/placement/lasting_claims.py
+++ b/dotterelhill/jobs/placement/lasting_claims.py
@@ -14,6 +14,7 @@
     longest_idle_seconds,
     startable_lasting_steps,
 )
+from dotterelhill.jobs.tenants.limits import TenantLimits
 
 # Short tasks have to leave a minion to a lasting task that has not run for this time. The platform
 # counts it from 6 s after its last run, which may be over when its run is known to be lost.
@@ -25,9 +26,12 @@
 
     Without claims, a steady sequence of short tasks would fragment the free processors, so that a
     lasting task never fits.
+
+    :param limits: limits of tenants
     """
 
-    def __init__(self) -> None:
+    def __init__(self, limits: TenantLimits) -> None:
+        self._limits = limits
         self._claimed_cpu: dict[Minion, int] = {}
         self._minions: dict[TaskKey, Minion] = {}
 
@@ -47,11 +51,12 @@
         earlier, self._minions = self._minions, {}
         self._claimed_cpu = {}
         for _, queue, waiting in ranked:
+            tenant = waiting.job.submission.tenant
             for step, keys in startable_lasting_steps(waiting, queue, unix_ms):
                 if longest_idle_seconds(waiting.job, keys, now) < CLAIM_AFTER_SECONDS:
                     continue
                 pool = by_service.get(queue.service, [])
-                for key in keys:
+                for key in keys[: self._limits.allowed_count(tenant, step, len(keys))]:
                     minion = self.claimable_minion(key, step, pool, earlier.get(key))
                     if minion is None:
                         break
--- a/dotterelhill/jobs/placement/placement.py
+++ b/dotterelhill/jobs/placement/placement.py
@@ -32,6 +32,7 @@
 )
 from dotterelhill.jobs.queues import Queue
 from dotterelhill.jobs.resources import ResourceVector
+from dotterelhill.jobs.tenants.limits import TenantLimits
 
 UNLIMITED_STARTS = 1 << 30
 
@@ -67,6 +68,7 @@
     :param interference: control of the interference between fillers and serving tasks
     :param suspicion: tasks that are suspected of crashing minions
     :param durations: learned durations of tasks
+    :param limits: limits of tenants
     """
 
     def __init__(
@@ -74,8 +76,10 @@
         interference: InterferenceControl,
         suspicion: CrashSuspicion,
         durations: DurationModel,
+        limits: TenantLimits,
     ) -> None:
         self._interference = interference
+        self._limits = limits
         self._suspicion = suspicion
         self._durations = durations
         self._isolation = Isolation(suspicion)
@@ -85,7 +89,7 @@
         self._unplaceable: dict[str, list[ResourceVector]] = {}
         self._unplaceable_since = float("-inf")
         self._remaining_starts = UNLIMITED_STARTS
-        self._lasting_claims = LastingClaims()
+        self._lasting_claims = LastingClaims(limits)
         self._filler_claims = FillerClaims(interference)
         self._forced_starts = ForcedStarts(interference)
 
@@ -241,10 +245,12 @@
         """Update the peak of the processors that short tasks use or wait for."""
         cpu = float(sum(minion.short_cpu for minion in minions))
         for waiting in self._waiting_jobs.values():
+            tenant = waiting.job.submission.tenant
             for (_, index), keys in waiting.pending.items():
                 step = waiting.job.submission.steps[index]
                 if not step.is_lasting:
-                    cpu += len(keys) * step.reserved_resources.cpu
+                    count = self._limits.allowed_count(tenant, step, len(keys))
+                    cpu += count * step.reserved_resources.cpu
         decay = 0.5 ** ((now - self._short_peak_at) / RESERVE_HALF_LIFE_SECONDS)
         self._short_peak_cpu = max(cpu, self._short_peak_cpu * decay)
         self._short_peak_at = now
@@ -290,6 +296,9 @@
             return self._start_cost(job, step, occurrence_step, minion, now, 0.0)
 
         for key in self._suspicion.tasks_to_test(job, occurrence_step, keys):
+            if not self._limits.allows(job.submission.tenant, step):
+                self._isolation.drop_claim(key)
+                continue
             if self._remaining_starts <= 0:
                 return
             minion = self._isolation.choose(key, pool, start_cost, now)
@@ -311,7 +320,12 @@
             )
 
     def _open_tasks(self, job: Job, keys: list[TaskKey], now: float) -> list[TaskKey]:
-        """Return those of a step's waiting tasks that may start beside other tasks."""
+        """Return those of a step's waiting tasks that may start beside other tasks.
+
+        A tenant at its limit could not use a claim.
+        """
+        if not self._limits.allows(job.submission.tenant, job.submission.steps[keys[0].step]):
+            return []
         return self._suspicion.open_tasks(job, (keys[0].occurrence, keys[0].step), keys, now)
 
     def _choose_claimed_starts(
@@ -325,6 +339,8 @@
             if self._remaining_starts <= 0:
                 return
             key, minion = claim.key, claim.minion
+            if not self._limits.allows(claim.job.submission.tenant, claim.step):
+                continue
             occurrence_step = (key.occurrence, key.step)
             is_allowed = partial(self._is_start_allowed, claim.job, claim.step, occurrence_step)
             if minion is None or (
@@ -357,13 +373,13 @@
         :param is_overdue_only: whether to leave out all but the lasting tasks that have not run for
             ``CLAIM_AFTER_SECONDS``
         """
-        job = waiting.job
+        job, tenant = waiting.job, waiting.job.submission.tenant
         for occurrence_step, keys in list(waiting.pending.items()):
             occurrence, index = occurrence_step
             if unix_ms < job.submission.due_ms(occurrence):
                 continue
             step = job.submission.steps[index]
-            if is_overdue_only and not step.is_lasting:
+            if (is_overdue_only and not step.is_lasting) or not self._limits.allows(tenant, step):
                 continue
             open_keys = self._suspicion.open_tasks(job, occurrence_step, keys, now)
             if is_overdue_only:
@@ -413,6 +429,8 @@
                 heap.append((cost, number))
         heapify(heap)
         while keys and heap and self._remaining_starts > 0:
+            if not self._limits.allows(job.submission.tenant, step):
+                return
             is_slot_kept = (
                 step.is_lasting and self._short_peak_cpu and idle_seconds < CLAIM_AFTER_SECONDS
             )
@@ -447,6 +465,8 @@
         for minion in list(for_trial):
             if not keys or self._remaining_starts <= 0:
                 return
+            if not self._limits.allows(job.submission.tenant, step):
+                return
             if keys[0] in minion.runs:
                 continue
             if self._start_cost(job, step, occurrence_step, minion, now, 0.0) is None:
@@ -482,6 +502,8 @@
         """Yield starts for all tasks of a gang, or none: its tasks can work only together."""
         if len(keys) < step.count:
             return
+        if not self._limits.allows(job.submission.tenant, step, len(keys)):
+            return
         free = {id(minion): minion.free for minion in pool}
         chosen: list[tuple[TaskKey, Minion]] = []
         for key in keys:
