--- /dev/null
+++ b/dotterelhill/control/currency.py
@@ -0,0 +1,104 @@
+"""Age of the configuration that a process holds, from its own reads and the leader's messages."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from dotterelhill.jobs.tenants.access import Freshness
+
+# A version that the leader names is usually read by every process within this time. After it, the
+# process reads the stream anew over another connection, since its own may be dead.
+REFRESH_AFTER_SECONDS = 0.4
+# A process that was suspended waits up to this time for its first read of the stream.
+SETTLE_SECONDS = 0.8
+SETTLE_STEP_SECONDS = 0.02
+# The leader names a version twice a second, so these cover half a minute of newer versions.
+MAX_PENDING_VERSIONS = 64
+
+
+class ConfigurationCurrency:
+    """Tracks which configuration versions the leader knows, and since when.
+
+    :param clock: returns seconds; keeps counting while the process is suspended
+    :param own_age: returns the seconds since this process was last at the end of the stream
+    :param own_version: returns the version that this process holds
+    :param refresh: reads the stream anew over another connection
+    :param is_store_away: returns whether the store counts as unavailable
+    """
+
+    def __init__(
+        self,
+        clock: Callable[[], float],
+        own_age: Callable[[], float],
+        own_version: Callable[[], int],
+        refresh: Callable[[], None],
+        is_store_away: Callable[[], bool],
+    ) -> None:
+        self._is_store_away = is_store_away
+        self._clock = clock
+        self._own_age = own_age
+        self._own_version = own_version
+        self._refresh = refresh
+        self._confirmed_version = 0
+        self._confirmed_at = float("-inf")
+        # Versions that the leader has named before this process read them, with the time.
+        self._pending: list[tuple[int, float]] = []
+        self._refreshed_version = 0
+
+    @property
+    def age_seconds(self) -> float:
+        """Return the time since the configuration held was last known to be the newest one."""
+        age = self._own_age()
+        if self._confirmed_version == self._own_version():
+            age = min(age, self._clock() - self._confirmed_at)
+        return age
+
+    @property
+    def freshness(self) -> Freshness:
+        """Return how recent the configuration is that this process holds."""
+        self._drop_read_versions()
+        behind_seconds = self._clock() - self._pending[0][1] if self._pending else 0.0
+        return Freshness(self.age_seconds, behind_seconds)
+
+    def record(self, version: int, age_seconds: float) -> None:
+        """Process what the leader tells about its configuration.
+
+        :param version: version that the leader holds; 0 for a configuration without tenants
+        :param age_seconds: time since the leader was last known to hold the newest version
+        """
+        now = self._clock()
+        self._drop_read_versions()
+        if not version or version < self._confirmed_version:
+            return
+        confirmed_at = now - age_seconds
+        if version > self._confirmed_version or confirmed_at > self._confirmed_at:
+            self._confirmed_version, self._confirmed_at = version, confirmed_at
+        newest = self._pending[-1][0] if self._pending else self._own_version()
+        if version > newest and len(self._pending) < MAX_PENDING_VERSIONS:
+            self._pending.append((version, now))
+        if not self._pending or now - self._pending[0][1] < REFRESH_AFTER_SECONDS:
+            return
+        # A read that is under way may be that of a large configuration, which a repeated abort
+        # would keep from ever arriving.
+        if self._refreshed_version < self._pending[0][0]:
+            self._refreshed_version = self._pending[0][0]
+            self._refresh()
+
+    async def settle(self, current_seconds: float) -> None:
+        """Wait until the configuration is current, unless the store is known to be away.
+
+        A process that was suspended would otherwise answer with what it held before.
+
+        :param current_seconds: age up to which a configuration counts as current
+        """
+        until = self._clock() + SETTLE_SECONDS
+        while self.age_seconds > current_seconds and not self._is_store_away():
+            if self._clock() >= until:
+                return
+            await asyncio.sleep(SETTLE_STEP_SECONDS)
+
+    def _drop_read_versions(self) -> None:
+        own_version = self._own_version()
+        while self._pending and self._pending[0][0] <= own_version:
+            del self._pending[0]
--- a/dotterelhill/control/feeds.py
+++ b/dotterelhill/control/feeds.py
@@ -22,9 +22,12 @@
 from dotterelhill.jobs.fleet import MinionFacts
 from dotterelhill.jobs.queues import FleetConfig
 
-# Duration of a long poll. It is short, so that a connection that stops responding is detected
-# within the time limit for configuration changes.
+# Duration of a long poll. It is short, so that a connection that stops responding is detected soon.
 FOLLOW_WAIT_SECONDS = 1.5
+# Wait of the long poll of the configuration. Together with the time limit of an answer, the pause
+# before the next attempt and that attempt on a slow store, a dead connection delays a new version
+# by up to 1.0 + 1.2 + 0.4 + 0.4 s, of the 4 s within which it must be in force.
+CONFIGURATION_WAIT_SECONDS = 1.0
 RETRY_SECONDS = (0.1, 0.4)
 
 _log = logger_of("feeds")
@@ -87,6 +90,8 @@
         self._last_read_at = float("-inf")
         self._is_at_end = True
         self._is_failing = False
+        self._reading: asyncio.Task[None] | None = None
+        self._is_refreshing = False
         self.loaded = asyncio.Event()
 
     @property
@@ -94,6 +99,12 @@
         """Return the seconds since this follower was last known to be at the end of the stream."""
         return self._clock() - self._last_read_at
 
+    def refresh(self) -> None:
+        """Abort the read in progress, whose connection may be dead, and read again at once."""
+        if self._reading is not None and not self._reading.done():
+            self._is_refreshing = True
+            self._reading.cancel()
+
     async def read_once(self) -> None:
         """Read the next records, or a snapshot when no offset is known, and pass them on.
 
@@ -127,8 +138,14 @@
     @mode.Service.task
     async def _follow(self) -> None:
         while not self.should_stop:
+            self._reading = asyncio.create_task(self.read_once())
             try:
-                await self.read_once()
+                await self._reading
+            except asyncio.CancelledError:
+                if not self._is_refreshing:
+                    raise
+                self._is_refreshing = False
+                continue
             except StoreError as error:
                 if not self._is_failing:
                     self._is_failing = True
--- a/dotterelhill/control/job_service.py
+++ b/dotterelhill/control/job_service.py
@@ -16,6 +16,7 @@
 from dotterelhill.entry.logs import logger_of
 from dotterelhill.jobs.model import JobState, Submission
 from dotterelhill.jobs.progress import encode_submission
+from dotterelhill.jobs.tenants.access import AccessRefusedError
 
 RETRY_SECONDS = (0.05, 0.15)
 # The leader reads a stored submission within this time. Until then, the process that stored it
@@ -35,6 +36,24 @@
     """Raised when a record may or may not be stored."""
 
 
+def _always_permitted() -> None:
+    """Permit a request that needs no permission."""
+
+
+def _check_again(check: Callable[[], None], *, may_be_stored: bool) -> None:
+    """Check a request before an attempt to store its record.
+
+    :param may_be_stored: whether an earlier attempt may have stored it, so that a refusal would be
+        untrue
+    """
+    try:
+        check()
+    except AccessRefusedError as error:
+        if may_be_stored:
+            raise OutcomeUnknownError(str(error)) from error
+        raise
+
+
 class JobService:
     """Submits and cancels jobs and looks up their states.
 
@@ -61,29 +80,45 @@
         self._queue_lengths: dict[str, int] = {}
         self._queue_lengths_at = float("-inf")
 
-    async def submit(self, submission: Submission, timeout_seconds: float) -> None:
+    async def submit(
+        self,
+        submission: Submission,
+        timeout_seconds: float,
+        check: Callable[[], None] = _always_permitted,
+    ) -> None:
         """Store a job.
 
         :param timeout_seconds: time until the client's request times out
+        :param check: called before each attempt to store the job
+        :raises AccessRefusedError: when ``check`` raises it before the first attempt
         :raises NotStoredError: when the job is not stored and will not be
         :raises OutcomeUnknownError: when the job may or may not be stored
         """
         record = Record(submission.job_id, encode_submission(submission))
-        await self._append(record, timeout_seconds)
+        await self._append(record, timeout_seconds, check)
         self._recent_submissions[submission.job_id] = self._clock()
         while len(self._recent_submissions) > MAX_RECENT_SUBMISSIONS:
             self._recent_submissions.popitem(last=False)
 
-    async def cancel(self, job_id: str, timeout_seconds: float) -> None:
+    async def cancel(
+        self,
+        job_id: str,
+        timeout_seconds: float,
+        check: Callable[[], None] = _always_permitted,
+    ) -> None:
         """Store the cancellation of a job.
 
         :param timeout_seconds: time until the client's request times out
+        :param check: called before each attempt to store the cancellation
+        :raises AccessRefusedError: when ``check`` raises it before the first attempt
         :raises NotStoredError: when the cancellation is not stored and will not be
         :raises OutcomeUnknownError: when the cancellation may or may not be stored
         """
-        await self._append(Record(cancellation_key(job_id), b"1"), timeout_seconds)
+        await self._append(Record(cancellation_key(job_id), b"1"), timeout_seconds, check)
 
-    async def _append(self, record: Record, timeout_seconds: float) -> None:
+    async def _append(
+        self, record: Record, timeout_seconds: float, check: Callable[[], None]
+    ) -> None:
         """Append a record, retrying until the outcome is known or the time has passed.
 
         Appending a record of the same key and value twice is harmless. Nothing is sent to a store
@@ -93,6 +128,7 @@
         may_be_stored = False
         reason = ""
         while self._clock() < deadline:
+            _check_again(check, may_be_stored=may_be_stored)
             if self._store.is_unavailable:
                 reason = "store is away"
             else:
@@ -102,6 +138,8 @@
                 except StoreError as error:
                     may_be_stored = may_be_stored or error.is_effect_unknown
                     reason = str(error)
+            # The attempt before this one may have taken longer than a configuration is valid.
+            _check_again(check, may_be_stored=may_be_stored)
             try:
                 if await self._append_via_leader(record):
                     return
--- a/dotterelhill/control/relay_client.py
+++ b/dotterelhill/control/relay_client.py
@@ -26,6 +26,7 @@
     MAX_MESSAGE_BYTES,
     SILENCE_SECONDS,
     CallFailure,
+    EntryNotice,
     Hello,
     LeaderMessage,
     RelayedAnswer,
@@ -46,9 +47,15 @@
 MAX_EXTRA_TRANSIT_SECONDS = 1.0
 TRANSIT_WINDOW_SECONDS = 60.0
 
+NoticeHandler = Callable[[EntryNotice, float], None]
+
 _log = logger_of("relays")
 
 
+def _ignore_notice(notice: EntryNotice, transit_seconds: float) -> None:
+    """Ignore the leader's information in a process that serves no clients."""
+
+
 class TransitTime:
     """Estimates how much longer than the fastest message a message was on its way.
 
@@ -89,11 +96,18 @@
     :param caller: sends calls to minions
     :param socket: connection to the leader
     :param clock: returns seconds; keeps counting while the process is suspended
+    :param on_notice: called with the leader's information for entry processes, and with the time
+        in seconds for which its message was on its way
     """
 
     def __init__(
-        self, caller: MinionCaller, socket: MessageSocket, clock: Callable[[], float]
+        self,
+        caller: MinionCaller,
+        socket: MessageSocket,
+        clock: Callable[[], float],
+        on_notice: NoticeHandler = _ignore_notice,
     ) -> None:
+        self._on_notice = on_notice
         self._caller = caller
         self._socket = socket
         self._clock = clock
@@ -131,6 +145,8 @@
         extra_seconds = self._transit.extra_seconds(message.sent_at, now)
         if extra_seconds <= SILENCE_SECONDS:
             self._newest, self._heard_at = message, now
+            if message.has_claim:
+                self._on_notice(message.entry, max(0.0, extra_seconds))
         if message.calls and extra_seconds > MAX_EXTRA_TRANSIT_SECONDS:
             fields = {"calls": len(message.calls), "late_ms": round(1000 * extra_seconds)}
             _log.warning("calls of the leader arrived too late and are not sent", extra=fields)
@@ -193,6 +209,7 @@
     :param caller: sends calls to minions
     :param session: returns the HTTP session to use
     :param clock: returns seconds; keeps counting while the process is suspended
+    :param on_notice: see :class:`RelaySession`
     """
 
     def __init__(
@@ -203,8 +220,10 @@
         session: Callable[[], aiohttp.ClientSession],
         clock: Callable[[], float],
         random: Random,
+        on_notice: NoticeHandler = _ignore_notice,
     ) -> None:
         super().__init__()
+        self._on_notice = on_notice
         self._hello = hello
         self._leader_address = leader_address
         self._caller = caller
@@ -254,7 +273,7 @@
                 max_msg_size=MAX_MESSAGE_BYTES,
                 timeout=aiohttp.ClientWSTimeout(ws_close=0.3),
             )
-        session = RelaySession(self._caller, socket, self._clock)
+        session = RelaySession(self._caller, socket, self._clock, self._on_notice)
         sender = None
         try:
             await socket.send_bytes(ENCODER.encode(self._hello))
--- a/dotterelhill/control/relay_messages.py
+++ b/dotterelhill/control/relay_messages.py
@@ -67,6 +67,17 @@
     reason: str = ""
 
 
+class EntryNotice(msgspec.Struct, frozen=True, array_like=True):
+    """What the leader tells entry processes about the configuration.
+
+    :param config_version: version that the leader holds; 0 when it has no tenants
+    :param config_age_seconds: time since the leader was last known to hold the newest version
+    """
+
+    config_version: int = 0
+    config_age_seconds: float = 0.0
+
+
 class LeaderMessage(msgspec.Struct, frozen=True, array_like=True):
     """Message of the leader to a relay.
 
@@ -75,6 +86,7 @@
     :param has_claim: whether the leader holds the newest claim that it knows of
     :param is_able: whether the leader can renew that claim
     :param ended_epoch: newest epoch that the process has led and ended; 0 for none
+    :param entry: information for the entry processes
     """
 
     incarnation: str
@@ -83,6 +95,7 @@
     is_able: bool
     calls: list[RelayedCall]
     ended_epoch: int = 0
+    entry: EntryNotice = EntryNotice()
 
 
 class RelayMessage(msgspec.Struct, frozen=True, array_like=True):
--- a/dotterelhill/control/relay_pool.py
+++ b/dotterelhill/control/relay_pool.py
@@ -38,6 +38,7 @@
     RELAY_DECODER,
     SILENCE_SECONDS,
     CallFailure,
+    EntryNotice,
     Hello,
     LeaderMessage,
     RelayedAnswer,
@@ -85,6 +86,7 @@
     :param hello: first message of the relay
     :param leadership: lease of this process, whose state every message tells
     :param clock: returns seconds; keeps counting while the process is suspended
+    :param entry_notice: returns the information for entry processes
     """
 
     def __init__(
@@ -93,7 +95,9 @@
         socket: MessageSocket,
         leadership: Leadership,
         clock: Callable[[], float],
+        entry_notice: Callable[[], EntryNotice] = EntryNotice,
     ) -> None:
+        self._entry_notice = entry_notice
         self._hello = hello
         self._socket = socket
         self._leadership = leadership
@@ -163,6 +167,7 @@
                 leadership.is_able,
                 calls,
                 leadership.ended_epoch,
+                self._entry_notice(),
             )
             await self._socket.send_bytes(ENCODER.encode(message))
 
@@ -229,6 +234,7 @@
     :param leadership: lease of this process
     :param clock: returns seconds; keeps counting while the process is suspended
     :param lag: delay of the event loop
+    :param entry_notice: returns the information for entry processes
     """
 
     def __init__(
@@ -237,7 +243,9 @@
         leadership: Leadership,
         clock: Callable[[], float],
         lag: LoopLag,
+        entry_notice: Callable[[], EntryNotice] = EntryNotice,
     ) -> None:
+        self._entry_notice = entry_notice
         self._direct = direct
         self._leadership = leadership
         self._clock = clock
@@ -276,7 +284,7 @@
         earlier = self._links.pop(hello.incarnation, None)
         if earlier is not None:
             self._end(earlier, "the relay has connected again")
-        link = RelayLink(hello, socket, self._leadership, self._clock)
+        link = RelayLink(hello, socket, self._leadership, self._clock, self._entry_notice)
         self._links[hello.incarnation] = link
         self._choose_relays()
         return link
--- /dev/null
+++ b/dotterelhill/control/tests/currency.feature
@@ -0,0 +1,49 @@
+Feature: Age of the configuration in one process
+
+  Scenario Outline: A new version is applied late because a connection stopped responding
+    Given a process that follows the configuration over a store with <delay> s latency
+    And the leader names versions to it: <link>
+    When its connection to the store goes silent <after> s after a read began
+    And version 2 is stored at the same moment
+    Then version 2 is in force within <limit> s
+
+    Examples:
+      | delay | link | after | limit |
+      | 0.005 | no   | 0.01  | 3.0   |
+      | 0.005 | no   | 0.9   | 3.0   |
+      | 0.32  | no   | 0.01  | 3.2   |
+      | 0.005 | yes  | 0.01  | 1.5   |
+      | 0.32  | yes  | 0.01  | 2.0   |
+
+  Scenario: A large version that arrives slowly is requested again with each message of the leader
+    Given a process that follows the configuration over a store with 2.5 s latency
+    And the leader names versions to it: yes
+    When version 2 is stored at the same moment
+    Then version 2 is in force within 6.5 s
+    And at most 1 read was aborted
+
+  Scenario: The leader's messages confirm a version that this process has not read
+    Given a process that follows the configuration over a store with 0.005 s latency
+    And the leader names versions to it: yes
+    When the store answers this process no more
+    And 6 seconds pass in the process
+    Then its configuration was confirmed within the last 1.0 s
+    When version 2 is stored at the same moment
+    And 1 seconds pass in the process
+    Then its configuration was confirmed more than 4.0 s ago
+    And it has known of a newer version for 0.4 to 1.1 s
+
+  Scenario: A process that was suspended serves with the configuration from before
+    Given a process that follows the configuration over a store with 0.005 s latency
+    And the leader names versions to it: no
+    When it is suspended for 10 s while version 2 is stored
+    And a request waits for a current configuration
+    Then it was decided with version 2
+
+  Scenario: Requests wait for a store that is known to be away
+    Given a process that follows the configuration over a store with 0.005 s latency
+    And the leader names versions to it: no
+    When the store answers this process no more
+    And 8 seconds pass in the process
+    And a request waits for a current configuration
+    Then it has waited for 0 s
--- /dev/null
+++ b/dotterelhill/control/tests/steps/currency_steps.py
@@ -0,0 +1,203 @@
+from __future__ import annotations
+
+import asyncio
+import random
+
+import looptime
+from behave import given, then, use_step_matcher, when
+
+from dotterelhill.control.currency import ConfigurationCurrency
+from dotterelhill.control.feeds import CONFIGURATION_WAIT_SECONDS, Follower
+from dotterelhill.control.health import ObservedStore
+from dotterelhill.control.interface import Batch, Record, StoreError, Stream
+
+use_step_matcher("re")
+
+ANSWER_TIMEOUT_SECONDS = 1.2
+STEP_SECONDS = 0.01
+
+
+class OneStreamStore:
+    """Store of configuration versions; a connection may go silent, and a new one is opened."""
+
+    def __init__(self, world) -> None:
+        self._world = world
+        self.versions = [1]
+        self.latency_seconds = 0.0
+        self.is_away = False
+        self.connection = self.silent_connection = 0
+        self.aborted = 0
+
+    async def newest(self, stream, partition=0):
+        return await self.read(stream, 0, 0.0)
+
+    async def read(self, stream, start, wait_seconds, partition=0):
+        connection = self.connection
+        self._world.read_began_at = self._world.now()
+        try:
+            await asyncio.sleep(self.latency_seconds)
+            waited = 0.0
+            while len(self.versions) <= start and waited < wait_seconds:
+                await asyncio.sleep(STEP_SECONDS)
+                waited += STEP_SECONDS
+            if self.is_away or connection < self.silent_connection:
+                await asyncio.sleep(ANSWER_TIMEOUT_SECONDS + wait_seconds - waited)
+                self.connection += 1
+                raise StoreError("no answer")
+        except asyncio.CancelledError:
+            self.connection += 1
+            self.aborted += 1
+            raise
+        records = tuple(Record("config", b"%d" % version) for version in self.versions[start:])
+        return Batch(records, len(self.versions))
+
+
+class World:
+    """One process with its follower, in virtual time."""
+
+    def __init__(self, latency_seconds: float) -> None:
+        self.loop = looptime.new_event_loop()
+        self.suspended_seconds = 0.0
+        self.version = 0
+        self.read_began_at = 0.0
+        self.stored_at = 0.0
+        self.store = OneStreamStore(self)
+        self.store.latency_seconds = latency_seconds
+        observed = ObservedStore(self.store, self.now)
+        self.follower = Follower(
+            observed,
+            Stream.CONFIGURATION,
+            self._apply,
+            self.now,
+            random.Random(3),
+            wait_seconds=CONFIGURATION_WAIT_SECONDS,
+        )
+        self.currency = ConfigurationCurrency(
+            self.now,
+            lambda: self.follower.age_seconds,
+            lambda: self.version,
+            self.follower.refresh,
+            lambda: observed.is_unavailable,
+        )
+        self.run(self.follower.start())
+        self.advance(10.0)
+
+    def now(self) -> float:
+        return self.loop.time() + self.suspended_seconds
+
+    def _apply(self, records, is_snapshot) -> None:
+        self.version = int(records[-1].value)
+
+    def run(self, awaitable):
+        return self.loop.run_until_complete(awaitable)
+
+    def advance(self, seconds: float) -> None:
+        self.run(asyncio.sleep(seconds))
+
+    async def name_versions(self) -> None:
+        while True:
+            await asyncio.sleep(0.5)
+            self.currency.record(self.store.versions[-1], 0.3)
+
+    def close(self) -> None:
+        async def finish() -> None:
+            await self.follower.stop()
+            pending = asyncio.all_tasks() - {asyncio.current_task()}
+            for task in pending:
+                task.cancel()
+            await asyncio.gather(*pending, return_exceptions=True)
+
+        self.run(finish())
+        self.loop.close()
+
+
+@given(r"a process that follows the configuration over a store with (?P<delay>[\d.]+) s latency")
+def new_world(context, delay):
+    context.world = World(float(delay))
+    context.add_cleanup(context.world.close)
+
+
+@given(r"the leader names versions to it: (?P<link>yes|no)")
+def link_leader(context, link):
+    if link == "yes":
+        context.messages = context.world.loop.create_task(context.world.name_versions())
+
+
+@when(r"its connection to the store goes silent (?P<after>[\d.]+) s after a read began")
+def silence_connection(context, after):
+    world = context.world
+    began_at = world.read_began_at
+    while world.read_began_at == began_at:
+        world.advance(STEP_SECONDS / 2)
+    world.advance(float(after))
+    world.store.silent_connection = world.store.connection + 1
+
+
+@when(r"version 2 is stored at the same moment")
+def store_version(context):
+    context.world.store.versions.append(2)
+    context.world.stored_at = context.world.now()
+
+
+@when(r"the store answers this process no more")
+def stop_store(context):
+    context.world.store.is_away = True
+
+
+@when(r"(?P<seconds>\d+) seconds pass in the process")
+def pass_time(context, seconds):
+    context.world.advance(float(seconds))
+
+
+@when(r"it is suspended for (?P<seconds>\d+) s while version 2 is stored")
+def suspend(context, seconds):
+    context.world.suspended_seconds += float(seconds)
+    store_version(context)
+
+
+@when(r"a request waits for a current configuration")
+def wait_until_current(context):
+    world = context.world
+    began_at = world.now()
+    world.run(world.currency.settle(3.5))
+    context.waited_seconds = world.now() - began_at
+    context.version = world.version
+
+
+@then(r"it was decided with version (?P<version>\d+)")
+def check_decided(context, version):
+    assert context.version == int(version), context.version
+
+
+@then(r"it has waited for (?P<seconds>\d+) s")
+def check_waited(context, seconds):
+    assert context.waited_seconds <= float(seconds), context.waited_seconds
+
+
+@then(r"version 2 is in force within (?P<seconds>[\d.]+) s")
+def check_in_force(context, seconds):
+    world = context.world
+    while world.version != 2 and world.now() - world.stored_at <= float(seconds):
+        world.advance(STEP_SECONDS)
+    assert world.version == 2, f"not after {world.now() - world.stored_at:.2f} s"
+
+
+@then(r"at most (?P<count>\d+) read was aborted")
+def check_aborted(context, count):
+    assert context.world.store.aborted <= int(count), context.world.store.aborted
+
+
+@then(r"its configuration was confirmed within the last (?P<seconds>[\d.]+) s")
+def check_confirmed(context, seconds):
+    assert context.world.currency.age_seconds <= float(seconds), context.world.currency.age_seconds
+
+
+@then(r"its configuration was confirmed more than (?P<seconds>[\d.]+) s ago")
+def check_not_confirmed(context, seconds):
+    assert context.world.currency.age_seconds > float(seconds), context.world.currency.age_seconds
+
+
+@then(r"it has known of a newer version for (?P<least>[\d.]+) to (?P<most>[\d.]+) s")
+def check_behind(context, least, most):
+    behind_seconds = context.world.currency.freshness.behind_seconds
+    assert float(least) <= behind_seconds <= float(most), behind_seconds
--- a/dotterelhill/jobs/queues.py
+++ b/dotterelhill/jobs/queues.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 from dotterelhill.jobs.resources import ResourceVector
+from dotterelhill.jobs.tenants.keys import ApiKeys
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,6 +79,7 @@
     """One version of the queue configuration.
 
     :param tenants: tenants by name; empty where jobs belong to nobody and calls need no key
+    :param keys: keys of all tenants
     """
 
     version: int = 0
@@ -85,6 +87,7 @@
     pools: Mapping[str, Pool] = field(default_factory=dict)
     limits: RequestLimits = field(default_factory=RequestLimits)
     tenants: Mapping[str, Tenant] = field(default_factory=dict)
+    keys: ApiKeys = field(default_factory=ApiKeys)
 
     def queue_for(self, host: str, path: str) -> Queue | None:
         """Return the queue with the longest path prefix that matches a request, or None.
--- /dev/null
+++ b/dotterelhill/jobs/tenants/__init__.py
@@ -0,0 +1,1 @@
+"""Tenants: limits, shares and admission of the jobs that they own."""
--- a/dotterelhill/platform/ingress.py
+++ b/dotterelhill/platform/ingress.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import string
 import time
 from collections.abc import Callable
@@ -11,7 +12,9 @@
 import mode
 import msgspec
 from aiohttp import web
+from aiohttp.http_exceptions import HttpProcessingError
 
+from dotterelhill.control.currency import ConfigurationCurrency
 from dotterelhill.control.job_service import JobService, NotStoredError, OutcomeUnknownError
 from dotterelhill.control.leader import NotReadyError
 from dotterelhill.entry.logs import logger_of
@@ -19,6 +22,13 @@
 from dotterelhill.jobs.model import JobState, Schedule, Step, Submission
 from dotterelhill.jobs.queues import FleetConfig, Queue
 from dotterelhill.jobs.resources import ResourceVector
+from dotterelhill.jobs.tenants.access import (
+    AccessRefusedError,
+    AccessSettings,
+    Granted,
+    Refusal,
+    check_access,
+)
 from dotterelhill.platform.settings import Address
 
 JOB_ID_LENGTH = 16
@@ -27,6 +37,7 @@
 LARGEST_TASK_COUNT = 20000
 LARGEST_STEP_COUNT = 200
 DEADLINE_HEADER = "Deadline-Ms"
+KEY_HEADER = "Api-Key"
 # Part of the deadline that is reserved for sending the answer to the client.
 ANSWER_RESERVE_SECONDS = 0.15
 RETRY_AFTER_SECONDS = 1
@@ -80,10 +91,13 @@
     """Raised when a submission is malformed; the message names the field."""
 
 
-def decode_job(body: bytes, job_id: str, queue: Queue, accepted_ms: int) -> Submission:
+def decode_job(
+    body: bytes, job_id: str, queue: Queue, accepted_ms: int, tenant: str = ""
+) -> Submission:
     """Decode and check the body of a submission.
 
     :param accepted_ms: time of the request in Unix milliseconds
+    :param tenant: owner of the job; empty for none
     :raises BadJobError: when the body is malformed
     """
     try:
@@ -98,7 +112,7 @@
     schedule = None
     if job.repeatCount > 0:
         schedule = Schedule(job.repeatCount, job.firstRunMs, job.intervalMs)
-    submission = Submission(job_id, queue, accepted_ms, job.spec, steps, schedule)
+    submission = Submission(job_id, queue, accepted_ms, job.spec, steps, schedule, tenant)
     tasks = submission.occurrence_count * sum(step.count for step in steps)
     if tasks > LARGEST_TASK_COUNT:
         raise BadJobError(f"steps: expected at most {LARGEST_TASK_COUNT} tasks, got {tasks}")
@@ -158,12 +172,28 @@
         return response
 
 
+class _MalformedRequestFilter(logging.Filter):
+    """Log filter that drops the details of malformed requests, which may hold a key."""
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        """Remove the exception of a malformed request from its record."""
+        if record.exc_info and isinstance(record.exc_info[1], HttpProcessingError):
+            record.exc_info = record.exc_text = None
+        return True
+
+
+_server_log = logging.getLogger("clients")
+_server_log.addFilter(_MalformedRequestFilter())
+
+
 class Ingress(mode.Service):
     """HTTP server for clients and for the platform's readiness checks.
 
     :param config: returns the newest configuration; its version is 0 before the first one
     :param client_address: address on which clients are served
     :param readiness_address: address on which readiness checks are answered
+    :param currency: tells how recent the configuration is
+    :param access: time limits for the use of a configuration that may be outdated
     """
 
     def __init__(
@@ -173,8 +203,12 @@
         client_address: Address,
         readiness_address: Address,
         metrics: Metrics,
+        currency: ConfigurationCurrency,
+        access: AccessSettings,
     ) -> None:
         super().__init__()
+        self._currency = currency
+        self._access = access
         self._job_service = job_service
         self._config = config
         self._client_address = client_address
@@ -204,6 +238,7 @@
             server = web.Server(
                 handler,
                 access_log=None,
+                logger=_server_log,
                 max_line_size=LARGEST_HEADER_BYTES,
                 max_field_size=LARGEST_HEADER_BYTES,
                 keepalive_timeout=75.0,
@@ -237,14 +272,21 @@
 
     async def _response_to(self, request: web.BaseRequest) -> web.Response:
         started_at = time.monotonic()
+        if self._config().tenants:
+            await self._currency.settle(self._access.current_seconds)
         config = self._config()
-        if config.version == 0:
-            return _Reply(503, "no configuration yet", is_retry_advised=True).response()
-        queue = config.queue_for(request.host.partition(":")[0], request.path)
-        if queue is None:
-            return _Reply(404, "no such queue").response()
-        name = request.path.removeprefix(queue.path_prefix)
-        reply = await self._handle_request(request, config, queue, name)
+        access = self._check_access(request)
+        match access:
+            case Refusal.NO_CONFIGURATION | Refusal.NO_QUEUE:
+                return _refusal_reply(access).response()
+            case Refusal():
+                self._metrics.count("clients.refused", label=access.name.lower())
+                name = queue_name = ""
+                reply = _refusal_reply(access)
+            case Granted(queue):
+                queue_name = queue.name
+                name = request.path.removeprefix(queue.path_prefix)
+                reply = await self._handle_request(request, config, access, name)
         seconds = time.monotonic() - started_at
         self._metrics.count("clients.requests", label=f"{request.method}_{reply.status}")
         self._metrics.observe("clients.seconds", seconds, label=request.method)
@@ -253,7 +295,7 @@
             extra={
                 "job": name,
                 "method": request.method,
-                "queue": queue.name,
+                "queue": queue_name,
                 "config": config.version,
                 "status": reply.status,
                 "took_ms": round(1000 * seconds),
@@ -262,14 +304,45 @@
         )
         return reply.response()
 
+    def _check_access(self, request: web.BaseRequest) -> Granted | Refusal:
+        """Decide about a request under the newest configuration that this process holds."""
+        return check_access(
+            self._config(),
+            request.host.partition(":")[0],
+            request.path,
+            request.headers.get(KEY_HEADER, ""),
+            self._currency.freshness,
+            self._access,
+        )
+
+    def _confirm_access(self, request: web.BaseRequest, tenant: str) -> Granted:
+        """Check a request again, since its body or an append may have taken long.
+
+        :param tenant: owner of the job as decided before
+        :raises AccessRefusedError: when the request may no longer be handled
+        """
+        access = self._check_access(request)
+        match access:
+            case Refusal():
+                raise AccessRefusedError(access)
+            case Granted(_, owner) if owner != tenant:
+                # The key has moved to another tenant, so the client has to decide anew.
+                raise AccessRefusedError(Refusal.OUTDATED)
+        return access
+
     async def _handle_request(
-        self, request: web.BaseRequest, config: FleetConfig, queue: Queue, name: str
+        self, request: web.BaseRequest, config: FleetConfig, access: Granted, name: str
     ) -> _Reply:
+        queue = access.queue
         seconds = _time_limit_seconds(request, queue)
+
+        def check() -> None:
+            self._confirm_access(request, access.tenant)
+
         try:
             match request.method:
                 case "POST" if _is_job_id(name):
-                    return await self._submit_job(request, config, queue, name, seconds)
+                    return await self._submit_job(request, config, access, name, seconds, check)
                 case "GET" if not name:
                     return _Reply(
                         200, body={"waiting": await self._job_service.waiting_job_count(queue.name)}
@@ -277,12 +350,15 @@
                 case "GET" if _is_job_id(name):
                     return await self._query_job(name)
                 case "DELETE" if _is_job_id(name):
-                    await self._job_service.cancel(name, seconds)
+                    await self._job_service.cancel(name, seconds, check)
                     return _Reply(200)
                 case "POST" | "GET" | "DELETE":
                     return _Reply(400, "expected a job id of 16 hexadecimal digits")
                 case _:
                     return _Reply(405, "method not allowed")
+        except AccessRefusedError as error:
+            self._metrics.count("clients.refused", label=error.refusal.name.lower())
+            return _refusal_reply(error.refusal)
         except (NotStoredError, NotReadyError) as error:
             return _Reply(503, str(error), is_retry_advised=True)
         except OutcomeUnknownError as error:
@@ -292,9 +368,10 @@
         self,
         request: web.BaseRequest,
         config: FleetConfig,
-        queue: Queue,
+        access: Granted,
         job_id: str,
         seconds: float,
+        check: Callable[[], None],
     ) -> _Reply:
         limit = config.limits.body_bytes
         if request.content_length is not None and request.content_length > limit:
@@ -304,11 +381,14 @@
             body += chunk
             if len(body) > limit:
                 return _Reply(413, f"body: expected at most {limit} bytes")
+        # The body may have arrived slowly, and its queue may have changed meanwhile.
+        tenant = access.tenant
+        queue = self._confirm_access(request, tenant).queue
         try:
-            submission = decode_job(bytes(body), job_id, queue, int(time.time() * 1000))
+            submission = decode_job(bytes(body), job_id, queue, int(time.time() * 1000), tenant)
         except BadJobError as error:
             return _Reply(400, str(error))
-        await self._job_service.submit(submission, seconds)
+        await self._job_service.submit(submission, seconds, check)
         return _Reply(200)
 
     async def _query_job(self, job_id: str) -> _Reply:
@@ -318,6 +398,16 @@
         return _Reply(200, body={"state": _STATE_NAMES[state]})
 
 
+def _refusal_reply(refusal: Refusal) -> _Reply:
+    match refusal:
+        case Refusal.NO_CONFIGURATION | Refusal.OUTDATED:
+            return _Reply(503, str(refusal), is_retry_advised=True)
+        case Refusal.NO_QUEUE:
+            return _Reply(404, str(refusal))
+        case Refusal.NO_KEY | Refusal.UNKNOWN_KEY:
+            return _Reply(401, str(refusal))
+
+
 _STATE_NAMES = {
     JobState.QUEUED: "queued",
     JobState.RUNNING: "running",
--- a/dotterelhill/platform/process.py
+++ b/dotterelhill/platform/process.py
@@ -14,8 +14,13 @@
 import aiohttp
 import mode
 
+from dotterelhill.control.currency import ConfigurationCurrency
 from dotterelhill.control.election import Election
-from dotterelhill.control.feeds import ConfigurationFeed, Follower
+from dotterelhill.control.feeds import (
+    CONFIGURATION_WAIT_SECONDS,
+    ConfigurationFeed,
+    Follower,
+)
 from dotterelhill.control.health import ObservedStore
 from dotterelhill.control.interface import Stream
 from dotterelhill.control.job_service import JobService
@@ -25,7 +30,7 @@
 from dotterelhill.control.metrics_server import MetricsServer
 from dotterelhill.control.peers import PeerClient, PeerServer
 from dotterelhill.control.relay_client import RelayClient
-from dotterelhill.control.relay_messages import Hello
+from dotterelhill.control.relay_messages import EntryNotice, Hello
 from dotterelhill.control.relay_pool import RelayPool
 from dotterelhill.core import new_incarnation_id
 from dotterelhill.entry.logs import BoundedStream, logger_of, start_logging
@@ -53,6 +58,9 @@
 RESIGN_TIMEOUT_SECONDS = 1.0
 # Polls and orders share the connections to a minion; a poll occupies one while it waits.
 MAX_MINION_CONNECTIONS = 8
+# The configuration is read over a connection of its own. When that stops responding, the next
+# attempt opens a new one; otherwise it might take another dead connection from the pool.
+MAX_CONFIG_CONNECTIONS = 1
 # The leader has a long poll open on each partition; its appends and renewals must not queue
 # behind them.
 MAX_STORE_CONNECTIONS = 64
@@ -86,7 +94,12 @@
         self._metrics.add_gauges(self._gauges)
         self._sessions: dict[int, aiohttp.ClientSession] = {}
         self._store = ObservedStore(
-            PlatformStore(self._store_session, settings.store_address, settings.partitions),
+            PlatformStore(
+                self._store_session,
+                settings.store_address,
+                settings.partitions,
+                self._config_session,
+            ),
             boot_seconds,
         )
         self._records = PlatformRecords()
@@ -100,6 +113,14 @@
             self._configuration.apply_records,
             boot_seconds,
             self._random,
+            wait_seconds=CONFIGURATION_WAIT_SECONDS,
+        )
+        self._currency = ConfigurationCurrency(
+            boot_seconds,
+            lambda: self._config_follower.age_seconds,
+            lambda: self._configuration.config.version,
+            self._config_follower.refresh,
+            lambda: self._store.is_unavailable,
         )
         self._minion_caller = HttpMinionCaller(self._open_session)
         self._relay_client = RelayClient(
@@ -109,6 +130,7 @@
             self._open_session,
             boot_seconds,
             self._random,
+            self._receive_notice,
         )
         peers = PeerClient(self._open_session)
         self._election = Election(
@@ -131,6 +153,8 @@
             settings.client_address,
             settings.readiness_address,
             self._metrics,
+            self._currency,
+            settings.access,
         )
         self._metrics_server = MetricsServer(
             self._metrics, settings.peer_address.host, METRICS_PORT
@@ -142,6 +166,9 @@
     def _store_session(self) -> aiohttp.ClientSession:
         return self._session_for_limit(MAX_STORE_CONNECTIONS)
 
+    def _config_session(self) -> aiohttp.ClientSession:
+        return self._session_for_limit(MAX_CONFIG_CONNECTIONS)
+
     def _session_for_limit(self, limit_per_host: int) -> aiohttp.ClientSession:
         """Return the session that opens at most ``limit_per_host`` connections to one host."""
         session = self._sessions.get(limit_per_host)
@@ -158,6 +185,16 @@
         if self._election.leader is not None:
             self._election.leader.apply_configuration()
 
+    def _entry_notice(self) -> EntryNotice:
+        """Return what entry processes have to know, while this process leads."""
+        config = self._configuration.config
+        if not config.tenants:
+            return EntryNotice()
+        return EntryNotice(config.version, self._config_follower.age_seconds)
+
+    def _receive_notice(self, notice: EntryNotice, transit_seconds: float) -> None:
+        self._currency.record(notice.config_version, notice.config_age_seconds + transit_seconds)
+
     def _remote_leader_address(self) -> str:
         """Return the address of the leader; empty while this process leads or knows none."""
         return "" if self._election.has_claim else self._election.leader_address
@@ -165,7 +202,9 @@
     def _new_leader(self, renewals_end: float) -> Leader:
         settings = self._settings
         lag = LoopLag(boot_seconds)
-        relays = RelayPool(self._minion_caller, self._leadership, boot_seconds, lag)
+        relays = RelayPool(
+            self._minion_caller, self._leadership, boot_seconds, lag, self._entry_notice
+        )
         return Leader(
             LeaderParts(
                 store=self._store,
--- a/dotterelhill/platform/records.py
+++ b/dotterelhill/platform/records.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from hashlib import sha256
 from typing import Annotated
 
 import msgspec
@@ -10,8 +11,9 @@
 from dotterelhill.control.interface import Record
 from dotterelhill.entry.logs import logger_of
 from dotterelhill.jobs.fleet import MinionFacts
-from dotterelhill.jobs.queues import FleetConfig, Pool, Queue, RequestLimits
+from dotterelhill.jobs.queues import FleetConfig, Pool, Queue, RequestLimits, Tenant
 from dotterelhill.jobs.resources import ResourceVector
+from dotterelhill.jobs.tenants.keys import ApiKeys
 
 CONFIG_KEY = "config"
 EVACUATE_PREFIX = "evacuate/"
@@ -19,6 +21,8 @@
 DRAINING = "draining"
 # Larger amounts can't be converted to floating-point numbers without a loss.
 MAX_AMOUNT = 2**53
+# The store takes keys of up to 255 bytes; that of a cancellation holds a job id and a tenant.
+MAX_TENANT_NAME_BYTES = 200
 
 _log = logger_of("records")
 
@@ -35,6 +39,8 @@
     targetLatencyMs: float = 1000
     timeoutMs: float = 3000
     advice: msgspec.Raw | None = None
+    # Whether requests need no key.
+    anonymous: bool = False
 
 
 class _Service(msgspec.Struct, frozen=True):
@@ -50,11 +56,31 @@
     idleTimeoutMs: float = 15000
 
 
+class _MaxCount(msgspec.Struct, frozen=True):
+    cpu: int = 0
+    memMb: int = 0
+    gpu: int = 0
+
+
+class _Tenant(msgspec.Struct, frozen=True):
+    name: str
+    apiKeys: list[str] = []
+    weight: float = 1.0
+    # Resources that its runs may use at once; 0 for no limit.
+    maxCount: _MaxCount | None = None
+
+    def __repr__(self) -> str:
+        """Return a text without the keys."""
+        return f"_Tenant({self.name!r})"
+
+
 class _Config(msgspec.Struct, frozen=True):
     version: int
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = _Limits()
+    # Without tenants, keys are not checked.
+    tenants: list[_Tenant] | None = None
 
 
 _Amount = Annotated[int, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
@@ -140,6 +166,7 @@
             target_seconds=route.targetLatencyMs / 1000.0,
             timeout_seconds=route.timeoutMs / 1000.0,
             needs_advice=route.advice is not None,
+            is_anonymous=route.anonymous,
         )
     pools = {
         service.name: Pool(service.name, service.admissionCheck) for service in config.services
@@ -150,4 +177,32 @@
         config.limits.headerTimeoutMs / 1000.0,
         config.limits.idleTimeoutMs / 1000.0,
     )
-    return FleetConfig(config.version, queues, pools, limits)
+    tenants: dict[str, Tenant] = {}
+    keys: list[tuple[str, list[str]]] = []
+    for entry in config.tenants or ():
+        name = _tenant_name(entry.name)
+        tenants.setdefault(name, _tenant(name, entry))
+        keys.append((name, entry.apiKeys))
+    return FleetConfig(config.version, queues, pools, limits, tenants, ApiKeys.from_tenants(keys))
+
+
+def _tenant_name(name: str) -> str:
+    """Return a name that fits into record keys and that differs from that of no tenant.
+
+    A tenant can't be skipped because of its name: without any, keys would not be checked.
+    """
+    if name and len(name.encode()) <= MAX_TENANT_NAME_BYTES:
+        return name
+    return "tenant-" + sha256(name.encode()).hexdigest()[:32]
+
+
+def _tenant(name: str, entry: _Tenant) -> Tenant:
+    """Return the tenant of an entry; a weight or limit without a meaning becomes the default."""
+    weight = entry.weight
+    if not 0.0 < weight <= MAX_AMOUNT:
+        _log.error("weight of a tenant is not usable", extra={"tenant": name, "weight": weight})
+        weight = 1.0
+    limit = entry.maxCount or _MaxCount()
+    return Tenant(
+        name, weight, ResourceVector(max(0, limit.cpu), max(0, limit.memMb), max(0, limit.gpu))
+    )
--- a/dotterelhill/platform/settings.py
+++ b/dotterelhill/platform/settings.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from dotterelhill.jobs.tenants.access import AccessSettings
+
 SETTINGS_VARIABLE = "DOTTERELHILL_BOOT"
 
 
@@ -39,6 +41,11 @@
     graceS: float = 6
     # Time in ms, without one heartbeat, for which a room that has shrunk still counts as it was.
     stabilityMs: float = 4000
+    # Whether known keys are refused while the configuration is older than revokeMs.
+    strictRevoke: bool = False
+    revokeMs: float = 5000
+    # Time in ms after which a stored configuration must be in force.
+    configApplyMs: float = 4000
 
 
 class _File(msgspec.Struct, frozen=True):
@@ -90,6 +97,7 @@
     :param capacity_valid_seconds: longest age of the list of minions with which tasks start on
         minions that don't guard their capacity
     :param processors: number of processors that the process may use
+    :param access: time limits for the use of a configuration that may be outdated
     """
 
     vm_name: str
@@ -107,6 +115,7 @@
     grace_seconds: float
     capacity_valid_seconds: float
     processors: float
+    access: AccessSettings
 
 
 def load_settings(path: Path) -> ProcessSettings:
@@ -140,6 +149,15 @@
         grace_seconds=_require_positive("bounds.graceS", file.bounds.graceS),
         capacity_valid_seconds=_capacity_valid_seconds(file),
         processors=file.limits.cpuShare * file.limits.cores,
+        access=_access_settings(file.bounds),
+    )
+
+
+def _access_settings(bounds: _Bounds) -> AccessSettings:
+    return AccessSettings(
+        bounds.strictRevoke,
+        _require_positive("bounds.revokeMs", bounds.revokeMs) / 1000.0,
+        _require_positive("bounds.configApplyMs", bounds.configApplyMs) / 1000.0,
     )
 
 
--- a/dotterelhill/platform/store.py
+++ b/dotterelhill/platform/store.py
@@ -125,12 +125,19 @@
     :param session: returns the HTTP session to use
     :param address: ``host:port`` of the store
     :param partitions: number of partitions of each topic that belongs to the system
+    :param config_session: returns the HTTP session for reads of the configuration; the first one if
+        None
     """
 
     def __init__(
-        self, session: Callable[[], aiohttp.ClientSession], address: str, partitions: int
+        self,
+        session: Callable[[], aiohttp.ClientSession],
+        address: str,
+        partitions: int,
+        config_session: Callable[[], aiohttp.ClientSession] | None = None,
     ) -> None:
         self._session = session
+        self._config_session = config_session or session
         self._base_url = f"http://{address}"
         self._partitions = partitions
 
@@ -236,8 +243,10 @@
             sock_connect=CONNECT_TIMEOUT_SECONDS,
             sock_read=READ_TIMEOUT_SECONDS + wait_seconds,
         )
+        is_config = params.get("topic") == _TOPICS[Stream.CONFIGURATION]
+        session = self._config_session() if is_config else self._session()
         try:
-            async with self._session().request(
+            async with session.request(
                 method, self._base_url + path, params=params, data=body, timeout=timeout
             ) as answer:
                 return answer.status, await answer.read()
--- a/dotterelhill/platform/tests/adapter.feature
+++ b/dotterelhill/platform/tests/adapter.feature
@@ -15,6 +15,8 @@
       | bounds.maxHoldMs of 0       | bounds.maxHoldMs |
       | bounds.stabilityMs of 0     | bounds.stabilityMs |
       | heartbeatMs of -1           | heartbeatMs      |
+      | bounds.revokeMs of 0        | bounds.revokeMs  |
+      | bounds.configApplyMs of -1  | bounds.configApplyMs |
       | no text at all              | malformed        |
 
   Scenario: A settings file with unknown fields is refused
@@ -96,6 +98,20 @@
     When configurations 7 and an invalid one are read
     Then configuration 7 is in force
 
+  Scenario Outline: An unusual tenant makes the configuration unreadable or leaves it without keys
+    When a configuration with a tenant with <entry> is read
+    Then its key belongs to a tenant of weight <weight> and a limit of <limit>
+    And the text form of the configuration holds no key
+
+    Examples:
+      | entry                                             | weight | limit  |
+      | {"name":"t"}                                      | 1      | 0 0 0  |
+      | {"name":"t","weight":2.5,"maxCount":{"cpu":4000}} | 2.5    | 4000 0 0 |
+      | {"name":"t","weight":-1,"maxCount":{"memMb":-5}}  | 1      | 0 0 0  |
+      | {"name":"","maxCount":null}                       | 1      | 0 0 0  |
+      | {"name":"300 letters","maxCount":{"gpu":1}}       | 1      | 0 0 1  |
+      | {"name":"t","priority":"high","allowedRegions":5} | 1      | 0 0 0  |
+
   Scenario: A failure domain remains evacuated after the end of its evacuation
     When the evacuation of failure domain "caxias" starts and ends
     Then no failure domain is evacuated
--- a/dotterelhill/platform/tests/steps/adapter_steps.py
+++ b/dotterelhill/platform/tests/steps/adapter_steps.py
@@ -5,6 +5,7 @@
 import subprocess
 import sys
 import tempfile
+from hashlib import sha256
 from pathlib import Path
 
 from behave import given, then, use_step_matcher, when
@@ -246,6 +247,33 @@
         context.feed.apply_records((record,), False)
 
 
+@when(r"a configuration with a tenant with (?P<entry>.+) is read")
+def read_tenant(context, entry):
+    tenant = {**json.loads(entry), "apiKeys": ["secret-key", ""]}
+    tenant["name"] = tenant["name"].replace("300 letters", "x" * 300)
+    record = config_record(7)
+    config = {**json.loads(record.value), "tenants": [tenant]}
+    apply_operator_records(context, [Record("config", json.dumps(config).encode())])
+
+
+@then(r"its key belongs to a tenant of weight (?P<weight>\S+) and a limit of (?P<limit>.+)")
+def check_tenant(context, weight, limit):
+    config = context.feed.config
+    name = config.keys.tenant_of("secret-key")
+    assert name and len(name) <= 200 and config.keys.tenant_of("") is None, name
+    tenant = config.tenants[name]
+    assert (tenant.weight, tenant.limit.as_list()) == (
+        float(weight),
+        [int(amount) for amount in limit.split()],
+    ), tenant
+
+
+@then(r"the text form of the configuration holds no key")
+def check_no_key_in_text(context):
+    assert "secret" not in repr(context.feed.config), context.feed.config
+    assert sha256(b"secret-key").hexdigest() not in repr(context.feed.config)
+
+
 @when(r"configurations 7, 9 and 8 are read")
 def read_configurations(context):
     apply_operator_records(context, [config_record(7), config_record(9), config_record(8)])
--- a/dotterelhill/platform/tests/steps/fuzz_steps.py
+++ b/dotterelhill/platform/tests/steps/fuzz_steps.py
@@ -61,6 +61,9 @@
     ],
     "services": [{"name": "pool", "admissionCheck": False}],
     "limits": {"maxBodyBytes": 4096},
+    "tenants": [
+        {"name": "t", "apiKeys": ["k"], "priority": 1, "weight": 2, "maxCount": {"cpu": 1}}
+    ],
 }
 JOB = {
     "spec": "text",
--- /dev/null
+++ b/dotterelhill/platform/tests/steps/ingress_steps.py
@@ -0,0 +1,182 @@
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import random
+from types import SimpleNamespace
+from unittest import mock
+
+import logbook
+from aiohttp import streams
+from aiohttp.http_exceptions import InvalidHeader
+from aiohttp.test_utils import make_mocked_request
+from behave import given, then, use_step_matcher, when
+
+from dotterelhill.control.interface import StoreError
+from dotterelhill.control.job_service import JobService
+from dotterelhill.entry.metrics import LocalMetrics
+from dotterelhill.jobs.queues import FleetConfig, Queue, Tenant
+from dotterelhill.jobs.tenants.access import AccessSettings, Freshness
+from dotterelhill.jobs.tenants.keys import ApiKeys
+from dotterelhill.platform.ingress import Ingress, _server_log
+from dotterelhill.platform.settings import Address
+
+use_step_matcher("re")
+
+BODY = json.dumps({"spec": "x", "steps": [{"count": 1, "cpu": 500}]}).encode()
+QUEUES = {
+    "q": Queue("q", "h", "/q/", "pool"),
+    "open": Queue("open", "h", "/open/", "pool", is_anonymous=True),
+}
+
+
+class FakeStore:
+    """Store that stores all records, or fails and calls ``on_append``."""
+
+    is_unavailable = False
+
+    def __init__(self) -> None:
+        self.records = []
+        self.on_append = lambda: None
+        self.error = None
+        self.appends = 0
+
+    def partitions(self, stream) -> int:
+        return 1
+
+    async def append(self, stream, records, **more) -> int:
+        self.appends += 1
+        self.on_append()
+        if self.error is not None:
+            raise self.error
+        self.records += records
+        return len(self.records)
+
+
+class EntryWorld:
+    """Entry process without sockets, whose leader is another object in this process."""
+
+    def __init__(self, tenants: dict[str, list[str]]) -> None:
+        self.loop = asyncio.new_event_loop()
+        self.tenants = tenants
+        self.version = 1
+        self.store = FakeStore()
+        self.freshness = Freshness()
+        self.leader = SimpleNamespace(
+            state_of=lambda job_id: None, waiting_by_queue=lambda: {"q": 2}
+        )
+        self.election = SimpleNamespace(leader=self.leader, leader_address="", has_claim=True)
+        self.jobs = JobService(self.store, self.election, None, self.loop.time, random.Random(1))
+        self.metrics = LocalMetrics()
+        self.log = logbook.TestHandler(level="DEBUG")
+        address = Address("127.0.0.1", 1)
+        self.ingress = Ingress(
+            self.jobs, self.config, address, address, self.metrics, self, AccessSettings()
+        )
+
+    async def settle(self, current_seconds: float) -> None:
+        return None
+
+    def config(self) -> FleetConfig:
+        keys = ApiKeys.from_tenants(self.tenants.items())
+        tenants = {name: Tenant(name) for name in self.tenants}
+        return FleetConfig(self.version, QUEUES, tenants=tenants, keys=keys)
+
+    def revoke(self, key: str) -> None:
+        self.version += 1
+        self.tenants = {
+            name: [other for other in keys if other != key] for name, keys in self.tenants.items()
+        }
+
+    def send(self, method: str, path: str, key: str, on_body=lambda: None):
+        headers = {"Host": "h"}
+        if key:
+            headers["Api-Key"] = key
+
+        async def respond():
+            protocol = mock.Mock(_reading_paused=False)
+            content = streams.StreamReader(protocol, 2**16, loop=self.loop)
+            request = make_mocked_request(method, path, headers, payload=content)
+
+            def finish_body() -> None:
+                on_body()
+                content.feed_data(BODY)
+                content.feed_eof()
+
+            self.loop.call_later(0.01, finish_body)
+            return await self.ingress._answer_client(request)
+
+        with self.log.applicationbound():
+            return self.loop.run_until_complete(respond())
+
+
+@given(r'an entry process with tenant "(?P<tenant>\w+)" and keys "(?P<keys>[^"]+)" on queue "q"')
+def new_world(context, tenant, keys):
+    context.world = EntryWorld({tenant: keys.split()})
+    context.add_cleanup(context.world.loop.close)
+    context.keys = keys.split()
+
+
+@given(r"its configuration was last confirmed (?P<seconds>[\d.]+) seconds ago")
+def set_age(context, seconds):
+    context.world.freshness = Freshness(float(seconds))
+
+
+@when(r'(?P<method>[A-Z]+) "(?P<path>[^"]+)" is sent with key "(?P<key>[^"]*)"')
+def send(context, method, path, key):
+    context.keys.append(key or "good")
+    context.response = context.world.send(method, path, key)
+
+
+@when(
+    r'POST "(?P<path>[^"]+)" is sent with key "(?P<key>[^"]*)", which is revoked while '
+    r"(?P<moment>.+)"
+)
+def send_and_revoke(context, path, key, moment):
+    world = context.world
+
+    def revoke() -> None:
+        world.revoke(key)
+
+    on_body = revoke if moment == "the body arrives" else lambda: None
+    if moment != "the body arrives":
+        world.store.on_append = revoke
+        unknown = moment == "an append gets no answer"
+        world.store.error = StoreError("failed", is_effect_unknown=unknown)
+    context.response = world.send("POST", path, key, on_body)
+
+
+@when(r"a request with a malformed key header arrives at the server")
+def log_malformed(context):
+    context.lines = []
+    handler = logging.Handler()
+    handler.emit = lambda record: context.lines.append(handler.format(record))
+    _server_log.addHandler(handler)
+    try:
+        raise InvalidHeader("Api-Key: good\0")
+    except InvalidHeader as error:
+        _server_log.error("Error handling request from %s", "h", exc_info=error)
+    _server_log.removeHandler(handler)
+
+
+@then(r"the answer is (?P<status>\d+)(?P<retry> with Retry-After)?")
+def check_answer(context, status, retry):
+    assert context.response.status == int(status), (context.response.status, context.response.body)
+    assert not retry or int(context.response.headers["Retry-After"]) >= 1
+
+
+@then(r"(?P<count>\d+) appends were tried")
+def check_appends(context, count):
+    assert context.world.store.appends == int(count), context.world.store.appends
+
+
+@then(r"no line of the log holds a key")
+def check_log(context):
+    lines = getattr(context, "lines", None)
+    if lines is None:
+        lines = [f"{record.message} {record.extra}" for record in context.world.log.records]
+    assert lines
+    for line in lines:
+        for key in context.keys:
+            assert key not in line, line
