--- a/dotterelhill/jobs/tenants/__init__.py
+++ b/dotterelhill/jobs/tenants/__init__.py
@@ -1,1 +1,1 @@
-"""Tenants in scheduling: what their runs use, their limits, their shares and their load."""
+"""Tenants: limits, shares and admission of the jobs that they own."""
