Let jobs with nothing running start a filler also without a claim

Ruled out: more claims, each of which keeps processors idle. Change: forced starts consider the other overdue steps as well, at most 8 choices a round, and look at the load of the service before they rank minions.

--- a/dotterelhill/jobs/placement/filler_claims.py
+++ b/dotterelhill/jobs/placement/filler_claims.py
@@ -64,7 +64,8 @@
 class FillerClaims:
     """Waiting times of fillers, and the minions that the longest waiting ones have claimed.
 
-    A minion has at most one claim. The wait of a step begins anew with each of its starts.
+    A minion has at most one claim. Claims go to the steps that have waited longest, whether other
+    tasks of their jobs run or not. The wait of a step begins anew with each of its starts.
     """
 
     def __init__(self, interference: InterferenceControl) -> None:
@@ -72,12 +73,18 @@
         self._since: dict[StepId, float] = {}
         self._claims: dict[StepId, FillerClaim] = {}
         self._by_minion: dict[Minion, FillerClaim] = {}
+        self._unclaimed: list[FillerClaim] = []
         self._now = 0.0
 
     def __iter__(self) -> Iterator[FillerClaim]:
         """Return the claims, the longest waiting first."""
         return iter(list(self._claims.values()))
 
+    @property
+    def unclaimed(self) -> Sequence[FillerClaim]:
+        """Return the steps that have waited as long without a claim, the longest waiting first."""
+        return self._unclaimed
+
     def update(
         self,
         ranked: Sequence[RankedJob],
@@ -147,11 +154,14 @@
         """Claim minions for the longest waiting steps of each service."""
         earlier, self._claims = self._claims, {}
         self._by_minion = {}
+        self._unclaimed = []
         for service, claims in overdue.items():
             pool = by_service.get(service, [])
             usable = set(pool)
             claims.sort(key=lambda claim: claim.since)
-            for claim in claims[: max(1, min(MAX_CLAIMS, int(MAX_CLAIMED_SHARE * len(pool))))]:
+            limit = max(1, min(MAX_CLAIMS, int(MAX_CLAIMED_SHARE * len(pool))))
+            self._unclaimed += claims[limit:]
+            for claim in claims[:limit]:
                 self._claims[claim.step_id] = claim
                 known = earlier.get(claim.step_id)
                 if known is not None:
--- a/dotterelhill/jobs/placement/forced_starts.py
+++ b/dotterelhill/jobs/placement/forced_starts.py
@@ -19,6 +19,9 @@
 # service is overloaded, and starting them all would throttle every filler.
 MAX_SHARE_WHILE_BUSY = 1 / 16
 
+# Looking for a minion takes a pass over all runs of a service, in each round.
+MAX_ATTEMPTS = 8
+
 StartCheck = Callable[[Minion], bool]
 
 
@@ -30,6 +33,11 @@
 
     def __init__(self, interference: InterferenceControl) -> None:
         self._interference = interference
+        self._attempts = 0
+
+    def begin_round(self) -> None:
+        """Allow ``MAX_ATTEMPTS`` choices of a minion in the round that begins."""
+        self._attempts = 0
 
     def choose(
         self, claim: FillerClaim, pool: Sequence[Minion], is_allowed: StartCheck, now: float
@@ -41,16 +49,17 @@
         waited_seconds = now - claim.since
         if waited_seconds < FORCE_WHILE_IDLE_AFTER_SECONDS:
             return None
+        if self._attempts >= MAX_ATTEMPTS:
+            return None
         if any(task.is_assigned for task in claim.job.tasks.values()):
             return None
-        forced_count = used_cpu = capacity_cpu = 0
+        self._attempts += 1
+        if not self._is_force_due(pool, waited_seconds):
+            return None
         best: Minion | None = None
         lowest: tuple[bool, float, float] = (True, 0.0, 0.0)
         for minion in pool:
-            capacity_cpu += minion.facts.capacity.cpu
-            used_cpu += minion.used.cpu + int(minion.filler_cpu)
             if self._interference.has_forced_filler(minion):
-                forced_count += 1
                 continue
             idle_cpu = self._interference.idle_cpu(minion)
             if idle_cpu < MIN_FILLER_CPU_SHARE * claim.step.room.cpu or not is_allowed(minion):
@@ -62,12 +71,20 @@
             )
             if best is None or rank < lowest:
                 best, lowest = minion, rank
-        is_idle = used_cpu < IDLE_SHARE * capacity_cpu
-        if not is_idle and (
-            waited_seconds < FORCE_AFTER_SECONDS
-            or forced_count >= max(1, int(MAX_SHARE_WHILE_BUSY * len(pool)))
-        ):
-            return None
         if best is not None:
             self._interference.record_forced_start(claim.key)
         return best
+
+    def _is_force_due(self, pool: Sequence[Minion], waited_seconds: float) -> bool:
+        """Return whether a filler has waited long enough for how busy its service is."""
+        forced_count = capacity_cpu = 0
+        used_cpu = 0.0
+        for minion in pool:
+            capacity_cpu += minion.facts.capacity.cpu
+            used_cpu += minion.used.cpu + minion.filler_cpu
+            forced_count += self._interference.has_forced_filler(minion)
+        if used_cpu < IDLE_SHARE * capacity_cpu:
+            return True
+        if waited_seconds < FORCE_AFTER_SECONDS:
+            return False
+        return forced_count < max(1, int(MAX_SHARE_WHILE_BUSY * len(pool)))
--- a/dotterelhill/jobs/placement/placement.py
+++ b/dotterelhill/jobs/placement/placement.py
@@ -333,9 +333,10 @@
     ) -> Iterator[tuple[Job, TaskKey, Minion]]:
         """Yield the starts of fillers on the minions that they have claimed.
 
-        A filler that has waited for long starts where it interferes least.
+        A filler that has waited for long starts where it interferes least, with or without a claim.
         """
-        for claim in self._filler_claims:
+        self._forced_starts.begin_round()
+        for claim in [*self._filler_claims, *self._filler_claims.unclaimed]:
             if self._remaining_starts <= 0:
                 return
             key, minion = claim.key, claim.minion
--- a/dotterelhill/jobs/tests/sharing.feature
+++ b/dotterelhill/jobs/tests/sharing.feature
@@ -25,6 +25,15 @@
     When the tails beside fillers are 48 ms for 5 seconds
     Then 1 fillers run
 
+  Scenario: a job with nothing running waits behind the claims of jobs of which other fillers run
+    Given serving job "s" of image "web" with target 50 ms on "m1 m2"
+    And the tails of job "s" are 46 ms for 5 seconds
+    When job "f" of 2 fillers of image "print" is submitted
+    And 3.0 seconds pass in rounds
+    And job "g" of 1 fillers of image "print" is submitted
+    And 3.0 seconds pass in rounds
+    Then 2 fillers run
+
   Scenario: many fillers that would take too much headroom start on a busy fleet and harm all serving tasks
     Given serving job "s" of image "web" with target 50 ms on "m1 m2"
     And job "k" of 6 lasting tasks of 5 processors on queue "long"
