Blame lasting tasks that fail on two minions in a row, not the minions

Cause: each failed run counted against its minion. Four lasting tasks that fail every run set all eight minions aside one after the other, and were the first to start where that time ended, so that a short task started nowhere for 20 s (known-red scenario). Ruled out: a pause that grows with each failure. Forty such tasks still set eight minions aside. Not counting failures of lasting tasks at all: a minion that fails every run would be tried for ever. Change: placement/failing_tasks.py records where a lasting task failed since it last worked. From the second minion on its failures count against the task: it is started at most once a second, claims no minion in between, and minions on which it failed lately come last. Work at full speed clears it.

--- a/dotterelhill/jobs/placement/lasting_claims.py
+++ b/dotterelhill/jobs/placement/lasting_claims.py
@@ -6,6 +6,7 @@
 
 from dotterelhill.jobs.fleet import Minion
 from dotterelhill.jobs.model import Job, Step, TaskKey
+from dotterelhill.jobs.placement.failing_tasks import FailingTasks
 from dotterelhill.jobs.placement.waiting import (
     RankedJob,
     WaitingJob,
@@ -40,10 +41,14 @@
         self,
         ranked: Sequence[RankedJob],
         by_service: Mapping[str, Sequence[Minion]],
+        failing: FailingTasks,
         now: float,
         unix_ms: int,
     ) -> None:
-        """Claim minions for lasting tasks that have waited longer than ``CLAIM_AFTER_SECONDS``."""
+        """Claim minions for lasting tasks that have waited longer than ``CLAIM_AFTER_SECONDS``.
+
+        :param failing: tasks that fail on every minion; they claim none until their next run
+        """
         earlier, self._minions = self._minions, {}
         self._claimed_cpu = {}
         for _, queue, waiting in ranked:
@@ -51,7 +56,7 @@
                 if longest_idle_seconds(waiting.job, keys, now) < CLAIM_AFTER_SECONDS:
                     continue
                 pool = by_service.get(queue.service, [])
-                for key in keys:
+                for key in failing.due_tasks(keys, now):
                     minion = self.claimable_minion(key, step, pool, earlier.get(key))
                     if minion is None:
                         break
--- a/dotterelhill/jobs/placement/placement.py
+++ b/dotterelhill/jobs/placement/placement.py
@@ -12,6 +12,7 @@
 from dotterelhill.jobs.fleet import Minion
 from dotterelhill.jobs.interference.sharing import MIN_FILLER_CPU_SHARE, InterferenceControl
 from dotterelhill.jobs.model import TOO_LATE_FACTOR, Job, Step, Task, TaskKey, critical_path_seconds
+from dotterelhill.jobs.placement.failing_tasks import FailingTasks
 from dotterelhill.jobs.placement.filler_claims import FillerClaims
 from dotterelhill.jobs.placement.forced_starts import ForcedStarts
 from dotterelhill.jobs.placement.lasting_claims import (
@@ -65,11 +66,18 @@
 
     :param interference: control of the interference between fillers and serving tasks
     :param suspicion: tasks that are suspected of crashing minions
+    :param failing: lasting tasks that fail on every minion
     """
 
-    def __init__(self, interference: InterferenceControl, suspicion: CrashSuspicion) -> None:
+    def __init__(
+        self,
+        interference: InterferenceControl,
+        suspicion: CrashSuspicion,
+        failing: FailingTasks,
+    ) -> None:
         self._interference = interference
         self._suspicion = suspicion
+        self._failing = failing
         self._isolation = Isolation(suspicion)
         self._waiting_jobs: dict[str, WaitingJob] = {}
         self._short_peak_cpu = 0.0
@@ -187,7 +195,7 @@
         ranked.sort(key=lambda entry: entry[0])
         self._track_short_peak(minions, now)
         unplaceable = self._recently_unplaceable(now)
-        self._lasting_claims.update(ranked, by_service, now, unix_ms)
+        self._lasting_claims.update(ranked, by_service, self._failing, now, unix_ms)
         if self._suspicion.has_suspects:
             yield from self._choose_isolated_starts(ranked, by_service, now, unix_ms)
             for service, pool in by_service.items():
@@ -303,7 +311,11 @@
 
     def _open_tasks(self, job: Job, keys: list[TaskKey], now: float) -> list[TaskKey]:
         """Return those of a step's waiting tasks that may start beside other tasks."""
-        return self._suspicion.open_tasks(job, (keys[0].occurrence, keys[0].step), keys, now)
+        step = job.submission.steps[keys[0].step]
+        open_keys = self._suspicion.open_tasks(job, (keys[0].occurrence, keys[0].step), keys, now)
+        if step.is_lasting and not step.is_gang:
+            return self._failing.due_tasks(open_keys, now)
+        return open_keys
 
     def _choose_claimed_starts(
         self, by_service: Mapping[str, Sequence[Minion]], now: float
@@ -325,7 +337,10 @@
                 minion = self._forced_starts.choose(claim, pool, is_allowed, now)
             if minion is None or key in minion.runs:
                 continue
-            self._waiting_jobs[key.job_id].pending[occurrence_step].remove(key)
+            pending = self._waiting_jobs[key.job_id].pending
+            pending[occurrence_step].remove(key)
+            if not pending[occurrence_step]:
+                del pending[occurrence_step]
             self._filler_claims.record_start(key)
             self._remaining_starts -= 1
             yield claim.job, key, minion
@@ -351,12 +366,12 @@
         job = waiting.job
         for occurrence_step, keys in list(waiting.pending.items()):
             occurrence, index = occurrence_step
-            if unix_ms < job.submission.due_ms(occurrence):
+            if not keys or unix_ms < job.submission.due_ms(occurrence):
                 continue
             step = job.submission.steps[index]
             if is_overdue_only and not step.is_lasting:
                 continue
-            open_keys = self._suspicion.open_tasks(job, occurrence_step, keys, now)
+            open_keys = self._open_tasks(job, keys, now)
             if is_overdue_only:
                 open_keys = [key for key in open_keys if is_overdue(job, key, now)]
             if not open_keys:
@@ -396,10 +411,10 @@
                 return
         idle_seconds = longest_idle_seconds(job, keys, now) if step.is_lasting else 0.0
         reserved_cpu = self._reserved_cpu(step, pool, idle_seconds)
-        occurrence_step = (keys[0].occurrence, keys[0].step)
+        start_cost = partial(self._avoiding_cost, job, step, keys[0], now, reserved_cpu)
         heap: list[tuple[tuple[float, ...], int]] = []
         for number, minion in enumerate(pool):
-            cost = self._start_cost(job, step, occurrence_step, minion, now, reserved_cpu)
+            cost = start_cost(minion)
             if cost is not None:
                 heap.append((cost, number))
         heapify(heap)
@@ -419,7 +434,7 @@
                 self._filler_claims.record_start(key)
             yield job, key, minion
             # A start changes only the cost on its own minion.
-            cost = self._start_cost(job, step, occurrence_step, minion, now, reserved_cpu)
+            cost = start_cost(minion)
             if cost is None:
                 heappop(heap)
             else:
@@ -514,6 +529,16 @@
             return None
         return self._placement_cost(step, minion, now)
 
+    def _avoiding_cost(
+        self, job: Job, step: Step, key: TaskKey, now: float, reserved_cpu: float, minion: Minion
+    ) -> tuple[float, ...] | None:
+        """Return the cost of a start, higher where the task has failed lately."""
+        cost = self._start_cost(job, step, (key.occurrence, key.step), minion, now, reserved_cpu)
+        if cost is None or not step.is_lasting:
+            return cost
+        avoidance = self._failing.avoidance(key, minion, now)
+        return (cost[0] + avoidance, *cost[1:]) if avoidance else cost
+
     def _is_start_allowed(
         self, job: Job, step: Step, occurrence_step: OccurrenceStep, minion: Minion
     ) -> bool:
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -44,6 +44,7 @@
     StartOutcome,
     StopOrder,
 )
+from dotterelhill.jobs.placement.failing_tasks import FailingTasks
 from dotterelhill.jobs.placement.lasting_waits import LastingWaits, explain_wait
 from dotterelhill.jobs.placement.placement import UNLIMITED_STARTS, Placement
 from dotterelhill.jobs.queues import FleetConfig, Queue
@@ -79,7 +80,8 @@
         self._evacuated_domains: frozenset[str] = frozenset()
         self._interference = InterferenceControl(settings.harm_seconds)
         self._suspicion = CrashSuspicion()
-        self._placement = Placement(self._interference, self._suspicion)
+        self._failing = FailingTasks()
+        self._placement = Placement(self._interference, self._suspicion, self._failing)
         self._lasting_waits = LastingWaits()
         self._hold = StartHold(settings.capacity_valid_seconds)
         self._dirty_jobs: dict[str, Job] = {}
@@ -214,6 +216,7 @@
             "job ended", job.job_id, state=str(state), failures=failures, **fields
         )
         for task in job.tasks.values():
+            self._failing.forget(task.key)
             if not task.is_assigned:
                 continue
             minion = self._minion_of(task)
@@ -388,6 +391,7 @@
             if run.step.is_lasting:
                 run.tail_ms = row.measure
                 if row.percent >= 100:
+                    self._failing.forget(row.key)
                     minion.health.record_work(run.planned_at, now)
                 if job is not None:
                     job.task(row.key).idle_since = None
@@ -519,7 +523,8 @@
         task.failures += 1
         self._mark_dirty(job)
         step = job.submission.steps[task.key.step]
-        if minion.health.record_failure(planned_at, now):
+        is_blamed = step.is_lasting and self._failing.record_failure(task.key, minion, now)
+        if not is_blamed and minion.health.record_failure(planned_at, now):
             self._record_minion_decision("minion set aside after failures", minion)
         if step.is_lasting or task.failures < self._queue_of(job).max_attempts:
             return
--- a/dotterelhill/jobs/tests/scheduler.feature
+++ b/dotterelhill/jobs/tests/scheduler.feature
@@ -329,7 +329,6 @@
     And every run of job "l" fails as soon as it has started for 20 seconds
     Then job "a" has started
 
-  @known-red
   Scenario: failing lasting tasks keep short tasks from eight minions for ever
     Given a fleet with minions "m1 m2 m3 m4 m5 m6 m7 m8" of 8 processors
     And job "l" of 4 lasting tasks of 2 processors
@@ -338,6 +337,20 @@
     And every run of job "l" fails as soon as it has started for 20 seconds
     Then job "a" has started
 
+  Scenario: as many failing lasting tasks as fit on all minions keep short tasks from starting
+    Given a fleet with minions "m1 m2" of 8 processors
+    And job "l" of 8 lasting tasks of 2 processors
+    When every run of job "l" fails as soon as it has started for 6 seconds
+    And job "a" of 1 task of 1 processors is submitted
+    And every run of job "l" fails as soon as it has started for 5 seconds
+    Then job "a" has started
+
+  Scenario: lasting tasks are tried again and again on failing minions although another one works
+    Given a fleet with minions "m1 m2 m3 m4" of 8 processors
+    And job "l" of 4 lasting tasks of 2 processors
+    When every run on "m1 m2 m3" fails as soon as it has started for 5 seconds
+    Then job "l" runs on "m4" only
+
   Scenario: lasting tasks wait for their turn on a minion that was set aside, although one of them works
     Given a fleet with minions "m1" of 16 processors
     And job "a" of 16 tasks of 1 processors
--- a/dotterelhill/jobs/tests/steps/scheduler_steps.py
+++ b/dotterelhill/jobs/tests/steps/scheduler_steps.py
@@ -500,3 +500,14 @@
         fleet.submit(f"next{number}", (tasks(1, 2, is_filler=True),), "long")
         for _ in range(5):
             fleet.run_round()
+
+
+@when(
+    r'every run on "(?P<names>[^"]+)" fails as soon as it has started for (?P<seconds>\d+) seconds'
+)
+def fail_every_run_on(context, names, seconds):
+    for _ in range(round(int(seconds) / ROUND_SECONDS)):
+        context.fleet.run_round()
+        for name in names.split():
+            for key in list(context.fleet.running[name]):
+                context.fleet.end(name, key, EndKind.FAILED)
