--- a/dotterelhill/jobs/placement/placement.py
+++ b/dotterelhill/jobs/placement/placement.py
@@ -13,6 +13,7 @@
 from dotterelhill.jobs.fleet import Minion
 from dotterelhill.jobs.interference.sharing import MIN_FILLER_CPU_SHARE, InterferenceControl
 from dotterelhill.jobs.model import TOO_LATE_FACTOR, Job, Step, Task, TaskKey
+from dotterelhill.jobs.placement.failing_tasks import FailingTasks
 from dotterelhill.jobs.placement.filler_claims import FillerClaims
 from dotterelhill.jobs.placement.forced_starts import ForcedStarts
 from dotterelhill.jobs.placement.lasting_claims import (
@@ -69,6 +70,7 @@
     :param suspicion: tasks that are suspected of crashing minions
     :param durations: learned durations of tasks
     :param limits: limits of tenants
+    :param failing: lasting tasks that fail on every minion
     """
 
     def __init__(
@@ -77,11 +79,13 @@
         suspicion: CrashSuspicion,
         durations: DurationModel,
         limits: TenantLimits,
+        failing: FailingTasks,
     ) -> None:
         self._interference = interference
         self._limits = limits
         self._suspicion = suspicion
         self._durations = durations
+        self._failing = failing
         self._isolation = Isolation(suspicion)
         self._waiting_jobs: dict[str, WaitingJob] = {}
         self._short_peak_cpu = 0.0
@@ -200,7 +204,7 @@
         ranked.sort(key=lambda entry: entry[0])
         self._track_short_peak(minions, now)
         unplaceable = self._recently_unplaceable(now)
-        self._lasting_claims.update(ranked, by_service, now, unix_ms)
+        self._lasting_claims.update(ranked, by_service, self._failing, now, unix_ms)
         if self._suspicion.has_suspects:
             yield from self._choose_isolated_starts(ranked, by_service, now, unix_ms)
             for service, pool in by_service.items():
@@ -324,9 +328,13 @@
 
         A tenant at its limit could not use a claim.
         """
-        if not self._limits.allows(job.submission.tenant, job.submission.steps[keys[0].step]):
+        step = job.submission.steps[keys[0].step]
+        if not self._limits.allows(job.submission.tenant, step):
             return []
-        return self._suspicion.open_tasks(job, (keys[0].occurrence, keys[0].step), keys, now)
+        open_keys = self._suspicion.open_tasks(job, (keys[0].occurrence, keys[0].step), keys, now)
+        if step.is_lasting and not step.is_gang:
+            return self._failing.due_tasks(open_keys, now)
+        return open_keys
 
     def _choose_claimed_starts(
         self, by_service: Mapping[str, Sequence[Minion]], now: float
@@ -351,7 +359,10 @@
                 minion = self._forced_starts.choose(claim, pool, is_allowed, now)
             if minion is None or key in minion.runs:
                 continue
-            self._waiting_jobs[key.job_id].pending[occurrence_step].remove(key)
+            pending = self._waiting_jobs[key.job_id].pending
+            pending[occurrence_step].remove(key)
+            if not pending[occurrence_step]:
+                del pending[occurrence_step]
             self._filler_claims.record_start(key)
             self._remaining_starts -= 1
             yield claim.job, key, minion
@@ -377,12 +388,12 @@
         job, tenant = waiting.job, waiting.job.submission.tenant
         for occurrence_step, keys in list(waiting.pending.items()):
             occurrence, index = occurrence_step
-            if unix_ms < job.submission.due_ms(occurrence):
+            if not keys or unix_ms < job.submission.due_ms(occurrence):
                 continue
             step = job.submission.steps[index]
             if (is_overdue_only and not step.is_lasting) or not self._limits.allows(tenant, step):
                 continue
-            open_keys = self._suspicion.open_tasks(job, occurrence_step, keys, now)
+            open_keys = self._open_tasks(job, keys, now)
             if is_overdue_only:
                 open_keys = [key for key in open_keys if is_overdue(job, key, now)]
             if not open_keys:
@@ -422,10 +433,10 @@
                 return
         idle_seconds = longest_idle_seconds(job, keys, now) if step.is_lasting else 0.0
         reserved_cpu = self._reserved_cpu(step, pool, idle_seconds)
-        occurrence_step = (keys[0].occurrence, keys[0].step)
+        start_cost = partial(self._avoiding_cost, job, step, keys[0], now, reserved_cpu)
         heap: list[tuple[tuple[float, ...], int]] = []
         for number, minion in enumerate(pool):
-            cost = self._start_cost(job, step, occurrence_step, minion, now, reserved_cpu)
+            cost = start_cost(minion)
             if cost is not None:
                 heap.append((cost, number))
         heapify(heap)
@@ -447,7 +458,7 @@
                 self._filler_claims.record_start(key)
             yield job, key, minion
             # A start changes only the cost on its own minion.
-            cost = self._start_cost(job, step, occurrence_step, minion, now, reserved_cpu)
+            cost = start_cost(minion)
             if cost is None:
                 heappop(heap)
             else:
@@ -546,6 +557,16 @@
             return None
         return self._placement_cost(step, minion, now)
 
+    def _avoiding_cost(
+        self, job: Job, step: Step, key: TaskKey, now: float, reserved_cpu: float, minion: Minion
+    ) -> tuple[float, ...] | None:
+        """Return the cost of a start, higher where the task has failed lately."""
+        cost = self._start_cost(job, step, (key.occurrence, key.step), minion, now, reserved_cpu)
+        if cost is None or not step.is_lasting:
+            return cost
+        avoidance = self._failing.avoidance(key, minion, now)
+        return (cost[0] + avoidance, *cost[1:]) if avoidance else cost
+
     def _is_start_allowed(
         self, job: Job, step: Step, occurrence_step: OccurrenceStep, minion: Minion
     ) -> bool:
