Share the minions among the jobs that are left once no more are submitted

The platform counts such a job as lost 14 s after the end of traffic, by what lasting and short tasks reserve. Ruled out: forced starts without idle processors while jobs arrive, which would slow all fillers down. Change: when no job was accepted for 8 s, jobs with nothing running start a filler wherever memory allows.

--- a/dotterelhill/jobs/placement/forced_starts.py
+++ b/dotterelhill/jobs/placement/forced_starts.py
@@ -10,10 +10,12 @@
 
 # Serving tasks whose load falls usually admit a filler within some seconds.
 FORCE_AFTER_SECONDS = 6.0
-# The platform counts a job as lost that has not run for 3 s while most of a service is idle, from
-# 14 s after the end of all traffic.
 FORCE_WHILE_IDLE_AFTER_SECONDS = 2.0
-# The platform counts a job as lost only while less of a service's processors is in use.
+# The platform counts a job as lost that has not run for 3 s while lasting and short tasks reserve
+# less than half of a service, from 14 s after the end of all traffic. So once no job was submitted
+# for this time, the jobs that are left share the minions, whether processors are idle or not.
+DRAIN_AFTER_SECONDS = 8.0
+# A service counts as idle while less than this share of its processors is in use.
 IDLE_SHARE = 0.5
 # Share of the minions of a busy service that may have such a filler. Its fillers wait because the
 # service is overloaded, and starting them all would throttle every filler.
@@ -28,23 +30,35 @@
 class ForcedStarts:
     """Choice of the minion where a filler of a job that has nothing running interferes least.
 
-    Each minion has at most one such filler, whose pace is controlled as that of the others.
+    Each minion has at most one such filler, unless the service drains. The pace of forced fillers is
+    controlled as that of the others.
     """
 
     def __init__(self, interference: InterferenceControl) -> None:
         self._interference = interference
         self._attempts = 0
+        self._is_draining = False
 
-    def begin_round(self) -> None:
-        """Allow ``MAX_ATTEMPTS`` choices of a minion in the round that begins."""
+    @property
+    def is_draining(self) -> bool:
+        """Return whether no job was submitted for ``DRAIN_AFTER_SECONDS``."""
+        return self._is_draining
+
+    def begin_round(self, since_submission_seconds: float) -> None:
+        """Allow ``MAX_ATTEMPTS`` choices of a minion in the round that begins.
+
+        :param since_submission_seconds: time since the newest job was accepted
+        """
         self._attempts = 0
+        self._is_draining = since_submission_seconds >= DRAIN_AFTER_SECONDS
 
     def choose(
         self, claim: FillerClaim, pool: Sequence[Minion], is_allowed: StartCheck, now: float
     ) -> Minion | None:
         """Return the minion on which a filler starts; None while it has to wait.
 
-        :param is_allowed: returns whether the filler fits on a minion, apart from interference
+        :param is_allowed: returns whether the filler fits on a minion, apart from interference and
+            idle processors
         """
         waited_seconds = now - claim.since
         if waited_seconds < FORCE_WHILE_IDLE_AFTER_SECONDS:
@@ -57,14 +71,17 @@
         if not self._is_force_due(pool, waited_seconds):
             return None
         best: Minion | None = None
-        lowest: tuple[bool, float, float] = (True, 0.0, 0.0)
+        lowest: tuple[bool, bool, float, float] = (True, True, 0.0, 0.0)
         for minion in pool:
-            if self._interference.has_forced_filler(minion):
-                continue
+            is_forced = self._interference.has_forced_filler(minion)
             idle_cpu = self._interference.idle_cpu(minion)
-            if idle_cpu < MIN_FILLER_CPU_SHARE * claim.step.room.cpu or not is_allowed(minion):
+            is_full = idle_cpu < MIN_FILLER_CPU_SHARE * claim.step.room.cpu
+            if (is_forced or is_full) and not self._is_draining:
+                continue
+            if not is_allowed(minion):
                 continue
             rank = (
+                is_forced or is_full,
                 self._interference.is_over_target(minion),
                 -self._interference.headroom_beside(minion, claim.step, now),
                 -idle_cpu,
@@ -77,6 +94,8 @@
 
     def _is_force_due(self, pool: Sequence[Minion], waited_seconds: float) -> bool:
         """Return whether a filler has waited long enough for how busy its service is."""
+        if self._is_draining:
+            return True
         forced_count = capacity_cpu = 0
         used_cpu = 0.0
         for minion in pool:
--- a/dotterelhill/jobs/placement/placement.py
+++ b/dotterelhill/jobs/placement/placement.py
@@ -196,7 +196,9 @@
         by_service = _group_by_service(minions)
         for_trial_by_service = _group_by_service(minions_for_trial)
         ranked = []
+        newest_accepted_ms = 0
         for waiting in self._waiting_jobs.values():
+            newest_accepted_ms = max(newest_accepted_ms, waiting.job.submission.accepted_ms)
             if waiting.pending:
                 queue = queue_of(waiting.job)
                 key = _sort_key(waiting.job, queue, unix_ms, self._durations)
@@ -209,6 +211,7 @@
             yield from self._choose_isolated_starts(ranked, by_service, now, unix_ms)
             for service, pool in by_service.items():
                 by_service[service] = self._isolation.open_minions(pool)
+        self._forced_starts.begin_round((unix_ms - newest_accepted_ms) / 1000.0)
         self._filler_claims.update(
             ranked, by_service, partial(self._open_tasks, now=now), now, unix_ms
         )
@@ -343,7 +346,6 @@
 
         A filler that has waited for long starts where it interferes least, with or without a claim.
         """
-        self._forced_starts.begin_round()
         for claim in [*self._filler_claims, *self._filler_claims.unclaimed]:
             if self._remaining_starts <= 0:
                 return
@@ -351,7 +353,8 @@
             if not self._limits.allows(claim.job.submission.tenant, claim.step):
                 continue
             occurrence_step = (key.occurrence, key.step)
-            is_allowed = partial(self._is_start_allowed, claim.job, claim.step, occurrence_step)
+            check = self._has_room if self._forced_starts.is_draining else self._is_start_allowed
+            is_allowed = partial(check, claim.job, claim.step, occurrence_step)
             if minion is None or (
                 self._start_cost(claim.job, claim.step, occurrence_step, minion, now, 0.0) is None
             ):
@@ -571,6 +574,14 @@
         self, job: Job, step: Step, occurrence_step: OccurrenceStep, minion: Minion
     ) -> bool:
         """Return whether a task fits on a minion, beside the claims of fillers."""
+        if not self._has_room(job, step, occurrence_step, minion):
+            return False
+        return self._filler_claims.is_start_allowed(minion, step, (job.job_id, *occurrence_step))
+
+    def _has_room(
+        self, job: Job, step: Step, occurrence_step: OccurrenceStep, minion: Minion
+    ) -> bool:
+        """Return whether a task fits on a minion."""
         if not minion.has_room_for(step) or not has_required_label(minion, step):
             return False
         if (
@@ -578,7 +589,7 @@
             and minion.run_count(job.job_id, *occurrence_step) >= step.anti_affinity
         ):
             return False
-        return self._filler_claims.is_start_allowed(minion, step, (job.job_id, *occurrence_step))
+        return True
 
     def _placement_cost(self, step: Step, minion: Minion, now: float) -> tuple[float, ...] | None:
         """Return the cost of a start that fits; None when it would take too much headroom."""
--- a/dotterelhill/jobs/tests/scheduler.feature
+++ b/dotterelhill/jobs/tests/scheduler.feature
@@ -485,6 +485,12 @@
     When fillers of 2 processors end and new ones are submitted for 5 seconds
     Then job "a" has started
 
+  Scenario: the last job waits until long fillers end that use all processors
+    Given a fleet with minions "m1" of 8 processors
+    And job "a" of 1 filler of 8 processors on queue "long" that waits behind fillers of 2 processors
+    When 10.0 seconds pass in rounds
+    Then job "a" has started
+
   Scenario: a steady sequence of short tasks and smaller fillers keeps a large filler from ever starting
     Given a fleet with minions "m1" of 8 processors
     And job "a" of 1 filler of 8 processors on queue "long" that waits behind fillers of 2 processors
