Tell the load of each tenant, by which entry processes will admit jobs

Cause: whether a tenant's jobs may be refused depends on arrivals, backlog and capacity that only the leader knows. Ruled out: treating every waiting task as lack of capacity; tasks also wait for their tenant's limit, for the window of starts, or fit no minion of the service at all, and none of that is cured by refusing others. Change: Scheduler.tenant_loads gives waiting jobs, decayed rates of arrivals and first starts, whether tasks wait for capacity, expected time to drain and whether a service of the tenant is short. Jobs that are loaded before the first round are no arrivals. Placement notes in which round a job was last tried, so that a job that came after the newest round is not taken for one that found no minion.

--- a/dotterelhill/jobs/placement/placement.py
+++ b/dotterelhill/jobs/placement/placement.py
@@ -17,6 +17,7 @@
 from dotterelhill.jobs.queues import Queue
 from dotterelhill.jobs.resources import ResourceVector
 from dotterelhill.jobs.tenants.limits import TenantLimits
+from dotterelhill.jobs.tenants.loads import WaitingTasks
 
 UNLIMITED_STARTS = 1 << 30
 
@@ -58,10 +59,12 @@
     """Waiting tasks of one job, by occurrence and step.
 
     :param pending: keys of the tasks that can start
+    :param round_number: newest round in which tasks of the job could start
     """
 
     job: Job
     pending: dict[OccurrenceStep, list[TaskKey]] = field(default_factory=dict)
+    round_number: int = 0
 
 
 class Placement:
@@ -85,6 +88,7 @@
         self._unplaceable: dict[str, list[ResourceVector]] = {}
         self._unplaceable_since = float("-inf")
         self._remaining_starts = UNLIMITED_STARTS
+        self._round_number = 0
         self._claimed_cpu: dict[Minion, int] = {}
         self._claimed_minions: dict[TaskKey, Minion] = {}
 
@@ -96,6 +100,11 @@
             count += sum(len(keys) for keys in waiting.pending.values())
         return count
 
+    @property
+    def had_starts_left(self) -> bool:
+        """Return whether the newest round tried every waiting task."""
+        return self._remaining_starts > 0
+
     @property
     def isolation(self) -> Isolation:
         """Return the choice of minions for tasks that are suspected of crashing them."""
@@ -114,6 +123,22 @@
             for step, keys in _startable_lasting_steps(waiting, queue, unix_ms):
                 yield WaitingStep(waiting.job, step, queue.service, keys)
 
+    def waiting_tasks_of_round(self, queue_of: QueueLookup, unix_ms: int) -> Iterator[WaitingTasks]:
+        """Yield the steps with due tasks that waited in the newest round and still wait.
+
+        :param queue_of: returns the current queue configuration of a job
+        :param unix_ms: wall-clock time of that round in Unix ms
+        """
+        for waiting in self._waiting_jobs.values():
+            if not waiting.pending or waiting.round_number != self._round_number:
+                continue
+            queue, submission = queue_of(waiting.job), waiting.job.submission
+            if queue.needs_advice:
+                continue
+            for (occurrence, index), keys in waiting.pending.items():
+                if keys and unix_ms >= submission.due_ms(occurrence):
+                    yield WaitingTasks(waiting.job, submission.steps[index], queue.service)
+
     def add_job(self, job: Job) -> None:
         """Add the ready steps of a job that became active."""
         waiting = self._waiting_jobs[job.job_id] = _WaitingJob(job)
@@ -183,11 +208,13 @@
         :param max_starts: number of starts to yield at most; a gang is not split
         """
         self._remaining_starts = max_starts
+        self._round_number += 1
         by_service = _group_by_service(minions)
         for_trial_by_service = _group_by_service(minions_for_trial)
         ranked = []
         for waiting in self._waiting_jobs.values():
             if waiting.pending:
+                waiting.round_number = self._round_number
                 queue = queue_of(waiting.job)
                 ranked.append((_sort_key(waiting.job, queue, unix_ms), queue, waiting))
         ranked.sort(key=lambda entry: entry[0])
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -48,6 +48,7 @@
 from dotterelhill.jobs.placement.placement import UNLIMITED_STARTS, Placement
 from dotterelhill.jobs.queues import FleetConfig, Queue
 from dotterelhill.jobs.tenants.limits import TenantLimits
+from dotterelhill.jobs.tenants.loads import CapacityCheck, TenantLoad, TenantLoads
 from dotterelhill.jobs.tenants.usage import TenantUsage
 
 # An unanswered stop order is sent again after this time. A delayed order may still be carried out
@@ -83,6 +84,9 @@
         self._suspicion = CrashSuspicion()
         self._tenant_usage = TenantUsage()
         self._tenant_limits = TenantLimits(self._tenant_usage)
+        self._tenant_loads = TenantLoads()
+        # Unix ms of the newest round; None before the first.
+        self._planned_unix_ms: int | None = None
         self._placement = Placement(self._interference, self._suspicion, self._tenant_limits)
         self._lasting_waits = LastingWaits()
         self._hold = StartHold(settings.capacity_valid_seconds)
@@ -137,6 +141,9 @@
         if job_id in self._jobs:
             return
         job = self._jobs[job_id] = Job(submission)
+        if self._planned_unix_ms is not None:
+            # Jobs that are loaded before the first round arrived at an earlier leader.
+            self._tenant_loads.record_arrival(submission.tenant, now)
         if job_id in self._early_cancellations:
             del self._early_cancellations[job_id]
             self._end_job(job, JobState.CANCELLED, now)
@@ -226,6 +233,17 @@
                 counts[queue] = counts.get(queue, 0) + 1
         return counts
 
+    def tenant_loads(self, now: float) -> dict[str, TenantLoad]:
+        """Return the load of each tenant that has jobs, by tenant name."""
+        if self._planned_unix_ms is None:
+            return {}
+        active = [(job, self._queue_of(job).service) for job in self._active_jobs.values()]
+        listed = [minion for minion in self._minions.values() if minion.is_listed]
+        check = CapacityCheck(listed, had_starts_left=self._placement.had_starts_left)
+        waiting = self._placement.waiting_tasks_of_round(self._queue_of, self._planned_unix_ms)
+        waits = check.find(waiting, self._tenant_limits)
+        return self._tenant_loads.loads(active, waits, self._tenant_limits, now)
+
     def _end_job(self, job: Job, state: JobState, now: float, **fields: object) -> None:
         """Set the final state of a job and stop its runs.
 
@@ -759,6 +777,7 @@
         :param unix_ms: wall-clock time in Unix ms, for the objectives and schedules of jobs
         :param max_starts: number of starts to plan at most; a gang is not split
         """
+        self._planned_unix_ms = unix_ms
         self._expire_state(now)
         self._record_hold(now)
         self._report_waits(now, unix_ms)
@@ -855,6 +874,8 @@
         run = Run(key, task.run_id, step, minion.minion_id, RunState.PLANNED, now)
         minion.attach(run)
         self._count_run(job, task)
+        if job.state is JobState.QUEUED:
+            self._tenant_loads.record_start(job.submission.tenant, now)
         job.state = JobState.RUNNING
         self._mark_dirty(job)
         self._planned_runs.append(run)
