Choose starts among tenants by weighted dominant-resource fairness

Cause: jobs of one tenant that waited first took all capacity, since only priority, timeliness and slack ranked jobs. Ruled out: ranking jobs once a round by share (one job of many tasks then takes everything); a turn for each single task (each turn of a step examines all minions). Change: TenantShares orders the ranked jobs of a round: priority, then jobs that can't end in useful time last, jobs without a tenant first, then the tenant with the lowest share in the service over its weight. A turn ends when the tenant is 1 % of the service ahead of the next one. Shares are derived from TenantUsage, so a new leader has them when it has loaded. No run is stopped. Lasting tasks that are overdue still come before everything. A fleet that never saw a job with a tenant takes the order of before. Timeliness moves to jobs/model.py to avoid an import cycle.

--- a/dotterelhill/jobs/model.py
+++ b/dotterelhill/jobs/model.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from enum import StrEnum
+from enum import IntEnum, StrEnum
 from functools import lru_cache
 
 import msgspec
@@ -136,6 +136,14 @@
     return max(ends, default=0.0)
 
 
+class Timeliness(IntEnum):
+    """Expected end of a job relative to its objective; jobs are ranked in this order."""
+
+    IN_TIME = 0
+    LATE = 1
+    TOO_LATE = 2
+
+
 class JobState(StrEnum):
     """State of a job as reported to clients."""
 
--- a/dotterelhill/jobs/placement/placement.py
+++ b/dotterelhill/jobs/placement/placement.py
@@ -4,20 +4,29 @@
 
 from collections.abc import Callable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
-from enum import IntEnum
 from functools import partial
 from heapq import heapify, heappop, heapreplace
+from itertools import chain
 
 from dotterelhill.jobs.crashes.isolation import Isolation
 from dotterelhill.jobs.crashes.suspicion import CrashSuspicion
 from dotterelhill.jobs.fleet import Minion
 from dotterelhill.jobs.interference.sharing import InterferenceControl
-from dotterelhill.jobs.model import TOO_LATE_FACTOR, Job, Step, Task, TaskKey, critical_path_seconds
+from dotterelhill.jobs.model import (
+    TOO_LATE_FACTOR,
+    Job,
+    Step,
+    Task,
+    TaskKey,
+    Timeliness,
+    critical_path_seconds,
+)
 from dotterelhill.jobs.placement.lasting_waits import WaitingStep
 from dotterelhill.jobs.queues import Queue
 from dotterelhill.jobs.resources import ResourceVector
 from dotterelhill.jobs.tenants.limits import TenantLimits
 from dotterelhill.jobs.tenants.loads import WaitingTasks
+from dotterelhill.jobs.tenants.shares import TenantShares
 
 UNLIMITED_STARTS = 1 << 30
 
@@ -46,14 +55,6 @@
 OccurrenceStep = tuple[int, int]
 
 
-class Timeliness(IntEnum):
-    """Expected end of a job relative to its objective; jobs are ranked in this order."""
-
-    IN_TIME = 0
-    LATE = 1
-    TOO_LATE = 2
-
-
 @dataclass(slots=True)
 class _WaitingJob:
     """Waiting tasks of one job, by occurrence and step.
@@ -73,13 +74,20 @@
     :param interference: control of the interference between fillers and serving tasks
     :param suspicion: tasks that are suspected of crashing minions
     :param limits: limits of tenants
+    :param shares: order among tenants
     """
 
     def __init__(
-        self, interference: InterferenceControl, suspicion: CrashSuspicion, limits: TenantLimits
+        self,
+        interference: InterferenceControl,
+        suspicion: CrashSuspicion,
+        limits: TenantLimits,
+        shares: TenantShares,
     ) -> None:
         self._interference = interference
         self._limits = limits
+        self._shares = shares
+        self._has_tenants = False
         self._suspicion = suspicion
         self._isolation = Isolation(suspicion)
         self._waiting_jobs: dict[str, _WaitingJob] = {}
@@ -142,6 +150,7 @@
     def add_job(self, job: Job) -> None:
         """Add the ready steps of a job that became active."""
         waiting = self._waiting_jobs[job.job_id] = _WaitingJob(job)
+        self._has_tenants = self._has_tenants or bool(job.submission.tenant)
         for occurrence in range(job.submission.occurrence_count):
             for step in range(len(job.submission.steps)):
                 self._add_ready_step(waiting, occurrence, step)
@@ -221,17 +230,15 @@
         self._track_short_peak(minions, now)
         unplaceable = self._recently_unplaceable(now)
         self._claim_minions(ranked, by_service, now, unix_ms)
+        self._shares.begin_round(by_service if self._has_tenants else {})
         if self._suspicion.has_suspects:
             yield from self._choose_isolated_starts(ranked, by_service, now, unix_ms)
             for service, pool in by_service.items():
                 by_service[service] = self._isolation.open_minions(pool)
-        turns = []
-        for _, queue, waiting in ranked:
-            if _has_overdue_task(waiting, now):
-                turns.append((queue, waiting, True))
-        for _, queue, waiting in ranked:
-            turns.append((queue, waiting, False))
-        for queue, waiting, is_overdue_only in turns:
+        overdue = [entry for entry in ranked if _has_overdue_task(entry[2], now)]
+        in_order = self._shares.order(ranked) if self._has_tenants else ranked
+        turns = chain(((entry, True) for entry in overdue), ((entry, False) for entry in in_order))
+        for (_, queue, waiting), is_overdue_only in turns:
             pool = by_service.get(queue.service, [])
             for_trial = for_trial_by_service.get(queue.service, [])
             if self._remaining_starts <= 0:
@@ -447,6 +454,8 @@
         :param unplaceable: sizes that fit no minion in this round, by placement class; tasks of
             the class that are as large are not tried
         """
+        if not self._shares.may_continue():
+            return
         placement_class = _placement_class(step, pool[0].facts.service)
         for resources in unplaceable.get(placement_class, []):
             if step.room.is_enough_for(resources):
@@ -461,7 +470,9 @@
                 heap.append((cost, number))
         heapify(heap)
         while keys and heap and self._remaining_starts > 0:
-            if not self._limits.allows(job.submission.tenant, step):
+            if not (
+                self._limits.allows(job.submission.tenant, step) and self._shares.may_continue()
+            ):
                 return
             is_slot_kept = (
                 step.is_lasting and self._short_peak_cpu and idle_seconds < CLAIM_AFTER_SECONDS
@@ -474,6 +485,7 @@
                 continue
             self._remaining_starts -= 1
             yield job, keys.pop(0), minion
+            self._shares.record_start()
             # A start changes only the cost on its own minion.
             cost = self._start_cost(job, step, occurrence_step, minion, now, reserved_cpu)
             if cost is None:
@@ -503,6 +515,7 @@
             for_trial.remove(minion)
             self._remaining_starts -= 1
             yield job, keys.pop(0), minion
+            self._shares.record_start()
 
     def _reserved_cpu(self, step: Step, pool: Sequence[Minion], idle_seconds: float) -> float:
         """Return the processors that a lasting task has to leave free on a minion.
@@ -533,6 +546,8 @@
             return
         if not self._limits.allows(job.submission.tenant, step, len(keys)):
             return
+        if not self._shares.may_continue():
+            return
         free = {id(minion): minion.free for minion in pool}
         chosen: list[tuple[TaskKey, Minion]] = []
         for key in keys:
@@ -554,6 +569,7 @@
         self._remaining_starts -= len(chosen)
         for key, minion in chosen:
             yield job, key, minion
+        self._shares.record_start()
 
     def _start_cost(
         self,
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -49,6 +49,7 @@
 from dotterelhill.jobs.queues import FleetConfig, Queue
 from dotterelhill.jobs.tenants.limits import TenantLimits
 from dotterelhill.jobs.tenants.loads import CapacityCheck, TenantLoad, TenantLoads
+from dotterelhill.jobs.tenants.shares import TenantShares
 from dotterelhill.jobs.tenants.usage import TenantUsage
 
 # An unanswered stop order is sent again after this time. A delayed order may still be carried out
@@ -87,7 +88,12 @@
         self._tenant_loads = TenantLoads()
         # Unix ms of the newest round; None before the first.
         self._planned_unix_ms: int | None = None
-        self._placement = Placement(self._interference, self._suspicion, self._tenant_limits)
+        self._placement = Placement(
+            self._interference,
+            self._suspicion,
+            self._tenant_limits,
+            TenantShares(self._tenant_usage, self._tenant_limits),
+        )
         self._lasting_waits = LastingWaits()
         self._hold = StartHold(settings.capacity_valid_seconds)
         self._dirty_jobs: dict[str, Job] = {}
--- /dev/null
+++ b/dotterelhill/jobs/tenants/shares.py
@@ -0,0 +1,163 @@
+"""Order of the waiting jobs of tenants: weighted dominant-resource fairness."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator, Mapping, Sequence
+from heapq import heapify, heappop, heapreplace
+from typing import Protocol, TypeVar
+
+from dotterelhill.jobs.fleet import Minion
+from dotterelhill.jobs.model import Job, Timeliness
+from dotterelhill.jobs.queues import Queue
+from dotterelhill.jobs.resources import ResourceVector
+from dotterelhill.jobs.tenants.limits import TenantLimits
+from dotterelhill.jobs.tenants.usage import RunOwner, TenantUsage
+
+# A tenant may exceed the next one by this share of its service before the turn changes. Each turn
+# of a step examines all minions, so one turn for each task would cost too much on a large fleet.
+TURN_SHARE = 0.01
+
+
+class _WithJob(Protocol):
+    """What is ranked: anything that belongs to a job."""
+
+    @property
+    def job(self) -> Job:
+        """Return the job."""
+
+
+_Ranked = TypeVar("_Ranked", bound=_WithJob)
+_Entry = tuple[tuple[int, int, float], Queue, _Ranked]
+
+
+class TenantShares:
+    """Fair order among tenants for one scheduling round.
+
+    A share is the largest part of any resource of the minions of a service that the tenant's runs
+    use, divided by the tenant's weight. Fillers count with the processors that they request.
+
+    :param usage: resources that the runs of each tenant use; has to include each start of the round
+        before the next one is requested
+    :param limits: limits and weights of tenants
+    """
+
+    def __init__(self, usage: TenantUsage, limits: TenantLimits) -> None:
+        self._usage = usage
+        self._limits = limits
+        self._capacities: dict[str, ResourceVector] = {}
+        self._owner: RunOwner | None = None
+        self._turn_end_share = float("inf")
+        self._has_started = False
+        self._is_turn_over = False
+
+    def share(self, owner: RunOwner) -> float:
+        """Return the dominant share of a tenant in a service of this round, over its weight."""
+        used = self._usage.by_owner.get(owner)
+        capacity = self._capacities.get(owner.service)
+        if used is None or capacity is None:
+            return 0.0
+        dominant = max(
+            used.cpu / capacity.cpu if capacity.cpu else 0.0,
+            used.memory_mb / capacity.memory_mb if capacity.memory_mb else 0.0,
+            used.gpu / capacity.gpu if capacity.gpu else 0.0,
+        )
+        weight = self._limits.tenant(owner.tenant).weight
+        return dominant / weight if weight > 0 else float("inf")
+
+    def begin_round(self, by_service: Mapping[str, Iterable[Minion]]) -> None:
+        """Begin a round.
+
+        :param by_service: minions on which runs may start, by service
+        """
+        self._capacities = {
+            service: _total_capacity(minions) for service, minions in by_service.items()
+        }
+        self._end_turns()
+
+    def order(self, ranked: Sequence[_Entry[_Ranked]]) -> Iterator[_Entry[_Ranked]]:
+        """Yield ranked jobs in the order in which they may start tasks.
+
+        Jobs without a tenant come first among those with the same priority, and jobs that end too
+        late come last. Then the tenant with the lowest share is next, with its jobs as ranked. A
+        job whose turn ended early is yielded again.
+
+        :param ranked: jobs in the order of priority, timeliness and slack, each with its queue
+        """
+        begin = 0
+        while begin < len(ranked):
+            group = _group_of(ranked[begin])
+            end = begin + 1
+            while end < len(ranked) and _group_of(ranked[end]) == group:
+                end += 1
+            yield from self._order_group(ranked[begin:end])
+            begin = end
+
+    def record_start(self) -> None:
+        """Record that the job whose turn it is has started a task."""
+        self._has_started = True
+
+    def may_continue(self) -> bool:
+        """Return whether the job whose turn it is may start another task, or end its turn."""
+        if self._owner is None or not self._has_started:
+            return True
+        if self.share(self._owner) <= self._turn_end_share:
+            return True
+        self._is_turn_over = True
+        return False
+
+    def _order_group(self, group: Sequence[_Entry[_Ranked]]) -> Iterator[_Entry[_Ranked]]:
+        """Yield the jobs of one priority that all end in useful time, or all too late."""
+        owned: dict[tuple[str, str], list[_Entry[_Ranked]]] = {}
+        for entry in group:
+            tenant = entry[2].job.submission.tenant
+            if not tenant:
+                yield entry
+                continue
+            owned.setdefault((tenant, entry[1].service), []).append(entry)
+        owners = [RunOwner(*owner) for owner in owned]
+        queues = list(owned.values())
+        heap = [(self.share(owner), number) for number, owner in enumerate(owners)]
+        heapify(heap)
+        positions = [0] * len(owners)
+        while heap:
+            number = heap[0][1]
+            self._begin_turn(owners[number], heap)
+            entries = queues[number]
+            # Shares change only by starts, so the tenant stays first until it has started a task.
+            while positions[number] < len(entries) and not self._has_started:
+                yield entries[positions[number]]
+                positions[number] += not self._is_turn_over
+            if positions[number] < len(entries):
+                heapreplace(heap, (self.share(owners[number]), number))
+            else:
+                heappop(heap)
+        self._end_turns()
+
+    def _begin_turn(self, owner: RunOwner, heap: Sequence[tuple[float, int]]) -> None:
+        """Begin the turn of the tenant that is first in the heap of shares."""
+        self._owner = owner
+        self._has_started = self._is_turn_over = False
+        self._turn_end_share = min((entry[0] for entry in heap[1:3]), default=float("inf"))
+        self._turn_end_share += TURN_SHARE
+
+    def _end_turns(self) -> None:
+        """Let starts that follow no turn pass."""
+        self._owner = None
+        self._has_started = self._is_turn_over = False
+
+
+def _group_of(entry: _Entry[_Ranked]) -> tuple[int, bool]:
+    """Return what ranks before shares: the priority, and whether the job ends too late."""
+    priority, timeliness, _ = entry[0]
+    return (priority, timeliness == Timeliness.TOO_LATE)
+
+
+def _total_capacity(minions: Iterable[Minion]) -> ResourceVector:
+    """Return the sum of the capacities of minions."""
+    cpu = memory_mb = gpu = 0
+    for minion in minions:
+        capacity = minion.facts.capacity
+        cpu += capacity.cpu
+        memory_mb += capacity.memory_mb
+        gpu += capacity.gpu
+    return ResourceVector(cpu, memory_mb, gpu)
