--- a/dotterelhill/jobs/placement/placement.py
+++ b/dotterelhill/jobs/placement/placement.py
@@ -265,13 +265,20 @@
     def _track_short_peak(self, minions: Sequence[Minion], now: float) -> None:
         """Update the peak of the processors that short tasks use or wait for."""
         cpu = float(sum(minion.short_cpu for minion in minions))
+        of_tenants: dict[str, float] = {}
         for waiting in self._waiting_jobs.values():
             tenant = waiting.job.submission.tenant
             for (_, index), keys in waiting.pending.items():
                 step = waiting.job.submission.steps[index]
-                if not step.is_lasting:
-                    count = self._limits.allowed_count(tenant, step, len(keys))
-                    cpu += count * step.reserved_resources.cpu
+                if step.is_lasting:
+                    continue
+                if tenant:
+                    needed = len(keys) * step.reserved_resources.cpu
+                    of_tenants[tenant] = of_tenants.get(tenant, 0.0) + needed
+                else:
+                    cpu += len(keys) * step.reserved_resources.cpu
+        for tenant, needed_cpu in of_tenants.items():
+            cpu += self._limits.allowed_cpu(tenant, needed_cpu)
         decay = 0.5 ** ((now - self._short_peak_at) / RESERVE_HALF_LIFE_SECONDS)
         self._short_peak_cpu = max(cpu, self._short_peak_cpu * decay)
         self._short_peak_at = now
@@ -418,7 +425,8 @@
             if unix_ms < job.submission.due_ms(occurrence):
                 continue
             step = job.submission.steps[index]
-            if (is_overdue_only and not step.is_lasting) or not self._limits.allows(tenant, step):
+            is_beyond_limit = bool(tenant) and not self._limits.allows(tenant, step)
+            if is_beyond_limit or (is_overdue_only and not step.is_lasting):
                 continue
             open_keys = self._suspicion.open_tasks(job, occurrence_step, keys, now)
             if is_overdue_only:
--- a/dotterelhill/jobs/tenants/limits.py
+++ b/dotterelhill/jobs/tenants/limits.py
@@ -29,6 +29,8 @@
         self._version = 0
         self._configured: Mapping[str, Tenant] = {}
         self._known: dict[str, Tenant] = {}
+        # Of the tenants that have a limit; looked up for each waiting job in each round.
+        self._limits: dict[str, ResourceVector] = {}
         self._refused: set[str] = set()
         self._limited_at: dict[str, float] = {}
 
@@ -51,6 +53,11 @@
             return False
         self._configured = config.tenants
         self._known.update(config.tenants)
+        self._limits = {
+            name: tenant.limit
+            for name, tenant in self._known.items()
+            if tenant.limit != ResourceVector()
+        }
         return True
 
     def tenant(self, name: str) -> Tenant:
@@ -69,11 +76,10 @@
             return True
         if not self._version:
             return False
-        configured = self._known.get(tenant)
-        if configured is None:
+        limit = self._limits.get(tenant)
+        if limit is None:
             return True
-        used = self._usage.by_tenant.get(tenant, _NO_USAGE)
-        limit, room = configured.limit, step.room
+        used, room = self._usage.by_tenant.get(tenant, _NO_USAGE), step.room
         if (
             (limit.cpu and used.cpu + count * room.cpu > limit.cpu)
             or (limit.memory_mb and used.memory_mb + count * room.memory_mb > limit.memory_mb)
@@ -86,14 +92,25 @@
 
     def allowed_count(self, tenant: str, step: Step, count: int) -> int:
         """Return how many of ``count`` tasks of a step may start at present."""
-        if not tenant or tenant not in self._known:
+        limit = self._limits.get(tenant)
+        if limit is None:
             return count
-        used = self._usage.by_tenant.get(tenant, _NO_USAGE)
-        limit, room = self._known[tenant].limit, step.room
+        used, room = self._usage.by_tenant.get(tenant, _NO_USAGE), step.room
         count = _fitting_count(count, limit.cpu, used.cpu, room.cpu)
         count = _fitting_count(count, limit.memory_mb, used.memory_mb, room.memory_mb)
         return _fitting_count(count, limit.gpu, used.gpu, room.gpu)
 
+    def allowed_cpu(self, tenant: str, cpu: float) -> float:
+        """Return how much of the processors that tasks wait for the limit allows at present."""
+        limit = self._limits.get(tenant)
+        if limit is None:
+            return cpu
+        used = self._usage.by_tenant.get(tenant, _NO_USAGE)
+        is_full = limit.memory_mb and used.memory_mb >= limit.memory_mb
+        if is_full or (limit.gpu and used.gpu > limit.gpu):
+            return 0.0
+        return max(0.0, min(cpu, limit.cpu - used.cpu)) if limit.cpu else cpu
+
     def exceeds(self, tenant: str, step: Step) -> bool:
         """Return whether a task, or a whole gang, is larger than the limit of its tenant."""
         configured = self._known.get(tenant)
--- a/dotterelhill/jobs/tenants/loads.py
+++ b/dotterelhill/jobs/tenants/loads.py
@@ -134,8 +134,7 @@
             for minion in pool
             if not step.required_label or step.required_label in minion.facts.labels
         ]
-        if sum(_slots(minion.facts.capacity, step.room) for minion in suitable) < unit:
-            # No minion of the service, or not enough of them, could ever run it.
+        if not _could_run(step.room, unit, suitable):
             return False
         if self._had_starts_left and not step.anti_affinity:
             return True
@@ -231,6 +230,16 @@
     return rate.at(now) if rate is not None else 0.0
 
 
+def _could_run(room: ResourceVector, count: int, minions: Iterable[Minion]) -> bool:
+    """Return whether minions without any runs could run ``count`` tasks of one size."""
+    slots = 0
+    for minion in minions:
+        slots += _slots(minion.facts.capacity, room)
+        if slots >= count:
+            return True
+    return False
+
+
 def _slots(capacity: ResourceVector, room: ResourceVector) -> int:
     """Return how many tasks an empty minion could run at once.
 
--- a/dotterelhill/jobs/tenants/shares.py
+++ b/dotterelhill/jobs/tenants/shares.py
@@ -122,12 +122,13 @@
         while heap:
             number = heap[0][1]
             self._begin_turn(owners[number], heap)
-            entries = queues[number]
+            entries, position = queues[number], positions[number]
             # Shares change only by starts, so the tenant stays first until it has started a task.
-            while positions[number] < len(entries) and not self._has_started:
-                yield entries[positions[number]]
-                positions[number] += not self._is_turn_over
-            if positions[number] < len(entries):
+            while position < len(entries) and not self._has_started:
+                yield entries[position]
+                position += not self._is_turn_over
+            positions[number] = position
+            if position < len(entries):
                 heapreplace(heap, (self.share(owners[number]), number))
             else:
                 heappop(heap)
