Merge shares and loads of tenants

The round has one loop for overdue lasting tasks, one for claimed fillers and one in the order of shares.

--- a/dotterelhill/jobs/placement/forced_starts.py
+++ b/dotterelhill/jobs/placement/forced_starts.py
@@ -30,8 +30,8 @@
 class ForcedStarts:
     """Choice of the minion where a filler of a job that has nothing running interferes least.
 
-    Each minion has at most one such filler, unless the service drains. The pace of forced fillers is
-    controlled as that of the others.
+    Each minion has at most one such filler, unless the service drains. Their pace is controlled as
+    that of the others.
     """
 
     def __init__(self, interference: InterferenceControl) -> None:
--- a/dotterelhill/jobs/placement/placement.py
+++ b/dotterelhill/jobs/placement/placement.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator, Mapping, Sequence
-from enum import IntEnum
 from functools import partial
 from heapq import heapify, heappop, heapreplace
 
@@ -12,7 +11,7 @@
 from dotterelhill.jobs.durations.model import DurationModel
 from dotterelhill.jobs.fleet import Minion
 from dotterelhill.jobs.interference.sharing import MIN_FILLER_CPU_SHARE, InterferenceControl
-from dotterelhill.jobs.model import TOO_LATE_FACTOR, Job, Step, Task, TaskKey
+from dotterelhill.jobs.model import TOO_LATE_FACTOR, Job, Step, Task, TaskKey, Timeliness
 from dotterelhill.jobs.placement.failing_tasks import FailingTasks
 from dotterelhill.jobs.placement.filler_claims import FillerClaims
 from dotterelhill.jobs.placement.forced_starts import ForcedStarts
@@ -34,6 +33,8 @@
 from dotterelhill.jobs.queues import Queue
 from dotterelhill.jobs.resources import ResourceVector
 from dotterelhill.jobs.tenants.limits import TenantLimits
+from dotterelhill.jobs.tenants.loads import WaitingTasks
+from dotterelhill.jobs.tenants.shares import TenantShares
 
 UNLIMITED_STARTS = 1 << 30
 
@@ -55,14 +56,6 @@
 QueueLookup = Callable[[Job], Queue]
 
 
-class Timeliness(IntEnum):
-    """Expected end of a job relative to its objective; jobs are ranked in this order."""
-
-    IN_TIME = 0
-    LATE = 1
-    TOO_LATE = 2
-
-
 class Placement:
     """Queue of the waiting tasks of all active jobs, and the choice of their minions.
 
@@ -71,6 +64,7 @@
     :param durations: learned durations of tasks
     :param limits: limits of tenants
     :param failing: lasting tasks that fail on every minion
+    :param shares: order among tenants
     """
 
     def __init__(
@@ -80,9 +74,12 @@
         durations: DurationModel,
         limits: TenantLimits,
         failing: FailingTasks,
+        shares: TenantShares,
     ) -> None:
         self._interference = interference
         self._limits = limits
+        self._shares = shares
+        self._has_tenants = False
         self._suspicion = suspicion
         self._durations = durations
         self._failing = failing
@@ -93,6 +90,7 @@
         self._unplaceable: dict[str, list[ResourceVector]] = {}
         self._unplaceable_since = float("-inf")
         self._remaining_starts = UNLIMITED_STARTS
+        self._round_number = 0
         self._lasting_claims = LastingClaims(limits)
         self._filler_claims = FillerClaims(interference)
         self._forced_starts = ForcedStarts(interference)
@@ -105,6 +103,11 @@
             count += sum(len(keys) for keys in waiting.pending.values())
         return count
 
+    @property
+    def had_starts_left(self) -> bool:
+        """Return whether the newest round tried every waiting task."""
+        return self._remaining_starts > 0
+
     @property
     def isolation(self) -> Isolation:
         """Return the choice of minions for tasks that are suspected of crashing them."""
@@ -123,9 +126,26 @@
             for step, keys in startable_lasting_steps(waiting, queue, unix_ms):
                 yield WaitingStep(waiting.job, step, queue.service, keys)
 
+    def waiting_tasks_of_round(self, queue_of: QueueLookup, unix_ms: int) -> Iterator[WaitingTasks]:
+        """Yield the steps with due tasks that waited in the newest round and still wait.
+
+        :param queue_of: returns the current queue configuration of a job
+        :param unix_ms: wall-clock time of that round in Unix ms
+        """
+        for waiting in self._waiting_jobs.values():
+            if not waiting.pending or waiting.round_number != self._round_number:
+                continue
+            queue, submission = queue_of(waiting.job), waiting.job.submission
+            if queue.needs_advice:
+                continue
+            for (occurrence, index), keys in waiting.pending.items():
+                if keys and unix_ms >= submission.due_ms(occurrence):
+                    yield WaitingTasks(waiting.job, submission.steps[index], queue.service)
+
     def add_job(self, job: Job) -> None:
         """Add the ready steps of a job that became active."""
         waiting = self._waiting_jobs[job.job_id] = WaitingJob(job)
+        self._has_tenants = self._has_tenants or bool(job.submission.tenant)
         for occurrence in range(job.submission.occurrence_count):
             for step in range(len(job.submission.steps)):
                 self._add_ready_step(waiting, occurrence, step)
@@ -193,6 +213,7 @@
         :param max_starts: number of starts to yield at most; a gang is not split
         """
         self._remaining_starts = max_starts
+        self._round_number += 1
         by_service = _group_by_service(minions)
         for_trial_by_service = _group_by_service(minions_for_trial)
         ranked = []
@@ -200,6 +221,7 @@
         for waiting in self._waiting_jobs.values():
             newest_accepted_ms = max(newest_accepted_ms, waiting.job.submission.accepted_ms)
             if waiting.pending:
+                waiting.round_number = self._round_number
                 queue = queue_of(waiting.job)
                 key = _sort_key(waiting.job, queue, unix_ms, self._durations)
                 ranked.append((key, queue, waiting))
@@ -207,6 +229,7 @@
         self._track_short_peak(minions, now)
         unplaceable = self._recently_unplaceable(now)
         self._lasting_claims.update(ranked, by_service, self._failing, now, unix_ms)
+        self._shares.begin_round(by_service if self._has_tenants else {})
         if self._suspicion.has_suspects:
             yield from self._choose_isolated_starts(ranked, by_service, now, unix_ms)
             for service, pool in by_service.items():
@@ -215,26 +238,28 @@
         self._filler_claims.update(
             ranked, by_service, partial(self._open_tasks, now=now), now, unix_ms
         )
-        turns = []
-        for _, queue, waiting in ranked:
-            if has_overdue_task(waiting, now):
-                turns.append((queue, waiting, True))
-        lasting_turns = len(turns)
-        for _, queue, waiting in ranked:
-            turns.append((queue, waiting, False))
-        for number, (queue, waiting, is_overdue_only) in enumerate(turns):
-            if number == lasting_turns:
-                yield from self._choose_claimed_starts(by_service, now)
+
+        def choose_turn_starts(
+            entry: RankedJob, *, is_overdue_only: bool
+        ) -> Iterator[tuple[Job, TaskKey, Minion]]:
+            _, queue, waiting = entry
             pool = by_service.get(queue.service, [])
             for_trial = for_trial_by_service.get(queue.service, [])
-            if self._remaining_starts <= 0:
-                return
             if not (pool or for_trial) or queue.needs_advice:
-                continue
+                return
             yield from self._choose_job_starts(
                 waiting, pool, for_trial, now, unix_ms, unplaceable, is_overdue_only=is_overdue_only
             )
 
+        for entry in ranked:
+            if self._remaining_starts > 0 and has_overdue_task(entry[2], now):
+                yield from choose_turn_starts(entry, is_overdue_only=True)
+        yield from self._choose_claimed_starts(by_service, now)
+        for entry in self._shares.order(ranked) if self._has_tenants else ranked:
+            if self._remaining_starts <= 0:
+                return
+            yield from choose_turn_starts(entry, is_overdue_only=False)
+
     def _recently_unplaceable(self, now: float) -> dict[str, list[ResourceVector]]:
         """Return the sizes of fillers that recently found no minion, by placement class.
 
@@ -251,13 +276,20 @@
     def _track_short_peak(self, minions: Sequence[Minion], now: float) -> None:
         """Update the peak of the processors that short tasks use or wait for."""
         cpu = float(sum(minion.short_cpu for minion in minions))
+        of_tenants: dict[str, float] = {}
         for waiting in self._waiting_jobs.values():
             tenant = waiting.job.submission.tenant
             for (_, index), keys in waiting.pending.items():
                 step = waiting.job.submission.steps[index]
-                if not step.is_lasting:
-                    count = self._limits.allowed_count(tenant, step, len(keys))
-                    cpu += count * step.reserved_resources.cpu
+                if step.is_lasting:
+                    continue
+                if tenant:
+                    needed = len(keys) * step.reserved_resources.cpu
+                    of_tenants[tenant] = of_tenants.get(tenant, 0.0) + needed
+                else:
+                    cpu += len(keys) * step.reserved_resources.cpu
+        for tenant, needed_cpu in of_tenants.items():
+            cpu += self._limits.allowed_cpu(tenant, needed_cpu)
         decay = 0.5 ** ((now - self._short_peak_at) / RESERVE_HALF_LIFE_SECONDS)
         self._short_peak_cpu = max(cpu, self._short_peak_cpu * decay)
         self._short_peak_at = now
@@ -394,7 +426,8 @@
             if not keys or unix_ms < job.submission.due_ms(occurrence):
                 continue
             step = job.submission.steps[index]
-            if (is_overdue_only and not step.is_lasting) or not self._limits.allows(tenant, step):
+            is_beyond_limit = bool(tenant) and not self._limits.allows(tenant, step)
+            if is_beyond_limit or (is_overdue_only and not step.is_lasting):
                 continue
             open_keys = self._open_tasks(job, keys, now)
             if is_overdue_only:
@@ -430,6 +463,8 @@
         :param unplaceable: sizes that fit no minion in this round, by placement class; tasks of
             the class that are as large are not tried
         """
+        if not self._shares.may_continue():
+            return
         placement_class = _placement_class(step, pool[0].facts.service)
         for resources in unplaceable.get(placement_class, []):
             if step.room.is_enough_for(resources):
@@ -444,7 +479,9 @@
                 heap.append((cost, number))
         heapify(heap)
         while keys and heap and self._remaining_starts > 0:
-            if not self._limits.allows(job.submission.tenant, step):
+            if not (
+                self._limits.allows(job.submission.tenant, step) and self._shares.may_continue()
+            ):
                 return
             is_slot_kept = (
                 step.is_lasting and self._short_peak_cpu and idle_seconds < CLAIM_AFTER_SECONDS
@@ -457,9 +494,9 @@
                 continue
             self._remaining_starts -= 1
             key = keys.pop(0)
-            if step.is_filler:
-                self._filler_claims.record_start(key)
+            self._filler_claims.record_start(key)
             yield job, key, minion
+            self._shares.record_start()
             # A start changes only the cost on its own minion.
             cost = start_cost(minion)
             if cost is None:
@@ -489,6 +526,7 @@
             for_trial.remove(minion)
             self._remaining_starts -= 1
             yield job, keys.pop(0), minion
+            self._shares.record_start()
 
     def _reserved_cpu(self, step: Step, pool: Sequence[Minion], idle_seconds: float) -> float:
         """Return the processors that a lasting task has to leave free on a minion.
@@ -519,6 +557,8 @@
             return
         if not self._limits.allows(job.submission.tenant, step, len(keys)):
             return
+        if not self._shares.may_continue():
+            return
         free = {id(minion): minion.free for minion in pool}
         chosen: list[tuple[TaskKey, Minion]] = []
         for key in keys:
@@ -540,6 +580,7 @@
         self._remaining_starts -= len(chosen)
         for key, minion in chosen:
             yield job, key, minion
+        self._shares.record_start()
 
     def _start_cost(
         self,
--- a/dotterelhill/jobs/placement/waiting.py
+++ b/dotterelhill/jobs/placement/waiting.py
@@ -17,10 +17,12 @@
     """Waiting tasks of one job, by occurrence and step.
 
     :param pending: keys of the tasks that can start
+    :param round_number: newest round in which tasks of the job could start
     """
 
     job: Job
     pending: dict[OccurrenceStep, list[TaskKey]] = field(default_factory=dict)
+    round_number: int = 0
 
 
 # Sort key, current queue and waiting tasks of a job.
