Let tenants own their jobs

Cause: any client that knew an id could read, repeat and cancel the job of another organisation. Ruled out: the tenant in the value of a cancellation only, since the store keeps one record a key, so that tenants would replace each other's; a rule by time alone, since a live leader decides by order of arrival and a later one would choose another job. Change: submissions and cancellations of tenants are stored under ID/TENANT and cancel/ID/TENANT in the partition of the id; state requests carry the tenant; the leader keeps the first job of an id and removes the records of all tenants with it. The progress of a tenant's job names its owner, and is stored at once when another tenant uses the id, so that the next leader keeps it. A job without a tenant stays visible to every key: it may have been accepted before its queue asked for keys. Records without tenants are as before. The fake peers of cluster_world take the tenant.

--- a/dotterelhill/control/job_service.py
+++ b/dotterelhill/control/job_service.py
@@ -12,7 +12,7 @@
 from dotterelhill.control.interface import Record, StoreError
 from dotterelhill.control.leader import NotReadyError
 from dotterelhill.control.peers import PeerClient, PeerUnreachableError
-from dotterelhill.control.submissions import append_submissions, cancellation_key
+from dotterelhill.control.submissions import append_submissions, cancellation_key, submission_key
 from dotterelhill.entry.logs import logger_of
 from dotterelhill.jobs.model import JobState, Submission
 from dotterelhill.jobs.progress import encode_submission
@@ -76,7 +76,7 @@
         self._peers = peers
         self._clock = clock
         self._random = random
-        self._recent_submissions: OrderedDict[str, float] = OrderedDict()
+        self._recent_submissions: OrderedDict[tuple[str, str], float] = OrderedDict()
         self._queue_lengths: dict[str, int] = {}
         self._queue_lengths_at = float("-inf")
 
@@ -94,9 +94,10 @@
         :raises NotStoredError: when the job is not stored and will not be
         :raises OutcomeUnknownError: when the job may or may not be stored
         """
-        record = Record(submission.job_id, encode_submission(submission))
+        job_id, tenant = submission.job_id, submission.tenant
+        record = Record(submission_key(job_id, tenant), encode_submission(submission))
         await self._append(record, timeout_seconds, check)
-        self._recent_submissions[submission.job_id] = self._clock()
+        self._recent_submissions[job_id, tenant] = self._clock()
         while len(self._recent_submissions) > MAX_RECENT_SUBMISSIONS:
             self._recent_submissions.popitem(last=False)
 
@@ -105,16 +106,18 @@
         job_id: str,
         timeout_seconds: float,
         check: Callable[[], None] = _always_permitted,
+        tenant: str = "",
     ) -> None:
         """Store the cancellation of a job.
 
         :param timeout_seconds: time until the client's request times out
         :param check: called before each attempt to store the cancellation
+        :param tenant: tenant that cancels; the job of another one is not affected
         :raises AccessRefusedError: when ``check`` raises it before the first attempt
         :raises NotStoredError: when the cancellation is not stored and will not be
         :raises OutcomeUnknownError: when the cancellation may or may not be stored
         """
-        await self._append(Record(cancellation_key(job_id), b"1"), timeout_seconds, check)
+        await self._append(Record(cancellation_key(job_id, tenant), b"1"), timeout_seconds, check)
 
     async def _append(
         self, record: Record, timeout_seconds: float, check: Callable[[], None]
@@ -162,27 +165,28 @@
         await self._peers.store_submission(address, record)
         return True
 
-    async def state_of(self, job_id: str) -> JobState | None:
+    async def state_of(self, job_id: str, tenant: str = "") -> JobState | None:
         """Return the state of a job; None when no such job was accepted.
 
+        :param tenant: tenant that asks; for it, jobs of other tenants do not exist
         :raises NotReadyError: when the state can't be determined at present
         """
-        state = await self._leader_state_of(job_id)
+        state = await self._leader_state_of(job_id, tenant)
         if state is None:
-            stored_at = self._recent_submissions.get(job_id)
+            stored_at = self._recent_submissions.get((job_id, tenant))
             if stored_at is not None and self._clock() - stored_at < RECENT_SUBMISSION_SECONDS:
                 return JobState.QUEUED
         return state
 
-    async def _leader_state_of(self, job_id: str) -> JobState | None:
+    async def _leader_state_of(self, job_id: str, tenant: str) -> JobState | None:
         leader = self._election.leader
         if leader is not None:
-            return leader.state_of(job_id)
+            return leader.state_of(job_id, tenant)
         address = self._election.leader_address
         if not address:
             raise NotReadyError("no leader is known")
         try:
-            state = await self._peers.state_of(address, job_id)
+            state = await self._peers.state_of(address, job_id, tenant)
         except PeerUnreachableError as error:
             raise NotReadyError(f"leader {address}: {error}") from error
         try:
--- a/dotterelhill/control/leader.py
+++ b/dotterelhill/control/leader.py
@@ -34,8 +34,8 @@
 from dotterelhill.control.submissions import (
     append_submissions,
     cancellation_key,
-    cancelled_job_of,
     is_cancellation,
+    owner_of,
 )
 from dotterelhill.entry.logs import logger_of
 from dotterelhill.entry.metrics import Metrics
@@ -43,7 +43,12 @@
 from dotterelhill.jobs.fleet import Minion
 from dotterelhill.jobs.model import Job, JobState, Submission
 from dotterelhill.jobs.orders import Order, PaceOrder, StartOrder, StartOutcome, StopOrder
-from dotterelhill.jobs.progress import apply_progress, decode_submission, encode_progress
+from dotterelhill.jobs.progress import (
+    apply_progress,
+    decode_submission,
+    encode_progress,
+    stored_tenant,
+)
 from dotterelhill.jobs.scheduler import Scheduler
 
 # Key of the interference estimates in the progress stream. Job ids, the other keys of the stream,
@@ -149,6 +154,8 @@
             pause_seconds=MINION_LIST_INTERVAL_SECONDS,
         )
         self._stored_progress: dict[str, bytes] = {}
+        # Keys of the records of tenants by job id, which are removed together with the job.
+        self._tenant_keys: dict[str, set[str]] = {}
 
     @property
     def scheduler(self) -> Scheduler:
@@ -160,14 +167,15 @@
         """Return the relays of this term."""
         return self._parts.relays
 
-    def state_of(self, job_id: str) -> JobState | None:
+    def state_of(self, job_id: str, tenant: str = "") -> JobState | None:
         """Return the stored state of a job; None when no such job was accepted.
 
+        :param tenant: tenant that asks; for it, jobs of other tenants do not exist
         :raises NotReadyError: when this process can't determine the state
         """
         if not self._is_loaded:
             raise NotReadyError("stored jobs are being loaded")
-        state = self._scheduler.state_of(job_id)
+        state = self._scheduler.state_of(job_id, tenant)
         if state is None:
             age_seconds = max(follower.age_seconds for follower in self._submission_followers)
             is_fresh = age_seconds < MAX_SUBMISSIONS_AGE_SECONDS
@@ -277,19 +285,41 @@
     def _apply_submissions(self, records: tuple[Record, ...], is_snapshot: bool) -> None:
         now = self._clock()
         cancelled = []
+        first: dict[str, Submission] = {}
+        ignored = []
         for record in records:
             if record.value is None:
                 continue
+            job_id, tenant = owner_of(record.key)
+            if tenant:
+                self._tenant_keys.setdefault(job_id, set()).add(record.key)
             if is_cancellation(record.key):
-                cancelled.append(cancelled_job_of(record.key))
+                cancelled.append((job_id, tenant))
                 continue
             submission = _decode_record(record)
-            if submission is not None:
-                self._apply_submission(submission, now)
-        for job_id in cancelled:
-            self._scheduler.cancel(job_id, now)
+            if submission is None:
+                continue
+            known = first.setdefault(submission.job_id, submission)
+            if known is submission:
+                continue
+            if is_snapshot and self._precedence(submission) < self._precedence(known):
+                first[submission.job_id], submission = submission, known
+            ignored.append(submission)
+        for submission in [*first.values(), *ignored]:
+            self._apply_submission(submission, now)
+        for job_id, tenant in cancelled:
+            self._scheduler.cancel(job_id, now, tenant)
         self._wake_event.set()
 
+    def _precedence(self, submission: Submission) -> tuple[bool, int, str]:
+        """Return the order in which submissions of several tenants get one id; the first does.
+
+        An earlier leader may have decided otherwise, by the order of arrival.
+        """
+        stored = self._stored_progress.get(submission.job_id)
+        is_other = stored is not None and stored_tenant(stored) != submission.tenant
+        return is_other, submission.accepted_ms, submission.tenant
+
     def _apply_submission(self, submission: Submission, now: float) -> None:
         stored = self._stored_progress.pop(submission.job_id, None)
         if stored is None:
@@ -379,6 +409,8 @@
         for job_id in job_ids:
             records.append(Record(job_id, None))
             records.append(Record(cancellation_key(job_id), None))
+            for key in sorted(self._tenant_keys.pop(job_id, ())):
+                records.append(Record(key, None))
         try:
             await append_submissions(self._parts.store, records)
         except StoreError as error:
--- a/dotterelhill/control/peers.py
+++ b/dotterelhill/control/peers.py
@@ -6,6 +6,7 @@
 import errno
 from collections.abc import Callable
 from typing import Protocol, TypeVar
+from urllib.parse import urlencode
 
 import aiohttp
 import mode
@@ -28,6 +29,8 @@
 
 STATUS_PATH = "/leader/status"
 JOBS_PATH = "/leader/jobs/"
+# Earlier builds ignore it.
+TENANT_PARAMETER = "tenant"
 QUEUES_PATH = "/leader/queues"
 SUPERSEDED_PATH = "/leader/superseded"
 SUBMISSIONS_PATH = "/leader/submissions"
@@ -180,7 +183,8 @@
             if path == QUEUES_PATH:
                 return web.Response(body=msgspec.json.encode(leader.waiting_by_queue()))
             if path.startswith(JOBS_PATH):
-                state = leader.state_of(path.removeprefix(JOBS_PATH))
+                tenant = request.query.get(TENANT_PARAMETER, "")
+                state = leader.state_of(path.removeprefix(JOBS_PATH), tenant)
                 return web.Response(text=str(state) if state else "", status=200 if state else 404)
         except NotReadyError as error:
             return web.Response(status=503, text=str(error))
@@ -264,12 +268,14 @@
         if status != 200:
             raise PeerUnreachableError(f"status {status}: {body.decode(errors='replace')}")
 
-    async def state_of(self, address: str, job_id: str) -> str | None:
+    async def state_of(self, address: str, job_id: str, tenant: str = "") -> str | None:
         """Return the state of a job; None when the leader has no such job.
 
+        :param tenant: tenant that asks; empty for none
         :raises PeerUnreachableError: when the peer can't determine the state
         """
-        status, body = await self._call("GET", address, JOBS_PATH + job_id)
+        query = f"?{urlencode({TENANT_PARAMETER: tenant})}" if tenant else ""
+        status, body = await self._call("GET", address, JOBS_PATH + job_id + query)
         if status == 404:
             return None
         if status != 200:
--- a/dotterelhill/control/submissions.py
+++ b/dotterelhill/control/submissions.py
@@ -10,13 +10,24 @@
 _CANCELLATION_PREFIX = "cancel/"
 
 
-def cancellation_key(job_id: str) -> str:
-    """Return the record key of a job's cancellation.
+def submission_key(job_id: str, tenant: str = "") -> str:
+    """Return the record key of a tenant's submission of a job.
 
-    >>> cancellation_key("5c0e7a21d94b36f8")
-    'cancel/5c0e7a21d94b36f8'
+    Tenants choose ids independently, so that one must not be able to replace the job of another.
+
+    >>> submission_key("5c0e7a21d94b36f8"), submission_key("5c0e7a21d94b36f8", "t")
+    ('5c0e7a21d94b36f8', '5c0e7a21d94b36f8/t')
     """
-    return _CANCELLATION_PREFIX + job_id
+    return f"{job_id}/{tenant}" if tenant else job_id
+
+
+def cancellation_key(job_id: str, tenant: str = "") -> str:
+    """Return the record key of a tenant's cancellation of a job.
+
+    >>> cancellation_key("5c0e7a21d94b36f8"), cancellation_key("5c0e7a21d94b36f8", "t")
+    ('cancel/5c0e7a21d94b36f8', 'cancel/5c0e7a21d94b36f8/t')
+    """
+    return _CANCELLATION_PREFIX + submission_key(job_id, tenant)
 
 
 def is_cancellation(key: str) -> bool:
@@ -24,18 +35,23 @@
     return key.startswith(_CANCELLATION_PREFIX)
 
 
-def cancelled_job_of(key: str) -> str:
-    """Return the job id of a cancellation's record key; other keys are returned unchanged."""
-    return key.removeprefix(_CANCELLATION_PREFIX)
+def owner_of(key: str) -> tuple[str, str]:
+    """Return the job id and the tenant of the record key of a submission or cancellation.
+
+    >>> owner_of("cancel/5c0e7a21d94b36f8/t"), owner_of("5c0e7a21d94b36f8")
+    (('5c0e7a21d94b36f8', 't'), ('5c0e7a21d94b36f8', ''))
+    """
+    job_id, _, tenant = key.removeprefix(_CANCELLATION_PREFIX).partition("/")
+    return job_id, tenant
 
 
 def partition_of(key: str, partitions: int) -> int:
-    """Return the partition of a record; it is the same for a job and its cancellation.
+    """Return the partition of a record; it is the same for all records of a job id.
 
-    >>> partition_of("5c0e7a21d94b36f8", 12) == partition_of("cancel/5c0e7a21d94b36f8", 12)
+    >>> partition_of("5c0e7a21d94b36f8", 12) == partition_of("cancel/5c0e7a21d94b36f8/t", 12)
     True
     """
-    return crc32(cancelled_job_of(key).encode()) % partitions
+    return crc32(owner_of(key)[0].encode()) % partitions
 
 
 async def append_submissions(store: Store, records: Sequence[Record]) -> None:
--- a/dotterelhill/control/tests/cluster_world.py
+++ b/dotterelhill/control/tests/cluster_world.py
@@ -380,11 +380,11 @@
     async def announce_claim(self, address, claim):
         (await self._reach(address)).election.accept_claim(claim)
 
-    async def state_of(self, address, job_id):
+    async def state_of(self, address, job_id, tenant=""):
         leader = (await self._reach(address)).election.leader
         if leader is None:
             raise PeerUnreachableError("not leading")
-        return leader.state_of(job_id)
+        return leader.state_of(job_id, tenant)
 
     async def waiting_by_queue(self, address):
         leader = (await self._reach(address)).election.leader
--- /dev/null
+++ b/dotterelhill/control/tests/steps/tenant_steps.py
@@ -0,0 +1,115 @@
+from __future__ import annotations
+
+import asyncio
+from types import SimpleNamespace
+
+from aiohttp.test_utils import make_mocked_request
+from behave import given, then, use_step_matcher, when
+
+from dotterelhill.control.interface import Record, Stream
+from dotterelhill.control.leader import NotReadyError
+from dotterelhill.control.peers import PeerClient, PeerServer
+from dotterelhill.control.submissions import partition_of, submission_key
+from dotterelhill.control.tests.cluster_world import QUEUE, SUBMISSION_PARTITIONS, Cluster
+from dotterelhill.jobs.model import Step, Submission
+from dotterelhill.jobs.progress import encode_submission
+from dotterelhill.jobs.resources import ResourceVector
+
+use_step_matcher("re")
+
+
+def submission_of(tenant: str, job: str, count: int, accepted_ms: int) -> Submission:
+    step = Step(count, ResourceVector(1000, 100), 1.0)
+    return Submission(job, QUEUE, accepted_ms, "spec", (step,), tenant=tenant)
+
+
+def submit(context, name, tenant, job, count, accepted_ms):
+    service = context.cluster.processes[name].job_service
+    context.cluster.run(service.submit(submission_of(tenant, job, count, accepted_ms), 3.0))
+
+
+@when(
+    r'tenant "(?P<tenant>\w*)" submits job "(?P<job>\w+)" of (?P<count>\d+) tasks '
+    r"(?P<how>at each process in turn|with an earlier time)"
+)
+def submit_as_tenant(context, tenant, job, count, how):
+    for name in list(context.cluster.processes):
+        accepted_ms = 0 if how == "with an earlier time" else 2000
+        submit(context, name, tenant, job, int(count), accepted_ms)
+
+
+@when(r'tenant "(?P<tenant>\w*)" cancels job "(?P<job>\w+)"')
+def cancel_as_tenant(context, tenant, job):
+    service = next(iter(context.cluster.processes.values())).job_service
+    context.cluster.run(service.cancel(job, 3.0, tenant=tenant))
+
+
+@given(r"the fleet has no room for tasks")
+def remove_room(context):
+    for name in context.cluster.minions:
+        context.cluster.store.streams[Stream.MINIONS, 0].append(Record(name, b"0"))
+    context.cluster.advance(1.0)
+
+
+@when(r"the fleet has room again")
+def add_room(context):
+    for name in context.cluster.minions:
+        context.cluster.store.streams[Stream.MINIONS, 0].append(Record(name, b"8000"))
+
+
+@given(
+    r'tenants "(?P<tenants>[^"]+)" have stored job "(?P<job>\w+)" of 2 tasks at '
+    r"(?P<times>[\d ]+) ms while nobody led"
+)
+def store_while_nobody_led(context, tenants, job, times):
+    context.cluster.close()
+    context.cluster = Cluster([])
+    for tenant, time in zip(tenants.split(), times.split(), strict=True):
+        submission = submission_of(tenant, job, 2, int(time))
+        record = Record(submission_key(job, tenant), encode_submission(submission))
+        partition = partition_of(record.key, SUBMISSION_PARTITIONS)
+        context.cluster.store.streams[Stream.SUBMISSIONS, partition].append(record)
+    for name in "ab":
+        context.cluster.start(name)
+
+
+@then(r'each process shows job "(?P<job>\w+)" to tenant "(?P<tenant>\w*)" as "(?P<state>\w+)"')
+def check_state(context, job, tenant, state):
+    for process in context.cluster.processes.values():
+        if process.is_running:
+            try:
+                found = context.cluster.run(process.job_service.state_of(job, tenant))
+            except NotReadyError:
+                # Shortly before the end of a long poll, no job is known to be unknown.
+                context.cluster.advance(0.2)
+                found = context.cluster.run(process.job_service.state_of(job, tenant))
+            assert str(found or "none") == state, (process.name, found)
+
+
+@then(r'no record of job "(?P<job>\w+)" is stored')
+def check_no_records(context, job):
+    store = context.cluster.store
+    for partition in range(SUBMISSION_PARTITIONS):
+        records = store.newest((Stream.SUBMISSIONS, partition)).records
+        assert not records, records
+
+
+@when(r'the leader is asked over HTTP for job "(?P<job>\w+)" of tenant "(?P<tenant>[^"]+)"')
+def ask_over_http(context, job, tenant):
+    context.asked = []
+    leader = SimpleNamespace(state_of=lambda *names: context.asked.append(names))
+    server = PeerServer(SimpleNamespace(leader=leader), None, "h", 1)
+
+    class LoopbackClient(PeerClient):
+        """Client whose calls reach the server without a network."""
+
+        async def _call(self, method, address, path, body=None):
+            response = await server._answer(make_mocked_request(method, path))
+            return response.status, response.body or b""
+
+    asyncio.run(LoopbackClient(lambda: None).state_of("h:1", job, tenant))
+
+
+@then(r'it looks up job "(?P<job>\w+)" of tenant "(?P<tenant>[^"]+)"')
+def check_asked(context, job, tenant):
+    assert context.asked == [(job, tenant)], context.asked
--- a/dotterelhill/jobs/model.py
+++ b/dotterelhill/jobs/model.py
@@ -249,6 +249,13 @@
         """Return whether the job is in a final state."""
         return self.state in FINAL_STATES
 
+    def is_visible_to(self, tenant: str) -> bool:
+        """Return whether a tenant may read and cancel the job.
+
+        A job without a tenant may have been accepted before its queue asked for keys.
+        """
+        return self.submission.tenant in ("", tenant)
+
     def task(self, key: TaskKey) -> Task:
         """Return the execution state of a task and create it on first use."""
         task = self.tasks.get(key)
--- a/dotterelhill/jobs/progress.py
+++ b/dotterelhill/jobs/progress.py
@@ -37,11 +37,13 @@
     """Stored progress of a job.
 
     :param state: index of the job state in ``JobState``
+    :param tenant: tenant that owns the job; the field is absent in the record of other jobs
     """
 
     state: int
     tasks: list[_TaskRecord]
     done: list[_DoneRecord]
+    tenant: str = ""
 
 
 _PROGRESS_DECODER = msgspec.msgpack.Decoder(_ProgressRecord)
@@ -99,7 +101,18 @@
     for (occurrence, step), bits in done.items():
         data = bits.to_bytes((bits.bit_length() + 7) // 8, "little")
         done_records.append(_DoneRecord(occurrence, step, data))
-    return _ENCODER.encode(_ProgressRecord(_STATES.index(job.state), tasks, done_records))
+    fields: list[object] = [_STATES.index(job.state), tasks, done_records]
+    if job.submission.tenant:
+        fields.append(job.submission.tenant)
+    return _ENCODER.encode(fields)
+
+
+def stored_tenant(data: bytes) -> str | None:
+    """Return the tenant whose job's progress a record holds; None when it can't be decoded."""
+    try:
+        return _PROGRESS_DECODER.decode(data).tenant
+    except msgspec.MsgspecError:
+        return None
 
 
 def apply_progress(job: Job, data: bytes) -> None:
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -87,7 +87,7 @@
         self._orders: list[Order] = []
         self._decisions: list[Decision] = []
         self._removed_job_ids: list[str] = []
-        self._early_cancellations: dict[str, float] = {}
+        self._early_cancellations: dict[tuple[str, str], float] = {}
         self._unlisted_lease_ends: dict[str, float] = {}
 
     @property
@@ -118,22 +118,37 @@
     # Jobs
 
     def submit(self, submission: Submission, now: float) -> None:
-        """Add a job from a stored submission; a repeated submission has no effect."""
+        """Add a job from a stored submission; a repeated submission has no effect.
+
+        The first tenant that submits an id owns it. Its name is stored with the progress when
+        another one submits the same id, so that later leaders decide alike.
+        """
         job_id = submission.job_id
-        if job_id in self._jobs:
+        known = self._jobs.get(job_id)
+        if known is not None:
+            if known.submission.tenant != submission.tenant:
+                self._record_decision(
+                    "submission ignored: its id is taken", job_id, tenant=submission.tenant
+                )
+                if not known.tasks:
+                    self._mark_dirty(known)
             return
         job = self._jobs[job_id] = Job(submission)
-        if job_id in self._early_cancellations:
-            del self._early_cancellations[job_id]
+        if self._early_cancellations.pop((job_id, submission.tenant), None) is not None:
             self._end_job(job, JobState.CANCELLED, now)
             return
         self._activate(job)
 
-    def cancel(self, job_id: str, now: float) -> None:
-        """Cancel a job after its cancellation was stored, which may precede the submission."""
+    def cancel(self, job_id: str, now: float, tenant: str = "") -> None:
+        """Cancel a job after its cancellation was stored, which may precede the submission.
+
+        :param tenant: tenant that cancels; the job of another one is not affected
+        """
         job = self._jobs.get(job_id)
         if job is None:
-            self._early_cancellations[job_id] = now
+            self._early_cancellations[job_id, tenant] = now
+            return
+        if not job.is_visible_to(tenant):
             return
         if job.state not in FINAL_STATES:
             self._end_job(job, JobState.CANCELLED, now)
@@ -184,10 +199,10 @@
         if job.state in FINAL_STATES:
             self._stop(minion, run, now)
 
-    def state_of(self, job_id: str) -> JobState | None:
-        """Return the stored state of a job, or None for an unknown job."""
+    def state_of(self, job_id: str, tenant: str = "") -> JobState | None:
+        """Return the stored state of a job, or None for a job that the tenant does not know."""
         job = self._jobs.get(job_id)
-        return None if job is None else job.stored_state
+        return None if job is None or not job.is_visible_to(tenant) else job.stored_state
 
     def waiting_by_queue(self) -> dict[str, int]:
         """Return the number of accepted jobs without a start yet, by queue name."""
@@ -840,9 +855,9 @@
                 continue
             del self._unlisted_lease_ends[key]
             self._release_unlisted(key, now)
-        for job_id, cancelled_at in list(self._early_cancellations.items()):
+        for owner, cancelled_at in list(self._early_cancellations.items()):
             if now - cancelled_at >= self._settings.retention_seconds:
-                del self._early_cancellations[job_id]
+                del self._early_cancellations[owner]
         for job_id, job in list(self._jobs.items()):
             if job.state not in FINAL_STATES:
                 continue
--- a/dotterelhill/platform/ingress.py
+++ b/dotterelhill/platform/ingress.py
@@ -348,9 +348,9 @@
                         200, body={"waiting": await self._job_service.waiting_job_count(queue.name)}
                     )
                 case "GET" if _is_job_id(name):
-                    return await self._query_job(name)
+                    return await self._query_job(name, access.tenant)
                 case "DELETE" if _is_job_id(name):
-                    await self._job_service.cancel(name, seconds, check)
+                    await self._job_service.cancel(name, seconds, check, access.tenant)
                     return _Reply(200)
                 case "POST" | "GET" | "DELETE":
                     return _Reply(400, "expected a job id of 16 hexadecimal digits")
@@ -391,8 +391,8 @@
         await self._job_service.submit(submission, seconds, check)
         return _Reply(200)
 
-    async def _query_job(self, job_id: str) -> _Reply:
-        state = await self._job_service.state_of(job_id)
+    async def _query_job(self, job_id: str, tenant: str) -> _Reply:
+        state = await self._job_service.state_of(job_id, tenant)
         if state is None:
             return _Reply(410, "no such job")
         return _Reply(200, body={"state": _STATE_NAMES[state]})
--- a/dotterelhill/platform/tests/steps/ingress_steps.py
+++ b/dotterelhill/platform/tests/steps/ingress_steps.py
@@ -64,7 +64,7 @@
         self.store = FakeStore()
         self.freshness = Freshness()
         self.leader = SimpleNamespace(
-            state_of=lambda job_id: None, waiting_by_queue=lambda: {"q": 2}
+            state_of=lambda job_id, tenant: None, waiting_by_queue=lambda: {"q": 2}
         )
         self.election = SimpleNamespace(leader=self.leader, leader_address="", has_claim=True)
         self.jobs = JobService(self.store, self.election, None, self.loop.time, random.Random(1))
