Limit the submissions of tenants that exceed their share

Cause: a tenant that sends many times its share fills the leader's queue and the connections to the store, and delays the jobs of the others. Change: the leader names rates in its messages for tenants with more arrivals than their weight while capacity is short or more than 4 s of work waits, until the backlog is gone. Each entry process has a token bucket for each tenant, takes the part of the rate that it had of the arrivals, and admits the weight without a message for 3 s. At most 8 appends of a tenant wait at a process; a job with a task above its tenant's limit is refused. Refusals are 429 with a spread Retry-After, a log line and clients.refused. The loads come from a callable of LeaderParts, by default none, until the scheduler measures them.

--- a/dotterelhill/control/job_service.py
+++ b/dotterelhill/control/job_service.py
@@ -101,6 +101,10 @@
         while len(self._recent_submissions) > MAX_RECENT_SUBMISSIONS:
             self._recent_submissions.popitem(last=False)
 
+    def has_accepted(self, job_id: str, tenant: str) -> bool:
+        """Return whether this process has stored a job recently, so that a request repeats it."""
+        return (job_id, tenant) in self._recent_submissions
+
     async def cancel(
         self,
         job_id: str,
--- a/dotterelhill/control/leader.py
+++ b/dotterelhill/control/leader.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Mapping
 from contextlib import suppress
 from dataclasses import dataclass
 from random import Random
@@ -50,6 +50,7 @@
     stored_tenant,
 )
 from dotterelhill.jobs.scheduler import Scheduler
+from dotterelhill.jobs.tenants.admission import AdmissionPolicy, AdmittedRate, TenantLoad
 
 # Key of the interference estimates in the progress stream. Job ids, the other keys of the stream,
 # contain no "@".
@@ -75,6 +76,8 @@
 # minion counts as silent only after several such polls.
 SUSPICIOUS_LAG_SECONDS = 0.25
 POLLS_TO_SILENCE_WHEN_LATE = 3
+# The rates of tenants are part of every message to a relay, and are computed this often.
+RATES_INTERVAL_SECONDS = 0.4
 # The leader reads a stored submission within this time unless the store is failing.
 MAX_SUBMISSIONS_AGE_SECONDS = 3.0
 
@@ -85,6 +88,11 @@
     """Raised when the process can't report the state of the fleet at present."""
 
 
+def no_tenant_loads(scheduler: Scheduler, now: float) -> Mapping[str, TenantLoad]:
+    """Return no loads, so that no tenant is over its share."""
+    return {}
+
+
 @dataclass(frozen=True, slots=True)
 class LeaderParts:
     """Dependencies of the leader.
@@ -96,6 +104,7 @@
     :param leadership: lease of this process
     :param clock: returns seconds
     :param unix_ms: returns Unix time in milliseconds
+    :param tenant_loads: returns the load of each tenant with jobs, given the time
     """
 
     store: Store
@@ -110,6 +119,7 @@
     unix_ms: Callable[[], int]
     random: Random
     metrics: Metrics
+    tenant_loads: Callable[[Scheduler, float], Mapping[str, TenantLoad]] = no_tenant_loads
 
 
 class Leader:
@@ -156,6 +166,9 @@
         self._stored_progress: dict[str, bytes] = {}
         # Keys of the records of tenants by job id, which are removed together with the job.
         self._tenant_keys: dict[str, set[str]] = {}
+        self._admission = AdmissionPolicy()
+        self._rates: dict[str, AdmittedRate] = {}
+        self._rates_at = float("-inf")
 
     @property
     def scheduler(self) -> Scheduler:
@@ -205,6 +218,17 @@
             "jobs.loop_lag_seconds": self._parts.lag.seconds,
         }
 
+    def admitted_rates(self) -> dict[str, AdmittedRate] | None:
+        """Return the rates of the tenants that are over their share; None while loading."""
+        if not self._is_loaded or not self._parts.leadership.is_leading:
+            return None
+        now = self._clock()
+        if now - self._rates_at >= RATES_INTERVAL_SECONDS:
+            loads = self._parts.tenant_loads(self._scheduler, now)
+            self._rates_at = now
+            self._rates = self._admission.rates(loads, self._parts.configuration.config.tenants)
+        return self._rates
+
     def apply_configuration(self) -> None:
         """Apply the newest configuration and evacuations to the scheduler."""
         self._scheduler.configure(self._parts.configuration.config)
--- a/dotterelhill/control/relay_messages.py
+++ b/dotterelhill/control/relay_messages.py
@@ -9,6 +9,8 @@
 import aiohttp
 import msgspec
 
+from dotterelhill.jobs.tenants.admission import AdmittedRate
+
 # Each side sends a message at least this often, so that the other one notices a lost connection.
 HEARTBEAT_SECONDS = 0.5
 # A connection without a message for this time is lost: two heartbeats are missing.
@@ -68,14 +70,18 @@
 
 
 class EntryNotice(msgspec.Struct, frozen=True, array_like=True):
-    """What the leader tells entry processes about the configuration.
+    """What the leader tells entry processes about the configuration and about tenants.
 
     :param config_version: version that the leader holds; 0 when it has no tenants
     :param config_age_seconds: time since the leader was last known to hold the newest version
+    :param rates: rates of the tenants that are over their share; None when the leader can't tell
+    :param process_count: number of processes among which the rates are divided
     """
 
     config_version: int = 0
     config_age_seconds: float = 0.0
+    rates: dict[str, AdmittedRate] | None = None
+    process_count: int = 1
 
 
 class LeaderMessage(msgspec.Struct, frozen=True, array_like=True):
--- a/dotterelhill/control/tests/steps/tenant_steps.py
+++ b/dotterelhill/control/tests/steps/tenant_steps.py
@@ -1,19 +1,28 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from types import SimpleNamespace
 
+import msgspec
 from aiohttp.test_utils import make_mocked_request
 from behave import given, then, use_step_matcher, when
 
 from dotterelhill.control.interface import Record, Stream
 from dotterelhill.control.leader import NotReadyError
 from dotterelhill.control.peers import PeerClient, PeerServer
+from dotterelhill.control.relay_messages import (
+    ENCODER,
+    LEADER_DECODER,
+    EntryNotice,
+    LeaderMessage,
+)
 from dotterelhill.control.submissions import partition_of, submission_key
 from dotterelhill.control.tests.cluster_world import QUEUE, SUBMISSION_PARTITIONS, Cluster
 from dotterelhill.jobs.model import Step, Submission
 from dotterelhill.jobs.progress import encode_submission
 from dotterelhill.jobs.resources import ResourceVector
+from dotterelhill.jobs.tenants.admission import AdmittedRate
 
 use_step_matcher("re")
 
@@ -113,3 +122,64 @@
 @then(r'it looks up job "(?P<job>\w+)" of tenant "(?P<tenant>[^"]+)"')
 def check_asked(context, job, tenant):
     assert context.asked == [(job, tenant)], context.asked
+
+
+@given(r"a message of the leader that names a version and rates")
+def encode_message(context):
+    notice = EntryNotice(7, 0.5, {"t": AdmittedRate(1.0, 9.0, 4.0)}, 3)
+    context.message = LeaderMessage("a/1", 1.0, True, True, [], 2, notice)
+    context.data = ENCODER.encode(context.message)
+    assert LEADER_DECODER.decode(context.data) == context.message
+
+
+class EarlierMessage(msgspec.Struct, array_like=True):
+    incarnation: str
+    sent_at: float
+    has_claim: bool
+    is_able: bool
+    calls: list
+    ended_epoch: int = 0
+
+
+@then(r"an earlier build reads its first fields")
+def read_as_earlier(context):
+    assert msgspec.msgpack.decode(context.data, type=EarlierMessage).ended_epoch == 2
+
+
+@then(r"a later build reads it without the newest field")
+def read_earlier_message(context):
+    data = ENCODER.encode(msgspec.msgpack.decode(context.data)[:-1])
+    message = LEADER_DECODER.decode(data)
+    assert message.ended_epoch == 2 and message.entry.rates is None, message
+
+
+@given(
+    r'the leader measures (?P<arrivals>\d+) arrivals per second of tenant "(?P<tenant>\w+)", whose '
+    r"work takes (?P<drain>\d+) s to drain"
+)
+def measure_load(context, arrivals, tenant, drain):
+    load = SimpleNamespace(
+        waiting_jobs=9,
+        arrivals_per_second=float(arrivals),
+        starts_per_second=3.0,
+        drain_seconds=float(drain),
+        is_short=False,
+    )
+    context.leader = context.cluster.processes[context.first_leader].election.leader
+    context.leader._parts = replace(
+        context.leader._parts, tenant_loads=lambda scheduler, now: {tenant: load}
+    )
+    context.cluster.advance(0.5)
+
+
+@then(
+    r'the leader names a rate of (?P<rate>[\d.]+) jobs per second for tenant "(?P<tenant>\w+)" only'
+)
+def check_named_rate(context, rate, tenant):
+    rates = context.leader.admitted_rates()
+    assert {name: found.jobs_per_second for name, found in rates.items()} == {tenant: float(rate)}
+
+
+@then(r"it names no rates, not even an empty list")
+def check_no_rates(context):
+    assert context.leader.admitted_rates() is None
--- a/dotterelhill/control/tests/tenants.feature
+++ b/dotterelhill/control/tests/tenants.feature
@@ -63,3 +63,14 @@
   Scenario: The leader's name for a tenant differs from that of the process that asks
     When the leader is asked over HTTP for job "j" of tenant "a&b=c/ü"
     Then it looks up job "j" of tenant "a&b=c/ü"
+
+  Scenario: A message of the leader ends the connection of a relay of another build
+    Given a message of the leader that names a version and rates
+    Then an earlier build reads its first fields
+    And a later build reads it without the newest field
+
+  Scenario: The leader names rates while it is loading, or none for a tenant that floods the fleet
+    Given the leader measures 40 arrivals per second of tenant "t", whose work takes 8 s to drain
+    Then the leader names a rate of 1.5 jobs per second for tenant "t" only
+    When the leader is killed
+    Then it names no rates, not even an empty list
--- a/dotterelhill/platform/ingress.py
+++ b/dotterelhill/platform/ingress.py
@@ -6,7 +6,8 @@
 import logging
 import string
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 
 import mode
@@ -20,7 +21,7 @@
 from dotterelhill.entry.logs import logger_of
 from dotterelhill.entry.metrics import Metrics
 from dotterelhill.jobs.model import JobState, Schedule, Step, Submission
-from dotterelhill.jobs.queues import FleetConfig, Queue
+from dotterelhill.jobs.queues import FleetConfig, Queue, Tenant
 from dotterelhill.jobs.resources import ResourceVector
 from dotterelhill.jobs.tenants.access import (
     AccessRefusedError,
@@ -29,6 +30,13 @@
     Refusal,
     check_access,
 )
+from dotterelhill.jobs.tenants.admission import (
+    MAX_RETRY_SECONDS,
+    AdmissionRefused,
+    EntryAdmission,
+    RefusalReason,
+    oversized_step,
+)
 from dotterelhill.platform.settings import Address
 
 JOB_ID_LENGTH = 16
@@ -87,6 +95,14 @@
 _JOB_DECODER = msgspec.json.Decoder(_Job)
 
 
+class _AdmissionRefusedError(Exception):
+    """Raised when a request of a tenant is not admitted."""
+
+    def __init__(self, refusal: AdmissionRefused) -> None:
+        super().__init__(str(refusal.reason))
+        self.refusal = refusal
+
+
 class BadJobError(Exception):
     """Raised when a submission is malformed; the message names the field."""
 
@@ -154,12 +170,14 @@
     :param reason: why the request failed; empty on success
     :param body: JSON object of a successful answer
     :param is_retry_advised: whether the answer has a ``Retry-After`` header
+    :param retry_seconds: value of that header
     """
 
     status: int
     reason: str = ""
     body: dict[str, object] = field(default_factory=dict)
     is_retry_advised: bool = False
+    retry_seconds: int = RETRY_AFTER_SECONDS
 
     def response(self) -> web.Response:
         """Return the HTTP response."""
@@ -168,7 +186,7 @@
             status=self.status, body=msgspec.json.encode(body), content_type="application/json"
         )
         if self.is_retry_advised:
-            response.headers["Retry-After"] = str(RETRY_AFTER_SECONDS)
+            response.headers["Retry-After"] = str(self.retry_seconds)
         return response
 
 
@@ -194,6 +212,8 @@
     :param readiness_address: address on which readiness checks are answered
     :param currency: tells how recent the configuration is
     :param access: time limits for the use of a configuration that may be outdated
+    :param admission: returns the admission of submissions
+    :param clock: returns seconds, as the admission counts them
     """
 
     def __init__(
@@ -205,10 +225,14 @@
         metrics: Metrics,
         currency: ConfigurationCurrency,
         access: AccessSettings,
+        admission: Callable[[], EntryAdmission],
+        clock: Callable[[], float],
     ) -> None:
         super().__init__()
         self._currency = currency
         self._access = access
+        self._admission = admission
+        self._clock = clock
         self._job_service = job_service
         self._config = config
         self._client_address = client_address
@@ -350,7 +374,8 @@
                 case "GET" if _is_job_id(name):
                     return await self._query_job(name, access.tenant)
                 case "DELETE" if _is_job_id(name):
-                    await self._job_service.cancel(name, seconds, check, access.tenant)
+                    with self._append_slot(access.tenant):
+                        await self._job_service.cancel(name, seconds, check, access.tenant)
                     return _Reply(200)
                 case "POST" | "GET" | "DELETE":
                     return _Reply(400, "expected a job id of 16 hexadecimal digits")
@@ -359,6 +384,8 @@
         except AccessRefusedError as error:
             self._metrics.count("clients.refused", label=error.refusal.name.lower())
             return _refusal_reply(error.refusal)
+        except _AdmissionRefusedError as error:
+            return self._refuse_admission(error.refusal, access.tenant, name)
         except (NotStoredError, NotReadyError) as error:
             return _Reply(503, str(error), is_retry_advised=True)
         except OutcomeUnknownError as error:
@@ -373,6 +400,7 @@
         seconds: float,
         check: Callable[[], None],
     ) -> _Reply:
+        self._admit(access.tenant, job_id)
         limit = config.limits.body_bytes
         if request.content_length is not None and request.content_length > limit:
             return _Reply(413, f"body: expected at most {limit} bytes")
@@ -388,9 +416,74 @@
             submission = decode_job(bytes(body), job_id, queue, int(time.time() * 1000), tenant)
         except BadJobError as error:
             return _Reply(400, str(error))
-        await self._job_service.submit(submission, seconds, check)
+        owner = self._tenant(tenant)
+        if owner is not None and (index := oversized_step(owner, submission.steps)) is not None:
+            refused = AdmissionRefused(RefusalReason.TASK_SIZE, int(MAX_RETRY_SECONDS))
+            return self._refuse_admission(refused, tenant, job_id, f"steps[{index}]: ")
+        with self._append_slot(tenant):
+            try:
+                await self._job_service.submit(submission, seconds, check)
+            except NotStoredError:
+                if owner is not None:
+                    self._admission().refund(owner)
+                raise
         return _Reply(200)
 
+    def _tenant(self, name: str) -> Tenant | None:
+        """Return the tenant that owns a job; None for a job without one."""
+        return self._config().tenants.get(name) if name else None
+
+    def _admit(self, tenant: str, job_id: str) -> None:
+        """Admit a submission; a repetition of one that was accepted costs nothing.
+
+        :raises _AdmissionRefusedError: when the tenant submits more than its share
+        """
+        owner = self._tenant(tenant)
+        if owner is None or self._job_service.has_accepted(job_id, tenant):
+            return
+        refused = self._admission().admit(owner, self._clock())
+        if refused is not None:
+            raise _AdmissionRefusedError(refused)
+
+    @contextmanager
+    def _append_slot(self, tenant: str) -> Iterator[None]:
+        """Occupy one of the appends that a tenant may have waiting.
+
+        :raises _AdmissionRefusedError: when too many wait
+        """
+        owner = self._tenant(tenant)
+        if owner is None:
+            yield
+            return
+        admission = self._admission()
+        refused = admission.begin_append(owner, self._clock())
+        if refused is not None:
+            raise _AdmissionRefusedError(refused)
+        try:
+            yield
+        finally:
+            admission.end_append(owner)
+
+    def _refuse_admission(
+        self, refused: AdmissionRefused, tenant: str, job_id: str, prefix: str = ""
+    ) -> _Reply:
+        """Log and count a refusal and return its answer.
+
+        :param prefix: part of the submission that is refused
+        """
+        reason = f"{prefix}{refused.reason}"
+        self._metrics.count("clients.refused", label=f"tenant_{refused.reason.name.lower()}")
+        _log.info(
+            "request of a tenant refused",
+            extra={
+                "job": job_id,
+                "tenant": tenant,
+                "reason": reason,
+                "retry_after": refused.retry_seconds,
+            },
+        )
+        return _Reply(429, reason, is_retry_advised=True, retry_seconds=refused.retry_seconds)
+
     async def _query_job(self, job_id: str, tenant: str) -> _Reply:
         state = await self._job_service.state_of(job_id, tenant)
         if state is None:
--- a/dotterelhill/platform/process.py
+++ b/dotterelhill/platform/process.py
@@ -36,6 +36,7 @@
 from dotterelhill.entry.logs import BoundedStream, logger_of, start_logging
 from dotterelhill.entry.metrics import LocalMetrics
 from dotterelhill.jobs.changes import SchedulerSettings
+from dotterelhill.jobs.tenants.admission import EntryAdmission
 from dotterelhill.platform.ingress import Ingress
 from dotterelhill.platform.minions import HttpMinionCaller, PlatformMinions
 from dotterelhill.platform.records import PlatformRecords
@@ -122,6 +123,7 @@
             self._config_follower.refresh,
             lambda: self._store.is_unavailable,
         )
+        self._admission = EntryAdmission(self._random)
         self._minion_caller = HttpMinionCaller(self._open_session)
         self._relay_client = RelayClient(
             Hello(self._incarnation, settings.failure_domain, settings.processors),
@@ -155,6 +157,8 @@
             self._metrics,
             self._currency,
             settings.access,
+            self._current_admission,
+            boot_seconds,
         )
         self._metrics_server = MetricsServer(
             self._metrics, settings.peer_address.host, METRICS_PORT
@@ -190,9 +194,26 @@
         config = self._configuration.config
         if not config.tenants:
             return EntryNotice()
-        return EntryNotice(config.version, self._config_follower.age_seconds)
+        leader = self._election.leader
+        rates = None if leader is None else leader.admitted_rates()
+        if leader is None or rates is None:
+            return EntryNotice(config.version, self._config_follower.age_seconds)
+        process_count = leader.relays.link_count + 1
+        return EntryNotice(config.version, self._config_follower.age_seconds, rates, process_count)
+
+    def _current_admission(self) -> EntryAdmission:
+        """Return the admission of this process, which gets no messages while it leads."""
+        if self._election.leader is not None:
+            self._apply_rates(self._entry_notice())
+        return self._admission
+
+    def _apply_rates(self, notice: EntryNotice) -> None:
+        if notice.rates is None:
+            return
+        self._admission.receive(notice.rates, notice.process_count, boot_seconds())
 
     def _receive_notice(self, notice: EntryNotice, transit_seconds: float) -> None:
+        self._apply_rates(notice)
         self._currency.record(notice.config_version, notice.config_age_seconds + transit_seconds)
 
     def _remote_leader_address(self) -> str:
--- a/dotterelhill/platform/tests/ingress.feature
+++ b/dotterelhill/platform/tests/ingress.feature
@@ -39,3 +39,44 @@
   Scenario: A malformed request puts its key into the log
     When a request with a malformed key header arrives at the server
     Then no line of the log holds a key
+
+  Scenario Outline: A tenant over its share gets jobs stored, or is refused what it may always do
+    Given no leader's message, and 4 jobs that were just accepted
+    When <method> "<path>" is sent with key "good"
+    Then the answer is <answer>
+
+    Examples:
+      | method | path                   | answer               |
+      | POST   | /q/00000000000000a1    | 429 with Retry-After |
+      | POST   | /q/0000000000000002    | 200                  |
+      | DELETE | /q/00000000000000a1    | 200                  |
+      | GET    | /q/                    | 200                  |
+      | POST   | /open/00000000000000a1 | 200                  |
+
+  Scenario Outline: A job that can never start is accepted, or one that fits is refused
+    Given a limit of <limit> thousandths of a processor
+    When POST "/q/00000000000000a1" is sent with key "good"
+    Then the answer is <answer>
+
+    Examples:
+      | limit | answer               |
+      | 499   | 429 with Retry-After |
+      | 500   | 200                  |
+      | 0     | 200                  |
+
+  Scenario Outline: Appends of one tenant occupy all connections to the store
+    Given <count> appends of the tenant that wait
+    When <method> "/q/00000000000000a1" is sent with key "good"
+    Then the answer is <answer>
+
+    Examples:
+      | count | method | answer               |
+      | 8     | POST   | 429 with Retry-After |
+      | 8     | DELETE | 429 with Retry-After |
+      | 7     | POST   | 200                  |
+
+  Scenario: A refusal is neither logged nor counted
+    Given a limit of 1 thousandths of a processor
+    When POST "/q/00000000000000a1" is sent with key "good"
+    Then the refusals are counted as "tenant_task_size"
+    And a line of the log names the tenant, a reason and when to retry
--- a/dotterelhill/platform/tests/steps/ingress_steps.py
+++ b/dotterelhill/platform/tests/steps/ingress_steps.py
@@ -17,7 +17,9 @@
 from dotterelhill.control.job_service import JobService
 from dotterelhill.entry.metrics import LocalMetrics
 from dotterelhill.jobs.queues import FleetConfig, Queue, Tenant
+from dotterelhill.jobs.resources import ResourceVector
 from dotterelhill.jobs.tenants.access import AccessSettings, Freshness
+from dotterelhill.jobs.tenants.admission import EntryAdmission
 from dotterelhill.jobs.tenants.keys import ApiKeys
 from dotterelhill.platform.ingress import Ingress, _server_log
 from dotterelhill.platform.settings import Address
@@ -69,10 +71,20 @@
         self.election = SimpleNamespace(leader=self.leader, leader_address="", has_claim=True)
         self.jobs = JobService(self.store, self.election, None, self.loop.time, random.Random(1))
         self.metrics = LocalMetrics()
+        self.admission = EntryAdmission(random.Random(2))
+        self.limit = ResourceVector()
         self.log = logbook.TestHandler(level="DEBUG")
         address = Address("127.0.0.1", 1)
         self.ingress = Ingress(
-            self.jobs, self.config, address, address, self.metrics, self, AccessSettings()
+            self.jobs,
+            self.config,
+            address,
+            address,
+            self.metrics,
+            self,
+            AccessSettings(),
+            lambda: self.admission,
+            self.loop.time,
         )
 
     async def settle(self, current_seconds: float) -> None:
@@ -80,7 +92,7 @@
 
     def config(self) -> FleetConfig:
         keys = ApiKeys.from_tenants(self.tenants.items())
-        tenants = {name: Tenant(name) for name in self.tenants}
+        tenants = {name: Tenant(name, 1.0, self.limit) for name in self.tenants}
         return FleetConfig(self.version, QUEUES, tenants=tenants, keys=keys)
 
     def revoke(self, key: str) -> None:
@@ -166,6 +178,30 @@
     assert not retry or int(context.response.headers["Retry-After"]) >= 1
 
 
+@given(r"no leader's message, and (?P<count>\d+) jobs that were just accepted")
+def accept_jobs(context, count):
+    for number in range(int(count)):
+        response = context.world.send("POST", f"/q/{number:016x}", "good")
+        assert response.status == 200, response.body
+
+
+@given(r"a limit of (?P<cpu>\d+) thousandths of a processor")
+def set_limit(context, cpu):
+    context.world.limit = ResourceVector(int(cpu))
+
+
+@given(r"(?P<count>\d+) appends of the tenant that wait")
+def occupy_appends(context, count):
+    for _ in range(int(count)):
+        assert context.world.admission.begin_append(Tenant("t"), context.world.loop.time()) is None
+
+
+@then(r'the refusals are counted as "(?P<label>\w+)"')
+def check_refusals(context, label):
+    counters = context.world.metrics.state.counters
+    assert counters.get(f"clients.refused.{label}") == 1, counters
+
+
 @then(r"(?P<count>\d+) appends were tried")
 def check_appends(context, count):
     assert context.world.store.appends == int(count), context.world.store.appends
@@ -180,3 +216,10 @@
     for line in lines:
         for key in context.keys:
             assert key not in line, line
+
+
+@then(r"a line of the log names the tenant, a reason and when to retry")
+def check_refusal_line(context):
+    lines = [record.extra for record in context.world.log.records if "tenant" in record.extra]
+    assert len(lines) == 1, lines
+    assert lines[0]["tenant"] == "t" and lines[0]["reason"] and lines[0]["retry_after"] >= 1, lines
