--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -18,6 +18,7 @@
     "batch": ("measure.batch_cost", "measure.batch_policy"),
     "agreement": ("measure.agreement",),
     "cost": ("measure.fold_cost", "measure.node_cost"),
+    "keys": ("measure.keys_cost",),
 }
 
 
