--- a/dotterelhill/control/leader.py
+++ b/dotterelhill/control/leader.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Mapping
 from contextlib import suppress
 from dataclasses import dataclass
 from random import Random
@@ -34,8 +34,8 @@
 from dotterelhill.control.submissions import (
     append_submissions,
     cancellation_key,
-    cancelled_job_of,
     is_cancellation,
+    owner_of,
 )
 from dotterelhill.entry.logs import logger_of
 from dotterelhill.entry.metrics import Metrics
@@ -43,8 +43,14 @@
 from dotterelhill.jobs.fleet import Minion
 from dotterelhill.jobs.model import Job, JobState, Submission
 from dotterelhill.jobs.orders import Order, PaceOrder, StartOrder, StartOutcome, StopOrder
-from dotterelhill.jobs.progress import apply_progress, decode_submission, encode_progress
+from dotterelhill.jobs.progress import (
+    apply_progress,
+    decode_submission,
+    encode_progress,
+    stored_tenant,
+)
 from dotterelhill.jobs.scheduler import Scheduler
+from dotterelhill.jobs.tenants.admission import AdmissionPolicy, AdmittedRate, TenantLoad
 
 # Key of the interference estimates in the progress stream. Job ids, the other keys of the stream,
 # contain no "@".
@@ -70,6 +76,8 @@
 # minion counts as silent only after several such polls.
 SUSPICIOUS_LAG_SECONDS = 0.25
 POLLS_TO_SILENCE_WHEN_LATE = 3
+# The rates of tenants are part of every message to a relay, and are computed this often.
+RATES_INTERVAL_SECONDS = 0.4
 # The leader reads a stored submission within this time unless the store is failing.
 MAX_SUBMISSIONS_AGE_SECONDS = 3.0
 
@@ -80,6 +88,11 @@
     """Raised when the process can't report the state of the fleet at present."""
 
 
+def no_tenant_loads(scheduler: Scheduler, now: float) -> Mapping[str, TenantLoad]:
+    """Return no loads, so that no tenant is over its share."""
+    return {}
+
+
 @dataclass(frozen=True, slots=True)
 class LeaderParts:
     """Dependencies of the leader.
@@ -91,6 +104,7 @@
     :param leadership: lease of this process
     :param clock: returns seconds
     :param unix_ms: returns Unix time in milliseconds
+    :param tenant_loads: returns the load of each tenant with jobs, given the time
     """
 
     store: Store
@@ -105,6 +119,7 @@
     unix_ms: Callable[[], int]
     random: Random
     metrics: Metrics
+    tenant_loads: Callable[[Scheduler, float], Mapping[str, TenantLoad]] = no_tenant_loads
 
 
 class Leader:
@@ -149,6 +164,11 @@
             pause_seconds=MINION_LIST_INTERVAL_SECONDS,
         )
         self._stored_progress: dict[str, bytes] = {}
+        # Keys of the records of tenants by job id, which are removed together with the job.
+        self._tenant_keys: dict[str, set[str]] = {}
+        self._admission = AdmissionPolicy()
+        self._rates: dict[str, AdmittedRate] = {}
+        self._rates_at = float("-inf")
 
     @property
     def scheduler(self) -> Scheduler:
@@ -160,14 +180,15 @@
         """Return the relays of this term."""
         return self._parts.relays
 
-    def state_of(self, job_id: str) -> JobState | None:
+    def state_of(self, job_id: str, tenant: str = "") -> JobState | None:
         """Return the stored state of a job; None when no such job was accepted.
 
+        :param tenant: tenant that asks; for it, jobs of other tenants do not exist
         :raises NotReadyError: when this process can't determine the state
         """
         if not self._is_loaded:
             raise NotReadyError("stored jobs are being loaded")
-        state = self._scheduler.state_of(job_id)
+        state = self._scheduler.state_of(job_id, tenant)
         if state is None:
             age_seconds = max(follower.age_seconds for follower in self._submission_followers)
             is_fresh = age_seconds < MAX_SUBMISSIONS_AGE_SECONDS
@@ -197,6 +218,17 @@
             "jobs.loop_lag_seconds": self._parts.lag.seconds,
         }
 
+    def admitted_rates(self) -> dict[str, AdmittedRate] | None:
+        """Return the rates of the tenants that are over their share; None while loading."""
+        if not self._is_loaded or not self._parts.leadership.is_leading:
+            return None
+        now = self._clock()
+        if now - self._rates_at >= RATES_INTERVAL_SECONDS:
+            loads = self._parts.tenant_loads(self._scheduler, now)
+            self._rates_at = now
+            self._rates = self._admission.rates(loads, self._parts.configuration.config.tenants)
+        return self._rates
+
     def apply_configuration(self) -> None:
         """Apply the newest configuration and evacuations to the scheduler."""
         self._scheduler.configure(self._parts.configuration.config)
@@ -277,19 +309,41 @@
     def _apply_submissions(self, records: tuple[Record, ...], is_snapshot: bool) -> None:
         now = self._clock()
         cancelled = []
+        first: dict[str, Submission] = {}
+        ignored = []
         for record in records:
             if record.value is None:
                 continue
+            job_id, tenant = owner_of(record.key)
+            if tenant:
+                self._tenant_keys.setdefault(job_id, set()).add(record.key)
             if is_cancellation(record.key):
-                cancelled.append(cancelled_job_of(record.key))
+                cancelled.append((job_id, tenant))
                 continue
             submission = _decode_record(record)
-            if submission is not None:
-                self._apply_submission(submission, now)
-        for job_id in cancelled:
-            self._scheduler.cancel(job_id, now)
+            if submission is None:
+                continue
+            known = first.setdefault(submission.job_id, submission)
+            if known is submission:
+                continue
+            if is_snapshot and self._precedence(submission) < self._precedence(known):
+                first[submission.job_id], submission = submission, known
+            ignored.append(submission)
+        for submission in [*first.values(), *ignored]:
+            self._apply_submission(submission, now)
+        for job_id, tenant in cancelled:
+            self._scheduler.cancel(job_id, now, tenant)
         self._wake_event.set()
 
+    def _precedence(self, submission: Submission) -> tuple[bool, int, str]:
+        """Return the order in which submissions of several tenants get one id; the first does.
+
+        An earlier leader may have decided otherwise, by the order of arrival.
+        """
+        stored = self._stored_progress.get(submission.job_id)
+        is_other = stored is not None and stored_tenant(stored) != submission.tenant
+        return is_other, submission.accepted_ms, submission.tenant
+
     def _apply_submission(self, submission: Submission, now: float) -> None:
         stored = self._stored_progress.pop(submission.job_id, None)
         if stored is None:
@@ -379,6 +433,8 @@
         for job_id in job_ids:
             records.append(Record(job_id, None))
             records.append(Record(cancellation_key(job_id), None))
+            for key in sorted(self._tenant_keys.pop(job_id, ())):
+                records.append(Record(key, None))
         try:
             await append_submissions(self._parts.store, records)
         except StoreError as error:
