End loading with the claim, and resume it after a failed read

Cause: after a loss of power in a fleet of slow processes, three processes logged "leading" 0.6 to 1.9 s after "leadership lost": Leader.run marked itself as loaded without looking at its claim, and _load did so only after a failed read, which a silent store delays by 1.2 s. A read of the newest records that failed on its last page started over with the first. A relay that gave up its connection before a late leader served it left an unhandled ClientConnectionResetError, as did a caller that left within the body of its request. Ruled out: a check of the claim between reads, since one read may take seconds; retries inside PlatformStore.newest, since its callers must stay able to end. Change: the load is cancelled when Leadership drops the claim; "leading" is logged once the lease is valid. PartialRead keeps the pages of the newest records over failed reads. PeerServer answers no caller that has closed its connection.

--- a/dotterelhill/control/feeds.py
+++ b/dotterelhill/control/feeds.py
@@ -13,6 +13,7 @@
 from dotterelhill.control.interface import (
     Batch,
     HistoryDroppedError,
+    PartialRead,
     Record,
     Store,
     StoreError,
@@ -84,6 +85,8 @@
         self._pause_seconds = pause_seconds
         self._partition = partition
         self._offset: int | None = None
+        self._partial_snapshot = PartialRead()
+        self._snapshot_sent_at = float("-inf")
         self._last_read_at = float("-inf")
         self._is_at_end = True
         self._is_failing = False
@@ -101,8 +104,12 @@
         """
         sent_at = self._clock()
         if self._offset is None:
-            batch = await self._store.newest(self._stream, self._partition)
-            self._apply_batch(batch, sent_at, is_snapshot=True)
+            # A read that failed is resumed, and the age counts from the first page.
+            if self._partial_snapshot.next_offset is None:
+                self._snapshot_sent_at = sent_at
+            batch = await self._store.newest(self._stream, self._partition, self._partial_snapshot)
+            self._partial_snapshot = PartialRead()
+            self._apply_batch(batch, self._snapshot_sent_at, is_snapshot=True)
             return
         try:
             batch = await self._store.read(
--- a/dotterelhill/control/health.py
+++ b/dotterelhill/control/health.py
@@ -8,6 +8,7 @@
     Batch,
     Fence,
     HistoryDroppedError,
+    PartialRead,
     Record,
     Store,
     StoreConflictError,
@@ -90,10 +91,12 @@
         self._record_answer()
         return end
 
-    async def newest(self, stream: Stream, partition: int = 0) -> Batch:
+    async def newest(
+        self, stream: Stream, partition: int = 0, partial: PartialRead | None = None
+    ) -> Batch:
         """Return the newest record of each key; see :meth:`Store.newest`."""
         try:
-            batch = await self._store.newest(stream, partition)
+            batch = await self._store.newest(stream, partition, partial)
         except StoreError as error:
             self._record_failure(error)
             raise
--- a/dotterelhill/control/interface.py
+++ b/dotterelhill/control/interface.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import Protocol
 
@@ -50,6 +50,19 @@
     is_at_end: bool = True
 
 
+@dataclass(slots=True)
+class PartialRead:
+    """Pages of the newest records that were read so far, so that a failed read can be resumed.
+
+    :param next_offset: offset from which to read on after the last page; None before the first page
+    :param after: key after which the next page begins; empty for the first page
+    """
+
+    records: list[Record] = field(default_factory=list)
+    next_offset: int | None = None
+    after: str = ""
+
+
 @dataclass(frozen=True, slots=True)
 class Fence:
     """Fencing epoch and sequence number of one writer's append.
@@ -122,9 +135,12 @@
         """
         ...
 
-    async def newest(self, stream: Stream, partition: int = 0) -> Batch:
+    async def newest(
+        self, stream: Stream, partition: int = 0, partial: PartialRead | None = None
+    ) -> Batch:
         """Return the newest record of each key and the offset from which to read on.
 
+        :param partial: pages that an earlier attempt has read, to which this one adds
         :raises StoreError: when the store can't be reached
         """
         ...
--- a/dotterelhill/control/leader.py
+++ b/dotterelhill/control/leader.py
@@ -19,6 +19,7 @@
     MinionError,
     Minions,
     OtherIncarnationError,
+    PartialRead,
     Record,
     RelayError,
     Store,
@@ -214,11 +215,12 @@
             asyncio.create_task(self._parts.relays.watch()),
         ]
         try:
-            await self._load()
+            await self._load_while_claimed()
             self.apply_configuration()
             for follower in [*self._submission_followers, self._minion_follower]:
                 await follower.start()
             self._is_loaded = True
+            await self._wait_for_lease()
             _log.notice("leading", extra={"epoch": self._epoch, "jobs": len(self._scheduler.jobs)})
             await self._run_scheduling_loop()
         except StoreFencedError as error:
@@ -231,13 +233,43 @@
                 task.cancel()
             self._parts.relays.close()
 
+    async def _load_while_claimed(self) -> None:
+        """Load the stored state; end at once when the claim is lost.
+
+        :raises StoreFencedError: when the claim is lost
+        """
+        loading = asyncio.create_task(self._load())
+        lost = asyncio.create_task(self._parts.leadership.wait_until_lost())
+        try:
+            await asyncio.wait({loading, lost}, return_when=asyncio.FIRST_COMPLETED)
+            if lost.done():
+                raise StoreFencedError("claim lost while loading")
+            await loading
+        finally:
+            loading.cancel()
+            lost.cancel()
+            await asyncio.gather(loading, lost, return_exceptions=True)
+
+    async def _wait_for_lease(self) -> None:
+        """Wait until this process may act as the leader, which needs a recent renewal.
+
+        :raises StoreFencedError: when the claim is lost
+        """
+        while not self._parts.leadership.is_leading:
+            if not self._parts.leadership.has_claim:
+                raise StoreFencedError("claim lost before leading")
+            await asyncio.sleep(TICK_SECONDS)
+
     async def _load(self) -> None:
         """Fence earlier leaders, then load the state that they have stored."""
         await self._append([])
         # A submission is stored before its progress. Reading the submissions after the progress
         # therefore finds the submission of each progress record.
+        pages = PartialRead()
         progress, _ = await asyncio.gather(
-            self._retry_on_store_error(lambda: self._parts.store.newest(Stream.PROGRESS)),
+            self._retry_on_store_error(
+                lambda: self._parts.store.newest(Stream.PROGRESS, partial=pages)
+            ),
             self._retry_on_store_error(self._minion_follower.read_once),
         )
         for record in progress.records:
--- a/dotterelhill/control/leadership.py
+++ b/dotterelhill/control/leadership.py
@@ -14,6 +14,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum, auto
@@ -111,6 +112,7 @@
         self._valid_until = float("-inf")
         self._ended_epoch = 0
         self._superseding_epoch = 0
+        self._claim_lost = asyncio.Event()
         self._settled_at = float("inf")
         # Time at which the first renewal since the last answer was sent; None if all are answered.
         self._unanswered_at: float | None = None
@@ -156,6 +158,11 @@
         unable_at = self._valid_until - LEASE_SECONDS + UNABLE_SECONDS
         return self._claim is not None and self._clock() < unable_at
 
+    async def wait_until_lost(self) -> None:
+        """Wait until this process holds no claim."""
+        if self._claim is not None:
+            await self._claim_lost.wait()
+
     def settle_at(self, renewals_end: float) -> None:
         """Set the time from which no earlier leader can renew leases; renewals record it."""
         self._settled_at = renewals_end
@@ -219,6 +226,7 @@
             _log.notice("leadership lost", extra={"epoch": epoch, "reason": "claim superseded"})
             return False
         self._claim, self._end = claim, end
+        self._claim_lost = asyncio.Event()
         self._valid_until = sent_at + LEASE_SECONDS
         self._settled_at = float("inf")
         self._unanswered_at = None
@@ -282,6 +290,7 @@
             _log.notice("leadership lost", extra={"epoch": self._claim.epoch, "reason": reason})
             self._ended_epoch = max(self._ended_epoch, self._claim.epoch)
         self._claim = None
+        self._claim_lost.set()
         self._valid_until = float("-inf")
 
 
--- a/dotterelhill/control/peers.py
+++ b/dotterelhill/control/peers.py
@@ -150,7 +150,7 @@
 
     async def on_start(self) -> None:
         """Open the port."""
-        self._runner = web.ServerRunner(web.Server(self._answer, access_log=None))
+        self._runner = web.ServerRunner(web.Server(self._answer_caller, access_log=None))
         await self._runner.setup()
         await web.TCPSite(self._runner, self._host, self._port, reuse_address=True).start()
 
@@ -159,6 +159,14 @@
         if self._runner is not None:
             await self._runner.cleanup()
 
+    async def _answer_caller(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer a request; a caller that has closed its connection gets no answer."""
+        try:
+            return await self._answer(request)
+        except (aiohttp.ClientError, ConnectionError) as error:
+            _log.debug("caller has gone", extra={"path": request.path, "reason": repr(error)})
+            return web.Response(status=400, text="the connection is closed")
+
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         path = request.path
         if path == STATUS_PATH:
--- a/dotterelhill/control/tests/cluster.feature
+++ b/dotterelhill/control/tests/cluster.feature
@@ -410,3 +410,28 @@
       | 1.0    |
       | 1.2    |
       | 1.4    |
+
+  Scenario: A leader that has lost its claim goes on loading and reports that it leads
+    When reads of the newest submissions take 2 seconds
+    And the leader is killed
+    And 2.5 seconds pass
+    And the process that loads is told of a newer claim
+    Then it has ended its term within 0.05 seconds
+    When 3 seconds pass
+    Then it has not reported that it leads
+
+  Scenario: A leader whose lease is over when it has loaded reports that it leads
+    When reads of the newest submissions take 4 seconds
+    And the leader is killed
+    And 2.5 seconds pass
+    And the process that loads can't renew its claim
+    And 4 seconds pass
+    Then it has not reported that it leads
+
+  Scenario: Loading starts over whenever one read of the store fails
+    When 20 jobs of 1 task are submitted
+    And the newest submissions are read in pages of 1 record, and 12 of these reads fail
+    And the leader is killed
+    And 6 seconds pass
+    Then one process leads
+    And the leader has read at most 28 pages of submissions
--- a/dotterelhill/control/tests/cluster_world.py
+++ b/dotterelhill/control/tests/cluster_world.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections import defaultdict
+from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 
 import looptime
@@ -16,6 +16,7 @@
     HistoryDroppedError,
     MinionError,
     OtherIncarnationError,
+    PartialRead,
     Record,
     StoreConflictError,
     StoreError,
@@ -136,6 +137,11 @@
         self.is_silent = False
         self.silent_streams: set[Stream] = set()
         self.streams_without_newest: set[Stream] = set()
+        # Number of newest records in one page, and the pages after which each read of them fails.
+        self.page_records: dict[Stream, int] = {}
+        self.failing_pages = 0
+        self.pages_read: Counter[Stream] = Counter()
+        self.newest_seconds: dict[Stream, float] = {}
         self.lost_answers = 0
         self.appends = 0
         self.latency_seconds = 0.0
@@ -163,11 +169,28 @@
             raise StoreError("no answer", is_effect_unknown=True)
         return end
 
-    async def newest(self, stream, partition=0) -> Batch:
-        await self._reach(stream)
-        if stream in self.streams_without_newest:
-            raise StoreError("status 503")
-        return self._store.newest((stream, partition))
+    async def newest(self, stream, partition=0, partial=None) -> Batch:
+        partial = PartialRead() if partial is None else partial
+        await asyncio.sleep(self.newest_seconds.get(stream, 0.0))
+        for page in range(1000):
+            await self._reach(stream)
+            if stream in self.streams_without_newest:
+                raise StoreError("status 503")
+            if page and self.failing_pages and stream in self.page_records:
+                self.failing_pages -= 1
+                raise StoreError("no answer", is_effect_unknown=True)
+            batch = self._store.newest((stream, partition))
+            if partial.next_offset is None:
+                partial.next_offset = batch.next_offset
+            records = sorted(batch.records, key=lambda record: record.key)
+            following = [record for record in records if record.key > partial.after]
+            page_records = following[: self.page_records.get(stream, len(following))]
+            self.pages_read[stream] += 1
+            partial.records.extend(page_records)
+            if len(page_records) == len(following):
+                return Batch(tuple(partial.records), partial.next_offset)
+            partial.after = page_records[-1].key
+        raise AssertionError("too many pages")
 
     async def read(self, stream, start, wait_seconds, partition=0) -> Batch:
         await self._reach(stream)
--- a/dotterelhill/control/tests/relays.feature
+++ b/dotterelhill/control/tests/relays.feature
@@ -94,3 +94,12 @@
     And every minion is called once
     And the connections stay open for 4 seconds
     Then no further minion was called by that relay
+
+  Scenario Outline: a caller that has closed its connection before it is served leaves an unhandled error
+    When a caller of the peer server closes its connection after sending <request>
+    Then the peer server has logged no unhandled error
+
+    Examples:
+      | request                |
+      | the request of a relay |
+      | a part of a claim      |
--- /dev/null
+++ b/dotterelhill/control/tests/steps/failover_steps.py
@@ -0,0 +1,75 @@
+from __future__ import annotations
+
+import logbook
+from behave import then, use_step_matcher, when
+
+from dotterelhill.control.interface import Stream
+from dotterelhill.control.leadership import Claim
+
+use_step_matcher("re")
+
+
+@when(r"reads of the newest submissions take (?P<seconds>[\d.]+) seconds")
+def slow_newest(context, seconds):
+    for process in context.cluster.processes.values():
+        process.store.newest_seconds[Stream.SUBMISSIONS] = float(seconds)
+
+
+def loading_process(context):
+    """Return the process that loads, and record what leaders log from now on."""
+    process = context.cluster.processes[context.cluster.leaders[0]]
+    context.loader, context.term = process, process.election.leader
+    assert not context.term._is_loaded
+    context.leader_log = logbook.TestHandler()
+    context.leader_log.push_application()
+    context.add_cleanup(context.leader_log.pop_application)
+    return process
+
+
+@when(r"the process that loads is told of a newer claim")
+def supersede_loader(context):
+    process = loading_process(context)
+    process.election.accept_claim(Claim(process.leadership.epoch + 1, "x/9", "x"))
+
+
+@when(r"the process that loads can't renew its claim")
+def stop_renewals(context):
+    process = loading_process(context)
+    process.store.silent_streams.add(Stream.LEADERSHIP)
+    # No other process takes over, since that would end the claim.
+    for other in context.cluster.processes.values():
+        other.election.stop_claiming()
+
+
+@then(r"it has ended its term within (?P<seconds>[\d.]+) seconds")
+def check_term_ended(context, seconds):
+    context.cluster.advance(float(seconds))
+    assert context.loader.election.leader is not context.term
+
+
+@then(r"it has not reported that it leads")
+def check_not_led(context):
+    leading = [record for record in context.leader_log.records if record.message == "leading"]
+    assert context.term._epoch not in [record.extra["epoch"] for record in leading], leading
+
+
+@when(r"(?P<count>\d+) jobs of 1 task are submitted")
+def submit_jobs(context, count):
+    context.cluster.submit_many(int(count), 0.01)
+
+
+@when(
+    r"the newest submissions are read in pages of (?P<size>\d+) record, and (?P<count>\d+) of "
+    r"these reads fail"
+)
+def fail_pages(context, size, count):
+    for process in context.cluster.processes.values():
+        process.store.page_records[Stream.SUBMISSIONS] = int(size)
+        process.store.failing_pages = int(count)
+
+
+@then(r"the leader has read at most (?P<count>\d+) pages of submissions")
+def check_pages(context, count):
+    process = context.cluster.processes[context.cluster.leaders[0]]
+    assert process.election.leader._is_loaded
+    assert process.store.pages_read[Stream.SUBMISSIONS] <= int(count), process.store.pages_read
--- a/dotterelhill/platform/store.py
+++ b/dotterelhill/platform/store.py
@@ -13,6 +13,7 @@
     Batch,
     Fence,
     HistoryDroppedError,
+    PartialRead,
     Record,
     StoreConflictError,
     StoreError,
@@ -179,29 +180,33 @@
         is_refused = 400 <= status < 500 or status in (503, 507)
         raise StoreError(f"append: status {status}", is_effect_unknown=not is_refused)
 
-    async def newest(self, stream: Stream, partition: int = 0) -> Batch:
+    async def newest(
+        self, stream: Stream, partition: int = 0, partial: PartialRead | None = None
+    ) -> Batch:
         """Return the newest record of each key and the offset from which to read on.
 
         The pages of the answer are not a consistent snapshot; the offset is that of the first page,
         so that reading on from it returns every change made since.
 
+        :param partial: pages that an earlier attempt has read, to which this one adds
         :raises StoreError: when the store can't be reached
         """
-        records: list[Record] = []
+        pages = PartialRead() if partial is None else partial
         params = {"topic": _TOPICS[stream], "part": str(partition)}
-        next_offset: int | None = None
         while True:
+            if pages.after:
+                params["after"] = pages.after
             status, body = await self._call("GET", "/log-newest", params)
             if status != 200:
                 raise StoreError(f"newest records: status {status}")
             answer = _decode_answer(_NEWEST_DECODER, body)
-            if next_offset is None:
-                next_offset = answer.end
+            if pages.next_offset is None:
+                pages.next_offset = answer.end
             for item in answer.items:
-                records.append(Record(item.key, _decode_value(item)))
+                pages.records.append(Record(item.key, _decode_value(item)))
             if not answer.hasMore or not answer.items:
-                return Batch(tuple(records), next_offset)
-            params["after"] = answer.items[-1].key
+                return Batch(tuple(pages.records), pages.next_offset)
+            pages.after = answer.items[-1].key
 
     async def read(
         self, stream: Stream, start: int, wait_seconds: float, partition: int = 0
--- a/dotterelhill/platform/tests/steps/store_steps.py
+++ b/dotterelhill/platform/tests/steps/store_steps.py
@@ -8,7 +8,7 @@
 import aiohttp
 from behave import given, then, use_step_matcher, when
 
-from dotterelhill.control.interface import Record, StoreError, Stream
+from dotterelhill.control.interface import PartialRead, Record, StoreError, Stream
 from dotterelhill.platform.store import PlatformStore, encode_records
 
 use_step_matcher("re")
@@ -72,8 +72,9 @@
 async def call_store(context, call):
     async def handle(reader, writer):
         context.calls += 1
-        await reader.readuntil(b"\r\n\r\n")
-        for part in context.parts:
+        request = await reader.readuntil(b"\r\n\r\n")
+        parts = context.parts(request) if callable(context.parts) else context.parts
+        for part in parts:
             writer.write(part)
             await writer.drain()
             await asyncio.sleep(context.pause_seconds)
@@ -128,3 +129,42 @@
 @then(r"the append fails as (?P<kind>\w+)")
 def check_error_type(context, kind):
     assert type(context.error).__name__ == kind, context.error
+
+
+@given(
+    r"a store on loopback that gives (?P<pages>\d+) pages of newest records and answers 503 "
+    r"to each second call"
+)
+def paged_store(context, pages):
+    context.pages_served = []
+
+    def next_parts(request: bytes) -> list[bytes]:
+        if context.calls % 2 == 0:
+            return [answer(503, b"{}")]
+        after = int(request.partition(b"after=")[2][:1] or 0)
+        context.pages_served.append(after)
+        items = [{"key": str(after + 1), "value": "eHk=", "offset": 1}]
+        page = {"items": items, "hasMore": after + 1 < int(pages), "end": 9}
+        return [answer(200, json.dumps(page).encode())]
+
+    set_answer(context, next_parts)
+
+
+@when(r"the newest configuration is read again until it succeeds")
+def read_in_attempts(context):
+    pages = PartialRead()
+
+    async def read_newest(store):
+        for _ in range(9):
+            try:
+                return await store.newest(Stream.CONFIGURATION, partial=pages)
+            except StoreError:
+                continue
+        raise AssertionError("no attempt succeeded")
+
+    asyncio.run(call_store(context, read_newest))
+
+
+@then(r"each page was read once")
+def check_pages(context):
+    assert context.pages_served == sorted(set(context.pages_served)), context.pages_served
--- a/dotterelhill/platform/tests/store.feature
+++ b/dotterelhill/platform/tests/store.feature
@@ -48,3 +48,9 @@
       | 40    | possible |
       | 5     | excluded |
       | 0     | excluded |
+
+  Scenario: Reading the newest records starts over whenever the read of one page fails
+    Given a store on loopback that gives 5 pages of newest records and answers 503 to each second call
+    When the newest configuration is read again until it succeeds
+    Then 5 records are read, and it is excluded that others follow
+    And each page was read once
