Yield while loading, and pace first polls by the delay of the event loop

Cause: after a loss of power, slow processes (0.12 core) claimed epochs 5 to 14 within 40 s: a leader that loaded 250 to 300 jobs restored them in one piece, so its renewals and status answers were late and the next process claimed. The first polls of all minions, 64 each 0.1 s, had the same effect. Ruled out: a thread for loading, since the decoding competes for the same processor and the state has one owner; slices for the first store of progress, since at most 128 jobs change at once. At most 4 reads of the store run while loading, and a failed one ends the others. FirstPollWindow halves the first polls of a turn while the event loop is over 0.1 s late and lets them grow again up to 64. Tests: cluster_world charges the processor of a process for calls to the store, answers to peers and each restored job. The two new scenarios run in virtual time.

--- a/dotterelhill/control/feeds.py
+++ b/dotterelhill/control/feeds.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from random import Random
 from typing import Protocol
@@ -102,15 +102,12 @@
 
         :raises StoreError: when the store can't be reached
         """
-        sent_at = self._clock()
         if self._offset is None:
-            # A read that failed is resumed, and the age counts from the first page.
-            if self._partial_snapshot.next_offset is None:
-                self._snapshot_sent_at = sent_at
-            batch = await self._store.newest(self._stream, self._partition, self._partial_snapshot)
-            self._partial_snapshot = PartialRead()
-            self._apply_batch(batch, self._snapshot_sent_at, is_snapshot=True)
+            batch = await self._read_snapshot()
+            self._on_records(batch.records, True)
+            self._record_position(batch, self._snapshot_sent_at)
             return
+        sent_at = self._clock()
         try:
             batch = await self._store.read(
                 self._stream, self._offset, self._wait_seconds, self._partition
@@ -119,12 +116,30 @@
             _log.notice("history dropped; reading every key", extra={"stream": str(self._stream)})
             self._offset = None
             return
-        self._apply_batch(batch, sent_at, is_snapshot=False)
+        if batch.records:
+            self._on_records(batch.records, False)
+        self._record_position(batch, sent_at)
+
+    async def load(self, process: Callable[[tuple[Record, ...]], Awaitable[None]]) -> None:
+        """Read a snapshot and have it processed by work that may yield to the event loop.
+
+        :param process: called with the newest record of every key
+        :raises StoreError: when the store can't be reached; the next call resumes the read
+        """
+        batch = await self._read_snapshot()
+        await process(batch.records)
+        self._record_position(batch, self._snapshot_sent_at)
+
+    async def _read_snapshot(self) -> Batch:
+        # A read that failed is resumed, and the age counts from the first page.
+        if self._partial_snapshot.next_offset is None:
+            self._snapshot_sent_at = self._clock()
+        batch = await self._store.newest(self._stream, self._partition, self._partial_snapshot)
+        self._partial_snapshot = PartialRead()
+        return batch
 
-    def _apply_batch(self, batch: Batch, sent_at: float, *, is_snapshot: bool) -> None:
+    def _record_position(self, batch: Batch, sent_at: float) -> None:
         self._offset = batch.next_offset
-        if is_snapshot or batch.records:
-            self._on_records(batch.records, is_snapshot)
         # Records that can't be processed, or that others follow, leave the age as it was.
         self._is_at_end = batch.is_at_end
         if batch.is_at_end:
--- a/dotterelhill/control/leader.py
+++ b/dotterelhill/control/leader.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Coroutine
 from contextlib import suppress
 from dataclasses import dataclass
+from functools import partial
 from random import Random
 from typing import Any
 
@@ -30,6 +31,7 @@
 )
 from dotterelhill.control.leadership import Leadership
 from dotterelhill.control.loop_lag import LoopLag
+from dotterelhill.control.poll_window import FirstPollWindow
 from dotterelhill.control.relay_pool import RelayPool
 from dotterelhill.control.start_window import StartWindow
 from dotterelhill.control.submissions import (
@@ -38,6 +40,7 @@
     cancelled_job_of,
     is_cancellation,
 )
+from dotterelhill.control.work_slices import WorkSlices
 from dotterelhill.entry.logs import logger_of
 from dotterelhill.entry.metrics import Metrics
 from dotterelhill.jobs.changes import Changes, SchedulerSettings
@@ -62,11 +65,9 @@
 MIN_POLL_INTERVAL_SECONDS = 0.05
 POLL_RETRY_SECONDS = (0.05, 0.3)
 MINION_LIST_INTERVAL_SECONDS = 0.5
-# First polls that begin within one turn. At a takeover, those of hundreds of minions would occupy
-# the event loop for longer than a call may take. A turn does not wait for answers, since many
-# minions may be gone.
-FIRST_POLLS_PER_TURN = 64
-FIRST_POLL_TURN_SECONDS = 0.1
+# Reads of the store that a loading leader has in progress. Their answers share the processor with
+# renewals, and a slow processor would read all of them too late.
+MAX_LOADING_READS = 4
 # A delay of the event loop from which an unanswered poll may be due to this process itself. Then a
 # minion counts as silent only after several such polls.
 SUSPICIOUS_LAG_SECONDS = 0.25
@@ -92,6 +93,7 @@
     :param leadership: lease of this process
     :param clock: returns seconds
     :param unix_ms: returns Unix time in milliseconds
+    :param slices: slices of long work, between which the event loop runs
     """
 
     store: Store
@@ -106,6 +108,7 @@
     unix_ms: Callable[[], int]
     random: Random
     metrics: Metrics
+    slices: WorkSlices
 
 
 class Leader:
@@ -127,7 +130,9 @@
         self._model_stored_at = self._clock()
         self._background: set[asyncio.Task[None]] = set()
         self._polled_minions: set[Minion] = set()
-        self._first_polls = asyncio.Semaphore(FIRST_POLLS_PER_TURN)
+        self._first_polls = FirstPollWindow(parts.clock, parts.lag)
+        self._loading_reads = asyncio.Semaphore(MAX_LOADING_READS)
+        self._restoring = asyncio.Lock()
         self._start_window = StartWindow(parts.clock, parts.lag)
         self._submission_followers: list[Follower] = []
         for partition in range(parts.store.partitions(Stream.SUBMISSIONS)):
@@ -266,7 +271,7 @@
         # A submission is stored before its progress. Reading the submissions after the progress
         # therefore finds the submission of each progress record.
         pages = PartialRead()
-        progress, _ = await asyncio.gather(
+        progress, _ = await _gather_or_cancel(
             self._retry_on_store_error(
                 lambda: self._parts.store.newest(Stream.PROGRESS, partial=pages)
             ),
@@ -277,9 +282,9 @@
                 self._load_model(record.value)
             elif record.value is not None:
                 self._stored_progress[record.key] = record.value
-        await asyncio.gather(
+        await _gather_or_cancel(
             *(
-                self._retry_on_store_error(follower.read_once)
+                self._retry_on_store_error(partial(follower.load, self._restore_submissions))
                 for follower in self._submission_followers
             )
         )
@@ -297,7 +302,8 @@
     async def _retry_on_store_error(self, call: Callable[[], Coroutine[Any, Any, Any]]) -> Any:
         while True:
             try:
-                return await call()
+                async with self._loading_reads:
+                    return await call()
             except StoreError as error:
                 if not self._parts.leadership.has_claim:
                     raise StoreFencedError("claim lost while loading") from error
@@ -306,6 +312,14 @@
 
     # Updates from the store
 
+    async def _restore_submissions(self, records: tuple[Record, ...]) -> None:
+        """Process the newest submissions in slices."""
+        async with self._restoring:
+            self._parts.slices.begin()
+            for record in records:
+                self._apply_submissions((record,), is_snapshot=False)
+                await self._parts.slices.pause_if_due()
+
     def _apply_submissions(self, records: tuple[Record, ...], is_snapshot: bool) -> None:
         now = self._clock()
         cancelled = []
@@ -367,7 +381,7 @@
             with suppress(TimeoutError):
                 await asyncio.wait_for(self._wake_event.wait(), TICK_SECONDS)
             self._wake_event.clear()
-            self._log_decisions()
+            await self._log_decisions()
             self._send_orders()
             if not self._parts.leadership.is_leading:
                 continue
@@ -597,10 +611,7 @@
         """
         hold_seconds = self._parts.settings.lease_seconds
         if minion.clock_ms is None and minion.is_answering:
-            await self._first_polls.acquire()
-            asyncio.get_running_loop().call_later(
-                FIRST_POLL_TURN_SECONDS, self._first_polls.release
-            )
+            await self._first_polls.enter()
         # The permission is checked for the time from which the lease counts, since the process may
         # be suspended in between.
         sent_at = self._clock()
@@ -616,13 +627,25 @@
         report = await self._parts.minions.renew(minion, self._epoch, deadline_ms, wait_seconds)
         self._scheduler.report(minion, report, sent_at, self._clock())
 
-    def _log_decisions(self) -> None:
+    async def _log_decisions(self) -> None:
+        self._parts.slices.begin()
         for decision in self._scheduler.take_decisions():
             self._parts.metrics.count("jobs.decisions", label=decision.kind)
             extra: dict[str, object] = dict(decision.fields)
             if decision.job_id:
                 extra["job"] = decision.job_id
             _log.info(decision.message, extra=extra)
+            await self._parts.slices.pause_if_due()
+
+
+async def _gather_or_cancel(*calls: Coroutine[Any, Any, Any]) -> list[Any]:
+    """Return the results of concurrent calls; cancel the others when one fails."""
+    tasks = [asyncio.create_task(call) for call in calls]
+    try:
+        return await asyncio.gather(*tasks)
+    finally:
+        for task in tasks:
+            task.cancel()
 
 
 def _decode_record(record: Record) -> Submission | None:
--- a/dotterelhill/control/loop_lag.py
+++ b/dotterelhill/control/loop_lag.py
@@ -21,15 +21,22 @@
         self._window_started_at = clock()
         self._window_seconds = 0.0
         self._previous_window_seconds = 0.0
+        self._newest_seconds = 0.0
 
     @property
     def seconds(self) -> float:
         """Return the largest delay of a timer within the last one to two seconds."""
         return max(self._window_seconds, self._previous_window_seconds)
 
+    @property
+    def newest_seconds(self) -> float:
+        """Return the delay of the newest timer."""
+        return self._newest_seconds
+
     def record(self, delay_seconds: float) -> None:
         """Record the delay of one timer of the event loop."""
         now = self._clock()
+        self._newest_seconds = delay_seconds
         if now - self._window_started_at >= WINDOW_SECONDS:
             self._previous_window_seconds = self._window_seconds
             self._window_seconds = 0.0
--- a/dotterelhill/control/tests/cluster_world.py
+++ b/dotterelhill/control/tests/cluster_world.py
@@ -28,10 +28,11 @@
 from dotterelhill.control.leader import Leader, LeaderParts
 from dotterelhill.control.leadership import LeaderClock, Leadership
 from dotterelhill.control.loop_lag import LoopLag
-from dotterelhill.control.peers import PeerStatus, PeerUnreachableError
+from dotterelhill.control.peers import PEER_TIMEOUT_SECONDS, PeerStatus, PeerUnreachableError
 from dotterelhill.control.relay_messages import HEARTBEAT_SECONDS
 from dotterelhill.control.relay_pool import MAX_LAG_ALLOWANCE_SECONDS, RelayPool
 from dotterelhill.control.submissions import append_submissions
+from dotterelhill.control.work_slices import WorkSlices
 from dotterelhill.entry.metrics import LocalMetrics
 from dotterelhill.jobs.changes import SchedulerSettings
 from dotterelhill.jobs.fleet import (
@@ -132,8 +133,9 @@
 class StoreView:
     """Connection of one process to the store, with injected faults."""
 
-    def __init__(self, store: MemoryStore) -> None:
+    def __init__(self, store: MemoryStore, processor: SlowProcessor | None = None) -> None:
         self._store = store
+        self._processor = processor
         self.is_down = False
         self.is_silent = False
         self.silent_streams: set[Stream] = set()
@@ -148,6 +150,8 @@
         self.latency_seconds = 0.0
 
     async def _reach(self, stream: Stream) -> None:
+        if self._processor is not None:
+            await self._processor.use()
         await asyncio.sleep(self.latency_seconds)
         await asyncio.sleep(SLOW_CALL_SECONDS if self._store.is_slow else CALL_SECONDS)
         if self.is_silent or stream in self.silent_streams:
@@ -260,13 +264,26 @@
         self._lag = lag
         self._free_at = 0.0
 
+    @property
+    def busy_until(self) -> float:
+        """Return the time until which the processor does work that has begun."""
+        return max(self._free_at, self._cluster.loop.time())
+
     async def use(self) -> None:
         now = self._cluster.loop.time()
-        begins_at = max(now, self._free_at)
-        self._free_at = begins_at + self._cluster.seconds_per_message
+        begins_at = self.busy_until
+        self.charge(self._cluster.seconds_per_message)
         self._lag.record(begins_at - now)
         await asyncio.sleep(self._free_at - now)
 
+    def charge(self, seconds: float) -> None:
+        """Occupy the processor after the work that has begun."""
+        self._free_at = self.busy_until + seconds
+
+    async def pause(self) -> None:
+        """Wait until the work of the caller is done, so that the next work can begin."""
+        await asyncio.sleep(self._free_at - self._cluster.loop.time())
+
 
 class FakeMinions:
     """Minion client of one process."""
@@ -393,6 +410,11 @@
         process = self._cluster.processes.get(address)
         if process is None or not process.is_running:
             raise PeerUnreachableError("refused", is_refused=True, is_effect_unknown=False)
+        try:
+            async with asyncio.timeout(PEER_TIMEOUT_SECONDS):
+                await process.minions.processor.use()
+        except TimeoutError as error:
+            raise PeerUnreachableError("no answer") from error
         return process
 
     async def status(self, address):
@@ -475,9 +497,9 @@
     def __init__(self, cluster: Cluster, name: str, number: int, processors: float) -> None:
         self.name = name
         self.is_running = True
-        self.store = StoreView(cluster.store)
-        observed = ObservedStore(self.store, cluster.loop.time)
         self.minions = FakeMinions(cluster)
+        self.store = StoreView(cluster.store, self.minions.processor)
+        observed = ObservedStore(self.store, cluster.loop.time)
         self.metrics = LocalMetrics()
         incarnation = f"{name}/{number}"
         clock = self.clock = ProcessClock(cluster.loop, cluster.clock_spacing_seconds * number)
@@ -490,8 +512,9 @@
 
         def new_leader(renewals_end: float) -> Leader:
             lag = self.minions.lag
+            processor = self.minions.processor
             self.assumed_renewals_end = renewals_end
-            return Leader(
+            leader = Leader(
                 LeaderParts(
                     observed,
                     self.minions,
@@ -505,9 +528,18 @@
                     lambda: int(1000 * cluster.loop.time()),
                     rng,
                     self.metrics,
+                    WorkSlices(lambda: processor.busy_until, processor.pause),
                 ),
                 renewals_end,
             )
+            restore = leader._apply_submission
+
+            def restore_slowly(submission, now) -> None:
+                restore(submission, now)
+                processor.charge(cluster.seconds_per_job)
+
+            leader._apply_submission = restore_slowly
+            return leader
 
         peers = FakePeers(cluster)
         self.observed = observed
@@ -556,6 +588,8 @@
         self.message_seconds = 0.005
         # Processor time of a process for each call that it sends and each answer that it reads.
         self.seconds_per_message = 0.0
+        # Processor time of a leader for each job that it reads.
+        self.seconds_per_job = 0.0
         # Whether minions hold polls back until a run ends, for as long as the leader asks.
         self.is_polling_long = False
         self.loop = looptime.new_event_loop()
--- a/dotterelhill/control/tests/overload.feature
+++ b/dotterelhill/control/tests/overload.feature
@@ -37,3 +37,15 @@
     Given a leader of 300 minions, 120 of them gone, with 0.4 ms for each message
     When another process has taken over for 1 second
     Then it has a report of each minion that is not gone
+
+  Scenario: a slow leader that loads many jobs renews its claim too late and is succeeded by the next one
+    Given 5 processes whose processors take 6 ms for each message and 16 ms for each job, and 250 jobs
+    When all processes lose power and start again
+    And 10 seconds pass in the cluster
+    Then one process has claimed leadership at most 1 times and leads
+
+  Scenario: a slow leader sends first polls faster than it can send renewals of its claim
+    Given a leader of 300 minions, 0 of them gone, with 3 ms for each message
+    When another process has taken over for 4 second
+    Then it has renewed its claim at least each 0.9 seconds
+    And it has a report of each minion that is not gone
--- a/dotterelhill/control/tests/steps/overload_steps.py
+++ b/dotterelhill/control/tests/steps/overload_steps.py
@@ -2,9 +2,13 @@
 
 import asyncio
 from collections import Counter
+from itertools import pairwise
 
+import msgspec
 from behave import given, then, use_step_matcher, when
 
+from dotterelhill.control.interface import Stream
+from dotterelhill.control.leadership import LEADER_KEY, RENEWAL_KEY, Renewal
 from dotterelhill.control.tests.cluster_world import Cluster
 
 use_step_matcher("re")
@@ -159,3 +163,59 @@
         if not minion.is_synced and not cluster.minions[name].is_dead
     ]
     assert not missing and len(leader.scheduler.minions) == len(cluster.minions), len(missing)
+
+
+@given(
+    r"(?P<count>\d+) processes whose processors take (?P<message>\d+) ms for each message and "
+    r"(?P<job>\d+) ms for each job, and (?P<jobs>\d+) jobs"
+)
+def new_slow_fleet(context, count, message, job, jobs):
+    context.cluster.close()
+    context.names = [f"p{number}" for number in range(int(count))]
+    minions = tuple(f"m{number}" for number in range(20))
+    context.cluster = cluster = Cluster(context.names, minion_names=minions)
+    cluster.is_polling_long = True
+    cluster.advance(3.0)
+    for minion in cluster.minions.values():
+        minion.run_seconds = 60.0
+    cluster.submit_many(int(jobs), 0.002)
+    cluster.seconds_per_message = int(message) / 1000.0
+    cluster.seconds_per_job = int(job) / 1000.0
+
+
+def leadership_records(cluster, key):
+    """Return the records of a key in the leadership stream, from the first to the newest."""
+    records = cluster.store.streams[Stream.LEADERSHIP, 0]
+    return [record.value for record in records if record.key == key]
+
+
+@when(r"all processes lose power and start again")
+def lose_power(context):
+    context.claims_before = len(leadership_records(context.cluster, LEADER_KEY))
+    for name in context.names:
+        context.cluster.kill(name)
+    for name in context.names:
+        context.cluster.start(name)
+
+
+@then(r"one process has claimed leadership at most (?P<count>\d+) times and leads")
+def check_claim_count(context, count):
+    cluster = context.cluster
+    claims = len(leadership_records(cluster, LEADER_KEY)) - context.claims_before
+    assert claims <= int(count), claims
+    leading = [name for name in cluster.leaders if cluster.processes[name].leadership.is_leading]
+    assert len(leading) == 1, leading
+    assert cluster.processes[leading[0]].election.leader._is_loaded
+
+
+@then(r"it has renewed its claim at least each (?P<limit>[\d.]+) seconds")
+def check_renewals(context, limit):
+    cluster = context.cluster
+    epoch = cluster.processes[cluster.leaders[0]].leadership.epoch
+    renewals = [
+        msgspec.msgpack.decode(value, type=Renewal)
+        for value in leadership_records(cluster, RENEWAL_KEY)
+    ]
+    times = [renewal.sent_at for renewal in renewals if renewal.epoch == epoch]
+    gaps = [later - earlier for earlier, later in pairwise([*times, cluster.loop.time()])]
+    assert gaps and max(gaps) <= float(limit), gaps
--- a/dotterelhill/platform/process.py
+++ b/dotterelhill/platform/process.py
@@ -27,6 +27,7 @@
 from dotterelhill.control.relay_client import RelayClient
 from dotterelhill.control.relay_messages import Hello
 from dotterelhill.control.relay_pool import RelayPool
+from dotterelhill.control.work_slices import WorkSlices
 from dotterelhill.core import new_incarnation_id
 from dotterelhill.entry.logs import BoundedStream, logger_of, start_logging
 from dotterelhill.entry.metrics import LocalMetrics
@@ -186,6 +187,7 @@
                 unix_ms=unix_ms,
                 random=self._random,
                 metrics=self._metrics,
+                slices=WorkSlices(boot_seconds),
             ),
             renewals_end,
         )
