Merge loading in slices and the bound on an earlier leader's renewals

Admission uses the load that the scheduler measures; its own protocol and the default without loads are gone, since both parts are merged.

--- a/dotterelhill/control/tests/cluster_world.py
+++ b/dotterelhill/control/tests/cluster_world.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections import defaultdict
+from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 
 import looptime
@@ -16,6 +16,7 @@
     HistoryDroppedError,
     MinionError,
     OtherIncarnationError,
+    PartialRead,
     Record,
     StoreConflictError,
     StoreError,
@@ -25,11 +26,13 @@
 )
 from dotterelhill.control.job_service import JobService
 from dotterelhill.control.leader import Leader, LeaderParts
-from dotterelhill.control.leadership import Leadership
+from dotterelhill.control.leadership import LeaderClock, Leadership
 from dotterelhill.control.loop_lag import LoopLag
-from dotterelhill.control.peers import PeerStatus, PeerUnreachableError
+from dotterelhill.control.peers import PEER_TIMEOUT_SECONDS, PeerStatus, PeerUnreachableError
+from dotterelhill.control.relay_messages import HEARTBEAT_SECONDS
 from dotterelhill.control.relay_pool import MAX_LAG_ALLOWANCE_SECONDS, RelayPool
 from dotterelhill.control.submissions import append_submissions
+from dotterelhill.control.work_slices import WorkSlices
 from dotterelhill.entry.metrics import LocalMetrics
 from dotterelhill.jobs.changes import SchedulerSettings
 from dotterelhill.jobs.fleet import (
@@ -130,17 +133,25 @@
 class StoreView:
     """Connection of one process to the store, with injected faults."""
 
-    def __init__(self, store: MemoryStore) -> None:
+    def __init__(self, store: MemoryStore, processor: SlowProcessor | None = None) -> None:
         self._store = store
+        self._processor = processor
         self.is_down = False
         self.is_silent = False
         self.silent_streams: set[Stream] = set()
         self.streams_without_newest: set[Stream] = set()
+        # Number of newest records in one page, and the pages after which each read of them fails.
+        self.page_records: dict[Stream, int] = {}
+        self.failing_pages = 0
+        self.pages_read: Counter[Stream] = Counter()
+        self.newest_seconds: dict[Stream, float] = {}
         self.lost_answers = 0
         self.appends = 0
         self.latency_seconds = 0.0
 
     async def _reach(self, stream: Stream) -> None:
+        if self._processor is not None:
+            await self._processor.use()
         await asyncio.sleep(self.latency_seconds)
         await asyncio.sleep(SLOW_CALL_SECONDS if self._store.is_slow else CALL_SECONDS)
         if self.is_silent or stream in self.silent_streams:
@@ -163,11 +174,28 @@
             raise StoreError("no answer", is_effect_unknown=True)
         return end
 
-    async def newest(self, stream, partition=0) -> Batch:
-        await self._reach(stream)
-        if stream in self.streams_without_newest:
-            raise StoreError("status 503")
-        return self._store.newest((stream, partition))
+    async def newest(self, stream, partition=0, partial=None) -> Batch:
+        partial = PartialRead() if partial is None else partial
+        await asyncio.sleep(self.newest_seconds.get(stream, 0.0))
+        for page in range(1000):
+            await self._reach(stream)
+            if stream in self.streams_without_newest:
+                raise StoreError("status 503")
+            if page and self.failing_pages and stream in self.page_records:
+                self.failing_pages -= 1
+                raise StoreError("no answer", is_effect_unknown=True)
+            batch = self._store.newest((stream, partition))
+            if partial.next_offset is None:
+                partial.next_offset = batch.next_offset
+            records = sorted(batch.records, key=lambda record: record.key)
+            following = [record for record in records if record.key > partial.after]
+            page_records = following[: self.page_records.get(stream, len(following))]
+            self.pages_read[stream] += 1
+            partial.records.extend(page_records)
+            if len(page_records) == len(following):
+                return Batch(tuple(partial.records), partial.next_offset)
+            partial.after = page_records[-1].key
+        raise AssertionError("too many pages")
 
     async def read(self, stream, start, wait_seconds, partition=0) -> Batch:
         await self._reach(stream)
@@ -236,13 +264,26 @@
         self._lag = lag
         self._free_at = 0.0
 
+    @property
+    def busy_until(self) -> float:
+        """Return the time until which the processor does work that has begun."""
+        return max(self._free_at, self._cluster.loop.time())
+
     async def use(self) -> None:
         now = self._cluster.loop.time()
-        begins_at = max(now, self._free_at)
-        self._free_at = begins_at + self._cluster.seconds_per_message
+        begins_at = self.busy_until
+        self.charge(self._cluster.seconds_per_message)
         self._lag.record(begins_at - now)
         await asyncio.sleep(self._free_at - now)
 
+    def charge(self, seconds: float) -> None:
+        """Occupy the processor after the work that has begun."""
+        self._free_at = self.busy_until + seconds
+
+    async def pause(self) -> None:
+        """Wait until the work of the caller is done, so that the next work can begin."""
+        await asyncio.sleep(self._free_at - self._cluster.loop.time())
+
 
 class FakeMinions:
     """Minion client of one process."""
@@ -369,6 +410,11 @@
         process = self._cluster.processes.get(address)
         if process is None or not process.is_running:
             raise PeerUnreachableError("refused", is_refused=True, is_effect_unknown=False)
+        try:
+            async with asyncio.timeout(PEER_TIMEOUT_SECONDS):
+                await process.minions.processor.use()
+        except TimeoutError as error:
+            raise PeerUnreachableError("no answer") from error
         return process
 
     async def status(self, address):
@@ -423,18 +469,41 @@
         return MinionFacts(record.key, born_ms, "pool", record.key, "caxias", ("a", "r1"), room)
 
 
+class ProcessClock:
+    """Clock of one process, with an origin and a rate of its own."""
+
+    def __init__(self, loop, origin: float) -> None:
+        self._loop = loop
+        self._rebased_at, self._origin, self._rate = 0.0, origin, 1.0
+
+    def __call__(self) -> float:
+        return self.at(self._loop.time())
+
+    def at(self, time: float) -> float:
+        return self._origin + self._rate * (time - self._rebased_at)
+
+    def time_of(self, value: float) -> float:
+        """Return the time of the cluster at which this clock shows a value."""
+        return self._rebased_at + (value - self._origin) / self._rate
+
+    def set_rate(self, rate: float) -> None:
+        now = self._loop.time()
+        self._origin, self._rebased_at, self._rate = self.at(now), now, rate
+
+
 class Process:
     """Control process without sockets."""
 
     def __init__(self, cluster: Cluster, name: str, number: int, processors: float) -> None:
         self.name = name
         self.is_running = True
-        self.store = StoreView(cluster.store)
-        observed = ObservedStore(self.store, cluster.loop.time)
         self.minions = FakeMinions(cluster)
+        self.store = StoreView(cluster.store, self.minions.processor)
+        observed = ObservedStore(self.store, cluster.loop.time)
         self.metrics = LocalMetrics()
         incarnation = f"{name}/{number}"
-        clock = cluster.loop.time
+        clock = self.clock = ProcessClock(cluster.loop, cluster.clock_spacing_seconds * number)
+        self.gone_at = float("inf")
         rng = random.Random(number)
         self.leadership = Leadership(observed, incarnation, name, clock)
         self.decoder = FakeDecoder()
@@ -443,7 +512,9 @@
 
         def new_leader(renewals_end: float) -> Leader:
             lag = self.minions.lag
-            return Leader(
+            processor = self.minions.processor
+            self.assumed_renewals_end = renewals_end
+            leader = Leader(
                 LeaderParts(
                     observed,
                     self.minions,
@@ -454,12 +525,21 @@
                     self.leadership,
                     SchedulerSettings(HOLD_SECONDS, 120.0, 4.0, CAPACITY_VALID_SECONDS),
                     clock,
-                    lambda: int(1000 * clock()),
+                    lambda: int(1000 * cluster.loop.time()),
                     rng,
                     self.metrics,
+                    WorkSlices(lambda: processor.busy_until, processor.pause),
                 ),
                 renewals_end,
             )
+            restore = leader._apply_submission
+
+            def restore_slowly(submission, now) -> None:
+                restore(submission, now)
+                processor.charge(cluster.seconds_per_job)
+
+            leader._apply_submission = restore_slowly
+            return leader
 
         peers = FakePeers(cluster)
         self.observed = observed
@@ -467,9 +547,27 @@
             observed, Stream.CONFIGURATION, lambda records, is_snapshot: None, clock, rng
         )
         self.election = Election(
-            self.leadership, incarnation, peers, new_leader, clock, rng, processors
+            self.leadership,
+            incarnation,
+            peers,
+            new_leader,
+            clock,
+            rng,
+            processors,
+            leader_clock=self._read_leader_clock,
         )
         self.job_service = JobService(observed, self.election, peers, clock, rng)
+        self._cluster = cluster
+
+    def _read_leader_clock(self, incarnation: str) -> LeaderClock | None:
+        """Return the clock in the newest message of a leader that this process has received."""
+        sender = self._cluster.processes[incarnation.partition("/")[0]]
+        if sender.leadership.incarnation != incarnation:
+            return None
+        delay = self._cluster.message_seconds
+        newest = min(self._cluster.loop.time() - delay, sender.gone_at)
+        sent_at = newest - newest % HEARTBEAT_SECONDS
+        return LeaderClock(incarnation, sender.clock.at(sent_at), self.clock.at(sent_at + delay))
 
 
 class Cluster:
@@ -481,10 +579,17 @@
         far_names: tuple[str, ...] = (),
         slow_names: tuple[str, ...] = (),
         minion_names: tuple[str, ...] = ("m1", "m2"),
+        clock_spacing_seconds: float = 0.0,
     ) -> None:
         self.far_names, self.slow_names = far_names, slow_names
+        # Difference between the clocks of processes that start one after the other.
+        self.clock_spacing_seconds = clock_spacing_seconds
+        # Time that a message of the leader takes to another process.
+        self.message_seconds = 0.005
         # Processor time of a process for each call that it sends and each answer that it reads.
         self.seconds_per_message = 0.0
+        # Processor time of a leader for each job that it reads.
+        self.seconds_per_job = 0.0
         # Whether minions hold polls back until a run ends, for as long as the leader asks.
         self.is_polling_long = False
         self.loop = looptime.new_event_loop()
@@ -539,6 +644,7 @@
     def kill(self, name: str) -> None:
         process = self.processes[name]
         process.is_running = False
+        process.gone_at = min(process.gone_at, self.loop.time())
         # A killed process stops acting without informing other processes.
         process.leadership.drop("killed")
         process.store.is_down = True
--- a/dotterelhill/jobs/tenants/admission.py
+++ b/dotterelhill/jobs/tenants/admission.py
@@ -16,10 +16,10 @@
 from dataclasses import dataclass
 from enum import StrEnum
 from random import Random
-from typing import Protocol
 
 from dotterelhill.jobs.model import Step
 from dotterelhill.jobs.queues import Tenant
+from dotterelhill.jobs.tenants.loads import TenantLoad
 
 # A tenant may have this much work waiting before its submissions are refused.
 MAX_BACKLOG_SECONDS = 4.0
@@ -33,40 +33,6 @@
 MAX_WAITING_APPENDS = 8
 
 
-class TenantLoad(Protocol):
-    """Load of one tenant as the scheduler measures it."""
-
-    @property
-    def waiting_jobs(self) -> int:
-        """Return the number of jobs that wait."""
-        ...
-
-    @property
-    def arrivals_per_second(self) -> float:
-        """Return the jobs that arrive per second."""
-        ...
-
-    @property
-    def starts_per_second(self) -> float:
-        """Return the jobs that start per second."""
-        ...
-
-    @property
-    def waits_for_capacity(self) -> bool:
-        """Return whether tasks wait for more than the limit of the tenant."""
-        ...
-
-    @property
-    def drain_seconds(self) -> float:
-        """Return the expected seconds until the waiting jobs have started."""
-        ...
-
-    @property
-    def is_short(self) -> bool:
-        """Return whether the service of the tenant lacks capacity."""
-        ...
-
-
 @dataclass(frozen=True, slots=True)
 class AdmittedRate:
     """Rate at which all processes together should accept the jobs of one tenant.
--- a/dotterelhill/jobs/tenants/tests/steps/admission_steps.py
+++ b/dotterelhill/jobs/tenants/tests/steps/admission_steps.py
@@ -1,27 +1,18 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from random import Random
 
 from behave import given, then, use_step_matcher, when
 
 from dotterelhill.jobs.queues import Tenant
 from dotterelhill.jobs.tenants.admission import AdmissionPolicy, AdmittedRate, EntryAdmission
+from dotterelhill.jobs.tenants.loads import TenantLoad
 
 use_step_matcher("re")
 
 
-@dataclass(frozen=True)
-class Load:
-    waiting_jobs: int
-    arrivals_per_second: float
-    starts_per_second: float
-    waits_for_capacity: bool
-    drain_seconds: float
-    is_short: bool = False
-
-
 @given(
     r"a tenant of weight (?P<weight>[\d.]+) with (?P<arrivals>[\d.]+) arrivals and "
     r"(?P<starts>[\d.]+) starts per second, (?P<drain>[\d.]+) s of work"
@@ -29,7 +20,7 @@
 def set_load(context, weight, arrivals, starts, drain):
     context.policy = AdmissionPolicy()
     context.tenant = Tenant("t", float(weight))
-    context.load = Load(9, float(arrivals), float(starts), True, float(drain))
+    context.load = TenantLoad(9, float(arrivals), float(starts), True, float(drain))
 
 
 @given(r"its service (?P<has>lacks|has) capacity")
--- a/dotterelhill/platform/process.py
+++ b/dotterelhill/platform/process.py
@@ -32,6 +32,7 @@
 from dotterelhill.control.relay_client import RelayClient
 from dotterelhill.control.relay_messages import EntryNotice, Hello
 from dotterelhill.control.relay_pool import RelayPool
+from dotterelhill.control.work_slices import WorkSlices
 from dotterelhill.core import new_incarnation_id
 from dotterelhill.entry.logs import BoundedStream, logger_of, start_logging
 from dotterelhill.entry.metrics import LocalMetrics
@@ -144,6 +145,7 @@
             self._random,
             settings.processors,
             self._relay_client.condition,
+            self._relay_client.leader_clock,
         )
         self._peer_server = PeerServer(
             self._election, self._store, settings.peer_address.host, settings.peer_address.port
@@ -245,6 +247,7 @@
                 unix_ms=unix_ms,
                 random=self._random,
                 metrics=self._metrics,
+                slices=WorkSlices(boot_seconds),
             ),
             renewals_end,
         )
