Start copies of runs of speculative steps that take too long

Cause: steps with is_speculative ran one copy. Where 3 % of all runs take seven times as long, a step of 15 tasks waits for such a run in 37 % of cases. While writing the scenarios, two faults of the present code were seen: a new leader let the run of a task go on that was done already, and a task that waited for room started again although its lost minion came back and reported the earlier run as done.

Ruled out: a copy as a task of its own (its end, its failures and its record would have to be joined with those of the first in every place); a list of runs in the task (a third run would be possible, and earlier builds could not find the first one); counting the start of a copy as the newest run (earlier builds would then lose the first run).

Change: a task has a second, optional assignment in trailing fields of its record. When the first run ends without success, the copy takes its place. Every place that attached, released or stopped "the" run of a task handles each assignment. StragglerSearch finds runs beyond the learned 95th percentile whose expected remaining time exceeds a whole run; a copy starts on another minion that is not slow, within 5 % of the service's processors, while nothing of the same or higher priority waits, and only if a further failure would not end the job. If more than 40 % of an image's runs (and more than 3) take too long, none is copied. Runs of done tasks are stopped by a new leader, and a task that is done no longer waits.

Each of these mutations makes scenarios fail: no stop of done tasks after a takeover (2), no withdrawal of done tasks (1), requeue beside a run (6 or more), run numbers that ignore the copy's (2), copy released as the first run (4), no limit for slow families (1), no spare attempt (1), copy on the same minion (6 or more). 59 random histories of 40 s with lost answers, late orders and leader changes started 938 copies and broke no rule.

--- a/dotterelhill/jobs/changes.py
+++ b/dotterelhill/jobs/changes.py
@@ -15,19 +15,23 @@
 
 @dataclass(frozen=True, slots=True)
 class SchedulerSettings:
-    """Time limits of the scheduler, in seconds.
+    """Time limits of the scheduler in seconds, and switches.
 
     :param hold_seconds: longest lease that the platform allows
     :param retention_seconds: time for which an ended job is kept
     :param harm_seconds: longest time for which fillers may keep a serving task over its target
     :param capacity_valid_seconds: longest age of the list of minions with which tasks start on
         minions that don't guard their capacity
+    :param are_copies_enabled: whether tasks of speculative steps may have a second run
+    :param are_restarts_enabled: whether other runs that take too long are started again elsewhere
     """
 
     hold_seconds: float = 6.0
     retention_seconds: float = 120.0
     harm_seconds: float = 4.0
     capacity_valid_seconds: float = float("inf")
+    are_copies_enabled: bool = True
+    are_restarts_enabled: bool = True
 
     @property
     def lease_seconds(self) -> float:
--- a/dotterelhill/jobs/durations/model.py
+++ b/dotterelhill/jobs/durations/model.py
@@ -43,6 +43,8 @@
 SKETCH_BINS = 512
 # Each running task asks for quantiles in each round, and a sketch takes about 0.1 ms to answer.
 QUANTILE_VALID_SECONDS = 0.5
+# Quantiles between which the position of a run that takes long is found.
+TAIL_QUANTILES = (0.5, 0.8, 0.9, 0.95, 0.96, 0.97, 0.98, 0.99, 1.0)
 # Clients choose the names of images; the limit bounds the memory that they use.
 MAX_FAMILIES = 2048
 # Shorter durations can't be told apart from the delay of reports.
@@ -222,6 +224,20 @@
                 return value * step.estimate_seconds if is_ratio else value
         return step.estimate_seconds * (1.0 + ESTIMATE_SPREAD * (2.0 * q - 1.0))
 
+    def remaining(self, queue: str, step: Step, elapsed_seconds: float) -> float:
+        """Return the expected remaining time in seconds of a run that has run for some time.
+
+        It is the median of what longer runs took. Where none took longer, the time that the run is
+        over its expected duration is expected once more.
+        """
+        reached = 0.0
+        for q in TAIL_QUANTILES:
+            if self.quantile(queue, step, q) > elapsed_seconds:
+                median = self.quantile(queue, step, round((reached + 1.0) / 2.0, 4))
+                return max(0.0, median - elapsed_seconds)
+            reached = q
+        return max(0.0, elapsed_seconds - self.expected(queue, step))
+
     def confidence(self, queue: str, step: Step) -> float:
         """Return how far a prediction rests on observations: 0 for none, 1 for very many."""
         family = self._families.get(_family_key(queue, step))
--- /dev/null
+++ b/dotterelhill/jobs/durations/stragglers.py
@@ -0,0 +1,210 @@
+"""Runs that take much longer than expected, and whether another run of their task should start.
+
+Explanation
+===========
+
+A task of a speculative step gets a copy: a second run on another minion. A run of another step is
+stopped and started again. Both cost processors, so both share a budget, and both wait while tasks
+of the same or higher priority wait. Each task gets at most one of either.
+
+A run is a straggler when it has run longer than a learned quantile of its family and its expected
+remaining time exceeds a whole run elsewhere. If a large part of a family's runs are stragglers, the
+family has become slow as a whole, and another run would be as slow.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field
+
+from dotterelhill.jobs.durations.model import DurationModel, run_seconds
+from dotterelhill.jobs.fleet import Minion, Run, RunState
+from dotterelhill.jobs.model import FINAL_STATES, Job
+from dotterelhill.jobs.queues import Queue
+
+# All runs are checked at this interval; stragglers run for seconds.
+CHECK_INTERVAL_SECONDS = 0.5
+# A run may be a straggler from these quantiles on. A restart loses the work of the run.
+COPY_QUANTILE = 0.95
+RESTART_QUANTILE = 0.99
+# Confidence of the model below which nothing is copied or restarted.
+MIN_CONFIDENCE = 0.5
+# Largest share of a service's processors for copies and restarted runs.
+BUDGET_SHARE = 0.05
+# Time from the stop order for a run to the start of the next one, with one stored write between.
+RESTORE_SECONDS = 0.5
+# More stragglers than this share of a family's runs, and than this number, are not stragglers. When
+# 3 % of the runs take seven times as long, they are 15 % of those that run at any time.
+MAX_STRAGGLER_SHARE = 0.4
+MIN_STRAGGLERS = 3
+
+QueueLookup = Callable[[Job], Queue]
+
+
+@dataclass(frozen=True, slots=True)
+class Straggler:
+    """Run that takes much longer than expected.
+
+    :param elapsed_seconds: time for which it has run
+    :param excess_seconds: time by which its expected end is later than that of another run
+    """
+
+    job: Job
+    queue: Queue
+    minion: Minion
+    run: Run
+    elapsed_seconds: float
+    excess_seconds: float
+
+    @property
+    def log_fields(self) -> dict[str, object]:
+        """Return the fields of log lines about the run."""
+        return {
+            "task": str(self.run.key),
+            "run": self.run.run_id,
+            "minion": self.minion.minion_id,
+            "kind": self.run.step.kind,
+            "elapsed_ms": round(1000 * self.elapsed_seconds),
+            "excess_ms": round(1000 * self.excess_seconds),
+        }
+
+
+@dataclass(slots=True)
+class Budget:
+    """Processors of a service, in thousandths, and those that extra runs use."""
+
+    total_cpu: int = 0
+    used_cpu: int = 0
+
+    def allows(self, run: Run) -> bool:
+        """Return whether another run of the same task stays within the budget."""
+        return self.used_cpu + run.step.room.cpu <= BUDGET_SHARE * self.total_cpu
+
+
+@dataclass(slots=True)
+class _Family:
+    """Runs of one queue and image: their number, and the stragglers among them."""
+
+    run_count: int = 0
+    stragglers: list[Straggler] = field(default_factory=list)
+
+
+class StragglerSearch:
+    """Search for stragglers among all runs, and the budget of each service.
+
+    :param durations: learned durations
+    :param are_copies_enabled: whether runs of speculative steps are searched
+    :param are_restarts_enabled: whether runs of other steps are searched
+    """
+
+    def __init__(
+        self, durations: DurationModel, *, are_copies_enabled: bool, are_restarts_enabled: bool
+    ) -> None:
+        self._durations = durations
+        self._are_copies_enabled = are_copies_enabled
+        self._are_restarts_enabled = are_restarts_enabled
+        self._checked_at = float("-inf")
+        self._budgets: dict[str, Budget] = {}
+        self._extra_run_count = 0
+
+    @property
+    def extra_run_count(self) -> int:
+        """Return the number of copies and restarted runs at the newest check."""
+        return self._extra_run_count
+
+    def budget_of(self, service: str) -> Budget:
+        """Return the budget of a service as of the newest check."""
+        return self._budgets.setdefault(service, Budget())
+
+    def find(
+        self,
+        minions: Iterable[Minion],
+        jobs: Mapping[str, Job],
+        queue_of: QueueLookup,
+        now: float,
+    ) -> list[Straggler]:
+        """Return the stragglers whose tasks may run again, those with the largest excess first.
+
+        :returns: an empty list within ``CHECK_INTERVAL_SECONDS`` of the newest check
+        """
+        is_enabled = self._are_copies_enabled or self._are_restarts_enabled
+        if not is_enabled or now - self._checked_at < CHECK_INTERVAL_SECONDS:
+            return []
+        self._checked_at = now
+        self._budgets = {}
+        self._extra_run_count = 0
+        families: dict[tuple[str, str], _Family] = {}
+        for minion in minions:
+            budget = self.budget_of(minion.facts.service)
+            if minion.is_listed:
+                budget.total_cpu += minion.facts.capacity.cpu
+            for run in minion.runs.values():
+                if run.is_extra:
+                    budget.used_cpu += run.step.room.cpu
+                    self._extra_run_count += 1
+                job = jobs.get(run.key.job_id)
+                if job is None or run.step.is_lasting or run.step.is_gang:
+                    continue
+                family_key = (job.submission.queue.name, run.step.image or run.step.kind)
+                family = families.setdefault(family_key, _Family())
+                family.run_count += 1
+                straggler = self._straggler(job, queue_of(job), minion, run, now)
+                if straggler is not None:
+                    family.stragglers.append(straggler)
+        found = []
+        for family in families.values():
+            limit = max(MIN_STRAGGLERS, MAX_STRAGGLER_SHARE * family.run_count)
+            if len(family.stragglers) > limit:
+                continue
+            found += [one for one in family.stragglers if self._may_run_again(one)]
+        found.sort(key=lambda one: -one.excess_seconds)
+        return found
+
+    def _straggler(
+        self, job: Job, queue: Queue, minion: Minion, run: Run, now: float
+    ) -> Straggler | None:
+        """Return a run as straggler; None if it is none, or may be waiting or throttled."""
+        if run.state is not RunState.PRESENT or run.is_partial:
+            return None
+        elapsed_seconds = _elapsed_seconds(minion, run, now)
+        name, step = job.submission.queue.name, run.step
+        expected_seconds = self._durations.expected(name, step)
+        if elapsed_seconds <= expected_seconds:
+            return None
+        if self._durations.confidence(name, step) < MIN_CONFIDENCE:
+            return None
+        quantile = COPY_QUANTILE if step.is_speculative else RESTART_QUANTILE
+        if elapsed_seconds <= self._durations.quantile(name, step, quantile):
+            return None
+        remaining = self._durations.remaining(name, step, elapsed_seconds)
+        if minion.speed.is_slow:
+            remaining = max(remaining, expected_seconds * minion.speed.ratio - elapsed_seconds)
+        excess_seconds = remaining - expected_seconds
+        if not step.is_speculative:
+            excess_seconds -= RESTORE_SECONDS
+        if excess_seconds <= 0.0:
+            return None
+        return Straggler(job, queue, minion, run, elapsed_seconds, excess_seconds)
+
+    def _may_run_again(self, straggler: Straggler) -> bool:
+        """Return whether the task of a straggler may get another run at all."""
+        job, run, queue = straggler.job, straggler.run, straggler.queue
+        task = job.tasks.get(run.key)
+        if task is None or task.is_done or job.state in FINAL_STATES or queue.needs_advice:
+            return False
+        # A run that may crash its minion must not do so on a second one.
+        if task.run_id != run.run_id or task.crashes or not straggler.minion.is_answering:
+            return False
+        if not run.step.is_speculative:
+            return self._are_restarts_enabled and not task.is_restarted
+        # If the copy failed as well, the task would have used up its attempts.
+        has_spare_attempt = task.failures + 1 < queue.max_attempts
+        return self._are_copies_enabled and not task.copy_run_id and has_spare_attempt
+
+
+def _elapsed_seconds(minion: Minion, run: Run, now: float) -> float:
+    """Return how long a run has been present at ``now``, at least."""
+    seconds = run_seconds(run, minion)
+    if seconds is None:
+        return now - run.planned_at if run.is_inherited else 0.0
+    return seconds + max(0.0, now - minion.clock_at)
--- a/dotterelhill/jobs/fleet.py
+++ b/dotterelhill/jobs/fleet.py
@@ -78,6 +78,7 @@
     :param is_proven: whether the run has lived long enough to not have crashed its minion
     :param is_inherited: whether an earlier leader planned the run
     :param is_partial: whether its duration is not that of a whole run at full pace
+    :param is_extra: whether the run was started because another run of its task took too long
     """
 
     key: TaskKey
@@ -98,6 +99,7 @@
     is_proven: bool = False
     is_inherited: bool = False
     is_partial: bool = False
+    is_extra: bool = False
 
 
 class EndKind(StrEnum):
--- a/dotterelhill/jobs/model.py
+++ b/dotterelhill/jobs/model.py
@@ -186,11 +186,35 @@
         return TaskKey(parts[0], int(parts[1]), int(parts[2]), int(parts[3]))
 
 
+@dataclass(frozen=True, slots=True)
+class Assignment:
+    """A run of a task that may be present on a minion.
+
+    :param born_ms: incarnation of the minion, as Unix ms of its start
+    :param is_proven: whether the run has lived long enough to not have crashed its minion
+    :param is_copy: whether another run of the task may be present
+    """
+
+    minion_id: str
+    born_ms: int
+    run_id: int
+    is_proven: bool = False
+    is_copy: bool = False
+
+    @property
+    def incarnation(self) -> str:
+        """Return the incarnation of the minion as ``minion_id@born_ms``."""
+        return f"{self.minion_id}@{self.born_ms}"
+
+
 @dataclass(slots=True)
 class Task:
     """Execution state of one task.
 
-    :param run_id: number of the newest run; 0 before the first
+    A task of a speculative step may have a copy: a second run on another minion. There is a copy
+    only beside a first run. When the first run ends without success, the copy takes its place.
+
+    :param run_id: number of the newest run that is no copy; 0 before the first
     :param minion_id: minion of that run while the run may be present; empty otherwise
     :param minion_born_ms: incarnation of that minion, as Unix ms of its start
     :param failures: number of runs that failed
@@ -200,6 +224,11 @@
     :param crashes: number of minions that crashed while a run might have caused it
     :param doubtful_crashes: number of those crashes under which the task may not have run
     :param is_proven: whether the newest run has lived long enough to not have crashed its minion
+    :param copy_run_id: number of the newest copy; 0 before the first
+    :param copy_minion_id: minion of the copy while it may be present; empty otherwise
+    :param copy_born_ms: incarnation of that minion, as Unix ms of its start
+    :param is_copy_proven: as ``is_proven``, for the copy
+    :param is_restarted: whether a run was stopped to start the task again elsewhere
     """
 
     key: TaskKey
@@ -213,12 +242,70 @@
     crashes: int = 0
     doubtful_crashes: int = 0
     is_proven: bool = False
+    copy_run_id: int = 0
+    copy_minion_id: str = ""
+    copy_born_ms: int = 0
+    is_copy_proven: bool = False
+    is_restarted: bool = False
 
     @property
     def is_assigned(self) -> bool:
         """Return whether a run of this task may be present on a minion."""
         return bool(self.minion_id)
 
+    @property
+    def assignments(self) -> tuple[Assignment, ...]:
+        """Return the runs that may be present: none, the first run, or that and its copy."""
+        if not self.minion_id:
+            return ()
+        first = Assignment(self.minion_id, self.minion_born_ms, self.run_id, self.is_proven)
+        if not self.copy_minion_id:
+            return (first,)
+        return (
+            first,
+            Assignment(
+                self.copy_minion_id,
+                self.copy_born_ms,
+                self.copy_run_id,
+                self.is_copy_proven,
+                is_copy=True,
+            ),
+        )
+
+    def assign(self, minion_id: str, born_ms: int) -> int:
+        """Assign a new first run to a minion and return its number."""
+        self.run_id = max(self.run_id, self.copy_run_id) + 1
+        self.minion_id, self.minion_born_ms, self.is_proven = minion_id, born_ms, False
+        return self.run_id
+
+    def assign_copy(self, minion_id: str, born_ms: int) -> int:
+        """Assign a copy of the first run to a minion and return its number."""
+        self.copy_run_id = max(self.run_id, self.copy_run_id) + 1
+        self.copy_minion_id, self.copy_born_ms, self.is_copy_proven = minion_id, born_ms, False
+        return self.copy_run_id
+
+    def assignment_of(self, minion_id: str, run_id: int) -> Assignment | None:
+        """Return the assignment of a run on a minion; None if the run is not a current one."""
+        for assignment in self.assignments:
+            if assignment.minion_id == minion_id and assignment.run_id == run_id:
+                return assignment
+        return None
+
+    def release(self, assignment: Assignment) -> None:
+        """Remove a run that is no longer present; a copy takes the place of the first run."""
+        if not assignment.is_copy:
+            self.minion_id, self.minion_born_ms = self.copy_minion_id, self.copy_born_ms
+            if self.copy_minion_id:
+                self.run_id, self.is_proven = self.copy_run_id, self.is_copy_proven
+        self.copy_minion_id, self.copy_born_ms = "", 0
+
+    def mark_proven(self, run_id: int) -> None:
+        """Mark a run as not having crashed its minion."""
+        if run_id == self.run_id:
+            self.is_proven = True
+        elif run_id == self.copy_run_id:
+            self.is_copy_proven = True
+
 
 @dataclass(slots=True)
 class Job:
--- a/dotterelhill/jobs/placement/placement.py
+++ b/dotterelhill/jobs/placement/placement.py
@@ -137,6 +137,52 @@
         if task.key not in keys:
             keys.append(task.key)
 
+    def withdraw(self, job: Job, task: Task) -> None:
+        """Remove a waiting task that needs no further run."""
+        waiting = self._waiting_jobs.get(job.job_id)
+        occurrence_step = (task.key.occurrence, task.key.step)
+        if waiting is not None and task.key in waiting.pending.get(occurrence_step, ()):
+            waiting.pending[occurrence_step].remove(task.key)
+
+    def highest_waiting_priority(
+        self, service: str, queue_of: QueueLookup, unix_ms: int
+    ) -> int | None:
+        """Return the highest priority, which is the lowest number, of tasks that wait for capacity.
+
+        :returns: None if no task of the service waits
+        """
+        highest: int | None = None
+        for waiting in self._waiting_jobs.values():
+            queue = queue_of(waiting.job)
+            if queue.service != service or queue.needs_advice:
+                continue
+            if highest is not None and queue.priority >= highest:
+                continue
+            for (occurrence, _), keys in waiting.pending.items():
+                if keys and unix_ms >= waiting.job.submission.due_ms(occurrence):
+                    highest = queue.priority
+        return highest
+
+    def choose_copy_minion(
+        self, job: Job, key: TaskKey, pool: Sequence[Minion], now: float
+    ) -> Minion | None:
+        """Return the minion on which a copy of a run may start; None if there is none.
+
+        :param pool: minions on which tasks may start
+        """
+        step = job.submission.steps[key.step]
+        if self._suspicion.has_suspects:
+            pool = self._isolation.open_minions(pool)
+        best: Minion | None = None
+        best_cost: tuple[float, ...] = ()
+        for minion in pool:
+            if key in minion.runs or minion.speed.is_slow:
+                continue
+            cost = self._start_cost(job, step, (key.occurrence, key.step), minion, now, 0.0)
+            if cost is not None and (best is None or cost < best_cost):
+                best, best_cost = minion, cost
+        return best
+
     def add_ready_dependents(self, job: Job, key: TaskKey) -> None:
         """Add the steps that depend on the step of ``key`` if that step is done."""
         waiting = self._waiting_jobs.get(job.job_id)
--- a/dotterelhill/jobs/progress.py
+++ b/dotterelhill/jobs/progress.py
@@ -23,6 +23,11 @@
     crashes: int = 0
     doubtful_crashes: int = 0
     is_proven: bool = False
+    copy_run_id: int = 0
+    copy_minion_id: str = ""
+    copy_born_ms: int = 0
+    is_copy_proven: bool = False
+    is_restarted: bool = False
 
 
 class _DoneRecord(msgspec.Struct, array_like=True):
@@ -93,6 +98,11 @@
                 task.crashes,
                 task.doubtful_crashes,
                 task.is_proven,
+                task.copy_run_id,
+                task.copy_minion_id,
+                task.copy_born_ms,
+                task.is_copy_proven,
+                task.is_restarted,
             )
         )
     done_records = []
@@ -121,6 +131,11 @@
             crashes=row.crashes,
             doubtful_crashes=row.doubtful_crashes,
             is_proven=row.is_proven,
+            copy_run_id=row.copy_run_id,
+            copy_minion_id=row.copy_minion_id,
+            copy_born_ms=row.copy_born_ms,
+            is_copy_proven=row.is_copy_proven,
+            is_restarted=row.is_restarted,
         )
     for step in record.done:
         bits = int.from_bytes(step.bits, "little")
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -23,6 +23,7 @@
     observed_presence,
 )
 from dotterelhill.jobs.durations.model import DurationModel
+from dotterelhill.jobs.durations.stragglers import Straggler, StragglerSearch
 from dotterelhill.jobs.fleet import (
     END_LIST_LIMIT,
     EndKind,
@@ -37,7 +38,15 @@
 from dotterelhill.jobs.interference.sharing import InterferenceControl
 from dotterelhill.jobs.minions.capacity import StartHold, runs_beyond_capacity
 from dotterelhill.jobs.minions.health import Exclusion
-from dotterelhill.jobs.model import FINAL_STATES, Job, JobState, Submission, Task, TaskKey
+from dotterelhill.jobs.model import (
+    FINAL_STATES,
+    Assignment,
+    Job,
+    JobState,
+    Submission,
+    Task,
+    TaskKey,
+)
 from dotterelhill.jobs.orders import (
     Order,
     PaceOrder,
@@ -81,6 +90,11 @@
         self._interference = InterferenceControl(settings.harm_seconds)
         self._suspicion = CrashSuspicion()
         self._durations = DurationModel()
+        self._stragglers = StragglerSearch(
+            self._durations,
+            are_copies_enabled=settings.are_copies_enabled,
+            are_restarts_enabled=settings.are_restarts_enabled,
+        )
         self._placement = Placement(self._interference, self._suspicion, self._durations)
         self._lasting_waits = LastingWaits()
         self._hold = StartHold(settings.capacity_valid_seconds)
@@ -112,6 +126,11 @@
         """Return the learned durations of tasks."""
         return self._durations
 
+    @property
+    def stragglers(self) -> StragglerSearch:
+        """Return the search for runs that take much longer than expected."""
+        return self._stragglers
+
     @property
     def lasting_waits(self) -> LastingWaits:
         """Return the waiting times of lasting tasks that do not run."""
@@ -154,9 +173,9 @@
             self._activate(job)
             self._suspicion.restore(job, now)
         for task in job.tasks.values():
-            if task.is_assigned:
-                self._attach_stored_run(job, task, now)
-            elif task.run_id:
+            for assignment in task.assignments:
+                self._attach_stored_run(job, task, assignment, now)
+            if task.run_id and not task.is_assigned:
                 task.idle_since = self._unknown_run_end(now)
 
     def _unknown_run_end(self, now: float) -> float:
@@ -171,24 +190,31 @@
         self._active_jobs[job.job_id] = job
         self._placement.add_job(job)
 
-    def _attach_stored_run(self, job: Job, task: Task, now: float) -> None:
-        """Attach the run that an earlier leader may have started to its minion."""
-        minion = self._minions.get(task.minion_id)
-        if minion is None or minion.facts.born_ms != task.minion_born_ms:
-            if minion is not None and minion.facts.born_ms > task.minion_born_ms:
-                self._release_stored_task(job, task, now, "minion restarted as another incarnation")
+    def _attach_stored_run(self, job: Job, task: Task, assignment: Assignment, now: float) -> None:
+        """Attach a run that an earlier leader may have started to its minion."""
+        minion = self._minions.get(assignment.minion_id)
+        if minion is None or minion.facts.born_ms != assignment.born_ms:
+            if minion is not None and minion.facts.born_ms > assignment.born_ms:
+                reason = "minion restarted as another incarnation"
+                self._release_stored_run(job, task, assignment, now, reason)
                 return
-            key = f"{task.minion_id}@{task.minion_born_ms}"
             # The minion is not listed, but its lease may not have expired yet.
-            self._unlisted_lease_ends.setdefault(key, self._earlier_lease_end)
+            self._unlisted_lease_ends.setdefault(assignment.incarnation, self._earlier_lease_end)
             return
         step = job.submission.steps[task.key.step]
         run = Run(
-            task.key, task.run_id, step, minion.minion_id, RunState.PRESENT, now, settled_at=now
+            task.key,
+            assignment.run_id,
+            step,
+            minion.minion_id,
+            RunState.PRESENT,
+            now,
+            settled_at=now,
         )
-        run.is_proven, run.is_inherited = task.is_proven, True
+        run.is_proven, run.is_inherited = assignment.is_proven, True
+        run.is_extra = assignment.is_copy or task.is_restarted
         minion.attach(run)
-        if job.state in FINAL_STATES:
+        if job.state in FINAL_STATES or task.is_done:
             self._stop(minion, run, now)
 
     def state_of(self, job_id: str) -> JobState | None:
@@ -221,12 +247,7 @@
             "job ended", job.job_id, state=str(state), failures=failures, **fields
         )
         for task in job.tasks.values():
-            if not task.is_assigned:
-                continue
-            minion = self._minion_of(task)
-            run = minion.runs.get(task.key) if minion else None
-            if minion is not None and run is not None:
-                self._stop(minion, run, now)
+            self._stop_task(task, now)
 
     # Configuration
 
@@ -292,10 +313,11 @@
             del self._unlisted_lease_ends[key]
         for job in list(self._jobs.values()):
             for task in job.tasks.values():
-                if task.minion_id != minion.minion_id:
-                    continue
-                if f"{task.minion_id}@{task.minion_born_ms}" in (incarnation, *unlisted):
-                    self._attach_stored_run(job, task, now)
+                for assignment in task.assignments:
+                    if assignment.minion_id != minion.minion_id:
+                        continue
+                    if assignment.incarnation in (incarnation, *unlisted):
+                        self._attach_stored_run(job, task, assignment, now)
 
     def record_minion_list(self, read_at: float) -> None:
         """Record the loop time at which the list of minions was last read to its end."""
@@ -400,7 +422,8 @@
                     job.task(row.key).idle_since = None
             else:
                 run.cpu_used = row.measure
-            if row.checkpoint and job is not None:
+            # The checkpoints of a copy may be older than those of the first run.
+            if row.checkpoint and job is not None and job.task(row.key).run_id == row.run_id:
                 job.task(row.key).checkpoint = row.checkpoint
             if not run.is_proven or self._suspicion.has_counted_crashes:
                 self._process_presence(run, report.clock_ms)
@@ -414,11 +437,11 @@
         presence = observed_presence(run, clock_ms)
         job = self._jobs.get(run.key.job_id)
         task = job.tasks.get(run.key) if job is not None else None
-        if job is None or task is None or task.run_id != run.run_id:
+        if job is None or task is None or not task.assignment_of(run.minion_id, run.run_id):
             return
         match presence:
             case Presence.PROVEN:
-                task.is_proven = True
+                task.mark_proven(run.run_id)
                 if task.crashes:
                     # Otherwise a later leader would hold a crash of the platform against the task.
                     self._mark_dirty(job)
@@ -463,17 +486,16 @@
         if job is None or not 0 <= end.key.step < len(job.submission.steps):
             return
         task = job.task(end.key)
-        is_current = run is not None or (
-            task.minion_id == minion.minion_id and task.run_id == end.run_id
-        )
-        if is_current:
-            task.minion_id, task.minion_born_ms = "", 0
+        assignment = task.assignment_of(minion.minion_id, end.run_id)
+        is_current = run is not None or assignment is not None
+        if assignment is not None:
+            task.release(assignment)
             self._mark_dirty(job)
         if job.state in FINAL_STATES or task.is_done:
             return
-        if is_current and task.is_proven:
+        if assignment is not None and assignment.is_proven:
             self._clear_suspicion(job, task)
-        if end.checkpoint:
+        if end.checkpoint and (assignment is None or not assignment.is_copy):
             task.checkpoint = end.checkpoint
         step = job.submission.steps[end.key.step]
         match end.kind:
@@ -489,7 +511,7 @@
                 "run ended", job.job_id, task=str(end.key), run=end.run_id, how=str(end.kind),
                 minion=minion.minion_id, kind=step.kind,
             )  # fmt: skip
-            self._placement.requeue(job, task)
+            self._requeue(job, task)
 
     def _detach_ended_run(self, minion: Minion, key: TaskKey, end: EndReport) -> Run | None:
         """Detach the run that ended and learn its duration; return None if it is not attached."""
@@ -515,9 +537,9 @@
         for member in members:
             job.mark_done(member)
             member.checkpoint = ""
+            self._placement.withdraw(job, member)
             self._clear_suspicion(job, member)
-            if member.is_assigned:
-                self._stop_task(member, now)
+            self._stop_task(member, now)
         self._mark_dirty(job)
         self._placement.add_ready_dependents(job, task.key)
         if job.is_complete():
@@ -537,6 +559,9 @@
             self._record_minion_decision("minion set aside after failures", minion)
         if step.is_lasting or task.failures < self._queue_of(job).max_attempts:
             return
+        if task.is_assigned:
+            # The other run of a task with a copy may still end done.
+            return
         self._end_job(job, JobState.FAILED, now)
 
     def _release_minion(
@@ -613,15 +638,17 @@
         )  # fmt: skip
         self._end_job(job, JobState.FAILED, now, reason="a task crashed its minions")
 
-    def _release_stored_task(self, job: Job, task: Task, now: float, reason: str) -> None:
-        """Release a task that an earlier leader assigned to an incarnation that is gone."""
+    def _release_stored_run(
+        self, job: Job, task: Task, assignment: Assignment, now: float, reason: str
+    ) -> None:
+        """Release a run that an earlier leader assigned to an incarnation that is gone."""
         suspect: Suspect | None = None
         is_waiting = job.state not in FINAL_STATES and not task.is_done
-        if is_waiting and not task.is_proven:
+        if is_waiting and not assignment.is_proven:
             suspect = self._count_crash(
-                job, task, task.minion_id, now, is_doubtful=True, is_inherited=True
+                job, task, assignment.minion_id, now, is_doubtful=True, is_inherited=True
             )
-        self._release_task(job, task, self._unknown_run_end(now), reason)
+        self._release_task(job, task, assignment, self._unknown_run_end(now), reason)
         if suspect is not None and is_given_up(task, is_of_one_job=False):
             self._give_up(suspect, now)
 
@@ -632,28 +659,36 @@
         job = self._jobs.get(run.key.job_id)
         if job is None:
             return
-        task = job.tasks.get(run.key)
-        if task is not None and task.minion_id == minion.minion_id and task.run_id == run.run_id:
+        task = job.task(run.key)
+        assignment = task.assignment_of(minion.minion_id, run.run_id)
+        if assignment is not None:
             ended_at = max(minion.last_report_at, self._unknown_run_end(now))
-            self._release_task(job, task, ended_at, reason)
+            self._release_task(job, task, assignment, ended_at, reason)
 
-    def _release_task(self, job: Job, task: Task, ended_at: float, reason: str) -> None:
-        """Clear the assignment of a task whose run is present nowhere and queue the task again.
+    def _release_task(
+        self, job: Job, task: Task, assignment: Assignment, ended_at: float, reason: str
+    ) -> None:
+        """Remove a run that is present nowhere and queue its task again if it has no other.
 
         :param ended_at: loop time at which the run was last known to be present
         """
         if task.idle_since is None:
             task.idle_since = ended_at
-        minion_id = task.minion_id
-        task.minion_id, task.minion_born_ms = "", 0
+        task.release(assignment)
         self._mark_dirty(job)
         if job.state in FINAL_STATES or task.is_done:
             return
         self._record_decision(
-            "run lost", job.job_id, task=str(task.key), run=task.run_id, minion=minion_id,
-            reason=reason, kind=job.submission.steps[task.key.step].kind,
+            "run lost", job.job_id, task=str(task.key), run=assignment.run_id,
+            minion=assignment.minion_id, reason=reason,
+            kind=job.submission.steps[task.key.step].kind,
         )  # fmt: skip
-        self._placement.requeue(job, task)
+        self._requeue(job, task)
+
+    def _requeue(self, job: Job, task: Task) -> None:
+        """Let a task wait for another run unless one may be present."""
+        if not task.is_assigned:
+            self._placement.requeue(job, task)
 
     # Answers to orders
 
@@ -719,18 +754,14 @@
         self._orders.append(StopOrder(minion, run.key, run.run_id))
 
     def _stop_task(self, task: Task, now: float) -> None:
-        """Stop the run of a task if it is attached to a current minion."""
-        minion = self._minion_of(task)
-        run = minion.runs.get(task.key) if minion else None
-        if minion is not None and run is not None:
-            self._stop(minion, run, now)
-
-    def _minion_of(self, task: Task) -> Minion | None:
-        """Return the minion of a task's run, or None when that incarnation is gone."""
-        minion = self._minions.get(task.minion_id)
-        if minion is None or minion.facts.born_ms != task.minion_born_ms:
-            return None
-        return minion
+        """Stop the runs of a task that are attached to current minions."""
+        for assignment in task.assignments:
+            minion = self._minions.get(assignment.minion_id)
+            if minion is None or minion.facts.born_ms != assignment.born_ms:
+                continue
+            run = minion.runs.get(task.key)
+            if run is not None:
+                self._stop(minion, run, now)
 
     # Time and planning
 
@@ -757,12 +788,50 @@
         ):
             self._plan_run(job, key, minion, now)
             minion.health.record_start(now)
+            max_starts -= 1
+        self._run_stragglers_again(usable, now, unix_ms, max_starts)
         for minion in self._minions.values():
             if minion.facts.is_draining:
                 self._drain_minion(minion, now)
             for run in self._interference.runs_to_move(minion, now):
                 self._stop(minion, run, now)
 
+    def _run_stragglers_again(
+        self, usable: Sequence[Minion], now: float, unix_ms: int, max_starts: int
+    ) -> None:
+        """Plan copies of the runs of speculative steps that take too long."""
+        for straggler in self._stragglers.find(
+            self._minions.values(), self._jobs, self._queue_of, now
+        ):
+            run, queue = straggler.run, straggler.queue
+            budget = self._stragglers.budget_of(straggler.minion.facts.service)
+            if max_starts <= 0 or not budget.allows(run):
+                continue
+            highest = self._placement.highest_waiting_priority(
+                queue.service, self._queue_of, unix_ms
+            )
+            if highest is not None and highest <= queue.priority:
+                continue
+            if run.step.is_speculative and self._plan_copy(straggler, usable, now):
+                budget.used_cpu += run.step.room.cpu
+                max_starts -= 1
+
+    def _plan_copy(self, straggler: Straggler, usable: Sequence[Minion], now: float) -> bool:
+        """Plan a copy of a run on another minion and return whether there is one for it."""
+        job, key = straggler.job, straggler.run.key
+        pool = [one for one in usable if one.facts.service == straggler.queue.service]
+        minion = self._placement.choose_copy_minion(job, key, pool, now)
+        if minion is None:
+            return False
+        task = job.task(key)
+        run_id = task.assign_copy(minion.minion_id, minion.facts.born_ms)
+        self._attach_planned_run(job, task, run_id, minion, now, is_extra=True)
+        self._record_decision(
+            "copy planned", job.job_id, **straggler.log_fields, copy=run_id,
+            copy_minion=minion.minion_id,
+        )  # fmt: skip
+        return True
+
     def _report_waits(self, now: float, unix_ms: int) -> None:
         """Record a decision for each step whose lasting tasks have waited for long."""
         overdue = self._lasting_waits.update(
@@ -828,13 +897,19 @@
     def _plan_run(self, job: Job, key: TaskKey, minion: Minion, now: float) -> None:
         """Assign a task to a minion with a new run, to be sent when the plan is durable."""
         task = job.task(key)
-        task.run_id += 1
-        task.minion_id = minion.minion_id
-        task.minion_born_ms = minion.facts.born_ms
-        task.is_proven = False
-        step = job.submission.steps[key.step]
-        run = Run(key, task.run_id, step, minion.minion_id, RunState.PLANNED, now)
-        run.is_partial = bool(task.checkpoint)
+        run_id = task.assign(minion.minion_id, minion.facts.born_ms)
+        self._attach_planned_run(job, task, run_id, minion, now, is_extra=task.is_restarted)
+
+    def _attach_planned_run(
+        self, job: Job, task: Task, run_id: int, minion: Minion, now: float, *, is_extra: bool
+    ) -> None:
+        """Attach a run that is to be sent when the plan is durable.
+
+        :param is_extra: whether it is started because another run of the task took too long
+        """
+        step = job.submission.steps[task.key.step]
+        run = Run(task.key, run_id, step, minion.minion_id, RunState.PLANNED, now)
+        run.is_partial, run.is_extra = bool(task.checkpoint), is_extra
         minion.attach(run)
         job.state = JobState.RUNNING
         self._mark_dirty(job)
@@ -872,8 +947,10 @@
         """Release the tasks of an unlisted incarnation, given as ``minion_id@born_ms``."""
         for job in list(self._jobs.values()):
             for task in job.tasks.values():
-                if f"{task.minion_id}@{task.minion_born_ms}" == key:
-                    self._release_stored_task(job, task, now, "lease of unlisted minion expired")
+                for assignment in task.assignments:
+                    if assignment.incarnation == key:
+                        reason = "lease of unlisted minion expired"
+                        self._release_stored_run(job, task, assignment, now, reason)
 
     # Durable writes
 
