Restart runs of other steps that take too long, and avoid slow minions

Cause: steps without is_speculative may never have two runs of a task at once, so a run that takes seven times as long, or that is on a machine at an eighth of its speed, holds its job until it ends.

Ruled out: planning the next run while the stop is under way (a late stop would leave two runs); ordering the stop in the round that plans it (a leader lost before the write would let each of its successors restart the task).

Change: a run beyond the learned 99th percentile whose expected remaining time exceeds a whole run and 0.5 s is marked as restarted in its task's record. It is stopped in the next round, when that is durable, and the task waits for its place like any other once the end of the run is proven. Copies and restarts share the budget and the rule that nothing of the same or higher priority waits; each task is restarted once at most. Placement prefers minions that are not certainly slow.

--- a/dotterelhill/jobs/durations/stragglers.py
+++ b/dotterelhill/jobs/durations/stragglers.py
@@ -127,14 +127,14 @@
 
         :returns: an empty list within ``CHECK_INTERVAL_SECONDS`` of the newest check
         """
-        is_enabled = self._are_copies_enabled or self._are_restarts_enabled
-        if not is_enabled or now - self._checked_at < CHECK_INTERVAL_SECONDS:
+        if now - self._checked_at < CHECK_INTERVAL_SECONDS:
             return []
         self._checked_at = now
         self._budgets = {}
         self._extra_run_count = 0
         families: dict[tuple[str, str], _Family] = {}
         for minion in minions:
+            minion.speed.expire(now)
             budget = self.budget_of(minion.facts.service)
             if minion.is_listed:
                 budget.total_cpu += minion.facts.capacity.cpu
--- a/dotterelhill/jobs/durations/tests/steps/copies_steps.py
+++ b/dotterelhill/jobs/durations/tests/steps/copies_steps.py
@@ -18,7 +18,12 @@
 
 ROUND_SECONDS = 0.1
 COPIED = Step(1, ResourceVector(1000, 100), 1.0, image="copied", is_speculative=True)
-KINDS = {"speculative": COPIED, "": replace(COPIED, is_speculative=False)}
+USUAL = replace(COPIED, is_speculative=False)
+KINDS = {
+    "speculative": COPIED,
+    "usual": USUAL,
+    "lasting": replace(USUAL, is_lasting=True),
+}
 
 
 def learn(fleet, low=0.9, high=1.1, count=40):
@@ -58,9 +63,9 @@
     learn(context.fleet)
 
 
-@given(r'job "(?P<job>\w+)" of (?P<count>\d+) (?P<kind>speculative )?tasks?')
+@given(r'job "(?P<job>\w+)" of (?P<count>\d+) (?P<kind>speculative |lasting |usual )?tasks?')
 def submit(context, job, count, kind):
-    context.fleet.submit(job, (replace(KINDS[(kind or "").strip()], count=int(count)),))
+    context.fleet.submit(job, (replace(KINDS[(kind or "usual").strip()], count=int(count)),))
 
 
 @given(r'job "a" of 1 speculative task with a copy')
@@ -101,13 +106,13 @@
 @given(r'job "a" of 2 tasks whose minion is cut off until its lease is over and others are full')
 def submit_cut_off(context):
     fleet = context.fleet
-    submit(context, "a", 2, "")
+    submit(context, "a", 2, "usual")
     run_rounds(fleet, 1.0)
     context.cut_off = minion_of(context, 1)
     fleet.silent.add(context.cut_off)
     minion = fleet.scheduler.minions[context.cut_off]
     fleet.scheduler.mark_minion_silent(minion, "no answer", fleet.now)
-    fleet.submit("full", (replace(KINDS[""], count=76),))
+    fleet.submit("full", (replace(USUAL, count=76),))
     run_rounds(fleet, 7.5)
     assert not fleet.scheduler.jobs["a"].task(key_of(context)).is_assigned
     fleet.sent.clear()
@@ -134,10 +139,10 @@
     pass
 
 
-@given(r"the copies are switched off")
-def switch_off(context):
+@given(r"the (?P<what>copies|restarts) are switched off")
+def switch_off(context, what):
     fleet = context.fleet
-    fleet.settings = replace(fleet.settings, are_copies_enabled=False)
+    fleet.settings = replace(fleet.settings, **{f"are_{what}_enabled": False})
     fleet.take_over()
     fleet.run_round()
     learn(fleet)
@@ -164,16 +169,17 @@
 
 
 @given(r"all other minions are slow")
-def slow_minions(context):
+@given(r'all minions but "(?P<fast>\w+)" are slow')
+def slow_minions(context, fast="m0"):
     for name, minion in context.fleet.scheduler.minions.items():
-        for _ in range(10 if name != "m0" else 0):
+        for _ in range(10 if name != fast else 0):
             minion.speed.record(8.0, 1.0, context.fleet.now)
     context.fleet.scheduler.durations.advance(context.fleet.now)
 
 
 @given(r"30 other runs of the image that do not take too long")
 def run_many(context):
-    context.fleet.submit("rest", (replace(KINDS[""], count=30),))
+    context.fleet.submit("rest", (replace(USUAL, count=30),))
     context.fleet.run_round()
     for minion in context.fleet.scheduler.minions.values():
         for run in minion.runs.values():
@@ -232,6 +238,31 @@
     context.fleet.take_over()
 
 
+@when(r'run 1 ends as "stopped" with checkpoint "(?P<checkpoint>\w+)"')
+def end_with_checkpoint(context, checkpoint):
+    context.fleet.end(minion_of(context, 1), key_of(context), EndKind.STOPPED, checkpoint)
+
+
+@when(r"a restart is planned")
+def plan_restart(context):
+    for _ in range(60):
+        context.fleet.poll()
+        context.fleet.plan()
+        if any(one.kind == "restart planned" for one in context.fleet.decisions):
+            return
+        context.fleet.deliver(context.fleet.commit(), StartOutcome.STARTED)
+        context.fleet.now += ROUND_SECONDS
+    raise AssertionError("no restart was planned")
+
+
+@when(r"the plan is stored and a new leader that knows the durations takes over")
+def store_and_take_over(context):
+    context.fleet.commit()
+    context.fleet.take_over()
+    context.fleet.run_round()
+    learn(context.fleet)
+
+
 @when(r"the minions report and the plan is stored")
 def report_and_store(context):
     context.fleet.poll()
@@ -291,6 +322,23 @@
     assert context.fleet.sent[-1].run.run_id == int(run), context.fleet.sent[-1]
 
 
+@then(r'the newest start has checkpoint "(?P<checkpoint>\w+)"')
+def check_checkpoint(context, checkpoint):
+    assert context.fleet.sent[-1].checkpoint == checkpoint, context.fleet.sent[-1]
+
+
+@then(r'(?P<count>\d+) runs of job "a" were ordered to stop')
+def check_stop_count(context, count):
+    stopped = {stop.key for stop in context.fleet.stops if stop.key.job_id == "a"}
+    assert len(stopped) == int(count), stopped
+
+
+@then(r'all starts were sent to "(?P<name>\w+)"')
+def check_all_sent_to(context, name):
+    sent = {order.minion.minion_id for order in context.fleet.sent}
+    assert sent == {name}, sent
+
+
 class EarlierTask(msgspec.Struct, array_like=True):
     occurrence: int
     step: int
--- a/dotterelhill/jobs/placement/placement.py
+++ b/dotterelhill/jobs/placement/placement.py
@@ -41,6 +41,9 @@
 # Upper bound of the reserve on one minion, as a share of the size of the lasting task.
 MAX_RESERVE_SHARE = 0.9
 
+# A slow minion costs more than a rack without the data: it takes several times as long.
+SLOW_MINION_COST = 2.0
+
 QueueLookup = Callable[[Job], Queue]
 OccurrenceStep = tuple[int, int]
 
@@ -593,6 +596,8 @@
     def _placement_cost(self, step: Step, minion: Minion, now: float) -> tuple[float, ...] | None:
         """Return the cost of a start that fits; None when it would take too much headroom."""
         rack_distance = 1.0 if step.data_rack and step.data_rack != minion.facts.rack else 0.0
+        if minion.speed.is_slow:
+            rack_distance += SLOW_MINION_COST
         if step.is_filler:
             idle_cpu = self._interference.idle_cpu(minion)
             if idle_cpu < MIN_FILLER_CPU_SHARE * step.room.cpu:
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -98,6 +98,7 @@
         self._placement = Placement(self._interference, self._suspicion, self._durations)
         self._lasting_waits = LastingWaits()
         self._hold = StartHold(settings.capacity_valid_seconds)
+        self._planned_restarts: list[tuple[Minion, Run]] = []
         self._dirty_jobs: dict[str, Job] = {}
         self._planned_runs: list[Run] = []
         self._orders: list[Order] = []
@@ -772,6 +773,7 @@
         :param max_starts: number of starts to plan at most; a gang is not split
         """
         self._durations.advance(now)
+        self._stop_stragglers(now)
         self._expire_state(now)
         self._record_hold(now)
         self._report_waits(now, unix_ms)
@@ -799,7 +801,7 @@
     def _run_stragglers_again(
         self, usable: Sequence[Minion], now: float, unix_ms: int, max_starts: int
     ) -> None:
-        """Plan copies of the runs of speculative steps that take too long."""
+        """Plan copies of the runs that take too long, or their restarts where copies may not be."""
         for straggler in self._stragglers.find(
             self._minions.values(), self._jobs, self._queue_of, now
         ):
@@ -812,25 +814,46 @@
             )
             if highest is not None and highest <= queue.priority:
                 continue
-            if run.step.is_speculative and self._plan_copy(straggler, usable, now):
-                budget.used_cpu += run.step.room.cpu
-                max_starts -= 1
-
-    def _plan_copy(self, straggler: Straggler, usable: Sequence[Minion], now: float) -> bool:
-        """Plan a copy of a run on another minion and return whether there is one for it."""
-        job, key = straggler.job, straggler.run.key
-        pool = [one for one in usable if one.facts.service == straggler.queue.service]
-        minion = self._placement.choose_copy_minion(job, key, pool, now)
-        if minion is None:
-            return False
-        task = job.task(key)
+            pool = [one for one in usable if one.facts.service == queue.service]
+            minion = self._placement.choose_copy_minion(straggler.job, run.key, pool, now)
+            if minion is None:
+                continue
+            if run.step.is_speculative:
+                self._plan_copy(straggler, minion, now)
+            else:
+                self._plan_restart(straggler)
+            budget.used_cpu += run.step.room.cpu
+            max_starts -= 1
+
+    def _plan_restart(self, straggler: Straggler) -> None:
+        """Plan to stop a run, so that its task starts elsewhere.
+
+        The stop is ordered in the next round, when it is durable that the task was restarted: it
+        may be restarted once only, also by later leaders.
+        """
+        straggler.job.task(straggler.run.key).is_restarted = True
+        self._mark_dirty(straggler.job)
+        self._planned_restarts.append((straggler.minion, straggler.run))
+        self._record_decision("restart planned", straggler.job.job_id, **straggler.log_fields)
+
+    def _stop_stragglers(self, now: float) -> None:
+        """Stop the runs whose restarts were planned in the previous round and are durable."""
+        restarts, self._planned_restarts = self._planned_restarts, []
+        for minion, run in restarts:
+            is_attached = self._minions.get(minion.minion_id) is minion
+            if is_attached and minion.runs.get(run.key) is run and run.state is RunState.PRESENT:
+                self._stop(minion, run, now)
+
+    def _plan_copy(self, straggler: Straggler, minion: Minion, now: float) -> None:
+        """Plan a copy of a run on another minion."""
+        job = straggler.job
+        task = job.task(straggler.run.key)
         run_id = task.assign_copy(minion.minion_id, minion.facts.born_ms)
         self._attach_planned_run(job, task, run_id, minion, now, is_extra=True)
         self._record_decision(
             "copy planned", job.job_id, **straggler.log_fields, copy=run_id,
             copy_minion=minion.minion_id,
         )  # fmt: skip
-        return True
 
     def _report_waits(self, now: float, unix_ms: int) -> None:
         """Record a decision for each step whose lasting tasks have waited for long."""
