--- a/dotterelhill/jobs/tenants/tests/steps/admission_steps.py
+++ b/dotterelhill/jobs/tenants/tests/steps/admission_steps.py
@@ -20,7 +20,7 @@
 def set_load(context, weight, arrivals, starts, drain):
     context.policy = AdmissionPolicy()
     context.tenant = Tenant("t", float(weight))
-    context.load = TenantLoad(9, float(arrivals), float(starts), True, float(drain))
+    context.load = TenantLoad(9, float(arrivals), float(starts), True, float(drain), False)
 
 
 @given(r"its service (?P<has>lacks|has) capacity")
