Compare stragglers with the tasks of their step that have ended

Ruled out: learning from the outcome of second runs, which wastes the first ones of each new leader. Change: a run of a step with several tasks is a straggler when it has run for twice the mean of those of its step that ended done, or on a minion that is slow for other runs.

--- a/dotterelhill/jobs/durations/stragglers.py
+++ b/dotterelhill/jobs/durations/stragglers.py
@@ -10,6 +10,10 @@
 A run is a straggler when it has run longer than a learned quantile of its family and its expected
 remaining time exceeds a whole run elsewhere. If a large part of a family's runs are stragglers, the
 family has become slow as a whole, and another run would be as slow.
+
+The tasks of a step take about as long as each other, whether that is usual for their family or
+several times as long, and a second run of a slow step is as slow as the first. So a run of a step
+with several tasks is a straggler only compared with those that have ended, or on a slow minion.
 """
 
 from __future__ import annotations
@@ -37,6 +41,9 @@
 # 3 % of the runs take seven times as long, they are 15 % of those that run at any time.
 MAX_STRAGGLER_SHARE = 0.4
 MIN_STRAGGLERS = 3
+# A straggler has run for more than this multiple of the mean of its step. The durations of the
+# tasks of one step differ by 15 % (standard deviation of the logarithm).
+SIBLING_FACTOR = 2.0
 
 QueueLookup = Callable[[Job], Queue]
 
@@ -89,6 +96,14 @@
     stragglers: list[Straggler] = field(default_factory=list)
 
 
+@dataclass(slots=True)
+class _DoneRuns:
+    """Runs of one step that ended done: their number, and the sum of their durations in seconds."""
+
+    count: int = 0
+    seconds: float = 0.0
+
+
 class StragglerSearch:
     """Search for stragglers among all runs, and the budget of each service.
 
@@ -104,6 +119,7 @@
         self._are_copies_enabled = are_copies_enabled
         self._are_restarts_enabled = are_restarts_enabled
         self._checked_at = float("-inf")
+        self._done_runs: dict[str, dict[tuple[int, int], _DoneRuns]] = {}
         self._budgets: dict[str, Budget] = {}
         self._extra_run_count = 0
 
@@ -116,6 +132,20 @@
         """Return the budget of a service as of the newest check."""
         return self._budgets.setdefault(service, Budget())
 
+    def record_done(self, run: Run, minion: Minion) -> None:
+        """Record the duration of a run that ended done, to compare the others of its step with."""
+        seconds = run_seconds(run, minion)
+        if seconds is None or run.is_partial or run.step.count < 2:
+            return
+        steps = self._done_runs.setdefault(run.key.job_id, {})
+        done = steps.setdefault((run.key.occurrence, run.key.step), _DoneRuns())
+        done.count += 1
+        done.seconds += seconds
+
+    def forget_job(self, job_id: str) -> None:
+        """Forget the runs of a job that has ended."""
+        self._done_runs.pop(job_id, None)
+
     def find(
         self,
         minions: Iterable[Minion],
@@ -173,6 +203,8 @@
             return None
         if self._durations.confidence(name, step) < MIN_CONFIDENCE:
             return None
+        if not minion.speed.is_slow and not self._is_slower_than_siblings(run, elapsed_seconds):
+            return None
         quantile = COPY_QUANTILE if step.is_speculative else RESTART_QUANTILE
         if elapsed_seconds <= self._durations.quantile(name, step, quantile):
             return None
@@ -186,6 +218,14 @@
             return None
         return Straggler(job, queue, minion, run, elapsed_seconds, excess_seconds)
 
+    def _is_slower_than_siblings(self, run: Run, elapsed_seconds: float) -> bool:
+        """Return whether a run has taken much longer than those of its step that ended done."""
+        if run.step.count < 2:
+            return True
+        steps = self._done_runs.get(run.key.job_id, {})
+        done = steps.get((run.key.occurrence, run.key.step))
+        return done is not None and elapsed_seconds > SIBLING_FACTOR * done.seconds / done.count
+
     def _may_run_again(self, straggler: Straggler) -> bool:
         """Return whether the task of a straggler may get another run at all."""
         job, run, queue = straggler.job, straggler.run, straggler.queue
--- a/dotterelhill/jobs/durations/tests/steps/copies_steps.py
+++ b/dotterelhill/jobs/durations/tests/steps/copies_steps.py
@@ -81,10 +81,13 @@
     context.index = 1
     run_rounds(context.fleet, 1.0)
     first = TaskKey("a", 0, 0, 0)
-    # A run that was throttled has no copy.
     for minion in context.fleet.scheduler.minions.values():
         if first in minion.runs:
+            # A run that was throttled has no copy.
             minion.runs[first].is_partial = True
+        if key_of(context) in minion.runs:
+            for _ in range(10):
+                minion.speed.record(8.0, 1.0, context.fleet.now)
     run_rounds(context.fleet, 3.0)
     assert len(context.fleet.sent) == 3, context.fleet.sent
 
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -313,6 +313,7 @@
         self._active_jobs.pop(job.job_id, None)
         self._placement.remove_job(job)
         self._suspicion.remove_job(job)
+        self._stragglers.forget_job(job.job_id)
         self._mark_dirty(job)
         failures = sum(task.failures for task in job.tasks.values())
         self._record_decision(
@@ -601,6 +602,7 @@
         job = self._jobs.get(key.job_id)
         if job is not None and end.kind is EndKind.DONE:
             self._durations.record_end(job.submission.queue.name, run, minion)
+            self._stragglers.record_done(run, minion)
         return run
 
     def _process_success(self, job: Job, task: Task, now: float) -> None:
