--- a/dotterelhill/control/tests/currency.feature
+++ b/dotterelhill/control/tests/currency.feature
@@ -47,3 +47,9 @@
     And 8 seconds pass in the process
     And a request waits for a current configuration
     Then it has waited for 0 s
+
+  Scenario: A burst of versions hides how long the process has been behind
+    Given a process that follows the configuration over a store with 0.005 s latency
+    When the store answers this process no more
+    And the leader names 40 versions to it, one each 0.1 s
+    Then it has known of a newer version for 3.9 to 4.1 s
--- a/dotterelhill/control/tests/steps/currency_steps.py
+++ b/dotterelhill/control/tests/steps/currency_steps.py
@@ -197,6 +197,14 @@
     assert context.world.currency.age_seconds > float(seconds), context.world.currency.age_seconds
 
 
+@when(r"the leader names (?P<count>\d+) versions to it, one each (?P<seconds>[\d.]+) s")
+def name_burst(context, count, seconds):
+    world = context.world
+    for number in range(int(count)):
+        world.currency.record(world.version + 1 + number, 0.0)
+        world.advance(float(seconds))
+
+
 @then(r"it has known of a newer version for (?P<least>[\d.]+) to (?P<most>[\d.]+) s")
 def check_behind(context, least, most):
     behind_seconds = context.world.currency.freshness.behind_seconds
