Check a configuration of the platform before it is sent

Cause: a route that can't match, a tenant without keys or a limit that can't be met was noticed only in force. Ruled out: a decoder of its own, which would accept other records than the processes do. Change: dotterelhill config check FILE [--against FILE] [--json] reports faults with their place, and the differences from the configuration in force with when they take effect; keys are never printed. The types of the record in platform/records.py are public for it.

--- a/dotterelhill/commands/main.py
+++ b/dotterelhill/commands/main.py
@@ -22,6 +22,7 @@
 DEFAULT_ADMIN_ADDRESS = "127.0.0.1:8083"
 
 GROUPS = """groups of commands:
+  config {check}                 check a configuration of the prepared platform
   manifest {check,publish,show}  check, publish and show what operators decide
   state {dump}                   state of one entry process
   settings {show}                settings of an entry process and their sources"""
@@ -79,6 +80,18 @@
     return check(file, json)
 
 
+def check_config(file: Path, *, against: Path | None = None, json: bool = False) -> int:
+    """Check a configuration of the prepared platform and print every finding with its place.
+
+    :param file: JSON document
+    :param against: configuration in force; the differences from it are printed too
+    :param json: print JSON
+    """
+    from dotterelhill.commands.config_checking import check
+
+    return check(file, against, json)
+
+
 def publish_manifest(
     file: Path,
     *,
@@ -188,6 +201,7 @@
         "entry": _entry_command(chosen == "entry"),
         "scheduler": scheduler,
         "manifest": {"check": check_manifest, "publish": publish_manifest, "show": show_manifest},
+        "config": {"check": check_config},
         "state": {"dump": dump_state},
         "explain": explain,
         "replay": replay,
--- a/dotterelhill/platform/records.py
+++ b/dotterelhill/platform/records.py
@@ -62,7 +62,9 @@
     gpu: int = 0
 
 
-class _Tenant(msgspec.Struct, frozen=True):
+class TenantEntry(msgspec.Struct, frozen=True):
+    """Entry of a tenant."""
+
     name: str
     apiKeys: list[str] = []
     weight: float = 1.0
@@ -71,16 +73,18 @@
 
     def __repr__(self) -> str:
         """Return a text without the keys."""
-        return f"_Tenant({self.name!r})"
+        return f"TenantEntry({self.name!r})"
+
 
+class ConfigRecord(msgspec.Struct, frozen=True):
+    """Configuration as operators write it."""
 
-class _Config(msgspec.Struct, frozen=True):
     version: int
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = _Limits()
     # Without tenants, keys are not checked.
-    tenants: list[_Tenant] | None = None
+    tenants: list[TenantEntry] | None = None
 
 
 _Amount = Annotated[int, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
@@ -108,7 +112,7 @@
     remainingMs: float = 0
 
 
-_CONFIG_DECODER = msgspec.json.Decoder(_Config)
+_CONFIG_DECODER = msgspec.json.Decoder(ConfigRecord)
 _ENTRY_DECODER = msgspec.json.Decoder(_Entry)
 
 
@@ -123,7 +127,7 @@
         if record.key != CONFIG_KEY or record.value is None:
             return None
         try:
-            return _fleet_config(_CONFIG_DECODER.decode(record.value))
+            return fleet_config(decode_config(record.value))
         except msgspec.MsgspecError as error:
             _log.error("configuration record can't be decoded", extra={"reason": str(error)})
             return None
@@ -152,7 +156,16 @@
         )
 
 
-def _fleet_config(config: _Config) -> FleetConfig:
+def decode_config(data: bytes) -> ConfigRecord:
+    """Decode a configuration.
+
+    :raises msgspec.MsgspecError: when it is invalid
+    """
+    return _CONFIG_DECODER.decode(data)
+
+
+def fleet_config(config: ConfigRecord) -> FleetConfig:
+    """Return the fleet configuration that a record holds."""
     queues = {}
     for route in config.routes:
         queues[route.name] = Queue(
@@ -196,7 +209,7 @@
     return "tenant-" + sha256(name.encode()).hexdigest()[:32]
 
 
-def _tenant(name: str, entry: _Tenant) -> Tenant:
+def _tenant(name: str, entry: TenantEntry) -> Tenant:
     """Return the tenant of an entry; a weight or limit without a meaning becomes the default."""
     weight = entry.weight
     if not 0.0 < weight <= MAX_AMOUNT:
