Show operators what each tenant runs, and explain why a tenant waits

Cause: neither the metrics nor the log told whether a tenant waits for its limit, its share or capacity, and the line about a waiting lasting task counted minions that fit while only the limit kept it waiting. Ruled out: one series for each tenant without bound; hundreds of tenants would each cost a series in every process that led. Change: gauges tenants.running_tasks, tenants.waiting_tasks and tenants.share by tenant, at most 50 labels, the rest as other. Gauges with labels can be registered like those without.

--- a/dotterelhill/control/leader.py
+++ b/dotterelhill/control/leader.py
@@ -197,6 +197,10 @@
             "jobs.loop_lag_seconds": self._parts.lag.seconds,
         }
 
+    def tenant_gauges(self) -> dict[tuple[str, str], float]:
+        """Return the gauges of tenants for the metrics, by metric name and label."""
+        return self._scheduler.tenant_gauges()
+
     def apply_configuration(self) -> None:
         """Apply the newest configuration and evacuations to the scheduler."""
         self._scheduler.configure(self._parts.configuration.config)
--- a/dotterelhill/entry/metrics.py
+++ b/dotterelhill/entry/metrics.py
@@ -110,6 +110,9 @@
     Metric("jobs.start_limit", _G, "orders", "largest number of start orders in flight"),
     Metric("jobs.loop_lag_seconds", _G, "seconds", "largest recent delay of the leader's loop"),
     Metric("jobs.is_leading", _G, "0 or 1", "whether this process leads the fleet"),
+    Metric("tenants.running_tasks", _G, "tasks", "runs of a tenant that may exist", "tenant"),
+    Metric("tenants.waiting_tasks", _G, "tasks", "tasks of a tenant that could start", "tenant"),
+    Metric("tenants.share", _G, "ratio", "largest part of a resource of a service", "tenant"),
     Metric("trace.events", _C, "events", "events written to a trace", "slice"),
     Metric("trace.dropped", _C, "events", "events after the trace had stopped", "slice"),
     Metric("process.ready", _G, "0 or 1", "whether /readyz answers 200"),
@@ -119,6 +122,7 @@
 
 ReadCounters = Callable[[], Mapping[str, int]]
 ReadGauges = Callable[[], Mapping[str, float]]
+ReadLabelledGauges = Callable[[], Mapping[tuple[str, str], float]]
 
 _METRICS_BY_NAME = {metric.name: metric for metric in METRICS}
 _LABELLED_COUNTER_COUNTS = Counter(
@@ -217,6 +221,7 @@
         self._client = client
         self._counter_sources: list[tuple[str, ReadCounters]] = []
         self._gauge_sources: list[ReadGauges] = []
+        self._labelled_gauge_sources: list[ReadLabelledGauges] = []
         self._counters: dict[str, int] = {}
         self._sent_counts: dict[str, int] = {}
         self._gauges: dict[str, float] = {}
@@ -254,6 +259,13 @@
         """
         self._gauge_sources.append(read)
 
+    def add_labelled_gauges(self, read: ReadLabelledGauges) -> None:
+        """Register gauges with labels that are read at each flush.
+
+        :param read: returns values by metric name and label
+        """
+        self._labelled_gauge_sources.append(read)
+
     def count(self, name: str, amount: int = 1, label: str = "") -> None:
         """Add ``amount`` to a counter.
 
@@ -315,6 +327,9 @@
         for read_gauges in self._gauge_sources:
             for name, number in read_gauges().items():
                 self.gauge(name, number)
+        for read_labelled in self._labelled_gauge_sources:
+            for (name, label), number in read_labelled().items():
+                self.gauge(name, number, label)
 
     def _counter_key(self, prefix: str, key: str) -> str:
         name = f"{prefix}.{key}"
--- a/dotterelhill/entry/tests/admin.feature
+++ b/dotterelhill/entry/tests/admin.feature
@@ -35,6 +35,7 @@
     When a statsd server gets two flushes
     Then the first holds "dotterelhill.requests.callers_gone:7|c" and the second does not
     And the second holds "dotterelhill.process.ready:1.0|g"
+    And the second holds "dotterelhill.tenants.share.acme_org:0.25|g"
     And the second holds "dotterelhill.requests.seconds.desk.p99:0.2"
     And the counters are "metrics.undocumented.invented_callers_gone, requests.callers_gone"
 
--- a/dotterelhill/entry/tests/steps/admin_steps.py
+++ b/dotterelhill/entry/tests/steps/admin_steps.py
@@ -144,6 +144,7 @@
         client = create_metrics("127.0.0.1", server.getsockname()[1])
         client.add_counters("requests", lambda: context.slice_counts)
         client.add_gauges(lambda: {"process.ready": True, "manifest.version": math.inf})
+        client.add_labelled_gauges(lambda: {("tenants.share", "acme.org"): 0.25})
         client.flush()
         context.datagrams = [server.recv(1024).decode()]
         client.observe("requests.seconds", 0.25, label="desk")
--- a/dotterelhill/jobs/placement/placement.py
+++ b/dotterelhill/jobs/placement/placement.py
@@ -131,6 +131,16 @@
             for step, keys in _startable_lasting_steps(waiting, queue, unix_ms):
                 yield WaitingStep(waiting.job, step, queue.service, keys)
 
+    def waiting_tasks_by_tenant(self) -> dict[str, int]:
+        """Return the number of tasks that wait for a minion, by the tenant of their job."""
+        counts: dict[str, int] = {}
+        for waiting in self._waiting_jobs.values() if self._has_tenants else ():
+            tenant = waiting.job.submission.tenant
+            if tenant:
+                count = sum(len(keys) for keys in waiting.pending.values())
+                counts[tenant] = counts.get(tenant, 0) + count
+        return counts
+
     def waiting_tasks_of_round(self, queue_of: QueueLookup, unix_ms: int) -> Iterator[WaitingTasks]:
         """Yield the steps with due tasks that waited in the newest round and still wait.
 
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -47,6 +47,7 @@
 from dotterelhill.jobs.placement.lasting_waits import LastingWaits, explain_wait
 from dotterelhill.jobs.placement.placement import UNLIMITED_STARTS, Placement
 from dotterelhill.jobs.queues import FleetConfig, Queue
+from dotterelhill.jobs.tenants.gauges import TenantGauges
 from dotterelhill.jobs.tenants.limits import TenantLimits
 from dotterelhill.jobs.tenants.loads import CapacityCheck, TenantLoad, TenantLoads
 from dotterelhill.jobs.tenants.shares import TenantShares
@@ -88,11 +89,10 @@
         self._tenant_loads = TenantLoads()
         # Unix ms of the newest round; None before the first.
         self._planned_unix_ms: int | None = None
+        self._tenant_shares = TenantShares(self._tenant_usage, self._tenant_limits)
+        self._tenant_gauges = TenantGauges()
         self._placement = Placement(
-            self._interference,
-            self._suspicion,
-            self._tenant_limits,
-            TenantShares(self._tenant_usage, self._tenant_limits),
+            self._interference, self._suspicion, self._tenant_limits, self._tenant_shares
         )
         self._lasting_waits = LastingWaits()
         self._hold = StartHold(settings.capacity_valid_seconds)
@@ -239,6 +239,15 @@
                 counts[queue] = counts.get(queue, 0) + 1
         return counts
 
+    def tenant_gauges(self) -> dict[tuple[str, str], float]:
+        """Return the gauges of tenants for the metrics, by metric name and label."""
+        usage, shares = self._tenant_usage, self._tenant_shares
+        return self._tenant_gauges.read(
+            usage.by_tenant,
+            self._placement.waiting_tasks_by_tenant(),
+            [(owner.tenant, shares.dominant_share(owner)) for owner in usage.by_owner],
+        )
+
     def tenant_loads(self, now: float) -> dict[str, TenantLoad]:
         """Return the load of each tenant that has jobs, by tenant name."""
         if self._planned_unix_ms is None:
@@ -817,7 +826,11 @@
         minions = [(minion, self._exclusion(minion, now)) for minion in self._minions.values()]
         for waiting in overdue:
             report = explain_wait(waiting, minions, now)
-            self._record_decision("lasting task waits", report.job_id, **report.fields)
+            fields, tenant = dict(report.fields), waiting.job.submission.tenant
+            if tenant:
+                is_allowed = self._tenant_limits.allowed_count(tenant, waiting.step, 1) > 0
+                fields |= {"tenant": tenant, "tenant_allows": is_allowed}
+            self._record_decision("lasting task waits", report.job_id, **fields)
 
     def _drain_minion(self, minion: Minion, now: float) -> None:
         """Stop lasting and checkpointing runs on a draining minion, to start them elsewhere."""
--- a/dotterelhill/jobs/tenants/shares.py
+++ b/dotterelhill/jobs/tenants/shares.py
@@ -52,17 +52,20 @@
 
     def share(self, owner: RunOwner) -> float:
         """Return the dominant share of a tenant in a service of this round, over its weight."""
+        weight = self._limits.tenant(owner.tenant).weight
+        return self.dominant_share(owner) / weight if weight > 0 else float("inf")
+
+    def dominant_share(self, owner: RunOwner) -> float:
+        """Return the largest part of any resource of a service that the runs of a tenant use."""
         used = self._usage.by_owner.get(owner)
         capacity = self._capacities.get(owner.service)
         if used is None or capacity is None:
             return 0.0
-        dominant = max(
+        return max(
             used.cpu / capacity.cpu if capacity.cpu else 0.0,
             used.memory_mb / capacity.memory_mb if capacity.memory_mb else 0.0,
             used.gpu / capacity.gpu if capacity.gpu else 0.0,
         )
-        weight = self._limits.tenant(owner.tenant).weight
-        return dominant / weight if weight > 0 else float("inf")
 
     def begin_round(self, by_service: Mapping[str, Iterable[Minion]]) -> None:
         """Begin a round.
--- a/dotterelhill/jobs/tenants/tests/limits.feature
+++ b/dotterelhill/jobs/tenants/tests/limits.feature
@@ -123,6 +123,7 @@
     And tenant "u" submits job "b" of 8 tasks of 1 processors
     And 1 rounds pass
     Then 8 starts of job "b" were sent
+    And the wait of job "a" is explained by the limit of its tenant
 
   Scenario: operators can't tell from the log that a tenant is at its limit
     Given the limit of tenant "t" is "2 0 0"
--- a/dotterelhill/jobs/tenants/tests/loads.feature
+++ b/dotterelhill/jobs/tenants/tests/loads.feature
@@ -57,6 +57,11 @@
     Then the backlog of tenant "t" is expected to drain within 0 to 1 seconds
     And the load of tenant "t" has is_short False and is_waiting_for_capacity False
 
+  Scenario: the metrics have a series for each of hundreds of tenants, or leave some out
+    Given 200 tenants of which 60 submit 3 jobs of 1 tasks
+    When 1 rounds pass
+    Then the gauges have 50 labels, 16 running and 164 waiting tasks
+
   Scenario: tenants without jobs for long are listed
     Given each of "a b c d" submits 1 jobs of 1 tasks
     When 1 rounds pass
--- a/dotterelhill/jobs/tenants/tests/steps/load_steps.py
+++ b/dotterelhill/jobs/tenants/tests/steps/load_steps.py
@@ -88,3 +88,17 @@
 def check_load_count(context, count):
     loads = context.fleet.scheduler.tenant_loads(context.fleet.now)
     assert len(loads) == int(count), loads
+
+
+@then(
+    r"the gauges have (?P<labels>\d+) labels, (?P<running>\d+) running and (?P<waiting>\d+) "
+    r"waiting tasks"
+)
+def check_gauges(context, labels, running, waiting):
+    gauges = context.fleet.scheduler.tenant_gauges()
+    assert len({label for _, label in gauges}) == int(labels), gauges
+    for name, total in (("running_tasks", running), ("waiting_tasks", waiting)):
+        found = [value for key, value in gauges.items() if key[0] == f"tenants.{name}"]
+        assert sum(found) == int(total), found
+    shares = [value for key, value in gauges.items() if key[0] == "tenants.share"]
+    assert max(shares) == 1 / 16, shares
--- a/dotterelhill/jobs/tenants/tests/steps/tenant_steps.py
+++ b/dotterelhill/jobs/tenants/tests/steps/tenant_steps.py
@@ -132,6 +132,14 @@
     assert found == ([text.strip() for text in expected.split(",")] if expected else []), found
 
 
+@then(r'the wait of job "(?P<job>\w+)" is explained by the limit of its tenant')
+def check_explained_wait(context, job):
+    waits = [one for one in context.fleet.decisions if one.message == "lasting task waits"]
+    assert waits, context.fleet.decisions
+    for wait in waits:
+        assert (wait.job_id, wait.fields["tenant_allows"]) == (job, False), wait
+
+
 def recomputed(fleet):
     usage = TenantUsage()
     for job in fleet.scheduler.jobs.values():
--- a/dotterelhill/platform/process.py
+++ b/dotterelhill/platform/process.py
@@ -84,6 +84,7 @@
         self._incarnation = new_incarnation_id(settings.vm_name)
         self._metrics = LocalMetrics()
         self._metrics.add_gauges(self._gauges)
+        self._metrics.add_labelled_gauges(self._tenant_gauges)
         self._sessions: dict[int, aiohttp.ClientSession] = {}
         self._store = ObservedStore(
             PlatformStore(self._store_session, settings.store_address, settings.partitions),
@@ -194,6 +195,10 @@
         gauges = {"jobs.is_leading": float(self._leadership.is_leading)}
         return gauges if leader is None else {**gauges, **leader.gauges()}
 
+    def _tenant_gauges(self) -> dict[tuple[str, str], float]:
+        leader = self._election.leader
+        return {} if leader is None else leader.tenant_gauges()
+
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then shut down without interrupting requests."""
         stop = asyncio.Event()
--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -16,6 +16,7 @@
 PARTS: dict[str, tuple[str, ...]] = {
     "requests": ("measure.requests_cost", "measure.requests_policy"),
     "batch": ("measure.batch_cost", "measure.batch_policy"),
+    "tenants": ("measure.tenants_cost",),
     "agreement": ("measure.agreement",),
     "cost": ("measure.fold_cost", "measure.node_cost"),
 }
