Keep a leader that makes progress in loading, and damp repeated claims

Cause: after a loss of power, each claim made the next process load everything again, 3 to 5 s after the one before; a leader that answered but was late with its renewals was succeeded after 0.4 s. All processes also read the store at the same moment of their start. Ruled out: a fixed longer delay, since the failover of a healthy fleet must stay as it is; the backoff in the claim record, since a restarted process loses one doubling at most. Change: Leadership counts steps of loading; PeerStatus and LeaderMessage tell them (trailing, default None, so earlier builds behave as before). A leader that answers, loads and has progressed within 2 s is LOADING: claimed only 6 s after the last growth of the stream. ClaimSeries doubles the delay for each claim of another process within 10 s, up to 6 s; a leader that has resigned or ended is still succeeded at once. The first reads of the election and of the configuration are delayed by up to 0.3 s at random.

--- a/dotterelhill/control/election.py
+++ b/dotterelhill/control/election.py
@@ -15,15 +15,19 @@
     RENEWAL_GRACE_SECONDS,
     RENEWAL_INTERVAL_SECONDS,
     Claim,
+    ClaimSeries,
     FailureDetector,
     LeaderClock,
     LeaderCondition,
     Leadership,
+    LoadingWatch,
 )
 from dotterelhill.control.peers import PeerClient, PeerUnreachableError, condition_in_term
 from dotterelhill.entry.logs import logger_of
 
 CHECK_INTERVAL_SECONDS = 0.5
+# After a loss of power, all processes start at once; their first reads of the store are spread.
+MAX_START_DELAY_SECONDS = 0.3
 # Interval between reads of the leadership stream while the leader is suspected to have failed.
 DETECTION_INTERVAL_SECONDS = 0.25
 # Interval between attempts to learn that the previous term has ended.
@@ -84,6 +88,8 @@
         missing_processors = max(0.0, FULL_PROCESSORS - processors)
         self._processor_delay_seconds = DELAY_SECONDS_PER_PROCESSOR * missing_processors
         self._detector = FailureDetector(clock)
+        self._loading = LoadingWatch(clock)
+        self._claims = ClaimSeries(clock)
         self._leader: Leader | None = None
         self._leader_address = ""
         self._leader_incarnation = ""
@@ -113,6 +119,11 @@
         """Return whether this process can renew its claim."""
         return self._leadership.is_able
 
+    @property
+    def loading_progress(self) -> int | None:
+        """Return the steps of loading done in the current term; None when it is not loading."""
+        return self._leadership.loading_progress
+
     @property
     def leader(self) -> Leader | None:
         """Return the current term of leadership; None unless this process leads."""
@@ -134,6 +145,7 @@
         self._remember(claim)
 
     def _remember(self, claim: Claim) -> None:
+        self._claims.record(claim)
         self._leader_address = claim.address
         self._leader_incarnation = claim.incarnation
         self._leader_epoch = claim.epoch
@@ -163,6 +175,7 @@
 
     @mode.Service.task
     async def _check(self) -> None:
+        await asyncio.sleep(self._random.uniform(0.0, MAX_START_DELAY_SECONDS))
         while not self.should_stop:
             try:
                 await self._check_leader()
@@ -206,7 +219,7 @@
         elif (claim.address, claim.incarnation, claim.epoch) != known:
             self._remember(claim)
             condition = await self._condition_of(claim.address, claim.incarnation, claim.epoch)
-        if not self._detector.is_claim_allowed(state, condition):
+        if not self._detector.is_claim_allowed(state, condition, self._claims.delay_factor):
             return
         latency_delay = min(
             MAX_LATENCY_DELAY_SECONDS, LATENCY_DELAY_FACTOR * self._store_latency_seconds
@@ -215,6 +228,8 @@
         await asyncio.sleep(latency_delay + self._processor_delay_seconds + jitter)
         if self._has_stopped_claiming or not await self._leadership.claim(state):
             return
+        if self._leadership.own_claim is not None:
+            self._claims.record(self._leadership.own_claim)
         _log.notice("took over leadership", extra={"condition": condition.name.lower()})
         renewals_end = self._clock()
         if claim is not None and condition is not LeaderCondition.GONE:
@@ -262,7 +277,8 @@
             status = await self._peers.status(address)
         except PeerUnreachableError as error:
             return LeaderCondition.REFUSED if error.is_refused else LeaderCondition.SILENT
-        return condition_in_term(status, incarnation, epoch)
+        self._loading.record(status.incarnation, status.loading_progress)
+        return self._loading.refine(condition_in_term(status, incarnation, epoch))
 
     def _begin_term(self, renewals_end: float, earlier: Claim | None, *, is_settled: bool) -> None:
         """Begin a term of leadership.
--- a/dotterelhill/control/feeds.py
+++ b/dotterelhill/control/feeds.py
@@ -62,6 +62,7 @@
     :param clock: returns seconds
     :param wait_seconds: maximum duration of one read
     :param pause_seconds: pause between reads, which batches records
+    :param start_delay_seconds: longest random delay of the first read
     """
 
     def __init__(
@@ -74,6 +75,7 @@
         wait_seconds: float = FOLLOW_WAIT_SECONDS,
         pause_seconds: float = 0.0,
         partition: int = 0,
+        start_delay_seconds: float = 0.0,
     ) -> None:
         super().__init__()
         self._store = store
@@ -84,6 +86,7 @@
         self._wait_seconds = wait_seconds
         self._pause_seconds = pause_seconds
         self._partition = partition
+        self._start_delay_seconds = start_delay_seconds
         self._offset: int | None = None
         self._partial_snapshot = PartialRead()
         self._snapshot_sent_at = float("-inf")
@@ -148,6 +151,8 @@
 
     @mode.Service.task
     async def _follow(self) -> None:
+        if self._start_delay_seconds:
+            await asyncio.sleep(self._random.uniform(0.0, self._start_delay_seconds))
         while not self.should_stop:
             try:
                 await self.read_once()
--- a/dotterelhill/control/leader.py
+++ b/dotterelhill/control/leader.py
@@ -225,6 +225,7 @@
             for follower in [*self._submission_followers, self._minion_follower]:
                 await follower.start()
             self._is_loaded = True
+            self._parts.leadership.end_loading()
             await self._wait_for_lease()
             _log.notice("leading", extra={"epoch": self._epoch, "jobs": len(self._scheduler.jobs)})
             await self._run_scheduling_loop()
@@ -303,7 +304,9 @@
         while True:
             try:
                 async with self._loading_reads:
-                    return await call()
+                    result = await call()
+                self._parts.leadership.record_loading_step()
+                return result
             except StoreError as error:
                 if not self._parts.leadership.has_claim:
                     raise StoreFencedError("claim lost while loading") from error
@@ -318,6 +321,7 @@
             self._parts.slices.begin()
             for record in records:
                 self._apply_submissions((record,), is_snapshot=False)
+                self._parts.leadership.record_loading_step()
                 await self._parts.slices.pause_if_due()
 
     def _apply_submissions(self, records: tuple[Record, ...], is_snapshot: bool) -> None:
--- a/dotterelhill/control/leadership.py
+++ b/dotterelhill/control/leadership.py
@@ -153,6 +153,7 @@
         self._ended_epoch = 0
         self._superseding_epoch = 0
         self._claim_lost = asyncio.Event()
+        self._loading_progress: int | None = None
         self._settled_at = float("inf")
         # Time at which the first renewal since the last answer was sent; None if all are answered.
         self._unanswered_at: float | None = None
@@ -198,6 +199,20 @@
         unable_at = self._valid_until - LEASE_SECONDS + UNABLE_SECONDS
         return self._claim is not None and self._clock() < unable_at
 
+    @property
+    def loading_progress(self) -> int | None:
+        """Return the steps of loading done in the current term; None when it is not loading."""
+        return self._loading_progress
+
+    def record_loading_step(self) -> None:
+        """Count one step of loading, which shows peers that this process makes progress."""
+        if self._loading_progress is not None:
+            self._loading_progress += 1
+
+    def end_loading(self) -> None:
+        """Report that the stored state is loaded."""
+        self._loading_progress = None
+
     async def wait_until_lost(self) -> None:
         """Wait until this process holds no claim."""
         if self._claim is not None:
@@ -269,6 +284,7 @@
             _log.notice("leadership lost", extra={"epoch": epoch, "reason": "claim superseded"})
             return False
         self._claim, self._end = claim, end
+        self._loading_progress = 0
         self._claim_lost = asyncio.Event()
         self._valid_until = sent_at + LEASE_SECONDS
         self._settled_at = float("inf")
@@ -335,6 +351,7 @@
             _log.notice("leadership lost", extra={"epoch": self._claim.epoch, "reason": reason})
             self._ended_epoch = max(self._ended_epoch, self._claim.epoch)
         self._claim = None
+        self._loading_progress = None
         self._claim_lost.set()
         self._valid_until = float("-inf")
 
@@ -351,12 +368,14 @@
 class LeaderCondition(Enum):
     """Condition of the leader as observed by another process.
 
-    PRESENT: it answers and renews. UNABLE: it answers but can't renew. SILENT: it does not answer.
+    PRESENT: it answers and renews. LOADING: it answers, loads the stored state and has not renewed
+    lately. UNABLE: it answers but can't renew. SILENT: it does not answer.
     REFUSED: connections are refused, because nothing listens at its address or because of a
     network fault. GONE: it has ended or resigned.
     """
 
     PRESENT = auto()
+    LOADING = auto()
     UNABLE = auto()
     SILENT = auto()
     REFUSED = auto()
@@ -365,8 +384,10 @@
 
 # Time without growth of the leadership stream after which other processes claim. By then a silent
 # leader has missed three renewals, even when the store is slow, and a leader that refuses
-# connections has missed two. A leader that is unable to renew has reported that itself.
+# connections has missed two. A leader that is unable to renew has reported that itself. A leader
+# that makes progress in loading is slow; its successor would have to load everything again.
 CLAIM_DELAY_SECONDS = {
+    LeaderCondition.LOADING: 6.0,
     LeaderCondition.UNABLE: 0.4,
     LeaderCondition.SILENT: 1.5,
     LeaderCondition.REFUSED: 1.2,
@@ -374,6 +395,76 @@
 }
 
 
+# A loading leader without progress for this time counts as unable. One read of a slow store takes
+# up to 1.2 s before it fails.
+STALLED_LOADING_SECONDS = 2.0
+# Claims of different processes within this time show that leaders do not finish loading.
+CLAIM_SERIES_SECONDS = 10.0
+MAX_CLAIM_DELAY_SECONDS = 6.0
+
+
+class LoadingWatch:
+    """Observes whether a leader that is loading makes progress.
+
+    :param clock: returns seconds; see :class:`Leadership`
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._incarnation = ""
+        self._progress: int | None = None
+        self._changed_at = float("-inf")
+
+    def record(self, incarnation: str, progress: int | None) -> None:
+        """Record the progress that a leader reports."""
+        if (incarnation, progress) != (self._incarnation, self._progress):
+            self._incarnation, self._progress = incarnation, progress
+            self._changed_at = self._clock()
+
+    def refine(self, condition: LeaderCondition) -> LeaderCondition:
+        """Return a condition, or UNABLE for a loading leader without progress."""
+        is_stalled = self._clock() - self._changed_at > STALLED_LOADING_SECONDS
+        if condition is LeaderCondition.LOADING and is_stalled:
+            return LeaderCondition.UNABLE
+        return condition
+
+
+class ClaimSeries:
+    """Doubles the delay before a claim while processes claim leadership in short succession.
+
+    Each claim makes the claiming process load the stored state from its beginning. Without the
+    delay, a fleet of slow processes that take each other for failed would never finish.
+
+    :param clock: returns seconds; see :class:`Leadership`
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._epoch = 0
+        self._incarnation = ""
+        self._seen_at = float("-inf")
+        self._count = 0
+
+    @property
+    def delay_factor(self) -> float:
+        """Return the factor of the delay before the next claim."""
+        if self._clock() - self._seen_at >= CLAIM_SERIES_SECONDS:
+            return 1.0
+        return 2.0**self._count
+
+    def record(self, claim: Claim) -> None:
+        """Record a claim of any process when it is first seen."""
+        if claim.epoch <= self._epoch:
+            return
+        now = self._clock()
+        if now - self._seen_at >= CLAIM_SERIES_SECONDS:
+            self._count = 0
+        elif claim.incarnation != self._incarnation:
+            # Claims that this process did not see count as well.
+            self._count = min(self._count + claim.epoch - self._epoch, 4)
+        self._epoch, self._incarnation, self._seen_at = claim.epoch, claim.incarnation, now
+
+
 class FailureDetector:
     """Decides when a process may claim leadership after the leader has failed.
 
@@ -394,11 +485,14 @@
         """Stop watching the stream, because the leader answers."""
         self._end = None
 
-    def is_claim_allowed(self, state: LeadershipState, condition: LeaderCondition) -> bool:
+    def is_claim_allowed(
+        self, state: LeadershipState, condition: LeaderCondition, delay_factor: float = 1.0
+    ) -> bool:
         """Return whether leadership may be claimed now.
 
         :param state: current state of the leadership stream
         :param condition: observed condition of the leader
+        :param delay_factor: factor of the delay; see :class:`ClaimSeries`
         """
         if condition is LeaderCondition.GONE:
             return True
@@ -409,7 +503,8 @@
             self._end = state.end
             self._unchanged_since = self._clock()
             return False
-        return self._clock() - self._unchanged_since >= CLAIM_DELAY_SECONDS[condition]
+        delay = min(MAX_CLAIM_DELAY_SECONDS, delay_factor * CLAIM_DELAY_SECONDS[condition])
+        return self._clock() - self._unchanged_since >= delay
 
     def renewals_end(self, state: LeadershipState, clock: LeaderClock | None) -> float:
         """Return the time until which the watched leader may renew the leases of running tasks.
--- a/dotterelhill/control/peers.py
+++ b/dotterelhill/control/peers.py
@@ -46,12 +46,15 @@
     :param has_claim: whether the process holds the newest claim that it knows of
     :param is_able: whether the process can renew that claim
     :param ended_epoch: newest epoch that the process has led and ended; 0 for none
+    :param loading_progress: steps of loading done in this term; None when it is not loading, and
+        from builds that do not tell it
     """
 
     incarnation: str
     has_claim: bool
     is_able: bool
     ended_epoch: int = 0
+    loading_progress: int | None = None
 
 
 def condition_in_term(
@@ -67,7 +70,10 @@
     """
     if status.incarnation != incarnation or status.ended_epoch >= epoch:
         return LeaderCondition.GONE
-    return LeaderCondition.PRESENT if status.is_able else LeaderCondition.UNABLE
+    if status.is_able:
+        return LeaderCondition.PRESENT
+    is_loading = status.has_claim and status.loading_progress is not None
+    return LeaderCondition.LOADING if is_loading else LeaderCondition.UNABLE
 
 
 class _StoredRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -121,6 +127,11 @@
         """Return the newest epoch that this process has led and ended; 0 for none."""
         ...
 
+    @property
+    def loading_progress(self) -> int | None:
+        """Return the steps of loading done in the current term; None when it is not loading."""
+        ...
+
     @property
     def leader(self) -> Leader | None:
         """Return the current term of leadership; None unless this process leads."""
@@ -172,7 +183,11 @@
         if path == STATUS_PATH:
             source = self._source
             status = PeerStatus(
-                source.incarnation, source.has_claim, source.is_able, source.ended_epoch
+                source.incarnation,
+                source.has_claim,
+                source.is_able,
+                source.ended_epoch,
+                source.loading_progress,
             )
             return web.Response(body=msgspec.json.encode(status))
         if path == SUPERSEDED_PATH:
--- a/dotterelhill/control/relay_client.py
+++ b/dotterelhill/control/relay_client.py
@@ -17,7 +17,7 @@
     MinionError,
     MinionNotReachedError,
 )
-from dotterelhill.control.leadership import LeaderClock, LeaderCondition
+from dotterelhill.control.leadership import LeaderClock, LeaderCondition, LoadingWatch
 from dotterelhill.control.peers import LINK_PATH, condition_in_term
 from dotterelhill.control.relay_messages import (
     ENCODER,
@@ -105,6 +105,7 @@
         self._heard_at = float("-inf")
         self._newest: LeaderMessage | None = None
         self._leader_clock: LeaderClock | None = None
+        self._loading = LoadingWatch(clock)
 
     @property
     def leader_clock(self) -> LeaderClock | None:
@@ -125,7 +126,7 @@
         message = self._newest
         if message is None or self._clock() - self._heard_at > SILENCE_SECONDS:
             return None
-        return condition_in_term(message, incarnation, epoch)
+        return self._loading.refine(condition_in_term(message, incarnation, epoch))
 
     def receive(self, data: bytes) -> None:
         """Process one message of the leader and begin its calls.
@@ -138,6 +139,7 @@
         extra_seconds = self._transit.extra_seconds(message.sent_at, now)
         if extra_seconds <= SILENCE_SECONDS:
             self._newest, self._heard_at = message, now
+            self._loading.record(message.incarnation, message.loading_progress)
         if message.calls and extra_seconds > MAX_EXTRA_TRANSIT_SECONDS:
             fields = {"calls": len(message.calls), "late_ms": round(1000 * extra_seconds)}
             _log.warning("calls of the leader arrived too late and are not sent", extra=fields)
--- a/dotterelhill/control/relay_messages.py
+++ b/dotterelhill/control/relay_messages.py
@@ -75,6 +75,8 @@
     :param has_claim: whether the leader holds the newest claim that it knows of
     :param is_able: whether the leader can renew that claim
     :param ended_epoch: newest epoch that the process has led and ended; 0 for none
+    :param loading_progress: steps of loading done in this term; None when it has loaded, and from
+        builds that do not tell it
     """
 
     incarnation: str
@@ -83,6 +85,7 @@
     is_able: bool
     calls: list[RelayedCall]
     ended_epoch: int = 0
+    loading_progress: int | None = None
 
 
 class RelayMessage(msgspec.Struct, frozen=True, array_like=True):
--- a/dotterelhill/control/relay_pool.py
+++ b/dotterelhill/control/relay_pool.py
@@ -163,6 +163,7 @@
                 leadership.is_able,
                 calls,
                 leadership.ended_epoch,
+                leadership.loading_progress,
             )
             await self._socket.send_bytes(ENCODER.encode(message))
 
--- a/dotterelhill/control/tests/cluster.feature
+++ b/dotterelhill/control/tests/cluster.feature
@@ -454,3 +454,17 @@
       | 2       | 0.005 | 1.3    |
       | 0       | 0.4   | 1.2    |
       | -2      | 0.3   | 1.4    |
+
+  Scenario Outline: A leader that loads and can't renew is succeeded while it makes progress, or kept when it makes none
+    When 40 jobs of 1 task are submitted
+    And <load>
+    And the leader is killed
+    And 2.5 seconds pass
+    And renewals of the process that loads are lost
+    And <seconds> seconds pass
+    Then <count> processes have claimed since
+
+    Examples:
+      | load                                           | seconds | count |
+      | each job takes 100 ms to load                  | 3.0     | 1     |
+      | reads of the newest submissions take 20 seconds | 5.0     | 2     |
--- a/dotterelhill/control/tests/cluster_world.py
+++ b/dotterelhill/control/tests/cluster_world.py
@@ -420,7 +420,11 @@
     async def status(self, address):
         election = (await self._reach(address)).election
         return PeerStatus(
-            election.incarnation, election.has_claim, election.is_able, election.ended_epoch
+            election.incarnation,
+            election.has_claim,
+            election.is_able,
+            election.ended_epoch,
+            election.loading_progress,
         )
 
     async def announce_claim(self, address, claim):
@@ -513,6 +517,9 @@
         def new_leader(renewals_end: float) -> Leader:
             lag = self.minions.lag
             processor = self.minions.processor
+            slices = WorkSlices(lambda: processor.busy_until, processor.pause)
+            if not cluster.has_slices:
+                slices = WorkSlices(lambda: 0.0)
             self.assumed_renewals_end = renewals_end
             leader = Leader(
                 LeaderParts(
@@ -528,7 +535,7 @@
                     lambda: int(1000 * cluster.loop.time()),
                     rng,
                     self.metrics,
-                    WorkSlices(lambda: processor.busy_until, processor.pause),
+                    slices,
                 ),
                 renewals_end,
             )
@@ -590,6 +597,7 @@
         self.seconds_per_message = 0.0
         # Processor time of a leader for each job that it reads.
         self.seconds_per_job = 0.0
+        self.has_slices = True
         # Whether minions hold polls back until a run ends, for as long as the leader asks.
         self.is_polling_long = False
         self.loop = looptime.new_event_loop()
--- a/dotterelhill/control/tests/overload.feature
+++ b/dotterelhill/control/tests/overload.feature
@@ -49,3 +49,10 @@
     When another process has taken over for 4 second
     Then it has renewed its claim at least each 0.9 seconds
     And it has a report of each minion that is not gone
+
+  Scenario: processes that can't finish loading in time succeed each other without end
+    Given 5 processes whose processors take 6 ms for each message and 20 ms for each job, and 250 jobs
+    And work is not divided into slices
+    When all processes lose power and start again
+    And 30 seconds pass in the cluster
+    Then one process has claimed leadership at most 4 times and leads
--- a/dotterelhill/control/tests/steps/failover_steps.py
+++ b/dotterelhill/control/tests/steps/failover_steps.py
@@ -107,3 +107,20 @@
     ended_at = earlier.clock.time_of(last)
     assumed_at = newest.clock.time_of(newest.assumed_renewals_end)
     assert ended_at <= assumed_at, (ended_at, assumed_at)
+
+
+@when(r"each job takes (?P<ms>\d+) ms to load")
+def slow_jobs(context, ms):
+    context.cluster.seconds_per_job = int(ms) / 1000.0
+
+
+@when(r"renewals of the process that loads are lost")
+def lose_renewals(context):
+    context.loading_epoch = loading_process(context).leadership.epoch
+    context.loader.store.silent_streams.add(Stream.LEADERSHIP)
+
+
+@then(r"(?P<count>\d+) processes have claimed since")
+def check_claims_since(context, count):
+    epochs = [process.leadership.epoch for process in context.cluster.processes.values()]
+    assert max(epochs) - context.loading_epoch + 1 == int(count), epochs
--- a/dotterelhill/control/tests/steps/overload_steps.py
+++ b/dotterelhill/control/tests/steps/overload_steps.py
@@ -219,3 +219,8 @@
     times = [renewal.sent_at for renewal in renewals if renewal.epoch == epoch]
     gaps = [later - earlier for earlier, later in pairwise([*times, cluster.loop.time()])]
     assert gaps and max(gaps) <= float(limit), gaps
+
+
+@given(r"work is not divided into slices")
+def stop_slices(context):
+    context.cluster.has_slices = False
--- a/dotterelhill/platform/process.py
+++ b/dotterelhill/platform/process.py
@@ -14,7 +14,7 @@
 import aiohttp
 import mode
 
-from dotterelhill.control.election import Election
+from dotterelhill.control.election import MAX_START_DELAY_SECONDS, Election
 from dotterelhill.control.feeds import ConfigurationFeed, Follower
 from dotterelhill.control.health import ObservedStore
 from dotterelhill.control.interface import Stream
@@ -101,6 +101,7 @@
             self._configuration.apply_records,
             boot_seconds,
             self._random,
+            start_delay_seconds=MAX_START_DELAY_SECONDS,
         )
         self._minion_caller = HttpMinionCaller(self._open_session)
         self._relay_client = RelayClient(
