--- a/dotterelhill/control/election.py
+++ b/dotterelhill/control/election.py
@@ -251,15 +251,18 @@
         :param renewals_end: time from which that leader renews nothing, even if it is not reached
         :param is_settled: whether no leader before that one can renew leases
         """
-        reason = ""
-        while self._clock() < renewals_end:
+        # The end of renewals may have passed already; the leader is still told once.
+        while True:
             own = self._leadership.own_claim
             if own is None:
                 return
             try:
                 await self._peers.announce_claim(claim.address, own)
             except PeerUnreachableError as error:
-                reason = str(error)
+                if self._clock() >= renewals_end:
+                    fields = {"reason": str(error)}
+                    _log.info("previous leader could not be informed", extra=fields)
+                    return
                 await asyncio.sleep(CONFIRMATION_INTERVAL_SECONDS)
                 continue
             _log.info("previous leader has ended its term", extra={"epoch": claim.epoch})
@@ -267,7 +270,6 @@
                 self._leadership.settle_at(self._clock())
                 leader.end_earlier_renewals()
             return
-        _log.info("previous leader could not be informed", extra={"reason": reason})
 
     async def _condition_of(self, address: str, incarnation: str, epoch: int) -> LeaderCondition:
         condition = self._linked_condition(address, incarnation, epoch)
--- a/dotterelhill/control/tests/cluster.feature
+++ b/dotterelhill/control/tests/cluster.feature
@@ -468,3 +468,13 @@
       | load                                           | seconds | count |
       | each job takes 100 ms to load                  | 3.0     | 1     |
       | reads of the newest submissions take 20 seconds | 5.0     | 2     |
+
+  Scenario: A leader that can't reach the store does not learn of a claim made long after its lease
+    When 40 jobs of 1 task are submitted
+    And each job takes 400 ms to load
+    And the leader is killed
+    And 2.5 seconds pass
+    And renewals of the process that loads are lost
+    And 8 seconds pass
+    Then 2 processes have claimed since
+    And it has ended its term within 0.5 seconds
