--- a/dotterelhill/control/election.py
+++ b/dotterelhill/control/election.py
@@ -15,15 +15,19 @@
     RENEWAL_GRACE_SECONDS,
     RENEWAL_INTERVAL_SECONDS,
     Claim,
+    ClaimSeries,
     FailureDetector,
     LeaderClock,
     LeaderCondition,
     Leadership,
+    LoadingWatch,
 )
 from dotterelhill.control.peers import PeerClient, PeerUnreachableError, condition_in_term
 from dotterelhill.entry.logs import logger_of
 
 CHECK_INTERVAL_SECONDS = 0.5
+# After a loss of power, all processes start at once; their first reads of the store are spread.
+MAX_START_DELAY_SECONDS = 0.3
 # Interval between reads of the leadership stream while the leader is suspected to have failed.
 DETECTION_INTERVAL_SECONDS = 0.25
 # Interval between attempts to learn that the previous term has ended.
@@ -84,6 +88,8 @@
         missing_processors = max(0.0, FULL_PROCESSORS - processors)
         self._processor_delay_seconds = DELAY_SECONDS_PER_PROCESSOR * missing_processors
         self._detector = FailureDetector(clock)
+        self._loading = LoadingWatch(clock)
+        self._claims = ClaimSeries(clock)
         self._leader: Leader | None = None
         self._leader_address = ""
         self._leader_incarnation = ""
@@ -113,6 +119,11 @@
         """Return whether this process can renew its claim."""
         return self._leadership.is_able
 
+    @property
+    def loading_progress(self) -> int | None:
+        """Return the steps of loading done in the current term; None when it is not loading."""
+        return self._leadership.loading_progress
+
     @property
     def leader(self) -> Leader | None:
         """Return the current term of leadership; None unless this process leads."""
@@ -134,6 +145,7 @@
         self._remember(claim)
 
     def _remember(self, claim: Claim) -> None:
+        self._claims.record(claim)
         self._leader_address = claim.address
         self._leader_incarnation = claim.incarnation
         self._leader_epoch = claim.epoch
@@ -163,6 +175,7 @@
 
     @mode.Service.task
     async def _check(self) -> None:
+        await asyncio.sleep(self._random.uniform(0.0, MAX_START_DELAY_SECONDS))
         while not self.should_stop:
             try:
                 await self._check_leader()
@@ -206,7 +219,7 @@
         elif (claim.address, claim.incarnation, claim.epoch) != known:
             self._remember(claim)
             condition = await self._condition_of(claim.address, claim.incarnation, claim.epoch)
-        if not self._detector.is_claim_allowed(state, condition):
+        if not self._detector.is_claim_allowed(state, condition, self._claims.delay_factor):
             return
         latency_delay = min(
             MAX_LATENCY_DELAY_SECONDS, LATENCY_DELAY_FACTOR * self._store_latency_seconds
@@ -215,6 +228,8 @@
         await asyncio.sleep(latency_delay + self._processor_delay_seconds + jitter)
         if self._has_stopped_claiming or not await self._leadership.claim(state):
             return
+        if self._leadership.own_claim is not None:
+            self._claims.record(self._leadership.own_claim)
         _log.notice("took over leadership", extra={"condition": condition.name.lower()})
         renewals_end = self._clock()
         if claim is not None and condition is not LeaderCondition.GONE:
@@ -236,15 +251,18 @@
         :param renewals_end: time from which that leader renews nothing, even if it is not reached
         :param is_settled: whether no leader before that one can renew leases
         """
-        reason = ""
-        while self._clock() < renewals_end:
+        # The end of renewals may have passed already; the leader is still told once.
+        while True:
             own = self._leadership.own_claim
             if own is None:
                 return
             try:
                 await self._peers.announce_claim(claim.address, own)
             except PeerUnreachableError as error:
-                reason = str(error)
+                if self._clock() >= renewals_end:
+                    fields = {"reason": str(error)}
+                    _log.info("previous leader could not be informed", extra=fields)
+                    return
                 await asyncio.sleep(CONFIRMATION_INTERVAL_SECONDS)
                 continue
             _log.info("previous leader has ended its term", extra={"epoch": claim.epoch})
@@ -252,7 +270,6 @@
                 self._leadership.settle_at(self._clock())
                 leader.end_earlier_renewals()
             return
-        _log.info("previous leader could not be informed", extra={"reason": reason})
 
     async def _condition_of(self, address: str, incarnation: str, epoch: int) -> LeaderCondition:
         condition = self._linked_condition(address, incarnation, epoch)
@@ -262,7 +279,8 @@
             status = await self._peers.status(address)
         except PeerUnreachableError as error:
             return LeaderCondition.REFUSED if error.is_refused else LeaderCondition.SILENT
-        return condition_in_term(status, incarnation, epoch)
+        self._loading.record(status.incarnation, status.loading_progress)
+        return self._loading.refine(condition_in_term(status, incarnation, epoch))
 
     def _begin_term(self, renewals_end: float, earlier: Claim | None, *, is_settled: bool) -> None:
         """Begin a term of leadership.
--- a/dotterelhill/control/relay_pool.py
+++ b/dotterelhill/control/relay_pool.py
@@ -167,6 +167,7 @@
                 leadership.is_able,
                 calls,
                 leadership.ended_epoch,
+                leadership.loading_progress,
                 self._entry_notice(),
             )
             await self._socket.send_bytes(ENCODER.encode(message))
--- a/dotterelhill/platform/process.py
+++ b/dotterelhill/platform/process.py
@@ -15,7 +15,7 @@
 import mode
 
 from dotterelhill.control.currency import ConfigurationCurrency
-from dotterelhill.control.election import Election
+from dotterelhill.control.election import MAX_START_DELAY_SECONDS, Election
 from dotterelhill.control.feeds import (
     CONFIGURATION_WAIT_SECONDS,
     ConfigurationFeed,
@@ -117,6 +117,7 @@
             boot_seconds,
             self._random,
             wait_seconds=CONFIGURATION_WAIT_SECONDS,
+            start_delay_seconds=MAX_START_DELAY_SECONDS,
         )
         self._currency = ConfigurationCurrency(
             boot_seconds,
--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -18,6 +18,7 @@
     "batch": ("measure.batch_cost", "measure.batch_policy"),
     "tenants": ("measure.tenants_cost",),
     "agreement": ("measure.agreement",),
+    "failover": ("measure.failover_cost",),
     "cost": ("measure.fold_cost", "measure.node_cost"),
     "keys": ("measure.keys_cost",),
 }
