--- a/dotterelhill/control/leader.py
+++ b/dotterelhill/control/leader.py
@@ -194,6 +194,7 @@
             "jobs.minions": len(self._scheduler.minions),
             "jobs.relays": self._parts.relays.link_count,
             "jobs.start_limit": self._start_window.limit,
+            "jobs.extra_runs": self._scheduler.stragglers.extra_run_count,
             "jobs.loop_lag_seconds": self._parts.lag.seconds,
         }
 
--- a/dotterelhill/entry/metrics.py
+++ b/dotterelhill/entry/metrics.py
@@ -108,6 +108,7 @@
     Metric("jobs.minions", _G, "minions", "minions that the leader knows"),
     Metric("jobs.relays", _G, "processes", "relays that are connected to the leader"),
     Metric("jobs.start_limit", _G, "orders", "largest number of start orders in flight"),
+    Metric("jobs.extra_runs", _G, "runs", "copies and restarted runs of tasks that take too long"),
     Metric("jobs.loop_lag_seconds", _G, "seconds", "largest recent delay of the leader's loop"),
     Metric("jobs.is_leading", _G, "0 or 1", "whether this process leads the fleet"),
     Metric("trace.events", _C, "events", "events written to a trace", "slice"),
--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -17,6 +17,7 @@
     "requests": ("measure.requests_cost", "measure.requests_policy"),
     "batch": ("measure.batch_cost", "measure.batch_policy"),
     "agreement": ("measure.agreement",),
+    "jobs": ("measure.stragglers",),
     "cost": ("measure.fold_cost", "measure.node_cost"),
 }
 
