Release both runs of a task whose minions restarted under a new leader

Cause: a new leader reads both assignments of a task with a copy. If the minions of both have restarted, releasing the first makes the copy the first run, and the copy's assignment, read before, no longer matched it. The task stayed assigned to an incarnation that is gone and never ran again.

Ruled out: reading the assignments anew after each release (every loop over them would have to).

Change: an assignment is released as first run if it is the first run now.

Result: the new scenario in copies.feature failed with 2 instead of 3 starts, and passes. jobs/durations/tests 69 and jobs/tests 122 scenarios pass.

--- a/dotterelhill/jobs/durations/tests/copies.feature
+++ b/dotterelhill/jobs/durations/tests/copies.feature
@@ -81,6 +81,15 @@
     Then 3 starts were sent
     And the newest start has run 3
 
+  Scenario: a task waits forever under a new leader because the minions of both its runs restarted
+    Given job "a" of 1 speculative task with a copy
+    When the minion of run 1 restarts
+    And the minion of run 2 restarts
+    And a new leader takes over
+    And 0.5 seconds pass in rounds
+    Then 3 starts were sent
+    And the newest start has run 3
+
   @at-most-once
   Scenario: a planned copy starts although the first run has ended done while the plan was stored
     Given job "a" of 1 speculative task with a planned copy
--- a/dotterelhill/jobs/model.py
+++ b/dotterelhill/jobs/model.py
@@ -293,7 +293,8 @@
 
     def release(self, assignment: Assignment) -> None:
         """Remove a run that is no longer present; a copy takes the place of the first run."""
-        if not assignment.is_copy:
+        # The copy may have taken the place of the first run since the assignment was read.
+        if self.minion_id == assignment.minion_id and self.run_id == assignment.run_id:
             self.minion_id, self.minion_born_ms = self.copy_minion_id, self.copy_born_ms
             if self.copy_minion_id:
                 self.run_id, self.is_proven = self.copy_run_id, self.is_copy_proven
