--- a/dotterelhill/jobs/durations/stragglers.py
+++ b/dotterelhill/jobs/durations/stragglers.py
@@ -22,7 +22,7 @@
 from dataclasses import dataclass, field
 from math import inf
 
-from dotterelhill.jobs.durations.model import DurationModel
+from dotterelhill.jobs.durations.model import DurationModel, run_seconds
 from dotterelhill.jobs.fleet import Minion, Run, RunState
 from dotterelhill.jobs.model import FINAL_STATES, Job, Step
 from dotterelhill.jobs.queues import Queue
@@ -274,6 +274,9 @@
         # A run that may crash its minion must not do so on a second one.
         if task.run_id != run.run_id or task.crashes or not straggler.minion.is_answering:
             return False
+        is_minion_slow = straggler.minion.speed.is_slow
+        if not is_minion_slow and not self._is_slower_than_siblings(run, straggler.elapsed_seconds):
+            return False
         if not run.step.is_speculative:
             return not task.is_restarted
         # If the copy failed as well, the task would have used up its attempts.
