--- a/dotterelhill/control/tests/steps/currency_steps.py
+++ b/dotterelhill/control/tests/steps/currency_steps.py
@@ -28,7 +28,7 @@
         self.connection = self.silent_connection = 0
         self.aborted = 0
 
-    async def newest(self, stream, partition=0):
+    async def newest(self, stream, partition=0, partial=None):
         return await self.read(stream, 0, 0.0)
 
     async def read(self, stream, start, wait_seconds, partition=0):
