Cancel a restored job whose cancellation was read before it

Loading in slices applied the records one by one in the order of their keys, in which cancel/ID precedes an id from ce on, and a job that is restored with progress did not look for an earlier cancellation. Ruled out: pages of a resumed read, which read on from the offset of the first page. Change: restore looks for the cancellation as submit does, and a slice applies all records of one job at once, so that the choice among tenants with the same id sees all of them.

--- a/dotterelhill/control/leader.py
+++ b/dotterelhill/control/leader.py
@@ -349,11 +349,14 @@
     # Updates from the store
 
     async def _restore_submissions(self, records: tuple[Record, ...]) -> None:
-        """Process the newest submissions in slices."""
+        """Process the newest submissions in slices; the records of one job belong together."""
+        by_job: dict[str, list[Record]] = {}
+        for record in records:
+            by_job.setdefault(owner_of(record.key)[0], []).append(record)
         async with self._restoring:
             self._parts.slices.begin()
-            for record in records:
-                self._apply_submissions((record,), is_snapshot=False)
+            for group in by_job.values():
+                self._apply_submissions(tuple(group), is_snapshot=True)
                 self._parts.leadership.record_loading_step()
                 await self._parts.slices.pause_if_due()
 
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -232,6 +232,10 @@
                 self._attach_stored_run(job, task, assignment, now)
             if task.run_id and not task.is_assigned:
                 task.idle_since = self._unknown_run_end(now)
+        identity = (job.job_id, job.submission.tenant)
+        is_cancelled = self._early_cancellations.pop(identity, None) is not None
+        if is_cancelled and job.state not in FINAL_STATES:
+            self._end_job(job, JobState.CANCELLED, now)
 
     def _unknown_run_end(self, now: float) -> float:
         """Return the time at which a run counts as ended that an earlier leader saw last.
--- a/dotterelhill/jobs/tests/fleet_world.py
+++ b/dotterelhill/jobs/tests/fleet_world.py
@@ -155,10 +155,15 @@
                 return name
         return None
 
-    def take_over(self) -> None:
-        """Replace the scheduler by that of a new leader, loaded from the stored state."""
+    def take_over(self, cancelled_first: str = "") -> None:
+        """Replace the scheduler by that of a new leader, loaded from the stored state.
+
+        :param cancelled_first: job whose cancellation is read before the jobs
+        """
         self.scheduler = self._new_scheduler()
         self.configure()
+        if cancelled_first:
+            self.scheduler.cancel(cancelled_first, self.now)
         for facts in self.facts.values():
             self.scheduler.update_minion(facts, self.now)
         for submission in self.submitted:
--- a/dotterelhill/jobs/tests/scheduler.feature
+++ b/dotterelhill/jobs/tests/scheduler.feature
@@ -181,6 +181,14 @@
     Then 1 starts were sent in total
     And no stop was sent
 
+  # The records of the store come in the order of their keys, so that of a cancellation may be first.
+  Scenario: a new leader starts the tasks of a job whose cancellation it has read before the job
+    Given job "a" of 2 tasks of 1 processors
+    When 1 rounds pass
+    And a new leader takes over that reads the cancellation of job "a" first
+    And 2.0 seconds pass in rounds
+    Then job "a" is cancelled and none of its tasks waits or runs on
+
   Scenario: a new leader waits for a stored run that its minion does not report
     Given job "a" of 1 task of 1 processors
     When a round passes in which starts get no answer
--- a/dotterelhill/jobs/tests/steps/scheduler_steps.py
+++ b/dotterelhill/jobs/tests/steps/scheduler_steps.py
@@ -5,7 +5,7 @@
 from behave import given, then, use_step_matcher, when
 
 from dotterelhill.jobs.fleet import EndKind
-from dotterelhill.jobs.model import Step, TaskKey
+from dotterelhill.jobs.model import JobState, Step, TaskKey
 from dotterelhill.jobs.orders import StartOutcome
 from dotterelhill.jobs.resources import ResourceVector
 from dotterelhill.jobs.tests.fleet_world import FleetWorld, schedule
@@ -219,6 +219,19 @@
     del context.fleet.facts[name]
 
 
+@when(r'a new leader takes over that reads the cancellation of job "(?P<job>\w+)" first')
+def take_over_after_cancellation(context, job):
+    context.fleet.take_over(job)
+
+
+@then(r'job "(?P<job>\w+)" is cancelled and none of its tasks waits or runs on')
+def check_cancelled(context, job):
+    scheduler = context.fleet.scheduler
+    assert scheduler.jobs[job].state is JobState.CANCELLED, scheduler.jobs[job].state
+    assert scheduler.waiting_tasks == 0, scheduler.waiting_tasks
+    assert not any(task.is_assigned for task in scheduler.jobs[job].tasks.values())
+
+
 @when(r"a new leader takes over")
 def take_over(context):
     context.fleet.take_over()
