--- a/dotterelhill/jobs/tests/scheduler.feature
+++ b/dotterelhill/jobs/tests/scheduler.feature
@@ -187,7 +187,8 @@
     When 1 rounds pass
     And a new leader takes over that reads the cancellation of job "a" first
     And 2.0 seconds pass in rounds
-    Then job "a" is cancelled and none of its tasks waits or runs on
+    Then job "a" is cancelled, none of its tasks waits and each run is ordered to stop
+    And 2 starts were sent in total
 
   Scenario: a new leader waits for a stored run that its minion does not report
     Given job "a" of 1 task of 1 processors
--- a/dotterelhill/jobs/tests/steps/scheduler_steps.py
+++ b/dotterelhill/jobs/tests/steps/scheduler_steps.py
@@ -224,12 +224,13 @@
     context.fleet.take_over(job)
 
 
-@then(r'job "(?P<job>\w+)" is cancelled and none of its tasks waits or runs on')
+@then(r'job "(?P<job>\w+)" is cancelled, none of its tasks waits and each run is ordered to stop')
 def check_cancelled(context, job):
     scheduler = context.fleet.scheduler
     assert scheduler.jobs[job].state is JobState.CANCELLED, scheduler.jobs[job].state
     assert scheduler.waiting_tasks == 0, scheduler.waiting_tasks
-    assert not any(task.is_assigned for task in scheduler.jobs[job].tasks.values())
+    stopped = {stop.key for stop in context.fleet.stops}
+    assert stopped == set(scheduler.jobs[job].tasks), stopped
 
 
 @when(r"a new leader takes over")
