Keep the critical paths of a waiting job for 0.5 s

Ruled out: fewer rounds, which would delay every start. Change: the paths are computed again after 0.5 s, and at once when a step is done.

--- a/dotterelhill/jobs/placement/placement.py
+++ b/dotterelhill/jobs/placement/placement.py
@@ -57,6 +57,10 @@
 # A slow minion costs more than a rack without the data: it takes several times as long.
 SLOW_MINION_COST = 2.0
 
+# Learned durations change slowly, and thousands of jobs are ranked in each round. A step that is
+# done changes the remaining path at once.
+PATH_VALID_SECONDS = 0.5
+
 QueueLookup = Callable[[Job], Queue]
 
 
@@ -227,6 +231,7 @@
         if waiting is None or not job.is_step_done(key.occurrence, key.step):
             return
         waiting.pending.pop((key.occurrence, key.step), None)
+        waiting.path_at = float("-inf")
         for step, dependent in enumerate(job.submission.steps):
             if key.step in dependent.after:
                 self._add_ready_step(waiting, key.occurrence, step)
@@ -281,7 +286,7 @@
             if waiting.pending:
                 waiting.round_number = self._round_number
                 queue = queue_of(waiting.job)
-                key = _sort_key(waiting.job, queue, unix_ms, self._durations)
+                key = _sort_key(waiting, queue, now, unix_ms, self._durations)
                 ranked.append((key, queue, waiting))
         ranked.sort(key=lambda entry: entry[0])
         self._track_short_peak(minions, now)
@@ -738,11 +743,15 @@
 
 
 def _sort_key(
-    job: Job, queue: Queue, unix_ms: int, durations: DurationModel
+    waiting: WaitingJob, queue: Queue, now: float, unix_ms: int, durations: DurationModel
 ) -> tuple[int, int, float]:
     """Return the sort key of a job: priority, timeliness, and slack in seconds."""
+    job = waiting.job
+    if now - waiting.path_at >= PATH_VALID_SECONDS:
+        waiting.path_at = now
+        waiting.path_seconds, waiting.remaining_seconds = _path_seconds(job, durations)
+    path_seconds, remaining = waiting.path_seconds, waiting.remaining_seconds
     age_seconds = (unix_ms - job.submission.accepted_ms) / 1000.0
-    path_seconds, remaining = _path_seconds(job, durations)
     objective = queue.stretch * path_seconds + queue.target_seconds
     timeliness = Timeliness.IN_TIME
     if age_seconds + remaining > TOO_LATE_FACTOR * objective:
--- a/dotterelhill/jobs/placement/waiting.py
+++ b/dotterelhill/jobs/placement/waiting.py
@@ -18,11 +18,17 @@
 
     :param pending: keys of the tasks that can start
     :param round_number: newest round in which tasks of the job could start
+    :param path_at: loop time at which the critical paths were computed
+    :param path_seconds: expected duration of the critical path through all steps
+    :param remaining_seconds: expected duration of that through the unfinished steps
     """
 
     job: Job
     pending: dict[OccurrenceStep, list[TaskKey]] = field(default_factory=dict)
     round_number: int = 0
+    path_at: float = float("-inf")
+    path_seconds: float = 0.0
+    remaining_seconds: float = 0.0
 
 
 # Sort key, current queue and waiting tasks of a job.
