--- a/dotterelhill/control/tests/steps/tenant_steps.py
+++ b/dotterelhill/control/tests/steps/tenant_steps.py
@@ -127,7 +127,7 @@
 @given(r"a message of the leader that names a version and rates")
 def encode_message(context):
     notice = EntryNotice(7, 0.5, {"t": AdmittedRate(1.0, 9.0, 4.0)}, 3)
-    context.message = LeaderMessage("a/1", 1.0, True, True, [], 2, notice)
+    context.message = LeaderMessage("a/1", 1.0, True, True, [], 2, entry=notice)
     context.data = ENCODER.encode(context.message)
     assert LEADER_DECODER.decode(context.data) == context.message
 
