--- a/dotterelhill/jobs/changes.py
+++ b/dotterelhill/jobs/changes.py
@@ -13,6 +13,22 @@
 MAX_LEASE_SECONDS = 6.0
 
 
+@dataclass(frozen=True, slots=True)
+class Switches:
+    """Parts of the scheduler that a deployment may turn on or off.
+
+    :param look_ahead: whether waiting tasks hold reservations of future capacity
+    :param shortage_control: whether a shortage changes the order of jobs and what is admitted
+    :param reclaim: whether tenants below their share take capacity back from others
+    :param speed_placement: whether learned speeds and failures of minions decide placement
+    """
+
+    look_ahead: bool = False
+    shortage_control: bool = False
+    reclaim: bool = True
+    speed_placement: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class SchedulerSettings:
     """Time limits of the scheduler in seconds, and switches.
@@ -24,6 +40,7 @@
         minions that don't guard their capacity
     :param are_copies_enabled: whether tasks of speculative steps may have a second run
     :param are_restarts_enabled: whether other runs that take too long are started again elsewhere
+    :param switches: parts that the deployment has turned on
     """
 
     hold_seconds: float = 6.0
@@ -32,6 +49,7 @@
     capacity_valid_seconds: float = float("inf")
     are_copies_enabled: bool = True
     are_restarts_enabled: bool = True
+    switches: Switches = Switches()
 
     @property
     def lease_seconds(self) -> float:
--- a/dotterelhill/platform/process.py
+++ b/dotterelhill/platform/process.py
@@ -244,6 +244,7 @@
                     settings.retention_seconds,
                     settings.harm_seconds,
                     settings.capacity_valid_seconds,
+                    switches=settings.switches,
                 ),
                 clock=boot_seconds,
                 unix_ms=unix_ms,
--- a/dotterelhill/platform/settings.py
+++ b/dotterelhill/platform/settings.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import os
 from dataclasses import dataclass
 from pathlib import Path
 
 import msgspec
 
+from dotterelhill.control.switches import SwitchError, load_switches
+from dotterelhill.jobs.changes import Switches
 from dotterelhill.jobs.tenants.access import AccessSettings
 
 SETTINGS_VARIABLE = "DOTTERELHILL_BOOT"
@@ -98,6 +101,7 @@
         minions that don't guard their capacity
     :param processors: number of processors that the process may use
     :param access: time limits for the use of a configuration that may be outdated
+    :param switches: parts of the scheduler that are turned on
     """
 
     vm_name: str
@@ -116,12 +120,13 @@
     capacity_valid_seconds: float
     processors: float
     access: AccessSettings
+    switches: Switches
 
 
 def load_settings(path: Path) -> ProcessSettings:
-    """Load and check a settings file.
+    """Load and check a settings file and the switches in the environment.
 
-    :raises SettingsError: when the file can't be read or a field is missing or invalid
+    :raises SettingsError: when the file can't be read, or a field or switch is missing or invalid
     """
     try:
         data = path.read_bytes()
@@ -131,6 +136,10 @@
         file = msgspec.json.decode(data, type=_File, strict=False)
     except msgspec.MsgspecError as error:
         raise SettingsError(f"{path}: {error}") from error
+    try:
+        switches = load_switches(os.environ)
+    except SwitchError as error:
+        raise SettingsError(str(error)) from error
     if not file.internalPorts:
         raise SettingsError(f"{path}: internalPorts: expected at least one port, got none")
     return ProcessSettings(
@@ -150,6 +159,7 @@
         capacity_valid_seconds=_capacity_valid_seconds(file),
         processors=file.limits.cpuShare * file.limits.cores,
         access=_access_settings(file.bounds),
+        switches=switches,
     )
 
 
--- a/dotterelhill/platform/tests/adapter.feature
+++ b/dotterelhill/platform/tests/adapter.feature
@@ -36,6 +36,25 @@
       | 5000      | 1100      | 3.9     |
       | 4000      | 5000      | 2.0     |
 
+  Scenario Outline: A misspelled switch is ignored, so that a part stays off without notice
+    Given a settings file with nodeName of "vm-1"
+    And the variable <variable> is "<value>"
+    When the settings are loaded
+    Then loading fails with an error that names "<variable>"
+
+    Examples:
+      | variable                       | value |
+      | DOTTERELHILL_LOOK_AHEAD        | yes   |
+      | DOTTERELHILL_SHORTAGE_CONTROL  | On    |
+      | DOTTERELHILL_RECLAIM           | 0     |
+      | DOTTERELHILL_SPEED_PLACEMENT   | true  |
+
+  Scenario: A switch that is set to "on" does not reach the scheduler
+    Given a settings file with nodeName of "vm-1"
+    And the variable DOTTERELHILL_LOOK_AHEAD is "on"
+    When the settings are loaded
+    Then look_ahead and reclaim are the switches that are on
+
   Scenario: The scheduler command without settings ends with a traceback
     When the scheduler command runs without its variable
     Then it ends with status 2 and an error that names "DOTTERELHILL_BOOT"
--- a/dotterelhill/platform/tests/steps/adapter_steps.py
+++ b/dotterelhill/platform/tests/steps/adapter_steps.py
@@ -5,8 +5,10 @@
 import subprocess
 import sys
 import tempfile
+from dataclasses import asdict
 from hashlib import sha256
 from pathlib import Path
+from unittest import mock
 
 from behave import given, then, use_step_matcher, when
 
@@ -86,6 +88,20 @@
     context.path.write_text(json.dumps({**fields, "heartbeatMs": int(value)}))
 
 
+@given(r'the variable (?P<name>[A-Z_]+) is "(?P<value>\w+)"')
+def set_variable(context, name, value):
+    patch = mock.patch.dict(os.environ, {name: value})
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
+@then(r"(?P<first>\w+) and (?P<second>\w+) are the switches that are on")
+def check_switches(context, first, second):
+    assert context.error is None, context.error
+    switches = asdict(context.settings.switches)
+    assert {name for name, is_on in switches.items() if is_on} == {first, second}, switches
+
+
 @then(r"the list of minions may be (?P<seconds>[\d.]+) seconds old")
 def check_capacity_valid(context, seconds):
     assert context.error is None, context.error
