Share the simulated fleet of the straggler measurement

Cause: the comparison of orders in a shortage needs the same fleet in virtual time. Change: measure/simulation.py holds the fleet, measure/stragglers.py its load and tails. The new package jobs/shortage estimates ends of jobs and ranks them in a shortage behind the switch shortage_control, which is off by default.

--- a/dotterelhill/jobs/model.py
+++ b/dotterelhill/jobs/model.py
@@ -96,6 +96,7 @@
     :param accepted_ms: Unix millisecond at which the entry process stored it
     :param payload: text that every start order passes to the minion
     :param tenant: tenant that owns the job; empty for a job of an anonymous queue
+    :param domain: failure domain of the entry process that accepted it; empty if not known
     """
 
     job_id: str
@@ -105,6 +106,7 @@
     steps: tuple[Step, ...]
     schedule: Schedule | None = None
     tenant: str = ""
+    domain: str = ""
 
     @property
     def occurrence_count(self) -> int:
--- a/dotterelhill/jobs/placement/placement.py
+++ b/dotterelhill/jobs/placement/placement.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator, Mapping, Sequence
+from collections.abc import Callable, Collection, Iterator, Mapping, Sequence
 from functools import partial
 from heapq import heapify, heappop, heapreplace
 from math import inf
@@ -24,6 +24,7 @@
 )
 from dotterelhill.jobs.placement.lasting_waits import WaitingStep
 from dotterelhill.jobs.placement.waiting import (
+    JobOrder,
     OccurrenceStep,
     RankedJob,
     WaitingJob,
@@ -73,6 +74,7 @@
     :param limits: limits of tenants
     :param failing: lasting tasks that fail on every minion
     :param shares: order among tenants
+    :param job_order: order of jobs that replaces the usual one; None for the usual one
     """
 
     def __init__(
@@ -83,7 +85,9 @@
         limits: TenantLimits,
         failing: FailingTasks,
         shares: TenantShares,
+        job_order: JobOrder | None = None,
     ) -> None:
+        self._job_order = job_order
         self._interference = interference
         self._limits = limits
         self._shares = shares
@@ -111,6 +115,11 @@
             count += sum(len(keys) for keys in waiting.pending.values())
         return count
 
+    @property
+    def waiting_jobs(self) -> Collection[WaitingJob]:
+        """Return the jobs that have not ended."""
+        return self._waiting_jobs.values()
+
     @property
     def had_starts_left(self) -> bool:
         """Return whether the newest round tried every waiting task."""
@@ -287,6 +296,8 @@
                 waiting.round_number = self._round_number
                 queue = queue_of(waiting.job)
                 key = _sort_key(waiting, queue, now, unix_ms, self._durations)
+                if self._job_order is not None:
+                    key = self._job_order.rank(waiting, queue, key)
                 ranked.append((key, queue, waiting))
         ranked.sort(key=lambda entry: entry[0])
         self._track_short_peak(minions, now)
--- a/dotterelhill/jobs/placement/waiting.py
+++ b/dotterelhill/jobs/placement/waiting.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from dotterelhill.jobs.fleet import Minion
 from dotterelhill.jobs.model import Job, Step, TaskKey
@@ -35,6 +36,18 @@
 RankedJob = tuple[tuple[int, int, float], Queue, WaitingJob]
 
 
+class JobOrder(Protocol):
+    """Order of jobs that replaces that by priority, timeliness and slack."""
+
+    def rank(
+        self, waiting: WaitingJob, queue: Queue, key: tuple[int, int, float]
+    ) -> tuple[int, int, float]:
+        """Return the sort key of a job.
+
+        :param key: its priority, timeliness and slack
+        """
+
+
 def startable_lasting_steps(
     waiting: WaitingJob, queue: Queue, unix_ms: int
 ) -> Iterator[tuple[Step, list[TaskKey]]]:
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -58,7 +58,9 @@
 from dotterelhill.jobs.placement.failing_tasks import FailingTasks
 from dotterelhill.jobs.placement.lasting_waits import LastingWaits, explain_wait
 from dotterelhill.jobs.placement.placement import UNLIMITED_STARTS, Placement
+from dotterelhill.jobs.placement.waiting import JobOrder
 from dotterelhill.jobs.queues import FleetConfig, Queue
+from dotterelhill.jobs.shortage.control import ShortageControl
 from dotterelhill.jobs.tenants.gauges import TenantGauges
 from dotterelhill.jobs.tenants.limits import TenantLimits
 from dotterelhill.jobs.tenants.loads import CapacityCheck, TenantLoad, TenantLoads
@@ -84,9 +86,12 @@
 
     :param settings: time limits of the scheduler
     :param renewals_end: loop time in seconds until which an earlier leader may renew leases
+    :param job_order: order of jobs that replaces the usual one, for measurements
     """
 
-    def __init__(self, settings: SchedulerSettings, renewals_end: float) -> None:
+    def __init__(
+        self, settings: SchedulerSettings, renewals_end: float, job_order: JobOrder | None = None
+    ) -> None:
         self._settings = settings
         # A run that an earlier leader started may continue until this loop time on a minion that
         # does not answer.
@@ -112,6 +117,9 @@
             are_copies_enabled=settings.are_copies_enabled,
             are_restarts_enabled=settings.are_restarts_enabled,
         )
+        self._shortage: ShortageControl | None = None
+        if settings.switches.shortage_control:
+            self._shortage = ShortageControl(self._durations)
         self._placement = Placement(
             self._interference,
             self._suspicion,
@@ -119,6 +127,7 @@
             self._tenant_limits,
             self._failing,
             self._tenant_shares,
+            job_order or self._shortage,
         )
         self._lasting_waits = LastingWaits()
         self._hold = StartHold(settings.capacity_valid_seconds)
@@ -156,6 +165,11 @@
         """Return the search for runs that take much longer than expected."""
         return self._stragglers
 
+    @property
+    def shortage(self) -> ShortageControl | None:
+        """Return the control of shortages; None where it is turned off."""
+        return self._shortage
+
     @property
     def lasting_waits(self) -> LastingWaits:
         """Return the waiting times of lasting tasks that do not run."""
@@ -331,6 +345,8 @@
         job.ended_at = now
         self._active_jobs.pop(job.job_id, None)
         self._placement.remove_job(job)
+        if self._shortage is not None:
+            self._shortage.record_end(job, now)
         self._suspicion.remove_job(job)
         self._stragglers.forget_job(job.job_id)
         self._mark_dirty(job)
@@ -622,6 +638,8 @@
         if job is not None and end.kind is EndKind.DONE:
             self._durations.record_end(job.submission.queue.name, run, minion)
             self._stragglers.record_done(run, minion)
+            if self._shortage is not None:
+                self._shortage.record_done(job.submission.queue.name, run, minion)
         return run
 
     def _process_success(self, job: Job, task: Task, now: float) -> None:
@@ -878,6 +896,10 @@
         self._expire_state(now)
         self._record_hold(now)
         self._report_waits(now, unix_ms)
+        if self._shortage is not None:
+            minions, jobs = self._minions.values(), self._placement.waiting_jobs
+            self._shortage.update(jobs, minions, self._queue_of, now, unix_ms)
+            self._decisions.extend(self._shortage.take_decisions())
         usable = []
         for_trial = []
         for minion in self._minions.values():
--- /dev/null
+++ b/dotterelhill/jobs/shortage/__init__.py
@@ -0,0 +1,1 @@
+"""Shortage control: expected ends of jobs, their order in a shortage, and admission by queue."""
--- /dev/null
+++ b/dotterelhill/jobs/shortage/control.py
@@ -0,0 +1,152 @@
+"""Shortage control of the leader: one estimate for the order of jobs and for admission."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection, Iterable, Iterator
+
+from dotterelhill.jobs.changes import Decision
+from dotterelhill.jobs.durations.model import DurationModel
+from dotterelhill.jobs.fleet import Minion, Run
+from dotterelhill.jobs.model import Job, JobState, Timeliness
+from dotterelhill.jobs.placement.waiting import WaitingJob
+from dotterelhill.jobs.queues import Queue
+from dotterelhill.jobs.shortage.demand import SortKey, TrackedJob, track
+from dotterelhill.jobs.shortage.finish import FinishEstimate
+from dotterelhill.jobs.shortage.floors import Floors
+from dotterelhill.jobs.shortage.order import ShortageState, shortage_key
+from dotterelhill.jobs.shortage.throughput import Throughput
+
+# Estimating thousands of jobs takes milliseconds, and a round comes after each report.
+UPDATE_SECONDS = 0.25
+
+
+class ShortageControl:
+    """Estimates ends of jobs, and ranks jobs while their priority is in shortage.
+
+    :param durations: learned durations of tasks
+    """
+
+    def __init__(self, durations: DurationModel) -> None:
+        self._durations = durations
+        self._throughput = Throughput()
+        self._floors = Floors()
+        self._state = ShortageState()
+        self._jobs: dict[str, TrackedJob] = {}
+        self._short_priorities: frozenset[tuple[str, int]] = frozenset()
+        self._updated_at = float("-inf")
+        self._clock_offset = 0.0
+        self._decisions: list[Decision] = []
+        self.estimate = FinishEstimate(self._throughput)
+
+    @property
+    def short_queues(self) -> frozenset[str]:
+        """Return the queues in shortage."""
+        return self._state.queues
+
+    def take_decisions(self) -> list[Decision]:
+        """Return the changes of state since the last call, for the log and the metrics."""
+        decisions, self._decisions = self._decisions, []
+        return decisions
+
+    def record_done(self, queue: str, run: Run, minion: Minion) -> None:
+        """Learn from a run that ended done.
+
+        :param queue: name of its queue
+        """
+        self._throughput.record_done(run, minion, self._durations.expected(queue, run.step))
+
+    def record_end(self, job: Job, now: float) -> None:
+        """Count an ended job as served in time or not."""
+        tracked = self._jobs.pop(job.job_id, None)
+        if tracked is None or tracked.is_decided or job.state is JobState.CANCELLED:
+            return
+        is_in_time = self._age_seconds(job, now) <= tracked.objective_seconds
+        is_served = job.state is JobState.COMPLETED and is_in_time
+        self._floors.record(tracked, now, is_served=is_served)
+
+    def rank(self, waiting: WaitingJob, queue: Queue, key: SortKey) -> SortKey:
+        """Return the sort key of a job, which differs from ``key`` in a shortage only."""
+        tracked = self._jobs.get(waiting.job.job_id)
+        if tracked is None:
+            return key
+        if (queue.service, queue.priority) in self._short_priorities:
+            mean_work = self.estimate.mean_work(queue.name)
+            is_below = key[1] == Timeliness.IN_TIME and self._floors.is_below(tracked)
+            key = shortage_key(tracked, key, mean_work, is_below=is_below)
+        tracked.rank = key
+        return key
+
+    def update(
+        self,
+        waiting_jobs: Iterable[WaitingJob],
+        minions: Collection[Minion],
+        queue_of: Callable[[Job], Queue],
+        now: float,
+        unix_ms: int,
+    ) -> None:
+        """Estimate anew, if the newest estimate is old.
+
+        :param waiting_jobs: all jobs that have not ended
+        """
+        if now - self._updated_at < UPDATE_SECONDS:
+            return
+        self._updated_at = now
+        self._clock_offset = unix_ms / 1000.0 - now
+        self._throughput.measure_free_capacity(minions)
+        self.estimate.update(self._waiting(waiting_jobs, queue_of, now), now)
+        self._floors.update(now)
+        changed = self._state.update(self.estimate.outlooks)
+        self._record_changes(changed)
+        self._short_priorities = frozenset(
+            (tracked.queue.service, tracked.queue.priority)
+            for tracked in self._jobs.values()
+            if tracked.queue.name in self._state.queues
+        )
+
+    def _waiting(
+        self, waiting_jobs: Iterable[WaitingJob], queue_of: Callable[[Job], Queue], now: float
+    ) -> Iterator[tuple[TrackedJob, float]]:
+        """Yield the jobs with waiting tasks, each with its age, and count those that got late."""
+        for waiting in waiting_jobs:
+            # A job that no round has ranked has no path yet.
+            if waiting.path_at == float("-inf") and waiting.job.job_id not in self._jobs:
+                continue
+            tracked = self._tracked(waiting, queue_of(waiting.job))
+            if tracked is None:
+                continue
+            tracked.refresh(waiting, self._durations)
+            age_seconds = self._age_seconds(waiting.job, now)
+            if not tracked.is_decided and age_seconds > tracked.objective_seconds:
+                tracked.is_decided = True
+                self._floors.record(tracked, now, is_served=False)
+            if tracked.is_waiting:
+                yield tracked, age_seconds
+
+    def _tracked(self, waiting: WaitingJob, queue: Queue) -> TrackedJob | None:
+        """Return the state of a job, which begins when its path is known."""
+        tracked = self._jobs.get(waiting.job.job_id)
+        if tracked is not None:
+            tracked.queue = queue
+            return tracked
+        tracked = track(waiting, queue, self._durations)
+        if tracked is not None:
+            tracked.refresh(waiting, self._durations)
+            self._jobs[waiting.job.job_id] = tracked
+            self.estimate.learn(tracked)
+            self._floors.learn(tracked)
+        return tracked
+
+    def _age_seconds(self, job: Job, now: float) -> float:
+        """Return the time since a job was accepted."""
+        return now + self._clock_offset - job.submission.accepted_ms / 1000.0
+
+    def _record_changes(self, changed: Iterable[str]) -> None:
+        """Record a decision for each queue that entered or left shortage."""
+        for name in sorted(changed):
+            outlook = self.estimate.outlooks.get(name)
+            fields: dict[str, object] = {"queue": name}
+            if outlook is not None:
+                fields |= {"waiting": outlook.waiting, "late": outlook.late}
+            is_short = name in self._state.queues
+            message = "queue entered shortage" if is_short else "queue left shortage"
+            self._decisions.append(Decision(message, "", fields))
--- /dev/null
+++ b/measure/shortage_load.py
@@ -0,0 +1,190 @@
+"""Load of the comparison of orders and admission in a shortage, and its simulation."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Sequence
+from dataclasses import dataclass
+from random import Random
+
+from dotterelhill.jobs.changes import SchedulerSettings, Switches
+from dotterelhill.jobs.model import Step, Submission
+from dotterelhill.jobs.orders import StartOrder
+from dotterelhill.jobs.placement.waiting import JobOrder, WaitingJob
+from dotterelhill.jobs.queues import Queue
+from dotterelhill.jobs.resources import ResourceVector
+from dotterelhill.jobs.shortage.order import value_of
+from measure.simulation import START, FleetSimulation, RecordedJob
+
+MINIONS, CPU = 60, 4000
+# Jobs that arrive before are not counted, since every leader has to learn first.
+WARM_UP_SECONDS = 10.0
+# Seconds at which a phase begins, and its load as a share of the processors.
+PHASES = ((0.0, 0.7), (15.0, 1.6), (30.0, 0.7), (45.0, 2.6), (55.0, 0.9), (75.0, 1.3))
+SECONDS = 90.0
+# Jobs that are not done by then are late in any case.
+END_SECONDS = 130.0
+DOMAINS, DOMAIN_WEIGHTS = ("a", "b", "c"), (5, 1, 1)
+QUEUES = {
+    "search": Queue("search", "h", "/search/", "pool", 0, 4, 1.5, 0.5),
+    "plan": Queue("plan", "h", "/plan/", "pool", 0, 4, 2.0, 1.0),
+    "batch": Queue("batch", "h", "/batch/", "pool", 2, 4, 2.0, 1.0),
+}
+# Share of the work of each queue.
+WORK_SHARES = {"search": 0.3, "plan": 0.3, "batch": 0.4}
+
+
+def load_at(seconds: float) -> float:
+    """Return the load at a time, as a share of the processors."""
+    return next(load for begin, load in reversed(PHASES) if begin <= seconds)
+
+
+def _steps(queue: str, rng: Random) -> tuple[list[Step], list[float]]:
+    """Return the steps of a job, with estimates that are off, and their usual durations."""
+    match queue:
+        case "search":
+            sizes, usual, is_filler = [rng.randint(1, 4)], [0.8], False
+        case "plan":
+            sizes = [min(60, int(rng.paretovariate(1.1) * 3)), rng.randint(1, 5)]
+            usual, is_filler = [rng.choice((0.6, 1.2)), 0.6], False
+        case _:
+            sizes, usual, is_filler = [20, 20], [1.7, 1.7], True
+    steps = []
+    for number, (count, seconds) in enumerate(zip(sizes, usual, strict=True)):
+        factor = 1.0 + rng.choice((-1.0, 1.0)) * rng.uniform(0.2, 0.9)
+        step = Step(
+            count, ResourceVector(1000, 100), factor * seconds, after=(0,) if number else (),
+            image=f"{queue}{seconds}", is_filler=is_filler,
+        )  # fmt: skip
+        steps.append(step)
+    return steps, usual
+
+
+def record_load(seed: int) -> list[RecordedJob]:
+    """Return jobs of all queues and failure domains in the order of their arrival."""
+    rng = Random(seed)
+    jobs: list[RecordedJob] = []
+    for name, queue in QUEUES.items():
+        at = 0.0
+        while True:
+            steps, usual = _steps(name, rng)
+            work = sum(step.count * one for step, one in zip(steps, usual, strict=True))
+            rate = load_at(at) * WORK_SHARES[name] * MINIONS * CPU / 1000.0
+            at += rng.expovariate(1.0) * work / rate
+            if at >= SECONDS:
+                break
+            domain = rng.choices(DOMAINS, DOMAIN_WEIGHTS)[0]
+            submission = Submission(
+                f"{name}{len(jobs)}", queue, int(1000 * (START + at)), "", tuple(steps),
+                domain=domain,
+            )  # fmt: skip
+            jobs.append(RecordedJob(at, submission, tuple(usual)))
+    jobs.sort(key=lambda job: job.arrives_at)
+    return jobs
+
+
+class FirstComeFirstServed(JobOrder):
+    """Order by acceptance."""
+
+    def rank(
+        self, waiting: WaitingJob, queue: Queue, key: tuple[int, int, float]
+    ) -> tuple[int, int, float]:
+        """Return the time of acceptance."""
+        return (0, 0, waiting.job.submission.accepted_ms)
+
+
+class EarliestDeadlineFirst(JobOrder):
+    """Order by the time at which jobs should have ended."""
+
+    def rank(
+        self, waiting: WaitingJob, queue: Queue, key: tuple[int, int, float]
+    ) -> tuple[int, int, float]:
+        """Return the time of the objective."""
+        objective = queue.stretch * waiting.path_seconds + queue.target_seconds
+        return (0, 0, waiting.job.submission.accepted_ms + 1000.0 * objective)
+
+
+def job_work(job: RecordedJob) -> float:
+    """Return the usual work of a job in processor seconds."""
+    steps = job.submission.steps
+    return sum(step.count * one for step, one in zip(steps, job.usual_seconds, strict=True))
+
+
+@dataclass(frozen=True, slots=True)
+class Policy:
+    """Way in which jobs are ordered and admitted.
+
+    :param job_order: order that replaces that of the scheduler
+    :param has_control: whether shortage control is on
+    :param has_refusal: whether entry processes apply its verdicts
+    """
+
+    name: str
+    job_order: JobOrder | None = None
+    has_control: bool = False
+    has_refusal: bool = False
+
+
+class ShortageSimulation(FleetSimulation):
+    """Load with shortages under one policy."""
+
+    def __init__(self, load: Sequence[RecordedJob], seed: int, policy: Policy) -> None:
+        settings = SchedulerSettings(switches=Switches(shortage_control=policy.has_control))
+        queues = list(QUEUES.values())
+        super().__init__(load, settings, queues, MINIONS, CPU, policy.job_order)
+        self._seed = seed
+        self.completed: dict[str, float] = {}
+        self.errors: list[tuple[float, float]] = []
+
+    def is_over(self) -> bool:
+        """Return whether no open job can be in time any more."""
+        return super().is_over() or self.now - START >= END_SECONDS
+
+    def record_completion(self, job: RecordedJob) -> None:
+        """Record the time of a completion."""
+        self.completed[job.submission.job_id] = self.now
+
+    def run_seconds(self, order: StartOrder, usual_seconds: float) -> float:
+        """Return the usual duration with noise."""
+        rng = Random(f"{self._seed}/{order.run.key}")
+        return usual_seconds * rng.uniform(0.85, 1.15)
+
+
+@dataclass(slots=True)
+class Outcome:
+    """Results of one simulation, over the jobs that arrived after the warm-up."""
+
+    counted: Counter[str]
+    in_time: Counter[str]
+    value: float
+    whole_value: float
+
+    def share(self, group: str) -> float:
+        """Return the share of the jobs of a group that ended in time."""
+        return self.in_time[group] / max(1, self.counted[group])
+
+
+def outcome_of(load: Sequence[RecordedJob], simulation: ShortageSimulation) -> Outcome:
+    """Return the results: by queue, failure domain, and size class of the queue with sizes."""
+    works: dict[str, list[float]] = {name: [] for name in QUEUES}
+    for job in load:
+        works[job.submission.queue.name].append(job_work(job))
+    outcome = Outcome(Counter(), Counter(), 0.0, 0.0)
+    tenth = sorted(works["plan"])[int(0.9 * len(works["plan"]))]
+    for job in load:
+        if job.arrives_at < WARM_UP_SECONDS:
+            continue
+        queue = job.submission.queue.name
+        ended_at = simulation.completed.get(job.submission.job_id)
+        seconds = float("inf") if ended_at is None else ended_at - START - job.arrives_at
+        is_in_time = seconds <= job.allowed_seconds
+        value = value_of(job_work(job), sum(works[queue]) / len(works[queue]))
+        outcome.whole_value += value
+        outcome.value += value * is_in_time
+        groups = ["all", queue, f"domain {job.submission.domain}"]
+        if queue == "plan" and job_work(job) >= tenth:
+            groups.append("largest tenth")
+        outcome.counted.update(groups)
+        if is_in_time:
+            outcome.in_time.update(groups)
+    return outcome
--- /dev/null
+++ b/measure/simulation.py
@@ -0,0 +1,207 @@
+"""Fleet in virtual time, on which measurements schedule a recorded load."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+
+from dotterelhill.jobs.changes import SchedulerSettings
+from dotterelhill.jobs.fleet import EndKind, EndReport, Minion, MinionFacts, MinionReport, RunReport
+from dotterelhill.jobs.model import JobState, Step, Submission, TaskKey
+from dotterelhill.jobs.orders import StartOrder, StartOutcome, StopOrder
+from dotterelhill.jobs.placement.waiting import JobOrder
+from dotterelhill.jobs.queues import FleetConfig, Queue
+from dotterelhill.jobs.resources import ResourceVector
+from dotterelhill.jobs.scheduler import Scheduler
+
+TICK_SECONDS = 0.1
+START = 1000.0
+MEMORY_MB = 64000
+LEASE_SECONDS = 6.0
+
+
+@dataclass(frozen=True, slots=True)
+class RecordedJob:
+    """Job of a load; its steps follow each other.
+
+    :param arrives_at: seconds from the start of the load
+    :param usual_seconds: usual duration of a task, by step
+    """
+
+    arrives_at: float
+    submission: Submission
+    usual_seconds: tuple[float, ...]
+
+    @property
+    def allowed_seconds(self) -> float:
+        """Return the time within which the job has to end."""
+        queue = self.submission.queue
+        return queue.stretch * sum(self.usual_seconds) + queue.target_seconds
+
+
+@dataclass(slots=True)
+class SimulatedRun:
+    """Run on a simulated minion.
+
+    :param left_seconds: remaining duration at full speed
+    :param ends_at: loop time of its end; None for a filler, whose speed varies
+    """
+
+    run_id: int
+    step: Step
+    began_at: float
+    left_seconds: float
+    ends_at: float | None
+
+
+@dataclass(slots=True)
+class Work:
+    """Processor seconds of the runs of a simulation, and its decisions by kind."""
+
+    done: float = 0.0
+    wasted: float = 0.0
+    decisions: dict[str, int] = field(default_factory=dict)
+
+    @property
+    def wasted_share(self) -> float:
+        """Return the share of the work that was wasted."""
+        return self.wasted / (self.done + self.wasted)
+
+
+class FleetSimulation(ABC):
+    """Scheduler with minions of one service that carry out every order at once.
+
+    Fillers share the processors that other runs of their minion leave idle.
+
+    :param load: jobs in the order of their arrival
+    :param minions: number of minions
+    :param cpu: thousandths of a processor of each
+    :param job_order: order of jobs that replaces the usual one
+    """
+
+    def __init__(
+        self,
+        load: Sequence[RecordedJob],
+        settings: SchedulerSettings,
+        queues: Sequence[Queue],
+        minions: int,
+        cpu: int,
+        job_order: JobOrder | None = None,
+    ) -> None:
+        self.now = START
+        self.scheduler = Scheduler(settings, START, job_order)
+        self.scheduler.configure(FleetConfig(1, {queue.name: queue for queue in queues}))
+        self.by_id = {job.submission.job_id: job for job in load}
+        self.work = Work()
+        self._waiting = list(reversed(load))
+        self._open_jobs: set[str] = set()
+        self._runs: dict[str, dict[TaskKey, SimulatedRun]] = {}
+        self._ends: dict[str, list[EndReport]] = {}
+        self._cpu = cpu
+        for number in range(minions):
+            name = f"minion{number}"
+            room = ResourceVector(cpu, MEMORY_MB)
+            facts = MinionFacts(name, 1, queues[0].service, f"{name}:1", "domain", (), room)
+            self.scheduler.update_minion(facts, self.now)
+            self._runs[name] = {}
+            self._ends[name] = []
+
+    @abstractmethod
+    def run_seconds(self, order: StartOrder, usual_seconds: float) -> float:
+        """Return the duration of a new run at full speed."""
+
+    @abstractmethod
+    def record_completion(self, job: RecordedJob) -> None:
+        """Count a job that was completed at the present time."""
+
+    def arrive(self, job: RecordedJob) -> None:
+        """Take a job whose time has come."""
+        self.submit(job.submission)
+
+    def arrive_due(self) -> None:
+        """Take the jobs whose time has come."""
+        while self._waiting and START + self._waiting[-1].arrives_at <= self.now:
+            self.arrive(self._waiting.pop())
+
+    def is_over(self) -> bool:
+        """Return whether the simulation is over."""
+        return not self._waiting and not self._open_jobs
+
+    def submit(self, submission: Submission) -> None:
+        """Pass a job to the scheduler."""
+        self._open_jobs.add(submission.job_id)
+        self.scheduler.submit(submission, self.now)
+
+    def simulate(self) -> None:
+        """Run rounds until the simulation is over."""
+        while not self.is_over():
+            self.arrive_due()
+            for minion in list(self.scheduler.minions.values()):
+                self._report(minion)
+            self.scheduler.plan(self.now, int(1000 * self.now))
+            changes = self.scheduler.take_changes()
+            for start in self.scheduler.commit(changes, self.now):
+                self._start(start)
+            for order in self.scheduler.take_orders():
+                if isinstance(order, StopOrder):
+                    self._stop(order)
+            for decision in self.scheduler.take_decisions():
+                counts = self.work.decisions
+                counts[decision.kind] = counts.get(decision.kind, 0) + 1
+            for job_id in list(self._open_jobs):
+                if self.scheduler.state_of(job_id) is JobState.COMPLETED:
+                    self._open_jobs.discard(job_id)
+                    self.record_completion(self.by_id[job_id])
+            self.now += TICK_SECONDS
+
+    def _report(self, minion: Minion) -> None:
+        runs, ends = self._runs[minion.minion_id], self._ends[minion.minion_id]
+        filler_speed = self._filler_speed(runs)
+        rows = []
+        for key, run in list(runs.items()):
+            if run.ends_at is None:
+                run.left_seconds -= filler_speed * TICK_SECONDS
+            is_over = run.left_seconds <= 0.0 if run.ends_at is None else run.ends_at <= self.now
+            if is_over:
+                self._end(minion, key, EndKind.DONE)
+                continue
+            rows.append(RunReport(key, run.run_id, "", 100, None))
+        unread = [end for end in ends if end.number > minion.durable_end]
+        minion.extend_lease(self.now, LEASE_SECONDS)
+        report = MinionReport(1, int(1000 * self.now), tuple(rows), tuple(unread))
+        self.scheduler.report(minion, report, self.now, self.now)
+
+    def _filler_speed(self, runs: Mapping[TaskKey, SimulatedRun]) -> float:
+        """Return the share of their full speed at which the fillers of a minion work."""
+        idle_cpu, filler_cpu = self._cpu, 0
+        for run in runs.values():
+            if run.step.is_filler:
+                filler_cpu += run.step.room.cpu
+            else:
+                idle_cpu -= run.step.room.cpu
+        return min(1.0, max(0, idle_cpu) / filler_cpu) if filler_cpu else 1.0
+
+    def _start(self, order: StartOrder) -> None:
+        run = order.run
+        seconds = self.run_seconds(order, self.by_id[run.key.job_id].usual_seconds[run.key.step])
+        ends_at = None if run.step.is_filler else self.now + seconds
+        simulated = SimulatedRun(run.run_id, run.step, self.now, seconds, ends_at)
+        self._runs[run.minion_id][run.key] = simulated
+        clock_ms = int(1000 * self.now)
+        self.scheduler.start_answered(run, StartOutcome.STARTED, self.now, self.now, clock_ms)
+
+    def _stop(self, order: StopOrder) -> None:
+        run = self._runs[order.minion.minion_id].get(order.key)
+        if run is not None and run.run_id == order.run_id:
+            self._end(order.minion, order.key, EndKind.STOPPED)
+
+    def _end(self, minion: Minion, key: TaskKey, kind: EndKind) -> None:
+        run = self._runs[minion.minion_id].pop(key)
+        ends = self._ends[minion.minion_id]
+        ends.append(EndReport(len(ends) + 1, key, run.run_id, kind, ""))
+        seconds = (self.now - run.began_at) * run.step.room.cpu / 1000.0
+        if kind is EndKind.DONE:
+            self.work.done += seconds
+        else:
+            self.work.wasted += seconds
--- a/measure/stragglers.py
+++ b/measure/stragglers.py
@@ -14,24 +14,20 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
-from dataclasses import dataclass, field
 from random import Random
 
 from dotterelhill.jobs.changes import SchedulerSettings
-from dotterelhill.jobs.fleet import EndKind, EndReport, Minion, MinionFacts, MinionReport, RunReport
-from dotterelhill.jobs.model import JobState, Step, Submission, TaskKey
-from dotterelhill.jobs.orders import StartOrder, StartOutcome, StopOrder
-from dotterelhill.jobs.queues import FleetConfig, Queue
+from dotterelhill.jobs.model import Step, Submission
+from dotterelhill.jobs.orders import StartOrder
+from dotterelhill.jobs.queues import Queue
 from dotterelhill.jobs.resources import ResourceVector
-from dotterelhill.jobs.scheduler import Scheduler
 from measure.report import Figure, figure_with_target
+from measure.simulation import START, FleetSimulation, RecordedJob
 
 SEEDS = (1, 2)
 SECONDS = 90.0
 # Jobs that end before are not counted, since every leader has to learn first.
 WARM_UP_SECONDS = 30.0
-TICK_SECONDS = 0.1
-START = 1000.0
 MINIONS, CPU = 60, 8000
 SLOW_MINIONS, SLOW_FACTOR, SLOW_SECONDS = 3, 8.0, 20.0
 TAIL_SHARE, TAIL_FACTOR = 0.03, 7.0
@@ -41,23 +37,6 @@
 QUEUE = Queue("load", "h", "/load/", "pool", 1, 4, STRETCH, TARGET_SECONDS)
 
 
-@dataclass(frozen=True, slots=True)
-class RecordedJob:
-    """Job of the load.
-
-    :param usual_seconds: usual duration of a task, by step
-    """
-
-    arrives_at: float
-    submission: Submission
-    usual_seconds: tuple[float, ...]
-
-    @property
-    def allowed_seconds(self) -> float:
-        """Return the time within which the job has to end."""
-        return STRETCH * sum(self.usual_seconds) + TARGET_SECONDS
-
-
 def record_load(seed: int) -> list[RecordedJob]:
     """Return jobs that arrive at random times and use a share of the processors on average."""
     rng = Random(seed)
@@ -89,38 +68,8 @@
     return jobs
 
 
-@dataclass(slots=True)
-class _Run:
-    """Run on a simulated minion."""
-
-    run_id: int
-    began_at: float
-    ends_at: float
-
-
-@dataclass(slots=True)
-class Totals:
-    """Results of one simulation; work in processor seconds."""
-
-    counted: int = 0
-    in_time: int = 0
-    done_work: float = 0.0
-    wasted_work: float = 0.0
-    decisions: dict[str, int] = field(default_factory=dict)
-
-    @property
-    def in_time_share(self) -> float:
-        """Return the share of the jobs that ended in time."""
-        return self.in_time / self.counted
-
-    @property
-    def wasted_share(self) -> float:
-        """Return the share of the work that was wasted."""
-        return self.wasted_work / (self.done_work + self.wasted_work)
-
-
-class Simulation:
-    """Fleet in virtual time, on which a load is scheduled.
+class Simulation(FleetSimulation):
+    """Fleet with stragglers and slow minions.
 
     :param is_tail_of_task: whether the factor of a straggler belongs to the task, not to the run
     """
@@ -134,106 +83,44 @@
         are_restarts_enabled: bool,
         is_tail_of_task: bool,
     ) -> None:
-        self._load = load
-        self._seed = seed
-        self._is_tail_of_task = is_tail_of_task
         settings = SchedulerSettings(
             are_copies_enabled=are_copies_enabled, are_restarts_enabled=are_restarts_enabled
         )
-        self._scheduler = Scheduler(settings, START)
-        self._scheduler.configure(FleetConfig(1, {QUEUE.name: QUEUE}))
-        self._now = START
-        self._by_id = {job.submission.job_id: job for job in load}
-        self._runs: dict[str, dict[TaskKey, _Run]] = {}
-        self._ends: dict[str, list[EndReport]] = {}
-        self._totals = Totals()
-        for number in range(MINIONS):
-            name = f"minion{number}"
-            room = ResourceVector(CPU, 64000)
-            facts = MinionFacts(name, 1, QUEUE.service, f"{name}:1", "domain", (), room)
-            self._scheduler.update_minion(facts, self._now)
-            self._runs[name] = {}
-            self._ends[name] = []
+        super().__init__(load, settings, [QUEUE], MINIONS, CPU)
+        self._seed = seed
+        self._is_tail_of_task = is_tail_of_task
+        self.counted = 0
+        self.in_time = 0
 
-    def run(self) -> Totals:
-        """Run the load to its end and return the results."""
-        waiting = list(reversed(self._load))
-        open_jobs: set[str] = set()
-        while waiting or open_jobs:
-            while waiting and START + waiting[-1].arrives_at <= self._now:
-                job = waiting.pop()
-                open_jobs.add(job.submission.job_id)
-                self._scheduler.submit(job.submission, self._now)
-            for minion in list(self._scheduler.minions.values()):
-                self._report(minion)
-            self._scheduler.plan(self._now, int(1000 * self._now))
-            changes = self._scheduler.take_changes()
-            for start in self._scheduler.commit(changes, self._now):
-                self._start(start)
-            for order in self._scheduler.take_orders():
-                if isinstance(order, StopOrder):
-                    self._stop(order)
-            for decision in self._scheduler.take_decisions():
-                counts = self._totals.decisions
-                counts[decision.kind] = counts.get(decision.kind, 0) + 1
-            for job_id in list(open_jobs):
-                if self._scheduler.state_of(job_id) is JobState.COMPLETED:
-                    open_jobs.discard(job_id)
-                    self._count(self._by_id[job_id])
-            self._now += TICK_SECONDS
-        return self._totals
+    @property
+    def in_time_share(self) -> float:
+        """Return the share of the jobs that ended in time."""
+        return self.in_time / self.counted
 
-    def _count(self, job: RecordedJob) -> None:
+    def record_completion(self, job: RecordedJob) -> None:
+        """Count a job that arrived after the warm-up, and whether it is in time."""
         if job.arrives_at < WARM_UP_SECONDS:
             return
-        self._totals.counted += 1
-        self._totals.in_time += self._now - START - job.arrives_at <= job.allowed_seconds
+        self.counted += 1
+        self.in_time += self.now - START - job.arrives_at <= job.allowed_seconds
 
-    def _report(self, minion: Minion) -> None:
-        runs, ends = self._runs[minion.minion_id], self._ends[minion.minion_id]
-        for key, run in list(runs.items()):
-            if run.ends_at <= self._now:
-                self._end(minion, key, EndKind.DONE)
-        rows = [RunReport(key, run.run_id, "", 100, None) for key, run in runs.items()]
-        unread = [end for end in ends if end.number > minion.durable_end]
-        minion.extend_lease(self._now, 6.0)
-        report = MinionReport(1, int(1000 * self._now), tuple(rows), tuple(unread))
-        self._scheduler.report(minion, report, self._now, self._now)
-
-    def _start(self, order: StartOrder) -> None:
-        name, key, run_id = order.minion.minion_id, order.run.key, order.run.run_id
-        usual = self._by_id[key.job_id].usual_seconds[key.step]
-        identity = str(key) if self._is_tail_of_task else f"{key}/{run_id}"
+    def run_seconds(self, order: StartOrder, usual_seconds: float) -> float:
+        """Return the usual duration with noise, longer for stragglers and on slow minions."""
+        key = order.run.key
+        identity = str(key) if self._is_tail_of_task else f"{key}/{order.run.run_id}"
         rng = Random(f"{self._seed}/{identity}")
-        seconds = usual * rng.uniform(0.85, 1.15)
+        seconds = usual_seconds * rng.uniform(0.85, 1.15)
         if rng.random() < TAIL_SHARE:
             seconds *= TAIL_FACTOR
-        if self._is_slow(name):
+        if self._is_slow(order.minion.minion_id):
             seconds *= SLOW_FACTOR
-        self._runs[name][key] = _Run(run_id, self._now, self._now + seconds)
-        clock_ms = int(1000 * self._now)
-        outcome = StartOutcome.STARTED
-        self._scheduler.start_answered(order.run, outcome, self._now, self._now, clock_ms)
+        return seconds
 
     def _is_slow(self, name: str) -> bool:
-        turn = int((self._now - START) / SLOW_SECONDS)
+        turn = int((self.now - START) / SLOW_SECONDS)
         slow = Random(f"{self._seed}/{turn}").sample(range(MINIONS), SLOW_MINIONS)
         return name in {f"minion{number}" for number in slow}
 
-    def _stop(self, order: StopOrder) -> None:
-        run = self._runs[order.minion.minion_id].get(order.key)
-        if run is not None and run.run_id == order.run_id:
-            self._end(order.minion, order.key, EndKind.STOPPED)
-
-    def _end(self, minion: Minion, key: TaskKey, kind: EndKind) -> None:
-        run = self._runs[minion.minion_id].pop(key)
-        ends = self._ends[minion.minion_id]
-        ends.append(EndReport(len(ends) + 1, key, run.run_id, kind, ""))
-        if kind is EndKind.DONE:
-            self._totals.done_work += self._now - run.began_at
-        else:
-            self._totals.wasted_work += self._now - run.began_at
-
 
 def figures() -> Iterator[Figure]:
     """Yield the figures of each seed and kind of tail."""
@@ -254,12 +141,13 @@
                     are_copies_enabled=copies,
                     are_restarts_enabled=restarts,
                     is_tail_of_task=is_tail_of_task,
-                ).run()
+                )
+                results[name].simulate()
             base = results["neither"]
             for name in ("copies", "restarts", "both"):
                 result = results[name]
-                copied = result.decisions.get("copy planned", 0)
-                restarted = result.decisions.get("restart planned", 0)
+                copied = result.work.decisions.get("copy planned", 0)
+                restarted = result.work.decisions.get("restart planned", 0)
                 yield figure_with_target(
                     f"seed {seed}, factor of the {tail}, {name}: jobs in time of {base.counted}",
                     "no fewer than without",
@@ -270,9 +158,9 @@
                 yield figure_with_target(
                     f"seed {seed}, factor of the {tail}, {name}: work wasted",
                     "at most 5 %",
-                    f"without {100 * base.wasted_share:.2f} %",
-                    f"{100 * result.wasted_share:.2f} %",
-                    is_met=result.wasted_share <= 0.05,
+                    f"without {100 * base.work.wasted_share:.2f} %",
+                    f"{100 * result.work.wasted_share:.2f} %",
+                    is_met=result.work.wasted_share <= 0.05,
                 )
 
 
