Refuse submissions of a queue whose backlog can't end in useful time

Change: RefusalPolicy decides shares by FinishEstimate, EntryNotice.queues carries them, and QueueAdmission applies them at entry processes. Submissions record the failure domain of their entry process.

--- a/dotterelhill/control/leader.py
+++ b/dotterelhill/control/leader.py
@@ -54,6 +54,8 @@
     stored_tenant,
 )
 from dotterelhill.jobs.scheduler import Scheduler
+from dotterelhill.jobs.shortage.control import shortage_gauges
+from dotterelhill.jobs.shortage.refusal import QueueVerdict
 from dotterelhill.jobs.tenants.admission import AdmissionPolicy, AdmittedRate
 from dotterelhill.jobs.tenants.loads import TenantLoad
 
@@ -219,6 +221,7 @@
             "jobs.start_limit": self._start_window.limit,
             "jobs.extra_runs": self._scheduler.stragglers.extra_run_count,
             "jobs.loop_lag_seconds": self._parts.lag.seconds,
+            **shortage_gauges(self._scheduler.shortage),
         }
 
     def admitted_rates(self) -> dict[str, AdmittedRate] | None:
@@ -232,6 +235,13 @@
             self._rates = self._admission.rates(loads, self._parts.configuration.config.tenants)
         return self._rates
 
+    def queue_verdicts(self) -> dict[str, QueueVerdict] | None:
+        """Return the verdicts about queues; None while loading, or without shortage control."""
+        shortage = self._scheduler.shortage
+        if shortage is None or not self._is_loaded or not self._parts.leadership.is_leading:
+            return None
+        return dict(shortage.verdicts)
+
     def tenant_gauges(self) -> dict[tuple[str, str], float]:
         """Return the gauges of tenants for the metrics, by metric name and label."""
         return self._scheduler.tenant_gauges()
--- a/dotterelhill/control/relay_messages.py
+++ b/dotterelhill/control/relay_messages.py
@@ -9,6 +9,7 @@
 import aiohttp
 import msgspec
 
+from dotterelhill.jobs.shortage.refusal import QueueVerdict
 from dotterelhill.jobs.tenants.admission import AdmittedRate
 
 # Each side sends a message at least this often, so that the other one notices a lost connection.
@@ -70,18 +71,21 @@
 
 
 class EntryNotice(msgspec.Struct, frozen=True, array_like=True):
-    """What the leader tells entry processes about the configuration and about tenants.
+    """What the leader tells entry processes about the configuration, tenants and queues.
 
     :param config_version: version that the leader holds; 0 when it has no tenants
     :param config_age_seconds: time since the leader was last known to hold the newest version
     :param rates: rates of the tenants that are over their share; None when the leader can't tell
     :param process_count: number of processes among which the rates are divided
+    :param queues: verdicts about the queues whose submissions are refused in part; None when the
+        leader can't tell, and from builds that do not tell them
     """
 
     config_version: int = 0
     config_age_seconds: float = 0.0
     rates: dict[str, AdmittedRate] | None = None
     process_count: int = 1
+    queues: dict[str, QueueVerdict] | None = None
 
 
 class LeaderMessage(msgspec.Struct, frozen=True, array_like=True):
--- a/dotterelhill/entry/metrics.py
+++ b/dotterelhill/entry/metrics.py
@@ -112,6 +112,8 @@
     Metric("jobs.start_limit", _G, "orders", "largest number of start orders in flight"),
     Metric("jobs.extra_runs", _G, "runs", "copies and restarted runs of tasks that take too long"),
     Metric("jobs.loop_lag_seconds", _G, "seconds", "largest recent delay of the leader's loop"),
+    Metric("jobs.short_queues", _G, "queues", "queues of which many jobs are expected to be late"),
+    Metric("jobs.least_admitted_share", _G, "ratio", "least share of submissions to admit"),
     Metric("jobs.is_leading", _G, "0 or 1", "whether this process leads the fleet"),
     Metric("tenants.running_tasks", _G, "tasks", "runs of a tenant that may exist", "tenant"),
     Metric("tenants.waiting_tasks", _G, "tasks", "tasks of a tenant that could start", "tenant"),
--- a/dotterelhill/jobs/shortage/control.py
+++ b/dotterelhill/jobs/shortage/control.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection, Iterable, Iterator
+from collections.abc import Callable, Collection, Iterable, Iterator, Mapping
 
 from dotterelhill.jobs.changes import Decision
 from dotterelhill.jobs.durations.model import DurationModel
@@ -11,15 +11,27 @@
 from dotterelhill.jobs.placement.waiting import WaitingJob
 from dotterelhill.jobs.queues import Queue
 from dotterelhill.jobs.shortage.demand import SortKey, TrackedJob, track
-from dotterelhill.jobs.shortage.finish import FinishEstimate
-from dotterelhill.jobs.shortage.floors import Floors
+from dotterelhill.jobs.shortage.finish import FinishEstimate, QueueOutlook
+from dotterelhill.jobs.shortage.floors import Floors, Group
 from dotterelhill.jobs.shortage.order import ShortageState, shortage_key
+from dotterelhill.jobs.shortage.refusal import QueueVerdict, RefusalPolicy
 from dotterelhill.jobs.shortage.throughput import Throughput
 
 # Estimating thousands of jobs takes milliseconds, and a round comes after each report.
 UPDATE_SECONDS = 0.25
 
 
+def shortage_gauges(shortage: ShortageControl | None) -> dict[str, float]:
+    """Return the gauges for the metrics; none where shortage control is turned off."""
+    if shortage is None:
+        return {}
+    shares = [verdict.admitted_share for verdict in shortage.verdicts.values()]
+    return {
+        "jobs.short_queues": len(shortage.short_queues),
+        "jobs.least_admitted_share": min(shares, default=1.0),
+    }
+
+
 class ShortageControl:
     """Estimates ends of jobs, and ranks jobs while their priority is in shortage.
 
@@ -31,6 +43,7 @@
         self._throughput = Throughput()
         self._floors = Floors()
         self._state = ShortageState()
+        self._refusal = RefusalPolicy()
         self._jobs: dict[str, TrackedJob] = {}
         self._short_priorities: frozenset[tuple[str, int]] = frozenset()
         self._updated_at = float("-inf")
@@ -43,6 +56,16 @@
         """Return the queues in shortage."""
         return self._state.queues
 
+    @property
+    def groups_below_floor(self) -> frozenset[Group]:
+        """Return the groups of jobs that go first in a shortage."""
+        return self._floors.below
+
+    @property
+    def verdicts(self) -> Mapping[str, QueueVerdict]:
+        """Return the verdicts about the queues whose submissions are refused in part."""
+        return self._refusal.verdicts
+
     def take_decisions(self) -> list[Decision]:
         """Return the changes of state since the last call, for the log and the metrics."""
         decisions, self._decisions = self._decisions, []
@@ -92,11 +115,12 @@
             return
         self._updated_at = now
         self._clock_offset = unix_ms / 1000.0 - now
-        self._throughput.measure_free_capacity(minions)
+        self._throughput.measure_capacity(minions)
         self.estimate.update(self._waiting(waiting_jobs, queue_of, now), now)
         self._floors.update(now)
         changed = self._state.update(self.estimate.outlooks)
         self._record_changes(changed)
+        self._record_refusals(self._refusal.update(self._outlooks_with_minions(), now))
         self._short_priorities = frozenset(
             (tracked.queue.service, tracked.queue.priority)
             for tracked in self._jobs.values()
@@ -136,6 +160,31 @@
             self._floors.learn(tracked)
         return tracked
 
+    def _outlooks_with_minions(self) -> dict[str, QueueOutlook]:
+        """Return the outlooks of the queues whose service has minions.
+
+        Without minions nothing is known about the time in which jobs would end.
+        """
+        return {
+            name: outlook
+            for name, outlook in self.estimate.outlooks.items()
+            if self._throughput.has_minions(outlook.service)
+        }
+
+    def _record_refusals(self, changed: Iterable[str]) -> None:
+        """Record a decision for each queue for which refusals began or ended."""
+        for name in sorted(changed):
+            verdict = self._refusal.verdicts.get(name)
+            fields: dict[str, object] = {"queue": name}
+            if verdict is not None:
+                fields |= {
+                    "admitted_share": round(verdict.admitted_share, 3),
+                    "room_seconds": round(verdict.room_seconds, 1),
+                }
+            is_refused = verdict is not None
+            message = "queue refuses submissions" if is_refused else "queue admits all submissions"
+            self._decisions.append(Decision(message, "", fields))
+
     def _age_seconds(self, job: Job, now: float) -> float:
         """Return the time since a job was accepted."""
         return now + self._clock_offset - job.submission.accepted_ms / 1000.0
--- a/dotterelhill/jobs/shortage/finish.py
+++ b/dotterelhill/jobs/shortage/finish.py
@@ -35,6 +35,7 @@
     :param backlog_seconds: time in which its service works off what ranks before the queue and the
         work of the queue that is not too late
     :param useful_seconds: time after which a job of the queue has no value
+    :param service: pool of minions that runs its tasks
     """
 
     waiting: int = 0
@@ -43,6 +44,7 @@
     next_end_seconds: float = 0.0
     backlog_seconds: float = 0.0
     useful_seconds: float = inf
+    service: str = ""
 
 
 @dataclass(slots=True)
@@ -159,6 +161,7 @@
         outlook.end_seconds = _seconds(same, rate) + typical.path_seconds
         outlook.backlog_seconds = _seconds(higher + own, rate)
         outlook.useful_seconds = typical.useful_seconds
+        outlook.service = typical.queue.service
 
 
 def _seconds(work: float, rate: float) -> float:
--- a/dotterelhill/jobs/shortage/throughput.py
+++ b/dotterelhill/jobs/shortage/throughput.py
@@ -11,8 +11,8 @@
 from dotterelhill.jobs.fleet import Minion, Run
 
 THROUGHPUT_SECONDS = 5.0
-# Before as many runs have ended, the free capacity counts alone.
-MIN_DONE_RUNS = 8
+# With fewer runs that ended lately, the capacity counts that the service has for the kind of task.
+MIN_DONE_RUNS = 8.0
 
 
 class Supply(NamedTuple):
@@ -33,22 +33,27 @@
     True
     """
 
-    count: int = 0
+    _count: float = 0.0
     _sum: float = 0.0
     _since: float = 0.0
     _at: float = float("-inf")
 
     def add(self, processor_seconds: float, now: float) -> None:
         """Count the work of one run or job."""
-        if not self.count:
+        if not self._count:
             self._since = now
-        self._sum = self._sum * exp((self._at - now) / THROUGHPUT_SECONDS) + processor_seconds
+        factor = exp((self._at - now) / THROUGHPUT_SECONDS)
+        self._count = self._count * factor + 1.0
+        self._sum = self._sum * factor + processor_seconds
         self._at = now
-        self.count += 1
+
+    def count(self, now: float) -> float:
+        """Return the decayed number of runs or jobs."""
+        return self._count * exp((self._at - now) / THROUGHPUT_SECONDS)
 
     def rate(self, now: float) -> float:
         """Return the processor seconds per second; 0 before anything is counted."""
-        if not self.count:
+        if not self._count:
             return 0.0
         # The weights of the time before the first observation are left out of the mean.
         weight = THROUGHPUT_SECONDS * (1.0 - exp((self._since - now) / THROUGHPUT_SECONDS))
@@ -62,6 +67,7 @@
     def __init__(self) -> None:
         self._done: dict[Supply, DecayedWork] = {}
         self._free: dict[Supply, float] = {}
+        self._used: dict[Supply, float] = {}
 
     def record_done(self, run: Run, minion: Minion, expected_seconds: float) -> None:
         """Count a run that ended done, as the newest report of its minion tells.
@@ -75,17 +81,22 @@
         supply = Supply(minion.facts.service, run.step.is_filler)
         self._done.setdefault(supply, DecayedWork()).add(work, minion.last_report_at)
 
-    def measure_free_capacity(self, minions: Iterable[Minion]) -> None:
-        """Replace the free capacity by that of the listed minions."""
-        self._free = {}
+    def measure_capacity(self, minions: Iterable[Minion]) -> None:
+        """Replace the capacity by that of the listed minions."""
+        self._free, self._used = {}, {}
         for minion in minions:
             if not minion.is_listed or minion.facts.is_draining:
                 continue
             service = minion.facts.service
             free = max(0, minion.free_cpu) / 1000.0
-            idle = max(0.0, minion.free_cpu - minion.filler_cpu) / 1000.0
-            for supply, cpu in ((Supply(service, False), free), (Supply(service, True), idle)):
-                self._free[supply] = self._free.get(supply, 0.0) + cpu
+            filler = min(free, minion.filler_cpu / 1000.0)
+            for is_filler, free_cpu, used_cpu in (
+                (False, free, minion.short_cpu / 1000.0),
+                (True, free - filler, filler),
+            ):
+                supply = Supply(service, is_filler)
+                self._free[supply] = self._free.get(supply, 0.0) + free_cpu
+                self._used[supply] = self._used.get(supply, 0.0) + used_cpu
 
     def has_minions(self, service: str) -> bool:
         """Return whether the service has minions on which runs may start."""
@@ -98,6 +109,6 @@
         """
         free = self._free.get(supply, 0.0)
         done = self._done.get(supply)
-        if done is None or done.count < MIN_DONE_RUNS:
-            return free
+        if done is None or done.count(now) < MIN_DONE_RUNS:
+            return free + self._used.get(supply, 0.0)
         return done.rate(now) + free
--- a/dotterelhill/jobs/tenants/admission.py
+++ b/dotterelhill/jobs/tenants/admission.py
@@ -76,6 +76,7 @@
 
     RATE = "the tenant submits more than its share"
     APPENDS = "too many submissions of the tenant are being stored"
+    BACKLOG = "the queue has more work than can end in useful time"
     TASK_SIZE = "a task needs more than the limit of the tenant"
 
 
@@ -176,10 +177,15 @@
 
     def retry_seconds(self, wait_seconds: float) -> int:
         """Return a time to wait in whole seconds, spread so that clients don't return together."""
-        longest = min(MAX_RETRY_SECONDS, wait_seconds * (1.0 + JITTER))
-        seconds = self._random.uniform(longest / (1.0 + JITTER), longest)
-        # Rounding at random keeps short times spread as well.
-        return max(1, min(int(MAX_RETRY_SECONDS), int(seconds + self._random.random())))
+        return spread_retry_seconds(wait_seconds, self._random)
+
+
+def spread_retry_seconds(wait_seconds: float, random: Random) -> int:
+    """Return a time to wait in whole seconds, 1 to 10, with jitter."""
+    longest = min(MAX_RETRY_SECONDS, wait_seconds * (1.0 + JITTER))
+    seconds = random.uniform(longest / (1.0 + JITTER), longest)
+    # Rounding at random keeps short times spread as well.
+    return max(1, min(int(MAX_RETRY_SECONDS), int(seconds + random.random())))
 
 
 def oversized_step(tenant: Tenant, steps: tuple[Step, ...]) -> int | None:
--- a/dotterelhill/platform/ingress.py
+++ b/dotterelhill/platform/ingress.py
@@ -8,7 +8,7 @@
 import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import mode
 import msgspec
@@ -23,6 +23,7 @@
 from dotterelhill.jobs.model import JobState, Schedule, Step, Submission
 from dotterelhill.jobs.queues import FleetConfig, Queue, Tenant
 from dotterelhill.jobs.resources import ResourceVector
+from dotterelhill.jobs.shortage.entry import QueueAdmission
 from dotterelhill.jobs.tenants.access import (
     AccessRefusedError,
     AccessSettings,
@@ -216,6 +217,8 @@
     :param access: time limits for the use of a configuration that may be outdated
     :param admission: returns the admission of submissions
     :param clock: returns seconds, as the admission counts them
+    :param queue_admission: returns the admission by queue; None to admit all
+    :param domain: failure domain of this process
     """
 
     def __init__(
@@ -229,12 +232,16 @@
         access: AccessSettings,
         admission: Callable[[], EntryAdmission],
         clock: Callable[[], float],
+        queue_admission: Callable[[], QueueAdmission] | None = None,
+        domain: str = "",
     ) -> None:
         super().__init__()
         self._currency = currency
         self._access = access
         self._admission = admission
         self._clock = clock
+        self._queue_admission = queue_admission
+        self._domain = domain
         self._job_service = job_service
         self._config = config
         self._client_address = client_address
@@ -419,10 +426,12 @@
             submission = decode_job(bytes(body), job_id, queue, int(time.time() * 1000), tenant)
         except BadJobError as error:
             return _Reply(400, str(error))
+        submission = replace(submission, domain=self._domain)
         owner = self._tenant(tenant)
         if owner is not None and (index := oversized_step(owner, submission.steps)) is not None:
             refused = AdmissionRefused(RefusalReason.TASK_SIZE, int(MAX_RETRY_SECONDS))
             return self._refuse_admission(refused, tenant, job_id, f"steps[{index}]: ")
+        self._admit_to_queue(submission, owner)
         with self._append_slot(tenant):
             try:
                 await self._job_service.submit(submission, seconds, check)
@@ -448,6 +457,21 @@
         if refused is not None:
             raise _AdmissionRefusedError(refused)
 
+    def _admit_to_queue(self, submission: Submission, owner: Tenant | None) -> None:
+        """Admit a submission to its queue; a repetition of one that was accepted always is.
+
+        :raises _AdmissionRefusedError: when its queue has too much work
+        """
+        if self._queue_admission is None:
+            return
+        if self._job_service.has_accepted(submission.job_id, submission.tenant):
+            return
+        refused = self._queue_admission().admit(submission, self._clock())
+        if refused is not None:
+            if owner is not None:
+                self._admission().refund(owner)
+            raise _AdmissionRefusedError(refused)
+
     @contextmanager
     def _append_slot(self, tenant: str) -> Iterator[None]:
         """Occupy one of the appends that a tenant may have waiting.
@@ -475,13 +499,15 @@
         :param prefix: part of the submission that is refused
         """
         reason = f"{prefix}{refused.reason}"
-        self._metrics.count("clients.refused", label=f"tenant_{refused.reason.name.lower()}")
-        if len(self._tenant_labels) < MAX_TENANT_LABELS:
-            self._tenant_labels.add(tenant)
-        label = tenant if tenant in self._tenant_labels else OTHER_LABEL
-        self._metrics.count("tenants.refused", label=label)
+        subject = "queue" if refused.reason is RefusalReason.BACKLOG else "tenant"
+        self._metrics.count("clients.refused", label=f"{subject}_{refused.reason.name.lower()}")
+        if tenant:
+            if len(self._tenant_labels) < MAX_TENANT_LABELS:
+                self._tenant_labels.add(tenant)
+            label = tenant if tenant in self._tenant_labels else OTHER_LABEL
+            self._metrics.count("tenants.refused", label=label)
         _log.info(
-            "request of a tenant refused",
+            f"request of a {subject} refused",
             extra={
                 "job": job_id,
                 "tenant": tenant,
--- a/dotterelhill/platform/process.py
+++ b/dotterelhill/platform/process.py
@@ -7,6 +7,7 @@
 import signal
 import sys
 import time
+from collections.abc import Mapping
 from contextlib import suppress
 from pathlib import Path
 from random import Random
@@ -37,6 +38,8 @@
 from dotterelhill.entry.logs import BoundedStream, logger_of, start_logging
 from dotterelhill.entry.metrics import LocalMetrics
 from dotterelhill.jobs.changes import SchedulerSettings
+from dotterelhill.jobs.shortage.entry import QueueAdmission
+from dotterelhill.jobs.shortage.refusal import QueueVerdict
 from dotterelhill.jobs.tenants.admission import EntryAdmission
 from dotterelhill.platform.ingress import Ingress
 from dotterelhill.platform.minions import HttpMinionCaller, PlatformMinions
@@ -127,6 +130,7 @@
             lambda: self._store.is_unavailable,
         )
         self._admission = EntryAdmission(self._random)
+        self._queue_admission = QueueAdmission(self._random)
         self._minion_caller = HttpMinionCaller(self._open_session)
         self._relay_client = RelayClient(
             Hello(self._incarnation, settings.failure_domain, settings.processors),
@@ -163,6 +167,8 @@
             settings.access,
             self._current_admission,
             boot_seconds,
+            self._current_queue_admission,
+            settings.failure_domain,
         )
         self._metrics_server = MetricsServer(
             self._metrics, settings.peer_address.host, METRICS_PORT
@@ -196,14 +202,17 @@
     def _entry_notice(self) -> EntryNotice:
         """Return what entry processes have to know, while this process leads."""
         config = self._configuration.config
-        if not config.tenants:
-            return EntryNotice()
         leader = self._election.leader
+        queues = None if leader is None else leader.queue_verdicts()
+        if not config.tenants:
+            return EntryNotice(queues=queues)
         rates = None if leader is None else leader.admitted_rates()
         if leader is None or rates is None:
-            return EntryNotice(config.version, self._config_follower.age_seconds)
+            return EntryNotice(config.version, self._config_follower.age_seconds, queues=queues)
         process_count = leader.relays.link_count + 1
-        return EntryNotice(config.version, self._config_follower.age_seconds, rates, process_count)
+        return EntryNotice(
+            config.version, self._config_follower.age_seconds, rates, process_count, queues
+        )
 
     def _current_admission(self) -> EntryAdmission:
         """Return the admission of this process, which gets no messages while it leads."""
@@ -211,6 +220,16 @@
             self._apply_rates(self._entry_notice())
         return self._admission
 
+    def _current_queue_admission(self) -> QueueAdmission:
+        """Return the admission by queue of this process, which gets no messages while it leads."""
+        if self._election.leader is not None:
+            self._apply_verdicts(self._election.leader.queue_verdicts())
+        return self._queue_admission
+
+    def _apply_verdicts(self, verdicts: Mapping[str, QueueVerdict] | None) -> None:
+        if verdicts is not None:
+            self._queue_admission.receive(verdicts, boot_seconds())
+
     def _apply_rates(self, notice: EntryNotice) -> None:
         if notice.rates is None:
             return
@@ -218,6 +237,7 @@
 
     def _receive_notice(self, notice: EntryNotice, transit_seconds: float) -> None:
         self._apply_rates(notice)
+        self._apply_verdicts(notice.queues)
         self._currency.record(notice.config_version, notice.config_age_seconds + transit_seconds)
 
     def _remote_leader_address(self) -> str:
--- a/dotterelhill/platform/tests/ingress.feature
+++ b/dotterelhill/platform/tests/ingress.feature
@@ -53,6 +53,19 @@
       | GET    | /q/                    | 200                  |
       | POST   | /open/00000000000000a1 | 200                  |
 
+  Scenario Outline: A queue with too much work gets jobs stored, or refuses one that it accepted
+    Given queues that admit few submissions, and a job that each of them has accepted
+    When POST "<path>" is sent with key "<key>"
+    Then the answer is <answer>
+    And <count> appends were tried
+    And each stored submission names the failure domain of the process
+
+    Examples:
+      | path                   | key  | answer               | count |
+      | /q/00000000000000a1    | good | 429 with Retry-After | 2     |
+      | /open/00000000000000a1 |      | 429 with Retry-After | 2     |
+      | /q/0000000000000000    | good | 200                  | 3     |
+
   Scenario Outline: A job that can never start is accepted, or one that fits is refused
     Given a limit of <limit> thousandths of a processor
     When POST "/q/00000000000000a1" is sent with key "good"
--- a/dotterelhill/platform/tests/steps/ingress_steps.py
+++ b/dotterelhill/platform/tests/steps/ingress_steps.py
@@ -16,8 +16,11 @@
 from dotterelhill.control.interface import StoreError
 from dotterelhill.control.job_service import JobService
 from dotterelhill.entry.metrics import LocalMetrics
+from dotterelhill.jobs.progress import decode_submission
 from dotterelhill.jobs.queues import FleetConfig, Queue, Tenant
 from dotterelhill.jobs.resources import ResourceVector
+from dotterelhill.jobs.shortage.entry import QueueAdmission
+from dotterelhill.jobs.shortage.refusal import QueueVerdict
 from dotterelhill.jobs.tenants.access import AccessSettings, Freshness
 from dotterelhill.jobs.tenants.admission import EntryAdmission
 from dotterelhill.jobs.tenants.keys import ApiKeys
@@ -72,6 +75,7 @@
         self.jobs = JobService(self.store, self.election, None, self.loop.time, random.Random(1))
         self.metrics = LocalMetrics()
         self.admission = EntryAdmission(random.Random(2))
+        self.queue_admission = QueueAdmission(random.Random(3))
         self.limit = ResourceVector()
         self.log = logbook.TestHandler(level="DEBUG")
         address = Address("127.0.0.1", 1)
@@ -85,6 +89,8 @@
             AccessSettings(),
             lambda: self.admission,
             self.loop.time,
+            lambda: self.queue_admission,
+            "caxias",
         )
 
     async def settle(self, current_seconds: float) -> None:
@@ -185,6 +191,22 @@
         assert response.status == 200, response.body
 
 
+@given(r"queues that admit few submissions, and a job that each of them has accepted")
+def limit_queues(context):
+    world = context.world
+    world.queue_admission.receive(
+        {name: QueueVerdict(0.4, 3.0) for name in QUEUES}, world.loop.time()
+    )
+    for queue in QUEUES:
+        assert world.send("POST", f"/{queue}/{0:016x}", "good").status == 200
+
+
+@then(r"each stored submission names the failure domain of the process")
+def check_domains(context):
+    for record in context.world.store.records:
+        assert decode_submission(record.value).domain == "caxias", record
+
+
 @given(r"a limit of (?P<cpu>\d+) thousandths of a processor")
 def set_limit(context, cpu):
     context.world.limit = ResourceVector(int(cpu))
--- a/measure/shortage_load.py
+++ b/measure/shortage_load.py
@@ -4,7 +4,8 @@
 
 from collections import Counter
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+from heapq import heappop, heappush
 from math import inf
 from random import Random
 
@@ -14,8 +15,9 @@
 from dotterelhill.jobs.placement.waiting import JobOrder, WaitingJob
 from dotterelhill.jobs.queues import Queue
 from dotterelhill.jobs.resources import ResourceVector
+from dotterelhill.jobs.shortage.entry import QueueAdmission
 from dotterelhill.jobs.shortage.order import value_of
-from measure.simulation import START, FleetSimulation, RecordedJob
+from measure.simulation import START, TICK_SECONDS, FleetSimulation, RecordedJob
 
 MINIONS, CPU = 60, 4000
 # Each of as many minions has a serving task of one processor. Short tasks go there first, and leave
@@ -27,22 +29,26 @@
 # Seconds at which a phase begins, and its load as a share of the free processors.
 PHASES = ((0.0, 0.6), (15.0, 1.3), (30.0, 0.6), (45.0, 1.9), (55.0, 0.6), (75.0, 1.1))
 SECONDS = 90.0
+# Refused callers give up after this time.
+PATIENCE_SECONDS = 30.0
+NOTICE_SECONDS = 0.5
 # Jobs that are not done by then are late in any case.
 END_SECONDS = 130.0
 DOMAINS, DOMAIN_WEIGHTS = ("a", "b", "c"), (5, 1, 1)
 QUEUES = {
     "search": Queue("search", "h", "/search/", "pool", 0, 4, 1.5, 0.5),
     "plan": Queue("plan", "h", "/plan/", "pool", 0, 4, 2.0, 1.0),
-    "batch": Queue("batch", "h", "/batch/", "pool", 2, 4, 2.0, 1.0),
+    "batch": Queue("batch", "h", "/batch/", "pool", 2, 4, 3.0, 2.0),
 }
 SERVING = Queue("serve", "h", "/serve/", "pool")
 # Share of the work of each queue.
 WORK_SHARES = {"search": 0.35, "plan": 0.35, "batch": 0.3}
 
 
-def load_at(seconds: float) -> float:
+def load_at(seconds: float, overload_factor: float) -> float:
     """Return the load at a time, as a share of the processors."""
-    return next(load for begin, load in reversed(PHASES) if begin <= seconds)
+    load = next(load for begin, load in reversed(PHASES) if begin <= seconds)
+    return load * overload_factor if load > 1.0 else load
 
 
 def _steps(queue: str, rng: Random) -> tuple[list[Step], list[float]]:
@@ -66,8 +72,11 @@
     return steps, usual
 
 
-def record_load(seed: int) -> list[RecordedJob]:
-    """Return jobs of all queues and failure domains in the order of their arrival."""
+def record_load(seed: int, overload_factor: float = 1.0) -> list[RecordedJob]:
+    """Return jobs of all queues and failure domains in the order of their arrival.
+
+    :param overload_factor: multiplies the load of the phases above the capacity
+    """
     rng = Random(seed)
     room = ResourceVector(1000, 100)
     serving = Step(SERVING_TASKS, room, is_lasting=True, anti_affinity=1, image="serve")
@@ -78,7 +87,7 @@
         while True:
             steps, usual = _steps(name, rng)
             work = sum(step.count * one for step, one in zip(steps, usual, strict=True))
-            rate = load_at(at) * WORK_SHARES[name] * FREE_PROCESSORS
+            rate = load_at(at, overload_factor) * WORK_SHARES[name] * FREE_PROCESSORS
             at += rng.expovariate(1.0) * work / rate
             if at >= SECONDS:
                 break
@@ -142,8 +151,48 @@
         queues = [*QUEUES.values(), SERVING]
         super().__init__(load, settings, queues, MINIONS, CPU, policy.job_order)
         self._seed = seed
+        self._has_refusal = policy.has_refusal
+        self._entries = {domain: QueueAdmission(Random(domain)) for domain in DOMAINS}
+        self._retries: list[tuple[float, int, Submission]] = []
+        self._informed_at = START
         self.completed: dict[str, float] = {}
-        self.errors: list[tuple[float, float]] = []
+        self.accepted: dict[str, float] = {}
+        self.refusals = 0
+        self.waits_of_refused: list[float] = []
+
+    def arrive(self, job: RecordedJob) -> None:
+        """Take a job to the entry process of its failure domain."""
+        self._ask(job.submission)
+
+    def arrive_due(self) -> None:
+        """Take the jobs and the refused callers whose time has come."""
+        shortage = self.scheduler.shortage
+        if self._has_refusal and shortage and self.now - self._informed_at >= NOTICE_SECONDS:
+            self._informed_at = self.now
+            for entry in self._entries.values():
+                entry.receive(dict(shortage.verdicts), self.now)
+        super().arrive_due()
+        while self._retries and self._retries[0][0] <= self.now:
+            self._ask(heappop(self._retries)[2])
+
+    def _ask(self, submission: Submission) -> None:
+        """Submit a job, or let its caller return later."""
+        entry = self._entries.get(submission.domain)
+        refused = None if entry is None else entry.admit(submission, self.now)
+        job_id = submission.job_id
+        since_arrival = self.now - START - self.by_id[job_id].arrives_at
+        if refused is None:
+            self.accepted[job_id] = self.now
+            if since_arrival > 2 * TICK_SECONDS:
+                self.waits_of_refused.append(since_arrival)
+            self.submit(replace(submission, accepted_ms=int(1000 * self.now)))
+            return
+        self.refusals += 1
+        if since_arrival > PATIENCE_SECONDS:
+            self.waits_of_refused.append(since_arrival)
+            return
+        entry_at = (self.now + refused.retry_seconds, self.refusals, submission)
+        heappush(self._retries, entry_at)
 
     def is_over(self) -> bool:
         """Return whether no open job can be in time any more."""
@@ -167,6 +216,8 @@
     in_time: Counter[str]
     value: float
     whole_value: float
+    accepted: int = 0
+    in_time_of_accepted: int = 0
 
     def share(self, group: str) -> float:
         """Return the share of the jobs of a group that ended in time."""
@@ -188,6 +239,11 @@
         ended_at = simulation.completed.get(job.submission.job_id)
         seconds = inf if ended_at is None else ended_at - START - job.arrives_at
         is_in_time = seconds <= job.allowed_seconds
+        accepted_at = simulation.accepted.get(job.submission.job_id)
+        if accepted_at is not None:
+            outcome.accepted += 1
+            since_acceptance = inf if ended_at is None else ended_at - accepted_at
+            outcome.in_time_of_accepted += since_acceptance <= job.allowed_seconds
         value = value_of(job_work(job), sum(works[queue]) / len(works[queue]))
         outcome.whole_value += value
         outcome.value += value * is_in_time
