Start one task of each idle job first once no more jobs come

The leader started all tasks of one job after the other; only fillers had claims that rotate.

It does not raise the number of starts that such a leader can send, which the trace shows as the remaining limit.

--- a/dotterelhill/jobs/placement/placement.py
+++ b/dotterelhill/jobs/placement/placement.py
@@ -16,6 +16,7 @@
 from dotterelhill.jobs.placement.failing_tasks import FailingTasks
 from dotterelhill.jobs.placement.filler_claims import FillerClaims
 from dotterelhill.jobs.placement.forced_starts import ForcedStarts
+from dotterelhill.jobs.placement.idle_jobs import idle_job_tasks
 from dotterelhill.jobs.placement.lasting_claims import (
     CLAIM_AFTER_SECONDS,
     LastingClaims,
@@ -317,6 +318,8 @@
         for entry in ranked:
             if self._remaining_starts > 0 and has_overdue_task(entry[2], now):
                 yield from choose_turn_starts(entry, is_overdue_only=True)
+        if self._forced_starts.is_draining:
+            yield from self._choose_first_starts(ranked, by_service, now, unix_ms, unplaceable)
         yield from self._choose_claimed_starts(by_service, now)
         for entry in self._shares.order(ranked) if self._has_tenants else ranked:
             if self._remaining_starts <= 0:
@@ -434,6 +437,33 @@
             return self._failing.due_tasks(open_keys, now)
         return open_keys
 
+    def _choose_first_starts(
+        self,
+        ranked: Sequence[RankedJob],
+        by_service: Mapping[str, Sequence[Minion]],
+        now: float,
+        unix_ms: int,
+        unplaceable: dict[str, list[ResourceVector]],
+    ) -> Iterator[tuple[Job, TaskKey, Minion]]:
+        """Yield one start for each job that has nothing running.
+
+        A leader on a slow processor may send fewer start orders than the tasks that wait have room
+        for. Without these starts it would start all tasks of one job after the other, and jobs at
+        the end of the order would count as lost.
+        """
+        for (_, queue, waiting), step, keys in idle_job_tasks(ranked, unix_ms):
+            if self._remaining_starts <= 0:
+                return
+            pool = by_service.get(queue.service, [])
+            first = self._open_tasks(waiting.job, keys, now)[:1]
+            if not pool or not first:
+                continue
+            for start in self._choose_task_starts(
+                waiting.job, step, list(first), pool, now, unplaceable
+            ):
+                keys.remove(first[0])
+                yield start
+
     def _choose_claimed_starts(
         self, by_service: Mapping[str, Sequence[Minion]], now: float
     ) -> Iterator[tuple[Job, TaskKey, Minion]]:
--- a/dotterelhill/jobs/tests/scheduler.feature
+++ b/dotterelhill/jobs/tests/scheduler.feature
@@ -505,3 +505,9 @@
     And job "a" of 1 filler of 8 processors on queue "long" that waits behind fillers of 2 processors
     When short tasks of 3 processors and fillers of 2 processors come all the time for 9 seconds
     Then job "a" has started
+
+  Scenario: a slow leader starts all tasks of one job after the other, and the last jobs wait with room for them
+    Given a fleet with minions "m1 m2 m3 m4" of 64 processors
+    And 20 jobs of 20 tasks of 1 processor each on queue "long"
+    When runs last 2.0 seconds and at most 2 starts are planned a round for 40 seconds
+    Then no job had nothing running for more than 3.0 seconds from second 14
--- a/dotterelhill/jobs/tests/steps/scheduler_steps.py
+++ b/dotterelhill/jobs/tests/steps/scheduler_steps.py
@@ -8,7 +8,7 @@
 from dotterelhill.jobs.model import JobState, Step, TaskKey
 from dotterelhill.jobs.orders import StartOutcome
 from dotterelhill.jobs.resources import ResourceVector
-from dotterelhill.jobs.tests.fleet_world import FleetWorld, schedule
+from dotterelhill.jobs.tests.fleet_world import START, FleetWorld, schedule
 
 use_step_matcher("re")
 
@@ -525,3 +525,52 @@
         for name in names.split():
             for key in list(context.fleet.running[name]):
                 context.fleet.end(name, key, EndKind.FAILED)
+
+
+@given(
+    r"(?P<count>\d+) jobs of (?P<tasks_each>\d+) tasks of 1 processor each "
+    r'on queue "(?P<queue>\w+)"'
+)
+def submit_many_jobs(context, count, tasks_each, queue):
+    step = tasks(int(tasks_each), 1)
+    for number in range(int(count)):
+        context.fleet.submit(f"job{number}", (step,), queue)
+
+
+@when(
+    r"runs last (?P<duration>[\d.]+) seconds and at most (?P<starts>\d+) starts are planned "
+    r"a round for (?P<seconds>\d+) seconds"
+)
+def run_with_few_starts(context, duration, starts, seconds):
+    fleet = context.fleet
+    started_at = {}
+    idle_since = {}
+    context.idle_spans = []
+    for _ in range(round(int(seconds) / ROUND_SECONDS)):
+        for name, runs in fleet.running.items():
+            for key in [key for key in runs if fleet.now - started_at[key] >= float(duration)]:
+                fleet.end(name, key, EndKind.DONE)
+        fleet.poll()
+        fleet.plan(int(starts))
+        orders = fleet.commit()
+        fleet.deliver(orders, StartOutcome.STARTED)
+        started_at |= {order.run.key: fleet.now for order in orders}
+        running = {key.job_id for runs in fleet.running.values() for key in runs}
+        for job_id, job in fleet.scheduler.jobs.items():
+            if job.is_complete():
+                continue
+            since = idle_since.setdefault(job_id, fleet.now)
+            if job_id in running:
+                since = idle_since[job_id] = fleet.now
+            context.idle_spans.append((fleet.now - START, fleet.now - since, job_id))
+        fleet.now += ROUND_SECONDS
+
+
+@then(
+    r"no job had nothing running for more than (?P<seconds>[\d.]+) seconds "
+    r"from second (?P<first>\d+)"
+)
+def check_idle_spans(context, seconds, first):
+    late = [span for span in context.idle_spans if span[0] >= int(first) + float(seconds)]
+    too_long = [span for span in late if span[1] > float(seconds)]
+    assert late and not too_long, too_long[:5]
