--- a/dotterelhill/jobs/placement/placement.py
+++ b/dotterelhill/jobs/placement/placement.py
@@ -296,10 +296,7 @@
             if waiting.pending:
                 waiting.round_number = self._round_number
                 queue = queue_of(waiting.job)
-                key = _sort_key(waiting, queue, now, unix_ms, self._durations)
-                if self._job_order is not None:
-                    key = self._job_order.rank(waiting, queue, key)
-                ranked.append((key, queue, waiting))
+                ranked.append((self._rank(waiting, queue, now, unix_ms), queue, waiting))
         ranked.sort(key=lambda entry: entry[0])
         self._track_short_peak(minions, now)
         unplaceable = self._recently_unplaceable(now)
@@ -337,6 +334,13 @@
                 return
             yield from choose_turn_starts(entry, is_overdue_only=False)
 
+    def _rank(
+        self, waiting: WaitingJob, queue: Queue, now: float, unix_ms: int
+    ) -> tuple[int, int, float]:
+        """Return the sort key of a job."""
+        key = _sort_key(waiting, queue, now, unix_ms, self._durations)
+        return key if self._job_order is None else self._job_order.rank(waiting, queue, key)
+
     def _recently_unplaceable(self, now: float) -> dict[str, list[ResourceVector]]:
         """Return the sizes of fillers that recently found no minion, by placement class.
 
--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -20,6 +20,7 @@
     "agreement": ("measure.agreement",),
     "failover": ("measure.failover_cost",),
     "jobs": ("measure.stragglers",),
+    "shortage": ("measure.shortage",),
     "cost": ("measure.fold_cost", "measure.node_cost"),
     "keys": ("measure.keys_cost",),
 }
--- a/measure/shortage_load.py
+++ b/measure/shortage_load.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, replace
 from heapq import heappop, heappush
 from math import inf
@@ -41,8 +41,27 @@
     "batch": Queue("batch", "h", "/batch/", "pool", 2, 4, 3.0, 2.0),
 }
 SERVING = Queue("serve", "h", "/serve/", "pool")
-# Share of the work of each queue.
-WORK_SHARES = {"search": 0.35, "plan": 0.35, "batch": 0.3}
+
+
+@dataclass(frozen=True, slots=True)
+class LoadKind:
+    """Kind of load.
+
+    :param overload_factor: multiplies the load of the phases above the capacity
+    :param work_shares: share of the work of each queue
+    """
+
+    name: str
+    overload_factor: float
+    work_shares: Mapping[str, float]
+
+
+_MIXED = {"search": 0.35, "plan": 0.35, "batch": 0.3}
+LOAD_KINDS = (
+    LoadKind("overload", 1.0, _MIXED),
+    LoadKind("heavy overload", 1.6, _MIXED),
+    LoadKind("fillers", 2.2, {"search": 0.1, "plan": 0.1, "batch": 0.8}),
+)
 
 
 def load_at(seconds: float, overload_factor: float) -> float:
@@ -72,11 +91,8 @@
     return steps, usual
 
 
-def record_load(seed: int, overload_factor: float = 1.0) -> list[RecordedJob]:
-    """Return jobs of all queues and failure domains in the order of their arrival.
-
-    :param overload_factor: multiplies the load of the phases above the capacity
-    """
+def record_load(seed: int, kind: LoadKind) -> list[RecordedJob]:
+    """Return jobs of all queues and failure domains in the order of their arrival."""
     rng = Random(seed)
     room = ResourceVector(1000, 100)
     serving = Step(SERVING_TASKS, room, is_lasting=True, anti_affinity=1, image="serve")
@@ -87,7 +103,7 @@
         while True:
             steps, usual = _steps(name, rng)
             work = sum(step.count * one for step, one in zip(steps, usual, strict=True))
-            rate = load_at(at, overload_factor) * WORK_SHARES[name] * FREE_PROCESSORS
+            rate = load_at(at, kind.overload_factor) * kind.work_shares[name] * FREE_PROCESSORS
             at += rng.expovariate(1.0) * work / rate
             if at >= SECONDS:
                 break
@@ -143,6 +159,15 @@
     has_refusal: bool = False
 
 
+POLICIES = (
+    Policy("first come first served", FirstComeFirstServed()),
+    Policy("earliest deadline first", EarliestDeadlineFirst()),
+    Policy("present order"),
+    Policy("order in a shortage", has_control=True),
+    Policy("order and admission", has_control=True, has_refusal=True),
+)
+
+
 class ShortageSimulation(FleetSimulation):
     """Load with shortages under one policy."""
 
@@ -219,6 +244,11 @@
     accepted: int = 0
     in_time_of_accepted: int = 0
 
+    @property
+    def value_share(self) -> float:
+        """Return the share of the value of all jobs that was reached in time."""
+        return self.value / self.whole_value
+
     def share(self, group: str) -> float:
         """Return the share of the jobs of a group that ended in time."""
         return self.in_time[group] / max(1, self.counted[group])
