Put jobs with more slack first among equals in a shortage

Cause: new jobs were ranked with a delay, and among jobs of equal ratio the least slack came first, so that each job made the next one late.

--- a/dotterelhill/jobs/shortage/control.py
+++ b/dotterelhill/jobs/shortage/control.py
@@ -89,7 +89,7 @@
 
     def rank(self, waiting: WaitingJob, queue: Queue, key: SortKey) -> SortKey:
         """Return the sort key of a job, which differs from ``key`` in a shortage only."""
-        tracked = self._jobs.get(waiting.job.job_id)
+        tracked = self._tracked(waiting, queue)
         if tracked is None:
             return key
         if (queue.service, queue.priority) in self._short_priorities:
@@ -132,12 +132,11 @@
     ) -> Iterator[tuple[TrackedJob, float]]:
         """Yield the jobs with waiting tasks, each with its age, and count those that got late."""
         for waiting in waiting_jobs:
+            tracked = self._jobs.get(waiting.job.job_id)
             # A job that no round has ranked has no path yet.
-            if waiting.path_at == float("-inf") and waiting.job.job_id not in self._jobs:
-                continue
-            tracked = self._tracked(waiting, queue_of(waiting.job))
             if tracked is None:
                 continue
+            tracked.queue = queue_of(waiting.job)
             tracked.refresh(waiting, self._durations)
             age_seconds = self._age_seconds(waiting.job, now)
             if not tracked.is_decided and age_seconds > tracked.objective_seconds:
@@ -147,10 +146,9 @@
                 yield tracked, age_seconds
 
     def _tracked(self, waiting: WaitingJob, queue: Queue) -> TrackedJob | None:
-        """Return the state of a job, which begins when its path is known."""
+        """Return the state of a job, which begins when it is first ranked."""
         tracked = self._jobs.get(waiting.job.job_id)
         if tracked is not None:
-            tracked.queue = queue
             return tracked
         tracked = track(waiting, queue, self._durations)
         if tracked is not None:
--- a/dotterelhill/jobs/shortage/order.py
+++ b/dotterelhill/jobs/shortage/order.py
@@ -65,9 +65,10 @@
     if timeliness != Timeliness.IN_TIME:
         return key
     ratio = value_of(job.total_work, mean_work) / max(MIN_WORK, job.left_work)
-    # Begun jobs come first within one step of the ratio; less slack decides among the others.
+    # Begun jobs come first within one step of the ratio. Among the others, the least slack first
+    # would let each job make the next one late.
     step = 2.0 * floor(log(ratio, EQUAL_RATIO))
     begun = job.job.state is JobState.RUNNING
     tie = slack / (1.0 + abs(slack)) / 4.0
-    number = -step - begun + tie
+    number = -step - begun - tie
     return (priority, BELOW_FLOOR if is_below else timeliness, number)
