Keep the ranks of waiting jobs and sums over them between rounds

Each round ranked every waiting job and passed over all of them six times: for the peak of short tasks, the claims of lasting tasks and of fillers, overdue lasting tasks, and waits to log.

Ranking computes the rank of a job again only when its waiting tasks or its queue change, its expected durations are out of date, or its timeliness changes. The slack is compared at a common origin, since it falls alike for all jobs.

--- a/dotterelhill/jobs/placement/placement.py
+++ b/dotterelhill/jobs/placement/placement.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator, Mapping, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 from functools import partial
 from heapq import heapify, heappop, heapreplace
 from math import inf
@@ -12,7 +12,7 @@
 from dotterelhill.jobs.durations.model import DurationModel
 from dotterelhill.jobs.fleet import Minion
 from dotterelhill.jobs.interference.sharing import MIN_FILLER_CPU_SHARE, InterferenceControl
-from dotterelhill.jobs.model import TOO_LATE_FACTOR, Job, Step, Task, TaskKey, Timeliness
+from dotterelhill.jobs.model import Job, Step, Task, TaskKey
 from dotterelhill.jobs.placement.failing_tasks import FailingTasks
 from dotterelhill.jobs.placement.filler_claims import FillerClaims
 from dotterelhill.jobs.placement.forced_starts import ForcedStarts
@@ -24,6 +24,7 @@
     is_overdue,
 )
 from dotterelhill.jobs.placement.lasting_waits import WaitingStep
+from dotterelhill.jobs.placement.ranking import QueueLookup, Ranking
 from dotterelhill.jobs.placement.waiting import (
     OccurrenceStep,
     RankedJob,
@@ -32,7 +33,6 @@
     longest_idle_seconds,
     startable_lasting_steps,
 )
-from dotterelhill.jobs.queues import Queue
 from dotterelhill.jobs.resources import ResourceVector
 from dotterelhill.jobs.tenants.limits import TenantLimits
 from dotterelhill.jobs.tenants.loads import WaitingTasks
@@ -58,12 +58,6 @@
 # A slow minion costs more than a rack without the data: it takes several times as long.
 SLOW_MINION_COST = 2.0
 
-# Learned durations change slowly, and thousands of jobs are ranked in each round. A step that is
-# done changes the remaining path at once.
-PATH_VALID_SECONDS = 0.5
-
-QueueLookup = Callable[[Job], Queue]
-
 
 class Placement:
     """Queue of the waiting tasks of all active jobs, and the choice of their minions.
@@ -90,16 +84,15 @@
         self._shares = shares
         self._has_tenants = False
         self._suspicion = suspicion
-        self._durations = durations
         self._failing = failing
         self._isolation = Isolation(suspicion)
         self._waiting_jobs: dict[str, WaitingJob] = {}
+        self._ranking = Ranking(durations)
         self._short_peak_cpu = 0.0
         self._short_peak_at = 0.0
         self._unplaceable: dict[str, list[ResourceVector]] = {}
         self._unplaceable_since = float("-inf")
         self._remaining_starts = UNLIMITED_STARTS
-        self._round_number = 0
         self._lasting_claims = LastingClaims(limits)
         self._filler_claims = FillerClaims(interference)
         self._forced_starts = ForcedStarts(interference)
@@ -130,7 +123,7 @@
         :param queue_of: returns the current queue configuration of a job
         :param unix_ms: wall-clock time in Unix ms, for the schedules of jobs
         """
-        for waiting in self._waiting_jobs.values():
+        for waiting in self._ranking.lasting_jobs:
             queue = queue_of(waiting.job)
             for step, keys in startable_lasting_steps(waiting, queue, unix_ms):
                 yield WaitingStep(waiting.job, step, queue.service, keys)
@@ -152,7 +145,7 @@
         :param unix_ms: wall-clock time of that round in Unix ms
         """
         for waiting in self._waiting_jobs.values():
-            if not waiting.pending or waiting.round_number != self._round_number:
+            if not waiting.pending or waiting.entry is None:
                 continue
             queue, submission = queue_of(waiting.job), waiting.job.submission
             if queue.needs_advice:
@@ -168,10 +161,17 @@
         for occurrence in range(job.submission.occurrence_count):
             for step in range(len(job.submission.steps)):
                 self._add_ready_step(waiting, occurrence, step)
+        self._ranking.add(waiting)
+
+    def configure(self) -> None:
+        """Rank all jobs again after a change of the queues."""
+        self._ranking.touch_all()
 
     def remove_job(self, job: Job) -> None:
         """Remove a job that has ended."""
-        self._waiting_jobs.pop(job.job_id, None)
+        waiting = self._waiting_jobs.pop(job.job_id, None)
+        if waiting is not None:
+            self._ranking.remove(waiting)
 
     def requeue(self, job: Job, task: Task) -> None:
         """Add a task that has to run again; a task that is done or already waits is ignored."""
@@ -181,6 +181,7 @@
         keys = waiting.pending.setdefault((task.key.occurrence, task.key.step), [])
         if task.key not in keys:
             keys.append(task.key)
+            self._ranking.touch(waiting)
 
     def withdraw(self, job: Job, task: Task) -> None:
         """Remove a waiting task that needs no further run."""
@@ -188,6 +189,7 @@
         occurrence_step = (task.key.occurrence, task.key.step)
         if waiting is not None and task.key in waiting.pending.get(occurrence_step, ()):
             waiting.pending[occurrence_step].remove(task.key)
+            self._ranking.touch(waiting)
 
     def highest_waiting_priorities(self, queue_of: QueueLookup, unix_ms: int) -> dict[str, int]:
         """Return the highest priority of tasks that wait for capacity, by service.
@@ -233,6 +235,7 @@
             return
         waiting.pending.pop((key.occurrence, key.step), None)
         waiting.path_at = float("-inf")
+        self._ranking.touch(waiting)
         for step, dependent in enumerate(job.submission.steps):
             if key.step in dependent.after:
                 self._add_ready_step(waiting, key.occurrence, step)
@@ -277,30 +280,38 @@
         :param max_starts: number of starts to yield at most; a gang is not split
         """
         self._remaining_starts = max_starts
-        self._round_number += 1
+        self._ranking.update(queue_of, now, unix_ms)
+        for job, key, minion in self._choose_starts(minions, minions_for_trial, now, unix_ms):
+            waiting = self._waiting_jobs[job.job_id]
+            self._ranking.touch(waiting)
+            yield job, key, minion
+            # The tasks may still change after the start.
+            self._ranking.touch(waiting)
+
+    def _choose_starts(
+        self,
+        minions: Sequence[Minion],
+        minions_for_trial: Sequence[Minion],
+        now: float,
+        unix_ms: int,
+    ) -> Iterator[tuple[Job, TaskKey, Minion]]:
+        """Yield starts of the ranked jobs as ``choose_starts`` does."""
         by_service = _group_by_service(minions)
         for_trial_by_service = _group_by_service(minions_for_trial)
-        ranked = []
-        newest_accepted_ms = 0
-        for waiting in self._waiting_jobs.values():
-            newest_accepted_ms = max(newest_accepted_ms, waiting.job.submission.accepted_ms)
-            if waiting.pending:
-                waiting.round_number = self._round_number
-                queue = queue_of(waiting.job)
-                key = _sort_key(waiting, queue, now, unix_ms, self._durations)
-                ranked.append((key, queue, waiting))
-        ranked.sort(key=lambda entry: entry[0])
+        ranked = self._ranking.ranked
+        ranked_lasting, ranked_fillers = self._ranking.ranked_lasting, self._ranking.ranked_fillers
         self._track_short_peak(minions, now)
         unplaceable = self._recently_unplaceable(now)
-        self._lasting_claims.update(ranked, by_service, self._failing, now, unix_ms)
+        self._lasting_claims.update(ranked_lasting, by_service, self._failing, now, unix_ms)
         self._shares.begin_round(by_service if self._has_tenants else {})
         if self._suspicion.has_suspects:
             yield from self._choose_isolated_starts(ranked, by_service, now, unix_ms)
             for service, pool in by_service.items():
                 by_service[service] = self._isolation.open_minions(pool)
+        newest_accepted_ms = self._ranking.newest_accepted_ms()
         self._forced_starts.begin_round((unix_ms - newest_accepted_ms) / 1000.0)
         self._filler_claims.update(
-            ranked, by_service, partial(self._open_tasks, now=now), now, unix_ms
+            ranked_fillers, by_service, partial(self._open_tasks, now=now), now, unix_ms
         )
 
         def choose_turn_starts(
@@ -315,7 +326,7 @@
                 waiting, pool, for_trial, now, unix_ms, unplaceable, is_overdue_only=is_overdue_only
             )
 
-        for entry in ranked:
+        for entry in ranked_lasting:
             if self._remaining_starts > 0 and has_overdue_task(entry[2], now):
                 yield from choose_turn_starts(entry, is_overdue_only=True)
         if self._forced_starts.is_draining:
@@ -342,20 +353,8 @@
     def _track_short_peak(self, minions: Sequence[Minion], now: float) -> None:
         """Update the peak of the processors that short tasks use or wait for."""
         cpu = float(sum(minion.short_cpu for minion in minions))
-        of_tenants: dict[str, float] = {}
-        for waiting in self._waiting_jobs.values():
-            tenant = waiting.job.submission.tenant
-            for (_, index), keys in waiting.pending.items():
-                step = waiting.job.submission.steps[index]
-                if step.is_lasting:
-                    continue
-                if tenant:
-                    needed = len(keys) * step.reserved_resources.cpu
-                    of_tenants[tenant] = of_tenants.get(tenant, 0.0) + needed
-                else:
-                    cpu += len(keys) * step.reserved_resources.cpu
-        for tenant, needed_cpu in of_tenants.items():
-            cpu += self._limits.allowed_cpu(tenant, needed_cpu)
+        for tenant, needed_cpu in self._ranking.needed_cpu.items():
+            cpu += self._limits.allowed_cpu(tenant, float(needed_cpu))
         decay = 0.5 ** ((now - self._short_peak_at) / RESERVE_HALF_LIFE_SECONDS)
         self._short_peak_cpu = max(cpu, self._short_peak_cpu * decay)
         self._short_peak_at = now
@@ -770,40 +769,3 @@
     if step.is_filler:
         return f"{FILLER_CLASS} {step.image} {service}"
     return f"lasting {step.image} {service}" if step.is_lasting else f"short {service}"
-
-
-def _sort_key(
-    waiting: WaitingJob, queue: Queue, now: float, unix_ms: int, durations: DurationModel
-) -> tuple[int, int, float]:
-    """Return the sort key of a job: priority, timeliness, and slack in seconds."""
-    job = waiting.job
-    if now - waiting.path_at >= PATH_VALID_SECONDS:
-        waiting.path_at = now
-        waiting.path_seconds, waiting.remaining_seconds = _path_seconds(job, durations)
-    path_seconds, remaining = waiting.path_seconds, waiting.remaining_seconds
-    age_seconds = (unix_ms - job.submission.accepted_ms) / 1000.0
-    objective = queue.stretch * path_seconds + queue.target_seconds
-    timeliness = Timeliness.IN_TIME
-    if age_seconds + remaining > TOO_LATE_FACTOR * objective:
-        timeliness = Timeliness.TOO_LATE
-    elif age_seconds + remaining > objective:
-        timeliness = Timeliness.LATE
-    return (queue.priority, timeliness, objective - age_seconds - remaining)
-
-
-def _path_seconds(job: Job, durations: DurationModel) -> tuple[float, float]:
-    """Return the expected durations in seconds of two critical paths of a job.
-
-    :returns: path through all steps, and path through the unfinished steps
-    """
-    queue = job.submission.queue.name
-    ends: list[float] = []
-    remaining_ends: list[float] = []
-    for number, step in enumerate(job.submission.steps):
-        seconds = durations.expected(queue, step)
-        is_done = job.is_step_done(0, number)
-        start = max((ends[index] for index in step.after), default=0.0)
-        ends.append(start + seconds)
-        start = max((remaining_ends[index] for index in step.after), default=0.0)
-        remaining_ends.append(start if is_done else start + seconds)
-    return max(ends, default=0.0), max(remaining_ends, default=0.0)
--- a/dotterelhill/jobs/placement/waiting.py
+++ b/dotterelhill/jobs/placement/waiting.py
@@ -12,27 +12,46 @@
 OccurrenceStep = tuple[int, int]
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class WaitingJob:
     """Waiting tasks of one job, by occurrence and step.
 
+    :param sequence: number of the job in the order in which jobs became active
     :param pending: keys of the tasks that can start
-    :param round_number: newest round in which tasks of the job could start
+    :param entry: the job as ranked in the newest round; None if none of its tasks waited then
+    :param needed_cpu: thousandths of a processor that its waiting tasks reserve, without lasting
+        ones, as of the newest round
     :param path_at: loop time at which the critical paths were computed
     :param path_seconds: expected duration of the critical path through all steps
     :param remaining_seconds: expected duration of that through the unfinished steps
+    :param timeliness_due_ms: Unix ms at which its timeliness is checked next; infinite for never
     """
 
     job: Job
+    sequence: int = 0
     pending: dict[OccurrenceStep, list[TaskKey]] = field(default_factory=dict)
-    round_number: int = 0
+    entry: RankedJob | None = None
+    needed_cpu: int = 0
     path_at: float = float("-inf")
     path_seconds: float = 0.0
     remaining_seconds: float = 0.0
+    timeliness_due_ms: float = float("inf")
 
+    @property
+    def has_lasting_steps(self) -> bool:
+        """Return whether tasks of the job run until they are stopped."""
+        return any(step.is_lasting for step in self.job.submission.steps)
 
-# Sort key, current queue and waiting tasks of a job.
-RankedJob = tuple[tuple[int, int, float], Queue, WaitingJob]
+    @property
+    def has_filler_steps(self) -> bool:
+        """Return whether tasks of the job use idle processors."""
+        return any(step.is_filler for step in self.job.submission.steps)
+
+
+# Priority, timeliness, slack in seconds before an origin that all jobs share, and sequence number.
+RankKey = tuple[int, int, float, int]
+# Rank, current queue and waiting tasks of a job.
+RankedJob = tuple[RankKey, Queue, WaitingJob]
 
 
 def startable_lasting_steps(
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -347,6 +347,7 @@
     def configure(self, config: FleetConfig) -> None:
         """Replace the configuration by a newer one."""
         self._config = config
+        self._placement.configure()
         if self._tenant_limits.configure(config):
             oversize = self._tenant_limits.oversize_decisions(self._active_jobs.values())
             self._decisions.extend(oversize)
--- a/dotterelhill/jobs/tenants/shares.py
+++ b/dotterelhill/jobs/tenants/shares.py
@@ -27,7 +27,7 @@
 
 
 _Ranked = TypeVar("_Ranked", bound=_WithJob)
-_Entry = tuple[tuple[int, int, float], Queue, _Ranked]
+_Entry = tuple[tuple[int, int, float, int], Queue, _Ranked]
 
 
 class TenantShares:
@@ -152,7 +152,7 @@
 
 def _group_of(entry: _Entry[_Ranked]) -> tuple[int, bool]:
     """Return what ranks before shares: the priority, and whether the job ends too late."""
-    priority, timeliness, _ = entry[0]
+    priority, timeliness = entry[0][:2]
     return (priority, timeliness == Timeliness.TOO_LATE)
 
 
