--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -59,6 +59,7 @@
 from dotterelhill.jobs.placement.lasting_waits import LastingWaits, explain_wait
 from dotterelhill.jobs.placement.placement import UNLIMITED_STARTS, Placement
 from dotterelhill.jobs.queues import FleetConfig, Queue
+from dotterelhill.jobs.retention import EndedJobs
 from dotterelhill.jobs.tenants.gauges import TenantGauges
 from dotterelhill.jobs.tenants.limits import TenantLimits
 from dotterelhill.jobs.tenants.loads import CapacityCheck, TenantLoad, TenantLoads
@@ -93,6 +94,7 @@
         self._earlier_lease_end = lease_end(renewals_end, settings.lease_seconds)
         self._jobs: dict[str, Job] = {}
         self._active_jobs: dict[str, Job] = {}
+        self._ended_jobs = EndedJobs(settings.retention_seconds)
         self._minions: dict[str, Minion] = {}
         self._config = FleetConfig()
         self._evacuated_domains: frozenset[str] = frozenset()
@@ -222,6 +224,7 @@
         self._jobs[job.job_id] = job
         if job.state in FINAL_STATES:
             job.ended_at = now
+            self._ended_jobs.add(job)
         else:
             self._activate(job)
             self._suspicion.restore(job, now)
@@ -329,6 +332,7 @@
         """
         job.state = state
         job.ended_at = now
+        self._ended_jobs.add(job)
         self._active_jobs.pop(job.job_id, None)
         self._placement.remove_job(job)
         self._suspicion.remove_job(job)
@@ -1069,14 +1073,9 @@
         for owner, cancelled_at in list(self._early_cancellations.items()):
             if now - cancelled_at >= self._settings.retention_seconds:
                 del self._early_cancellations[owner]
-        for job_id, job in list(self._jobs.items()):
-            if job.state not in FINAL_STATES:
-                continue
-            is_kept = now - job.ended_at < self._settings.retention_seconds
-            if is_kept or any(task.is_assigned for task in job.tasks.values()):
-                continue
-            del self._jobs[job_id]
-            self._removed_job_ids.append(job_id)
+        for job in self._ended_jobs.take_expired(now):
+            del self._jobs[job.job_id]
+            self._removed_job_ids.append(job.job_id)
 
     def _release_unlisted(self, key: str, now: float) -> None:
         """Release the tasks of an unlisted incarnation, given as ``minion_id@born_ms``."""
