Time claims by the leader's newest renewal, so that the rank of processes decides

A trace shows the cause: after the VM of the leader had gone, a process with 0.516 of a processor claimed 3.6 s later, although several with 2.15 were as near to the store. Each process counted 1.5 s from its own first look at a leadership stream without growth and looked again each 0.25 s, with 0.5 s more for the status of a silent leader; these phases exceed the delay of 0.48 s for half a processor.

Claims are timed from the newest renewal on the leader's clock, which all processes know alike, and a process waits for its time instead of looking again. The leader's condition is checked once more in the last 0.5 s. The six examples of the new scenario failed before (no process led after 3.5 s). The scenario of a leader that loads and can't renew takes 50 jobs instead of 40: its load of 4 s ended within its 3 s of waiting, after which a claim is right.

--- a/dotterelhill/control/election.py
+++ b/dotterelhill/control/election.py
@@ -20,9 +20,15 @@
     LeaderClock,
     LeaderCondition,
     Leadership,
+    LeadershipState,
     LoadingWatch,
 )
-from dotterelhill.control.peers import PeerClient, PeerUnreachableError, condition_in_term
+from dotterelhill.control.peers import (
+    PEER_TIMEOUT_SECONDS,
+    PeerClient,
+    PeerUnreachableError,
+    condition_in_term,
+)
 from dotterelhill.entry.logs import logger_of
 
 CHECK_INTERVAL_SECONDS = 0.5
@@ -32,6 +38,10 @@
 DETECTION_INTERVAL_SECONDS = 0.25
 # Interval between attempts to learn that the previous term has ended.
 CONFIRMATION_INTERVAL_SECONDS = 0.3
+# A process waits for the time of its claim rather than checking the leader in between: checks of a
+# silent leader take up to 0.8 s, which would decide which process claims. A claim depends on the
+# state of the stream that was read, so it fails if the leader has renewed meanwhile.
+MAX_PLANNED_WAIT_SECONDS = 1.5
 # A process claims after a delay of this factor times its latency to the store, so that a process
 # near the store leads.
 LATENCY_DELAY_FACTOR = 8.0
@@ -219,29 +229,59 @@
         elif (claim.address, claim.incarnation, claim.epoch) != known:
             self._remember(claim)
             condition = await self._condition_of(claim.address, claim.incarnation, claim.epoch)
-        if not self._detector.is_claim_allowed(state, condition, self._claims.delay_factor):
+        clock = self._clock_of(claim)
+        wait = self._detector.seconds_to_claim(state, condition, self._claims.delay_factor, clock)
+        if wait is None or wait > MAX_PLANNED_WAIT_SECONDS:
+            return
+        claims_at = self._clock() + wait + self._rank_delay_seconds()
+        if not await self._is_still_failing(claim, condition, claims_at):
             return
-        latency_delay = min(
-            MAX_LATENCY_DELAY_SECONDS, LATENCY_DELAY_FACTOR * self._store_latency_seconds
-        )
-        jitter = self._random.uniform(0, MAX_JITTER_SECONDS)
-        await asyncio.sleep(latency_delay + self._processor_delay_seconds + jitter)
         if self._has_stopped_claiming or not await self._leadership.claim(state):
             return
         if self._leadership.own_claim is not None:
             self._claims.record(self._leadership.own_claim)
         _log.notice("took over leadership", extra={"condition": condition.name.lower()})
-        renewals_end = self._clock()
-        if claim is not None and condition is not LeaderCondition.GONE:
-            clock = self._leader_clock(claim.incarnation)
-            renewals_end = self._detector.renewals_end(state, clock)
-        elif not state.is_settled:
-            # The leader that is gone was itself waiting for renewals of one before it.
-            renewals_end += LEASE_SECONDS + RENEWAL_GRACE_SECONDS
+        renewals_end = self._earlier_renewals_end(state, condition)
         self._leadership.settle_at(renewals_end)
         is_gone = condition is LeaderCondition.GONE
         self._begin_term(renewals_end, None if is_gone else claim, is_settled=state.is_settled)
 
+    def _earlier_renewals_end(self, state: LeadershipState, condition: LeaderCondition) -> float:
+        """Return the time until which earlier leaders may renew leases after a claim made now."""
+        if state.claim is not None and condition is not LeaderCondition.GONE:
+            return self._detector.renewals_end(state, self._clock_of(state.claim))
+        now = self._clock()
+        # The leader that is gone was itself waiting for renewals of one before it.
+        return now if state.is_settled else now + LEASE_SECONDS + RENEWAL_GRACE_SECONDS
+
+    def _clock_of(self, claim: Claim | None) -> LeaderClock | None:
+        """Return the newest reading of the clock of a claim's process; None when there is none."""
+        return None if claim is None else self._leader_clock(claim.incarnation)
+
+    def _rank_delay_seconds(self) -> float:
+        """Return the delay that lets processes near the store with more processors claim first."""
+        latency_delay = min(
+            MAX_LATENCY_DELAY_SECONDS, LATENCY_DELAY_FACTOR * self._store_latency_seconds
+        )
+        jitter = self._random.uniform(0, MAX_JITTER_SECONDS)
+        return latency_delay + self._processor_delay_seconds + jitter
+
+    async def _is_still_failing(
+        self, claim: Claim | None, condition: LeaderCondition, claims_at: float
+    ) -> bool:
+        """Wait until the time of the claim; return whether the leader's condition is the same.
+
+        The last check ends by that time, even if the leader does not answer.
+        """
+        is_checked_again = claims_at - self._clock() > PEER_TIMEOUT_SECONDS
+        if claim is not None and condition is not LeaderCondition.GONE and is_checked_again:
+            await asyncio.sleep(claims_at - PEER_TIMEOUT_SECONDS - self._clock())
+            newest = await self._condition_of(claim.address, claim.incarnation, claim.epoch)
+            if newest is not condition:
+                return False
+        await asyncio.sleep(max(0.0, claims_at - self._clock()))
+        return True
+
     async def _confirm_end_of_term(
         self, claim: Claim, renewals_end: float, leader: Leader, *, is_settled: bool
     ) -> None:
--- a/dotterelhill/control/leadership.py
+++ b/dotterelhill/control/leadership.py
@@ -485,26 +485,46 @@
         """Stop watching the stream, because the leader answers."""
         self._end = None
 
-    def is_claim_allowed(
-        self, state: LeadershipState, condition: LeaderCondition, delay_factor: float = 1.0
-    ) -> bool:
-        """Return whether leadership may be claimed now.
+    def seconds_to_claim(
+        self,
+        state: LeadershipState,
+        condition: LeaderCondition,
+        delay_factor: float = 1.0,
+        clock: LeaderClock | None = None,
+    ) -> float | None:
+        """Return the time in seconds until leadership may be claimed, if the stream does not grow.
+
+        Processes see that the stream does not grow at different times. A reading of the leader's
+        clock tells when the newest renewal was sent, which is the same time for all of them, so
+        that their delays by rank decide which of them claims.
 
         :param state: current state of the leadership stream
         :param condition: observed condition of the leader
         :param delay_factor: factor of the delay; see :class:`ClaimSeries`
+        :param clock: reading of the clock of that leader; None when there is none
+        :returns: None while the leader answers and renews
         """
         if condition is LeaderCondition.GONE:
-            return True
+            return 0.0
         if condition is LeaderCondition.PRESENT:
             self.reset()
-            return False
+            return None
         if self._end != state.end:
             self._end = state.end
             self._unchanged_since = self._clock()
-            return False
+        since = self._unchanged_since
+        if condition in (LeaderCondition.SILENT, LeaderCondition.REFUSED):
+            since = min(since, self._newest_renewal_time(state, clock))
         delay = min(MAX_CLAIM_DELAY_SECONDS, delay_factor * CLAIM_DELAY_SECONDS[condition])
-        return self._clock() - self._unchanged_since >= delay
+        return max(0.0, since + delay - self._clock())
+
+    def _newest_renewal_time(self, state: LeadershipState, clock: LeaderClock | None) -> float:
+        """Return the time by which the newest stored renewal was certainly sent, or infinity."""
+        if clock is None or state.claim is None or state.renewed_at is None:
+            return float("inf")
+        if clock.incarnation != state.claim.incarnation:
+            return float("inf")
+        return clock.latest_time_of(state.renewed_at)
 
     def renewals_end(self, state: LeadershipState, clock: LeaderClock | None) -> float:
         """Return the time until which the watched leader may renew the leases of running tasks.
@@ -518,9 +538,5 @@
         """
         renewing_seconds = LEASE_SECONDS + RENEWAL_GRACE_SECONDS
         end = self._unchanged_since + renewing_seconds
-        if clock is None or state.claim is None or state.renewed_at is None:
-            return end
-        if clock.incarnation != state.claim.incarnation:
-            return end
-        sent_at = clock.latest_time_of(state.renewed_at)
+        sent_at = self._newest_renewal_time(state, clock)
         return min(end, sent_at + renewing_seconds / (1.0 - MAX_CLOCK_DRIFT))
--- a/dotterelhill/control/tests/cluster.feature
+++ b/dotterelhill/control/tests/cluster.feature
@@ -137,6 +137,21 @@
     And 3.5 seconds pass
     Then a process with a full processor leads
 
+  Scenario Outline: A weak process leads after the VM of the leader has gone, since processes check a silent leader at different times
+    Given processes "d e f g h i j k l m n o p q r s t" with half a processor and "w x y" with a full one that have run for <before> seconds
+    When the VM of the leader is gone without a word
+    And <after> seconds pass
+    Then a process with a full processor leads
+
+    Examples:
+      | before | after |
+      | 3.0    | 3.5   |
+      | 3.1    | 3.5   |
+      | 3.2    | 3.5   |
+      | 3.3    | 3.5   |
+      | 3.4    | 3.5   |
+      | 3.5    | 3.5   |
+
   Scenario: An answer of one minion that can't be processed ends the term of each leader in turn
     When 6 calls of the leader to minions fail with an unexpected error
     And job "j" of 4 tasks is submitted at a process that does not lead
@@ -456,7 +471,7 @@
       | -2      | 0.3   | 1.4    |
 
   Scenario Outline: A leader that loads and can't renew is succeeded while it makes progress, or kept when it makes none
-    When 40 jobs of 1 task are submitted
+    When 50 jobs of 1 task are submitted
     And <load>
     And the leader is killed
     And 2.5 seconds pass
--- a/dotterelhill/control/tests/steps/cluster_steps.py
+++ b/dotterelhill/control/tests/steps/cluster_steps.py
@@ -468,12 +468,12 @@
 
 @given(
     r'processes "(?P<names>[^"]*)" with half a processor and "(?P<full>[^"]*)" with a full one '
-    r"that have run for (?P<seconds>\d+) seconds"
+    r"that have run for (?P<seconds>[\d.]+) seconds"
 )
 def new_cluster_with_processors(context, names, full, seconds):
     slow_names = tuple(names.split())
     context.cluster = Cluster([*slow_names, *full.split()], slow_names=slow_names)
-    context.cluster.advance(int(seconds))
+    context.cluster.advance(float(seconds))
     context.first_leader = context.cluster.leaders[0]
 
 
