--- a/dotterelhill/jobs/placement/waiting.py
+++ b/dotterelhill/jobs/placement/waiting.py
@@ -8,43 +8,69 @@
 
 from dotterelhill.jobs.fleet import Minion
 from dotterelhill.jobs.model import Job, Step, TaskKey
+from dotterelhill.jobs.placement.task_size import TaskSize
 from dotterelhill.jobs.queues import Queue
 
 OccurrenceStep = tuple[int, int]
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class WaitingJob:
     """Waiting tasks of one job, by occurrence and step.
 
+    :param has_lasting_steps: whether tasks of the job run until they are stopped
+    :param has_filler_steps: whether tasks of the job use idle processors
+    :param sequence: number of the job in the order in which jobs became active
     :param pending: keys of the tasks that can start
-    :param round_number: newest round in which tasks of the job could start
+    :param entry: the job as ranked in the newest round; None if none of its tasks waited then
+    :param needed_cpu: thousandths of a processor that its waiting tasks reserve, without lasting
+        ones, as of the newest round
+    :param sizes: sizes of the waiting tasks; None when they have to be looked up again
+    :param sizes_generation: generation of ``Attempts`` to which the sizes belong
     :param path_at: loop time at which the critical paths were computed
     :param path_seconds: expected duration of the critical path through all steps
     :param remaining_seconds: expected duration of that through the unfinished steps
+    :param timeliness_due_ms: Unix ms at which its timeliness is checked next; infinite for never
     """
 
     job: Job
+    has_lasting_steps: bool
+    has_filler_steps: bool
+    sequence: int = 0
     pending: dict[OccurrenceStep, list[TaskKey]] = field(default_factory=dict)
-    round_number: int = 0
+    entry: RankedJob | None = None
+    needed_cpu: int = 0
+    sizes: tuple[TaskSize, ...] | None = None
+    sizes_generation: int = 0
     path_at: float = float("-inf")
     path_seconds: float = 0.0
     remaining_seconds: float = 0.0
+    timeliness_due_ms: float = float("inf")
 
+    @classmethod
+    def of(cls, job: Job) -> WaitingJob:
+        """Return a job without waiting tasks yet."""
+        steps = job.submission.steps
+        return cls(
+            job,
+            has_lasting_steps=any(step.is_lasting for step in steps),
+            has_filler_steps=any(step.is_filler for step in steps),
+        )
 
-# Sort key, current queue and waiting tasks of a job.
-RankedJob = tuple[tuple[int, int, float], Queue, WaitingJob]
+
+# Priority, timeliness, slack in seconds before an origin that all jobs share, and sequence number.
+RankKey = tuple[int, int, float, int]
+# Rank, current queue and waiting tasks of a job.
+RankedJob = tuple[RankKey, Queue, WaitingJob]
 
 
 class JobOrder(Protocol):
     """Order of jobs that replaces that by priority, timeliness and slack."""
 
-    def rank(
-        self, waiting: WaitingJob, queue: Queue, key: tuple[int, int, float]
-    ) -> tuple[int, int, float]:
-        """Return the sort key of a job.
+    def rank(self, waiting: WaitingJob, queue: Queue, key: RankKey) -> RankKey:
+        """Return the rank of a job.
 
-        :param key: its priority, timeliness and slack
+        :param key: its rank by priority, timeliness and slack
         """
 
 
--- a/dotterelhill/jobs/shortage/control.py
+++ b/dotterelhill/jobs/shortage/control.py
@@ -8,9 +8,9 @@
 from dotterelhill.jobs.durations.model import DurationModel
 from dotterelhill.jobs.fleet import Minion, Run
 from dotterelhill.jobs.model import Job, JobState, Timeliness
-from dotterelhill.jobs.placement.waiting import WaitingJob
+from dotterelhill.jobs.placement.waiting import RankKey, WaitingJob
 from dotterelhill.jobs.queues import Queue
-from dotterelhill.jobs.shortage.demand import SortKey, TrackedJob, track
+from dotterelhill.jobs.shortage.demand import TrackedJob, track
 from dotterelhill.jobs.shortage.finish import FinishEstimate, QueueOutlook
 from dotterelhill.jobs.shortage.floors import Floors, Group
 from dotterelhill.jobs.shortage.order import ShortageState, shortage_key
@@ -87,8 +87,8 @@
         is_served = job.state is JobState.COMPLETED and is_in_time
         self._floors.record(tracked, now, is_served=is_served)
 
-    def rank(self, waiting: WaitingJob, queue: Queue, key: SortKey) -> SortKey:
-        """Return the sort key of a job, which differs from ``key`` in a shortage only."""
+    def rank(self, waiting: WaitingJob, queue: Queue, key: RankKey) -> RankKey:
+        """Return the rank of a job, which differs from ``key`` in a shortage only."""
         tracked = self._tracked(waiting, queue)
         if tracked is None:
             return key
@@ -106,13 +106,15 @@
         queue_of: Callable[[Job], Queue],
         now: float,
         unix_ms: int,
-    ) -> None:
+    ) -> bool:
         """Estimate anew, if the newest estimate is old.
 
         :param waiting_jobs: all jobs that have not ended
+        :returns: whether jobs have to be ranked anew
         """
         if now - self._updated_at < UPDATE_SECONDS:
-            return
+            return False
+        earlier = (self._short_priorities, self._floors.below)
         self._updated_at = now
         self._clock_offset = unix_ms / 1000.0 - now
         self._throughput.measure_capacity(minions)
@@ -126,6 +128,7 @@
             for tracked in self._jobs.values()
             if tracked.queue.name in self._state.queues
         )
+        return earlier != (self._short_priorities, self._floors.below)
 
     def _waiting(
         self, waiting_jobs: Iterable[WaitingJob], queue_of: Callable[[Job], Queue], now: float
--- a/dotterelhill/jobs/shortage/demand.py
+++ b/dotterelhill/jobs/shortage/demand.py
@@ -6,12 +6,9 @@
 
 from dotterelhill.jobs.durations.model import DurationModel
 from dotterelhill.jobs.model import TOO_LATE_FACTOR, Job, Timeliness
-from dotterelhill.jobs.placement.waiting import WaitingJob
+from dotterelhill.jobs.placement.waiting import RankKey, WaitingJob
 from dotterelhill.jobs.queues import Queue
 
-# Priority, timeliness, and a number that decides among jobs that are equal in both.
-SortKey = tuple[int, int, float]
-
 
 @dataclass(slots=True)
 class TrackedJob:
@@ -23,7 +20,7 @@
     :param left_work: expected work of its tasks that are not done
     :param path_seconds: expected duration of the critical path through all steps
     :param remaining_seconds: expected duration of that through the unfinished steps
-    :param rank: newest sort key of the job
+    :param rank: newest rank of the job
     :param end_seconds: expected time until its end
     :param is_late: whether it is expected to end after its objective
     :param is_decided: whether it was counted as served in time or not
@@ -36,7 +33,7 @@
     left_work: float = 0.0
     path_seconds: float = 0.0
     remaining_seconds: float = 0.0
-    rank: SortKey = (0, 0, 0.0)
+    rank: RankKey = (0, 0, 0.0, 0)
     end_seconds: float = 0.0
     is_late: bool = False
     is_decided: bool = False
--- a/dotterelhill/jobs/shortage/order.py
+++ b/dotterelhill/jobs/shortage/order.py
@@ -6,7 +6,8 @@
 from math import floor, log
 
 from dotterelhill.jobs.model import JobState, Timeliness
-from dotterelhill.jobs.shortage.demand import SortKey, TrackedJob
+from dotterelhill.jobs.placement.waiting import RankKey
+from dotterelhill.jobs.shortage.demand import TrackedJob
 from dotterelhill.jobs.shortage.finish import QueueOutlook
 
 # A queue enters shortage above the first share of late jobs and leaves it below the second.
@@ -18,6 +19,8 @@
 EQUAL_RATIO = 1.2
 MIN_WORK = 0.001
 BELOW_FLOOR = -1
+# Slack counts from the origin of the ranking; it has to stay a fraction of a step for years.
+SLACK_WEIGHT = 1e-9
 
 
 class ShortageState:
@@ -55,13 +58,13 @@
     return min(MAX_VALUE, BASE_VALUE + WORK_VALUE * work / mean_work)
 
 
-def shortage_key(job: TrackedJob, key: SortKey, mean_work: float, *, is_below: bool) -> SortKey:
-    """Return the sort key of a job whose priority is in shortage.
+def shortage_key(job: TrackedJob, key: RankKey, mean_work: float, *, is_below: bool) -> RankKey:
+    """Return the rank of a job whose priority is in shortage.
 
-    :param key: sort key outside a shortage
+    :param key: rank outside a shortage
     :param is_below: whether the job belongs to a group below its floor
     """
-    priority, timeliness, slack = key
+    priority, timeliness, slack, sequence = key
     if timeliness != Timeliness.IN_TIME:
         return key
     ratio = value_of(job.total_work, mean_work) / max(MIN_WORK, job.left_work)
@@ -69,6 +72,6 @@
     # would let each job make the next one late.
     step = 2.0 * floor(log(ratio, EQUAL_RATIO))
     begun = job.job.state is JobState.RUNNING
-    tie = slack / (1.0 + abs(slack)) / 4.0
+    tie = SLACK_WEIGHT * slack
     number = -step - begun - tie
-    return (priority, BELOW_FLOOR if is_below else timeliness, number)
+    return (priority, BELOW_FLOOR if is_below else timeliness, number, sequence)
--- a/measure/shortage_load.py
+++ b/measure/shortage_load.py
@@ -12,7 +12,7 @@
 from dotterelhill.jobs.changes import SchedulerSettings, Switches
 from dotterelhill.jobs.model import Step, Submission
 from dotterelhill.jobs.orders import StartOrder
-from dotterelhill.jobs.placement.waiting import JobOrder, WaitingJob
+from dotterelhill.jobs.placement.waiting import JobOrder, RankKey, WaitingJob
 from dotterelhill.jobs.queues import Queue
 from dotterelhill.jobs.resources import ResourceVector
 from dotterelhill.jobs.shortage.entry import QueueAdmission
@@ -120,22 +120,19 @@
 class FirstComeFirstServed(JobOrder):
     """Order by acceptance."""
 
-    def rank(
-        self, waiting: WaitingJob, queue: Queue, key: tuple[int, int, float]
-    ) -> tuple[int, int, float]:
+    def rank(self, waiting: WaitingJob, queue: Queue, key: RankKey) -> RankKey:
         """Return the time of acceptance."""
-        return (0, 0, waiting.job.submission.accepted_ms)
+        return (0, 0, waiting.job.submission.accepted_ms, waiting.sequence)
 
 
 class EarliestDeadlineFirst(JobOrder):
     """Order by the time at which jobs should have ended."""
 
-    def rank(
-        self, waiting: WaitingJob, queue: Queue, key: tuple[int, int, float]
-    ) -> tuple[int, int, float]:
+    def rank(self, waiting: WaitingJob, queue: Queue, key: RankKey) -> RankKey:
         """Return the time of the objective."""
         objective = queue.stretch * waiting.path_seconds + queue.target_seconds
-        return (0, 0, waiting.job.submission.accepted_ms + 1000.0 * objective)
+        deadline_ms = waiting.job.submission.accepted_ms + 1000.0 * objective
+        return (0, 0, deadline_ms, waiting.sequence)
 
 
 def job_work(job: RecordedJob) -> float:
