Spread the estimate of thousands of jobs over several rounds

Cause: estimating 1,700 waiting jobs in one round took 11 ms, and refreshing their work more. Change: a job's work is computed when it is ranked; an estimate covers 400 jobs of a round.

--- a/dotterelhill/jobs/placement/placement.py
+++ b/dotterelhill/jobs/placement/placement.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable, Iterator, Mapping, Sequence
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from functools import partial
 from heapq import heapify, heappop, heapreplace
 from math import inf
@@ -104,9 +104,9 @@
         return count
 
     @property
-    def waiting_jobs(self) -> Collection[WaitingJob]:
-        """Return the jobs that have not ended."""
-        return self._waiting_jobs.values()
+    def ranked(self) -> Sequence[RankedJob]:
+        """Return the jobs whose tasks waited in the newest round, the first to start first."""
+        return self._ranking.ranked
 
     @property
     def had_starts_left(self) -> bool:
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -902,8 +902,8 @@
         self._record_hold(now)
         self._report_waits(now, unix_ms)
         if self._shortage is not None:
-            minions, jobs = self._minions.values(), self._placement.waiting_jobs
-            if self._shortage.update(jobs, minions, self._queue_of, now, unix_ms):
+            ranked, minions = self._placement.ranked, self._minions.values()
+            if self._shortage.update(ranked, minions, now, unix_ms):
                 self._placement.rank_anew()
             self._decisions.extend(self._shortage.take_decisions())
         usable = []
--- a/dotterelhill/jobs/shortage/control.py
+++ b/dotterelhill/jobs/shortage/control.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection, Iterable, Iterator, Mapping
+from collections.abc import Collection, Iterable, Iterator, Mapping, Sequence
 
 from dotterelhill.jobs.changes import Decision
 from dotterelhill.jobs.durations.model import DurationModel
 from dotterelhill.jobs.fleet import Minion, Run
 from dotterelhill.jobs.model import Job, JobState, Timeliness
-from dotterelhill.jobs.placement.waiting import RankKey, WaitingJob
+from dotterelhill.jobs.placement.waiting import RankedJob, RankKey, WaitingJob
 from dotterelhill.jobs.queues import Queue
 from dotterelhill.jobs.shortage.demand import TrackedJob, track
 from dotterelhill.jobs.shortage.finish import FinishEstimate, QueueOutlook
@@ -19,6 +19,8 @@
 
 # Estimating thousands of jobs takes milliseconds, and a round comes after each report.
 UPDATE_SECONDS = 0.25
+# An estimate that covers more jobs is spread over several rounds.
+MAX_JOBS_OF_ROUND = 400
 
 
 def shortage_gauges(shortage: ShortageControl | None) -> dict[str, float]:
@@ -47,6 +49,8 @@
         self._jobs: dict[str, TrackedJob] = {}
         self._short_priorities: frozenset[tuple[str, int]] = frozenset()
         self._updated_at = float("-inf")
+        # Ranked jobs that the estimate in progress still has to cover.
+        self._left: Sequence[RankedJob] = ()
         self._clock_offset = 0.0
         self._decisions: list[Decision] = []
         self.estimate = FinishEstimate(self._throughput)
@@ -96,62 +100,64 @@
             mean_work = self.estimate.mean_work(queue.name)
             is_below = key[1] == Timeliness.IN_TIME and self._floors.is_below(tracked)
             key = shortage_key(tracked, key, mean_work, is_below=is_below)
-        tracked.rank = key
         return key
 
     def update(
-        self,
-        waiting_jobs: Iterable[WaitingJob],
-        minions: Collection[Minion],
-        queue_of: Callable[[Job], Queue],
-        now: float,
-        unix_ms: int,
+        self, ranked: Sequence[RankedJob], minions: Collection[Minion], now: float, unix_ms: int
     ) -> bool:
         """Estimate anew, if the newest estimate is old.
 
-        :param waiting_jobs: all jobs that have not ended
+        :param ranked: jobs whose tasks waited in the newest round
         :returns: whether jobs have to be ranked anew
         """
-        if now - self._updated_at < UPDATE_SECONDS:
-            return False
-        earlier = (self._short_priorities, self._floors.below)
-        self._updated_at = now
         self._clock_offset = unix_ms / 1000.0 - now
-        self._throughput.measure_capacity(minions)
-        self.estimate.update(self._waiting(waiting_jobs, queue_of, now), now)
+        if not self._left:
+            if now - self._updated_at < UPDATE_SECONDS:
+                return False
+            self._updated_at = now
+            self._throughput.measure_capacity(minions)
+            self.estimate.begin()
+            self._left = ranked
+        part, self._left = self._left[:MAX_JOBS_OF_ROUND], self._left[MAX_JOBS_OF_ROUND:]
+        self.estimate.add(self._waiting(part, now), now)
+        if self._left:
+            return False
+        earlier = self._short_priorities
+        self.estimate.finish(now)
         self._floors.update(now)
         changed = self._state.update(self.estimate.outlooks)
         self._record_changes(changed)
         self._record_refusals(self._refusal.update(self._outlooks_with_minions(), now))
         self._short_priorities = frozenset(
-            (tracked.queue.service, tracked.queue.priority)
-            for tracked in self._jobs.values()
-            if tracked.queue.name in self._state.queues
+            (queue.service, queue.priority)
+            for queue in self.estimate.queues
+            if queue.name in self._state.queues
         )
-        return earlier != (self._short_priorities, self._floors.below)
+        # A change of the floors takes effect when ranking renews the paths, within 0.5 s.
+        return earlier != self._short_priorities
 
     def _waiting(
-        self, waiting_jobs: Iterable[WaitingJob], queue_of: Callable[[Job], Queue], now: float
+        self, ranked: Sequence[RankedJob], now: float
     ) -> Iterator[tuple[TrackedJob, float]]:
         """Yield the jobs with waiting tasks, each with its age, and count those that got late."""
-        for waiting in waiting_jobs:
-            tracked = self._jobs.get(waiting.job.job_id)
-            # A job that no round has ranked has no path yet.
-            if tracked is None:
+        clock_seconds = now + self._clock_offset
+        for _, _, waiting in ranked:
+            job = waiting.job
+            tracked = self._jobs.get(job.job_id)
+            if tracked is None or not waiting.pending:
                 continue
-            tracked.queue = queue_of(waiting.job)
-            tracked.refresh(waiting, self._durations)
-            age_seconds = self._age_seconds(waiting.job, now)
-            if not tracked.is_decided and age_seconds > tracked.objective_seconds:
+            age_seconds = clock_seconds - job.submission.accepted_ms / 1000.0
+            if age_seconds > tracked.objective_seconds and not tracked.is_decided:
                 tracked.is_decided = True
                 self._floors.record(tracked, now, is_served=False)
-            if tracked.is_waiting:
-                yield tracked, age_seconds
+            yield tracked, age_seconds
 
     def _tracked(self, waiting: WaitingJob, queue: Queue) -> TrackedJob | None:
-        """Return the state of a job, which begins when it is first ranked."""
+        """Return the state of a job, brought up to date; it begins when the job is first ranked."""
         tracked = self._jobs.get(waiting.job.job_id)
         if tracked is not None:
+            tracked.queue = queue
+            tracked.refresh(waiting, self._durations)
             return tracked
         tracked = track(waiting, queue, self._durations)
         if tracked is not None:
--- a/dotterelhill/jobs/shortage/demand.py
+++ b/dotterelhill/jobs/shortage/demand.py
@@ -6,7 +6,7 @@
 
 from dotterelhill.jobs.durations.model import DurationModel
 from dotterelhill.jobs.model import TOO_LATE_FACTOR, Job, Timeliness
-from dotterelhill.jobs.placement.waiting import RankKey, WaitingJob
+from dotterelhill.jobs.placement.waiting import WaitingJob
 from dotterelhill.jobs.queues import Queue
 
 
@@ -20,7 +20,7 @@
     :param left_work: expected work of its tasks that are not done
     :param path_seconds: expected duration of the critical path through all steps
     :param remaining_seconds: expected duration of that through the unfinished steps
-    :param rank: newest rank of the job
+    :param objective_seconds: time from its acceptance within which the job should end
     :param end_seconds: expected time until its end
     :param is_late: whether it is expected to end after its objective
     :param is_decided: whether it was counted as served in time or not
@@ -33,21 +33,11 @@
     left_work: float = 0.0
     path_seconds: float = 0.0
     remaining_seconds: float = 0.0
-    rank: RankKey = (0, 0, 0.0, 0)
+    objective_seconds: float = 0.0
     end_seconds: float = 0.0
     is_late: bool = False
     is_decided: bool = False
 
-    @property
-    def is_waiting(self) -> bool:
-        """Return whether tasks of the job wait."""
-        return bool(self.waiting_work)
-
-    @property
-    def objective_seconds(self) -> float:
-        """Return the time from its acceptance within which the job should end."""
-        return self.queue.stretch * self.path_seconds + self.queue.target_seconds
-
     def timeliness(self, age_seconds: float) -> Timeliness:
         """Return whether the job can still be in time if all its tasks start without a wait."""
         end_seconds = age_seconds + self.remaining_seconds
@@ -58,6 +48,7 @@
     def refresh(self, waiting: WaitingJob, durations: DurationModel) -> None:
         """Compute the work that is left, and take over the paths that placement has computed."""
         self.path_seconds, self.remaining_seconds = waiting.path_seconds, waiting.remaining_seconds
+        self.objective_seconds = self.queue.stretch * self.path_seconds + self.queue.target_seconds
         self.waiting_work, self.left_work = {}, 0.0
         name, job = self.queue.name, self.job
         for index, step in enumerate(job.submission.steps):
--- a/dotterelhill/jobs/shortage/finish.py
+++ b/dotterelhill/jobs/shortage/finish.py
@@ -108,6 +108,9 @@
         self._throughput = throughput
         self._typical: dict[str, TypicalJob] = {}
         self.outlooks: dict[str, QueueOutlook] = {}
+        self._next_outlooks: dict[str, QueueOutlook] = {}
+        self._ahead: dict[Supply, _Ahead] = {}
+        self._rates: dict[Supply, float] = {}
 
     def learn(self, job: TrackedJob) -> None:
         """Take in a job that has just arrived."""
@@ -122,15 +125,22 @@
         typical = self._typical.get(queue)
         return 0.0 if typical is None else typical.work
 
-    def update(self, jobs: Iterable[tuple[TrackedJob, float]], now: float) -> None:
-        """Estimate the ends of all waiting jobs anew.
+    @property
+    def queues(self) -> Iterable[Queue]:
+        """Return the queues of which jobs have arrived."""
+        return (typical.queue for typical in self._typical.values())
+
+    def begin(self) -> None:
+        """Begin to estimate the ends of all waiting jobs anew."""
+        self._next_outlooks, self._ahead, self._rates = {}, {}, {}
 
-        :param jobs: jobs with waiting tasks, each with its age in seconds
+    def add(self, jobs: Iterable[tuple[TrackedJob, float]], now: float) -> None:
+        """Estimate the ends of the jobs that rank next.
+
+        :param jobs: jobs with waiting tasks, as ranked, each with its age in seconds
         """
-        self.outlooks = {}
-        ahead: dict[Supply, _Ahead] = {}
-        rates: dict[Supply, float] = {}
-        for job, age_seconds in sorted(jobs, key=lambda entry: entry[0].rank):
+        outlooks, ahead, rates = self._next_outlooks, self._ahead, self._rates
+        for job, age_seconds in jobs:
             timeliness = job.timeliness(age_seconds)
             wait_seconds = 0.0
             for is_filler, work in job.waiting_work.items():
@@ -142,13 +152,20 @@
                 wait_seconds = max(wait_seconds, _seconds(ahead[supply].total, rates[supply]))
             job.end_seconds = wait_seconds + job.remaining_seconds
             job.is_late = age_seconds + job.end_seconds > job.objective_seconds
-            outlook = self.outlooks.setdefault(job.queue.name, QueueOutlook())
+            name = job.queue.name
+            outlook = outlooks.get(name)
+            if outlook is None:
+                outlook = outlooks[name] = QueueOutlook()
             outlook.waiting += 1
             outlook.late += job.is_late
+
+    def finish(self, now: float) -> None:
+        """Replace the estimates by those of the jobs that were added."""
+        self.outlooks = self._next_outlooks
         for name, typical in self._typical.items():
             supply = Supply(typical.queue.service, typical.is_filler)
-            rate = rates.get(supply) or self._throughput.rate(supply, now)
-            self._look_out(name, typical, ahead.get(supply, _Ahead()), rate)
+            rate = self._throughput.rate(supply, now)
+            self._look_out(name, typical, self._ahead.get(supply, _Ahead()), rate)
 
     def _look_out(self, name: str, typical: TypicalJob, ahead: _Ahead, rate: float) -> None:
         """Estimate the end of a job of a queue that arrives now."""
