Refuse by the expected end of the next job only, not by the backlog

New jobs go before the backlog in a shortage, so it does not say that they would end late. Change: the rule is left out.

--- a/dotterelhill/jobs/shortage/finish.py
+++ b/dotterelhill/jobs/shortage/finish.py
@@ -32,8 +32,6 @@
     :param late: number of those that are expected to end after their objective
     :param end_seconds: expected time until the end of a job that arrives now
     :param next_end_seconds: the same if it were the next of its priority and class to start
-    :param backlog_seconds: time in which its service works off what ranks before the queue and the
-        work of the queue that is not too late
     :param useful_seconds: time after which a job of the queue has no value
     :param service: pool of minions that runs its tasks
     """
@@ -42,7 +40,6 @@
     late: int = 0
     end_seconds: float = 0.0
     next_end_seconds: float = 0.0
-    backlog_seconds: float = 0.0
     useful_seconds: float = inf
     service: str = ""
 
@@ -77,20 +74,16 @@
     """Waiting work of one supply.
 
     :param by_class: by priority and timeliness
-    :param by_queue: by queue, of the jobs that are not too late
     """
 
     total: float = 0.0
     by_class: dict[tuple[int, int], float] = field(default_factory=dict)
-    by_queue: dict[str, float] = field(default_factory=dict)
 
     def add(self, job: TrackedJob, timeliness: Timeliness, work: float) -> None:
         """Add the work of the job that ranks next."""
         self.total += work
         job_class = (job.queue.priority, timeliness)
         self.by_class[job_class] = self.by_class.get(job_class, 0.0) + work
-        if timeliness is not Timeliness.TOO_LATE:
-            self.by_queue[job.queue.name] = self.by_queue.get(job.queue.name, 0.0) + work
 
     def before(self, priority: int, timeliness: Timeliness) -> float:
         """Return the work of the jobs that rank before a class."""
@@ -173,10 +166,8 @@
         priority = typical.queue.priority
         higher = ahead.before(priority, Timeliness.IN_TIME)
         same = ahead.before(priority, Timeliness.LATE)
-        own = ahead.by_queue.get(name, 0.0)
         outlook.next_end_seconds = _seconds(higher, rate) + typical.path_seconds
         outlook.end_seconds = _seconds(same, rate) + typical.path_seconds
-        outlook.backlog_seconds = _seconds(higher + own, rate)
         outlook.useful_seconds = typical.useful_seconds
         outlook.service = typical.queue.service
 
--- a/dotterelhill/jobs/shortage/refusal.py
+++ b/dotterelhill/jobs/shortage/refusal.py
@@ -41,7 +41,7 @@
         since = {}
         for name, outlook in outlooks.items():
             bound = MARGIN * outlook.useful_seconds
-            seconds = max(outlook.next_end_seconds, outlook.backlog_seconds)
+            seconds = outlook.next_end_seconds
             if seconds <= bound:
                 continue
             since[name] = self._since.get(name, now)
