Reclaim capacity from checkpointing fillers for tenants below their share

Tenants below their share had to wait until runs of others ended, which fillers may do late.

Checkpointing fillers of the tenant most above its share are paused, and stopped after 0.5 s if a waiting task still needs their place. Each stop must let a waiting task start and must not make the shares less equal. A filler of a tenant that gives back holds no claim meanwhile, since it would take the place again. A new leader orders the pace of each inherited filler once: the earlier one may have paused it.

--- a/dotterelhill/entry/metrics.py
+++ b/dotterelhill/entry/metrics.py
@@ -116,6 +116,7 @@
     Metric("tenants.running_tasks", _G, "tasks", "runs of a tenant that may exist", "tenant"),
     Metric("tenants.waiting_tasks", _G, "tasks", "tasks of a tenant that could start", "tenant"),
     Metric("tenants.share", _G, "ratio", "largest part of a resource of a service", "tenant"),
+    Metric("tenants.reclaimed_runs", _G, "runs", "runs stopped for tenants below theirs", "tenant"),
     Metric("trace.events", _C, "events", "events written to a trace", "slice"),
     Metric("trace.dropped", _C, "events", "events after the trace had stopped", "slice"),
     Metric("process.ready", _G, "0 or 1", "whether /readyz answers 200"),
--- a/dotterelhill/jobs/fleet.py
+++ b/dotterelhill/jobs/fleet.py
@@ -79,6 +79,7 @@
     :param is_inherited: whether an earlier leader planned the run
     :param is_partial: whether its duration is not that of a whole run at full pace
     :param is_extra: whether the run was started because another run of its task took too long
+    :param saved_at: loop time of the first report of its newest checkpoint; None before the first
     """
 
     key: TaskKey
@@ -100,6 +101,7 @@
     is_inherited: bool = False
     is_partial: bool = False
     is_extra: bool = False
+    saved_at: float | None = None
 
 
 class EndKind(StrEnum):
--- a/dotterelhill/jobs/interference/sharing.py
+++ b/dotterelhill/jobs/interference/sharing.py
@@ -84,6 +84,7 @@
         self._model = HeadroomModel()
         self._minions: dict[Minion, _MinionState] = {}
         self._forced: set[TaskKey] = set()
+        self._paused: set[Run] = set()
 
     @property
     def model(self) -> HeadroomModel:
@@ -97,6 +98,7 @@
     def remove_run(self, run: Run) -> None:
         """Remove the state of a run that has ended."""
         self._forced.discard(run.key)
+        self._paused.discard(run)
         if run.step.is_lasting:
             self._model.remove_task(run.key)
 
@@ -289,7 +291,7 @@
             order = self._pace_order(minion, run, pace, now)
             if order is not None:
                 orders.append(order)
-            if run.pace >= MOVE_PACE_PERCENT:
+            if run.pace >= MOVE_PACE_PERCENT or run in self._paused:
                 state.slow_since.pop(run, None)
             else:
                 state.slow_since.setdefault(run, now)
@@ -327,6 +329,8 @@
         self, run: Run, minion: Minion, limits: list[tuple[str, float, float]]
     ) -> int:
         """Return the highest pace in percent at which every serving task keeps enough headroom."""
+        if run in self._paused:
+            return 0
         share = 1.0
         cpu_share = run.step.room.cpu / _processors(minion)
         for image, spare_headroom, effect_sum in limits:
@@ -345,7 +349,9 @@
         is_repeat_due = (
             now < run.pace_repeated_until and now - run.paced_at >= PACE_REPEAT_INTERVAL_SECONDS
         )
-        if is_repeat_due:
+        # An earlier leader may have left a run at another pace.
+        is_unknown = run.is_inherited and run.paced_at == 0.0
+        if is_repeat_due or is_unknown:
             minion.set_pace(run, pace, now)
             return PaceOrder(minion, run, pace)
         if abs(pace - run.pace) < MIN_PACE_CHANGE_PERCENT and not is_limit:
@@ -353,6 +359,19 @@
         minion.set_pace(run, pace, now)
         return PaceOrder(minion, run, pace)
 
+    def pause(self, minion: Minion, run: Run, now: float) -> list[PaceOrder]:
+        """Keep the pace of a filler at 0 until it is resumed; return the orders for its minion.
+
+        Meanwhile it is not moved because of its pace.
+        """
+        self._paused.add(run)
+        return self.pace_orders(minion, now)
+
+    def resume(self, minion: Minion, run: Run, now: float) -> list[PaceOrder]:
+        """End the pause of a filler and return the pace orders for its minion."""
+        self._paused.discard(run)
+        return self.pace_orders(minion, now)
+
     @staticmethod
     def repeat_pace(run: Run, now: float) -> None:
         """Order the pace of a run again for some time, because an order had no answer."""
--- a/dotterelhill/jobs/placement/filler_claims.py
+++ b/dotterelhill/jobs/placement/filler_claims.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator, Mapping, Sequence
+from contextlib import contextmanager
 from dataclasses import dataclass
 
 from dotterelhill.jobs.fleet import Minion
@@ -125,6 +126,27 @@
         if claim is not None and claim.minion is not None:
             self._by_minion.pop(claim.minion, None)
 
+    def is_next(self, minion: Minion, identity: StepId) -> bool:
+        """Return whether no claim lets a filler of another step start first on a minion.
+
+        :param identity: job, occurrence and step of the task
+        """
+        claim = self._by_minion.get(minion)
+        return claim is None or claim.step_id == identity
+
+    @contextmanager
+    def without_claim_of(self, tenant: str, minion: Minion) -> Iterator[None]:
+        """Leave out the claim on a minion meanwhile if it is of a tenant."""
+        claim = self._by_minion.get(minion)
+        if claim is None or claim.job.submission.tenant != tenant:
+            yield
+            return
+        del self._by_minion[minion]
+        try:
+            yield
+        finally:
+            self._by_minion[minion] = claim
+
     def is_start_allowed(self, minion: Minion, step: Step, identity: StepId) -> bool:
         """Return whether a task may start on a minion without delaying the claim on it.
 
--- a/dotterelhill/jobs/placement/placement.py
+++ b/dotterelhill/jobs/placement/placement.py
@@ -158,7 +158,10 @@
                 continue
             for (occurrence, index), keys in waiting.pending.items():
                 if keys and unix_ms >= submission.due_ms(occurrence):
-                    yield WaitingTasks(waiting.job, submission.steps[index], queue.service)
+                    yield WaitingTasks(
+                        waiting.job, submission.steps[index], queue.service, keys, queue.priority,
+                        waiting.timeliness,
+                    )  # fmt: skip
 
     def add_job(self, job: Job) -> None:
         """Add the ready steps of a job that became active."""
@@ -225,6 +228,40 @@
                 best, best_cost = minion, cost
         return best
 
+    def could_start(
+        self,
+        tasks: WaitingTasks,
+        minion: Minion,
+        pool: Sequence[Minion],
+        now: float,
+        *,
+        yielding: str,
+    ) -> bool:
+        """Return whether a waiting task could be the next one to start on a minion.
+
+        False for members of gangs, and where a filler of another step has claimed the minion.
+
+        :param pool: minions of the service on which tasks may start
+        :param yielding: tenant whose fillers have no claim on the minion
+        """
+        job, step = tasks.job, tasks.step
+        if step.is_gang or (
+            self._suspicion.has_suspects and not self._isolation.open_minions([minion])
+        ):
+            return False
+        keys = self._open_tasks(job, tasks.keys, now)
+        if not keys or keys[0] in minion.runs:
+            return False
+        idle_seconds = longest_idle_seconds(job, keys, now) if step.is_lasting else 0.0
+        if self._keeps_slot(step, idle_seconds) and self._is_last_slot(step, pool):
+            return False
+        reserved_cpu = self._reserved_cpu(step, pool, idle_seconds)
+        identity = (job.job_id, keys[0].occurrence, keys[0].step)
+        with self._filler_claims.without_claim_of(yielding, minion):
+            return self._filler_claims.is_next(minion, identity) and (
+                self._start_cost(job, step, identity[1:], minion, now, reserved_cpu) is not None
+            )
+
     def add_ready_dependents(self, job: Job, key: TaskKey) -> None:
         """Add the steps that depend on the step of ``key`` if that step is done."""
         waiting = self._waiting_jobs.get(job.job_id)
@@ -299,7 +336,7 @@
                 by_service[service] = self._isolation.open_minions(pool)
         self._forced_starts.begin_round((unix_ms - newest_accepted_ms) / 1000.0)
         self._filler_claims.update(
-            ranked, by_service, partial(self._open_tasks, now=now), now, unix_ms
+            ranked, by_service, partial(self._claiming_tasks, now=now), now, unix_ms
         )
 
         def choose_turn_starts(
@@ -434,6 +471,15 @@
             return self._failing.due_tasks(open_keys, now)
         return open_keys
 
+    def _claiming_tasks(self, job: Job, keys: list[TaskKey], now: float) -> list[TaskKey]:
+        """Return those of a step's waiting tasks that may claim a minion.
+
+        A claim of a tenant from which capacity is reclaimed would take that capacity again.
+        """
+        if job.submission.tenant in self._shares.yielding:
+            return []
+        return self._open_tasks(job, keys, now)
+
     def _choose_claimed_starts(
         self, by_service: Mapping[str, Sequence[Minion]], now: float
     ) -> Iterator[tuple[Job, TaskKey, Minion]]:
@@ -546,10 +592,7 @@
                 self._limits.allows(job.submission.tenant, step) and self._shares.may_continue()
             ):
                 return
-            is_slot_kept = (
-                step.is_lasting and self._short_peak_cpu and idle_seconds < CLAIM_AFTER_SECONDS
-            )
-            if is_slot_kept and self._is_last_slot(step, pool):
+            if self._keeps_slot(step, idle_seconds) and self._is_last_slot(step, pool):
                 return
             minion = pool[heap[0][1]]
             if keys[0] in minion.runs:
@@ -602,6 +645,10 @@
         mean_peak_cpu = self._short_peak_cpu / len(pool)
         return min(mean_peak_cpu, MAX_RESERVE_SHARE * step.room.cpu)
 
+    def _keeps_slot(self, step: Step, idle_seconds: float) -> bool:
+        """Return whether a lasting task has to leave the last slot of its size to short tasks."""
+        return step.is_lasting and self._short_peak_cpu > 0.0 and idle_seconds < CLAIM_AFTER_SECONDS
+
     def _is_last_slot(self, step: Step, pool: Sequence[Minion]) -> bool:
         """Return whether the free capacity of all minions holds fewer than two tasks of a step."""
         slot_count = 0
@@ -758,6 +805,7 @@
         timeliness = Timeliness.TOO_LATE
     elif age_seconds + remaining > objective:
         timeliness = Timeliness.LATE
+    waiting.timeliness = timeliness
     return (queue.priority, timeliness, objective - age_seconds - remaining)
 
 
--- a/dotterelhill/jobs/placement/waiting.py
+++ b/dotterelhill/jobs/placement/waiting.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 
 from dotterelhill.jobs.fleet import Minion
-from dotterelhill.jobs.model import Job, Step, TaskKey
+from dotterelhill.jobs.model import Job, Step, TaskKey, Timeliness
 from dotterelhill.jobs.queues import Queue
 
 OccurrenceStep = tuple[int, int]
@@ -21,6 +21,7 @@
     :param path_at: loop time at which the critical paths were computed
     :param path_seconds: expected duration of the critical path through all steps
     :param remaining_seconds: expected duration of that through the unfinished steps
+    :param timeliness: expected end of the job in the newest round in which its tasks could start
     """
 
     job: Job
@@ -29,6 +30,7 @@
     path_at: float = float("-inf")
     path_seconds: float = 0.0
     remaining_seconds: float = 0.0
+    timeliness: Timeliness = Timeliness.IN_TIME
 
 
 # Sort key, current queue and waiting tasks of a job.
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -62,6 +62,7 @@
 from dotterelhill.jobs.tenants.gauges import TenantGauges
 from dotterelhill.jobs.tenants.limits import TenantLimits
 from dotterelhill.jobs.tenants.loads import CapacityCheck, TenantLoad, TenantLoads
+from dotterelhill.jobs.tenants.reclaim import Reclaim
 from dotterelhill.jobs.tenants.shares import TenantShares
 from dotterelhill.jobs.tenants.usage import TenantUsage
 
@@ -107,6 +108,9 @@
         self._planned_unix_ms: int | None = None
         self._tenant_shares = TenantShares(self._tenant_usage, self._tenant_limits)
         self._tenant_gauges = TenantGauges()
+        self._reclaim = Reclaim(
+            self._tenant_usage, self._tenant_limits, self._tenant_shares, self._interference
+        )
         self._stragglers = StragglerSearch(
             self._durations,
             are_copies_enabled=settings.are_copies_enabled,
@@ -309,6 +313,7 @@
             usage.by_tenant,
             self._placement.waiting_tasks_by_tenant(),
             [(owner.tenant, shares.dominant_share(owner)) for owner in usage.by_owner],
+            self._reclaim.stopped_runs,
         )
 
     def tenant_loads(self, now: float) -> dict[str, TenantLoad]:
@@ -521,7 +526,10 @@
                 run.cpu_used = row.measure
             # The checkpoints of a copy may be older than those of the first run.
             if row.checkpoint and job is not None and job.task(row.key).run_id == row.run_id:
-                job.task(row.key).checkpoint = row.checkpoint
+                task = job.task(row.key)
+                if minion.is_synced and row.checkpoint != task.checkpoint:
+                    run.saved_at = now
+                task.checkpoint = row.checkpoint
             if not run.is_proven or self._suspicion.has_counted_crashes:
                 self._process_presence(run, report.clock_ms)
             if run.state is RunState.STOPPING:
@@ -892,6 +900,8 @@
             self._plan_run(job, key, minion, now)
             minion.health.record_start(now)
             max_starts -= 1
+        if self._settings.switches.reclaim:
+            self._reclaim_capacity(usable, now, unix_ms)
         self._decisions.extend(self._tenant_limits.end_round(now))
         self._run_stragglers_again(usable, now, unix_ms, max_starts)
         for minion in self._minions.values():
@@ -900,6 +910,23 @@
             for run in self._interference.runs_to_move(minion, now):
                 self._stop(minion, run, now)
 
+    def _reclaim_capacity(self, usable: Sequence[Minion], now: float, unix_ms: int) -> None:
+        """Pause and stop fillers of tenants above their share for tenants below theirs."""
+        actions = self._reclaim.update(
+            usable,
+            self._jobs,
+            self._queue_of,
+            lambda: self._placement.waiting_tasks_of_round(self._queue_of, unix_ms),
+            self._placement,
+            now,
+        )
+        for minion, run in actions.stops:
+            self._stop(minion, run, now)
+        self._orders.extend(actions.paces)
+        for job in actions.jobs:
+            self._mark_dirty(job)
+        self._decisions.extend(actions.decisions)
+
     def _run_stragglers_again(
         self, usable: Sequence[Minion], now: float, unix_ms: int, max_starts: int
     ) -> None:
--- /dev/null
+++ b/dotterelhill/jobs/tenants/exchanges.py
@@ -0,0 +1,289 @@
+"""Search for a run of one tenant whose stop lets a waiting task of another one start."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from typing import Protocol
+
+from dotterelhill.jobs.fleet import Minion, Run
+from dotterelhill.jobs.model import Timeliness
+from dotterelhill.jobs.placement.lasting_claims import CLAIM_AFTER_SECONDS
+from dotterelhill.jobs.placement.waiting import longest_idle_seconds
+from dotterelhill.jobs.resources import ResourceVector
+from dotterelhill.jobs.tenants.limits import TenantLimits
+from dotterelhill.jobs.tenants.loads import WaitingTasks
+from dotterelhill.jobs.tenants.shares import TenantShares
+from dotterelhill.jobs.tenants.usage import RunOwner, TenantUsage
+
+# Shares, each divided by its weight, that differ by less than this part of the larger one count as
+# equal. Without it, two tenants would take single runs from each other in turn.
+SHARE_TOLERANCE = 0.1
+
+_NOTHING = ResourceVector()
+
+
+class StartCheck(Protocol):
+    """What placement tells about starts that it did not choose."""
+
+    @property
+    def had_starts_left(self) -> bool:
+        """Return whether the newest round tried every waiting task."""
+
+    def could_start(
+        self,
+        tasks: WaitingTasks,
+        minion: Minion,
+        pool: Sequence[Minion],
+        now: float,
+        *,
+        yielding: str,
+    ) -> bool:
+        """Return whether a waiting task could start on a minion, but for claims of a tenant."""
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """Run that may be stopped.
+
+    :param priority: priority of the queue of its job
+    """
+
+    owner: RunOwner
+    minion: Minion
+    run: Run
+    priority: int
+
+
+@dataclass(slots=True)
+class _Group:
+    """Waiting tasks of one tenant that need the same; ``count`` are not promised a place yet.
+
+    :param rank: what decides their order before the shares of tenants
+    """
+
+    owner: RunOwner
+    tasks: WaitingTasks
+    rank: tuple[bool, int, bool, bool]
+    count: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Exchange:
+    """A run that gives up its place, and the kind of waiting task that takes it.
+
+    :param taker: tenant of the waiting task
+    :param is_free: whether the task could start even if the run was not stopped
+    """
+
+    candidate: Candidate
+    taker: RunOwner
+    room: ResourceVector
+    is_free: bool
+    group: tuple[object, ...]
+
+
+class ExchangeSearch:
+    """Search in one service, in which each exchange counts as done for the next ones.
+
+    :param pool: minions of the service on which tasks may start
+    :param waiting: tasks of the service that the round has left waiting
+    """
+
+    def __init__(
+        self,
+        service: str,
+        pool: Sequence[Minion],
+        waiting: Iterable[WaitingTasks],
+        check: StartCheck,
+        usage: TenantUsage,
+        limits: TenantLimits,
+        shares: TenantShares,
+        now: float,
+    ) -> None:
+        self.service = service
+        self._pool = pool
+        self._minions = set(pool)
+        self._check = check
+        self._limits = limits
+        self._shares = shares
+        self._now = now
+        self._changes: dict[RunOwner, ResourceVector] = {}
+        # Resources by tenant of the tasks that are to take a place and have not started.
+        self._promised: dict[str, ResourceVector] = {}
+        self._groups: dict[tuple[object, ...], _Group] = {}
+        for tasks in waiting:
+            group = self._groups.setdefault(_group_key(tasks, now), _new_group(tasks, now))
+            group.count += len(tasks.keys)
+        users = {owner for owner in usage.by_owner if owner.service == service}
+        self._fair_share = self._find_fair_share(users)
+        self._order: list[tuple[tuple[object, ...], _Group]] = []
+        self._sort_groups()
+
+    @property
+    def has_takers(self) -> bool:
+        """Return whether a tenant below its share waits for capacity."""
+        return any(
+            self._is_below_share(group) and group.count > 0 and self._is_allowed(group)
+            for group in self._groups.values()
+        )
+
+    def share(self, owner: RunOwner, change: ResourceVector = _NOTHING) -> float:
+        """Return the dominant share of a tenant over its weight after all exchanges.
+
+        :param change: further change of the resources that the tenant uses
+        """
+        weight = self._limits.tenant(owner.tenant).weight
+        if weight <= 0:
+            return float("inf")
+        change = self._changes.get(owner, _NOTHING).plus(change)
+        return self._shares.dominant_share_after(owner, change) / weight
+
+    def is_above_share(self, owner: RunOwner) -> bool:
+        """Return whether a tenant uses more than its share."""
+        return self.share(owner) > self._fair_share
+
+    def find(self, candidate: Candidate) -> Exchange | None:
+        """Return the exchange that would follow the stop of a run; None if it should not be.
+
+        The first waiting task that could start in its place decides, since it would take it.
+        """
+        minion, run = candidate.minion, candidate.run
+        if minion not in self._minions:
+            return None
+        minion.detach(run)
+        try:
+            found = self._first_to_start(candidate)
+        finally:
+            minion.attach(run)
+        if found is None:
+            return None
+        key, group = found
+        if not self._is_fair(candidate, group):
+            return None
+        is_free = self._could_start(group, candidate)
+        return Exchange(candidate, group.owner, group.tasks.step.room, is_free, key)
+
+    def add(self, exchange: Exchange, *, has_started: bool = False) -> None:
+        """Count an exchange as done.
+
+        :param has_started: whether the task that takes the place is among the counted runs
+        """
+        giver, taker = exchange.candidate.owner, exchange.taker
+        released = _NOTHING.minus(exchange.candidate.run.step.room)
+        self._changes[giver] = self._changes.get(giver, _NOTHING).plus(released)
+        if not has_started:
+            self._changes[taker] = self._changes.get(taker, _NOTHING).plus(exchange.room)
+            promised = self._promised.get(taker.tenant, _NOTHING)
+            self._promised[taker.tenant] = promised.plus(exchange.room)
+            if exchange.group in self._groups:
+                self._groups[exchange.group].count -= 1
+        self._sort_groups()
+
+    def _find_fair_share(self, users: set[RunOwner]) -> float:
+        """Return the share over weight that tenants would have if what they use was divided fairly.
+
+        A tenant that uses less and waits for nothing keeps what it uses.
+
+        :param users: tenants that have runs in the service
+        """
+        waiting = {
+            group.owner
+            for group in self._groups.values()
+            if group.owner.tenant and self._is_allowed(group)
+        }
+        owners = users | waiting
+        while True:
+            weights = sum(self._limits.tenant(owner.tenant).weight for owner in owners)
+            if weights <= 0:
+                return 0.0
+            fair_share = sum(self._shares.dominant_share(owner) for owner in owners) / weights
+            satisfied = {
+                owner for owner in owners - waiting if self._shares.share(owner) < fair_share
+            }
+            if not satisfied:
+                return fair_share
+            owners -= satisfied
+
+    def _could_start(self, group: _Group, candidate: Candidate) -> bool:
+        """Return whether a task of a group could start on the minion of a candidate at present."""
+        return self._check.could_start(
+            group.tasks,
+            candidate.minion,
+            self._pool,
+            self._now,
+            yielding=candidate.owner.tenant,
+        )
+
+    def _first_to_start(self, candidate: Candidate) -> tuple[tuple[object, ...], _Group] | None:
+        """Return the first group, in the order of starts, of which a task could start."""
+        minion = candidate.minion
+        free_memory_mb = minion.facts.capacity.memory_mb - minion.used.memory_mb
+        free_gpu = minion.facts.capacity.gpu - minion.used.gpu
+        for key, group in self._order:
+            step = group.tasks.step
+            if step.room.memory_mb > free_memory_mb or step.room.gpu > free_gpu:
+                continue
+            if not step.is_filler and step.room.cpu > minion.free_cpu:
+                continue
+            if group.count <= 0 or not self._is_allowed(group):
+                continue
+            if self._could_start(group, candidate):
+                return key, group
+        return None
+
+    def _is_fair(self, candidate: Candidate, group: _Group) -> bool:
+        """Return whether an exchange makes the shares more equal, and no other undoes it."""
+        # The task of the stopped run waits again, and would rank before the other one.
+        if candidate.priority < group.tasks.priority:
+            return False
+        if not self._is_below_share(group):
+            return False
+        giver, taker = candidate.owner, group.owner
+        if self.share(taker) >= (1.0 - SHARE_TOLERANCE) * self.share(giver):
+            return False
+        released = _NOTHING.minus(candidate.run.step.room)
+        share_after = self.share(taker, group.tasks.step.room)
+        return self.share(giver, released) >= (1.0 - SHARE_TOLERANCE) * share_after
+
+    def _is_below_share(self, group: _Group) -> bool:
+        """Return whether a group belongs to a tenant below its share and may be of use in time."""
+        if not group.owner.tenant or group.tasks.timeliness is Timeliness.TOO_LATE:
+            return False
+        return self.share(group.owner) < self._fair_share
+
+    def _is_allowed(self, group: _Group) -> bool:
+        """Return whether the limit of its tenant allows another task of a group."""
+        tenant = group.owner.tenant
+        promised = self._promised.get(tenant, _NOTHING)
+        return self._limits.has_room(tenant, promised.plus(group.tasks.step.room))
+
+    def _sort_groups(self) -> None:
+        """Bring the groups in the order of their starts."""
+        shares = {owner: self.share(owner) for owner in {g.owner for g in self._groups.values()}}
+        self._order = sorted(
+            self._groups.items(), key=lambda entry: (entry[1].rank, shares[entry[1].owner])
+        )
+
+
+def _group_key(tasks: WaitingTasks, now: float) -> tuple[object, ...]:
+    """Return what waiting tasks have in common that start alike."""
+    step = tasks.step
+    return (
+        tasks.job.submission.tenant, _rank(tasks, now), step.room, step.kind, step.image,
+        step.required_label, step.is_gang, tasks.job.job_id if step.anti_affinity else "",
+    )  # fmt: skip
+
+
+def _new_group(tasks: WaitingTasks, now: float) -> _Group:
+    owner = RunOwner(tasks.job.submission.tenant, tasks.service)
+    return _Group(owner, tasks, _rank(tasks, now))
+
+
+def _rank(tasks: WaitingTasks, now: float) -> tuple[bool, int, bool, bool]:
+    """Return the order of waiting tasks of different tenants, but for the shares of these."""
+    is_overdue = tasks.step.is_lasting and (
+        longest_idle_seconds(tasks.job, tasks.keys, now) >= CLAIM_AFTER_SECONDS
+    )
+    is_too_late = tasks.timeliness is Timeliness.TOO_LATE
+    return (not is_overdue, tasks.priority, is_too_late, bool(tasks.job.submission.tenant))
--- a/dotterelhill/jobs/tenants/gauges.py
+++ b/dotterelhill/jobs/tenants/gauges.py
@@ -11,6 +11,7 @@
 OTHER_LABEL = "other"
 
 RUNNING, WAITING, SHARE = "tenants.running_tasks", "tenants.waiting_tasks", "tenants.share"
+RECLAIMED = "tenants.reclaimed_runs"
 
 
 class TenantGauges:
@@ -24,22 +25,25 @@
         running: Mapping[str, Usage],
         waiting: Mapping[str, int],
         shares: Iterable[tuple[str, float]],
+        reclaimed: Mapping[str, int],
     ) -> dict[tuple[str, str], float]:
         """Return the gauges by metric name and label; an idle tenant has zeros.
 
         :param running: usage of each tenant that has runs
         :param waiting: number of waiting tasks by tenant
         :param shares: tenants with a dominant share of one service each
+        :param reclaimed: number of runs that were stopped to reclaim capacity, by tenant
         """
-        for tenant in (*running, *waiting):
+        for tenant in (*running, *waiting, *reclaimed):
             self._add_label(tenant)
-        gauges = {
-            (name, label): 0.0 for name in (RUNNING, WAITING, SHARE) for label in self._labels
-        }
+        names = (RUNNING, WAITING, SHARE, RECLAIMED)
+        gauges = {(name, label): 0.0 for name in names for label in self._labels}
         for tenant, usage in running.items():
             gauges[RUNNING, self._label(tenant)] += usage.runs
         for tenant, count in waiting.items():
             gauges[WAITING, self._label(tenant)] += count
+        for tenant, count in reclaimed.items():
+            gauges[RECLAIMED, self._label(tenant)] += count
         for tenant, share in shares:
             key = (SHARE, self._label(tenant))
             gauges[key] = max(gauges[key], share)
--- a/dotterelhill/jobs/tenants/limits.py
+++ b/dotterelhill/jobs/tenants/limits.py
@@ -90,6 +90,15 @@
             return False
         return True
 
+    def has_room(self, tenant: str, more: ResourceVector) -> bool:
+        """Return whether a tenant may use more resources, without a note for the log."""
+        if not tenant:
+            return True
+        if not self._version:
+            return False
+        limit = self._limits.get(tenant)
+        return limit is None or not _is_beyond(self._usage.of(tenant).plus(more), limit)
+
     def allowed_count(self, tenant: str, step: Step, count: int) -> int:
         """Return how many of ``count`` tasks of a step may start at present."""
         limit = self._limits.get(tenant)
--- a/dotterelhill/jobs/tenants/loads.py
+++ b/dotterelhill/jobs/tenants/loads.py
@@ -7,7 +7,7 @@
 from math import exp
 
 from dotterelhill.jobs.fleet import Minion
-from dotterelhill.jobs.model import Job, JobState, Step
+from dotterelhill.jobs.model import Job, JobState, Step, TaskKey, Timeliness
 from dotterelhill.jobs.resources import ResourceVector
 from dotterelhill.jobs.tenants.limits import TenantLimits
 
@@ -68,11 +68,17 @@
     """Tasks of one step that waited in the newest round and still wait.
 
     :param service: pool whose minions run the tasks
+    :param keys: the tasks, in the order in which they start
+    :param priority: priority of their queue
+    :param timeliness: expected end of their job
     """
 
     job: Job
     step: Step
     service: str
+    keys: list[TaskKey]
+    priority: int
+    timeliness: Timeliness
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/dotterelhill/jobs/tenants/reclaim.py
@@ -0,0 +1,314 @@
+"""Reclaim of capacity for tenants below their share, from checkpointing fillers of others.
+
+Explanation
+===========
+
+A filler that may give up its place is paused first. Its job is stored in the same round, so that a
+later leader resumes it from the newest checkpoint. If a waiting task still needs the place after
+``PAUSE_SECONDS``, the filler is stopped, otherwise it resumes. A paused filler leaves its
+processors to other fillers, so the waiting task may have started by then.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
+
+from dotterelhill.jobs.changes import Decision
+from dotterelhill.jobs.fleet import Minion, Run, RunState
+from dotterelhill.jobs.interference.sharing import MIN_FILLER_CPU_SHARE, InterferenceControl
+from dotterelhill.jobs.model import Job, TaskKey
+from dotterelhill.jobs.orders import PaceOrder
+from dotterelhill.jobs.queues import Queue
+from dotterelhill.jobs.tenants.exchanges import Candidate, Exchange, ExchangeSearch, StartCheck
+from dotterelhill.jobs.tenants.limits import TenantLimits
+from dotterelhill.jobs.tenants.loads import WaitingTasks
+from dotterelhill.jobs.tenants.reclaim_log import ReclaimLog
+from dotterelhill.jobs.tenants.shares import TenantShares
+from dotterelhill.jobs.tenants.usage import RunOwner, TenantUsage
+
+# A search looks at all runs and waiting jobs, and a round has 25 ms.
+SEARCH_SECONDS = 0.25
+MAX_NEW_PAUSES = 8
+MAX_CHECKED_RUNS = 32
+# A pace applies within 0.5 s of its order.
+PAUSE_SECONDS = 0.5
+MAX_PAUSE_SECONDS = 1.0
+MINION_INTERVAL_SECONDS = 0.5
+TASK_INTERVAL_SECONDS = 10.0
+# A stop costs this much work at most, which is as much as the restore of a checkpoint may take.
+RECENT_CHECKPOINT_SECONDS = 0.6
+
+
+@dataclass(slots=True)
+class _Pause:
+    """A paused run; ``exchange`` is the newest reason for its pause."""
+
+    exchange: Exchange
+    since: float
+
+    @property
+    def run(self) -> Run:
+        """Return the paused run."""
+        return self.exchange.candidate.run
+
+    @property
+    def minion(self) -> Minion:
+        """Return the minion of the run."""
+        return self.exchange.candidate.minion
+
+
+@dataclass(slots=True)
+class ReclaimActions:
+    """What a search has decided.
+
+    :param jobs: jobs whose progress has to be stored
+    """
+
+    stops: list[tuple[Minion, Run]] = field(default_factory=list)
+    paces: list[PaceOrder] = field(default_factory=list)
+    jobs: list[Job] = field(default_factory=list)
+    decisions: list[Decision] = field(default_factory=list)
+
+
+class Reclaim:
+    """Pauses and stops of checkpointing fillers for tenants below their share.
+
+    :param usage: resources that the runs of each tenant use
+    :param limits: limits and weights of tenants
+    :param shares: shares of tenants, begun for the present round
+    :param interference: control of the pace of fillers
+    """
+
+    def __init__(
+        self,
+        usage: TenantUsage,
+        limits: TenantLimits,
+        shares: TenantShares,
+        interference: InterferenceControl,
+    ) -> None:
+        self._usage = usage
+        self._limits = limits
+        self._shares = shares
+        self._interference = interference
+        self._began_at: float | None = None
+        self._searched_at = float("-inf")
+        self._pauses: dict[Run, _Pause] = {}
+        self._minion_stopped_at: dict[Minion, float] = {}
+        self._task_stopped_at: dict[TaskKey, float] = {}
+        self._log = ReclaimLog()
+
+    @property
+    def stopped_runs(self) -> Mapping[str, int]:
+        """Return the number of runs that were stopped, by the tenant that gave them up."""
+        return self._log.stopped_runs
+
+    def update(
+        self,
+        usable: Iterable[Minion],
+        jobs: Mapping[str, Job],
+        queue_of: Callable[[Job], Queue],
+        waiting: Callable[[], Iterable[WaitingTasks]],
+        check: StartCheck,
+        now: float,
+    ) -> ReclaimActions:
+        """Return the pauses, resumptions and stops of this round.
+
+        :param usable: minions on which tasks may start
+        :param waiting: returns the tasks that this round has left waiting
+        """
+        actions = ReclaimActions()
+        if self._began_at is None:
+            self._began_at = now
+        has_work = self._usage.by_owner or self._pauses or not self._log.is_idle
+        if not has_work or now - self._searched_at < SEARCH_SECONDS:
+            return actions
+        self._searched_at = now
+        self._forget(now)
+        if check.had_starts_left:
+            candidates = self._candidates(usable, jobs, queue_of, now)
+            services = {one.owner.service for one in candidates}
+            services |= {pause.exchange.taker.service for pause in self._pauses.values()}
+            for search in self._searches(services, usable, waiting, check, now):
+                self._review(search, jobs, now, actions)
+                chosen = [one for one in candidates if one.owner.service == search.service]
+                self._pause_new(chosen, search, jobs, now, actions)
+        else:
+            # Tasks may wait only because the number of starts in flight is limited.
+            self._resume_overdue(now, actions)
+        actions.decisions += self._log.end_episodes(now)
+        self._shares.yielding = frozenset(
+            pause.exchange.candidate.owner.tenant for pause in self._pauses.values()
+        )
+        return actions
+
+    def _searches(
+        self,
+        services: Iterable[str],
+        usable: Iterable[Minion],
+        waiting: Callable[[], Iterable[WaitingTasks]],
+        check: StartCheck,
+        now: float,
+    ) -> list[ExchangeSearch]:
+        """Return a search in each service."""
+        pools: dict[str, list[Minion]] = {service: [] for service in services}
+        if not pools:
+            return []
+        for minion in usable:
+            if minion.facts.service in pools:
+                pools[minion.facts.service].append(minion)
+        by_service: dict[str, list[WaitingTasks]] = {service: [] for service in pools}
+        for tasks in waiting():
+            if tasks.service in by_service:
+                by_service[tasks.service].append(tasks)
+        return [
+            ExchangeSearch(
+                service, pool, by_service[service], check, self._usage, self._limits, self._shares,
+                now,
+            )
+            for service, pool in pools.items()
+        ]  # fmt: skip
+
+    def _candidates(
+        self,
+        usable: Iterable[Minion],
+        jobs: Mapping[str, Job],
+        queue_of: Callable[[Job], Queue],
+        now: float,
+    ) -> list[Candidate]:
+        """Return the runs that may be paused, those with the least work to lose first."""
+        found: list[tuple[float, Candidate]] = []
+        paused = {pause.minion for pause in self._pauses.values()}
+        for minion in usable:
+            if minion in self._minion_stopped_at or minion in paused:
+                continue
+            for run in minion.runs.values():
+                saved_at = run.saved_at
+                if saved_at is None or now - saved_at > RECENT_CHECKPOINT_SECONDS:
+                    continue
+                job = jobs.get(run.key.job_id)
+                if job is None or not job.submission.tenant or not self._may_stop(run, job, now):
+                    continue
+                owner = RunOwner(job.submission.tenant, minion.facts.service)
+                work = (now - saved_at) * run.step.room.cpu
+                found.append((work, Candidate(owner, minion, run, queue_of(job).priority)))
+        found.sort(key=lambda entry: entry[0])
+        return [candidate for _, candidate in found]
+
+    def _may_stop(self, run: Run, job: Job, now: float) -> bool:
+        """Return whether a run is of the kind that may be stopped, and its task may be again."""
+        step = run.step
+        if not step.is_filler or not step.is_checkpointing or step.is_lasting or step.is_gang:
+            return False
+        if run.state is not RunState.PRESENT or run.key in self._task_stopped_at:
+            return False
+        # An earlier leader may have stopped an earlier run of the task.
+        began_at = now if self._began_at is None else self._began_at
+        if run.run_id > 1 and now - began_at < TASK_INTERVAL_SECONDS:
+            return False
+        return len(job.task(run.key).assignments) == 1
+
+    def _review(
+        self,
+        search: ExchangeSearch,
+        jobs: Mapping[str, Job],
+        now: float,
+        actions: ReclaimActions,
+    ) -> None:
+        """Stop the paused runs of a service whose place is still needed, and resume the others."""
+        for run, pause in list(self._pauses.items()):
+            if pause.exchange.taker.service != search.service:
+                continue
+            if pause.minion.runs.get(run.key) is not run:
+                del self._pauses[run]
+                continue
+            if run.state is not RunState.PRESENT:
+                search.add(pause.exchange, has_started=self._has_started(pause, jobs))
+                continue
+            paused_seconds = now - pause.since
+            has_started = self._has_started(pause, jobs)
+            is_needed = has_started
+            if not has_started:
+                exchange = search.find(pause.exchange.candidate)
+                if exchange is None or (exchange.is_free and paused_seconds > MAX_PAUSE_SECONDS):
+                    del self._pauses[run]
+                    actions.paces += self._interference.resume(pause.minion, run, now)
+                    continue
+                pause.exchange = exchange
+                is_needed = not exchange.is_free
+            search.add(pause.exchange, has_started=has_started)
+            if is_needed and paused_seconds >= PAUSE_SECONDS:
+                self._stop(pause, now, actions)
+
+    def _resume_overdue(self, now: float, actions: ReclaimActions) -> None:
+        """Resume the runs that were paused for ``MAX_PAUSE_SECONDS``."""
+        for run, pause in list(self._pauses.items()):
+            if now - pause.since > MAX_PAUSE_SECONDS and run.state is RunState.PRESENT:
+                del self._pauses[run]
+                actions.paces += self._interference.resume(pause.minion, run, now)
+
+    def _has_started(self, pause: _Pause, jobs: Mapping[str, Job]) -> bool:
+        """Return whether the waiting task has started and needs the processors of the run."""
+        minion, run = pause.minion, pause.run
+        if self._interference.idle_cpu(minion) >= MIN_FILLER_CPU_SHARE * run.step.room.cpu:
+            return False
+        for other in minion.runs.values():
+            job = jobs.get(other.key.job_id)
+            if job is None or other.planned_at <= pause.since or not other.step.is_filler:
+                continue
+            if job.submission.tenant == pause.exchange.taker.tenant:
+                return True
+        return False
+
+    def _stop(self, pause: _Pause, now: float, actions: ReclaimActions) -> None:
+        """Stop a paused run."""
+        actions.stops.append((pause.minion, pause.run))
+        self._minion_stopped_at[pause.minion] = now
+        self._task_stopped_at[pause.run.key] = now
+        self._log.record_stop(pause.exchange, now)
+
+    def _pause_new(
+        self,
+        candidates: Sequence[Candidate],
+        search: ExchangeSearch,
+        jobs: Mapping[str, Job],
+        now: float,
+        actions: ReclaimActions,
+    ) -> None:
+        """Pause further runs, first those of the tenant most above its share."""
+        if not candidates or not search.has_takers:
+            return
+        by_owner: dict[RunOwner, list[Candidate]] = {}
+        for candidate in reversed(candidates):
+            by_owner.setdefault(candidate.owner, []).append(candidate)
+        used: set[Minion] = set()
+        checks_left, pauses_left = MAX_CHECKED_RUNS, MAX_NEW_PAUSES
+        while by_owner and checks_left > 0 and pauses_left > 0:
+            owner = max(by_owner, key=search.share)
+            if not search.is_above_share(owner):
+                return
+            candidate = by_owner[owner].pop()
+            if not by_owner[owner]:
+                del by_owner[owner]
+            if candidate.minion in used:
+                continue
+            checks_left -= 1
+            exchange = search.find(candidate)
+            if exchange is None or exchange.is_free:
+                continue
+            pauses_left -= 1
+            used.add(candidate.minion)
+            actions.decisions += self._log.record_pause(exchange, search, now)
+            search.add(exchange)
+            self._pauses[candidate.run] = _Pause(exchange, now)
+            actions.paces += self._interference.pause(candidate.minion, candidate.run, now)
+            actions.jobs.append(jobs[candidate.run.key.job_id])
+
+    def _forget(self, now: float) -> None:
+        """Forget stops after the time within which none may follow."""
+        for minion, stopped_at in list(self._minion_stopped_at.items()):
+            if now - stopped_at >= MINION_INTERVAL_SECONDS:
+                del self._minion_stopped_at[minion]
+        for key, stopped_at in list(self._task_stopped_at.items()):
+            if now - stopped_at >= TASK_INTERVAL_SECONDS:
+                del self._task_stopped_at[key]
--- a/dotterelhill/jobs/tenants/shares.py
+++ b/dotterelhill/jobs/tenants/shares.py
@@ -11,7 +11,7 @@
 from dotterelhill.jobs.queues import Queue
 from dotterelhill.jobs.resources import ResourceVector
 from dotterelhill.jobs.tenants.limits import TenantLimits
-from dotterelhill.jobs.tenants.usage import RunOwner, TenantUsage
+from dotterelhill.jobs.tenants.usage import RunOwner, TenantUsage, Usage
 
 # A tenant may exceed the next one by this share of its service before the turn changes. Each turn
 # of a step examines all minions, so one turn for each task would cost too much on a large fleet.
@@ -49,6 +49,8 @@
         self._turn_end_share = float("inf")
         self._has_started = False
         self._is_turn_over = False
+        # Tenants from which capacity is reclaimed.
+        self.yielding: frozenset[str] = frozenset()
 
     def share(self, owner: RunOwner) -> float:
         """Return the dominant share of a tenant in a service of this round, over its weight."""
@@ -61,11 +63,15 @@
         capacity = self._capacities.get(owner.service)
         if used is None or capacity is None:
             return 0.0
-        return max(
-            used.cpu / capacity.cpu if capacity.cpu else 0.0,
-            used.memory_mb / capacity.memory_mb if capacity.memory_mb else 0.0,
-            used.gpu / capacity.gpu if capacity.gpu else 0.0,
-        )
+        return _dominant_part(used, capacity)
+
+    def dominant_share_after(self, owner: RunOwner, change: ResourceVector) -> float:
+        """Return the dominant share of a tenant after a change of the resources that it uses."""
+        used = self._usage.by_owner.get(owner)
+        capacity = self._capacities.get(owner.service)
+        if capacity is None:
+            return 0.0
+        return _dominant_part(change if used is None else used.as_vector().plus(change), capacity)
 
     def begin_round(self, by_service: Mapping[str, Iterable[Minion]]) -> None:
         """Begin a round.
@@ -156,6 +162,15 @@
     return (priority, timeliness == Timeliness.TOO_LATE)
 
 
+def _dominant_part(used: Usage | ResourceVector, capacity: ResourceVector) -> float:
+    """Return the largest part of any resource of a capacity."""
+    return max(
+        used.cpu / capacity.cpu if capacity.cpu else 0.0,
+        used.memory_mb / capacity.memory_mb if capacity.memory_mb else 0.0,
+        used.gpu / capacity.gpu if capacity.gpu else 0.0,
+    )
+
+
 def _total_capacity(minions: Iterable[Minion]) -> ResourceVector:
     """Return the sum of the capacities of minions."""
     cpu = memory_mb = gpu = 0
--- /dev/null
+++ b/dotterelhill/jobs/tenants/tests/reclaim.feature
@@ -0,0 +1,158 @@
+Feature: reclaim of capacity for tenants below their share
+
+  Background:
+    Given a fleet with minions "m1 m2" of 8 processors
+    And the minions have 4 accelerators
+    And checkpoints are reported every 0.4 s
+
+  Scenario Outline: a tenant below its share waits for <kind> that could stop, or stops others
+    Given tenant "t" submits job "a" of 8 <kind> of 1 processors and 1 accelerators
+    And 1 seconds pass with orders carried out
+    And tenant "u" submits job "b" of 8 <waiting> of 1 processors and 1 accelerators
+    When 8 seconds pass with orders carried out
+    Then <stops> runs were ordered to stop, all of job "a"
+    And <stops> tasks of job "b" run
+    And no run is paused
+
+    Examples:
+      | kind                  | waiting               | stops |
+      | checkpointing fillers | tasks                 | 4     |
+      | checkpointing fillers | fillers               | 4     |
+      | checkpointing fillers | checkpointing fillers | 4     |
+      | checkpointing fillers | lasting tasks         | 4     |
+      | checkpointing fillers | gang tasks            | 0     |
+      | fillers               | tasks                 | 0     |
+      | tasks                 | tasks                 | 0     |
+      | lasting tasks         | tasks                 | 0     |
+
+  Scenario Outline: runs are stopped although <why>
+    Given the weight of tenant "t" is <weight>
+    And tenant "t" submits job "a" of <held> checkpointing fillers of 1 processors and 1 accelerators
+    And 1 seconds pass with orders carried out
+    And tenant "<other>" submits job "b" of 8 tasks of <cpu> processors and <gpu> accelerators on queue "<queue>"
+    When 8 seconds pass with orders carried out
+    Then <stops> runs were ordered to stop, all of job "a"
+
+    Examples:
+      | why                                        | weight | held | other | cpu | gpu | queue | stops |
+      | the shares are within a tenth then         | 3      | 8    | u     | 1   | 1   | short | 2     |
+      | both tenants then have the same share      | 1      | 8    | u     | 1   | 1   | short | 4     |
+      | the waiting tasks fit nowhere              | 1      | 8    | u     | 9   | 1   | short | 0     |
+      | one stop is not enough for a waiting task  | 1      | 8    | u     | 1   | 2   | short | 0     |
+      | processors of reserving tasks are all used | 1      | 8    | u     | 8   | 0   | short | 0     |
+      | the jobs belong to no tenant               | 1      | 8    |       | 1   | 1   | short | 0     |
+      | both jobs belong to one tenant             | 1      | 8    | t     | 1   | 1   | short | 0     |
+      | their tasks would start again first        | 1      | 8    | u     | 1   | 1   | long  | 0     |
+
+  Scenario: fillers of a tenant below its share wait for the processors that other fillers use
+    Given tenant "t" submits job "a" of 8 checkpointing fillers of 2 processors
+    And 1 seconds pass with orders carried out
+    And tenant "u" submits job "b" of 8 fillers of 2 processors
+    When 8 seconds pass with orders carried out
+    Then 4 runs were ordered to stop, all of job "a"
+    And 4 tasks of job "b" run
+    And no run is paused
+
+  Scenario Outline: capacity is reclaimed <where>
+    Given <where>
+    And tenant "<tenant>" submits job "a" of 8 checkpointing fillers of 1 processors and 1 accelerators
+    And 1 seconds pass with orders carried out
+    And tenant "<other>" submits job "b" of 8 tasks of 1 processors and 1 accelerators
+    When 4 seconds pass with orders carried out
+    Then no stop was sent
+    And no run is paused
+
+    Examples:
+      | where                                           | tenant | other |
+      | where there are no tenants                      |        |       |
+      | where the switch is off                         | t      | u     |
+      | where checkpoints are older than a restore costs | t     | u     |
+
+  Scenario: runs are stopped before their pause is stored, or without a pause
+    Given tenant "t" submits job "a" of 8 checkpointing fillers of 1 processors and 1 accelerators
+    And 1 seconds pass with orders carried out
+    And tenant "u" submits job "b" of 8 tasks of 1 processors and 1 accelerators
+    When 0.5 seconds pass with orders carried out
+    Then the paused runs are stored with their newest checkpoints
+    And no stop was sent
+    When 8 seconds pass with orders carried out
+    Then each run had been paused for 0.5 s when it was stopped
+    And at most one run was stopped on each minion in any 0.5 s
+    And the decisions about tenants are "capacity is reclaimed for a tenant below its share, capacity is no longer reclaimed for a tenant"
+    And the gauge of reclaimed runs of tenant "t" is 4
+
+  Scenario Outline: runs stay paused or are stopped when <event>
+    Given tenant "t" submits job "a" of 8 checkpointing fillers of 1 processors and 1 accelerators
+    And 1 seconds pass with orders carried out
+    And tenant "u" submits job "b" of 2 tasks of 1 processors and 1 accelerators
+    When 0.4 seconds pass with orders carried out
+    Then 2 runs are paused
+    When <event>
+    And <seconds> seconds pass with orders carried out
+    Then <stops> runs were ordered to stop, all of job "a"
+    And no run is paused
+
+    Examples:
+      | event                                          | seconds | stops |
+      | nothing happens                                | 2       | 2     |
+      | tenant "u" cancels job "b"                     | 2       | 0     |
+      | the limit of tenant "u" becomes "0 1 0"        | 2       | 0     |
+      | the paused runs end by themselves              | 2       | 0     |
+      | the minions of the paused runs drain           | 0.5     | 8     |
+      | a new leader takes over                        | 0.2     | 0     |
+
+  Scenario: after a stop of the earlier leader the new one starts the run again, or stops another
+    Given tenant "t" submits job "a" of 8 checkpointing fillers of 1 processors and 1 accelerators
+    And 1 seconds pass with orders carried out
+    And tenant "u" submits job "b" of 1 tasks of 1 processors and 1 accelerators
+    When seconds pass until a run is ordered to stop
+    And a new leader takes over
+    And 4 seconds pass with orders carried out
+    Then 1 runs were ordered to stop, all of job "a"
+    And 1 tasks of job "b" run
+    And 7 tasks of job "a" run
+
+  Scenario Outline: one task is stopped again within 10 s (<leaders>)
+    Given the minions have 1 accelerators
+    And tenant "t" submits job "a" of 2 checkpointing fillers of 1 processors and 1 accelerators
+    And 1 seconds pass with orders carried out
+    When tenant "u" submits short jobs with 1 accelerators for 30 seconds under <leaders>
+    Then no task was stopped twice within 10 s
+
+    Examples:
+      | leaders         |
+      | one leader      |
+      | several leaders |
+
+  Scenario: tenants that need less count for the shares, or fillers claim what was reclaimed
+    Given 200 tenants of which 50 submit 1 jobs of 1 tasks
+    And minion "m1" has 100 processors and 64000 MB
+    And the minions have 4 accelerators
+    And tenant "t" submits job "a" of 8 checkpointing fillers of 1 processors and 1 accelerators
+    And 1 seconds pass with orders carried out
+    When tenant "u" submits job "b" of 8 tasks of 1 processors and 1 accelerators
+    And 8 seconds pass with orders carried out
+    Then 2 runs were ordered to stop, all of job "a"
+    And 2 tasks of job "b" run
+
+  Scenario Outline: a tenant with weight 0 <fault>
+    Given the weight of tenant "<weightless>" is 0
+    And tenant "t" submits job "a" of 8 checkpointing fillers of 1 processors and 1 accelerators
+    And 1 seconds pass with orders carried out
+    And tenant "u" submits job "b" of 8 tasks of 1 processors and 1 accelerators
+    When 12 seconds pass with orders carried out
+    Then <stops> runs were ordered to stop, all of job "a"
+
+    Examples:
+      | weightless | fault                                     | stops |
+      | u          | takes capacity back                       | 0     |
+      | t          | keeps capacity that others are entitled to | 8    |
+
+  Scenario Outline: a rule of reclaim is broken in a random history
+    Then the rules of reclaim hold in <rounds> rounds of random events, seed <seed>
+
+    Examples:
+      | rounds | seed |
+      | 400    | 1    |
+      | 400    | 2    |
+      | 400    | 3    |
--- a/dotterelhill/jobs/tests/fleet_world.py
+++ b/dotterelhill/jobs/tests/fleet_world.py
@@ -28,6 +28,7 @@
         self.config_version = 1
         self.running: dict[str, dict[TaskKey, int]] = {}
         self.tails: dict[TaskKey, float] = {}
+        self.checkpoints: dict[TaskKey, str] = {}
         self.end_numbers: dict[str, int] = {}
         self.ends: dict[str, list[EndReport]] = {}
         self.facts: dict[str, MinionFacts] = {}
@@ -89,7 +90,8 @@
                 continue
             rows = []
             for key, run in self.running[name].items():
-                rows.append(RunReport(key, run, "", 100, self.tails.get(key)))
+                checkpoint = self.checkpoints.get(key, "")
+                rows.append(RunReport(key, run, checkpoint, 100, self.tails.get(key)))
             acked = minion.durable_end
             ends = tuple(end for end in self.ends[name] if end.number > acked)
             born = self.facts[name].born_ms
