--- a/dotterelhill/jobs/placement/placement.py
+++ b/dotterelhill/jobs/placement/placement.py
@@ -144,6 +144,14 @@
                 counts[tenant] = counts.get(tenant, 0) + count
         return counts
 
+    def waiting_tenants(self) -> set[str]:
+        """Return the tenants with jobs of which tasks wait for a minion."""
+        return {
+            waiting.job.submission.tenant
+            for waiting in self._waiting_jobs.values()
+            if waiting.pending
+        }
+
     def waiting_tasks_of_round(self, queue_of: QueueLookup, unix_ms: int) -> Iterator[WaitingTasks]:
         """Yield the steps with due tasks that waited in the newest round and still wait.
 
--- a/dotterelhill/jobs/tenants/exchanges.py
+++ b/dotterelhill/jobs/tenants/exchanges.py
@@ -30,6 +30,9 @@
     def had_starts_left(self) -> bool:
         """Return whether the newest round tried every waiting task."""
 
+    def waiting_tenants(self) -> set[str]:
+        """Return the tenants with jobs of which tasks wait for a minion."""
+
     def could_start(
         self,
         tasks: WaitingTasks,
@@ -113,7 +116,10 @@
         self._promised: dict[str, ResourceVector] = {}
         self._groups: dict[tuple[object, ...], _Group] = {}
         for tasks in waiting:
-            group = self._groups.setdefault(_group_key(tasks, now), _new_group(tasks, now))
+            key = _group_key(tasks, now)
+            group = self._groups.get(key)
+            if group is None:
+                group = self._groups[key] = _new_group(tasks, now)
             group.count += len(tasks.keys)
         users = {owner for owner in usage.by_owner if owner.service == service}
         self._fair_share = self._find_fair_share(users)
@@ -268,11 +274,23 @@
 
 def _group_key(tasks: WaitingTasks, now: float) -> tuple[object, ...]:
     """Return what waiting tasks have in common that start alike."""
-    step = tasks.step
+    job, step, _, _, priority, timeliness = tasks
+    submission, room = job.submission, step.room
     return (
-        tasks.job.submission.tenant, _rank(tasks, now), step.room, step.kind, step.image,
-        step.required_label, step.is_gang, tasks.job.job_id if step.anti_affinity else "",
-    )  # fmt: skip
+        submission.tenant,
+        priority,
+        timeliness is Timeliness.TOO_LATE,
+        step.is_lasting and _is_overdue(tasks, now),
+        room.cpu,
+        room.memory_mb,
+        room.gpu,
+        step.is_lasting,
+        step.is_filler,
+        step.is_gang,
+        step.image,
+        step.required_label,
+        submission.job_id if step.anti_affinity else "",
+    )
 
 
 def _new_group(tasks: WaitingTasks, now: float) -> _Group:
@@ -282,8 +300,11 @@
 
 def _rank(tasks: WaitingTasks, now: float) -> tuple[bool, int, bool, bool]:
     """Return the order of waiting tasks of different tenants, but for the shares of these."""
-    is_overdue = tasks.step.is_lasting and (
-        longest_idle_seconds(tasks.job, tasks.keys, now) >= CLAIM_AFTER_SECONDS
-    )
+    is_first = tasks.step.is_lasting and _is_overdue(tasks, now)
     is_too_late = tasks.timeliness is Timeliness.TOO_LATE
-    return (not is_overdue, tasks.priority, is_too_late, bool(tasks.job.submission.tenant))
+    return (not is_first, tasks.priority, is_too_late, bool(tasks.job.submission.tenant))
+
+
+def _is_overdue(tasks: WaitingTasks, now: float) -> bool:
+    """Return whether lasting tasks have waited for so long that they start before others."""
+    return longest_idle_seconds(tasks.job, tasks.keys, now) >= CLAIM_AFTER_SECONDS
--- a/dotterelhill/jobs/tenants/loads.py
+++ b/dotterelhill/jobs/tenants/loads.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 from math import exp
+from typing import NamedTuple
 
 from dotterelhill.jobs.fleet import Minion
 from dotterelhill.jobs.model import Job, JobState, Step, TaskKey, Timeliness
@@ -63,10 +64,11 @@
         return self._value * exp((self._at - now) / RATE_SECONDS) if self._value else 0.0
 
 
-@dataclass(frozen=True, slots=True)
-class WaitingTasks:
+class WaitingTasks(NamedTuple):
     """Tasks of one step that waited in the newest round and still wait.
 
+    A tuple, since thousands are created at a time.
+
     :param service: pool whose minions run the tasks
     :param keys: the tasks, in the order in which they start
     :param priority: priority of their queue
--- a/dotterelhill/jobs/tenants/reclaim.py
+++ b/dotterelhill/jobs/tenants/reclaim.py
@@ -20,7 +20,13 @@
 from dotterelhill.jobs.model import Job, TaskKey
 from dotterelhill.jobs.orders import PaceOrder
 from dotterelhill.jobs.queues import Queue
-from dotterelhill.jobs.tenants.exchanges import Candidate, Exchange, ExchangeSearch, StartCheck
+from dotterelhill.jobs.tenants.exchanges import (
+    SHARE_TOLERANCE,
+    Candidate,
+    Exchange,
+    ExchangeSearch,
+    StartCheck,
+)
 from dotterelhill.jobs.tenants.limits import TenantLimits
 from dotterelhill.jobs.tenants.loads import WaitingTasks
 from dotterelhill.jobs.tenants.reclaim_log import ReclaimLog
@@ -127,7 +133,7 @@
         self._forget(now)
         if check.had_starts_left:
             candidates = self._candidates(usable, jobs, queue_of, now)
-            services = {one.owner.service for one in candidates}
+            services = self._uneven_services(candidates, check)
             services |= {pause.exchange.taker.service for pause in self._pauses.values()}
             for search in self._searches(services, usable, waiting, check, now):
                 self._review(search, jobs, now, actions)
@@ -142,6 +148,24 @@
         )
         return actions
 
+    def _uneven_services(self, candidates: Sequence[Candidate], check: StartCheck) -> set[str]:
+        """Return the services in which a waiting tenant has less than one with candidates.
+
+        All waiting tasks are looked at only there, which takes milliseconds with thousands.
+        """
+        largest: dict[str, float] = {}
+        for owner in {candidate.owner for candidate in candidates}:
+            largest[owner.service] = max(largest.get(owner.service, 0.0), self._shares.share(owner))
+        waiting = check.waiting_tenants() - {""} if largest else ()
+        return {
+            service
+            for service, share in largest.items()
+            if any(
+                self._shares.share(RunOwner(tenant, service)) < (1.0 - SHARE_TOLERANCE) * share
+                for tenant in waiting
+            )
+        }
+
     def _searches(
         self,
         services: Iterable[str],
