Test records, messages and configurations between the present build and the one before tenants

Scenarios decode each of them with the structure definitions of the other build, and change the leader in both directions. They also show what happens when tenants are published while a process of the earlier build runs: its leader does not see their cancellations, and its entry processes store jobs without a tenant, beside all limits.

--- a/dotterelhill/control/tests/cluster_world.py
+++ b/dotterelhill/control/tests/cluster_world.py
@@ -568,8 +568,8 @@
 
     def _read_leader_clock(self, incarnation: str) -> LeaderClock | None:
         """Return the clock in the newest message of a leader that this process has received."""
-        sender = self._cluster.processes[incarnation.partition("/")[0]]
-        if sender.leadership.incarnation != incarnation:
+        sender = self._cluster.processes.get(incarnation.partition("/")[0])
+        if sender is None or sender.leadership.incarnation != incarnation:
             return None
         delay = self._cluster.message_seconds
         newest = min(self._cluster.loop.time() - delay, sender.gone_at)
--- /dev/null
+++ b/dotterelhill/control/tests/steps/mixed_builds_steps.py
@@ -0,0 +1,257 @@
+from __future__ import annotations
+
+from dataclasses import replace
+
+import msgspec
+from behave import given, then, use_step_matcher, when
+
+from dotterelhill.control import leadership, peers, relay_messages
+from dotterelhill.control.interface import Record, Stream
+from dotterelhill.control.submissions import partition_of
+from dotterelhill.control.tests import earlier_build as earlier
+from dotterelhill.control.tests.cluster_world import (
+    HOLD_SECONDS,
+    QUEUE,
+    SUBMISSION_PARTITIONS,
+    Cluster,
+)
+from dotterelhill.jobs import model, progress
+from dotterelhill.jobs.queues import Tenant
+from dotterelhill.jobs.resources import ResourceVector
+from dotterelhill.jobs.tenants.admission import AdmittedRate
+
+use_step_matcher("re")
+
+CALL = (1, "m:1", "m1", "/x", b"{}", 0.5)
+
+
+def present_submission(tenant):
+    step = model.Step(2, ResourceVector(1000, 100), 1.0, after=(), is_speculative=True)
+    schedule = model.Schedule(2, 7, 9)
+    return model.Submission("j", QUEUE, 5, "spec", (step,), schedule, tenant)
+
+
+def present_progress():
+    job = model.Job(present_submission("t"), state=model.JobState.RUNNING)
+    done = job.task(model.TaskKey("j", 0, 0, 0))
+    job.mark_done(done)
+    running = job.task(model.TaskKey("j", 0, 0, 1))
+    running.assign("m1", 3)
+    running.assign_copy("m2", 4)
+    running.checkpoint, running.failures, running.is_restarted = "c", 1, True
+    return job
+
+
+def present_samples():
+    """Return the encoded form of the newest definitions, with each new field in use."""
+    notice = relay_messages.EntryNotice(7, 0.5, {"t": AdmittedRate(1.0, 9.0, 4.0)}, 3)
+    calls = [relay_messages.RelayedCall(*CALL)]
+    pack, answer = msgspec.msgpack.encode, relay_messages.RelayedAnswer(1, 200, b"x")
+    return {
+        "claim": pack(leadership.Claim(4, "a/1", "a:1")),
+        "renewal": pack(leadership.Renewal(4, True, 8.5)),
+        "peer status": msgspec.json.encode(peers.PeerStatus("a/1", True, True, 3, 12)),
+        "hello": pack(relay_messages.Hello("a/1", "d", 2.0)),
+        "leader message": pack(
+            relay_messages.LeaderMessage("a/1", 1.0, True, True, calls, 2, 5, notice)
+        ),
+        "relay message": pack(relay_messages.RelayMessage(False, [answer])),
+        "submission": progress.encode_submission(present_submission("t")),
+        "progress": progress.encode_progress(present_progress()),
+    }
+
+
+def earlier_samples():
+    """Return the values of the earlier definitions, whose types also decode the newest form."""
+    step = earlier.Step(2, earlier.Resources(1000, 100), 1.0, is_speculative=True)
+    tasks = [earlier.TaskRecord(0, 0, 1, 1, 1, "m1", 3, "c")]
+    return {
+        "claim": earlier.Claim(4, "a/1", "a:1"),
+        "renewal": earlier.Renewal(4, True),
+        "peer status": earlier.PeerStatus("a/1", True, True, 3),
+        "hello": earlier.Hello("a/1", "d", 2.0),
+        "leader message": earlier.LeaderMessage(
+            "a/1", 1.0, True, True, [earlier.RelayedCall(*CALL)], 2
+        ),
+        "relay message": earlier.RelayMessage(False, [earlier.RelayedAnswer(1, 200, b"x")]),
+        "submission": earlier.Submission(
+            "j", earlier.QUEUE, 5, "spec", (step,), earlier.Schedule(2, 7, 9)
+        ),
+        "progress": earlier.ProgressRecord(
+            earlier.RUNNING, tasks, [earlier.DoneRecord(0, 0, b"\x01")]
+        ),
+    }
+
+
+def restored(data):
+    job = model.Job(present_submission(""))
+    progress.apply_progress(job, data)
+    return job
+
+
+PRESENT_DECODERS = {
+    "claim": leadership._CLAIM_DECODER.decode,
+    "renewal": leadership._RENEWAL_DECODER.decode,
+    "peer status": peers._STATUS_DECODER.decode,
+    "hello": relay_messages.HELLO_DECODER.decode,
+    "leader message": relay_messages.LEADER_DECODER.decode,
+    "relay message": relay_messages.RELAY_DECODER.decode,
+    "submission": progress.decode_submission,
+    "progress": restored,
+}
+
+
+def codec_of(kind):
+    return msgspec.json if kind == "peer status" else msgspec.msgpack
+
+
+@then(r"a (?P<kind>[\w ]+) of the present build is read by the earlier one")
+def read_by_earlier(context, kind):
+    expected = earlier_samples()[kind]
+    found = codec_of(kind).decode(present_samples()[kind], type=type(expected))
+    assert found == expected, found
+
+
+@then(r"a (?P<kind>[\w ]+) of the earlier build is read by the present one")
+def read_by_present(context, kind):
+    value = earlier_samples()[kind]
+    found = PRESENT_DECODERS[kind](codec_of(kind).encode(value))
+    if kind == "progress":
+        tasks = sorted(found.tasks.values(), key=lambda task: task.key)
+        assert [task.is_done for task in tasks] == [True, False], tasks
+        (assignment,) = tasks[1].assignments
+        assert assignment == model.Assignment("m1", 3, 1), assignment
+        assert (tasks[1].checkpoint, tasks[1].failures) == ("c", 1), tasks[1]
+        return
+    # Fields that the earlier build lacks have their defaults, all others what it has written.
+    earlier_form = codec_of(kind).decode(codec_of(kind).encode(found), type=type(value))
+    assert earlier_form == value, found
+    added = set(dir(found)) - set(dir(value))
+    defaults = {
+        "sent_at": None,
+        "loading_progress": None,
+        "entry": relay_messages.EntryNotice(),
+        "tenant": "",
+    }
+    for name in added & set(defaults):
+        assert getattr(found, name) == defaults[name], (name, found)
+
+
+def append(cluster, stream, key, value):
+    partition = partition_of(key, SUBMISSION_PARTITIONS) if stream is Stream.SUBMISSIONS else 0
+    cluster.store.streams[stream, partition].append(Record(key, value))
+
+
+def store_submission(cluster, job, count):
+    data = msgspec.msgpack.encode(earlier.submission(job, count))
+    append(cluster, Stream.SUBMISSIONS, job, data)
+
+
+@given(
+    r'an earlier build has stored job "(?P<job>\w+)" of (?P<count>\d+) tasks'
+    r"(?P<more>| and its cancellation|, of which 0 is done, 1 runs and 2 has failed)"
+)
+def store_as_earlier(context, job, count, more):
+    if getattr(context, "cluster", None) is None:
+        context.cluster = Cluster([])
+    cluster = context.cluster
+    store_submission(cluster, job, int(count))
+    if "cancellation" in more:
+        append(cluster, Stream.SUBMISSIONS, earlier.CANCELLATION_PREFIX + job, b"1")
+    if "runs" not in more:
+        return
+    leader = earlier.EarlierLeader(lambda *record: append(cluster, *record))
+    epoch = leader.claim(cluster.store.streams[Stream.LEADERSHIP, 0])
+    tasks = [
+        earlier.TaskRecord(0, 0, 1, 2, 0, "m1", 1, "", is_proven=True),
+        earlier.TaskRecord(0, 0, 2, 3, 1, "", 0, "c3"),
+    ]
+    leader.progress[job] = earlier.ProgressRecord(
+        earlier.RUNNING, tasks, [earlier.DoneRecord(0, 0, b"\x01")]
+    )
+    leader.write_progress()
+    minion, now = cluster.minions["m1"], cluster.loop.time()
+    minion.fence, minion.lease_until = epoch, now + HOLD_SECONDS
+    minion.running[model.TaskKey(job, 0, 0, 1)] = (2, now + 4.0)
+
+
+@then(r'the runs that were started are "(?P<runs>[^"]*)"')
+def check_started_runs(context, runs):
+    started = sorted(
+        f"{key.job_id}{key.index}:{run_id}" for _, key, run_id in context.cluster.starts
+    )
+    assert started == runs.split(), started
+
+
+@when(r"all processes are killed and an earlier build leads")
+def lead_as_earlier(context):
+    cluster = context.cluster
+    for name, process in cluster.processes.items():
+        if process.is_running:
+            cluster.kill(name)
+    leader = earlier.EarlierLeader(lambda *record: append(cluster, *record))
+    epoch = leader.claim(cluster.store.streams[Stream.LEADERSHIP, 0])
+    for partition in range(SUBMISSION_PARTITIONS):
+        leader.read_submissions(cluster.store.streams[Stream.SUBMISSIONS, partition])
+    leader.read_progress(cluster.store.streams[Stream.PROGRESS, 0])
+    for minion in cluster.minions.values():
+        minion.fence = epoch
+        minion.lease_until = cluster.loop.time() + HOLD_SECONDS
+    context.earlier_leader = leader
+
+
+@then(r'it knows (?P<count>\d+) running tasks of jobs "(?P<jobs>[^"]*)"')
+def check_known_runs(context, count, jobs):
+    known = set()
+    for job in jobs.split():
+        for task in context.earlier_leader.progress[job].tasks:
+            if task.minion_id:
+                known.add((job, task.index, task.run_id, task.minion_id))
+    actual = set()
+    for name, minion in context.cluster.minions.items():
+        for key, (run_id, _) in minion.running.items():
+            actual.add((key.job_id, key.index, run_id, name))
+    assert known == actual and len(known) == int(count), (known, actual)
+
+
+@then(r'it runs job "(?P<job>\w+)" of tenant "(?P<tenant>\w+)", which is cancelled')
+def check_not_cancelled(context, job, tenant):
+    leader = context.earlier_leader
+    assert job in leader.submissions and job not in leader.cancelled, leader.cancelled
+    assert f"{job}/{tenant}" in leader.cancelled, leader.cancelled
+    leader.progress[job] = earlier.ProgressRecord(
+        earlier.RUNNING, [earlier.TaskRecord(0, 0, 0, 1, 0, "m1", 1)], []
+    )
+    minion = context.cluster.minions["m1"]
+    minion.running[model.TaskKey(job, 0, 0, 0)] = (1, context.cluster.loop.time() + 60.0)
+
+
+@when(r"the earlier build stores what it knows and ends")
+def end_earlier(context):
+    context.earlier_leader.write_progress()
+
+
+@given(r'the leader has tenant "(?P<tenant>\w+)" with a limit of (?P<cpu>\d+) processors')
+def set_tenant(context, tenant, cpu):
+    leader = context.cluster.processes[context.first_leader].election.leader
+    feed = leader._parts.configuration
+    limited = Tenant(tenant, limit=ResourceVector(1000 * int(cpu)))
+    feed._config = replace(feed._config, version=2, tenants={tenant: limited})
+    leader.apply_configuration()
+
+
+@when(
+    r'an earlier entry process, which checks no keys, stores job "(?P<job>\w+)" of (?P<count>\d+) '
+    r"tasks"
+)
+def store_by_entry(context, job, count):
+    store_submission(context.cluster, job, int(count))
+
+
+@then(r'job "(?P<job>\w+)" has (?P<count>\d+) runs beside the limit of tenant "(?P<tenant>\w+)"')
+def check_beside_limit(context, job, count, tenant):
+    cluster = context.cluster
+    running = [key for minion in cluster.minions.values() for key in minion.running]
+    assert len([key for key in running if key.job_id == job]) == int(count), running
+    scheduler = cluster.processes[context.first_leader].election.leader._scheduler
+    assert scheduler.tenant_usage.of(tenant) == ResourceVector()
