--- a/dotterelhill/jobs/tenants/reclaim.py
+++ b/dotterelhill/jobs/tenants/reclaim.py
@@ -201,7 +201,7 @@
         now: float,
     ) -> list[Candidate]:
         """Return the runs that may be paused, those with the least work to lose first."""
-        found: list[tuple[float, Candidate]] = []
+        found: list[tuple[float, int, Candidate]] = []
         paused = {pause.minion for pause in self._pauses.values()}
         for minion in usable:
             if minion in self._minion_stopped_at or minion in paused:
@@ -214,10 +214,12 @@
                 if job is None or not job.submission.tenant or not self._may_stop(run, job, now):
                     continue
                 owner = RunOwner(job.submission.tenant, minion.facts.service)
-                work = (now - saved_at) * run.step.room.cpu
-                found.append((work, Candidate(owner, minion, run, queue_of(job).priority)))
-        found.sort(key=lambda entry: entry[0])
-        return [candidate for _, candidate in found]
+                cpu = run.step.room.cpu
+                candidate = Candidate(owner, minion, run, queue_of(job).priority)
+                found.append(((now - saved_at) * cpu, cpu, candidate))
+        # Checkpoints of one report seem equally old, so larger runs count as losing more.
+        found.sort(key=lambda entry: entry[:2])
+        return [candidate for _, _, candidate in found]
 
     def _may_stop(self, run: Run, job: Job, now: float) -> bool:
         """Return whether a run is of the kind that may be stopped, and its task may be again."""
--- a/dotterelhill/jobs/tenants/tests/reclaim.feature
+++ b/dotterelhill/jobs/tenants/tests/reclaim.feature
@@ -99,8 +99,54 @@
       | the limit of tenant "u" becomes "0 1 0"        | 2       | 0     |
       | the paused runs end by themselves              | 2       | 0     |
       | the minions of the paused runs drain           | 0.5     | 8     |
+      | no start order can be sent any more            | 2       | 0     |
       | a new leader takes over                        | 0.2     | 0     |
 
+  Scenario Outline: reclaim goes beyond equal shares, or takes turns (u has <own>, v waits for <size>)
+    Given the minions have <accelerators> accelerators
+    And tenant "u" submits job "own" of <own> tasks of 0 processors and 1 accelerators
+    And tenant "t" submits job "a" of <held> checkpointing fillers of 0 processors and 1 accelerators
+    And 1 seconds pass with orders carried out
+    And tenant "v" submits job "c" of <others> tasks of <size> processors and 1 accelerators
+    And tenant "u" submits job "b" of 8 tasks of 0 processors and 1 accelerators
+    When 4 seconds pass with orders carried out
+    Then <stops> runs were ordered to stop, all of job "a"
+
+    Examples: a task of 9 processors fits nowhere
+      | accelerators | own | held | others | size | stops |
+      | 20           | 19  | 21   | 0      | 0    | 0     |
+      | 20           | 18  | 22   | 0      | 0    | 1     |
+      | 1            | 1   | 1    | 1      | 0    | 0     |
+      | 5            | 4   | 6    | 1      | 9    | 0     |
+
+  Scenario: runs that lose more work are stopped first
+    Given the minions have 1 accelerators
+    And tenant "t" submits job "c" of 1 checkpointing fillers of 4 processors and 1 accelerators
+    And tenant "t" submits job "a" of 1 checkpointing fillers of 1 processors and 1 accelerators
+    And 1 seconds pass with orders carried out
+    And tenant "u" submits job "b" of 1 tasks of 1 processors and 1 accelerators
+    When 4 seconds pass with orders carried out
+    Then 1 runs were ordered to stop, all of job "a"
+
+  Scenario: more runs are stopped at once than the limit of the other tenant allows
+    Given the limit of tenant "u" is "0 0 1"
+    And tenant "t" submits job "a" of 8 checkpointing fillers of 1 processors and 1 accelerators
+    And 1 seconds pass with orders carried out
+    And tenant "u" submits job "b" of 8 tasks of 1 processors and 1 accelerators
+    When 4 seconds pass with orders carried out
+    Then 1 runs were ordered to stop, all of job "a"
+
+  Scenario: runs are stopped for a job that ends too late to be of use
+    Given tenant "t" submits job "a" of 8 checkpointing fillers of 1 processors and 1 accelerators
+    And 1 seconds pass with orders carried out
+    And checkpoints are no longer reported
+    And 1 seconds pass with orders carried out
+    And tenant "u" submits job "b" of 8 tasks of 1 processors and 1 accelerators
+    When 30 seconds pass with orders carried out
+    And checkpoints are reported again
+    And 4 seconds pass with orders carried out
+    Then no stop was sent
+
   Scenario: after a stop of the earlier leader the new one starts the run again, or stops another
     Given tenant "t" submits job "a" of 8 checkpointing fillers of 1 processors and 1 accelerators
     And 1 seconds pass with orders carried out
--- a/dotterelhill/jobs/tenants/tests/steps/reclaim_steps.py
+++ b/dotterelhill/jobs/tenants/tests/steps/reclaim_steps.py
@@ -2,6 +2,7 @@
 
 import random
 from dataclasses import replace
+from functools import partial
 
 from behave import given, step, then, use_step_matcher, when
 
@@ -22,6 +23,7 @@
     def __init__(self, fleet, interval_seconds):
         self.fleet = fleet
         self.interval_seconds = interval_seconds
+        self.is_checkpointing = True
         self.pace = {}
         self.paused_at = {}
         self.stopped = []
@@ -32,7 +34,7 @@
         for runs in fleet.running.values():
             for key, run_id in runs.items():
                 checkpoint = f"{run_id}/{int((fleet.now + 1e-6) / self.interval_seconds)}"
-                if self.pace.get((key, run_id), 100):
+                if self.is_checkpointing and self.pace.get((key, run_id), 100):
                     fleet.checkpoints[key] = checkpoint
         before = fleet.now
         fleet.run_round()
@@ -117,6 +119,17 @@
     pass
 
 
+@step(r"checkpoints are (?P<what>no longer reported|reported again)")
+def change_interval(context, what):
+    context.platform.is_checkpointing = what == "reported again"
+
+
+@when(r"no start order can be sent any more")
+def send_no_starts(context):
+    fleet = context.fleet
+    fleet.plan = partial(fleet.plan, 0)
+
+
 @when(r"the paused runs end by themselves")
 def end_paused(context):
     for name, key, _ in context.platform.paused():
@@ -256,6 +269,16 @@
                 assert kinds[key.job_id] == "checkpointing", key
                 reclaimed.append(entry)
     assert reclaimed
+    tenants = {one.job_id: one.tenant for one in fleet.submitted}
+    for at, name, key, run_id in reclaimed:
+        followers = [
+            order
+            for order in fleet.sent
+            if order.minion.minion_id == name
+            and platform.paused_at[key, run_id] < order.run.planned_at <= at + 1.0
+            and tenants[order.run.key.job_id] != tenants[key.job_id]
+        ]
+        assert followers or at + 1.0 > fleet.now, (at, name, key)
     platform.stopped = reclaimed
     check_minion_intervals(platform)
     check_task_intervals(platform)
