--- a/dotterelhill/jobs/tenants/exchanges.py
+++ b/dotterelhill/jobs/tenants/exchanges.py
@@ -6,11 +6,12 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from dotterelhill.jobs.fleet import Minion, Run
+from dotterelhill.jobs.fleet import Minion
 from dotterelhill.jobs.model import Timeliness
 from dotterelhill.jobs.placement.lasting_claims import CLAIM_AFTER_SECONDS
 from dotterelhill.jobs.placement.waiting import longest_idle_seconds
 from dotterelhill.jobs.resources import ResourceVector
+from dotterelhill.jobs.tenants.candidates import Candidate
 from dotterelhill.jobs.tenants.limits import TenantLimits
 from dotterelhill.jobs.tenants.loads import WaitingTasks
 from dotterelhill.jobs.tenants.shares import TenantShares
@@ -45,19 +46,6 @@
         """Return whether a waiting task could start on a minion, but for claims of a tenant."""
 
 
-@dataclass(frozen=True, slots=True)
-class Candidate:
-    """Run that may be stopped.
-
-    :param priority: priority of the queue of its job
-    """
-
-    owner: RunOwner
-    minion: Minion
-    run: Run
-    priority: int
-
-
 @dataclass(slots=True)
 class _Group:
     """Waiting tasks of one tenant that need the same; ``count`` are not promised a place yet.
--- a/dotterelhill/jobs/tenants/reclaim.py
+++ b/dotterelhill/jobs/tenants/reclaim.py
@@ -17,12 +17,12 @@
 from dotterelhill.jobs.changes import Decision
 from dotterelhill.jobs.fleet import Minion, Run, RunState
 from dotterelhill.jobs.interference.sharing import MIN_FILLER_CPU_SHARE, InterferenceControl
-from dotterelhill.jobs.model import Job, TaskKey
+from dotterelhill.jobs.model import Job
 from dotterelhill.jobs.orders import PaceOrder
 from dotterelhill.jobs.queues import Queue
+from dotterelhill.jobs.tenants.candidates import Candidate, Candidates
 from dotterelhill.jobs.tenants.exchanges import (
     SHARE_TOLERANCE,
-    Candidate,
     Exchange,
     ExchangeSearch,
     StartCheck,
@@ -40,10 +40,6 @@
 # A pace applies within 0.5 s of its order.
 PAUSE_SECONDS = 0.5
 MAX_PAUSE_SECONDS = 1.0
-MINION_INTERVAL_SECONDS = 0.5
-TASK_INTERVAL_SECONDS = 10.0
-# A stop costs this much work at most, which is as much as the restore of a checkpoint may take.
-RECENT_CHECKPOINT_SECONDS = 0.6
 
 
 @dataclass(slots=True)
@@ -97,11 +93,9 @@
         self._limits = limits
         self._shares = shares
         self._interference = interference
-        self._began_at: float | None = None
         self._searched_at = float("-inf")
         self._pauses: dict[Run, _Pause] = {}
-        self._minion_stopped_at: dict[Minion, float] = {}
-        self._task_stopped_at: dict[TaskKey, float] = {}
+        self._candidates = Candidates()
         self._log = ReclaimLog()
 
     @property
@@ -124,15 +118,14 @@
         :param waiting: returns the tasks that this round has left waiting
         """
         actions = ReclaimActions()
-        if self._began_at is None:
-            self._began_at = now
         has_work = self._usage.by_owner or self._pauses or not self._log.is_idle
         if not has_work or now - self._searched_at < SEARCH_SECONDS:
             return actions
         self._searched_at = now
-        self._forget(now)
+        self._candidates.advance(now)
         if check.had_starts_left:
-            candidates = self._candidates(usable, jobs, queue_of, now)
+            paused = {pause.minion for pause in self._pauses.values()}
+            candidates = self._candidates.find(usable, paused, jobs, queue_of, now)
             services = self._uneven_services(candidates, check)
             services |= {pause.exchange.taker.service for pause in self._pauses.values()}
             for search in self._searches(services, usable, waiting, check, now):
@@ -193,47 +186,6 @@
             for service, pool in pools.items()
         ]  # fmt: skip
 
-    def _candidates(
-        self,
-        usable: Iterable[Minion],
-        jobs: Mapping[str, Job],
-        queue_of: Callable[[Job], Queue],
-        now: float,
-    ) -> list[Candidate]:
-        """Return the runs that may be paused, those with the least work to lose first."""
-        found: list[tuple[float, int, Candidate]] = []
-        paused = {pause.minion for pause in self._pauses.values()}
-        for minion in usable:
-            if minion in self._minion_stopped_at or minion in paused:
-                continue
-            for run in minion.runs.values():
-                saved_at = run.saved_at
-                if saved_at is None or now - saved_at > RECENT_CHECKPOINT_SECONDS:
-                    continue
-                job = jobs.get(run.key.job_id)
-                if job is None or not job.submission.tenant or not self._may_stop(run, job, now):
-                    continue
-                owner = RunOwner(job.submission.tenant, minion.facts.service)
-                cpu = run.step.room.cpu
-                candidate = Candidate(owner, minion, run, queue_of(job).priority)
-                found.append(((now - saved_at) * cpu, cpu, candidate))
-        # Checkpoints of one report seem equally old, so larger runs count as losing more.
-        found.sort(key=lambda entry: entry[:2])
-        return [candidate for _, _, candidate in found]
-
-    def _may_stop(self, run: Run, job: Job, now: float) -> bool:
-        """Return whether a run is of the kind that may be stopped, and its task may be again."""
-        step = run.step
-        if not step.is_filler or not step.is_checkpointing or step.is_lasting or step.is_gang:
-            return False
-        if run.state is not RunState.PRESENT or run.key in self._task_stopped_at:
-            return False
-        # An earlier leader may have stopped an earlier run of the task.
-        began_at = now if self._began_at is None else self._began_at
-        if run.run_id > 1 and now - began_at < TASK_INTERVAL_SECONDS:
-            return False
-        return len(job.task(run.key).assignments) == 1
-
     def _review(
         self,
         search: ExchangeSearch,
@@ -289,8 +241,7 @@
     def _stop(self, pause: _Pause, now: float, actions: ReclaimActions) -> None:
         """Stop a paused run."""
         actions.stops.append((pause.minion, pause.run))
-        self._minion_stopped_at[pause.minion] = now
-        self._task_stopped_at[pause.run.key] = now
+        self._candidates.record_stop(pause.minion, pause.run, now)
         self._log.record_stop(pause.exchange, now)
 
     def _pause_new(
@@ -329,12 +280,3 @@
             self._pauses[candidate.run] = _Pause(exchange, now)
             actions.paces += self._interference.pause(candidate.minion, candidate.run, now)
             actions.jobs.append(jobs[candidate.run.key.job_id])
-
-    def _forget(self, now: float) -> None:
-        """Forget stops after the time within which none may follow."""
-        for minion, stopped_at in list(self._minion_stopped_at.items()):
-            if now - stopped_at >= MINION_INTERVAL_SECONDS:
-                del self._minion_stopped_at[minion]
-        for key, stopped_at in list(self._task_stopped_at.items()):
-            if now - stopped_at >= TASK_INTERVAL_SECONDS:
-                del self._task_stopped_at[key]
