--- a/dotterelhill/jobs/tenants/candidates.py
+++ b/dotterelhill/jobs/tenants/candidates.py
@@ -67,9 +67,6 @@
         """
         found: list[tuple[float, int, Candidate]] = []
         for minion in minions:
-            # Without this most of the time would go into minions that run no fillers.
-            if minion.filler_cpu <= 0.0:
-                continue
             if minion in self._minion_stopped_at or minion in excluded:
                 continue
             for run in minion.runs.values():
