--- a/measure/tenants_cost.py
+++ b/measure/tenants_cost.py
@@ -43,7 +43,7 @@
 ROUNDS_OF_A_CHECKPOINT = 8
 
 
-class _Fleet:
+class LoadedFleet:
     """Scheduler with minions that carry out every order, and a constant number of waiting tasks."""
 
     def __init__(
@@ -91,11 +91,14 @@
         """Return the scheduler."""
         return self._scheduler
 
-    def run_round(self) -> float:
-        """End some runs, submit jobs, and return the processor seconds of the planning."""
+    def run_round(self, ends: int = ENDS_OF_A_ROUND) -> float:
+        """End some runs, submit jobs, and return the processor seconds of the planning.
+
+        :param ends: number of runs that end
+        """
         self._now += ROUND_SECONDS
         self._rounds += 1
-        self._report(self._end_runs())
+        self._report(self._end_runs(ends))
         while self._scheduler.waiting_tasks < WAITING_TASKS:
             self._submit()
         unix_ms = UNIX_START_MS + int(1000 * self._now)
@@ -137,10 +140,10 @@
         )  # fmt: skip
         self._scheduler.submit(submission, self._now)
 
-    def _end_runs(self) -> dict[str, list[EndReport]]:
+    def _end_runs(self, count: int) -> dict[str, list[EndReport]]:
         running = [(name, key) for name, runs in self._running.items() for key in runs]
         ends, self._stop_ends = self._stop_ends, {}
-        for name, key in self._random.sample(running, min(ENDS_OF_A_ROUND, len(running))):
+        for name, key in self._random.sample(running, min(count, len(running))):
             if key in self._accelerated and self._random.random() > ACCELERATED_ENDS_SHARE:
                 continue
             self._end(ends, name, key, EndKind.DONE)
@@ -180,7 +183,7 @@
 TENANT_DRAWS = range(TENANTS)
 
 
-def _measure(fleets: Mapping[str, _Fleet]) -> dict[str, list[float]]:
+def _measure(fleets: Mapping[str, LoadedFleet]) -> dict[str, list[float]]:
     """Return the times of the rounds of each fleet in ms, from alternating rounds."""
     times: dict[str, list[float]] = {name: [] for name in fleets}
     # A collection would count for the round in which it happens to begin.
@@ -207,7 +210,7 @@
 def figures() -> Iterator[Figure]:
     """Measure the load without fillers, then the one with fillers."""
     tenants, base = f"with {TENANTS} tenants", "without tenants"
-    fleets = {base: _Fleet(0), tenants: _Fleet(TENANTS)}
+    fleets = {base: LoadedFleet(0), tenants: LoadedFleet(TENANTS)}
     times = _measure(fleets)
     without, with_tenants = statistics.median(times[base]), statistics.median(times[tenants])
     yield figure_with_target(
@@ -234,9 +237,9 @@
     """
     base, off, on = "with fillers", "with fillers and tenants", "with fillers and reclaim"
     fleets = {
-        base: _Fleet(0, has_fillers=True),
-        off: _Fleet(TENANTS, has_fillers=True, is_reclaiming=False),
-        on: _Fleet(TENANTS, has_fillers=True),
+        base: LoadedFleet(0, has_fillers=True),
+        off: LoadedFleet(TENANTS, has_fillers=True, is_reclaiming=False),
+        on: LoadedFleet(TENANTS, has_fillers=True),
     }
     times = _measure(fleets)
     without = statistics.fmean(times[base])
