--- a/dotterelhill/jobs/placement/placement.py
+++ b/dotterelhill/jobs/placement/placement.py
@@ -141,23 +141,25 @@
             if waiting.pending
         }
 
-    def waiting_tasks_of_round(self, queue_of: QueueLookup, unix_ms: int) -> Iterator[WaitingTasks]:
+    def waiting_tasks_of_round(self, unix_ms: int) -> Iterator[WaitingTasks]:
         """Yield the steps with due tasks that waited in the newest round and still wait.
 
-        :param queue_of: returns the current queue configuration of a job
         :param unix_ms: wall-clock time of that round in Unix ms
         """
         for waiting in self._waiting_jobs.values():
             if not waiting.pending or waiting.entry is None:
                 continue
-            queue, submission = queue_of(waiting.job), waiting.job.submission
+            rank, queue, _ = waiting.entry
             if queue.needs_advice:
                 continue
+            submission, is_too_late = waiting.job.submission, rank[1] == Timeliness.TOO_LATE
             for (occurrence, index), keys in waiting.pending.items():
-                if keys and unix_ms >= submission.due_ms(occurrence):
+                if keys and (
+                    submission.schedule is None or unix_ms >= submission.due_ms(occurrence)
+                ):
                     yield WaitingTasks(
-                        waiting.job, submission.steps[index], queue.service, keys, queue.priority,
-                        Timeliness(waiting.entry[0][1]),
+                        waiting.job, submission.steps[index], queue.service, keys, rank[0],
+                        is_too_late,
                     )  # fmt: skip
 
     def add_job(self, job: Job) -> None:
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -326,7 +326,7 @@
         active = [(job, self._queue_of(job).service) for job in self._active_jobs.values()]
         listed = [minion for minion in self._minions.values() if minion.is_listed]
         check = CapacityCheck(listed, had_starts_left=self._placement.had_starts_left)
-        waiting = self._placement.waiting_tasks_of_round(self._queue_of, self._planned_unix_ms)
+        waiting = self._placement.waiting_tasks_of_round(self._planned_unix_ms)
         waits = check.find(waiting, self._tenant_limits)
         return self._tenant_loads.loads(active, waits, self._tenant_limits, now)
 
@@ -921,7 +921,7 @@
             usable,
             self._jobs,
             self._queue_of,
-            lambda: self._placement.waiting_tasks_of_round(self._queue_of, unix_ms),
+            lambda: self._placement.waiting_tasks_of_round(unix_ms),
             self._placement,
             now,
         )
--- a/dotterelhill/jobs/tenants/exchanges.py
+++ b/dotterelhill/jobs/tenants/exchanges.py
@@ -7,7 +7,6 @@
 from typing import Protocol
 
 from dotterelhill.jobs.fleet import Minion
-from dotterelhill.jobs.model import Timeliness
 from dotterelhill.jobs.placement.lasting_claims import CLAIM_AFTER_SECONDS
 from dotterelhill.jobs.placement.waiting import longest_idle_seconds
 from dotterelhill.jobs.resources import ResourceVector
@@ -242,7 +241,7 @@
 
     def _is_below_share(self, group: _Group) -> bool:
         """Return whether a group belongs to a tenant below its share and may be of use in time."""
-        if not group.owner.tenant or group.tasks.timeliness is Timeliness.TOO_LATE:
+        if not group.owner.tenant or group.tasks.is_too_late:
             return False
         return self.share(group.owner) < self._fair_share
 
@@ -262,12 +261,12 @@
 
 def _group_key(tasks: WaitingTasks, now: float) -> tuple[object, ...]:
     """Return what waiting tasks have in common that start alike."""
-    job, step, _, _, priority, timeliness = tasks
+    job, step, _, _, priority, is_too_late = tasks
     submission, room = job.submission, step.room
     return (
         submission.tenant,
         priority,
-        timeliness is Timeliness.TOO_LATE,
+        is_too_late,
         step.is_lasting and _is_overdue(tasks, now),
         room.cpu,
         room.memory_mb,
@@ -289,8 +288,7 @@
 def _rank(tasks: WaitingTasks, now: float) -> tuple[bool, int, bool, bool]:
     """Return the order of waiting tasks of different tenants, but for the shares of these."""
     is_first = tasks.step.is_lasting and _is_overdue(tasks, now)
-    is_too_late = tasks.timeliness is Timeliness.TOO_LATE
-    return (not is_first, tasks.priority, is_too_late, bool(tasks.job.submission.tenant))
+    return (not is_first, tasks.priority, tasks.is_too_late, bool(tasks.job.submission.tenant))
 
 
 def _is_overdue(tasks: WaitingTasks, now: float) -> bool:
--- a/dotterelhill/jobs/tenants/loads.py
+++ b/dotterelhill/jobs/tenants/loads.py
@@ -8,7 +8,7 @@
 from typing import NamedTuple
 
 from dotterelhill.jobs.fleet import Minion
-from dotterelhill.jobs.model import Job, JobState, Step, TaskKey, Timeliness
+from dotterelhill.jobs.model import Job, JobState, Step, TaskKey
 from dotterelhill.jobs.resources import ResourceVector
 from dotterelhill.jobs.tenants.limits import TenantLimits
 
@@ -72,7 +72,7 @@
     :param service: pool whose minions run the tasks
     :param keys: the tasks, in the order in which they start
     :param priority: priority of their queue
-    :param timeliness: expected end of their job
+    :param is_too_late: whether their job can no longer end in useful time
     """
 
     job: Job
@@ -80,7 +80,7 @@
     service: str
     keys: list[TaskKey]
     priority: int
-    timeliness: Timeliness
+    is_too_late: bool
 
 
 @dataclass(slots=True)
