Reserve minions for large tasks behind the switch look_ahead

Small tasks fill every gap, so that large tasks and gangs wait long on a busy fleet. The switch is off by default.

--- a/dotterelhill/jobs/placement/filler_claims.py
+++ b/dotterelhill/jobs/placement/filler_claims.py
@@ -116,6 +116,10 @@
                     )
         self._choose_claims(overdue, by_service)
 
+    def has_claim(self, minion: Minion) -> bool:
+        """Return whether a filler has claimed a minion."""
+        return minion in self._by_minion
+
     def record_start(self, key: TaskKey) -> None:
         """Record that a filler starts, so that the wait of its step begins anew."""
         identity = step_id(key)
--- /dev/null
+++ b/dotterelhill/jobs/placement/look_ahead/look_ahead.py
@@ -0,0 +1,331 @@
+"""Look-ahead placement: large tasks hold reservations, and smaller ones are backfilled."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping, Sequence
+
+from dotterelhill.jobs.durations.model import DurationModel
+from dotterelhill.jobs.fleet import Minion
+from dotterelhill.jobs.model import Job, Step, TaskKey
+from dotterelhill.jobs.placement.filler_claims import FillerClaims
+from dotterelhill.jobs.placement.lasting_claims import LastingClaims
+from dotterelhill.jobs.placement.look_ahead.candidates import (
+    OVERDUE_SECONDS,
+    Candidate,
+    Candidates,
+    OpenTasks,
+    StepId,
+    order_candidates,
+)
+from dotterelhill.jobs.placement.look_ahead.profile import CapacityProfiles
+from dotterelhill.jobs.placement.look_ahead.reservations import (
+    MIN_GAIN_SECONDS,
+    MinionChoice,
+    Reservation,
+    ReservedStep,
+)
+from dotterelhill.jobs.placement.waiting import OccurrenceStep, RankedJob, WaitingJob
+
+# Large tasks are looked for in this interval. A pass over thousands of waiting jobs takes 1 ms.
+SEARCH_INTERVAL_SECONDS = 0.1
+# A step looks in this interval for minions that have room earlier.
+CHOICE_INTERVAL_SECONDS = 0.5
+# Only so many minions of a service hold reservations at a time, since their processors are idle
+# until enough runs have ended. A gang may hold more if it is the only one.
+MAX_RESERVED_MINIONS = 8
+MAX_RESERVED_SHARE = 1 / 8
+# Until a step has waited for this time, its reservation only lets smaller tasks prefer other
+# minions.
+FIRM_AFTER_SECONDS = 2.0
+# More than a rack without the data, less than a slow minion.
+AVOIDANCE_COST = 1.5
+# Mean absolute logarithm of observed to predicted durations above which predictions are useless.
+MAX_DURATION_ERROR = 1.0
+ERROR_INTERVAL_SECONDS = 1.0
+# Smaller tasks that are tried in the gaps of reserved minions in one round.
+MAX_BACKFILL_ATTEMPTS = 64
+
+
+class LookAhead:
+    """Reservations of the large tasks that have waited longest or rank highest.
+
+    A reservation keeps the room of one minion for tasks of one step. Smaller tasks may start there
+    if they leave that room free when the reserved tasks are expected to start.
+
+    :param is_enabled: whether tasks hold reservations
+    :param waiting_jobs: active jobs by id
+    """
+
+    def __init__(
+        self,
+        durations: DurationModel,
+        lasting_claims: LastingClaims,
+        filler_claims: FillerClaims,
+        waiting_jobs: Mapping[str, WaitingJob],
+        *,
+        is_enabled: bool,
+    ) -> None:
+        self._is_enabled = is_enabled
+        self._waiting_jobs = waiting_jobs
+        self._profiles = CapacityProfiles(durations, self._queue_name_of)
+        self._choice = MinionChoice(self._profiles, lasting_claims, filler_claims)
+        self._candidates = Candidates()
+        self._steps: dict[StepId, ReservedStep] = {}
+        self._by_minion: dict[Minion, Reservation] = {}
+        self._overdue: set[StepId] = set()
+        self._due_priority: float = float("inf")
+        self._searched_at = self._errors_at = float("-inf")
+        self._is_reliable = True
+        self._attempts_left = 0
+        self._now = 0.0
+
+    @property
+    def by_minion(self) -> Mapping[Minion, Reservation]:
+        """Return the reservations by minion."""
+        return self._by_minion
+
+    @property
+    def due_priority(self) -> float:
+        """Return the highest priority of reserved tasks that fit now; infinity for none."""
+        return self._due_priority
+
+    def update(
+        self,
+        ranked: Sequence[RankedJob],
+        by_service: Mapping[str, Sequence[Minion]],
+        open_tasks: OpenTasks,
+        now: float,
+        unix_ms: int,
+    ) -> None:
+        """Update the reservations for the round that begins.
+
+        :param by_service: minions on which tasks may start
+        :param open_tasks: returns those of a step's tasks that may start beside other tasks
+        """
+        if not self._is_enabled:
+            return
+        self._now = now
+        self._attempts_left = MAX_BACKFILL_ATTEMPTS
+        is_search_due = now - self._searched_at >= SEARCH_INTERVAL_SECONDS
+        if not is_search_due and not self._steps:
+            return
+        usable = {minion for pool in by_service.values() for minion in pool}
+        for step_id, reserved in list(self._steps.items()):
+            if not self._is_valid(reserved, usable):
+                self._remove(step_id)
+        if is_search_due:
+            self._searched_at = now
+            found = self._candidates.find(ranked, by_service, open_tasks, now, unix_ms)
+            self._assign(found, by_service)
+            self._profiles.keep_only(usable)
+            self._check_durations()
+        self._due_priority = min(
+            (one.candidate.queue.priority for one in self._steps.values() if _is_due(one)),
+            default=float("inf"),
+        )
+
+    def due_jobs(self, priority: int) -> Iterator[tuple[WaitingJob, list[Minion]]]:
+        """Yield the jobs of a priority, or a higher one, whose reserved tasks fit now.
+
+        :returns: each with the minions that it has reserved
+        """
+        for reserved in list(self._steps.values()):
+            if reserved.candidate.queue.priority > priority or not _is_due(reserved):
+                continue
+            minions = [one.minion for one in reserved.reservations]
+            if not reserved.candidate.step.is_gang:
+                minions = [one for one in minions if one.has_room_for(reserved.candidate.step)]
+            yield reserved.candidate.waiting, minions
+            if not self._is_waiting(reserved.candidate):
+                self._remove(reserved.candidate.step_id)
+        self._due_priority = min(
+            (
+                one.candidate.queue.priority
+                for one in self._steps.values()
+                if one.candidate.queue.priority > priority and _is_due(one)
+            ),
+            default=float("inf"),
+        )
+
+    def start_cost(
+        self,
+        cost: tuple[float, ...],
+        job: Job,
+        step: Step,
+        occurrence_step: OccurrenceStep,
+        minion: Minion,
+    ) -> tuple[float, ...] | None:
+        """Return the cost of a start on a minion; None if its reservation does not allow it.
+
+        :param cost: cost without reservations
+        """
+        reservation = self._by_minion.get(minion)
+        if reservation is None or self._is_harmless(reservation, job, step, occurrence_step):
+            return cost
+        if self._is_firm_for(reservation, job, step):
+            return None
+        return (cost[0] + AVOIDANCE_COST, *cost[1:])
+
+    def open_minions(
+        self, job: Job, step: Step, occurrence_step: OccurrenceStep, pool: Sequence[Minion]
+    ) -> Sequence[Minion]:
+        """Return the minions on which a gang does not delay the reservations of other steps."""
+        if not self._by_minion:
+            return pool
+        return [
+            minion
+            for minion in pool
+            if minion not in self._by_minion
+            or self.start_cost((0.0,), job, step, occurrence_step, minion) is not None
+        ]
+
+    def gaps(self, job: Job, step: Step, key: TaskKey, service: str) -> list[Minion]:
+        """Return the reserved minions on which a task may be backfilled.
+
+        Tasks of its size have found no room on other minions in this round.
+        """
+        if not self._by_minion or self._attempts_left <= 0 or step.is_lasting:
+            return []
+        fitting = [
+            reservation
+            for minion, reservation in self._by_minion.items()
+            if minion.has_room_for(step) and minion.facts.service == service
+        ]
+        if not fitting:
+            return []
+        self._attempts_left -= 1
+        return [
+            reservation.minion
+            for reservation in fitting
+            if self._is_harmless(reservation, job, step, (key.occurrence, key.step))
+        ]
+
+    def _is_harmless(
+        self, reservation: Reservation, job: Job, step: Step, occurrence_step: OccurrenceStep
+    ) -> bool:
+        """Return whether a start on a reserved minion does not delay the reserved tasks."""
+        if reservation.candidate.step_id == (job.job_id, *occurrence_step):
+            return True
+        if step.is_filler and step.is_checkpointing:
+            return True
+        minion, starts_at = reservation.minion, reservation.starts_at
+        free = self._profiles.of(minion, self._now).free_at(max(starts_at, self._now))
+        if free.minus(step.reserved_resources).is_enough_for(reservation.room):
+            return True
+        if step.is_lasting or not self._is_reliable:
+            return False
+        seconds = self._profiles.seconds(job.submission.queue.name, step, minion)
+        return self._now + seconds <= starts_at
+
+    def _is_firm_for(self, reservation: Reservation, job: Job, step: Step) -> bool:
+        """Return whether a reservation keeps a task off its minion, rather than only last."""
+        if step.is_lasting:
+            return False
+        candidate = reservation.candidate
+        if candidate.step_id in self._overdue:
+            return True
+        if not self._is_reliable or self._now - candidate.since < FIRM_AFTER_SECONDS:
+            return False
+        return job.submission.queue.priority >= candidate.queue.priority
+
+    def _is_valid(self, reserved: ReservedStep, usable: set[Minion]) -> bool:
+        """Return whether a step still waits and its minions are usable soon enough."""
+        candidate = reserved.candidate
+        if not self._is_waiting(candidate):
+            return False
+        for reservation in reserved.reservations:
+            minion = reservation.minion
+            if minion not in usable or not self._choice.is_usable(minion, candidate.step):
+                return False
+        return self._choice.refresh(reserved, self._now)
+
+    def _is_waiting(self, candidate: Candidate) -> bool:
+        """Return whether a task of a step still waits, or all tasks of a gang."""
+        job_id, occurrence, step = candidate.step_id
+        if self._waiting_jobs.get(job_id) is not candidate.waiting:
+            return False
+        keys = candidate.waiting.pending.get((occurrence, step), ())
+        return len(keys) >= (candidate.step.count if candidate.step.is_gang else 1)
+
+    def _assign(
+        self,
+        found: Mapping[str, list[Candidate]],
+        by_service: Mapping[str, Sequence[Minion]],
+    ) -> None:
+        """Assign reservations to the candidates that come first, and remove those of others."""
+        earlier, self._steps, self._by_minion = self._steps, {}, {}
+        self._overdue = set()
+        taken = self._choice.taken = set()
+        for service, candidates in found.items():
+            pool = by_service.get(service, ())
+            left = max(1, min(MAX_RESERVED_MINIONS, int(MAX_RESERVED_SHARE * len(pool))))
+            ordered = order_candidates(candidates, set(earlier), self._now)
+            if self._now - ordered[0].since >= OVERDUE_SECONDS:
+                self._overdue.add(ordered[0].step_id)
+            limit = left
+            for candidate in ordered:
+                if left <= 0:
+                    break
+                reserved = self._reserve(candidate, earlier.get(candidate.step_id), pool, left)
+                if reserved is None:
+                    continue
+                # A gang may need more minions than are allowed, but not beside other reservations.
+                if len(reserved.reservations) > left and left < limit:
+                    continue
+                left -= len(reserved.reservations)
+                self._steps[candidate.step_id] = reserved
+                for reservation in reserved.reservations:
+                    self._by_minion[reservation.minion] = reservation
+                    taken.add(reservation.minion)
+
+    def _reserve(
+        self, candidate: Candidate, known: ReservedStep | None, pool: Sequence[Minion], left: int
+    ) -> ReservedStep | None:
+        """Return the reservations of a candidate, on other minions if it fits there earlier."""
+        if known is not None:
+            if any(one.minion in self._choice.taken for one in known.reservations):
+                known = None
+            elif sum(one.count for one in known.reservations) > candidate.task_count:
+                known = None
+        if known is not None:
+            known.candidate = candidate
+            for reservation in known.reservations:
+                reservation.candidate = candidate
+            if self._now - known.chosen_at < CHOICE_INTERVAL_SECONDS:
+                return known
+            known.chosen_at = self._now
+        chosen = self._choice.choose(candidate, pool, left, self._now)
+        if known is None or chosen is None:
+            return chosen or known
+        if len(chosen.reservations) > len(known.reservations):
+            return chosen
+        return chosen if chosen.starts_at < known.starts_at - MIN_GAIN_SECONDS else known
+
+    def _remove(self, step_id: StepId) -> None:
+        for reservation in self._steps.pop(step_id).reservations:
+            if self._by_minion.get(reservation.minion) is reservation:
+                del self._by_minion[reservation.minion]
+
+    def _check_durations(self) -> None:
+        """Check whether the durations of runs on reserved minions can be predicted."""
+        if self._now - self._errors_at < ERROR_INTERVAL_SECONDS:
+            return
+        errors = [error for minion in self._by_minion for error in self._profiles.errors(minion)]
+        if errors:
+            self._errors_at = self._now
+            self._is_reliable = sum(errors) / len(errors) <= MAX_DURATION_ERROR
+
+    def _queue_name_of(self, job_id: str) -> str:
+        waiting = self._waiting_jobs.get(job_id)
+        return waiting.job.submission.queue.name if waiting is not None else ""
+
+
+def _is_due(reserved: ReservedStep) -> bool:
+    """Return whether the reserved tasks of a step fit now: all of a gang, otherwise any."""
+    step = reserved.candidate.step
+    if step.is_gang:
+        return all(
+            reservation.minion.free.is_enough_for(reservation.room)
+            for reservation in reserved.reservations
+        )
+    return any(reservation.minion.has_room_for(step) for reservation in reserved.reservations)
--- a/dotterelhill/jobs/placement/placement.py
+++ b/dotterelhill/jobs/placement/placement.py
@@ -23,6 +23,7 @@
     is_overdue,
 )
 from dotterelhill.jobs.placement.lasting_waits import WaitingStep
+from dotterelhill.jobs.placement.look_ahead.look_ahead import LookAhead
 from dotterelhill.jobs.placement.waiting import (
     OccurrenceStep,
     RankedJob,
@@ -73,6 +74,7 @@
     :param limits: limits of tenants
     :param failing: lasting tasks that fail on every minion
     :param shares: order among tenants
+    :param is_look_ahead_enabled: whether waiting tasks hold reservations of future capacity
     """
 
     def __init__(
@@ -83,6 +85,8 @@
         limits: TenantLimits,
         failing: FailingTasks,
         shares: TenantShares,
+        *,
+        is_look_ahead_enabled: bool = False,
     ) -> None:
         self._interference = interference
         self._limits = limits
@@ -102,6 +106,13 @@
         self._lasting_claims = LastingClaims(limits)
         self._filler_claims = FillerClaims(interference)
         self._forced_starts = ForcedStarts(interference)
+        self._look_ahead = LookAhead(
+            durations,
+            self._lasting_claims,
+            self._filler_claims,
+            self._waiting_jobs,
+            is_enabled=is_look_ahead_enabled,
+        )
 
     @property
     def waiting_tasks(self) -> int:
@@ -298,9 +309,9 @@
             for service, pool in by_service.items():
                 by_service[service] = self._isolation.open_minions(pool)
         self._forced_starts.begin_round((unix_ms - newest_accepted_ms) / 1000.0)
-        self._filler_claims.update(
-            ranked, by_service, partial(self._open_tasks, now=now), now, unix_ms
-        )
+        open_tasks = partial(self._open_tasks, now=now)
+        self._filler_claims.update(ranked, by_service, open_tasks, now, unix_ms)
+        self._look_ahead.update(ranked, by_service, open_tasks, now, unix_ms)
 
         def choose_turn_starts(
             entry: RankedJob, *, is_overdue_only: bool
@@ -321,6 +332,8 @@
         for entry in self._shares.order(ranked) if self._has_tenants else ranked:
             if self._remaining_starts <= 0:
                 return
+            if self._look_ahead.due_priority <= entry[0][0]:
+                yield from self._choose_reserved_starts(entry[0][0], now, unix_ms)
             yield from choose_turn_starts(entry, is_overdue_only=False)
 
     def _recently_unplaceable(self, now: float) -> dict[str, list[ResourceVector]]:
@@ -465,6 +478,15 @@
             self._remaining_starts -= 1
             yield claim.job, key, minion
 
+    def _choose_reserved_starts(
+        self, priority: int, now: float, unix_ms: int
+    ) -> Iterator[tuple[Job, TaskKey, Minion]]:
+        """Yield the starts of reserved tasks of a priority, or a higher one, that fit now."""
+        for waiting, pool in self._look_ahead.due_jobs(priority):
+            yield from self._choose_job_starts(
+                waiting, pool, [], now, unix_ms, {}, is_overdue_only=False
+            )
+
     def _choose_job_starts(
         self,
         waiting: WaitingJob,
@@ -529,9 +551,9 @@
         if not self._shares.may_continue():
             return
         placement_class = _placement_class(step, pool[0].facts.service)
-        for resources in unplaceable.get(placement_class, []):
-            if step.room.is_enough_for(resources):
-                return
+        pool = self._untried_minions(job, step, keys[0], pool, unplaceable.get(placement_class, ()))
+        if not pool:
+            return
         idle_seconds = longest_idle_seconds(job, keys, now) if step.is_lasting else 0.0
         reserved_cpu = self._reserved_cpu(step, pool, idle_seconds)
         start_cost = partial(self._avoiding_cost, job, step, keys[0], now, reserved_cpu)
@@ -572,6 +594,23 @@
         if keys and not heap and not is_limited:
             unplaceable.setdefault(placement_class, []).append(step.room)
 
+    def _untried_minions(
+        self,
+        job: Job,
+        step: Step,
+        key: TaskKey,
+        pool: Sequence[Minion],
+        unplaceable: Sequence[ResourceVector],
+    ) -> Sequence[Minion]:
+        """Return the minions on which no task as small as one of the step was tried.
+
+        :param unplaceable: sizes that fit no minion without delaying reservations
+        """
+        for resources in unplaceable:
+            if step.room.is_enough_for(resources):
+                return self._look_ahead.gaps(job, step, key, pool[0].facts.service)
+        return pool
+
     def _choose_trials(
         self, job: Job, step: Step, keys: list[TaskKey], for_trial: list[Minion], now: float
     ) -> Iterator[tuple[Job, TaskKey, Minion]]:
@@ -622,6 +661,8 @@
             return
         if not self._shares.may_continue():
             return
+        identity = (keys[0].occurrence, keys[0].step)
+        pool = self._look_ahead.open_minions(job, step, identity, pool)
         free = {id(minion): minion.free for minion in pool}
         chosen: list[tuple[TaskKey, Minion]] = []
         for key in keys:
@@ -662,7 +703,10 @@
             return None
         if reserved_cpu and minion.free_cpu - step.room.cpu < reserved_cpu:
             return None
-        return self._placement_cost(step, minion, now)
+        cost = self._placement_cost(step, minion, now)
+        if cost is None or minion not in self._look_ahead.by_minion:
+            return cost
+        return self._look_ahead.start_cost(cost, job, step, occurrence_step, minion)
 
     def _avoiding_cost(
         self, job: Job, step: Step, key: TaskKey, now: float, reserved_cpu: float, minion: Minion
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -119,6 +119,7 @@
             self._tenant_limits,
             self._failing,
             self._tenant_shares,
+            is_look_ahead_enabled=settings.switches.look_ahead,
         )
         self._lasting_waits = LastingWaits()
         self._hold = StartHold(settings.capacity_valid_seconds)
--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -20,6 +20,7 @@
     "agreement": ("measure.agreement",),
     "failover": ("measure.failover_cost",),
     "jobs": ("measure.stragglers",),
+    "look-ahead": ("measure.look_ahead",),
     "cost": ("measure.fold_cost", "measure.node_cost"),
     "keys": ("measure.keys_cost",),
 }
--- a/measure/tenants_cost.py
+++ b/measure/tenants_cost.py
@@ -10,7 +10,7 @@
 import random
 import statistics
 import time
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 
 from dotterelhill.jobs.changes import SchedulerSettings
 from dotterelhill.jobs.fleet import EndKind, EndReport, MinionFacts, MinionReport, RunReport
@@ -33,15 +33,26 @@
 UNIX_START_MS = 1_700_000_000_000
 MAX_RATIO = 1.15
 MAX_ROUND_MS = 25.0
+DEFAULT_SETTINGS = SchedulerSettings()
 
 
-class _Fleet:
-    """Scheduler with minions that carry out every start, and a constant number of waiting tasks."""
+class LoadedFleet:
+    """Scheduler with minions that carry out every start, and a constant number of waiting tasks.
 
-    def __init__(self, tenants: int) -> None:
+    :param tenants: number of tenants
+    :param task_cpus: sizes of tasks in thousandths of a processor; minions have 16,000
+    """
+
+    def __init__(
+        self,
+        tenants: int,
+        settings: SchedulerSettings = DEFAULT_SETTINGS,
+        task_cpus: Sequence[int] = (500, 1000, 2000, 3500),
+    ) -> None:
+        self._task_cpus = task_cpus
         self._random = random.Random(SEED)
         self._now = 1000.0
-        self._scheduler = Scheduler(SchedulerSettings(), self._now)
+        self._scheduler = Scheduler(settings, self._now)
         self._queues = [Queue(f"q{n}", "h", f"/{n}/", "pool", priority=n) for n in range(3)]
         self._tenants = [f"t{number}" for number in range(tenants)] or [""]
         config = FleetConfig(
@@ -94,7 +105,7 @@
         choose = self._random
         step = Step(
             choose.choice(TASKS_OF_A_JOB),
-            ResourceVector(choose.choice((500, 1000, 2000, 3500)), choose.choice((256, 1024))),
+            ResourceVector(choose.choice(self._task_cpus), choose.choice((256, 1024))),
             choose.uniform(0.3, 4.0),
         )
         queue, tenant = choose.choice(self._queues), choose.choice(TENANT_DRAWS)
@@ -129,7 +140,7 @@
 
 def figures() -> Iterator[Figure]:
     """Measure both fleets in alternating rounds."""
-    fleets = {0: _Fleet(0), TENANTS: _Fleet(TENANTS)}
+    fleets = {0: LoadedFleet(0), TENANTS: LoadedFleet(TENANTS)}
     times: dict[int, list[float]] = {0: [], TENANTS: []}
     # A collection would count for the round in which it happens to begin.
     gc.collect()
