--- a/dotterelhill/jobs/placement/look_ahead/candidates.py
+++ b/dotterelhill/jobs/placement/look_ahead/candidates.py
@@ -15,8 +15,10 @@
 MIN_WAIT_SECONDS = 0.3
 # Share of the processors or memory of the largest minion of a service above which a task is large.
 LARGE_SHARE = 0.25
-# The longest waiting step of a service holds a reservation against all others from this time on.
-OVERDUE_SECONDS = 10.0
+# The longest waiting step of a service gets a reservation first from this time on.
+OVERDUE_SECONDS = 5.0
+# A service with more waiting jobs has a shortage, whatever their exact number.
+MAX_COUNTED_JOBS = 200
 
 StepId = tuple[str, int, int]
 OpenTasks = Callable[[Job, list[TaskKey]], list[TaskKey]]
@@ -52,6 +54,17 @@
         self._since: dict[StepId, float] = {}
         self._small_job_ids: set[str] = set()
         self._capacities: dict[str, ResourceVector] = {}
+        self._waiting_small_cpu: dict[str, int] = {}
+
+    @property
+    def waiting_small_cpu(self) -> Mapping[str, int]:
+        """Return the thousandths of a processor for which jobs without large tasks wait.
+
+        Jobs that waited in the previous search as well count, up to ``MAX_COUNTED_JOBS`` of them.
+
+        :returns: by service
+        """
+        return self._waiting_small_cpu
 
     def find(
         self,
@@ -68,11 +81,14 @@
         self._update_capacities(by_service)
         since, self._since = self._since, {}
         earlier_small, self._small_job_ids = self._small_job_ids, set()
+        self._waiting_small_cpu = {}
         found: dict[str, list[Candidate]] = {}
         for key, queue, waiting in ranked:
             job = waiting.job
             if job.job_id in earlier_small:
                 self._small_job_ids.add(job.job_id)
+                if len(self._small_job_ids) <= MAX_COUNTED_JOBS:
+                    self._count_small(waiting, queue, unix_ms)
                 continue
             capacity = self._capacities.get(queue.service)
             if capacity is None:
@@ -95,6 +111,12 @@
                 )
         return found
 
+    def _count_small(self, waiting: WaitingJob, queue: Queue, unix_ms: int) -> None:
+        cpu = 0
+        for step, keys in startable_steps(waiting, queue, unix_ms):
+            cpu += len(keys) * step.reserved_resources.cpu
+        self._waiting_small_cpu[queue.service] = self._waiting_small_cpu.get(queue.service, 0) + cpu
+
     def _update_capacities(self, by_service: Mapping[str, Sequence[Minion]]) -> None:
         """Update the largest capacity of each service, on which it depends which tasks are large.
 
@@ -117,13 +139,15 @@
     """Return candidates of one service in the order in which they get reservations.
 
     The longest waiting one comes first once it is overdue. Then they are ordered by priority, and
-    within a priority those with a reservation keep it.
+    within a priority those with a reservation keep it, and gangs precede others: they rarely start
+    without one.
 
     :param held: steps that hold reservations
     """
 
-    def rank(candidate: Candidate) -> tuple[int, bool, int, float]:
-        return (candidate.queue.priority, candidate.step_id not in held, *candidate.rank)
+    def rank(candidate: Candidate) -> tuple[int, bool, bool, int, float]:
+        is_held, is_gang = candidate.step_id in held, candidate.step.is_gang
+        return (candidate.queue.priority, not is_held, not is_gang, *candidate.rank)
 
     ordered = sorted(candidates, key=rank)
     longest = min(candidates, key=lambda candidate: candidate.since)
--- a/dotterelhill/jobs/placement/look_ahead/look_ahead.py
+++ b/dotterelhill/jobs/placement/look_ahead/look_ahead.py
@@ -9,6 +9,7 @@
 from dotterelhill.jobs.model import Job, Step, TaskKey
 from dotterelhill.jobs.placement.filler_claims import FillerClaims
 from dotterelhill.jobs.placement.lasting_claims import LastingClaims
+from dotterelhill.jobs.placement.look_ahead.backfill import Backfill
 from dotterelhill.jobs.placement.look_ahead.candidates import (
     OVERDUE_SECONDS,
     Candidate,
@@ -31,17 +32,11 @@
 # A step looks in this interval for minions that have room earlier.
 CHOICE_INTERVAL_SECONDS = 0.5
 # Only so many minions of a service hold reservations at a time, since their processors are idle
-# until enough runs have ended. A gang may hold more if it is the only one.
+# until enough runs have ended. One step that is reserved as a whole may exceed it.
 MAX_RESERVED_MINIONS = 8
 MAX_RESERVED_SHARE = 1 / 8
-# Until a step has waited for this time, its reservation only lets smaller tasks prefer other
-# minions.
-FIRM_AFTER_SECONDS = 2.0
 # More than a rack without the data, less than a slow minion.
 AVOIDANCE_COST = 1.5
-# Mean absolute logarithm of observed to predicted durations above which predictions are useless.
-MAX_DURATION_ERROR = 1.0
-ERROR_INTERVAL_SECONDS = 1.0
 # Smaller tasks that are tried in the gaps of reserved minions in one round.
 MAX_BACKFILL_ATTEMPTS = 64
 
@@ -68,14 +63,13 @@
         self._is_enabled = is_enabled
         self._waiting_jobs = waiting_jobs
         self._profiles = CapacityProfiles(durations, self._queue_name_of)
+        self._backfill = Backfill(self._profiles)
         self._choice = MinionChoice(self._profiles, lasting_claims, filler_claims)
         self._candidates = Candidates()
         self._steps: dict[StepId, ReservedStep] = {}
         self._by_minion: dict[Minion, Reservation] = {}
         self._overdue: set[StepId] = set()
-        self._due_priority: float = float("inf")
-        self._searched_at = self._errors_at = float("-inf")
-        self._is_reliable = True
+        self._searched_at = float("-inf")
         self._attempts_left = 0
         self._now = 0.0
 
@@ -84,11 +78,6 @@
         """Return the reservations by minion."""
         return self._by_minion
 
-    @property
-    def due_priority(self) -> float:
-        """Return the highest priority of reserved tasks that fit now; infinity for none."""
-        return self._due_priority
-
     def update(
         self,
         ranked: Sequence[RankedJob],
@@ -105,6 +94,7 @@
         if not self._is_enabled:
             return
         self._now = now
+        self._backfill.begin_round(now)
         self._attempts_left = MAX_BACKFILL_ATTEMPTS
         is_search_due = now - self._searched_at >= SEARCH_INTERVAL_SECONDS
         if not is_search_due and not self._steps:
@@ -116,36 +106,24 @@
         if is_search_due:
             self._searched_at = now
             found = self._candidates.find(ranked, by_service, open_tasks, now, unix_ms)
+            self._backfill.record_delays(
+                self._candidates.waiting_small_cpu, self._by_minion.values(), by_service
+            )
             self._assign(found, by_service)
             self._profiles.keep_only(usable)
-            self._check_durations()
-        self._due_priority = min(
-            (one.candidate.queue.priority for one in self._steps.values() if _is_due(one)),
-            default=float("inf"),
-        )
+            self._backfill.check_durations(self._by_minion)
 
-    def due_jobs(self, priority: int) -> Iterator[tuple[WaitingJob, list[Minion]]]:
-        """Yield the jobs of a priority, or a higher one, whose reserved tasks fit now.
+    def overdue_jobs(self) -> Iterator[tuple[WaitingJob, list[Minion]]]:
+        """Yield the longest waiting jobs whose reserved tasks fit now, with their minions.
 
-        :returns: each with the minions that it has reserved
+        They don't wait for their turn: tasks that rank before them could use up all starts of each
+        round.
         """
-        for reserved in list(self._steps.values()):
-            if reserved.candidate.queue.priority > priority or not _is_due(reserved):
+        for step_id in self._overdue:
+            reserved = self._steps.get(step_id)
+            if reserved is None or not _is_due(reserved):
                 continue
-            minions = [one.minion for one in reserved.reservations]
-            if not reserved.candidate.step.is_gang:
-                minions = [one for one in minions if one.has_room_for(reserved.candidate.step)]
-            yield reserved.candidate.waiting, minions
-            if not self._is_waiting(reserved.candidate):
-                self._remove(reserved.candidate.step_id)
-        self._due_priority = min(
-            (
-                one.candidate.queue.priority
-                for one in self._steps.values()
-                if one.candidate.queue.priority > priority and _is_due(one)
-            ),
-            default=float("inf"),
-        )
+            yield reserved.candidate.waiting, [one.minion for one in reserved.reservations]
 
     def start_cost(
         self,
@@ -160,9 +138,10 @@
         :param cost: cost without reservations
         """
         reservation = self._by_minion.get(minion)
-        if reservation is None or self._is_harmless(reservation, job, step, occurrence_step):
+        step_id = (job.job_id, *occurrence_step)
+        if reservation is None or self._backfill.is_harmless(reservation, job, step, step_id):
             return cost
-        if self._is_firm_for(reservation, job, step):
+        if self._backfill.is_kept_out(reservation, job, step):
             return None
         return (cost[0] + AVOIDANCE_COST, *cost[1:])
 
@@ -184,7 +163,13 @@
 
         Tasks of its size have found no room on other minions in this round.
         """
-        if not self._by_minion or self._attempts_left <= 0 or step.is_lasting:
+        if not self._by_minion or step.is_lasting:
+            return []
+        step_id = (key.job_id, key.occurrence, key.step)
+        reserved = self._steps.get(step_id)
+        if reserved is not None:
+            return [one.minion for one in reserved.reservations]
+        if self._attempts_left <= 0:
             return []
         fitting = [
             reservation
@@ -197,37 +182,9 @@
         return [
             reservation.minion
             for reservation in fitting
-            if self._is_harmless(reservation, job, step, (key.occurrence, key.step))
+            if self._backfill.is_harmless(reservation, job, step, step_id)
         ]
 
-    def _is_harmless(
-        self, reservation: Reservation, job: Job, step: Step, occurrence_step: OccurrenceStep
-    ) -> bool:
-        """Return whether a start on a reserved minion does not delay the reserved tasks."""
-        if reservation.candidate.step_id == (job.job_id, *occurrence_step):
-            return True
-        if step.is_filler and step.is_checkpointing:
-            return True
-        minion, starts_at = reservation.minion, reservation.starts_at
-        free = self._profiles.of(minion, self._now).free_at(max(starts_at, self._now))
-        if free.minus(step.reserved_resources).is_enough_for(reservation.room):
-            return True
-        if step.is_lasting or not self._is_reliable:
-            return False
-        seconds = self._profiles.seconds(job.submission.queue.name, step, minion)
-        return self._now + seconds <= starts_at
-
-    def _is_firm_for(self, reservation: Reservation, job: Job, step: Step) -> bool:
-        """Return whether a reservation keeps a task off its minion, rather than only last."""
-        if step.is_lasting:
-            return False
-        candidate = reservation.candidate
-        if candidate.step_id in self._overdue:
-            return True
-        if not self._is_reliable or self._now - candidate.since < FIRM_AFTER_SECONDS:
-            return False
-        return job.submission.queue.priority >= candidate.queue.priority
-
     def _is_valid(self, reserved: ReservedStep, usable: set[Minion]) -> bool:
         """Return whether a step still waits and its minions are usable soon enough."""
         candidate = reserved.candidate
@@ -262,22 +219,20 @@
             ordered = order_candidates(candidates, set(earlier), self._now)
             if self._now - ordered[0].since >= OVERDUE_SECONDS:
                 self._overdue.add(ordered[0].step_id)
-            limit = left
             for candidate in ordered:
                 if left <= 0:
                     break
                 reserved = self._reserve(candidate, earlier.get(candidate.step_id), pool, left)
                 if reserved is None:
                     continue
-                # A gang may need more minions than are allowed, but not beside other reservations.
-                if len(reserved.reservations) > left and left < limit:
-                    continue
                 left -= len(reserved.reservations)
                 self._steps[candidate.step_id] = reserved
                 for reservation in reserved.reservations:
                     self._by_minion[reservation.minion] = reservation
                     taken.add(reservation.minion)
 
+        self._backfill.set_overdue(self._overdue)
+
     def _reserve(
         self, candidate: Candidate, known: ReservedStep | None, pool: Sequence[Minion], left: int
     ) -> ReservedStep | None:
@@ -306,15 +261,6 @@
             if self._by_minion.get(reservation.minion) is reservation:
                 del self._by_minion[reservation.minion]
 
-    def _check_durations(self) -> None:
-        """Check whether the durations of runs on reserved minions can be predicted."""
-        if self._now - self._errors_at < ERROR_INTERVAL_SECONDS:
-            return
-        errors = [error for minion in self._by_minion for error in self._profiles.errors(minion)]
-        if errors:
-            self._errors_at = self._now
-            self._is_reliable = sum(errors) / len(errors) <= MAX_DURATION_ERROR
-
     def _queue_name_of(self, job_id: str) -> str:
         waiting = self._waiting_jobs.get(job_id)
         return waiting.job.submission.queue.name if waiting is not None else ""
--- a/dotterelhill/jobs/placement/placement.py
+++ b/dotterelhill/jobs/placement/placement.py
@@ -25,6 +25,7 @@
 )
 from dotterelhill.jobs.placement.lasting_waits import WaitingStep
 from dotterelhill.jobs.placement.look_ahead.look_ahead import LookAhead
+from dotterelhill.jobs.placement.look_ahead.reservations import Reservation
 from dotterelhill.jobs.placement.waiting import (
     OccurrenceStep,
     RankedJob,
@@ -64,6 +65,7 @@
 PATH_VALID_SECONDS = 0.5
 
 QueueLookup = Callable[[Job], Queue]
+Start = tuple[Job, TaskKey, Minion]
 
 
 class Placement:
@@ -133,6 +135,11 @@
         """Return the choice of minions for tasks that are suspected of crashing them."""
         return self._isolation
 
+    @property
+    def reservations(self) -> Mapping[Minion, Reservation]:
+        """Return the minions on which room is reserved for large tasks."""
+        return self._look_ahead.by_minion
+
     def waiting_lasting_steps(self, queue_of: QueueLookup, unix_ms: int) -> Iterator[WaitingStep]:
         """Yield the steps of which lasting tasks wait for a minion.
 
@@ -332,11 +339,10 @@
         if self._forced_starts.is_draining:
             yield from self._choose_first_starts(ranked, by_service, now, unix_ms, unplaceable)
         yield from self._choose_claimed_starts(by_service, now)
+        yield from self._choose_reserved_starts(now, unix_ms)
         for entry in self._shares.order(ranked) if self._has_tenants else ranked:
             if self._remaining_starts <= 0:
                 return
-            if self._look_ahead.due_priority <= entry[0][0]:
-                yield from self._choose_reserved_starts(entry[0][0], now, unix_ms)
             yield from choose_turn_starts(entry, is_overdue_only=False)
 
     def _recently_unplaceable(self, now: float) -> dict[str, list[ResourceVector]]:
@@ -508,14 +514,13 @@
             self._remaining_starts -= 1
             yield claim.job, key, minion
 
-    def _choose_reserved_starts(
-        self, priority: int, now: float, unix_ms: int
-    ) -> Iterator[tuple[Job, TaskKey, Minion]]:
-        """Yield the starts of reserved tasks of a priority, or a higher one, that fit now."""
-        for waiting, pool in self._look_ahead.due_jobs(priority):
-            yield from self._choose_job_starts(
-                waiting, pool, [], now, unix_ms, {}, is_overdue_only=False
-            )
+    def _choose_reserved_starts(self, now: float, unix_ms: int) -> Iterator[Start]:
+        """Yield the starts of the tasks that have waited longest on the minions they reserved."""
+        for waiting, pool in self._look_ahead.overdue_jobs():
+            if self._remaining_starts > 0:
+                yield from self._choose_job_starts(
+                    waiting, pool, [], now, unix_ms, {}, is_overdue_only=False
+                )
 
     def _choose_job_starts(
         self,
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -57,6 +57,7 @@
 )
 from dotterelhill.jobs.placement.failing_tasks import FailingTasks
 from dotterelhill.jobs.placement.lasting_waits import LastingWaits, explain_wait
+from dotterelhill.jobs.placement.look_ahead.reservations import Reservation
 from dotterelhill.jobs.placement.placement import UNLIMITED_STARTS, Placement
 from dotterelhill.jobs.queues import FleetConfig, Queue
 from dotterelhill.jobs.tenants.gauges import TenantGauges
@@ -167,6 +168,11 @@
         """Return the number of tasks that wait for a minion."""
         return self._placement.waiting_tasks
 
+    @property
+    def reservations(self) -> Mapping[Minion, Reservation]:
+        """Return the minions on which room is reserved for large tasks."""
+        return self._placement.reservations
+
     @property
     def tenant_usage(self) -> TenantUsage:
         """Return the resources that the runs of each tenant use."""
