Show reservations in the metrics and log when durations can't be predicted

Operators could not see whether look-ahead placement works. Two gauges show the reserved minions and the longest wait; a decision is logged when predictions become unreliable and when they are reliable again.

--- a/dotterelhill/control/leader.py
+++ b/dotterelhill/control/leader.py
@@ -218,6 +218,8 @@
             "jobs.relays": self._parts.relays.link_count,
             "jobs.start_limit": self._start_window.limit,
             "jobs.extra_runs": self._scheduler.stragglers.extra_run_count,
+            "jobs.reserved_minions": len(self._scheduler.reservations),
+            "jobs.reserved_wait_seconds": self._scheduler.longest_reserved_wait_seconds,
             "jobs.loop_lag_seconds": self._parts.lag.seconds,
         }
 
--- a/dotterelhill/entry/metrics.py
+++ b/dotterelhill/entry/metrics.py
@@ -111,6 +111,10 @@
     Metric("jobs.relays", _G, "processes", "relays that are connected to the leader"),
     Metric("jobs.start_limit", _G, "orders", "largest number of start orders in flight"),
     Metric("jobs.extra_runs", _G, "runs", "copies and restarted runs of tasks that take too long"),
+    Metric("jobs.reserved_minions", _G, "minions", "minions with room reserved for large tasks"),
+    Metric(
+        "jobs.reserved_wait_seconds", _G, "seconds", "longest wait of a task with a reservation"
+    ),
     Metric("jobs.loop_lag_seconds", _G, "seconds", "largest recent delay of the leader's loop"),
     Metric("jobs.is_leading", _G, "0 or 1", "whether this process leads the fleet"),
     Metric("tenants.running_tasks", _G, "tasks", "runs of a tenant that may exist", "tenant"),
--- a/dotterelhill/jobs/placement/look_ahead/backfill.py
+++ b/dotterelhill/jobs/placement/look_ahead/backfill.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterable, Mapping, Sequence
 
+from dotterelhill.jobs.changes import Decision
 from dotterelhill.jobs.fleet import Minion
 from dotterelhill.jobs.model import Job, Step
 from dotterelhill.jobs.placement.look_ahead.candidates import StepId
@@ -30,14 +31,10 @@
         self._overdue: set[StepId] = set()
         self._budgets: dict[str, DelayBudget] = {}
         self._is_reliable = True
+        self._decisions: list[Decision] = []
         self._errors_at = float("-inf")
         self._now = 0.0
 
-    @property
-    def is_reliable(self) -> bool:
-        """Return whether durations can be predicted well enough."""
-        return self._is_reliable
-
     def begin_round(self, now: float) -> None:
         """Set the loop time of the round."""
         self._now = now
@@ -115,4 +112,13 @@
         errors = [error for minion in reserved for error in self._profiles.errors(minion)]
         if errors:
             self._errors_at = self._now
-            self._is_reliable = sum(errors) / len(errors) <= MAX_DURATION_ERROR
+            error = sum(errors) / len(errors)
+            if self._is_reliable == (error > MAX_DURATION_ERROR):
+                self._is_reliable = not self._is_reliable
+                message = "look-ahead resumed" if self._is_reliable else "look-ahead suspended"
+                self._decisions.append(Decision(message, "", {"duration_error": round(error, 2)}))
+
+    def take_decisions(self) -> list[Decision]:
+        """Return the decisions since the last call, for the log and the metrics."""
+        decisions, self._decisions = self._decisions, []
+        return decisions
--- a/dotterelhill/jobs/placement/look_ahead/look_ahead.py
+++ b/dotterelhill/jobs/placement/look_ahead/look_ahead.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterator, Mapping, Sequence
 
+from dotterelhill.jobs.changes import Decision
 from dotterelhill.jobs.durations.model import DurationModel
 from dotterelhill.jobs.fleet import Minion
 from dotterelhill.jobs.model import Job, Step, TaskKey
@@ -78,6 +79,16 @@
         """Return the reservations by minion."""
         return self._by_minion
 
+    @property
+    def longest_wait_seconds(self) -> float:
+        """Return the longest wait of a step with reservations in seconds; 0 without one."""
+        waits = [self._now - reserved.candidate.since for reserved in self._steps.values()]
+        return max(waits, default=0.0)
+
+    def take_decisions(self) -> list[Decision]:
+        """Return the decisions since the last call, for the log and the metrics."""
+        return self._backfill.take_decisions()
+
     def update(
         self,
         ranked: Sequence[RankedJob],
--- a/dotterelhill/jobs/placement/look_ahead/tests/look_ahead.feature
+++ b/dotterelhill/jobs/placement/look_ahead/tests/look_ahead.feature
@@ -129,7 +129,8 @@
     And 3.0 s have passed
     When job "large" of 1 task of 8 processors for 2.0 s is submitted
     And 20.0 s pass
-    Then job "large" has waited more than 4.5 s
+    Then it was logged that look-ahead is suspended
+    And job "large" has waited more than 4.5 s
     And job "large" has waited less than 12.0 s
 
   Scenario: a lasting task that has not run for long waits behind a reservation
--- a/dotterelhill/jobs/placement/look_ahead/tests/steps/look_ahead_steps.py
+++ b/dotterelhill/jobs/placement/look_ahead/tests/steps/look_ahead_steps.py
@@ -143,3 +143,9 @@
     ]
     different = [pair for pair in zip(*made, strict=False) if pair[0] != pair[1]]
     assert len(made[0]) == len(made[1]) > 0 and not different, different[:3]
+
+
+@then(r"it was logged that look-ahead is suspended")
+def check_suspended(context):
+    messages = [decision.message for decision in context.fleet.decisions]
+    assert messages.count("look-ahead suspended") == 1, set(messages)
--- a/dotterelhill/jobs/placement/placement.py
+++ b/dotterelhill/jobs/placement/placement.py
@@ -25,7 +25,6 @@
 )
 from dotterelhill.jobs.placement.lasting_waits import WaitingStep
 from dotterelhill.jobs.placement.look_ahead.look_ahead import LookAhead
-from dotterelhill.jobs.placement.look_ahead.reservations import Reservation
 from dotterelhill.jobs.placement.waiting import (
     OccurrenceStep,
     RankedJob,
@@ -136,9 +135,9 @@
         return self._isolation
 
     @property
-    def reservations(self) -> Mapping[Minion, Reservation]:
-        """Return the minions on which room is reserved for large tasks."""
-        return self._look_ahead.by_minion
+    def look_ahead(self) -> LookAhead:
+        """Return the reservations of large tasks."""
+        return self._look_ahead
 
     def waiting_lasting_steps(self, queue_of: QueueLookup, unix_ms: int) -> Iterator[WaitingStep]:
         """Yield the steps of which lasting tasks wait for a minion.
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -171,7 +171,12 @@
     @property
     def reservations(self) -> Mapping[Minion, Reservation]:
         """Return the minions on which room is reserved for large tasks."""
-        return self._placement.reservations
+        return self._placement.look_ahead.by_minion
+
+    @property
+    def longest_reserved_wait_seconds(self) -> float:
+        """Return the longest wait of a task for which room is reserved, in seconds."""
+        return self._placement.look_ahead.longest_wait_seconds
 
     @property
     def tenant_usage(self) -> TenantUsage:
@@ -900,6 +905,7 @@
             minion.health.record_start(now)
             max_starts -= 1
         self._decisions.extend(self._tenant_limits.end_round(now))
+        self._decisions.extend(self._placement.look_ahead.take_decisions())
         self._run_stragglers_again(usable, now, unix_ms, max_starts)
         for minion in self._minions.values():
             if minion.facts.is_draining:
