Keep tasks out only for the longest waiting steps, and drop the delay budget

Reservations now make others prefer other minions, and keep them out from 8 s on for the longest waiting steps. The wait of a step begins anew with each start, so that a step of many tasks does not keep the first place.

--- a/dotterelhill/jobs/placement/look_ahead/candidates.py
+++ b/dotterelhill/jobs/placement/look_ahead/candidates.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass
+from heapq import nsmallest
+from operator import itemgetter
 
 from dotterelhill.jobs.fleet import Minion
 from dotterelhill.jobs.model import Job, Step, TaskKey
@@ -15,12 +17,18 @@
 MIN_WAIT_SECONDS = 0.3
 # Share of the processors or memory of the largest minion of a service above which a task is large.
 LARGE_SHARE = 0.25
-# The longest waiting step of a service gets a reservation first from this time on.
-OVERDUE_SECONDS = 5.0
-# A service with more waiting jobs has a shortage, whatever their exact number.
-MAX_COUNTED_JOBS = 200
+# The longest waiting steps of a service get reservations first from this time on, and keep out
+# others.
+OVERDUE_SECONDS = 8.0
+MAX_OVERDUE_SHARE = 1 / 64
+# Steps of a service that are considered, and that are tried for the first places when overdue.
+MAX_CANDIDATES = 32
+MAX_OVERDUE_TRIED = 16
 
 StepId = tuple[str, int, int]
+# Priority, whether it holds no reservation, whether it is no gang, timeliness, slack; and the loop
+# time from which it waits.
+_Row = tuple[tuple[int, bool, bool, int, float], float, WaitingJob, Step, Queue, list[TaskKey]]
 OpenTasks = Callable[[Job, list[TaskKey]], list[TaskKey]]
 
 
@@ -28,8 +36,7 @@
 class Candidate:
     """Step with large tasks that wait for capacity.
 
-    :param since: loop time from which it waits
-    :param rank: timeliness and slack of its job
+    :param since: loop time from which no task of the step has started
     :param task_count: number of its waiting tasks
     """
 
@@ -38,7 +45,6 @@
     step: Step
     queue: Queue
     since: float
-    rank: tuple[int, float]
     task_count: int
 
     @property
@@ -51,44 +57,36 @@
     """Waiting times of large tasks, and their order for reservations."""
 
     def __init__(self) -> None:
-        self._since: dict[StepId, float] = {}
+        self._since: dict[StepId, tuple[float, int]] = {}
         self._small_job_ids: set[str] = set()
         self._capacities: dict[str, ResourceVector] = {}
-        self._waiting_small_cpu: dict[str, int] = {}
-
-    @property
-    def waiting_small_cpu(self) -> Mapping[str, int]:
-        """Return the thousandths of a processor for which jobs without large tasks wait.
-
-        Jobs that waited in the previous search as well count, up to ``MAX_COUNTED_JOBS`` of them.
-
-        :returns: by service
-        """
-        return self._waiting_small_cpu
 
     def find(
         self,
         ranked: Iterable[RankedJob],
         by_service: Mapping[str, Sequence[Minion]],
+        held: Collection[StepId],
         open_tasks: OpenTasks,
         now: float,
         unix_ms: int,
     ) -> dict[str, list[Candidate]]:
-        """Return the steps that may hold reservations, by service.
+        """Return the steps that may hold reservations, by service, in the order to get them.
+
+        The longest waiting ones come first once they are overdue. The others are ordered by
+        priority, and within a priority those with a reservation keep it, and gangs precede others:
+        they rarely start without one. The wait of a step begins anew with each of its starts.
 
+        :param held: steps that hold reservations
         :param open_tasks: returns those of a step's tasks that may start beside other tasks
         """
         self._update_capacities(by_service)
         since, self._since = self._since, {}
         earlier_small, self._small_job_ids = self._small_job_ids, set()
-        self._waiting_small_cpu = {}
-        found: dict[str, list[Candidate]] = {}
+        rows: dict[str, list[_Row]] = {}
         for key, queue, waiting in ranked:
             job = waiting.job
             if job.job_id in earlier_small:
                 self._small_job_ids.add(job.job_id)
-                if len(self._small_job_ids) <= MAX_COUNTED_JOBS:
-                    self._count_small(waiting, queue, unix_ms)
                 continue
             capacity = self._capacities.get(queue.service)
             if capacity is None:
@@ -100,22 +98,21 @@
                 if not _is_large(step, capacity):
                     continue
                 step_id = (job.job_id, keys[0].occurrence, keys[0].step)
-                began = self._since[step_id] = since.get(step_id, now)
+                began, count = since.get(step_id, (now, 0))
+                if len(keys) < count:
+                    began = now
+                self._since[step_id] = (began, len(keys))
                 if now - began < MIN_WAIT_SECONDS or (step.is_gang and len(keys) < step.count):
                     continue
-                open_keys = open_tasks(job, keys)
-                if not open_keys or (step.is_gang and len(open_keys) < step.count):
-                    continue
-                found.setdefault(queue.service, []).append(
-                    Candidate(step_id, waiting, step, queue, began, key[1:], len(open_keys))
-                )
-        return found
-
-    def _count_small(self, waiting: WaitingJob, queue: Queue, unix_ms: int) -> None:
-        cpu = 0
-        for step, keys in startable_steps(waiting, queue, unix_ms):
-            cpu += len(keys) * step.reserved_resources.cpu
-        self._waiting_small_cpu[queue.service] = self._waiting_small_cpu.get(queue.service, 0) + cpu
+                rank = (queue.priority, step_id not in held, not step.is_gang, *key[1:])
+                rows.setdefault(queue.service, []).append((rank, began, waiting, step, queue, keys))
+        found = {
+            service: _first_candidates(
+                some, open_tasks, max_overdue_steps(by_service.get(service, ())), now
+            )
+            for service, some in rows.items()
+        }
+        return {service: candidates for service, candidates in found.items() if candidates}
 
     def _update_capacities(self, by_service: Mapping[str, Sequence[Minion]]) -> None:
         """Update the largest capacity of each service, on which it depends which tasks are large.
@@ -133,28 +130,38 @@
                 self._small_job_ids.clear()
 
 
-def order_candidates(
-    candidates: Sequence[Candidate], held: set[StepId], now: float
-) -> list[Candidate]:
-    """Return candidates of one service in the order in which they get reservations.
+def max_overdue_steps(pool: Sequence[Minion]) -> int:
+    """Return how many overdue steps of a service come first."""
+    return max(1, int(MAX_OVERDUE_SHARE * len(pool)))
 
-    The longest waiting one comes first once it is overdue. Then they are ordered by priority, and
-    within a priority those with a reservation keep it, and gangs precede others: they rarely start
-    without one.
 
-    :param held: steps that hold reservations
-    """
-
-    def rank(candidate: Candidate) -> tuple[int, bool, bool, int, float]:
-        is_held, is_gang = candidate.step_id in held, candidate.step.is_gang
-        return (candidate.queue.priority, not is_held, not is_gang, *candidate.rank)
+def _first_candidates(
+    rows: list[_Row], open_tasks: OpenTasks, max_overdue: int, now: float
+) -> list[Candidate]:
+    """Return the candidates of one service that come first in the order for reservations.
 
-    ordered = sorted(candidates, key=rank)
-    longest = min(candidates, key=lambda candidate: candidate.since)
-    if now - longest.since >= OVERDUE_SECONDS:
-        ordered.remove(longest)
-        ordered.insert(0, longest)
-    return ordered
+    :param max_overdue: number of overdue steps that come first
+    """
+    candidates: list[Candidate] = []
+    for row in nsmallest(MAX_OVERDUE_TRIED, rows, key=itemgetter(1)):
+        if now - row[1] >= OVERDUE_SECONDS and len(candidates) < max_overdue:
+            candidates += _open_candidates(row, open_tasks)
+    overdue = {candidate.step_id for candidate in candidates}
+    for row in nsmallest(MAX_CANDIDATES, rows, key=itemgetter(0)):
+        candidates += [
+            one for one in _open_candidates(row, open_tasks) if one.step_id not in overdue
+        ]
+    return candidates
+
+
+def _open_candidates(row: _Row, open_tasks: OpenTasks) -> list[Candidate]:
+    """Return the candidate of a step; none if its tasks may not start beside other tasks."""
+    _, since, waiting, step, queue, keys = row
+    count = len(open_tasks(waiting.job, keys))
+    if count < (step.count if step.is_gang else 1):
+        return []
+    step_id = (waiting.job.job_id, keys[0].occurrence, keys[0].step)
+    return [Candidate(step_id, waiting, step, queue, since, count)]
 
 
 def _is_large(step: Step, capacity: ResourceVector) -> bool:
--- a/dotterelhill/jobs/placement/look_ahead/look_ahead.py
+++ b/dotterelhill/jobs/placement/look_ahead/look_ahead.py
@@ -17,7 +17,7 @@
     Candidates,
     OpenTasks,
     StepId,
-    order_candidates,
+    max_overdue_steps,
 )
 from dotterelhill.jobs.placement.look_ahead.profile import CapacityProfiles
 from dotterelhill.jobs.placement.look_ahead.reservations import (
@@ -116,10 +116,7 @@
                 self._remove(step_id)
         if is_search_due:
             self._searched_at = now
-            found = self._candidates.find(ranked, by_service, open_tasks, now, unix_ms)
-            self._backfill.record_delays(
-                self._candidates.waiting_small_cpu, self._by_minion.values(), by_service
-            )
+            found = self._candidates.find(ranked, by_service, self._steps, open_tasks, now, unix_ms)
             self._assign(found, by_service)
             self._profiles.keep_only(usable)
             self._backfill.check_durations(self._by_minion)
@@ -154,6 +151,8 @@
             return cost
         if self._backfill.is_kept_out(reservation, job, step):
             return None
+        if not self._backfill.is_reliable:
+            return cost
         return (cost[0] + AVOIDANCE_COST, *cost[1:])
 
     def open_minions(
@@ -227,10 +226,10 @@
         for service, candidates in found.items():
             pool = by_service.get(service, ())
             left = max(1, min(MAX_RESERVED_MINIONS, int(MAX_RESERVED_SHARE * len(pool))))
-            ordered = order_candidates(candidates, set(earlier), self._now)
-            if self._now - ordered[0].since >= OVERDUE_SECONDS:
-                self._overdue.add(ordered[0].step_id)
-            for candidate in ordered:
+            for candidate in candidates[: max_overdue_steps(pool)]:
+                if self._now - candidate.since >= OVERDUE_SECONDS:
+                    self._overdue.add(candidate.step_id)
+            for candidate in candidates:
                 if left <= 0:
                     break
                 reserved = self._reserve(candidate, earlier.get(candidate.step_id), pool, left)
