--- a/dotterelhill/jobs/placement/look_ahead/tests/load_world.py
+++ b/dotterelhill/jobs/placement/look_ahead/tests/load_world.py
@@ -9,6 +9,7 @@
 from dotterelhill.jobs.fleet import EndKind
 from dotterelhill.jobs.model import Step, TaskKey
 from dotterelhill.jobs.orders import StartOrder, StartOutcome
+from dotterelhill.jobs.placement.placement import UNLIMITED_STARTS
 from dotterelhill.jobs.resources import ResourceVector
 from dotterelhill.jobs.tests.fleet_world import FleetWorld
 
@@ -48,6 +49,7 @@
         self.seconds: dict[str, float] = {}
         self.ends_at: dict[TaskKey, float] = {}
         self.streams: list[Stream] = []
+        self.max_starts = UNLIMITED_STARTS
         self.submitted_at: dict[str, float] = {}
         self.starts: list[tuple[float, StartOrder]] = []
 
@@ -64,6 +66,9 @@
                 self._refill(stream)
             self._record(self.run_round())
 
+    def plan(self, max_starts: int = UNLIMITED_STARTS) -> None:
+        super().plan(min(max_starts, self.max_starts))
+
     def _end_runs(self) -> None:
         for name, runs in self.running.items():
             for key in [key for key in runs if self.ends_at.get(key, 0.0) <= self.now]:
--- a/dotterelhill/jobs/placement/look_ahead/tests/look_ahead.feature
+++ b/dotterelhill/jobs/placement/look_ahead/tests/look_ahead.feature
@@ -154,3 +154,12 @@
     And job "late" of 1 task of 8 processors for 1.0 s
     When 24.0 s pass
     Then job "late" has waited less than 22.0 s
+
+  Scenario: tasks that rank before a reserved one use up all starts of each round
+    Given 8 minions of 8 processors with look-ahead on
+    And at most 4 starts are planned in a round
+    And a stream "small" of 8 waiting tasks of 1 processors for 1.3 s
+    And 3.0 s have passed
+    When job "large" of 1 task of 8 processors for 2.0 s of low priority is submitted
+    And 14.0 s pass
+    Then job "large" has waited less than 12.0 s
--- a/dotterelhill/jobs/placement/look_ahead/tests/steps/look_ahead_steps.py
+++ b/dotterelhill/jobs/placement/look_ahead/tests/steps/look_ahead_steps.py
@@ -56,6 +56,11 @@
     context.fleet.streams.append(stream)
 
 
+@given(r"at most (?P<count>\d+) starts are planned in a round")
+def limit_starts(context, count):
+    context.fleet.max_starts = int(count)
+
+
 @given(r"(?P<seconds>[\d.]+) s have passed")
 @when(r"(?P<seconds>[\d.]+) s pass")
 def run_for(context, seconds):
