--- a/dotterelhill/jobs/placement/look_ahead/candidates.py
+++ b/dotterelhill/jobs/placement/look_ahead/candidates.py
@@ -26,9 +26,9 @@
 MAX_OVERDUE_TRIED = 16
 
 StepId = tuple[str, int, int]
-# Priority, whether it holds no reservation, whether it is no gang, timeliness, slack; and the loop
-# time from which it waits.
-_Row = tuple[tuple[int, bool, bool, int, float], float, WaitingJob, Step, Queue, list[TaskKey]]
+# Priority, whether it holds no reservation, whether it is no gang, and the rank of its job; and the
+# loop time from which it waits.
+_Row = tuple[tuple[int, bool, bool, int, float, int], float, WaitingJob, Step, Queue, list[TaskKey]]
 OpenTasks = Callable[[Job, list[TaskKey]], list[TaskKey]]
 
 
@@ -58,7 +58,8 @@
 
     def __init__(self) -> None:
         self._since: dict[StepId, tuple[float, int]] = {}
-        self._small_job_ids: set[str] = set()
+        # Changes when it changes which tasks are large.
+        self._generation = 1
         self._capacities: dict[str, ResourceVector] = {}
 
     def find(
@@ -81,18 +82,16 @@
         """
         self._update_capacities(by_service)
         since, self._since = self._since, {}
-        earlier_small, self._small_job_ids = self._small_job_ids, set()
         rows: dict[str, list[_Row]] = {}
         for key, queue, waiting in ranked:
-            job = waiting.job
-            if job.job_id in earlier_small:
-                self._small_job_ids.add(job.job_id)
+            if waiting.small_generation == self._generation:
                 continue
+            job = waiting.job
             capacity = self._capacities.get(queue.service)
             if capacity is None:
                 continue
             if not any(_is_large(step, capacity) for step in job.submission.steps):
-                self._small_job_ids.add(job.job_id)
+                waiting.small_generation = self._generation
                 continue
             for step, keys in startable_steps(waiting, queue, unix_ms):
                 if not _is_large(step, capacity):
@@ -127,7 +126,7 @@
             )
             if self._capacities.get(service) != largest:
                 self._capacities[service] = largest
-                self._small_job_ids.clear()
+                self._generation += 1
 
 
 def max_overdue_steps(pool: Sequence[Minion]) -> int:
--- a/dotterelhill/jobs/placement/look_ahead/look_ahead.py
+++ b/dotterelhill/jobs/placement/look_ahead/look_ahead.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
 
 from dotterelhill.jobs.changes import Decision
 from dotterelhill.jobs.durations.model import DurationModel
@@ -29,7 +29,7 @@
 from dotterelhill.jobs.placement.waiting import OccurrenceStep, RankedJob, WaitingJob
 
 # Large tasks are looked for in this interval. A pass over thousands of waiting jobs takes 1 ms.
-SEARCH_INTERVAL_SECONDS = 0.1
+SEARCH_INTERVAL_SECONDS = 0.25
 # A step looks in this interval for minions that have room earlier.
 CHOICE_INTERVAL_SECONDS = 0.5
 # Only so many minions of a service hold reservations at a time, since their processors are idle
@@ -39,7 +39,7 @@
 # More than a rack without the data, less than a slow minion.
 AVOIDANCE_COST = 1.5
 # Smaller tasks that are tried in the gaps of reserved minions in one round.
-MAX_BACKFILL_ATTEMPTS = 64
+MAX_BACKFILL_ATTEMPTS = 32
 
 
 class LookAhead:
@@ -50,6 +50,7 @@
 
     :param is_enabled: whether tasks hold reservations
     :param waiting_jobs: active jobs by id
+    :param record_change: called for a minion from which reservations no longer keep out tasks
     """
 
     def __init__(
@@ -58,11 +59,13 @@
         lasting_claims: LastingClaims,
         filler_claims: FillerClaims,
         waiting_jobs: Mapping[str, WaitingJob],
+        record_change: Callable[[Minion], None],
         *,
         is_enabled: bool,
     ) -> None:
         self._is_enabled = is_enabled
         self._waiting_jobs = waiting_jobs
+        self._record_change = record_change
         self._profiles = CapacityProfiles(durations, self._queue_name_of)
         self._backfill = Backfill(self._profiles)
         self._choice = MinionChoice(self._profiles, lasting_claims, filler_claims)
@@ -70,6 +73,8 @@
         self._steps: dict[StepId, ReservedStep] = {}
         self._by_minion: dict[Minion, Reservation] = {}
         self._overdue: set[StepId] = set()
+        self._closed: set[Minion] = set()
+        self._gap_services: set[str] = set()
         self._searched_at = float("-inf")
         self._attempts_left = 0
         self._now = 0.0
@@ -109,6 +114,7 @@
         self._attempts_left = MAX_BACKFILL_ATTEMPTS
         is_search_due = now - self._searched_at >= SEARCH_INTERVAL_SECONDS
         if not is_search_due and not self._steps:
+            self._update_closed()
             return
         usable = {minion for pool in by_service.values() for minion in pool}
         for step_id, reserved in list(self._steps.items()):
@@ -120,18 +126,18 @@
             self._assign(found, by_service)
             self._profiles.keep_only(usable)
             self._backfill.check_durations(self._by_minion)
+        self._update_closed()
 
-    def overdue_jobs(self) -> Iterator[tuple[WaitingJob, list[Minion]]]:
-        """Yield the longest waiting jobs whose reserved tasks fit now, with their minions.
+    def overdue_steps(self) -> Iterator[tuple[WaitingJob, OccurrenceStep, list[Minion]]]:
+        """Yield the longest waiting steps of which reserved tasks fit now, with their minions.
 
         They don't wait for their turn: tasks that rank before them could use up all starts of each
         round.
         """
         for step_id in self._overdue:
             reserved = self._steps.get(step_id)
-            if reserved is None or not _is_due(reserved):
-                continue
-            yield reserved.candidate.waiting, [one.minion for one in reserved.reservations]
+            if reserved is not None and _is_due(reserved) and self._is_waiting(reserved.candidate):
+                yield reserved.candidate.waiting, step_id[1:], reserved.minions
 
     def start_cost(
         self,
@@ -168,33 +174,48 @@
             or self.start_cost((0.0,), job, step, occurrence_step, minion) is not None
         ]
 
-    def gaps(self, job: Job, step: Step, key: TaskKey, service: str) -> list[Minion]:
-        """Return the reserved minions on which a task may be backfilled.
+    def may_backfill(self, service: str) -> bool:
+        """Return whether to try tasks in this round although others of their size fit nowhere.
 
-        Tasks of its size have found no room on other minions in this round.
+        A task that is kept out says nothing about those that end sooner.
         """
-        if not self._by_minion or step.is_lasting:
-            return []
-        step_id = (key.job_id, key.occurrence, key.step)
-        reserved = self._steps.get(step_id)
-        if reserved is not None:
-            return [one.minion for one in reserved.reservations]
-        if self._attempts_left <= 0:
-            return []
-        fitting = [
-            reservation
-            for minion, reservation in self._by_minion.items()
-            if minion.has_room_for(step) and minion.facts.service == service
-        ]
-        if not fitting:
+        return service in self._gap_services and self._attempts_left > 0
+
+    def gaps(
+        self, job: Job, step: Step, key: TaskKey, pool: Sequence[Minion]
+    ) -> list[tuple[int, Minion]]:
+        """Return the closed minions on which a task may be backfilled, each with its index.
+
+        :param pool: minions of the service, on which other tasks of its size fit nowhere
+        """
+        if not self._closed or step.is_lasting or not self.may_backfill(pool[0].facts.service):
             return []
         self._attempts_left -= 1
+        step_id = (key.job_id, key.occurrence, key.step)
         return [
-            reservation.minion
-            for reservation in fitting
-            if self._backfill.is_harmless(reservation, job, step, step_id)
+            (number, minion)
+            for number, minion in enumerate(pool)
+            if minion in self._closed
+            and minion.has_room_for(step)
+            and self._backfill.is_harmless(self._by_minion[minion], job, step, step_id)
         ]
 
+    def _update_closed(self) -> None:
+        """Update the minions from which reservations keep out tasks.
+
+        Tasks of any size may be tried again on a minion that is no longer closed.
+        """
+        closed, self._closed = self._closed, set()
+        self._gap_services = set()
+        for step_id in self._overdue & self._steps.keys():
+            for reservation in self._steps[step_id].reservations:
+                minion = reservation.minion
+                self._closed.add(minion)
+                if minion.free_cpu > 0:
+                    self._gap_services.add(minion.facts.service)
+        for minion in closed - self._closed:
+            self._record_change(minion)
+
     def _is_valid(self, reserved: ReservedStep, usable: set[Minion]) -> bool:
         """Return whether a step still waits and its minions are usable soon enough."""
         candidate = reserved.candidate
--- a/dotterelhill/jobs/placement/look_ahead/reservations.py
+++ b/dotterelhill/jobs/placement/look_ahead/reservations.py
@@ -51,6 +51,11 @@
     reservations: list[Reservation]
     chosen_at: float
 
+    @property
+    def minions(self) -> list[Minion]:
+        """Return its reserved minions."""
+        return [reservation.minion for reservation in self.reservations]
+
     @property
     def starts_at(self) -> float:
         """Return the loop time from which all its reserved tasks are expected to fit."""
@@ -115,7 +120,7 @@
             return False
         if capacity.gpu < room.gpu or not has_required_label(minion, step):
             return False
-        return not (self.lasting_claims.claimed_cpu(minion) or self.filler_claims.has_claim(minion))
+        return not (self.lasting_claims.claimed_cpu(minion) or minion in self.filler_claims.minions)
 
     def refresh(self, reserved: ReservedStep, now: float) -> bool:
         """Compute again when the tasks of a step fit; return whether that is soon enough."""
--- a/measure/tenants_cost.py
+++ b/measure/tenants_cost.py
@@ -83,10 +83,13 @@
         """Return the scheduler."""
         return self._scheduler
 
-    def run_round(self) -> float:
-        """End some runs, submit jobs, and return the processor seconds of the planning."""
+    def run_round(self, ends: int = ENDS_OF_A_ROUND) -> float:
+        """End some runs, submit jobs, and return the processor seconds of the planning.
+
+        :param ends: number of runs that end
+        """
         self._now += ROUND_SECONDS
-        self._report(self._end_runs())
+        self._report(self._end_runs(ends))
         while self._scheduler.waiting_tasks < WAITING_TASKS:
             self._submit()
         unix_ms = UNIX_START_MS + int(1000 * self._now)
@@ -115,10 +118,10 @@
         )  # fmt: skip
         self._scheduler.submit(submission, self._now)
 
-    def _end_runs(self) -> dict[str, list[EndReport]]:
+    def _end_runs(self, count: int) -> dict[str, list[EndReport]]:
         running = [(name, key) for name, runs in self._running.items() for key in runs]
         ends: dict[str, list[EndReport]] = {}
-        for name, key in self._random.sample(running, min(ENDS_OF_A_ROUND, len(running))):
+        for name, key in self._random.sample(running, min(count, len(running))):
             run_id = self._running[name].pop(key)
             number = self._end_numbers[name] = self._end_numbers.get(name, 0) + 1
             end = EndReport(number, key, run_id, EndKind.DONE, "")
