--- a/dotterelhill/jobs/placement/look_ahead/backfill.py
+++ b/dotterelhill/jobs/placement/look_ahead/backfill.py
@@ -7,7 +7,7 @@
 from dotterelhill.jobs.changes import Decision
 from dotterelhill.jobs.fleet import Minion
 from dotterelhill.jobs.model import Job, Step
-from dotterelhill.jobs.placement.look_ahead.candidates import StepId
+from dotterelhill.jobs.placement.look_ahead.candidates import Candidate, Candidates, StepId
 from dotterelhill.jobs.placement.look_ahead.profile import CapacityProfiles
 from dotterelhill.jobs.placement.look_ahead.reservations import Reservation
 
@@ -21,8 +21,9 @@
 class Backfill:
     """Rules by which tasks may start on minions where room is reserved for others."""
 
-    def __init__(self, profiles: CapacityProfiles) -> None:
+    def __init__(self, profiles: CapacityProfiles, candidates: Candidates) -> None:
         self._profiles = profiles
+        self._candidates = candidates
         self._overdue: set[StepId] = set()
         self._is_reliable = True
         self._decisions: list[Decision] = []
@@ -60,16 +61,24 @@
     def is_kept_out(self, reservation: Reservation, job: Job, step: Step) -> bool:
         """Return whether a task that is not harmless may not start at all.
 
-        Elsewhere it starts only if no other minion has room. A fleet where reservations kept out
-        others from the beginning made small tasks wait several times as long. Lasting tasks are
-        never kept out, since they have to run again within seconds.
+        Otherwise it starts if no other minion has room. Large tasks are kept out of the
+        reservations of gangs, small ones only of overdue ones: where all reservations kept out
+        small tasks, these waited much longer. Lasting tasks are never kept out, since they have to
+        run again within seconds.
         """
         candidate = reservation.candidate
-        if step.is_lasting or candidate.step_id not in self._overdue:
+        is_overdue = candidate.step_id in self._overdue
+        if step.is_lasting or not (is_overdue or self._is_rival(candidate, step)):
             return False
         if job.submission.queue.priority >= candidate.queue.priority:
             return True
-        return self._now - candidate.since >= KEEP_OUT_ALL_SECONDS
+        return is_overdue and self._now - candidate.since >= KEEP_OUT_ALL_SECONDS
+
+    def _is_rival(self, candidate: Candidate, step: Step) -> bool:
+        """Return whether a large task could take the room of a gang while it gathers."""
+        if not candidate.step.is_gang or not self._is_reliable:
+            return False
+        return self._candidates.is_large(step, candidate.queue.service)
 
     def check_durations(self, reserved: Iterable[Minion]) -> None:
         """Check whether the durations of the runs on reserved minions can be predicted."""
--- a/dotterelhill/jobs/placement/look_ahead/candidates.py
+++ b/dotterelhill/jobs/placement/look_ahead/candidates.py
@@ -27,8 +27,10 @@
 
 StepId = tuple[str, int, int]
 # Priority, whether it holds no reservation, whether it is no gang, and the rank of its job; and the
-# loop time from which it waits.
-_Row = tuple[tuple[int, bool, bool, int, float, int], float, WaitingJob, Step, Queue, list[TaskKey]]
+# loop times of its newest start and from which it waits.
+_Row = tuple[
+    tuple[int, bool, bool, int, float, int], float, float, WaitingJob, Step, Queue, list[TaskKey]
+]
 OpenTasks = Callable[[Job, list[TaskKey]], list[TaskKey]]
 
 
@@ -36,7 +38,7 @@
 class Candidate:
     """Step with large tasks that wait for capacity.
 
-    :param since: loop time from which no task of the step has started
+    :param since: loop time from which tasks of the step wait
     :param task_count: number of its waiting tasks
     """
 
@@ -57,11 +59,17 @@
     """Waiting times of large tasks, and their order for reservations."""
 
     def __init__(self) -> None:
-        self._since: dict[StepId, tuple[float, int]] = {}
+        # Loop time from which a step waits, that of its newest start, and its waiting tasks.
+        self._since: dict[StepId, tuple[float, float, int]] = {}
         # Changes when it changes which tasks are large.
         self._generation = 1
         self._capacities: dict[str, ResourceVector] = {}
 
+    @property
+    def step_count(self) -> int:
+        """Return the number of waiting large steps that the newest search found."""
+        return len(self._since)
+
     def find(
         self,
         ranked: Iterable[RankedJob],
@@ -75,7 +83,7 @@
 
         The longest waiting ones come first once they are overdue. The others are ordered by
         priority, and within a priority those with a reservation keep it, and gangs precede others:
-        they rarely start without one. The wait of a step begins anew with each of its starts.
+        they rarely start without one. Overdue steps go behind each other with each start.
 
         :param held: steps that hold reservations
         :param open_tasks: returns those of a step's tasks that may start beside other tasks
@@ -97,14 +105,16 @@
                 if not _is_large(step, capacity):
                     continue
                 step_id = (job.job_id, keys[0].occurrence, keys[0].step)
-                began, count = since.get(step_id, (now, 0))
+                began, turn_at, count = since.get(step_id, (now, now, 0))
                 if len(keys) < count:
-                    began = now
-                self._since[step_id] = (began, len(keys))
+                    turn_at = now
+                self._since[step_id] = (began, turn_at, len(keys))
                 if now - began < MIN_WAIT_SECONDS or (step.is_gang and len(keys) < step.count):
                     continue
                 rank = (queue.priority, step_id not in held, not step.is_gang, *key[1:])
-                rows.setdefault(queue.service, []).append((rank, began, waiting, step, queue, keys))
+                rows.setdefault(queue.service, []).append(
+                    (rank, turn_at, began, waiting, step, queue, keys)
+                )
         found = {
             service: _first_candidates(
                 some, open_tasks, max_overdue_steps(by_service.get(service, ())), now
@@ -113,6 +123,11 @@
         }
         return {service: candidates for service, candidates in found.items() if candidates}
 
+    def is_large(self, step: Step, service: str) -> bool:
+        """Return whether the tasks of a step may hold reservations."""
+        capacity = self._capacities.get(service)
+        return capacity is not None and _is_large(step, capacity)
+
     def _update_capacities(self, by_service: Mapping[str, Sequence[Minion]]) -> None:
         """Update the largest capacity of each service, on which it depends which tasks are large.
 
@@ -143,7 +158,7 @@
     """
     candidates: list[Candidate] = []
     for row in nsmallest(MAX_OVERDUE_TRIED, rows, key=itemgetter(1)):
-        if now - row[1] >= OVERDUE_SECONDS and len(candidates) < max_overdue:
+        if now - row[2] >= OVERDUE_SECONDS and len(candidates) < max_overdue:
             candidates += _open_candidates(row, open_tasks)
     overdue = {candidate.step_id for candidate in candidates}
     for row in nsmallest(MAX_CANDIDATES, rows, key=itemgetter(0)):
@@ -155,7 +170,7 @@
 
 def _open_candidates(row: _Row, open_tasks: OpenTasks) -> list[Candidate]:
     """Return the candidate of a step; none if its tasks may not start beside other tasks."""
-    _, since, waiting, step, queue, keys = row
+    _, _, since, waiting, step, queue, keys = row
     count = len(open_tasks(waiting.job, keys))
     if count < (step.count if step.is_gang else 1):
         return []
--- a/dotterelhill/jobs/placement/look_ahead/look_ahead.py
+++ b/dotterelhill/jobs/placement/look_ahead/look_ahead.py
@@ -28,10 +28,14 @@
 )
 from dotterelhill.jobs.placement.waiting import OccurrenceStep, RankedJob, WaitingJob
 
-# Large tasks are looked for in this interval. A pass over thousands of waiting jobs takes 1 ms.
+# Large tasks are looked for in this interval, which grows with the number of waiting large steps, all
+# of which a search looks at.
 SEARCH_INTERVAL_SECONDS = 0.25
+SEARCH_SECONDS_PER_STEP = 0.001
 # A step looks in this interval for minions that have room earlier.
-CHOICE_INTERVAL_SECONDS = 0.5
+CHOICE_INTERVAL_SECONDS = 1.0
+# Each choice takes a pass over the minions of a service.
+MAX_CHOICES = 3
 # Only so many minions of a service hold reservations at a time, since their processors are idle
 # until enough runs have ended. One step that is reserved as a whole may exceed it.
 MAX_RESERVED_MINIONS = 8
@@ -67,16 +71,17 @@
         self._waiting_jobs = waiting_jobs
         self._record_change = record_change
         self._profiles = CapacityProfiles(durations, self._queue_name_of)
-        self._backfill = Backfill(self._profiles)
-        self._choice = MinionChoice(self._profiles, lasting_claims, filler_claims)
         self._candidates = Candidates()
+        self._backfill = Backfill(self._profiles, self._candidates)
+        self._choice = MinionChoice(self._profiles, lasting_claims, filler_claims)
         self._steps: dict[StepId, ReservedStep] = {}
         self._by_minion: dict[Minion, Reservation] = {}
         self._overdue: set[StepId] = set()
+        self._reserved: set[Minion] = set()
         self._closed: set[Minion] = set()
         self._gap_services: set[str] = set()
         self._searched_at = float("-inf")
-        self._attempts_left = 0
+        self._attempts_left = self._choices_left = 0
         self._now = 0.0
 
     @property
@@ -112,7 +117,8 @@
         self._now = now
         self._backfill.begin_round(now)
         self._attempts_left = MAX_BACKFILL_ATTEMPTS
-        is_search_due = now - self._searched_at >= SEARCH_INTERVAL_SECONDS
+        interval = SEARCH_INTERVAL_SECONDS + SEARCH_SECONDS_PER_STEP * self._candidates.step_count
+        is_search_due = now - self._searched_at >= interval
         if not is_search_due and not self._steps:
             self._update_closed()
             return
@@ -203,18 +209,17 @@
     def _update_closed(self) -> None:
         """Update the minions from which reservations keep out tasks.
 
-        Tasks of any size may be tried again on a minion that is no longer closed.
+        Tasks of any size may be tried again on a minion that is no longer reserved.
         """
-        closed, self._closed = self._closed, set()
-        self._gap_services = set()
-        for step_id in self._overdue & self._steps.keys():
-            for reservation in self._steps[step_id].reservations:
-                minion = reservation.minion
-                self._closed.add(minion)
-                if minion.free_cpu > 0:
-                    self._gap_services.add(minion.facts.service)
-        for minion in closed - self._closed:
+        for minion in self._reserved - self._by_minion.keys():
             self._record_change(minion)
+        self._reserved = set(self._by_minion)
+        self._closed = {
+            reservation.minion
+            for step_id in self._overdue & self._steps.keys()
+            for reservation in self._steps[step_id].reservations
+        }
+        self._gap_services = {one.facts.service for one in self._closed if one.free_cpu > 0}
 
     def _is_valid(self, reserved: ReservedStep, usable: set[Minion]) -> bool:
         """Return whether a step still waits and its minions are usable soon enough."""
@@ -243,6 +248,7 @@
         """Assign reservations to the candidates that come first, and remove those of others."""
         earlier, self._steps, self._by_minion = self._steps, {}, {}
         self._overdue = set()
+        self._choices_left = MAX_CHOICES
         taken = self._choice.taken = set()
         for service, candidates in found.items():
             pool = by_service.get(service, ())
@@ -279,6 +285,10 @@
                 reservation.candidate = candidate
             if self._now - known.chosen_at < CHOICE_INTERVAL_SECONDS:
                 return known
+        if self._choices_left <= 0:
+            return known
+        self._choices_left -= 1
+        if known is not None:
             known.chosen_at = self._now
         chosen = self._choice.choose(candidate, pool, left, self._now)
         if known is None or chosen is None:
--- a/dotterelhill/jobs/placement/look_ahead/reservations.py
+++ b/dotterelhill/jobs/placement/look_ahead/reservations.py
@@ -89,11 +89,12 @@
             return None
         examined = count if is_whole else 0
         slots: list[tuple[float, int]] = []
-        minions = nsmallest(
-            examined + MAX_EXAMINED_MINIONS,
-            (one for one in pool if one not in self.taken and self.is_usable(one, step)),
-            key=lambda minion: _lacking_share(minion, step),
-        )
+        shares = [
+            (_lacking_share(minion, step), number)
+            for number, minion in enumerate(pool)
+            if minion not in self.taken and self.is_usable(minion, step)
+        ]
+        minions = [pool[number] for _, number in nsmallest(examined + MAX_EXAMINED_MINIONS, shares)]
         for number, minion in enumerate(minions):
             limit = min(count, step.anti_affinity or count) if is_whole else 1
             times = self.profiles.of(minion, now).fit_times(step.room, limit)
