Split the reservations of steps from the hooks, and test release and backfill

Scenarios guard against sizes that stay untried after a reservation has ended, against tasks that are not backfilled because a longer one was kept out, and against gangs whose room others take. Each was seen to fail with its rule removed.

--- a/dotterelhill/jobs/placement/look_ahead/backfill.py
+++ b/dotterelhill/jobs/placement/look_ahead/backfill.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from dotterelhill.jobs.changes import Decision
 from dotterelhill.jobs.fleet import Minion
@@ -24,7 +24,7 @@
     def __init__(self, profiles: CapacityProfiles, candidates: Candidates) -> None:
         self._profiles = profiles
         self._candidates = candidates
-        self._overdue: set[StepId] = set()
+        self._overdue: Collection[StepId] = ()
         self._is_reliable = True
         self._decisions: list[Decision] = []
         self._errors_at = float("-inf")
@@ -39,7 +39,7 @@
         """Set the loop time of the round."""
         self._now = now
 
-    def set_overdue(self, overdue: set[StepId]) -> None:
+    def set_overdue(self, overdue: Collection[StepId]) -> None:
         """Set the longest waiting steps, whose reservations keep out others."""
         self._overdue = overdue
 
--- a/dotterelhill/jobs/placement/look_ahead/look_ahead.py
+++ b/dotterelhill/jobs/placement/look_ahead/look_ahead.py
@@ -11,35 +11,16 @@
 from dotterelhill.jobs.placement.filler_claims import FillerClaims
 from dotterelhill.jobs.placement.lasting_claims import LastingClaims
 from dotterelhill.jobs.placement.look_ahead.backfill import Backfill
-from dotterelhill.jobs.placement.look_ahead.candidates import (
-    OVERDUE_SECONDS,
-    Candidate,
-    Candidates,
-    OpenTasks,
-    StepId,
-    max_overdue_steps,
-)
+from dotterelhill.jobs.placement.look_ahead.candidates import Candidates, OpenTasks
 from dotterelhill.jobs.placement.look_ahead.profile import CapacityProfiles
-from dotterelhill.jobs.placement.look_ahead.reservations import (
-    MIN_GAIN_SECONDS,
-    MinionChoice,
-    Reservation,
-    ReservedStep,
-)
+from dotterelhill.jobs.placement.look_ahead.reservation_book import ReservationBook
+from dotterelhill.jobs.placement.look_ahead.reservations import MinionChoice, Reservation
 from dotterelhill.jobs.placement.waiting import OccurrenceStep, RankedJob, WaitingJob
 
-# Large tasks are looked for in this interval, which grows with the number of waiting large steps, all
-# of which a search looks at.
+# Large tasks are looked for in this interval. It grows with the number of waiting large steps,
+# since a search looks at all of them.
 SEARCH_INTERVAL_SECONDS = 0.25
 SEARCH_SECONDS_PER_STEP = 0.001
-# A step looks in this interval for minions that have room earlier.
-CHOICE_INTERVAL_SECONDS = 1.0
-# Each choice takes a pass over the minions of a service.
-MAX_CHOICES = 3
-# Only so many minions of a service hold reservations at a time, since their processors are idle
-# until enough runs have ended. One step that is reserved as a whole may exceed it.
-MAX_RESERVED_MINIONS = 8
-MAX_RESERVED_SHARE = 1 / 8
 # More than a rack without the data, less than a slow minion.
 AVOIDANCE_COST = 1.5
 # Smaller tasks that are tried in the gaps of reserved minions in one round.
@@ -73,26 +54,24 @@
         self._profiles = CapacityProfiles(durations, self._queue_name_of)
         self._candidates = Candidates()
         self._backfill = Backfill(self._profiles, self._candidates)
-        self._choice = MinionChoice(self._profiles, lasting_claims, filler_claims)
-        self._steps: dict[StepId, ReservedStep] = {}
-        self._by_minion: dict[Minion, Reservation] = {}
-        self._overdue: set[StepId] = set()
+        choice = MinionChoice(self._profiles, lasting_claims, filler_claims)
+        self._book = ReservationBook(choice, waiting_jobs)
         self._reserved: set[Minion] = set()
         self._closed: set[Minion] = set()
         self._gap_services: set[str] = set()
         self._searched_at = float("-inf")
-        self._attempts_left = self._choices_left = 0
+        self._attempts_left = 0
         self._now = 0.0
 
     @property
     def by_minion(self) -> Mapping[Minion, Reservation]:
         """Return the reservations by minion."""
-        return self._by_minion
+        return self._book.by_minion
 
     @property
     def longest_wait_seconds(self) -> float:
         """Return the longest wait of a step with reservations in seconds; 0 without one."""
-        waits = [self._now - reserved.candidate.since for reserved in self._steps.values()]
+        waits = [self._now - reserved.candidate.since for reserved in self._book.steps.values()]
         return max(waits, default=0.0)
 
     def take_decisions(self) -> list[Decision]:
@@ -119,19 +98,20 @@
         self._attempts_left = MAX_BACKFILL_ATTEMPTS
         interval = SEARCH_INTERVAL_SECONDS + SEARCH_SECONDS_PER_STEP * self._candidates.step_count
         is_search_due = now - self._searched_at >= interval
-        if not is_search_due and not self._steps:
+        if not is_search_due and not self._book.steps:
             self._update_closed()
             return
         usable = {minion for pool in by_service.values() for minion in pool}
-        for step_id, reserved in list(self._steps.items()):
-            if not self._is_valid(reserved, usable):
-                self._remove(step_id)
+        self._book.validate(usable, now)
         if is_search_due:
             self._searched_at = now
-            found = self._candidates.find(ranked, by_service, self._steps, open_tasks, now, unix_ms)
-            self._assign(found, by_service)
+            found = self._candidates.find(
+                ranked, by_service, self._book.steps, open_tasks, now, unix_ms
+            )
+            self._book.assign(found, by_service, now)
+            self._backfill.set_overdue(self._book.overdue)
             self._profiles.keep_only(usable)
-            self._backfill.check_durations(self._by_minion)
+            self._backfill.check_durations(self._book.by_minion)
         self._update_closed()
 
     def overdue_steps(self) -> Iterator[tuple[WaitingJob, OccurrenceStep, list[Minion]]]:
@@ -140,9 +120,9 @@
         They don't wait for their turn: tasks that rank before them could use up all starts of each
         round.
         """
-        for step_id in self._overdue:
-            reserved = self._steps.get(step_id)
-            if reserved is not None and _is_due(reserved) and self._is_waiting(reserved.candidate):
+        for reserved in self._book.overdue_steps():
+            step_id = reserved.candidate.step_id
+            if reserved.is_due and self._book.is_waiting(reserved.candidate):
                 yield reserved.candidate.waiting, step_id[1:], reserved.minions
 
     def start_cost(
@@ -157,7 +137,7 @@
 
         :param cost: cost without reservations
         """
-        reservation = self._by_minion.get(minion)
+        reservation = self._book.by_minion.get(minion)
         step_id = (job.job_id, *occurrence_step)
         if reservation is None or self._backfill.is_harmless(reservation, job, step, step_id):
             return cost
@@ -171,12 +151,12 @@
         self, job: Job, step: Step, occurrence_step: OccurrenceStep, pool: Sequence[Minion]
     ) -> Sequence[Minion]:
         """Return the minions on which a gang does not delay the reservations of other steps."""
-        if not self._by_minion:
+        if not self._book.by_minion:
             return pool
         return [
             minion
             for minion in pool
-            if minion not in self._by_minion
+            if minion not in self._book.by_minion
             or self.start_cost((0.0,), job, step, occurrence_step, minion) is not None
         ]
 
@@ -203,7 +183,7 @@
             for number, minion in enumerate(pool)
             if minion in self._closed
             and minion.has_room_for(step)
-            and self._backfill.is_harmless(self._by_minion[minion], job, step, step_id)
+            and self._backfill.is_harmless(self._book.by_minion[minion], job, step, step_id)
         ]
 
     def _update_closed(self) -> None:
@@ -211,108 +191,16 @@
 
         Tasks of any size may be tried again on a minion that is no longer reserved.
         """
-        for minion in self._reserved - self._by_minion.keys():
+        for minion in self._reserved - self._book.by_minion.keys():
             self._record_change(minion)
-        self._reserved = set(self._by_minion)
+        self._reserved = set(self._book.by_minion)
         self._closed = {
             reservation.minion
-            for step_id in self._overdue & self._steps.keys()
-            for reservation in self._steps[step_id].reservations
+            for reserved in self._book.overdue_steps()
+            for reservation in reserved.reservations
         }
         self._gap_services = {one.facts.service for one in self._closed if one.free_cpu > 0}
 
-    def _is_valid(self, reserved: ReservedStep, usable: set[Minion]) -> bool:
-        """Return whether a step still waits and its minions are usable soon enough."""
-        candidate = reserved.candidate
-        if not self._is_waiting(candidate):
-            return False
-        for reservation in reserved.reservations:
-            minion = reservation.minion
-            if minion not in usable or not self._choice.is_usable(minion, candidate.step):
-                return False
-        return self._choice.refresh(reserved, self._now)
-
-    def _is_waiting(self, candidate: Candidate) -> bool:
-        """Return whether a task of a step still waits, or all tasks of a gang."""
-        job_id, occurrence, step = candidate.step_id
-        if self._waiting_jobs.get(job_id) is not candidate.waiting:
-            return False
-        keys = candidate.waiting.pending.get((occurrence, step), ())
-        return len(keys) >= (candidate.step.count if candidate.step.is_gang else 1)
-
-    def _assign(
-        self,
-        found: Mapping[str, list[Candidate]],
-        by_service: Mapping[str, Sequence[Minion]],
-    ) -> None:
-        """Assign reservations to the candidates that come first, and remove those of others."""
-        earlier, self._steps, self._by_minion = self._steps, {}, {}
-        self._overdue = set()
-        self._choices_left = MAX_CHOICES
-        taken = self._choice.taken = set()
-        for service, candidates in found.items():
-            pool = by_service.get(service, ())
-            left = max(1, min(MAX_RESERVED_MINIONS, int(MAX_RESERVED_SHARE * len(pool))))
-            for candidate in candidates[: max_overdue_steps(pool)]:
-                if self._now - candidate.since >= OVERDUE_SECONDS:
-                    self._overdue.add(candidate.step_id)
-            for candidate in candidates:
-                if left <= 0:
-                    break
-                reserved = self._reserve(candidate, earlier.get(candidate.step_id), pool, left)
-                if reserved is None:
-                    continue
-                left -= len(reserved.reservations)
-                self._steps[candidate.step_id] = reserved
-                for reservation in reserved.reservations:
-                    self._by_minion[reservation.minion] = reservation
-                    taken.add(reservation.minion)
-
-        self._backfill.set_overdue(self._overdue)
-
-    def _reserve(
-        self, candidate: Candidate, known: ReservedStep | None, pool: Sequence[Minion], left: int
-    ) -> ReservedStep | None:
-        """Return the reservations of a candidate, on other minions if it fits there earlier."""
-        if known is not None:
-            if any(one.minion in self._choice.taken for one in known.reservations):
-                known = None
-            elif sum(one.count for one in known.reservations) > candidate.task_count:
-                known = None
-        if known is not None:
-            known.candidate = candidate
-            for reservation in known.reservations:
-                reservation.candidate = candidate
-            if self._now - known.chosen_at < CHOICE_INTERVAL_SECONDS:
-                return known
-        if self._choices_left <= 0:
-            return known
-        self._choices_left -= 1
-        if known is not None:
-            known.chosen_at = self._now
-        chosen = self._choice.choose(candidate, pool, left, self._now)
-        if known is None or chosen is None:
-            return chosen or known
-        if len(chosen.reservations) > len(known.reservations):
-            return chosen
-        return chosen if chosen.starts_at < known.starts_at - MIN_GAIN_SECONDS else known
-
-    def _remove(self, step_id: StepId) -> None:
-        for reservation in self._steps.pop(step_id).reservations:
-            if self._by_minion.get(reservation.minion) is reservation:
-                del self._by_minion[reservation.minion]
-
     def _queue_name_of(self, job_id: str) -> str:
         waiting = self._waiting_jobs.get(job_id)
         return waiting.job.submission.queue.name if waiting is not None else ""
-
-
-def _is_due(reserved: ReservedStep) -> bool:
-    """Return whether the reserved tasks of a step fit now: all of a gang, otherwise any."""
-    step = reserved.candidate.step
-    if step.is_gang:
-        return all(
-            reservation.minion.free.is_enough_for(reservation.room)
-            for reservation in reserved.reservations
-        )
-    return any(reservation.minion.has_room_for(step) for reservation in reserved.reservations)
--- a/dotterelhill/jobs/placement/look_ahead/reservations.py
+++ b/dotterelhill/jobs/placement/look_ahead/reservations.py
@@ -56,6 +56,14 @@
         """Return its reserved minions."""
         return [reservation.minion for reservation in self.reservations]
 
+    @property
+    def is_due(self) -> bool:
+        """Return whether its reserved tasks fit now: all of a gang, otherwise any."""
+        step = self.candidate.step
+        if step.is_gang:
+            return all(one.minion.free.is_enough_for(one.room) for one in self.reservations)
+        return any(one.minion.has_room_for(step) for one in self.reservations)
+
     @property
     def starts_at(self) -> float:
         """Return the loop time from which all its reserved tasks are expected to fit."""
--- a/dotterelhill/jobs/placement/look_ahead/tests/look_ahead.feature
+++ b/dotterelhill/jobs/placement/look_ahead/tests/look_ahead.feature
@@ -163,3 +163,37 @@
     When job "large" of 1 task of 8 processors for 2.0 s of low priority is submitted
     And 14.0 s pass
     Then job "large" has waited less than 12.0 s
+
+  Scenario: other large tasks take the room that a gang gathers
+    Given 16 minions of 8 processors with look-ahead on
+    And a stream "big" of 16 waiting tasks of 3 processors for 1.3 s
+    And 3.0 s have passed
+    When job "wide" of 2 gang tasks of 8 processors for 2.0 s is submitted
+    And 10.0 s pass
+    Then job "wide" has waited less than 7.0 s
+
+  Scenario: a task is not backfilled because one of its size that takes longer was kept out
+    Given 1 minions of 8 processors with look-ahead on
+    And job "running" of 1 task of 6 processors for 14.0 s
+    And 0.5 s have passed
+    And job "large" of 1 task of 8 processors for 2.0 s
+    And 9.0 s have passed
+    And job "long" of 1 task of 2 processors for 20.0 s
+    And 0.5 s have passed
+    When job "small" of 1 task of 2 processors for 1.0 s is submitted
+    And 2.0 s pass
+    Then job "small" has waited less than 1.0 s
+    And job "long" has waited more than 9.0 s
+
+  Scenario: a task that was kept out does not start although the reservation has ended
+    Given 1 minions of 8 processors with look-ahead on
+    And job "running" of 1 task of 6 processors for 16.0 s
+    And 0.5 s have passed
+    And job "large" of 1 task of 8 processors for 2.0 s
+    And 9.0 s have passed
+    And job "small" of 1 task of 2 processors for 25.0 s
+    And 1.0 s have passed
+    When job "large" is cancelled
+    And 1.0 s pass
+    Then job "small" has waited less than 2.0 s
+    And job "small" has waited more than 0.9 s
--- a/dotterelhill/jobs/placement/look_ahead/tests/steps/look_ahead_steps.py
+++ b/dotterelhill/jobs/placement/look_ahead/tests/steps/look_ahead_steps.py
@@ -168,3 +168,8 @@
 def check_starts(context, job, count):
     starts = [at for at, order in context.fleet.starts if order.run.key.job_id == job]
     assert len(starts) == int(count), (starts, context.fleet.now)
+
+
+@when(r'job "(?P<job>\w+)" is cancelled')
+def cancel(context, job):
+    context.fleet.scheduler.cancel(job, context.fleet.now)
