--- a/dotterelhill/jobs/placement/look_ahead/candidates.py
+++ b/dotterelhill/jobs/placement/look_ahead/candidates.py
@@ -134,6 +134,8 @@
         A service that is unusable for a moment keeps its largest capacity.
         """
         for service, pool in by_service.items():
+            if not pool:
+                continue
             largest = ResourceVector(
                 max(minion.facts.capacity.cpu for minion in pool),
                 max(minion.facts.capacity.memory_mb for minion in pool),
--- a/dotterelhill/jobs/placement/look_ahead/tests/look_ahead.feature
+++ b/dotterelhill/jobs/placement/look_ahead/tests/look_ahead.feature
@@ -197,3 +197,18 @@
     And 1.0 s pass
     Then job "small" has waited less than 2.0 s
     And job "small" has waited more than 0.9 s
+
+  Scenario Outline: a round fails while a suspected task starts alone on the only minion left
+    Given 2 minions of 8 processors with look-ahead on
+    And <seconds> s have passed
+    And job "suspect" of 1 task of 1 processors for 9.0 s
+    And 0.1 s have passed
+    When the minion of job "suspect" falls silent
+    And 9.0 s pass
+    Then job "suspect" has started 2 times
+
+    Examples:
+      | seconds |
+      | 0.5     |
+      | 0.6     |
+      | 0.7     |
--- a/dotterelhill/jobs/placement/look_ahead/tests/steps/look_ahead_steps.py
+++ b/dotterelhill/jobs/placement/look_ahead/tests/steps/look_ahead_steps.py
@@ -173,3 +173,11 @@
 @when(r'job "(?P<job>\w+)" is cancelled')
 def cancel(context, job):
     context.fleet.scheduler.cancel(job, context.fleet.now)
+
+
+@when(r'the minion of job "(?P<job>\w+)" falls silent')
+def silence(context, job):
+    fleet = context.fleet
+    name = fleet.minion_running(TaskKey(job, 0, 0, 0))
+    fleet.silent.add(name)
+    fleet.scheduler.mark_minion_silent(fleet.scheduler.minions[name], "no answer", fleet.now)
