--- a/dotterelhill/jobs/tenants/loads.py
+++ b/dotterelhill/jobs/tenants/loads.py
@@ -5,9 +5,10 @@
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 from math import exp
+from typing import NamedTuple
 
 from dotterelhill.jobs.fleet import Minion
-from dotterelhill.jobs.model import Job, JobState, Step
+from dotterelhill.jobs.model import Job, JobState, Step, TaskKey
 from dotterelhill.jobs.resources import ResourceVector
 from dotterelhill.jobs.tenants.limits import TenantLimits
 
@@ -63,16 +64,23 @@
         return self._value * exp((self._at - now) / RATE_SECONDS) if self._value else 0.0
 
 
-@dataclass(frozen=True, slots=True)
-class WaitingTasks:
+class WaitingTasks(NamedTuple):
     """Tasks of one step that waited in the newest round and still wait.
 
+    A tuple, since thousands are created at a time.
+
     :param service: pool whose minions run the tasks
+    :param keys: the tasks, in the order in which they start
+    :param priority: priority of their queue
+    :param is_too_late: whether their job can no longer end in useful time
     """
 
     job: Job
     step: Step
     service: str
+    keys: list[TaskKey]
+    priority: int
+    is_too_late: bool
 
 
 @dataclass(slots=True)
--- a/measure/look_ahead.py
+++ b/measure/look_ahead.py
@@ -44,7 +44,7 @@
 STRETCH, TARGET_SECONDS = 2.0, 1.0
 QUEUE = Queue("load", "h", "/load/", "pool", 1, 4, STRETCH, TARGET_SECONDS)
 MAX_SMALL_WAIT_RATIO = 1.1
-ROUND_MINIONS_CPU = (500, 1000, 2000, 3500, 8000, 14_000)
+ROUND_TASK_CPUS = (500, 1000, 2000, 3500, 8000, 14_000)
 WARM_UP_ROUNDS, ROUNDS = 10, 100
 MAX_ROUND_RATIO = 1.05
 
@@ -300,9 +300,7 @@
 def _round_figures() -> Iterator[Figure]:
     """Measure rounds of both kinds in turn, on fleets with 10,000 waiting tasks."""
     fleets = {
-        is_on: LoadedFleet(
-            0, SchedulerSettings(switches=Switches(look_ahead=is_on)), ROUND_MINIONS_CPU
-        )
+        is_on: LoadedFleet(0, is_looking_ahead=is_on, task_cpus=ROUND_TASK_CPUS)
         for is_on in (False, True)
     }
     times: dict[bool, list[float]] = {False: [], True: []}
