--- a/dotterelhill/jobs/placement/placement.py
+++ b/dotterelhill/jobs/placement/placement.py
@@ -25,7 +25,9 @@
     is_overdue,
 )
 from dotterelhill.jobs.placement.lasting_waits import WaitingStep
+from dotterelhill.jobs.placement.look_ahead.look_ahead import LookAhead
 from dotterelhill.jobs.placement.ranking import QueueLookup, Ranking
+from dotterelhill.jobs.placement.task_size import TaskSize
 from dotterelhill.jobs.placement.waiting import (
     JobOrder,
     OccurrenceStep,
@@ -66,6 +68,7 @@
     :param failing: lasting tasks that fail on every minion
     :param shares: order among tenants
     :param job_order: order of jobs that replaces the usual one; None for the usual one
+    :param is_look_ahead_enabled: whether waiting tasks hold reservations of future capacity
     """
 
     def __init__(
@@ -77,6 +80,8 @@
         failing: FailingTasks,
         shares: TenantShares,
         job_order: JobOrder | None = None,
+        *,
+        is_look_ahead_enabled: bool = False,
     ) -> None:
         self._interference = interference
         self._limits = limits
@@ -94,6 +99,14 @@
         self._attempts = Attempts(self._lasting_claims)
         self._filler_claims = FillerClaims(interference)
         self._forced_starts = ForcedStarts(interference)
+        self._look_ahead = LookAhead(
+            durations,
+            self._lasting_claims,
+            self._filler_claims,
+            self._waiting_jobs,
+            self._attempts.record_change,
+            is_enabled=is_look_ahead_enabled,
+        )
 
     @property
     def waiting_tasks(self) -> int:
@@ -118,6 +131,11 @@
         """Return the choice of minions for tasks that are suspected of crashing them."""
         return self._isolation
 
+    @property
+    def look_ahead(self) -> LookAhead:
+        """Return the reservations of large tasks."""
+        return self._look_ahead
+
     def waiting_lasting_steps(self, queue_of: QueueLookup, unix_ms: int) -> Iterator[WaitingStep]:
         """Yield the steps of which lasting tasks wait for a minion.
 
@@ -360,10 +378,10 @@
                 by_service[service] = self._isolation.open_minions(pool)
         newest_accepted_ms = self._ranking.newest_accepted_ms()
         self._forced_starts.begin_round((unix_ms - newest_accepted_ms) / 1000.0)
-        self._filler_claims.update(
-            ranked_fillers, by_service, partial(self._claiming_tasks, now=now), now, unix_ms
-        )
-
+        claiming_tasks = partial(self._claiming_tasks, now=now)
+        self._filler_claims.update(ranked_fillers, by_service, claiming_tasks, now, unix_ms)
+        open_tasks = partial(self._open_tasks, now=now)
+        self._look_ahead.update(ranked, by_service, open_tasks, now, unix_ms)
         self._attempts.begin_round(by_service, self._filler_claims.minions, now)
 
         def choose_turn_starts(
@@ -384,6 +402,7 @@
         if self._forced_starts.is_draining:
             yield from self._choose_first_starts(ranked, by_service, now, unix_ms)
         yield from self._choose_claimed_starts(by_service, now)
+        yield from self._choose_reserved_starts(now)
         ordered: Iterable[RankedJob] = ranked
         if self._has_tenants:
             ordered = self._shares.order(ranked, partial(self._is_futile, unix_ms=unix_ms))
@@ -402,6 +421,8 @@
         _, queue, waiting = entry
         if not self._attempts.is_futile(waiting, queue.service):
             return False
+        if self._look_ahead.may_backfill(queue.service):
+            return False
         tenant = waiting.job.submission.tenant
         if self._limits.is_watched(tenant):
             for step, _ in startable_steps(waiting, queue, unix_ms):
@@ -558,6 +579,20 @@
             self._remaining_starts -= 1
             yield claim.job, key, minion
 
+    def _choose_reserved_starts(self, now: float) -> Iterator[tuple[Job, TaskKey, Minion]]:
+        """Yield the starts of the tasks that have waited longest on the minions they reserved."""
+        for waiting, occurrence_step, minions in self._look_ahead.overdue_steps():
+            job, step = waiting.job, waiting.job.submission.steps[occurrence_step[1]]
+            keys = waiting.pending[occurrence_step]
+            if self._remaining_starts <= 0 or self._open_tasks(job, keys, now) is not keys:
+                continue
+            if step.is_gang:
+                yield from self._choose_gang_starts(job, step, keys, minions, now)
+            else:
+                yield from self._choose_task_starts(job, step, keys, minions, now, is_reserved=True)
+            if not keys:
+                waiting.pending.pop(occurrence_step, None)
+
     def _choose_job_starts(
         self,
         waiting: WaitingJob,
@@ -611,12 +646,17 @@
         keys: list[TaskKey],
         pool: Sequence[Minion],
         now: float,
+        *,
+        is_reserved: bool = False,
     ) -> Iterator[tuple[Job, TaskKey, Minion]]:
-        """Yield starts for the tasks of one step until one of them fits no minion."""
+        """Yield starts for the tasks of one step until one of them fits no minion.
+
+        :param is_reserved: whether ``pool`` is not that of the service, but reserved minions
+        """
         if not self._shares.may_continue():
             return
         size = self._attempts.size_of(step, pool[0].facts.service)
-        candidates = self._attempts.candidates(size, pool)
+        candidates = self._candidates(job, step, keys[0], size, pool, is_reserved=is_reserved)
         if not candidates:
             return
         idle_seconds = longest_idle_seconds(job, keys, now) if step.is_lasting else 0.0
@@ -655,9 +695,24 @@
         # A failure caused by a constraint of this step, or by the reserve, which depends on the
         # waiting time, does not imply that other steps of the class fail.
         is_limited = step.anti_affinity or step.required_label or step.data_rack or reserved_cpu
-        if keys and not heap and not is_limited:
+        if keys and not heap and not is_limited and not is_reserved:
             self._attempts.record_failure(size)
 
+    def _candidates(
+        self,
+        job: Job,
+        step: Step,
+        key: TaskKey,
+        size: TaskSize,
+        pool: Sequence[Minion],
+        *,
+        is_reserved: bool,
+    ) -> list[tuple[int, Minion]]:
+        """Return the minions of a pool to try a task on, each with its index."""
+        if is_reserved:
+            return list(enumerate(pool))
+        return self._attempts.candidates(size, pool) or self._look_ahead.gaps(job, step, key, pool)
+
     def _choose_trials(
         self, job: Job, step: Step, keys: list[TaskKey], for_trial: list[Minion], now: float
     ) -> Iterator[tuple[Job, TaskKey, Minion]]:
@@ -712,6 +767,8 @@
             return
         if not self._shares.may_continue():
             return
+        identity = (keys[0].occurrence, keys[0].step)
+        pool = self._look_ahead.open_minions(job, step, identity, pool)
         free = {id(minion): minion.free for minion in pool}
         chosen: list[tuple[TaskKey, Minion]] = []
         for key in keys:
@@ -752,7 +809,10 @@
             return None
         if reserved_cpu and minion.free_cpu - step.room.cpu < reserved_cpu:
             return None
-        return self._placement_cost(step, minion, now)
+        cost = self._placement_cost(step, minion, now)
+        if cost is None or minion not in self._look_ahead.by_minion:
+            return cost
+        return self._look_ahead.start_cost(cost, job, step, occurrence_step, minion)
 
     def _avoiding_cost(
         self, job: Job, step: Step, key: TaskKey, now: float, reserved_cpu: float, minion: Minion
--- a/dotterelhill/jobs/placement/waiting.py
+++ b/dotterelhill/jobs/placement/waiting.py
@@ -30,6 +30,7 @@
     :param path_at: loop time at which the critical paths were computed
     :param path_seconds: expected duration of the critical path through all steps
     :param remaining_seconds: expected duration of that through the unfinished steps
+    :param small_generation: generation of ``Candidates`` in which none of its tasks is large
     :param timeliness_due_ms: Unix ms at which its timeliness is checked next; infinite for never
     """
 
@@ -46,6 +47,7 @@
     path_seconds: float = 0.0
     remaining_seconds: float = 0.0
     timeliness_due_ms: float = float("inf")
+    small_generation: int = 0
 
     @classmethod
     def of(cls, job: Job) -> WaitingJob:
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -57,6 +57,7 @@
 )
 from dotterelhill.jobs.placement.failing_tasks import FailingTasks
 from dotterelhill.jobs.placement.lasting_waits import LastingWaits, explain_wait
+from dotterelhill.jobs.placement.look_ahead.reservations import Reservation
 from dotterelhill.jobs.placement.placement import UNLIMITED_STARTS, Placement
 from dotterelhill.jobs.placement.waiting import JobOrder
 from dotterelhill.jobs.queues import FleetConfig, Queue
@@ -134,6 +135,7 @@
             self._failing,
             self._tenant_shares,
             job_order or self._shortage,
+            is_look_ahead_enabled=settings.switches.look_ahead,
         )
         self._lasting_waits = LastingWaits()
         self._hold = StartHold(settings.capacity_valid_seconds)
@@ -186,6 +188,16 @@
         """Return the number of tasks that wait for a minion."""
         return self._placement.waiting_tasks
 
+    @property
+    def reservations(self) -> Mapping[Minion, Reservation]:
+        """Return the minions on which room is reserved for large tasks."""
+        return self._placement.look_ahead.by_minion
+
+    @property
+    def longest_reserved_wait_seconds(self) -> float:
+        """Return the longest wait of a task for which room is reserved, in seconds."""
+        return self._placement.look_ahead.longest_wait_seconds
+
     @property
     def tenant_usage(self) -> TenantUsage:
         """Return the resources that the runs of each tenant use."""
@@ -931,6 +943,7 @@
         if self._settings.switches.reclaim:
             self._reclaim_capacity(usable, now, unix_ms)
         self._decisions.extend(self._tenant_limits.end_round(now))
+        self._decisions.extend(self._placement.look_ahead.take_decisions())
         self._run_stragglers_again(usable, now, unix_ms, max_starts)
         for minion in self._minions.values():
             if minion.facts.is_draining:
--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -21,6 +21,7 @@
     "failover": ("measure.failover_cost",),
     "jobs": ("measure.stragglers", "measure.round_cost"),
     "shortage": ("measure.shortage",),
+    "look-ahead": ("measure.look_ahead",),
     "cost": ("measure.fold_cost", "measure.node_cost"),
     "keys": ("measure.keys_cost",),
 }
