Keep a record of each machine and place runs by expected finish, behind speed_placement

Minions that turned slow, failed part of their runs or went away repeatedly were treated by their present incarnation only, with a fixed cost for slow ones. The record of a machine address outlives its incarnations; minions that look bad get few runs at a time, at most a quarter of a service. Rolling replacements and failure domains that were taken back are found by comparing rounds.

--- a/dotterelhill/control/leader.py
+++ b/dotterelhill/control/leader.py
@@ -218,6 +218,7 @@
             "jobs.relays": self._parts.relays.link_count,
             "jobs.start_limit": self._start_window.limit,
             "jobs.extra_runs": self._scheduler.stragglers.extra_run_count,
+            "jobs.minions_on_probation": self._scheduler.uneven.probation_count,
             "jobs.loop_lag_seconds": self._parts.lag.seconds,
         }
 
--- a/dotterelhill/jobs/durations/speed.py
+++ b/dotterelhill/jobs/durations/speed.py
@@ -26,11 +26,13 @@
     :param ratio: observed to expected duration; 1.0 while it is not certain
     :param is_slow: whether the ratio is certain and above ``SLOW_RATIO``
     :param updated_at: loop time of the newest observation
+    :param decay_seconds: age at which an observation has 37 % of the weight of a new one
     """
 
     ratio: float = 1.0
     is_slow: bool = False
     updated_at: float = 0.0
+    decay_seconds: float = DECAY_SECONDS
     _weight: float = 0.0
     _log_sum: float = 0.0
     _log_square_sum: float = 0.0
@@ -42,7 +44,7 @@
 
     def record(self, observed_seconds: float, expected_seconds: float, now: float) -> None:
         """Record the duration of a run that ended done."""
-        decay = exp((self.updated_at - now) / DECAY_SECONDS) if self._weight else 0.0
+        decay = exp((self.updated_at - now) / self.decay_seconds) if self._weight else 0.0
         value = log(observed_seconds / expected_seconds)
         self._weight = 1.0 + decay * self._weight
         self._log_sum = value + decay * self._log_sum
@@ -59,6 +61,10 @@
 
     def expire(self, now: float) -> None:
         """Forget what is too old: nothing starts on a slow minion that could show its recovery."""
-        if self._weight and now - self.updated_at > DECAY_SECONDS:
-            self._weight = self._log_sum = self._log_square_sum = 0.0
-            self.ratio, self.is_slow = 1.0, False
+        if self._weight and now - self.updated_at > self.decay_seconds:
+            self.forget()
+
+    def forget(self) -> None:
+        """Forget all observations."""
+        self._weight = self._log_sum = self._log_square_sum = 0.0
+        self.ratio, self.is_slow = 1.0, False
--- a/dotterelhill/jobs/placement/placement.py
+++ b/dotterelhill/jobs/placement/placement.py
@@ -12,6 +12,7 @@
 from dotterelhill.jobs.durations.model import DurationModel
 from dotterelhill.jobs.fleet import Minion
 from dotterelhill.jobs.interference.sharing import MIN_FILLER_CPU_SHARE, InterferenceControl
+from dotterelhill.jobs.minions.uneven import UnevenMinions
 from dotterelhill.jobs.model import TOO_LATE_FACTOR, Job, Step, Task, TaskKey, Timeliness
 from dotterelhill.jobs.placement.failing_tasks import FailingTasks
 from dotterelhill.jobs.placement.filler_claims import FillerClaims
@@ -54,9 +55,6 @@
 # Upper bound of the reserve on one minion, as a share of the size of the lasting task.
 MAX_RESERVE_SHARE = 0.9
 
-# A slow minion costs more than a rack without the data: it takes several times as long.
-SLOW_MINION_COST = 2.0
-
 # Learned durations change slowly, and thousands of jobs are ranked in each round. A step that is
 # done changes the remaining path at once.
 PATH_VALID_SECONDS = 0.5
@@ -73,6 +71,7 @@
     :param limits: limits of tenants
     :param failing: lasting tasks that fail on every minion
     :param shares: order among tenants
+    :param uneven: speeds and failures of minions
     """
 
     def __init__(
@@ -83,8 +82,10 @@
         limits: TenantLimits,
         failing: FailingTasks,
         shares: TenantShares,
+        uneven: UnevenMinions,
     ) -> None:
         self._interference = interference
+        self._uneven = uneven
         self._limits = limits
         self._shares = shares
         self._has_tenants = False
@@ -322,6 +323,24 @@
             if self._remaining_starts <= 0:
                 return
             yield from choose_turn_starts(entry, is_overdue_only=False)
+        yield from self._choose_probation_starts(ranked, now, unix_ms)
+
+    def _choose_probation_starts(
+        self, ranked: Sequence[RankedJob], now: float, unix_ms: int
+    ) -> Iterator[tuple[Job, TaskKey, Minion]]:
+        """Yield starts on minions on probation."""
+        start_job = partial(
+            self._choose_job_starts,
+            for_trial=[], now=now, unix_ms=unix_ms, unplaceable={}, is_overdue_only=False,
+        )  # fmt: skip
+        yield from self._uneven.choose_starts(
+            ranked,
+            partial(self._open_tasks, now=now),
+            partial(self._choose_task_starts, now=now, unplaceable={}),
+            start_job,
+            now,
+            unix_ms,
+        )
 
     def _recently_unplaceable(self, now: float) -> dict[str, list[ResourceVector]]:
         """Return the sizes of fillers that recently found no minion, by placement class.
@@ -662,7 +681,9 @@
             return None
         if reserved_cpu and minion.free_cpu - step.room.cpu < reserved_cpu:
             return None
-        return self._placement_cost(step, minion, now)
+        if self._uneven.is_ramping and not self._uneven.has_ramp_room(minion, step):
+            return None
+        return self._placement_cost(job, step, minion, now)
 
     def _avoiding_cost(
         self, job: Job, step: Step, key: TaskKey, now: float, reserved_cpu: float, minion: Minion
@@ -695,11 +716,13 @@
             return False
         return True
 
-    def _placement_cost(self, step: Step, minion: Minion, now: float) -> tuple[float, ...] | None:
+    def _placement_cost(
+        self, job: Job, step: Step, minion: Minion, now: float
+    ) -> tuple[float, ...] | None:
         """Return the cost of a start that fits; None when it would take too much headroom."""
         rack_distance = 1.0 if step.data_rack and step.data_rack != minion.facts.rack else 0.0
-        if minion.speed.is_slow:
-            rack_distance += SLOW_MINION_COST
+        if minion.speed.ratio != 1.0 or self._uneven.is_replacing:
+            rack_distance += self._uneven.cost(job, step, minion)
         if step.is_filler:
             idle_cpu = self._interference.idle_cpu(minion)
             if idle_cpu < MIN_FILLER_CPU_SHARE * step.room.cpu:
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -39,6 +39,7 @@
 from dotterelhill.jobs.interference.sharing import InterferenceControl
 from dotterelhill.jobs.minions.capacity import StartHold, runs_beyond_capacity
 from dotterelhill.jobs.minions.health import Exclusion
+from dotterelhill.jobs.minions.uneven import UnevenMinions
 from dotterelhill.jobs.model import (
     FINAL_STATES,
     Assignment,
@@ -112,6 +113,9 @@
             are_copies_enabled=settings.are_copies_enabled,
             are_restarts_enabled=settings.are_restarts_enabled,
         )
+        self._uneven = UnevenMinions(
+            self._durations, self._jobs, is_enabled=settings.switches.speed_placement
+        )
         self._placement = Placement(
             self._interference,
             self._suspicion,
@@ -119,6 +123,7 @@
             self._tenant_limits,
             self._failing,
             self._tenant_shares,
+            self._uneven,
         )
         self._lasting_waits = LastingWaits()
         self._hold = StartHold(settings.capacity_valid_seconds)
@@ -156,6 +161,11 @@
         """Return the search for runs that take much longer than expected."""
         return self._stragglers
 
+    @property
+    def uneven(self) -> UnevenMinions:
+        """Return the records of minions that are slow, fail or go away."""
+        return self._uneven
+
     @property
     def lasting_waits(self) -> LastingWaits:
         """Return the waiting times of lasting tasks that do not run."""
@@ -598,6 +608,7 @@
         step = job.submission.steps[end.key.step]
         match end.kind:
             case EndKind.DONE if not step.is_lasting:
+                self._uneven.record_done(job, run, minion, now)
                 self._process_success(job, task, now)
                 return
             case EndKind.FAILED if is_current:
@@ -655,8 +666,10 @@
         self._mark_dirty(job)
         step = job.submission.steps[task.key.step]
         is_blamed = step.is_lasting and self._failing.record_failure(task.key, minion, now)
-        if not is_blamed and minion.health.record_failure(planned_at, now):
-            self._record_minion_decision("minion set aside after failures", minion)
+        if not is_blamed:
+            self._uneven.record_failure(minion, now)
+            if minion.health.record_failure(planned_at, now):
+                self._record_minion_decision("minion set aside after failures", minion)
         if step.is_lasting or task.failures < self._queue_of(job).max_attempts:
             return
         if task.is_assigned:
@@ -886,6 +899,9 @@
                     usable.append(minion)
                 case Exclusion.SET_ASIDE if minion.health.is_trial_due(now):
                     for_trial.append(minion)
+        self._decisions += self._uneven.begin_round(
+            self._minions.values(), usable, for_trial, self._evacuated_domains, now
+        )
         for job, key, minion in self._placement.choose_starts(
             usable, for_trial, self._queue_of, now, unix_ms, max_starts
         ):
