--- a/dotterelhill/jobs/minions/standings.py
+++ b/dotterelhill/jobs/minions/standings.py
@@ -11,7 +11,8 @@
 from dotterelhill.jobs.minions.replacement import RollingReplacement
 from dotterelhill.jobs.minions.standing import DECAY_SECONDS, Fault, Level, MinionStanding
 
-# When more than this share of a service looks bad, the cause is elsewhere.
+# When more than this share of a service looks bad, the cause is elsewhere, until the share is half
+# as large: otherwise probations would begin and end with each run.
 MAX_PROBATION_SHARE = 0.25
 # Records of machines that are gone are kept for this time.
 RETENTION_SECONDS = 3.0 * DECAY_SECONDS
@@ -139,8 +140,10 @@
             fault = standing.probation_fault or standing.fault(usual_share, now)
             if fault is not None:
                 bad.append((minion, standing, fault))
-        is_elsewhere = len(bad) > int(MAX_PROBATION_SHARE * state.size)
-        if is_elsewhere != (service in self._blamed_elsewhere):
+        was_elsewhere = service in self._blamed_elsewhere
+        max_share = MAX_PROBATION_SHARE / 2.0 if was_elsewhere else MAX_PROBATION_SHARE
+        is_elsewhere = len(bad) > int(max_share * state.size)
+        if is_elsewhere != was_elsewhere:
             # A service of fewer than four minions, of which one looks bad, is logged as well.
             self._blamed_elsewhere ^= {service}
             message = "probations ended: too many minions look bad"
--- a/measure/stragglers.py
+++ b/measure/stragglers.py
@@ -17,9 +17,9 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from dotterelhill.jobs.changes import SchedulerSettings
+from dotterelhill.jobs.changes import SchedulerSettings, Switches
 from dotterelhill.jobs.fleet import EndKind, EndReport, Minion, MinionFacts, MinionReport, RunReport
-from dotterelhill.jobs.model import JobState, Step, Submission, TaskKey
+from dotterelhill.jobs.model import FINAL_STATES, JobState, Step, Submission, TaskKey
 from dotterelhill.jobs.orders import StartOrder, StartOutcome, StopOrder
 from dotterelhill.jobs.queues import FleetConfig, Queue
 from dotterelhill.jobs.resources import ResourceVector
@@ -38,6 +38,7 @@
 LOAD_SHARE = 0.6
 IMAGES = 12
 STRETCH, TARGET_SECONDS = 2.0, 1.0
+DEFAULT_SWITCHES = Switches()
 QUEUE = Queue("load", "h", "/load/", "pool", 1, 4, STRETCH, TARGET_SECONDS)
 
 
@@ -90,12 +91,16 @@
 
 
 @dataclass(slots=True)
-class _Run:
-    """Run on a simulated minion."""
+class SimulatedRun:
+    """Run on a simulated minion.
+
+    :param kind: how it ends if it is not stopped
+    """
 
     run_id: int
     began_at: float
     ends_at: float
+    kind: EndKind = EndKind.DONE
 
 
 @dataclass(slots=True)
@@ -123,6 +128,7 @@
     """Fleet in virtual time, on which a load is scheduled.
 
     :param is_tail_of_task: whether the factor of a straggler belongs to the task, not to the run
+    :param switches: parts of the scheduler that are on
     """
 
     def __init__(
@@ -133,27 +139,36 @@
         are_copies_enabled: bool,
         are_restarts_enabled: bool,
         is_tail_of_task: bool,
+        switches: Switches = DEFAULT_SWITCHES,
     ) -> None:
         self._load = load
         self._seed = seed
         self._is_tail_of_task = is_tail_of_task
         settings = SchedulerSettings(
-            are_copies_enabled=are_copies_enabled, are_restarts_enabled=are_restarts_enabled
+            are_copies_enabled=are_copies_enabled,
+            are_restarts_enabled=are_restarts_enabled,
+            switches=switches,
         )
         self._scheduler = Scheduler(settings, START)
         self._scheduler.configure(FleetConfig(1, {QUEUE.name: QUEUE}))
         self._now = START
         self._by_id = {job.submission.job_id: job for job in load}
-        self._runs: dict[str, dict[TaskKey, _Run]] = {}
+        self._runs: dict[str, dict[TaskKey, SimulatedRun]] = {}
         self._ends: dict[str, list[EndReport]] = {}
         self._totals = Totals()
         for number in range(MINIONS):
-            name = f"minion{number}"
-            room = ResourceVector(CPU, 64000)
-            facts = MinionFacts(name, 1, QUEUE.service, f"{name}:1", "domain", (), room)
-            self._scheduler.update_minion(facts, self._now)
-            self._runs[name] = {}
-            self._ends[name] = []
+            self._list_minion(self._facts_of(number))
+
+    def _facts_of(self, number: int) -> MinionFacts:
+        """Return the properties of a minion."""
+        name, room = f"minion{number}", ResourceVector(CPU, 64000)
+        return MinionFacts(name, 1, QUEUE.service, f"{name}:1", "domain", (), room)
+
+    def _list_minion(self, facts: MinionFacts) -> None:
+        """Begin an incarnation of a minion, without runs."""
+        self._runs[facts.minion_id] = {}
+        self._ends[facts.minion_id] = []
+        self._scheduler.update_minion(facts, self._now)
 
     def run(self) -> Totals:
         """Run the load to its end and return the results."""
@@ -164,6 +179,7 @@
                 job = waiting.pop()
                 open_jobs.add(job.submission.job_id)
                 self._scheduler.submit(job.submission, self._now)
+            self._disturb()
             for minion in list(self._scheduler.minions.values()):
                 self._report(minion)
             self._scheduler.plan(self._now, int(1000 * self._now))
@@ -177,27 +193,34 @@
                 counts = self._totals.decisions
                 counts[decision.kind] = counts.get(decision.kind, 0) + 1
             for job_id in list(open_jobs):
-                if self._scheduler.state_of(job_id) is JobState.COMPLETED:
+                state = self._scheduler.state_of(job_id)
+                if state in FINAL_STATES:
                     open_jobs.discard(job_id)
-                    self._count(self._by_id[job_id])
+                    self._count(self._by_id[job_id], is_completed=state is JobState.COMPLETED)
             self._now += TICK_SECONDS
         return self._totals
 
-    def _count(self, job: RecordedJob) -> None:
+    def _disturb(self) -> None:
+        """Change the minions before a round."""
+
+    def _count(self, job: RecordedJob, *, is_completed: bool) -> None:
         if job.arrives_at < WARM_UP_SECONDS:
             return
+        is_in_time = self._now - START - job.arrives_at <= job.allowed_seconds
         self._totals.counted += 1
-        self._totals.in_time += self._now - START - job.arrives_at <= job.allowed_seconds
+        self._totals.in_time += is_completed and is_in_time
 
     def _report(self, minion: Minion) -> None:
         runs, ends = self._runs[minion.minion_id], self._ends[minion.minion_id]
         for key, run in list(runs.items()):
             if run.ends_at <= self._now:
-                self._end(minion, key, EndKind.DONE)
+                self._end(minion, key, run.kind)
         rows = [RunReport(key, run.run_id, "", 100, None) for key, run in runs.items()]
         unread = [end for end in ends if end.number > minion.durable_end]
         minion.extend_lease(self._now, 6.0)
-        report = MinionReport(1, int(1000 * self._now), tuple(rows), tuple(unread))
+        report = MinionReport(
+            minion.facts.born_ms, int(1000 * self._now), tuple(rows), tuple(unread)
+        )
         self._scheduler.report(minion, report, self._now, self._now)
 
     def _start(self, order: StartOrder) -> None:
@@ -208,17 +231,17 @@
         seconds = usual * rng.uniform(0.85, 1.15)
         if rng.random() < TAIL_SHARE:
             seconds *= TAIL_FACTOR
-        if self._is_slow(name):
-            seconds *= SLOW_FACTOR
-        self._runs[name][key] = _Run(run_id, self._now, self._now + seconds)
+        seconds *= self._slowness(name)
+        self._runs[name][key] = SimulatedRun(run_id, self._now, self._now + seconds)
         clock_ms = int(1000 * self._now)
         outcome = StartOutcome.STARTED
         self._scheduler.start_answered(order.run, outcome, self._now, self._now, clock_ms)
 
-    def _is_slow(self, name: str) -> bool:
+    def _slowness(self, name: str) -> float:
+        """Return the factor by which runs take longer on a minion that start now."""
         turn = int((self._now - START) / SLOW_SECONDS)
         slow = Random(f"{self._seed}/{turn}").sample(range(MINIONS), SLOW_MINIONS)
-        return name in {f"minion{number}" for number in slow}
+        return SLOW_FACTOR if name in {f"minion{number}" for number in slow} else 1.0
 
     def _stop(self, order: StopOrder) -> None:
         run = self._runs[order.minion.minion_id].get(order.key)
