--- a/dotterelhill/jobs/minions/standing.py
+++ b/dotterelhill/jobs/minions/standing.py
@@ -141,7 +141,7 @@
     def fault(self, usual_failed_share: float, now: float) -> Fault | None:
         """Return why the machine looks bad; None if it does not.
 
-        :param usual_failed_share: share of the runs that fail on all machines of the service
+        :param usual_failed_share: share of the runs that fail on the other machines of the service
         """
         if self.speed.is_slow or self.is_running_slow:
             return Fault.SLOW
--- a/dotterelhill/jobs/minions/standings.py
+++ b/dotterelhill/jobs/minions/standings.py
@@ -34,13 +34,23 @@
 
 @dataclass(slots=True)
 class _ServiceState:
-    """Minions of one service in this round."""
+    """Minions of one service in this round.
+
+    :param failed: decayed number of failed runs
+    :param ended: decayed number of ended runs
+    """
 
     size: int = 0
     failed: float = 0.0
     ended: float = 0.0
     members: list[tuple[Minion, MinionStanding]] = field(default_factory=list)
 
+    def share_beside(self, standing: MinionStanding, now: float) -> float:
+        """Return the share of the ended runs that failed on the other machines."""
+        failed, ended = standing.failed_and_ended(now)
+        ended_elsewhere = self.ended - ended
+        return max(0.0, self.failed - failed) / ended_elsewhere if ended_elsewhere > 0.5 else 0.0
+
 
 class Standings:
     """Records of machines by address, kept up to date by the changes between two rounds.
@@ -130,14 +140,15 @@
 
     def _decide(self, service: str, state: _ServiceState, now: float) -> None:
         """Begin and end probations of the minions of one service."""
-        usual_share = state.failed / state.ended if state.ended else 0.0
         bad: list[tuple[Minion, MinionStanding, Fault]] = []
         for minion, standing in state.members:
             standing.speed.expire(now)
             if standing.has_passed(now):
                 self._log("minion back to normal", minion, standing, now)
                 standing.forgive()
-            fault = standing.probation_fault or standing.fault(usual_share, now)
+            fault = standing.probation_fault or standing.fault(
+                state.share_beside(standing, now), now
+            )
             if fault is not None:
                 bad.append((minion, standing, fault))
         was_elsewhere = service in self._blamed_elsewhere
--- a/dotterelhill/jobs/minions/uneven.py
+++ b/dotterelhill/jobs/minions/uneven.py
@@ -20,7 +20,6 @@
     choose_overdue_starts,
     choose_probation_starts,
 )
-from dotterelhill.jobs.minions.ramp import DomainRamp
 from dotterelhill.jobs.minions.replacement import RollingReplacement
 from dotterelhill.jobs.minions.standing import MinionStanding
 from dotterelhill.jobs.minions.standings import Standings
@@ -55,7 +54,6 @@
         self._jobs = jobs
         self._replacement = RollingReplacement()
         self._standings = Standings(self._replacement)
-        self._ramp = DomainRamp()
         self._finish = ExpectedFinish(durations)
         self._on_probation: dict[str, list[tuple[Minion, MinionStanding]]] = {}
         self._pools: dict[str, list[Minion]] = {}
@@ -66,11 +64,6 @@
         """Return the number of minions on probation."""
         return self._standings.probation_count
 
-    @property
-    def is_ramping(self) -> bool:
-        """Return whether minions of a failure domain that was taken back are ramping up."""
-        return self._ramp.is_active
-
     @property
     def is_replacing(self) -> bool:
         """Return whether the minions of a service are replaced one after the other."""
@@ -105,7 +98,6 @@
         minions: Iterable[Minion],
         usable: list[Minion],
         for_trial: list[Minion],
-        evacuated: Iterable[str],
         now: float,
     ) -> list[Decision]:
         """Update all records, and keep minions on probation out of the usual placement.
@@ -115,7 +107,6 @@
         :param minions: all minions
         :param usable: minions on which tasks may start; those on probation are removed
         :param for_trial: minions on which lasting tasks may be tried; those on probation are added
-        :param evacuated: failure domains in which no task may start
         :returns: decisions for the log
         """
         if not self._is_enabled:
@@ -128,8 +119,6 @@
         for service, has_begun in self._replacement.update(now):
             message = "rolling replacement begins" if has_begun else "rolling replacement ends"
             decisions.append(Decision(message, "", {"service": service}))
-        for domain in self._ramp.update(evacuated, now):
-            decisions.append(Decision("failure domain ramps up", "", {"domain": domain}))
         self._split(usable, for_trial)
         return decisions
 
@@ -192,10 +181,6 @@
             cost += REPLACEMENT_COST
         return cost
 
-    def has_ramp_room(self, minion: Minion, step: Step) -> bool:
-        """Return whether a task may start on a minion that may be ramping up."""
-        return self._ramp.has_room(minion, step)
-
     def choose_starts(
         self,
         ranked: Sequence[RankedJob],
--- a/dotterelhill/jobs/placement/placement.py
+++ b/dotterelhill/jobs/placement/placement.py
@@ -711,8 +711,6 @@
             return None
         if reserved_cpu and minion.free_cpu - step.room.cpu < reserved_cpu:
             return None
-        if self._uneven.is_ramping and not self._uneven.has_ramp_room(minion, step):
-            return None
         return self._placement_cost(job, step, minion, now)
 
     def _avoiding_cost(
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -899,9 +899,7 @@
                     usable.append(minion)
                 case Exclusion.SET_ASIDE if minion.health.is_trial_due(now):
                     for_trial.append(minion)
-        self._decisions += self._uneven.begin_round(
-            self._minions.values(), usable, for_trial, self._evacuated_domains, now
-        )
+        self._decisions += self._uneven.begin_round(self._minions.values(), usable, for_trial, now)
         for job, key, minion in self._placement.choose_starts(
             usable, for_trial, self._queue_of, now, unix_ms, max_starts
         ):
