--- a/dotterelhill/jobs/minions/replacement.py
+++ b/dotterelhill/jobs/minions/replacement.py
@@ -17,11 +17,13 @@
 
     :param left: loop time by address at which a minion drained or left
     :param came: loop time by new minion at which it was listed
+    :param repeated: loop time by address at which a minion left that had left before
     :param interval_seconds: mean time between two replacements; None outside a replacement
     """
 
     left: dict[str, float] = field(default_factory=dict)
     came: dict[Minion, float] = field(default_factory=dict)
+    repeated: dict[str, float] = field(default_factory=dict)
     interval_seconds: float | None = None
 
 
@@ -38,17 +40,20 @@
         One that leaves repeatedly is not being replaced.
         """
         changes = self._services.setdefault(minion.facts.service, _ServiceChanges())
-        if minion.facts.address in changes.left:
-            del changes.left[minion.facts.address]
-            for other in [one for one in changes.came if one.facts.address == minion.facts.address]:
-                del changes.came[other]
+        address = minion.facts.address
+        if address not in changes.left and address not in changes.repeated:
+            changes.left[address] = now
             return
-        changes.left[minion.facts.address] = now
+        changes.repeated[address] = now
+        changes.left.pop(address, None)
+        for other in [one for one in changes.came if one.facts.address == address]:
+            del changes.came[other]
 
     def record_came(self, minion: Minion, now: float) -> None:
         """Record that a new minion, or a new incarnation, is listed."""
         changes = self._services.setdefault(minion.facts.service, _ServiceChanges())
-        changes.came[minion] = now
+        if minion.facts.address not in changes.repeated:
+            changes.came[minion] = now
 
     def update(self, now: float) -> list[tuple[str, bool]]:
         """Return the services whose replacement has begun (``True``) or ended."""
@@ -57,9 +62,10 @@
             was_active = changes.interval_seconds is not None
             newest = max(changes.left.values(), default=float("-inf"))
             if was_active and now - newest > WINDOW_SECONDS:
-                del self._services[service]
+                self._services[service] = _ServiceChanges(repeated=changes.repeated)
                 changed.append((service, False))
                 continue
+            _forget_repeated_before(changes, now - WINDOW_SECONDS)
             if not was_active:
                 _forget_before(changes, now - WINDOW_SECONDS)
             count = len(changes.left)
@@ -68,7 +74,7 @@
                 changes.interval_seconds = (newest - oldest) / (count - 1)
                 if not was_active:
                     changed.append((service, True))
-            elif not (changes.left or changes.came):
+            elif not (changes.left or changes.came or changes.repeated):
                 del self._services[service]
         self.is_active = any(
             changes.interval_seconds is not None for changes in self._services.values()
@@ -83,6 +89,12 @@
         return expected_seconds > changes.interval_seconds
 
 
+def _forget_repeated_before(changes: _ServiceChanges, oldest: float) -> None:
+    """Forget the minions that left repeatedly, but not since a time."""
+    for address in [address for address, at in changes.repeated.items() if at < oldest]:
+        del changes.repeated[address]
+
+
 def _forget_before(changes: _ServiceChanges, oldest: float) -> None:
     """Forget the minions that left or came before a time."""
     for address in [address for address, at in changes.left.items() if at < oldest]:
--- a/dotterelhill/jobs/minions/tests/replacement.feature
+++ b/dotterelhill/jobs/minions/tests/replacement.feature
@@ -15,7 +15,8 @@
       | 2 minions are replaced             | a checkpointing task | on "m5"       |
       | 2 minions are replaced             | a lasting task       | on "m5"       |
       | 1 minions are replaced             | a task of 10 seconds | on "m5"       |
-      | minion "m0" restarts each 3 seconds | a task of 10 seconds | on "m5"      |
+      | 2 minions restart 2 times          | a task of 10 seconds | on "m5"       |
+      | 2 minions restart 3 times          | a task of 10 seconds | on "m5"       |
       | 2 minions were replaced long ago   | a task of 10 seconds | on "m5"       |
 
   Scenario: new minions of a replacement get few runs
--- a/dotterelhill/jobs/minions/tests/standing.feature
+++ b/dotterelhill/jobs/minions/tests/standing.feature
@@ -49,6 +49,10 @@
       | restarts each 3 seconds |
       | is slow                 |
 
+  Scenario: a slow minion is found only when its runs have ended, after a multiple of their time
+    Given 4 tasks have run on "m0" for 4 seconds that others end within 1
+    Then 1 minions are on probation
+
   Scenario Outline: a task that must not fail again runs on probation, or one that may waits
     Given minion "m0" fails half of its runs
     And all other minions are full
--- a/dotterelhill/jobs/minions/tests/steps/uneven_steps.py
+++ b/dotterelhill/jobs/minions/tests/steps/uneven_steps.py
@@ -131,6 +131,21 @@
         run_rounds(context.fleet, 3.0)
 
 
+@given(r"2 minions restart (?P<count>\d) times")
+def restart_two(context, count):
+    fleet = context.fleet
+    for _ in range(int(count)):
+        for name in ("m0", "m1"):
+            fleet.list_minion(name, labels=(name, "r1"), born_ms=fleet.facts[name].born_ms + 1)
+            run_rounds(fleet, 1.0)
+
+
+@given(r'4 tasks have run on "(?P<name>\w+)" for 4 seconds that others end within 1')
+def run_slowly(context, name):
+    run_on(context.fleet, [name], 4)
+    run_rounds(context.fleet, 4.0)
+
+
 @given(r'minion "(?P<name>\w+)" is slow')
 def make_slow(context, name):
     slow_down(context.fleet, [name])
