--- a/dotterelhill/jobs/minions/standings.py
+++ b/dotterelhill/jobs/minions/standings.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
 from dotterelhill.jobs.changes import Decision
@@ -61,26 +61,21 @@
     def __init__(self, replacement: RollingReplacement) -> None:
         self._replacement = replacement
         self._seen: dict[str, _Seen] = {}
+        self._on_probation: dict[Minion, MinionStanding] = {}
         self._blamed_elsewhere: set[str] = set()
         self._decisions: deque[Decision] = deque()
         self._is_first_round = True
 
     @property
-    def probation_count(self) -> int:
-        """Return the number of minions on probation."""
-        return sum(seen.standing.is_on_probation for seen in self._seen.values())
+    def on_probation(self) -> Mapping[Minion, MinionStanding]:
+        """Return the records of the minions on probation."""
+        return self._on_probation
 
     def of(self, minion: Minion) -> MinionStanding | None:
         """Return the record of a minion's machine; None before its first round."""
         seen = self._seen.get(minion.facts.address)
         return seen.standing if seen is not None and seen.minion is minion else None
 
-    def on_probation(self) -> Iterator[tuple[Minion, MinionStanding]]:
-        """Yield the minions on probation."""
-        for seen in self._seen.values():
-            if seen.standing.is_on_probation:
-                yield seen.minion, seen.standing
-
     def update(self, minions: Iterable[Minion], now: float) -> list[Decision]:
         """Update the records and levels, and return the decisions for the log."""
         services: dict[str, _ServiceState] = {}
@@ -100,6 +95,11 @@
         for address, seen in list(self._seen.items()):
             if now - seen.seen_at > RETENTION_SECONDS:
                 del self._seen[address]
+        self._on_probation = {
+            seen.minion: seen.standing
+            for seen in self._seen.values()
+            if seen.standing.is_on_probation
+        }
         decisions = list(self._decisions)
         self._decisions.clear()
         return decisions
--- a/dotterelhill/jobs/minions/uneven.py
+++ b/dotterelhill/jobs/minions/uneven.py
@@ -32,8 +32,10 @@
 # runs, and at least half, are overdue is slow: runs that end show that only after that long time.
 OVERDUE_FACTOR = 3.0
 MIN_OVERDUE_RUNS = 3
-# Looking at all runs takes some ms, so each round looks at one part of the minions.
+# Looking at all runs takes some ms, so each update looks at one part of the minions.
 CHECK_PARTS = 5
+# Rounds follow each other within milliseconds, and the records change with the ends of runs.
+UPDATE_SECONDS = 0.1
 # Costs less than a rack without the data.
 REPLACEMENT_COST = 0.5
 
@@ -57,12 +59,13 @@
         self._finish = ExpectedFinish(durations)
         self._on_probation: dict[str, list[tuple[Minion, MinionStanding]]] = {}
         self._pools: dict[str, list[Minion]] = {}
-        self._round_number = 0
+        self._update_number = 0
+        self._updated_at = float("-inf")
 
     @property
     def probation_count(self) -> int:
         """Return the number of minions on probation."""
-        return self._standings.probation_count
+        return len(self._standings.on_probation)
 
     @property
     def is_replacing(self) -> bool:
@@ -111,21 +114,28 @@
         """
         if not self._is_enabled:
             return []
-        self._round_number += 1
+        decisions: list[Decision] = []
+        if now - self._updated_at >= UPDATE_SECONDS - 1e-6:
+            self._updated_at = now
+            decisions = self._update(list(minions), now)
+        self._split(usable, for_trial)
+        return decisions
+
+    def _update(self, minions: Sequence[Minion], now: float) -> list[Decision]:
+        """Update all records, and return the decisions for the log."""
+        self._update_number += 1
         self._finish.begin_round(now)
-        everyone = list(minions)
-        self._check_runs(everyone[self._round_number % CHECK_PARTS :: CHECK_PARTS], now)
-        decisions = self._standings.update(everyone, now)
+        self._check_runs(minions[self._update_number % CHECK_PARTS :: CHECK_PARTS], now)
+        decisions = self._standings.update(minions, now)
         for service, has_begun in self._replacement.update(now):
             message = "rolling replacement begins" if has_begun else "rolling replacement ends"
             decisions.append(Decision(message, "", {"service": service}))
-        self._split(usable, for_trial)
         return decisions
 
     def _split(self, usable: list[Minion], for_trial: list[Minion]) -> None:
         """Move the minions on probation from the usable ones to those for trials."""
         self._on_probation, self._pools = {}, {}
-        standings = dict(self._standings.on_probation())
+        standings = self._standings.on_probation
         moved = [minion for minion in usable if minion in standings]
         if not moved:
             return
