--- a/dotterelhill/jobs/minions/probation.py
+++ b/dotterelhill/jobs/minions/probation.py
@@ -7,7 +7,12 @@
 from dotterelhill.jobs.fleet import Minion
 from dotterelhill.jobs.minions.standing import MinionStanding
 from dotterelhill.jobs.model import Job, Step, TaskKey
-from dotterelhill.jobs.placement.waiting import RankedJob, WaitingJob, has_required_label
+from dotterelhill.jobs.placement.waiting import (
+    OccurrenceStep,
+    RankedJob,
+    WaitingJob,
+    has_required_label,
+)
 from dotterelhill.jobs.queues import Queue
 
 # Jobs that are looked at in one round for each service, so that a long queue of jobs that may not
@@ -20,8 +25,9 @@
 
 Start = tuple[Job, TaskKey, Minion]
 OpenTasks = Callable[[Job, list[TaskKey]], list[TaskKey]]
-TaskStarts = Callable[[Job, Step, list[TaskKey], Sequence[Minion]], Iterator[Start]]
-JobStarts = Callable[[WaitingJob, Sequence[Minion]], Iterator[Start]]
+# Starts one task on each minion of the list, and removes tasks and minions from both lists.
+TaskStarts = Callable[[Job, Step, list[TaskKey], list[Minion]], Iterator[Start]]
+GangStarts = Callable[[Job, Step, list[TaskKey], Sequence[Minion]], Iterator[Start]]
 
 
 def choose_probation_starts(
@@ -37,7 +43,7 @@
     :param ranked: jobs in the order of their urgency
     :param on_probation: usable minions on probation by service
     :param open_tasks: returns those of a step's waiting tasks that may start now
-    :param start_tasks: yields starts of a step's tasks and removes them from the list
+    :param start_tasks: yields starts of a step's tasks, one on each minion given
     """
     rooms: dict[str, list[tuple[Minion, int]]] = {}
     for service, members in on_probation.items():
@@ -63,14 +69,20 @@
 def choose_overdue_starts(
     ranked: Sequence[RankedJob],
     pools: Mapping[str, Sequence[Minion]],
-    start_job: JobStarts,
+    on_probation: Mapping[str, Sequence[tuple[Minion, MinionStanding]]],
+    open_tasks: OpenTasks,
+    start_tasks: TaskStarts,
+    start_gang: GangStarts,
     unix_ms: int,
 ) -> Iterator[Start]:
     """Yield starts of jobs that wait for long although most of their service is idle.
 
     :param ranked: jobs in the order of their urgency
     :param pools: all usable minions of each service with minions on probation
-    :param start_job: yields starts of a job's waiting tasks
+    :param on_probation: those of them that are on probation
+    :param open_tasks: returns those of a step's waiting tasks that may start now
+    :param start_tasks: yields starts of a step's tasks, one on each minion given
+    :param start_gang: yields the starts of all tasks of a gang, or none
     """
     idle_pools = {name: pool for name, pool in pools.items() if _is_mostly_idle(pool)}
     if not idle_pools:
@@ -79,8 +91,22 @@
         age_seconds = (unix_ms - waiting.job.submission.accepted_ms) / 1000.0
         if age_seconds < MAX_WAIT_SECONDS or queue.needs_advice or not waiting.pending:
             continue
-        if queue.service in idle_pools:
-            yield from start_job(waiting, idle_pools[queue.service])
+        pool = idle_pools.get(queue.service)
+        if pool is None:
+            continue
+        job = waiting.job
+        for occurrence_step, step, keys in _due_steps(waiting, unix_ms):
+            allowed = list(open_tasks(job, keys))
+            if not allowed:
+                continue
+            offered = set(allowed)
+            if step.is_gang:
+                yield from start_gang(job, step, allowed, pool)
+            else:
+                for minion, _ in on_probation[queue.service]:
+                    if allowed:
+                        yield from start_tasks(job, step, allowed, [minion] * len(allowed))
+            _remove_started(waiting, occurrence_step, offered.difference(allowed))
 
 
 def _choose_job_starts(
@@ -93,29 +119,47 @@
 ) -> Iterator[Start]:
     """Yield starts of one job's tasks that have attempts left, and update the rooms."""
     job = waiting.job
-    for occurrence_step, keys in list(waiting.pending.items()):
-        step = job.submission.steps[occurrence_step[1]]
-        if step.is_gang or step.is_lasting or not keys:
-            continue
-        if unix_ms < job.submission.due_ms(occurrence_step[0]):
+    for occurrence_step, step, keys in _due_steps(waiting, unix_ms):
+        if step.is_gang or step.is_lasting:
             continue
         for number in reversed(range(len(rooms))):
             minion, room = rooms[number]
+            if not keys:
+                break
             if not minion.has_room_for(step) or not has_required_label(minion, step):
                 continue
             allowed = _with_attempts_left(job, open_tasks(job, keys), queue)[:room]
             if not allowed:
                 break
             offered = set(allowed)
-            yield from start_tasks(job, step, allowed, (minion,))
+            yield from start_tasks(job, step, allowed, [minion] * len(allowed))
             started = offered.difference(allowed)
-            keys[:] = [key for key in keys if key not in started]
+            _remove_started(waiting, occurrence_step, started)
             rooms[number] = (minion, room - len(started))
             if room <= len(started):
                 del rooms[number]
-            if not keys:
-                waiting.pending.pop(occurrence_step, None)
-                break
+
+
+def _due_steps(
+    waiting: WaitingJob, unix_ms: int
+) -> Iterator[tuple[OccurrenceStep, Step, list[TaskKey]]]:
+    """Yield the steps of a job of which tasks wait that are due."""
+    submission = waiting.job.submission
+    for occurrence_step, keys in list(waiting.pending.items()):
+        if keys and unix_ms >= submission.due_ms(occurrence_step[0]):
+            yield occurrence_step, submission.steps[occurrence_step[1]], keys
+
+
+def _remove_started(
+    waiting: WaitingJob, occurrence_step: OccurrenceStep, started: set[TaskKey]
+) -> None:
+    """Remove tasks that were started from those that wait."""
+    if not started:
+        return
+    keys = waiting.pending[occurrence_step]
+    keys[:] = [key for key in keys if key not in started]
+    if not keys:
+        del waiting.pending[occurrence_step]
 
 
 def _with_attempts_left(job: Job, keys: Sequence[TaskKey], queue: Queue) -> list[TaskKey]:
--- a/dotterelhill/jobs/minions/uneven.py
+++ b/dotterelhill/jobs/minions/uneven.py
@@ -13,7 +13,7 @@
 from dotterelhill.jobs.fleet import Minion, Run, RunState
 from dotterelhill.jobs.minions.expected_finish import SLOW_MINION_COST, ExpectedFinish
 from dotterelhill.jobs.minions.probation import (
-    JobStarts,
+    GangStarts,
     OpenTasks,
     Start,
     TaskStarts,
@@ -196,7 +196,7 @@
         ranked: Sequence[RankedJob],
         open_tasks: OpenTasks,
         start_tasks: TaskStarts,
-        start_job: JobStarts,
+        start_gang: GangStarts,
         now: float,
         unix_ms: int,
     ) -> Iterator[Start]:
@@ -206,4 +206,6 @@
         yield from choose_probation_starts(
             ranked, self._on_probation, open_tasks, start_tasks, now, unix_ms
         )
-        yield from choose_overdue_starts(ranked, self._pools, start_job, unix_ms)
+        yield from choose_overdue_starts(
+            ranked, self._pools, self._on_probation, open_tasks, start_tasks, start_gang, unix_ms
+        )
