--- a/dotterelhill/control/leader.py
+++ b/dotterelhill/control/leader.py
@@ -222,6 +222,7 @@
             "jobs.extra_runs": self._scheduler.stragglers.extra_run_count,
             "jobs.reserved_minions": len(self._scheduler.reservations),
             "jobs.reserved_wait_seconds": self._scheduler.longest_reserved_wait_seconds,
+            "jobs.minions_on_probation": self._scheduler.uneven.probation_count,
             "jobs.loop_lag_seconds": self._parts.lag.seconds,
             **shortage_gauges(self._scheduler.shortage),
         }
--- a/dotterelhill/jobs/placement/placement.py
+++ b/dotterelhill/jobs/placement/placement.py
@@ -12,6 +12,7 @@
 from dotterelhill.jobs.durations.model import DurationModel
 from dotterelhill.jobs.fleet import Minion
 from dotterelhill.jobs.interference.sharing import MIN_FILLER_CPU_SHARE, InterferenceControl
+from dotterelhill.jobs.minions.uneven import UnevenMinions
 from dotterelhill.jobs.model import Job, Step, Task, TaskKey, Timeliness
 from dotterelhill.jobs.placement.attempts import Attempts
 from dotterelhill.jobs.placement.failing_tasks import FailingTasks
@@ -54,9 +55,6 @@
 # Upper bound of the reserve on one minion, as a share of the size of the lasting task.
 MAX_RESERVE_SHARE = 0.9
 
-# A slow minion costs more than a rack without the data: it takes several times as long.
-SLOW_MINION_COST = 2.0
-
 
 class Placement:
     """Queue of the waiting tasks of all active jobs, and the choice of their minions.
@@ -67,6 +65,7 @@
     :param limits: limits of tenants
     :param failing: lasting tasks that fail on every minion
     :param shares: order among tenants
+    :param uneven: speeds and failures of minions
     :param job_order: order of jobs that replaces the usual one; None for the usual one
     :param is_look_ahead_enabled: whether waiting tasks hold reservations of future capacity
     """
@@ -79,11 +78,13 @@
         limits: TenantLimits,
         failing: FailingTasks,
         shares: TenantShares,
+        uneven: UnevenMinions,
         job_order: JobOrder | None = None,
         *,
         is_look_ahead_enabled: bool = False,
     ) -> None:
         self._interference = interference
+        self._uneven = uneven
         self._limits = limits
         self._shares = shares
         self._has_tenants = False
@@ -412,6 +413,23 @@
             if self._is_futile(entry, unix_ms):
                 continue
             yield from choose_turn_starts(entry, is_overdue_only=False)
+        yield from self._choose_probation_starts(ranked, now, unix_ms)
+
+    def _choose_probation_starts(
+        self, ranked: Sequence[RankedJob], now: float, unix_ms: int
+    ) -> Iterator[tuple[Job, TaskKey, Minion]]:
+        """Yield starts on minions on probation."""
+        starts = self._uneven.choose_starts(
+            ranked,
+            partial(self._open_tasks, now=now),
+            partial(self._choose_trials, now=now),
+            partial(self._choose_gang_starts, now=now),
+            now,
+            unix_ms,
+        )
+        for job, key, minion in starts:
+            self._filler_claims.record_start(key)
+            yield job, key, minion
 
     def _is_futile(self, entry: RankedJob, unix_ms: int) -> bool:
         """Return whether no waiting task of a job can start, and note if its tenant is at a limit.
@@ -809,7 +827,7 @@
             return None
         if reserved_cpu and minion.free_cpu - step.room.cpu < reserved_cpu:
             return None
-        cost = self._placement_cost(step, minion, now)
+        cost = self._placement_cost(job, step, minion, now)
         if cost is None or minion not in self._look_ahead.by_minion:
             return cost
         return self._look_ahead.start_cost(cost, job, step, occurrence_step, minion)
@@ -845,11 +863,13 @@
             return False
         return True
 
-    def _placement_cost(self, step: Step, minion: Minion, now: float) -> tuple[float, ...] | None:
+    def _placement_cost(
+        self, job: Job, step: Step, minion: Minion, now: float
+    ) -> tuple[float, ...] | None:
         """Return the cost of a start that fits; None when it would take too much headroom."""
         rack_distance = 1.0 if step.data_rack and step.data_rack != minion.facts.rack else 0.0
-        if minion.speed.is_slow:
-            rack_distance += SLOW_MINION_COST
+        if minion.speed.ratio != 1.0 or self._uneven.is_replacing:
+            rack_distance += self._uneven.cost(job, step, minion)
         if step.is_filler:
             idle_cpu = self._interference.idle_cpu(minion)
             if idle_cpu < MIN_FILLER_CPU_SHARE * step.room.cpu:
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -39,6 +39,7 @@
 from dotterelhill.jobs.interference.sharing import InterferenceControl
 from dotterelhill.jobs.minions.capacity import StartHold, runs_beyond_capacity
 from dotterelhill.jobs.minions.health import Exclusion
+from dotterelhill.jobs.minions.uneven import UnevenMinions
 from dotterelhill.jobs.model import (
     FINAL_STATES,
     Assignment,
@@ -127,6 +128,9 @@
         self._shortage: ShortageControl | None = None
         if settings.switches.shortage_control:
             self._shortage = ShortageControl(self._durations)
+        self._uneven = UnevenMinions(
+            self._durations, self._jobs, is_enabled=settings.switches.speed_placement
+        )
         self._placement = Placement(
             self._interference,
             self._suspicion,
@@ -134,6 +138,7 @@
             self._tenant_limits,
             self._failing,
             self._tenant_shares,
+            self._uneven,
             job_order or self._shortage,
             is_look_ahead_enabled=settings.switches.look_ahead,
         )
@@ -178,6 +183,11 @@
         """Return the control of shortages; None where it is turned off."""
         return self._shortage
 
+    @property
+    def uneven(self) -> UnevenMinions:
+        """Return the records of minions that are slow, fail or go away."""
+        return self._uneven
+
     @property
     def lasting_waits(self) -> LastingWaits:
         """Return the waiting times of lasting tasks that do not run."""
@@ -639,6 +649,7 @@
         step = job.submission.steps[end.key.step]
         match end.kind:
             case EndKind.DONE if not step.is_lasting:
+                self._uneven.record_done(job, run, minion, now)
                 self._process_success(job, task, now)
                 return
             case EndKind.FAILED if is_current:
@@ -698,8 +709,10 @@
         self._mark_dirty(job)
         step = job.submission.steps[task.key.step]
         is_blamed = step.is_lasting and self._failing.record_failure(task.key, minion, now)
-        if not is_blamed and minion.health.record_failure(planned_at, now):
-            self._record_minion_decision("minion set aside after failures", minion)
+        if not is_blamed:
+            self._uneven.record_failure(minion, now)
+            if minion.health.record_failure(planned_at, now):
+                self._record_minion_decision("minion set aside after failures", minion)
         if step.is_lasting or task.failures < self._queue_of(job).max_attempts:
             return
         if task.is_assigned:
@@ -934,6 +947,7 @@
                     usable.append(minion)
                 case Exclusion.SET_ASIDE if minion.health.is_trial_due(now):
                     for_trial.append(minion)
+        self._decisions += self._uneven.begin_round(self._minions.values(), usable, for_trial, now)
         for job, key, minion in self._placement.choose_starts(
             usable, for_trial, self._queue_of, now, unix_ms, max_starts
         ):
