Port the benchmark of uneven minions onto FleetSimulation

Change: FleetSimulation has hooks for changes before a round, properties of each minion, minions that do not answer, runs that fail, and failed jobs. Work lost with a minion counts as wasted. The speed of fillers depends on the capacity of their own minion. The benchmark is part "uneven" of python -m measure.

--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -22,6 +22,7 @@
     "jobs": ("measure.stragglers", "measure.round_cost"),
     "shortage": ("measure.shortage",),
     "look-ahead": ("measure.look_ahead",),
+    "uneven": ("measure.uneven_minions",),
     "cost": ("measure.fold_cost", "measure.node_cost"),
     "keys": ("measure.keys_cost",),
 }
--- a/measure/simulation.py
+++ b/measure/simulation.py
@@ -8,7 +8,7 @@
 
 from dotterelhill.jobs.changes import SchedulerSettings
 from dotterelhill.jobs.fleet import EndKind, EndReport, Minion, MinionFacts, MinionReport, RunReport
-from dotterelhill.jobs.model import JobState, Step, Submission, TaskKey
+from dotterelhill.jobs.model import FINAL_STATES, JobState, Step, Submission, TaskKey
 from dotterelhill.jobs.orders import StartOrder, StartOutcome, StopOrder
 from dotterelhill.jobs.placement.waiting import JobOrder
 from dotterelhill.jobs.queues import FleetConfig, Queue
@@ -48,6 +48,7 @@
 
     :param left_seconds: remaining duration at full speed
     :param ends_at: loop time of its end; None for a filler, whose speed varies
+    :param kind: how it ends if it is not stopped
     """
 
     run_id: int
@@ -55,6 +56,11 @@
     began_at: float
     left_seconds: float
     ends_at: float | None
+    kind: EndKind = EndKind.DONE
+
+    def work_until(self, at: float) -> float:
+        """Return the processor seconds used up to a loop time."""
+        return (at - self.began_at) * self.step.room.cpu / 1000.0
 
 
 @dataclass(slots=True)
@@ -78,8 +84,9 @@
 
     :param load: jobs in the order of their arrival
     :param minions: number of minions
-    :param cpu: thousandths of a processor of each
+    :param cpu: thousandths of a processor of each, unless ``facts_of`` says otherwise
     :param job_order: order of jobs that replaces the usual one
+    :ivar first_starts: loop time of the first start of each job
     """
 
     def __init__(
@@ -101,13 +108,11 @@
         self._runs: dict[str, dict[TaskKey, SimulatedRun]] = {}
         self._ends: dict[str, list[EndReport]] = {}
         self._cpu = cpu
+        self._service = queues[0].service
+        self._down: set[str] = set()
+        self.first_starts: dict[str, float] = {}
         for number in range(minions):
-            name = f"minion{number}"
-            room = ResourceVector(cpu, MEMORY_MB)
-            facts = MinionFacts(name, 1, queues[0].service, f"{name}:1", "domain", (), room)
-            self.scheduler.update_minion(facts, self.now)
-            self._runs[name] = {}
-            self._ends[name] = []
+            self.list_minion(self.facts_of(number))
 
     @abstractmethod
     def run_seconds(self, order: StartOrder, usual_seconds: float) -> float:
@@ -117,6 +122,44 @@
     def record_completion(self, job: RecordedJob) -> None:
         """Count a job that was completed at the present time."""
 
+    def record_failure(self, job: RecordedJob) -> None:  # noqa: B027 - optional hook
+        """Count a job that failed at the present time."""
+
+    def disturb(self) -> None:  # noqa: B027 - optional hook
+        """Change the minions before a round."""
+
+    def facts_of(self, number: int) -> MinionFacts:
+        """Return the properties of a minion; called by the constructor."""
+        name, room = f"minion{number}", ResourceVector(self._cpu, MEMORY_MB)
+        return MinionFacts(name, 1, self._service, f"{name}:1", "domain", (), room)
+
+    def seconds_to_failure(self, order: StartOrder, run_seconds: float) -> float | None:
+        """Return the time after which a new run fails, or None if it ends done."""
+        return None
+
+    def has_minion(self, name: str) -> bool:
+        """Return whether a minion was ever listed."""
+        return name in self._runs
+
+    def is_down(self, name: str) -> bool:
+        """Return whether a minion does not answer."""
+        return name in self._down
+
+    def list_minion(self, facts: MinionFacts) -> None:
+        """Begin an incarnation of a minion, without runs."""
+        self._down.discard(facts.minion_id)
+        self._runs[facts.minion_id] = {}
+        self._ends[facts.minion_id] = []
+        self.scheduler.update_minion(facts, self.now)
+
+    def lose_minion(self, name: str) -> None:
+        """Let a minion no longer answer; the work of its runs is wasted."""
+        self._down.add(name)
+        for run in self._runs[name].values():
+            ends_at = self.now if run.ends_at is None else min(self.now, run.ends_at)
+            self.work.wasted += run.work_until(ends_at)
+        self._runs[name].clear()
+
     def arrive(self, job: RecordedJob) -> None:
         """Take a job whose time has come."""
         self.submit(job.submission)
@@ -139,6 +182,7 @@
         """Run rounds until the simulation is over."""
         while not self.is_over():
             self.arrive_due()
+            self.disturb()
             for minion in list(self.scheduler.minions.values()):
                 self._report(minion)
             self.scheduler.plan(self.now, int(1000 * self.now))
@@ -152,31 +196,41 @@
                 counts = self.work.decisions
                 counts[decision.kind] = counts.get(decision.kind, 0) + 1
             for job_id in list(self._open_jobs):
-                if self.scheduler.state_of(job_id) is JobState.COMPLETED:
-                    self._open_jobs.discard(job_id)
+                state = self.scheduler.state_of(job_id)
+                if state not in FINAL_STATES:
+                    continue
+                self._open_jobs.discard(job_id)
+                if state is JobState.COMPLETED:
                     self.record_completion(self.by_id[job_id])
+                else:
+                    self.record_failure(self.by_id[job_id])
             self.now += TICK_SECONDS
 
     def _report(self, minion: Minion) -> None:
+        if self.is_down(minion.minion_id):
+            self.scheduler.mark_minion_silent(minion, "no answer", self.now)
+            return
         runs, ends = self._runs[minion.minion_id], self._ends[minion.minion_id]
-        filler_speed = self._filler_speed(runs)
+        filler_speed = self._filler_speed(minion.facts.capacity.cpu, runs)
         rows = []
         for key, run in list(runs.items()):
             if run.ends_at is None:
                 run.left_seconds -= filler_speed * TICK_SECONDS
             is_over = run.left_seconds <= 0.0 if run.ends_at is None else run.ends_at <= self.now
             if is_over:
-                self._end(minion, key, EndKind.DONE)
+                self._end(minion, key, run.kind)
                 continue
             rows.append(RunReport(key, run.run_id, "", 100, None))
         unread = [end for end in ends if end.number > minion.durable_end]
         minion.extend_lease(self.now, LEASE_SECONDS)
-        report = MinionReport(1, int(1000 * self.now), tuple(rows), tuple(unread))
+        report = MinionReport(
+            minion.facts.born_ms, int(1000 * self.now), tuple(rows), tuple(unread)
+        )
         self.scheduler.report(minion, report, self.now, self.now)
 
-    def _filler_speed(self, runs: Mapping[TaskKey, SimulatedRun]) -> float:
+    def _filler_speed(self, cpu: int, runs: Mapping[TaskKey, SimulatedRun]) -> float:
         """Return the share of their full speed at which the fillers of a minion work."""
-        idle_cpu, filler_cpu = self._cpu, 0
+        idle_cpu, filler_cpu = cpu, 0
         for run in runs.values():
             if run.step.is_filler:
                 filler_cpu += run.step.room.cpu
@@ -188,9 +242,17 @@
 
     def _start(self, order: StartOrder) -> None:
         run = order.run
+        if self.is_down(run.minion_id):
+            self.scheduler.start_answered(run, StartOutcome.NOT_SENT, self.now, self.now, None)
+            return
+        self.first_starts.setdefault(run.key.job_id, self.now)
         seconds = self.run_seconds(order, self.by_id[run.key.job_id].usual_seconds[run.key.step])
+        failure_seconds = self.seconds_to_failure(order, seconds)
+        kind = EndKind.DONE
+        if failure_seconds is not None:
+            seconds, kind = failure_seconds, EndKind.FAILED
         ends_at = None if run.step.is_filler else self.now + seconds
-        simulated = SimulatedRun(run.run_id, run.step, self.now, seconds, ends_at)
+        simulated = SimulatedRun(run.run_id, run.step, self.now, seconds, ends_at, kind)
         self._runs[run.minion_id][run.key] = simulated
         clock_ms = int(1000 * self.now)
         self.scheduler.start_answered(run, StartOutcome.STARTED, self.now, self.now, clock_ms)
@@ -204,8 +266,7 @@
         run = self._runs[minion.minion_id].pop(key)
         ends = self._ends[minion.minion_id]
         ends.append(EndReport(len(ends) + 1, key, run.run_id, kind, ""))
-        seconds = (self.now - run.began_at) * run.step.room.cpu / 1000.0
         if kind is EndKind.DONE:
-            self.work.done += seconds
+            self.work.done += run.work_until(self.now)
         else:
-            self.work.wasted += seconds
+            self.work.wasted += run.work_until(self.now)
--- a/measure/stragglers.py
+++ b/measure/stragglers.py
@@ -16,7 +16,7 @@
 from collections.abc import Iterator
 from random import Random
 
-from dotterelhill.jobs.changes import SchedulerSettings
+from dotterelhill.jobs.changes import SchedulerSettings, Switches
 from dotterelhill.jobs.model import Step, Submission
 from dotterelhill.jobs.orders import StartOrder
 from dotterelhill.jobs.queues import Queue
@@ -34,6 +34,7 @@
 LOAD_SHARE = 0.6
 IMAGES = 12
 STRETCH, TARGET_SECONDS = 2.0, 1.0
+DEFAULT_SWITCHES = Switches()
 QUEUE = Queue("load", "h", "/load/", "pool", 1, 4, STRETCH, TARGET_SECONDS)
 
 
@@ -72,6 +73,7 @@
     """Fleet with stragglers and slow minions.
 
     :param is_tail_of_task: whether the factor of a straggler belongs to the task, not to the run
+    :param switches: parts of the scheduler that are on
     """
 
     def __init__(
@@ -82,9 +84,12 @@
         are_copies_enabled: bool,
         are_restarts_enabled: bool,
         is_tail_of_task: bool,
+        switches: Switches = DEFAULT_SWITCHES,
     ) -> None:
         settings = SchedulerSettings(
-            are_copies_enabled=are_copies_enabled, are_restarts_enabled=are_restarts_enabled
+            are_copies_enabled=are_copies_enabled,
+            are_restarts_enabled=are_restarts_enabled,
+            switches=switches,
         )
         super().__init__(load, settings, [QUEUE], MINIONS, CPU)
         self._seed = seed
@@ -112,14 +117,13 @@
         seconds = usual_seconds * rng.uniform(0.85, 1.15)
         if rng.random() < TAIL_SHARE:
             seconds *= TAIL_FACTOR
-        if self._is_slow(order.minion.minion_id):
-            seconds *= SLOW_FACTOR
-        return seconds
+        return seconds * self.slowness(order.minion.minion_id)
 
-    def _is_slow(self, name: str) -> bool:
+    def slowness(self, name: str) -> float:
+        """Return the factor by which runs take longer that now start on a minion."""
         turn = int((self.now - START) / SLOW_SECONDS)
         slow = Random(f"{self._seed}/{turn}").sample(range(MINIONS), SLOW_MINIONS)
-        return name in {f"minion{number}" for number in slow}
+        return SLOW_FACTOR if name in {f"minion{number}" for number in slow} else 1.0
 
 
 def figures() -> Iterator[Figure]:
