Begin rounds only for reports that change what may start

Each report of a minion began a scheduling round, whether or not it told anything new. Now a report does so when a run has ended or is gone, when the minion becomes or ceases to be usable, or when progress has to be stored. Other reports wait for the next tick. Arrivals, refused and unanswered starts and changes of the list of minions begin rounds as before. So does the answer to a start when the newest round could not try all tasks: until now, reports happened to begin the round that used the room in the start window.

--- a/dotterelhill/control/leader.py
+++ b/dotterelhill/control/leader.py
@@ -580,7 +580,8 @@
         self._parts.metrics.count("jobs.starts", label=str(outcome))
         self._parts.metrics.observe("jobs.start_wait_seconds", now - run.planned_at)
         self._scheduler.start_answered(run, outcome, sent_at, now, clock_ms)
-        if outcome is not StartOutcome.STARTED:
+        # Tasks may wait for this start to be answered, where the start window is full.
+        if outcome is not StartOutcome.STARTED or not self._scheduler.had_starts_left:
             self._wake_event.set()
 
     async def _send_order(self, order: Order) -> None:
@@ -627,7 +628,7 @@
                 await asyncio.sleep(TICK_SECONDS)
                 continue
             try:
-                await self._poll_once(minion, is_renewing=not is_confirming)
+                is_round_due = await self._poll_once(minion, is_renewing=not is_confirming)
             except FencedByMinionError as error:
                 self._parts.leadership.drop(str(error))
                 return
@@ -664,13 +665,15 @@
             is_confirming = False
             self._parts.metrics.count("jobs.polls", label="answered")
             self._send_orders()
-            self._wake_event.set()
+            if is_round_due:
+                self._wake_event.set()
             await asyncio.sleep(MIN_POLL_INTERVAL_SECONDS)
 
-    async def _poll_once(self, minion: Minion, *, is_renewing: bool) -> None:
+    async def _poll_once(self, minion: Minion, *, is_renewing: bool) -> bool:
         """Poll a minion and process its report.
 
         :param is_renewing: whether the poll may extend the lease of the minion's runs
+        :returns: whether the report calls for a scheduling round before the next tick
         :raises MinionError: when the minion gave no usable answer
         """
         hold_seconds = self._parts.settings.lease_seconds
@@ -689,7 +692,7 @@
         if deadline_ms is not None:
             wait_seconds = self._scheduler.poll_wait_seconds(minion)
         report = await self._parts.minions.renew(minion, self._epoch, deadline_ms, wait_seconds)
-        self._scheduler.report(minion, report, sent_at, self._clock())
+        return self._scheduler.report(minion, report, sent_at, self._clock())
 
     async def _log_decisions(self) -> None:
         self._parts.slices.begin()
--- a/dotterelhill/control/tests/cluster_world.py
+++ b/dotterelhill/control/tests/cluster_world.py
@@ -295,6 +295,8 @@
         self.failures: list[Exception] = []
         self.lost_polls: dict[str, int] = {}
         self.sent_starts: list[str] = []
+        # Number of the next starts for which their minions have no room.
+        self.refused_starts = 0
         self.lost_poll_error: Exception = MinionError("no answer")
         self.lag = LoopLag(cluster.loop.time)
         self.processor = SlowProcessor(cluster, self.lag)
@@ -327,6 +329,9 @@
     async def start(self, order, epoch, deadline_ms):
         sent_at = self._cluster.loop.time()
         self.sent_starts.append(order.minion.minion_id)
+        if self.refused_starts:
+            self.refused_starts -= 1
+            return StartOutcome.NO_ROOM, None
         try:
             minion = await self._reach(order.minion, epoch)
         except FencedByMinionError:
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -126,6 +126,8 @@
         self._hold = StartHold(settings.capacity_valid_seconds)
         self._planned_restarts: list[tuple[Minion, Run]] = []
         self._dirty_jobs: dict[str, Job] = {}
+        # Number of changes of jobs that have to be stored.
+        self._dirty_count = 0
         self._planned_runs: list[Run] = []
         self._orders: list[Order] = []
         self._decisions: list[Decision] = []
@@ -168,6 +170,11 @@
         """Return the number of tasks that wait for a minion."""
         return self._placement.waiting_tasks
 
+    @property
+    def had_starts_left(self) -> bool:
+        """Return whether the newest round tried every waiting task."""
+        return self._placement.had_starts_left
+
     @property
     def tenant_usage(self) -> TenantUsage:
         """Return the resources that the runs of each tenant use."""
@@ -431,11 +438,30 @@
             minion.is_listed = False
             self._record_minion_decision("minion not listed", minion)
 
-    def report(self, minion: Minion, report: MinionReport, sent_at: float, now: float) -> None:
+    def report(self, minion: Minion, report: MinionReport, sent_at: float, now: float) -> bool:
         """Process the report of a minion about its running and ended tasks.
 
         :param sent_at: loop time at which the poll was sent
+        :returns: whether it changes what may start or has to be stored
         """
+        before = self._reported_state(minion, now)
+        self._process_report(minion, report, sent_at, now)
+        return self._reported_state(minion, now) != before
+
+    def _reported_state(self, minion: Minion, now: float) -> tuple[object, ...]:
+        """Return what a report of a minion may change that matters to a scheduling round."""
+        return (
+            self._minions.get(minion.minion_id) is minion,
+            minion.change_count,
+            minion.processed_end,
+            self._exclusion(minion, now),
+            self._dirty_count,
+        )
+
+    def _process_report(
+        self, minion: Minion, report: MinionReport, sent_at: float, now: float
+    ) -> None:
+        """Process the report of a minion as ``report`` does."""
         if self._minions.get(minion.minion_id) is not minion:
             return
         if report.born_ms and report.born_ms != minion.facts.born_ms:
@@ -1168,6 +1194,7 @@
     def _mark_dirty(self, job: Job) -> None:
         """Include the progress of a job in the next durable write."""
         self._dirty_jobs[job.job_id] = job
+        self._dirty_count += 1
 
     def _record_decision(self, message: str, job_id: str, **fields: object) -> None:
         """Record a decision about a job for the log."""
