--- a/dotterelhill/jobs/durations/model.py
+++ b/dotterelhill/jobs/durations/model.py
@@ -76,6 +76,11 @@
     weight: float = 0.0
     value: float = 0.0
 
+    @property
+    def known_value(self) -> float:
+        """Return the mean; infinite without values."""
+        return self.value if self.weight else inf
+
     def add(self, value: float, weight: float) -> None:
         self.weight += weight
         self.value += (value - self.value) * weight / self.weight
@@ -88,7 +93,9 @@
     :param origin: loop time at which an observation had the weight 1
     :param log_seconds: logarithm of the durations
     :param log_ratio: logarithm of duration to estimate
-    :param errors: absolute error of the logarithm, by predictor
+    :param estimate_error: absolute error of the logarithm of the client's estimate
+    :param mean_error: the same of the learned mean
+    :param ratio_error: the same of the estimate times the learned ratio
     :param predictor: predictor in use
     :param learned_until: loop time until which enough observations have enough weight
     :param mean_seconds: learned mean of the durations
@@ -100,7 +107,9 @@
     origin: float
     log_seconds: _Mean = field(default_factory=_Mean)
     log_ratio: _Mean = field(default_factory=_Mean)
-    errors: dict[Predictor, _Mean] = field(default_factory=dict)
+    estimate_error: _Mean = field(default_factory=_Mean)
+    mean_error: _Mean = field(default_factory=_Mean)
+    ratio_error: _Mean = field(default_factory=_Mean)
     seconds: LogCollapsingLowestDenseDDSketch = field(default_factory=_new_sketch)
     ratios: LogCollapsingLowestDenseDDSketch = field(default_factory=_new_sketch)
     predictor: Predictor = Predictor.ESTIMATE
@@ -116,34 +125,44 @@
     def record(self, seconds: float, estimate_seconds: float, now: float) -> None:
         """Learn a duration, and the errors with which it would have been predicted."""
         weight = exp((now - self.origin) / DECAY_SECONDS)
-        for predictor in Predictor:
-            predicted = self.predict(predictor, estimate_seconds)
-            if predicted > 0.0:
-                error = abs(log(predicted / seconds))
-                self.errors.setdefault(predictor, _Mean()).add(error, weight)
-        self.log_seconds.add(log(seconds), weight)
+        log_seconds = log(seconds)
+        if self.log_seconds.weight:
+            self.mean_error.add(abs(self.log_seconds.value - log_seconds), weight)
+        self.log_seconds.add(log_seconds, weight)
         self.seconds.add(seconds, weight)
         if estimate_seconds > 0.0:
-            self.log_ratio.add(log(seconds / estimate_seconds), weight)
+            log_ratio = log_seconds - log(estimate_seconds)
+            self.estimate_error.add(abs(log_ratio), weight)
+            if self.log_ratio.weight:
+                self.ratio_error.add(abs(self.log_ratio.value - log_ratio), weight)
+            self.log_ratio.add(log_ratio, weight)
             self.ratios.add(seconds / estimate_seconds, weight)
+            self.mean_ratio = exp(self.log_ratio.value)
         self.mean_seconds = exp(self.log_seconds.value)
-        self.mean_ratio = exp(self.log_ratio.value) if self.log_ratio.weight else 0.0
         excess = log(self.log_seconds.weight / MIN_OBSERVATIONS)
         self.learned_until = self.origin + DECAY_SECONDS * excess
         self.predictor = self._best_predictor()
 
     def _best_predictor(self) -> Predictor:
         """Return the predictor with the smallest error; a learned one has to be clearly better."""
-        best, smallest = Predictor.ESTIMATE, CLEARLY_SMALLER_SHARE * self.error(Predictor.ESTIMATE)
-        for predictor in (Predictor.MEAN, Predictor.RATIO):
-            if self.error(predictor) < smallest:
-                best, smallest = predictor, self.error(predictor)
+        best, smallest = Predictor.ESTIMATE, CLEARLY_SMALLER_SHARE * self.estimate_error.known_value
+        for predictor, error in (
+            (Predictor.MEAN, self.mean_error.known_value),
+            (Predictor.RATIO, self.ratio_error.known_value),
+        ):
+            if error < smallest:
+                best, smallest = predictor, error
         return best
 
     def error(self, predictor: Predictor) -> float:
         """Return the mean absolute error of the logarithm; infinite while none is known."""
-        mean = self.errors.get(predictor)
-        return mean.value if mean is not None else inf
+        match predictor:
+            case Predictor.ESTIMATE:
+                return self.estimate_error.known_value
+            case Predictor.MEAN:
+                return self.mean_error.known_value
+            case Predictor.RATIO:
+                return self.ratio_error.known_value
 
     def predict(self, predictor: Predictor, estimate_seconds: float) -> float:
         """Return the predicted duration in seconds; 0 while the predictor knows nothing."""
