--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -479,12 +479,12 @@
                 continue
             minion.processed_end = end.number
             self._process_end(minion, end, now)
-        listed = self._process_running(minion, report, now)
+        present = self._process_running(minion, report, now)
         is_complete_list = len(report.ended) < END_LIST_LIMIT
-        for run in list(minion.runs.values()):
-            if (run.key, run.run_id) in listed or not is_complete_list:
-                continue
-            self._process_absence(minion, run, sent_at, now)
+        if is_complete_list and not minion.runs.keys() <= present:
+            for run in list(minion.runs.values()):
+                if run.key not in present:
+                    self._process_absence(minion, run, sent_at, now)
         minion.is_synced = minion.is_synced or is_complete_list
         self._orders.extend(self._interference.pace_orders(minion, now))
 
@@ -520,45 +520,47 @@
             wait = SHARING_POLL_SECONDS
         return wait
 
-    def _process_running(
-        self, minion: Minion, report: MinionReport, now: float
-    ) -> set[tuple[TaskKey, int]]:
+    def _process_running(self, minion: Minion, report: MinionReport, now: float) -> set[TaskKey]:
         """Update the runs that a report lists as running.
 
-        :returns: keys and run numbers of the listed runs
+        :returns: keys of those attached runs
         """
-        listed: set[tuple[TaskKey, int]] = set()
+        present: set[TaskKey] = set()
         for row in report.running:
-            listed.add((row.key, row.run_id))
-            run = minion.runs.get(row.key)
+            key = row.key
+            run = minion.runs.get(key)
             if run is None or run.run_id != row.run_id:
                 # No stored progress names this run: its job is removed or the run was released.
-                self._orders.append(StopOrder(minion, row.key, row.run_id))
+                self._orders.append(StopOrder(minion, key, row.run_id))
                 continue
+            present.add(key)
             if run.state in (RunState.SENT, RunState.UNKNOWN):
                 run.state = RunState.PRESENT
             if run.settled_at is None:
                 run.settled_at = now
             run.percent = row.percent
-            job = self._jobs.get(row.key.job_id)
-            if run.step.is_lasting:
+            is_lasting = run.step.is_lasting
+            if is_lasting:
                 run.tail_ms = row.measure
                 if row.percent >= 100:
-                    self._failing.forget(row.key)
+                    self._failing.forget(key)
                     minion.health.record_work(run.planned_at, now)
-                if job is not None:
-                    job.task(row.key).idle_since = None
             else:
                 run.cpu_used = row.measure
-            # The checkpoints of a copy may be older than those of the first run.
-            if row.checkpoint and job is not None and job.task(row.key).run_id == row.run_id:
-                job.task(row.key).checkpoint = row.checkpoint
+            job = self._jobs.get(key.job_id) if is_lasting or row.checkpoint else None
+            if job is not None:
+                task = job.task(key)
+                if is_lasting:
+                    task.idle_since = None
+                # The checkpoints of a copy may be older than those of the first run.
+                if row.checkpoint and task.run_id == row.run_id:
+                    task.checkpoint = row.checkpoint
             if not run.is_proven or self._suspicion.has_counted_crashes:
                 self._process_presence(run, report.clock_ms)
             if run.state is RunState.STOPPING:
                 self._stop(minion, run, now)
         self._interference.observe(minion, now)
-        return listed
+        return present
 
     def _process_presence(self, run: Run, clock_ms: int) -> None:
         """Process a report that lists a run, which may clear its task of crashing minions."""
