--- a/dotterelhill/jobs/tenants/tests/shares.feature
+++ b/dotterelhill/jobs/tenants/tests/shares.feature
@@ -40,6 +40,15 @@
       | jobs that can end in time | u     | short | 30      | t    | c     |
       | jobs without a tenant     | u     | short | 0       |      | c     |
 
+  Scenario: a tenant loses its place among equal shares once its first job is known to fit nowhere
+    Given a fleet with minions "m1" of 1 processors
+    And tenant "t" submits job "big" of 1 task of 2 processors
+    When 1 rounds pass
+    And tenant "u" submits job "b" of 1 task of 1 processors
+    And tenant "t" submits job "a" of 1 task of 1 processors
+    And 1 rounds pass
+    Then the starts of tenants were "t 1"
+
   Scenario: unused shares stay unused, or are reclaimed by stopping runs
     Given each of "t" submits 40 jobs of 1 tasks
     When 1 rounds pass
