Learn from runs that take less than a millisecond

A run that ended in the millisecond of its start had the duration 0, whose logarithm does not exist. The error left the report processed in part: the end counted as processed, but its task stayed assigned to the minion for ever. The scenario fails with that error without the change. Such durations now count as one millisecond, as in the statistics of families.

--- a/dotterelhill/jobs/durations/model.py
+++ b/dotterelhill/jobs/durations/model.py
@@ -200,6 +200,7 @@
         seconds = run_seconds(run, minion)
         if seconds is None or run.is_partial or run.step.is_lasting:
             return
+        seconds = max(seconds, MIN_SECONDS)
         expected_seconds = self.expected(queue, run.step)
         if expected_seconds > 0.0 and self.confidence(queue, run.step) >= 0.5:
             minion.speed.record(seconds, expected_seconds, self._now)
--- a/dotterelhill/jobs/durations/tests/durations.feature
+++ b/dotterelhill/jobs/durations/tests/durations.feature
@@ -69,3 +69,8 @@
       | 12    | 1     | 8     | far too long: its deadline is near  |
       | 4     | 1     | 4     | too few runs                        |
       | 12    | 8     | 4     | good estimates                      |
+
+  Scenario: a report is processed in part because a run took less than a millisecond
+    Given a minion that has ended 40 runs of a queue
+    When another run ends in the millisecond in which it was started
+    Then its job is completed
--- a/dotterelhill/jobs/durations/tests/steps/durations_steps.py
+++ b/dotterelhill/jobs/durations/tests/steps/durations_steps.py
@@ -8,7 +8,7 @@
 from dotterelhill.jobs.durations.model import DurationModel
 from dotterelhill.jobs.durations.speed import MinionSpeed
 from dotterelhill.jobs.fleet import EndKind
-from dotterelhill.jobs.model import Step, TaskKey
+from dotterelhill.jobs.model import JobState, Step, TaskKey
 from dotterelhill.jobs.resources import ResourceVector
 from dotterelhill.jobs.tests.fleet_world import FleetWorld
 
@@ -177,3 +177,37 @@
 @then(r"the job with the estimate of (?P<estimate>\d+) seconds starts first")
 def check_first(context, estimate):
     assert context.fleet.sent[0].run.key.job_id == f"e{estimate}", context.fleet.sent
+
+
+def end_all(fleet):
+    for key in list(fleet.running["m1"]):
+        fleet.end("m1", key, EndKind.DONE)
+    fleet.poll()
+
+
+@given(r"a minion that has ended (?P<count>\d+) runs of a queue")
+def end_runs(context, count):
+    context.fleet = fleet = FleetWorld()
+    fleet.list_minion("m1", 1000 * int(count))
+    fleet.submit("first", (Step(int(count), ResourceVector(1000, 100), 1.0),))
+    fleet.run_round()
+    fleet.run_round()
+    fleet.now += 1.0
+    end_all(fleet)
+
+
+@when(r"another run ends in the millisecond in which it was started")
+def end_at_once(context):
+    fleet = context.fleet
+    fleet.submit("second", (Step(1, ResourceVector(1000, 100), 1.0),))
+    started_at = fleet.now
+    fleet.run_round()
+    fleet.now = started_at
+    end_all(fleet)
+
+
+@then(r"its job is completed")
+def check_completed(context):
+    context.fleet.run_round()
+    state = context.fleet.scheduler.state_of("second")
+    assert state is JobState.COMPLETED, state
