Look for claims of fillers with less work for each minion

The search for a minion computed the lack of headroom also where more room has to become free than on the best minion so far, and passed over the runs of minions without lasting tasks to find lasting ones. Whether a forced filler runs on a minion hashed the keys of all its runs.

--- a/dotterelhill/jobs/interference/sharing.py
+++ b/dotterelhill/jobs/interference/sharing.py
@@ -182,7 +182,7 @@
 
     def has_forced_filler(self, minion: Minion) -> bool:
         """Return whether a filler runs on a minion that takes too much headroom there."""
-        return not self._forced.isdisjoint(minion.runs)
+        return not minion.runs.keys().isdisjoint(self._forced)
 
     def discard_cached_headroom(self, minion: Minion) -> None:
         """Compute the remaining headroom on a minion anew, since its capacity has changed."""
--- a/dotterelhill/jobs/placement/filler_claims.py
+++ b/dotterelhill/jobs/placement/filler_claims.py
@@ -208,7 +208,7 @@
         smallest: tuple[float, float] = (0.0, 0.0)
         for minion in pool:
             shortfall = self._shortfall(minion, claim)
-            if shortfall is None:
+            if shortfall is None or (best is not None and shortfall > smallest[0]):
                 continue
             lack = self._interference.lacking_headroom(minion, claim.step, self._now)
             if best is None or (shortfall, lack) < smallest:
@@ -231,7 +231,7 @@
         capacity = minion.facts.capacity
         needed_cpu = MIN_FILLER_CPU_SHARE * room.cpu
         lasting_memory_mb = lasting_gpu = 0
-        for run in minion.runs.values():
+        for run in minion.runs.values() if minion.lasting_images else ():
             if run.step.is_lasting:
                 lasting_memory_mb += run.step.room.memory_mb
                 lasting_gpu += run.step.room.gpu
