--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -19,7 +19,7 @@
     "tenants": ("measure.tenants_cost",),
     "agreement": ("measure.agreement",),
     "failover": ("measure.failover_cost",),
-    "jobs": ("measure.stragglers", "measure.round_cost"),
+    "jobs": ("measure.stragglers", "measure.round_cost", "measure.report_cost"),
     "cost": ("measure.fold_cost", "measure.node_cost"),
     "keys": ("measure.keys_cost",),
 }
