--- a/dotterelhill/jobs/placement/attempts.py
+++ b/dotterelhill/jobs/placement/attempts.py
@@ -14,7 +14,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable, Iterator, Mapping, Sequence
+from collections.abc import Callable, Collection, Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
 from math import inf
 
@@ -177,14 +177,20 @@
             if changed_round > failed_round
         ]
 
-    def startable(self, ranked: Iterable[RankedJob]) -> Iterator[RankedJob]:
-        """Yield the jobs of which a task may start, each as it is when it is requested."""
+    def startable(
+        self, ranked: Iterable[RankedJob], may_backfill: Callable[[str], bool]
+    ) -> Iterator[RankedJob]:
+        """Yield the jobs of which a task may start, each as it is when it is requested.
+
+        :param may_backfill: returns whether to try tasks of a service although others of their size
+            fit nowhere; once it returns false, it does so until the round ends
+        """
         futile = set()
         for entry in ranked:
             # Sizes that found no minion find none until the round ends.
             if entry[2].sizes in futile:
                 continue
-            if self.is_futile(entry):
+            if self.is_futile(entry) and not may_backfill(entry[1].service):
                 futile.add(entry[2].sizes)
                 continue
             yield entry
--- a/dotterelhill/jobs/placement/ranking.py
+++ b/dotterelhill/jobs/placement/ranking.py
@@ -20,7 +20,7 @@
 
 from dotterelhill.jobs.durations.model import DurationModel
 from dotterelhill.jobs.model import TOO_LATE_FACTOR, Job, Timeliness
-from dotterelhill.jobs.placement.waiting import RankedJob, RankKey, WaitingJob
+from dotterelhill.jobs.placement.waiting import JobOrder, RankedJob, RankKey, WaitingJob
 from dotterelhill.jobs.queues import Queue
 
 # Learned durations change slowly, and thousands of jobs are ranked. A step that is done changes the
@@ -42,10 +42,12 @@
     """Order of the jobs with waiting tasks, and sums over them.
 
     :param durations: learned durations of tasks
+    :param job_order: order of jobs that replaces the usual one; None for the usual one
     """
 
-    def __init__(self, durations: DurationModel) -> None:
+    def __init__(self, durations: DurationModel, job_order: JobOrder | None = None) -> None:
         self._durations = durations
+        self._job_order = job_order
         self._jobs: dict[str, WaitingJob] = {}
         self._lasting_jobs: dict[str, WaitingJob] = {}
         self._touched: dict[str, WaitingJob] = {}
@@ -212,7 +214,8 @@
         self._check_timeliness_at(waiting, accepted_ms + 1000.0 * until_seconds)
         origin_ms = self._origin_ms or 0
         rank_seconds = (accepted_ms - origin_ms) / 1000.0 + objective - remaining
-        return (queue.priority, timeliness, rank_seconds, waiting.sequence)
+        key = (queue.priority, timeliness, rank_seconds, waiting.sequence)
+        return key if self._job_order is None else self._job_order.rank(waiting, queue, key)
 
     def _check_timeliness_at(self, waiting: WaitingJob, unix_ms: float) -> None:
         """Compute the rank of a job again at a time, or earlier if that is already planned."""
--- a/dotterelhill/jobs/placement/tests/former_ranking.py
+++ b/dotterelhill/jobs/placement/tests/former_ranking.py
@@ -120,5 +120,5 @@
     def is_futile(self, entry: RankedJob) -> bool:
         return False
 
-    def startable(self, ranked: list[RankedJob]) -> list[RankedJob]:
+    def startable(self, ranked: list[RankedJob], may_backfill) -> list[RankedJob]:
         return ranked
--- a/dotterelhill/jobs/placement/waiting.py
+++ b/dotterelhill/jobs/placement/waiting.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from dotterelhill.jobs.fleet import Minion
 from dotterelhill.jobs.model import Job, Step, TaskKey
@@ -29,6 +30,7 @@
     :param path_at: loop time at which the critical paths were computed
     :param path_seconds: expected duration of the critical path through all steps
     :param remaining_seconds: expected duration of that through the unfinished steps
+    :param small_generation: generation of ``Candidates`` in which none of its tasks is large
     :param timeliness_due_ms: Unix ms at which its timeliness is checked next; infinite for never
     """
 
@@ -45,6 +47,7 @@
     path_seconds: float = 0.0
     remaining_seconds: float = 0.0
     timeliness_due_ms: float = float("inf")
+    small_generation: int = 0
 
     @classmethod
     def of(cls, job: Job) -> WaitingJob:
@@ -63,6 +66,16 @@
 RankedJob = tuple[RankKey, Queue, WaitingJob]
 
 
+class JobOrder(Protocol):
+    """Order of jobs that replaces that by priority, timeliness and slack."""
+
+    def rank(self, waiting: WaitingJob, queue: Queue, key: RankKey) -> RankKey:
+        """Return the rank of a job.
+
+        :param key: its rank by priority, timeliness and slack
+        """
+
+
 def startable_lasting_steps(
     waiting: WaitingJob, queue: Queue, unix_ms: int
 ) -> Iterator[tuple[Step, list[TaskKey]]]:
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -57,9 +57,12 @@
 )
 from dotterelhill.jobs.placement.failing_tasks import FailingTasks
 from dotterelhill.jobs.placement.lasting_waits import LastingWaits, explain_wait
+from dotterelhill.jobs.placement.look_ahead.reservations import Reservation
 from dotterelhill.jobs.placement.placement import UNLIMITED_STARTS, Placement
+from dotterelhill.jobs.placement.waiting import JobOrder
 from dotterelhill.jobs.queues import FleetConfig, Queue
 from dotterelhill.jobs.retention import EndedJobs
+from dotterelhill.jobs.shortage.control import ShortageControl
 from dotterelhill.jobs.tenants.gauges import TenantGauges
 from dotterelhill.jobs.tenants.limits import TenantLimits
 from dotterelhill.jobs.tenants.loads import CapacityCheck, TenantLoad, TenantLoads
@@ -86,9 +89,12 @@
 
     :param settings: time limits of the scheduler
     :param renewals_end: loop time in seconds until which an earlier leader may renew leases
+    :param job_order: order of jobs that replaces the usual one, for measurements
     """
 
-    def __init__(self, settings: SchedulerSettings, renewals_end: float) -> None:
+    def __init__(
+        self, settings: SchedulerSettings, renewals_end: float, job_order: JobOrder | None = None
+    ) -> None:
         self._settings = settings
         # A run that an earlier leader started may continue until this loop time on a minion that
         # does not answer.
@@ -118,6 +124,9 @@
             are_copies_enabled=settings.are_copies_enabled,
             are_restarts_enabled=settings.are_restarts_enabled,
         )
+        self._shortage: ShortageControl | None = None
+        if settings.switches.shortage_control:
+            self._shortage = ShortageControl(self._durations)
         self._placement = Placement(
             self._interference,
             self._suspicion,
@@ -125,6 +134,8 @@
             self._tenant_limits,
             self._failing,
             self._tenant_shares,
+            job_order or self._shortage,
+            is_look_ahead_enabled=settings.switches.look_ahead,
         )
         self._lasting_waits = LastingWaits()
         self._hold = StartHold(settings.capacity_valid_seconds)
@@ -164,6 +175,11 @@
         """Return the search for runs that take much longer than expected."""
         return self._stragglers
 
+    @property
+    def shortage(self) -> ShortageControl | None:
+        """Return the control of shortages; None where it is turned off."""
+        return self._shortage
+
     @property
     def lasting_waits(self) -> LastingWaits:
         """Return the waiting times of lasting tasks that do not run."""
@@ -179,6 +195,16 @@
         """Return whether the newest round tried every waiting task."""
         return self._placement.had_starts_left
 
+    @property
+    def reservations(self) -> Mapping[Minion, Reservation]:
+        """Return the minions on which room is reserved for large tasks."""
+        return self._placement.look_ahead.by_minion
+
+    @property
+    def longest_reserved_wait_seconds(self) -> float:
+        """Return the longest wait of a task for which room is reserved, in seconds."""
+        return self._placement.look_ahead.longest_wait_seconds
+
     @property
     def tenant_usage(self) -> TenantUsage:
         """Return the resources that the runs of each tenant use."""
@@ -347,6 +373,8 @@
         self._ended_jobs.add(job)
         self._active_jobs.pop(job.job_id, None)
         self._placement.remove_job(job)
+        if self._shortage is not None:
+            self._shortage.record_end(job, now)
         self._suspicion.remove_job(job)
         self._stragglers.forget_job(job.job_id)
         self._mark_dirty(job)
@@ -363,7 +391,7 @@
     def configure(self, config: FleetConfig) -> None:
         """Replace the configuration by a newer one."""
         self._config = config
-        self._placement.configure()
+        self._placement.rank_anew()
         if self._tenant_limits.configure(config):
             oversize = self._tenant_limits.oversize_decisions(self._active_jobs.values())
             self._decisions.extend(oversize)
@@ -662,6 +690,8 @@
         if job is not None and end.kind is EndKind.DONE:
             self._durations.record_end(job.submission.queue.name, run, minion)
             self._stragglers.record_done(run, minion)
+            if self._shortage is not None:
+                self._shortage.record_done(job.submission.queue.name, run, minion)
         return run
 
     def _process_success(self, job: Job, task: Task, now: float) -> None:
@@ -918,6 +948,11 @@
         self._expire_state(now)
         self._record_hold(now)
         self._report_waits(now, unix_ms)
+        if self._shortage is not None:
+            ranked, minions = self._placement.ranked, self._minions.values()
+            if self._shortage.update(ranked, minions, now, unix_ms):
+                self._placement.rank_anew()
+            self._decisions.extend(self._shortage.take_decisions())
         usable = []
         for_trial = []
         for minion in self._minions.values():
@@ -935,6 +970,7 @@
         if self._settings.switches.reclaim:
             self._reclaim_capacity(usable, now, unix_ms)
         self._decisions.extend(self._tenant_limits.end_round(now))
+        self._decisions.extend(self._placement.look_ahead.take_decisions())
         self._run_stragglers_again(usable, now, unix_ms, max_starts)
         for minion in self._minions.values():
             if minion.facts.is_draining:
--- a/dotterelhill/jobs/tenants/shares.py
+++ b/dotterelhill/jobs/tenants/shares.py
@@ -189,7 +189,7 @@
     These are the jobs of the same priority that likewise end too late, or likewise don't.
     """
     priority, timeliness = entry[0][:2]
-    if timeliness == Timeliness.TOO_LATE:
+    if timeliness >= Timeliness.TOO_LATE:
         return (priority + 1,)
     return (priority, Timeliness.TOO_LATE)
 
--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -20,6 +20,8 @@
     "agreement": ("measure.agreement",),
     "failover": ("measure.failover_cost",),
     "jobs": ("measure.stragglers", "measure.round_cost", "measure.report_cost"),
+    "shortage": ("measure.shortage",),
+    "look-ahead": ("measure.look_ahead",),
     "cost": ("measure.fold_cost", "measure.node_cost"),
     "keys": ("measure.keys_cost",),
 }
--- a/measure/tenants_cost.py
+++ b/measure/tenants_cost.py
@@ -12,7 +12,7 @@
 import random
 import statistics
 import time
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import replace
 
 from dotterelhill.jobs.changes import SchedulerSettings, Switches
@@ -44,11 +44,23 @@
 
 
 class LoadedFleet:
-    """Scheduler with minions that carry out every order, and a constant number of waiting tasks."""
+    """Scheduler with minions that carry out every order, and a constant number of waiting tasks.
+
+    :param tenants: number of tenants
+    :param is_looking_ahead: whether large tasks hold reservations
+    :param task_cpus: sizes of tasks in thousandths of a processor; minions have 16,000
+    """
 
     def __init__(
-        self, tenants: int, *, has_fillers: bool = False, is_reclaiming: bool = True
+        self,
+        tenants: int,
+        *,
+        has_fillers: bool = False,
+        is_reclaiming: bool = True,
+        is_looking_ahead: bool = False,
+        task_cpus: Sequence[int] = (500, 1000, 2000, 3500),
     ) -> None:
+        self._task_cpus = task_cpus
         self._random = random.Random(SEED)
         self._has_fillers = has_fillers
         self._now = 1000.0
@@ -56,7 +68,8 @@
         self._fillers: set[TaskKey] = set()
         self._accelerated: set[TaskKey] = set()
         self.stopped_runs = 0
-        settings = SchedulerSettings(switches=Switches(reclaim=is_reclaiming))
+        switches = Switches(look_ahead=is_looking_ahead, reclaim=is_reclaiming)
+        settings = SchedulerSettings(switches=switches)
         self._scheduler = Scheduler(settings, self._now)
         self._queues = [Queue(f"q{n}", "h", f"/{n}/", "pool", priority=n) for n in range(3)]
         self._tenants = [f"t{number}" for number in range(tenants)] or [""]
@@ -122,7 +135,7 @@
         choose = self._random
         step = Step(
             choose.choice(TASKS_OF_A_JOB),
-            ResourceVector(choose.choice((500, 1000, 2000, 3500)), choose.choice((256, 1024))),
+            ResourceVector(choose.choice(self._task_cpus), choose.choice((256, 1024))),
             choose.uniform(0.3, 4.0),
         )
         queue, tenant = choose.choice(self._queues), choose.choice(TENANT_DRAWS)
