Check the leader a second time before each claim

Cause: since claims are timed by the newest renewal, a process that finds the leader silent less than 0.5 s before the time of its claim claimed without a second check. One lost status answer ended the term of a healthy leader whose renewals take 0.5 s or longer to be stored. A second check that found the leader present did not reset the detector either, so that a later claim counted from before it.

Change: each claim follows a second check, which has 0.1 s at least and ends by the time of the claim otherwise. A leader found present there ends the watch of the stream.

The 6 examples of the new scenario failed before and pass now, with the 6 of the scenario of weak processes.

--- a/dotterelhill/control/election.py
+++ b/dotterelhill/control/election.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 from random import Random
 
@@ -42,6 +43,9 @@
 # silent leader take up to 0.8 s, which would decide which process claims. A claim depends on the
 # state of the stream that was read, so it fails if the leader has renewed meanwhile.
 MAX_PLANNED_WAIT_SECONDS = 1.5
+# Every claim follows a second check. Without it, one lost answer is enough to replace a leader
+# whose renewals take long to be stored, as the time of the claim may have passed by then.
+MIN_LAST_CHECK_SECONDS = 0.1
 # A process claims after a delay of this factor times its latency to the store, so that a process
 # near the store leads.
 LATENCY_DELAY_FACTOR = 8.0
@@ -271,12 +275,19 @@
     ) -> bool:
         """Wait until the time of the claim; return whether the leader's condition is the same.
 
-        The last check ends by that time, even if the leader does not answer.
+        The last check ends by that time, or ``MIN_LAST_CHECK_SECONDS`` after it has begun, even if
+        the leader does not answer.
         """
-        is_checked_again = claims_at - self._clock() > PEER_TIMEOUT_SECONDS
-        if claim is not None and condition is not LeaderCondition.GONE and is_checked_again:
-            await asyncio.sleep(claims_at - PEER_TIMEOUT_SECONDS - self._clock())
-            newest = await self._condition_of(claim.address, claim.incarnation, claim.epoch)
+        if claim is not None and condition is not LeaderCondition.GONE:
+            left = max(MIN_LAST_CHECK_SECONDS, claims_at - self._clock())
+            check_seconds = min(PEER_TIMEOUT_SECONDS, left)
+            await asyncio.sleep(max(0.0, claims_at - check_seconds - self._clock()))
+            newest: LeaderCondition = condition
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(check_seconds):
+                    newest = await self._condition_of(claim.address, claim.incarnation, claim.epoch)
+            if newest is LeaderCondition.PRESENT:
+                self._detector.reset()
             if newest is not condition:
                 return False
         await asyncio.sleep(max(0.0, claims_at - self._clock()))
--- a/dotterelhill/control/tests/cluster.feature
+++ b/dotterelhill/control/tests/cluster.feature
@@ -152,6 +152,22 @@
       | 3.4    | 3.5   |
       | 3.5    | 3.5   |
 
+  Scenario Outline: One lost answer of a leader whose renewals take <latency> s to be stored ends its term
+    When the leader reaches the store <latency> s later than the others
+    And <before> seconds pass
+    And 1 status answer of the leader is lost on the way to another process
+    And 3 seconds pass
+    Then the first leader still leads with its first epoch
+
+    Examples:
+      | latency | before |
+      | 0.6     | 4.0    |
+      | 0.6     | 4.2    |
+      | 0.6     | 4.4    |
+      | 0.6     | 4.6    |
+      | 0.6     | 4.8    |
+      | 0.6     | 5.0    |
+
   Scenario: An answer of one minion that can't be processed ends the term of each leader in turn
     When 6 calls of the leader to minions fail with an unexpected error
     And job "j" of 4 tasks is submitted at a process that does not lead
--- a/dotterelhill/control/tests/steps/cluster_steps.py
+++ b/dotterelhill/control/tests/steps/cluster_steps.py
@@ -477,6 +477,26 @@
     context.first_leader = context.cluster.leaders[0]
 
 
+@when(r"the leader reaches the store (?P<seconds>[\d.]+) s later than the others")
+def delay_leader_store(context, seconds):
+    process = context.cluster.processes[context.first_leader]
+    context.first_epoch = process.leadership.epoch
+    process.store.latency_seconds = float(seconds)
+
+
+@when(r"1 status answer of the leader is lost on the way to another process")
+def lose_status_answer(context):
+    peers = context.cluster.processes[non_leader_name(context)].election._peers
+    answer = peers.status
+
+    async def lose(address):
+        peers.status = answer
+        await asyncio.sleep(PEER_TIMEOUT_SECONDS)
+        raise PeerUnreachableError("no answer")
+
+    peers.status = lose
+
+
 @then(r"a process with a full processor leads")
 def check_full_processor_leader(context):
     leaders = context.cluster.leaders
