Look again at a leader that answers instead of planning a claim against it

A claim is planned ahead only for a leader that can't be reached; one that answers, but is unable or loading, is looked at again until its time has come. A leader that refuses connections at one check and is silent at the next still counts as failing.

--- a/dotterelhill/control/election.py
+++ b/dotterelhill/control/election.py
@@ -43,6 +43,7 @@
 # silent leader take up to 0.8 s, which would decide which process claims. A claim depends on the
 # state of the stream that was read, so it fails if the leader has renewed meanwhile.
 MAX_PLANNED_WAIT_SECONDS = 1.5
+UNREACHABLE_CONDITIONS = {LeaderCondition.SILENT, LeaderCondition.REFUSED}
 # Every claim follows a second check. Without it, one lost answer is enough to replace a leader
 # whose renewals take long to be stored, as the time of the claim may have passed by then.
 MIN_LAST_CHECK_SECONDS = 0.1
@@ -235,7 +236,7 @@
             condition = await self._condition_of(claim.address, claim.incarnation, claim.epoch)
         clock = self._clock_of(claim)
         wait = self._detector.seconds_to_claim(state, condition, self._claims.delay_factor, clock)
-        if wait is None or wait > MAX_PLANNED_WAIT_SECONDS:
+        if wait is None or wait > _planned_wait_seconds(condition):
             return
         claims_at = self._clock() + wait + self._rank_delay_seconds()
         if not await self._is_still_failing(claim, condition, claims_at):
@@ -273,7 +274,7 @@
     async def _is_still_failing(
         self, claim: Claim | None, condition: LeaderCondition, claims_at: float
     ) -> bool:
-        """Wait until the time of the claim; return whether the leader's condition is the same.
+        """Wait until the time of the claim; return whether the leader is still failing.
 
         The last check ends by that time, or ``MIN_LAST_CHECK_SECONDS`` after it has begun, even if
         the leader does not answer.
@@ -288,7 +289,7 @@
                     newest = await self._condition_of(claim.address, claim.incarnation, claim.epoch)
             if newest is LeaderCondition.PRESENT:
                 self._detector.reset()
-            if newest is not condition:
+            if newest is not condition and not {newest, condition} <= UNREACHABLE_CONDITIONS:
                 return False
         await asyncio.sleep(max(0.0, claims_at - self._clock()))
         return True
@@ -359,3 +360,12 @@
             if confirmation is not None:
                 confirmation.cancel()
             self._leader = None
+
+
+def _planned_wait_seconds(condition: LeaderCondition) -> float:
+    """Return how long before its time a claim is planned.
+
+    A leader that answers is looked at again instead: one whose renewals take as long as its lease
+    is able and unable by turns.
+    """
+    return MAX_PLANNED_WAIT_SECONDS if condition in UNREACHABLE_CONDITIONS else 0.0
