Log accepted tasks that exceed the bound of their start, and what a new leader restores

The log told only of queued lasting tasks that wait. A short task or filler that never started, and any task that was neither queued nor running, left no line, so the causes of a lost task could not be told apart. No one place stated the bound within which an accepted task starts.

jobs/placement/start_bound.py states the bound and checks it at most once a second, from the jobs and from what minions report rather than from the queue. 'task waits' names an overdue step, how many of its tasks are queued and count as assigned, in which state, and the number of minions by what keeps it from starting there; four gauges count the overdue tasks. 'stored runs restored' tells what became of the stored runs when a new leader has loaded. 'lasting task waits' is unchanged.

--- a/dotterelhill/control/leader.py
+++ b/dotterelhill/control/leader.py
@@ -211,11 +211,16 @@
 
     def gauges(self) -> dict[str, float]:
         """Return the gauges of the fleet's size for the metrics, by metric name."""
+        overdue = self._scheduler.start_bound.task_counts
         return {
             "jobs.known": len(self._scheduler.jobs),
             "jobs.waiting_tasks": self._scheduler.waiting_tasks,
             "jobs.waiting_lasting_tasks": self._scheduler.lasting_waits.task_count,
             "jobs.lasting_wait_seconds": self._scheduler.lasting_waits.longest_seconds,
+            "jobs.overdue_lasting_tasks": overdue["lasting"],
+            "jobs.overdue_short_tasks": overdue["short"],
+            "jobs.overdue_filler_tasks": overdue["filler"],
+            "jobs.overdue_wait_seconds": self._scheduler.start_bound.longest_seconds,
             "jobs.minions": len(self._scheduler.minions),
             "jobs.relays": self._parts.relays.link_count,
             "jobs.start_limit": self._start_window.limit,
@@ -271,6 +276,7 @@
             for follower in [*self._submission_followers, self._minion_follower]:
                 await follower.start()
             self._is_loaded = True
+            self._scheduler.record_restored_runs(self._clock())
             self._parts.leadership.end_loading()
             await self._wait_for_lease()
             _log.notice("leading", extra={"epoch": self._epoch, "jobs": len(self._scheduler.jobs)})
--- a/dotterelhill/control/tests/cluster.feature
+++ b/dotterelhill/control/tests/cluster.feature
@@ -24,6 +24,19 @@
     Then every process shows job "j" as "completed"
     And 4 starts were carried out
 
+  Scenario: A new leader does not tell which stored runs it knows and which keep their tasks waiting
+    When job "j" of 10 tasks of 20 seconds is submitted at a process that does not lead
+    And 1 seconds pass
+    And minion "m1" is no longer listed
+    And the lines of leaders are kept
+    And the leader is killed
+    And 3 seconds pass
+    Then one process leads
+    And a leader tells once that it has restored the runs of 1 jobs, of which those on "m1" are unlisted
+
+  Scenario: A gauge of the leader is missing in the table of metrics, so that reading the metrics fails
+    Then all gauges of the leader can be read, with "jobs.overdue_lasting_tasks jobs.overdue_short_tasks jobs.overdue_filler_tasks jobs.overdue_wait_seconds" at 0
+
   Scenario: A leader whose store calls are refused keeps the leadership
     When the store refuses all calls of the leader
     And 3.5 seconds pass
--- a/dotterelhill/control/tests/steps/cluster_steps.py
+++ b/dotterelhill/control/tests/steps/cluster_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 from itertools import pairwise
 
+import logbook
 from behave import given, then, use_step_matcher, when
 
 from dotterelhill.control.interface import Record, RelayError, StoreError, Stream
@@ -75,6 +76,43 @@
     context.cluster.kill(context.cluster.leaders[0])
 
 
+@when(r'minion "(?P<name>\w+)" is no longer listed')
+def remove_from_list(context, name):
+    context.cluster.store.streams[Stream.MINIONS, 0].append(Record(name, None))
+
+
+@when(r"the lines of leaders are kept")
+def keep_lines(context):
+    context.leader_log = logbook.TestHandler()
+    context.leader_log.push_application()
+    context.add_cleanup(context.leader_log.pop_application)
+
+
+@then(
+    r"a leader tells once that it has restored the runs of (?P<jobs>\d+) jobs, "
+    r'of which those on "(?P<name>\w+)" are unlisted'
+)
+def check_restored_runs(context, jobs, name):
+    records = context.leader_log.records
+    restored = [one.extra for one in records if one.message == "stored runs restored"]
+    assert len(restored) == 1, restored
+    started = {minion: len(one.starts) for minion, one in context.cluster.minions.items()}
+    unlisted = started.pop(name)
+    assert unlisted and sum(started.values()), started
+    expected = {"jobs": int(jobs), "attached": sum(started.values()), "unlisted": unlisted}
+    expected |= {"incarnations": 1, "queued": 0}
+    assert {field: restored[0][field] for field in expected} == expected, restored
+    assert 0 < restored[0]["released_within_ms"] <= 10000, restored
+
+
+@then(r'all gauges of the leader can be read, with "(?P<names>[^"]*)" at 0')
+def check_gauges(context, names):
+    process = context.cluster.processes[context.first_leader]
+    process.metrics.add_gauges(process.election.leader.gauges)
+    gauges = process.metrics.state.gauges
+    assert [gauges[name] for name in names.split()] == [0.0] * len(names.split()), gauges
+
+
 @when(r"the killed process starts again")
 def restart_killed(context):
     context.cluster.start(context.first_leader)
--- a/dotterelhill/jobs/placement/lasting_waits.py
+++ b/dotterelhill/jobs/placement/lasting_waits.py
@@ -9,6 +9,7 @@
 from dotterelhill.jobs.fleet import Minion
 from dotterelhill.jobs.minions.health import Exclusion
 from dotterelhill.jobs.model import Job, Step, TaskKey
+from dotterelhill.jobs.placement.waiting import misfit
 
 # The platform allows a lasting task to be idle for 9 s while there is room for it.
 REPORT_AFTER_SECONDS = 4.0
@@ -98,7 +99,8 @@
     reasons: Counter[str] = Counter()
     for minion, exclusion in minions:
         if minion.facts.service == waiting.service:
-            reasons[_misfit(waiting, minion) or exclusion or "fits"] += 1
+            reason = misfit(minion, waiting.step, waiting.keys[0])
+            reasons[reason or exclusion or "fits"] += 1
     idle_since = [waiting.job.task(key).idle_since or now for key in waiting.keys]
     step = waiting.step
     fields: dict[str, object] = {
@@ -112,18 +114,3 @@
     for reason, count in sorted(reasons.items()):
         fields[reason] = count
     return WaitReport(waiting.job.job_id, fields)
-
-
-def _misfit(waiting: WaitingStep, minion: Minion) -> str:
-    """Return why the tasks of a step do not fit on a minion; empty when they fit."""
-    step, key, free = waiting.step, waiting.keys[0], minion.free
-    if step.required_label and step.required_label not in minion.facts.labels:
-        return "no_label"
-    count = minion.run_count(key.job_id, key.occurrence, key.step)
-    if step.anti_affinity and count >= step.anti_affinity:
-        return "anti_affinity"
-    if free.cpu < step.room.cpu:
-        return "no_cpu"
-    if free.memory_mb < step.room.memory_mb:
-        return "no_memory"
-    return "no_gpu" if free.gpu < step.room.gpu else ""
--- a/dotterelhill/jobs/placement/placement.py
+++ b/dotterelhill/jobs/placement/placement.py
@@ -28,6 +28,7 @@
 from dotterelhill.jobs.placement.lasting_waits import WaitingStep
 from dotterelhill.jobs.placement.look_ahead.look_ahead import LookAhead
 from dotterelhill.jobs.placement.ranking import QueueLookup, Ranking
+from dotterelhill.jobs.placement.start_refusals import StartRefusals
 from dotterelhill.jobs.placement.task_size import TaskSize
 from dotterelhill.jobs.placement.waiting import (
     JobOrder,
@@ -108,6 +109,15 @@
             self._attempts.record_change,
             is_enabled=is_look_ahead_enabled,
         )
+        self._start_refusals = StartRefusals(
+            interference,
+            suspicion,
+            self._isolation,
+            limits,
+            self._lasting_claims,
+            self._filler_claims,
+            self._look_ahead,
+        )
 
     @property
     def waiting_tasks(self) -> int:
@@ -137,6 +147,22 @@
         """Return the reservations of large tasks."""
         return self._look_ahead
 
+    @property
+    def start_refusals(self) -> StartRefusals:
+        """Return the reasons why tasks do not start on minions with room for them."""
+        return self._start_refusals
+
+    @property
+    def lasting_jobs(self) -> Iterator[Job]:
+        """Yield the active jobs that have lasting steps."""
+        for waiting in self._ranking.lasting_jobs:
+            yield waiting.job
+
+    def queued_tasks(self, key: TaskKey) -> Sequence[TaskKey]:
+        """Return the tasks of the step of ``key`` that wait for a minion."""
+        waiting = self._waiting_jobs.get(key.job_id)
+        return [] if waiting is None else waiting.pending.get((key.occurrence, key.step), [])
+
     def waiting_lasting_steps(self, queue_of: QueueLookup, unix_ms: int) -> Iterator[WaitingStep]:
         """Yield the steps of which lasting tasks wait for a minion.
 
--- a/dotterelhill/jobs/placement/waiting.py
+++ b/dotterelhill/jobs/placement/waiting.py
@@ -117,3 +117,17 @@
     if not step.anti_affinity:
         return True
     return minion.run_count(key.job_id, key.occurrence, key.step) < step.anti_affinity
+
+
+def misfit(minion: Minion, step: Step, key: TaskKey) -> str:
+    """Return why the tasks of a step do not fit on a minion, for the log; empty when they fit."""
+    free, room = minion.free, step.reserved_resources
+    if not has_required_label(minion, step):
+        return "no_label"
+    if not is_anti_affinity_met(minion, step, key):
+        return "anti_affinity"
+    if free.cpu < room.cpu:
+        return "no_cpu"
+    if free.memory_mb < room.memory_mb:
+        return "no_memory"
+    return "no_gpu" if free.gpu < room.gpu else ""
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -12,7 +12,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from math import inf
 
 from dotterelhill.jobs.changes import Changes, Decision, SchedulerSettings
@@ -60,6 +60,7 @@
 from dotterelhill.jobs.placement.lasting_waits import LastingWaits, explain_wait
 from dotterelhill.jobs.placement.look_ahead.reservations import Reservation
 from dotterelhill.jobs.placement.placement import UNLIMITED_STARTS, Placement
+from dotterelhill.jobs.placement.start_bound import OverdueStep, StartBound, explain
 from dotterelhill.jobs.placement.waiting import JobOrder
 from dotterelhill.jobs.queues import FleetConfig, Queue
 from dotterelhill.jobs.retention import EndedJobs
@@ -143,6 +144,7 @@
             is_look_ahead_enabled=settings.switches.look_ahead,
         )
         self._lasting_waits = LastingWaits()
+        self._start_bound = StartBound(settings.lease_seconds)
         self._hold = StartHold(settings.capacity_valid_seconds)
         self._planned_restarts: list[tuple[Minion, Run]] = []
         self._dirty_jobs: dict[str, Job] = {}
@@ -195,6 +197,11 @@
         """Return the waiting times of lasting tasks that do not run."""
         return self._lasting_waits
 
+    @property
+    def start_bound(self) -> StartBound:
+        """Return the check of the bound within which accepted tasks start."""
+        return self._start_bound
+
     @property
     def waiting_tasks(self) -> int:
         """Return the number of tasks that wait for a minion."""
@@ -287,6 +294,32 @@
         if is_cancelled and job.state not in FINAL_STATES:
             self._end_job(job, JobState.CANCELLED, now)
 
+    def record_restored_runs(self, now: float) -> None:
+        """Record for the log what became of the stored runs when this leader has loaded them.
+
+        Runs on an incarnation that is not listed keep their tasks waiting until it is listed or the
+        leases of the earlier leader have ended.
+        """
+        attached = unlisted = 0
+        for job in self._active_jobs.values():
+            for task in job.tasks.values():
+                for assignment in task.assignments:
+                    minion = self._minions.get(assignment.minion_id)
+                    if minion is not None and minion.facts.born_ms == assignment.born_ms:
+                        attached += 1
+                    else:
+                        unlisted += 1
+        until = max(self._unlisted_lease_ends.values(), default=now)
+        fields: dict[str, object] = {
+            "jobs": len(self._active_jobs),
+            "attached": attached,
+            "unlisted": unlisted,
+            "incarnations": len(self._unlisted_lease_ends),
+            "released_within_ms": round(1000 * max(0.0, until - now)),
+            "queued": self._placement.waiting_tasks,
+        }
+        self._decisions.append(Decision("stored runs restored", "", fields))
+
     def _unknown_run_end(self, now: float) -> float:
         """Return the time at which a run counts as ended that an earlier leader saw last.
 
@@ -663,6 +696,8 @@
         task = job.task(end.key)
         assignment = task.assignment_of(minion.minion_id, end.run_id)
         is_current = run is not None or assignment is not None
+        if is_current:
+            self._start_bound.record_run(end.key.job_id, now)
         if assignment is not None:
             task.release(assignment)
             self._tenant_usage.remove(end.key, end.run_id)
@@ -896,6 +931,7 @@
                 if run.state in (RunState.SENT, RunState.UNKNOWN):
                     run.state = RunState.PRESENT
                 run.settled_at = now
+                self._start_bound.record_run(run.key.job_id, now)
                 if run.present_clock_ms is None:
                     run.present_clock_ms = clock_ms
             case StartOutcome.UNKNOWN:
@@ -981,6 +1017,8 @@
             self._plan_run(job, key, minion, now)
             minion.health.record_start(now)
             max_starts -= 1
+        # Tasks that found room just now are about to start.
+        self._report_overdue_steps(now, unix_ms)
         if self._settings.switches.reclaim:
             self._reclaim_capacity(usable, now, unix_ms)
         self._decisions.extend(self._tenant_limits.end_round(now))
@@ -1084,6 +1122,40 @@
                 fields |= {"tenant": tenant, "tenant_allows": is_allowed}
             self._record_decision("lasting task waits", report.job_id, **fields)
 
+    def _report_overdue_steps(self, now: float, unix_ms: int) -> None:
+        """Record a decision for each step whose tasks have exceeded the bound of their start.
+
+        Lasting tasks that are queued are left to ``_report_waits``.
+        """
+        if not self._start_bound.is_check_due(now):
+            return
+        exclusions = {minion: self._exclusion(minion, now) for minion in self._minions.values()}
+        for late in self._start_bound.check(
+            self._active_jobs,
+            self._placement.lasting_jobs,
+            exclusions,
+            self._queue_of,
+            now,
+            unix_ms,
+        ):
+            queued = set(self._placement.queued_tasks(late.keys[0]))
+            if late.step.is_lasting and queued.issuperset(late.keys):
+                continue
+            refusal = self._refusal_of(late, now)
+            unlisted = self._unlisted_lease_ends.keys()
+            fields = explain(late, queued, self._minions, unlisted, exclusions, refusal)
+            if late.job.submission.tenant:
+                fields["tenant"] = late.job.submission.tenant
+            self._record_decision("task waits", late.job.job_id, **fields)
+
+    def _refusal_of(self, late: OverdueStep, now: float) -> Callable[[Minion], str]:
+        """Return a function that tells why no task of a step starts on a minion with room."""
+        refusals, job, step, key = self._placement.start_refusals, late.job, late.step, late.keys[0]
+        everywhere = refusals.reason_everywhere(job, step, key, now)
+        if not everywhere and not self._placement.had_starts_left:
+            everywhere = "start_limit"
+        return lambda minion: refusals.reason_on(minion, job, step, key, now) or everywhere
+
     def _drain_minion(self, minion: Minion, now: float) -> None:
         """Stop lasting and checkpointing runs on a draining minion, to start them elsewhere."""
         for run in list(minion.runs.values()):
