Give every waiting filler its turn at the attempts to force a start

What callers saw: a job of one filler that takes headroom on every minion did not start, on a fleet that was mostly idle, for as long as eight older jobs waited that no minion can run. Cause: ForcedStarts makes at most 8 attempts in a round, in the order of the waiting times. An attempt that finds no minion counted again in each round, so eight fillers without a fitting minion (a label that is missing, a service without minions) took all of them. Change: a filler that was tried in vain is passed over until a round had attempts left for all others. A filler is tried within ceil(n / 8) + 1 rounds where n fillers are due.

--- a/dotterelhill/jobs/placement/forced_starts.py
+++ b/dotterelhill/jobs/placement/forced_starts.py
@@ -6,6 +6,7 @@
 
 from dotterelhill.jobs.fleet import Minion
 from dotterelhill.jobs.interference.sharing import MIN_FILLER_CPU_SHARE, InterferenceControl
+from dotterelhill.jobs.placement.attempt_limit import AttemptLimit
 from dotterelhill.jobs.placement.filler_claims import FillerClaim
 
 # Serving tasks whose load falls usually admit a filler within some seconds.
@@ -36,7 +37,7 @@
 
     def __init__(self, interference: InterferenceControl) -> None:
         self._interference = interference
-        self._attempts = 0
+        self._limit = AttemptLimit(MAX_ATTEMPTS)
         self._is_draining = False
 
     @property
@@ -49,7 +50,7 @@
 
         :param since_submission_seconds: time since the newest job was accepted
         """
-        self._attempts = 0
+        self._limit.begin_round()
         self._is_draining = since_submission_seconds >= DRAIN_AFTER_SECONDS
 
     def choose(
@@ -63,11 +64,11 @@
         waited_seconds = now - claim.since
         if waited_seconds < FORCE_WHILE_IDLE_AFTER_SECONDS:
             return None
-        if self._attempts >= MAX_ATTEMPTS:
+        if not self._limit.allows(claim.step_id):
             return None
         if any(task.is_assigned for task in claim.job.tasks.values()):
             return None
-        self._attempts += 1
+        self._limit.record(claim.step_id)
         if not self._is_force_due(pool, waited_seconds):
             return None
         best: Minion | None = None
--- /dev/null
+++ b/dotterelhill/jobs/tests/steps/start_bound_steps.py
@@ -0,0 +1,113 @@
+from __future__ import annotations
+
+from behave import given, then, use_step_matcher, when
+
+from dotterelhill.jobs.model import Step, TaskKey
+from dotterelhill.jobs.resources import ResourceVector
+from dotterelhill.jobs.tests.crash_world import ROUND_SECONDS, CrashWorld
+
+use_step_matcher("re")
+
+
+def filler(cpu: float, **more) -> Step:
+    return Step(1, ResourceVector(int(1000 * cpu), 100), 1.0, is_filler=True, image="print", **more)
+
+
+def run_and_measure_waits(fleet: CrashWorld, seconds: float) -> None:
+    """Run rounds and record for how long each job with a task to start had none assigned."""
+    for _ in range(round(seconds / ROUND_SECONDS)):
+        fleet.run_crash_round()
+        for job_id, job in fleet.scheduler.jobs.items():
+            is_idle = not any(task.is_assigned for task in job.tasks.values())
+            if job.is_ended or not is_idle:
+                fleet.idle_since.pop(job_id, None)
+                continue
+            since = fleet.idle_since.setdefault(job_id, fleet.now)
+            waited = fleet.now - since
+            fleet.longest_waits[job_id] = max(waited, fleet.longest_waits.get(job_id, 0.0))
+
+
+@given(r"a fleet of (?P<count>\d+) minions of (?P<cpu>\d+) processors that may crash")
+def new_large_crash_world(context, count, cpu):
+    fleet = context.fleet = CrashWorld()
+    fleet.idle_since, fleet.longest_waits = {}, {}
+    for number in range(int(count)):
+        fleet.list_minion(f"m{number}", 1000 * int(cpu))
+
+
+@given(r"a serving task on each minion that leaves no headroom for fillers of unknown effect")
+def submit_serving_on_each(context):
+    fleet = context.fleet
+    count = len(fleet.facts)
+    step = Step(
+        count,
+        ResourceVector(2000, 100),
+        1.0,
+        is_lasting=True,
+        image="web",
+        target_tail_ms=50,
+        anti_affinity=1,
+    )
+    fleet.submit("serving", (step,))
+    for index in range(count):
+        fleet.tails[TaskKey("serving", 0, 0, index)] = 46.0
+    fleet.run_seconds(6.0)
+
+
+@given(r'job "(?P<job>\w+)" of 1 filler of (?P<cpu>\d+) processors that takes headroom')
+@when(r'job "(?P<job>\w+)" of 1 filler of (?P<cpu>\d+) processors that takes headroom is submitted')
+def submit_one_filler(context, job, cpu):
+    context.fleet.submit(job, (filler(int(cpu)),), "long")
+
+
+@given(r"(?P<count>\d+) jobs of 1 filler of (?P<cpu>\d+) processors that require a missing label")
+def submit_fillers_without_minion(context, count, cpu):
+    for number in range(int(count)):
+        context.fleet.submit(
+            f"stuck{number}", (filler(int(cpu), required_label="missing"),), "long"
+        )
+
+
+@given(r"(?P<count>\d+) jobs of 1 (?P<kind>task|lasting task) of (?P<cpu>\d+) processors each")
+def submit_single_task_jobs(context, count, kind, cpu):
+    step = Step(1, ResourceVector(1000 * int(cpu), 100), 1.0, is_lasting=kind == "lasting task")
+    for number in range(int(count)):
+        context.fleet.submit(f"single{number}", (step,))
+
+
+@when(r'the minion of job "(?P<job>\w+)" crashes as soon as its task has started')
+def crash_at_start(context, job):
+    fleet = context.fleet
+    key = TaskKey(job, 0, 0, 0)
+    for _ in range(100):
+        fleet.run_crash_round()
+        name = fleet.minion_running(key)
+        if name is not None:
+            fleet.crash(name)
+            return
+    raise AssertionError(f"{job} has not started")
+
+
+@when(r"every minion with runs that are not proven crashes")
+def crash_loaded_minions(context):
+    loaded = [name for name, runs in context.fleet.running.items() if runs]
+    assert loaded
+    for name in loaded:
+        context.fleet.crash(name)
+
+
+@when(r"(?P<seconds>[\d.]+) seconds pass while the waits of jobs are measured")
+def measure_waits(context, seconds):
+    run_and_measure_waits(context.fleet, float(seconds))
+
+
+@then(r"no job with a task to start had nothing assigned for more than (?P<seconds>[\d.]+) seconds")
+def check_waits(context, seconds):
+    waits = context.fleet.longest_waits
+    assert waits
+    too_long = {
+        job_id: round(waited, 1)
+        for job_id, waited in waits.items()
+        if waited > float(seconds) + ROUND_SECONDS / 2 and not job_id.startswith("stuck")
+    }
+    assert not too_long, too_long
