Bound the wait of suspected tasks for a minion of their own

What callers saw: after a crash of minions on which many tasks had just started, jobs had nothing running for many seconds while most of the fleet was idle, the longer the more tasks were lost. Cause: a suspected task starts only alone on a minion without new runs, and at most a quarter of the minions of a service are kept for that. A crash of the platform can make hundreds of tasks suspects, and they were tested a few at a time without any bound on the wait. Change: a suspected task that has found no minion of its own for 2 s after the newest crash under a task of its job starts beside others. Such tasks are spread over all minions, so that a crash is held against few of them, and their minions stay isolated until the runs are proven. Gangs had this bound already. At most 16 such starts are tried in a round, in turn.

--- a/dotterelhill/jobs/crashes/isolation.py
+++ b/dotterelhill/jobs/crashes/isolation.py
@@ -7,9 +7,13 @@
 from dotterelhill.jobs.crashes.suspicion import CrashSuspicion, has_unproven_runs
 from dotterelhill.jobs.fleet import Minion
 from dotterelhill.jobs.model import TaskKey
+from dotterelhill.jobs.placement.attempt_limit import AttemptLimit
 
 # At most this share of the minions of a service is kept for suspected tasks at a time.
 MAX_ISOLATED_SHARE = 0.25
+# Each choice of a minion for a task that starts beside others takes a pass over all runs of a
+# service, and a round has 25 ms.
+MAX_SHARED_ATTEMPTS = 16
 
 StartCost = Callable[[Minion], tuple[float, ...] | None]
 
@@ -26,6 +30,7 @@
         self._claims: dict[TaskKey, Minion] = {}
         self._isolated: set[Minion] = set()
         self._allowance = 0
+        self._shared_limit = AttemptLimit(MAX_SHARED_ATTEMPTS)
 
     def is_claimed(self, minion: Minion) -> bool:
         """Return whether a minion is claimed for a suspected task."""
@@ -36,6 +41,7 @@
 
         :param pools: minions on which tasks may start, by service
         """
+        self._shared_limit.begin_round()
         tested_incarnations = set()
         waiting_keys = set()
         for suspect in self._suspicion.suspects:
@@ -113,6 +119,37 @@
         self._isolated.add(best)
         return best
 
+    def choose_shared(
+        self, key: TaskKey, pool: Sequence[Minion], start_cost: StartCost, now: float
+    ) -> Minion | None:
+        """Return the minion on which a suspected task starts beside others, and isolate it.
+
+        Such tasks are spread over all minions, so that a crash is held against few of them.
+
+        :param start_cost: returns the cost of the start on a minion, None where it is not allowed
+        """
+        if not self._shared_limit.allows(key):
+            return None
+        self._shared_limit.record(key)
+        best: Minion | None = None
+        best_rank: tuple[float, ...] = ()
+        for minion in pool:
+            if not minion.is_answering or key in minion.runs or start_cost(minion) is None:
+                continue
+            suspect_count = sum(
+                not run.is_proven and self._suspicion.is_suspected(run.key)
+                for run in minion.runs.values()
+            )
+            rank = (float(suspect_count), _work_at_risk(minion, now), minion.facts.born_ms)
+            if best is None or rank < best_rank:
+                best, best_rank = minion, rank
+        if best is not None:
+            # A minion that the task had claimed stays isolated until the round ends, since another
+            # one may have started there.
+            self._claims.pop(key, None)
+            self._isolated.add(best)
+        return best
+
     def drop_claim(self, key: TaskKey) -> None:
         """Drop the claim of a task, if any."""
         minion = self._claims.pop(key, None)
--- a/dotterelhill/jobs/crashes/suspicion.py
+++ b/dotterelhill/jobs/crashes/suspicion.py
@@ -38,8 +38,10 @@
 MAX_SILENCES = 512
 # Other tasks of the job of a suspected task wait for at most this time.
 MAX_HELD_SECONDS = 5.0
-# A suspected gang that finds no minions of its own starts like other gangs after this time.
-GANG_ISOLATION_SECONDS = 2.0
+# A suspected task or gang that finds no minion of its own for this time after a crash starts beside
+# others: a crash of the platform can leave more suspects than there are minions to test them on,
+# and a job may wait for at most 3 s while there is room for it.
+ISOLATION_SECONDS = 2.0
 
 OccurrenceStep = tuple[int, int]
 
@@ -308,6 +310,19 @@
                 return []
         return waiting[:1]
 
+    def overdue_tasks(
+        self, job: Job, occurrence_step: OccurrenceStep, keys: Sequence[TaskKey], now: float
+    ) -> list[TaskKey]:
+        """Return the tasks to test that have waited for a minion of their own for long enough.
+
+        The wait of all suspected tasks of a job begins anew with each crash under one of them.
+        """
+        suspects = self._by_job.get(job.job_id, {})
+        crashed_at = max((suspect.crashed_at for suspect in suspects.values()), default=now)
+        if now - crashed_at < ISOLATION_SECONDS:
+            return []
+        return self.tasks_to_test(job, occurrence_step, keys)
+
     def open_tasks(
         self, job: Job, occurrence_step: OccurrenceStep, keys: list[TaskKey], now: float
     ) -> list[TaskKey]:
@@ -326,7 +341,7 @@
         suspects: Mapping[TaskKey, Suspect], keys: Sequence[TaskKey], now: float
     ) -> bool:
         for key in keys:
-            if key in suspects and now - suspects[key].crashed_at < GANG_ISOLATION_SECONDS:
+            if key in suspects and now - suspects[key].crashed_at < ISOLATION_SECONDS:
                 return False
         return True
 
--- a/dotterelhill/jobs/placement/placement.py
+++ b/dotterelhill/jobs/placement/placement.py
@@ -516,6 +516,7 @@
         def start_cost(minion: Minion) -> tuple[float, ...] | None:
             return self._start_cost(job, step, occurrence_step, minion, now, 0.0)
 
+        overdue = set(self._suspicion.overdue_tasks(job, occurrence_step, keys, now))
         for key in self._suspicion.tasks_to_test(job, occurrence_step, keys):
             if not self._limits.allows(job.submission.tenant, step):
                 self._isolation.drop_claim(key)
@@ -523,6 +524,8 @@
             if self._remaining_starts <= 0:
                 return
             minion = self._isolation.choose(key, pool, start_cost, now)
+            if minion is None and key in overdue:
+                minion = self._isolation.choose_shared(key, pool, start_cost, now)
             if minion is not None:
                 keys.remove(key)
                 self._remaining_starts -= 1
--- a/dotterelhill/jobs/tests/start_bound.feature
+++ b/dotterelhill/jobs/tests/start_bound.feature
@@ -9,3 +9,36 @@
     And 15 seconds pass while the waits of jobs are measured
     Then no job with a task to start had nothing assigned for more than 3 seconds
     And job "f" is shown as "completed"
+
+  Scenario: suspected tasks wait one after the other for the few minions on which they may be alone
+    Given a fleet of 8 minions of 32 processors that may crash
+    And 48 jobs of 1 task of 1 processors each
+    When 0.1 seconds pass while the waits of jobs are measured
+    And every minion with runs that are not proven crashes
+    And 20 seconds pass while the waits of jobs are measured
+    Then no job with a task to start had nothing assigned for more than 3 seconds
+
+  Scenario: suspected lasting tasks wait one after the other for the few minions on which they may be alone
+    Given a fleet of 8 minions of 32 processors that may crash
+    And 64 jobs of 1 lasting task of 1 processors each
+    When 0.1 seconds pass while the waits of jobs are measured
+    And every minion with runs that are not proven crashes
+    And 20 seconds pass while the waits of jobs are measured
+    Then no job with a task to start had nothing assigned for more than 3 seconds
+
+  Scenario: waves of crashes leave more suspected tasks than there are minions to test them on
+    Given a fleet of 12 minions of 32 processors that may crash
+    And 80 jobs of 1 lasting task of 1 processors each
+    When 0.1 seconds pass while the waits of jobs are measured
+    And 3 times, every minion with runs that are not proven crashes and 2.2 seconds pass
+    And 10 seconds pass while the waits of jobs are measured
+    Then no job with a task to start had nothing assigned for more than 3 seconds
+
+  Scenario: innocent tasks that are tested beside a deadly one are given up
+    Given a fleet of 8 minions of 32 processors that may crash
+    And 48 jobs of 1 task of 1 processors each
+    And deadly job "x" of 1 task of 1 processors
+    When 30 seconds pass while the waits of jobs are measured
+    Then no deadly task was started more than twice after 3 crashes
+    And job "x" is shown as "failed"
+    And all jobs but "x" are shown as "completed"
--- a/dotterelhill/jobs/tests/steps/start_bound_steps.py
+++ b/dotterelhill/jobs/tests/steps/start_bound_steps.py
@@ -96,6 +96,23 @@
         context.fleet.crash(name)
 
 
+@when(
+    r"(?P<times>\d+) times, every minion with runs that are not proven crashes "
+    r"and (?P<seconds>[\d.]+) seconds pass"
+)
+def crash_in_waves(context, times, seconds):
+    fleet = context.fleet
+    for _ in range(int(times)):
+        unproven = {
+            minion.minion_id
+            for minion in fleet.scheduler.minions.values()
+            if any(not run.is_proven for run in minion.runs.values())
+        }
+        for name in unproven:
+            fleet.crash(name)
+        run_and_measure_waits(fleet, float(seconds))
+
+
 @when(r"(?P<seconds>[\d.]+) seconds pass while the waits of jobs are measured")
 def measure_waits(context, seconds):
     run_and_measure_waits(context.fleet, float(seconds))
