Let a suspected filler start where no minion has headroom for it

What callers saw: a job of one filler whose minion had crashed just after the start never ran again, on a fleet that was mostly idle, while serving tasks left no headroom on any minion. Cause: a suspected task could start only through isolation, which asks for headroom like any other start of a filler. The start without headroom, which bounds the wait of other fillers, passed over suspected tasks. The suspicion is stored and ends only with a run that survives, so that neither a change of the leader nor later crashes of minions ended the wait. Change: a suspected filler that has been overdue for a test on a minion of its own waits as other fillers do: it may hold a claim and be forced to start.

--- a/dotterelhill/jobs/crashes/suspicion.py
+++ b/dotterelhill/jobs/crashes/suspicion.py
@@ -326,15 +326,23 @@
     def open_tasks(
         self, job: Job, occurrence_step: OccurrenceStep, keys: list[TaskKey], now: float
     ) -> list[TaskKey]:
-        """Return the waiting tasks of a step that may start beside other runs."""
+        """Return the waiting tasks of a step that may start beside other runs.
+
+        Suspected fillers are among them once they are overdue. Where no minion has headroom for a
+        filler, isolation finds none either, and only a forced start does.
+        """
         suspects = self._by_job.get(job.job_id)
         if suspects is None:
             return keys
-        if job.submission.steps[occurrence_step[1]].is_gang:
+        step = job.submission.steps[occurrence_step[1]]
+        if step.is_gang:
             return keys if self._may_gang_start(suspects, keys, now) else []
+        overdue: set[TaskKey] = set()
+        if step.is_filler:
+            overdue.update(self.overdue_tasks(job, occurrence_step, keys, now))
         if _is_held(job, suspects, occurrence_step, now):
-            return []
-        return [key for key in keys if key not in suspects]
+            return [key for key in keys if key in overdue]
+        return [key for key in keys if key not in suspects or key in overdue]
 
     @staticmethod
     def _may_gang_start(
--- a/dotterelhill/jobs/tests/start_bound.feature
+++ b/dotterelhill/jobs/tests/start_bound.feature
@@ -42,3 +42,24 @@
     Then no deadly task was started more than twice after 3 crashes
     And job "x" is shown as "failed"
     And all jobs but "x" are shown as "completed"
+
+  Scenario: a filler that may have crashed its minion never starts while serving tasks leave no headroom
+    Given a fleet of 4 minions of 32 processors that may crash
+    And a serving task on each minion that leaves no headroom for fillers of unknown effect
+    And crashed minions are down for 30 seconds
+    And job "f" of 1 filler of 7 processors that takes headroom
+    When the minion of job "f" crashes as soon as its task has started
+    And 15 seconds pass while the waits of jobs are measured
+    Then no job with a task to start had nothing assigned for more than 3 seconds
+    And job "f" is shown as "completed"
+
+  Scenario: a wave of crashes under fillers that were forced to start leaves them suspected and waiting
+    Given a fleet of 8 minions of 32 processors that may crash
+    And a serving task on each minion that leaves no headroom for fillers of unknown effect
+    And crashed minions are down for 30 seconds
+    And tasks of 60 seconds of work
+    And 12 jobs of 1 filler of 3 processors that take headroom
+    When 8.2 seconds pass with crashes
+    And 4 minions that run fillers crash
+    And 15 seconds pass while the waits of jobs are measured
+    Then no job with a task to start had nothing assigned for more than 3 seconds
--- a/dotterelhill/jobs/tests/steps/start_bound_steps.py
+++ b/dotterelhill/jobs/tests/steps/start_bound_steps.py
@@ -68,6 +68,30 @@
         )
 
 
+@given(r"(?P<count>\d+) jobs of 1 filler of (?P<cpu>\d+) processors that take headroom")
+def submit_fillers_that_take_headroom(context, count, cpu):
+    for number in range(int(count)):
+        context.fleet.submit(f"filler{number}", (filler(int(cpu)),), "long")
+
+
+@given(r"tasks of (?P<seconds>\d+) seconds of work")
+def set_work_seconds(context, seconds):
+    context.fleet.work_seconds = float(seconds)
+
+
+@when(r"(?P<count>\d+) minions that run fillers crash")
+def crash_filler_minions(context, count):
+    fleet = context.fleet
+    names = [
+        minion.minion_id
+        for minion in fleet.scheduler.minions.values()
+        if any(run.step.is_filler for run in minion.runs.values())
+    ]
+    assert len(names) >= int(count), names
+    for name in names[: int(count)]:
+        fleet.crash(name)
+
+
 @given(r"(?P<count>\d+) jobs of 1 (?P<kind>task|lasting task) of (?P<cpu>\d+) processors each")
 def submit_single_task_jobs(context, count, kind, cpu):
     step = Step(1, ResourceVector(1000 * int(cpu), 100), 1.0, is_lasting=kind == "lasting task")
