Release the task of an ended run before anything is learned from it

What callers saw: a fault of this class was seen before, when a run of less than a millisecond made an estimate fail: its job never ended, although the minion had reported the end. Cause: an end counted as processed before it was processed, and durations were learned between the detachment of the run and the release of its task. An error in between left a task assigned to a run that no longer exists. Nothing releases it while this leader lives, not even the loss of the minion, and as long as a task of a job counts as assigned, no filler of the job is forced to start. Change: the task is released and waits again first, durations and failures are recorded last, and an end counts as processed when all that is done. A second attempt has no further effect. The record of a machine's speed now also counts runs that end done after their job has ended; the comparison of stragglers no longer keeps an entry for such jobs. Measured: two scenarios in which an estimate raises an error once failed before, with the job shown as running after 3 s, and pass now.

--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -520,8 +520,9 @@
         for end in report.ended:
             if end.number <= minion.processed_end:
                 continue
-            minion.processed_end = end.number
+            # An end that could not be processed to the end is in the next report again.
             self._process_end(minion, end, now)
+            minion.processed_end = end.number
         present = self._process_running(minion, report, now)
         is_complete_list = len(report.ended) < END_LIST_LIMIT
         if is_complete_list and not minion.runs.keys() <= present:
@@ -652,14 +653,27 @@
                     self._release_run(minion, run, now, "not in the minion's report")
 
     def _process_end(self, minion: Minion, end: EndReport, now: float) -> None:
-        """Process a reported end of a run."""
+        """Process a reported end of a run; a repeated call has no effect."""
         if end.key is None:
             return
         run = self._detach_ended_run(minion, end.key, end)
-        planned_at = run.planned_at if run is not None else None
         job = self._jobs.get(end.key.job_id)
         if job is None or not 0 <= end.key.step < len(job.submission.steps):
             return
+        self._process_task_end(job, run, minion, end, now)
+        if run is not None and end.kind is EndKind.DONE:
+            # Last, since an error here must not leave the task assigned to a run that is gone.
+            self._learn_duration(job, run, minion, now)
+
+    def _process_task_end(
+        self, job: Job, run: Run | None, minion: Minion, end: EndReport, now: float
+    ) -> None:
+        """Release the task of a run that has ended, and let it run again unless it is done.
+
+        :param run: the run; None if it was not attached to the minion
+        """
+        assert end.key is not None
+        planned_at = run.planned_at if run is not None else None
         task = job.task(end.key)
         assignment = task.assignment_of(minion.minion_id, end.run_id)
         is_current = run is not None or assignment is not None
@@ -674,37 +688,42 @@
         if end.checkpoint and (assignment is None or not assignment.is_copy):
             task.checkpoint = end.checkpoint
         step = job.submission.steps[end.key.step]
-        match end.kind:
-            case EndKind.DONE if not step.is_lasting:
-                self._uneven.record_done(job, run, minion, now)
-                self._process_success(job, task, now)
-                return
-            case EndKind.FAILED if is_current:
-                self._process_failure(job, task, minion, planned_at, now)
-        if is_current and job.state not in FINAL_STATES:
-            if task.idle_since is None:
-                task.idle_since = now
+        if end.kind is EndKind.DONE and not step.is_lasting:
+            self._process_success(job, task, now)
+            return
+        if not is_current:
+            return
+        if task.idle_since is None:
+            task.idle_since = now
+        self._requeue(job, task)
+        if end.kind is EndKind.FAILED:
+            self._process_failure(job, task, minion, planned_at, now)
+        if job.state not in FINAL_STATES:
             self._record_decision(
                 "run ended", job.job_id, task=str(end.key), run=end.run_id, how=str(end.kind),
                 minion=minion.minion_id, kind=step.kind,
             )  # fmt: skip
-            self._requeue(job, task)
 
     def _detach_ended_run(self, minion: Minion, key: TaskKey, end: EndReport) -> Run | None:
-        """Detach the run that ended and learn its duration; return None if it is not attached."""
+        """Detach the run that ended; return None if it is not attached."""
         run = minion.runs.get(key)
         if run is None or run.run_id != end.run_id:
             return None
         minion.detach(run)
         self._interference.remove_run(run)
-        job = self._jobs.get(key.job_id)
-        if job is not None and end.kind is EndKind.DONE:
-            self._durations.record_end(job.submission.queue.name, run, minion)
-            self._stragglers.record_done(run, minion)
-            if self._shortage is not None:
-                self._shortage.record_done(job.submission.queue.name, run, minion)
         return run
 
+    def _learn_duration(self, job: Job, run: Run, minion: Minion, now: float) -> None:
+        """Learn from the duration of a run that ended done."""
+        queue = job.submission.queue.name
+        self._durations.record_end(queue, run, minion)
+        if not job.is_ended:
+            self._stragglers.record_done(run, minion)
+        if self._shortage is not None:
+            self._shortage.record_done(queue, run, minion)
+        if not run.step.is_lasting:
+            self._uneven.record_done(job, run, minion, now)
+
     def _process_success(self, job: Job, task: Task, now: float) -> None:
         """Mark a task as done; for a gang, mark all its tasks and stop the others."""
         step = job.submission.steps[task.key.step]
--- a/dotterelhill/jobs/tests/start_bound.feature
+++ b/dotterelhill/jobs/tests/start_bound.feature
@@ -63,3 +63,19 @@
     And 4 minions that run fillers crash
     And 15 seconds pass while the waits of jobs are measured
     Then no job with a task to start had nothing assigned for more than 3 seconds
+
+  Scenario: an error while the duration of a run is learned leaves its task assigned for ever
+    Given a fleet of 2 minions of 8 processors that may crash
+    And innocent job "a" of 1 task of 1 processors
+    When 0.5 seconds pass with crashes
+    And the task of job "a" ends as "done" and its duration can't be learned
+    And 3.0 seconds pass with crashes
+    Then job "a" is shown as "completed"
+
+  Scenario: an error while a failed run is counted keeps its task from starting again
+    Given a fleet of 2 minions of 8 processors that may crash
+    And innocent job "a" of 1 task of 1 processors
+    When 0.5 seconds pass with crashes
+    And the task of job "a" ends as "failed" and its failure can't be counted
+    And 3.0 seconds pass with crashes
+    Then job "a" is shown as "completed"
--- a/dotterelhill/jobs/tests/steps/start_bound_steps.py
+++ b/dotterelhill/jobs/tests/steps/start_bound_steps.py
@@ -1,7 +1,10 @@
 from __future__ import annotations
 
+from unittest.mock import patch
+
 from behave import given, then, use_step_matcher, when
 
+from dotterelhill.jobs.fleet import EndKind
 from dotterelhill.jobs.model import Step, TaskKey
 from dotterelhill.jobs.resources import ResourceVector
 from dotterelhill.jobs.tests.crash_world import ROUND_SECONDS, CrashWorld
@@ -152,3 +155,26 @@
         if waited > float(seconds) + ROUND_SECONDS / 2 and not job_id.startswith("stuck")
     }
     assert not too_long, too_long
+
+
+@when(
+    r'the task of job "(?P<job>\w+)" ends as "(?P<kind>\w+)" and '
+    r"its (?P<part>duration can't be learned|failure can't be counted)"
+)
+def end_with_error(context, job, kind, part):
+    """End a task; the report of its end raises an error once, as the leader sees it."""
+    fleet, key = context.fleet, TaskKey(job, 0, 0, 0)
+    name = fleet.minion_running(key)
+    fleet.end(name, key, EndKind(kind))
+    scheduler = fleet.scheduler
+    if part.startswith("duration"):
+        patched = patch.object(scheduler.durations, "record_end", side_effect=ZeroDivisionError)
+    else:
+        patched = patch.object(scheduler.uneven, "record_failure", side_effect=ZeroDivisionError)
+    with patched:
+        try:
+            fleet.poll()
+        except ZeroDivisionError as error:
+            scheduler.mark_minion_silent(scheduler.minions[name], repr(error), fleet.now)
+        else:
+            raise AssertionError("no error was raised")
