Take a report without a run that was present as proof whether or not its stop is answered

What callers saw: a task whose run was ordered to stop did not start again for as long as the stop got no answer, if the run was gone by the next report and its end was not listed (an earlier leader had acknowledged it). Cause: a stop order reset the time from which a report without the run proves its absence. That time was set again only by an answer to the stop or by a report that still listed the run. The lease of the minion is renewed meanwhile, so there was no bound. Change: the time is kept for a run that was present. A minion rejects a late start order of a run that has ended there, so that a stop is needed only for runs that were never seen.

--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -949,8 +949,11 @@
             self._release_run(minion, run, now, "stopped before its start order was sent")
             return
         if run.state is not RunState.STOPPING:
+            # No late start order can follow a run that was present, so a report without it proves
+            # its absence whether or not the stop is answered.
+            if run.state is not RunState.PRESENT:
+                run.settled_at = None
             run.state = RunState.STOPPING
-            run.settled_at = None
         if run.stop_sent_at is not None and now - run.stop_sent_at < STOP_RETRY_SECONDS:
             return
         run.stop_sent_at = now
--- a/dotterelhill/jobs/tests/start_bound.feature
+++ b/dotterelhill/jobs/tests/start_bound.feature
@@ -79,3 +79,26 @@
     And the task of job "a" ends as "failed" and its failure can't be counted
     And 3.0 seconds pass with crashes
     Then job "a" is shown as "completed"
+
+  Scenario: a run that is gone keeps its task from starting while no stop order is answered
+    Given a fleet of 3 minions of 32 processors that may crash
+    And stop orders are neither answered nor carried out
+    And innocent job "b" of 1 lasting task of 1 processors
+    When 1 seconds pass with crashes
+    And the minion of job "b" drains
+    And 0.1 seconds pass with crashes
+    And the run of job "b" is gone without a listed end
+    And 5 seconds pass while the waits of jobs are measured
+    Then job "b" runs in full
+
+  Scenario: a stop order that was never answered outlives the minion that is gone
+    Given a fleet of 3 minions of 32 processors that may crash
+    And crashed minions are down for 60 seconds
+    And stop orders are neither answered nor carried out
+    And innocent job "b" of 1 lasting task of 1 processors
+    When 1 seconds pass with crashes
+    And the minion of job "b" drains
+    And 0.5 seconds pass with crashes
+    And the minion of job "b" crashes
+    And 7.5 seconds pass while the waits of jobs are measured
+    Then job "b" runs in full
--- a/dotterelhill/jobs/tests/steps/start_bound_steps.py
+++ b/dotterelhill/jobs/tests/steps/start_bound_steps.py
@@ -178,3 +178,55 @@
             scheduler.mark_minion_silent(scheduler.minions[name], repr(error), fleet.now)
         else:
             raise AssertionError("no error was raised")
+
+
+@given(r"stop orders are neither answered nor carried out")
+def lose_stops(context):
+    context.fleet.carry_out_stops = lambda: None
+
+
+@when(r'the minion of job "(?P<job>\w+)" drains')
+def drain_minion_of(context, job):
+    fleet = context.fleet
+    name = fleet.minion_running(TaskKey(job, 0, 0, 0))
+    fleet.list_minion(name, fleet.facts[name].capacity.cpu, is_draining=True)
+
+
+@when(r'the run of job "(?P<job>\w+)" is gone without a listed end')
+def lose_run(context, job):
+    fleet = context.fleet
+    key = TaskKey(job, 0, 0, 0)
+    del fleet.running[fleet.minion_running(key)][key]
+
+
+@given(
+    r'a minion "(?P<name>\w+)" of (?P<cpu>\d+) processors with label "(?P<label>\w+)" '
+    r"that may crash"
+)
+def list_labelled_minion(context, name, cpu, label):
+    context.fleet.list_minion(name, 1000 * int(cpu), labels=(label, "r1"))
+
+
+@given(
+    r'job "(?P<job>\w+)" of a task that requires label "(?P<label>\w+)" and of '
+    r"(?P<count>\d+) tasks that follow a task elsewhere"
+)
+def submit_job_with_label(context, job, label, count):
+    room = ResourceVector(1000, 100)
+    steps = (
+        Step(1, room, 1.0, required_label=label),
+        Step(1, room, 1.0, required_label="a"),
+        Step(int(count), room, 1.0, after=(1,)),
+    )
+    context.fleet.submit(job, steps)
+
+
+@when(r'the minion "(?P<name>\w+)" crashes as soon as a run starts there')
+def crash_named_at_start(context, name):
+    fleet = context.fleet
+    for _ in range(100):
+        fleet.run_crash_round()
+        if fleet.running[name]:
+            fleet.crash(name)
+            return
+    raise AssertionError(f"nothing has started on {name}")
