Hold the other tasks of a job only while its suspected task is under test

What callers saw: a job had nothing running for 4.2 s on an idle fleet, although a task of it could start on any minion, after the only minion with a label had crashed under another task of the job. Cause: after a crash, the other tasks of the job of a suspected task are held for up to 5 s, so that they are not lost with it. They were held as well while the suspected task could not be tested, because no minion was left that may run it. Change: a test that has not begun after 2 s, when suspected tasks start beside others, holds no tasks any longer.

--- a/dotterelhill/jobs/crashes/suspicion.py
+++ b/dotterelhill/jobs/crashes/suspicion.py
@@ -36,7 +36,7 @@
 # Several tasks may each crash a minion at the same moment, so one other silent minion is no sign.
 MIN_OTHER_SILENT_MINIONS = 2
 MAX_SILENCES = 512
-# Other tasks of the job of a suspected task wait for at most this time.
+# Other tasks of the job of a suspected task wait for at most this time, while it is under test.
 MAX_HELD_SECONDS = 5.0
 # A suspected task or gang that finds no minion of its own for this time after a crash starts beside
 # others: a crash of the platform can leave more suspects than there are minions to test them on,
@@ -367,8 +367,12 @@
 def _is_held(
     job: Job, suspects: Mapping[TaskKey, Suspect], occurrence_step: OccurrenceStep, now: float
 ) -> bool:
-    """Return whether the other tasks of a step wait for the test of a suspected task."""
+    """Return whether the other tasks of a step wait for the test of a suspected task.
+
+    They don't wait longer for a test that has not begun, since no minion may have room for it.
+    """
     for suspect in suspects.values():
-        if suspect.is_open and now - suspect.crashed_at < MAX_HELD_SECONDS:
+        limit_seconds = MAX_HELD_SECONDS if suspect.is_tested else ISOLATION_SECONDS
+        if suspect.is_open and now - suspect.crashed_at < limit_seconds:
             return not _has_survivor(job, occurrence_step)
     return False
--- a/dotterelhill/jobs/tests/start_bound.feature
+++ b/dotterelhill/jobs/tests/start_bound.feature
@@ -102,3 +102,13 @@
     And the minion of job "b" crashes
     And 7.5 seconds pass while the waits of jobs are measured
     Then job "b" runs in full
+
+  Scenario: tasks of a job wait for the test of another one of it that no minion can run
+    Given a fleet of 3 minions of 32 processors that may crash
+    And crashed minions are down for 60 seconds
+    And a minion "special" of 32 processors with label "rare" that may crash
+    And tasks of 7 seconds of work
+    And job "a" of a task that requires label "rare" and of 4 tasks that follow a task elsewhere
+    When the minion "special" crashes as soon as a run starts there
+    And 12 seconds pass while the waits of jobs are measured
+    Then no job with a task to start had nothing assigned for more than 3 seconds
