Set a service aside for 2.5 s at most when runs fail on half of its minions

What callers saw: a job waited for 3.8 s on an idle fleet after the tasks of another one, cancelled by then, had failed on all minions. Cause: a minion on which three runs fail within 3 s gets no short tasks or fillers for 4 s. A job whose tasks all fail sets aside each minion that it reaches, and nothing bounded the share of a service that is set aside. Change: where several minions, at least half of a service, are set aside, the cause may lie in the tasks, and the time ends after 2.5 s. A single failing minion stays set aside for 4 s, as before.

--- a/dotterelhill/jobs/minions/health.py
+++ b/dotterelhill/jobs/minions/health.py
@@ -12,6 +12,9 @@
 FAILURE_WINDOW_SECONDS = 3.0
 FAILURES_TO_SET_ASIDE = 3
 SET_ASIDE_SECONDS = 4.0
+# Where several minions, at least half of a service, are set aside, the cause may lie in the tasks,
+# and other jobs may wait for at most 3 s while there is room for them.
+COMMON_SET_ASIDE_SECONDS = 2.5
 # A lasting task may use up any number of attempts, so it is tried on a minion that is set aside
 # rather than left waiting, once in this time.
 TRIAL_INTERVAL_SECONDS = 1.0
@@ -54,6 +57,11 @@
             return Exclusion.REFUSING
         return Exclusion.SET_ASIDE if now < self._set_aside_until else None
 
+    def shorten_set_aside(self) -> None:
+        """Let the time set aside end after ``COMMON_SET_ASIDE_SECONDS``."""
+        until = self._set_aside_at + COMMON_SET_ASIDE_SECONDS
+        self._set_aside_until = min(self._set_aside_until, until)
+
     def is_trial_due(self, now: float) -> bool:
         """Return whether a lasting task may be tried on the minion while it is set aside."""
         return now >= self._next_trial_at
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -988,6 +988,7 @@
             if self._shortage.update(ranked, minions, now, unix_ms):
                 self._placement.rank_anew()
             self._decisions.extend(self._shortage.take_decisions())
+        self._shorten_common_set_asides(now)
         usable = []
         for_trial = []
         for minion in self._minions.values():
@@ -1014,6 +1015,21 @@
             for run in self._interference.runs_to_move(minion, now):
                 self._stop(minion, run, now)
 
+    def _shorten_common_set_asides(self, now: float) -> None:
+        """End sooner the time for which several minions, half of a service or more, get no runs."""
+        sizes: dict[str, int] = {}
+        set_aside: dict[str, list[Minion]] = {}
+        for minion in self._minions.values():
+            service = minion.facts.service
+            sizes[service] = sizes.get(service, 0) + minion.is_listed
+            if minion.is_listed and minion.health.exclusion(now) is Exclusion.SET_ASIDE:
+                set_aside.setdefault(service, []).append(minion)
+        for service, members in set_aside.items():
+            # The failures of a single minion say nothing about others.
+            if len(members) > 1 and 2 * len(members) >= sizes[service]:
+                for minion in members:
+                    minion.health.shorten_set_aside()
+
     def _reclaim_capacity(self, usable: Sequence[Minion], now: float, unix_ms: int) -> None:
         """Pause and stop fillers of tenants above their share for tenants below theirs."""
         actions = self._reclaim.update(
--- a/dotterelhill/jobs/tests/start_bound.feature
+++ b/dotterelhill/jobs/tests/start_bound.feature
@@ -112,3 +112,14 @@
     When the minion "special" crashes as soon as a run starts there
     And 12 seconds pass while the waits of jobs are measured
     Then no job with a task to start had nothing assigned for more than 3 seconds
+
+  Scenario: tasks wait although the whole fleet is idle, since other tasks failed on all minions
+    Given a fleet of 2 minions of 8 processors that may crash
+    And innocent job "x" of 8 tasks of 2 processors
+    When 0.2 seconds pass with crashes
+    And all tasks of job "x" end as "failed"
+    And 0.1 seconds pass with crashes
+    And job "x" is cancelled
+    And innocent job "a" of 1 task of 1 processors comes
+    And 6 seconds pass while the waits of jobs are measured
+    Then no job with a task to start had nothing assigned for more than 3 seconds
