Play random waves of crashes and check that no task waits without a bound

Each history has fillers without headroom, jobs that no minion can run, waves that crash a third or half of the minions, and new leaders; then all is calm. Within 3 s, a job whose turn has come must run while the fleet is under half used, and in every round each task that is assigned to a listed minion has a run there.

--- a/dotterelhill/jobs/tests/start_bound.feature
+++ b/dotterelhill/jobs/tests/start_bound.feature
@@ -158,3 +158,14 @@
     When 1 seconds pass with crashes
     And 3 times, the minion of job "t" crashes, a new leader takes over and 9 seconds pass
     Then job "t" runs in full
+
+  Scenario Outline: after waves of crashes a task waits without a bound, or is assigned to no run
+    When histories with waves of crashes and new leaders are played with seeds <first> to <last>
+    Then in none of them a job waited for more than 3 seconds once all was calm
+    And in none of them a task was assigned to a run that no minion has, or the reverse
+
+    Examples:
+      | first | last |
+      | 1     | 10   |
+      | 15    | 15   |
+      | 34    | 34   |
--- a/dotterelhill/jobs/tests/steps/start_bound_steps.py
+++ b/dotterelhill/jobs/tests/steps/start_bound_steps.py
@@ -9,6 +9,7 @@
 from dotterelhill.jobs.queues import Tenant
 from dotterelhill.jobs.resources import ResourceVector
 from dotterelhill.jobs.tests.crash_world import ROUND_SECONDS, CrashWorld
+from dotterelhill.jobs.tests.wave_world import play_waves
 
 use_step_matcher("re")
 
@@ -263,3 +264,34 @@
         fleet.crash(fleet.minion_running(TaskKey(job, 0, 0, 0)))
         fleet.take_over()
         fleet.run_seconds(float(seconds))
+
+
+@when(
+    r"histories with waves of crashes and new leaders are played "
+    r"with seeds (?P<first>\d+) to (?P<last>\d+)"
+)
+def play_histories(context, first, last):
+    seeds = range(int(first), int(last) + 1)
+    context.histories = {seed: play_waves(seed) for seed in seeds}
+
+
+@then(r"in none of them a job waited for more than (?P<seconds>[\d.]+) seconds once all was calm")
+def check_calm_waits(context, seconds):
+    too_long = {}
+    for seed, history in context.histories.items():
+        waits = {
+            job_id: round(waited, 1)
+            for job_id, waited in history.longest_waits.items()
+            if waited > float(seconds) + ROUND_SECONDS / 2
+        }
+        if waits:
+            too_long[seed] = waits
+    assert all(history.crash_count > 0 for history in context.histories.values())
+    assert not too_long, too_long
+
+
+@then(r"in none of them a task was assigned to a run that no minion has, or the reverse")
+def check_consistency(context):
+    found = {seed: one.inconsistent[:3] for seed, one in context.histories.items()}
+    found = {seed: inconsistent for seed, inconsistent in found.items() if inconsistent}
+    assert not found, found
