--- a/dotterelhill/jobs/crashes/suspicion.py
+++ b/dotterelhill/jobs/crashes/suspicion.py
@@ -36,10 +36,14 @@
 # Several tasks may each crash a minion at the same moment, so one other silent minion is no sign.
 MIN_OTHER_SILENT_MINIONS = 2
 MAX_SILENCES = 512
-# Other tasks of the job of a suspected task wait for at most this time.
+# Other tasks of the job of a suspected task wait for at most this time, while it is under test.
 MAX_HELD_SECONDS = 5.0
-# A suspected gang that finds no minions of its own starts like other gangs after this time.
-GANG_ISOLATION_SECONDS = 2.0
+# A suspected task or gang that finds no minion of its own for this time after a crash starts beside
+# others: a crash of the platform can leave more suspects than there are minions to test them on,
+# and a job may wait for at most 3 s while there is room for it.
+ISOLATION_SECONDS = 2.0
+# A task that was lost with more minions, or with two for certain, starts alone only.
+MAX_SHARED_CRASHES = 2
 
 OccurrenceStep = tuple[int, int]
 
@@ -62,6 +66,12 @@
         """Return whether a run may be present that is not proven."""
         return self.task.is_assigned and not self.task.is_proven
 
+    @property
+    def may_share(self) -> bool:
+        """Return whether a test beside other runs is worth the crash that it may cause."""
+        certain_crashes = self.task.crashes - self.task.doubtful_crashes
+        return certain_crashes < MIN_CERTAIN_CRASHES and self.task.crashes <= MAX_SHARED_CRASHES
+
     @property
     def is_open(self) -> bool:
         """Return whether the newest run has not shown that it leaves its minion alive."""
@@ -87,10 +97,12 @@
 
     :param suspects: runs that count the crash
     :param is_of_one_job: whether only one job can have caused the crash, unless the platform did
+    :param is_shared: whether suspected tasks of several jobs were tested on the minion
     """
 
     suspects: tuple[Run, ...]
     is_of_one_job: bool
+    is_shared: bool = False
 
 
 class Presence(Enum):
@@ -229,7 +241,8 @@
     ) -> Suspect | None:
         """Count a crash of a minion against a task.
 
-        :param is_doubtful: whether the run may not have been present, or the minion not crashed
+        :param is_doubtful: whether the run may not have been present, the minion not crashed, or a
+            suspected task of another job may have crashed it
         :param is_inherited: whether an earlier leader started the run
         :returns: the task if it is suspected from now on; None after a first crash that is
             inherited
@@ -278,6 +291,7 @@
         # A task that was already suspected started alone, so it is the likelier cause. A start that
         # was sent to a silent minion is the least likely one.
         suspects = [run for run in unproven if self.is_suspected(run.key)]
+        is_shared = len({run.key.job_id for run in suspects}) > 1
         if not suspects and minion.silent_at is not None:
             suspects = [run for run in unproven if run.planned_at <= minion.silent_at]
         suspects = suspects or unproven
@@ -288,7 +302,7 @@
             if run.is_inherited:
                 # This leader can't know whether the run was proven to an earlier one.
                 is_of_one_job = False
-        return Crash(tuple(suspects), is_of_one_job)
+        return Crash(tuple(suspects), is_of_one_job, is_shared)
 
     def tasks_to_test(
         self, job: Job, occurrence_step: OccurrenceStep, keys: Sequence[TaskKey]
@@ -308,25 +322,48 @@
                 return []
         return waiting[:1]
 
+    def overdue_tasks(
+        self, job: Job, occurrence_step: OccurrenceStep, keys: Sequence[TaskKey], now: float
+    ) -> list[TaskKey]:
+        """Return the tasks to test that have waited for a minion of their own for long enough.
+
+        The wait of all suspected tasks of a job begins anew with each crash under one of them.
+        """
+        suspects = self._by_job.get(job.job_id, {})
+        crashed_at = max((suspect.crashed_at for suspect in suspects.values()), default=now)
+        if now - crashed_at < ISOLATION_SECONDS:
+            return []
+        return [
+            key for key in self.tasks_to_test(job, occurrence_step, keys) if suspects[key].may_share
+        ]
+
     def open_tasks(
         self, job: Job, occurrence_step: OccurrenceStep, keys: list[TaskKey], now: float
     ) -> list[TaskKey]:
-        """Return the waiting tasks of a step that may start beside other runs."""
+        """Return the waiting tasks of a step that may start beside other runs.
+
+        Suspected fillers are among them once they are overdue. Where no minion has headroom for a
+        filler, isolation finds none either, and only a forced start does.
+        """
         suspects = self._by_job.get(job.job_id)
         if suspects is None:
             return keys
-        if job.submission.steps[occurrence_step[1]].is_gang:
+        step = job.submission.steps[occurrence_step[1]]
+        if step.is_gang:
             return keys if self._may_gang_start(suspects, keys, now) else []
+        overdue: set[TaskKey] = set()
+        if step.is_filler:
+            overdue.update(self.overdue_tasks(job, occurrence_step, keys, now))
         if _is_held(job, suspects, occurrence_step, now):
-            return []
-        return [key for key in keys if key not in suspects]
+            return [key for key in keys if key in overdue]
+        return [key for key in keys if key not in suspects or key in overdue]
 
     @staticmethod
     def _may_gang_start(
         suspects: Mapping[TaskKey, Suspect], keys: Sequence[TaskKey], now: float
     ) -> bool:
         for key in keys:
-            if key in suspects and now - suspects[key].crashed_at < GANG_ISOLATION_SECONDS:
+            if key in suspects and now - suspects[key].crashed_at < ISOLATION_SECONDS:
                 return False
         return True
 
@@ -344,8 +381,12 @@
 def _is_held(
     job: Job, suspects: Mapping[TaskKey, Suspect], occurrence_step: OccurrenceStep, now: float
 ) -> bool:
-    """Return whether the other tasks of a step wait for the test of a suspected task."""
+    """Return whether the other tasks of a step wait for the test of a suspected task.
+
+    They don't wait longer for a test that has not begun, since no minion may have room for it.
+    """
     for suspect in suspects.values():
-        if suspect.is_open and now - suspect.crashed_at < MAX_HELD_SECONDS:
+        limit_seconds = MAX_HELD_SECONDS if suspect.is_tested else ISOLATION_SECONDS
+        if suspect.is_open and now - suspect.crashed_at < limit_seconds:
             return not _has_survivor(job, occurrence_step)
     return False
