Store the leases that a leader does not renew, so that takeovers don't add up

What callers saw: lasting tasks of minions that were lost near a change of the leader started again up to 17 s later, although there was room.

Cause: a new leader assumes that its predecessor renewed the leases of all minions until the end of its term. For a minion that the predecessor never reached, each takeover began the wait of up to 9.7 s anew.

Change: the leader stores how long the lease of each silent or unlisted minion with runs lasts at most, and extends it again only when a record without that minion is durable. The leader of the next term uses the earlier bound, and stores it again at once. It ignores the record of an older term, which later leaders may have outdated.

What remains: a minion that is lost less than 0.5 s before its leader, or after it, or while the leader can't store, has the bound of before. A minion that answers again while the store is silent for all has its lease renewed only when the store answers.

--- a/dotterelhill/control/election.py
+++ b/dotterelhill/control/election.py
@@ -69,7 +69,8 @@
     :param incarnation: incarnation id of this process
     :param peers: client for calls to other processes
     :param new_leader: creates the term of leadership after a successful claim, given the time until
-        which an earlier leader may renew leases
+        which an earlier leader may renew leases, and a reading of the clock of the leader before
+        this one or None
     :param clock: returns seconds
     :param processors: number of processors that the process may use; fractions are allowed
     :param linked_condition: returns the condition of the leader at an address, given with its
@@ -84,7 +85,7 @@
         leadership: Leadership,
         incarnation: str,
         peers: PeerClient,
-        new_leader: Callable[[float], Leader],
+        new_leader: Callable[[float, LeaderClock | None], Leader],
         clock: Callable[[], float],
         random: Random,
         processors: float = FULL_PROCESSORS,
@@ -249,7 +250,10 @@
         renewals_end = self._earlier_renewals_end(state, condition)
         self._leadership.settle_at(renewals_end)
         is_gone = condition is LeaderCondition.GONE
-        self._begin_term(renewals_end, None if is_gone else claim, is_settled=state.is_settled)
+        leader = self._new_leader(renewals_end, self._clock_of(claim))
+        self._begin_term(
+            leader, renewals_end, None if is_gone else claim, is_settled=state.is_settled
+        )
 
     def _earlier_renewals_end(self, state: LeadershipState, condition: LeaderCondition) -> float:
         """Return the time until which earlier leaders may renew leases after a claim made now."""
@@ -334,14 +338,16 @@
         self._loading.record(status.incarnation, status.loading_progress)
         return self._loading.refine(condition_in_term(status, incarnation, epoch))
 
-    def _begin_term(self, renewals_end: float, earlier: Claim | None, *, is_settled: bool) -> None:
+    def _begin_term(
+        self, leader: Leader, renewals_end: float, earlier: Claim | None, *, is_settled: bool
+    ) -> None:
         """Begin a term of leadership.
 
+        :param leader: the new term
         :param renewals_end: time until which earlier leaders may renew leases
         :param earlier: claim of the previous leader; None when its term has ended
         :param is_settled: whether no leader before the previous one can renew leases
         """
-        leader = self._new_leader(renewals_end)
         self._leader = leader
         confirmation: asyncio.Task[None] | None = None
         if earlier is not None:
--- a/dotterelhill/control/leader.py
+++ b/dotterelhill/control/leader.py
@@ -8,6 +8,7 @@
 from contextlib import suppress
 from dataclasses import dataclass
 from functools import partial
+from math import ceil
 from random import Random
 from typing import Any
 
@@ -29,7 +30,13 @@
     StoreSequenceError,
     Stream,
 )
-from dotterelhill.control.leadership import Leadership
+from dotterelhill.control.leadership import LeaderClock, Leadership
+from dotterelhill.control.lease_record import (
+    LEASES_KEY,
+    LeaseRecord,
+    decode_leases,
+    encode_leases,
+)
 from dotterelhill.control.loop_lag import LoopLag
 from dotterelhill.control.poll_window import FirstPollWindow
 from dotterelhill.control.relay_pool import RelayPool
@@ -63,6 +70,8 @@
 # contain no "@".
 MODEL_KEY = "@interference"
 MODEL_STORE_INTERVAL_SECONDS = 4.0
+# Longest age of the stored ends of leases while there are any.
+LEASES_STORE_INTERVAL_SECONDS = 1.0
 FENCED_WRITER = "leader"
 # Changes within this time are batched into one write; the store handles several hundred writes a
 # second.
@@ -129,9 +138,16 @@
 
     :param parts: dependencies of the leader
     :param renewals_end: time until which an earlier leader may renew the leases of runs
+    :param earlier_clock: reading of the clock of the leader before this one; None when there is
+        none
     """
 
-    def __init__(self, parts: LeaderParts, renewals_end: float) -> None:
+    def __init__(
+        self,
+        parts: LeaderParts,
+        renewals_end: float,
+        earlier_clock: LeaderClock | None = None,
+    ) -> None:
         self._parts = parts
         self._clock = parts.clock
         self._epoch = parts.leadership.epoch
@@ -141,6 +157,10 @@
         self._is_loaded = False
         self._is_store_failing = False
         self._model_stored_at = self._clock()
+        self._earlier_clock = earlier_clock
+        self._fenced_at = float("inf")
+        self._stored_leases: frozenset[str] = frozenset()
+        self._leases_stored_at = float("-inf")
         self._background: set[asyncio.Task[None]] = set()
         self._polled_minions: set[Minion] = set()
         self._first_polls = FirstPollWindow(parts.clock, parts.lag)
@@ -315,6 +335,7 @@
     async def _load(self) -> None:
         """Fence earlier leaders, then load the state that they have stored."""
         await self._append([])
+        self._fenced_at = self._clock()
         # A submission is stored before its progress. Reading the submissions after the progress
         # therefore finds the submission of each progress record.
         pages = PartialRead()
@@ -327,6 +348,8 @@
         for record in progress.records:
             if record.key == MODEL_KEY and record.value is not None:
                 self._load_model(record.value)
+            elif record.key == LEASES_KEY and record.value is not None:
+                self._load_leases(record.value)
             elif record.value is not None:
                 self._stored_progress[record.key] = record.value
         await _gather_or_cancel(
@@ -346,6 +369,20 @@
         except msgspec.MsgspecError as error:
             _log.warning("stored estimates can't be decoded", extra={"reason": str(error)})
 
+    def _load_leases(self, data: bytes) -> None:
+        """Apply the ends of leases that the leader before this one stored.
+
+        A record of an older term says nothing about the leases that later leaders granted.
+        """
+        try:
+            record = decode_leases(data)
+        except msgspec.MsgspecError as error:
+            _log.warning("stored leases can't be decoded", extra={"reason": str(error)})
+            return
+        if record.epoch == self._epoch - 1:
+            ends = record.lease_ends(self._fenced_at, self._earlier_clock)
+            self._scheduler.apply_stored_leases(ends)
+
     async def _retry_on_store_error(self, call: Callable[[], Coroutine[Any, Any, Any]]) -> Any:
         while True:
             try:
@@ -490,11 +527,28 @@
         if records and self._clock() - self._model_stored_at > MODEL_STORE_INTERVAL_SECONDS:
             self._model_stored_at = self._clock()
             records.append(Record(MODEL_KEY, self._scheduler.sharing.model.to_record()))
+        lease_ends = self._scheduler.close_leases(self._clock())
+        is_due = self._clock() - self._leases_stored_at >= LEASES_STORE_INTERVAL_SECONDS
+        is_storing_leases = lease_ends.keys() != self._stored_leases or (lease_ends and is_due)
+        if is_storing_leases:
+            records.append(self._lease_record(lease_ends))
         if records:
             await self._append(records)
+        if is_storing_leases:
+            self._stored_leases = frozenset(lease_ends)
+            self._scheduler.reopen_leases(lease_ends)
         if changes.removed:
             await self._remove_submissions(changes.removed)
 
+    def _lease_record(self, lease_ends: Mapping[str, float]) -> Record:
+        """Return the record of leases that are not renewed until a record without them is durable.
+
+        :param lease_ends: loop times at which they end, by incarnation
+        """
+        now = self._leases_stored_at = self._clock()
+        remaining = {key: ceil(1000.0 * max(0.0, end - now)) for key, end in lease_ends.items()}
+        return Record(LEASES_KEY, encode_leases(LeaseRecord(self._epoch, now, remaining)))
+
     async def _remove_submissions(self, job_ids: list[str]) -> None:
         records = []
         for job_id in job_ids:
--- a/dotterelhill/control/tests/cluster.feature
+++ b/dotterelhill/control/tests/cluster.feature
@@ -243,6 +243,30 @@
     And 13.5 seconds pass
     Then every reachable process shows job "j" as "completed"
 
+  Scenario: Each of two takeovers in a row begins the wait for the leases of lost minions anew
+    When job "j" of 4 tasks of 40 seconds is submitted at a process that does not lead
+    And 1 seconds pass
+    And a minion with tasks of job "j" stops answering
+    And the leader is killed
+    And 5 seconds pass
+    And the leader is killed
+    And 7 seconds pass
+    Then each lost task of job "j" has started elsewhere
+
+  Scenario Outline: A new leader waits for a whole lease of a minion that its predecessor could not reach
+    When job "j" of 4 tasks of 40 seconds is submitted at a process that does not lead
+    And 1 seconds pass
+    And a minion with tasks of job "j" stops answering
+    And <before> seconds pass
+    And the leader is killed
+    And <after> seconds pass
+    Then each lost task of job "j" has started elsewhere
+
+    Examples:
+      | before | after |
+      | 2      | 7     |
+      | 4      | 5     |
+
   Scenario: A new leader waits for renewals of an earlier leader whose process has restarted
     When job "j" of 4 tasks of 3 seconds is submitted at a process that does not lead
     And 1 seconds pass
--- a/dotterelhill/control/tests/cluster_world.py
+++ b/dotterelhill/control/tests/cluster_world.py
@@ -58,6 +58,7 @@
 # A deadly task crashes its minion this long after its start; the minion is back after the other.
 CRASH_AFTER_SECONDS = 0.01
 DOWN_SECONDS = 2.0
+MEMORY_MB = 64000
 QUEUE = Queue("q", "h", "/q/", "pool", 0, 3, 2.0, 1.0)
 
 
@@ -470,12 +471,20 @@
     def minion_record(self, record):
         if self.is_broken:
             raise ValueError("a record that can't be processed")
-        cpu, _, born_ms = (record.value or b"").partition(b"@")
+        cpu, *more = (record.value or b"").decode().split("@")
         if not cpu.isdigit():
             return None
-        room = ResourceVector(int(cpu), 64000)
-        born_ms = int(born_ms or 1)
-        return MinionFacts(record.key, born_ms, "pool", record.key, "caxias", ("a", "r1"), room)
+        born_ms, address, state = more + ["1", record.key, "ready"][len(more) :]
+        return MinionFacts(
+            record.key,
+            int(born_ms),
+            "pool",
+            address,
+            "caxias",
+            ("a", "r1"),
+            ResourceVector(int(cpu), MEMORY_MB),
+            is_draining=state == "draining",
+        )
 
 
 class ProcessClock:
@@ -506,7 +515,7 @@
     def __init__(self, cluster: Cluster, name: str, number: int, processors: float) -> None:
         self.name = name
         self.is_running = True
-        self.minions = FakeMinions(cluster)
+        self.minions = cluster.new_minion_client()
         self.store = StoreView(cluster.store, self.minions.processor)
         observed = ObservedStore(self.store, cluster.loop.time)
         self.metrics = LocalMetrics()
@@ -516,10 +525,10 @@
         rng = random.Random(number)
         self.leadership = Leadership(observed, incarnation, name, clock)
         self.decoder = FakeDecoder()
-        configuration = ConfigurationFeed(self.decoder, lambda: None)
+        configuration = self.configuration = ConfigurationFeed(self.decoder, lambda: None)
         configuration._config = FleetConfig(1, {"q": QUEUE}, cluster.pools)
 
-        def new_leader(renewals_end: float) -> Leader:
+        def new_leader(renewals_end: float, earlier_clock: LeaderClock | None) -> Leader:
             lag = self.minions.lag
             processor = self.minions.processor
             slices = WorkSlices(lambda: processor.busy_until, processor.pause)
@@ -543,6 +552,7 @@
                     slices,
                 ),
                 renewals_end,
+                earlier_clock,
             )
             restore = leader._apply_submission
 
@@ -585,6 +595,8 @@
 class Cluster:
     """Control processes, a store and minions in virtual time."""
 
+    loop_options: dict[str, int] = {}
+
     def __init__(
         self,
         names: list[str],
@@ -605,7 +617,7 @@
         self.has_slices = True
         # Whether minions hold polls back until a run ends, for as long as the leader asks.
         self.is_polling_long = False
-        self.loop = looptime.new_event_loop()
+        self.loop = looptime.new_event_loop(**self.loop_options)
         self.store = MemoryStore()
         self.pools = {"pool": Pool("pool")}
         # Jobs whose tasks crash each minion that starts them.
@@ -619,6 +631,9 @@
         for name in names:
             self.start(name)
 
+    def new_minion_client(self) -> FakeMinions:
+        return FakeMinions(self)
+
     def crash(self, name: str, born_ms: int) -> None:
         """Crash an incarnation of a minion, which is back seconds later as another one."""
         minion = self.minions[name]
--- a/dotterelhill/jobs/fleet.py
+++ b/dotterelhill/jobs/fleet.py
@@ -167,6 +167,8 @@
     :param is_listed: whether the platform currently lists the minion
     :param is_synced: whether this leader has received a complete report of its runs
     :param is_answering: whether the newest poll was answered
+    :param is_lease_closed: whether a stored record may tell later leaders that its lease is not
+        extended
     :param silent_at: loop time of the first poll without an answer; None while polls are answered
     :param lease_until: loop time by which the last lease has certainly expired
     :param clock_ms: clock of the minion in its newest answer; None before the first
@@ -191,6 +193,7 @@
     is_listed: bool = True
     is_synced: bool = False
     is_answering: bool = True
+    is_lease_closed: bool = False
     silent_at: float | None = None
     runs: dict[TaskKey, Run] = field(default_factory=dict)
     clock_ms: int | None = None
@@ -213,6 +216,11 @@
         """Return the id under which the platform lists the minion."""
         return self.facts.minion_id
 
+    @property
+    def incarnation(self) -> str:
+        """Return the incarnation as ``minion_id@born_ms``."""
+        return f"{self.facts.minion_id}@{self.facts.born_ms}"
+
     @property
     def free(self) -> ResourceVector:
         """Return the capacity that no run reserves."""
@@ -277,10 +285,10 @@
         """Extend the lease of all runs by an order sent now, and return its end for the order.
 
         :param hold_seconds: duration of the lease
-        :returns: end of the lease on the minion's clock in ms; None before its first answer, when
-            no lease can be granted
+        :returns: end of the lease on the minion's clock in ms; None when no lease can be granted:
+            before its first answer, or while a stored record says that it is not extended
         """
-        if self.clock_ms is None:
+        if self.clock_ms is None or self.is_lease_closed:
             return None
         self.extend_lease(now, hold_seconds)
         elapsed = (now - self.clock_at) * (1.0 - MINION_CLOCK_DRIFT)
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -81,6 +81,8 @@
 UNRESOLVED_POLL_SECONDS = 0.3
 # The reported tail of a serving task beside fillers covers half a second.
 SHARING_POLL_SECONDS = 0.4
+# A poll that is lost alone is repeated and answered within this time.
+SILENT_SECONDS_TO_CLOSE_LEASE = 0.5
 # The search for a minion takes up to 0.3 ms for each straggler, and a round has 25 ms.
 MAX_STRAGGLERS_PLACED = 8
 
@@ -154,6 +156,10 @@
         self._removed_job_ids: list[str] = []
         self._early_cancellations: dict[tuple[str, str], float] = {}
         self._unlisted_lease_ends: dict[str, float] = {}
+        # Ends of leases by incarnation that an earlier leader stored, where they are earlier.
+        self._stored_lease_ends: dict[str, float] = {}
+        # Incarnations whose leases a stored record may call closed.
+        self._closed_leases: set[str] = set()
 
     @property
     def minions(self) -> Mapping[str, Minion]:
@@ -320,7 +326,8 @@
                 self._release_stored_run(job, task, assignment, now, reason)
                 return
             # The minion is not listed, but its lease may not have expired yet.
-            self._unlisted_lease_ends.setdefault(assignment.incarnation, self._earlier_lease_end)
+            lease_until = self._inherited_lease_end(assignment.incarnation)
+            self._unlisted_lease_ends.setdefault(assignment.incarnation, lease_until)
             return
         step = job.submission.steps[task.key.step]
         run = Run(
@@ -417,13 +424,62 @@
         until, known_until = lease_end(now, self._settings.lease_seconds), self._earlier_lease_end
         if until >= known_until:
             return
-        self._earlier_lease_end = until
+        self._limit_inherited_leases(until, self._stored_lease_ends)
+
+    def apply_stored_leases(self, ends: Mapping[str, float]) -> None:
+        """Shorten the leases of minions that the earlier leader did not renew until its end.
+
+        :param ends: loop times by which the leases have certainly ended, by incarnation
+        """
+        self._limit_inherited_leases(self._earlier_lease_end, ends)
+
+    def _inherited_lease_end(self, incarnation: str) -> float:
+        """Return the time by which leases that earlier leaders granted have certainly ended."""
+        return min(self._earlier_lease_end, self._stored_lease_ends.get(incarnation, inf))
+
+    def _limit_inherited_leases(self, until: float, stored_ends: Mapping[str, float]) -> None:
+        """Set new bounds for the leases of earlier leaders."""
+        # A lease that this leader has renewed itself ends at another time.
+        inherited = []
         for minion in self._minions.values():
-            # A lease that this leader has renewed itself ends at another time.
-            if minion.lease_until == known_until:
-                minion.lease_until = until
+            if minion.lease_until == self._inherited_lease_end(minion.incarnation):
+                inherited.append(minion)
+        self._earlier_lease_end, self._stored_lease_ends = until, dict(stored_ends)
+        for minion in inherited:
+            minion.lease_until = self._inherited_lease_end(minion.incarnation)
         for key, unlisted_until in self._unlisted_lease_ends.items():
-            self._unlisted_lease_ends[key] = min(unlisted_until, until)
+            self._unlisted_lease_ends[key] = min(unlisted_until, self._inherited_lease_end(key))
+
+    def close_leases(self, now: float) -> dict[str, float]:
+        """Cease to extend the leases of minions with runs that are not reached.
+
+        :returns: ends of their leases as loop times, by incarnation, which may be stored
+        """
+        ends = dict(self._unlisted_lease_ends)
+        for minion in self._minions.values():
+            if not minion.runs or not self._is_unreached(minion, now):
+                continue
+            ends[minion.incarnation] = minion.lease_until
+            minion.is_lease_closed = True
+        self._closed_leases.update(ends)
+        return ends
+
+    def _is_unreached(self, minion: Minion, now: float) -> bool:
+        """Return whether neither this leader nor, before its first answer, the one before did."""
+        if minion.clock_ms is None and minion.incarnation in self._stored_lease_ends:
+            return True
+        if minion.silent_at is None or minion.is_answering:
+            return False
+        return now - minion.silent_at >= SILENT_SECONDS_TO_CLOSE_LEASE
+
+    def reopen_leases(self, closed: Iterable[str]) -> None:
+        """Extend leases again, after a record has become durable.
+
+        :param closed: incarnations in the record, whose leases remain closed
+        """
+        self._closed_leases = set(closed)
+        for minion in self._minions.values():
+            minion.is_lease_closed = minion.incarnation in self._closed_leases
 
     def update_minion(self, facts: MinionFacts, now: float) -> None:
         """Add or update a minion that the platform lists."""
@@ -447,7 +503,9 @@
             return
         if known is not None:
             self._release_minion(known, now, "minion restarted as another incarnation")
-        minion = Minion(facts, lease_until=max(now, self._earlier_lease_end))
+        minion = Minion(facts, lease_until=now)
+        minion.lease_until = max(now, self._inherited_lease_end(minion.incarnation))
+        minion.is_lease_closed = minion.incarnation in self._closed_leases
         self._minions[facts.minion_id] = minion
         self._record_minion_decision("minion listed", minion)
         self._attach_stored_runs(minion, now)
@@ -1106,7 +1164,7 @@
         if facts.failure_domain in self._evacuated_domains:
             return Exclusion.EVACUATED
         is_silent = now - minion.last_report_at >= self._settings.lease_seconds / 2
-        is_silent = is_silent or not minion.is_answering
+        is_silent = is_silent or not minion.is_answering or minion.is_lease_closed
         if not minion.is_synced or now >= minion.lease_until or is_silent:
             return Exclusion.SILENT
         if self._hold.is_active(now) and not self._is_guarded(minion):
