Tell in renewals when no earlier leader can renew leases any more

What callers saw: after two takeovers in a row, lasting tasks of a lost minion started again more than 9 s after its loss, although there was room.

Cause: the renewal says only whether earlier leaders may still renew leases. A leader that took over from one that ended before this was certain waited for all of the 3.5 s again, although most of them had passed in the term before.

Change: the renewal tells the remaining time, and the next leader counts it from its own claim. It is a duration, so it needs no reading of the other clock. Renewals without the field keep the bound of before.

--- a/dotterelhill/control/election.py
+++ b/dotterelhill/control/election.py
@@ -12,8 +12,6 @@
 from dotterelhill.control.interface import StoreError
 from dotterelhill.control.leader import Leader
 from dotterelhill.control.leadership import (
-    LEASE_SECONDS,
-    RENEWAL_GRACE_SECONDS,
     RENEWAL_INTERVAL_SECONDS,
     Claim,
     ClaimSeries,
@@ -261,7 +259,7 @@
             return self._detector.renewals_end(state, self._clock_of(state.claim))
         now = self._clock()
         # The leader that is gone was itself waiting for renewals of one before it.
-        return now if state.is_settled else now + LEASE_SECONDS + RENEWAL_GRACE_SECONDS
+        return now if state.is_settled else now + state.settles_in
 
     def _clock_of(self, claim: Claim | None) -> LeaderClock | None:
         """Return the newest reading of the clock of a claim's process; None when there is none."""
--- a/dotterelhill/control/leadership.py
+++ b/dotterelhill/control/leadership.py
@@ -16,7 +16,7 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum, auto
 
 import msgspec
@@ -73,14 +73,17 @@
     :param is_settled: whether no earlier leader can renew leases of running tasks any more
     :param sent_at: time of the leader in seconds at which the renewal was sent; None from builds
         that do not tell it
+    :param settles_in: time in seconds after which no earlier leader can renew; None from builds
+        that do not tell it
 
     >>> msgspec.msgpack.decode(msgspec.msgpack.encode([5, True]), type=Renewal)
-    Renewal(epoch=5, is_settled=True, sent_at=None)
+    Renewal(epoch=5, is_settled=True, sent_at=None, settles_in=None)
     """
 
     epoch: int
     is_settled: bool
     sent_at: float | None = None
+    settles_in: float | None = None
 
 
 _CLAIM_DECODER = msgspec.msgpack.Decoder(Claim)
@@ -96,12 +99,15 @@
     :param is_settled: whether no leader before that claim can renew leases of running tasks
     :param renewed_at: time of the claim's process at which it sent the newest stored renewal; None
         when there is none or it does not tell
+    :param settles_in: longest time in seconds for which leaders before that claim can renew leases
+        while ``is_settled`` is False
     """
 
     claim: Claim | None
     end: int
     is_settled: bool = True
     renewed_at: float | None = None
+    settles_in: float = LEASE_SECONDS + RENEWAL_GRACE_SECONDS
 
 
 @dataclass(frozen=True, slots=True)
@@ -255,7 +261,11 @@
             return LeadershipState(None, batch.next_offset)
         if renewal is None or renewal.epoch != claim.epoch:
             return LeadershipState(claim, batch.next_offset, is_settled=False)
-        return LeadershipState(claim, batch.next_offset, renewal.is_settled, renewal.sent_at)
+        state = LeadershipState(claim, batch.next_offset, renewal.is_settled, renewal.sent_at)
+        if renewal.settles_in is None:
+            return state
+        settles_in = renewal.settles_in / (1.0 - MAX_CLOCK_DRIFT)
+        return replace(state, settles_in=min(state.settles_in, settles_in))
 
     async def claim(self, state: LeadershipState) -> bool:
         """Claim leadership.
@@ -300,7 +310,8 @@
         if self._claim is None:
             return
         sent_at = self._clock()
-        renewal = Renewal(self._claim.epoch, sent_at >= self._settled_at, sent_at)
+        settles_in = self._settled_at - sent_at
+        renewal = Renewal(self._claim.epoch, settles_in <= 0.0, sent_at, max(0.0, settles_in))
         record = Record(RENEWAL_KEY, msgspec.msgpack.encode(renewal))
         try:
             self._end = await self._store.append(Stream.LEADERSHIP, [record], at=self._end)
--- a/dotterelhill/control/tests/cluster.feature
+++ b/dotterelhill/control/tests/cluster.feature
@@ -267,6 +267,17 @@
       | 2      | 7     |
       | 4      | 5     |
 
+  Scenario: A leader that ends before it is sure of its predecessor makes the next one wait for that anew
+    When job "j" of 4 tasks of 40 seconds is submitted at a process that does not lead
+    And 1 seconds pass
+    And the leader is killed
+    And 2.8 seconds pass
+    And a minion with tasks of job "j" stops answering
+    And 0.2 seconds pass
+    And the leader is killed and starts again
+    And 8.8 seconds pass
+    Then each lost task of job "j" has started elsewhere
+
   Scenario: A new leader waits for renewals of an earlier leader whose process has restarted
     When job "j" of 4 tasks of 3 seconds is submitted at a process that does not lead
     And 1 seconds pass
--- a/dotterelhill/control/tests/steps/cluster_steps.py
+++ b/dotterelhill/control/tests/steps/cluster_steps.py
@@ -75,6 +75,13 @@
     context.cluster.kill(context.cluster.leaders[0])
 
 
+@when(r"the leader is killed and starts again")
+def restart_leader(context):
+    name = context.cluster.leaders[0]
+    context.cluster.kill(name)
+    context.cluster.start(name)
+
+
 @when(r"the killed process starts again")
 def restart_killed(context):
     context.cluster.start(context.first_leader)
