Check that a lease stored as not renewed stays so until a record says otherwise

The scenario fails (two runs of one task at a time) when a leader extends the lease of a minion that answers again before a record without it is durable, which was tried by a fault put in on purpose.

--- a/dotterelhill/control/tests/cluster.feature
+++ b/dotterelhill/control/tests/cluster.feature
@@ -267,6 +267,16 @@
       | 2      | 7     |
       | 4      | 5     |
 
+  @single-place
+  Scenario: A lease that is stored as not renewed is renewed before a record says so, and the next leader counts the earlier end
+    When job "j" of 4 tasks of 30 seconds is submitted at a process that does not lead
+    And 1 seconds pass
+    And the leader can't reach the minions with tasks of job "j" for 0.9 seconds, and then can't store progress
+    And 3 seconds pass
+    And the leader and the minions with tasks of job "j" are cut off from the store and from all others
+    And 40 seconds pass
+    Then no task ran on two minions at a time
+
   @known-red
   Scenario: Lasting tasks of a minion that is lost together with the leader wait for longer than 9 s
     When job "j" of 4 tasks of 40 seconds is submitted at a process that does not lead
--- a/dotterelhill/control/tests/steps/cluster_steps.py
+++ b/dotterelhill/control/tests/steps/cluster_steps.py
@@ -112,6 +112,18 @@
     leader.minions.unreachable = set(cluster.minions) - with_leader
 
 
+@when(
+    r"the leader can't reach the minions with tasks of job \"(?P<job>\w+)\" for "
+    r"(?P<seconds>[\d.]+) seconds, and then can't store progress"
+)
+def lose_minions_then_progress(context, job, seconds):
+    leader = context.cluster.processes[context.first_leader]
+    leader.minions.unreachable = set(minions_with_tasks(context, job))
+    context.cluster.advance(float(seconds))
+    leader.store.silent_streams.add(Stream.PROGRESS)
+    leader.minions.unreachable = set()
+
+
 @when(
     r"the next leader (?P<end>resigns|is killed and starts again|falls silent) as soon as it leads"
 )
