--- a/dotterelhill/control/tests/cluster.feature
+++ b/dotterelhill/control/tests/cluster.feature
@@ -256,6 +256,60 @@
     And 13.5 seconds pass
     Then every reachable process shows job "j" as "completed"
 
+  Scenario: Each of two takeovers in a row begins the wait for the leases of lost minions anew
+    When job "j" of 4 tasks of 40 seconds is submitted at a process that does not lead
+    And 1 seconds pass
+    And a minion with tasks of job "j" stops answering
+    And the leader is killed
+    And 5 seconds pass
+    And the leader is killed
+    And 7 seconds pass
+    Then each lost task of job "j" has started elsewhere
+
+  Scenario Outline: A new leader waits for a whole lease of a minion that its predecessor could not reach
+    When job "j" of 4 tasks of 40 seconds is submitted at a process that does not lead
+    And 1 seconds pass
+    And a minion with tasks of job "j" stops answering
+    And <before> seconds pass
+    And the leader is killed
+    And <after> seconds pass
+    Then each lost task of job "j" has started elsewhere
+
+    Examples:
+      | before | after |
+      | 2      | 7     |
+      | 4      | 5     |
+
+  @single-place
+  Scenario: A lease that is stored as not renewed is renewed before a record says so, and the next leader counts the earlier end
+    When job "j" of 4 tasks of 30 seconds is submitted at a process that does not lead
+    And 1 seconds pass
+    And the leader can't reach the minions with tasks of job "j" for 0.9 seconds, and then can't store progress
+    And 3 seconds pass
+    And the leader and the minions with tasks of job "j" are cut off from the store and from all others
+    And 40 seconds pass
+    Then no task ran on two minions at a time
+
+  @known-red
+  Scenario: Lasting tasks of a minion that is lost together with the leader wait for longer than 9 s
+    When job "j" of 4 tasks of 40 seconds is submitted at a process that does not lead
+    And 1 seconds pass
+    And a minion with tasks of job "j" stops answering
+    And the leader is killed
+    And 9 seconds pass
+    Then each lost task of job "j" has started elsewhere
+
+  Scenario: A leader that ends before it is sure of its predecessor makes the next one wait for that anew
+    When job "j" of 4 tasks of 40 seconds is submitted at a process that does not lead
+    And 1 seconds pass
+    And the leader is killed
+    And 2.8 seconds pass
+    And a minion with tasks of job "j" stops answering
+    And 0.2 seconds pass
+    And the leader is killed and starts again
+    And 8.8 seconds pass
+    Then each lost task of job "j" has started elsewhere
+
   Scenario: A new leader waits for renewals of an earlier leader whose process has restarted
     When job "j" of 4 tasks of 3 seconds is submitted at a process that does not lead
     And 1 seconds pass
--- a/dotterelhill/control/tests/steps/cluster_steps.py
+++ b/dotterelhill/control/tests/steps/cluster_steps.py
@@ -113,6 +113,13 @@
     assert [gauges[name] for name in names.split()] == [0.0] * len(names.split()), gauges
 
 
+@when(r"the leader is killed and starts again")
+def restart_leader(context):
+    name = context.cluster.leaders[0]
+    context.cluster.kill(name)
+    context.cluster.start(name)
+
+
 @when(r"the killed process starts again")
 def restart_killed(context):
     context.cluster.start(context.first_leader)
@@ -143,6 +150,18 @@
     leader.minions.unreachable = set(cluster.minions) - with_leader
 
 
+@when(
+    r"the leader can't reach the minions with tasks of job \"(?P<job>\w+)\" for "
+    r"(?P<seconds>[\d.]+) seconds, and then can't store progress"
+)
+def lose_minions_then_progress(context, job, seconds):
+    leader = context.cluster.processes[context.first_leader]
+    leader.minions.unreachable = set(minions_with_tasks(context, job))
+    context.cluster.advance(float(seconds))
+    leader.store.silent_streams.add(Stream.PROGRESS)
+    leader.minions.unreachable = set()
+
+
 @when(
     r"the next leader (?P<end>resigns|is killed and starts again|falls silent) as soon as it leads"
 )
