--- a/dotterelhill/jobs/tests/start_promise_world.py
+++ b/dotterelhill/jobs/tests/start_promise_world.py
@@ -150,6 +150,7 @@
             capacity_valid_seconds=2.9,
             switches=Switches(look_ahead=rng.random() < 0.25, speed_placement=rng.random() < 0.25),
         )
+        self.failing_share = rng.choice((0.02, 0.1, 0.35))
         self.max_starts = rng.choice((8, 128, 128))
         self.queues = {
             name: Queue(name, "h", f"/{name}/", "pool", priority, MAX_ATTEMPTS, 2.0, 1.0)
@@ -212,18 +213,28 @@
         )  # fmt: skip
         # Where troubles end before the traffic does, the fleet is busy when it recovers.
         troubled_seconds = rng.choice((10.0, 20.0, TROUBLE_SECONDS))
-        begin = 0.0
-        for _ in range(rng.randint(2, 6)):
-            trouble = rng.choice(troubles)
-            if rng.random() < 0.6:
-                begin = rng.uniform(0.0, troubled_seconds)
-            period = rng.choice((0.5, 1.0, 2.0, 3.0, 6.0))
-            if trouble == self.crash_wave:
-                period = 6.0
-            for number in range(rng.randint(1, 8)):
-                at = begin + number * period + rng.uniform(0.0, 0.3)
-                if at < troubled_seconds:
-                    self.after(at, trouble)
+        times = []
+        if rng.random() < 0.5:
+            # Volleys, each with time to recover: bounds hold only after a calm.
+            for begin in (rng.uniform(4.0, 9.0), rng.uniform(20.0, 25.0)):
+                volley = rng.sample(troubles, rng.randint(0, 2))
+                for trouble in (*volley, self.kill_leader, rng.choice(troubles[:4])):
+                    times.append((begin + rng.uniform(0.0, 2.0), trouble))
+        else:
+            begin = 0.0
+            for _ in range(rng.randint(2, 6)):
+                trouble = rng.choice(troubles)
+                if rng.random() < 0.6:
+                    begin = rng.uniform(0.0, troubled_seconds)
+                period = rng.choice((0.5, 1.0, 2.0, 3.0, 6.0))
+                if trouble == self.crash_wave:
+                    period = 6.0
+                for number in range(rng.randint(1, 8)):
+                    at = begin + number * period + rng.uniform(0.0, 0.3)
+                    if at < troubled_seconds:
+                        times.append((at, trouble))
+        for at, trouble in times:
+            self.after(at, trouble)
         job_count = rng.choice((8, 20, 40, 80))
         for number in range(job_count):
             self.after(rng.uniform(0.0, TROUBLE_SECONDS), partial(self.submit, f"j{number}"))
@@ -254,9 +265,9 @@
         down_seconds = self.rng.choice((0.3, 1.0, 1.0, 3.0))
         address, minion_id = minion.facts.address, ""
         kind = self.rng.random()
-        if kind < 0.3:
+        if kind < 0.2:
             minion_id = minion.facts.minion_id
-        elif kind < 0.6:
+        elif kind < 0.7:
             address = f"c{next(self.numbers)}:1"
         self.after(down_seconds, lambda: self.add_minion(address, minion_id))
         self.disturb(down_seconds)
@@ -492,7 +503,7 @@
             return StartOutcome.NO_ROOM
         self.check_single(run.key, run.step)
         work = run.step.estimate_seconds * self.rng.choice((0.5, 1.0, 1.0, 3.0))
-        is_failing = self.rng.random() < (0.1 if self.is_before_calm else 0.0)
+        is_failing = self.is_before_calm and self.rng.random() < self.failing_share
         if run.step.is_lasting:
             work = self.rng.uniform(0.5, 20.0) if is_failing else float("inf")
         elif order.checkpoint:
