Let overdue lasting tasks start on minions claimed for suspected tasks

Callers saw lasting tasks that did not run although there was room for two of their size.

Cause: no other task starts on a minion that is claimed for the test of a suspected task. The claim lasts until that task fits and all runs there are proven, so as long as other runs take. Claims of lasting tasks ignore it, but their starts did not.

Now a claim is dropped when an overdue lasting task could start on its minion. The suspected task claims a minion again in the next round. Minions on which a suspected run is being tested stay closed, which takes a few polls.

--- a/dotterelhill/jobs/crashes/isolation.py
+++ b/dotterelhill/jobs/crashes/isolation.py
@@ -120,6 +120,15 @@
             self._isolated.discard(minion)
             self._allowance += 1
 
+    def drop_claims_on(self, is_needed: Callable[[Minion], bool]) -> None:
+        """Drop the claims on minions on which another task has to start first.
+
+        :param is_needed: returns whether such a task could start on a minion
+        """
+        for key, minion in list(self._claims.items()):
+            if is_needed(minion):
+                self.drop_claim(key)
+
     def claim(
         self,
         key: TaskKey,
--- a/dotterelhill/jobs/placement/placement.py
+++ b/dotterelhill/jobs/placement/placement.py
@@ -375,6 +375,10 @@
         self._shares.begin_round(by_service if self._has_tenants else {})
         if self._suspicion.has_suspects:
             yield from self._choose_isolated_starts(ranked, by_service, now, unix_ms)
+            # A claim lasts until runs on its minion end, which has no bound.
+            self._isolation.drop_claims_on(
+                partial(self._fits_overdue, ranked_lasting, now=now, unix_ms=unix_ms)
+            )
             for service, pool in by_service.items():
                 by_service[service] = self._isolation.open_minions(pool)
         newest_accepted_ms = self._ranking.newest_accepted_ms()
@@ -540,6 +544,23 @@
                 partial(self._lasting_claims.claimable_minion, key, step, earlier=None),
             )
 
+    def _fits_overdue(
+        self, ranked_lasting: Sequence[RankedJob], minion: Minion, now: float, unix_ms: int
+    ) -> bool:
+        """Return whether a lasting task that is overdue could start on a minion."""
+        for _, queue, waiting in ranked_lasting:
+            if queue.service != minion.facts.service or not has_overdue_task(waiting, now):
+                continue
+            job = waiting.job
+            for step, keys in startable_lasting_steps(waiting, queue, unix_ms):
+                if step.is_gang or not self._has_room(
+                    job, step, (keys[0].occurrence, keys[0].step), minion
+                ):
+                    continue
+                if any(is_overdue(job, key, now) for key in self._open_tasks(job, keys, now)):
+                    return True
+        return False
+
     def _open_tasks(self, job: Job, keys: list[TaskKey], now: float) -> list[TaskKey]:
         """Return those of a step's waiting tasks that may start beside other tasks.
 
--- a/dotterelhill/jobs/tests/start_promise.feature
+++ b/dotterelhill/jobs/tests/start_promise.feature
@@ -4,3 +4,16 @@
     When 30 random histories with troubles, new leaders and a calm end are played
     Then in none of them a start was overdue, a finite job did not end or a task ran twice
     And together they had at least 30 new leaders, 3000 starts and 50 stops
+
+  Scenario: a suspected task claims the only minion with room, so an overdue lasting task never starts
+    Given a fleet with minions "m1" of 4 processors
+    And job "s" of 1 task of 4 processors
+    When 1 rounds pass
+    And the minion of job "s" falls silent
+    And minions "m2 m3" have 4 processors
+    And job "b" of 1 task of 4 processors is submitted
+    And job "a" of 1 task of 1 processors is submitted
+    And 8 seconds pass in rounds
+    And job "l" of 1 lasting task of 1 processors is submitted
+    And 6 seconds pass in rounds
+    Then job "l" has started
