Start overdue suspected lasting tasks before other suspected tasks

A lasting task that is suspected of crashing minions did not start, although there was room for it, while another suspected task waited for room: the claim of the other task closed the only minion with room, and used up the share of minions that may be isolated. It lasts as long as the runs on that minion.

Cause: suspected tasks claim minions in the order of their jobs, and overdue lasting tasks did not come first there, as they do in the rest of a round.

Now jobs with overdue lasting tasks choose their isolated minions first, and claims of other tasks on minions that fit such a task are dropped before.

--- a/dotterelhill/jobs/crashes/isolation.py
+++ b/dotterelhill/jobs/crashes/isolation.py
@@ -27,6 +27,11 @@
         self._isolated: set[Minion] = set()
         self._allowance = 0
 
+    @property
+    def claims(self) -> Mapping[TaskKey, Minion]:
+        """Return the claimed minions by suspected task."""
+        return self._claims
+
     def is_claimed(self, minion: Minion) -> bool:
         """Return whether a minion is claimed for a suspected task."""
         return minion in self._claims.values()
@@ -120,15 +125,6 @@
             self._isolated.discard(minion)
             self._allowance += 1
 
-    def drop_claims_on(self, is_needed: Callable[[Minion], bool]) -> None:
-        """Drop the claims on minions on which another task has to start first.
-
-        :param is_needed: returns whether such a task could start on a minion
-        """
-        for key, minion in list(self._claims.items()):
-            if is_needed(minion):
-                self.drop_claim(key)
-
     def claim(
         self,
         key: TaskKey,
--- a/dotterelhill/jobs/placement/placement.py
+++ b/dotterelhill/jobs/placement/placement.py
@@ -374,11 +374,10 @@
         self._lasting_claims.update(ranked_lasting, by_service, self._failing, now, unix_ms)
         self._shares.begin_round(by_service if self._has_tenants else {})
         if self._suspicion.has_suspects:
-            yield from self._choose_isolated_starts(ranked, by_service, now, unix_ms)
-            # A claim lasts until runs on its minion end, which has no bound.
-            self._isolation.drop_claims_on(
-                partial(self._fits_overdue, ranked_lasting, now=now, unix_ms=unix_ms)
-            )
+            overdue = [entry for entry in ranked_lasting if has_overdue_task(entry[2], now)]
+            self._drop_isolation_claims(overdue, now, unix_ms, is_suspected=True)
+            yield from self._choose_isolated_starts([*overdue, *ranked], by_service, now, unix_ms)
+            self._drop_isolation_claims(overdue, now, unix_ms, is_suspected=False)
             for service, pool in by_service.items():
                 by_service[service] = self._isolation.open_minions(pool)
         newest_accepted_ms = self._ranking.newest_accepted_ms()
@@ -544,20 +543,47 @@
                 partial(self._lasting_claims.claimable_minion, key, step, earlier=None),
             )
 
+    def _drop_isolation_claims(
+        self, overdue: Sequence[RankedJob], now: float, unix_ms: int, *, is_suspected: bool
+    ) -> None:
+        """Drop the claims of suspected tasks on minions where an overdue lasting task could start.
+
+        A claim lasts until runs on its minion end, which has no bound.
+
+        :param overdue: jobs with overdue lasting tasks
+        :param is_suspected: whether to look at suspected lasting tasks, which may keep their own
+            claims, or at the others
+        """
+        for key, minion in list(self._isolation.claims.items()):
+            owner = self._waiting_jobs.get(key.job_id)
+            if owner is None or (is_suspected and owner.job.submission.steps[key.step].is_lasting):
+                continue
+            if self._fits_overdue(overdue, minion, now, unix_ms, is_suspected=is_suspected):
+                self._isolation.drop_claim(key)
+
     def _fits_overdue(
-        self, ranked_lasting: Sequence[RankedJob], minion: Minion, now: float, unix_ms: int
+        self,
+        overdue: Sequence[RankedJob],
+        minion: Minion,
+        now: float,
+        unix_ms: int,
+        *,
+        is_suspected: bool,
     ) -> bool:
-        """Return whether a lasting task that is overdue could start on a minion."""
-        for _, queue, waiting in ranked_lasting:
-            if queue.service != minion.facts.service or not has_overdue_task(waiting, now):
+        """Return whether an overdue lasting task could start on a minion."""
+        for _, queue, waiting in overdue:
+            if queue.service != minion.facts.service:
                 continue
             job = waiting.job
             for step, keys in startable_lasting_steps(waiting, queue, unix_ms):
-                if step.is_gang or not self._has_room(
-                    job, step, (keys[0].occurrence, keys[0].step), minion
-                ):
+                identity = (keys[0].occurrence, keys[0].step)
+                if step.is_gang or not self._has_room(job, step, identity, minion):
                     continue
-                if any(is_overdue(job, key, now) for key in self._open_tasks(job, keys, now)):
+                if is_suspected:
+                    candidates = [key for key in keys if self._suspicion.is_suspected(key)]
+                else:
+                    candidates = self._open_tasks(job, keys, now)
+                if any(is_overdue(job, key, now) for key in candidates):
                     return True
         return False
 
--- a/dotterelhill/jobs/tests/start_promise.feature
+++ b/dotterelhill/jobs/tests/start_promise.feature
@@ -17,3 +17,16 @@
     And job "l" of 1 lasting task of 1 processors is submitted
     And 6 seconds pass in rounds
     Then job "l" has started
+
+  Scenario: the claim of a suspected task uses up the isolated minions, so a suspected lasting task never starts
+    Given a fleet with minions "m1" of 7 processors
+    And job "s" of 1 task of 4 processors
+    And job "l" of 1 lasting task of 1 processors
+    When 1 rounds pass
+    Then 2 starts were sent in total
+    When the minion of job "s" falls silent
+    And minions "m2 m3" have 4 processors
+    And job "b" of 1 task of 4 processors is submitted
+    And job "a" of 1 task of 1 processors is submitted
+    And 9 seconds pass in rounds
+    Then 2 starts of job "l" were sent
