--- a/dotterelhill/jobs/crashes/isolation.py
+++ b/dotterelhill/jobs/crashes/isolation.py
@@ -32,6 +32,11 @@
         self._allowance = 0
         self._shared_limit = AttemptLimit(MAX_SHARED_ATTEMPTS)
 
+    @property
+    def claims(self) -> Mapping[TaskKey, Minion]:
+        """Return the claimed minions by suspected task."""
+        return self._claims
+
     def is_claimed(self, minion: Minion) -> bool:
         """Return whether a minion is claimed for a suspected task."""
         return minion in self._claims.values()
