Show that tasks wait too long after a leader whose store is silent

Callers would see: a lasting task that does not run for more than 11 s (LOST).

A minion is lost while the leader's store is silent and another leader was killed shortly before. The next leader learns only from a stored renewal until when earlier leaders renew leases, and its predecessor stores none.

--- a/dotterelhill/control/tests/cluster.feature
+++ b/dotterelhill/control/tests/cluster.feature
@@ -442,6 +442,22 @@
       | 1.2    |
       | 1.4    |
 
+  @known-red
+  Scenario Outline: Tasks of a minion that is lost when the next leader can't reach the store wait for longer than lasting tasks may
+    When job "j" of 4 tasks of 30 seconds is submitted at a process that does not lead
+    And <before> seconds pass
+    And the leader is killed
+    And the store answers the next leader no more as soon as it leads
+    And a minion with tasks of job "j" stops answering
+    And 11.0 seconds pass
+    Then each lost task of job "j" has started elsewhere
+
+    Examples:
+      | before |
+      | 1.0    |
+      | 1.2    |
+      | 1.4    |
+
   Scenario: A leader that has lost its claim goes on loading and reports that it leads
     When reads of the newest submissions take 2 seconds
     And the leader is killed
--- a/dotterelhill/control/tests/steps/cluster_steps.py
+++ b/dotterelhill/control/tests/steps/cluster_steps.py
@@ -131,6 +131,18 @@
     raise AssertionError("no next leader")
 
 
+@when(r"the store answers the next leader no more as soon as it leads")
+def silence_store_of_next_leader(context):
+    cluster = context.cluster
+    for _ in range(MAX_WAIT_STEPS):
+        cluster.advance(WAIT_STEP_SECONDS)
+        names = [name for name in cluster.leaders if name != context.first_leader]
+        if names:
+            cluster.processes[names[0]].store.is_silent = True
+            return
+    raise AssertionError("no next leader")
+
+
 @when(r"the VM of the leader is gone without a word")
 def lose_leader_silently(context):
     cluster = context.cluster
