Let a leader without a store tell until when earlier ones can renew

Callers saw: a lasting task that does not run for more than 11 s (LOST), when its minion is lost while the leader's store is silent and another leader was killed shortly before.

Cause: that no earlier leader can renew leases reached the next leader only through a stored renewal. A leader whose store is silent stores none, so its successor waited until 3.5 s after that leader's last renewal, although the leader answered and had less left to wait for itself.

Now the answer to the announcement of a claim tells the epoch of the process's newest term and the seconds left until no leader before it can renew. The successor counts them from the receipt, lengthened by the drift of clocks, and uses them only if the epoch is that of the claim it has replaced. It tells the result in its turn. Answers of earlier builds are empty and change nothing.

Ruled out: taking the answer as settled.

The three known red examples pass and are no longer listed.

--- a/dotterelhill/control/election.py
+++ b/dotterelhill/control/election.py
@@ -23,6 +23,7 @@
     Leadership,
     LeadershipState,
     LoadingWatch,
+    Settlement,
 )
 from dotterelhill.control.peers import (
     PEER_TIMEOUT_SECONDS,
@@ -139,6 +140,11 @@
         """Return the steps of loading done in the current term; None when it is not loading."""
         return self._leadership.loading_progress
 
+    @property
+    def settlement(self) -> Settlement | None:
+        """Return until when leaders before the newest own term can renew leases."""
+        return self._leadership.settlement
+
     @property
     def leader(self) -> Leader | None:
         """Return the current term of leadership; None unless this process leads."""
@@ -309,7 +315,7 @@
             if own is None:
                 return
             try:
-                await self._peers.announce_claim(claim.address, own)
+                settlement = await self._peers.announce_claim(claim.address, own)
             except PeerUnreachableError as error:
                 if self._clock() >= renewals_end:
                     fields = {"reason": str(error)}
@@ -317,10 +323,20 @@
                     return
                 await asyncio.sleep(CONFIRMATION_INTERVAL_SECONDS)
                 continue
-            _log.info("previous leader has ended its term", extra={"epoch": claim.epoch})
+            now = self._clock()
+            # Without a stored record, or a time that concerns this very term, leaders before it are
+            # waited for as if it had not answered.
+            settled_at = renewals_end
             if is_settled:
-                self._leadership.settle_at(self._clock())
-                leader.end_earlier_renewals()
+                settled_at = now
+            elif settlement is not None and settlement.epoch == claim.epoch:
+                settled_at = settlement.latest_time(now)
+            wait_ms = max(0, round(1000.0 * (min(settled_at, renewals_end) - now)))
+            term = {"epoch": claim.epoch, "wait_for_earlier_ms": wait_ms}
+            _log.info("previous leader has ended its term", extra=term)
+            if self._leadership.own_claim == own:
+                self._leadership.settle_at(settled_at)
+                leader.end_earlier_renewals(settled_at)
             return
 
     async def _condition_of(self, address: str, incarnation: str, epoch: int) -> LeaderCondition:
--- a/dotterelhill/control/leader.py
+++ b/dotterelhill/control/leader.py
@@ -255,9 +255,12 @@
         self._scheduler.evacuate(self._parts.configuration.evacuated)
         self._wake_event.set()
 
-    def end_earlier_renewals(self) -> None:
-        """Accept that the earlier leader renews no leases from now on."""
-        self._scheduler.end_earlier_renewals(self._clock())
+    def end_earlier_renewals(self, renewals_end: float) -> None:
+        """Accept that no earlier leader renews leases from a time on.
+
+        :param renewals_end: that time, which may be in the future
+        """
+        self._scheduler.end_earlier_renewals(renewals_end)
 
     async def run(self) -> None:
         """Lead the fleet until the claim is lost or the task is cancelled."""
--- a/dotterelhill/control/leadership.py
+++ b/dotterelhill/control/leadership.py
@@ -83,6 +83,31 @@
     sent_at: float | None = None
 
 
+class Settlement(msgspec.Struct, frozen=True, array_like=True):
+    """Information of a process about the leaders before its newest term.
+
+    :param epoch: epoch of that term
+    :param left_seconds: time of this process in seconds, from sending this information, after which
+        none of them can renew leases of running tasks
+
+    >>> msgspec.msgpack.decode(msgspec.msgpack.encode([5, 2.25, "later"]), type=Settlement)
+    Settlement(epoch=5, left_seconds=2.25)
+    """
+
+    epoch: int
+    left_seconds: float
+
+    def latest_time(self, received_at: float) -> float:
+        """Return the time of the receiver by which no leader before that term renews leases.
+
+        The information was sent before it was received, so a delay only makes the result later.
+
+        >>> Settlement(5, 0.0).latest_time(900.0), Settlement(5, 2.45).latest_time(900.0)
+        (900.0, 902.5)
+        """
+        return received_at + self.left_seconds / (1.0 - MAX_CLOCK_DRIFT)
+
+
 _CLAIM_DECODER = msgspec.msgpack.Decoder(Claim)
 _RENEWAL_DECODER = msgspec.msgpack.Decoder(Renewal)
 
@@ -154,6 +179,7 @@
         self._superseding_epoch = 0
         self._claim_lost = asyncio.Event()
         self._loading_progress: int | None = None
+        self._term_epoch = 0
         self._settled_at = float("inf")
         # Time at which the first renewal since the last answer was sent; None if all are answered.
         self._unanswered_at: float | None = None
@@ -204,6 +230,16 @@
         """Return the steps of loading done in the current term; None when it is not loading."""
         return self._loading_progress
 
+    @property
+    def settlement(self) -> Settlement | None:
+        """Return until when leaders before the newest term can renew leases; None if unknown.
+
+        It holds also after that term, since it concerns earlier ones only.
+        """
+        if self._settled_at == float("inf"):
+            return None
+        return Settlement(self._term_epoch, max(0.0, self._settled_at - self._clock()))
+
     def record_loading_step(self) -> None:
         """Count one step of loading, which shows peers that this process makes progress."""
         if self._loading_progress is not None:
@@ -219,8 +255,11 @@
             await self._claim_lost.wait()
 
     def settle_at(self, renewals_end: float) -> None:
-        """Set the time from which no earlier leader can renew leases; renewals record it."""
-        self._settled_at = renewals_end
+        """Accept that no earlier leader can renew leases from a time on.
+
+        Renewals and the answer to the claim of a later leader tell it.
+        """
+        self._settled_at = min(self._settled_at, renewals_end)
 
     def supersede(self, epoch: int) -> None:
         """End the own term because another process has claimed ``epoch``.
@@ -287,7 +326,7 @@
         self._loading_progress = 0
         self._claim_lost = asyncio.Event()
         self._valid_until = sent_at + LEASE_SECONDS
-        self._settled_at = float("inf")
+        self._term_epoch, self._settled_at = epoch, float("inf")
         self._unanswered_at = None
         _log.notice("leadership claimed", extra={"epoch": epoch, "end": end})
         return True
--- a/dotterelhill/control/peers.py
+++ b/dotterelhill/control/peers.py
@@ -16,7 +16,7 @@
 from dotterelhill.control.health import ObservedStore
 from dotterelhill.control.interface import Record, StoreError
 from dotterelhill.control.leader import Leader, NotReadyError
-from dotterelhill.control.leadership import Claim, LeaderCondition
+from dotterelhill.control.leadership import Claim, LeaderCondition, Settlement
 from dotterelhill.control.relay_messages import (
     HELLO_DECODER,
     MAX_MESSAGE_BYTES,
@@ -89,6 +89,7 @@
 _STATUS_DECODER = msgspec.json.Decoder(PeerStatus)
 _COUNTS_DECODER = msgspec.json.Decoder(dict[str, int])
 _CLAIM_DECODER = msgspec.msgpack.Decoder(Claim)
+_SETTLEMENT_DECODER = msgspec.msgpack.Decoder(Settlement)
 _RECORD_DECODER = msgspec.msgpack.Decoder(_StoredRecord)
 
 
@@ -135,6 +136,11 @@
         """Return the steps of loading done in the current term; None when it is not loading."""
         ...
 
+    @property
+    def settlement(self) -> Settlement | None:
+        """Return until when leaders before the newest own term can renew leases."""
+        ...
+
     @property
     def leader(self) -> Leader | None:
         """Return the current term of leadership; None unless this process leads."""
@@ -245,7 +251,8 @@
             self._source.accept_claim(_CLAIM_DECODER.decode(await request.read()))
         except msgspec.MsgspecError as error:
             return web.Response(status=400, text=str(error))
-        return web.Response()
+        settlement = self._source.settlement
+        return web.Response(body=msgspec.msgpack.encode(settlement) if settlement else b"")
 
     async def _append_for_peer(self, request: web.BaseRequest) -> web.StreamResponse:
         try:
@@ -281,15 +288,27 @@
             raise PeerUnreachableError(f"status {status}")
         return _decode(_STATUS_DECODER, body)
 
-    async def announce_claim(self, address: str, claim: Claim) -> None:
+    async def announce_claim(self, address: str, claim: Claim) -> Settlement | None:
         """Inform an earlier leader, which may be unable to reach the store, of a newer claim.
 
+        :returns: until when leaders before the newest term of that process can renew leases; None
+            when it does not tell, as earlier builds do not
         :raises PeerUnreachableError: when the peer gives no answer, or does not accept the claim
         """
         data = msgspec.msgpack.encode(claim)
         status, body = await self._call("POST", address, SUPERSEDED_PATH, data)
         if status != 200:
             raise PeerUnreachableError(f"status {status}: {body.decode(errors='replace')}")
+        if not body:
+            return None
+        try:
+            settlement = _SETTLEMENT_DECODER.decode(body)
+        except msgspec.MsgspecError as error:
+            # The claim is accepted nevertheless.
+            _log.info("answer to a claim can't be decoded", extra={"reason": str(error)})
+            return None
+        # Neither a negative number nor NaN is a time to wait.
+        return settlement if settlement.left_seconds >= 0.0 else None
 
     async def state_of(self, address: str, job_id: str, tenant: str = "") -> str | None:
         """Return the state of a job; None when the leader has no such job.
--- a/dotterelhill/control/tests/cluster.feature
+++ b/dotterelhill/control/tests/cluster.feature
@@ -405,6 +405,28 @@
       | is killed and starts again  |
       | falls silent                |
 
+  @single-place
+  Scenario Outline: A leader whose predecessor tells nothing of its own term forgets an earlier leader that still renews
+    When job "j" of 4 tasks of 30 seconds is submitted at a process that does not lead
+    And 1 seconds pass
+    And claims are answered as by <predecessor>
+    And the leader and the minions with tasks of job "j" are cut off from the store and from all others
+    And the store answers the next leader no more as soon as it leads
+    And the others take it for unable at once
+    And 40 seconds pass
+    Then no task ran on two minions at a time
+
+    Examples:
+      | predecessor                          |
+      | an earlier build                     |
+      | a process that tells of an old term  |
+
+  Scenario: A process tells for its new term what it has learned for an earlier one
+    When a process that has led claims again and does not know until when earlier leaders renew
+    Then it tells nothing about leaders before its new term
+    When it learns that they renew for 2 more seconds
+    Then it tells 0.5 seconds later that they renew for 1.5 more seconds
+
   @single-place
   Scenario: A claim whose process has not read the answer yet counts as ended, so another process claims as well
     When the answer to the next claim takes 0.4 seconds
@@ -442,7 +464,6 @@
       | 1.2    |
       | 1.4    |
 
-  @known-red
   Scenario Outline: Tasks of a minion that is lost when the next leader can't reach the store wait for longer than lasting tasks may
     When job "j" of 4 tasks of 30 seconds is submitted at a process that does not lead
     And <before> seconds pass
@@ -458,6 +479,27 @@
       | 1.2    |
       | 1.4    |
 
+  Scenario: After a lost answer to its claim, a leader waits for the end that it would assume without one
+    When job "j" of 4 tasks of 30 seconds is submitted at a process that does not lead
+    And 1 seconds pass
+    And the first 2 answers to claims are lost
+    And the leader is killed
+    And the store answers the next leader no more as soon as it leads
+    And a minion with tasks of job "j" stops answering
+    And 11.0 seconds pass
+    Then each lost task of job "j" has started elsewhere
+
+  Scenario: A leader that can't reach the store does not tell the next one what it has learned about earlier ones
+    Given processes "a b c d" with clocks of different origin that have run for 3 seconds
+    When job "j" of 4 tasks of 30 seconds is submitted at a process that does not lead
+    And 1 seconds pass
+    And the leader is killed
+    And the store answers the next leader no more as soon as it leads
+    And the store answers the next leader no more as soon as it leads
+    And a minion with tasks of job "j" stops answering
+    And 10.5 seconds pass
+    Then each lost task of job "j" has started elsewhere
+
   Scenario: A leader that has lost its claim goes on loading and reports that it leads
     When reads of the newest submissions take 2 seconds
     And the leader is killed
@@ -502,6 +544,29 @@
       | 0       | 0.4   | 1.2    |
       | -2      | 0.3   | 1.4    |
 
+  @single-place
+  Scenario Outline: An earlier leader renews leases after the time that its successor, which can't reach the store, tells the next one
+    Given processes "a b c" with clocks of different origin that have run for 3 seconds
+    When the clock of the leader runs <first> percent slow
+    And answers to claims take <delay> seconds
+    And job "j" of 4 tasks of 30 seconds is submitted at a process that does not lead
+    And <before> seconds pass
+    And the leader and the minions with tasks of job "j" are cut off from the store and from all others
+    And the store answers the next leader no more as soon as it leads
+    And its clock runs <next> percent slow
+    And the others take it for unable at once
+    And 14 seconds pass
+    Then no task ran on two minions at a time
+    And the first leader renewed nothing after the time that the newest one learned
+
+    Examples:
+      | first | next | delay | before |
+      | 0     | 0    | 0     | 1.0    |
+      | 2     | 0    | 0     | 1.3    |
+      | 2     | 2    | 0.4   | 1.2    |
+      | 0     | -2   | 0.4   | 1.4    |
+      | -2    | 0    | 0.2   | 1.0    |
+
   Scenario Outline: A leader that loads and can't renew is succeeded while it makes progress, or kept when it makes none
     When 50 jobs of 1 task are submitted
     And <load>
--- a/dotterelhill/control/tests/cluster_world.py
+++ b/dotterelhill/control/tests/cluster_world.py
@@ -433,7 +433,14 @@
         )
 
     async def announce_claim(self, address, claim):
-        (await self._reach(address)).election.accept_claim(claim)
+        election = (await self._reach(address)).election
+        election.accept_claim(claim)
+        settlement = self._cluster.settlement_of(election)
+        await asyncio.sleep(self._cluster.claim_answer_seconds)
+        if self._cluster.lost_claim_answers:
+            self._cluster.lost_claim_answers -= 1
+            raise PeerUnreachableError("no answer")
+        return settlement
 
     async def state_of(self, address, job_id, tenant=""):
         leader = (await self._reach(address)).election.leader
@@ -598,6 +605,11 @@
         self.clock_spacing_seconds = clock_spacing_seconds
         # Time that a message of the leader takes to another process.
         self.message_seconds = 0.005
+        # Time that the answer to an announced claim takes, and the number of these that are lost.
+        self.claim_answer_seconds = 0.0
+        self.lost_claim_answers = 0
+        # What a process tells in that answer about the leaders before its newest term.
+        self.settlement_of = lambda election: election.settlement
         # Processor time of a process for each call that it sends and each answer that it reads.
         self.seconds_per_message = 0.0
         # Processor time of a leader for each job that it reads.
--- a/dotterelhill/control/tests/mixed_builds.feature
+++ b/dotterelhill/control/tests/mixed_builds.feature
@@ -15,6 +15,20 @@
       | submission     |
       | progress       |
 
+  Scenario Outline: The answer to a claim is lost, or taken for the end of earlier leaders, when it comes from <build>
+    When a claim is announced over HTTP to a process of <build>
+    Then the claim is accepted and the answer tells <told>
+
+    Examples:
+      | build                                     | told                                    |
+      | the present build that has led            | that earlier leaders end in 2.5 seconds |
+      | the present build that has not led        | nothing                                 |
+      | an earlier build                          | nothing                                 |
+      | a later build that tells more             | that earlier leaders end in 2.5 seconds |
+      | a later build that answers in another way | nothing                                 |
+      | a build that tells no number              | nothing                                 |
+      | a build that tells of a time before       | nothing                                 |
+
   @single-place
   Scenario: Jobs that an earlier build has stored are lost, or their runs and done tasks start again
     Given an earlier build has stored job "j" of 4 tasks, of which 0 is done, 1 runs and 2 has failed
--- a/dotterelhill/control/tests/steps/cluster_steps.py
+++ b/dotterelhill/control/tests/steps/cluster_steps.py
@@ -134,10 +134,14 @@
 @when(r"the store answers the next leader no more as soon as it leads")
 def silence_store_of_next_leader(context):
     cluster = context.cluster
+    # Processes whose store is silent stay the leader until another one claims.
+    earlier = {context.first_leader}
+    earlier.update(name for name, process in cluster.processes.items() if process.store.is_silent)
     for _ in range(MAX_WAIT_STEPS):
         cluster.advance(WAIT_STEP_SECONDS)
-        names = [name for name in cluster.leaders if name != context.first_leader]
+        names = [name for name in cluster.leaders if name not in earlier]
         if names:
+            context.silenced_leader = names[0]
             cluster.processes[names[0]].store.is_silent = True
             return
     raise AssertionError("no next leader")
--- a/dotterelhill/control/tests/steps/failover_steps.py
+++ b/dotterelhill/control/tests/steps/failover_steps.py
@@ -4,8 +4,14 @@
 from behave import given, then, use_step_matcher, when
 
 from dotterelhill.control.interface import Stream
-from dotterelhill.control.leadership import RENEWAL_GRACE_SECONDS, Claim
-from dotterelhill.control.tests.cluster_world import Cluster
+from dotterelhill.control.leadership import (
+    RENEWAL_GRACE_SECONDS,
+    Claim,
+    LeaderCondition,
+    Leadership,
+    Settlement,
+)
+from dotterelhill.control.tests.cluster_world import Cluster, MemoryStore, StoreView
 
 use_step_matcher("re")
 
@@ -124,3 +130,87 @@
 def check_claims_since(context, count):
     epochs = [process.leadership.epoch for process in context.cluster.processes.values()]
     assert max(epochs) - context.loading_epoch + 1 == int(count), epochs
+
+
+@when(r"its clock runs (?P<percent>-?\d+) percent slow")
+def slow_clock_without_store(context, percent):
+    process = context.cluster.processes[context.silenced_leader]
+    process.clock.set_rate(1.0 - int(percent) / 100.0)
+
+
+@when(r"the others take it for unable at once")
+def take_for_unable(context):
+    """Let the next process claim early; a premature claim must be safe."""
+
+    async def unable(address, incarnation, epoch):
+        return LeaderCondition.UNABLE
+
+    for name, process in context.cluster.processes.items():
+        if name not in (context.first_leader, context.silenced_leader):
+            process.election._condition_of = unable
+
+
+@when(r"a process that has led claims again and does not know until when earlier leaders renew")
+def claim_again(context):
+    cluster = context.cluster
+    context.leadership = Leadership(StoreView(MemoryStore()), "x/1", "x", cluster.loop.time)
+    for _ in range(2):
+        state = cluster.run(context.leadership.read())
+        assert cluster.run(context.leadership.claim(state))
+        if not context.leadership.ended_epoch:
+            context.leadership.settle_at(cluster.loop.time())
+            context.leadership.drop("test")
+
+
+@then(r"it tells nothing about leaders before its new term")
+def check_no_settlement(context):
+    assert context.leadership.settlement is None, context.leadership.settlement
+
+
+@when(r"it learns that they renew for (?P<seconds>[\d.]+) more seconds")
+def learn_settlement(context, seconds):
+    context.leadership.settle_at(context.cluster.loop.time() + float(seconds))
+
+
+@then(
+    r"it tells (?P<later>[\d.]+) seconds later that they renew for (?P<seconds>[\d.]+) more seconds"
+)
+def check_settlement(context, later, seconds):
+    context.cluster.advance(float(later))
+    told = context.leadership.settlement
+    assert told.epoch == context.leadership.epoch, told
+    assert abs(told.left_seconds - float(seconds)) < 1e-6, told
+
+
+@when(r"answers to claims take (?P<seconds>[\d.]+) seconds")
+def delay_claim_answers(context, seconds):
+    context.cluster.claim_answer_seconds = float(seconds)
+
+
+@when(r"the first (?P<count>\d+) answers to claims are lost")
+def lose_claim_answers(context, count):
+    context.cluster.lost_claim_answers = int(count)
+
+
+@when(
+    r"claims are answered as by (?P<process>an earlier build|a process that tells of an old term)"
+)
+def change_claim_answers(context, process):
+    answer = None
+    if process == "a process that tells of an old term":
+        epoch = context.cluster.processes[context.first_leader].leadership.epoch
+        answer = Settlement(epoch, 0.0)
+    context.cluster.settlement_of = lambda election: answer
+
+
+@then(r"the first leader renewed nothing after the time that the newest one learned")
+def check_learned_end(context):
+    cluster = context.cluster
+    first = cluster.processes[context.first_leader]
+    newest = cluster.processes[cluster.leaders[0]]
+    learned = newest.leadership._settled_at
+    assert learned < newest.assumed_renewals_end, "no earlier time was learned"
+    # The claim that the first leader can't know to be superseded still holds its deadline.
+    ended_at = first.clock.time_of(first.leadership._valid_until + RENEWAL_GRACE_SECONDS)
+    learned_at = newest.clock.time_of(learned)
+    assert ended_at <= learned_at, (ended_at, learned_at)
--- a/dotterelhill/control/tests/steps/mixed_builds_steps.py
+++ b/dotterelhill/control/tests/steps/mixed_builds_steps.py
@@ -1,8 +1,12 @@
 from __future__ import annotations
 
+import asyncio
 from dataclasses import replace
+from types import SimpleNamespace
 
+import aiohttp
 import msgspec
+from aiohttp import web
 from behave import given, then, use_step_matcher, when
 
 from dotterelhill.control import leadership, peers, relay_messages
@@ -137,6 +141,52 @@
         assert getattr(found, name) == defaults[name], (name, found)
 
 
+# Bodies with which processes of other builds accept a claim.
+OTHER_ANSWERS = {
+    "an earlier build": b"",
+    "a later build that tells more": msgspec.msgpack.encode([3, 2.5, "more"]),
+    "a build that tells no number": msgspec.msgpack.encode([3, float("nan")]),
+    "a build that tells of a time before": msgspec.msgpack.encode([3, -1.0]),
+    "a later build that answers in another way": msgspec.msgpack.encode({"left_seconds": 0.0}),
+}
+
+
+@when(r"a claim is announced over HTTP to a process of (?P<build>.+)")
+def announce_over_http(context, build):
+    context.accepted = []
+    settlement = leadership.Settlement(3, 2.5) if build.endswith("has led") else None
+    source = SimpleNamespace(accept_claim=context.accepted.append, settlement=settlement)
+    server = peers.PeerServer(source, None, "127.0.0.1", 0)
+
+    async def accept(request):
+        context.accepted.append(peers._CLAIM_DECODER.decode(await request.read()))
+        return web.Response(body=OTHER_ANSWERS[build])
+
+    if build in OTHER_ANSWERS:
+        server._answer = accept
+
+    async def announce() -> None:
+        await server.on_start()
+        host, port = server._runner.addresses[0][:2]
+        async with aiohttp.ClientSession() as session:
+            client = peers.PeerClient(lambda: session)
+            claim = leadership.Claim(4, "a/1", "a:1")
+            context.told = await client.announce_claim(f"{host}:{port}", claim)
+        await server.on_stop()
+
+    asyncio.run(announce())
+
+
+@then(
+    r"the claim is accepted and the answer tells (?:nothing|that earlier leaders end in "
+    r"(?P<seconds>[\d.]+) seconds)"
+)
+def check_told(context, seconds):
+    assert context.accepted == [leadership.Claim(4, "a/1", "a:1")], context.accepted
+    expected = leadership.Settlement(3, float(seconds)) if seconds else None
+    assert context.told == expected, context.told
+
+
 def append(cluster, stream, key, value):
     partition = partition_of(key, SUBMISSION_PARTITIONS) if stream is Stream.SUBMISSIONS else 0
     cluster.store.streams[stream, partition].append(Record(key, value))
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -412,9 +412,13 @@
 
     # Minions
 
-    def end_earlier_renewals(self, now: float) -> None:
-        """Shorten the leases of an earlier leader, whose term has ended."""
-        until, known_until = lease_end(now, self._settings.lease_seconds), self._earlier_lease_end
+    def end_earlier_renewals(self, renewals_end: float) -> None:
+        """Shorten the leases of earlier leaders, whose terms end earlier than assumed.
+
+        :param renewals_end: time from which none of them renews leases; it may be in the future
+        """
+        until = lease_end(renewals_end, self._settings.lease_seconds)
+        known_until = self._earlier_lease_end
         if until >= known_until:
             return
         self._earlier_lease_end = until
--- a/dotterelhill/platform/tests/fuzz.feature
+++ b/dotterelhill/platform/tests/fuzz.feature
@@ -19,6 +19,7 @@
       | the store's records    | 300   |
       | the store's append     | 200   |
       | a peer's status        | 200   |
+      | a peer told of a claim | 200   |
       | the leader to a relay  | 200   |
       | a relay to the leader  | 200   |
 
--- a/dotterelhill/platform/tests/steps/fuzz_steps.py
+++ b/dotterelhill/platform/tests/steps/fuzz_steps.py
@@ -11,6 +11,7 @@
 from hypothesis import strategies as st
 
 from dotterelhill.control.interface import MinionAnswer, MinionError, Record, StoreError, Stream
+from dotterelhill.control.leadership import Claim, Settlement
 from dotterelhill.control.peers import PeerClient, PeerUnreachableError
 from dotterelhill.control.relay_messages import (
     ENCODER,
@@ -229,6 +230,11 @@
             asyncio.run(call)
 
 
+def read_settlement(data: bytes) -> None:
+    settlement = asyncio.run(FixedPeer(data).announce_claim("h:1", Claim(6, "a/1", "a:1")))
+    assert settlement is None or settlement.latest_time(900.0) >= 900.0, settlement
+
+
 def read_leader_message(data: bytes) -> None:
     with suppress(msgspec.MsgspecError):
         LEADER_DECODER.decode(data)
@@ -255,6 +261,10 @@
         read_status,
         mutated_json({"incarnation": "a/1", "has_claim": True, "is_able": True}),
     ),
+    "a peer told of a claim": (
+        read_settlement,
+        damaged(msgspec.msgpack.encode(Settlement(5, 2.25))),
+    ),
     "the leader to a relay": (read_leader_message, damaged(ENCODER.encode(LEADER_MESSAGE))),
     "a relay to the leader": (read_relay_message, damaged(ENCODER.encode(RELAY_MESSAGE))),
 }
