Fail a job at its last allowed failure before anything is learned from it

What callers saw: nothing yet; found in a review. When the report of a failed run raised an error while the failure was counted for its minion, the task had been queued already and its job was not failed, so that the task started once more than maxAttempts allows.

Cause: the task waits again before its failure is counted, and the limit was checked only after the minion's record had been updated.

Change: the limit is checked directly after the failure is counted. Learning from the failure comes last, as for runs that end done.

--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -789,17 +789,16 @@
         task.failures += 1
         self._mark_dirty(job)
         step = job.submission.steps[task.key.step]
+        is_at_limit = not step.is_lasting and task.failures >= self._queue_of(job).max_attempts
+        # The other run of a task with a copy may still end done.
+        if is_at_limit and not task.is_assigned:
+            # First, since an error below must not let the task start again.
+            self._end_job(job, JobState.FAILED, now)
         is_blamed = step.is_lasting and self._failing.record_failure(task.key, minion, now)
         if not is_blamed:
             self._uneven.record_failure(minion, now)
             if minion.health.record_failure(planned_at, now):
                 self._record_minion_decision("minion set aside after failures", minion)
-        if step.is_lasting or task.failures < self._queue_of(job).max_attempts:
-            return
-        if task.is_assigned:
-            # The other run of a task with a copy may still end done.
-            return
-        self._end_job(job, JobState.FAILED, now)
 
     def _release_minion(
         self, minion: Minion, now: float, reason: str, *, is_certain: bool = True
--- a/dotterelhill/jobs/tests/start_bound.feature
+++ b/dotterelhill/jobs/tests/start_bound.feature
@@ -89,6 +89,16 @@
     And 3.0 seconds pass with crashes
     Then job "a" is shown as "completed"
 
+  Scenario: an error while the last allowed failure is counted lets a task start more often than maxAttempts
+    Given a fleet of 2 minions of 8 processors that may crash
+    And innocent job "a" of 1 task of 1 processors
+    When 0.5 seconds pass with crashes
+    And the task of job "a" ends as "failed" and its failure can't be counted
+    And 0.5 seconds pass with crashes
+    And the task of job "a" ends as "failed" and its failure can't be counted
+    And 3.0 seconds pass with crashes
+    Then job "a" is shown as "failed"
+
   Scenario: a run that is gone keeps its task from starting while no stop order is answered
     Given a fleet of 3 minions of 32 processors that may crash
     And stop orders are neither answered nor carried out
