Advance a job when the end of a done task is reported again after an error

What callers saw: nothing yet; found in a review. When the report of a task that ended done raised an error after the task had been marked as done, the steps that depend on it never started, or the job never ended.

Cause: the end is listed again in the next report, but a task that is done already was passed over, before its dependents were added.

Change: adding the dependents and ending a complete job are a step of their own, which is repeated for a task that is done. A repeated call has no effect.

Measured: the new scenario showed the job as running 3 s after the end of its first task, and shows it as completed with the change; the other scenarios of jobs/tests pass.

--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -716,7 +716,11 @@
             task.release(assignment)
             self._tenant_usage.remove(end.key, end.run_id)
             self._mark_dirty(job)
-        if job.state in FINAL_STATES or task.is_done:
+        if job.state in FINAL_STATES:
+            return
+        if task.is_done:
+            # An error may have interrupted this when an earlier report listed the end.
+            self._advance_job(job, task, now)
             return
         if assignment is not None and assignment.is_proven:
             self._clear_suspicion(job, task)
@@ -775,6 +779,13 @@
             self._clear_suspicion(job, member)
             self._stop_task(member, now)
         self._mark_dirty(job)
+        self._advance_job(job, task, now)
+
+    def _advance_job(self, job: Job, task: Task, now: float) -> None:
+        """Add the steps that a done task makes ready, and end the job if it is complete.
+
+        A repeated call has no effect.
+        """
         self._placement.add_ready_dependents(job, task.key)
         if job.is_complete():
             self._end_job(job, JobState.COMPLETED, now)
--- a/dotterelhill/jobs/tests/start_bound.feature
+++ b/dotterelhill/jobs/tests/start_bound.feature
@@ -99,6 +99,14 @@
     And 3.0 seconds pass with crashes
     Then job "a" is shown as "failed"
 
+  Scenario: an error while a success is processed keeps the steps that depend on it from starting
+    Given a fleet of 2 minions of 8 processors that may crash
+    And job "a" of 2 steps, the second after the first
+    When 0.5 seconds pass with crashes
+    And the task of job "a" ends as "done" and its dependents can't be added
+    And 3.0 seconds pass with crashes
+    Then job "a" is shown as "completed"
+
   Scenario: a run that is gone keeps its task from starting while no stop order is answered
     Given a fleet of 3 minions of 32 processors that may crash
     And stop orders are neither answered nor carried out
--- a/dotterelhill/jobs/tests/steps/start_bound_steps.py
+++ b/dotterelhill/jobs/tests/steps/start_bound_steps.py
@@ -161,7 +161,7 @@
 
 @when(
     r'the task of job "(?P<job>\w+)" ends as "(?P<kind>\w+)" and '
-    r"its (?P<part>duration can't be learned|failure can't be counted)"
+    r"its (?P<part>duration can't be learned|failure can't be counted|dependents can't be added)"
 )
 def end_with_error(context, job, kind, part):
     """End a task; the report of its end raises an error once, as the leader sees it."""
@@ -171,6 +171,9 @@
     scheduler = fleet.scheduler
     if part.startswith("duration"):
         patched = patch.object(scheduler.durations, "record_end", side_effect=ZeroDivisionError)
+    elif part.startswith("dependents"):
+        placement = scheduler._placement
+        patched = patch.object(placement, "add_ready_dependents", side_effect=ZeroDivisionError)
     else:
         patched = patch.object(scheduler.uneven, "record_failure", side_effect=ZeroDivisionError)
     with patched:
@@ -182,6 +185,12 @@
             raise AssertionError("no error was raised")
 
 
+@given(r'job "(?P<job>\w+)" of 2 steps, the second after the first')
+def submit_two_steps(context, job):
+    room = ResourceVector(1000, 100)
+    context.fleet.submit(job, (Step(1, room, 1.0), Step(1, room, 1.0, after=(0,))))
+
+
 @given(r"stop orders are neither answered nor carried out")
 def lose_stops(context):
     context.fleet.carry_out_stops = lambda: None
