--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -778,7 +778,11 @@
             task.release(assignment)
             self._tenant_usage.remove(end.key, end.run_id)
             self._mark_dirty(job)
-        if job.state in FINAL_STATES or task.is_done:
+        if job.state in FINAL_STATES:
+            return
+        if task.is_done:
+            # An error may have interrupted this when an earlier report listed the end.
+            self._advance_job(job, task, now)
             return
         if assignment is not None and assignment.is_proven:
             self._clear_suspicion(job, task)
@@ -837,6 +841,13 @@
             self._clear_suspicion(job, member)
             self._stop_task(member, now)
         self._mark_dirty(job)
+        self._advance_job(job, task, now)
+
+    def _advance_job(self, job: Job, task: Task, now: float) -> None:
+        """Add the steps that a done task makes ready, and end the job if it is complete.
+
+        A repeated call has no effect.
+        """
         self._placement.add_ready_dependents(job, task.key)
         if job.is_complete():
             self._end_job(job, JobState.COMPLETED, now)
@@ -851,17 +862,16 @@
         task.failures += 1
         self._mark_dirty(job)
         step = job.submission.steps[task.key.step]
+        is_at_limit = not step.is_lasting and task.failures >= self._queue_of(job).max_attempts
+        # The other run of a task with a copy may still end done.
+        if is_at_limit and not task.is_assigned:
+            # First, since an error below must not let the task start again.
+            self._end_job(job, JobState.FAILED, now)
         is_blamed = step.is_lasting and self._failing.record_failure(task.key, minion, now)
         if not is_blamed:
             self._uneven.record_failure(minion, now)
             if minion.health.record_failure(planned_at, now):
                 self._record_minion_decision("minion set aside after failures", minion)
-        if step.is_lasting or task.failures < self._queue_of(job).max_attempts:
-            return
-        if task.is_assigned:
-            # The other run of a task with a copy may still end done.
-            return
-        self._end_job(job, JobState.FAILED, now)
 
     def _release_minion(
         self, minion: Minion, now: float, reason: str, *, is_certain: bool = True
--- a/dotterelhill/jobs/tests/start_bound.feature
+++ b/dotterelhill/jobs/tests/start_bound.feature
@@ -62,6 +62,15 @@
     Then no job with a task to start had nothing assigned for more than 3 seconds
     And job "f" is shown as "completed"
 
+  @known-red
+  Scenario: a filler that was lost with two minions for certain never starts while serving tasks leave no headroom
+    Given a fleet of 8 minions of 32 processors that may crash
+    And a serving task on each minion that leaves no headroom for fillers of unknown effect
+    And job "f" of 1 filler of 7 processors that takes headroom
+    When a new leader takes over that knows of 2 certain crashes under the task of job "f"
+    And 30 seconds pass while the waits of jobs are measured
+    Then job "f" is shown as "completed"
+
   Scenario: a wave of crashes under fillers that were forced to start leaves them suspected and waiting
     Given a fleet of 8 minions of 32 processors that may crash
     And a serving task on each minion that leaves no headroom for fillers of unknown effect
@@ -89,6 +98,24 @@
     And 3.0 seconds pass with crashes
     Then job "a" is shown as "completed"
 
+  Scenario: an error while the last allowed failure is counted lets a task start more often than maxAttempts
+    Given a fleet of 2 minions of 8 processors that may crash
+    And innocent job "a" of 1 task of 1 processors
+    When 0.5 seconds pass with crashes
+    And the task of job "a" ends as "failed" and its failure can't be counted
+    And 0.5 seconds pass with crashes
+    And the task of job "a" ends as "failed" and its failure can't be counted
+    And 3.0 seconds pass with crashes
+    Then job "a" is shown as "failed"
+
+  Scenario: an error while a success is processed keeps the steps that depend on it from starting
+    Given a fleet of 2 minions of 8 processors that may crash
+    And job "a" of 2 steps, the second after the first
+    When 0.5 seconds pass with crashes
+    And the task of job "a" ends as "done" and its dependents can't be added
+    And 3.0 seconds pass with crashes
+    Then job "a" is shown as "completed"
+
   Scenario: a run that is gone keeps its task from starting while no stop order is answered
     Given a fleet of 3 minions of 32 processors that may crash
     And stop orders are neither answered nor carried out
