--- a/dotterelhill/control/tests/steps/cluster_steps.py
+++ b/dotterelhill/control/tests/steps/cluster_steps.py
@@ -458,9 +458,7 @@
     raise AssertionError("no minion has tasks of the job")
 
 
-@when(
-    r'a minion with tasks of job "(?P<job>\w+)" is not reached for (?P<seconds>[\d.]+) seconds'
-)
+@when(r'a minion with tasks of job "(?P<job>\w+)" is not reached for (?P<seconds>[\d.]+) seconds')
 def lose_calls_for(context, job, seconds):
     cluster = context.cluster
     name = minions_with_tasks(context, job)[0]
