Name the fields of runs in the log line of overdue starts

They were composed from the names of an enumeration, so that renaming a member would have renamed an outer name without a trace. The values are the same; the scenarios that match the lines pass (47 in jobs/placement/tests). The key of an incarnation is taken from its property in one more place.

--- a/dotterelhill/jobs/placement/start_bound.py
+++ b/dotterelhill/jobs/placement/start_bound.py
@@ -47,6 +47,14 @@
 # A start order that was planned less than this time ago may still be on its way.
 START_ORDER_SECONDS = 1.0
 
+RUN_STATE_FIELDS = {
+    RunState.PLANNED: "assigned_planned",
+    RunState.SENT: "assigned_sent",
+    RunState.UNKNOWN: "assigned_unknown",
+    RunState.PRESENT: "assigned_present",
+    RunState.STOPPING: "assigned_stopping",
+}
+
 QueueLookup = Callable[[Job], Queue]
 StepId = tuple[str, int, int]
 Item = TypeVar("Item")
@@ -422,7 +430,7 @@
     :param minions: minions by id
     :param unlisted: unlisted incarnations of which the end of the lease is awaited, each as
         ``minion_id@born_ms``
-    :param exclusions: the minions minions, each with the reason why no run may start on it
+    :param exclusions: all minions, each with the reason why no run may start on it
     :param refusal: returns why placement does not start the tasks on a usable minion with room;
         empty when it does
     """
@@ -436,8 +444,7 @@
     for key in late.keys:
         task = late.job.tasks.get(key)
         if task is not None and task.is_assigned:
-            state = _run_state(key, task.assignments[0], minions, unlisted)
-            assigned["assigned_" + state] += 1
+            assigned[_assignment_field(key, task.assignments[0], minions, unlisted)] += 1
     queued_count = sum(key in queued for key in late.keys)
     fields: dict[str, object] = {
         "task": str(first),
@@ -458,24 +465,26 @@
     return fields
 
 
-def _run_state(
+def _assignment_field(
     key: TaskKey,
     assignment: Assignment,
     minions: Mapping[str, Minion],
     unlisted: Collection[str],
 ) -> str:
-    """Return the state of the run to which a task is assigned.
+    """Return the field of the log line that counts tasks by the state of their runs.
 
     :param minions: minions by id
     :param unlisted: unlisted incarnations of which the end of the lease is awaited
-    :returns: ``unlisted`` on one of those, ``untracked`` on any other incarnation that is not
-        known, ``detached`` when the minion has no run of the task, otherwise the state of the run
+    :returns: that of unlisted runs on one of those, of untracked ones on any other incarnation that
+        is not known, of detached ones when the minion has no run of the task, otherwise that of
+        the state of the run
     """
     minion = minions.get(assignment.minion_id)
     if minion is None or minion.facts.born_ms != assignment.born_ms:
-        return "unlisted" if assignment.incarnation in unlisted else "untracked"
+        is_awaited = assignment.incarnation in unlisted
+        return "assigned_unlisted" if is_awaited else "assigned_untracked"
     run = minion.runs.get(key)
-    return "detached" if run is None else run.state.name.lower()
+    return "assigned_detached" if run is None else RUN_STATE_FIELDS[run.state]
 
 
 def _due_steps(job: Job, unix_ms: int) -> Iterator[tuple[Step, int, int, float]]:
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -549,7 +549,7 @@
 
     def _attach_stored_runs(self, minion: Minion, now: float) -> None:
         """Attach the stored runs that waited for this minion to be listed."""
-        incarnation = f"{minion.minion_id}@{minion.facts.born_ms}"
+        incarnation = minion.incarnation
         unlisted = [
             key for key in self._unlisted_lease_ends if key.startswith(f"{minion.minion_id}@")
         ]
