--- a/dotterelhill/jobs/tests/steps/start_bound_steps.py
+++ b/dotterelhill/jobs/tests/steps/start_bound_steps.py
@@ -10,7 +10,7 @@
 from dotterelhill.jobs.queues import Tenant
 from dotterelhill.jobs.resources import ResourceVector
 from dotterelhill.jobs.tests.crash_world import ROUND_SECONDS, CrashWorld
-from dotterelhill.jobs.tests.wave_world import play_waves
+from dotterelhill.jobs.tests.wave_world import play_waves, submit_serving_tasks
 
 use_step_matcher("re")
 
@@ -44,19 +44,7 @@
 @given(r"a serving task on each minion that leaves no headroom for fillers of unknown effect")
 def submit_serving_on_each(context):
     fleet = context.fleet
-    count = len(fleet.facts)
-    step = Step(
-        count,
-        ResourceVector(2000, 100),
-        1.0,
-        is_lasting=True,
-        image="web",
-        target_tail_ms=50,
-        anti_affinity=1,
-    )
-    fleet.submit("serving", (step,))
-    for index in range(count):
-        fleet.tails[TaskKey("serving", 0, 0, index)] = 46.0
+    submit_serving_tasks(fleet, len(fleet.facts), 46.0)
     fleet.run_seconds(6.0)
 
 
--- a/dotterelhill/jobs/tests/wave_world.py
+++ b/dotterelhill/jobs/tests/wave_world.py
@@ -44,7 +44,7 @@
     for number, name in enumerate(names):
         world.list_minion(name, 32000, domain=f"d{number % 3}")
     if random.random() < 0.7:
-        _submit_serving(world, len(names), random.choice((NO_HEADROOM_TAIL_MS, 30.0, 15.0)))
+        submit_serving_tasks(world, len(names), random.choice((NO_HEADROOM_TAIL_MS, 30.0, 15.0)))
     world.run_seconds(WARM_UP_SECONDS)
     world.down_seconds = random.choice((1.0, 2.0, 7.0))
     world.is_entry_removed = random.random() < 0.5
@@ -56,7 +56,8 @@
     return history
 
 
-def _submit_serving(world: CrashWorld, count: int, tail_ms: float) -> None:
+def submit_serving_tasks(world: CrashWorld, count: int, tail_ms: float) -> None:
+    """Submit a job with one serving task for each minion, all with the same tail."""
     step = Step(
         count,
         ResourceVector(2000, 100),
