Bound what forwarded requests wait, not the processor time of the test

The step that failed was the one on the duration.

Cause, by the duration on an idle machine: 0.43 to 0.54 s in twelve runs, of which 100 requests of 0.02 s on 8 slots take 0.26 s; the rest is processor time of callers, entry processes and minion in the one process, which grows with the load.

The upper bound is 0.5 s in place of 1.5 s, so that a wait for a heartbeat or a check of 0.3 s fails it, which passed before.

--- a/dotterelhill/requests/tests/forwarding.feature
+++ b/dotterelhill/requests/tests/forwarding.feature
@@ -10,11 +10,12 @@
     Then both bodies arrived complete
     And "e2" used minion "m1" once
 
+  @waited-time
   Scenario Outline: Between two heartbeats a peer gets only as many requests as it had free slots
     Given the last heartbeat of "e2" reported <slots> free slots
     When 100 callers ask "e1" at once for 0.02 seconds of work
     Then every answer has status 200
-    And it took between 0.2 and 1.5 seconds
+    And it took between 0.2 and 0.5 seconds
     And no minion had more requests than slots
     Examples:
       | slots |
--- a/dotterelhill/requests/tests/steps/request_steps.py
+++ b/dotterelhill/requests/tests/steps/request_steps.py
@@ -25,12 +25,13 @@
 
 
 def run_calls(context, *calls):
-    """Run calls concurrently; store their answers and the duration in seconds."""
+    """Run calls concurrently; store their answers and the duration in seconds of the loop."""
 
     async def gather():
-        started = time.monotonic()
+        loop = asyncio.get_running_loop()
+        started = loop.time()
         answers = await asyncio.gather(*calls)
-        context.seconds = time.monotonic() - started
+        context.seconds = loop.time() - started
         return list(answers)
 
     context.answers = context.run(gather())
