Force fillers that were lost with two minions for certain to start alone

What callers saw: a job of one filler whose task was lost with two minions for certain, or with three, stayed queued for as long as serving tasks left no headroom on any minion. Cause: such a task starts only in isolation, and isolated starts ask for headroom. Forced starts, which need none, are beside others and leave such tasks out. Change: once such a filler has waited as long as any forced start since its newest crash, it starts without headroom on a minion where nothing else is unproven and nothing else starts until it is proven, the one with the fewest serving tasks. If every minion has new runs, it claims one. A crash gives its job up, as before. Measured: the known-red scenario failed ("queued" after 30 s) and passes, with two new ones, which fail on the code before as well: on the new code with either the pause or the limit of one taken out, two deadly fillers crash two minions within 9.8 s instead of one; without the claim, a filler does not start beside jobs that come every 0.1 s. The step that sets crashes now takes several jobs; what it sets is unchanged.

--- a/dotterelhill/jobs/crashes/isolation.py
+++ b/dotterelhill/jobs/crashes/isolation.py
@@ -31,6 +31,14 @@
         self._isolated: set[Minion] = set()
         self._allowance = 0
         self._shared_limit = AttemptLimit(MAX_SHARED_ATTEMPTS)
+        # Task that starts, or waits to start, on a minion that does not admit it. There is one at a
+        # time until it is proven, since each may crash serving tasks.
+        self._forced_key: TaskKey | None = None
+
+    @property
+    def forced_key(self) -> TaskKey | None:
+        """Return the task that is forced to start alone, if any."""
+        return self._forced_key
 
     @property
     def claims(self) -> Mapping[TaskKey, Minion]:
@@ -49,10 +57,12 @@
         self._shared_limit.begin_round()
         tested_incarnations = set()
         waiting_keys = set()
+        is_forced_tested = False
         for suspect in self._suspicion.suspects:
             task = suspect.task
             if suspect.is_tested:
                 tested_incarnations.add((task.minion_id, task.minion_born_ms))
+                is_forced_tested = is_forced_tested or task.key == self._forced_key
             elif not task.is_assigned:
                 waiting_keys.add(task.key)
         usable = {minion for pool in pools.values() for minion in pool}
@@ -65,6 +75,8 @@
                 continue
             del self._claims[key]
         self._isolated.update(self._claims.values())
+        if not is_forced_tested and self._forced_key not in self._claims:
+            self._forced_key = None
 
     def begin_pool(self, pool: Sequence[Minion]) -> None:
         """Set how many more minions of a service may be isolated."""
@@ -89,15 +101,23 @@
         self._isolated.add(minion)
 
     def choose(
-        self, key: TaskKey, pool: Sequence[Minion], start_cost: StartCost, now: float
+        self,
+        key: TaskKey,
+        pool: Sequence[Minion],
+        start_cost: StartCost,
+        now: float,
+        *,
+        is_forced: bool = False,
     ) -> Minion | None:
         """Return the minion on which a suspected task starts, and isolate it; None if it waits.
 
         :param start_cost: returns the cost of the start on a minion, None where it is not allowed;
-            the first value is the distance to the task's data
+            the first value is the distance to the task's data, or the serving work of the minion
+        :param is_forced: whether the task is forced to start; the number of isolated minions does
+            not limit it, since claims of other tasks may last
         """
         claimed = self._claims.get(key)
-        if claimed is None and self._allowance <= 0:
+        if claimed is None and self._allowance <= 0 and not is_forced:
             return None
         best: Minion | None = None
         best_rank: tuple[float, ...] = ()
@@ -122,6 +142,8 @@
             del self._claims[key]
             self._isolated.discard(claimed)
         self._isolated.add(best)
+        if is_forced:
+            self._forced_key = key
         return best
 
     def choose_shared(
@@ -168,14 +190,17 @@
         pool: Sequence[Minion],
         start_cost: StartCost,
         with_shortfall: Callable[[Sequence[Minion]], Minion | None],
+        *,
+        is_forced: bool = False,
     ) -> None:
         """Claim a minion for a suspected task that found none, if more may be isolated.
 
         A minion that lacks only the proof of its runs goes before one that lacks room as well.
 
         :param with_shortfall: returns the minion of a pool on which room comes first
+        :param is_forced: as for ``choose``
         """
-        if key in self._claims or self._allowance <= 0:
+        if key in self._claims or (self._allowance <= 0 and not is_forced):
             return
         candidates = self.open_minions(pool)
         best: Minion | None = None
@@ -193,6 +218,8 @@
         self._claims[key] = best
         self._isolated.add(best)
         self._allowance -= 1
+        if is_forced:
+            self._forced_key = key
 
 
 def _work_at_risk(minion: Minion, now: float) -> float:
--- a/dotterelhill/jobs/crashes/suspicion.py
+++ b/dotterelhill/jobs/crashes/suspicion.py
@@ -179,6 +179,8 @@
         self._by_job: dict[str, dict[TaskKey, Suspect]] = {}
         self._counted: set[TaskKey] = set()
         self._silences: deque[_Silence] = deque(maxlen=MAX_SILENCES)
+        # Time of the newest crash under a task that starts alone only.
+        self._alone_crashed_at = float("-inf")
 
     @property
     def has_suspects(self) -> bool:
@@ -247,6 +249,9 @@
         :returns: the task if it is suspected from now on; None after a first crash that is
             inherited
         """
+        known = self._by_job.get(job.job_id, {}).get(task.key)
+        if known is not None and not known.may_share:
+            self._alone_crashed_at = now
         task.crashes += 1
         task.doubtful_crashes += is_doubtful
         self._counted.add(task.key)
@@ -337,6 +342,19 @@
             key for key in self.tasks_to_test(job, occurrence_step, keys) if suspects[key].may_share
         ]
 
+    def alone_wait_seconds(self, key: TaskKey, now: float) -> float:
+        """Return for how long a task that starts alone only has waited since its newest crash.
+
+        :returns: 0 for another task, and during the pause after a crash under any task that starts
+            alone only
+        """
+        suspect = self._by_job.get(key.job_id, {}).get(key)
+        if suspect is None or suspect.may_share:
+            return 0.0
+        if now - self._alone_crashed_at < ISOLATION_SECONDS:
+            return 0.0
+        return now - suspect.crashed_at
+
     def open_tasks(
         self, job: Job, occurrence_step: OccurrenceStep, keys: list[TaskKey], now: float
     ) -> list[TaskKey]:
--- a/dotterelhill/jobs/placement/forced_starts.py
+++ b/dotterelhill/jobs/placement/forced_starts.py
@@ -6,6 +6,7 @@
 
 from dotterelhill.jobs.fleet import Minion
 from dotterelhill.jobs.interference.sharing import MIN_FILLER_CPU_SHARE, InterferenceControl
+from dotterelhill.jobs.model import Job, Step, TaskKey
 from dotterelhill.jobs.placement.attempt_limit import AttemptLimit
 from dotterelhill.jobs.placement.filler_claims import FillerClaim
 
@@ -38,6 +39,7 @@
     def __init__(self, interference: InterferenceControl) -> None:
         self._interference = interference
         self._limit = AttemptLimit(MAX_ATTEMPTS)
+        self._alone_limit = AttemptLimit(MAX_ATTEMPTS)
         self._is_draining = False
 
     @property
@@ -51,6 +53,7 @@
         :param since_submission_seconds: time since the newest job was accepted
         """
         self._limit.begin_round()
+        self._alone_limit.begin_round()
         self._is_draining = since_submission_seconds >= DRAIN_AFTER_SECONDS
 
     def choose(
@@ -74,18 +77,14 @@
         best: Minion | None = None
         lowest: tuple[bool, bool, float, float] = (True, True, 0.0, 0.0)
         for minion in pool:
-            is_forced = self._interference.has_forced_filler(minion)
-            idle_cpu = self._interference.idle_cpu(minion)
-            is_full = idle_cpu < MIN_FILLER_CPU_SHARE * claim.step.room.cpu
-            if (is_forced or is_full) and not self._is_draining:
-                continue
-            if not is_allowed(minion):
+            is_crowded = self._is_crowded(minion, claim.step)
+            if (is_crowded and not self._is_draining) or not is_allowed(minion):
                 continue
             rank = (
-                is_forced or is_full,
+                is_crowded,
                 self._interference.is_over_target(minion),
                 -self._interference.headroom_beside(minion, claim.step, now),
-                -idle_cpu,
+                -self._interference.idle_cpu(minion),
             )
             if best is None or rank < lowest:
                 best, lowest = minion, rank
@@ -93,6 +92,51 @@
             self._interference.record_forced_start(claim.key)
         return best
 
+    def is_due_alone(
+        self,
+        job: Job,
+        key: TaskKey,
+        pool: Sequence[Minion],
+        waited_seconds: float,
+        *,
+        is_awaited: bool,
+    ) -> bool:
+        """Return whether a filler that starts alone only may do so without headroom.
+
+        :param waited_seconds: time since the newest crash under the task
+        :param is_awaited: whether a minion is claimed for this start already
+        """
+        if waited_seconds < FORCE_WHILE_IDLE_AFTER_SECONDS:
+            return False
+        if any(task.is_assigned for task in job.tasks.values()):
+            return False
+        if not is_awaited:
+            if not self._alone_limit.allows(key):
+                return False
+            self._alone_limit.record(key)
+        return self._is_force_due(pool, waited_seconds)
+
+    def cost_alone(
+        self, step: Step, is_allowed: StartCheck, minion: Minion
+    ) -> tuple[float, ...] | None:
+        """Return the cost of a start of a filler that may crash a minion; None if not allowed.
+
+        A crash costs least where the fewest serving tasks run.
+
+        :param is_allowed: returns whether the filler fits on a minion, apart from interference and
+            idle processors
+        """
+        is_crowded = self._is_crowded(minion, step)
+        if (is_crowded and not self._is_draining) or not is_allowed(minion):
+            return None
+        return (float(minion.lasting_cpu + is_crowded * minion.facts.capacity.cpu),)
+
+    def _is_crowded(self, minion: Minion, step: Step) -> bool:
+        """Return whether a minion has a forced filler or too few idle processors for another."""
+        if self._interference.has_forced_filler(minion):
+            return True
+        return self._interference.idle_cpu(minion) < MIN_FILLER_CPU_SHARE * step.room.cpu
+
     def _is_force_due(self, pool: Sequence[Minion], waited_seconds: float) -> bool:
         """Return whether a filler has waited long enough for how busy its service is."""
         if self._is_draining:
--- a/dotterelhill/jobs/placement/placement.py
+++ b/dotterelhill/jobs/placement/placement.py
@@ -399,6 +399,8 @@
         self._track_short_peak(minions, now)
         self._lasting_claims.update(ranked_lasting, by_service, self._failing, now, unix_ms)
         self._shares.begin_round(by_service if self._has_tenants else {})
+        newest_accepted_ms = self._ranking.newest_accepted_ms()
+        self._forced_starts.begin_round((unix_ms - newest_accepted_ms) / 1000.0)
         if self._suspicion.has_suspects:
             overdue = [entry for entry in ranked_lasting if has_overdue_task(entry[2], now)]
             self._drop_isolation_claims(overdue, now, unix_ms, is_suspected=True)
@@ -406,8 +408,6 @@
             self._drop_isolation_claims(overdue, now, unix_ms, is_suspected=False)
             for service, pool in by_service.items():
                 by_service[service] = self._isolation.open_minions(pool)
-        newest_accepted_ms = self._ranking.newest_accepted_ms()
-        self._forced_starts.begin_round((unix_ms - newest_accepted_ms) / 1000.0)
         claiming_tasks = partial(self._claiming_tasks, now=now)
         self._filler_claims.update(ranked_fillers, by_service, claiming_tasks, now, unix_ms)
         open_tasks = partial(self._open_tasks, now=now)
@@ -555,6 +555,14 @@
             minion = self._isolation.choose(key, pool, start_cost, now)
             if minion is None and key in overdue:
                 minion = self._isolation.choose_shared(key, pool, start_cost, now)
+            is_forced = minion is None and self._is_forced_alone(job, step, key, pool, now)
+            cost = start_cost
+            if is_forced:
+                is_allowed = partial(self._is_start_allowed, job, step, occurrence_step)
+                cost = partial(self._forced_starts.cost_alone, step, is_allowed)
+                minion = self._isolation.choose(key, pool, cost, now, is_forced=True)
+                if minion is not None:
+                    self._interference.record_forced_start(key)
             if minion is not None:
                 keys.remove(key)
                 self._remaining_starts -= 1
@@ -563,7 +571,7 @@
             if step.is_filler:
                 # Whether a filler fits changes with the load, so its claim is chosen anew.
                 self._isolation.drop_claim(key)
-                self._isolation.claim(key, pool, start_cost, lambda minions: None)
+                self._isolation.claim(key, pool, cost, lambda minions: None, is_forced=is_forced)
                 continue
             self._isolation.claim(
                 key,
@@ -572,6 +580,22 @@
                 partial(self._lasting_claims.claimable_minion, key, step, earlier=None),
             )
 
+    def _is_forced_alone(
+        self, job: Job, step: Step, key: TaskKey, pool: Sequence[Minion], now: float
+    ) -> bool:
+        """Return whether a suspected filler starts alone now where it takes too much headroom.
+
+        Serving tasks may leave no headroom on any minion for as long as they run, and a task that
+        was lost with several minions is not forced to start beside others.
+        """
+        forced_key = self._isolation.forced_key
+        if not step.is_filler or forced_key not in (None, key):
+            return False
+        waited_seconds = self._suspicion.alone_wait_seconds(key, now)
+        return self._forced_starts.is_due_alone(
+            job, key, pool, waited_seconds, is_awaited=forced_key == key
+        )
+
     def _drop_isolation_claims(
         self, overdue: Sequence[RankedJob], now: float, unix_ms: int, *, is_suspected: bool
     ) -> None:
--- a/dotterelhill/jobs/tests/start_bound.feature
+++ b/dotterelhill/jobs/tests/start_bound.feature
@@ -62,15 +62,38 @@
     Then no job with a task to start had nothing assigned for more than 3 seconds
     And job "f" is shown as "completed"
 
-  @known-red
   Scenario: a filler that was lost with two minions for certain never starts while serving tasks leave no headroom
     Given a fleet of 8 minions of 32 processors that may crash
     And a serving task on each minion that leaves no headroom for fillers of unknown effect
     And job "f" of 1 filler of 7 processors that takes headroom
-    When a new leader takes over that knows of 2 certain crashes under the task of job "f"
+    When a new leader takes over that knows of 2 certain crashes under the tasks of jobs "f"
     And 30 seconds pass while the waits of jobs are measured
     Then job "f" is shown as "completed"
 
+  Scenario: fillers that were lost with two minions for certain crash several with serving tasks at once
+    Given a fleet of 8 minions of 32 processors that may crash
+    And a serving task on each minion that leaves no headroom for fillers of unknown effect
+    And job "f" of 1 filler of 7 processors that takes headroom
+    And job "g" of 1 filler of 7 processors that takes headroom
+    And crashed minions are down for 30 seconds
+    And task 0 of job "f" is deadly
+    And task 0 of job "g" is deadly
+    When a new leader takes over that knows of 2 certain crashes under the tasks of jobs "f g"
+    And 9.8 seconds pass while the waits of jobs are measured
+    Then deadly tasks have crashed at most 1 minions
+    When 15 seconds pass while the waits of jobs are measured
+    Then deadly tasks have crashed at most 2 minions
+    And job "f" is shown as "failed"
+    And job "g" is shown as "failed"
+
+  Scenario: a filler that was lost with two minions for certain finds none without new runs
+    Given a fleet of 1 minions of 32 processors that may crash
+    And a serving task on each minion that leaves no headroom for fillers of unknown effect
+    And job "f" of 1 filler of 7 processors that takes headroom
+    When a new leader takes over that knows of 2 certain crashes under the tasks of jobs "f"
+    And jobs of 12 tasks of staggered length come every 0.1 seconds for 5 seconds
+    Then job "f" has started
+
   Scenario: a wave of crashes under fillers that were forced to start leaves them suspected and waiting
     Given a fleet of 8 minions of 32 processors that may crash
     And a serving task on each minion that leaves no headroom for fillers of unknown effect
--- a/dotterelhill/jobs/tests/steps/start_bound_steps.py
+++ b/dotterelhill/jobs/tests/steps/start_bound_steps.py
@@ -234,13 +234,14 @@
 
 @when(
     r"a new leader takes over that knows of (?P<count>\d+) certain crashes "
-    r'under the task of job "(?P<job>\w+)"'
+    r'under the tasks of jobs "(?P<jobs>[\w ]+)"'
 )
-def take_over_with_crashes(context, count, job):
+def take_over_with_crashes(context, count, jobs):
     fleet = context.fleet
-    state = fleet.scheduler.jobs[job]
-    state.task(TaskKey(job, 0, 0, 0)).crashes = int(count)
-    fleet.stored[job] = encode_progress(state)
+    for job in jobs.split():
+        state = fleet.scheduler.jobs[job]
+        state.task(TaskKey(job, 0, 0, 0)).crashes = int(count)
+        fleet.stored[job] = encode_progress(state)
     fleet.take_over()
 
 
