Count a crash against all runs that may have caused it, not only suspected ones

What callers saw: a task that crashes minions could crash one more of them than the limit allows, and an innocent task could be held responsible for certain. Cause: where a suspected run was among the unproven runs of a crashed minion, only it was counted, since suspected tasks start alone. But one that has waited for 2 s starts beside others. A run that had started just before it and crashed the minion was not counted, and the suspected one for certain if it was present. A start sent to a minion after its silence was blamed in the same way. Change: all unproven runs count the crash but those planned after the minion fell silent, and in doubt if a suspected task was tested beside tasks of other jobs. Measured: the new scenario failed before (2 of 3 crashes of job "x" counted) and passes.

--- a/dotterelhill/jobs/crashes/suspicion.py
+++ b/dotterelhill/jobs/crashes/suspicion.py
@@ -97,7 +97,7 @@
 
     :param suspects: runs that count the crash
     :param is_of_one_job: whether only one job can have caused the crash, unless the platform did
-    :param is_shared: whether suspected tasks of several jobs were tested on the minion
+    :param is_shared: whether a suspected task was tested beside tasks of other jobs
     """
 
     suspects: tuple[Run, ...]
@@ -293,13 +293,14 @@
             # No task can have crashed the others, so the platform has crashed all of them.
             return Crash((), False)
         unproven = _unproven_runs(minion)
-        # A task that was already suspected started alone, so it is the likelier cause. A start that
-        # was sent to a silent minion is the least likely one.
-        suspects = [run for run in unproven if self.is_suspected(run.key)]
-        is_shared = len({run.key.job_id for run in suspects}) > 1
-        if not suspects and minion.silent_at is not None:
-            suspects = [run for run in unproven if run.planned_at <= minion.silent_at]
-        suspects = suspects or unproven
+        likely = unproven
+        if minion.silent_at is not None:
+            # A start that was sent to a silent minion is the least likely cause.
+            likely = [run for run in unproven if run.planned_at <= minion.silent_at] or unproven
+        # Nothing starts beside a suspected task. But one that is overdue starts beside runs that
+        # are not proven, and each of them may have caused the crash.
+        is_tested = any(self.is_suspected(run.key) for run in likely)
+        is_shared = is_tested and len({run.key.job_id for run in likely}) > 1
         is_of_one_job = is_certain and len({run.key.job_id for run in unproven}) == 1
         if len(silences) >= MIN_OTHER_SILENT_MINIONS:
             is_of_one_job = False
@@ -307,7 +308,7 @@
             if run.is_inherited:
                 # This leader can't know whether the run was proven to an earlier one.
                 is_of_one_job = False
-        return Crash(tuple(suspects), is_of_one_job, is_shared)
+        return Crash(tuple(likely), is_of_one_job, is_shared)
 
     def tasks_to_test(
         self, job: Job, occurrence_step: OccurrenceStep, keys: Sequence[TaskKey]
--- a/dotterelhill/jobs/tests/crashes.feature
+++ b/dotterelhill/jobs/tests/crashes.feature
@@ -270,6 +270,18 @@
     Then job "x" is shown as "failed"
     And only the first crash has lost runs that were not proven
 
+  Scenario: the crash by a deadly task counts only against a suspected one that was sent to its minion
+    Given a fleet of 8 minions of 32 processors that may crash
+    And the silence of crashed minions is not noticed
+    And 24 jobs of 1 task of 1 processors each
+    When 0.1 seconds pass with crashes
+    And every minion with runs that are not proven crashes
+    And 0.9 seconds pass with crashes
+    And jobs of 12 tasks of staggered length come every 0.1 seconds for 3 seconds
+    And deadly job "x" of 1 task of 1 processors comes
+    And 15 seconds pass with crashes
+    Then each crash by job "x" was counted against its task
+
   Scenario: a suspected task starts beside tasks that have just started
     Given crashed minions are down for 9 seconds
     And deadly job "x" of 1 task of 1 processors
--- a/dotterelhill/jobs/tests/steps/crashes_steps.py
+++ b/dotterelhill/jobs/tests/steps/crashes_steps.py
@@ -180,6 +180,17 @@
     assert 0 < count <= int(maximum), count
 
 
+@then(r'each crash by job "(?P<job>\w+)" was counted against its task')
+def check_counted_crashes(context, job):
+    fleet = context.fleet
+    counted = [
+        one.fields["crashes"]
+        for one in fleet.decisions
+        if one.job_id == job and one.message == "task suspected of crashing minions"
+    ]
+    assert counted == [*range(1, fleet.deadly_crash_count + 1)] != [], counted
+
+
 @then(r'no task of job "(?P<job>\w+)" was lost more than once')
 def check_losses(context, job):
     lost = {
