Count the wait of a filler from its acceptance under a new leader

What callers saw: a job of one filler that no minion had headroom for did not start while leaders changed more often than each 2 s. Cause: the wait after which such a filler is forced to start began with the first round of each leader, although the acceptance is stored. Change: in its first round a leader counts the wait of a filler of whose job nothing has started from its acceptance, or from the time its occurrence is due. Claims and forced starts begin 0.5 s after that round, when most minions have reported their headroom. Measured: the new scenario failed before and passes.

--- a/dotterelhill/jobs/placement/filler_claims.py
+++ b/dotterelhill/jobs/placement/filler_claims.py
@@ -8,7 +8,7 @@
 
 from dotterelhill.jobs.fleet import Minion
 from dotterelhill.jobs.interference.sharing import MIN_FILLER_CPU_SHARE, InterferenceControl
-from dotterelhill.jobs.model import Job, Step, TaskKey
+from dotterelhill.jobs.model import Job, JobState, Step, TaskKey
 from dotterelhill.jobs.placement.waiting import (
     RankedJob,
     has_required_label,
@@ -26,6 +26,9 @@
 # service is claimed at a time, and no more than the maximum.
 MAX_CLAIMED_SHARE = 0.25
 MAX_CLAIMS = 4
+# A new leader knows the headroom of minions only after their first reports, and starts fillers on
+# those that have some first.
+FIRST_ROUNDS_SECONDS = 0.5
 # Looking for a minion costs a pass over all runs of a service.
 CHOICE_INTERVAL_SECONDS = 0.5
 
@@ -76,6 +79,8 @@
         self._by_minion: dict[Minion, FillerClaim] = {}
         self._unclaimed: list[FillerClaim] = []
         self._now = 0.0
+        # Loop time of the first round of this leader; None before it.
+        self._first_round_at: float | None = None
 
     def __iter__(self) -> Iterator[FillerClaim]:
         """Return the claims, the longest waiting first."""
@@ -105,6 +110,10 @@
         :param open_tasks: returns those of a step's tasks that may start beside other tasks
         """
         self._now = now
+        is_first_round = self._first_round_at is None
+        if self._first_round_at is None:
+            self._first_round_at = now
+        is_settled = now - self._first_round_at >= FIRST_ROUNDS_SECONDS
         since, self._since = self._since, {}
         overdue: dict[str, list[FillerClaim]] = {}
         for _, queue, waiting in ranked:
@@ -112,8 +121,11 @@
                 if not step.is_filler or step.is_gang:
                     continue
                 identity = step_id(keys[0])
-                began = self._since[identity] = since.get(identity, now)
-                if now - began < CLAIM_AFTER_SECONDS:
+                began = since.get(identity, now)
+                if is_first_round:
+                    began -= _stored_wait_seconds(waiting.job, keys[0].occurrence, unix_ms)
+                self._since[identity] = began
+                if not is_settled or now - began < CLAIM_AFTER_SECONDS:
                     continue
                 open_keys = open_tasks(waiting.job, keys)
                 if open_keys:
@@ -250,6 +262,17 @@
         )
 
 
+def _stored_wait_seconds(job: Job, occurrence: int, unix_ms: int) -> float:
+    """Return for how long tasks waited under earlier leaders; 0 if that is not stored.
+
+    Where nothing of a job has started, its tasks wait since it was accepted and due.
+    """
+    if job.state is not JobState.QUEUED:
+        return 0.0
+    began_ms = max(job.submission.accepted_ms, job.submission.due_ms(occurrence))
+    return max(0, unix_ms - began_ms) / 1000.0
+
+
 def step_id(key: TaskKey) -> StepId:
     """Return the job, occurrence and step of a task."""
     return (key.job_id, key.occurrence, key.step)
--- a/dotterelhill/jobs/tests/start_bound.feature
+++ b/dotterelhill/jobs/tests/start_bound.feature
@@ -52,6 +52,14 @@
     Then no deadly task was started more than twice after 3 crashes
     And all jobs but the deadly ones are shown as "completed"
 
+  Scenario: the wait of a filler of which no minion has headroom begins anew with each leader
+    Given a fleet of 4 minions of 32 processors that may crash
+    And a serving task on each minion that leaves no headroom for fillers of unknown effect
+    And job "f" of 1 filler of 7 processors that takes headroom
+    When 1 seconds pass with crashes
+    And 1 times, a new leader takes over and 1.5 seconds pass
+    Then job "f" has started
+
   Scenario: a filler that may have crashed its minion never starts while serving tasks leave no headroom
     Given a fleet of 4 minions of 32 processors that may crash
     And a serving task on each minion that leaves no headroom for fillers of unknown effect
