Stop no run for a tenant before whose task another tenant's lasting task would start

What callers saw: a checkpointing run of a tenant above its share was stopped for a tenant below it, and a lasting task of the first or of a third tenant started in its place. Cause: the search for exchanges expected another order of starts than placement follows, in two ways. Lasting tasks that have not run for 5 s start before all others in the order of the ranks of their jobs; the search ordered them by the shares of their tenants. And a lasting task that reaches the 5 s while the run is paused or being stopped was not expected to start first, although it then ignores shares and the reserve for short tasks. Change: the search orders overdue lasting tasks by the ranks of their jobs. An exchange is refused when a task to which the place should not go becomes overdue before the run would have ended (1.05 s at the pause, 0.3 s at the stop) and could start there. Measured: two scenarios; each failed before with one stop, and passes. The scenarios of jobs/tests, jobs/placement/tests and jobs/tenants/tests pass.

--- a/dotterelhill/jobs/placement/placement.py
+++ b/dotterelhill/jobs/placement/placement.py
@@ -212,7 +212,7 @@
                 ):
                     yield WaitingTasks(
                         waiting.job, submission.steps[index], queue.service, keys, rank[0],
-                        is_too_late,
+                        is_too_late, rank,
                     )  # fmt: skip
 
     def add_job(self, job: Job) -> None:
--- a/dotterelhill/jobs/tenants/exchanges.py
+++ b/dotterelhill/jobs/tenants/exchanges.py
@@ -4,11 +4,12 @@
 
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
+from math import inf
 from typing import Protocol
 
 from dotterelhill.jobs.fleet import Minion
 from dotterelhill.jobs.placement.lasting_claims import CLAIM_AFTER_SECONDS
-from dotterelhill.jobs.placement.waiting import longest_idle_seconds
+from dotterelhill.jobs.placement.waiting import RankKey, longest_idle_seconds
 from dotterelhill.jobs.resources import ResourceVector
 from dotterelhill.jobs.tenants.candidates import Candidate
 from dotterelhill.jobs.tenants.limits import TenantLimits
@@ -49,14 +50,25 @@
 class _Group:
     """Waiting tasks of one tenant that need the same; ``count`` are not promised a place yet.
 
-    :param rank: what decides their order before the shares of tenants
+    :param is_first: whether they precede all others, as overdue lasting tasks do
+    :param first_at: loop time from which one of them does so
+    :param rank: the first rank of their jobs, which decides the order of those that precede
     """
 
     owner: RunOwner
     tasks: WaitingTasks
-    rank: tuple[bool, int, bool, bool]
+    is_first: bool
+    first_at: float
+    rank: RankKey
     count: int = 0
 
+    def order(self, share: float) -> tuple[bool, tuple[float, ...], float]:
+        """Return the order in which they start, given the share of their tenant."""
+        if self.is_first:
+            return (False, self.rank, 0.0)
+        tasks = self.tasks
+        return (True, (tasks.priority, tasks.is_too_late, bool(self.owner.tenant)), share)
+
 
 @dataclass(frozen=True, slots=True)
 class Exchange:
@@ -107,6 +119,8 @@
             group = self._groups.get(key)
             if group is None:
                 group = self._groups[key] = _new_group(tasks, now)
+            group.first_at = min(group.first_at, _first_at(tasks, now))
+            group.rank = min(group.rank, tasks.rank)
             group.count += len(tasks.keys)
         users = {owner for owner in usage.by_owner if owner.service == service}
         self._fair_share = self._find_fair_share(users)
@@ -136,10 +150,12 @@
         """Return whether a tenant uses more than its share."""
         return self.share(owner) > self._fair_share
 
-    def find(self, candidate: Candidate) -> Exchange | None:
+    def find(self, candidate: Candidate, free_in_seconds: float) -> Exchange | None:
         """Return the exchange that would follow the stop of a run; None if it should not be.
 
         The first waiting task that could start in its place decides, since it would take it.
+
+        :param free_in_seconds: time after which the run would have ended
         """
         minion, run = candidate.minion, candidate.run
         if minion not in self._minions:
@@ -147,13 +163,13 @@
         minion.detach(run)
         try:
             found = self._first_to_start(candidate)
+            if found is None or not self._is_fair(candidate, found[1]):
+                return None
+            if self._is_lost_soon(candidate, found[1], free_in_seconds):
+                return None
         finally:
             minion.attach(run)
-        if found is None:
-            return None
         key, group = found
-        if not self._is_fair(candidate, group):
-            return None
         is_free = self._could_start(group, candidate)
         return Exchange(candidate, group.owner, group.tasks.step.room, is_free, key)
 
@@ -198,13 +214,13 @@
                 return fair_share
             owners -= satisfied
 
-    def _could_start(self, group: _Group, candidate: Candidate) -> bool:
-        """Return whether a task of a group could start on the minion of a candidate at present."""
+    def _could_start(self, group: _Group, candidate: Candidate, in_seconds: float = 0.0) -> bool:
+        """Return whether a task of a group could start on the minion of a candidate as it is."""
         return self._check.could_start(
             group.tasks,
             candidate.minion,
             self._pool,
-            self._now,
+            self._now + in_seconds,
             yielding=candidate.owner.tenant,
         )
 
@@ -225,6 +241,25 @@
                 return key, group
         return None
 
+    def _is_lost_soon(self, candidate: Candidate, taker: _Group, free_in_seconds: float) -> bool:
+        """Return whether a task that should not have the place may start there before the taker.
+
+        Lasting tasks that have waited for long precede all others, whatever the shares are, and
+        ignore what is reserved for short tasks.
+        """
+        for group in self._groups.values():
+            if group.is_first or group.first_at > self._now + free_in_seconds:
+                continue
+            if taker.is_first and taker.rank <= group.rank:
+                continue
+            if group.count <= 0 or not self._is_allowed(group):
+                continue
+            if self._is_fair(candidate, group):
+                continue
+            if self._could_start(group, candidate, free_in_seconds):
+                return True
+        return False
+
     def _is_fair(self, candidate: Candidate, group: _Group) -> bool:
         """Return whether an exchange makes the shares more equal, and no other undoes it."""
         # The task of the stopped run waits again, and would rank before the other one.
@@ -255,19 +290,19 @@
         """Bring the groups in the order of their starts."""
         shares = {owner: self.share(owner) for owner in {g.owner for g in self._groups.values()}}
         self._order = sorted(
-            self._groups.items(), key=lambda entry: (entry[1].rank, shares[entry[1].owner])
+            self._groups.items(), key=lambda entry: entry[1].order(shares[entry[1].owner])
         )
 
 
 def _group_key(tasks: WaitingTasks, now: float) -> tuple[object, ...]:
     """Return what waiting tasks have in common that start alike."""
-    job, step, _, _, priority, is_too_late = tasks
+    job, step = tasks.job, tasks.step
     submission, room = job.submission, step.room
     return (
         submission.tenant,
-        priority,
-        is_too_late,
-        step.is_lasting and _is_overdue(tasks, now),
+        tasks.priority,
+        tasks.is_too_late,
+        _first_at(tasks, now) <= now,
         room.cpu,
         room.memory_mb,
         room.gpu,
@@ -282,15 +317,12 @@
 
 def _new_group(tasks: WaitingTasks, now: float) -> _Group:
     owner = RunOwner(tasks.job.submission.tenant, tasks.service)
-    return _Group(owner, tasks, _rank(tasks, now))
-
-
-def _rank(tasks: WaitingTasks, now: float) -> tuple[bool, int, bool, bool]:
-    """Return the order of waiting tasks of different tenants, but for the shares of these."""
-    is_first = tasks.step.is_lasting and _is_overdue(tasks, now)
-    return (not is_first, tasks.priority, tasks.is_too_late, bool(tasks.job.submission.tenant))
+    first_at = _first_at(tasks, now)
+    return _Group(owner, tasks, first_at <= now, first_at, tasks.rank)
 
 
-def _is_overdue(tasks: WaitingTasks, now: float) -> bool:
-    """Return whether lasting tasks have waited for so long that they start before others."""
-    return longest_idle_seconds(tasks.job, tasks.keys, now) >= CLAIM_AFTER_SECONDS
+def _first_at(tasks: WaitingTasks, now: float) -> float:
+    """Return the loop time from which a waiting task precedes all others; infinite for never."""
+    if not tasks.step.is_lasting:
+        return inf
+    return now + CLAIM_AFTER_SECONDS - longest_idle_seconds(tasks.job, tasks.keys, now)
--- a/dotterelhill/jobs/tenants/loads.py
+++ b/dotterelhill/jobs/tenants/loads.py
@@ -9,6 +9,7 @@
 
 from dotterelhill.jobs.fleet import Minion
 from dotterelhill.jobs.model import Job, JobState, Step, TaskKey
+from dotterelhill.jobs.placement.waiting import RankKey
 from dotterelhill.jobs.resources import ResourceVector
 from dotterelhill.jobs.tenants.limits import TenantLimits
 
@@ -73,6 +74,7 @@
     :param keys: the tasks, in the order in which they start
     :param priority: priority of their queue
     :param is_too_late: whether their job can no longer end in useful time
+    :param rank: rank of their job, which decides the order of lasting tasks that are overdue
     """
 
     job: Job
@@ -81,6 +83,7 @@
     keys: list[TaskKey]
     priority: int
     is_too_late: bool
+    rank: RankKey
 
 
 @dataclass(slots=True)
--- a/dotterelhill/jobs/tenants/reclaim.py
+++ b/dotterelhill/jobs/tenants/reclaim.py
@@ -40,6 +40,8 @@
 # A pace applies within 0.5 s of its order.
 PAUSE_SECONDS = 0.5
 MAX_PAUSE_SECONDS = 1.0
+# A run ends some tenths of a second after its stop was ordered.
+STOP_SECONDS = 0.3
 
 
 @dataclass(slots=True)
@@ -209,7 +211,8 @@
             has_started = self._has_started(pause, jobs)
             is_needed = has_started
             if not has_started:
-                exchange = search.find(pause.exchange.candidate)
+                free_in_seconds = max(0.0, PAUSE_SECONDS - paused_seconds) + STOP_SECONDS
+                exchange = search.find(pause.exchange.candidate, free_in_seconds)
                 if exchange is None or (exchange.is_free and paused_seconds > MAX_PAUSE_SECONDS):
                     del self._pauses[run]
                     actions.paces += self._interference.resume(pause.minion, run, now)
@@ -272,7 +275,7 @@
             if candidate.minion in used:
                 continue
             checks_left -= 1
-            exchange = search.find(candidate)
+            exchange = search.find(candidate, PAUSE_SECONDS + SEARCH_SECONDS + STOP_SECONDS)
             if exchange is None or exchange.is_free:
                 continue
             pauses_left -= 1
