Try fillers in the round in which a place is reclaimed for them

What callers saw: a run of a tenant above its share was stopped for a filler of a tenant below it, and a short task of the first tenant started in its place; then another run was stopped. Cause: fillers that fitted no minion are tried again on all minions only each 0.1 s, since headroom changes all the time. A leader runs 10 to 40 rounds a second, so in most rounds in which the end of a stopped run is reported fillers were not tried, and whatever was next by the shares took the place. Change: fillers are tried again also in a round in which a minion has changed on which capacity is reclaimed. Other rounds are as they were. Measured: the new scenario, with a round each 0.05 s, failed before in its three rows (the filler did not run 1.2 s after its submission, the short task did) and passes. The scenarios of jobs/tests, jobs/placement/tests and jobs/tenants/tests pass. Only the signature of the test double FormerAttempts changed in placement/tests.

--- a/dotterelhill/jobs/placement/attempts.py
+++ b/dotterelhill/jobs/placement/attempts.py
@@ -80,6 +80,7 @@
         self,
         by_service: Mapping[str, Sequence[Minion]],
         restricted: Collection[Minion],
+        reclaimed: Collection[Minion],
         now: float,
     ) -> None:
         """Find the minions that have changed since the previous round.
@@ -87,13 +88,10 @@
         :param by_service: minions on which tasks may start
         :param restricted: minions on which something else than free capacity and the claims of
             lasting tasks keeps tasks from starting; they count as changed for as long
+        :param reclaimed: minions on which a run was stopped for a task, which may be a filler and
+            has to be tried in the round in which the place is free
         """
         self._round_number += 1
-        if now - self._fillers_since > FILLER_RETRY_SECONDS:
-            self._fillers_since = now
-            for task_class in self._classes.values():
-                if task_class.is_filler:
-                    task_class.forget()
         if self._size_count > MAX_SIZES:
             self._classes, self._size_count = {}, 0
             self._generation += 1
@@ -107,6 +105,15 @@
                 )
                 pool.changed_rounds.append(seen.changed_round)
             pool.newest_change = max(pool.changed_rounds, default=0)
+        has_place = any(
+            minion in self._seen and self._seen[minion].changed_round == self._round_number
+            for minion in reclaimed
+        )
+        if has_place or now - self._fillers_since > FILLER_RETRY_SECONDS:
+            self._fillers_since = now
+            for task_class in self._classes.values():
+                if task_class.is_filler:
+                    task_class.forget()
 
     def _see(self, minion: Minion, seen: _SeenMinion | None, is_restricted: bool) -> _SeenMinion:
         """Return a minion as it is now, and whether it has changed."""
--- a/dotterelhill/jobs/placement/placement.py
+++ b/dotterelhill/jobs/placement/placement.py
@@ -415,7 +415,7 @@
         )
         open_tasks = partial(self._open_tasks, now=now)
         self._look_ahead.update(ranked, by_service, open_tasks, now, unix_ms)
-        self._attempts.begin_round(by_service, self._filler_claims.minions, now)
+        self._attempts.begin_round(by_service, self._filler_claims.minions, reclaimed, now)
 
         def choose_turn_starts(
             entry: RankedJob, *, is_overdue_only: bool
--- a/dotterelhill/jobs/placement/tests/former_ranking.py
+++ b/dotterelhill/jobs/placement/tests/former_ranking.py
@@ -92,7 +92,7 @@
         self._unplaceable: dict[tuple[str, str, str], list[ResourceVector]] = {}
         self._since = float("-inf")
 
-    def begin_round(self, by_service, restricted, now: float) -> None:
+    def begin_round(self, by_service, restricted, reclaimed, now: float) -> None:
         if now - self._since > FILLER_RETRY_SECONDS:
             self._unplaceable, self._since = {}, now
         for name in [name for name in self._unplaceable if name[0] != "filler"]:
--- a/dotterelhill/jobs/tenants/tests/reclaim.feature
+++ b/dotterelhill/jobs/tenants/tests/reclaim.feature
@@ -155,6 +155,22 @@
     When 2 seconds pass with orders carried out
     Then no stop was sent
 
+  Scenario Outline: a filler is not tried in the round in which a place becomes free for it
+    Given a round follows another one after 0.05 s
+    And tenant "t" submits job "a" of 8 checkpointing fillers of 1 processors and 1 accelerators
+    And <seconds> seconds pass with orders carried out
+    And tenant "t" submits job "s" of 1 tasks of 1 processors and 1 accelerators
+    And tenant "u" submits job "b" of 1 fillers of 1 processors and 1 accelerators
+    When 1.2 seconds pass with orders carried out
+    Then 1 tasks of job "b" run
+    And 1 runs were ordered to stop, all of job "a"
+
+    Examples: fillers that fitted nowhere are tried again each 0.1 s otherwise
+      | seconds |
+      | 1.0     |
+      | 1.05    |
+      | 1.1     |
+
   Scenario: runs that lose more work are stopped first
     Given the minions have 1 accelerators
     And tenant "t" submits job "c" of 1 checkpointing fillers of 4 processors and 1 accelerators
--- a/dotterelhill/jobs/tenants/tests/steps/reclaim_steps.py
+++ b/dotterelhill/jobs/tenants/tests/steps/reclaim_steps.py
@@ -24,6 +24,7 @@
         self.fleet = fleet
         self.interval_seconds = interval_seconds
         self.is_checkpointing = True
+        self.round_seconds = ROUND_SECONDS
         self.pace = {}
         self.paused_at = {}
         self.stopped = []
@@ -38,6 +39,7 @@
                     fleet.checkpoints[key] = checkpoint
         before = fleet.now
         fleet.run_round()
+        fleet.now = before + self.round_seconds
         for order in fleet.pace_orders[self._orders_seen :]:
             identity = (order.run.key, order.run.run_id)
             if order.percent == 0 and self.pace.get(identity) != 0:
@@ -64,7 +66,7 @@
 
 
 def pass_rounds(context, seconds):
-    for _ in range(round(float(seconds) / ROUND_SECONDS)):
+    for _ in range(round(float(seconds) / context.platform.round_seconds)):
         context.platform.run_round()
 
 
@@ -80,6 +82,11 @@
     context.platform = Platform(context.fleet, float(seconds))
 
 
+@given(r"a round follows another one after (?P<seconds>[\d.]+) s")
+def change_rounds(context, seconds):
+    context.platform.round_seconds = float(seconds)
+
+
 @given(r"where there are no tenants")
 def leave_without_tenants(context):
     assert not context.fleet.tenants
