Stop one run where its place holds several of the tasks that wait

What callers saw: two tasks of one accelerator each waited, of a tenant below its share, and two runs of two accelerators each were stopped for them. Both tasks started in the first place, and the task of the second run started again in its own. Cause: the search for exchanges counts each exchange as done for the next ones, but with one task for each stopped run, however much larger the place is. Change: when an exchange is counted, what the taker leaves of the place is promised to the tasks that start there next, in the order of starts. A filler counts only if its processors are among those that the stopped run requested, so that a stop may still be in vain where more were idle. Measured: the new scenario failed before in its three rows (two stops) and passes with one. The scenarios of jobs/tests, jobs/placement/tests and jobs/tenants/tests pass.

--- a/dotterelhill/jobs/tenants/exchanges.py
+++ b/dotterelhill/jobs/tenants/exchanges.py
@@ -8,6 +8,7 @@
 from typing import Protocol
 
 from dotterelhill.jobs.fleet import Minion
+from dotterelhill.jobs.model import Step
 from dotterelhill.jobs.placement.lasting_claims import CLAIM_AFTER_SECONDS
 from dotterelhill.jobs.placement.waiting import RankKey, longest_idle_seconds
 from dotterelhill.jobs.resources import ResourceVector
@@ -75,12 +76,13 @@
     """A run that gives up its place, and the kind of waiting task that takes it.
 
     :param taker: tenant of the waiting task
+    :param step: step of that task
     :param is_free: whether the task could start even if the run was not stopped
     """
 
     candidate: Candidate
     taker: RunOwner
-    room: ResourceVector
+    step: Step
     is_free: bool
     group: tuple[object, ...]
 
@@ -171,23 +173,61 @@
             minion.attach(run)
         key, group = found
         is_free = self._could_start(group, candidate)
-        return Exchange(candidate, group.owner, group.tasks.step.room, is_free, key)
+        return Exchange(candidate, group.owner, group.tasks.step, is_free, key)
 
     def add(self, exchange: Exchange, *, has_started: bool = False) -> None:
         """Count an exchange as done.
 
         :param has_started: whether the task that takes the place is among the counted runs
         """
-        giver, taker = exchange.candidate.owner, exchange.taker
-        released = _NOTHING.minus(exchange.candidate.run.step.room)
+        giver, run = exchange.candidate.owner, exchange.candidate.run
+        released = _NOTHING.minus(run.step.room)
         self._changes[giver] = self._changes.get(giver, _NOTHING).plus(released)
         if not has_started:
-            self._changes[taker] = self._changes.get(taker, _NOTHING).plus(exchange.room)
-            promised = self._promised.get(taker.tenant, _NOTHING)
-            self._promised[taker.tenant] = promised.plus(exchange.room)
-            if exchange.group in self._groups:
-                self._groups[exchange.group].count -= 1
+            self._promise(exchange.taker, exchange.step, exchange.group)
         self._sort_groups()
+        if exchange.candidate.minion.runs.get(run.key) is run:
+            self._promise_rest(exchange, has_started=has_started)
+
+    def _promise(self, owner: RunOwner, step: Step, key: tuple[object, ...]) -> None:
+        """Count a task of a group as one that takes a place."""
+        self._changes[owner] = self._changes.get(owner, _NOTHING).plus(step.room)
+        promised = self._promised.get(owner.tenant, _NOTHING)
+        self._promised[owner.tenant] = promised.plus(step.room)
+        if key in self._groups:
+            self._groups[key].count -= 1
+
+    def _promise_rest(self, exchange: Exchange, *, has_started: bool) -> None:
+        """Promise what the taker leaves of a place to the tasks that start there after it.
+
+        Otherwise another run would be stopped for them.
+
+        :param has_started: whether the taker is among the runs of the minion
+        """
+        candidate = exchange.candidate
+        minion, run = candidate.minion, candidate.run
+        minion.detach(run)
+        try:
+            free, idle_cpu = minion.free, run.step.room.cpu - exchange.step.room.cpu
+            if not has_started:
+                free = free.minus(exchange.step.reserved_resources)
+            has_promised = False
+            for key, group in self._order:
+                step, is_startable = group.tasks.step, False
+                while group.count > 0 and free.is_enough_for(step.reserved_resources):
+                    if step.is_filler and step.room.cpu > idle_cpu:
+                        break
+                    is_startable = is_startable or self._could_start(group, candidate)
+                    if not is_startable or not self._is_allowed(group):
+                        break
+                    self._promise(group.owner, step, key)
+                    free = free.minus(step.reserved_resources)
+                    idle_cpu -= step.room.cpu
+                    has_promised = True
+        finally:
+            minion.attach(run)
+        if has_promised:
+            self._sort_groups()
 
     def _find_fair_share(self, users: set[RunOwner]) -> float:
         """Return the share over weight that tenants would have if what they use was divided fairly.
--- a/dotterelhill/jobs/tenants/tests/reclaim.feature
+++ b/dotterelhill/jobs/tenants/tests/reclaim.feature
@@ -171,6 +171,20 @@
       | 1.05    |
       | 1.1     |
 
+  Scenario Outline: a run is stopped for <kind> that could start beside another in one place
+    Given tenant "t" submits job "a" of 4 checkpointing fillers of 2 processors and 2 accelerators
+    And 1 seconds pass with orders carried out
+    And tenant "u" submits job "b" of 2 <kind> of 1 processors and 1 accelerators
+    When 4 seconds pass with orders carried out
+    Then 1 runs were ordered to stop, all of job "a"
+    And 2 tasks of job "b" run
+
+    Examples:
+      | kind          |
+      | tasks         |
+      | lasting tasks |
+      | fillers       |
+
   Scenario: runs that lose more work are stopped first
     Given the minions have 1 accelerators
     And tenant "t" submits job "c" of 1 checkpointing fillers of 4 processors and 1 accelerators
