Stop no run for a filler's claim where an overdue lasting task would start

What callers saw: a run was stopped for a filler of a tenant below its share that had claimed its minion, and a lasting task of the tenant that gave up the run started in its place. Cause: whether a task could start in a place was denied to all tasks but those of the step that has claimed the minion. Lasting tasks that have not run for 5 s start before claims, also there. Change: such tasks count as able to start on claimed minions. Measured: the new scenario failed before (one stop) and passes. The scenarios of jobs/tests, jobs/placement/tests and jobs/tenants/tests pass.

--- a/dotterelhill/jobs/placement/placement.py
+++ b/dotterelhill/jobs/placement/placement.py
@@ -301,6 +301,7 @@
         """Return whether a waiting task could be the next one to start on a minion.
 
         False for members of gangs, and where a filler of another step has claimed the minion.
+        Claims do not hold up lasting tasks that have not run for ``CLAIM_AFTER_SECONDS``.
 
         :param pool: minions of the service on which tasks may start
         :param yielding: tenant whose fillers have no claim on the minion
@@ -316,12 +317,14 @@
         idle_seconds = longest_idle_seconds(job, keys, now) if step.is_lasting else 0.0
         if self._keeps_slot(step, idle_seconds) and self._is_last_slot(step, pool):
             return False
+        is_before_claims = idle_seconds >= CLAIM_AFTER_SECONDS
         reserved_cpu = self._reserved_cpu(step, pool, idle_seconds)
         identity = (job.job_id, keys[0].occurrence, keys[0].step)
         with self._filler_claims.without_claim_of(yielding, minion):
-            return self._filler_claims.is_next(minion, identity) and (
-                self._start_cost(job, step, identity[1:], minion, now, reserved_cpu) is not None
-            )
+            if not is_before_claims and not self._filler_claims.is_next(minion, identity):
+                return False
+            cost = self._start_cost(job, step, identity[1:], minion, now, reserved_cpu)
+            return cost is not None
 
     def add_ready_dependents(self, job: Job, key: TaskKey) -> None:
         """Add the steps that depend on the step of ``key`` if that step is done."""
--- a/dotterelhill/jobs/tenants/tests/reclaim.feature
+++ b/dotterelhill/jobs/tenants/tests/reclaim.feature
@@ -185,6 +185,18 @@
       | lasting tasks |
       | fillers       |
 
+  Scenario: a lasting task precedes the filler for which a run is stopped where that has a claim
+    Given tenant "t" submits job "a" of 8 checkpointing fillers of 1 processors and 1 accelerators
+    And 1 seconds pass with orders carried out
+    And checkpoints are no longer reported
+    And tenant "t" submits job "l" of 1 lasting tasks of 1 processors and 1 accelerators
+    And 1 seconds pass with orders carried out
+    And tenant "u" submits job "b" of 1 fillers of 1 processors and 1 accelerators
+    And 6 seconds pass with orders carried out
+    And checkpoints are reported again
+    When 2 seconds pass with orders carried out
+    Then no stop was sent
+
   Scenario: runs that lose more work are stopped first
     Given the minions have 1 accelerators
     And tenant "t" submits job "c" of 1 checkpointing fillers of 4 processors and 1 accelerators
