--- a/dotterelhill/jobs/placement/placement.py
+++ b/dotterelhill/jobs/placement/placement.py
@@ -212,7 +212,7 @@
                 ):
                     yield WaitingTasks(
                         waiting.job, submission.steps[index], queue.service, keys, rank[0],
-                        is_too_late,
+                        is_too_late, rank,
                     )  # fmt: skip
 
     def add_job(self, job: Job) -> None:
@@ -301,6 +301,7 @@
         """Return whether a waiting task could be the next one to start on a minion.
 
         False for members of gangs, and where a filler of another step has claimed the minion.
+        Claims do not hold up lasting tasks that have not run for ``CLAIM_AFTER_SECONDS``.
 
         :param pool: minions of the service on which tasks may start
         :param yielding: tenant whose fillers have no claim on the minion
@@ -316,12 +317,14 @@
         idle_seconds = longest_idle_seconds(job, keys, now) if step.is_lasting else 0.0
         if self._keeps_slot(step, idle_seconds) and self._is_last_slot(step, pool):
             return False
+        is_before_claims = idle_seconds >= CLAIM_AFTER_SECONDS
         reserved_cpu = self._reserved_cpu(step, pool, idle_seconds)
         identity = (job.job_id, keys[0].occurrence, keys[0].step)
         with self._filler_claims.without_claim_of(yielding, minion):
-            return self._filler_claims.is_next(minion, identity) and (
-                self._start_cost(job, step, identity[1:], minion, now, reserved_cpu) is not None
-            )
+            if not is_before_claims and not self._filler_claims.is_next(minion, identity):
+                return False
+            cost = self._start_cost(job, step, identity[1:], minion, now, reserved_cpu)
+            return cost is not None
 
     def add_ready_dependents(self, job: Job, key: TaskKey) -> None:
         """Add the steps that depend on the step of ``key`` if that step is done."""
@@ -409,10 +412,13 @@
             for service, pool in by_service.items():
                 by_service[service] = self._isolation.open_minions(pool)
         claiming_tasks = partial(self._claiming_tasks, now=now)
-        self._filler_claims.update(ranked_fillers, by_service, claiming_tasks, now, unix_ms)
+        reclaimed = self._shares.reclaimed_minions
+        self._filler_claims.update(
+            ranked_fillers, by_service, claiming_tasks, reclaimed, now, unix_ms
+        )
         open_tasks = partial(self._open_tasks, now=now)
         self._look_ahead.update(ranked, by_service, open_tasks, now, unix_ms)
-        self._attempts.begin_round(by_service, self._filler_claims.minions, now)
+        self._attempts.begin_round(by_service, self._filler_claims.minions, reclaimed, now)
 
         def choose_turn_starts(
             entry: RankedJob, *, is_overdue_only: bool
