Run two more random loads of requests on the clock that counts waiting only

"The late answer of an abandoned request reaches the next caller" and "Callers retry while minions and the log fail at random, and a keyed request runs twice" ask that no call is refused for lack of slots, and that more than half of the requests run and more than 10 answers are stored. Beside load their requests hold slots for longer than their work, and deadlines pass.

Checks, bounds and seeds are as they were.

--- a/dotterelhill/requests/tests/keys.feature
+++ b/dotterelhill/requests/tests/keys.feature
@@ -73,7 +73,7 @@
     Then every answer has status 200
     And run id "r1" ran 1 times
 
-  @at-most-once @not-run
+  @at-most-once @not-run @waited-time
   Scenario Outline: Callers retry while minions and the log fail at random, and a keyed request runs twice
     Given a third entry "e3" in "caxias" that uses no minion
     When 80 keyed requests are tried up to 4 times while minions and the log fail at random, seed <seed>
--- a/dotterelhill/requests/tests/passing.feature
+++ b/dotterelhill/requests/tests/passing.feature
@@ -38,7 +38,7 @@
       | with a stated length |
       | in chunks |
 
-  @own-answer
+  @own-answer @waited-time
   Scenario: The late answer of an abandoned request reaches the next caller
     When 300 callers send requests at once, a third of them with too short a deadline
     Then each answer is the caller's own or an error with outcome "unknown"
