--- a/dotterelhill/jobs/tenants/tests/reclaim.feature
+++ b/dotterelhill/jobs/tenants/tests/reclaim.feature
@@ -279,6 +279,14 @@
       | rounds | seed |
       | 400    | 1    |
       | 400    | 8    |
+      | 400    | 33   |
+      | 400    | 365  |
       | 400    | 4    |
       | 400    | 6    |
       | 400    | 19   |
+
+    @known-red
+    Examples: a task of the tenant that gave up a run starts in its place
+      | rounds | seed  |
+      | 400    | 7006  |
+      | 400    | 11143 |
