Compute the headroom of a minion once for all fillers that are tried there in a round

Cause: each of the up to 8 attempts to force a start in a round added up the fillers and the baseline headroom of the serving tasks of every minion anew. Change: both are kept for a minion until a run is attached or detached, it reports, or time passes, so for one round. Decisions are unchanged.

--- a/dotterelhill/jobs/interference/sharing.py
+++ b/dotterelhill/jobs/interference/sharing.py
@@ -65,12 +65,18 @@
         computed
     :param slow_since: loop time since which the pace of a filler is below ``MOVE_PACE_PERCENT``, by
         run
+    :param present_baselines: serving image, and lowest headroom of its tasks without fillers
+    :param present_shares: shares of the processors that fillers use at full pace, by image
+    :param present_key: ``change_count`` of the minion and loop time to which these two belong
     """
 
     over_target_since: float | None = None
     slow_since: dict[Run, float] = field(default_factory=dict)
     remaining_headroom: list[tuple[str, float, int]] = field(default_factory=list)
     cached_change_count: int = -1
+    present_baselines: dict[str, float] = field(default_factory=dict)
+    present_shares: dict[str, float] = field(default_factory=dict)
+    present_key: tuple[int, float] = (-1, 0.0)
 
 
 class InterferenceControl:
@@ -155,22 +161,32 @@
         Unlike ``lacking_headroom`` it does not allow for a rise of the load. Serving tasks on which
         the filler has a negligible effect don't count.
         """
-        filler_shares = self._planned_filler_shares(minion)
+        state = self._minions.setdefault(minion, _MinionState())
+        if state.present_key != (minion.change_count, now):
+            self._update_present(state, minion, now)
         added_share = step.room.cpu / _processors(minion)
         lowest = float("inf")
-        for run in minion.runs.values():
-            if not _has_latency_target(run):
-                continue
-            image = run.step.image
+        for image, baseline in state.present_baselines.items():
             added = added_share * self._model.effect(image, step.image)
             if added < NEGLIGIBLE_EFFECT:
                 continue
-            headroom = self._model.baseline_headroom(run.key, now) - added
-            for filler, share in filler_shares.items():
+            headroom = baseline - added
+            for filler, share in state.present_shares.items():
                 headroom -= share * self._model.effect(image, filler)
             lowest = min(lowest, headroom)
         return lowest
 
+    def _update_present(self, state: _MinionState, minion: Minion, now: float) -> None:
+        """Compute what all fillers that are tried on a minion in one round have in common."""
+        state.present_key = (minion.change_count, now)
+        state.present_shares = self._planned_filler_shares(minion)
+        baselines = state.present_baselines = {}
+        for run in minion.runs.values() if minion.lasting_images else ():
+            if _has_latency_target(run):
+                baseline = self._model.baseline_headroom(run.key, now)
+                image = run.step.image
+                baselines[image] = min(baseline, baselines.get(image, baseline))
+
     def is_over_target(self, minion: Minion) -> bool:
         """Return whether a serving task on a minion is over its target."""
         state = self._minions.get(minion)
@@ -266,6 +282,7 @@
             self._model.observe(run.key, image, headroom, effect_shares[image], now)
         state = self._minions.setdefault(minion, _MinionState())
         state.cached_change_count = -1
+        state.present_key = (-1, now)
         if not is_over_target:
             state.over_target_since = None
         elif state.over_target_since is None:
