Find at once that a job has a run, and pass over the waiting steps of jobs with less work

Cause: whether a job has nothing running was found by a look at all its tasks from the first one on, and those that are done come first. Each round did it for every waiting job. The passes over the waiting steps asked each submission without a schedule for its time. Change: the tasks are looked at from the newest one on, and a submission without a schedule is always due. Decisions are unchanged. The scenarios of jobs/tests, jobs/placement/tests and jobs/tenants/tests pass.

--- a/dotterelhill/jobs/model.py
+++ b/dotterelhill/jobs/model.py
@@ -348,6 +348,15 @@
         """Return whether the job is in a final state."""
         return self.state in FINAL_STATES
 
+    @property
+    def has_assigned_task(self) -> bool:
+        """Return whether a run of a task may be present on a minion."""
+        # The tasks that started last are the first to be found running.
+        for task in reversed(self.tasks.values()):
+            if task.minion_id:
+                return True
+        return False
+
     def is_visible_to(self, tenant: str) -> bool:
         """Return whether a tenant may read and cancel the job.
 
--- a/dotterelhill/jobs/placement/filler_claims.py
+++ b/dotterelhill/jobs/placement/filler_claims.py
@@ -137,7 +137,8 @@
             for step, keys in startable_steps(waiting, queue, unix_ms):
                 if not step.is_filler or step.is_gang:
                     continue
-                identity = step_id(keys[0])
+                first = keys[0]
+                identity = (first.job_id, first.occurrence, first.step)
                 began = self._since[identity] = since.get(identity, now)
                 if now - began >= CLAIM_AFTER_SECONDS:
                     overdue.setdefault(queue.service, []).append(
--- a/dotterelhill/jobs/placement/forced_starts.py
+++ b/dotterelhill/jobs/placement/forced_starts.py
@@ -48,12 +48,7 @@
 
     def may_try(self, job: Job, step_id: StepId) -> bool:
         """Return whether a minion may be chosen for a filler of a step in this round."""
-        if not self._limit.allows(step_id):
-            return False
-        for task in job.tasks.values():
-            if task.minion_id:
-                return False
-        return True
+        return self._limit.allows(step_id) and not job.has_assigned_task
 
     def begin_round(self, since_submission_seconds: float) -> None:
         """Allow ``MAX_ATTEMPTS`` choices of a minion in the round that begins.
--- a/dotterelhill/jobs/placement/idle_jobs.py
+++ b/dotterelhill/jobs/placement/idle_jobs.py
@@ -21,7 +21,7 @@
     """
     for entry in ranked:
         _, queue, waiting = entry
-        if any(task.is_assigned for task in waiting.job.tasks.values()):
+        if waiting.job.has_assigned_task:
             continue
         for step, keys in startable_steps(waiting, queue, unix_ms):
             if step.is_lasting or step.is_gang:
--- a/dotterelhill/jobs/placement/waiting.py
+++ b/dotterelhill/jobs/placement/waiting.py
@@ -92,8 +92,9 @@
     if queue.needs_advice:
         return
     submission = waiting.job.submission
+    is_scheduled = submission.schedule is not None
     for (occurrence, index), keys in waiting.pending.items():
-        if keys and unix_ms >= submission.due_ms(occurrence):
+        if keys and not (is_scheduled and unix_ms < submission.due_ms(occurrence)):
             yield submission.steps[index], keys
 
 
--- a/dotterelhill/jobs/retention.py
+++ b/dotterelhill/jobs/retention.py
@@ -32,7 +32,7 @@
         expired: list[Job] = []
         kept: list[Job] = []
         for job in self._due:
-            is_present = any(task.is_assigned for task in job.tasks.values())
+            is_present = job.has_assigned_task
             (kept if is_present else expired).append(job)
         self._due = kept
         return expired
