--- a/dotterelhill/jobs/placement/filler_claims.py
+++ b/dotterelhill/jobs/placement/filler_claims.py
@@ -146,10 +146,11 @@
             for step, keys in startable_steps(waiting, queue, unix_ms):
                 if not step.is_filler or step.is_gang:
                     continue
-                identity = step_id(keys[0])
+                first = keys[0]
+                identity = (first.job_id, first.occurrence, first.step)
                 began = since.get(identity, now)
                 if is_first_round:
-                    began -= _stored_wait_seconds(waiting.job, keys[0].occurrence, unix_ms)
+                    began -= _stored_wait_seconds(waiting.job, first.occurrence, unix_ms)
                 self._since[identity] = began
                 if is_settled and now - began >= CLAIM_AFTER_SECONDS:
                     overdue.setdefault(queue.service, []).append(
