--- a/dotterelhill/jobs/placement/forced_starts.py
+++ b/dotterelhill/jobs/placement/forced_starts.py
@@ -110,7 +110,7 @@
         """
         if waited_seconds < FORCE_WHILE_IDLE_AFTER_SECONDS:
             return False
-        if any(task.is_assigned for task in job.tasks.values()):
+        if job.has_assigned_task:
             return False
         if not is_awaited:
             if not self._alone_limit.allows(key):
