Count idle processors when several fillers may start in the place of one run

What callers saw: a tenant below its share had two fillers of one processor and one accelerator waiting, two runs of one processor and two accelerators were stopped for them, and both fillers started in the first place. Cause: what the taker leaves of a place was promised to further fillers only up to the processors that the stopped run requested, although fillers also use those that were idle before. Change: the idle processors of the minion without the run count, by the same share as at a start. Measured: the new row of the scenario failed before (two stops) and passes. The scenarios of jobs/tests, jobs/placement/tests and jobs/tenants/tests pass.

--- a/dotterelhill/jobs/placement/placement.py
+++ b/dotterelhill/jobs/placement/placement.py
@@ -290,6 +290,10 @@
                 best, best_cost = minion, cost
         return best
 
+    def idle_cpu(self, minion: Minion) -> float:
+        """Return the thousandths of a processor of a minion that fillers may use."""
+        return self._interference.idle_cpu(minion)
+
     def could_start(
         self,
         tasks: WaitingTasks,
--- a/dotterelhill/jobs/tenants/exchanges.py
+++ b/dotterelhill/jobs/tenants/exchanges.py
@@ -8,6 +8,7 @@
 from typing import Protocol
 
 from dotterelhill.jobs.fleet import Minion
+from dotterelhill.jobs.interference.sharing import MIN_FILLER_CPU_SHARE
 from dotterelhill.jobs.model import Step
 from dotterelhill.jobs.placement.lasting_claims import CLAIM_AFTER_SECONDS
 from dotterelhill.jobs.placement.waiting import RankKey, longest_idle_seconds
@@ -32,6 +33,9 @@
     def had_starts_left(self) -> bool:
         """Return whether the newest round tried every waiting task."""
 
+    def idle_cpu(self, minion: Minion) -> float:
+        """Return the thousandths of a processor of a minion that fillers may use."""
+
     def waiting_tenants(self) -> set[str]:
         """Return the tenants with jobs of which tasks wait for a minion."""
 
@@ -208,14 +212,15 @@
         minion, run = candidate.minion, candidate.run
         minion.detach(run)
         try:
-            free, idle_cpu = minion.free, run.step.room.cpu - exchange.step.room.cpu
+            free, idle_cpu = minion.free, self._check.idle_cpu(minion)
             if not has_started:
                 free = free.minus(exchange.step.reserved_resources)
+                idle_cpu -= exchange.step.room.cpu
             has_promised = False
             for key, group in self._order:
                 step, is_startable = group.tasks.step, False
                 while group.count > 0 and free.is_enough_for(step.reserved_resources):
-                    if step.is_filler and step.room.cpu > idle_cpu:
+                    if step.is_filler and idle_cpu < MIN_FILLER_CPU_SHARE * step.room.cpu:
                         break
                     is_startable = is_startable or self._could_start(group, candidate)
                     if not is_startable or not self._is_allowed(group):
--- a/dotterelhill/jobs/tenants/tests/reclaim.feature
+++ b/dotterelhill/jobs/tenants/tests/reclaim.feature
@@ -172,7 +172,7 @@
       | 1.1     |
 
   Scenario Outline: a run is stopped for <kind> that could start beside another in one place
-    Given tenant "t" submits job "a" of 4 checkpointing fillers of 2 processors and 2 accelerators
+    Given tenant "t" submits job "a" of 4 checkpointing fillers of <cpu> processors and 2 accelerators
     And 1 seconds pass with orders carried out
     And tenant "u" submits job "b" of 2 <kind> of 1 processors and 1 accelerators
     When 4 seconds pass with orders carried out
@@ -180,10 +180,11 @@
     And 2 tasks of job "b" run
 
     Examples:
-      | kind          |
-      | tasks         |
-      | lasting tasks |
-      | fillers       |
+      | kind          | cpu |
+      | tasks         | 2   |
+      | lasting tasks | 2   |
+      | fillers       | 2   |
+      | fillers       | 1   |
 
   Scenario: a lasting task precedes the filler for which a run is stopped where that has a claim
     Given tenant "t" submits job "a" of 8 checkpointing fillers of 1 processors and 1 accelerators
