Count isolated minions without a pass over their service for each suspected job

Cause: begin_pool looked at all minions of a service, for each job with suspects, in each round. Change: it counts among the isolated minions, which are all usable ones of some service. No decision changes, so there is no scenario for it.

--- a/dotterelhill/jobs/crashes/isolation.py
+++ b/dotterelhill/jobs/crashes/isolation.py
@@ -79,8 +79,12 @@
             self._forced_key = None
 
     def begin_pool(self, pool: Sequence[Minion]) -> None:
-        """Set how many more minions of a service may be isolated."""
-        isolated_count = sum(minion in self._isolated for minion in pool)
+        """Set how many more minions of a service may be isolated.
+
+        :param pool: all minions of a service on which tasks may start; not empty
+        """
+        service = pool[0].facts.service
+        isolated_count = sum(minion.facts.service == service for minion in self._isolated)
         self._allowance = max(1, int(MAX_ISOLATED_SHARE * len(pool))) - isolated_count
 
     def open_minions(self, pool: Sequence[Minion]) -> list[Minion]:
