Let a witness tell a new leader that the earlier one renews no more leases

What callers saw: lasting tasks of a minion that was lost together with the leader started up to 13.4 s after the loss, and 9 s are allowed.

Cause: a leader may renew leases for 1.5 s after its own lease, so that an outage of the store for all ends no work. A new leader that can't reach it had to wait for these 1.5 s as well: 3.5 / 0.98 + 6 / 0.98 + 0.1 = 9.8 s after the last renewal.

Change: each stored renewal names a connected process, the witness. After its own lease the leader renews leases only within 0.5 s of asking each witness that the newest stored renewal may name, and being told that no later claim is known. The new leader tells its claim to that process, which also answers when it confirmed an earlier claim last. So the wait is 8.3 s after the last renewal where the witness answers, and that of before where it does not. A lease is closed after 0.35 s without an answer instead of 0.5 s; a lost poll is repeated within 0.3 s.

Tests: the scenario became an outline with three moments of the loss. "renewed nothing after the time that the newest one learned" now reads the permission from `renewals_end`, which is the same time without a witness; its five rows run without one, and two more with one. The cut-off leader of the worlds no longer reaches other processes.

--- a/dotterelhill/control/election.py
+++ b/dotterelhill/control/election.py
@@ -4,14 +4,17 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from random import Random
+from typing import Any
 
 import mode
 
 from dotterelhill.control.interface import StoreError
 from dotterelhill.control.leader import Leader
 from dotterelhill.control.leadership import (
+    LEASE_SECONDS,
+    MAX_CLOCK_DRIFT,
     RENEWAL_INTERVAL_SECONDS,
     Claim,
     ClaimSeries,
@@ -22,6 +25,8 @@
     LeadershipState,
     LoadingWatch,
     Settlement,
+    Witness,
+    WitnessAnswer,
 )
 from dotterelhill.control.peers import (
     PEER_TIMEOUT_SECONDS,
@@ -38,6 +43,8 @@
 DETECTION_INTERVAL_SECONDS = 0.25
 # Interval between attempts to learn that the previous term has ended.
 CONFIRMATION_INTERVAL_SECONDS = 0.3
+# Interval between questions to a witness, so that two of three answers may be lost.
+WITNESS_INTERVAL_SECONDS = 0.15
 # A process waits for the time of its claim rather than checking the leader in between: checks of a
 # silent leader take up to 0.8 s, which would decide which process claims. A claim depends on the
 # state of the stream that was read, so it fails if the leader has renewed meanwhile.
@@ -109,6 +116,9 @@
         self._leader_address = ""
         self._leader_incarnation = ""
         self._leader_epoch = 0
+        self._newest_remembered_epoch = 0
+        # Times of the newest answers, by epoch, to claims after which no later one was known.
+        self._confirmed_at: dict[int, float] = {}
         self._is_store_failing = False
         self._term_task: asyncio.Task[None] | None = None
         self._has_stopped_claiming = False
@@ -164,8 +174,26 @@
         self._leadership.supersede(claim.epoch)
         self._remember(claim)
 
+    def answer_as_witness(self, claim: Claim) -> WitnessAnswer:
+        """Accept a claim if it is the newest, and tell what this process knows of claims.
+
+        The process of that claim may renew leases for a time after an answer that names no later
+        one, so a later leader is told when the newest such answer was given.
+        """
+        leadership, now = self._leadership, self._clock()
+        known_epoch = max(self._newest_remembered_epoch, leadership.epoch, leadership.ended_epoch)
+        if claim.epoch > known_epoch:
+            self.accept_claim(claim)
+            known_epoch = claim.epoch
+        confirmed = [at for epoch, at in self._confirmed_at.items() if epoch < claim.epoch]
+        if known_epoch == claim.epoch:
+            self._confirmed_at[claim.epoch] = now
+        confirmed_ago = now - max(confirmed) if confirmed else None
+        return WitnessAnswer(self._incarnation, known_epoch, confirmed_ago)
+
     def _remember(self, claim: Claim) -> None:
         self._claims.record(claim)
+        self._newest_remembered_epoch = max(self._newest_remembered_epoch, claim.epoch)
         self._leader_address = claim.address
         self._leader_incarnation = claim.incarnation
         self._leader_epoch = claim.epoch
@@ -187,12 +215,30 @@
         while not self.should_stop:
             await asyncio.sleep(RENEWAL_INTERVAL_SECONDS)
             was_able = self._leadership.is_able
+            witness: Witness | None = None
+            if self._leader is not None:
+                witness = self._leader.relays.choose_witness(self._leadership.witness)
             try:
-                await self._leadership.renew()
+                await self._leadership.renew(witness)
             except StoreError as error:
                 if was_able and not self._leadership.is_able:
                     _log.warning("leadership can't be renewed", extra={"reason": str(error)})
 
+    @mode.Service.task
+    async def _ask_witnesses(self) -> None:
+        """Ask witnesses of the own claim for later ones while it is not renewed."""
+        while not self.should_stop:
+            await asyncio.sleep(WITNESS_INTERVAL_SECONDS)
+            for witness in self._leadership.witnesses_to_ask:
+                asked_at = self._clock()
+                own = self._leadership.own_claim
+                if own is None:
+                    break
+                with contextlib.suppress(PeerUnreachableError):
+                    answer = await self._peers.ask_witness(witness.address, own)
+                    if self._leadership.own_claim == own:
+                        self._leadership.record_answer(witness, answer, asked_at)
+
     @mode.Service.task
     async def _check(self) -> None:
         await asyncio.sleep(self._random.uniform(0.0, MAX_START_DELAY_SECONDS))
@@ -253,11 +299,32 @@
         _log.notice("took over leadership", extra={"condition": condition.name.lower()})
         renewals_end = self._earlier_renewals_end(state, condition)
         self._leadership.settle_at(renewals_end)
-        is_gone = condition is LeaderCondition.GONE
         leader = self._new_leader(renewals_end, self._clock_of(claim))
-        self._begin_term(
-            leader, renewals_end, None if is_gone else claim, is_settled=state.is_settled
-        )
+        confirmations = self._confirmations(state, condition, renewals_end, leader)
+        self._begin_term(leader, confirmations)
+
+    def _confirmations(
+        self,
+        state: LeadershipState,
+        condition: LeaderCondition,
+        renewals_end: float,
+        leader: Leader,
+    ) -> list[Coroutine[Any, Any, None]]:
+        """Return calls that find out when earlier leaders end their renewals.
+
+        :param state: state of the stream on which the claim of this process depended
+        :param renewals_end: time from which they renew nothing in any case
+        """
+        claim = state.claim
+        if claim is None or condition is LeaderCondition.GONE:
+            return []
+        calls = [
+            self._confirm_end_of_term(claim, renewals_end, leader, is_settled=state.is_settled)
+        ]
+        if state.witness is not None:
+            ends_at = self._unwitnessed_renewals_end(state)
+            calls.append(self._inform_witness(state.witness, ends_at, renewals_end, leader))
+        return calls
 
     def _earlier_renewals_end(self, state: LeadershipState, condition: LeaderCondition) -> float:
         """Return the time until which earlier leaders may renew leases after a claim made now."""
@@ -267,6 +334,14 @@
         # The leader that is gone was itself waiting for renewals of one before it.
         return now if state.is_settled else now + state.settles_in
 
+    def _unwitnessed_renewals_end(self, state: LeadershipState) -> float:
+        """Return until when earlier leaders may renew leases if no witness answers them."""
+        clock = None if state.claim is None else self._clock_of(state.claim)
+        lease_seconds = LEASE_SECONDS / (1.0 - MAX_CLOCK_DRIFT)
+        if not state.is_settled:
+            lease_seconds = max(lease_seconds, state.settles_in)
+        return self._detector.newest_renewal_by(state, clock) + lease_seconds
+
     def _clock_of(self, claim: Claim | None) -> LeaderClock | None:
         """Return the newest reading of the clock of a claim's process; None when there is none."""
         return None if claim is None else self._leader_clock(claim.incarnation)
@@ -341,6 +416,43 @@
                 leader.end_earlier_renewals(settled_at)
             return
 
+    async def _inform_witness(
+        self, witness: Witness, ends_at: float, renewals_end: float, leader: Leader
+    ) -> None:
+        """Announce the own claim to the witness of the previous leader, which then ends sooner.
+
+        :param ends_at: time until which earlier leaders may renew leases without its answers
+        :param renewals_end: time until which they may renew leases with them
+        """
+        own = self._leadership.own_claim
+        while own is not None and self._leadership.own_claim == own:
+            try:
+                answer = await self._ask_witness(witness, own)
+            except PeerUnreachableError as error:
+                if self._clock() >= renewals_end:
+                    fields = {"witness": witness.incarnation, "reason": str(error)}
+                    _log.info("witness of the previous leader did not answer", extra=fields)
+                    return
+                await asyncio.sleep(CONFIRMATION_INTERVAL_SECONDS)
+                continue
+            now = self._clock()
+            settled_at = max(ends_at, answer.latest_end(now))
+            # A process that has started anew at that address knows nothing of earlier answers.
+            if answer.incarnation != witness.incarnation or answer.known_epoch != own.epoch:
+                return
+            if settled_at < renewals_end and self._leadership.own_claim == own:
+                wait_ms = max(0, round(1000.0 * (settled_at - now)))
+                told = {"witness": witness.incarnation, "wait_for_earlier_ms": wait_ms}
+                _log.info("witness of the previous leader is informed", extra=told)
+                self._leadership.settle_at(settled_at)
+                leader.end_earlier_renewals(settled_at)
+            return
+
+    async def _ask_witness(self, witness: Witness, own: Claim) -> WitnessAnswer:
+        if witness.incarnation == self._incarnation:
+            return self.answer_as_witness(own)
+        return await self._peers.ask_witness(witness.address, own)
+
     async def _condition_of(self, address: str, incarnation: str, epoch: int) -> LeaderCondition:
         condition = self._linked_condition(address, incarnation, epoch)
         if condition is not None:
@@ -352,32 +464,24 @@
         self._loading.record(status.incarnation, status.loading_progress)
         return self._loading.refine(condition_in_term(status, incarnation, epoch))
 
-    def _begin_term(
-        self, leader: Leader, renewals_end: float, earlier: Claim | None, *, is_settled: bool
-    ) -> None:
+    def _begin_term(self, leader: Leader, confirmations: list[Coroutine[Any, Any, None]]) -> None:
         """Begin a term of leadership.
 
         :param leader: the new term
-        :param renewals_end: time until which earlier leaders may renew leases
-        :param earlier: claim of the previous leader; None when its term has ended
-        :param is_settled: whether no leader before the previous one can renew leases
+        :param confirmations: calls that find out when earlier leaders end their renewals
         """
         self._leader = leader
-        confirmation: asyncio.Task[None] | None = None
-        if earlier is not None:
-            confirmation = asyncio.create_task(
-                self._confirm_end_of_term(earlier, renewals_end, leader, is_settled=is_settled)
-            )
-        self._term_task = asyncio.create_task(self._run_term(leader, confirmation))
+        tasks = [asyncio.create_task(confirmation) for confirmation in confirmations]
+        self._term_task = asyncio.create_task(self._run_term(leader, tasks))
 
-    async def _run_term(self, leader: Leader, confirmation: asyncio.Task[None] | None) -> None:
+    async def _run_term(self, leader: Leader, confirmations: list[asyncio.Task[None]]) -> None:
         try:
             await leader.run()
         except Exception as error:
             _log.exception("term of leadership failed", extra={"reason": repr(error)})
             self._leadership.drop("internal error")
         finally:
-            if confirmation is not None:
+            for confirmation in confirmations:
                 confirmation.cancel()
             self._leader = None
 
--- a/dotterelhill/control/leadership.py
+++ b/dotterelhill/control/leadership.py
@@ -33,8 +33,9 @@
 # Time after its last successful renewal was sent from which the leader issues no new orders.
 LEASE_SECONDS = 2.0
 # The leader renews the leases of running tasks for this additional time, so that an outage of the
-# store for all processes ends no work: with a lease of 6 s, one of 9 s. A later leader that can't
-# reach the earlier one has to wait for it before it starts the tasks of lost minions again.
+# store for all processes ends no work: with a lease of 6 s, one of 9 s. It needs answers of its
+# witness for that, since a later leader that reaches neither of them has to wait for this time
+# before it starts the tasks of lost minions again.
 RENEWAL_GRACE_SECONDS = 1.5
 RENEWAL_INTERVAL_SECONDS = 0.5
 # Largest share by which the clocks of two processes drift apart, as for minions.
@@ -42,6 +43,11 @@
 # A leader that has not renewed for this time, two missed renewals, reports itself as unable to
 # renew, so that its peers take over.
 UNABLE_SECONDS = 1.2
+# Time for which a witness's answer that it knows of no later claim counts, from the question on.
+WITNESS_SECONDS = 0.5
+# Missed renewals after which the leader asks its witness, so that it has an answer when its lease
+# ends.
+WITNESS_LEAD_SECONDS = 0.7
 
 LEADER_KEY = "leader"
 RENEWAL_KEY = "renewal"
@@ -66,6 +72,17 @@
     is_resigned: bool = False
 
 
+class Witness(msgspec.Struct, frozen=True, array_like=True):
+    """Process that tells whether it knows of a later claim than that of the leader.
+
+    :param incarnation: incarnation id of the process
+    :param address: ``host:port`` at which it answers its peers
+    """
+
+    incarnation: str
+    address: str
+
+
 class Renewal(msgspec.Struct, frozen=True, array_like=True):
     """Record of a renewed claim.
 
@@ -75,15 +92,18 @@
         that do not tell it
     :param settles_in: time in seconds after which no earlier leader can renew; None from builds
         that do not tell it
+    :param witness: process without whose answers the leader renews no lease of running tasks when
+        its own lease is over; None when it needs none
 
     >>> msgspec.msgpack.decode(msgspec.msgpack.encode([5, True]), type=Renewal)
-    Renewal(epoch=5, is_settled=True, sent_at=None, settles_in=None)
+    Renewal(epoch=5, is_settled=True, sent_at=None, settles_in=None, witness=None)
     """
 
     epoch: int
     is_settled: bool
     sent_at: float | None = None
     settles_in: float | None = None
+    witness: Witness | None = None
 
 
 class Settlement(msgspec.Struct, frozen=True, array_like=True):
@@ -111,6 +131,38 @@
         return received_at + self.left_seconds / (1.0 - MAX_CLOCK_DRIFT)
 
 
+class WitnessAnswer(msgspec.Struct, frozen=True, array_like=True):
+    """Answer of a process to a claim that it was told of.
+
+    :param incarnation: incarnation id of the process
+    :param known_epoch: newest epoch that it knows of
+    :param confirmed_ago: time of this process in seconds since it last answered to an earlier claim
+        that it knew of no later one; None when it never did
+
+    >>> msgspec.msgpack.decode(msgspec.msgpack.encode(["b/1", 5, 0.5, 0]), type=WitnessAnswer)
+    WitnessAnswer(incarnation='b/1', known_epoch=5, confirmed_ago=0.5)
+    """
+
+    incarnation: str
+    known_epoch: int
+    confirmed_ago: float | None
+
+    def latest_end(self, received_at: float) -> float:
+        """Return the time of the receiver from which no answer to an earlier claim counts.
+
+        An earlier leader counts an answer from its question on, which came before the answer.
+
+        >>> round(WitnessAnswer("b/1", 5, 1.5).latest_end(900.0), 3)
+        899.04
+        >>> WitnessAnswer("b/1", 5, None).latest_end(900.0)
+        -inf
+        """
+        if self.confirmed_ago is None:
+            return float("-inf")
+        confirmed_at = received_at - max(0.0, self.confirmed_ago) * (1.0 - MAX_CLOCK_DRIFT)
+        return confirmed_at + WITNESS_SECONDS / (1.0 - MAX_CLOCK_DRIFT)
+
+
 _CLAIM_DECODER = msgspec.msgpack.Decoder(Claim)
 _RENEWAL_DECODER = msgspec.msgpack.Decoder(Renewal)
 
@@ -126,6 +178,7 @@
         when there is none or it does not tell
     :param settles_in: longest time in seconds for which leaders before that claim can renew leases
         while ``is_settled`` is False
+    :param witness: witness in the newest stored renewal of that claim
     """
 
     claim: Claim | None
@@ -133,6 +186,7 @@
     is_settled: bool = True
     renewed_at: float | None = None
     settles_in: float = LEASE_SECONDS + RENEWAL_GRACE_SECONDS
+    witness: Witness | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -189,6 +243,11 @@
         self._settled_at = float("inf")
         # Time at which the first renewal since the last answer was sent; None if all are answered.
         self._unanswered_at: float | None = None
+        # Witness in the newest renewal that was sent, and all that the newest stored one may name.
+        self._witness: Witness | None = None
+        self._witnesses: frozenset[Witness] = frozenset()
+        # Times until which answers of witnesses count.
+        self._witnessed_until: dict[Witness, float] = {}
 
     @property
     def incarnation(self) -> str:
@@ -223,7 +282,30 @@
     @property
     def is_lease_renewal_allowed(self) -> bool:
         """Return whether this process may renew the leases of running tasks."""
-        return self._claim is not None and self._clock() < self._valid_until + RENEWAL_GRACE_SECONDS
+        return self._claim is not None and self._clock() < self.renewals_end
+
+    @property
+    def renewals_end(self) -> float:
+        """Return until when the claim permits to renew leases, as far as it is known now."""
+        end = self._valid_until + RENEWAL_GRACE_SECONDS
+        for witness in self._witnesses:
+            witnessed_until = self._witnessed_until.get(witness, float("-inf"))
+            end = min(end, max(self._valid_until, witnessed_until))
+        return end
+
+    @property
+    def witness(self) -> Witness | None:
+        """Return the witness in the newest renewal that was sent; None when it had none."""
+        return self._witness
+
+    @property
+    def witnesses_to_ask(self) -> frozenset[Witness]:
+        """Return the witnesses without whose answers leases can't be renewed for much longer."""
+        now = self._clock()
+        is_due = now >= self._valid_until - WITNESS_LEAD_SECONDS
+        if self._claim is None or not is_due or now >= self._valid_until + RENEWAL_GRACE_SECONDS:
+            return frozenset()
+        return self._witnesses
 
     @property
     def is_able(self) -> bool:
@@ -300,7 +382,13 @@
             return LeadershipState(None, batch.next_offset)
         if renewal is None or renewal.epoch != claim.epoch:
             return LeadershipState(claim, batch.next_offset, is_settled=False)
-        state = LeadershipState(claim, batch.next_offset, renewal.is_settled, renewal.sent_at)
+        state = LeadershipState(
+            claim,
+            batch.next_offset,
+            renewal.is_settled,
+            renewal.sent_at,
+            witness=renewal.witness,
+        )
         if renewal.settles_in is None:
             return state
         settles_in = renewal.settles_in / (1.0 - MAX_CLOCK_DRIFT)
@@ -338,19 +426,40 @@
         self._valid_until = sent_at + LEASE_SECONDS
         self._term_epoch, self._settled_at = epoch, float("inf")
         self._unanswered_at = None
+        self._witness, self._witnesses, self._witnessed_until = None, frozenset(), {}
         _log.notice("leadership claimed", extra={"epoch": epoch, "end": end})
         return True
 
-    async def renew(self) -> None:
+    def record_answer(self, witness: Witness, answer: WitnessAnswer, asked_at: float) -> None:
+        """Record the answer of a witness; drop the claim when it knows of a later one.
+
+        :param asked_at: time before the question was sent
+        """
+        if self._claim is None or answer.incarnation != witness.incarnation:
+            return
+        if answer.known_epoch > self._claim.epoch:
+            self.supersede(answer.known_epoch)
+            return
+        self._witnessed_until[witness] = asked_at + WITNESS_SECONDS
+
+    async def renew(self, witness: Witness | None = None) -> None:
         """Extend the lease by a conditional append; drop the claim when a later one exists.
 
+        :param witness: process to ask from then on when the lease is over; None for none
         :raises StoreError: when the renewal failed or its outcome can't be determined
         """
         if self._claim is None:
             return
         sent_at = self._clock()
         settles_in = self._settled_at - sent_at
-        renewal = Renewal(self._claim.epoch, settles_in <= 0.0, sent_at, max(0.0, settles_in))
+        stored_witnesses = self._witnesses
+        if self._unanswered_at is None:
+            self._witness = witness
+        named = frozenset() if self._witness is None else frozenset([self._witness])
+        self._witnesses = stored_witnesses | named
+        renewal = Renewal(
+            self._claim.epoch, settles_in <= 0.0, sent_at, max(0.0, settles_in), self._witness
+        )
         record = Record(RENEWAL_KEY, msgspec.msgpack.encode(renewal))
         try:
             self._end = await self._store.append(Stream.LEADERSHIP, [record], at=self._end)
@@ -358,10 +467,14 @@
             await self._resolve_conflict(sent_at)
             return
         except StoreError as error:
-            if error.is_effect_unknown and self._unanswered_at is None:
-                self._unanswered_at = sent_at
+            if error.is_effect_unknown:
+                if self._unanswered_at is None:
+                    self._unanswered_at = sent_at
+            else:
+                self._witnesses = stored_witnesses
             raise
         self._unanswered_at = None
+        self._witnesses = named
         self._valid_until = sent_at + LEASE_SECONDS
 
     async def _resolve_conflict(self, sent_at: float) -> None:
@@ -568,6 +681,14 @@
         delay = min(MAX_CLAIM_DELAY_SECONDS, delay_factor * CLAIM_DELAY_SECONDS[condition])
         return max(0.0, since + delay - self._clock())
 
+    def newest_renewal_by(self, state: LeadershipState, clock: LeaderClock | None) -> float:
+        """Return the time by which the watched leader had sent its newest stored renewal.
+
+        :param state: state of the stream on which the claim of this process depended
+        :param clock: reading of the clock of that leader; None when there is none
+        """
+        return min(self._unchanged_since, self._newest_renewal_time(state, clock))
+
     def _newest_renewal_time(self, state: LeadershipState, clock: LeaderClock | None) -> float:
         """Return the time by which the newest stored renewal was certainly sent, or infinity."""
         if clock is None or state.claim is None or state.renewed_at is None:
--- a/dotterelhill/control/peers.py
+++ b/dotterelhill/control/peers.py
@@ -16,7 +16,12 @@
 from dotterelhill.control.health import ObservedStore
 from dotterelhill.control.interface import Record, StoreError
 from dotterelhill.control.leader import Leader, NotReadyError
-from dotterelhill.control.leadership import Claim, LeaderCondition, Settlement
+from dotterelhill.control.leadership import (
+    Claim,
+    LeaderCondition,
+    Settlement,
+    WitnessAnswer,
+)
 from dotterelhill.control.relay_messages import (
     HELLO_DECODER,
     MAX_MESSAGE_BYTES,
@@ -34,6 +39,7 @@
 QUEUES_PATH = "/leader/queues"
 SUPERSEDED_PATH = "/leader/superseded"
 SUBMISSIONS_PATH = "/leader/submissions"
+WITNESS_PATH = "/leader/witness"
 LINK_PATH = "/leader/relays"
 HELLO_TIMEOUT_SECONDS = 1.0
 # The round trip between two regions takes 40 ms; a peer that needs much longer is failing.
@@ -90,6 +96,7 @@
 _COUNTS_DECODER = msgspec.json.Decoder(dict[str, int])
 _CLAIM_DECODER = msgspec.msgpack.Decoder(Claim)
 _SETTLEMENT_DECODER = msgspec.msgpack.Decoder(Settlement)
+_WITNESS_DECODER = msgspec.msgpack.Decoder(WitnessAnswer)
 _RECORD_DECODER = msgspec.msgpack.Decoder(_StoredRecord)
 
 
@@ -150,6 +157,10 @@
         """Accept the claim of another process and drop an own earlier one."""
         ...
 
+    def answer_as_witness(self, claim: Claim) -> WitnessAnswer:
+        """Accept a claim if it is the newest, and tell what this process knows of claims."""
+        ...
+
 
 class PeerServer(mode.Service):
     """HTTP server that answers calls of other control processes.
@@ -201,6 +212,8 @@
             return web.Response(body=msgspec.json.encode(status))
         if path == SUPERSEDED_PATH:
             return await self._receive_claim(request)
+        if path == WITNESS_PATH:
+            return await self._answer_as_witness(request)
         if path == SUBMISSIONS_PATH:
             return await self._append_for_peer(request)
         leader = self._source.leader
@@ -254,6 +267,13 @@
         settlement = self._source.settlement
         return web.Response(body=msgspec.msgpack.encode(settlement) if settlement else b"")
 
+    async def _answer_as_witness(self, request: web.BaseRequest) -> web.StreamResponse:
+        try:
+            answer = self._source.answer_as_witness(_CLAIM_DECODER.decode(await request.read()))
+        except msgspec.MsgspecError as error:
+            return web.Response(status=400, text=str(error))
+        return web.Response(body=msgspec.msgpack.encode(answer))
+
     async def _append_for_peer(self, request: web.BaseRequest) -> web.StreamResponse:
         try:
             record = _RECORD_DECODER.decode(await request.read())
@@ -310,6 +330,20 @@
         # Neither a negative number nor NaN is a time to wait.
         return settlement if settlement.left_seconds >= 0.0 else None
 
+    async def ask_witness(self, address: str, claim: Claim) -> WitnessAnswer:
+        """Tell a process of the claim of this one, and ask what it knows of claims.
+
+        :raises PeerUnreachableError: when the peer gives no usable answer, as earlier builds do not
+        """
+        data = msgspec.msgpack.encode(claim)
+        status, body = await self._call("POST", address, WITNESS_PATH, data)
+        if status != 200:
+            raise PeerUnreachableError(f"status {status}")
+        try:
+            return _WITNESS_DECODER.decode(body)
+        except msgspec.MsgspecError as error:
+            raise PeerUnreachableError(f"the answer can't be decoded: {error}") from error
+
     async def state_of(self, address: str, job_id: str, tenant: str = "") -> str | None:
         """Return the state of a job; None when the leader has no such job.
 
--- a/dotterelhill/control/relay_messages.py
+++ b/dotterelhill/control/relay_messages.py
@@ -26,12 +26,15 @@
     :param failure_domain: failure domain of its VM
     :param processors: number of processors that it may use
     :param keeps_prefixes: whether it keeps the prefixes of call bodies
+    :param address: ``host:port`` at which it answers as a witness of the leader; empty from builds
+        that can't
     """
 
     incarnation: str
     failure_domain: str
     processors: float
     keeps_prefixes: bool = False
+    address: str = ""
 
 
 class RelayedCall(msgspec.Struct, frozen=True, array_like=True, omit_defaults=True):
--- a/dotterelhill/control/relay_pool.py
+++ b/dotterelhill/control/relay_pool.py
@@ -31,7 +31,7 @@
     RelayError,
     RelayNotReachedError,
 )
-from dotterelhill.control.leadership import Leadership
+from dotterelhill.control.leadership import Leadership, Witness
 from dotterelhill.control.loop_lag import LoopLag
 from dotterelhill.control.relay_messages import (
     ENCODER,
@@ -276,6 +276,22 @@
         """Return the number of connected relays."""
         return len(self._links)
 
+    def choose_witness(self, current: Witness | None) -> Witness | None:
+        """Return a connected relay that can be the witness of this leader; None without one.
+
+        :param current: witness up to now, which remains while it is connected
+        """
+        chosen: Witness | None = None
+        for link in self._links.values():
+            if not link.is_usable or not link.hello.address:
+                continue
+            witness = Witness(link.hello.incarnation, link.hello.address)
+            if witness == current:
+                return witness
+            if chosen is None:
+                chosen = witness
+        return chosen
+
     def set_minion_counts(self, counts: Mapping[str, int]) -> None:
         """Set the number of minions by failure domain, which decides how many relays are used."""
         if counts != self._minion_counts:
--- a/dotterelhill/control/tests/cluster.feature
+++ b/dotterelhill/control/tests/cluster.feature
@@ -299,15 +299,70 @@
     And 9 seconds pass
     Then no task lapsed
 
+  Scenario Outline: Lasting tasks of a minion that is lost together with the leader wait for longer than 9 s
+    When job "j" of 4 tasks of 40 seconds is submitted at a process that does not lead
+    And <phase> seconds pass
+    And a minion with tasks of job "j" stops answering
+    And <before> seconds pass
+    And the leader is killed
+    And <after> seconds pass
+    Then each lost task of job "j" has started elsewhere
+
+    Examples:
+      | phase | before | after |
+      | 1.0   | 0.0    | 9.0   |
+      | 1.3   | 0.3    | 8.7   |
+      | 1.1   | 0.45   | 8.55  |
+
   @known-red
-  Scenario: Lasting tasks of a minion that is lost together with the leader wait for longer than 9 s
+  Scenario: Lasting tasks of a minion that hangs while a poll waits, shortly before the leader is lost, wait for longer than 9 s
+    Given minions hold polls back until a run ends
     When job "j" of 4 tasks of 40 seconds is submitted at a process that does not lead
-    And 1 seconds pass
+    And 1.3 seconds pass
     And a minion with tasks of job "j" stops answering
+    And 1.2 seconds pass
     And the leader is killed
-    And 9 seconds pass
+    And 7.8 seconds pass
     Then each lost task of job "j" has started elsewhere
 
+  Scenario: Lasting tasks never start that a minion had which is lost with the leader and its witness
+    When job "j" of 4 tasks of 40 seconds is submitted at a process that does not lead
+    And 1 seconds pass
+    And a minion with tasks of job "j" stops answering
+    And the leader and its witness are killed
+    And 10.5 seconds pass
+    Then each lost task of job "j" has started elsewhere
+
+  @single-place
+  Scenario Outline: A leader whose witness answers renews leases longer than the next one assumes
+    Given processes "a b c d" with clocks of different origin that have run for 3 seconds
+    When the clock of the leader runs <percent> percent slow
+    And answers to claims take <delay> seconds
+    And job "j" of 4 tasks of 40 seconds is submitted at a process that does not lead
+    And <before> seconds pass
+    And the leader is cut off from the store, and nobody but it reaches the minions with tasks of job "j"
+    And no other process claims for <late> seconds
+    And 14 seconds pass
+    Then no task ran on two minions at a time
+
+    Examples:
+      | percent | delay | before | late |
+      | 0       | 0     | 1.0    | 0    |
+      | 2       | 0.4   | 1.2    | 0    |
+      | -2      | 0.2   | 1.4    | 0    |
+      | 0       | 0     | 1.0    | 2.9  |
+      | 2       | 0.4   | 1.2    | 2.7  |
+
+  Scenario: A leader needs no answer of a witness that a stored renewal names
+    When the answer to a renewal that names witness "c" instead of "b" is lost
+    Then the leader may not renew leases
+    When witness "c" answers that it knows of no later claim
+    Then the leader may not renew leases
+    When witness "b" answers that it knows of no later claim
+    Then the leader may renew leases
+    When 0.5 seconds pass
+    Then the leader may not renew leases
+
   Scenario: A leader that ends before it is sure of its predecessor makes the next one wait for that anew
     When job "j" of 4 tasks of 40 seconds is submitted at a process that does not lead
     And 1 seconds pass
@@ -612,6 +667,7 @@
     And 14 seconds pass
     Then no task ran on two minions at a time
     And the earlier leader renewed nothing after the time that the next one assumed
+    And the first leader renewed nothing after the time that the newest one learned
 
     Examples:
       | percent | delay | before |
@@ -624,6 +680,7 @@
   Scenario Outline: An earlier leader renews leases after the time that its successor, which can't reach the store, tells the next one
     Given processes "a b c" with clocks of different origin that have run for 3 seconds
     When the clock of the leader runs <first> percent slow
+    And leaders have <witness>
     And answers to claims take <delay> seconds
     And job "j" of 4 tasks of 30 seconds is submitted at a process that does not lead
     And <before> seconds pass
@@ -636,12 +693,14 @@
     And the first leader renewed nothing after the time that the newest one learned
 
     Examples:
-      | first | next | delay | before |
-      | 0     | 0    | 0     | 1.0    |
-      | 2     | 0    | 0     | 1.3    |
-      | 2     | 2    | 0.4   | 1.2    |
-      | 0     | -2   | 0.4   | 1.4    |
-      | -2    | 0    | 0.2   | 1.0    |
+      | first | next | delay | before | witness    |
+      | 0     | 0    | 0     | 1.0    | no witness |
+      | 2     | 0    | 0     | 1.3    | no witness |
+      | 2     | 2    | 0.4   | 1.2    | no witness |
+      | 0     | -2   | 0.4   | 1.4    | no witness |
+      | -2    | 0    | 0.2   | 1.0    | no witness |
+      | 2     | 2    | 0.4   | 1.2    | a witness  |
+      | -2    | 0    | 0.2   | 1.0    | a witness  |
 
   Scenario Outline: A leader that loads and can't renew is succeeded while it makes progress, or kept when it makes none
     When 50 jobs of 1 task are submitted
--- a/dotterelhill/control/tests/cluster_world.py
+++ b/dotterelhill/control/tests/cluster_world.py
@@ -26,7 +26,7 @@
 )
 from dotterelhill.control.job_service import JobService
 from dotterelhill.control.leader import Leader, LeaderParts
-from dotterelhill.control.leadership import LeaderClock, Leadership
+from dotterelhill.control.leadership import LeaderClock, Leadership, Witness
 from dotterelhill.control.loop_lag import LoopLag
 from dotterelhill.control.peers import PEER_TIMEOUT_SECONDS, PeerStatus, PeerUnreachableError
 from dotterelhill.control.relay_messages import HEARTBEAT_SECONDS
@@ -405,14 +405,32 @@
         raise AssertionError("the pool must not be called")
 
 
+class LinkedPool(RelayPool):
+    """Pool whose relays are all other processes that run, for the choice of a witness."""
+
+    def __init__(self, cluster: Cluster, name: str, *arguments) -> None:
+        super().__init__(*arguments)
+        self._cluster, self._name = cluster, name
+
+    def choose_witness(self, current):
+        witnesses = []
+        for process in self._cluster.processes.values():
+            if process.is_running and process.name != self._name and self._cluster.has_witnesses:
+                witnesses.append(Witness(process.leadership.incarnation, process.name))
+        return current if current in witnesses else next(iter(witnesses), None)
+
+
 class FakePeers:
     """Peer client of one process."""
 
-    def __init__(self, cluster: Cluster) -> None:
+    def __init__(self, cluster: Cluster, caller: Process) -> None:
         self._cluster = cluster
+        self._caller = caller
 
     async def _reach(self, address: str) -> Process:
         await asyncio.sleep(CALL_SECONDS)
+        if self._caller.is_cut_off:
+            raise PeerUnreachableError("no answer")
         process = self._cluster.processes.get(address)
         if process is None or not process.is_running:
             raise PeerUnreachableError("refused", is_refused=True, is_effect_unknown=False)
@@ -443,6 +461,11 @@
             raise PeerUnreachableError("no answer")
         return settlement
 
+    async def ask_witness(self, address, claim):
+        answer = (await self._reach(address)).election.answer_as_witness(claim)
+        await asyncio.sleep(self._cluster.claim_answer_seconds)
+        return answer
+
     async def state_of(self, address, job_id, tenant=""):
         leader = (await self._reach(address)).election.leader
         if leader is None:
@@ -522,6 +545,8 @@
     def __init__(self, cluster: Cluster, name: str, number: int, processors: float) -> None:
         self.name = name
         self.is_running = True
+        # Whether it reaches no other process.
+        self.is_cut_off = False
         self.minions = cluster.new_minion_client()
         self.store = StoreView(cluster.store, self.minions.processor)
         observed = ObservedStore(self.store, cluster.loop.time)
@@ -546,7 +571,7 @@
                 LeaderParts(
                     observed,
                     self.minions,
-                    RelayPool(NoCaller(), self.leadership, clock, lag),
+                    LinkedPool(cluster, name, NoCaller(), self.leadership, clock, lag),
                     lag,
                     self.decoder,
                     configuration,
@@ -570,7 +595,7 @@
             leader._apply_submission = restore_slowly
             return leader
 
-        peers = FakePeers(cluster)
+        peers = FakePeers(cluster, self)
         self.observed = observed
         self.follower = Follower(
             observed, Stream.CONFIGURATION, lambda records, is_snapshot: None, clock, rng
@@ -622,6 +647,8 @@
         self.lost_claim_answers = 0
         # What a process tells in that answer about the leaders before its newest term.
         self.settlement_of = lambda election: election.settlement
+        # Whether processes are connected to the leader, so that one can be its witness.
+        self.has_witnesses = True
         # Processor time of a process for each call that it sends and each answer that it reads.
         self.seconds_per_message = 0.0
         # Processor time of a leader for each job that it reads.
--- a/dotterelhill/control/tests/mixed_builds.feature
+++ b/dotterelhill/control/tests/mixed_builds.feature
@@ -29,6 +29,15 @@
       | a build that tells no number              | nothing                                 |
       | a build that tells of a time before       | nothing                                 |
 
+  Scenario Outline: The answer of a witness is lost, or <build> build is taken for one that answers
+    When a witness of <build> build is asked over HTTP
+    Then <result>
+
+    Examples:
+      | build       | result             |
+      | the present | it has answered    |
+      | an earlier  | there is no answer |
+
   @single-place
   Scenario: Jobs that an earlier build has stored are lost, or their runs and done tasks start again
     Given an earlier build has stored job "j" of 4 tasks, of which 0 is done, 1 runs and 2 has failed
--- a/dotterelhill/control/tests/relays.feature
+++ b/dotterelhill/control/tests/relays.feature
@@ -34,6 +34,12 @@
     When every minion is called once
     Then every call is answered
 
+  Scenario: a relay that has left or can't answer is the witness of the leader
+    When a relay of an earlier build and relays "b c" that answer as witnesses connect
+    Then the witness of the leader is "b"
+    When relay "b" leaves and connects again at once
+    Then the witness of the leader is "c"
+
   @at-most-once
   Scenario: a relay that was paused carries out orders that are out of date
     When messages to a relay are delayed by 3 seconds
--- a/dotterelhill/control/tests/steps/cluster_steps.py
+++ b/dotterelhill/control/tests/steps/cluster_steps.py
@@ -144,7 +144,7 @@
     for process in cluster.processes.values():
         process.minions.unreachable.update(with_leader)
     leader = cluster.processes[context.first_leader]
-    leader.store.is_down = True
+    leader.store.is_down = leader.is_cut_off = True
     leader.is_running = False
     leader.gone_at = cluster.loop.time()
     leader.minions.unreachable = set(cluster.minions) - with_leader
--- a/dotterelhill/control/tests/steps/failover_steps.py
+++ b/dotterelhill/control/tests/steps/failover_steps.py
@@ -1,15 +1,20 @@
 from __future__ import annotations
 
+from contextlib import suppress
+
 import logbook
 from behave import given, then, use_step_matcher, when
 
-from dotterelhill.control.interface import Stream
+from dotterelhill.control.interface import StoreError, Stream
 from dotterelhill.control.leadership import (
+    LEASE_SECONDS,
     RENEWAL_GRACE_SECONDS,
     Claim,
     LeaderCondition,
     Leadership,
     Settlement,
+    Witness,
+    WitnessAnswer,
 )
 from dotterelhill.control.tests.cluster_world import Cluster, MemoryStore, StoreView
 
@@ -187,6 +192,73 @@
     context.cluster.claim_answer_seconds = float(seconds)
 
 
+@when(r"leaders have no witness")
+def have_no_witness(context):
+    context.cluster.has_witnesses = False
+
+
+@when(r"leaders have a witness")
+def have_witness(context):
+    assert context.cluster.has_witnesses
+
+
+@when(
+    r"the leader is cut off from the store, and nobody but it reaches the minions with tasks of "
+    r'job "(?P<job>\w+)"'
+)
+def cut_off_with_witness(context, job):
+    """Leave only the calls of the leader to other processes, as to its witness."""
+    context.execute_steps(
+        f'When the leader and the minions with tasks of job "{job}" are cut off from the store and '
+        "from all others"
+    )
+    context.cluster.processes[context.first_leader].is_cut_off = False
+
+
+@when(r"no other process claims for (?P<seconds>[\d.]+) seconds")
+def hold_claims(context, seconds):
+    cluster = context.cluster
+    others = [process for name, process in cluster.processes.items() if name not in cluster.leaders]
+    for process in others:
+        process.election._has_stopped_claiming = True
+    cluster.advance(float(seconds))
+    for process in others:
+        process.election._has_stopped_claiming = False
+
+
+@when(r"the leader and its witness are killed")
+def kill_with_witness(context):
+    leadership = context.cluster.processes[context.first_leader].leadership
+    context.cluster.kill(leadership.witness.address)
+    context.cluster.kill(context.first_leader)
+
+
+@when(r"the answer to a renewal that names witness \"c\" instead of \"b\" is lost")
+def change_witness(context):
+    cluster = context.cluster
+    view = StoreView(MemoryStore())
+    context.leadership = leadership = Leadership(view, "a/1", "a", cluster.loop.time)
+    assert cluster.run(leadership.claim(cluster.run(leadership.read())))
+    cluster.run(leadership.renew(Witness("b/1", "b")))
+    view.lost_answers = 1
+    with suppress(StoreError):
+        cluster.run(leadership.renew(Witness("c/1", "c")))
+    cluster.advance(LEASE_SECONDS + 0.1)
+    asked = {witness.address for witness in leadership.witnesses_to_ask}
+    assert asked == {"b", "c"}, asked
+
+
+@when(r'witness "(?P<name>\w)" answers that it knows of no later claim')
+def answer_as_witness(context, name):
+    now, answer = context.cluster.loop.time(), WitnessAnswer(f"{name}/1", 1, None)
+    context.leadership.record_answer(Witness(f"{name}/1", name), answer, now)
+
+
+@then(r"the leader may(?P<no> not|) renew leases")
+def check_permission(context, no):
+    assert context.leadership.is_lease_renewal_allowed is not bool(no)
+
+
 @when(r"the first (?P<count>\d+) answers to claims are lost")
 def lose_claim_answers(context, count):
     context.cluster.lost_claim_answers = int(count)
@@ -211,6 +283,6 @@
     learned = newest.leadership._settled_at
     assert learned < newest.assumed_renewals_end, "no earlier time was learned"
     # The claim that the first leader can't know to be superseded still holds its deadline.
-    ended_at = first.clock.time_of(first.leadership._valid_until + RENEWAL_GRACE_SECONDS)
+    ended_at = first.clock.time_of(first.leadership.renewals_end)
     learned_at = newest.clock.time_of(learned)
     assert ended_at <= learned_at, (ended_at, learned_at)
--- a/dotterelhill/control/tests/steps/mixed_builds_steps.py
+++ b/dotterelhill/control/tests/steps/mixed_builds_steps.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import suppress
 from dataclasses import replace
 from types import SimpleNamespace
 
@@ -53,9 +54,9 @@
     pack, answer = msgspec.msgpack.encode, relay_messages.RelayedAnswer(1, 200, b"x")
     return {
         "claim": pack(leadership.Claim(4, "a/1", "a:1")),
-        "renewal": pack(leadership.Renewal(4, True, 8.5)),
+        "renewal": pack(leadership.Renewal(4, True, 8.5, 1.0, leadership.Witness("b/1", "b:1"))),
         "peer status": msgspec.json.encode(peers.PeerStatus("a/1", True, True, 3, 12)),
-        "hello": pack(relay_messages.Hello("a/1", "d", 2.0)),
+        "hello": pack(relay_messages.Hello("a/1", "d", 2.0, True, "a:1")),
         "leader message": pack(
             relay_messages.LeaderMessage("a/1", 1.0, True, True, calls, 2, 5, notice)
         ),
@@ -133,6 +134,8 @@
     added = set(dir(found)) - set(dir(value))
     defaults = {
         "sent_at": None,
+        "witness": None,
+        "address": "",
         "loading_progress": None,
         "entry": relay_messages.EntryNotice(),
         "tenant": "",
@@ -187,6 +190,48 @@
     assert context.told == expected, context.told
 
 
+@when(r"a witness of (?P<build>the present|an earlier) build is asked over HTTP")
+def ask_over_http(context, build):
+    context.accepted = []
+
+    def answer(claim):
+        context.accepted.append(claim)
+        return leadership.WitnessAnswer("b/1", 4, 0.25)
+
+    source = SimpleNamespace(answer_as_witness=answer, leader=None)
+    server = peers.PeerServer(source, None, "127.0.0.1", 0)
+
+    async def refuse(request):
+        return web.Response(status=503, text="not leading")
+
+    if build == "an earlier":
+        server._answer = refuse
+
+    async def ask() -> None:
+        await server.on_start()
+        host, port = server._runner.addresses[0][:2]
+        async with aiohttp.ClientSession() as session:
+            client = peers.PeerClient(lambda: session)
+            claim = leadership.Claim(4, "a/1", "a:1")
+            context.told = await client.ask_witness(f"{host}:{port}", claim)
+        await server.on_stop()
+
+    context.told = None
+    with suppress(peers.PeerUnreachableError):
+        asyncio.run(ask())
+
+
+@then(r"it has answered")
+def check_witness_answer(context):
+    assert context.accepted == [leadership.Claim(4, "a/1", "a:1")], context.accepted
+    assert context.told == leadership.WitnessAnswer("b/1", 4, 0.25), context.told
+
+
+@then(r"there is no answer")
+def check_no_witness_answer(context):
+    assert context.told is None and not context.accepted, context.told
+
+
 def append(cluster, stream, key, value):
     partition = partition_of(key, SUBMISSION_PARTITIONS) if stream is Stream.SUBMISSIONS else 0
     cluster.store.streams[stream, partition].append(Record(key, value))
--- a/dotterelhill/control/tests/steps/relay_steps.py
+++ b/dotterelhill/control/tests/steps/relay_steps.py
@@ -12,10 +12,15 @@
     MinionCall,
     MinionError,
 )
-from dotterelhill.control.leadership import LeaderCondition, Leadership, LeadershipState
+from dotterelhill.control.leadership import (
+    LeaderCondition,
+    Leadership,
+    LeadershipState,
+    Witness,
+)
 from dotterelhill.control.loop_lag import LoopLag
 from dotterelhill.control.relay_client import RelaySession
-from dotterelhill.control.relay_messages import LEADER_DECODER, Hello
+from dotterelhill.control.relay_messages import ENCODER, LEADER_DECODER, Hello, RelayMessage
 from dotterelhill.control.relay_pool import RelayPool
 from dotterelhill.control.tests.cluster_world import MemoryStore, StoreView
 from dotterelhill.jobs.fleet import Minion, MinionFacts, Run, RunState
@@ -222,6 +227,33 @@
     context.calls_before = sum(world.relays[0].caller.calls.values())
 
 
+async def connect_witness(context, name):
+    pool = context.relay_world.pool
+    hello = Hello(name, DOMAIN, 1.0, address=f"{name}:1" if name != "earlier" else "")
+    context.links[name] = pool.serve(hello, FakeSocket(lambda data: None))
+
+
+@when(r'a relay of an earlier build and relays "(?P<names>[^"]*)" that answer as witnesses connect')
+def connect_witnesses(context, names):
+    context.links, context.witness = {}, None
+    for name in ["earlier", *names.split()]:
+        context.relay_world.run(connect_witness(context, name))
+
+
+@when(r'relay "(?P<name>\w+)" leaves and connects again at once')
+def reconnect_witness(context, name):
+    context.links[name].receive(ENCODER.encode(RelayMessage(True, [])))
+    assert context.relay_world.pool.choose_witness(context.witness).incarnation != name
+    context.witness = context.relay_world.pool.choose_witness(context.witness)
+    context.relay_world.run(connect_witness(context, name))
+
+
+@then(r'the witness of the leader is "(?P<name>\w+)"')
+def check_witness(context, name):
+    context.witness = context.relay_world.pool.choose_witness(context.witness)
+    assert context.witness == Witness(name, f"{name}:1"), context.witness
+
+
 @when(r"messages to a relay are delayed by (?P<seconds>[\d.]+) seconds")
 def delay_to_relay(context, seconds):
     context.relay_world.relays[0].to_relay.delay_seconds = float(seconds)
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -83,7 +83,7 @@
 # The reported tail of a serving task beside fillers covers half a second.
 SHARING_POLL_SECONDS = 0.4
 # A poll that is lost alone is repeated and answered within this time.
-SILENT_SECONDS_TO_CLOSE_LEASE = 0.5
+SILENT_SECONDS_TO_CLOSE_LEASE = 0.35
 # The search for a minion takes up to 0.3 ms for each straggler, and a round has 25 ms.
 MAX_STRAGGLERS_PLACED = 8
 
--- a/dotterelhill/platform/process.py
+++ b/dotterelhill/platform/process.py
@@ -138,6 +138,7 @@
                 settings.failure_domain,
                 settings.processors,
                 keeps_prefixes=True,
+                address=str(settings.peer_address),
             ),
             self._remote_leader_address,
             self._minion_caller,
