Store closed leases with the claim, so that silent progress ends no runs

What callers saw: the runs on a minion that was not reached for a second ended while the progress partition gave no answer for 10 s, although the leader kept its claim.

Cause: the record of leases that are not extended was stored in the progress stream. Without an answer it may be stored, so these leases stayed closed until that partition answered.

Change: each renewal of the claim carries the ends of the closed leases, and the record in the progress stream is gone. A lease is extended again as soon as a renewal without it is stored. A refused renewal closes nothing, and while one is without an answer no further lease is closed. The next leader reads exactly the newest renewal, from which it also counts the renewals of leases.

Tests: "is not reached for a second" became an outline, with the claims without an answer for 7 s as second row. "stored as not renewed" became one as well: with progress silent as before, with renewals silent, and with all answers of the store lost. A leader ignores records of the build before.

--- a/dotterelhill/control/election.py
+++ b/dotterelhill/control/election.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Mapping
 from random import Random
 from typing import Any
 
@@ -75,8 +75,8 @@
     :param incarnation: incarnation id of this process
     :param peers: client for calls to other processes
     :param new_leader: creates the term of leadership after a successful claim, given the time until
-        which an earlier leader may renew leases, and a reading of the clock of the leader before
-        this one or None
+        which an earlier leader may renew leases, and the ends of leases, by incarnation, that the
+        leader before this one did not renew until its end
     :param clock: returns seconds
     :param processors: number of processors that the process may use; fractions are allowed
     :param linked_condition: returns the condition of the leader at an address, given with its
@@ -91,7 +91,7 @@
         leadership: Leadership,
         incarnation: str,
         peers: PeerClient,
-        new_leader: Callable[[float, LeaderClock | None], Leader],
+        new_leader: Callable[[float, Mapping[str, float]], Leader],
         clock: Callable[[], float],
         random: Random,
         processors: float = FULL_PROCESSORS,
@@ -215,11 +215,11 @@
         while not self.should_stop:
             await asyncio.sleep(RENEWAL_INTERVAL_SECONDS)
             was_able = self._leadership.is_able
-            witness: Witness | None = None
-            if self._leader is not None:
-                witness = self._leader.relays.choose_witness(self._leadership.witness)
             try:
-                await self._leadership.renew(witness)
+                if self._leader is None:
+                    await self._leadership.renew()
+                else:
+                    await self._leader.renew_claim(self._leadership)
             except StoreError as error:
                 if was_able and not self._leadership.is_able:
                     _log.warning("leadership can't be renewed", extra={"reason": str(error)})
@@ -299,7 +299,8 @@
         _log.notice("took over leadership", extra={"condition": condition.name.lower()})
         renewals_end = self._earlier_renewals_end(state, condition)
         self._leadership.settle_at(renewals_end)
-        leader = self._new_leader(renewals_end, self._clock_of(claim))
+        lease_ends = state.lease_ends(self._detector.newest_renewal_by(state, clock))
+        leader = self._new_leader(renewals_end, lease_ends)
         confirmations = self._confirmations(state, condition, renewals_end, leader)
         self._begin_term(leader, confirmations)
 
--- a/dotterelhill/control/leader.py
+++ b/dotterelhill/control/leader.py
@@ -8,7 +8,6 @@
 from contextlib import suppress
 from dataclasses import dataclass
 from functools import partial
-from math import ceil
 from random import Random
 from typing import Any
 
@@ -30,13 +29,7 @@
     StoreSequenceError,
     Stream,
 )
-from dotterelhill.control.leadership import LeaderClock, Leadership
-from dotterelhill.control.lease_record import (
-    LEASES_KEY,
-    LeaseRecord,
-    decode_leases,
-    encode_leases,
-)
+from dotterelhill.control.leadership import Leadership
 from dotterelhill.control.loop_lag import LoopLag
 from dotterelhill.control.poll_window import FirstPollWindow
 from dotterelhill.control.relay_pool import RelayPool
@@ -70,8 +63,8 @@
 # contain no "@".
 MODEL_KEY = "@interference"
 MODEL_STORE_INTERVAL_SECONDS = 4.0
-# Longest age of the stored ends of leases while there are any.
-LEASES_STORE_INTERVAL_SECONDS = 1.0
+# Key of the ends of leases that earlier builds store in the progress stream.
+EARLIER_LEASES_KEY = "@leases"
 FENCED_WRITER = "leader"
 # Changes within this time are batched into one write; the store handles several hundred writes a
 # second.
@@ -138,15 +131,15 @@
 
     :param parts: dependencies of the leader
     :param renewals_end: time until which an earlier leader may renew the leases of runs
-    :param earlier_clock: reading of the clock of the leader before this one; None when there is
-        none
+    :param lease_ends: times by which leases have ended that the leader before this one did not
+        renew until its end, by ``minion_id@born_ms``
     """
 
     def __init__(
         self,
         parts: LeaderParts,
         renewals_end: float,
-        earlier_clock: LeaderClock | None = None,
+        lease_ends: Mapping[str, float] | None = None,
     ) -> None:
         self._parts = parts
         self._clock = parts.clock
@@ -157,10 +150,7 @@
         self._is_loaded = False
         self._is_store_failing = False
         self._model_stored_at = self._clock()
-        self._earlier_clock = earlier_clock
-        self._fenced_at = float("inf")
-        self._stored_leases: frozenset[str] = frozenset()
-        self._leases_stored_at = float("-inf")
+        self._scheduler.apply_stored_leases(lease_ends or {})
         self._background: set[asyncio.Task[None]] = set()
         self._polled_minions: set[Minion] = set()
         self._first_polls = FirstPollWindow(parts.clock, parts.lag)
@@ -287,6 +277,30 @@
         """
         self._scheduler.end_earlier_renewals(renewals_end)
 
+    async def renew_claim(self, leadership: Leadership) -> None:
+        """Renew the claim, and store with it until when leases last that are not extended.
+
+        A lease remains closed until a renewal without it is stored. An attempt without an answer
+        may be stored, so while there is one no further leases are closed.
+
+        :raises StoreError: when the renewal failed or its outcome can't be determined
+        """
+        scheduler = self._scheduler
+        closed = scheduler.closed_leases
+        ends = scheduler.close_leases(self._clock())
+        if leadership.has_unanswered_renewal:
+            ends = {key: end for key, end in ends.items() if key in closed}
+            scheduler.reopen_leases(closed)
+        witness = self._parts.relays.choose_witness(leadership.witness)
+        try:
+            is_stored = await leadership.renew(witness, ends)
+        except StoreError as error:
+            if not error.is_effect_unknown:
+                scheduler.reopen_leases(closed)
+            raise
+        if is_stored:
+            scheduler.reopen_leases(ends)
+
     async def run(self) -> None:
         """Lead the fleet until the claim is lost or the task is cancelled."""
         watchers = [
@@ -344,7 +358,6 @@
     async def _load(self) -> None:
         """Fence earlier leaders, then load the state that they have stored."""
         await self._append([])
-        self._fenced_at = self._clock()
         # A submission is stored before its progress. Reading the submissions after the progress
         # therefore finds the submission of each progress record.
         pages = PartialRead()
@@ -357,9 +370,7 @@
         for record in progress.records:
             if record.key == MODEL_KEY and record.value is not None:
                 self._load_model(record.value)
-            elif record.key == LEASES_KEY and record.value is not None:
-                self._load_leases(record.value)
-            elif record.value is not None:
+            elif record.value is not None and record.key != EARLIER_LEASES_KEY:
                 self._stored_progress[record.key] = record.value
         await _gather_or_cancel(
             *(
@@ -378,20 +389,6 @@
         except msgspec.MsgspecError as error:
             _log.warning("stored estimates can't be decoded", extra={"reason": str(error)})
 
-    def _load_leases(self, data: bytes) -> None:
-        """Apply the ends of leases that the leader before this one stored.
-
-        A record of an older term says nothing about the leases that later leaders granted.
-        """
-        try:
-            record = decode_leases(data)
-        except msgspec.MsgspecError as error:
-            _log.warning("stored leases can't be decoded", extra={"reason": str(error)})
-            return
-        if record.epoch == self._epoch - 1:
-            ends = record.lease_ends(self._fenced_at, self._earlier_clock)
-            self._scheduler.apply_stored_leases(ends)
-
     async def _retry_on_store_error(self, call: Callable[[], Coroutine[Any, Any, Any]]) -> Any:
         while True:
             try:
@@ -536,28 +533,11 @@
         if records and self._clock() - self._model_stored_at > MODEL_STORE_INTERVAL_SECONDS:
             self._model_stored_at = self._clock()
             records.append(Record(MODEL_KEY, self._scheduler.sharing.model.to_record()))
-        lease_ends = self._scheduler.close_leases(self._clock())
-        is_due = self._clock() - self._leases_stored_at >= LEASES_STORE_INTERVAL_SECONDS
-        is_storing_leases = lease_ends.keys() != self._stored_leases or (lease_ends and is_due)
-        if is_storing_leases:
-            records.append(self._lease_record(lease_ends))
         if records:
             await self._append(records)
-        if is_storing_leases:
-            self._stored_leases = frozenset(lease_ends)
-            self._scheduler.reopen_leases(lease_ends)
         if changes.removed:
             await self._remove_submissions(changes.removed)
 
-    def _lease_record(self, lease_ends: Mapping[str, float]) -> Record:
-        """Return the record of leases that are not renewed until a record without them is durable.
-
-        :param lease_ends: loop times at which they end, by incarnation
-        """
-        now = self._leases_stored_at = self._clock()
-        remaining = {key: ceil(1000.0 * max(0.0, end - now)) for key, end in lease_ends.items()}
-        return Record(LEASES_KEY, encode_leases(LeaseRecord(self._epoch, now, remaining)))
-
     async def _remove_submissions(self, job_ids: list[str]) -> None:
         records = []
         for job_id in job_ids:
--- a/dotterelhill/control/leadership.py
+++ b/dotterelhill/control/leadership.py
@@ -15,9 +15,10 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
-from dataclasses import dataclass, replace
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field, replace
 from enum import Enum, auto
+from math import ceil
 
 import msgspec
 
@@ -94,9 +95,11 @@
         that do not tell it
     :param witness: process without whose answers the leader renews no lease of running tasks when
         its own lease is over; None when it needs none
+    :param closed_ms: longest time in ms, from ``sent_at`` on, until the end of each lease that the
+        leader extends only when a later renewal without it is stored, by ``minion_id@born_ms``
 
     >>> msgspec.msgpack.decode(msgspec.msgpack.encode([5, True]), type=Renewal)
-    Renewal(epoch=5, is_settled=True, sent_at=None, settles_in=None, witness=None)
+    Renewal(epoch=5, is_settled=True, sent_at=None, settles_in=None, witness=None, closed_ms={})
     """
 
     epoch: int
@@ -104,6 +107,7 @@
     sent_at: float | None = None
     settles_in: float | None = None
     witness: Witness | None = None
+    closed_ms: dict[str, int] = {}
 
 
 class Settlement(msgspec.Struct, frozen=True, array_like=True):
@@ -179,6 +183,7 @@
     :param settles_in: longest time in seconds for which leaders before that claim can renew leases
         while ``is_settled`` is False
     :param witness: witness in the newest stored renewal of that claim
+    :param closed_ms: leases that this renewal calls closed; see :class:`Renewal`
     """
 
     claim: Claim | None
@@ -187,6 +192,20 @@
     renewed_at: float | None = None
     settles_in: float = LEASE_SECONDS + RENEWAL_GRACE_SECONDS
     witness: Witness | None = None
+    closed_ms: Mapping[str, int] = field(default_factory=dict)
+
+    def lease_ends(self, renewed_by: float) -> dict[str, float]:
+        """Return the times of this process by which the closed leases have certainly ended.
+
+        :param renewed_by: time of this process by which the newest stored renewal was sent
+
+        >>> LeadershipState(None, 0, closed_ms={"m1@1": 4900}).lease_ends(912.0)
+        {'m1@1': 917.0}
+        """
+        ends = {}
+        for incarnation, milliseconds in self.closed_ms.items():
+            ends[incarnation] = renewed_by + milliseconds / 1000.0 / (1.0 - MAX_CLOCK_DRIFT)
+        return ends
 
 
 @dataclass(frozen=True, slots=True)
@@ -293,6 +312,11 @@
             end = min(end, max(self._valid_until, witnessed_until))
         return end
 
+    @property
+    def has_unanswered_renewal(self) -> bool:
+        """Return whether a renewal without an answer may be stored."""
+        return self._unanswered_at is not None
+
     @property
     def witness(self) -> Witness | None:
         """Return the witness in the newest renewal that was sent; None when it had none."""
@@ -388,6 +412,7 @@
             renewal.is_settled,
             renewal.sent_at,
             witness=renewal.witness,
+            closed_ms=renewal.closed_ms,
         )
         if renewal.settles_in is None:
             return state
@@ -442,14 +467,19 @@
             return
         self._witnessed_until[witness] = asked_at + WITNESS_SECONDS
 
-    async def renew(self, witness: Witness | None = None) -> None:
+    async def renew(
+        self, witness: Witness | None = None, closed_until: Mapping[str, float] | None = None
+    ) -> bool:
         """Extend the lease by a conditional append; drop the claim when a later one exists.
 
         :param witness: process to ask from then on when the lease is over; None for none
+        :param closed_until: ends of leases of minions that are not extended before a renewal
+            without them is stored, by incarnation
+        :returns: whether this renewal is stored
         :raises StoreError: when the renewal failed or its outcome can't be determined
         """
         if self._claim is None:
-            return
+            return False
         sent_at = self._clock()
         settles_in = self._settled_at - sent_at
         stored_witnesses = self._witnesses
@@ -457,15 +487,23 @@
             self._witness = witness
         named = frozenset() if self._witness is None else frozenset([self._witness])
         self._witnesses = stored_witnesses | named
+        closed_ms = {}
+        for incarnation, end in (closed_until or {}).items():
+            closed_ms[incarnation] = ceil(1000.0 * max(0.0, end - sent_at))
         renewal = Renewal(
-            self._claim.epoch, settles_in <= 0.0, sent_at, max(0.0, settles_in), self._witness
+            self._claim.epoch,
+            settles_in <= 0.0,
+            sent_at,
+            max(0.0, settles_in),
+            self._witness,
+            closed_ms,
         )
         record = Record(RENEWAL_KEY, msgspec.msgpack.encode(renewal))
         try:
             self._end = await self._store.append(Stream.LEADERSHIP, [record], at=self._end)
         except StoreConflictError:
             await self._resolve_conflict(sent_at)
-            return
+            return False
         except StoreError as error:
             if error.is_effect_unknown:
                 if self._unanswered_at is None:
@@ -476,6 +514,7 @@
         self._unanswered_at = None
         self._witnesses = named
         self._valid_until = sent_at + LEASE_SECONDS
+        return True
 
     async def _resolve_conflict(self, sent_at: float) -> None:
         """Distinguish a claim by another process from an own renewal whose response was lost."""
@@ -682,12 +721,14 @@
         return max(0.0, since + delay - self._clock())
 
     def newest_renewal_by(self, state: LeadershipState, clock: LeaderClock | None) -> float:
-        """Return the time by which the watched leader had sent its newest stored renewal.
+        """Return the time by which the leader had sent its newest stored renewal.
 
         :param state: state of the stream on which the claim of this process depended
         :param clock: reading of the clock of that leader; None when there is none
         """
-        return min(self._unchanged_since, self._newest_renewal_time(state, clock))
+        # A leader that is gone was not watched, but its renewals were stored before the read.
+        seen_at = self._unchanged_since if self._end == state.end else self._clock()
+        return min(seen_at, self._newest_renewal_time(state, clock))
 
     def _newest_renewal_time(self, state: LeadershipState, clock: LeaderClock | None) -> float:
         """Return the time by which the newest stored renewal was certainly sent, or infinity."""
--- a/dotterelhill/control/tests/cluster.feature
+++ b/dotterelhill/control/tests/cluster.feature
@@ -281,24 +281,37 @@
       | 4      | 5     |
 
   @single-place
-  Scenario: A lease that is stored as not renewed is renewed before a record says so, and the next leader counts the earlier end
+  Scenario Outline: A lease that is stored as not renewed is renewed before a record says so, and the next leader counts the earlier end
     When job "j" of 4 tasks of 30 seconds is submitted at a process that does not lead
     And 1 seconds pass
-    And the leader can't reach the minions with tasks of job "j" for 0.9 seconds, and then can't store progress
-    And 3 seconds pass
+    And the leader can't reach the minions with tasks of job "j" for <unreached> seconds, and then <fault>
+    And <seconds> seconds pass
     And the leader and the minions with tasks of job "j" are cut off from the store and from all others
     And 40 seconds pass
     Then no task ran on two minions at a time
 
-  @known-red
-  Scenario: A minion that is not reached for a second loses its runs while the leader can't store progress
+    Examples:
+      | unreached | fault                                             | seconds |
+      | 0.9       | can't store progress                              | 3       |
+      | 1.3       | can't store renewals                              | 0.8     |
+      | 0.9       | learns nothing of what it has stored since before | 0.8     |
+
+  Scenario Outline: A minion that is not reached for a second loses its runs while the leader can't store <what>
     When job "j" of 4 tasks of 40 seconds is submitted at a process that does not lead
     And 1 seconds pass
-    And the partition of the progress gives no answer
+    And the partition of the <what> gives no answer
+    And <before> seconds pass
     And a minion with tasks of job "j" is not reached for 1.0 seconds
-    And 9 seconds pass
+    And <after> seconds pass
+    And the partition of the <what> answers again
+    And 2 seconds pass
     Then no task lapsed
 
+    Examples:
+      | what     | before | after |
+      | progress | 0      | 9     |
+      | claims   | 0.7    | 5.3   |
+
   Scenario Outline: Lasting tasks of a minion that is lost together with the leader wait for longer than 9 s
     When job "j" of 4 tasks of 40 seconds is submitted at a process that does not lead
     And <phase> seconds pass
--- a/dotterelhill/control/tests/cluster_world.py
+++ b/dotterelhill/control/tests/cluster_world.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections import Counter, defaultdict
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 import looptime
@@ -560,7 +561,7 @@
         configuration = self.configuration = ConfigurationFeed(self.decoder, lambda: None)
         configuration._config = FleetConfig(1, {"q": QUEUE}, cluster.pools)
 
-        def new_leader(renewals_end: float, earlier_clock: LeaderClock | None) -> Leader:
+        def new_leader(renewals_end: float, lease_ends: Mapping[str, float]) -> Leader:
             lag = self.minions.lag
             processor = self.minions.processor
             slices = WorkSlices(lambda: processor.busy_until, processor.pause)
@@ -584,7 +585,7 @@
                     slices,
                 ),
                 renewals_end,
-                earlier_clock,
+                lease_ends,
             )
             restore = leader._apply_submission
 
--- a/dotterelhill/control/tests/steps/capacity_steps.py
+++ b/dotterelhill/control/tests/steps/capacity_steps.py
@@ -11,6 +11,7 @@
     "minions": Stream.MINIONS,
     "submissions": Stream.SUBMISSIONS,
     "progress": Stream.PROGRESS,
+    "claims": Stream.LEADERSHIP,
 }
 
 
@@ -19,13 +20,13 @@
     context.cluster.pools["pool"] = Pool("pool", is_guarded=True)
 
 
-@when(r"the partitions? of the (?P<name>minions|submissions|progress) gives? no answer")
+@when(r"the partitions? of the (?P<name>minions|submissions|progress|claims) gives? no answer")
 def silence_stream(context, name):
     for process in context.cluster.processes.values():
         process.store.silent_streams.add(STREAMS[name])
 
 
-@when(r"the partitions? of the (?P<name>minions|submissions|progress) answers? again")
+@when(r"the partitions? of the (?P<name>minions|submissions|progress|claims) answers? again")
 def restore_stream(context, name):
     for process in context.cluster.processes.values():
         process.store.silent_streams.discard(STREAMS[name])
--- a/dotterelhill/control/tests/steps/cluster_steps.py
+++ b/dotterelhill/control/tests/steps/cluster_steps.py
@@ -152,13 +152,19 @@
 
 @when(
     r"the leader can't reach the minions with tasks of job \"(?P<job>\w+)\" for "
-    r"(?P<seconds>[\d.]+) seconds, and then can't store progress"
+    r"(?P<seconds>[\d.]+) seconds, and then (?P<fault>can't store progress|can't store renewals|"
+    r"learns nothing of what it has stored since before)"
 )
-def lose_minions_then_progress(context, job, seconds):
+def lose_minions_then_store(context, job, seconds, fault):
     leader = context.cluster.processes[context.first_leader]
     leader.minions.unreachable = set(minions_with_tasks(context, job))
+    if fault.startswith("learns"):
+        leader.store.lost_answers = 1000
     context.cluster.advance(float(seconds))
-    leader.store.silent_streams.add(Stream.PROGRESS)
+    if fault == "can't store progress":
+        leader.store.silent_streams.add(Stream.PROGRESS)
+    elif fault == "can't store renewals":
+        leader.store.silent_streams.add(Stream.LEADERSHIP)
     leader.minions.unreachable = set()
 
 
--- a/dotterelhill/control/tests/steps/mixed_builds_steps.py
+++ b/dotterelhill/control/tests/steps/mixed_builds_steps.py
@@ -54,7 +54,9 @@
     pack, answer = msgspec.msgpack.encode, relay_messages.RelayedAnswer(1, 200, b"x")
     return {
         "claim": pack(leadership.Claim(4, "a/1", "a:1")),
-        "renewal": pack(leadership.Renewal(4, True, 8.5, 1.0, leadership.Witness("b/1", "b:1"))),
+        "renewal": pack(
+            leadership.Renewal(4, True, 8.5, 1.0, leadership.Witness("b/1", "b:1"), {"m1@1": 900})
+        ),
         "peer status": msgspec.json.encode(peers.PeerStatus("a/1", True, True, 3, 12)),
         "hello": pack(relay_messages.Hello("a/1", "d", 2.0, True, "a:1")),
         "leader message": pack(
@@ -135,6 +137,7 @@
     defaults = {
         "sent_at": None,
         "witness": None,
+        "closed_ms": {},
         "address": "",
         "loading_progress": None,
         "entry": relay_messages.EntryNotice(),
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -509,10 +509,15 @@
             return False
         return now - minion.silent_at >= SILENT_SECONDS_TO_CLOSE_LEASE
 
+    @property
+    def closed_leases(self) -> frozenset[str]:
+        """Return the incarnations whose leases are not extended."""
+        return frozenset(self._closed_leases)
+
     def reopen_leases(self, closed: Iterable[str]) -> None:
-        """Extend leases again, after a record has become durable.
+        """Extend leases again that no stored record calls closed.
 
-        :param closed: incarnations in the record, whose leases remain closed
+        :param closed: incarnations whose leases remain closed
         """
         self._closed_leases = set(closed)
         for minion in self._minions.values():
--- a/dotterelhill/platform/process.py
+++ b/dotterelhill/platform/process.py
@@ -26,7 +26,7 @@
 from dotterelhill.control.interface import Stream
 from dotterelhill.control.job_service import JobService
 from dotterelhill.control.leader import Leader, LeaderParts
-from dotterelhill.control.leadership import LeaderClock, Leadership
+from dotterelhill.control.leadership import Leadership
 from dotterelhill.control.loop_lag import LoopLag
 from dotterelhill.control.metrics_server import MetricsServer
 from dotterelhill.control.peers import PeerClient, PeerServer
@@ -250,7 +250,7 @@
         """Return the address of the leader; empty while this process leads or knows none."""
         return "" if self._election.has_claim else self._election.leader_address
 
-    def _new_leader(self, renewals_end: float, earlier_clock: LeaderClock | None) -> Leader:
+    def _new_leader(self, renewals_end: float, lease_ends: Mapping[str, float]) -> Leader:
         settings = self._settings
         lag = LoopLag(boot_seconds)
         relays = RelayPool(
@@ -279,7 +279,7 @@
                 slices=WorkSlices(boot_seconds),
             ),
             renewals_end,
-            earlier_clock,
+            lease_ends,
         )
 
     def _gauges(self) -> dict[str, float]:
