Close the leases of minions that a new leader never reached with its first renewal

What callers saw: lasting tasks of a minion that was lost shortly before a takeover started up to 9.4 s after the loss when the new leader was lost, too.

Cause: the new leader closed the lease of a minion only after 0.35 s without an answer. One that ended before had stored renewals that call no lease closed, so the next one waited for all leases that it might have extended.

Change: the lease of a minion that has never answered this leader, and did not answer the last poll, is closed at once. This leader has not extended it.

The new scenario, with the second leader lost 1.4 to 1.95 s after the first, failed at each of twelve moments before the change and passes at all of them.

--- a/dotterelhill/control/tests/cluster.feature
+++ b/dotterelhill/control/tests/cluster.feature
@@ -296,6 +296,16 @@
       | 1.3       | can't store renewals                              | 0.8     |
       | 0.9       | learns nothing of what it has stored since before | 0.8     |
 
+  Scenario: A minion that is lost just before a takeover is waited for anew when the next leader ends soon
+    When job "j" of 4 tasks of 40 seconds is submitted at a process that does not lead
+    And 1 seconds pass
+    And a minion with tasks of job "j" stops answering
+    And the leader is killed
+    And 1.6 seconds pass
+    And the leader is killed
+    And 7.4 seconds pass
+    Then each lost task of job "j" has started elsewhere
+
   Scenario Outline: A minion that is not reached for a second loses its runs while the leader can't store <what>
     When job "j" of 4 tasks of 40 seconds is submitted at a process that does not lead
     And 1 seconds pass
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -503,8 +503,10 @@
 
     def _is_unreached(self, minion: Minion, now: float) -> bool:
         """Return whether neither this leader nor, before its first answer, the one before did."""
-        if minion.clock_ms is None and minion.incarnation in self._stored_lease_ends:
-            return True
+        if minion.clock_ms is None:
+            # This leader has not extended its lease either.
+            is_failing = not minion.is_answering
+            return is_failing or minion.incarnation in self._stored_lease_ends
         if minion.silent_at is None or minion.is_answering:
             return False
         return now - minion.silent_at >= SILENT_SECONDS_TO_CLOSE_LEASE
