--- a/dotterelhill/control/tests/steps/cluster_steps.py
+++ b/dotterelhill/control/tests/steps/cluster_steps.py
@@ -120,6 +120,11 @@
     context.cluster.start(name)
 
 
+@when(r"the present leader resigns")
+def resign_present_leader(context):
+    context.cluster.run(context.cluster.processes[context.cluster.leaders[0]].election.resign())
+
+
 @when(r"the killed process starts again")
 def restart_killed(context):
     context.cluster.start(context.first_leader)
@@ -144,7 +149,7 @@
     for process in cluster.processes.values():
         process.minions.unreachable.update(with_leader)
     leader = cluster.processes[context.first_leader]
-    leader.store.is_down = True
+    leader.store.is_down = leader.is_cut_off = True
     leader.is_running = False
     leader.gone_at = cluster.loop.time()
     leader.minions.unreachable = set(cluster.minions) - with_leader
@@ -152,13 +157,19 @@
 
 @when(
     r"the leader can't reach the minions with tasks of job \"(?P<job>\w+)\" for "
-    r"(?P<seconds>[\d.]+) seconds, and then can't store progress"
+    r"(?P<seconds>[\d.]+) seconds, and then (?P<fault>can't store progress|can't store renewals|"
+    r"learns nothing of what it has stored since before)"
 )
-def lose_minions_then_progress(context, job, seconds):
+def lose_minions_then_store(context, job, seconds, fault):
     leader = context.cluster.processes[context.first_leader]
     leader.minions.unreachable = set(minions_with_tasks(context, job))
+    if fault.startswith("learns"):
+        leader.store.lost_answers = 1000
     context.cluster.advance(float(seconds))
-    leader.store.silent_streams.add(Stream.PROGRESS)
+    if fault == "can't store progress":
+        leader.store.silent_streams.add(Stream.PROGRESS)
+    elif fault == "can't store renewals":
+        leader.store.silent_streams.add(Stream.LEADERSHIP)
     leader.minions.unreachable = set()
 
 
@@ -454,10 +465,24 @@
     for minion in context.cluster.minions.values():
         if any(key.job_id == job for key in minion.running):
             minion.is_dead = True
+            context.dead_minion = minion.name
             return
     raise AssertionError("no minion has tasks of the job")
 
 
+@when(r"the entry of the minion that stopped answering is removed")
+def remove_dead_entry(context):
+    remove_entry(context, context.dead_minion)
+
+
+@then(r"(?P<count>\d+) more terms have begun")
+def check_terms(context, count):
+    leaders = context.cluster.leaders
+    epochs = [context.cluster.processes[name].leadership.epoch for name in leaders]
+    # The first leader has epoch 1.
+    assert epochs == [1 + int(count)], epochs
+
+
 @when(r'a minion with tasks of job "(?P<job>\w+)" is not reached for (?P<seconds>[\d.]+) seconds')
 def lose_calls_for(context, job, seconds):
     cluster = context.cluster
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -83,7 +83,7 @@
 # The reported tail of a serving task beside fillers covers half a second.
 SHARING_POLL_SECONDS = 0.4
 # A poll that is lost alone is repeated and answered within this time.
-SILENT_SECONDS_TO_CLOSE_LEASE = 0.5
+SILENT_SECONDS_TO_CLOSE_LEASE = 0.35
 # The search for a minion takes up to 0.3 ms for each straggler, and a round has 25 ms.
 MAX_STRAGGLERS_PLACED = 8
 
@@ -503,16 +503,23 @@
 
     def _is_unreached(self, minion: Minion, now: float) -> bool:
         """Return whether neither this leader nor, before its first answer, the one before did."""
-        if minion.clock_ms is None and minion.incarnation in self._stored_lease_ends:
-            return True
+        if minion.clock_ms is None:
+            # This leader has not extended its lease either.
+            is_failing = not minion.is_answering
+            return is_failing or minion.incarnation in self._stored_lease_ends
         if minion.silent_at is None or minion.is_answering:
             return False
         return now - minion.silent_at >= SILENT_SECONDS_TO_CLOSE_LEASE
 
+    @property
+    def closed_leases(self) -> frozenset[str]:
+        """Return the incarnations whose leases are not extended."""
+        return frozenset(self._closed_leases)
+
     def reopen_leases(self, closed: Iterable[str]) -> None:
-        """Extend leases again, after a record has become durable.
+        """Extend leases again that no stored record calls closed.
 
-        :param closed: incarnations in the record, whose leases remain closed
+        :param closed: incarnations whose leases remain closed
         """
         self._closed_leases = set(closed)
         for minion in self._minions.values():
