Choose the witness by its failure domain and its processors

Found by the review of the witness. Cause: the first relay that connected was the witness for as long as it stayed connected. In the leader's failure domain it is lost with the leader, and then the next one waits for 3.5 s of renewals instead of 2 s; with few processors it answers late, and late answers end the leader's permission in an outage of the store.

Change: a relay in another failure domain comes first, then the present witness, then the one with the most processors.

Measured: the new scenario failed before (witness "b" in the leader's domain) and passes.

--- a/dotterelhill/control/relay_pool.py
+++ b/dotterelhill/control/relay_pool.py
@@ -243,6 +243,7 @@
     :param clock: returns seconds; keeps counting while the process is suspended
     :param lag: delay of the event loop
     :param entry_notice: returns the information for entry processes
+    :param failure_domain: failure domain of the VM of this process
     """
 
     def __init__(
@@ -252,8 +253,10 @@
         clock: Callable[[], float],
         lag: LoopLag,
         entry_notice: Callable[[], EntryNotice] = EntryNotice,
+        failure_domain: str = "",
     ) -> None:
         self._entry_notice = entry_notice
+        self._failure_domain = failure_domain
         self._direct = direct
         self._leadership = leadership
         self._clock = clock
@@ -279,17 +282,23 @@
     def choose_witness(self, current: Witness | None) -> Witness | None:
         """Return a connected relay that can be the witness of this leader; None without one.
 
-        :param current: witness up to now, which remains while it is connected
+        One in another failure domain is not lost with the domain of the leader, and one with more
+        processors answers sooner.
+
+        :param current: witness up to now, which remains while it is connected and none is better
+            placed
         """
         chosen: Witness | None = None
+        best_rank = (False, False, 0.0)
         for link in self._links.values():
-            if not link.is_usable or not link.hello.address:
+            hello = link.hello
+            if not link.is_usable or not hello.address:
                 continue
-            witness = Witness(link.hello.incarnation, link.hello.address)
-            if witness == current:
-                return witness
-            if chosen is None:
-                chosen = witness
+            witness = Witness(hello.incarnation, hello.address)
+            is_elsewhere = hello.failure_domain != self._failure_domain
+            rank = (is_elsewhere, witness == current, hello.processors)
+            if chosen is None or rank > best_rank:
+                chosen, best_rank = witness, rank
         return chosen
 
     def set_minion_counts(self, counts: Mapping[str, int]) -> None:
--- a/dotterelhill/control/tests/relays.feature
+++ b/dotterelhill/control/tests/relays.feature
@@ -40,6 +40,14 @@
     When relay "b" leaves and connects again at once
     Then the witness of the leader is "c"
 
+  Scenario: the witness is lost with the failure domain of the leader, or answers late
+    When relays connect that can be witnesses
+      | name | domain | processors |
+      | b    | own    | 4          |
+      | c    | other  | 0.5        |
+      | d    | other  | 2          |
+    Then the witness of the leader is "d"
+
   @at-most-once
   Scenario: a relay that was paused carries out orders that are out of date
     When messages to a relay are delayed by 3 seconds
--- a/dotterelhill/control/tests/steps/relay_steps.py
+++ b/dotterelhill/control/tests/steps/relay_steps.py
@@ -227,9 +227,9 @@
     context.calls_before = sum(world.relays[0].caller.calls.values())
 
 
-async def connect_witness(context, name):
+async def connect_witness(context, name, domain=DOMAIN, processors=1.0):
     pool = context.relay_world.pool
-    hello = Hello(name, DOMAIN, 1.0, address=f"{name}:1" if name != "earlier" else "")
+    hello = Hello(name, domain, processors, address=f"{name}:1" if name != "earlier" else "")
     context.links[name] = pool.serve(hello, FakeSocket(lambda data: None))
 
 
@@ -240,6 +240,15 @@
         context.relay_world.run(connect_witness(context, name))
 
 
+@when(r"relays connect that can be witnesses")
+def connect_unlike_witnesses(context):
+    context.links, context.witness = {}, None
+    context.relay_world.pool._failure_domain = "own"
+    for row in context.table:
+        processors = float(row["processors"])
+        context.relay_world.run(connect_witness(context, row["name"], row["domain"], processors))
+
+
 @when(r'relay "(?P<name>\w+)" leaves and connects again at once')
 def reconnect_witness(context, name):
     context.links[name].receive(ENCODER.encode(RelayMessage(True, [])))
--- a/dotterelhill/platform/process.py
+++ b/dotterelhill/platform/process.py
@@ -254,7 +254,12 @@
         settings = self._settings
         lag = LoopLag(boot_seconds)
         relays = RelayPool(
-            self._minion_caller, self._leadership, boot_seconds, lag, self._entry_notice
+            self._minion_caller,
+            self._leadership,
+            boot_seconds,
+            lag,
+            self._entry_notice,
+            settings.failure_domain,
         )
         return Leader(
             LeaderParts(
