--- a/dotterelhill/jobs/tests/steps/start_bound_steps.py
+++ b/dotterelhill/jobs/tests/steps/start_bound_steps.py
@@ -245,6 +245,13 @@
     fleet.take_over()
 
 
+@when(r"(?P<times>\d+) times, a new leader takes over and (?P<seconds>[\d.]+) seconds pass")
+def change_leaders(context, times, seconds):
+    for _ in range(int(times)):
+        context.fleet.take_over()
+        context.fleet.run_seconds(float(seconds))
+
+
 @given(
     r'job "(?P<job>\w+)" of (?P<count>\d+) tasks of (?P<cpu>\d+) processors '
     r"of a tenant whose limit they reach"
