--- a/dotterelhill/control/election.py
+++ b/dotterelhill/control/election.py
@@ -234,9 +234,10 @@
                 continue
             for witness in self._leadership.witnesses_to_ask:
                 # A lost answer takes as long as an answer counts, so no question waits for it.
-                self.add_future(self._ask_witness_once(witness, own))
+                self.add_future(self._extend_permission(witness, own))
 
-    async def _ask_witness_once(self, witness: Witness, own: Claim) -> None:
+    async def _extend_permission(self, witness: Witness, own: Claim) -> None:
+        """Ask a witness once; an answer extends the permission to renew leases."""
         asked_at = self._clock()
         with contextlib.suppress(PeerUnreachableError):
             answer = await self._peers.ask_witness(witness.address, own)
