Try a short task on the minion with the fewest free processors first

The first starts of idle jobs in a fleet that drains include short tasks. Each of their steps still computed the cost on every minion.

The lowest cost of a short task on a minion depends on its free processors and on whether serving tasks run there, and no longer on the task than for a rack. So minions are kept in that order as well. IdleOrder becomes MinionOrder, with one order for each kind.

--- a/dotterelhill/jobs/placement/placement.py
+++ b/dotterelhill/jobs/placement/placement.py
@@ -19,7 +19,6 @@
 from dotterelhill.jobs.placement.filler_claims import FillerClaims
 from dotterelhill.jobs.placement.forced_starts import ForcedStarts
 from dotterelhill.jobs.placement.idle_jobs import idle_job_tasks
-from dotterelhill.jobs.placement.idle_order import IdleOrder
 from dotterelhill.jobs.placement.lasting_claims import (
     CLAIM_AFTER_SECONDS,
     LastingClaims,
@@ -28,6 +27,7 @@
 )
 from dotterelhill.jobs.placement.lasting_waits import WaitingStep
 from dotterelhill.jobs.placement.look_ahead.look_ahead import LookAhead
+from dotterelhill.jobs.placement.minion_order import MinionOrder
 from dotterelhill.jobs.placement.most_room import MostRoom
 from dotterelhill.jobs.placement.ranking import QueueLookup, Ranking
 from dotterelhill.jobs.placement.start_options import Option, StartOptions
@@ -102,7 +102,7 @@
         self._remaining_starts = UNLIMITED_STARTS
         self._lasting_claims = LastingClaims(limits)
         self._attempts = Attempts(self._lasting_claims)
-        self._idle_order = IdleOrder(interference)
+        self._minion_order = MinionOrder(interference)
         self._filler_claims = FillerClaims(interference)
         self._forced_starts = ForcedStarts(interference)
         self._most_room = MostRoom(interference)
@@ -395,7 +395,7 @@
             # The tasks may still change after the start.
             self._ranking.touch(waiting)
             self._attempts.record_start(minion)
-            self._idle_order.record_start(minion)
+            self._minion_order.record_start(minion)
 
     def _choose_starts(
         self,
@@ -429,7 +429,7 @@
         open_tasks = partial(self._open_tasks, now=now)
         self._look_ahead.update(ranked, by_service, open_tasks, now, unix_ms)
         self._attempts.begin_round(by_service, self._filler_claims.minions, reclaimed, now)
-        self._idle_order.begin_round()
+        self._minion_order.begin_round()
 
         def choose_turn_starts(
             entry: RankedJob, *, is_overdue_only: bool
@@ -835,7 +835,9 @@
         idle_seconds = longest_idle_seconds(job, keys, now) if step.is_lasting else 0.0
         reserved_cpu = self._reserved_cpu(step, pool, idle_seconds)
         start_cost = partial(self._avoiding_cost, job, step, keys[0], now, reserved_cpu)
-        highest_bound = (0.0, 0.0, -MIN_FILLER_CPU_SHARE * step.room.cpu) if ordered else None
+        highest_bound = None
+        if step.is_filler and ordered:
+            highest_bound = (0.0, 0.0, -MIN_FILLER_CPU_SHARE * step.room.cpu)
         options = StartOptions(pool, start_cost, numbers, ordered, highest_bound)
         while keys and self._remaining_starts > 0 and (minion := options.first) is not None:
             if not (
@@ -876,8 +878,8 @@
             return range(len(pool)), ()
         numbers = self._attempts.candidates(size, pool)
         has_bounds = not self._look_ahead.by_minion and not self._uneven.is_replacing
-        if step.is_filler and has_bounds and len(numbers) == len(pool):
-            return self._idle_order.options(pool)
+        if has_bounds and not step.is_lasting and len(numbers) == len(pool):
+            return self._minion_order.options(pool, is_filler=step.is_filler)
         return numbers or self._look_ahead.gaps(job, step, key, pool), ()
 
     def _choose_trials(
--- a/dotterelhill/jobs/placement/tests/former_ranking.py
+++ b/dotterelhill/jobs/placement/tests/former_ranking.py
@@ -133,5 +133,5 @@
     def record_start(self, minion: Minion) -> None:
         """Nothing is kept."""
 
-    def options(self, minions: Sequence[Minion]):
+    def options(self, minions: Sequence[Minion], *, is_filler: bool):
         return range(len(minions)), ()
--- a/dotterelhill/jobs/placement/tests/steps/rounds_steps.py
+++ b/dotterelhill/jobs/placement/tests/steps/rounds_steps.py
@@ -20,7 +20,7 @@
     scheduler = context.loads[1].scheduler
     scheduler._placement._ranking = FormerRanking(scheduler.durations)
     scheduler._placement._attempts = FormerAttempts()
-    scheduler._placement._idle_order = FormerOrder()
+    scheduler._placement._minion_order = FormerOrder()
 
 
 @when("both run for {rounds:d} rounds")
