Force no filler of a third tenant into the place of a stopped run

What callers saw: a run of a tenant above its share was stopped for a tenant below it, and a filler of a third tenant, itself above its share, started in its place. Another run was stopped then, so the first tenant lost two. Cause: a filler that has waited for 2 s while less than half of a service is in use, or for 6 s, starts before the order by shares wherever it fits. The search for exchanges knows only that order. Change: for as long as the tenant of a stopped run leaves its minion to others, no start is forced there. The time is bounded as for that tenant, and other minions are chosen as before. Measured: the new outline failed before in its three rows (job "c" ran and two runs were ordered to stop) and passes. The scenarios of jobs/tests, jobs/placement/tests and jobs/tenants/tests pass. Open: once nothing was submitted for 8 s, jobs that have nothing running start in the order of their ranks before the order by shares, and may take such a place.

--- a/dotterelhill/jobs/placement/placement.py
+++ b/dotterelhill/jobs/placement/placement.py
@@ -736,7 +736,8 @@
             if minion is None or (
                 self._start_cost(claim.job, claim.step, occurrence_step, minion, now, 0.0) is None
             ):
-                pool = by_service.get(claim.service, [])
+                # Forced starts come before the order by shares, which a run was stopped for.
+                pool = self._shares.open_minions(by_service.get(claim.service, []))
                 minion = self._forced_starts.choose(claim, pool, is_allowed, now)
             if minion is None or key in minion.runs:
                 continue
--- a/dotterelhill/jobs/tenants/shares.py
+++ b/dotterelhill/jobs/tenants/shares.py
@@ -63,6 +63,13 @@
         """Return whether the tasks of a tenant leave a minion to others for the time of a stop."""
         return tenant in self.withheld_minions and minion in self.withheld_minions[tenant]
 
+    def open_minions(self, pool: Sequence[Minion]) -> Sequence[Minion]:
+        """Return the minions of a pool on which no run was stopped for a tenant below its share."""
+        if not self.withheld_minions:
+            return pool
+        withheld = frozenset().union(*self.withheld_minions.values())
+        return [minion for minion in pool if minion not in withheld]
+
     def share(self, owner: RunOwner) -> float:
         """Return the dominant share of a tenant in a service of this round, over its weight."""
         weight = self._limits.tenant(owner.tenant).weight
--- a/dotterelhill/jobs/tenants/tests/reclaim.feature
+++ b/dotterelhill/jobs/tenants/tests/reclaim.feature
@@ -134,6 +134,24 @@
       | while a run is paused | 1.5     |
       | after a run's stop    | 1.2     |
 
+  Scenario Outline: after a run's stop, a filler of a third tenant above its share starts in its place
+    Given tenant "v" submits job "d" of 4 tasks of 1 processors and 1 accelerators
+    And tenant "t" submits job "a" of 4 checkpointing fillers of 1 processors and 1 accelerators
+    And 1 seconds pass with orders carried out
+    And tenant "v" submits job "c" of 1 fillers of 1 processors and 1 accelerators
+    And <seconds> seconds pass with orders carried out
+    And tenant "u" submits job "b" of 1 tasks of 1 processors and 1 accelerators
+    When 3 seconds pass with orders carried out
+    Then 1 tasks of job "b" run
+    And 0 tasks of job "c" run
+    And 1 runs were ordered to stop, all of job "a"
+
+    Examples: a filler that has waited for 2 s starts wherever it fits while half of a service is idle
+      | seconds |
+      | 2       |
+      | 5       |
+      | 8       |
+
   Scenario Outline: <kind> of the tenant that gave up a run start there when a job ends too late since
     Given tenant "t" submits job "a" of 8 checkpointing fillers of 1 processors and 1 accelerators
     And 1.1 seconds pass with orders carried out
