Leave no place to others once the task that it was for has started

What callers saw: after a run was stopped, an accelerator stood idle for up to 0.7 s and a search, while a task waited for it. Cause: a filler may start with the processors of a paused run, which is stopped then. Change: the place is left to others only if the waiting task has not started when the run is stopped. The scenarios of jobs/tenants/tests pass.

--- a/dotterelhill/jobs/tenants/reclaim.py
+++ b/dotterelhill/jobs/tenants/reclaim.py
@@ -54,12 +54,13 @@
 
     :param exchange: newest reason for its pause
     :param since: loop time at which it was paused
-    :param stopped_at: loop time at which it was stopped; infinite before
+    :param place_due_since: loop time of its stop if the waiting task is to start in its place;
+        infinite before, and if that has started with the processors of the paused run
     """
 
     exchange: Exchange
     since: float
-    stopped_at: float = inf
+    place_due_since: float = inf
 
     @property
     def run(self) -> Run:
@@ -164,7 +165,7 @@
         """
         minions: dict[str, set[Minion]] = {}
         for pause in self._pauses.values():
-            if pause.stopped_at <= now < pause.stopped_at + WITHHELD_SECONDS:
+            if pause.place_due_since <= now < pause.place_due_since + WITHHELD_SECONDS:
                 giver = pause.exchange.candidate.owner.tenant
                 minions.setdefault(giver, set()).add(pause.minion)
         return {tenant: frozenset(members) for tenant, members in minions.items()}
@@ -246,6 +247,8 @@
             search.add(pause.exchange, has_started=has_started)
             if is_needed and paused_seconds >= PAUSE_SECONDS:
                 self._stop(pause, now, actions)
+                if not has_started:
+                    pause.place_due_since = now
 
     def _resume_overdue(self, now: float, actions: ReclaimActions) -> None:
         """Resume the runs that were paused for ``MAX_PAUSE_SECONDS``."""
@@ -269,7 +272,6 @@
 
     def _stop(self, pause: _Pause, now: float, actions: ReclaimActions) -> None:
         """Stop a paused run."""
-        pause.stopped_at = now
         actions.stops.append((pause.minion, pause.run))
         self._candidates.record_stop(pause.minion, pause.run, now)
         self._log.record_stop(pause.exchange, now)
--- a/dotterelhill/jobs/tenants/tests/reclaim.feature
+++ b/dotterelhill/jobs/tenants/tests/reclaim.feature
@@ -134,6 +134,16 @@
       | while a run is paused | 1.5     |
       | after a run's stop    | 1.2     |
 
+  Scenario: a place stays left to others after the task for which a run is stopped has started
+    Given tenant "t" submits job "a" of 8 checkpointing fillers of 2 processors and 1 accelerators
+    And 1 seconds pass with orders carried out
+    And tenant "u" submits job "b" of 1 fillers of 2 processors
+    And tenant "t" submits job "c" of 1 tasks of 1 processors and 1 accelerators
+    When seconds pass until a run is ordered to stop
+    Then 1 tasks of job "b" run
+    When 0.1 seconds pass with orders carried out
+    Then 1 tasks of job "c" run
+
   Scenario Outline: after a run's stop, a filler of a third tenant above its share starts in its place
     Given tenant "v" submits job "d" of 4 tasks of 1 processors and 1 accelerators
     And tenant "t" submits job "a" of 4 checkpointing fillers of 1 processors and 1 accelerators
