End the yield of a tenant whose stopped run is gone while starts are limited

What callers saw: a tenant from which a run was reclaimed claimed no minion for its fillers, and none of them was forced to start, for as long as the leader could send fewer starts than were waiting. Cause: such a tenant yields until a search has seen that the place of its stopped run is free. There is no search after a round that used up its starts. Then only the runs that were still paused were forgotten after 1 s, not those that had ended. Change: a pause whose run has ended is forgotten after 1 s as well. Measured: the new scenario failed before (job "c" did not run after 6 s of limited starts) and passes. The scenarios of jobs/tenants/tests and jobs/placement/tests pass.

--- a/dotterelhill/jobs/tenants/reclaim.py
+++ b/dotterelhill/jobs/tenants/reclaim.py
@@ -251,9 +251,14 @@
                     pause.place_due_since = now
 
     def _resume_overdue(self, now: float, actions: ReclaimActions) -> None:
-        """Resume the runs that were paused for ``MAX_PAUSE_SECONDS``."""
+        """Resume the runs paused for ``MAX_PAUSE_SECONDS``, and forget those that have ended."""
         for run, pause in list(self._pauses.items()):
-            if now - pause.since > MAX_PAUSE_SECONDS and run.state is RunState.PRESENT:
+            if now - pause.since <= MAX_PAUSE_SECONDS:
+                continue
+            if pause.minion.runs.get(run.key) is not run:
+                del self._pauses[run]
+                continue
+            if run.state is RunState.PRESENT:
                 del self._pauses[run]
                 actions.paces += self._interference.resume(pause.minion, run, now)
 
--- a/dotterelhill/jobs/tenants/tests/reclaim.feature
+++ b/dotterelhill/jobs/tenants/tests/reclaim.feature
@@ -256,6 +256,17 @@
     When 2 seconds pass with orders carried out
     Then no stop was sent
 
+  Scenario: a tenant that gave up a run claims no minion for as long as starts are limited
+    Given the minions have 2 accelerators
+    And tenant "t" submits job "a" of 4 checkpointing fillers of 1 processors and 1 accelerators
+    And 1 seconds pass with orders carried out
+    And tenant "t" submits job "c" of 1 fillers of 1 processors and 2 accelerators
+    And tenant "u" submits job "b" of 1 tasks of 1 processors and 1 accelerators
+    When seconds pass until a run is ordered to stop
+    And tenant "t" cancels job "a"
+    And short tasks of no tenant use the only start of each round for 6 seconds
+    Then 1 tasks of job "c" run
+
   Scenario: runs that lose more work are stopped first
     Given the minions have 1 accelerators
     And tenant "t" submits job "c" of 1 checkpointing fillers of 4 processors and 1 accelerators
--- a/dotterelhill/jobs/tenants/tests/steps/reclaim_steps.py
+++ b/dotterelhill/jobs/tenants/tests/steps/reclaim_steps.py
@@ -137,6 +137,19 @@
     fleet.plan = partial(fleet.plan, 0)
 
 
+@when(r"short tasks of no tenant use the only start of each round for (?P<seconds>\d+) seconds")
+def use_starts(context, seconds):
+    fleet, plan = context.fleet, context.fleet.plan
+    fleet.plan = partial(plan, 1)
+    for number in range(round(int(seconds) / ROUND_SECONDS)):
+        fleet.submit(f"n{number}", (Step(2, ResourceVector(1000, 100), 1.0),))
+        context.platform.run_round()
+        for name, runs in fleet.running.items():
+            for key in [key for key in runs if key.job_id.startswith("n")]:
+                fleet.end(name, key, EndKind.DONE)
+    fleet.plan = plan
+
+
 @when(r"the paused runs end by themselves")
 def end_paused(context):
     for name, key, _ in context.platform.paused():
