--- a/dotterelhill/control/start_window.py
+++ b/dotterelhill/control/start_window.py
@@ -20,7 +20,7 @@
 # Until orders queue up for the first time, the limit is far below what the process can send.
 FIRST_INCREASE_FACTOR = 2.0
 # The limit stays below this multiple of the orders that were in flight and answered in time.
-MAX_LIMIT_RATIO = 2.0
+MAX_LIMIT_RATIO = 1.5
 # The least time to an answer counts for one to two of these windows, since paths change.
 LEAST_WINDOW_SECONDS = 10.0
 # Longer answers than this are due to queues, however long the queues last.
@@ -125,4 +125,7 @@
             self._limit = max(MIN_STARTS, factor * self._limit)
             self._increase_factor = INCREASE_FACTOR
         elif proven_limit > self._limit:
-            self._limit = min(proven_limit, self._increase_factor * self._limit)
+            # The closer the queue is to its bound, the less the limit grows.
+            share = 1.0 - queueing_seconds / MAX_QUEUEING_SECONDS
+            factor = 1.0 + share * (self._increase_factor - 1.0)
+            self._limit = min(proven_limit, factor * self._limit)
