Keep a pool of minions for short tasks that wait while lasting tasks hold all room

Callers of queues with short tasks of many processors saw most of their jobs fail while lasting tasks asked for more than the fleet: the room that was left lay in pieces that no short task fits, and each slot that a short task left went to a lasting task.

Where short tasks that are in time have waited for 0.1 s and fit nowhere, lasting runs are stopped on as few minions as these tasks need, and the minions are kept for short tasks (at most a quarter of a service). When an overdue lasting task has waited for 1.4 s beside room for two, the pool gives up the minions with the fewest short tasks until that no longer holds. The `may_miss` of a step, gangs, jobs of tenants and tasks that were stopped in the last 30 s are left out. A minion on which a run has failed lately is not kept, since its room still counts while it is set aside.

--- a/dotterelhill/control/leader.py
+++ b/dotterelhill/control/leader.py
@@ -238,6 +238,7 @@
             "jobs.reserved_minions": len(self._scheduler.reservations),
             "jobs.reserved_wait_seconds": self._scheduler.longest_reserved_wait_seconds,
             "jobs.minions_on_probation": self._scheduler.uneven.probation_count,
+            "jobs.short_pool_minions": self._scheduler.short_pool_minion_count,
             "jobs.loop_lag_seconds": self._parts.lag.seconds,
             **shortage_gauges(self._scheduler.shortage),
         }
--- a/dotterelhill/entry/metrics.py
+++ b/dotterelhill/entry/metrics.py
@@ -113,6 +113,7 @@
     Metric("jobs.overdue_wait_seconds", _G, "seconds", "longest wait of a task that does"),
     Metric("jobs.minions", _G, "minions", "minions that the leader knows"),
     Metric("jobs.minions_on_probation", _G, "minions", "minions that get few runs at a time"),
+    Metric("jobs.short_pool_minions", _G, "minions", "minions that are kept for short tasks"),
     Metric("jobs.relays", _G, "processes", "relays that are connected to the leader"),
     Metric("jobs.start_limit", _G, "orders", "largest number of start orders in flight"),
     Metric("jobs.extra_runs", _G, "runs", "copies and restarted runs of tasks that take too long"),
--- a/dotterelhill/jobs/minions/health.py
+++ b/dotterelhill/jobs/minions/health.py
@@ -62,6 +62,10 @@
         until = self._set_aside_at + COMMON_SET_ASIDE_SECONDS
         self._set_aside_until = min(self._set_aside_until, until)
 
+    def has_failed_lately(self, now: float) -> bool:
+        """Return whether a run failed that counts towards setting the minion aside."""
+        return bool(self._failures) and now - self._failures[-1] < FAILURE_WINDOW_SECONDS
+
     def is_trial_due(self, now: float) -> bool:
         """Return whether a lasting task may be tried on the minion while it is set aside."""
         return now >= self._next_trial_at
--- a/dotterelhill/jobs/placement/lasting_claims.py
+++ b/dotterelhill/jobs/placement/lasting_claims.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 from dotterelhill.jobs.fleet import Minion
 from dotterelhill.jobs.model import Job, Step, TaskKey
@@ -29,10 +29,13 @@
     lasting task never fits.
 
     :param limits: limits of tenants
+    :param is_kept_for_short: returns whether a minion is kept for short tasks, so that no lasting
+        task may claim it
     """
 
-    def __init__(self, limits: TenantLimits) -> None:
+    def __init__(self, limits: TenantLimits, is_kept_for_short: Callable[[Minion], bool]) -> None:
         self._limits = limits
+        self._is_kept_for_short = is_kept_for_short
         self._claimed_cpu: dict[Minion, int] = {}
         self._minions: dict[TaskKey, Minion] = {}
 
@@ -89,7 +92,7 @@
             available_gpu = minion.facts.capacity.gpu - minion.used.gpu
             if available_cpu < step.room.cpu or available_memory_mb < step.room.memory_mb:
                 continue
-            if available_gpu < step.room.gpu:
+            if available_gpu < step.room.gpu or self._is_kept_for_short(minion):
                 continue
             if not has_required_label(minion, step) or not is_anti_affinity_met(minion, step, key):
                 continue
--- a/dotterelhill/jobs/placement/placement.py
+++ b/dotterelhill/jobs/placement/placement.py
@@ -29,7 +29,9 @@
 from dotterelhill.jobs.placement.lasting_waits import WaitingStep
 from dotterelhill.jobs.placement.look_ahead.look_ahead import LookAhead
 from dotterelhill.jobs.placement.most_room import MostRoom
+from dotterelhill.jobs.placement.preemption import EmptiedMinion, Preemption
 from dotterelhill.jobs.placement.ranking import QueueLookup, Ranking
+from dotterelhill.jobs.placement.short_pool import ShortPool
 from dotterelhill.jobs.placement.start_refusals import StartRefusals
 from dotterelhill.jobs.placement.task_size import TaskSize
 from dotterelhill.jobs.placement.waiting import (
@@ -99,7 +101,8 @@
         self._short_peak_cpu = 0.0
         self._short_peak_at = 0.0
         self._remaining_starts = UNLIMITED_STARTS
-        self._lasting_claims = LastingClaims(limits)
+        self._short_pool = ShortPool()
+        self._lasting_claims = LastingClaims(limits, self._short_pool.holds)
         self._attempts = Attempts(self._lasting_claims)
         self._filler_claims = FillerClaims(interference)
         self._forced_starts = ForcedStarts(interference)
@@ -120,7 +123,13 @@
             self._lasting_claims,
             self._filler_claims,
             self._look_ahead,
+            self._short_pool,
         )
+        self._preemption = Preemption(
+            durations, self._short_pool, self._waiting_jobs, self._open_tasks, self._is_reserved
+        )
+        # Minions of the newest round on which tasks might start, by service.
+        self._by_service: dict[str, list[Minion]] = {}
 
     @property
     def waiting_tasks(self) -> int:
@@ -150,6 +159,11 @@
         """Return the reservations of large tasks."""
         return self._look_ahead
 
+    @property
+    def short_pool(self) -> ShortPool:
+        """Return the minions that are kept for short tasks."""
+        return self._short_pool
+
     @property
     def start_refusals(self) -> StartRefusals:
         """Return the reasons why tasks do not start on minions with room for them."""
@@ -292,6 +306,29 @@
                 best, best_cost = minion, cost
         return best
 
+    def choose_stops(
+        self, minions: Mapping[str, Minion], queue_of: QueueLookup, now: float, unix_ms: int
+    ) -> list[EmptiedMinion]:
+        """Return the lasting runs to stop for short tasks that the newest round left waiting.
+
+        :param minions: all minions by id
+        :param queue_of: returns the current queue configuration of a job
+        :param unix_ms: wall-clock time in Unix ms, for the schedules of jobs
+        """
+        if not self._ranking.needed_cpu.get("") or not self.had_starts_left:
+            return []
+        return self._preemption.choose(
+            self._ranking.ranked, self._by_service, minions, queue_of, now, unix_ms
+        )
+
+    def _is_reserved(self, minion: Minion) -> bool:
+        """Return whether room on a minion is claimed or reserved for certain tasks."""
+        return (
+            minion in self._filler_claims.minions
+            or minion in self._look_ahead.by_minion
+            or self._lasting_claims.claimed_cpu(minion) > 0
+        )
+
     def idle_cpu(self, minion: Minion) -> float:
         """Return the thousandths of a processor of a minion that fillers may use."""
         return self._interference.idle_cpu(minion)
@@ -407,6 +444,8 @@
         ranked = self._ranking.ranked
         ranked_lasting, ranked_fillers = self._ranking.ranked_lasting, self._ranking.ranked_fillers
         self._track_short_peak(minions, now)
+        for minion in self._short_pool.begin_round(by_service, ranked_lasting, now, unix_ms):
+            self._attempts.record_change(minion)
         self._lasting_claims.update(ranked_lasting, by_service, self._failing, now, unix_ms)
         self._shares.begin_round(by_service if self._has_tenants else {})
         newest_accepted_ms = self._ranking.newest_accepted_ms()
@@ -418,6 +457,7 @@
             self._drop_isolation_claims(overdue, now, unix_ms, is_suspected=False)
             for service, pool in by_service.items():
                 by_service[service] = self._isolation.open_minions(pool)
+        self._by_service = by_service
         claiming_tasks = partial(self._claiming_tasks, now=now)
         reclaimed = self._shares.reclaimed_minions
         self._filler_claims.update(
@@ -909,6 +949,8 @@
         """
         if not step.is_lasting or idle_seconds >= RESERVE_WAIT_SECONDS:
             return 0.0
+        if self._short_pool.has_minions_of(pool[0].facts.service):
+            return 0.0
         mean_peak_cpu = self._short_peak_cpu / len(pool)
         return min(mean_peak_cpu, MAX_RESERVE_SHARE * step.room.cpu)
 
@@ -937,6 +979,8 @@
         if not self._shares.may_continue():
             return
         identity = (keys[0].occurrence, keys[0].step)
+        if step.is_lasting:
+            pool = [minion for minion in pool if not self._short_pool.holds(minion)]
         pool = self._look_ahead.open_minions(job, step, identity, pool)
         free = {id(minion): minion.free for minion in pool}
         chosen: list[tuple[TaskKey, Minion]] = []
@@ -973,6 +1017,8 @@
         """Return the cost of a start on a minion, lower is better; None when it is not allowed."""
         if not self._is_start_allowed(job, step, occurrence_step, minion):
             return None
+        if step.is_lasting and self._short_pool.holds(minion):
+            return None
         is_short = not step.is_lasting and not step.is_filler
         if is_short and minion.free_cpu - self._lasting_claims.claimed_cpu(minion) < step.room.cpu:
             return None
@@ -1039,13 +1085,12 @@
                 self._interference.serving_task_interference(minion, step),
                 minion.free_cpu,
             )
-        # Other tasks have no part in interference. They are kept off minions without serving tasks,
-        # which are left to fillers.
-        return (
-            rack_distance,
-            0.0 if self._interference.has_serving_tasks(minion) else 1.0,
-            minion.free_cpu,
-        )
+        # Other tasks have no part in interference. They go to the minions that are kept for them,
+        # and are kept off others without serving tasks, which are left to fillers.
+        order = 0.0 if self._interference.has_serving_tasks(minion) else 1.0
+        if self._short_pool.holds(minion):
+            order = -1.0
+        return (rack_distance, order, minion.free_cpu)
 
 
 def _group_by_service(minions: Sequence[Minion]) -> dict[str, list[Minion]]:
--- /dev/null
+++ b/dotterelhill/jobs/placement/preemption.py
@@ -0,0 +1,382 @@
+"""Stops of lasting runs that make room for short tasks that wait.
+
+Explanation
+===========
+
+A search runs when short tasks have waited for ``MIN_WAIT_SECONDS`` and fit nowhere. It counts the
+slots that are free or will be free soon, and empties as few minions as the other tasks need: first
+the one with the least lasting work to stop for each slot. Tasks that are in time count only, since
+a run that is stopped takes up to 0.9 s to end. Jobs of tenants are left out: their limits and
+shares decide whose work is stopped.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
+
+from dotterelhill.jobs.durations.model import DurationModel
+from dotterelhill.jobs.fleet import Minion, Run, RunState
+from dotterelhill.jobs.model import Job, Task, TaskKey, Timeliness
+from dotterelhill.jobs.placement.short_pool import ShortPool, slots_in
+from dotterelhill.jobs.placement.waiting import (
+    OccurrenceStep,
+    RankedJob,
+    WaitingJob,
+    startable_steps,
+)
+from dotterelhill.jobs.queues import Queue
+from dotterelhill.jobs.resources import ResourceVector
+
+# A search looks at the runs of tens of minions, and a round has 25 ms.
+SEARCH_SECONDS = 0.1
+MIN_WAIT_SECONDS = 0.1
+# Short runs that are expected to end within this time leave their slots to tasks that wait.
+ENDING_SECONDS = 0.3
+# Upper bound of the pool, as a part of the minions of a service.
+POOL_DIVISOR = 4
+MAX_MINIONS_A_SEARCH = 4
+MAX_MINIONS_COMPARED = 64
+# A lasting task is not stopped again within this time, and not soon after its start.
+MIN_STOP_INTERVAL_SECONDS = 30.0
+MIN_RUN_SECONDS = 3.0
+# Speed in percent from which a lasting task counts as at work.
+AT_WORK_PERCENT = 100
+
+
+OpenTasks = Callable[[Job, list[TaskKey], float], Sequence[TaskKey]]
+
+
+@dataclass(frozen=True, slots=True)
+class EmptiedMinion:
+    """Lasting runs that are stopped on one minion.
+
+    :param slots: number of short tasks that fit afterwards and did not before
+    :param waiting: number of short tasks of the service that waited for a slot
+    """
+
+    minion: Minion
+    runs: tuple[Run, ...]
+    slots: int
+    waiting: int
+
+
+@dataclass(slots=True)
+class _Demand:
+    """Short tasks of one size that wait in a service.
+
+    :param priority: priority of their queue
+    """
+
+    room: ResourceVector
+    priority: int
+    count: int
+
+
+@dataclass(slots=True)
+class _Plan:
+    """Lasting runs to stop on a minion, and the slots that this gains."""
+
+    minion: Minion
+    runs: list[Run] = field(default_factory=list)
+    slots: int = 0
+
+    @property
+    def cost(self) -> tuple[float, float]:
+        """Return the processors stopped for each slot, then how recently the runs started."""
+        stopped_cpu = sum(run.step.room.cpu for run in self.runs)
+        newest_start = max((run.planned_at for run in self.runs), default=0.0)
+        return (stopped_cpu / self.slots, newest_start)
+
+
+class Preemption:
+    """Choice of the lasting runs to stop for short tasks.
+
+    :param pool: minions that are kept for short tasks; emptied ones are added
+    :param waiting_jobs: active jobs by id
+    :param open_tasks: returns those of a step's waiting tasks that may start now
+    :param is_reserved: returns whether room on a minion is kept for other tasks
+    """
+
+    def __init__(
+        self,
+        durations: DurationModel,
+        pool: ShortPool,
+        waiting_jobs: Mapping[str, WaitingJob],
+        open_tasks: OpenTasks,
+        is_reserved: Callable[[Minion], bool],
+    ) -> None:
+        self._durations = durations
+        self._pool = pool
+        self._waiting_jobs = waiting_jobs
+        self._open_tasks = open_tasks
+        self._is_reserved = is_reserved
+        self._searched_at = float("-inf")
+        self._first_compared = 0
+        self._waiting_since: dict[tuple[str, OccurrenceStep], float] = {}
+        self._stopped_at: dict[TaskKey, float] = {}
+
+    def choose(
+        self,
+        ranked: Sequence[RankedJob],
+        by_service: Mapping[str, Sequence[Minion]],
+        minions: Mapping[str, Minion],
+        queue_of: Callable[[Job], Queue],
+        now: float,
+        unix_ms: int,
+    ) -> list[EmptiedMinion]:
+        """Return the runs to stop, after the starts of a round that has tried all tasks.
+
+        :param by_service: minions on which tasks may start
+        :param minions: all minions by id
+        :param unix_ms: wall-clock time in Unix ms, for the schedules of jobs
+        """
+        if now - self._searched_at < SEARCH_SECONDS - 1e-6:
+            return []
+        self._searched_at = now
+        for key, stopped_at in list(self._stopped_at.items()):
+            if now - stopped_at >= MIN_STOP_INTERVAL_SECONDS:
+                del self._stopped_at[key]
+        emptied: list[EmptiedMinion] = []
+        for service, demands in self._demands(ranked, now, unix_ms).items():
+            usable = by_service.get(service, ())
+            search = _Search(usable, self._pool, minions, self._waiting_jobs, queue_of)
+            search.count_ends(_end_check(self._durations, self._waiting_jobs, now))
+            emptied += self._empty_minions(search, demands, now)
+        return emptied
+
+    def _demands(
+        self, ranked: Sequence[RankedJob], now: float, unix_ms: int
+    ) -> dict[str, list[_Demand]]:
+        """Return the short tasks that have waited for ``MIN_WAIT_SECONDS``, by service."""
+        demands: dict[str, list[_Demand]] = {}
+        earlier, self._waiting_since = self._waiting_since, {}
+        for rank, queue, waiting in ranked:
+            if rank[1] != Timeliness.IN_TIME or waiting.job.submission.tenant:
+                continue
+            for step, keys in startable_steps(waiting, queue, unix_ms):
+                if step.kind != "short" or step.is_gang or step.required_label:
+                    continue
+                identity = (waiting.job.job_id, (keys[0].occurrence, keys[0].step))
+                since = self._waiting_since[identity] = earlier.get(identity, now)
+                count = len(self._open_tasks(waiting.job, keys, now))
+                if count and now - since >= MIN_WAIT_SECONDS - 1e-6:
+                    demand = _Demand(step.room, queue.priority, count)
+                    demands.setdefault(queue.service, []).append(demand)
+        return demands
+
+    def _empty_minions(
+        self, search: _Search, demands: Sequence[_Demand], now: float
+    ) -> list[EmptiedMinion]:
+        """Return the runs to stop in one service."""
+        emptied: list[EmptiedMinion] = []
+        candidates: list[Minion] | None = None
+        waiting = sum(demand.count for demand in demands)
+        for demand in demands:
+            search.use_room(demand)
+            if demand.count and candidates is None:
+                compared = self._compared(search, now)
+                candidates = [minion for minion in compared if not search.has_stops(minion)]
+            while demand.count and candidates and len(emptied) < MAX_MINIONS_A_SEARCH:
+                plan = self._best_plan(search, demand, candidates, now)
+                if plan is None:
+                    break
+                candidates.remove(plan.minion)
+                for run in plan.runs:
+                    self._stopped_at[run.key] = now
+                search.record_stops(plan.minion, plan.runs)
+                self._pool.add(plan.minion, now)
+                emptied.append(EmptiedMinion(plan.minion, tuple(plan.runs), plan.slots, waiting))
+                search.use_room(demand)
+        return emptied
+
+    def _compared(self, search: _Search, now: float) -> list[Minion]:
+        """Return the minions to compare: those of the pool, and some others in turn."""
+        members = [one for one in search.usable if self._pool.holds(one)]
+        others = [one for one in search.usable if not self._pool.holds(one)]
+        first = self._first_compared % max(1, len(others))
+        self._first_compared = first + MAX_MINIONS_COMPARED
+        others = (others[first:] + others[:first])[:MAX_MINIONS_COMPARED]
+        return [
+            minion
+            for minion in members + others
+            if not (self._is_reserved(minion) or minion.health.has_failed_lately(now))
+        ]
+
+    def _best_plan(
+        self, search: _Search, demand: _Demand, candidates: Iterable[Minion], now: float
+    ) -> _Plan | None:
+        """Return the plan that stops the least lasting work for each slot."""
+        best: _Plan | None = None
+        size = sum(self._pool.holds(minion) for minion in search.usable)
+        is_full = size >= len(search.usable) // POOL_DIVISOR
+        for minion in candidates:
+            if is_full and not self._pool.holds(minion):
+                continue
+            plan = search.plan(minion, demand, lambda run: self._is_stoppable(run, now))
+            if plan is not None and (best is None or plan.cost < best.cost):
+                best = plan
+        return best
+
+    def _is_stoppable(self, run: Run, now: float) -> bool:
+        """Return whether a run has worked for long enough since its start and its last stop."""
+        is_known = now - run.planned_at >= MIN_RUN_SECONDS and run.percent >= AT_WORK_PERCENT
+        return is_known and run.key not in self._stopped_at
+
+
+class _Search:
+    """Room of one service that is free or will be free, and what can be stopped there."""
+
+    def __init__(
+        self,
+        usable: Sequence[Minion],
+        pool: ShortPool,
+        minions: Mapping[str, Minion],
+        waiting_jobs: Mapping[str, WaitingJob],
+        queue_of: Callable[[Job], Queue],
+    ) -> None:
+        self.usable = usable
+        self._pool = pool
+        self._minions = minions
+        self._waiting_jobs = waiting_jobs
+        self._queue_of = queue_of
+        self._free = {minion: minion.free for minion in usable}
+        self._stopping: set[Minion] = set()
+        # Tasks of steps that are away, or chosen to be stopped, by job, occurrence and step.
+        self._away: dict[tuple[str, int, int], int] = {}
+
+    def has_stops(self, minion: Minion) -> bool:
+        """Return whether runs of a minion are being stopped."""
+        return minion in self._stopping
+
+    def count_ends(self, ends_soon: Callable[[Run], bool]) -> None:
+        """Count the room of runs of the pool that are being stopped or end soon."""
+        for minion in self.usable:
+            if not self._pool.holds(minion):
+                continue
+            for run in minion.runs.values():
+                is_stopping = run.state is RunState.STOPPING
+                if is_stopping:
+                    self._stopping.add(minion)
+                if is_stopping or ends_soon(run):
+                    room = run.step.reserved_resources
+                    self._free[minion] = self._free[minion].plus(room)
+
+    def use_room(self, demand: _Demand) -> None:
+        """Take away the tasks for which there is room, and that room."""
+        room = demand.room
+        for minion in self.usable:
+            if not demand.count:
+                return
+            free = self._free[minion]
+            if free.cpu < room.cpu or free.memory_mb < room.memory_mb:
+                continue
+            slots = min(demand.count, slots_in(free, room))
+            demand.count -= slots
+            for _ in range(slots):
+                free = free.minus(room)
+            self._free[minion] = free
+
+    def record_stops(self, minion: Minion, runs: Iterable[Run]) -> None:
+        """Count the room of runs that were chosen to be stopped."""
+        for run in runs:
+            self._free[minion] = self._free[minion].plus(run.step.reserved_resources)
+            step = _step_of(run)
+            if step in self._away:
+                self._away[step] += 1
+
+    def plan(
+        self, minion: Minion, demand: _Demand, is_stoppable: Callable[[Run], bool]
+    ) -> _Plan | None:
+        """Return the stops on a minion for as many tasks as fit; None where none would fit."""
+        runs = [
+            run
+            for run in minion.runs.values()
+            if is_stoppable(run) and self._may_stop(run, demand.priority)
+        ]
+        runs = self._within_may_miss(runs)
+        free = self._free[minion]
+        potential = free
+        for run in runs:
+            potential = potential.plus(run.step.reserved_resources)
+        slots = min(demand.count, slots_in(potential, demand.room))
+        if slots <= 0:
+            return None
+        runs.sort(key=lambda run: (run.step.room.cpu, run.planned_at))
+        chosen: list[Run] = []
+        for run in reversed(runs):
+            if slots_in(free, demand.room) >= slots:
+                break
+            chosen.append(run)
+            free = free.plus(run.step.reserved_resources)
+        for run in sorted(chosen, key=lambda run: run.step.room.cpu):
+            without = free.minus(run.step.reserved_resources)
+            if slots_in(without, demand.room) >= slots:
+                chosen.remove(run)
+                free = without
+        return _Plan(minion, chosen, slots)
+
+    def _may_stop(self, run: Run, priority: int) -> bool:
+        """Return whether the step of a lasting run allows to stop it for a short task.
+
+        :param priority: priority of the short task
+        """
+        step = run.step
+        if not step.is_lasting or step.is_gang or run.state is not RunState.PRESENT:
+            return False
+        waiting = self._waiting_jobs.get(run.key.job_id)
+        if waiting is None or waiting.job.submission.tenant:
+            return False
+        return priority <= self._queue_of(waiting.job).priority
+
+    def _within_may_miss(self, runs: Sequence[Run]) -> list[Run]:
+        """Return those of the runs that may be stopped together by the ``may_miss`` of steps."""
+        allowed = []
+        counts: dict[tuple[str, int, int], int] = {}
+        for run in runs:
+            if run.step.may_miss is not None:
+                step = _step_of(run)
+                away = counts.get(step, self._away_count(run))
+                if away >= run.step.may_miss:
+                    continue
+                counts[step] = away + 1
+            allowed.append(run)
+        return allowed
+
+    def _away_count(self, run: Run) -> int:
+        """Return how many tasks of the step of a run are not at work."""
+        step = _step_of(run)
+        if step not in self._away:
+            job = self._waiting_jobs[run.key.job_id].job
+            tasks = (job.tasks.get(TaskKey(*step, index)) for index in range(run.step.count))
+            self._away[step] = sum(not self._is_at_work(task) for task in tasks)
+        return self._away[step]
+
+    def _is_at_work(self, task: Task | None) -> bool:
+        """Return whether a task is known to be at work."""
+        minion = self._minions.get(task.minion_id) if task is not None else None
+        if task is None or minion is None or not minion.is_answering:
+            return False
+        run = minion.runs.get(task.key)
+        is_present = run is not None and run.state is RunState.PRESENT
+        return is_present and run is not None and run.percent >= AT_WORK_PERCENT
+
+
+def _end_check(
+    durations: DurationModel, waiting_jobs: Mapping[str, WaitingJob], now: float
+) -> Callable[[Run], bool]:
+    """Return a check whether a short run is expected to end within ``ENDING_SECONDS``."""
+
+    def ends_soon(run: Run) -> bool:
+        waiting = waiting_jobs.get(run.key.job_id)
+        if waiting is None or run.step.kind != "short" or run.state is RunState.PLANNED:
+            return False
+        seconds = durations.expected(waiting.job.submission.queue.name, run.step)
+        return run.planned_at + seconds - now <= ENDING_SECONDS
+
+    return ends_soon
+
+
+def _step_of(run: Run) -> tuple[str, int, int]:
+    """Return the job, occurrence and step of a run."""
+    return (run.key.job_id, run.key.occurrence, run.key.step)
--- /dev/null
+++ b/dotterelhill/jobs/placement/short_pool.py
@@ -0,0 +1,279 @@
+"""Minions on which no lasting task starts, so that short tasks find whole slots there.
+
+Explanation
+===========
+
+Lasting tasks that ask for more than the fleet take each piece of room that a short task leaves.
+A short task that needs a larger piece then never fits. Where short tasks have waited without room,
+lasting runs are stopped on a few minions (``Preemption``), and these minions join the pool of their
+service: a slot there goes from short task to short task.
+
+A lasting task must not wait for 3 s while there is room for it twice over. So once this has held
+for ``MAX_ROOM_SECONDS`` beside an overdue lasting task, the pool gives up the minions with the
+fewest short tasks until it no longer holds. Room counts as taken only by runs that are known to be
+present: the time between two short tasks in a slot is room as well.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping, Sequence
+from dataclasses import dataclass
+
+from dotterelhill.jobs.fleet import Minion, RunState
+from dotterelhill.jobs.model import Step, TaskKey
+from dotterelhill.jobs.placement.lasting_claims import CLAIM_AFTER_SECONDS
+from dotterelhill.jobs.placement.waiting import (
+    RankedJob,
+    has_required_label,
+    longest_idle_seconds,
+    startable_lasting_steps,
+)
+from dotterelhill.jobs.resources import ResourceVector
+
+# Of the 3 s for which an overdue lasting task may wait beside room for two, the rest is left for
+# the start of the task.
+MAX_ROOM_SECONDS = 1.4
+# A minion that no short task has used for this time leaves the pool while lasting tasks wait.
+MAX_IDLE_SECONDS = 2.0
+# Without short tasks and without lasting tasks that wait, the pool ends after this time.
+MAX_UNUSED_SECONDS = 10.0
+# A start that is planned on a minion that left the pool is present after this time at the latest,
+# or has failed.
+STARTING_SECONDS = 1.0
+# Room for a second task of the same size has to be left before a wait counts.
+COUNTED_SLOTS = 2
+
+
+@dataclass(slots=True)
+class _Member:
+    """Minion of the pool.
+
+    :param used_at: loop time at which a short task was last there, or the minion joined
+    """
+
+    used_at: float
+
+
+class ShortPool:
+    """Minions that are kept for short tasks, in all services."""
+
+    def __init__(self) -> None:
+        self._members: dict[Minion, _Member] = {}
+        self._released_at: dict[Minion, float] = {}
+        # Loop time from which an overdue lasting task has had room for two, by service.
+        self._room_since: dict[str, float] = {}
+
+    @property
+    def minion_count(self) -> int:
+        """Return the number of minions that are kept for short tasks."""
+        return len(self._members)
+
+    def holds(self, minion: Minion) -> bool:
+        """Return whether a minion is kept for short tasks."""
+        return minion in self._members
+
+    def has_minions_of(self, service: str) -> bool:
+        """Return whether minions of a service are kept for short tasks."""
+        return any(minion.facts.service == service for minion in self._members)
+
+    def add(self, minion: Minion, now: float) -> None:
+        """Keep a minion for short tasks."""
+        self._members.setdefault(minion, _Member(now)).used_at = now
+
+    def begin_round(
+        self,
+        by_service: Mapping[str, Sequence[Minion]],
+        ranked_lasting: Sequence[RankedJob],
+        now: float,
+        unix_ms: int,
+    ) -> list[Minion]:
+        """Return the minions that leave the pool in this round.
+
+        :param by_service: minions on which tasks may start
+        :param ranked_lasting: jobs with lasting steps of which tasks wait
+        :param unix_ms: wall-clock time in Unix ms, for the schedules of jobs
+        """
+        if not self._members:
+            self._room_since.clear()
+            self._released_at.clear()
+            return []
+        released = self._drop_unusable(by_service, now)
+        for minion, released_at in list(self._released_at.items()):
+            if now - released_at > STARTING_SECONDS:
+                del self._released_at[minion]
+        for service in {minion.facts.service for minion in self._members}:
+            pool = by_service[service]
+            waits = _waiting_steps(service, ranked_lasting, now, unix_ms)
+            overdue = [one for one in waits if one.idle_seconds >= CLAIM_AFTER_SECONDS]
+            released += self._release_unused(service, now, has_waits=bool(waits))
+            released += self._release_room(service, pool, overdue, now)
+        for minion in released:
+            self._released_at[minion] = now
+        return released
+
+    def _drop_unusable(
+        self, by_service: Mapping[str, Sequence[Minion]], now: float
+    ) -> list[Minion]:
+        """Remove and return the minions on which no task may start, or may soon not start.
+
+        While a minion is set aside after failures, its room still counts for lasting tasks that
+        wait, and so does the time before.
+        """
+        usable: set[Minion] = set()
+        for service in {minion.facts.service for minion in self._members}:
+            usable.update(by_service.get(service, ()))
+        dropped = [
+            minion
+            for minion in self._members
+            if minion not in usable or minion.health.has_failed_lately(now)
+        ]
+        for minion in dropped:
+            del self._members[minion]
+        return dropped
+
+    def _release_unused(self, service: str, now: float, *, has_waits: bool) -> list[Minion]:
+        """Remove and return the minions that no short task has used for long.
+
+        :param has_waits: whether lasting tasks wait in the service
+        """
+        limit_seconds = MAX_IDLE_SECONDS if has_waits else MAX_UNUSED_SECONDS
+        released = []
+        for minion, member in list(self._members.items()):
+            if minion.facts.service != service:
+                continue
+            if minion.short_cpu:
+                member.used_at = now
+            elif now - member.used_at >= limit_seconds:
+                del self._members[minion]
+                released.append(minion)
+        return released
+
+    def _release_room(
+        self, service: str, pool: Sequence[Minion], overdue: Sequence[_Wait], now: float
+    ) -> list[Minion]:
+        """Remove and return the minions whose room an overdue lasting task has waited beside."""
+        members = [minion for minion in self._members if minion.facts.service == service]
+        room = _Room(pool, members, self._released_at)
+        if not room.is_for_two_of(overdue):
+            self._room_since.pop(service, None)
+            return []
+        if now - self._room_since.setdefault(service, now) < MAX_ROOM_SECONDS:
+            return []
+        released: list[Minion] = []
+        members.sort(key=lambda minion: minion.short_cpu)
+        for minion in members:
+            if released and not room.is_for_two_of(overdue):
+                break
+            room.remove(minion)
+            del self._members[minion]
+            released.append(minion)
+        return released
+
+
+@dataclass(frozen=True, slots=True)
+class _Wait:
+    """Step with lasting tasks that wait.
+
+    :param idle_seconds: longest time for which one of them has not run
+    """
+
+    step: Step
+    key: TaskKey
+    idle_seconds: float
+
+
+class _Room:
+    """Free capacity of the minions of a service, those of the pool apart.
+
+    :param pool: minions of the service on which tasks may start
+    :param members: those that are kept for short tasks
+    :param released: minions that have left the pool lately, where lasting tasks are starting
+    """
+
+    def __init__(
+        self, pool: Sequence[Minion], members: Sequence[Minion], released: Mapping[Minion, float]
+    ) -> None:
+        self._kept = {minion: _present_free(minion) for minion in members}
+        self._others = [minion for minion in pool if minion not in self._kept]
+        self._released = released
+
+    def remove(self, minion: Minion) -> None:
+        """Leave out a minion of the pool, which will be filled by lasting tasks."""
+        del self._kept[minion]
+
+    def is_for_two_of(self, waits: Sequence[_Wait]) -> bool:
+        """Return whether two tasks of one of the steps fit, at least one of them in the pool."""
+        seen = set()
+        for wait in waits:
+            step = wait.step
+            identity = (step.room, step.required_label, step.anti_affinity and wait.key.job_id)
+            if identity in seen:
+                continue
+            seen.add(identity)
+            slots = sum(_slots(minion, free, step, wait.key) for minion, free in self._kept.items())
+            if slots and self._is_met(slots, step, wait.key):
+                return True
+        return False
+
+    def _is_met(self, slots: int, step: Step, key: TaskKey) -> bool:
+        """Return whether the slots in the pool and outside it are enough."""
+        for minion in self._others:
+            if slots >= COUNTED_SLOTS:
+                return True
+            if minion in self._released:
+                slots += _slots(minion, _present_free(minion), step, key)
+            elif minion.has_room_for(step):
+                slots += _slots(minion, minion.free, step, key)
+        return slots >= COUNTED_SLOTS
+
+
+def slots_in(free: ResourceVector, room: ResourceVector) -> int:
+    """Return how many tasks that reserve ``room`` fit into free capacity.
+
+    >>> slots_in(ResourceVector(32000, 50000), ResourceVector(10000, 20000))
+    2
+    """
+    slots: int | None = None
+    pairs = ((free.cpu, room.cpu), (free.memory_mb, room.memory_mb), (free.gpu, room.gpu))
+    for have, need in pairs:
+        if need:
+            slots = max(0, have) // need if slots is None else min(slots, max(0, have) // need)
+    return slots or 0
+
+
+def _slots(minion: Minion, free: ResourceVector, step: Step, key: TaskKey) -> int:
+    """Return how many tasks of a step fit into the free capacity of a minion."""
+    slots = slots_in(free, step.reserved_resources)
+    if not slots or not has_required_label(minion, step):
+        return 0
+    if step.anti_affinity:
+        count = minion.run_count(key.job_id, key.occurrence, key.step)
+        slots = min(slots, max(0, step.anti_affinity - count))
+    return slots
+
+
+def _present_free(minion: Minion) -> ResourceVector:
+    """Return the capacity that no run reserves which is known to be present and to stay."""
+    free = minion.facts.capacity
+    for run in minion.runs.values():
+        if run.state is RunState.PRESENT:
+            free = free.minus(run.step.reserved_resources)
+    return free
+
+
+def _waiting_steps(
+    service: str, ranked_lasting: Sequence[RankedJob], now: float, unix_ms: int
+) -> list[_Wait]:
+    """Return the steps of a service with lasting tasks that wait."""
+    return list(_iterate_waits(service, ranked_lasting, now, unix_ms))
+
+
+def _iterate_waits(
+    service: str, ranked_lasting: Sequence[RankedJob], now: float, unix_ms: int
+) -> Iterator[_Wait]:
+    """Yield the steps of a service with lasting tasks that wait."""
+    for _, queue, waiting in ranked_lasting:
+        if queue.service != service:
+            continue
+        for step, keys in startable_lasting_steps(waiting, queue, unix_ms):
+            yield _Wait(step, keys[0], longest_idle_seconds(waiting.job, keys, now))
--- a/dotterelhill/jobs/placement/start_refusals.py
+++ b/dotterelhill/jobs/placement/start_refusals.py
@@ -10,6 +10,7 @@
 from dotterelhill.jobs.placement.filler_claims import FillerClaims, step_id
 from dotterelhill.jobs.placement.lasting_claims import LastingClaims
 from dotterelhill.jobs.placement.look_ahead.look_ahead import LookAhead
+from dotterelhill.jobs.placement.short_pool import ShortPool
 from dotterelhill.jobs.tenants.limits import TenantLimits
 
 
@@ -25,6 +26,7 @@
         lasting_claims: LastingClaims,
         filler_claims: FillerClaims,
         look_ahead: LookAhead,
+        short_pool: ShortPool,
     ) -> None:
         self._interference = interference
         self._suspicion = suspicion
@@ -33,6 +35,7 @@
         self._lasting_claims = lasting_claims
         self._filler_claims = filler_claims
         self._look_ahead = look_ahead
+        self._short_pool = short_pool
 
     def reason_on(self, minion: Minion, job: Job, step: Step, key: TaskKey, now: float) -> str:
         """Return why no task of a step starts on a minion with room; empty without a reason."""
@@ -42,6 +45,8 @@
         if step.kind == "short":
             if minion.free_cpu - self._lasting_claims.claimed_cpu(minion) < step.room.cpu:
                 return "claimed_by_lasting"
+        if step.is_lasting and self._short_pool.holds(minion):
+            return "kept_for_short"
         if not self._filler_claims.is_start_allowed(minion, step, identity):
             return "claimed_by_filler"
         if minion in self._look_ahead.by_minion:
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -223,6 +223,11 @@
         """Return the minions on which room is reserved for large tasks."""
         return self._placement.look_ahead.by_minion
 
+    @property
+    def short_pool_minion_count(self) -> int:
+        """Return the number of minions that are kept for short tasks."""
+        return self._placement.short_pool.minion_count
+
     @property
     def longest_reserved_wait_seconds(self) -> float:
         """Return the longest wait of a task for which room is reserved, in seconds."""
@@ -1123,6 +1128,7 @@
             self._plan_run(job, key, minion, now)
             minion.health.record_start(now)
             max_starts -= 1
+        self._stop_for_short_tasks(now, unix_ms)
         # Tasks that found room just now are about to start.
         self._report_overdue_steps(now, unix_ms)
         if self._settings.switches.reclaim:
@@ -1136,6 +1142,16 @@
             for run in self._interference.runs_to_move(minion, now):
                 self._stop(minion, run, now)
 
+    def _stop_for_short_tasks(self, now: float, unix_ms: int) -> None:
+        """Stop lasting runs where short tasks have waited and fit nowhere."""
+        for emptied in self._placement.choose_stops(self._minions, self._queue_of, now, unix_ms):
+            self._record_minion_decision(
+                "lasting runs stopped for short tasks", emptied.minion,
+                stopped=len(emptied.runs), slots=emptied.slots, waiting=emptied.waiting,
+            )  # fmt: skip
+            for run in emptied.runs:
+                self._stop(emptied.minion, run, now)
+
     def _shorten_common_set_asides(self, now: float) -> None:
         """End sooner the time for which several minions, half of a service or more, get no runs."""
         sizes: dict[str, int] = {}
--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -21,6 +21,7 @@
     "failover": ("measure.failover_cost",),
     "jobs": ("measure.stragglers", "measure.round_cost", "measure.report_cost"),
     "shortage": ("measure.shortage",),
+    "short-pool": ("measure.short_pool",),
     "look-ahead": ("measure.look_ahead",),
     "uneven": ("measure.uneven_minions",),
     "cost": ("measure.fold_cost", "measure.node_cost"),
