Open the pool of short tasks to lasting tasks before it gives up minions

With lasting tasks of different sizes that come and go, an overdue lasting task could wait for more than 3 s beside room for two: room between two runs, on the minions of the pool and elsewhere, was not seen, since a planned start counted as present outside the pool. With that seen, minions left the pool so often that most stops were in vain: their room went to lasting tasks before it was free.

Room counts as taken only by runs that are present, on each minion with a start in the last second. After 1.2 s the free room of the pool is open to overdue lasting tasks and its minions stay; they leave after 1.9 s. No further runs are stopped from 0.8 s on. Tasks of late jobs count as waiting as well, since a pool that only jobs in time enlarge stays behind the jobs that arrive.

--- a/dotterelhill/jobs/placement/placement.py
+++ b/dotterelhill/jobs/placement/placement.py
@@ -102,7 +102,7 @@
         self._short_peak_at = 0.0
         self._remaining_starts = UNLIMITED_STARTS
         self._short_pool = ShortPool()
-        self._lasting_claims = LastingClaims(limits, self._short_pool.holds)
+        self._lasting_claims = LastingClaims(limits, self._short_pool.is_closed)
         self._attempts = Attempts(self._lasting_claims)
         self._filler_claims = FillerClaims(interference)
         self._forced_starts = ForcedStarts(interference)
@@ -430,6 +430,7 @@
             # The tasks may still change after the start.
             self._ranking.touch(waiting)
             self._attempts.record_start(minion)
+            self._short_pool.record_start(minion, now)
 
     def _choose_starts(
         self,
@@ -980,7 +981,7 @@
             return
         identity = (keys[0].occurrence, keys[0].step)
         if step.is_lasting:
-            pool = [minion for minion in pool if not self._short_pool.holds(minion)]
+            pool = [minion for minion in pool if not self._short_pool.is_closed(minion)]
         pool = self._look_ahead.open_minions(job, step, identity, pool)
         free = {id(minion): minion.free for minion in pool}
         chosen: list[tuple[TaskKey, Minion]] = []
@@ -1017,7 +1018,7 @@
         """Return the cost of a start on a minion, lower is better; None when it is not allowed."""
         if not self._is_start_allowed(job, step, occurrence_step, minion):
             return None
-        if step.is_lasting and self._short_pool.holds(minion):
+        if step.is_lasting and self._short_pool.is_closed(minion):
             return None
         is_short = not step.is_lasting and not step.is_filler
         if is_short and minion.free_cpu - self._lasting_claims.claimed_cpu(minion) < step.room.cpu:
--- a/dotterelhill/jobs/placement/preemption.py
+++ b/dotterelhill/jobs/placement/preemption.py
@@ -36,6 +36,7 @@
 # Upper bound of the pool, as a part of the minions of a service.
 POOL_DIVISOR = 4
 MAX_MINIONS_A_SEARCH = 4
+MAX_TIMELINESS = Timeliness.LATE
 MAX_MINIONS_COMPARED = 64
 # A lasting task is not stopped again within this time, and not soon after its start.
 MIN_STOP_INTERVAL_SECONDS = 30.0
@@ -139,6 +140,8 @@
                 del self._stopped_at[key]
         emptied: list[EmptiedMinion] = []
         for service, demands in self._demands(ranked, now, unix_ms).items():
+            if self._pool.is_pressed(service, now):
+                continue
             usable = by_service.get(service, ())
             search = _Search(usable, self._pool, minions, self._waiting_jobs, queue_of)
             search.count_ends(_end_check(self._durations, self._waiting_jobs, now))
@@ -152,7 +155,7 @@
         demands: dict[str, list[_Demand]] = {}
         earlier, self._waiting_since = self._waiting_since, {}
         for rank, queue, waiting in ranked:
-            if rank[1] != Timeliness.IN_TIME or waiting.job.submission.tenant:
+            if rank[1] > MAX_TIMELINESS or waiting.job.submission.tenant:
                 continue
             for step, keys in startable_steps(waiting, queue, unix_ms):
                 if step.kind != "short" or step.is_gang or step.required_label:
--- a/dotterelhill/jobs/placement/short_pool.py
+++ b/dotterelhill/jobs/placement/short_pool.py
@@ -9,9 +9,10 @@
 service: a slot there goes from short task to short task.
 
 A lasting task must not wait for 3 s while there is room for it twice over. So once this has held
-for ``MAX_ROOM_SECONDS`` beside an overdue lasting task, the pool gives up the minions with the
-fewest short tasks until it no longer holds. Room counts as taken only by runs that are known to be
-present: the time between two short tasks in a slot is room as well.
+for ``OPEN_AFTER_SECONDS`` beside an overdue lasting task, minions of the pool are open to lasting
+tasks until there was no such room at one moment; after ``MAX_ROOM_SECONDS`` those with the fewest
+short tasks leave the pool. Room counts as taken only by runs that are known to be present: the time
+between two short tasks in a slot is room as well.
 """
 
 from __future__ import annotations
@@ -32,13 +33,15 @@
 
 # Of the 3 s for which an overdue lasting task may wait beside room for two, the rest is left for
 # the start of the task.
-MAX_ROOM_SECONDS = 1.4
+MAX_ROOM_SECONDS = 1.9
+PAUSE_AFTER_SECONDS = 0.8
+# Lasting tasks that take the free slots are present some tenths of a second later.
+OPEN_AFTER_SECONDS = 1.2
 # A minion that no short task has used for this time leaves the pool while lasting tasks wait.
 MAX_IDLE_SECONDS = 2.0
 # Without short tasks and without lasting tasks that wait, the pool ends after this time.
 MAX_UNUSED_SECONDS = 10.0
-# A start that is planned on a minion that left the pool is present after this time at the latest,
-# or has failed.
+# A planned start is present after this time at the latest, or has failed.
 STARTING_SECONDS = 1.0
 # Room for a second task of the same size has to be left before a wait counts.
 COUNTED_SLOTS = 2
@@ -59,7 +62,9 @@
 
     def __init__(self) -> None:
         self._members: dict[Minion, _Member] = {}
-        self._released_at: dict[Minion, float] = {}
+        self._started_at: dict[Minion, float] = {}
+        # Members on which lasting tasks may start in this round.
+        self._open: set[Minion] = set()
         # Loop time from which an overdue lasting task has had room for two, by service.
         self._room_since: dict[str, float] = {}
 
@@ -72,6 +77,10 @@
         """Return whether a minion is kept for short tasks."""
         return minion in self._members
 
+    def is_closed(self, minion: Minion) -> bool:
+        """Return whether a minion is kept for short tasks and no lasting task may start there."""
+        return minion in self._members and minion not in self._open
+
     def has_minions_of(self, service: str) -> bool:
         """Return whether minions of a service are kept for short tasks."""
         return any(minion.facts.service == service for minion in self._members)
@@ -80,6 +89,18 @@
         """Keep a minion for short tasks."""
         self._members.setdefault(minion, _Member(now)).used_at = now
 
+    def record_start(self, minion: Minion, now: float) -> None:
+        """Record that a start was planned on a minion."""
+        if self._members:
+            self._started_at[minion] = now
+
+    def is_pressed(self, service: str, now: float) -> bool:
+        """Return whether an overdue lasting task has waited beside room for two for long.
+
+        Stopping more lasting runs would add room that is free until others start.
+        """
+        return now - self._room_since.get(service, now) >= PAUSE_AFTER_SECONDS
+
     def begin_round(
         self,
         by_service: Mapping[str, Sequence[Minion]],
@@ -87,7 +108,7 @@
         now: float,
         unix_ms: int,
     ) -> list[Minion]:
-        """Return the minions that leave the pool in this round.
+        """Return the minions on which lasting tasks may start now, but not in the last round.
 
         :param by_service: minions on which tasks may start
         :param ranked_lasting: jobs with lasting steps of which tasks wait
@@ -95,21 +116,20 @@
         """
         if not self._members:
             self._room_since.clear()
-            self._released_at.clear()
+            self._started_at.clear()
             return []
+        self._open.clear()
         released = self._drop_unusable(by_service, now)
-        for minion, released_at in list(self._released_at.items()):
-            if now - released_at > STARTING_SECONDS:
-                del self._released_at[minion]
+        for minion, started_at in list(self._started_at.items()):
+            if now - started_at > STARTING_SECONDS:
+                del self._started_at[minion]
         for service in {minion.facts.service for minion in self._members}:
             pool = by_service[service]
             waits = _waiting_steps(service, ranked_lasting, now, unix_ms)
             overdue = [one for one in waits if one.idle_seconds >= CLAIM_AFTER_SECONDS]
             released += self._release_unused(service, now, has_waits=bool(waits))
             released += self._release_room(service, pool, overdue, now)
-        for minion in released:
-            self._released_at[minion] = now
-        return released
+        return [*released, *self._open]
 
     def _drop_unusable(
         self, by_service: Mapping[str, Sequence[Minion]], now: float
@@ -153,22 +173,37 @@
     ) -> list[Minion]:
         """Remove and return the minions whose room an overdue lasting task has waited beside."""
         members = [minion for minion in self._members if minion.facts.service == service]
-        room = _Room(pool, members, self._released_at)
-        if not room.is_for_two_of(overdue):
+        present_free = {minion: _present_free(minion) for minion in members}
+        room = _Room(pool, present_free, self._started_at)
+        if not room.is_for_two_of(overdue, is_any=True):
             self._room_since.pop(service, None)
             return []
-        if now - self._room_since.setdefault(service, now) < MAX_ROOM_SECONDS:
+        room_seconds = now - self._room_since.setdefault(service, now)
+        if room_seconds >= OPEN_AFTER_SECONDS:
+            self._open_members(pool, members, overdue)
+        if room_seconds < MAX_ROOM_SECONDS:
             return []
         released: list[Minion] = []
         members.sort(key=lambda minion: minion.short_cpu)
         for minion in members:
-            if released and not room.is_for_two_of(overdue):
+            if not room.is_for_two_of(overdue):
                 break
             room.remove(minion)
             del self._members[minion]
             released.append(minion)
         return released
 
+    def _open_members(
+        self, pool: Sequence[Minion], members: Sequence[Minion], overdue: Sequence[_Wait]
+    ) -> None:
+        """Open the members with most room, until the others have no room for two."""
+        room = _Room(pool, {minion: minion.free for minion in members}, {})
+        for minion in sorted(members, key=lambda minion: -minion.free_cpu):
+            if not room.is_for_two_of(overdue):
+                return
+            room.remove(minion)
+            self._open.add(minion)
+
 
 @dataclass(frozen=True, slots=True)
 class _Wait:
@@ -186,23 +221,29 @@
     """Free capacity of the minions of a service, those of the pool apart.
 
     :param pool: minions of the service on which tasks may start
-    :param members: those that are kept for short tasks
-    :param released: minions that have left the pool lately, where lasting tasks are starting
+    :param kept: free capacity of those that are kept for short tasks
+    :param starting: minions with starts of which the runs may not be present yet
     """
 
     def __init__(
-        self, pool: Sequence[Minion], members: Sequence[Minion], released: Mapping[Minion, float]
+        self,
+        pool: Sequence[Minion],
+        kept: Mapping[Minion, ResourceVector],
+        starting: Mapping[Minion, float],
     ) -> None:
-        self._kept = {minion: _present_free(minion) for minion in members}
+        self._kept = dict(kept)
         self._others = [minion for minion in pool if minion not in self._kept]
-        self._released = released
+        self._starting = starting
 
     def remove(self, minion: Minion) -> None:
         """Leave out a minion of the pool, which will be filled by lasting tasks."""
         del self._kept[minion]
 
-    def is_for_two_of(self, waits: Sequence[_Wait]) -> bool:
-        """Return whether two tasks of one of the steps fit, at least one of them in the pool."""
+    def is_for_two_of(self, waits: Sequence[_Wait], *, is_any: bool = False) -> bool:
+        """Return whether two tasks of one of the steps fit.
+
+        :param is_any: whether it counts if none of them fits in the pool
+        """
         seen = set()
         for wait in waits:
             step = wait.step
@@ -211,7 +252,7 @@
                 continue
             seen.add(identity)
             slots = sum(_slots(minion, free, step, wait.key) for minion, free in self._kept.items())
-            if slots and self._is_met(slots, step, wait.key):
+            if (slots or is_any) and self._is_met(slots, step, wait.key):
                 return True
         return False
 
@@ -220,7 +261,7 @@
         for minion in self._others:
             if slots >= COUNTED_SLOTS:
                 return True
-            if minion in self._released:
+            if minion in self._starting:
                 slots += _slots(minion, _present_free(minion), step, key)
             elif minion.has_room_for(step):
                 slots += _slots(minion, minion.free, step, key)
@@ -253,10 +294,10 @@
 
 
 def _present_free(minion: Minion) -> ResourceVector:
-    """Return the capacity that no run reserves which is known to be present and to stay."""
+    """Return the capacity that no run reserves which is known to be present."""
     free = minion.facts.capacity
     for run in minion.runs.values():
-        if run.state is RunState.PRESENT:
+        if run.state in (RunState.PRESENT, RunState.STOPPING):
             free = free.minus(run.step.reserved_resources)
     return free
 
--- a/measure/short_pool.py
+++ b/measure/short_pool.py
@@ -1,8 +1,8 @@
 """Short tasks beside lasting tasks that ask for more than the fleet.
 
 Run it with ``python -m measure.short_pool``. Minions of 32 processors and 125 GB are filled by
-lasting jobs of 24 tasks of 6.4 processors, which ask for 110 % of them, before short jobs of 1 to 3
-steps of 1 to 18 tasks of 10 processors and 1 s begin to arrive for 34 s.
+lasting jobs of 24 tasks of 3.2 to 9.6 processors, which ask for 110 % of them, before short jobs of
+1 to 3 steps of 1 to 18 tasks of 10 processors and 1 s begin to arrive for 34 s.
 
 Assumptions of the simulation: a start takes 0.2 s from its plan, a stopped run ends after 0.9 s.
 A lasting task waits beside room for two if that much is free of runs, from 6 s after its last run.
@@ -26,7 +26,11 @@
 from measure.simulation import START, FleetSimulation, RecordedJob
 
 MINION_ROOM = ResourceVector(32000, 125000)
-LASTING_STEP = Step(24, ResourceVector(6400, 13000), 1.0, is_lasting=True, image="watch")
+LASTING_TASKS = 24
+LASTING_CPU = (3200, 9600)
+LASTING_MEMORY_MB = (7000, 19000)
+# Lasting jobs are cancelled after this time on average, and others take their places.
+STAY_SECONDS = 70.0
 SHORT_ROOM = ResourceVector(10000, 20000)
 LASTING_SHARE = 1.1
 FILLED_SECONDS = 4.0
@@ -70,9 +74,8 @@
         super().__init__(load, SETTINGS, QUEUES, minions, MINION_ROOM.cpu)
         self.outcome = Outcome(sum(job.submission.queue.name == "assign" for job in load))
         self._delayed: list[tuple[float, StartOrder | StopOrder]] = []
-        self._lasting_ids = [
-            job.submission.job_id for job in load if job.submission.queue.name == "watch"
-        ]
+        self._lasting = [job for job in load if job.submission.queue.name == "watch"]
+        self._cancelled: set[str] = set()
         self._last_run_at: dict[TaskKey, float] = {}
         self._room_since: float | None = None
         self._samples: list[float] = []
@@ -83,7 +86,7 @@
 
     def run_seconds(self, order: StartOrder, usual_seconds: float) -> float:
         """Return the usual duration."""
-        return usual_seconds
+        return 1e6 if order.run.step.is_lasting else usual_seconds
 
     def record_completion(self, job: RecordedJob) -> None:
         """Count a short job that was completed."""
@@ -105,6 +108,12 @@
                     super()._start(order)
                 case StopOrder():
                     super()._stop(order)
+        for job in self._lasting:
+            job_id = job.submission.job_id
+            is_over = START + job.arrives_at + job.usual_seconds[0] <= self.now
+            if is_over and job_id not in self._cancelled:
+                self._cancelled.add(job_id)
+                self.scheduler.cancel(job_id, self.now)
         self._judge()
 
     def _start(self, order: StartOrder) -> None:
@@ -115,8 +124,9 @@
 
     def _judge(self) -> None:
         """Track how long an overdue lasting task waits beside room for two, and the work done."""
-        cpu = slots = 0
+        cpu = 0
         running = set()
+        rooms = []
         for runs in self._runs.values():
             free = MINION_ROOM
             for key, run in runs.items():
@@ -126,9 +136,8 @@
                 if run.step.is_lasting:
                     running.add(key)
                     cpu += run.step.room.cpu
-            slots += slots_in(free, LASTING_STEP.room)
-        is_waiting = self._is_overdue_waiting(running)
-        if slots < 2 or not is_waiting:
+            rooms.append(free)
+        if not self._has_room_beside_wait(running, rooms):
             self._room_since = None
         elif self._room_since is None:
             self._room_since = self.now
@@ -139,37 +148,37 @@
             self._samples.append(cpu / (MINION_ROOM.cpu * len(self._runs)))
             self.outcome.lasting_share = sum(self._samples) / len(self._samples)
 
-    def _is_overdue_waiting(self, running: set[TaskKey]) -> bool:
-        """Return whether a lasting task has not run for ``AWAY_SECONDS``."""
-        is_waiting = False
-        for job_id in self._lasting_ids:
-            accepted_at = START + self.by_id[job_id].arrives_at
-            if accepted_at > self.now:
+    def _has_room_beside_wait(self, running: set[TaskKey], rooms: list[ResourceVector]) -> bool:
+        """Return whether there is room for two where a task has not run for ``AWAY_SECONDS``."""
+        has_room = False
+        for job in self._lasting:
+            job_id, accepted_at = job.submission.job_id, START + job.arrives_at
+            if accepted_at > self.now or job_id in self._cancelled:
                 continue
-            for index in range(LASTING_STEP.count):
+            is_waiting = False
+            for index in range(LASTING_TASKS):
                 key = TaskKey(job_id, 0, 0, index)
                 if key in running:
                     self._last_run_at[key] = self.now
                 elif self.now - self._last_run_at.get(key, accepted_at) >= AWAY_SECONDS:
                     is_waiting = True
-        return is_waiting
+            if is_waiting and not has_room:
+                room = job.submission.steps[0].room
+                has_room = sum(slots_in(free, room) for free in rooms) >= 2
+        return has_room
 
 
 def record_load(seed: int, minions: int) -> list[RecordedJob]:
     """Return the lasting jobs, and the short jobs after them."""
     rng = Random(seed)
-    load = []
-    tasks = LASTING_SHARE * minions * MINION_ROOM.cpu / LASTING_STEP.room.cpu
-    count = int(tasks / LASTING_STEP.count)
-    for number in range(count):
-        arrives_at = FILLED_SECONDS * number / count
-        load.append(_job(f"l{number}", 0, arrives_at, (LASTING_STEP,), (1e6,)))
+    load: list[RecordedJob] = []
+    load += _lasting_jobs(rng, minions)
     at, number = SHORT_FROM_SECONDS, 0
     rate = SHORT_JOBS_A_SECOND * minions / FULL_SIZE
     while True:
         at += rng.expovariate(rate)
         if at >= SHORT_FROM_SECONDS + SHORT_SECONDS:
-            return load
+            return sorted(load, key=lambda job: job.arrives_at)
         number += 1
         step_count = rng.choice((1, 1, 1, 1, 2, 2, 3))
         steps = []
@@ -180,6 +189,20 @@
         load.append(_job(f"s{number}", 1, at, tuple(steps), seconds))
 
 
+def _lasting_jobs(rng: Random, minions: int) -> Iterator[RecordedJob]:
+    """Yield lasting jobs that ask for ``LASTING_SHARE`` of the fleet at any time."""
+    mean_cpu = LASTING_TASKS * sum(LASTING_CPU) / 2
+    count = int(LASTING_SHARE * minions * MINION_ROOM.cpu / mean_cpu)
+    for place in range(count):
+        at, number = FILLED_SECONDS * place / count, 0
+        while at < END_SECONDS:
+            room = ResourceVector(rng.randint(*LASTING_CPU), rng.randint(*LASTING_MEMORY_MB))
+            step = Step(LASTING_TASKS, room, 1.0, is_lasting=True, image="watch")
+            stay_seconds = rng.expovariate(1.0 / STAY_SECONDS)
+            yield _job(f"l{place}-{number}", 0, at, (step,), (stay_seconds,))
+            at, number = at + stay_seconds, number + 1
+
+
 def _job(
     job_id: str, queue: int, arrives_at: float, steps: tuple[Step, ...], seconds: tuple[float, ...]
 ) -> RecordedJob:
