--- a/dotterelhill/jobs/placement/minion_order.py
+++ b/dotterelhill/jobs/placement/minion_order.py
@@ -12,24 +12,33 @@
 from __future__ import annotations
 
 from bisect import bisect_left, insort
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from dotterelhill.jobs.fleet import Minion
 from dotterelhill.jobs.interference.sharing import InterferenceControl
 from dotterelhill.jobs.placement.start_options import Cost, Option
 
+ShortTaskRank = Callable[[Minion], float]
+
 
 class _PoolOrder:
     """Order of the minions of one service for short tasks, or for fillers.
 
     :param interference: control of the interference between fillers and serving tasks
+    :param short_task_rank: returns the rank of a minion among those for a short task
     :param minions: all minions of the service on which tasks may start
     """
 
     def __init__(
-        self, interference: InterferenceControl, minions: Sequence[Minion], *, is_filler: bool
+        self,
+        interference: InterferenceControl,
+        short_task_rank: ShortTaskRank,
+        minions: Sequence[Minion],
+        *,
+        is_filler: bool,
     ) -> None:
         self._interference = interference
+        self._short_task_rank = short_task_rank
         self._is_filler = is_filler
         self._places: dict[Minion, Option] = {}
         # Indices of the minions without a place in the order.
@@ -61,8 +70,7 @@
         if minion.speed.ratio != 1.0:
             return None
         if not self._is_filler:
-            has_serving_tasks = self._interference.has_serving_tasks(minion)
-            return (0.0, 0.0 if has_serving_tasks else 1.0, minion.free_cpu)
+            return (0.0, self._short_task_rank(minion), minion.free_cpu)
         if minion.lasting_images:
             return None
         return (0.0, 0.0, -self._interference.idle_cpu(minion))
@@ -72,10 +80,13 @@
     """Orders of the minions of one round, kept up to date while tasks start.
 
     :param interference: control of the interference between fillers and serving tasks
+    :param short_task_rank: returns the rank of a minion among those for a short task, the lowest
+        first; it stays the same during a round but for the starts of the round
     """
 
-    def __init__(self, interference: InterferenceControl) -> None:
+    def __init__(self, interference: InterferenceControl, short_task_rank: ShortTaskRank) -> None:
         self._interference = interference
+        self._short_task_rank = short_task_rank
         self._orders: dict[tuple[str, bool], _PoolOrder] = {}
 
     def begin_round(self) -> None:
@@ -100,6 +111,8 @@
         key = (minions[0].facts.service, is_filler)
         order = self._orders.get(key)
         if order is None:
-            order = _PoolOrder(self._interference, minions, is_filler=is_filler)
+            order = _PoolOrder(
+                self._interference, self._short_task_rank, minions, is_filler=is_filler
+            )
             self._orders[key] = order
         return list(order.others), list(order.ordered)
