Create the state of a minion's fillers only once

The cost of each start of a filler created a new state that was thrown away where the minion had one already.

--- a/dotterelhill/jobs/interference/sharing.py
+++ b/dotterelhill/jobs/interference/sharing.py
@@ -161,7 +161,7 @@
         Unlike ``lacking_headroom`` it does not allow for a rise of the load. Serving tasks on which
         the filler has a negligible effect don't count.
         """
-        state = self._minions.setdefault(minion, _MinionState())
+        state = self._state_of(minion)
         if state.present_key != (minion.change_count, now):
             self._update_present(state, minion, now)
         added_share = step.room.cpu / _processors(minion)
@@ -206,6 +206,13 @@
         if state is not None:
             state.cached_change_count = -1
 
+    def _state_of(self, minion: Minion) -> _MinionState:
+        """Return the state of a minion and create it on first use."""
+        state = self._minions.get(minion)
+        if state is None:
+            state = self._minions[minion] = _MinionState()
+        return state
+
     def _remaining_headroom_by_image(
         self, minion: Minion, now: float
     ) -> list[tuple[str, float, int]]:
@@ -214,7 +221,7 @@
         The result is cached until a run is added or removed, the minion reports or its capacity
         changes, because it is needed for every waiting filler.
         """
-        state = self._minions.setdefault(minion, _MinionState())
+        state = self._state_of(minion)
         if state.cached_change_count == minion.change_count:
             return state.remaining_headroom
         filler_shares = self._planned_filler_shares(minion)
@@ -280,7 +287,7 @@
             if image not in effect_shares:
                 effect_shares[image] = self._model.effect_shares(image, filler_shares, now)
             self._model.observe(run.key, image, headroom, effect_shares[image], now)
-        state = self._minions.setdefault(minion, _MinionState())
+        state = self._state_of(minion)
         state.cached_change_count = -1
         state.present_key = (-1, now)
         if not is_over_target:
@@ -296,7 +303,7 @@
                 fillers.append(run)
         if not fillers:
             return []
-        state = self._minions.setdefault(minion, _MinionState())
+        state = self._state_of(minion)
         is_stop_due = (
             state.over_target_since is not None
             and now - state.over_target_since > self._stop_after_seconds
