Keep the claim of a lasting task without a look at all minions

A lasting task that has not run for 5 s claims a minion, and keeps it in later rounds. Each round still looked at every minion of the service for each such task, although the claimed one is returned when it qualifies. After a loss of power hundreds of lasting tasks wait at once.

The claimed minion is checked first.

--- a/dotterelhill/jobs/placement/lasting_claims.py
+++ b/dotterelhill/jobs/placement/lasting_claims.py
@@ -80,26 +80,29 @@
 
         :param earlier: minion claimed in the previous round; stays claimed if it still qualifies
         """
+        if earlier is not None and earlier in pool and self._is_claimable(earlier, key, step):
+            return earlier
         best: Minion | None = None
         smallest_shortfall = 0
         for minion in pool:
-            claimed_cpu = self._claimed_cpu.get(minion, 0)
-            available_cpu = minion.facts.capacity.cpu - minion.lasting_cpu - claimed_cpu
-            available_memory_mb = minion.facts.capacity.memory_mb - minion.used.memory_mb
-            available_gpu = minion.facts.capacity.gpu - minion.used.gpu
-            if available_cpu < step.room.cpu or available_memory_mb < step.room.memory_mb:
+            if not self._is_claimable(minion, key, step):
                 continue
-            if available_gpu < step.room.gpu:
-                continue
-            if not has_required_label(minion, step) or not is_anti_affinity_met(minion, step, key):
-                continue
-            if minion is earlier:
-                return minion
-            shortfall = step.room.cpu + claimed_cpu - minion.free_cpu
+            shortfall = step.room.cpu + self.claimed_cpu(minion) - minion.free_cpu
             if best is None or shortfall < smallest_shortfall:
                 best, smallest_shortfall = minion, shortfall
         return best
 
+    def _is_claimable(self, minion: Minion, key: TaskKey, step: Step) -> bool:
+        """Return whether a task fits on a minion once all its short tasks have ended."""
+        capacity, used, room = minion.facts.capacity, minion.used, step.room
+        if capacity.cpu - minion.lasting_cpu - self.claimed_cpu(minion) < room.cpu:
+            return False
+        if capacity.memory_mb - used.memory_mb < room.memory_mb:
+            return False
+        if capacity.gpu - used.gpu < room.gpu:
+            return False
+        return has_required_label(minion, step) and is_anti_affinity_met(minion, step, key)
+
 
 def has_overdue_task(waiting: WaitingJob, now: float) -> bool:
     """Return whether a lasting task of a job has not run for ``CLAIM_AFTER_SECONDS``."""
