Compare sizes without a vector for each minion in reports of waits

A report of a task that waits too long looks at all minions, three times in a second on a fleet that drains, and created two vectors for each.

--- a/dotterelhill/jobs/placement/waiting.py
+++ b/dotterelhill/jobs/placement/waiting.py
@@ -122,13 +122,13 @@
 
 def misfit(minion: Minion, step: Step, key: TaskKey) -> str:
     """Return why the tasks of a step do not fit on a minion, for the log; empty when they fit."""
-    free, room = minion.free, step.reserved_resources
+    capacity, used, room = minion.facts.capacity, minion.used, step.room
     if not has_required_label(minion, step):
         return "no_label"
     if not is_anti_affinity_met(minion, step, key):
         return "anti_affinity"
-    if free.cpu < room.cpu:
+    if capacity.cpu - used.cpu < (0 if step.is_filler else room.cpu):
         return "no_cpu"
-    if free.memory_mb < room.memory_mb:
+    if capacity.memory_mb - used.memory_mb < room.memory_mb:
         return "no_memory"
-    return "no_gpu" if free.gpu < room.gpu else ""
+    return "no_gpu" if capacity.gpu - used.gpu < room.gpu else ""
