Look for a minion to claim only until none can be better

A filler that has waited for 2 s claims the minion on which the smallest part of its room is not free. On a nearly idle service most minions have all of it free, and each was compared in full.

Once a minion with all room and headroom was found, minions without lasting tasks are passed over. Those with lasting tasks are still looked at, since their headroom is estimated and kept when it is first asked for after a report.

--- a/dotterelhill/jobs/placement/filler_claims.py
+++ b/dotterelhill/jobs/placement/filler_claims.py
@@ -258,6 +258,10 @@
         best: Minion | None = None
         smallest: tuple[float, float] = (0.0, 0.0)
         for minion in pool:
+            # Nothing is better. Headroom beside serving tasks is estimated when it is first asked
+            # for after a report, and later starts depend on that time.
+            if best is not None and smallest == (0.0, 0.0) and not minion.lasting_images:
+                continue
             shortfall = self._shortfall(minion, claim)
             if shortfall is None or (best is not None and shortfall > smallest[0]):
                 continue
@@ -292,12 +296,12 @@
             return None
         if capacity.gpu - lasting_gpu < room.gpu:
             return None
-        free = minion.free
+        used = minion.used
         return max(
             0.0,
             (needed_cpu - self._interference.idle_cpu(minion)) / max(1.0, needed_cpu),
-            (room.memory_mb - free.memory_mb) / max(1, room.memory_mb),
-            (room.gpu - free.gpu) / max(1, room.gpu),
+            (room.memory_mb - capacity.memory_mb + used.memory_mb) / max(1, room.memory_mb),
+            (room.gpu - capacity.gpu + used.gpu) / max(1, room.gpu),
         )
 
 
