Compute the cost of equal tasks on a minion once in a round

Minions with lasting tasks are tried for each filler, and each step computed the costs there anew, although tasks of one size and image with the same constraints cost the same until a run starts.

RoundCosts keeps a cost until its minion changes. Costs on claimed minions and on those at another speed depend on the job and are not kept, nor is anything while reservations hold.

The load with costs computed anew now does so for equal tasks too; without the check of the number of changes all of its 6 examples fail. The new scenario fails without the check of claims, and without that of the speed.

--- a/dotterelhill/jobs/placement/placement.py
+++ b/dotterelhill/jobs/placement/placement.py
@@ -30,6 +30,7 @@
 from dotterelhill.jobs.placement.minion_order import MinionOrder
 from dotterelhill.jobs.placement.most_room import MostRoom
 from dotterelhill.jobs.placement.ranking import QueueLookup, Ranking
+from dotterelhill.jobs.placement.round_costs import RoundCosts
 from dotterelhill.jobs.placement.start_options import Option, StartOptions
 from dotterelhill.jobs.placement.start_refusals import StartRefusals
 from dotterelhill.jobs.placement.task_size import TaskSize
@@ -103,6 +104,7 @@
         self._lasting_claims = LastingClaims(limits)
         self._attempts = Attempts(self._lasting_claims)
         self._minion_order = MinionOrder(interference)
+        self._round_costs = RoundCosts()
         self._filler_claims = FillerClaims(interference)
         self._forced_starts = ForcedStarts(interference)
         self._most_room = MostRoom(interference)
@@ -147,6 +149,11 @@
         """Return the choice of minions for tasks that are suspected of crashing them."""
         return self._isolation
 
+    @property
+    def _are_costs_shared(self) -> bool:
+        """Return whether the cost of a short task or filler does not depend on its job."""
+        return not self._look_ahead.by_minion and not self._uneven.is_replacing
+
     @property
     def look_ahead(self) -> LookAhead:
         """Return the reservations of large tasks."""
@@ -430,6 +437,7 @@
         self._look_ahead.update(ranked, by_service, open_tasks, now, unix_ms)
         self._attempts.begin_round(by_service, self._filler_claims.minions, reclaimed, now)
         self._minion_order.begin_round()
+        self._round_costs.begin_round(self._filler_claims.minions)
 
         def choose_turn_starts(
             entry: RankedJob, *, is_overdue_only: bool
@@ -834,7 +842,10 @@
             return
         idle_seconds = longest_idle_seconds(job, keys, now) if step.is_lasting else 0.0
         reserved_cpu = self._reserved_cpu(step, pool, idle_seconds)
-        start_cost = partial(self._avoiding_cost, job, step, keys[0], now, reserved_cpu)
+        start_cost: StartCost = partial(self._avoiding_cost, job, step, keys[0], now, reserved_cpu)
+        if not (step.is_lasting or step.anti_affinity) and self._are_costs_shared:
+            kind = (size, step.required_label, step.data_rack)
+            start_cost = self._round_costs.shared(kind, start_cost)
         highest_bound = None
         if step.is_filler and ordered:
             highest_bound = (0.0, 0.0, -MIN_FILLER_CPU_SHARE * step.room.cpu)
@@ -877,8 +888,7 @@
         if is_reserved:
             return range(len(pool)), ()
         numbers = self._attempts.candidates(size, pool)
-        has_bounds = not self._look_ahead.by_minion and not self._uneven.is_replacing
-        if has_bounds and not step.is_lasting and len(numbers) == len(pool):
+        if self._are_costs_shared and not step.is_lasting and len(numbers) == len(pool):
             return self._minion_order.options(pool, is_filler=step.is_filler)
         return numbers or self._look_ahead.gaps(job, step, key, pool), ()
 
--- a/dotterelhill/jobs/placement/tests/former_ranking.py
+++ b/dotterelhill/jobs/placement/tests/former_ranking.py
@@ -135,3 +135,13 @@
 
     def options(self, minions: Sequence[Minion], *, is_filler: bool):
         return range(len(minions)), ()
+
+
+class FormerCosts:
+    """Costs that are computed for each step anew."""
+
+    def begin_round(self, claimed) -> None:
+        """Nothing is kept."""
+
+    def shared(self, kind, start_cost):
+        return start_cost
--- a/dotterelhill/jobs/placement/tests/rounds.feature
+++ b/dotterelhill/jobs/placement/tests/rounds.feature
@@ -14,3 +14,14 @@
       | 4    | 4       | 0       |
       | 5    | 12      | 15      |
       | 6    | 2       | 30      |
+
+  Scenario Outline: A cost that depends on the job is taken for an equal task of another job
+    Given costs of a round in which the only minion is <condition>
+    When a task may start there, and then an equal one of another job may not
+    Then the second one gets <answer>
+
+    Examples:
+      | condition       | answer                |
+      | claimed         | no cost               |
+      | slow            | no cost               |
+      | like all others | the cost of the first |
--- a/dotterelhill/jobs/placement/tests/steps/rounds_steps.py
+++ b/dotterelhill/jobs/placement/tests/steps/rounds_steps.py
@@ -2,12 +2,16 @@
 
 from behave import given, then, when
 
+from dotterelhill.jobs.fleet import Minion, MinionFacts
+from dotterelhill.jobs.placement.round_costs import RoundCosts
 from dotterelhill.jobs.placement.tests.former_ranking import (
     FormerAttempts,
+    FormerCosts,
     FormerOrder,
     FormerRanking,
 )
 from dotterelhill.jobs.placement.tests.random_load import RandomLoad
+from dotterelhill.jobs.resources import ResourceVector
 
 
 @given("a random load with seed {seed:d}, {tenants:d} tenants and {percent:d} % lasting tasks")
@@ -21,6 +25,7 @@
     scheduler._placement._ranking = FormerRanking(scheduler.durations)
     scheduler._placement._attempts = FormerAttempts()
     scheduler._placement._minion_order = FormerOrder()
+    scheduler._placement._round_costs = FormerCosts()
 
 
 @when("both run for {rounds:d} rounds")
@@ -34,3 +39,25 @@
     assert sum(map(len, expected)) > 100, sum(map(len, expected))
     for number, (chosen, former) in enumerate(zip(starts, expected, strict=True)):
         assert chosen == former, f"round {number}: {chosen} instead of {former}"
+
+
+@given("costs of a round in which the only minion is {condition}")
+def given_costs(context, condition):
+    facts = MinionFacts("m", 1, "pool", "m:1", "d", (), ResourceVector(4000, 4000))
+    context.minion = Minion(facts, lease_until=0.0)
+    if condition == "slow":
+        context.minion.speed.ratio = 4.0
+    context.costs = RoundCosts()
+    context.costs.begin_round([context.minion] if condition == "claimed" else [])
+
+
+@when("a task may start there, and then an equal one of another job may not")
+def when_costs(context):
+    for answer in ((1.0,), None):
+        cost_on = context.costs.shared("kind", lambda minion, answer=answer: answer)
+        context.answer = cost_on(context.minion)
+
+
+@then("the second one gets {answer}")
+def then_cost(context, answer):
+    assert context.answer == (None if answer == "no cost" else (1.0,)), context.answer
