Test the pool of short tasks, and search for broken promises on crowded fleets

In 40 % of the histories of start_promise_world lasting jobs now ask for more than the fleet, and short jobs of higher priority come. Their draws are apart, so the other histories stay as they are.

--- /dev/null
+++ b/dotterelhill/jobs/tests/short_pool.feature
@@ -0,0 +1,57 @@
+Feature: minions kept for short tasks while lasting tasks hold all room
+
+  Background:
+    Given a fleet with minions "m1 m2 m3 m4 m5 m6 m7 m8" of 4 processors
+
+  Scenario: a short task that needs a whole minion waits for as long as lasting tasks hold all of them
+    Given job "l" of 16 lasting tasks of 2 processors
+    When 4 seconds pass in rounds
+    And job "b" of 1 tasks of 4 processors is submitted
+    And 1 second passes in rounds in which stopped runs end after 0.3 seconds
+    Then job "b" has started
+    And 2 stops of job "l" were ordered
+
+  Scenario: further lasting runs are stopped while the room of stopped ones is still to come
+    Given job "l" of 16 lasting tasks of 2 processors
+    When 4 seconds pass in rounds
+    And job "b" of 1 tasks of 4 processors is submitted
+    And 1 rounds pass
+    And job "c" of 2 tasks of 2 processors is submitted
+    And 5 rounds pass
+    Then 4 stops of job "l" were ordered
+
+  Scenario: an overdue lasting task takes the room that one short task leaves to the next
+    Given job "l" of 8 lasting tasks of 4 processors
+    When 4 seconds pass in rounds
+    And job "b" of 1 tasks of 4 processors is submitted
+    And 7 seconds pass in rounds in which stopped runs end after 0.3 seconds
+    And the task of job "b" ends as "done"
+    And job "c" of 1 tasks of 4 processors is submitted
+    And 2 rounds pass
+    Then job "c" has started
+    And 1 stops of job "l" were ordered
+
+  Scenario: a lasting task waits beside minions that are kept for short tasks which no longer come
+    Given job "l" of 16 lasting tasks of 2 processors
+    When 4 seconds pass in rounds
+    And job "b" of 1 tasks of 4 processors is submitted
+    And 8 seconds pass in rounds in which stopped runs end after 0.3 seconds
+    And the task of job "b" ends as "done"
+    And 2 seconds pass in rounds
+    Then all 16 tasks of job "l" run
+
+  Scenario: stops for short tasks leave more tasks of a step away than it may miss
+    Given job "l" of 8 lasting tasks of 4 processors of which 1 may be missing
+    When 4 seconds pass in rounds
+    And job "b" of 2 tasks of 4 processors is submitted
+    And 2 seconds pass in rounds in which stopped runs end after 0.3 seconds
+    Then 1 stops of job "l" were ordered
+    And 1 starts of job "b" were sent
+
+  Scenario: a lasting task that was stopped for a short task is stopped for another one soon after its start
+    Given job "k" of 7 lasting tasks of 4 processors of which 0 may be missing
+    And job "l" of 1 lasting tasks of 4 processors
+    When 4 seconds pass in rounds
+    And short tasks of 4 processors come every 10 seconds for 30 seconds
+    Then 1 stops of job "l" were ordered
+    And 2 starts of job "l" were sent
--- a/dotterelhill/jobs/tests/start_promise.feature
+++ b/dotterelhill/jobs/tests/start_promise.feature
@@ -4,6 +4,7 @@
     When 30 random histories with troubles, new leaders and a calm end are played
     Then in none of them a start was overdue, a finite job did not end or a task ran twice
     And together they had at least 30 new leaders, 3000 starts and 50 stops
+    And lasting runs were stopped for short tasks 50 times
 
   Scenario: a suspected task claims the only minion with room, so an overdue lasting task never starts
     Given a fleet with minions "m1" of 4 processors
--- a/dotterelhill/jobs/tests/start_promise_world.py
+++ b/dotterelhill/jobs/tests/start_promise_world.py
@@ -49,6 +49,10 @@
 STABILITY_SECONDS = 4.0
 FINISH_SECONDS = 14.0
 MAX_ATTEMPTS = 3
+# Kind of the decisions on stops of lasting runs for short tasks.
+PREEMPTION = "lasting runs stopped for short tasks"
+# Share of the histories in which lasting tasks ask for more than the fleet.
+CROWDED_SHARE = 0.4
 CAPACITY = ResourceVector(8000, 8000, 1)
 
 
@@ -180,7 +184,7 @@
         self.listed: set[str] = set()
         self.last_submitted_at = self.last_start_at = self.now
         self.is_serving_over = False
-        self.start_count = self.stop_count = self.leader_count = 0
+        self.start_count = self.stop_count = self.leader_count = self.preemption_count = 0
         for number in range(self.machine_count):
             self.add_minion(f"a{number}:1")
         self.epoch = 0
@@ -189,6 +193,10 @@
         self.changes: Changes | None = None
         self.commit_at = 0.0
         self.plan_troubles()
+        # Drawn apart, so that the other histories of a seed stay as they are.
+        crowd = Random(f"crowd {seed}")
+        if crowd.random() < CROWDED_SHARE:
+            self.plan_crowd(crowd)
 
     def log(self, text: str) -> None:
         if self.is_traced:
@@ -400,6 +408,16 @@
             if rng.random() < 0.1:
                 schedule = Schedule(2, self.unix_ms + 1500, 1000)
         queue = rng.choice(list(self.queues.values()))
+        self.accept(job_id, queue.name, steps, schedule)
+
+    def accept(
+        self,
+        job_id: str,
+        queue_name: str,
+        steps: tuple[Step, ...],
+        schedule: Schedule | None = None,
+    ) -> None:
+        queue = self.queues[queue_name]
         submission = Submission(job_id, queue, self.unix_ms, "spec", steps, schedule)
         self.known[job_id] = submission
         self.submissions[job_id] = encode_submission(submission)
@@ -408,6 +426,19 @@
         if self.scheduler is not None:
             self.scheduler.submit(decode_submission(self.submissions[job_id]), self.now)
 
+    def plan_crowd(self, rng: Random) -> None:
+        """Draw lasting jobs that ask for more than the fleet, and short jobs of higher priority."""
+        cpu = 0
+        while cpu < 1.2 * self.machine_count * CAPACITY.cpu:
+            step = rng.choice(LASTING_STEPS)
+            cpu += step.count * step.room.cpu
+            name = f"l{next(self.numbers)}"
+            self.after(rng.uniform(0.0, 3.0), partial(self.accept, name, "second", (step,)))
+        for number in range(rng.choice((10, 30, 60))):
+            step = rng.choice(SHORT_STEPS)
+            at = rng.uniform(6.0, TROUBLE_SECONDS)
+            self.after(at, partial(self.accept, f"s{number}", "first", (step,)))
+
     def cancel(self, job_id: str) -> None:
         self.cancelled.add(job_id)
         self.log(f"job {job_id} cancelled")
@@ -630,6 +661,7 @@
             for order in scheduler.commit(changes, self.now):
                 self.send_start(scheduler, order)
         decisions = scheduler.take_decisions()
+        self.preemption_count += sum(one.kind == PREEMPTION for one in decisions)
         if self.is_traced:
             for decision in decisions:
                 self.log(f"  {decision.message} {decision.job_id} {dict(decision.fields)}")
@@ -898,15 +930,16 @@
 def main(arguments: list[str]) -> None:
     """Play histories and print the broken promises of each seed."""
     first, number = int(arguments[0]), int(arguments[1])
-    broken = 0
+    broken = preemptions = 0
     for seed in range(first, first + number):
         world = play_history(seed, is_traced=len(arguments) > 2)
         if world.is_traced:
             print("\n".join(world.trace))
         broken += bool(world.violations)
+        preemptions += world.preemption_count
         if world.violations:
             print(f"seed {seed}: {world.violations[:4]}", flush=True)
-    print(f"{number} histories, {broken} broken")
+    print(f"{number} histories, {broken} broken, {preemptions} times stops for short tasks")
 
 
 if __name__ == "__main__":
--- a/dotterelhill/jobs/tests/steps/start_promise_steps.py
+++ b/dotterelhill/jobs/tests/steps/start_promise_steps.py
@@ -30,3 +30,9 @@
     stop_count = sum(world.stop_count for world in worlds)
     counts = (new_leaders, start_count, stop_count)
     assert new_leaders >= leaders and start_count >= starts and stop_count >= stops, counts
+
+
+@then("lasting runs were stopped for short tasks {times:d} times")
+def check_preemptions(context, times):
+    counts = [world.preemption_count for world in context.histories.values()]
+    assert sum(counts) >= times, counts
