Share no costs of starts between tenants while a minion is withheld from one

The costs that equal tasks share in a round do not know the tenant, so a task of the tenant that gave up a run started in its place. Slices jobs/tenants/tests and jobs/placement/tests pass.

--- a/dotterelhill/jobs/placement/placement.py
+++ b/dotterelhill/jobs/placement/placement.py
@@ -152,7 +152,9 @@
     @property
     def _are_costs_shared(self) -> bool:
         """Return whether the cost of a short task or filler does not depend on its job."""
-        return not self._look_ahead.by_minion and not self._uneven.is_replacing
+        if self._look_ahead.by_minion or self._uneven.is_replacing:
+            return False
+        return not self._shares.withheld_minions
 
     @property
     def look_ahead(self) -> LookAhead:
