--- a/dotterelhill/jobs/tenants/tests/reclaim.feature
+++ b/dotterelhill/jobs/tenants/tests/reclaim.feature
@@ -359,3 +359,9 @@
       | rounds | seed  |
       | 400    | 7006  |
       | 400    | 11143 |
+
+    @known-red
+    Examples: another minion becomes usable for the waiting task once a run is stopped for it
+      | rounds | seed  |
+      | 400    | 21815 |
+      | 400    | 21949 |
