Search for minions to empty, and for minions to claim, once for each size

With the pool a round on 446 minions took twice as long or more. The candidates were compared anew for each minion that was emptied, and each overdue lasting step looked through all minions for one to claim although a smaller one had found none in the same round.

Candidates are compared once for each size and chosen in that order; a size that no minion can be emptied for is not tried again in the search. A lasting step claims nothing where a step that needs no more of anything, and has no label or anti-affinity, has found no minion.

--- a/dotterelhill/jobs/placement/lasting_claims.py
+++ b/dotterelhill/jobs/placement/lasting_claims.py
@@ -15,6 +15,7 @@
     longest_idle_seconds,
     startable_lasting_steps,
 )
+from dotterelhill.jobs.resources import ResourceVector
 from dotterelhill.jobs.tenants.limits import TenantLimits
 
 # Short tasks have to leave a minion to a lasting task that has not run for this time. The platform
@@ -58,16 +59,22 @@
         """
         earlier, self._minions = self._minions, {}
         self._claimed_cpu = {}
+        # Smallest rooms that found no minion in this update, by service.
+        failed: dict[str, list[ResourceVector]] = {}
         for _, queue, waiting in ranked:
             tenant = waiting.job.submission.tenant
             for step, keys in startable_lasting_steps(waiting, queue, unix_ms):
                 if longest_idle_seconds(waiting.job, keys, now) < CLAIM_AFTER_SECONDS:
                     continue
+                if any(map(step.room.is_enough_for, failed.get(queue.service, ()))):
+                    continue
                 pool = by_service.get(queue.service, [])
                 due = failing.due_tasks(keys, now)
                 for key in due[: self._limits.allowed_count(tenant, step, len(due))]:
                     minion = self.claimable_minion(key, step, pool, earlier.get(key))
                     if minion is None:
+                        if not step.required_label and not step.anti_affinity:
+                            failed.setdefault(queue.service, []).append(step.room)
                         break
                     self._minions[key] = minion
                     self._claimed_cpu[minion] = self._claimed_cpu.get(minion, 0) + step.room.cpu
--- a/dotterelhill/jobs/placement/preemption.py
+++ b/dotterelhill/jobs/placement/preemption.py
@@ -37,7 +37,7 @@
 POOL_DIVISOR = 4
 MAX_MINIONS_A_SEARCH = 4
 MAX_TIMELINESS = Timeliness.LATE
-MAX_MINIONS_COMPARED = 64
+MAX_MINIONS_COMPARED = 48
 # A lasting task is not stopped again within this time, and not soon after its start.
 MIN_STOP_INTERVAL_SECONDS = 30.0
 MIN_RUN_SECONDS = 3.0
@@ -173,24 +173,35 @@
     ) -> list[EmptiedMinion]:
         """Return the runs to stop in one service."""
         emptied: list[EmptiedMinion] = []
-        candidates: list[Minion] | None = None
         waiting = sum(demand.count for demand in demands)
+        compared: list[Minion] | None = None
+        # Sizes and priorities for which no minion can be emptied.
+        futile: set[tuple[ResourceVector, int]] = set()
         for demand in demands:
+            if (demand.room, demand.priority) in futile:
+                continue
             search.use_room(demand)
-            if demand.count and candidates is None:
+            if not demand.count:
+                continue
+            if compared is None:
                 compared = self._compared(search, now)
-                candidates = [minion for minion in compared if not search.has_stops(minion)]
-            while demand.count and candidates and len(emptied) < MAX_MINIONS_A_SEARCH:
-                plan = self._best_plan(search, demand, candidates, now)
-                if plan is None:
-                    break
-                candidates.remove(plan.minion)
+            if not compared or len(emptied) >= MAX_MINIONS_A_SEARCH:
+                break
+            for minion in self._best_minions(search, demand, compared, now):
+                # Stops on other minions may have changed what fits and what may be stopped.
+                plan = self._plan(search, minion, demand, now)
+                if plan is None or self._is_full(search, minion):
+                    continue
                 for run in plan.runs:
                     self._stopped_at[run.key] = now
-                search.record_stops(plan.minion, plan.runs)
-                self._pool.add(plan.minion, now)
-                emptied.append(EmptiedMinion(plan.minion, tuple(plan.runs), plan.slots, waiting))
+                search.record_stops(minion, plan.runs)
+                self._pool.add(minion, now)
+                emptied.append(EmptiedMinion(minion, tuple(plan.runs), plan.slots, waiting))
                 search.use_room(demand)
+                if not demand.count or len(emptied) >= MAX_MINIONS_A_SEARCH:
+                    break
+            if demand.count:
+                futile.add((demand.room, demand.priority))
         return emptied
 
     def _compared(self, search: _Search, now: float) -> list[Minion]:
@@ -203,23 +214,37 @@
         return [
             minion
             for minion in members + others
-            if not (self._is_reserved(minion) or minion.health.has_failed_lately(now))
+            if not (
+                search.has_stops(minion)
+                or self._is_full(search, minion)
+                or self._is_reserved(minion)
+                or minion.health.has_failed_lately(now)
+            )
         ]
 
-    def _best_plan(
-        self, search: _Search, demand: _Demand, candidates: Iterable[Minion], now: float
-    ) -> _Plan | None:
-        """Return the plan that stops the least lasting work for each slot."""
-        best: _Plan | None = None
-        size = sum(self._pool.holds(minion) for minion in search.usable)
-        is_full = size >= len(search.usable) // POOL_DIVISOR
-        for minion in candidates:
-            if is_full and not self._pool.holds(minion):
+    def _best_minions(
+        self, search: _Search, demand: _Demand, compared: Iterable[Minion], now: float
+    ) -> list[Minion]:
+        """Return minions to empty, first the one with the least lasting work for each slot."""
+        plans = []
+        for minion in compared:
+            if search.has_stops(minion):
                 continue
-            plan = search.plan(minion, demand, lambda run: self._is_stoppable(run, now))
-            if plan is not None and (best is None or plan.cost < best.cost):
-                best = plan
-        return best
+            plan = self._plan(search, minion, demand, now)
+            if plan is not None:
+                plans.append(plan)
+        plans.sort(key=lambda plan: plan.cost)
+        return [plan.minion for plan in plans]
+
+    def _plan(self, search: _Search, minion: Minion, demand: _Demand, now: float) -> _Plan | None:
+        """Return the stops on a minion for as many waiting tasks as fit; None if none would fit."""
+        return search.plan(minion, demand, lambda run: self._is_stoppable(run, now))
+
+    def _is_full(self, search: _Search, minion: Minion) -> bool:
+        """Return whether a minion can't join the pool, which has its largest size."""
+        if self._pool.holds(minion):
+            return False
+        return self._pool.count_of(minion.facts.service) >= len(search.usable) // POOL_DIVISOR
 
     def _is_stoppable(self, run: Run, now: float) -> bool:
         """Return whether a run has worked for long enough since its start and its last stop."""
@@ -282,6 +307,7 @@
 
     def record_stops(self, minion: Minion, runs: Iterable[Run]) -> None:
         """Count the room of runs that were chosen to be stopped."""
+        self._stopping.add(minion)
         for run in runs:
             self._free[minion] = self._free[minion].plus(run.step.reserved_resources)
             step = _step_of(run)
--- a/dotterelhill/jobs/placement/short_pool.py
+++ b/dotterelhill/jobs/placement/short_pool.py
@@ -17,6 +17,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import dataclass
 
@@ -62,6 +63,7 @@
 
     def __init__(self) -> None:
         self._members: dict[Minion, _Member] = {}
+        self._counts: Counter[str] = Counter()
         self._started_at: dict[Minion, float] = {}
         # Members on which lasting tasks may start in this round.
         self._open: set[Minion] = set()
@@ -83,11 +85,22 @@
 
     def has_minions_of(self, service: str) -> bool:
         """Return whether minions of a service are kept for short tasks."""
-        return any(minion.facts.service == service for minion in self._members)
+        return self._counts[service] > 0
+
+    def count_of(self, service: str) -> int:
+        """Return the number of minions of a service that are kept for short tasks."""
+        return self._counts[service]
 
     def add(self, minion: Minion, now: float) -> None:
         """Keep a minion for short tasks."""
-        self._members.setdefault(minion, _Member(now)).used_at = now
+        if minion not in self._members:
+            self._counts[minion.facts.service] += 1
+        self._members[minion] = _Member(now)
+
+    def _remove(self, minion: Minion) -> None:
+        """Let a minion leave the pool."""
+        del self._members[minion]
+        self._counts[minion.facts.service] -= 1
 
     def record_start(self, minion: Minion, now: float) -> None:
         """Record that a start was planned on a minion."""
@@ -148,7 +161,7 @@
             if minion not in usable or minion.health.has_failed_lately(now)
         ]
         for minion in dropped:
-            del self._members[minion]
+            self._remove(minion)
         return dropped
 
     def _release_unused(self, service: str, now: float, *, has_waits: bool) -> list[Minion]:
@@ -164,7 +177,7 @@
             if minion.short_cpu:
                 member.used_at = now
             elif now - member.used_at >= limit_seconds:
-                del self._members[minion]
+                self._remove(minion)
                 released.append(minion)
         return released
 
@@ -189,7 +202,7 @@
             if not room.is_for_two_of(overdue):
                 break
             room.remove(minion)
-            del self._members[minion]
+            self._remove(minion)
             released.append(minion)
         return released
 
