Judge the queue of starts by all answers of orders that were sent

An order that was not sent, as to a relay that is gone, counted as answered at once and became the least time for 10 to 20 s, so that the limit fell to its floor.

Change: orders that were not sent do not count, and only answers of orders that were sent before the limit shrank are left out.

--- a/dotterelhill/control/leader.py
+++ b/dotterelhill/control/leader.py
@@ -613,6 +613,7 @@
             self._scheduler.start_answered(run, StartOutcome.NOT_SENT, sent_at, sent_at)
             return
         self._start_window.begin()
+        outcome, clock_ms = StartOutcome.UNKNOWN, None
         try:
             outcome, clock_ms = await self._parts.minions.start(order, self._epoch, deadline_ms)
         except FencedByMinionError as error:
@@ -621,9 +622,9 @@
         except Exception as error:
             # The failure of one order must not end the term; its effect is unknown.
             self._log_unexpected_error("start", minion, error)
-            outcome, clock_ms = StartOutcome.UNKNOWN, None
         finally:
-            self._start_window.end(self._clock() - sent_at)
+            is_sent = outcome is not StartOutcome.NOT_SENT
+            self._start_window.end(self._clock() - sent_at if is_sent else None)
         now = self._clock()
         if clock_ms is not None:
             minion.clock_ms, minion.clock_at = clock_ms, now
--- a/dotterelhill/control/start_window.py
+++ b/dotterelhill/control/start_window.py
@@ -37,7 +37,7 @@
     renewals of leases behind it. How long orders wait is estimated as in congestion control by
     delay [1]_: the median time to an answer, less the least one of late, which is that of an order
     that met no queue. While orders wait longer than ``MAX_QUEUEING_SECONDS``, the limit shrinks by
-    the ratio of the two; otherwise it grows where more than half of it was in use.
+    the ratio of the two; otherwise it grows where most of it was in use.
 
     A queue of this process delays all orders, so slow answers of single minions, of a relay or of
     a failure domain, which leave the median as it is, do not count. The delay of the event loop
@@ -57,12 +57,12 @@
         self._clock = clock
         self._limit = INITIAL_STARTS
         self._in_flight = 0
-        # Largest number in flight since the limit was adapted, and the times to the answers of the
-        # orders that were sent since then.
+        # Largest number in flight in the present period, and times to its answers, but for those
+        # of orders that were sent before the limit shrank.
         self._most_in_flight = 0
         self._answer_seconds: list[float] = []
         self._first_answer_at = clock()
-        self._adapted_at = clock()
+        self._decreased_at = float("-inf")
         self._increase_factor = FIRST_INCREASE_FACTOR
         self._least_seconds = self._earlier_least_seconds = MAX_LEAST_SECONDS
         self._least_window_began_at = clock()
@@ -87,24 +87,26 @@
         self._in_flight += 1
         self._most_in_flight = max(self._most_in_flight, self._in_flight)
 
-    def end(self, seconds: float) -> None:
+    def end(self, seconds: float | None) -> None:
         """Count a start order as answered.
 
-        :param seconds: time from sending the order to its answer, or to giving up on it
+        :param seconds: time from sending the order to its answer, or to giving up on it; None if it
+            was not sent, which says nothing about queues
         """
         self._in_flight -= 1
+        if seconds is None:
+            return
         now = self._clock()
         self._record_least(seconds, now)
-        if now - seconds < self._adapted_at:
-            # Sent under an earlier limit: it would count against the present one as well.
+        if now - seconds < self._decreased_at:
+            # Sent under a larger limit: it would count against the present one as well.
             return
         if not self._answer_seconds:
             self._first_answer_at = now
         self._answer_seconds.append(seconds)
         is_period_over = now - self._first_answer_at >= PERIOD_SECONDS
         if is_period_over and len(self._answer_seconds) >= MIN_ANSWERS:
-            self._adapted_at = now
-            self._adapt()
+            self._adapt(now)
 
     def _record_least(self, seconds: float, now: float) -> None:
         """Record the time to an answer for the least time seen lately."""
@@ -114,8 +116,8 @@
             self._least_seconds = MAX_LEAST_SECONDS
         self._least_seconds = min(self._least_seconds, seconds)
 
-    def _adapt(self) -> None:
-        """Adapt the limit to the answers since it was adapted last."""
+    def _adapt(self, now: float) -> None:
+        """Adapt the limit to the answers of a period."""
         least_seconds = min(self._least_seconds, self._earlier_least_seconds)
         queueing_seconds = median(self._answer_seconds) - least_seconds
         proven_limit = min(MAX_STARTS, MAX_LIMIT_RATIO * self._most_in_flight)
@@ -124,6 +126,7 @@
             factor = max(MIN_DECREASE_FACTOR, MAX_QUEUEING_SECONDS / queueing_seconds)
             self._limit = max(MIN_STARTS, factor * self._limit)
             self._increase_factor = INCREASE_FACTOR
+            self._decreased_at = now
         elif proven_limit > self._limit:
             # The closer the queue is to its bound, the less the limit grows.
             share = 1.0 - queueing_seconds / MAX_QUEUEING_SECONDS
--- a/dotterelhill/control/tests/overload.feature
+++ b/dotterelhill/control/tests/overload.feature
@@ -43,6 +43,13 @@
       | its rounds delay its event loop | each scheduling round takes 0.17 s of processor | 800   |
       | all minions are far away        | answers of 20 minions take 0.4 s                | 800   |
       | one relay is slow               | answers of 5 minions take 0.7 s                 | 1000  |
+      | one minion fails at once        | m0 is not reached, answers of others take 0.4 s | 800   |
+
+  Scenario: orders that queue up for long do not count beside some that fail at once
+    When the processor takes 10 ms for each message
+    And m0 is not reached, answers of others take 0 s
+    And 160 tasks of 1 second are submitted each second for 10 seconds
+    Then a start waits at most 1 second from its plan to its minion in the last 3 seconds
 
   Scenario: minions that are gone hold back the first polls of the others after a takeover
     Given a leader of 300 minions, 120 of them gone, with 0.4 ms for each message
--- a/dotterelhill/control/tests/steps/overload_steps.py
+++ b/dotterelhill/control/tests/steps/overload_steps.py
@@ -10,6 +10,7 @@
 from dotterelhill.control.interface import Stream
 from dotterelhill.control.leadership import LEADER_KEY, RENEWAL_KEY, Renewal
 from dotterelhill.control.tests.cluster_world import Cluster
+from dotterelhill.jobs.orders import StartOutcome
 
 use_step_matcher("re")
 
@@ -53,6 +54,21 @@
         context.cluster.minions[f"m{number}"].answer_seconds = float(seconds)
 
 
+@when(r"(?P<name>\w+) is not reached, answers of others take (?P<seconds>[\d.]+) s")
+def fail_at_once(context, name, seconds):
+    for minion in context.cluster.minions.values():
+        minion.answer_seconds = float(seconds)
+    client = context.cluster.processes["a"].minions
+    start = client.start
+
+    async def start_unless_gone(order, epoch, deadline_ms):
+        if order.minion.minion_id == name:
+            return StartOutcome.NOT_SENT, None
+        return await start(order, epoch, deadline_ms)
+
+    client.start = start_unless_gone
+
+
 @when(r"(?P<rate>\d+) tasks of 1 second are submitted each second for (?P<seconds>\d+) seconds")
 def submit_load(context, rate, seconds):
     cluster = context.cluster
