Empty up to eight minions in a search, and stop sooner to add to the pool

A burst of short tasks needs more slots than four minions have, so the pool stayed behind the jobs that arrive. With eight, an overdue lasting task waited for up to 2.7 s of the 3 s beside room for two, so minions leave the pool after 1.6 s instead of 1.9 s, and no runs are stopped from 0.6 s on instead of 0.8 s.

--- a/dotterelhill/jobs/placement/preemption.py
+++ b/dotterelhill/jobs/placement/preemption.py
@@ -35,7 +35,7 @@
 ENDING_SECONDS = 0.3
 # Upper bound of the pool, as a part of the minions of a service.
 POOL_DIVISOR = 4
-MAX_MINIONS_A_SEARCH = 4
+MAX_MINIONS_A_SEARCH = 8
 MAX_TIMELINESS = Timeliness.LATE
 MAX_MINIONS_COMPARED = 48
 # A lasting task is not stopped again within this time, and not soon after its start.
--- a/dotterelhill/jobs/placement/short_pool.py
+++ b/dotterelhill/jobs/placement/short_pool.py
@@ -34,8 +34,8 @@
 
 # Of the 3 s for which an overdue lasting task may wait beside room for two, the rest is left for
 # the start of the task.
-MAX_ROOM_SECONDS = 1.9
-PAUSE_AFTER_SECONDS = 0.8
+MAX_ROOM_SECONDS = 1.6
+PAUSE_AFTER_SECONDS = 0.6
 # Lasting tasks that take the free slots are present some tenths of a second later.
 OPEN_AFTER_SECONDS = 1.2
 # A minion that no short task has used for this time leaves the pool while lasting tasks wait.
