--- a/dotterelhill/control/leader.py
+++ b/dotterelhill/control/leader.py
@@ -512,7 +512,9 @@
     async def _run_scheduling_round(self) -> None:
         limit = self._start_window.available
         self._record_minion_list()
-        self._scheduler.plan(self._clock(), self._parts.unix_ms(), limit)
+        began_at = self._clock()
+        self._scheduler.plan(began_at, self._parts.unix_ms(), limit)
+        self._start_window.record_planning(self._clock() - began_at)
         self._send_orders()
         changes = self._scheduler.take_changes()
         await self._store_changes(changes)
@@ -613,7 +615,7 @@
         if deadline_ms is None:
             self._scheduler.start_answered(run, StartOutcome.NOT_SENT, sent_at, sent_at)
             return
-        self._start_window.begin()
+        sent_order = self._start_window.begin()
         outcome, clock_ms = StartOutcome.UNKNOWN, None
         try:
             outcome, clock_ms = await self._parts.minions.start(order, self._epoch, deadline_ms)
@@ -625,7 +627,7 @@
             self._log_unexpected_error("start", minion, error)
         finally:
             is_sent = outcome is not StartOutcome.NOT_SENT
-            self._start_window.end(self._clock() - sent_at if is_sent else None)
+            self._start_window.end(sent_order, is_sent=is_sent)
         now = self._clock()
         if clock_ms is not None:
             minion.clock_ms, minion.clock_at = clock_ms, now
--- a/dotterelhill/control/start_window.py
+++ b/dotterelhill/control/start_window.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from statistics import median
 
 INITIAL_STARTS = 32.0
@@ -27,6 +28,18 @@
 MAX_LEAST_SECONDS = 0.45
 
 
+@dataclass(frozen=True, slots=True)
+class SentOrder:
+    """Start order in flight.
+
+    :param sent_at: time at which it was sent, in seconds
+    :param planning_seconds: time that the process had spent on planning until then
+    """
+
+    sent_at: float
+    planning_seconds: float
+
+
 class StartWindow:
     """Adaptive limit of the start orders that have no answer yet.
 
@@ -40,9 +53,8 @@
     the ratio of the two; otherwise it grows where most of it was in use.
 
     A queue of this process delays all orders, so slow answers of single minions, of a relay or of
-    a failure domain, which leave the median as it is, do not count. The delay of the event loop
-    counts only as far as it delays answers: planning a round also blocks the loop, and fewer starts
-    would not make that shorter.
+    a failure domain, which leave the median as it is, do not count. Neither does the time in which
+    the leader plans, when it reads no answers: fewer starts would not make that shorter.
 
     References
     ==========
@@ -66,6 +78,7 @@
         self._increase_factor = FIRST_INCREASE_FACTOR
         self._least_seconds = self._earlier_least_seconds = MAX_LEAST_SECONDS
         self._least_window_began_at = clock()
+        self._planning_seconds = 0.0
 
     @property
     def available(self) -> int:
@@ -82,23 +95,32 @@
         """Return the number of start orders without an answer."""
         return self._in_flight
 
-    def begin(self) -> None:
-        """Count a start order as in flight."""
+    def record_planning(self, seconds: float) -> None:
+        """Count time in which the process planned and read no answers."""
+        self._planning_seconds += seconds
+
+    def begin(self) -> SentOrder:
+        """Count a start order as in flight.
+
+        :returns: what ``end`` has to know of it
+        """
         self._in_flight += 1
         self._most_in_flight = max(self._most_in_flight, self._in_flight)
+        return SentOrder(self._clock(), self._planning_seconds)
 
-    def end(self, seconds: float | None) -> None:
-        """Count a start order as answered.
+    def end(self, order: SentOrder, *, is_sent: bool = True) -> None:
+        """Count a start order as answered, or given up.
 
-        :param seconds: time from sending the order to its answer, or to giving up on it; None if it
-            was not sent, which says nothing about queues
+        :param is_sent: whether it was sent; otherwise it says nothing about queues
         """
         self._in_flight -= 1
-        if seconds is None:
+        if not is_sent:
             return
         now = self._clock()
+        planning_seconds = self._planning_seconds - order.planning_seconds
+        seconds = max(0.0, now - order.sent_at - planning_seconds)
         self._record_least(seconds, now)
-        if now - seconds < self._decreased_at:
+        if order.sent_at < self._decreased_at:
             # Sent under a larger limit: it would count against the present one as well.
             return
         if not self._answer_seconds:
--- a/dotterelhill/control/tests/overload.feature
+++ b/dotterelhill/control/tests/overload.feature
@@ -74,3 +74,8 @@
     When all processes lose power and start again
     And 30 seconds pass in the cluster
     Then one process has claimed leadership at most 4 times and leads
+
+  Scenario: a leader takes the time of its plans for a queue, since it reads no answers meanwhile
+    Given a start window whose orders are answered after 0.1 s but read after plans of 0.8 s
+    When it is used up for 10 rounds
+    Then its limit has grown
--- a/dotterelhill/control/tests/steps/overload_steps.py
+++ b/dotterelhill/control/tests/steps/overload_steps.py
@@ -9,6 +9,7 @@
 
 from dotterelhill.control.interface import Stream
 from dotterelhill.control.leadership import LEADER_KEY, RENEWAL_KEY, Renewal
+from dotterelhill.control.start_window import StartWindow
 from dotterelhill.control.tests.cluster_world import Cluster
 from dotterelhill.jobs.orders import StartOutcome
 
@@ -264,3 +265,31 @@
 @given(r"work is not divided into slices")
 def stop_slices(context):
     context.cluster.has_slices = False
+
+
+@given(
+    r"a start window whose orders are answered after (?P<answer>[\d.]+) s "
+    r"but read after plans of (?P<plan>[\d.]+) s"
+)
+def new_window(context, answer, plan):
+    context.time = 0.0
+    context.window = StartWindow(lambda: context.time)
+    context.answer_seconds, context.plan_seconds = float(answer), float(plan)
+    context.first_limit = context.window.limit
+
+
+@when(r"it is used up for (?P<rounds>\d+) rounds")
+def use_window(context, rounds):
+    window = context.window
+    for _ in range(int(rounds)):
+        orders = [window.begin() for _ in range(window.available)]
+        context.time += context.plan_seconds
+        window.record_planning(context.plan_seconds)
+        context.time += context.answer_seconds
+        for order in orders:
+            window.end(order)
+
+
+@then(r"its limit has grown")
+def check_limit(context):
+    assert context.window.limit > context.first_limit, context.window.limit
