--- a/dotterelhill/control/start_window.py
+++ b/dotterelhill/control/start_window.py
@@ -21,7 +21,7 @@
 # Until orders queue up for the first time, the limit is far below what the process can send.
 FIRST_INCREASE_FACTOR = 2.0
 # The limit stays below this multiple of the orders that were in flight and answered in time.
-MAX_LIMIT_RATIO = 1.5
+MAX_LIMIT_RATIO = 2.0
 # The least time to an answer counts for one to two of these windows, since paths change.
 LEAST_WINDOW_SECONDS = 10.0
 # Longer answers than this are due to queues, however long the queues last.
@@ -50,7 +50,7 @@
     renewals of leases behind it. How long orders wait is estimated as in congestion control by
     delay [1]_: the median time to an answer, less the least one of late, which is that of an order
     that met no queue. While orders wait longer than ``MAX_QUEUEING_SECONDS``, the limit shrinks by
-    the ratio of the two; otherwise it grows where most of it was in use.
+    the ratio of the two; otherwise it grows where more than half of it was in use.
 
     A queue of this process delays all orders, so slow answers of single minions, of a relay or of
     a failure domain, which leave the median as it is, do not count. Neither does the time in which
