--- a/dotterelhill/jobs/placement/preemption.py
+++ b/dotterelhill/jobs/placement/preemption.py
@@ -5,8 +5,8 @@
 
 A search runs when short tasks have waited for ``MIN_WAIT_SECONDS`` and fit nowhere. It counts the
 slots that are free or will be free soon, and empties as few minions as the other tasks need: first
-the one with the least lasting work to stop for each slot. Tasks that are in time count only, since
-a run that is stopped takes up to 0.9 s to end. Jobs of tenants are left out: their limits and
+the one with the least lasting work to stop for each slot. Tasks of jobs that are too late do not
+count: they have no value for their clients any more. Jobs of tenants are left out: their limits and
 shares decide whose work is stopped.
 """
 
