--- a/dotterelhill/control/leader.py
+++ b/dotterelhill/control/leader.py
@@ -227,6 +227,7 @@
             "jobs.waiting_tasks": self._scheduler.waiting_tasks,
             "jobs.waiting_lasting_tasks": self._scheduler.lasting_waits.task_count,
             "jobs.lasting_wait_seconds": self._scheduler.lasting_waits.longest_seconds,
+            "jobs.room_wait_seconds": self._scheduler.room_wait_seconds,
             "jobs.overdue_lasting_tasks": overdue["lasting"],
             "jobs.overdue_short_tasks": overdue["short"],
             "jobs.overdue_filler_tasks": overdue["filler"],
--- a/dotterelhill/entry/metrics.py
+++ b/dotterelhill/entry/metrics.py
@@ -107,6 +107,7 @@
     Metric("jobs.waiting_tasks", _G, "tasks", "tasks that could start"),
     Metric("jobs.waiting_lasting_tasks", _G, "tasks", "lasting tasks that do not run"),
     Metric("jobs.lasting_wait_seconds", _G, "seconds", "longest time that one has not run"),
+    Metric("jobs.room_wait_seconds", _G, "seconds", "longest time of one beside room for two"),
     Metric("jobs.overdue_lasting_tasks", _G, "tasks", "lasting tasks that start too late"),
     Metric("jobs.overdue_short_tasks", _G, "tasks", "short tasks that start too late"),
     Metric("jobs.overdue_filler_tasks", _G, "tasks", "fillers that start too late"),
--- a/dotterelhill/jobs/placement/lasting_claims.py
+++ b/dotterelhill/jobs/placement/lasting_claims.py
@@ -8,6 +8,7 @@
 from dotterelhill.jobs.model import Job, Step, TaskKey
 from dotterelhill.jobs.placement.failing_tasks import FailingTasks
 from dotterelhill.jobs.placement.waiting import (
+    LASTING_OVERDUE_SECONDS,
     RankedJob,
     WaitingJob,
     has_required_label,
@@ -18,10 +19,6 @@
 from dotterelhill.jobs.resources import ResourceVector
 from dotterelhill.jobs.tenants.limits import TenantLimits
 
-# Short tasks have to leave a minion to a lasting task that has not run for this time. The platform
-# counts it from 6 s after its last run, which may be over when its run is known to be lost.
-CLAIM_AFTER_SECONDS = 5.0
-
 
 class LastingClaims:
     """Processors of minions that are kept free of short tasks for overdue lasting tasks.
@@ -53,7 +50,7 @@
         now: float,
         unix_ms: int,
     ) -> None:
-        """Claim minions for lasting tasks that have waited longer than ``CLAIM_AFTER_SECONDS``.
+        """Claim minions for lasting tasks that have waited longer than ``LASTING_OVERDUE_SECONDS``.
 
         :param failing: tasks that fail on every minion; they claim none until their next run
         """
@@ -64,7 +61,7 @@
         for _, queue, waiting in ranked:
             tenant = waiting.job.submission.tenant
             for step, keys in startable_lasting_steps(waiting, queue, unix_ms):
-                if longest_idle_seconds(waiting.job, keys, now) < CLAIM_AFTER_SECONDS:
+                if longest_idle_seconds(waiting.job, keys, now) < LASTING_OVERDUE_SECONDS:
                     continue
                 if any(map(step.room.is_enough_for, failed.get(queue.service, ()))):
                     continue
@@ -115,14 +112,14 @@
 
 
 def has_overdue_task(waiting: WaitingJob, now: float) -> bool:
-    """Return whether a lasting task of a job has not run for ``CLAIM_AFTER_SECONDS``."""
+    """Return whether a lasting task of a job has not run for ``LASTING_OVERDUE_SECONDS``."""
     for (_, index), keys in waiting.pending.items():
         if waiting.job.submission.steps[index].is_lasting:
-            if longest_idle_seconds(waiting.job, keys, now) >= CLAIM_AFTER_SECONDS:
+            if longest_idle_seconds(waiting.job, keys, now) >= LASTING_OVERDUE_SECONDS:
                 return True
     return False
 
 
 def is_overdue(job: Job, key: TaskKey, now: float) -> bool:
-    """Return whether a waiting lasting task has not run for ``CLAIM_AFTER_SECONDS``."""
-    return longest_idle_seconds(job, [key], now) >= CLAIM_AFTER_SECONDS
+    """Return whether a waiting lasting task has not run for ``LASTING_OVERDUE_SECONDS``."""
+    return longest_idle_seconds(job, [key], now) >= LASTING_OVERDUE_SECONDS
--- a/dotterelhill/jobs/placement/lasting_waits.py
+++ b/dotterelhill/jobs/placement/lasting_waits.py
@@ -86,7 +86,10 @@
 
 
 def explain_wait(
-    waiting: WaitingStep, minions: Iterable[tuple[Minion, Exclusion | None]], now: float
+    waiting: WaitingStep,
+    minions: Iterable[tuple[Minion, Exclusion | None]],
+    room_seconds: float,
+    now: float,
 ) -> WaitReport:
     """Return the waiting time of a step and the number of minions by what excludes them.
 
@@ -95,6 +98,7 @@
     reserved for other tasks, or there are no start orders left.
 
     :param minions: minions, each with the reason why no run may start on it
+    :param room_seconds: time for which the step has waited beside room for two of its tasks
     """
     reasons: Counter[str] = Counter()
     for minion, exclusion in minions:
@@ -107,6 +111,7 @@
         "task": str(waiting.keys[0]),
         "tasks": len(waiting.keys),
         "idle_ms": round(1000 * (now - min(idle_since))),
+        "room_ms": round(1000 * room_seconds),
         "cpu": step.room.cpu,
         "memory_mb": step.room.memory_mb,
         "minions": sum(reasons.values()),
--- a/dotterelhill/jobs/placement/placement.py
+++ b/dotterelhill/jobs/placement/placement.py
@@ -20,7 +20,6 @@
 from dotterelhill.jobs.placement.forced_starts import ForcedStarts
 from dotterelhill.jobs.placement.idle_jobs import idle_job_tasks
 from dotterelhill.jobs.placement.lasting_claims import (
-    CLAIM_AFTER_SECONDS,
     LastingClaims,
     has_overdue_task,
     is_overdue,
@@ -31,12 +30,14 @@
 from dotterelhill.jobs.placement.most_room import MostRoom
 from dotterelhill.jobs.placement.preemption import EmptiedMinion, Preemption
 from dotterelhill.jobs.placement.ranking import QueueLookup, Ranking
+from dotterelhill.jobs.placement.room_waits import RoomWaits
 from dotterelhill.jobs.placement.round_costs import RoundCosts
 from dotterelhill.jobs.placement.short_pool import ShortPool
 from dotterelhill.jobs.placement.start_options import Option, StartOptions
 from dotterelhill.jobs.placement.start_refusals import StartRefusals
 from dotterelhill.jobs.placement.task_size import TaskSize
 from dotterelhill.jobs.placement.waiting import (
+    LASTING_OVERDUE_SECONDS,
     JobOrder,
     OccurrenceStep,
     RankedJob,
@@ -103,6 +104,7 @@
         self._short_peak_cpu = 0.0
         self._short_peak_at = 0.0
         self._remaining_starts = UNLIMITED_STARTS
+        self._room_waits = RoomWaits(limits)
         self._short_pool = ShortPool(limits)
         self._lasting_claims = LastingClaims(limits, self._short_pool.is_closed)
         self._attempts = Attempts(self._lasting_claims)
@@ -175,6 +177,11 @@
         """Return the minions that are kept for short tasks."""
         return self._short_pool
 
+    @property
+    def room_waits(self) -> RoomWaits:
+        """Return the waits of overdue lasting steps beside room."""
+        return self._room_waits
+
     @property
     def start_refusals(self) -> StartRefusals:
         """Return the reasons why tasks do not start on minions with room for them."""
@@ -356,7 +363,7 @@
         """Return whether a waiting task could be the next one to start on a minion.
 
         False for members of gangs, and where a filler of another step has claimed the minion.
-        Claims do not hold up lasting tasks that have not run for ``CLAIM_AFTER_SECONDS``.
+        Claims do not hold up lasting tasks that have not run for ``LASTING_OVERDUE_SECONDS``.
 
         :param pool: minions of the service on which tasks may start
         :param yielding: tenant whose fillers have no claim on the minion
@@ -372,7 +379,7 @@
         idle_seconds = longest_idle_seconds(job, keys, now) if step.is_lasting else 0.0
         if self._keeps_slot(step, idle_seconds) and self._is_last_slot(step, pool):
             return False
-        is_before_claims = idle_seconds >= CLAIM_AFTER_SECONDS
+        is_before_claims = idle_seconds >= LASTING_OVERDUE_SECONDS
         reserved_cpu = self._reserved_cpu(step, pool, idle_seconds)
         identity = (job.job_id, keys[0].occurrence, keys[0].step)
         with self._filler_claims.without_claim_of(yielding, minion):
@@ -419,8 +426,8 @@
     ) -> Iterator[tuple[Job, TaskKey, Minion]]:
         """Yield starts by priority, timeliness and slack of their jobs.
 
-        Lasting tasks that have not run for ``CLAIM_AFTER_SECONDS`` come first, then fillers that
-        have claimed a minion: a steady sequence of tasks that rank before them could use up
+        Lasting tasks that have not run for ``LASTING_OVERDUE_SECONDS`` come first, then fillers
+        that have claimed a minion: a steady sequence of tasks that rank before them could use up
         ``max_starts`` in each round.
 
         The caller has to attach each run to its minion before it requests the next start.
@@ -443,6 +450,7 @@
             self._attempts.record_start(minion)
             self._minion_order.record_start(minion)
             self._short_pool.record_start(minion, now)
+            self._room_waits.record_start(minion, now)
 
     def _choose_starts(
         self,
@@ -457,6 +465,7 @@
         ranked = self._ranking.ranked
         ranked_lasting, ranked_fillers = self._ranking.ranked_lasting, self._ranking.ranked_fillers
         self._track_short_peak(minions, now)
+        self._room_waits.update(by_service, ranked_lasting, 0.0, now, unix_ms)
         for minion in self._short_pool.begin_round(by_service, ranked_lasting, now, unix_ms):
             self._attempts.record_change(minion)
         self._lasting_claims.update(ranked_lasting, by_service, self._failing, now, unix_ms)
@@ -833,7 +842,7 @@
         :param for_trial: minions on which one lasting task each may start; those that got one are
             removed
         :param is_overdue_only: whether to leave out all but the lasting tasks that have not run for
-            ``CLAIM_AFTER_SECONDS``
+            ``LASTING_OVERDUE_SECONDS``
         """
         job, tenant = waiting.job, waiting.job.submission.tenant
         for occurrence_step, keys in list(waiting.pending.items()):
@@ -972,7 +981,11 @@
 
     def _keeps_slot(self, step: Step, idle_seconds: float) -> bool:
         """Return whether a lasting task has to leave the last slot of its size to short tasks."""
-        return step.is_lasting and self._short_peak_cpu > 0.0 and idle_seconds < CLAIM_AFTER_SECONDS
+        return (
+            step.is_lasting
+            and self._short_peak_cpu > 0.0
+            and idle_seconds < LASTING_OVERDUE_SECONDS
+        )
 
     def _is_last_slot(self, step: Step, pool: Sequence[Minion]) -> bool:
         """Return whether the free capacity of all minions holds fewer than two tasks of a step."""
--- a/dotterelhill/jobs/placement/short_pool.py
+++ b/dotterelhill/jobs/placement/short_pool.py
@@ -23,8 +23,8 @@
 
 from dotterelhill.jobs.fleet import Minion, RunState
 from dotterelhill.jobs.model import Step, TaskKey
-from dotterelhill.jobs.placement.lasting_claims import CLAIM_AFTER_SECONDS
 from dotterelhill.jobs.placement.waiting import (
+    LASTING_OVERDUE_SECONDS,
     RankedJob,
     has_required_label,
     longest_idle_seconds,
@@ -169,7 +169,7 @@
                 for wait in _waiting_steps(service, ranked_lasting, now, unix_ms)
                 if self._limits.allowed_count(wait.tenant, wait.step, 1)
             ]
-            overdue = [one for one in waits if one.idle_seconds >= CLAIM_AFTER_SECONDS]
+            overdue = [one for one in waits if one.idle_seconds >= LASTING_OVERDUE_SECONDS]
             # A gang starts only where all its tasks fit, which one minion rarely decides.
             has_waits = any(not wait.step.is_gang for wait in waits)
             released += self._release_unused(service, now, has_waits=has_waits)
--- a/dotterelhill/jobs/placement/waiting.py
+++ b/dotterelhill/jobs/placement/waiting.py
@@ -13,6 +13,10 @@
 
 OccurrenceStep = tuple[int, int]
 
+# Short tasks have to leave a minion to a lasting task that has not run for this time. The platform
+# counts it from 6 s after its last run, which may be over when its run is known to be lost.
+LASTING_OVERDUE_SECONDS = 5.0
+
 
 @dataclass(slots=True, eq=False)
 class WaitingJob:
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -57,6 +57,7 @@
     StopOrder,
 )
 from dotterelhill.jobs.placement.failing_tasks import FailingTasks
+from dotterelhill.jobs.placement.filler_claims import step_id
 from dotterelhill.jobs.placement.lasting_waits import LastingWaits, explain_wait
 from dotterelhill.jobs.placement.look_ahead.reservations import Reservation
 from dotterelhill.jobs.placement.placement import UNLIMITED_STARTS, Placement
@@ -223,6 +224,11 @@
         """Return the minions on which room is reserved for large tasks."""
         return self._placement.look_ahead.by_minion
 
+    @property
+    def room_wait_seconds(self) -> float:
+        """Return the longest wait of an overdue lasting task beside room for two, in seconds."""
+        return self._placement.room_waits.longest_seconds
+
     @property
     def short_pool_minion_count(self) -> int:
         """Return the number of minions that are kept for short tasks."""
@@ -1252,7 +1258,8 @@
             return
         minions = [(minion, self._exclusion(minion, now)) for minion in self._minions.values()]
         for waiting in overdue:
-            report = explain_wait(waiting, minions, now)
+            room_seconds = self._placement.room_waits.seconds_of(step_id(waiting.keys[0]))
+            report = explain_wait(waiting, minions, room_seconds, now)
             fields, tenant = dict(report.fields), waiting.job.submission.tenant
             if tenant:
                 is_allowed = self._tenant_limits.allowed_count(tenant, waiting.step, 1) > 0
--- a/dotterelhill/jobs/tenants/exchanges.py
+++ b/dotterelhill/jobs/tenants/exchanges.py
@@ -10,8 +10,11 @@
 from dotterelhill.jobs.fleet import Minion
 from dotterelhill.jobs.interference.sharing import MIN_FILLER_CPU_SHARE
 from dotterelhill.jobs.model import Step
-from dotterelhill.jobs.placement.lasting_claims import CLAIM_AFTER_SECONDS
-from dotterelhill.jobs.placement.waiting import RankKey, longest_idle_seconds
+from dotterelhill.jobs.placement.waiting import (
+    LASTING_OVERDUE_SECONDS,
+    RankKey,
+    longest_idle_seconds,
+)
 from dotterelhill.jobs.resources import ResourceVector
 from dotterelhill.jobs.tenants.candidates import Candidate
 from dotterelhill.jobs.tenants.limits import TenantLimits
@@ -370,4 +373,4 @@
     """Return the loop time from which a waiting task precedes all others; infinite for never."""
     if not tasks.step.is_lasting:
         return inf
-    return now + CLAIM_AFTER_SECONDS - longest_idle_seconds(tasks.job, tasks.keys, now)
+    return now + LASTING_OVERDUE_SECONDS - longest_idle_seconds(tasks.job, tasks.keys, now)
