--- a/dotterelhill/jobs/tenants/exchanges.py
+++ b/dotterelhill/jobs/tenants/exchanges.py
@@ -184,13 +184,15 @@
 
         :param has_started: whether the task that takes the place is among the counted runs
         """
-        giver, run = exchange.candidate.owner, exchange.candidate.run
+        candidate = exchange.candidate
+        giver, minion, run = candidate.owner, candidate.minion, candidate.run
         released = _NOTHING.minus(run.step.room)
         self._changes[giver] = self._changes.get(giver, _NOTHING).plus(released)
         if not has_started:
             self._promise(exchange.taker, exchange.step, exchange.group)
         self._sort_groups()
-        if exchange.candidate.minion.runs.get(run.key) is run:
+        # The minion of a stopped run may have become unusable.
+        if minion in self._minions and minion.runs.get(run.key) is run:
             self._promise_rest(exchange, has_started=has_started)
 
     def _promise(self, owner: RunOwner, step: Step, key: tuple[object, ...]) -> None:
--- a/dotterelhill/jobs/tenants/tests/reclaim.feature
+++ b/dotterelhill/jobs/tenants/tests/reclaim.feature
@@ -306,6 +306,20 @@
     And 1 tasks of job "b" run
     And 7 tasks of job "a" run
 
+  Scenario: a round fails while a stopped run has not ended and no minion is usable any more
+    Given tenant "t" submits job "a" of 4 checkpointing fillers of 1 processors and 2 accelerators
+    And 1 seconds pass with orders carried out
+    And tenant "u" submits job "b" of 1 fillers of 1 processors and 1 accelerators
+    When seconds pass until a run is ordered to stop
+    And all minions fall silent
+    And tenant "u" submits job "l" of 1 lasting tasks of 1 processors and 1 accelerators
+    And 1 seconds pass with orders carried out
+    And the minions answer again
+    And 2 seconds pass with orders carried out
+    Then 1 runs were ordered to stop, all of job "a"
+    And 1 tasks of job "b" run
+    And 1 tasks of job "l" run
+
   Scenario Outline: one task is stopped again within 10 s (<leaders>)
     Given the minions have 1 accelerators
     And tenant "t" submits job "a" of 2 checkpointing fillers of 1 processors and 1 accelerators
--- a/dotterelhill/jobs/tenants/tests/steps/reclaim_steps.py
+++ b/dotterelhill/jobs/tenants/tests/steps/reclaim_steps.py
@@ -131,6 +131,19 @@
     context.platform.is_checkpointing = what == "reported again"
 
 
+@step(r"all minions fall silent")
+def silence_minions(context):
+    fleet = context.fleet
+    for minion in fleet.scheduler.minions.values():
+        fleet.silent.add(minion.minion_id)
+        fleet.scheduler.mark_minion_silent(minion, "no answer", fleet.now)
+
+
+@step(r"the minions answer again")
+def end_silence(context):
+    context.fleet.silent.clear()
+
+
 @when(r"no start order can be sent any more")
 def send_no_starts(context):
     fleet = context.fleet
