--- a/dotterelhill/jobs/tests/short_pool.feature
+++ b/dotterelhill/jobs/tests/short_pool.feature
@@ -86,3 +86,50 @@
     And the task of job "b" ends as "done"
     And short tasks of 4 processors run for 0.3 seconds each, with a pause of 0.3 seconds between them, for 8 seconds
     Then 18 starts of job "l" were sent
+
+  Scenario: a member of a lasting gang is stopped for a short task
+    Given job "g" of a gang of 8 lasting tasks of 4 processors
+    When 4 seconds pass in rounds
+    And job "b" of 1 tasks of 4 processors is submitted
+    And 1 second passes in rounds in which stopped runs end after 0.3 seconds
+    Then 8 starts of job "g" were sent
+    And 0 stops of job "g" were ordered
+
+  Scenario: a lasting run of a tenant is stopped for a short task
+    Given job "l" of 16 lasting tasks of 2 processors of tenant "t"
+    When 4 seconds pass in rounds
+    And job "b" of 1 tasks of 4 processors is submitted
+    And 1 second passes in rounds in which stopped runs end after 0.3 seconds
+    Then 16 starts of job "l" were sent
+    And 0 stops of job "l" were ordered
+
+  Scenario: lasting runs are stopped for a short task of a tenant beside those for another one
+    Given job "l" of 16 lasting tasks of 2 processors
+    When 4 seconds pass in rounds
+    And job "b" of 1 tasks of 4 processors is submitted
+    And job "c" of 1 tasks of 4 processors of tenant "t" is submitted
+    And 1 second passes in rounds in which stopped runs end after 0.3 seconds
+    Then 2 stops of job "l" were ordered
+
+  Scenario Outline: lasting runs are stopped for short tasks with <constraint>, which may not be able to use the room
+    Given job "l" of 16 lasting tasks of 2 processors
+    When 4 seconds pass in rounds
+    And job "b" of <tasks> is submitted
+    And 1 second passes in rounds in which stopped runs end after 0.3 seconds
+    Then 0 stops of job "l" were ordered
+
+    Examples:
+      | constraint    | tasks                                           |
+      | a label       | 1 task of 1 processors that requires label "r1" |
+      | anti-affinity | 1 tasks of 4 processors, at most 1 on a minion  |
+      | a gang        | a gang of 2 tasks of 4 processors               |
+
+  Scenario: a new leader stops a lasting task again soon after its start, since it does not know of the first stop
+    Given job "k" of 7 lasting tasks of 4 processors of which 0 may be missing
+    And job "l" of 1 lasting tasks of 4 processors
+    When 4 seconds pass in rounds
+    And short tasks of 4 processors come every 10 seconds for 10 seconds
+    And a new leader takes over
+    And short tasks of 4 processors come every 10 seconds for 20 seconds
+    Then 1 stops of job "l" were ordered
+    And 2 starts of job "l" were sent
--- a/dotterelhill/jobs/tests/steps/scheduler_steps.py
+++ b/dotterelhill/jobs/tests/steps/scheduler_steps.py
@@ -40,36 +40,63 @@
         context.fleet.list_minion(name, 1000 * int(cpu))
 
 
-@given(r'job "(?P<job>\w+)" of (?P<count>\d+) tasks? of (?P<cpu>\d+) processors')
-@when(r'job "(?P<job>\w+)" of (?P<count>\d+) tasks? of (?P<cpu>\d+) processors is submitted')
-def submit(context, job, count, cpu):
-    context.fleet.submit(job, (tasks(int(count), int(cpu)),))
+@given(
+    r'job "(?P<job>\w+)" of (?P<count>\d+) tasks? of (?P<cpu>\d+) processors'
+    r'(?: of tenant "(?P<tenant>\w+)")?'
+)
+@when(
+    r'job "(?P<job>\w+)" of (?P<count>\d+) tasks? of (?P<cpu>\d+) processors'
+    r'(?: of tenant "(?P<tenant>\w+)")? is submitted'
+)
+def submit(context, job, count, cpu, tenant):
+    context.fleet.submit(job, (tasks(int(count), int(cpu)),), tenant=tenant or "")
 
 
-@given(r'job "(?P<job>\w+)" of (?P<count>\d+) lasting tasks? of (?P<cpu>\d+) processors')
+@given(
+    r'job "(?P<job>\w+)" of (?P<count>\d+) lasting tasks? of (?P<cpu>\d+) processors'
+    r'(?: of tenant "(?P<tenant>\w+)")?'
+)
 @when(
-    r'job "(?P<job>\w+)" of (?P<count>\d+) lasting tasks? of (?P<cpu>\d+) processors is submitted'
+    r'job "(?P<job>\w+)" of (?P<count>\d+) lasting tasks? of (?P<cpu>\d+) processors'
+    r'(?: of tenant "(?P<tenant>\w+)")? is submitted'
 )
-def submit_lasting(context, job, count, cpu):
-    context.fleet.submit(job, (tasks(int(count), int(cpu), is_lasting=True),))
+def submit_lasting(context, job, count, cpu, tenant):
+    step = tasks(int(count), int(cpu), is_lasting=True)
+    context.fleet.submit(job, (step,), tenant=tenant or "")
 
 
 @given(
     r'job "(?P<job>\w+)" of (?P<count>\d+) tasks of (?P<cpu>\d+) processors, '
     r"at most (?P<maximum>\d+) on a minion"
 )
+@when(
+    r'job "(?P<job>\w+)" of (?P<count>\d+) tasks of (?P<cpu>\d+) processors, '
+    r"at most (?P<maximum>\d+) on a minion is submitted"
+)
 def submit_with_anti_affinity(context, job, count, cpu, maximum):
     context.fleet.submit(job, (tasks(int(count), int(cpu), anti_affinity=int(maximum)),))
 
 
 @given(r'job "(?P<job>\w+)" of 1 task of 1 processors that requires label "(?P<label>\w+)"')
+@when(
+    r'job "(?P<job>\w+)" of 1 task of 1 processors that requires label "(?P<label>\w+)" '
+    r"is submitted"
+)
 def submit_labelled(context, job, label):
     context.fleet.submit(job, (tasks(1, 1, required_label=label),))
 
 
-@given(r'job "(?P<job>\w+)" of a gang of (?P<count>\d+) tasks of (?P<cpu>\d+) processors')
-def submit_gang(context, job, count, cpu):
-    context.fleet.submit(job, (tasks(int(count), int(cpu), is_gang=True),))
+@given(
+    r'job "(?P<job>\w+)" of a gang of (?P<count>\d+) (?P<lasting>lasting )?tasks '
+    r"of (?P<cpu>\d+) processors"
+)
+@when(
+    r'job "(?P<job>\w+)" of a gang of (?P<count>\d+) (?P<lasting>lasting )?tasks '
+    r"of (?P<cpu>\d+) processors is submitted"
+)
+def submit_gang(context, job, count, lasting, cpu):
+    step = tasks(int(count), int(cpu), is_gang=True, is_lasting=bool(lasting))
+    context.fleet.submit(job, (step,))
 
 
 @given(r'job "(?P<job>\w+)" of steps of (?P<first>\d+) and (?P<second>\d+) tasks')
