--- a/dotterelhill/jobs/tests/short_pool.feature
+++ b/dotterelhill/jobs/tests/short_pool.feature
@@ -87,6 +87,17 @@
     And short tasks of 4 processors run for 0.3 seconds each, with a pause of 0.3 seconds between them, for 8 seconds
     Then 18 starts of job "l" were sent
 
+  Scenario: a short task takes room outside the pool while a minion of the pool has room for it
+    Given job "l" of 8 lasting tasks of 4 processors
+    When 4 seconds pass in rounds
+    And job "b" of 1 tasks of 2 processors is submitted
+    And 1 second passes in rounds in which stopped runs end after 0.3 seconds
+    And minion "m9" of 1 processors is listed
+    And job "c" of 1 tasks of 1 processors is submitted
+    And 2 rounds pass
+    Then job "c" has started
+    And none was sent to "m9"
+
   Scenario: a member of a lasting gang is stopped for a short task
     Given job "g" of a gang of 8 lasting tasks of 4 processors
     When 4 seconds pass in rounds
@@ -133,3 +144,66 @@
     And short tasks of 4 processors come every 10 seconds for 20 seconds
     Then 1 stops of job "l" were ordered
     And 2 starts of job "l" were sent
+
+  Scenario: room goes to the first lasting step by rank while another one has waited beside room for long
+    Given job "l" of 16 lasting tasks of 2 processors on queue "long"
+    When 4 seconds pass in rounds
+    And job "a" of 1 lasting tasks of 4 processors is submitted
+    And job "b" of 1 tasks of 4 processors is submitted
+    And 7 seconds pass in rounds in which stopped runs end after 0.3 seconds
+    And the task of job "b" ends as "done"
+    And 0.8 seconds pass in rounds
+    And job "c" of 1 tasks of 4 processors is submitted
+    And 0.3 seconds pass in rounds
+    And minion "m9" of 4 processors is listed
+    And 1 rounds pass
+    Then job "c" has started
+    And 18 starts of job "l" were sent
+    And 0 starts of job "a" were sent
+
+  Scenario: of two lasting steps that have waited beside room for long, the first by rank gets room, not the one that waits longer
+    Given job "l" of 16 lasting tasks of 2 processors on queue "long"
+    When 4 seconds pass in rounds
+    And job "b" of 1 tasks of 4 processors is submitted
+    And 0.7 seconds pass in rounds in which stopped runs end after 0.3 seconds
+    And job "a" of 1 lasting tasks of 2 processors is submitted
+    And 4 seconds pass in rounds
+    And the task of job "b" ends as "done"
+    And 1.7 seconds pass in rounds
+    And job "c" of 1 tasks of 4 processors is submitted
+    And 0.4 seconds pass in rounds
+    And minion "m9" of 2 processors is listed
+    And 1 rounds pass
+    Then 17 starts of job "l" were sent
+    And 0 starts of job "a" were sent
+
+  Scenario: a due lasting step that finds no room claims all minions of the pool, so that no short task starts there
+    Given job "l" of 8 lasting tasks of 4 processors
+    When 4 seconds pass in rounds
+    And job "b" of 4 tasks of 2 processors is submitted
+    And 7 seconds pass in rounds in which stopped runs end after 0.3 seconds
+    And all tasks of job "b" end as "done"
+    And 0.8 seconds pass in rounds
+    And job "c" of 3 tasks of 2 processors is submitted
+    And 0.3 seconds pass in rounds
+    And one task of job "c" ends as "done"
+    And job "d" of 2 tasks of 2 processors is submitted
+    And 1 rounds pass
+    Then 3 starts of job "c" were sent
+    And 1 starts of job "d" were sent
+
+  Scenario: a due lasting step claims all minions whose starts have no answer yet, so that no short task starts beside them
+    Given a fleet with minions "m1 m2 m3 m4 m5 m6 m7 m8 m9 m10 m11 m12" of 4 processors
+    And job "l" of 12 lasting tasks of 4 processors
+    When 4 seconds pass in rounds
+    And job "b" of 3 tasks of 3 processors is submitted
+    And 7 seconds pass in rounds in which stopped runs end after 0.3 seconds
+    And all tasks of job "b" end as "done"
+    And 0.9 seconds pass in rounds
+    And job "c" of 3 tasks of 3 processors is submitted
+    And a round passes in which starts are carried out without an answer
+    And job "d" of 3 tasks of 1 processors is submitted
+    And the scheduler plans
+    And the plan is stored
+    Then 3 starts of job "c" were sent
+    And 1 starts of job "d" were sent
--- a/dotterelhill/jobs/tests/steps/short_pool_steps.py
+++ b/dotterelhill/jobs/tests/steps/short_pool_steps.py
@@ -36,7 +36,7 @@
 
 
 @when(
-    r"(?P<seconds>\d+) seconds? pass(?:es)? in rounds in which stopped runs end "
+    r"(?P<seconds>[\d.]+) seconds? pass(?:es)? in rounds in which stopped runs end "
     r"after (?P<stop_seconds>[\d.]+) seconds"
 )
 def run_rounds_with_stops(context, seconds, stop_seconds):
