--- a/dotterelhill/control/tests/cluster_world.py
+++ b/dotterelhill/control/tests/cluster_world.py
@@ -140,6 +140,8 @@
         self._processor = processor
         self.is_down = False
         self.is_silent = False
+        # Whether the process reaches nothing outside its failure domain.
+        self.is_cut_off = False
         self.silent_streams: set[Stream] = set()
         self.streams_without_newest: set[Stream] = set()
         # Number of newest records in one page, and the pages after which each read of them fails.
@@ -156,7 +158,7 @@
             await self._processor.use()
         await asyncio.sleep(self.latency_seconds)
         await asyncio.sleep(SLOW_CALL_SECONDS if self._store.is_slow else CALL_SECONDS)
-        if self.is_silent or stream in self.silent_streams:
+        if self.is_silent or self.is_cut_off or stream in self.silent_streams:
             await asyncio.sleep(1.2)
             raise StoreError("no answer", is_effect_unknown=True)
         if self.is_down:
@@ -203,6 +205,9 @@
         await self._reach(stream)
         waited = 0.0
         while True:
+            if self.is_cut_off:
+                await asyncio.sleep(1.2)
+                raise StoreError("no answer", is_effect_unknown=True)
             batch = self._store.read((stream, partition), start)
             if batch.records or waited >= wait_seconds:
                 return batch
@@ -419,9 +424,8 @@
 
     def choose_witness(self, current):
         witnesses = []
-        for process in self._cluster.processes.values():
-            if process.is_running and process.name != self._name and self._cluster.has_witnesses:
-                witnesses.append(Witness(process.leadership.incarnation, process.name))
+        for process in self._cluster.possible_witnesses(self._name):
+            witnesses.append(Witness(process.leadership.incarnation, process.name))
         return current if current in witnesses else next(iter(witnesses), None)
 
 
@@ -436,6 +440,9 @@
         await asyncio.sleep(CALL_SECONDS)
         if self._caller.is_cut_off:
             raise PeerUnreachableError("no answer")
+        if not self._cluster.has_path(self._caller.name, address):
+            await asyncio.sleep(PEER_TIMEOUT_SECONDS)
+            raise PeerUnreachableError("no answer")
         process = self._cluster.processes.get(address)
         if process is None or not process.is_running:
             raise PeerUnreachableError("refused", is_refused=True, is_effect_unknown=False)
@@ -513,13 +520,14 @@
         cpu, *more = (record.value or b"").decode().split("@")
         if not cpu.isdigit():
             return None
-        born_ms, address, state = more + ["1", record.key, "ready"][len(more) :]
+        defaults = ["1", record.key, "ready", "caxias"]
+        born_ms, address, state, failure_domain = more + defaults[len(more) :]
         return MinionFacts(
             record.key,
             int(born_ms),
             "pool",
             address,
-            "caxias",
+            failure_domain,
             ("a", "r1"),
             ResourceVector(int(cpu), MEMORY_MB),
             is_draining=state == "draining",
@@ -556,7 +564,7 @@
         self.is_running = True
         # Whether it reaches no other process.
         self.is_cut_off = False
-        self.minions = cluster.new_minion_client()
+        self.minions = cluster.new_minion_client(name)
         self.store = StoreView(cluster.store, self.minions.processor)
         observed = ObservedStore(self.store, cluster.loop.time)
         self.metrics = LocalMetrics()
@@ -587,7 +595,7 @@
                     self.leadership,
                     SchedulerSettings(HOLD_SECONDS, 120.0, 4.0, CAPACITY_VALID_SECONDS),
                     clock,
-                    lambda: int(1000 * cluster.loop.time()),
+                    lambda: cluster.unix_ms(name),
                     rng,
                     self.metrics,
                     slices,
@@ -628,7 +636,8 @@
         if sender is None or sender.leadership.incarnation != incarnation:
             return None
         delay = self._cluster.message_seconds
-        newest = min(self._cluster.loop.time() - delay, sender.gone_at)
+        connected_until = self._cluster.connected_until(self.name, sender.name)
+        newest = min(self._cluster.loop.time() - delay, sender.gone_at, connected_until)
         sent_at = newest - newest % HEARTBEAT_SECONDS
         return LeaderClock(incarnation, sender.clock.at(sent_at), self.clock.at(sent_at + delay))
 
@@ -681,9 +690,28 @@
         for name in names:
             self.start(name)
 
-    def new_minion_client(self) -> FakeMinions:
+    def new_minion_client(self, name: str) -> FakeMinions:
         return FakeMinions(self)
 
+    def possible_witnesses(self, name: str) -> list[Process]:
+        """Return the processes that may be the witness of a leader, all placed equally well."""
+        if not self.has_witnesses:
+            return []
+        processes = self.processes.values()
+        return [process for process in processes if process.is_running and process.name != name]
+
+    def has_path(self, caller: str, address: str) -> bool:
+        """Return whether calls of a process reach the process or minion at an address."""
+        return True
+
+    def connected_until(self, receiver: str, sender: str) -> float:
+        """Return the time until which messages of one process reached another one."""
+        return self.loop.time()
+
+    def unix_ms(self, name: str) -> int:
+        """Return the wall-clock time of a process."""
+        return int(1000 * self.loop.time())
+
     def crash(self, name: str, born_ms: int) -> None:
         """Crash an incarnation of a minion, which is back seconds later as another one."""
         minion = self.minions[name]
--- a/dotterelhill/control/tests/steps/takeover_steps.py
+++ b/dotterelhill/control/tests/steps/takeover_steps.py
@@ -4,13 +4,12 @@
 
 from behave import then, use_step_matcher, when
 
-from dotterelhill.control.tests.takeover_world import play
+from dotterelhill.control.tests import domain_world, takeover_world
 
 use_step_matcher("re")
 
 
-@when(r'days with changes of the leader are played with seeds "(?P<seeds>[^"]*)"')
-def play_days(context, seeds):
+def play_days(context, play, seeds):
     context.faults, context.counts = [], Counter()
     for seed in seeds.split():
         faults, counts = play(int(seed))
@@ -18,6 +17,16 @@
         context.counts += counts
 
 
+@when(r'days with changes of the leader are played with seeds "(?P<seeds>[^"]*)"')
+def play_leader_days(context, seeds):
+    play_days(context, takeover_world.play, seeds)
+
+
+@when(r'days with troubles of failure domains and clocks are played with seeds "(?P<seeds>[^"]*)"')
+def play_domain_days(context, seeds):
+    play_days(context, domain_world.play, seeds)
+
+
 @then(r"no work was forgotten, doubled or left waiting")
 def check_faults(context):
     assert not context.faults, context.faults
@@ -27,3 +36,15 @@
 def check_coverage(context, count):
     assert context.counts["kills"] >= int(count), context.counts
     assert context.counts["late calls without effect"] > 0, context.counts
+
+
+@then(
+    r"failure domains lost power (?P<losses>\d+) times and were cut off (?P<cuts>\d+) times, "
+    r"and clocks were set (?P<steps>\d+) times"
+)
+def check_domain_coverage(context, losses, cuts, steps):
+    counts = context.counts
+    assert counts["domains without power"] >= int(losses), counts
+    assert counts["domains cut off"] >= int(cuts), counts
+    assert counts["steps of clocks"] >= int(steps), counts
+    assert counts["minions reborn under their ids"] > 0, counts
--- a/dotterelhill/control/tests/takeover_world.py
+++ b/dotterelhill/control/tests/takeover_world.py
@@ -74,6 +74,9 @@
     is_alive: bool = True
     is_draining: bool = False
     is_listed: bool = False
+    # Difference of its wall clock from the time of the cluster.
+    wall_offset: float = 0.0
+    max_hold_ms: float = float("inf")
     fence: int = 0
     lease_ms: int = 0
     count: int = 0
@@ -85,7 +88,7 @@
 
     @property
     def born_ms(self) -> int:
-        return int(1000 * self.born_at) + 1
+        return int(1000 * (self.born_at + self.wall_offset)) + 1
 
     def clock_ms(self, now: float) -> int:
         return int(1000 * self.rate * (now - self.born_at))
@@ -133,11 +136,15 @@
             raise FencedByMinionError("fence")
         self.fence = epoch
 
+    def extend_lease(self, now: float, deadline_ms: int) -> None:
+        longest_ms = int(min(deadline_ms, self.clock_ms(now) + self.max_hold_ms))
+        self.lease_ms = max(self.lease_ms, longest_ms)
+
     def start(self, now: float, order, deadline_ms: int, seconds: float) -> StartOutcome:
         key, run_id, step = order.run.key, order.run.run_id, order.run.step
         if deadline_ms <= self.clock_ms(now):
             return StartOutcome.LATE
-        self.lease_ms = max(self.lease_ms, deadline_ms)
+        self.extend_lease(now, deadline_ms)
         known = self.running.get(key)
         if known is not None and known.run_id == run_id:
             return StartOutcome.STARTED
@@ -166,6 +173,14 @@
 class FleetMinions(FakeMinions):
     """Minion client of one process, whose calls get lost or are carried out late."""
 
+    def __init__(self, cluster: Fleet, process_name: str) -> None:
+        super().__init__(cluster)
+        self._process_name = process_name
+
+    def _is_lost(self, address: str) -> bool:
+        """Return whether no call or answer passes between the process and a minion."""
+        return self.is_cut_off or not self._cluster.has_path(self._process_name, address)
+
     async def _send(self, known, epoch, carry_out):
         """Carry out a call at the address of a minion, or lose it; return its result."""
         cluster = self._cluster
@@ -173,7 +188,7 @@
 
         def arrive():
             minion = cluster.by_address.get(known.facts.address)
-            if minion is None or known.facts.address in cluster.cut_addresses:
+            if minion is None or address in cluster.cut_addresses:
                 raise MinionError("refused")
             minion.accept(cluster.loop.time(), epoch, known.minion_id)
             return carry_out(minion)
@@ -184,7 +199,8 @@
             except MinionError:
                 cluster.counts["late calls without effect"] += 1
 
-        if self.is_cut_off or known.facts.address in cluster.cut_addresses:
+        address = known.facts.address
+        if self._is_lost(address) or address in cluster.cut_addresses:
             await asyncio.sleep(CALL_TIMEOUT_SECONDS)
             raise MinionError("no answer")
         # The order of calls at one moment varies, so each minion has its own sequence of faults.
@@ -192,7 +208,7 @@
         if random.random() >= cluster.call_fault_share:
             result = arrive()
             await asyncio.sleep(CALL_SECONDS)
-            if self.is_cut_off:
+            if self._is_lost(address):
                 raise MinionError("no answer")
             return result
         match random.randrange(3):
@@ -237,7 +253,7 @@
 
         def carry_out(fleet_minion):
             if deadline_ms is not None:
-                fleet_minion.lease_ms = max(fleet_minion.lease_ms, deadline_ms)
+                fleet_minion.extend_lease(cluster.loop.time(), deadline_ms)
             return fleet_minion
 
         durable_end = minion.durable_end
@@ -248,6 +264,9 @@
             fleet_minion.advance(now)
             if not fleet_minion.is_alive or self.is_cut_off:
                 raise MinionError("connection reset")
+            if self._is_lost(fleet_minion.address):
+                await asyncio.sleep(answer_at + CALL_TIMEOUT_SECONDS - now)
+                raise MinionError("no answer")
             has_end = any(end.number > durable_end for end in fleet_minion.ended)
             if has_end or now >= answer_at:
                 report = fleet_minion.report(now, durable_end)
@@ -291,8 +310,8 @@
             self.add_minion(f"h{number}")
         self.advance(3.0)
 
-    def new_minion_client(self) -> FakeMinions:
-        return FleetMinions(self)
+    def new_minion_client(self, name: str) -> FakeMinions:
+        return FleetMinions(self, name)
 
     @property
     def now(self) -> float:
@@ -308,14 +327,23 @@
 
     # Minions
 
-    def add_minion(self, address: str) -> FleetMinion:
-        name = f"i{len(self.every_minion)}"
+    def add_minion(self, address: str) -> None:
+        self.begin_minion(f"i{len(self.every_minion)}", address)
+
+    def begin_minion(self, name: str, address: str) -> None:
         rate = self.random.uniform(0.98, 1.0)
         minion = FleetMinion(name, address, self.now, rate, self.is_guarded)
+        self.prepare_minion(minion)
         self.every_minion.append(minion)
         self.by_address[address] = minion
         self.write_entry(minion)
-        return minion
+
+    def prepare_minion(self, minion: FleetMinion) -> None:
+        """Set what depends on the kind of fleet, before the minion is listed."""
+
+    def entry_of(self, minion: FleetMinion) -> str:
+        state = "draining" if minion.is_draining else "ready"
+        return f"{CPU}@{minion.born_ms}@{minion.address}@{state}"
 
     def write_entry(self, minion: FleetMinion) -> None:
         """Write the entry of a minion, or remove it, when the store can be reached."""
@@ -323,10 +351,7 @@
             self.at(self._store_away_until - self.now + 0.2, lambda: self.write_entry(minion))
             return
         minion.is_listed = minion.is_alive
-        value = None
-        if minion.is_alive:
-            state = "draining" if minion.is_draining else "ready"
-            value = f"{CPU}@{minion.born_ms}@{minion.address}@{state}".encode()
+        value = self.entry_of(minion).encode() if minion.is_alive else None
         self.store.streams[Stream.MINIONS, 0].append(Record(minion.minion_id, value))
 
     def drain(self, minion: FleetMinion, seconds: float) -> None:
@@ -349,7 +374,10 @@
         minion.terminate(self.now)
         self.at(ENTRY_SECONDS, lambda: self.write_entry(minion))
         if down_seconds is not None:
-            self.at(down_seconds, lambda: self.add_minion(minion.address))
+            self.at(down_seconds, lambda: self.replace_crashed(minion))
+
+    def replace_crashed(self, minion: FleetMinion) -> None:
+        self.add_minion(minion.address)
 
     def cut_off(self, minion: FleetMinion, seconds: float) -> None:
         """Lose all calls to a minion for a time, in which its entry may be removed."""
@@ -364,12 +392,15 @@
 
         self.at(seconds, end)
 
+    def is_reached(self, minion: FleetMinion) -> bool:
+        return minion.address not in self.cut_addresses
+
     @property
     def usable(self) -> list[FleetMinion]:
         found = []
         for minion in self.every_minion:
-            is_reached = minion.address not in self.cut_addresses
-            if minion.is_alive and minion.is_listed and not minion.is_draining and is_reached:
+            is_ready = minion.is_alive and minion.is_listed and not minion.is_draining
+            if is_ready and self.is_reached(minion):
                 found.append(minion)
         return found
 
@@ -419,6 +450,9 @@
 
             def end(process=process) -> None:
                 self.note_trouble()
+                if process.store.is_down:
+                    # It was killed meanwhile.
+                    return
                 process.store.is_silent = process.minions.is_cut_off = False
                 process.is_running, process.gone_at = True, float("inf")
 
@@ -532,6 +566,10 @@
             for _ in range(random.randint(0, 2)):
                 self.at(random.uniform(2.0, 25.0), self.cut_some)
                 self.at(random.uniform(2.0, 25.0), self.crash_for_good)
+        self.plan_submissions()
+
+    def plan_submissions(self) -> None:
+        random = self.random
         for number in range(40):
             seconds = 0.2 if number < 12 else random.uniform(0.0, TROUBLE_SECONDS)
             self.at(seconds, self.submit_random)
@@ -557,11 +595,11 @@
             case _:
                 first = Step(count, room, random.uniform(0.3, 2.0))
                 steps = (first, Step(2, room, 0.5, after=(0,)))[: random.randint(1, 2)]
-        submission = Submission(job_id, QUEUE, int(1000 * self.now), "spec", steps)
         running = [process for process in self.processes.values() if process.is_running]
         if not running:
             return
         process = random.choice(running)
+        submission = Submission(job_id, QUEUE, self.unix_ms(process.name), "spec", steps)
 
         async def send() -> None:
             try:
