--- a/dotterelhill/control/election.py
+++ b/dotterelhill/control/election.py
@@ -336,8 +336,14 @@
         if state.claim is not None and condition is not LeaderCondition.GONE:
             return self._detector.renewals_end(state, self._clock_of(state.claim))
         now = self._clock()
-        # The leader that is gone was itself waiting for renewals of one before it.
-        return now if state.is_settled else now + state.settles_in
+        if state.is_settled:
+            return now
+        # The leader that is gone was itself waiting for renewals of one before it, which were sent
+        # before its own newest record.
+        clock = None if state.claim is None else self._clock_of(state.claim)
+        stored_by = self._detector.newest_renewal_by(state, clock)
+        seconds = state.settles_in / (1.0 - MAX_CLOCK_DRIFT)
+        return min(now + state.settles_in, stored_by + seconds)
 
     def _unwitnessed_renewals_end(self, state: LeadershipState) -> float:
         """Return until when earlier leaders may renew leases if no witness answers them."""
--- a/dotterelhill/control/tests/cluster.feature
+++ b/dotterelhill/control/tests/cluster.feature
@@ -266,6 +266,16 @@
     And 7 seconds pass
     Then each lost task of job "j" has started elsewhere
 
+  Scenario: The wait for a lost minion begins with the claim, though the leader before was seen to end earlier
+    Given processes "a b c d" with clocks of different origin that have run for 3 seconds
+    When job "j" of 4 tasks of 40 seconds is submitted at a process that does not lead
+    And 1 seconds pass
+    And the leader is killed
+    And the next leader is killed for 1 second as soon as it leads
+    And a minion with tasks of job "j" stops answering
+    And 9.2 seconds pass
+    Then each lost task of job "j" has started elsewhere
+
   Scenario Outline: A new leader waits for a whole lease of a minion that its predecessor could not reach
     When job "j" of 4 tasks of 40 seconds is submitted at a process that does not lead
     And 1 seconds pass
@@ -594,6 +604,7 @@
       | end                         |
       | resigns                     |
       | is killed and starts again  |
+      | is killed for 1 second      |
       | falls silent                |
 
   @single-place
--- a/dotterelhill/control/tests/steps/cluster_steps.py
+++ b/dotterelhill/control/tests/steps/cluster_steps.py
@@ -174,7 +174,9 @@
 
 
 @when(
-    r"the next leader (?P<end>resigns|is killed and starts again|falls silent) as soon as it leads"
+    r"the next leader "
+    r"(?P<end>resigns|is killed and starts again|is killed for 1 second|falls silent) "
+    r"as soon as it leads"
 )
 def end_next_leader(context, end):
     cluster = context.cluster
@@ -193,6 +195,8 @@
         else:
             unreachable = cluster.processes[names[0]].minions.unreachable
             cluster.kill(names[0])
+            if end == "is killed for 1 second":
+                cluster.advance(1.0)
             cluster.start(names[0])
             cluster.processes[names[0]].minions.unreachable = unreachable
         return
