--- a/dotterelhill/jobs/placement/room_waits.py
+++ b/dotterelhill/jobs/placement/room_waits.py
@@ -37,6 +37,7 @@
 STARTING_SECONDS = 1.0
 # With rounds further apart, the wait counts as longer by two rounds beyond this time.
 USUAL_ROUND_SECONDS = 0.1
+PRESENT_STATES = (RunState.PRESENT, RunState.STOPPING)
 
 
 @dataclass(slots=True)
@@ -219,10 +220,10 @@
 
 def present_free(minion: Minion) -> ResourceVector:
     """Return the capacity that no run reserves which is known to be present."""
-    free = minion.facts.capacity
+    free = minion.free
     for run in minion.runs.values():
-        if run.state in (RunState.PRESENT, RunState.STOPPING):
-            free = free.minus(run.step.reserved_resources)
+        if run.state not in PRESENT_STATES:
+            free = free.plus(run.step.reserved_resources)
     return free
 
 
