--- a/dotterelhill/control/tests/relays.feature
+++ b/dotterelhill/control/tests/relays.feature
@@ -138,3 +138,19 @@
   Scenario: a minion gets the payload of another job when more jobs start tasks than a relay keeps payloads
     When 3 tasks of each of 300 jobs with a payload of 4000 bytes are started in turn
     Then each minion got its start order with that payload
+
+  # A poll is due each 1.2 s. So that a lease of 6 s outlasts two lost ones, none may wait for 0.8 s.
+  Scenario Outline: polls that renew leases wait behind start orders on the leader's link
+    Given a link of the leader that carries 250000 bytes a second
+    And minions that answer after <seconds> seconds
+    When <count> jobs with a payload of 4000 bytes start a task each, and every minion is polled for 6 seconds
+    Then each poll is answered within 0.8 seconds
+    And no relay takes the leader for silent
+    And at least <started> tasks have started, and the other orders were not sent
+
+    Examples:
+      | count | seconds | started |
+      | 32    | 0.002   | 32      |
+      | 130   | 0.002   | 110     |
+      | 400   | 0.002   | 110     |
+      | 130   | 0.4     | 60      |
--- a/dotterelhill/control/tests/steps/relay_steps.py
+++ b/dotterelhill/control/tests/steps/relay_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import Counter
+from itertools import pairwise
 
 import looptime
 import msgspec
@@ -20,12 +21,18 @@
 )
 from dotterelhill.control.loop_lag import LoopLag
 from dotterelhill.control.relay_client import RelaySession
-from dotterelhill.control.relay_messages import ENCODER, LEADER_DECODER, Hello, RelayMessage
+from dotterelhill.control.relay_messages import (
+    ENCODER,
+    LEADER_DECODER,
+    SILENCE_SECONDS,
+    Hello,
+    RelayMessage,
+)
 from dotterelhill.control.relay_pool import RelayPool
 from dotterelhill.control.tests.cluster_world import MemoryStore, StoreView
 from dotterelhill.jobs.fleet import Minion, MinionFacts, Run, RunState
 from dotterelhill.jobs.model import Step, TaskKey
-from dotterelhill.jobs.orders import StartOrder
+from dotterelhill.jobs.orders import StartOrder, StartOutcome
 from dotterelhill.jobs.resources import ResourceVector
 from dotterelhill.platform.minions import PlatformMinions
 
@@ -33,6 +40,9 @@
 
 DOMAIN = "caxias"
 LEADER = "leader/1"
+# Data in the buffers of a connection, as time on its link.
+BUFFERED_SECONDS = 0.25
+POLL_INTERVAL_SECONDS = 1.2
 
 
 class FakeCaller:
@@ -43,6 +53,7 @@
         self.bodies: list[bytes] = []
         self.failing_minion = ""
         self.unreachable_minion = ""
+        self.answer_seconds = 0.002
 
     async def call(self, call: MinionCall) -> MinionAnswer:
         self.calls[call.minion_id] += 1
@@ -51,27 +62,49 @@
             raise ValueError("unexpected")
         if call.minion_id == self.unreachable_minion:
             raise MinionError("no answer")
-        await asyncio.sleep(0.002 + call.wait_seconds)
+        await asyncio.sleep(self.answer_seconds + call.wait_seconds)
         return MinionAnswer(200, call.minion_id.encode())
 
 
+class SlowLink:
+    """Link of the leader's VM, on which the messages to all relays follow each other."""
+
+    def __init__(self, loop, bytes_per_second: float) -> None:
+        self._loop = loop
+        self._bytes_per_second = bytes_per_second
+        self._free_at = 0.0
+
+    def occupy(self, data: bytes) -> float:
+        """Return the time until which the link is occupied when it has carried a message."""
+        begins_at = max(self._free_at, self._loop.time())
+        self._free_at = begins_at + len(data) / self._bytes_per_second
+        return self._free_at
+
+
 class FakeSocket:
     """One direction of a connection, whose messages can be delayed or lost."""
 
     def __init__(self, receive) -> None:
         self.receive = receive
         self.delay_seconds = 0.001
+        self.link: SlowLink | None = None
         self.is_cut = False
         self.closing_seconds = 0.0
         self.is_closed = False
         self.messages: list[bytes] = []
+        self.delivered_at: list[float] = []
 
     async def send_bytes(self, data: bytes) -> None:
         self.messages.append(data)
-        asyncio.get_running_loop().call_later(self.delay_seconds, self._deliver, data)
+        loop = asyncio.get_running_loop()
+        sent_at = loop.time() if self.link is None else self.link.occupy(data)
+        loop.call_at(sent_at + self.delay_seconds, self._deliver, data)
+        # What fits into the buffers of the connection does not keep the sender waiting.
+        await asyncio.sleep(sent_at - loop.time() - BUFFERED_SECONDS)
 
     def _deliver(self, data: bytes) -> None:
         if not self.is_cut and not self.is_closed:
+            self.delivered_at.append(asyncio.get_running_loop().time())
             self.receive(data)
 
     async def close(self) -> None:
@@ -137,18 +170,19 @@
 
         self.run(add())
 
-    def call_all(self, wait_seconds: float = 0.0, meanwhile=None) -> None:
-        async def call(minion_id: str) -> None:
-            started_at = self.loop.time()
-            request = MinionCall("h:1", minion_id, DOMAIN, "/hold", b"{}", wait_seconds)
-            try:
-                result: object = await self.pool.call(request)
-            except MinionError as error:
-                result = error
-            self.results.append((minion_id, result, self.loop.time() - started_at))
+    async def call(self, minion_id: str, wait_seconds: float = 0.0) -> None:
+        started_at = self.loop.time()
+        request = MinionCall("h:1", minion_id, DOMAIN, "/hold", b"{}", wait_seconds)
+        try:
+            result: object = await self.pool.call(request)
+        except MinionError as error:
+            result = error
+        self.results.append((minion_id, result, self.loop.time() - started_at))
 
+    def call_all(self, wait_seconds: float = 0.0, meanwhile=None) -> None:
         async def call_all() -> None:
-            tasks = [asyncio.create_task(call(minion_id)) for minion_id in self.minions]
+            calls = (self.call(minion_id, wait_seconds) for minion_id in self.minions)
+            tasks = [asyncio.create_task(call) for call in calls]
             if meanwhile is not None:
                 await asyncio.sleep(0.1)
                 await meanwhile()
@@ -514,3 +548,68 @@
 def check_leader_bytes(context, limit):
     sent = leader_bytes(context.relay_world) - context.sent_before
     assert sent <= int(limit), sent
+
+
+@given(r"a link of the leader that carries (?P<rate>\d+) bytes a second")
+def slow_link(context, rate):
+    world = context.relay_world
+    link = SlowLink(world.loop, int(rate))
+    for relay in world.relays:
+        relay.to_relay.link = link
+
+
+@given(r"minions that answer after (?P<seconds>[\d.]+) seconds")
+def slow_minions(context, seconds):
+    for relay in context.relay_world.relays:
+        relay.caller.answer_seconds = float(seconds)
+
+
+@when(
+    r"(?P<count>\d+) jobs with a payload of (?P<size>\d+) bytes start a task each, and every "
+    r"minion is polled for (?P<seconds>\d+) seconds"
+)
+def start_and_poll(context, count, size, seconds):
+    world = context.relay_world
+    minions = PlatformMinions(world.pool)
+    orders = [start_order(world, index, index, int(size)) for index in range(int(count))]
+    interval = POLL_INTERVAL_SECONDS / len(world.minions)
+    polls = round(int(seconds) / interval)
+
+    async def play() -> None:
+        began_at = world.loop.time()
+        starts = [asyncio.create_task(minions.start(order, 1, 9000)) for order in orders]
+        tasks = []
+        for number in range(polls):
+            minion_id = world.minions[number % len(world.minions)]
+            tasks.append(asyncio.create_task(world.call(minion_id)))
+            await asyncio.sleep(interval)
+        await asyncio.gather(*tasks)
+        context.outcomes = Counter([outcome for outcome, _ in await asyncio.gather(*starts)])
+        context.began_at = began_at
+
+    world.results = []
+    world.run(play())
+
+
+@then(r"each poll is answered within (?P<seconds>[\d.]+) seconds")
+def check_polls(context, seconds):
+    results = context.relay_world.results
+    failed = [result for _, result, _ in results if not isinstance(result, MinionAnswer)]
+    assert not failed, (len(failed), failed[0])
+    answer_seconds = context.relay_world.relays[0].caller.answer_seconds
+    check_durations(context, answer_seconds + float(seconds))
+
+
+@then(r"no relay takes the leader for silent")
+def check_heard(context):
+    for relay in context.relay_world.relays:
+        times = [context.began_at, *relay.to_relay.delivered_at]
+        gaps = [later - earlier for earlier, later in pairwise(times)]
+        assert max(gaps) <= SILENCE_SECONDS, max(gaps)
+
+
+@then(r"at least (?P<count>\d+) tasks have started, and the other orders were not sent")
+def check_outcomes(context, count):
+    started = context.outcomes.pop(StartOutcome.STARTED, 0)
+    assert started >= int(count), (started, context.outcomes)
+    assert not context.outcomes.keys() - {StartOutcome.NOT_SENT}, context.outcomes
