--- a/dotterelhill/jobs/placement/short_pool.py
+++ b/dotterelhill/jobs/placement/short_pool.py
@@ -22,7 +22,7 @@
 from dotterelhill.jobs.placement.room_waits import RoomWaits
 from dotterelhill.jobs.placement.waiting import RankedJob
 
-PAUSE_AFTER_SECONDS = 0.6
+PAUSE_AFTER_SECONDS = 1.0
 # A minion that no short task has used for this time leaves the pool while lasting tasks wait.
 MAX_IDLE_SECONDS = 2.0
 # Without short tasks and without lasting tasks that wait, the pool ends after this time.
