--- a/dotterelhill/control/relay_client.py
+++ b/dotterelhill/control/relay_client.py
@@ -117,6 +117,7 @@
         self._has_answers = asyncio.Event()
         self._calls: set[asyncio.Task[None]] = set()
         self._prefixes = ReceivedPrefixes()
+        self._received = 0
         self._is_leaving = False
         self._heard_at = float("-inf")
         self._newest: LeaderMessage | None = None
@@ -150,6 +151,10 @@
         :raises msgspec.MsgspecError: when the message is malformed
         """
         message = LEADER_DECODER.decode(data)
+        self._received += 1
+        if message.calls:
+            # The leader sends further start orders when it knows that these have arrived.
+            self._has_answers.set()
         # Later messages name the prefixes, also when the calls of this one are too late.
         self._prefixes.update(message.prefixes)
         now = self._clock()
@@ -213,11 +218,12 @@
             with suppress(TimeoutError):
                 async with asyncio.timeout(HEARTBEAT_SECONDS):
                     await self._has_answers.wait()
-            if self._answers:
+            if self._has_answers.is_set():
                 await asyncio.sleep(BATCH_SECONDS)
             self._has_answers.clear()
             answers, self._answers = self._answers, []
-            await self._socket.send_bytes(ENCODER.encode(RelayMessage(self._is_leaving, answers)))
+            message = RelayMessage(self._is_leaving, answers, self._received)
+            await self._socket.send_bytes(ENCODER.encode(message))
 
     def cancel_calls(self) -> None:
         """Cancel the calls in progress, whose answers nobody would receive."""
--- a/dotterelhill/control/relay_messages.py
+++ b/dotterelhill/control/relay_messages.py
@@ -125,10 +125,13 @@
     """Message of a relay to the leader.
 
     :param is_leaving: whether the process is about to stop and takes no further calls
+    :param received: number of messages of the leader that have arrived on this connection; 0 from
+        builds that do not tell it
     """
 
     is_leaving: bool
     answers: list[RelayedAnswer]
+    received: int = 0
 
 
 ENCODER = msgspec.msgpack.Encoder()
--- a/dotterelhill/control/relay_outbox.py
+++ b/dotterelhill/control/relay_outbox.py
@@ -30,8 +30,9 @@
     What is written to a connection arrives in order, so a poll that renews a lease waits behind
     all start orders that were written before it, on a slow link for seconds. Start orders are
     therefore written after all other calls, and only while few bytes of earlier ones may still be
-    on their way. An answer to any call proves that its message, and all messages before it, have
-    arrived.
+    on their way. The relay tells how many messages
+    have arrived. One of an earlier build does not, but its answer to a call proves that the message
+    of the call has arrived.
 
     :param keeps_prefixes: whether the relay keeps the prefixes of call bodies
     """
@@ -76,7 +77,10 @@
         """Forget a call that is answered or given up; an unwritten one is not sent any more."""
         self._urgent.pop(number, None)
         self._deferrable.pop(number, None)
-        message_number = self._message_of.pop(number, 0)
+        self.confirm(self._message_of.pop(number, 0))
+
+    def confirm(self, message_number: int) -> None:
+        """Record that a message, and all messages before it, have arrived."""
         while self._unconfirmed and self._unconfirmed[0].number <= message_number:
             message = self._unconfirmed.popleft()
             self._unconfirmed_calls -= message.deferrable_calls
--- a/dotterelhill/control/relay_pool.py
+++ b/dotterelhill/control/relay_pool.py
@@ -201,6 +201,8 @@
         message = RELAY_DECODER.decode(data)
         self._heard_at = self._clock()
         self._is_leaving = self._is_leaving or message.is_leaving
+        self._outbox.confirm(message.received)
+        self._wake_sender()
         for answer in message.answers:
             pending = self._pending.get(answer.number)
             if pending is not None and not pending.answer.done():
