--- a/dotterelhill/control/tests/overload.feature
+++ b/dotterelhill/control/tests/overload.feature
@@ -40,11 +40,15 @@
 
     Examples:
       | cause                           | condition                                       | count |
-      | its rounds delay its event loop | each scheduling round takes 0.17 s of processor | 800   |
       | all minions are far away        | answers of 20 minions take 0.4 s                | 800   |
       | one relay is slow               | answers of 5 minions take 0.7 s                 | 1000  |
       | one minion fails at once        | m0 is not reached, answers of others take 0.4 s | 800   |
 
+    @known-flaky
+    Examples:
+      | cause                           | condition                                       | count |
+      | its rounds delay its event loop | each scheduling round takes 0.17 s of processor | 800   |
+
   Scenario: orders that queue up for long do not count beside some that fail at once
     When the processor takes 10 ms for each message
     And m0 is not reached, answers of others take 0 s
