--- a/measure/report_cost.py
+++ b/measure/report_cost.py
@@ -65,7 +65,7 @@
             store=SimpleNamespace(partitions=lambda stream: 1),
             minions=_Minions(),
             lag=LoopLag(clock),
-            leadership=SimpleNamespace(epoch=1, is_leading=True),
+            leadership=SimpleNamespace(epoch=1, is_leading=True, is_lease_renewal_allowed=True),
             settings=SchedulerSettings(),
             clock=clock,
             random=self._random,
