Measure the processor time of a leader for each task on the real path

No measurement covered the whole way of a task through a leader: reads of submissions, rounds, progress records, start orders and polls through relays, reports and log lines. The new one runs a leader with the platform's encoder and decoder, the relay pool and its links in virtual time, under the load of the small twin of the large site.

--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -20,6 +20,7 @@
     "agreement": ("measure.agreement",),
     "failover": ("measure.failover_cost",),
     "jobs": ("measure.stragglers", "measure.round_cost", "measure.report_cost"),
+    "leader": ("measure.leader_cost",),
     "shortage": ("measure.shortage",),
     "short-pool": ("measure.short_pool",),
     "look-ahead": ("measure.look_ahead",),
