Store progress from bitmaps and short rows

Cause: the whole record of a job is encoded at each change of one of its 40 to 160 tasks. Each done task cost a dictionary update, and each other one a struct of 16 fields, of which half have their defaults.

Change: a job keeps the bitmap of its done tasks, and a row ends at its last field that is not its default. Earlier builds read such rows: the struct has these defaults.

--- a/dotterelhill/jobs/model.py
+++ b/dotterelhill/jobs/model.py
@@ -327,6 +327,8 @@
     :param stored_state: state in the store; clients see this one
     :param tasks: tasks with execution state, by key
     :param done_counts: number of tasks done, by occurrence and step
+    :param done_bits: bitmap of the tasks done, by occurrence and step; bit ``i`` for task index
+        ``i``
     :param ended_at: loop time in seconds at which the job reached a final state
     """
 
@@ -335,6 +337,7 @@
     stored_state: JobState = JobState.QUEUED
     tasks: dict[TaskKey, Task] = field(default_factory=dict)
     done_counts: dict[tuple[int, int], int] = field(default_factory=dict)
+    done_bits: dict[tuple[int, int], int] = field(default_factory=dict)
     is_cancellation_requested: bool = False
     ended_at: float = 0.0
 
@@ -385,6 +388,9 @@
         task.is_done = True
         occurrence_step = (task.key.occurrence, task.key.step)
         self.done_counts[occurrence_step] = self.done_counts.get(occurrence_step, 0) + 1
+        self.done_bits[occurrence_step] = (
+            self.done_bits.get(occurrence_step, 0) | 1 << task.key.index
+        )
 
     def is_step_done(self, occurrence: int, step: int) -> bool:
         """Return whether all tasks of a step are done."""
--- a/dotterelhill/jobs/progress.py
+++ b/dotterelhill/jobs/progress.py
@@ -78,45 +78,52 @@
     the record. The record of a job in a final state holds only that state and the runs that may
     still be present and have to be stopped.
     """
-    tasks = []
-    done: dict[tuple[int, int], int] = {}
+    is_ended = job.is_ended
+    rows = []
     for task in job.tasks.values():
-        key = task.key
-        if task.is_done and not job.is_ended:
-            occurrence_step = (key.occurrence, key.step)
-            done[occurrence_step] = done.get(occurrence_step, 0) | 1 << key.index
-        if (job.is_ended or task.is_done) and not task.is_assigned:
-            continue
-        tasks.append(
-            _TaskRecord(
-                key.occurrence,
-                key.step,
-                key.index,
-                task.run_id,
-                task.failures,
-                task.minion_id,
-                task.minion_born_ms,
-                task.checkpoint,
-                task.crashes,
-                task.doubtful_crashes,
-                task.is_proven,
-                task.copy_run_id,
-                task.copy_minion_id,
-                task.copy_born_ms,
-                task.is_copy_proven,
-                task.is_restarted,
-            )
-        )
+        if task.minion_id or not (task.is_done or is_ended):
+            rows.append(_task_row(task))
     done_records = []
-    for (occurrence, step), bits in done.items():
-        data = bits.to_bytes((bits.bit_length() + 7) // 8, "little")
-        done_records.append(_DoneRecord(occurrence, step, data))
-    fields: list[object] = [_STATES.index(job.state), tasks, done_records]
+    if not is_ended:
+        for (occurrence, step), bits in job.done_bits.items():
+            data = bits.to_bytes((bits.bit_length() + 7) // 8, "little")
+            done_records.append((occurrence, step, data))
+    fields: list[object] = [_STATES.index(job.state), rows, done_records]
     if job.submission.tenant:
         fields.append(job.submission.tenant)
     return _ENCODER.encode(fields)
 
 
+def _task_row(task: Task) -> tuple[object, ...]:
+    """Return the fields of a :class:`_TaskRecord` up to the last one that is not its default."""
+    key = task.key
+    row = (
+        key.occurrence,
+        key.step,
+        key.index,
+        task.run_id,
+        task.failures,
+        task.minion_id,
+        task.minion_born_ms,
+        task.checkpoint,
+    )
+    if task.copy_run_id or task.copy_minion_id or task.is_copy_proven or task.is_restarted:
+        return (
+            *row,
+            task.crashes,
+            task.doubtful_crashes,
+            task.is_proven,
+            task.copy_run_id,
+            task.copy_minion_id,
+            task.copy_born_ms,
+            task.is_copy_proven,
+            task.is_restarted,
+        )
+    if task.crashes or task.doubtful_crashes or task.is_proven:
+        return (*row, task.crashes, task.doubtful_crashes, task.is_proven)
+    return row
+
+
 def stored_tenant(data: bytes) -> str | None:
     """Return the tenant whose job's progress a record holds; None when it can't be decoded."""
     try:
