--- a/dotterelhill/entry/logs.py
+++ b/dotterelhill/entry/logs.py
@@ -14,6 +14,7 @@
 import time
 from collections.abc import Callable, Mapping
 from datetime import UTC, datetime
+from functools import cache
 from typing import Any, TextIO
 
 import logbook
@@ -38,6 +39,12 @@
     return str(value)
 
 
+@cache
+def _level_text(level: int) -> str:
+    name: str = logbook.get_level_name(level)
+    return name.lower()
+
+
 _ENCODER = msgspec.json.Encoder(enc_hook=_field_text)
 
 
@@ -191,7 +198,7 @@
         """
         line: dict[str, object] = {
             "time": self._time_text.now(),
-            "level": logbook.get_level_name(level).lower(),
+            "level": _level_text(level),
             "channel": channel,
             "message": message,
             "process": self._process,
@@ -226,21 +233,17 @@
     """
 
     def _log(self, level: int, args: tuple[Any, ...], kwargs: dict[str, Any]) -> None:
-        handler = next(iter(logbook.Handler.stack_manager.iter_context_objects()), None)
-        is_plain = len(args) == 1 and not (kwargs.keys() - {"extra"})
-        if (
-            isinstance(handler, JsonLinesHandler)
-            and not handler.bubble
-            and level >= handler.level
-            and is_plain
-            and not self.handlers
-        ):
-            try:
-                handler.write_line(level, self.name, args[0], kwargs.get("extra"))
+        extra = kwargs.get("extra")
+        is_plain = len(args) == 1 and len(kwargs) == (extra is not None)
+        if is_plain and not self.handlers:
+            handler = next(iter(logbook.Handler.stack_manager.iter_context_objects()), None)
+            if isinstance(handler, JsonLinesHandler) and level >= handler.level:
+                try:
+                    handler.write_line(level, self.name, args[0], extra)
+                except Exception:
+                    # A handler reports its errors with the record and never raises them.
+                    super()._log(level, args, kwargs)
                 return
-            except Exception:
-                # A handler of records reports its errors and never raises them.
-                pass
         super()._log(level, args, kwargs)
 
 
