Keep the relay of a minion until the relays change

Pure cost: each call ranked the relays of the domain of its minion anew, by a checksum for each. The choice is kept until the set of relays changes or the relay takes no calls.

--- a/dotterelhill/control/relay_pool.py
+++ b/dotterelhill/control/relay_pool.py
@@ -49,6 +49,8 @@
 
 # At 5 calls a second for each minion, a relay then uses about 5% of a processor.
 MINIONS_PER_RELAY = 24
+# Several times the number of minions, whose ids change when they start again.
+MAX_CHOSEN_RELAYS = 4096
 # Time that a relayed call may take beyond the wait of the minion. It exceeds the time after which
 # the relay itself gives up the call.
 RELAYED_CALL_SECONDS = 1.6
@@ -264,6 +266,9 @@
         self._links: dict[str, RelayLink] = {}
         self._minion_counts: Counter[str] = Counter()
         self._relays_by_domain: dict[str, list[RelayLink]] = {}
+        # Relay of each minion that was called, by failure domain and id; a cache until the relays
+        # change.
+        self._chosen_relays: dict[tuple[str, str], RelayLink] = {}
         self._direct_until: dict[str, float] = {}
         self._direct_seconds: dict[str, float] = {}
         self._is_closed = False
@@ -375,6 +380,7 @@
             self._end(link, "the term has ended")
         self._links.clear()
         self._relays_by_domain.clear()
+        self._chosen_relays.clear()
 
     async def call(self, call: MinionCall) -> MinionAnswer:
         """Send a call to a minion, through a relay where one is near the minion.
@@ -409,6 +415,10 @@
         """Return the relay of a minion; the choice is stable while the set of relays is."""
         if call.minion_id in self._direct_until:
             return None
+        minion = (call.failure_domain, call.minion_id)
+        chosen = self._chosen_relays.get(minion)
+        if chosen is not None and chosen.is_usable:
+            return chosen
         best: RelayLink | None = None
         best_rank = -1
         for link in self._relays_by_domain.get(call.failure_domain, ()):
@@ -417,6 +427,10 @@
             rank = crc32(f"{link.hello.incarnation}/{call.minion_id}".encode())
             if rank > best_rank:
                 best, best_rank = link, rank
+        if best is not None:
+            if len(self._chosen_relays) >= MAX_CHOSEN_RELAYS:
+                self._chosen_relays.clear()
+            self._chosen_relays[minion] = best
         return best
 
     def _choose_relays(self) -> None:
@@ -426,6 +440,7 @@
             if link.is_usable:
                 by_domain.setdefault(link.hello.failure_domain, []).append(link)
         self._relays_by_domain = {}
+        self._chosen_relays.clear()
         for domain, links in by_domain.items():
             links.sort(key=lambda link: (-link.hello.processors, link.hello.incarnation))
             count = ceil(self._minion_counts[domain] / MINIONS_PER_RELAY)
