Send start orders to relays without a task for each

Cause: a start order took a task, a future and six coroutine frames from the round to the message of its relay, and again for its answer. Its payload was encoded and copied twice, and hashed, for each order.

Change: Minions.submit_start hands the order to the message of its relay, and the answer comes by a callback. Where no relay takes it, the leader sends it in a task as before. The start window, time-outs, fencing and errors are those of the calls that wait. Answers that come after the end of the term are ignored, as its tasks were cancelled before. The encoded payload is kept for the next starts of its job and is apart from the rest of the body up to the relay.

Tests: relays.feature has the outcomes of submitted orders (payload, silent relay, failed relays, each answer of a minion). In the worlds of control/tests a submitted order is carried out also when its leader ends meanwhile.

--- a/dotterelhill/control/interface.py
+++ b/dotterelhill/control/interface.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import Protocol
@@ -187,10 +187,10 @@
     :param minion_id: incarnation that may carry out the call
     :param failure_domain: failure domain of the minion
     :param path: path of the call
-    :param body: encoded body
-    :param prefix_bytes: length of the prefix of the body that is the same in many calls; 0 for none
+    :param body: encoded body, without its prefix
     :param wait_seconds: time for which the minion may hold back its answer
     :param allowance_seconds: time for which an answer may wait unread in the calling process
+    :param prefix: beginning of the body that is the same in many calls; empty for none
     """
 
     address: str
@@ -200,7 +200,7 @@
     body: bytes
     wait_seconds: float = 0.0
     allowance_seconds: float = 0.0
-    prefix_bytes: int = 0
+    prefix: bytes = b""
 
 
 @dataclass(frozen=True, slots=True)
@@ -223,12 +223,39 @@
         ...
 
 
+@dataclass(frozen=True, slots=True)
+class StartAnswer:
+    """Outcome of a start order.
+
+    :param clock_ms: clock of the minion in ms; None without an answer
+    """
+
+    outcome: StartOutcome
+    clock_ms: int | None = None
+
+
 class Minions(Protocol):
     """Client for calls to minions.
 
     Each call carries the leader's fencing epoch.
     """
 
+    def submit_start(
+        self,
+        order: StartOrder,
+        epoch: int,
+        deadline_ms: int,
+        on_answer: Callable[[StartAnswer | FencedByMinionError], None],
+    ) -> bool:
+        """Start a run through a relay, without a task that waits for the answer.
+
+        :param deadline_ms: end of the lease on the minion's clock
+        :param on_answer: called once with the outcome, or with the error when the minion has
+            received orders of a later leader
+        :returns: False when no relay takes the order, so that it has to be sent by ``start``
+        """
+        ...
+
     async def start(
         self, order: StartOrder, epoch: int, deadline_ms: int
     ) -> tuple[StartOutcome, int | None]:
--- a/dotterelhill/control/leader.py
+++ b/dotterelhill/control/leader.py
@@ -23,6 +23,7 @@
     PartialRead,
     Record,
     RelayError,
+    StartAnswer,
     Store,
     StoreError,
     StoreFencedError,
@@ -33,7 +34,7 @@
 from dotterelhill.control.loop_lag import LoopLag
 from dotterelhill.control.poll_window import FirstPollWindow
 from dotterelhill.control.relay_pool import RelayPool
-from dotterelhill.control.start_window import StartWindow
+from dotterelhill.control.start_window import SentOrder, StartWindow
 from dotterelhill.control.submissions import (
     append_submissions,
     cancellation_key,
@@ -126,6 +127,21 @@
     tenant_loads: Callable[[Scheduler, float], Mapping[str, TenantLoad]] = Scheduler.tenant_loads
 
 
+@dataclass(frozen=True, slots=True)
+class _BegunStart:
+    """Start order in flight.
+
+    :param sent_at: time at which it was sent, in seconds
+    :param deadline_ms: end of the lease on the minion's clock
+    :param window_order: what the start window has to know of it
+    """
+
+    order: StartOrder
+    sent_at: float
+    deadline_ms: int
+    window_order: SentOrder
+
+
 class Leader:
     """One term of leadership, which schedules the fleet while this process holds its claim.
 
@@ -148,6 +164,7 @@
         self._wake_event = asyncio.Event()
         self._sequence = 0
         self._is_loaded = False
+        self._has_ended = False
         self._is_store_failing = False
         self._model_stored_at = self._clock()
         self._scheduler.apply_stored_leases(lease_ends or {})
@@ -327,6 +344,8 @@
             for follower in [*self._submission_followers, self._minion_follower]:
                 with suppress(Exception):
                     await follower.stop()
+            # Closing the relays fails their calls, whose outcomes no longer matter.
+            self._has_ended = True
             for task in [*self._background, *watchers]:
                 task.cancel()
             self._parts.relays.close()
@@ -523,7 +542,7 @@
         await self._store_changes(changes)
         self._record_minion_list()
         for start in self._scheduler.commit(changes, self._clock()):
-            self._spawn(self._send_start(start))
+            self._begin_start(start)
 
     def _record_minion_list(self) -> None:
         """Tell the scheduler how recent its list of minions, and so their capacities, is."""
@@ -604,33 +623,82 @@
 
     # Orders
 
+    def _begin_start(self, order: StartOrder) -> None:
+        """Send a start order through a relay, or in a task where none takes it."""
+        started = self._prepare_start(order)
+        if started is None:
+            return
+        on_answer = partial(self._process_start_answer, started)
+        try:
+            is_sent = self._parts.minions.submit_start(
+                order, self._epoch, started.deadline_ms, on_answer
+            )
+        except Exception as error:
+            # The failure of one order must not end the term; its effect is unknown.
+            self._log_unexpected_error("start", order.minion, error)
+            on_answer(StartAnswer(StartOutcome.UNKNOWN))
+            return
+        if not is_sent:
+            self._spawn(self._send_start_directly(started))
+
     async def _send_start(self, order: StartOrder) -> None:
-        run, minion = order.run, order.minion
+        """Send a start order and process its answer."""
+        started = self._prepare_start(order)
+        if started is not None:
+            await self._send_start_directly(started)
+
+    def _prepare_start(self, order: StartOrder) -> _BegunStart | None:
+        """Count a start order as in flight; return None when it may not be sent."""
         sent_at = self._clock()
         deadline_ms = None
         leadership = self._parts.leadership
         if leadership.is_leading:
-            deadline_ms = minion.start_lease(
+            deadline_ms = order.minion.start_lease(
                 sent_at,
                 self._parts.settings.lease_seconds,
                 may_extend=leadership.is_lease_renewal_allowed,
             )
         if deadline_ms is None:
-            self._scheduler.start_answered(run, StartOutcome.NOT_SENT, sent_at, sent_at)
-            return
-        sent_order = self._start_window.begin()
-        outcome, clock_ms = StartOutcome.UNKNOWN, None
+            self._scheduler.start_answered(order.run, StartOutcome.NOT_SENT, sent_at, sent_at)
+            return None
+        return _BegunStart(order, sent_at, deadline_ms, self._start_window.begin())
+
+    async def _send_start_directly(self, started: _BegunStart) -> None:
+        order = started.order
+        answer: StartAnswer | FencedByMinionError = StartAnswer(StartOutcome.UNKNOWN)
         try:
-            outcome, clock_ms = await self._parts.minions.start(order, self._epoch, deadline_ms)
+            answer = StartAnswer(
+                *await self._parts.minions.start(order, self._epoch, started.deadline_ms)
+            )
         except FencedByMinionError as error:
-            self._parts.leadership.drop(str(error))
-            return
+            answer = error
         except Exception as error:
             # The failure of one order must not end the term; its effect is unknown.
-            self._log_unexpected_error("start", minion, error)
-        finally:
-            is_sent = outcome is not StartOutcome.NOT_SENT
-            self._start_window.end(sent_order, is_sent=is_sent)
+            self._log_unexpected_error("start", order.minion, error)
+        self._process_start_answer(started, answer)
+
+    def _process_start_answer(
+        self, started: _BegunStart, answer: StartAnswer | FencedByMinionError
+    ) -> None:
+        if self._has_ended:
+            return
+        try:
+            self._record_start_answer(started, answer)
+        except Exception as error:
+            _log.error("background task failed", extra={"reason": repr(error)})
+            self._parts.leadership.drop("internal error")
+
+    def _record_start_answer(
+        self, started: _BegunStart, answer: StartAnswer | FencedByMinionError
+    ) -> None:
+        if isinstance(answer, FencedByMinionError):
+            self._start_window.end(started.window_order)
+            self._parts.leadership.drop(str(answer))
+            return
+        outcome, clock_ms = answer.outcome, answer.clock_ms
+        is_sent = outcome is not StartOutcome.NOT_SENT
+        self._start_window.end(started.window_order, is_sent=is_sent)
+        run, minion = started.order.run, started.order.minion
         now = self._clock()
         if clock_ms is not None:
             minion.clock_ms, minion.clock_at = clock_ms, now
@@ -648,7 +716,7 @@
         )
         self._parts.metrics.count("jobs.starts", label=str(outcome))
         self._parts.metrics.observe("jobs.start_wait_seconds", now - run.planned_at)
-        self._scheduler.start_answered(run, outcome, sent_at, now, clock_ms)
+        self._scheduler.start_answered(run, outcome, started.sent_at, now, clock_ms)
         # Tasks may wait for this start to be answered, where the start window is full.
         if outcome is not StartOutcome.STARTED or not self._scheduler.had_starts_left:
             self._wake_event.set()
--- a/dotterelhill/control/relay_pool.py
+++ b/dotterelhill/control/relay_pool.py
@@ -17,6 +17,7 @@
 from collections.abc import Callable, Mapping
 from contextlib import suppress
 from dataclasses import dataclass, replace
+from functools import partial
 from math import ceil
 from typing import Protocol
 from zlib import crc32
@@ -77,9 +78,17 @@
         ...
 
 
-@dataclass(slots=True)
+AnswerHandler = Callable[[MinionAnswer | RelayError], None]
+
+
+@dataclass(frozen=True, slots=True)
 class _PendingCall:
-    answer: asyncio.Future[MinionAnswer]
+    """Call without an answer.
+
+    :param on_answer: called once with the answer or the error
+    """
+
+    on_answer: AnswerHandler
     expires_at: float
 
 
@@ -139,25 +148,35 @@
         """
         if not self.is_usable:
             raise RelayNotReachedError(f"{call.path}: the relay has left")
+        future: asyncio.Future[MinionAnswer] = asyncio.get_running_loop().create_future()
+        number = self.submit(call, partial(_resolve, future))
+        try:
+            return await future
+        finally:
+            self._pending.pop(number, None)
+
+    def submit(self, call: MinionCall, on_answer: AnswerHandler) -> int:
+        """Send a call with the next message, and return its number.
+
+        :param on_answer: called once with the answer of the minion or the error
+        """
         self._next_number += 1
         number = self._next_number
-        future: asyncio.Future[MinionAnswer] = asyncio.get_running_loop().create_future()
         expires_at = self._clock() + RELAYED_CALL_SECONDS + call.wait_seconds
-        self._pending[number] = _PendingCall(future, expires_at)
-        prefix = 0
-        if call.prefix_bytes and self._hello.keeps_prefixes:
-            prefix = self._prefixes.number_of(call.body[: call.prefix_bytes])
-        body = call.body[call.prefix_bytes :] if prefix else call.body
+        self._pending[number] = _PendingCall(on_answer, expires_at)
+        prefix, body = 0, call.body
+        if call.prefix:
+            if self._hello.keeps_prefixes:
+                prefix = self._prefixes.number_of(call.prefix)
+            if not prefix:
+                body = call.prefix + body
         self._outbox.append(
             RelayedCall(
                 number, call.address, call.minion_id, call.path, body, call.wait_seconds, prefix
             )
         )
         self._has_calls.set()
-        try:
-            return await future
-        finally:
-            self._pending.pop(number, None)
+        return number
 
     async def send(self) -> None:
         """Send the calls, and heartbeats between them, until the connection fails."""
@@ -190,9 +209,9 @@
         self._heard_at = self._clock()
         self._is_leaving = self._is_leaving or message.is_leaving
         for answer in message.answers:
-            pending = self._pending.get(answer.number)
-            if pending is not None and not pending.answer.done():
-                _resolve(pending.answer, answer)
+            pending = self._pending.pop(answer.number, None)
+            if pending is not None:
+                pending.on_answer(_answer_of(answer))
 
     def expire(self, allowance_seconds: float) -> None:
         """Fail the calls that have waited too long.
@@ -200,9 +219,11 @@
         :param allowance_seconds: time for which answers may have waited here unread
         """
         limit = self._clock() - allowance_seconds
-        for pending in self._pending.values():
-            if pending.expires_at < limit and not pending.answer.done():
-                pending.answer.set_exception(RelayError("the relay gave no answer"))
+        expired = [number for number, call in self._pending.items() if call.expires_at < limit]
+        for number in expired:
+            pending = self._pending.pop(number, None)
+            if pending is not None:
+                pending.on_answer(RelayError("the relay gave no answer"))
 
     def fail(self, reason: str) -> None:
         """Take no further calls and fail those without an answer."""
@@ -210,13 +231,10 @@
             return
         self._is_closed = True
         unsent = {call.number for call in self._outbox}
-        for number, pending in self._pending.items():
-            if pending.answer.done():
-                continue
-            if number in unsent:
-                pending.answer.set_exception(RelayNotReachedError(reason))
-            else:
-                pending.answer.set_exception(RelayError(reason))
+        failed, self._pending = self._pending, {}
+        for number, pending in failed.items():
+            error = RelayNotReachedError if number in unsent else RelayError
+            pending.on_answer(error(reason))
 
     async def close(self) -> None:
         """Close the connection."""
@@ -227,14 +245,24 @@
             _log.debug("connection of a relay could not be closed cleanly", extra=fields)
 
 
-def _resolve(future: asyncio.Future[MinionAnswer], answer: RelayedAnswer) -> None:
+def _resolve(future: asyncio.Future[MinionAnswer], answer: MinionAnswer | RelayError) -> None:
+    # The caller may have been cancelled while the answer was on its way.
+    if future.done():
+        return
+    if isinstance(answer, RelayError):
+        future.set_exception(answer)
+    else:
+        future.set_result(answer)
+
+
+def _answer_of(answer: RelayedAnswer) -> MinionAnswer | RelayError:
     match answer.failure:
         case None:
-            future.set_result(MinionAnswer(answer.status, answer.body))
+            return MinionAnswer(answer.status, answer.body)
         case CallFailure.NOT_REACHED:
-            future.set_exception(RelayNotReachedError(answer.reason))
+            return RelayNotReachedError(answer.reason)
         case CallFailure.NO_ANSWER:
-            future.set_exception(RelayError(answer.reason))
+            return RelayError(answer.reason)
 
 
 class RelayPool:
@@ -402,6 +430,27 @@
             self._direct_seconds.pop(call.minion_id, None)
         return answer
 
+    def submit(self, call: MinionCall, on_answer: AnswerHandler) -> bool:
+        """Send a call to a minion through a relay, without a task that waits for the answer.
+
+        :param on_answer: called once with the answer of the minion or the error
+        :returns: False when no relay takes the call, so that it has to be sent by ``call``
+        """
+        link = self._relay_for(call)
+        if link is None:
+            return False
+        link.submit(call, partial(self._process_answer, call.minion_id, on_answer))
+        return True
+
+    def _process_answer(
+        self, minion_id: str, on_answer: AnswerHandler, answer: MinionAnswer | RelayError
+    ) -> None:
+        if isinstance(answer, RelayError):
+            self._avoid_relay(minion_id)
+        elif self._direct_seconds:
+            self._direct_seconds.pop(minion_id, None)
+        on_answer(answer)
+
     def _avoid_relay(self, minion_id: str) -> None:
         """Send calls to a minion directly for some time, because a relayed call failed."""
         if minion_id in self._direct_until:
--- a/dotterelhill/control/tests/cluster_world.py
+++ b/dotterelhill/control/tests/cluster_world.py
@@ -19,6 +19,7 @@
     OtherIncarnationError,
     PartialRead,
     Record,
+    StartAnswer,
     StoreConflictError,
     StoreError,
     StoreFencedError,
@@ -304,6 +305,7 @@
         self.failures: list[Exception] = []
         self.lost_polls: dict[str, int] = {}
         self.sent_starts: list[str] = []
+        self.submitted: set[asyncio.Task[None]] = set()
         # Number of the next starts for which their minions have no room.
         self.refused_starts = 0
         self.lost_poll_error: Exception = MinionError("no answer")
@@ -335,6 +337,23 @@
         minion.check_fence(epoch)
         return minion
 
+    def submit_start(self, order, epoch, deadline_ms, on_answer):
+        """Carry out a start order as a relay does, also when its leader ends meanwhile."""
+
+        async def carry_out() -> None:
+            try:
+                answer = StartAnswer(*await self.start(order, epoch, deadline_ms))
+            except FencedByMinionError as error:
+                answer = error
+            except Exception:
+                answer = StartAnswer(StartOutcome.UNKNOWN)
+            on_answer(answer)
+
+        task = asyncio.get_running_loop().create_task(carry_out())
+        self.submitted.add(task)
+        task.add_done_callback(self.submitted.discard)
+        return True
+
     async def start(self, order, epoch, deadline_ms):
         sent_at = self._cluster.loop.time()
         self.sent_starts.append(order.minion.minion_id)
--- a/dotterelhill/control/tests/relays.feature
+++ b/dotterelhill/control/tests/relays.feature
@@ -139,6 +139,42 @@
     When 3 tasks of each of 300 jobs with a payload of 4000 bytes are started in turn
     Then each minion got its start order with that payload
 
+  Scenario: a start order that no task waits for loses its payload or its answer
+    When 80 tasks of a job with a payload of 4000 bytes are started by submitted orders
+    Then each minion got its start order with that payload
+    And the outcome of each submitted order is "started"
+    And the leader sent at most 32000 bytes to the relays
+    And 0 calls were sent directly
+
+  Scenario: a submitted start order is taken for refused although its relay gives no answer
+    When a relay freezes
+    And 48 tasks of a job with a payload of 100 bytes are started by submitted orders
+    Then the outcome of each submitted order is "started" or "unknown"
+    And each submitted order had its outcome within 2 seconds
+    When 48 tasks of a job with a payload of 100 bytes are started by submitted orders
+    Then no relay takes the orders to minions whose outcome was "unknown"
+
+  Scenario: a start order that no relay has sent is taken for one that may have an effect
+    When 48 tasks of a job with a payload of 100 bytes are submitted and all relays fail at once
+    Then the outcome of each submitted order is "not sent"
+
+  Scenario Outline: the answer to a submitted start order is misunderstood
+    Given minion "m1" answers with status <status> and <body>
+    When 48 tasks of a job with a payload of 100 bytes are started by submitted orders
+    Then the outcome of the order to minion "m1" is "<outcome>"
+
+    Examples:
+      | status | body                | outcome           |
+      | 200    | {"clockMs":7}       | started           |
+      | 409    | {"reason":"room"}   | no room           |
+      | 409    | {"reason":"old"}    | outdated run      |
+      | 409    | {"reason":"late"}   | late              |
+      | 409    | {"reason":"fence"}  | fenced            |
+      | 429    | {}                  | unhealthy         |
+      | 421    | {}                  | other incarnation |
+      | 400    | {"reason":"fields"} | refused           |
+      | 502    | bad gateway         | unknown           |
+
   # A poll is due each 1.2 s. So that a lease of 6 s outlasts two lost ones, none may wait for 0.8 s.
   Scenario Outline: polls that renew leases wait behind start orders on the leader's link
     Given a link of the leader that carries 250000 bytes a second
--- a/dotterelhill/control/tests/steps/relay_steps.py
+++ b/dotterelhill/control/tests/steps/relay_steps.py
@@ -9,6 +9,7 @@
 from behave import given, then, use_step_matcher, when
 
 from dotterelhill.control.interface import (
+    FencedByMinionError,
     MinionAnswer,
     MinionCall,
     MinionError,
@@ -54,6 +55,7 @@
         self.failing_minion = ""
         self.unreachable_minion = ""
         self.answer_seconds = 0.002
+        self.answers: dict[str, MinionAnswer] = {}
 
     async def call(self, call: MinionCall) -> MinionAnswer:
         self.calls[call.minion_id] += 1
@@ -63,7 +65,7 @@
         if call.minion_id == self.unreachable_minion:
             raise MinionError("no answer")
         await asyncio.sleep(self.answer_seconds + call.wait_seconds)
-        return MinionAnswer(200, call.minion_id.encode())
+        return self.answers.get(call.minion_id) or MinionAnswer(200, call.minion_id.encode())
 
 
 class SlowLink:
@@ -509,6 +511,92 @@
     world.run(start())
 
 
+def submit_all(context, orders: list[StartOrder], meanwhile=None) -> None:
+    """Submit start orders without waiting for their answers, and record each answer."""
+    world = context.relay_world
+    context.start_orders = orders
+    context.submitted = []
+    context.not_taken = set()
+    minions = PlatformMinions(world.pool, world.pool.submit)
+
+    async def submit() -> None:
+        began_at = world.loop.time()
+        for order in orders:
+            minion_id = order.minion.minion_id
+
+            def record(answer, minion_id=minion_id) -> None:
+                is_fenced = isinstance(answer, FencedByMinionError)
+                outcome = "fenced" if is_fenced else str(answer.outcome)
+                context.submitted.append((minion_id, outcome, world.loop.time() - began_at))
+
+            if not minions.submit_start(order, 1, 9000, record):
+                context.not_taken.add(minion_id)
+        if meanwhile is not None:
+            meanwhile()
+        await asyncio.sleep(4.0)
+
+    context.sent_before = leader_bytes(world)
+    world.run(submit())
+
+
+@when(
+    r"(?P<count>\d+) tasks of a job with a payload of (?P<size>\d+) bytes are started by submitted "
+    r"orders"
+)
+def submit_job(context, count, size):
+    world = context.relay_world
+    context.unknown = {name for name, outcome, _ in outcomes(context) if outcome == "unknown"}
+    submit_all(context, [start_order(world, 0, index, int(size)) for index in range(int(count))])
+
+
+@when(
+    r"(?P<count>\d+) tasks of a job with a payload of (?P<size>\d+) bytes are submitted and all "
+    r"relays fail at once"
+)
+def submit_and_fail(context, count, size):
+    world = context.relay_world
+
+    def fail() -> None:
+        for relay in world.relays:
+            world.pool.remove(relay.link, "connection reset")
+
+    orders = [start_order(world, 0, index, int(size)) for index in range(int(count))]
+    submit_all(context, orders, fail)
+
+
+@given(r'minion "(?P<name>\w+)" answers with status (?P<status>\d+) and (?P<body>.+)')
+def answer_with(context, name, status, body):
+    for relay in context.relay_world.relays:
+        relay.caller.answers[name] = MinionAnswer(int(status), body.encode())
+
+
+def outcomes(context) -> list[tuple[str, str, float]]:
+    """Return minion, outcome and seconds of each submitted order that has an outcome."""
+    return getattr(context, "submitted", [])
+
+
+@then(r'the outcome of each submitted order is "(?P<outcome>[\w ]+)"(?: or "(?P<other>[\w ]+)")?')
+def check_all_outcomes(context, outcome, other):
+    expected = {name for name in (outcome, other) if name}
+    assert len(outcomes(context)) == len(context.start_orders), len(outcomes(context))
+    assert {found for _, found, _ in outcomes(context)} == expected, outcomes(context)
+
+
+@then(r'the outcome of the order to minion "(?P<name>\w+)" is "(?P<outcome>[\w ]+)"')
+def check_outcome(context, name, outcome):
+    assert [found for minion, found, _ in outcomes(context) if minion == name] == [outcome]
+
+
+@then(r"each submitted order had its outcome within (?P<seconds>[\d.]+) seconds")
+def check_outcome_times(context, seconds):
+    assert max(time for _, _, time in outcomes(context)) <= float(seconds), outcomes(context)
+
+
+@then(r'no relay takes the orders to minions whose outcome was "unknown"')
+def check_not_taken(context):
+    assert context.unknown and context.not_taken == context.unknown, context.not_taken
+
+
 def leader_bytes(world: RelayWorld) -> int:
     return sum(len(data) for relay in world.relays for data in relay.to_relay.messages)
 
--- a/dotterelhill/platform/minions.py
+++ b/dotterelhill/platform/minions.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import lru_cache, partial
 from typing import Any
 
 import aiohttp
@@ -16,7 +17,9 @@
     MinionError,
     MinionNotReachedError,
     OtherIncarnationError,
+    StartAnswer,
 )
+from dotterelhill.control.relay_pool import AnswerHandler
 from dotterelhill.entry.logs import logger_of
 from dotterelhill.jobs.fleet import EndKind, EndReport, Minion, MinionReport, RunReport
 from dotterelhill.jobs.model import TaskKey
@@ -29,6 +32,10 @@
 INSTANCE_HEADER = "Expect-Instance"
 JSON_HEADERS = {"Content-Type": "application/json"}
 
+# Encoded payloads that are kept for the next starts of their jobs, and the longest one to keep.
+MAX_PAYLOADS = 64
+MAX_KEPT_PAYLOAD = 1 << 14
+
 _log = logger_of("minions")
 
 
@@ -98,7 +105,7 @@
         url = f"http://{call.address}{call.path}"
         try:
             async with self._session().post(
-                url, data=call.body, headers=headers, timeout=timeout
+                url, data=call.prefix + call.body, headers=headers, timeout=timeout
             ) as answer:
                 return MinionAnswer(answer.status, await answer.read())
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
@@ -113,10 +120,17 @@
     """Encoder of the leader's orders to minions, and decoder of their answers.
 
     :param caller: sends the encoded calls
+    :param submit: sends a call without waiting for its answer, or returns False; None if nothing
+        can
     """
 
-    def __init__(self, caller: MinionCaller) -> None:
+    def __init__(
+        self,
+        caller: MinionCaller,
+        submit: Callable[[MinionCall, AnswerHandler], bool] | None = None,
+    ) -> None:
         self._caller = caller
+        self._submit = submit
 
     async def start(
         self, order: StartOrder, epoch: int, deadline_ms: int
@@ -128,36 +142,70 @@
         :returns: outcome, and the minion's clock in ms if the minion answered
         :raises FencedByMinionError: when the minion has received orders of a later leader
         """
-        body: dict[str, Any] = {
-            "task": str(order.run.key),
-            "runId": order.run.run_id,
-            "deadlineMs": deadline_ms,
-            "fenceToken": epoch,
-        }
-        if order.checkpoint:
-            body["checkpoint"] = order.checkpoint
+        call = _start_call(order, epoch, deadline_ms)
         try:
-            prefix = b'{"spec":%b,' % _ENCODER.encode(order.payload)
-            status, data = await self._call(order.minion, "/run-start", body, prefix=prefix)
+            answer = await self._caller.call(call)
         except MinionNotReachedError:
             return StartOutcome.NOT_SENT, None
         except MinionError:
             return StartOutcome.UNKNOWN, None
-        answer = _decode_answer(data)
+        start = self._start_answer(order, answer)
+        return start.outcome, start.clock_ms
+
+    def submit_start(
+        self,
+        order: StartOrder,
+        epoch: int,
+        deadline_ms: int,
+        on_answer: Callable[[StartAnswer | FencedByMinionError], None],
+    ) -> bool:
+        """Start a run through a relay; see :meth:`Minions.submit_start`."""
+        if self._submit is None:
+            return False
+        call = _start_call(order, epoch, deadline_ms)
+        return self._submit(call, partial(self._process_start_answer, order, on_answer))
+
+    def _process_start_answer(
+        self,
+        order: StartOrder,
+        on_answer: Callable[[StartAnswer | FencedByMinionError], None],
+        answer: MinionAnswer | MinionError,
+    ) -> None:
+        if isinstance(answer, MinionNotReachedError):
+            on_answer(StartAnswer(StartOutcome.NOT_SENT))
+            return
+        if isinstance(answer, MinionError):
+            on_answer(StartAnswer(StartOutcome.UNKNOWN))
+            return
+        result: StartAnswer | FencedByMinionError
+        try:
+            result = self._start_answer(order, answer)
+        except FencedByMinionError as error:
+            result = error
+        on_answer(result)
+
+    def _start_answer(self, order: StartOrder, call_answer: MinionAnswer) -> StartAnswer:
+        """Return the outcome that an answer tells.
+
+        :raises FencedByMinionError: when the minion has received orders of a later leader
+        """
+        status = call_answer.status
+        answer = _decode_answer(call_answer.body)
         if status == 200:
-            return StartOutcome.STARTED, answer.clockMs
+            return StartAnswer(StartOutcome.STARTED, answer.clockMs)
         if status in (429, 503):
-            return StartOutcome.UNHEALTHY, answer.clockMs
+            return StartAnswer(StartOutcome.UNHEALTHY, answer.clockMs)
         if status == 421:
-            return StartOutcome.OTHER_INCARNATION, None
+            return StartAnswer(StartOutcome.OTHER_INCARNATION)
         if status == 409:
             self._check_fence(status, answer)
-            return _REFUSALS.get(answer.reason, StartOutcome.REFUSED), answer.clockMs
+            outcome = _REFUSALS.get(answer.reason, StartOutcome.REFUSED)
+            return StartAnswer(outcome, answer.clockMs)
         if 400 <= status < 500:
             fields = {"task": str(order.run.key), "status": status}
             _log.error("minion rejected a start order as malformed", extra=fields)
-            return StartOutcome.REFUSED, answer.clockMs
-        return StartOutcome.UNKNOWN, answer.clockMs
+            return StartAnswer(StartOutcome.REFUSED, answer.clockMs)
+        return StartAnswer(StartOutcome.UNKNOWN, answer.clockMs)
 
     async def stop(self, order: StopOrder, epoch: int) -> None:
         """Stop a run.
@@ -225,27 +273,50 @@
         path: str,
         body: dict[str, Any],
         wait_seconds: float = 0.0,
-        prefix: bytes = b"",
     ) -> tuple[int, bytes]:
-        """Send a call and return the status and body of the answer.
-
-        :param prefix: beginning of the body that many calls share, in place of its opening brace
-        """
+        """Send a call and return the status and body of the answer."""
         facts = minion.facts
-        data = _ENCODER.encode(body)
         call = MinionCall(
             facts.address,
             facts.minion_id,
             facts.failure_domain,
             path,
-            prefix + data[1:] if prefix else data,
+            _ENCODER.encode(body),
             wait_seconds,
-            prefix_bytes=len(prefix),
         )
         answer = await self._caller.call(call)
         return answer.status, answer.body
 
 
+def _spec_prefix(payload: str) -> bytes:
+    """Return the beginning of the start orders with a payload, which stands for their brace."""
+    return b'{"spec":%b,' % _ENCODER.encode(payload)
+
+
+_kept_spec_prefix = lru_cache(MAX_PAYLOADS)(_spec_prefix)
+
+
+def _start_call(order: StartOrder, epoch: int, deadline_ms: int) -> MinionCall:
+    body: dict[str, Any] = {
+        "task": str(order.run.key),
+        "runId": order.run.run_id,
+        "deadlineMs": deadline_ms,
+        "fenceToken": epoch,
+    }
+    if order.checkpoint:
+        body["checkpoint"] = order.checkpoint
+    facts, payload = order.minion.facts, order.payload
+    is_kept = len(payload) <= MAX_KEPT_PAYLOAD
+    return MinionCall(
+        facts.address,
+        facts.minion_id,
+        facts.failure_domain,
+        "/run-start",
+        _ENCODER.encode(body)[1:],
+        prefix=_kept_spec_prefix(payload) if is_kept else _spec_prefix(payload),
+    )
+
+
 def _decode_answer(data: bytes) -> _Answer:
     try:
         return _ANSWER_DECODER.decode(data)
--- a/dotterelhill/platform/process.py
+++ b/dotterelhill/platform/process.py
@@ -264,7 +264,7 @@
         return Leader(
             LeaderParts(
                 store=self._store,
-                minions=PlatformMinions(relays),
+                minions=PlatformMinions(relays, relays.submit),
                 relays=relays,
                 lag=lag,
                 decoder=self._records,
