Add the value of a metric to one sketch, and keep the keys of metrics

Pure cost: each value was added to two sketches, and the key of each count was checked and translated anew. The sketch of a window is merged into that of the earlier values at each flush. A new scenario checks the totals over flushes (passes before and after).

Measured (scratch, processor time, runs in turns): a value 3.0 us before, 1.9 us after; a count with a label 2.06 us before, 0.67 us after.

--- a/dotterelhill/entry/metrics.py
+++ b/dotterelhill/entry/metrics.py
@@ -178,12 +178,38 @@
     return LogCollapsingLowestDenseDDSketch(RELATIVE_ACCURACY, SKETCH_BINS)
 
 
-@dataclass(slots=True)
 class _Distribution:
-    """Values of one metric since the process started and since the last flush."""
+    """Values of one metric since the process started and since the last flush.
 
-    total: LogCollapsingLowestDenseDDSketch
-    window: LogCollapsingLowestDenseDDSketch
+    Adding a value to a sketch is dear, so it is added to that of the present window only, which is
+    merged into the one of all earlier values at the end of the window.
+    """
+
+    def __init__(self) -> None:
+        self._earlier = _new_sketch()
+        self._window = _new_sketch()
+
+    @property
+    def window(self) -> LogCollapsingLowestDenseDDSketch:
+        """Return the sketch of the values since the last flush."""
+        return self._window
+
+    @property
+    def total(self) -> LogCollapsingLowestDenseDDSketch:
+        """Return a sketch of all values."""
+        total = _new_sketch()
+        total.merge(self._earlier)
+        total.merge(self._window)
+        return total
+
+    def add(self, value: float) -> None:
+        """Add a value."""
+        self._window.add(value)
+
+    def end_window(self) -> None:
+        """Begin a new window."""
+        self._earlier.merge(self._window)
+        self._window = _new_sketch()
 
 
 @dataclass(frozen=True, slots=True)
@@ -245,17 +271,19 @@
         self._gauges: dict[str, float] = {}
         self._distributions: dict[str, _Distribution] = {}
         self._known_labels: dict[str, set[str]] = {}
+        # Keys of counters and distributions by name, kind and label.
+        self._keys: dict[tuple[str, MetricKind, str], str] = {}
 
     @property
     def state(self) -> MetricsState:
         """Return the values since the process started, for the state dump."""
         self._read_sources()
-        distributions = {
-            key: DistributionState(
-                int(item.total.count), item.total.avg or 0.0, _quantile_values(item.total)
+        distributions = {}
+        for key, item in self._distributions.items():
+            total = item.total
+            distributions[key] = DistributionState(
+                int(total.count), total.avg or 0.0, _quantile_values(total)
             )
-            for key, item in self._distributions.items()
-        }
         return MetricsState(dict(self._counters), dict(self._gauges), distributions)
 
     def add_counters(self, prefix: str, read: ReadCounters) -> None:
@@ -308,10 +336,8 @@
         key = self._metric_key(name, MetricKind.QUANTILES, label)
         distribution = self._distributions.get(key)
         if distribution is None:
-            distribution = _Distribution(_new_sketch(), _new_sketch())
-            self._distributions[key] = distribution
-        distribution.total.add(value)
-        distribution.window.add(value)
+            distribution = self._distributions[key] = _Distribution()
+        distribution.add(value)
 
     def to_text(self) -> str:
         """Return all values in the text exposition format that metrics collectors scrape."""
@@ -336,7 +362,7 @@
             with self._client.pipeline() as pipe:
                 self._send_changes(pipe)
         for distribution in self._distributions.values():
-            distribution.window = _new_sketch()
+            distribution.end_window()
 
     def _read_sources(self) -> None:
         for prefix, read in self._counter_sources:
@@ -375,19 +401,32 @@
                 pipe.gauge(f"{key}.{quantile}", number)
 
     def _metric_key(self, name: str, kind: MetricKind, label: str) -> str:
+        key = self._keys.get((name, kind, label))
+        if key is None:
+            key = self._new_key(name, kind, label)
+        return key
+
+    def _new_key(self, name: str, kind: MetricKind, label: str) -> str:
+        """Return the key of a name and label, and keep it unless too many labels are known.
+
+        :raises ValueError: when ``METRICS`` has no such metric, or one without such a label
+        """
         metric = _METRICS_BY_NAME.get(name)
         if metric is None or metric.kind is not kind:
             raise ValueError(f"name must be a {kind} of METRICS, got {name!r}")
         if bool(label) != bool(metric.label):
             raise ValueError(f"label of {name!r} must name its {metric.label!r}, got {label!r}")
         if not label:
+            self._keys[name, kind, label] = name
             return name
         known_labels = self._known_labels.setdefault(name, set())
         if label not in known_labels and len(known_labels) >= MAX_LABEL_COUNT:
             label = OTHER_LABEL
         known_labels.add(label)
         # statsd uses '.', ':' and '|' as separators.
-        return f"{name}.{label.translate(_LABEL_REPLACEMENTS)}"
+        key = f"{name}.{label.translate(_LABEL_REPLACEMENTS)}"
+        self._keys[name, kind, label] = key
+        return key
 
 
 _LABEL_REPLACEMENTS = str.maketrans({".": "_", ":": "_", "|": "_", "@": "_", " ": "_"})
--- a/dotterelhill/entry/tests/admin.feature
+++ b/dotterelhill/entry/tests/admin.feature
@@ -44,6 +44,16 @@
     When the values 1 to 1000 ms of "requests.seconds" are observed
     Then its p99 is within 2 percent of 0.99
 
+  Scenario: The state loses values at a flush, or counts them twice
+    Given local metrics
+    When the values 1 to 1000 ms of "requests.seconds" are observed
+    And the metrics are flushed
+    And the values 1 to 1000 ms of "requests.seconds" are observed
+    And the metrics are flushed
+    And the metrics are flushed
+    And the values 1 to 1000 ms of "requests.seconds" are observed
+    Then the state has 3000 values with a mean of 0.5005
+
   Scenario: A log message with a line break is read as two lines
     When a line with the text "first\nsecond" and field peer "caxias-2" is logged
     Then one JSON line has both and names the process
--- a/dotterelhill/entry/tests/steps/admin_steps.py
+++ b/dotterelhill/entry/tests/steps/admin_steps.py
@@ -110,6 +110,19 @@
     assert abs(state.quantiles["p99"] / value - 1) < 0.02 and state.count == 1000, state
 
 
+@when("the metrics are flushed")
+def flush_metrics(context):
+    context.metrics.flush()
+
+
+@then("the state has {count:d} values with a mean of {mean:g}")
+def check_total(context, count, mean):
+    (state,) = context.metrics.state.distributions.values()
+    assert state.count == count and abs(state.mean / mean - 1) < 0.001, state
+    assert abs(state.quantiles["p50"] / 0.5 - 1) < 0.02, state
+    assert context.metrics.state.distributions == {"requests.seconds.desk": state}
+
+
 @when('a line with the text "first\\nsecond" and field peer "{peer}" is logged')
 def log_line(context, peer):
     stream = io.StringIO()
