Send heartbeats to relays without a timer for each message

Pure cost: the sender of each connection set and cancelled a timer for each message. The check of the pool, which runs each 0.1 s, wakes it when a heartbeat is due. A failed connection ends its sender at once.

--- a/dotterelhill/control/relay_pool.py
+++ b/dotterelhill/control/relay_pool.py
@@ -15,7 +15,6 @@
 import asyncio
 from collections import Counter
 from collections.abc import Callable, Mapping
-from contextlib import suppress
 from dataclasses import dataclass, replace
 from functools import partial
 from math import ceil
@@ -114,7 +113,7 @@
         self._socket = socket
         self._leadership = leadership
         self._clock = clock
-        self._heard_at = clock()
+        self._heard_at = self._sent_at = clock()
         self._next_number = 0
         self._pending: dict[int, _PendingCall] = {}
         self._outbox: list[RelayedCall] = []
@@ -179,12 +178,13 @@
         return number
 
     async def send(self) -> None:
-        """Send the calls, and heartbeats between them, until the connection fails."""
-        while not self._is_closed:
-            with suppress(TimeoutError):
-                async with asyncio.timeout(HEARTBEAT_SECONDS):
-                    await self._has_calls.wait()
+        """Send the calls, and heartbeats when they are due, until the connection fails."""
+        while True:
+            await self._has_calls.wait()
+            if self._is_closed:
+                return
             self._has_calls.clear()
+            self._sent_at = self._clock()
             calls, self._outbox = self._outbox, []
             leadership = self._leadership
             message = LeaderMessage(
@@ -200,6 +200,14 @@
             )
             await self._socket.send_bytes(ENCODER.encode(message))
 
+    def keep_alive(self) -> None:
+        """Send a heartbeat if the last message was sent about ``HEARTBEAT_SECONDS`` ago.
+
+        A timer for each message would cost more than the message.
+        """
+        if self._clock() - self._sent_at >= HEARTBEAT_SECONDS - CHECK_INTERVAL_SECONDS / 2:
+            self._has_calls.set()
+
     def receive(self, data: bytes) -> None:
         """Process one message of the relay.
 
@@ -230,6 +238,7 @@
         if self._is_closed:
             return
         self._is_closed = True
+        self._has_calls.set()
         unsent = {call.number for call in self._outbox}
         failed, self._pending = self._pending, {}
         for number, pending in failed.items():
@@ -377,13 +386,13 @@
         task.add_done_callback(self._closing.discard)
 
     async def watch(self) -> None:
-        """Expire calls and remove silent relays until the task is cancelled."""
+        """Check the relays until the task is cancelled."""
         while True:
             await asyncio.sleep(CHECK_INTERVAL_SECONDS)
             self.check()
 
     def check(self) -> None:
-        """Expire calls and remove relays that are silent or leaving.
+        """Send heartbeats, expire calls and remove relays that are silent or leaving.
 
         What has arrived while the event loop was late is still unread, so neither is concluded from
         that time.
@@ -391,6 +400,7 @@
         allowance = self.unread_seconds
         was_usable = {link for links in self._relays_by_domain.values() for link in links}
         for link in list(self._links.values()):
+            link.keep_alive()
             link.expire(allowance)
             if link.silent_seconds > SILENCE_SECONDS + allowance:
                 self.remove(link, "the relay is silent")
