--- a/measure/leader_cost.py
+++ b/measure/leader_cost.py
@@ -425,7 +425,7 @@
         leader = Leader(
             LeaderParts(
                 store=cast(Any, self._store),
-                minions=PlatformMinions(pool),
+                minions=PlatformMinions(pool, pool.submit),
                 relays=pool,
                 lag=lag,
                 decoder=records,
