Repeat a resignation until it is stored

A resignation is a conditional append. When a renewal of the claim was on its way, it had grown the stream, and the append failed; so it did after one refusal by the store. Both were logged and not repeated, and the other processes waited for the end of the lease. With a busy leader a renewal is on its way most of the time, since it queues behind other work.

The append is now repeated for the length of a lease, at the end of the stream that was read after a conflict, until the resignation is stored or another process has claimed.

--- a/dotterelhill/control/leadership.py
+++ b/dotterelhill/control/leadership.py
@@ -54,6 +54,8 @@
 # 0.3 s, and questions are 0.15 s apart.
 WITNESS_LEAD_SECONDS = 0.5
 
+RESIGNATION_RETRY_SECONDS = 0.1
+
 LEADER_KEY = "leader"
 RENEWAL_KEY = "renewal"
 
@@ -555,17 +557,40 @@
         self._valid_until = max(self._valid_until, renewed_at + LEASE_SECONDS)
 
     async def resign(self) -> None:
-        """Give up the claim and record this, so that other processes can claim immediately."""
+        """Give up the claim and record this, so that other processes can claim immediately.
+
+        It is recorded at the latest ``LEASE_SECONDS`` later, or not at all: other processes claim
+        by then since the stream does not grow.
+        """
         claim = self._claim
         if claim is None:
             return
         self.drop("resigned")
         resigned = Claim(claim.epoch, claim.incarnation, claim.address, is_resigned=True)
         record = Record(LEADER_KEY, msgspec.msgpack.encode(resigned))
-        try:
-            await self._store.append(Stream.LEADERSHIP, [record], at=self._end)
-        except StoreError as error:
-            _log.warning("resignation could not be stored", extra={"reason": str(error)})
+        end, tries_until = self._end, self._clock() + LEASE_SECONDS
+        reason = ""
+        while self._clock() < tries_until:
+            try:
+                await self._store.append(Stream.LEADERSHIP, [record], at=end)
+                return
+            except StoreConflictError:
+                # A renewal that was on its way may have grown the stream, or this record itself.
+                pass
+            except StoreError as error:
+                reason = str(error)
+                await asyncio.sleep(RESIGNATION_RETRY_SECONDS)
+                continue
+            try:
+                state = await self.read()
+            except StoreError as error:
+                reason = str(error)
+                await asyncio.sleep(RESIGNATION_RETRY_SECONDS)
+                continue
+            if state.claim != claim:
+                return
+            end = state.end
+        _log.warning("resignation could not be stored", extra={"reason": reason})
 
     def drop(self, reason: str) -> None:
         """Drop the claim locally, so that this process stops acting as the leader.
--- /dev/null
+++ b/dotterelhill/control/tests/steps/resignation_steps.py
@@ -0,0 +1,128 @@
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+from behave import given, then, use_step_matcher, when
+
+from dotterelhill.control.interface import Stream
+from dotterelhill.control.leadership import LEADER_KEY, Claim
+from dotterelhill.control.tests.cluster_world import Cluster
+
+use_step_matcher("re")
+
+STEP_SECONDS = 0.01
+MAX_STEPS = 500
+
+
+@given(
+    r"(?P<count>\d+) processes with (?P<minions>\d+) minions, "
+    r"with processor time of (?P<ms>\d+) ms for each message"
+)
+def new_cluster(context, count, minions, ms):
+    names = [chr(ord("a") + number) for number in range(int(count))]
+    minion_names = tuple(f"m{number}" for number in range(int(minions)))
+    context.cluster = cluster = Cluster(names, minion_names=minion_names)
+    cluster.advance(3.0)
+    cluster.seconds_per_message = int(ms) / 1000.0
+    cluster.is_polling_long = True
+    cluster.advance(1.0)
+    context.job_count = 0
+    context.first_leader = cluster.leaders[0]
+    record_resignations(context)
+
+
+def record_resignations(context) -> None:
+    """Record when each resignation is stored."""
+    cluster = context.cluster
+    append = cluster.store.append
+    context.resignations = []
+
+    def append_and_record(stream_partition, records, at, fence):
+        end = append(stream_partition, records, at, fence)
+        for record in records:
+            if record.key != LEADER_KEY:
+                continue
+            claim = msgspec.msgpack.decode(record.value, type=Claim)
+            if claim.is_resigned:
+                context.resignations.append((cluster.loop.time(), claim))
+        return end
+
+    cluster.store.append = append_and_record
+
+
+def stop_by_plan(context, name) -> None:
+    """Begin the resignation of a process, which goes on while time passes."""
+    context.stopped, context.stopped_at = name, context.cluster.loop.time()
+    election = context.cluster.processes[name].election
+
+    async def begin() -> None:
+        context.resigning = asyncio.create_task(election.resign())
+
+    context.cluster.run(begin())
+
+
+@when(r"the leader stops by plan")
+def stop_leader(context):
+    stop_by_plan(context, context.first_leader)
+
+
+def advance_until_append(context, name) -> None:
+    """Let time pass until an append of a process to the leadership stream is on its way."""
+    cluster = context.cluster
+    store = cluster.processes[name].store
+    append = store.append
+    is_sent = False
+
+    async def append_and_tell(stream, records, **options):
+        nonlocal is_sent
+        is_sent = is_sent or stream is Stream.LEADERSHIP
+        return await append(stream, records, **options)
+
+    store.append = append_and_tell
+    for _ in range(MAX_STEPS):
+        cluster.advance(STEP_SECONDS)
+        if is_sent:
+            store.append = append
+            return
+    raise AssertionError("no append")
+
+
+@when(r"the leader stops by plan while its renewal is on its way")
+def stop_renewing_leader(context):
+    context.cluster.processes[context.first_leader].store.latency_seconds = 0.1
+    advance_until_append(context, context.first_leader)
+    stop_by_plan(context, context.first_leader)
+
+
+@when(r"no process reaches the leader")
+def isolate_leader(context):
+    cluster = context.cluster
+    cluster.has_path = lambda caller, address: address != context.first_leader
+
+
+@when(
+    r"for (?P<seconds>[\d.]+) seconds each append of the leader "
+    r"(?P<fate>is refused|is stored, but its answer is lost)"
+)
+def fail_appends(context, seconds, fate):
+    cluster = context.cluster
+    store = cluster.processes[context.first_leader].store
+    if fate == "is refused":
+        store.is_down = True
+    else:
+        store.lost_answers = 1000
+
+    def end() -> None:
+        store.is_down, store.lost_answers = False, 0
+
+    cluster.loop.call_later(float(seconds), end)
+
+
+@then(r"its resignation was stored(?P<once> once)? within (?P<seconds>[\d.]+) seconds")
+def check_resignation(context, once, seconds):
+    stored = [(at, claim) for at, claim in context.resignations if claim.address == context.stopped]
+    assert stored, "no resignation is stored"
+    waited = stored[0][0] - context.stopped_at
+    assert waited <= float(seconds), waited
+    assert not once or len(stored) == 1, stored
