Send stops and changes of pace to relays without a task for each

Cause: like start orders before, each took a task, a future and several coroutine frames.

Change: Minions.submit_order hands them to the message of their relay, and the answer comes by a callback; where no relay takes one, a task sends it as before. Fencing, errors and log lines are as before. relays.feature has the results of submitted orders.

--- a/dotterelhill/control/interface.py
+++ b/dotterelhill/control/interface.py
@@ -234,6 +234,11 @@
     clock_ms: int | None = None
 
 
+StartAnswerHandler = Callable[[StartAnswer | FencedByMinionError], None]
+# Called with None when the minion has confirmed the order, and with the error otherwise.
+OrderAnswerHandler = Callable[[MinionError | None], None]
+
+
 class Minions(Protocol):
     """Client for calls to minions.
 
@@ -245,7 +250,7 @@
         order: StartOrder,
         epoch: int,
         deadline_ms: int,
-        on_answer: Callable[[StartAnswer | FencedByMinionError], None],
+        on_answer: StartAnswerHandler,
     ) -> bool:
         """Start a run through a relay, without a task that waits for the answer.
 
@@ -267,6 +272,17 @@
         """
         ...
 
+    def submit_order(
+        self, order: StopOrder | PaceOrder, epoch: int, on_answer: OrderAnswerHandler
+    ) -> bool:
+        """Stop a run or set its pace through a relay, without a task that waits for the answer.
+
+        :param on_answer: called once with the error, or None when the minion confirmed the order
+        :returns: False when no relay takes the order, so that ``stop`` or ``set_pace`` has to
+            send it
+        """
+        ...
+
     async def stop(self, order: StopOrder, epoch: int) -> None:
         """Stop a run.
 
--- a/dotterelhill/control/leader.py
+++ b/dotterelhill/control/leader.py
@@ -551,7 +551,7 @@
     def _send_orders(self) -> None:
         """Send stops and changes of pace, which need not be stored first."""
         for order in self._scheduler.take_orders():
-            self._spawn(self._send_order(order))
+            self._begin_order(order)
 
     async def _store_changes(self, changes: Changes) -> None:
         records = [Record(job.job_id, encode_progress(job)) for job in changes.jobs]
@@ -721,29 +721,54 @@
         if outcome is not StartOutcome.STARTED or not self._scheduler.had_starts_left:
             self._wake_event.set()
 
-    async def _send_order(self, order: Order) -> None:
+    def _begin_order(self, order: Order) -> None:
+        """Send a stop or a change of pace through a relay, or in a task where none takes it."""
         leadership = self._parts.leadership
         # These orders extend no lease, so the leader's own lease is enough.
         if not (leadership.is_leading or leadership.is_lease_renewal_allowed):
             return
+        on_answer = partial(self._process_order_answer, order)
+        try:
+            is_sent = self._parts.minions.submit_order(order, self._epoch, on_answer)
+        except Exception as error:
+            self._log_unexpected_error(type(order).__name__, order.minion, error)
+            return
+        if not is_sent:
+            self._spawn(self._send_order(order))
+
+    async def _send_order(self, order: Order) -> None:
+        answer: MinionError | None = None
         try:
             match order:
                 case StopOrder():
                     await self._parts.minions.stop(order, self._epoch)
-                    self._scheduler.stop_answered(
-                        order.minion, order.key, order.run_id, self._clock()
-                    )
                 case PaceOrder():
                     await self._parts.minions.set_pace(order, self._epoch)
-        except FencedByMinionError as error:
-            self._parts.leadership.drop(str(error))
         except MinionError as error:
+            answer = error
+        except Exception as error:
+            self._log_unexpected_error(type(order).__name__, order.minion, error)
+            return
+        self._process_order_answer(order, answer)
+
+    def _process_order_answer(self, order: Order, error: MinionError | None) -> None:
+        if self._has_ended:
+            return
+        try:
+            self._record_order_answer(order, error)
+        except Exception as unexpected:
+            self._log_unexpected_error(type(order).__name__, order.minion, unexpected)
+
+    def _record_order_answer(self, order: Order, error: MinionError | None) -> None:
+        if isinstance(error, FencedByMinionError):
+            self._parts.leadership.drop(str(error))
+        elif error is not None:
             fields = {"minion": order.minion.minion_id, "reason": str(error)}
             _log.warning(f"minion did not answer {type(order).__name__}", extra=fields)
             if isinstance(order, PaceOrder):
                 self._scheduler.pace_unanswered(order, self._clock())
-        except Exception as error:
-            self._log_unexpected_error(type(order).__name__, order.minion, error)
+        elif isinstance(order, StopOrder):
+            self._scheduler.stop_answered(order.minion, order.key, order.run_id, self._clock())
 
     def _log_unexpected_error(self, call: str, minion: Minion, error: Exception) -> None:
         fields = {"call": call, "minion": minion.minion_id, "reason": repr(error)}
--- a/dotterelhill/control/tests/cluster_world.py
+++ b/dotterelhill/control/tests/cluster_world.py
@@ -46,7 +46,7 @@
     RunReport,
 )
 from dotterelhill.jobs.model import Step, Submission
-from dotterelhill.jobs.orders import StartOutcome
+from dotterelhill.jobs.orders import StartOutcome, StopOrder
 from dotterelhill.jobs.queues import FleetConfig, Pool, Queue
 from dotterelhill.jobs.resources import ResourceVector
 
@@ -349,10 +349,31 @@
                 answer = StartAnswer(StartOutcome.UNKNOWN)
             on_answer(answer)
 
-        task = asyncio.get_running_loop().create_task(carry_out())
+        self.relay(carry_out())
+        return True
+
+    def submit_order(self, order, epoch, on_answer):
+        """Carry out a stop or a change of pace as a relay does."""
+
+        async def carry_out() -> None:
+            call = self.stop if isinstance(order, StopOrder) else self.set_pace
+            answer = None
+            try:
+                await call(order, epoch)
+            except MinionError as error:
+                answer = error
+            except Exception as error:
+                answer = MinionError(repr(error))
+            on_answer(answer)
+
+        self.relay(carry_out())
+        return True
+
+    def relay(self, coroutine) -> None:
+        """Let a relay carry out an order, which may outlast the leader that gave it."""
+        task = asyncio.get_running_loop().create_task(coroutine)
         self.submitted.add(task)
         task.add_done_callback(self.submitted.discard)
-        return True
 
     async def start(self, order, epoch, deadline_ms):
         sent_at = self._cluster.loop.time()
--- a/dotterelhill/control/tests/relays.feature
+++ b/dotterelhill/control/tests/relays.feature
@@ -175,6 +175,23 @@
       | 400    | {"reason":"fields"} | refused           |
       | 502    | bad gateway         | unknown           |
 
+  Scenario Outline: the answer to a submitted stop or change of pace is misunderstood
+    Given minion "m1" answers with status <status> and <body>
+    When the runs of all minions are stopped and paced by submitted orders
+    Then both orders to minion "m1" are <result>
+    And all other submitted orders are confirmed
+
+    Examples:
+      | status | body               | result      |
+      | 200    | {}                 | confirmed   |
+      | 409    | {"reason":"fence"} | fenced      |
+      | 404    | {}                 | unconfirmed |
+      | 500    | {}                 | unconfirmed |
+
+  Scenario: a stop is taken for confirmed although its relay has failed
+    When the runs of all minions are stopped and paced by submitted orders and all relays fail
+    Then all submitted orders are unconfirmed
+
   # A poll is due each 1.2 s. So that a lease of 6 s outlasts two lost ones, none may wait for 0.8 s.
   Scenario Outline: polls that renew leases wait behind start orders on the leader's link
     Given a link of the leader that carries 250000 bytes a second
--- a/dotterelhill/control/tests/steps/relay_steps.py
+++ b/dotterelhill/control/tests/steps/relay_steps.py
@@ -33,7 +33,7 @@
 from dotterelhill.control.tests.cluster_world import MemoryStore, StoreView
 from dotterelhill.jobs.fleet import Minion, MinionFacts, Run, RunState
 from dotterelhill.jobs.model import Step, TaskKey
-from dotterelhill.jobs.orders import StartOrder, StartOutcome
+from dotterelhill.jobs.orders import PaceOrder, StartOrder, StartOutcome, StopOrder
 from dotterelhill.jobs.resources import ResourceVector
 from dotterelhill.platform.minions import PlatformMinions
 
@@ -597,6 +597,57 @@
     assert context.unknown and context.not_taken == context.unknown, context.not_taken
 
 
+@when(
+    r"the runs of all minions are stopped and paced by submitted orders(?P<fail> and all relays "
+    r"fail)?"
+)
+def submit_orders(context, fail):
+    world = context.relay_world
+    minions = PlatformMinions(world.pool, world.pool.submit)
+    context.order_results = []
+
+    async def submit() -> None:
+        for index, minion_id in enumerate(world.minions):
+            start = start_order(world, 0, index, 0)
+            stop = StopOrder(start.minion, start.run.key, 1)
+            for order in (stop, PaceOrder(start.minion, start.run, 40)):
+
+                def record(error, minion_id=minion_id) -> None:
+                    result = "confirmed" if error is None else "unconfirmed"
+                    if isinstance(error, FencedByMinionError):
+                        result = "fenced"
+                    context.order_results.append((minion_id, result))
+
+                assert minions.submit_order(order, 1, record)
+        if fail:
+            for relay in world.relays:
+                world.pool.remove(relay.link, "connection reset")
+        await asyncio.sleep(1.0)
+
+    world.run(submit())
+    assert len(context.order_results) == 2 * len(world.minions), len(context.order_results)
+    bodies = [body for relay in world.relays for body in relay.caller.bodies]
+    tasks = Counter(msgspec.json.decode(body)["task"] for body in bodies)
+    assert set(tasks.values()) == (set() if fail else {2}), tasks
+
+
+@then(r'both orders to minion "(?P<name>\w+)" are (?P<result>\w+)')
+def check_order_results(context, name, result):
+    found = [found for minion_id, found in context.order_results if minion_id == name]
+    assert found == [result, result], found
+
+
+@then(r"all other submitted orders are confirmed")
+def check_other_results(context):
+    others = {result for name, result in context.order_results if name != "m1"}
+    assert others == {"confirmed"}, others
+
+
+@then(r"all submitted orders are unconfirmed")
+def check_no_result(context):
+    assert {result for _, result in context.order_results} == {"unconfirmed"}
+
+
 def leader_bytes(world: RelayWorld) -> int:
     return sum(len(data) for relay in world.relays for data in relay.to_relay.messages)
 
--- a/dotterelhill/platform/minions.py
+++ b/dotterelhill/platform/minions.py
@@ -16,8 +16,10 @@
     MinionCaller,
     MinionError,
     MinionNotReachedError,
+    OrderAnswerHandler,
     OtherIncarnationError,
     StartAnswer,
+    StartAnswerHandler,
 )
 from dotterelhill.control.relay_pool import AnswerHandler
 from dotterelhill.entry.logs import logger_of
@@ -157,7 +159,7 @@
         order: StartOrder,
         epoch: int,
         deadline_ms: int,
-        on_answer: Callable[[StartAnswer | FencedByMinionError], None],
+        on_answer: StartAnswerHandler,
     ) -> bool:
         """Start a run through a relay; see :meth:`Minions.submit_start`."""
         if self._submit is None:
@@ -168,7 +170,7 @@
     def _process_start_answer(
         self,
         order: StartOrder,
-        on_answer: Callable[[StartAnswer | FencedByMinionError], None],
+        on_answer: StartAnswerHandler,
         answer: MinionAnswer | MinionError,
     ) -> None:
         if isinstance(answer, MinionNotReachedError):
@@ -212,27 +214,50 @@
 
         :raises MinionError: when the minion did not confirm the stop
         """
-        body = {"task": str(order.key), "runId": order.run_id, "fenceToken": epoch}
-        status, data = await self._call(order.minion, "/run-stop", body)
-        self._check_fence(status, _decode_answer(data))
-        if status != 200:
-            raise MinionError(f"stop: status {status}")
+        self._check_order(order, await self._caller.call(_order_call(order, epoch)))
 
     async def set_pace(self, order: PaceOrder, epoch: int) -> None:
         """Set the pace of a run.
 
         :raises MinionError: when the minion did not confirm the pace
         """
-        body = {
-            "task": str(order.run.key),
-            "runId": order.run.run_id,
-            "percent": order.percent,
-            "fenceToken": epoch,
-        }
-        status, data = await self._call(order.minion, "/pace", body)
-        self._check_fence(status, _decode_answer(data))
-        if status != 200:
-            raise MinionError(f"pace: status {status}")
+        self._check_order(order, await self._caller.call(_order_call(order, epoch)))
+
+    def submit_order(
+        self, order: StopOrder | PaceOrder, epoch: int, on_answer: OrderAnswerHandler
+    ) -> bool:
+        """Stop a run or set its pace through a relay; see :meth:`Minions.submit_order`."""
+        if self._submit is None:
+            return False
+        on_call_answer = partial(self._process_order_answer, order, on_answer)
+        return self._submit(_order_call(order, epoch), on_call_answer)
+
+    def _process_order_answer(
+        self,
+        order: StopOrder | PaceOrder,
+        on_answer: OrderAnswerHandler,
+        answer: MinionAnswer | MinionError,
+    ) -> None:
+        result: MinionError | None = None
+        if isinstance(answer, MinionError):
+            result = answer
+        else:
+            try:
+                self._check_order(order, answer)
+            except MinionError as error:
+                result = error
+        on_answer(result)
+
+    def _check_order(self, order: StopOrder | PaceOrder, answer: MinionAnswer) -> None:
+        """Check that the minion has confirmed an order.
+
+        :raises MinionError: when it has not
+        """
+        if answer.status == 200:
+            return
+        self._check_fence(answer.status, _decode_answer(answer.body))
+        name = "stop" if isinstance(order, StopOrder) else "pace"
+        raise MinionError(f"{name}: status {answer.status}")
 
     async def renew(
         self, minion: Minion, epoch: int, deadline_ms: int | None, wait_seconds: float
@@ -317,6 +342,25 @@
     )
 
 
+def _order_call(order: StopOrder | PaceOrder, epoch: int) -> MinionCall:
+    match order:
+        case StopOrder():
+            path = "/run-stop"
+            body = {"task": str(order.key), "runId": order.run_id, "fenceToken": epoch}
+        case PaceOrder():
+            path = "/pace"
+            body = {
+                "task": str(order.run.key),
+                "runId": order.run.run_id,
+                "percent": order.percent,
+                "fenceToken": epoch,
+            }
+    facts = order.minion.facts
+    return MinionCall(
+        facts.address, facts.minion_id, facts.failure_domain, path, _ENCODER.encode(body)
+    )
+
+
 def _decode_answer(data: bytes) -> _Answer:
     try:
         return _ANSWER_DECODER.decode(data)
