Make the values of calls and answers structs

Pure cost: a frozen data class sets each field by a call of Python (2.4 us for the eight fields of MinionCall, a struct 0.2 us), and a start order takes five of them, a poll two.

--- a/dotterelhill/control/interface.py
+++ b/dotterelhill/control/interface.py
@@ -7,6 +7,8 @@
 from enum import StrEnum
 from typing import Protocol
 
+import msgspec
+
 from dotterelhill.jobs.fleet import Minion, MinionReport
 from dotterelhill.jobs.orders import PaceOrder, StartOrder, StartOutcome, StopOrder
 
@@ -179,10 +181,11 @@
     """Raised when another incarnation answers at the minion's address."""
 
 
-@dataclass(frozen=True, slots=True)
-class MinionCall:
+class MinionCall(msgspec.Struct, frozen=True):
     """One encoded call to a minion, which any process can send.
 
+    Calls and answers are created for each poll and order, which a struct does in native code.
+
     :param address: ``host:port`` of the minion
     :param minion_id: incarnation that may carry out the call
     :param failure_domain: failure domain of the minion
@@ -203,8 +206,7 @@
     prefix: bytes = b""
 
 
-@dataclass(frozen=True, slots=True)
-class MinionAnswer:
+class MinionAnswer(msgspec.Struct, frozen=True):
     """Answer to one call, not decoded yet."""
 
     status: int
@@ -223,8 +225,7 @@
         ...
 
 
-@dataclass(frozen=True, slots=True)
-class StartAnswer:
+class StartAnswer(msgspec.Struct, frozen=True):
     """Outcome of a start order.
 
     :param clock_ms: clock of the minion in ms; None without an answer
--- a/dotterelhill/control/leader.py
+++ b/dotterelhill/control/leader.py
@@ -127,8 +127,7 @@
     tenant_loads: Callable[[Scheduler, float], Mapping[str, TenantLoad]] = Scheduler.tenant_loads
 
 
-@dataclass(frozen=True, slots=True)
-class _BegunStart:
+class _BegunStart(msgspec.Struct, frozen=True):
     """Start order in flight.
 
     :param sent_at: time at which it was sent, in seconds
--- a/dotterelhill/control/relay_pool.py
+++ b/dotterelhill/control/relay_pool.py
@@ -15,13 +15,13 @@
 import asyncio
 from collections import Counter
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, replace
 from functools import partial
 from math import ceil
 from typing import Protocol
 from zlib import crc32
 
 import aiohttp
+import msgspec
 
 from dotterelhill.control.call_prefixes import SentPrefixes
 from dotterelhill.control.interface import (
@@ -80,8 +80,7 @@
 AnswerHandler = Callable[[MinionAnswer | RelayError], None]
 
 
-@dataclass(frozen=True, slots=True)
-class _PendingCall:
+class _PendingCall(msgspec.Struct, frozen=True):
     """Call without an answer.
 
     :param on_answer: called once with the answer or the error
@@ -430,7 +429,9 @@
         link = self._relay_for(call)
         if link is None:
             allowance = self.unread_seconds
-            return await self._direct.call(replace(call, allowance_seconds=allowance))
+            return await self._direct.call(
+                msgspec.structs.replace(call, allowance_seconds=allowance)
+            )
         try:
             answer = await link.call(call)
         except RelayError:
--- a/dotterelhill/control/start_window.py
+++ b/dotterelhill/control/start_window.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
 from statistics import median
 
+import msgspec
+
 INITIAL_STARTS = 32.0
 MIN_STARTS = 8.0
 MAX_STARTS = 1024.0
@@ -28,8 +29,7 @@
 MAX_LEAST_SECONDS = 0.45
 
 
-@dataclass(frozen=True, slots=True)
-class SentOrder:
+class SentOrder(msgspec.Struct, frozen=True):
     """Start order in flight.
 
     :param sent_at: time at which it was sent, in seconds
