--- a/dotterelhill/control/interface.py
+++ b/dotterelhill/control/interface.py
@@ -7,6 +7,8 @@
 from enum import StrEnum
 from typing import Protocol
 
+import msgspec
+
 from dotterelhill.jobs.fleet import Minion, MinionReport
 from dotterelhill.jobs.orders import PaceOrder, StartOrder, StartOutcome, StopOrder
 
@@ -179,10 +181,11 @@
     """Raised when another incarnation answers at the minion's address."""
 
 
-@dataclass(frozen=True, slots=True)
-class MinionCall:
+class MinionCall(msgspec.Struct, frozen=True):
     """One encoded call to a minion, which any process can send.
 
+    Calls and answers are created for each poll and order, which a struct does in native code.
+
     :param address: ``host:port`` of the minion
     :param minion_id: incarnation that may carry out the call
     :param failure_domain: failure domain of the minion
@@ -203,8 +206,7 @@
     prefix: bytes = b""
 
 
-@dataclass(frozen=True, slots=True)
-class MinionAnswer:
+class MinionAnswer(msgspec.Struct, frozen=True):
     """Answer to one call, not decoded yet."""
 
     status: int
@@ -223,8 +225,7 @@
         ...
 
 
-@dataclass(frozen=True, slots=True)
-class StartAnswer:
+class StartAnswer(msgspec.Struct, frozen=True):
     """Outcome of a start order.
 
     :param clock_ms: clock of the minion in ms; None without an answer
@@ -234,6 +235,11 @@
     clock_ms: int | None = None
 
 
+StartAnswerHandler = Callable[[StartAnswer | FencedByMinionError], None]
+# Called with None when the minion has confirmed the order, and with the error otherwise.
+OrderAnswerHandler = Callable[[MinionError | None], None]
+
+
 class Minions(Protocol):
     """Client for calls to minions.
 
@@ -245,7 +251,7 @@
         order: StartOrder,
         epoch: int,
         deadline_ms: int,
-        on_answer: Callable[[StartAnswer | FencedByMinionError], None],
+        on_answer: StartAnswerHandler,
     ) -> bool:
         """Start a run through a relay, without a task that waits for the answer.
 
@@ -267,6 +273,17 @@
         """
         ...
 
+    def submit_order(
+        self, order: StopOrder | PaceOrder, epoch: int, on_answer: OrderAnswerHandler
+    ) -> bool:
+        """Stop a run or set its pace through a relay, without a task that waits for the answer.
+
+        :param on_answer: called once with the error, or None when the minion confirmed the order
+        :returns: False when no relay takes the order, so that ``stop`` or ``set_pace`` has to
+            send it
+        """
+        ...
+
     async def stop(self, order: StopOrder, epoch: int) -> None:
         """Stop a run.
 
