Resign a claim that was on its way when its process stopped

A process that had sent its claim when it was told to stop began the term once the claim was stored, and led until it exited. The next claim then waited for the end of its lease. Such a claim is now resigned as soon as it is stored, and no term begins.

behave dotterelhill/control/tests -i resignation: "A process that stops while its claim is on its way begins a term" fails without the change, passes with it.

--- a/dotterelhill/control/election.py
+++ b/dotterelhill/control/election.py
@@ -307,6 +307,10 @@
             return
         if self._has_stopped_claiming or not await self._leadership.claim(state):
             return
+        if self._has_stopped_claiming:
+            # The process has resigned while its claim was on its way.
+            await self._leadership.resign()
+            return
         if self._leadership.own_claim is not None:
             self._claims.record(self._leadership.own_claim)
         _log.notice("took over leadership", extra={"condition": condition.name.lower()})
--- a/dotterelhill/control/tests/resignation.feature
+++ b/dotterelhill/control/tests/resignation.feature
@@ -40,3 +40,11 @@
       | fate                               |
       | is refused                         |
       | is stored, but its answer is lost  |
+
+  # Guards against a term of a process that is about to exit, after which the next claim waits for
+  # the end of its lease.
+  Scenario: A process that stops while its claim is on its way begins a term
+    When the leader is killed and the next one stops by plan while its claim is on its way
+    And 3 seconds pass in the cluster
+    Then the claim of the process that stopped is resigned
+    And another process leads
--- a/dotterelhill/control/tests/steps/resignation_steps.py
+++ b/dotterelhill/control/tests/steps/resignation_steps.py
@@ -117,6 +117,20 @@
     stop_by_plan(context, context.first_leader)
 
 
+@when(r"the leader is killed and the next one stops by plan while its claim is on its way")
+def stop_claiming_process(context):
+    cluster = context.cluster
+    others = [name for name in cluster.processes if name != context.first_leader]
+    for name in others:
+        cluster.processes[name].store.latency_seconds = 0.1
+    cluster.processes[others[1]].election.stop_claiming()
+    cluster.kill(context.first_leader)
+    advance_until_append(context, others[0])
+    assert not cluster.leaders, cluster.leaders
+    cluster.processes[others[1]].election._has_stopped_claiming = False
+    stop_by_plan(context, others[0])
+
+
 @when(r"no process reaches the leader")
 def isolate_leader(context):
     cluster = context.cluster
@@ -162,3 +176,9 @@
     cluster = context.cluster
     done = {key for minion in cluster.minions.values() for key, _, _ in minion.spans}
     assert len(done) == 20 * context.job_count, (len(done), 20 * context.job_count)
+
+
+@then(r"the claim of the process that stopped is resigned")
+def check_claim_resigned(context):
+    claims = [claim for _, claim in context.resignations if claim.address == context.stopped]
+    assert claims, context.cluster.store.newest((Stream.LEADERSHIP, 0))
