List the serving tasks and fillers of a minion when its runs change

Each report went through all runs of its minion to find the fillers in use, the serving tasks with targets, the fillers that are present and the serving tasks again for the limits of the pace. The two lists are now kept until a run is attached or detached. A filler at full pace that nothing limits calls no functions, and images whose headroom is enough no longer count as limits.

A change of cost only.

--- a/dotterelhill/jobs/interference/sharing.py
+++ b/dotterelhill/jobs/interference/sharing.py
@@ -68,6 +68,9 @@
     :param present_baselines: serving image, and lowest headroom of its tasks without fillers
     :param present_shares: shares of the processors that fillers use at full pace, by image
     :param present_key: ``change_count`` of the minion and loop time to which these two belong
+    :param serving: runs of serving tasks with a target for their tail latency
+    :param fillers: runs of fillers
+    :param runs_change_count: ``change_count`` of the minion when these two were listed
     """
 
     over_target_since: float | None = None
@@ -77,6 +80,9 @@
     present_baselines: dict[str, float] = field(default_factory=dict)
     present_shares: dict[str, float] = field(default_factory=dict)
     present_key: tuple[int, float] = (-1, 0.0)
+    serving: list[Run] = field(default_factory=list)
+    fillers: list[Run] = field(default_factory=list)
+    runs_change_count: int = -1
 
 
 class InterferenceControl:
@@ -213,6 +219,23 @@
             state = self._minions[minion] = _MinionState()
         return state
 
+    def _listed_state(self, minion: Minion) -> _MinionState:
+        """Return the state of a minion with the present lists of its runs.
+
+        They are listed anew only when a run was attached or detached, since a report concerns a
+        few runs of many.
+        """
+        state = self._state_of(minion)
+        if state.runs_change_count != minion.change_count:
+            state.runs_change_count = minion.change_count
+            state.serving, state.fillers = [], []
+            for run in minion.runs.values():
+                if run.step.is_filler:
+                    state.fillers.append(run)
+                if _has_latency_target(run):
+                    state.serving.append(run)
+        return state
+
     def _remaining_headroom_by_image(
         self, minion: Minion, now: float
     ) -> list[tuple[str, float, int]]:
@@ -260,36 +283,44 @@
                 filler_shares[image] = filler_shares.get(image, 0.0) + share
         return filler_shares
 
-    def _reported_filler_shares(self, minion: Minion) -> dict[str, float]:
+    @staticmethod
+    def _reported_filler_shares(minion: Minion, fillers: list[Run]) -> dict[str, float]:
         """Return the share of the processors used by fillers in the newest report, by image.
 
         The shares add up to at most 1. On a minion that has shrunk, its fillers may use more than
         its capacity; larger shares would make the estimated effects of their images too small.
         """
         used: dict[str, float] = {}
-        for run in minion.runs.values():
-            if run.step.is_filler and run.cpu_used:
-                used[run.step.image] = used.get(run.step.image, 0.0) + run.cpu_used
+        for run in fillers:
+            if run.cpu_used:
+                image = run.step.image
+                used[image] = used.get(image, 0.0) + run.cpu_used
         processors = max(_processors(minion), sum(used.values()))
         return {image: cpu / processors for image, cpu in used.items()}
 
     def observe(self, minion: Minion, now: float) -> None:
         """Update the estimates with the tails in the newest report of a minion."""
-        filler_shares = self._reported_filler_shares(minion)
+        state = self._listed_state(minion)
+        state.cached_change_count = -1
+        state.present_key = (-1, now)
+        filler_shares: dict[str, float] | None = None
         effect_shares: dict[str, list[EffectShare]] = {}
         is_over_target = False
-        for run in minion.runs.values():
-            if not _has_latency_target(run) or not run.tail_ms or run.percent < 100:
+        for run in state.serving:
+            tail_ms = run.tail_ms
+            if not tail_ms or run.percent < 100:
                 continue
-            headroom = run.step.target_tail_ms / run.tail_ms
+            step = run.step
+            headroom = step.target_tail_ms / tail_ms
             is_over_target = is_over_target or headroom < 1.0
-            image = run.step.image
-            if image not in effect_shares:
-                effect_shares[image] = self._model.effect_shares(image, filler_shares, now)
-            self._model.observe(run.key, image, headroom, effect_shares[image], now)
-        state = self._state_of(minion)
-        state.cached_change_count = -1
-        state.present_key = (-1, now)
+            image = step.image
+            shares = effect_shares.get(image)
+            if shares is None:
+                if filler_shares is None:
+                    filler_shares = self._reported_filler_shares(minion, state.fillers)
+                shares = self._model.effect_shares(image, filler_shares, now)
+                effect_shares[image] = shares
+            self._model.observe(run.key, image, headroom, shares, now)
         if not is_over_target:
             state.over_target_since = None
         elif state.over_target_since is None:
@@ -297,69 +328,72 @@
 
     def pace_orders(self, minion: Minion, now: float) -> list[PaceOrder]:
         """Return pace orders for the fillers of a minion according to its newest report."""
-        fillers = []
-        for run in minion.runs.values():
-            if run.step.is_filler and run.state is RunState.PRESENT:
-                fillers.append(run)
+        state = self._listed_state(minion)
+        fillers = [run for run in state.fillers if run.state is RunState.PRESENT]
         if not fillers:
             return []
-        state = self._state_of(minion)
         is_stop_due = (
             state.over_target_since is not None
             and now - state.over_target_since > self._stop_after_seconds
         )
-        limits = [] if is_stop_due else self._pace_limits(minion, fillers, now)
+        limits = [] if is_stop_due else self._pace_limits(minion, state.serving, fillers, now)
         orders = []
+        slow_since, paused = state.slow_since, self._paused
         for run in fillers:
-            pace = 0 if is_stop_due else self._allowed_pace(run, minion, limits)
-            order = self._pace_order(minion, run, pace, now)
-            if order is not None:
-                orders.append(order)
-            if run.pace >= MOVE_PACE_PERCENT or run in self._paused:
-                state.slow_since.pop(run, None)
-            else:
-                state.slow_since.setdefault(run, now)
+            pace = 100
+            if is_stop_due or run in paused:
+                pace = 0
+            elif limits:
+                pace = self._allowed_pace(run, minion, limits)
+            if pace != run.pace or run.is_inherited or now < run.pace_repeated_until:
+                order = self._pace_order(minion, run, pace, now)
+                if order is not None:
+                    orders.append(order)
+            if run.pace < MOVE_PACE_PERCENT and run not in paused:
+                slow_since.setdefault(run, now)
+            elif slow_since:
+                slow_since.pop(run, None)
         return orders
 
     def _pace_limits(
-        self, minion: Minion, fillers: list[Run], now: float
+        self, minion: Minion, serving_runs: list[Run], fillers: list[Run], now: float
     ) -> list[tuple[str, float, float]]:
         """Return what limits the pace of the fillers on a minion, by image of serving tasks.
 
+        :param serving_runs: runs of serving tasks with a target for their tail latency
         :returns: image, lowest spare headroom of its tasks, and headroom that all fillers together
-            would take from them at full pace
+            would take from them at full pace; without images for which that is little enough
         """
+        at = now + PACE_DELAY_SECONDS
         spare_headroom: dict[str, float] = {}
-        for serving in minion.runs.values():
-            if not _has_latency_target(serving):
-                continue
+        for serving in serving_runs:
             image = serving.step.image
-            baseline = self._model.baseline_headroom(serving.key, now + PACE_DELAY_SECONDS)
-            spare = baseline - PACING_HEADROOM
-            spare_headroom[image] = min(spare, spare_headroom.get(image, spare))
+            spare = self._model.baseline_headroom(serving.key, at) - PACING_HEADROOM
+            known = spare_headroom.get(image)
+            if known is None or spare < known:
+                spare_headroom[image] = spare
         shares: dict[str, float] = {}
         for filler in fillers:
             image = filler.step.image
             shares[image] = shares.get(image, 0.0) + filler.step.room.cpu
+        processors = _processors(minion)
         limits = []
         for image, spare in spare_headroom.items():
-            effect_sum = sum(
-                cpu * self._model.effect(image, filler) for filler, cpu in shares.items()
-            )
-            limits.append((image, spare, effect_sum / _processors(minion)))
+            effect_sum = 0.0
+            for filler_image, cpu in shares.items():
+                effect_sum += cpu * self._model.effect(image, filler_image)
+            effect_sum /= processors
+            if effect_sum > spare:
+                limits.append((image, spare, effect_sum))
         return limits
 
     def _allowed_pace(
         self, run: Run, minion: Minion, limits: list[tuple[str, float, float]]
     ) -> int:
         """Return the highest pace in percent at which every serving task keeps enough headroom."""
-        if run in self._paused:
-            return 0
         share = 1.0
         cpu_share = run.step.room.cpu / _processors(minion)
         for image, spare_headroom, effect_sum in limits:
-            if effect_sum <= spare_headroom:
-                continue
             if self._model.effect(image, run.step.image) * cpu_share < NEGLIGIBLE_EFFECT:
                 continue
             share = min(share, max(0.0, spare_headroom) / effect_sum)
