Update the estimates of serving tasks with fewer calls and objects

Each report updates the estimate of each of its serving tasks; in a profile of reports with five of them that took 45 us of 130. The update, the forecasts and the fit of the sinusoid now use local variables. The score of a candidate period took the sine and cosine of each of 96 bins from a recurrence for each of about 49 periods each second, which depend on the period alone: they are now computed once, with their sums.

A change of cost only.

The digest of all orders, decisions, estimates and runs is the same.

--- a/dotterelhill/jobs/interference/cycles.py
+++ b/dotterelhill/jobs/interference/cycles.py
@@ -16,7 +16,10 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from math import cos, log, pi, sin
+from functools import cache
+from itertools import accumulate, compress
+from math import cos, inf, log, pi, sin
+from operator import mul
 
 from dotterelhill.jobs.model import TaskKey
 
@@ -45,6 +48,8 @@
 REPORT_VARIANCE = 0.07
 BIN_VARIANCE = 0.02
 FIT_INTERVAL_SECONDS = 1.0
+# The level of all steps is a mean of about this many of the newest reports.
+MAX_LEVEL_COUNT = 1000
 # A step without reports for this time is taken to have ended.
 STEP_TIMEOUT_SECONDS = 20.0
 
@@ -67,11 +72,6 @@
     sine: float
     cosine: float
 
-    def value_at(self, time: float) -> float:
-        """Return the deviation of the headroom from its level at a loop time."""
-        angle = self.angular_frequency * (time - self.origin)
-        return self.sine * sin(angle) + self.cosine * cos(angle)
-
 
 @dataclass(slots=True)
 class _Series:
@@ -92,11 +92,15 @@
     def add(self, value: float, now: float) -> None:
         """Add one reported headroom to its bin and drop bins beyond ``MAX_BINS``."""
         index = int(now / BIN_SECONDS) - self.first_bin
-        while len(self.sums) <= index:
+        if index < len(self.sums):
+            self.sums[index] += value
+            self.counts[index] += 1
+            return
+        while len(self.sums) < index:
             self.sums.append(0.0)
             self.counts.append(0)
-        self.sums[index] += value
-        self.counts[index] += 1
+        self.sums.append(value)
+        self.counts.append(1)
         excess = len(self.sums) - MAX_BINS
         if excess > 0:
             del self.sums[:excess], self.counts[:excess]
@@ -150,7 +154,8 @@
         series.add(headroom, now)
         if now - series.fitted_at > FIT_INTERVAL_SECONDS:
             series.sinusoid, series.fitted_at = None, now
-        self._level_count = min(self._level_count + 1, 1000)
+        if self._level_count < MAX_LEVEL_COUNT:
+            self._level_count += 1
         self._level += (headroom - self._level) / self._level_count
         if now - self._scored_at >= SCORE_INTERVAL_SECONDS:
             self._scored_at = now
@@ -164,16 +169,26 @@
         :param ends: loop times; the lowest of the changes until them is returned
         :returns: None while no period is known or the step has no reports
         """
+        if self._period_seconds is None:
+            return None
         series = self._series.get((key.job_id, key.step))
-        if series is None or self._period_seconds is None:
+        if series is None:
             return None
-        if series.sinusoid is None:
-            series.sinusoid = _fitted_sinusoid(series, 2.0 * pi / self._period_seconds, self._level)
         sinusoid = series.sinusoid
-        lowest = sinusoid.value_at(ends[0])
-        for end in ends[1:]:
-            lowest = min(lowest, sinusoid.value_at(end))
-        return lowest - sinusoid.value_at(start)
+        if sinusoid is None:
+            sinusoid = _fitted_sinusoid(series, 2.0 * pi / self._period_seconds, self._level)
+            series.sinusoid = sinusoid
+        # Written out, since this runs twice for each serving task in each report.
+        origin, frequency = sinusoid.origin, sinusoid.angular_frequency
+        sine, cosine = sinusoid.sine, sinusoid.cosine
+        lowest = inf
+        for end in ends:
+            angle = frequency * (end - origin)
+            value = sine * sin(angle) + cosine * cos(angle)
+            if value < lowest:
+                lowest = value
+        angle = frequency * (start - origin)
+        return lowest - (sine * sin(angle) + cosine * cos(angle))
 
     def _remove_silent_steps(self, now: float) -> None:
         """Remove the steps that have not reported for ``STEP_TIMEOUT_SECONDS``."""
@@ -197,9 +212,7 @@
         step = unscored[0] if unscored else next(iter(scores))
         # Scores stay in the order in which they were computed, oldest first.
         scores.pop(step, None)
-        scores[step] = [
-            _log_residual_share(self._series[step], period) for period in self._candidates
-        ]
+        scores[step] = _log_residual_shares(self._series[step], self._candidates)
         self._scores = scores
         totals = [sum(column) for column in zip(*scores.values(), strict=True)]
         best = min(range(len(totals)), key=totals.__getitem__)
@@ -232,29 +245,16 @@
     :param square: weighted sum of the squares of the values
     """
 
-    ones: float = 0.0
-    sines: float = 0.0
-    cosines: float = 0.0
-    sine_squares: float = 0.0
-    products: float = 0.0
-    cosine_squares: float = 0.0
-    value: float = 0.0
-    sine_value: float = 0.0
-    cosine_value: float = 0.0
-    square: float = 0.0
-
-    def add(self, weight: float, sine: float, cosine: float, value: float) -> None:
-        """Add one weighted observation."""
-        self.ones += weight
-        self.sines += weight * sine
-        self.cosines += weight * cosine
-        self.sine_squares += weight * sine * sine
-        self.products += weight * sine * cosine
-        self.cosine_squares += weight * cosine * cosine
-        self.value += weight * value
-        self.sine_value += weight * sine * value
-        self.cosine_value += weight * cosine * value
-        self.square += weight * value * value
+    ones: float
+    sines: float
+    cosines: float
+    sine_squares: float
+    products: float
+    cosine_squares: float
+    value: float
+    sine_value: float
+    cosine_value: float
+    square: float
 
     def solution(self) -> Vector:
         """Return the level and the coefficients of sine and cosine, by Cramer's rule."""
@@ -273,49 +273,140 @@
         )
 
 
-def _normal_equations(
-    series: _Series, angular_frequency: float, *, is_weighted: bool
-) -> _NormalEquations:
+def _weighted_equations(series: _Series, angular_frequency: float) -> _NormalEquations:
     """Return the normal equations of the fit of one step.
 
+    Each bin is weighted by the inverse variance of its mean.
+
     :param angular_frequency: in radians per second
-    :param is_weighted: whether each bin is weighted by the inverse variance of its mean
     """
-    equations = _NormalEquations()
-    step_sine, step_cosine = sin(angular_frequency * BIN_SECONDS), cos(
-        angular_frequency * BIN_SECONDS
-    )
+    # Fits visit thousands of bins a second, so the sums are local variables.
+    ones = sines = cosines = sine_squares = products = cosine_squares = 0.0
+    value_sum = sine_values = cosine_values = squares = 0.0
+    step_sine = sin(angular_frequency * BIN_SECONDS)
+    step_cosine = cos(angular_frequency * BIN_SECONDS)
     sine, cosine = 0.0, 1.0
     for total, count in zip(series.sums, series.counts, strict=True):
         if count:
-            weight = 1.0 / (BIN_VARIANCE + REPORT_VARIANCE / count) if is_weighted else 1.0
-            equations.add(weight, sine, cosine, total / count)
+            weight = 1.0 / (BIN_VARIANCE + REPORT_VARIANCE / count)
+            value = total / count
+            weighted_sine, weighted_cosine = weight * sine, weight * cosine
+            ones += weight
+            sines += weighted_sine
+            cosines += weighted_cosine
+            sine_squares += weighted_sine * sine
+            products += weighted_sine * cosine
+            cosine_squares += weighted_cosine * cosine
+            value_sum += weight * value
+            sine_values += weighted_sine * value
+            cosine_values += weighted_cosine * value
+            squares += weight * value * value
         # Angle addition is cheaper than a call of sin and cos for each bin.
         sine, cosine = (
             sine * step_cosine + cosine * step_sine,
             cosine * step_cosine - sine * step_sine,
         )
-    return equations
+    return _NormalEquations(
+        ones, sines, cosines, sine_squares, products, cosine_squares,
+        value_sum, sine_values, cosine_values, squares,
+    )  # fmt: skip
+
+
+@dataclass(frozen=True, slots=True)
+class _Waves:
+    """Sine and cosine of one period in each bin, from phase 0 in the first one.
+
+    :param sine_sums: sums of the sines of all bins up to each one; likewise the four below
+    """
+
+    sines: list[float]
+    cosines: list[float]
+    sine_sums: list[float]
+    cosine_sums: list[float]
+    sine_square_sums: list[float]
+    product_sums: list[float]
+    cosine_square_sums: list[float]
+
+
+@cache
+def _waves(period: float) -> _Waves:
+    """Return the waves of a candidate period, which all scores have in common."""
+    angular_frequency = 2.0 * pi / period
+    step_sine = sin(angular_frequency * BIN_SECONDS)
+    step_cosine = cos(angular_frequency * BIN_SECONDS)
+    sines, cosines = [0.0], [1.0]
+    while len(sines) < MAX_BINS:
+        sine, cosine = sines[-1], cosines[-1]
+        sines.append(sine * step_cosine + cosine * step_sine)
+        cosines.append(cosine * step_cosine - sine * step_sine)
+    return _Waves(
+        sines,
+        cosines,
+        list(accumulate(sines)),
+        list(accumulate(cosines)),
+        list(accumulate(map(mul, sines, sines))),
+        list(accumulate(map(mul, sines, cosines))),
+        list(accumulate(map(mul, cosines, cosines))),
+    )
+
+
+def _equations_of(
+    waves: _Waves, counts: list[int], values: list[float], value_sum: float, square_sum: float
+) -> _NormalEquations:
+    """Return the normal equations of an unweighted fit.
+
+    :param counts: number of reports in each bin
+    :param values: means of the bins that have reports
+    :param value_sum: sum of the values
+    :param square_sum: sum of their squares
+    """
+    last, sines, cosines = len(counts) - 1, waves.sines, waves.cosines
+    if len(values) == len(counts):
+        sums = (
+            waves.sine_sums[last], waves.cosine_sums[last], waves.sine_square_sums[last],
+            waves.product_sums[last], waves.cosine_square_sums[last],
+        )  # fmt: skip
+    else:
+        sines, cosines = list(compress(sines, counts)), list(compress(cosines, counts))
+        sums = (
+            sum(sines), sum(cosines), sum(map(mul, sines, sines)),
+            sum(map(mul, sines, cosines)), sum(map(mul, cosines, cosines)),
+        )  # fmt: skip
+    return _NormalEquations(
+        float(len(values)),
+        *sums,
+        value_sum,
+        sum(map(mul, sines, values)),
+        sum(map(mul, cosines, values)),
+        square_sum,
+    )
 
 
-def _log_residual_share(series: _Series, period: float) -> float:
-    """Return the log of the share of the variance that the sinusoid leaves, times the bins.
+def _log_residual_shares(series: _Series, periods: list[float]) -> list[float]:
+    """Return the log of the share of the variance that each sinusoid leaves, times the bins.
 
-    :returns: 0 while the step was observed too briefly for the period
+    :returns: for each period; 0 while the step was observed too briefly for it
     """
-    count = sum(1 for reports in series.counts if reports)
-    if count < MIN_BINS or series.span_seconds < MIN_SCORED_PERIODS * period:
-        return 0.0
-    equations = _normal_equations(series, 2.0 * pi / period, is_weighted=False)
-    constant = equations.square - equations.value * equations.value / equations.ones
-    equations.sine_squares += REPORT_VARIANCE / AMPLITUDE_VARIANCE
-    equations.cosine_squares += REPORT_VARIANCE / AMPLITUDE_VARIANCE
-    level, sine, cosine = equations.solution()
-    explained = level * equations.value
-    explained += sine * equations.sine_value + cosine * equations.cosine_value
-    noise = count * BIN_VARIANCE
-    residual = max(0.0, equations.square - explained)
-    return count * log((residual + noise) / (max(0.0, constant) + noise))
+    values = [
+        total / count for total, count in zip(series.sums, series.counts, strict=True) if count
+    ]
+    value_sum, square_sum = sum(values), sum(map(mul, values, values))
+    shares = []
+    for period in periods:
+        if len(values) < MIN_BINS or series.span_seconds < MIN_SCORED_PERIODS * period:
+            shares.append(0.0)
+            continue
+        equations = _equations_of(_waves(period), series.counts, values, value_sum, square_sum)
+        constant = equations.square - equations.value * equations.value / equations.ones
+        equations.sine_squares += REPORT_VARIANCE / AMPLITUDE_VARIANCE
+        equations.cosine_squares += REPORT_VARIANCE / AMPLITUDE_VARIANCE
+        level, sine, cosine = equations.solution()
+        explained = level * equations.value
+        explained += sine * equations.sine_value + cosine * equations.cosine_value
+        noise = len(values) * BIN_VARIANCE
+        residual = max(0.0, equations.square - explained)
+        shares.append(len(values) * log((residual + noise) / (max(0.0, constant) + noise)))
+    return shares
 
 
 def _fitted_sinusoid(series: _Series, angular_frequency: float, level: float) -> _Sinusoid:
@@ -324,7 +415,7 @@
     :param angular_frequency: in radians per second
     :param level: prior mean of the level of the step
     """
-    equations = _normal_equations(series, angular_frequency, is_weighted=True)
+    equations = _weighted_equations(series, angular_frequency)
     equations.ones += 1.0 / LEVEL_VARIANCE
     equations.value += level / LEVEL_VARIANCE
     equations.sine_squares += 1.0 / AMPLITUDE_VARIANCE
--- a/dotterelhill/jobs/interference/headroom.py
+++ b/dotterelhill/jobs/interference/headroom.py
@@ -51,6 +51,8 @@
 # The trough of an image is tracked as this quantile of the baseline headroom of its tasks.
 TROUGH_QUANTILE = 0.05
 TROUGH_STEP = 0.03
+TROUGH_FALL = TROUGH_STEP * (1.0 - TROUGH_QUANTILE)
+TROUGH_RISE = TROUGH_STEP * TROUGH_QUANTILE
 INITIAL_TROUGH = 1.5
 # Headroom above this is cut off: it shows only that the task is idle.
 MAX_HEADROOM = 10.0
@@ -112,7 +114,8 @@
         baseline = self.baselines.get(key)
         if baseline is None:
             return INITIAL_HEADROOM
-        return baseline.mean + (self.cycles.forecast_change(key, baseline.at, now) or 0.0)
+        change = self.cycles.forecast_change(key, baseline.at, now)
+        return baseline.mean if change is None else baseline.mean + change
 
     def min_baseline_headroom(self, key: TaskKey, image: str, now: float) -> float:
         """Return the lowest baseline headroom expected of a task while a new filler runs."""
@@ -138,7 +141,10 @@
         known = self.effects.get((serving_image, filler_image))
         if known is None:
             return INITIAL_EFFECT + deviations * sqrt(INITIAL_EFFECT_VARIANCE)
-        return max(0.0, known.mean + deviations * sqrt(known.variance))
+        effect = known.mean
+        if deviations:
+            effect += deviations * sqrt(known.variance)
+        return effect if effect > 0.0 else 0.0
 
     def effect_shares(
         self, image: str, filler_shares: Mapping[str, float], now: float
@@ -165,40 +171,54 @@
     ) -> None:
         """Update the estimates with one report of a serving task.
 
+        The trough of the image takes a stochastic quantile step.
+
         :param headroom: target divided by the reported tail latency
         :param effect_shares: result of ``effect_shares`` for the report and the image
         """
-        headroom = min(MAX_HEADROOM, headroom)
+        # This runs for each serving task in each report, so it calls few functions.
+        headroom = MAX_HEADROOM if headroom > MAX_HEADROOM else headroom
         baseline = self.baselines.get(key)
         if baseline is None:
             baseline = self.baselines[key] = Estimate(INITIAL_HEADROOM, HEADROOM_VARIANCE, now)
+        mean = baseline.mean
         change = self.cycles.forecast_change(key, baseline.at, now)
-        added_variance = (
-            HEADROOM_VARIANCE_PER_SECOND if change is None else RESIDUAL_VARIANCE_PER_SECOND
-        )
-        baseline.mean += change or 0.0
-        baseline.variance = min(
-            HEADROOM_VARIANCE, baseline.variance + added_variance * (now - baseline.at)
-        )
-        baseline.at = now
-        expected = baseline.mean
-        predicted_variance = baseline.variance
+        added_variance = HEADROOM_VARIANCE_PER_SECOND
+        if change is not None:
+            added_variance = RESIDUAL_VARIANCE_PER_SECOND
+            mean += change
+        variance = baseline.variance + added_variance * (now - baseline.at)
+        if variance > HEADROOM_VARIANCE:
+            variance = HEADROOM_VARIANCE
+        expected = mean
+        predicted_variance = variance
         for estimate, share in effect_shares:
             expected -= share * estimate.mean
             predicted_variance += share * share * estimate.variance
-        noise = (REPORT_RELATIVE_ERROR * max(1.0, headroom)) ** 2
+        noise = (REPORT_RELATIVE_ERROR * (headroom if headroom > 1.0 else 1.0)) ** 2
         innovation = headroom - expected
-        gain = baseline.variance / (predicted_variance + noise)
-        baseline.mean += gain * innovation
-        baseline.variance *= 1.0 - gain
+        divisor = predicted_variance + noise
+        gain = variance / divisor
+        mean += gain * innovation
+        baseline.mean, baseline.variance, baseline.at = mean, variance * (1.0 - gain), now
         effect_sum = 0.0
         for estimate, share in effect_shares:
-            gain = -share * estimate.variance / (predicted_variance + noise)
-            estimate.mean = max(0.0, estimate.mean + gain * innovation)
-            estimate.variance = max(MIN_EFFECT_VARIANCE, estimate.variance * (1.0 + gain * share))
-            effect_sum += share * estimate.mean
+            gain = -share * estimate.variance / divisor
+            effect = estimate.mean + gain * innovation
+            estimate.mean = effect = effect if effect > 0.0 else 0.0
+            effect_variance = estimate.variance * (1.0 + gain * share)
+            if effect_variance < MIN_EFFECT_VARIANCE:
+                effect_variance = MIN_EFFECT_VARIANCE
+            estimate.variance = effect_variance
+            effect_sum += share * effect
         self.cycles.observe(key, headroom + effect_sum, now)
-        self._update_trough(image, baseline.mean)
+        trough = self.troughs.get(image)
+        if trough is None:
+            trough = self.troughs[image] = _ImageTrough()
+        if mean < trough.trough:
+            trough.trough -= TROUGH_FALL
+        else:
+            trough.trough += TROUGH_RISE
 
     def remove_task(self, key: TaskKey) -> None:
         """Remove a serving task that has ended."""
@@ -237,11 +257,3 @@
         estimate.variance = min(INITIAL_EFFECT_VARIANCE, estimate.variance + added_variance)
         estimate.at = now
         return estimate
-
-    def _update_trough(self, image: str, headroom: float) -> None:
-        """Update the trough of an image by a stochastic quantile step."""
-        known = self.troughs.setdefault(image, _ImageTrough())
-        if headroom < known.trough:
-            known.trough -= TROUGH_STEP * (1.0 - TROUGH_QUANTILE)
-        else:
-            known.trough += TROUGH_STEP * TROUGH_QUANTILE
