Do less for each row of a report that tells nothing new

Once a crash of any task was counted, each row of each report was checked for a cleared suspicion, until no crash was counted any more. Now only the rows of tasks with counted crashes are. The wait of the next poll looks for suspected runs only while there are suspects. Works of lasting runs are recorded once a report, checkpoints only when they differ, and the state before and after a report is compared without tuples.

A change of cost, apart from one case: tasks of ended jobs have no counted crashes, so a run of theirs that is still being stopped no longer records that its task is not suspected.

--- a/dotterelhill/jobs/crashes/suspicion.py
+++ b/dotterelhill/jobs/crashes/suspicion.py
@@ -13,7 +13,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Iterator, Mapping, Sequence, Set
 from dataclasses import dataclass, field
 from enum import Enum, auto
 
@@ -188,9 +188,9 @@
         return bool(self._by_job)
 
     @property
-    def has_counted_crashes(self) -> bool:
-        """Return whether a crash is counted against any task."""
-        return bool(self._counted)
+    def counted_tasks(self) -> Set[TaskKey]:
+        """Return the tasks of active jobs against which a crash is counted."""
+        return self._counted
 
     @property
     def suspects(self) -> Iterator[Suspect]:
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -606,26 +606,23 @@
         :param sent_at: loop time at which the poll was sent
         :returns: whether it changes what may start or has to be stored
         """
-        before = self._reported_state(minion, now)
+        if self._minions.get(minion.minion_id) is not minion:
+            return False
+        changes, processed_end = minion.change_count, minion.processed_end
+        dirty, exclusion = self._dirty_count, self._exclusion(minion, now)
         self._process_report(minion, report, sent_at, now)
-        return self._reported_state(minion, now) != before
-
-    def _reported_state(self, minion: Minion, now: float) -> tuple[object, ...]:
-        """Return what a report of a minion may change that matters to a scheduling round."""
         return (
-            self._minions.get(minion.minion_id) is minion,
-            minion.change_count,
-            minion.processed_end,
-            self._exclusion(minion, now),
-            self._dirty_count,
+            minion.change_count != changes
+            or minion.processed_end != processed_end
+            or self._dirty_count != dirty
+            or self._minions.get(minion.minion_id) is not minion
+            or self._exclusion(minion, now) is not exclusion
         )
 
     def _process_report(
         self, minion: Minion, report: MinionReport, sent_at: float, now: float
     ) -> None:
-        """Process the report of a minion as ``report`` does."""
-        if self._minions.get(minion.minion_id) is not minion:
-            return
+        """Process the report of a current minion as ``report`` does."""
         if report.born_ms and report.born_ms != minion.facts.born_ms:
             # This incarnation was listed before the poll was sent, so a later one has answered.
             self._release_minion(minion, now, "minion restarted as another incarnation")
@@ -671,20 +668,24 @@
         """Return how long the next poll of a minion may wait for the end of a run, in seconds."""
         if not minion.is_synced:
             return 0.0
-        wait = MAX_POLL_SECONDS_WITH_RUNS if minion.runs else MAX_POLL_SECONDS
+        has_suspects = self._suspicion.has_suspects
+        unknown, stopping = RunState.UNKNOWN, RunState.STOPPING
         has_filler = has_serving = False
         for run in minion.runs.values():
-            if run.state in (RunState.UNKNOWN, RunState.STOPPING):
+            if run.state is unknown or run.state is stopping:
                 return UNRESOLVED_POLL_SECONDS
-            if not run.is_proven and self._suspicion.is_suspected(run.key):
+            if has_suspects and not run.is_proven and self._suspicion.is_suspected(run.key):
                 return UNRESOLVED_POLL_SECONDS
-            has_filler = has_filler or run.step.is_filler
-            has_serving = has_serving or run.step.is_lasting
+            step = run.step
+            if step.is_filler:
+                has_filler = True
+            if step.is_lasting:
+                has_serving = True
         if self._placement.isolation.is_claimed(minion):
             return UNRESOLVED_POLL_SECONDS
         if has_filler and has_serving:
-            wait = SHARING_POLL_SECONDS
-        return wait
+            return SHARING_POLL_SECONDS
+        return MAX_POLL_SECONDS_WITH_RUNS if minion.runs else MAX_POLL_SECONDS
 
     def _process_running(self, minion: Minion, report: MinionReport, now: float) -> set[TaskKey]:
         """Update the runs that a report lists as running.
@@ -692,41 +693,47 @@
         :returns: keys of those attached runs
         """
         present: set[TaskKey] = set()
+        runs, jobs, is_synced = minion.runs, self._jobs, minion.is_synced
+        counted_crashes = self._suspicion.counted_tasks
+        sent, unknown, stopping = RunState.SENT, RunState.UNKNOWN, RunState.STOPPING
+        # Time at which the newest lasting run was planned that works at full speed.
+        working_planned_at = -inf
         for row in report.running:
             key = row.key
-            run = minion.runs.get(key)
+            run = runs.get(key)
             if run is None or run.run_id != row.run_id:
                 # No stored progress names this run: its job is removed or the run was released.
                 self._orders.append(StopOrder(minion, key, row.run_id))
                 continue
             present.add(key)
-            if run.state in (RunState.SENT, RunState.UNKNOWN):
+            state = run.state
+            if state is sent or state is unknown:
                 run.state = RunState.PRESENT
             if run.settled_at is None:
                 run.settled_at = now
             run.percent = row.percent
-            is_lasting = run.step.is_lasting
+            is_lasting, checkpoint = run.step.is_lasting, row.checkpoint
             if is_lasting:
                 run.tail_ms = row.measure
                 if row.percent >= 100:
                     self._failing.forget(key)
-                    minion.health.record_work(run.planned_at, now)
+                    working_planned_at = max(working_planned_at, run.planned_at)
             else:
                 run.cpu_used = row.measure
-            job = self._jobs.get(key.job_id) if is_lasting or row.checkpoint else None
+            job = jobs.get(key.job_id) if is_lasting or checkpoint else None
             if job is not None:
-                task = job.task(key)
+                task = job.tasks.get(key) or job.task(key)
                 if is_lasting:
                     task.idle_since = None
                 # The checkpoints of a copy may be older than those of the first run.
-                if row.checkpoint and task.run_id == row.run_id:
-                    is_new = minion.is_synced and row.checkpoint != task.checkpoint
-                    run.saved_at = now if is_new else run.saved_at
-                    task.checkpoint = row.checkpoint
-            if not run.is_proven or self._suspicion.has_counted_crashes:
+                if checkpoint and checkpoint != task.checkpoint and task.run_id == run.run_id:
+                    task.checkpoint = checkpoint
+                    run.saved_at = now if is_synced else run.saved_at
+            if not run.is_proven or key in counted_crashes:
                 self._process_presence(run, report.clock_ms)
-            if run.state is RunState.STOPPING:
+            if state is stopping:
                 self._stop(minion, run, now)
+        minion.health.record_work(working_planned_at, now)
         self._interference.observe(minion, now)
         return present
 
