Stop the followers of a term together

The end of a term stopped its 13 followers one after the other, each of which takes 8 passes of the event loop, and cancelled its polls and orders only after that. With passes of 0.05 s, reads of the term went on 3 s after a planned stop and failed as the process closed its connections. Calls are now cancelled and relays closed first, and the followers stop at the same time.

behave dotterelhill/control/tests -i resignation: "The term of a leader that has resigned goes on while its followers stop one by one" fails without the change, passes with it.

--- a/dotterelhill/control/leader.py
+++ b/dotterelhill/control/leader.py
@@ -330,12 +330,14 @@
         except StoreFencedError as error:
             self._parts.leadership.drop(str(error))
         finally:
-            for follower in [*self._submission_followers, self._minion_follower]:
-                with suppress(Exception):
-                    await follower.stop()
             for task in [*self._background, *watchers]:
                 task.cancel()
             self._parts.relays.close()
+            # Each stop takes several passes of the event loop, which are slow in a busy process.
+            followers = [*self._submission_followers, self._minion_follower]
+            await asyncio.gather(
+                *(follower.stop() for follower in followers), return_exceptions=True
+            )
 
     async def _load_while_claimed(self) -> None:
         """Load the stored state; end at once when the claim is lost.
--- a/dotterelhill/control/tests/resignation.feature
+++ b/dotterelhill/control/tests/resignation.feature
@@ -13,6 +13,14 @@
     Then its resignation was stored within 0.5 seconds
     And another process leads
 
+  # Guards against followers that are stopped one after the other, which leaves reads of the store in
+  # progress when the process closes its connections.
+  Scenario: The term of a leader that has resigned goes on while its followers stop one by one
+    When each read that is cancelled takes 0.6 seconds to end
+    And the leader stops by plan
+    And 1 seconds pass in the cluster
+    Then the term of the process that stopped has ended
+
   @at-most-once
   Scenario: A busy leader that has resigned sends starts or renews leases until its term is cleaned up
     When 160 tasks of 1 second are submitted each second for 4 seconds
--- a/dotterelhill/control/tests/steps/resignation_steps.py
+++ b/dotterelhill/control/tests/steps/resignation_steps.py
@@ -164,6 +164,13 @@
     assert not once or len(stored) == 1, stored
 
 
+@then(r"the term of the process that stopped has ended")
+def check_term_ended(context):
+    election = context.cluster.processes[context.stopped].election
+    assert election.leader is None
+    assert election._term_task.done()
+
+
 @then(r"it sent no order after its resignation was stored")
 def check_orders(context):
     stored_at = context.resignations[0][0]
