Read a partition without a task for each read

A follower ran each read in a task of its own, so that refresh() could abort it, and yielded to the event loop after it.

This is a change of cost only.

behave dotterelhill/control/tests passes.

--- a/dotterelhill/control/feeds.py
+++ b/dotterelhill/control/feeds.py
@@ -96,6 +96,7 @@
         self._last_read_at = float("-inf")
         self._is_at_end = True
         self._is_failing = False
+        # Task that reads, while it does.
         self._reading: asyncio.Task[None] | None = None
         self._is_refreshing = False
         self.loaded = asyncio.Event()
@@ -107,7 +108,7 @@
 
     def refresh(self) -> None:
         """Abort the read in progress, whose connection may be dead, and read again at once."""
-        if self._reading is not None and not self._reading.done():
+        if self._reading is not None and not self._is_refreshing:
             self._is_refreshing = True
             self._reading.cancel()
 
@@ -160,19 +161,32 @@
             self._last_read_at = sent_at
         self.loaded.set()
 
+    async def _read_unless_refreshed(self) -> bool:
+        """Read once; return whether the read was not aborted by :meth:`refresh`."""
+        task = asyncio.current_task()
+        assert task is not None
+        self._reading = task
+        try:
+            await self.read_once()
+        except asyncio.CancelledError:
+            # More than one cancellation means that the service stops at the same time.
+            if not self._is_refreshing or task.cancelling() > 1:
+                raise
+            return False
+        finally:
+            self._reading = None
+            if self._is_refreshing:
+                self._is_refreshing = False
+                task.uncancel()
+        return True
+
     @mode.Service.task
     async def _follow(self) -> None:
         if self._start_delay_seconds:
             await asyncio.sleep(self._random.uniform(0.0, self._start_delay_seconds))
         while not self.should_stop:
-            self._reading = asyncio.create_task(self.read_once())
             try:
-                await self._reading
-            except asyncio.CancelledError:
-                if not self._is_refreshing:
-                    raise
-                self._is_refreshing = False
-                continue
+                is_read = await self._read_unless_refreshed()
             except StoreError as error:
                 if not self._is_failing:
                     self._is_failing = True
@@ -188,10 +202,13 @@
                 self._offset = None
                 await asyncio.sleep(self._random.uniform(*RETRY_SECONDS))
                 continue
+            if not is_read:
+                continue
             if self._is_failing:
                 self._is_failing = False
                 _log.notice("store answers again", extra={"stream": str(self._stream)})
-            await asyncio.sleep(self._pause_seconds if self._is_at_end else 0.0)
+            if self._pause_seconds and self._is_at_end:
+                await asyncio.sleep(self._pause_seconds)
 
 
 class ConfigurationFeed:
