--- a/dotterelhill/control/interface.py
+++ b/dotterelhill/control/interface.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import Protocol
 
+import msgspec
+
 from dotterelhill.jobs.fleet import Minion, MinionReport
 from dotterelhill.jobs.orders import PaceOrder, StartOrder, StartOutcome, StopOrder
 
@@ -179,18 +181,19 @@
     """Raised when another incarnation answers at the minion's address."""
 
 
-@dataclass(frozen=True, slots=True)
-class MinionCall:
+class MinionCall(msgspec.Struct, frozen=True):
     """One encoded call to a minion, which any process can send.
 
+    Calls and answers are created for each poll and order, which a struct does in native code.
+
     :param address: ``host:port`` of the minion
     :param minion_id: incarnation that may carry out the call
     :param failure_domain: failure domain of the minion
     :param path: path of the call
-    :param body: encoded body
-    :param prefix_bytes: length of the prefix of the body that is the same in many calls; 0 for none
+    :param body: encoded body, without its prefix
     :param wait_seconds: time for which the minion may hold back its answer
     :param allowance_seconds: time for which an answer may wait unread in the calling process
+    :param prefix: beginning of the body that is the same in many calls; empty for none
     """
 
     address: str
@@ -200,11 +203,10 @@
     body: bytes
     wait_seconds: float = 0.0
     allowance_seconds: float = 0.0
-    prefix_bytes: int = 0
+    prefix: bytes = b""
 
 
-@dataclass(frozen=True, slots=True)
-class MinionAnswer:
+class MinionAnswer(msgspec.Struct, frozen=True):
     """Answer to one call, not decoded yet."""
 
     status: int
@@ -223,12 +225,43 @@
         ...
 
 
+class StartAnswer(msgspec.Struct, frozen=True):
+    """Outcome of a start order.
+
+    :param clock_ms: clock of the minion in ms; None without an answer
+    """
+
+    outcome: StartOutcome
+    clock_ms: int | None = None
+
+
+StartAnswerHandler = Callable[[StartAnswer | FencedByMinionError], None]
+# Called with None when the minion has confirmed the order, and with the error otherwise.
+OrderAnswerHandler = Callable[[MinionError | None], None]
+
+
 class Minions(Protocol):
     """Client for calls to minions.
 
     Each call carries the leader's fencing epoch.
     """
 
+    def submit_start(
+        self,
+        order: StartOrder,
+        epoch: int,
+        deadline_ms: int,
+        on_answer: StartAnswerHandler,
+    ) -> bool:
+        """Start a run through a relay, without a task that waits for the answer.
+
+        :param deadline_ms: end of the lease on the minion's clock
+        :param on_answer: called once with the outcome, or with the error when the minion has
+            received orders of a later leader
+        :returns: False when no relay takes the order, so that it has to be sent by ``start``
+        """
+        ...
+
     async def start(
         self, order: StartOrder, epoch: int, deadline_ms: int
     ) -> tuple[StartOutcome, int | None]:
@@ -240,6 +273,17 @@
         """
         ...
 
+    def submit_order(
+        self, order: StopOrder | PaceOrder, epoch: int, on_answer: OrderAnswerHandler
+    ) -> bool:
+        """Stop a run or set its pace through a relay, without a task that waits for the answer.
+
+        :param on_answer: called once with the error, or None when the minion confirmed the order
+        :returns: False when no relay takes the order, so that ``stop`` or ``set_pace`` has to
+            send it
+        """
+        ...
+
     async def stop(self, order: StopOrder, epoch: int) -> None:
         """Stop a run.
 
--- a/dotterelhill/control/relay_pool.py
+++ b/dotterelhill/control/relay_pool.py
@@ -15,13 +15,13 @@
 import asyncio
 from collections import Counter
 from collections.abc import Callable, Mapping
-from contextlib import suppress
-from dataclasses import dataclass, replace
+from functools import partial
 from math import ceil
 from typing import Protocol
 from zlib import crc32
 
 import aiohttp
+import msgspec
 
 from dotterelhill.control.call_prefixes import SentPrefixes
 from dotterelhill.control.interface import (
@@ -49,6 +49,8 @@
 
 # At 5 calls a second for each minion, a relay then uses about 5% of a processor.
 MINIONS_PER_RELAY = 24
+# Several times the number of minions, whose ids change when they start again.
+MAX_CHOSEN_RELAYS = 4096
 # Time that a relayed call may take beyond the wait of the minion. It exceeds the time after which
 # the relay itself gives up the call.
 RELAYED_CALL_SECONDS = 1.6
@@ -75,9 +77,16 @@
         ...
 
 
-@dataclass(slots=True)
-class _PendingCall:
-    answer: asyncio.Future[MinionAnswer]
+AnswerHandler = Callable[[MinionAnswer | RelayError], None]
+
+
+class _PendingCall(msgspec.Struct, frozen=True):
+    """Call without an answer.
+
+    :param on_answer: called once with the answer or the error
+    """
+
+    on_answer: AnswerHandler
     expires_at: float
 
 
@@ -103,7 +112,7 @@
         self._socket = socket
         self._leadership = leadership
         self._clock = clock
-        self._heard_at = clock()
+        self._heard_at = self._sent_at = clock()
         self._next_number = 0
         self._pending: dict[int, _PendingCall] = {}
         self._outbox: list[RelayedCall] = []
@@ -137,33 +146,44 @@
         """
         if not self.is_usable:
             raise RelayNotReachedError(f"{call.path}: the relay has left")
+        future: asyncio.Future[MinionAnswer] = asyncio.get_running_loop().create_future()
+        number = self.submit(call, partial(_resolve, future))
+        try:
+            return await future
+        finally:
+            self._pending.pop(number, None)
+
+    def submit(self, call: MinionCall, on_answer: AnswerHandler) -> int:
+        """Send a call with the next message, and return its number.
+
+        :param on_answer: called once with the answer of the minion or the error
+        """
         self._next_number += 1
         number = self._next_number
-        future: asyncio.Future[MinionAnswer] = asyncio.get_running_loop().create_future()
         expires_at = self._clock() + RELAYED_CALL_SECONDS + call.wait_seconds
-        self._pending[number] = _PendingCall(future, expires_at)
-        prefix = 0
-        if call.prefix_bytes and self._hello.keeps_prefixes:
-            prefix = self._prefixes.number_of(call.body[: call.prefix_bytes])
-        body = call.body[call.prefix_bytes :] if prefix else call.body
+        self._pending[number] = _PendingCall(on_answer, expires_at)
+        prefix, body = 0, call.body
+        if call.prefix:
+            if self._hello.keeps_prefixes:
+                prefix = self._prefixes.number_of(call.prefix)
+            if not prefix:
+                body = call.prefix + body
         self._outbox.append(
             RelayedCall(
                 number, call.address, call.minion_id, call.path, body, call.wait_seconds, prefix
             )
         )
         self._has_calls.set()
-        try:
-            return await future
-        finally:
-            self._pending.pop(number, None)
+        return number
 
     async def send(self) -> None:
-        """Send the calls, and heartbeats between them, until the connection fails."""
-        while not self._is_closed:
-            with suppress(TimeoutError):
-                async with asyncio.timeout(HEARTBEAT_SECONDS):
-                    await self._has_calls.wait()
+        """Send the calls, and heartbeats when they are due, until the connection fails."""
+        while True:
+            await self._has_calls.wait()
+            if self._is_closed:
+                return
             self._has_calls.clear()
+            self._sent_at = self._clock()
             calls, self._outbox = self._outbox, []
             leadership = self._leadership
             message = LeaderMessage(
@@ -179,6 +199,14 @@
             )
             await self._socket.send_bytes(ENCODER.encode(message))
 
+    def keep_alive(self) -> None:
+        """Send a heartbeat if the last message was sent about ``HEARTBEAT_SECONDS`` ago.
+
+        A timer for each message would cost more than the message.
+        """
+        if self._clock() - self._sent_at >= HEARTBEAT_SECONDS - CHECK_INTERVAL_SECONDS / 2:
+            self._has_calls.set()
+
     def receive(self, data: bytes) -> None:
         """Process one message of the relay.
 
@@ -188,17 +216,17 @@
         self._heard_at = self._clock()
         self._is_leaving = self._is_leaving or message.is_leaving
         for answer in message.answers:
-            pending = self._pending.get(answer.number)
-            if pending is not None and not pending.answer.done():
-                _resolve(pending.answer, answer)
+            pending = self._pending.pop(answer.number, None)
+            if pending is not None:
+                pending.on_answer(_answer_of(answer))
 
     def discard_calls(self) -> None:
         """Fail the calls that are not sent yet, and tell the relay of the leader's state."""
         calls, self._outbox = self._outbox, []
         for call in calls:
-            pending = self._pending.get(call.number)
-            if pending is not None and not pending.answer.done():
-                pending.answer.set_exception(RelayNotReachedError("the leader has resigned"))
+            pending = self._pending.pop(call.number, None)
+            if pending is not None:
+                pending.on_answer(RelayNotReachedError("the leader has resigned"))
         self._has_calls.set()
 
     def expire(self, allowance_seconds: float) -> None:
@@ -207,23 +235,23 @@
         :param allowance_seconds: time for which answers may have waited here unread
         """
         limit = self._clock() - allowance_seconds
-        for pending in self._pending.values():
-            if pending.expires_at < limit and not pending.answer.done():
-                pending.answer.set_exception(RelayError("the relay gave no answer"))
+        expired = [number for number, call in self._pending.items() if call.expires_at < limit]
+        for number in expired:
+            pending = self._pending.pop(number, None)
+            if pending is not None:
+                pending.on_answer(RelayError("the relay gave no answer"))
 
     def fail(self, reason: str) -> None:
         """Take no further calls and fail those without an answer."""
         if self._is_closed:
             return
         self._is_closed = True
+        self._has_calls.set()
         unsent = {call.number for call in self._outbox}
-        for number, pending in self._pending.items():
-            if pending.answer.done():
-                continue
-            if number in unsent:
-                pending.answer.set_exception(RelayNotReachedError(reason))
-            else:
-                pending.answer.set_exception(RelayError(reason))
+        failed, self._pending = self._pending, {}
+        for number, pending in failed.items():
+            error = RelayNotReachedError if number in unsent else RelayError
+            pending.on_answer(error(reason))
 
     async def close(self) -> None:
         """Close the connection."""
@@ -234,14 +262,24 @@
             _log.debug("connection of a relay could not be closed cleanly", extra=fields)
 
 
-def _resolve(future: asyncio.Future[MinionAnswer], answer: RelayedAnswer) -> None:
+def _resolve(future: asyncio.Future[MinionAnswer], answer: MinionAnswer | RelayError) -> None:
+    # The caller may have been cancelled while the answer was on its way.
+    if future.done():
+        return
+    if isinstance(answer, RelayError):
+        future.set_exception(answer)
+    else:
+        future.set_result(answer)
+
+
+def _answer_of(answer: RelayedAnswer) -> MinionAnswer | RelayError:
     match answer.failure:
         case None:
-            future.set_result(MinionAnswer(answer.status, answer.body))
+            return MinionAnswer(answer.status, answer.body)
         case CallFailure.NOT_REACHED:
-            future.set_exception(RelayNotReachedError(answer.reason))
+            return RelayNotReachedError(answer.reason)
         case CallFailure.NO_ANSWER:
-            future.set_exception(RelayError(answer.reason))
+            return RelayError(answer.reason)
 
 
 class RelayPool:
@@ -273,6 +311,9 @@
         self._links: dict[str, RelayLink] = {}
         self._minion_counts: Counter[str] = Counter()
         self._relays_by_domain: dict[str, list[RelayLink]] = {}
+        # Relay of each minion that was called, by failure domain and id; a cache until the relays
+        # change.
+        self._chosen_relays: dict[tuple[str, str], RelayLink] = {}
         self._direct_until: dict[str, float] = {}
         self._direct_seconds: dict[str, float] = {}
         self._is_closed = False
@@ -353,13 +394,13 @@
         task.add_done_callback(self._closing.discard)
 
     async def watch(self) -> None:
-        """Expire calls and remove silent relays until the task is cancelled."""
+        """Check the relays until the task is cancelled."""
         while True:
             await asyncio.sleep(CHECK_INTERVAL_SECONDS)
             self.check()
 
     def check(self) -> None:
-        """Expire calls and remove relays that are silent or leaving.
+        """Send heartbeats, expire calls and remove relays that are silent or leaving.
 
         What has arrived while the event loop was late is still unread, so neither is concluded from
         that time.
@@ -367,6 +408,7 @@
         allowance = self.unread_seconds
         was_usable = {link for links in self._relays_by_domain.values() for link in links}
         for link in list(self._links.values()):
+            link.keep_alive()
             link.expire(allowance)
             if link.silent_seconds > SILENCE_SECONDS + allowance:
                 self.remove(link, "the relay is silent")
@@ -389,6 +431,7 @@
             self._end(link, "the term has ended")
         self._links.clear()
         self._relays_by_domain.clear()
+        self._chosen_relays.clear()
 
     async def call(self, call: MinionCall) -> MinionAnswer:
         """Send a call to a minion, through a relay where one is near the minion.
@@ -400,7 +443,9 @@
         link = self._relay_for(call)
         if link is None:
             allowance = self.unread_seconds
-            return await self._direct.call(replace(call, allowance_seconds=allowance))
+            return await self._direct.call(
+                msgspec.structs.replace(call, allowance_seconds=allowance)
+            )
         try:
             answer = await link.call(call)
         except RelayError:
@@ -410,6 +455,27 @@
             self._direct_seconds.pop(call.minion_id, None)
         return answer
 
+    def submit(self, call: MinionCall, on_answer: AnswerHandler) -> bool:
+        """Send a call to a minion through a relay, without a task that waits for the answer.
+
+        :param on_answer: called once with the answer of the minion or the error
+        :returns: False when no relay takes the call, so that it has to be sent by ``call``
+        """
+        link = self._relay_for(call)
+        if link is None:
+            return False
+        link.submit(call, partial(self._process_answer, call.minion_id, on_answer))
+        return True
+
+    def _process_answer(
+        self, minion_id: str, on_answer: AnswerHandler, answer: MinionAnswer | RelayError
+    ) -> None:
+        if isinstance(answer, RelayError):
+            self._avoid_relay(minion_id)
+        elif self._direct_seconds:
+            self._direct_seconds.pop(minion_id, None)
+        on_answer(answer)
+
     def _avoid_relay(self, minion_id: str) -> None:
         """Send calls to a minion directly for some time, because a relayed call failed."""
         if minion_id in self._direct_until:
@@ -423,6 +489,10 @@
         """Return the relay of a minion; the choice is stable while the set of relays is."""
         if call.minion_id in self._direct_until:
             return None
+        minion = (call.failure_domain, call.minion_id)
+        chosen = self._chosen_relays.get(minion)
+        if chosen is not None and chosen.is_usable:
+            return chosen
         best: RelayLink | None = None
         best_rank = -1
         for link in self._relays_by_domain.get(call.failure_domain, ()):
@@ -431,6 +501,10 @@
             rank = crc32(f"{link.hello.incarnation}/{call.minion_id}".encode())
             if rank > best_rank:
                 best, best_rank = link, rank
+        if best is not None:
+            if len(self._chosen_relays) >= MAX_CHOSEN_RELAYS:
+                self._chosen_relays.clear()
+            self._chosen_relays[minion] = best
         return best
 
     def _choose_relays(self) -> None:
@@ -440,6 +514,7 @@
             if link.is_usable:
                 by_domain.setdefault(link.hello.failure_domain, []).append(link)
         self._relays_by_domain = {}
+        self._chosen_relays.clear()
         for domain, links in by_domain.items():
             links.sort(key=lambda link: (-link.hello.processors, link.hello.incarnation))
             count = ceil(self._minion_counts[domain] / MINIONS_PER_RELAY)
--- a/dotterelhill/control/tests/cluster_world.py
+++ b/dotterelhill/control/tests/cluster_world.py
@@ -19,6 +19,7 @@
     OtherIncarnationError,
     PartialRead,
     Record,
+    StartAnswer,
     StoreConflictError,
     StoreError,
     StoreFencedError,
@@ -45,7 +46,7 @@
     RunReport,
 )
 from dotterelhill.jobs.model import Step, Submission
-from dotterelhill.jobs.orders import StartOutcome
+from dotterelhill.jobs.orders import StartOutcome, StopOrder
 from dotterelhill.jobs.queues import FleetConfig, Pool, Queue
 from dotterelhill.jobs.resources import ResourceVector
 
@@ -310,6 +311,7 @@
         self.failures: list[Exception] = []
         self.lost_polls: dict[str, int] = {}
         self.sent_starts: list[str] = []
+        self.submitted: set[asyncio.Task[None]] = set()
         # Number of the next starts for which their minions have no room.
         self.refused_starts = 0
         self.lost_poll_error: Exception = MinionError("no answer")
@@ -341,6 +343,44 @@
         minion.check_fence(epoch)
         return minion
 
+    def submit_start(self, order, epoch, deadline_ms, on_answer):
+        """Carry out a start order as a relay does, also when its leader ends meanwhile."""
+
+        async def carry_out() -> None:
+            try:
+                answer = StartAnswer(*await self.start(order, epoch, deadline_ms))
+            except FencedByMinionError as error:
+                answer = error
+            except Exception:
+                answer = StartAnswer(StartOutcome.UNKNOWN)
+            on_answer(answer)
+
+        self.relay(carry_out())
+        return True
+
+    def submit_order(self, order, epoch, on_answer):
+        """Carry out a stop or a change of pace as a relay does."""
+
+        async def carry_out() -> None:
+            call = self.stop if isinstance(order, StopOrder) else self.set_pace
+            answer = None
+            try:
+                await call(order, epoch)
+            except MinionError as error:
+                answer = error
+            except Exception as error:
+                answer = MinionError(repr(error))
+            on_answer(answer)
+
+        self.relay(carry_out())
+        return True
+
+    def relay(self, coroutine) -> None:
+        """Let a relay carry out an order, which may outlast the leader that gave it."""
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self.submitted.add(task)
+        task.add_done_callback(self.submitted.discard)
+
     async def start(self, order, epoch, deadline_ms):
         sent_at = self._cluster.loop.time()
         self.sent_starts.append(order.minion.minion_id)
