Keep one timer for the buffered log lines, however long the reader stalls

One timer is kept for a loop now. behave -i logs dotterelhill/entry/tests: the new scenario fails without the change and passes with it.

--- a/dotterelhill/entry/logs.py
+++ b/dotterelhill/entry/logs.py
@@ -98,7 +98,8 @@
         self._dropped_count = 0
         self._buffer = bytearray()
         self._buffered_at = clock()
-        self._is_flush_due = False
+        # Event loop with a timer that will flush the buffer; None without one.
+        self._flushing_loop: asyncio.AbstractEventLoop | None = None
         os.set_blocking(descriptor, False)
 
     @property
@@ -130,12 +131,11 @@
         is_late = now - self._buffered_at >= MAX_FLUSH_SECONDS
         if is_late or len(self._buffer) >= FLUSH_BYTES:
             self.flush()
-        elif not self._is_flush_due:
+        elif self._flushing_loop is None:
             self._flush_soon()
 
     def flush(self) -> None:
         """Write the buffered lines as far as the descriptor takes them."""
-        self._is_flush_due = False
         if not self._buffer:
             return
         try:
@@ -164,9 +164,18 @@
             if not is_retry:
                 self.flush()
             return
-        # A loop that is closed before leaves the flush to the next line after MAX_FLUSH_SECONDS.
-        self._is_flush_due = True
-        loop.call_later(FLUSH_SECONDS, self.flush)
+        # A line that is written at once needs no second timer: each of them would begin another
+        # one for as long as the reader stalls. A loop that is closed leaves the flush to the next
+        # line after MAX_FLUSH_SECONDS.
+        if self._flushing_loop is not loop:
+            self._flushing_loop = loop
+            loop.call_later(FLUSH_SECONDS, self._flush_now, loop)
+
+    def _flush_now(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Write the buffered lines when the timer of a loop is due."""
+        if self._flushing_loop is loop:
+            self._flushing_loop = None
+        self.flush()
 
 
 class JsonLinesHandler(logbook.Handler):
--- a/dotterelhill/entry/tests/logs.feature
+++ b/dotterelhill/entry/tests/logs.feature
@@ -24,6 +24,12 @@
     When 3000 lines are logged while the reader of the pipe stalls, and 3 after it has read
     Then each line that arrives is whole, and the others are reported as dropped
 
+  # Guards against a timer for each attempt to write, each of which begins another one.
+  Scenario: A reader that stalls makes the process try to write more and more often
+    Given a log on a pipe
+    When its reader stalls, and 20 warnings come 0.05 seconds apart
+    Then each warning and each 0.05 seconds have led to at most one attempt to write
+
   Scenario: A burst of lines exceeds the rate that a deployment has to carry
     Given a log on a pipe that carries 100 lines a second
     When 300 lines are logged in one turn of the event loop and 0.2 seconds pass
--- a/dotterelhill/entry/tests/steps/log_steps.py
+++ b/dotterelhill/entry/tests/steps/log_steps.py
@@ -96,6 +96,29 @@
     world.run(run())
 
 
+@when("its reader stalls, and {count:d} warnings come {seconds:g} seconds apart")
+def log_while_stalled(context, count, seconds):
+    world = context.log_on_pipe
+
+    async def run() -> None:
+        for _ in range(3000):
+            world.log.info("start ordered", extra={"text": "x" * 100})
+        world.write_count = 0
+        for _ in range(count):
+            world.log.warning("store does not answer")
+            await asyncio.sleep(seconds)
+
+    world.run(run())
+    context.warning_count = count
+
+
+@then("each warning and each {seconds:g} seconds have led to at most one attempt to write")
+def check_attempts(context, seconds):
+    # The warnings come as far apart as timers do. Either may be one more at both ends.
+    most = 2 * context.warning_count + 2
+    assert context.log_on_pipe.write_count <= most, context.log_on_pipe.write_count
+
+
 @then("all {count:d} lines arrive in order, with at most {writes:d} writes")
 def check_burst(context, count, writes):
     world = context.log_on_pipe
