List the runs of a minion once for placement, too, and keep ids and limits that are looked up often

The lists that reports keep serve rounds as well now, the id is a field, and half of a lease is computed once. A change of cost only.

--- a/dotterelhill/jobs/interference/headroom.py
+++ b/dotterelhill/jobs/interference/headroom.py
@@ -122,7 +122,7 @@
         baseline = self.baselines.get(key)
         mean, at = (baseline.mean, baseline.at) if baseline else (INITIAL_HEADROOM, now)
         change = self.cycles.forecast_change(
-            key, at, now, *(now + ahead for ahead in FORECAST_SECONDS)
+            key, at, now, *[now + ahead for ahead in FORECAST_SECONDS]
         )
         if change is None:
             return max(mean - HEADROOM_FALL_PER_SECOND * FALL_SECONDS, self.trough(image))
--- a/dotterelhill/jobs/interference/sharing.py
+++ b/dotterelhill/jobs/interference/sharing.py
@@ -187,11 +187,10 @@
         state.present_key = (minion.change_count, now)
         state.present_shares = self._planned_filler_shares(minion)
         baselines = state.present_baselines = {}
-        for run in minion.runs.values() if minion.lasting_images else ():
-            if _has_latency_target(run):
-                baseline = self._model.baseline_headroom(run.key, now)
-                image = run.step.image
-                baselines[image] = min(baseline, baselines.get(image, baseline))
+        for run in state.serving:
+            baseline = self._model.baseline_headroom(run.key, now)
+            image = run.step.image
+            baselines[image] = min(baseline, baselines.get(image, baseline))
 
     def is_over_target(self, minion: Minion) -> bool:
         """Return whether a serving task on a minion is over its target."""
@@ -230,9 +229,10 @@
             state.runs_change_count = minion.change_count
             state.serving, state.fillers = [], []
             for run in minion.runs.values():
-                if run.step.is_filler:
+                step = run.step
+                if step.is_filler:
                     state.fillers.append(run)
-                if _has_latency_target(run):
+                if step.is_lasting and step.target_tail_ms > 0:
                     state.serving.append(run)
         return state
 
@@ -249,9 +249,7 @@
             return state.remaining_headroom
         filler_shares = self._planned_filler_shares(minion)
         lowest: dict[str, tuple[float, int]] = {}
-        for run in minion.runs.values():
-            if not _has_latency_target(run):
-                continue
+        for run in state.serving:
             image = run.step.image
             baseline = self._model.min_baseline_headroom(run.key, image, now)
             lowest_headroom, count = lowest.get(image, (baseline, 0))
@@ -276,8 +274,8 @@
         """Return the share of the processors that fillers use at full pace, by image."""
         filler_shares: dict[str, float] = {}
         processors = _processors(minion)
-        for run in minion.runs.values():
-            if run.step.is_filler and run.state is not RunState.STOPPING:
+        for run in self._listed_state(minion).fillers:
+            if run.state is not RunState.STOPPING:
                 image = run.step.image
                 share = run.step.room.cpu / processors
                 filler_shares[image] = filler_shares.get(image, 0.0) + share
@@ -455,8 +453,3 @@
 def _processors(minion: Minion) -> int:
     """Return the capacity of a minion in thousandths of a processor, at least 1 for divisions."""
     return max(1, minion.facts.capacity.cpu)
-
-
-def _has_latency_target(run: Run) -> bool:
-    """Return whether a run belongs to a serving task with a target for its tail latency."""
-    return run.step.is_lasting and run.step.target_tail_ms > 0
--- a/dotterelhill/jobs/model.py
+++ b/dotterelhill/jobs/model.py
@@ -323,6 +323,7 @@
 class Job:
     """A submitted job and its progress.
 
+    :ivar job_id: job id, which the client chose
     :param state: current state, which may not be stored yet
     :param stored_state: state in the store; clients see this one
     :param tasks: tasks with execution state, by key
@@ -340,11 +341,10 @@
     done_bits: dict[tuple[int, int], int] = field(default_factory=dict)
     is_cancellation_requested: bool = False
     ended_at: float = 0.0
+    job_id: str = field(init=False)
 
-    @property
-    def job_id(self) -> str:
-        """Return the job id, which the client chose."""
-        return self.submission.job_id
+    def __post_init__(self) -> None:
+        self.job_id = self.submission.job_id
 
     @property
     def is_ended(self) -> bool:
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -101,6 +101,8 @@
         self, settings: SchedulerSettings, renewals_end: float, job_order: JobOrder | None = None
     ) -> None:
         self._settings = settings
+        # A minion without a report for this time gets no starts.
+        self._silent_seconds = settings.lease_seconds / 2
         # A run that an earlier leader started may continue until this loop time on a minion that
         # does not answer.
         self._earlier_lease_end = lease_end(renewals_end, settings.lease_seconds)
@@ -1334,7 +1336,7 @@
             return Exclusion.DRAINING
         if facts.failure_domain in self._evacuated_domains:
             return Exclusion.EVACUATED
-        is_silent = now - minion.last_report_at >= self._settings.lease_seconds / 2
+        is_silent = now - minion.last_report_at >= self._silent_seconds
         is_silent = is_silent or not minion.is_answering or minion.is_lease_closed
         if not minion.is_synced or now >= minion.lease_until or is_silent:
             return Exclusion.SILENT
