Log and count requests that the configuration does not allow, with its version and age

Callers saw a 404 for a confirmed route; nothing told which process gave it, which version it held, since when, or whether it knew of a newer one: _response_to returned before the log line and the metric. Now 404 and 503 answers are counted by reason, a line names the version held, the newest one known and how old they are, a process logs when it knows of a version that it has not read, and three gauges show version, age and time behind. 503 before the first configuration is only counted.

Scenario 'A request that the configuration does not allow leaves no trace of the version held' fails on the code before and passes now.

--- a/dotterelhill/control/currency.py
+++ b/dotterelhill/control/currency.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 
+from dotterelhill.entry.logs import logger_of
 from dotterelhill.jobs.tenants.access import Freshness
 
 # A version that the leader names is usually read by every process within this time. After it, the
@@ -16,6 +17,8 @@
 # The leader names a version twice a second, so these cover half a minute of newer versions.
 MAX_PENDING_VERSIONS = 64
 
+_log = logger_of("currency")
+
 
 class ConfigurationCurrency:
     """Tracks which configuration versions the leader knows, and since when.
@@ -58,8 +61,10 @@
     def freshness(self) -> Freshness:
         """Return how recent the configuration is that this process holds."""
         self._drop_read_versions()
-        behind_seconds = self._clock() - self._pending[0][1] if self._pending else 0.0
-        return Freshness(self.age_seconds, behind_seconds)
+        if not self._pending:
+            return Freshness(self.age_seconds, 0.0, self._own_version())
+        behind_seconds = self._clock() - self._pending[0][1]
+        return Freshness(self.age_seconds, behind_seconds, self._pending[-1][0])
 
     def record(self, version: int, age_seconds: float) -> None:
         """Process what the leader tells about its configuration.
@@ -83,6 +88,8 @@
         # would keep from ever arriving.
         if self._refreshed_version < self._pending[0][0]:
             self._refreshed_version = self._pending[0][0]
+            fields = {"version": self._refreshed_version, "held": self._own_version()}
+            _log.notice("newer configuration is known but not read", extra=fields)
             self._refresh()
 
     async def settle(self, current_seconds: float) -> None:
--- a/dotterelhill/jobs/tenants/access.py
+++ b/dotterelhill/jobs/tenants/access.py
@@ -46,10 +46,12 @@
 
     :param age_seconds: time since it was last confirmed as the newest one
     :param behind_seconds: time since this process has known of a newer one; 0 if it knows of none
+    :param newest_version: newest version that it knows of, which it may not have read; 0 for none
     """
 
     age_seconds: float = 0.0
     behind_seconds: float = 0.0
+    newest_version: int = 0
 
 
 class Refusal(StrEnum):
--- a/dotterelhill/platform/ingress.py
+++ b/dotterelhill/platform/ingress.py
@@ -51,6 +51,10 @@
 ANSWER_RESERVE_SECONDS = 0.15
 RETRY_AFTER_SECONDS = 1
 LARGEST_HEADER_BYTES = 65536
+# Clients choose the text of a path and may repeat it.
+LARGEST_LOGGED_TEXT = 200
+# The age is infinite before the first read.
+LARGEST_LOGGED_SECONDS = 3600.0
 # Tenants that get a label of their own in metrics; the others share one.
 MAX_TENANT_LABELS = 50
 
@@ -310,13 +314,16 @@
             await self._currency.settle(self._access.current_seconds)
         config = self._config()
         access = self._check_access(request)
+        fields: dict[str, object] = {}
         match access:
-            case Refusal.NO_CONFIGURATION | Refusal.NO_QUEUE:
+            case Refusal.NO_CONFIGURATION:
+                self._metrics.count("clients.refused", label=access.name.lower())
                 return _refusal_reply(access).response()
             case Refusal():
                 self._metrics.count("clients.refused", label=access.name.lower())
                 name = queue_name = ""
                 reply = _refusal_reply(access)
+                fields = self._refusal_fields(request)
             case Granted(queue):
                 queue_name = queue.name
                 name = request.path.removeprefix(queue.path_prefix)
@@ -334,10 +341,22 @@
                 "status": reply.status,
                 "took_ms": round(1000 * seconds),
                 "reason": reply.reason,
+                **fields,
             },
         )
         return reply.response()
 
+    def _refusal_fields(self, request: web.BaseRequest) -> dict[str, object]:
+        """Return what the log has to tell of a request that the configuration refuses."""
+        freshness = self._currency.freshness
+        return {
+            "host": request.host[:LARGEST_LOGGED_TEXT],
+            "path": request.path[:LARGEST_LOGGED_TEXT],
+            "newest_config": freshness.newest_version,
+            "config_age_ms": round(1000 * min(freshness.age_seconds, LARGEST_LOGGED_SECONDS)),
+            "behind_ms": round(1000 * freshness.behind_seconds),
+        }
+
     def _check_access(self, request: web.BaseRequest) -> Granted | Refusal:
         """Decide about a request under the newest configuration that this process holds."""
         return check_access(
--- a/dotterelhill/platform/process.py
+++ b/dotterelhill/platform/process.py
@@ -69,6 +69,8 @@
 # The leader has a long poll open on each partition; its appends and renewals must not queue
 # behind them.
 MAX_STORE_CONNECTIONS = 64
+# Largest value of the gauge; the age is infinite before the first read.
+LARGEST_AGE_SECONDS = 3600.0
 
 _log = logger_of("process")
 
@@ -289,7 +291,13 @@
 
     def _gauges(self) -> dict[str, float]:
         leader = self._election.leader
-        gauges = {"jobs.is_leading": float(self._leadership.is_leading)}
+        freshness = self._currency.freshness
+        gauges = {
+            "jobs.is_leading": float(self._leadership.is_leading),
+            "config.version": float(self._configuration.config.version),
+            "config.age_seconds": min(freshness.age_seconds, LARGEST_AGE_SECONDS),
+            "config.behind_seconds": freshness.behind_seconds,
+        }
         return gauges if leader is None else {**gauges, **leader.gauges()}
 
     def _tenant_gauges(self) -> dict[tuple[str, str], float]:
--- a/dotterelhill/platform/tests/ingress.feature
+++ b/dotterelhill/platform/tests/ingress.feature
@@ -98,3 +98,10 @@
   Scenario: Thousands of tenants get a metric each
     When 60 tenants are refused a job
     Then 50 tenants and the others together have a metric
+
+  Scenario: A request that the configuration does not allow leaves no trace of the version held
+    Given its configuration was last confirmed 0.5 seconds ago
+    When GET "/none/" is sent with key "good"
+    Then the answer is 404
+    And the refusals are counted as "clients.refused.no_queue"
+    And a line of the log names the version held, the newest one known and how old they are
--- a/dotterelhill/platform/tests/steps/ingress_steps.py
+++ b/dotterelhill/platform/tests/steps/ingress_steps.py
@@ -261,3 +261,14 @@
     lines = [record.extra for record in context.world.log.records if "tenant" in record.extra]
     assert len(lines) == 1, lines
     assert lines[0]["tenant"] == "t" and lines[0]["reason"] and lines[0]["retry_after"] >= 1, lines
+
+
+@then(r"a line of the log names the version held, the newest one known and how old they are")
+def check_version_line(context):
+    lines = [
+        record.extra for record in context.world.log.records if "newest_config" in record.extra
+    ]
+    assert len(lines) == 1, lines
+    expected = {"config": 1, "newest_config": 0, "config_age_ms": 500, "behind_ms": 0}
+    assert {name: lines[0][name] for name in expected} == expected, lines
+    assert lines[0]["path"] == "/none/", lines
