Count the age of a followed stream from the end of a poll, not from its begin

A process that followed the configuration without any trouble counted it as up to 2.0 s old (2.6 s beside a slow store), since an empty answer counted from the time at which the poll was sent. Where a version has to be in force within 2.5 s, 0.5 s of which are for handling a request, that is too old to decide by. The store answers without a record only once it has waited for one, so an empty answer proves that there was none at the end of the wait, less the drift of the clocks. An answer that comes before the wait is over still counts from the begin.

Scenario 'A configuration that is followed all the time counts as old between two answers of the store': 2.005 and 2.63 s before, of 2.0 s; passes now.

--- a/dotterelhill/control/feeds.py
+++ b/dotterelhill/control/feeds.py
@@ -19,6 +19,7 @@
     StoreError,
     Stream,
 )
+from dotterelhill.control.leadership import MAX_CLOCK_DRIFT
 from dotterelhill.entry.logs import logger_of
 from dotterelhill.jobs.fleet import MinionFacts
 from dotterelhill.jobs.queues import FleetConfig
@@ -133,7 +134,10 @@
             return
         if batch.records:
             self._on_records(batch.records, False)
-        self._record_position(batch, sent_at)
+        # The store answers without a record only once it has waited for one.
+        waited_seconds = self._wait_seconds * (1.0 - MAX_CLOCK_DRIFT)
+        has_waited = not batch.records and self._clock() - sent_at >= self._wait_seconds
+        self._record_position(batch, sent_at + waited_seconds if has_waited else sent_at)
 
     async def load(self, process: Callable[[tuple[Record, ...]], Awaitable[None]]) -> None:
         """Read a snapshot and have it processed by work that may yield to the event loop.
@@ -153,12 +157,16 @@
         self._partial_snapshot = PartialRead()
         return batch
 
-    def _record_position(self, batch: Batch, sent_at: float) -> None:
+    def _record_position(self, batch: Batch, known_at: float) -> None:
+        """Record a batch that was read.
+
+        :param known_at: time from which on the batch was known to be the newest one
+        """
         self._offset = batch.next_offset
         # Records that can't be processed, or that others follow, leave the age as it was.
         self._is_at_end = batch.is_at_end
         if batch.is_at_end:
-            self._last_read_at = sent_at
+            self._last_read_at = known_at
         self.loaded.set()
 
     async def _read_unless_refreshed(self) -> bool:
--- a/dotterelhill/control/tests/currency.feature
+++ b/dotterelhill/control/tests/currency.feature
@@ -53,3 +53,18 @@
     When the store answers this process no more
     And the leader names 40 versions to it, one each 0.1 s
     Then it has known of a newer version for 3.9 to 4.1 s
+
+  Scenario Outline: A configuration that is followed all the time counts as old between two answers of the store
+    Given a process that follows the configuration over a store with <delay> s latency
+    When it follows the configuration for 6 s
+    Then its configuration was never older than <limit> s
+
+    Examples: where a version must be in force within 2.5 s, 2.0 s are left to know of it
+      | delay | limit |
+      | 0.005 | 2.0   |
+      | 0.32  | 2.0   |
+
+  Scenario: A configuration counts as current from the end of a poll that was answered early
+    Given a process that follows the configuration over a store with 0.005 s latency
+    When the store answers polls at once for 3 s and the process is silent after the last one
+    Then its configuration is as old as that poll
--- a/dotterelhill/control/tests/steps/currency_steps.py
+++ b/dotterelhill/control/tests/steps/currency_steps.py
@@ -25,6 +25,8 @@
         self.versions = [1]
         self.latency_seconds = 0.0
         self.is_away = False
+        # Whether an empty answer comes before the wait of the poll is over.
+        self.is_answering_early = False
         self.connection = self.silent_connection = 0
         self.aborted = 0
 
@@ -38,6 +40,8 @@
             await asyncio.sleep(self.latency_seconds)
             waited = 0.0
             while len(self.versions) <= start and waited < wait_seconds:
+                if self.is_answering_early:
+                    break
                 await asyncio.sleep(STEP_SECONDS)
                 waited += STEP_SECONDS
             if self.is_away or connection < self.silent_connection:
@@ -209,3 +213,37 @@
 def check_behind(context, least, most):
     behind_seconds = context.world.currency.freshness.behind_seconds
     assert float(least) <= behind_seconds <= float(most), behind_seconds
+
+
+@when(r"it follows the configuration for (?P<seconds>\d+) s")
+def follow(context, seconds):
+    world = context.world
+    context.oldest_seconds = 0.0
+    for _ in range(int(float(seconds) / STEP_SECONDS)):
+        world.advance(STEP_SECONDS)
+        context.oldest_seconds = max(context.oldest_seconds, world.currency.age_seconds)
+
+
+@then(r"its configuration was never older than (?P<seconds>[\d.]+) s")
+def check_oldest(context, seconds):
+    assert context.oldest_seconds <= float(seconds), context.oldest_seconds
+
+
+@when(
+    r"the store answers polls at once for (?P<seconds>\d+) s and the process is silent after "
+    r"the last one"
+)
+def answer_early(context, seconds):
+    world = context.world
+    world.store.is_answering_early = True
+    world.advance(float(seconds))
+    context.last_read_at = world.read_began_at
+    world.store.is_away = True
+    world.advance(2 * STEP_SECONDS)
+
+
+@then(r"its configuration is as old as that poll")
+def check_early(context):
+    world = context.world
+    least_seconds = world.now() - context.last_read_at - 2 * STEP_SECONDS
+    assert world.currency.age_seconds >= least_seconds, (world.currency.age_seconds, least_seconds)
