Refuse a request for an unknown queue for now, not for good, while the configuration may be outdated

Now 404 needs a configuration that was known to be the newest one within the bound, less the time to handle the request, and no newer one that is known. Otherwise the answer is 503 with Retry-After. Queues that are known are served as before: a process that is cut off goes on with what it has.

Class of fault: a final decision from a copy of shared state without a look at its age.

--- a/dotterelhill/jobs/tenants/access.py
+++ b/dotterelhill/jobs/tenants/access.py
@@ -101,9 +101,10 @@
     if config.version == 0:
         return Refusal.NO_CONFIGURATION
     is_behind = freshness.behind_seconds > 0.0
+    is_current = not is_behind and freshness.age_seconds <= settings.current_seconds
     queue = config.queue_for(host, path)
     if queue is None:
-        return Refusal.NO_QUEUE
+        return Refusal.NO_QUEUE if is_current else Refusal.OUTDATED
     if freshness.behind_seconds > settings.behind_seconds:
         return Refusal.OUTDATED
     if not config.tenants or queue.is_anonymous:
@@ -112,7 +113,6 @@
         return Refusal.NO_KEY
     tenant = config.keys.tenant_of(key)
     if tenant is None:
-        is_current = not is_behind and freshness.age_seconds <= settings.current_seconds
         return Refusal.UNKNOWN_KEY if is_current else Refusal.OUTDATED
     if settings.is_revocation_strict and freshness.age_seconds > settings.revoke_seconds:
         return Refusal.OUTDATED
--- a/dotterelhill/jobs/tenants/tests/access.feature
+++ b/dotterelhill/jobs/tenants/tests/access.feature
@@ -35,3 +35,23 @@
     Given a configuration without tenants, confirmed 99 seconds ago
     When a request for "/q/1" arrives with key ""
     Then the decision is "no tenant"
+
+  Scenario Outline: A request for a queue that a newer configuration may have gets the final answer that there is none
+    Given a configuration <tenants>, confirmed <age> seconds ago
+    And a newer version has been known for <behind> seconds
+    When a request for "/none/1" arrives with key "k"
+    Then the decision is "<decision>"
+
+    Examples:
+      | tenants                              | age | behind | decision                          |
+      | with tenant "t", whose key is "k"    | 3.4 | 0      | no such queue                     |
+      | with tenant "t", whose key is "k"    | 3.6 | 0      | the configuration may be outdated |
+      | with tenant "t", whose key is "k"    | 0   | 0.1    | the configuration may be outdated |
+      | without tenants                      | 3.4 | 0      | no such queue                     |
+      | without tenants                      | 3.6 | 0      | the configuration may be outdated |
+      | without tenants                      | 0   | 0.1    | the configuration may be outdated |
+
+  Scenario: A process that only can't tell whether its configuration is the newest one refuses the queues that it knows
+    Given a configuration without tenants, confirmed 99 seconds ago
+    When a request for "/q/1" arrives with key ""
+    Then the decision is "no tenant"
--- a/dotterelhill/platform/tests/ingress.feature
+++ b/dotterelhill/platform/tests/ingress.feature
@@ -105,3 +105,15 @@
     Then the answer is 404
     And the refusals are counted as "clients.refused.no_queue"
     And a line of the log names the version held, the newest one known and how old they are
+
+  Scenario Outline: A queue that was added while this process could not read the configuration is refused for good
+    Given its configuration was last confirmed <age> seconds ago
+    And the configuration with queue "new" arrives <seconds> seconds after the request
+    When GET "/new/" is sent with key ""
+    Then the answer is <answer>
+
+    Examples:
+      | age | seconds | answer               |
+      | 5   | 60      | 503 with Retry-After |
+      | 5   | 0.2     | 200                  |
+      | 0   | 60      | 404                  |
--- a/dotterelhill/platform/tests/steps/ingress_steps.py
+++ b/dotterelhill/platform/tests/steps/ingress_steps.py
@@ -66,6 +66,7 @@
         self.loop = asyncio.new_event_loop()
         self.tenants = tenants
         self.version = 1
+        self.added: dict[str, Queue] = {}
         self.store = FakeStore()
         self.freshness = Freshness()
         self.leader = SimpleNamespace(
@@ -93,13 +94,19 @@
             "caxias",
         )
 
-    async def settle(self, current_seconds: float) -> None:
-        return None
+    async def settle(self, current_seconds: float, *, needs_newest: bool = False) -> None:
+        if needs_newest:
+            await asyncio.sleep(0.3)
 
     def config(self) -> FleetConfig:
         keys = ApiKeys.from_tenants(self.tenants.items())
         tenants = {name: Tenant(name, 1.0, self.limit) for name in self.tenants}
-        return FleetConfig(self.version, QUEUES, tenants=tenants, keys=keys)
+        return FleetConfig(self.version, {**QUEUES, **self.added}, tenants=tenants, keys=keys)
+
+    def add_queue(self, name: str) -> None:
+        self.version += 1
+        self.added[name] = Queue(name, "h", f"/{name}/", "pool", is_anonymous=True)
+        self.freshness = Freshness()
 
     def revoke(self, key: str) -> None:
         self.version += 1
@@ -272,3 +279,11 @@
     expected = {"config": 1, "newest_config": 0, "config_age_ms": 500, "behind_ms": 0}
     assert {name: lines[0][name] for name in expected} == expected, lines
     assert lines[0]["path"] == "/none/", lines
+
+
+@given(
+    r'the configuration with queue "(?P<name>\w+)" arrives (?P<seconds>[\d.]+) seconds after the '
+    r"request"
+)
+def plan_queue(context, name, seconds):
+    context.world.loop.call_later(float(seconds), context.world.add_queue, name)
