Let processes learn of a newer configuration from each other, not from their own read alone

Cause: the own long poll was the only way to a new version. Without tenants the leader's messages named no version, so a process did not even know that it was behind, and no process handed a version on.

Now the leader names its version in each message (twice a second at least), with a process in the receiver's failure domain that has read it; relays name theirs to the leader, whose own read may be the dead one. A process that is behind reads the stream anew after 0.4 s, asks the named process after 0.8 s, or the leader after 1.5 s where none is named, since a region shares one link to the store. A process sends at most four copies at a time. All versions still come from the store.

Earlier builds ignore the new fields and give none; a process asks an earlier leader in vain and goes on as before.

A world of entry processes, currency_world.py, loses each path by itself (silent, refusing, cut off, dead connection, links, leaders) and checks the promise: a version that was published longer ago than the bound is in force, or the process says that it may be behind.

refresh() moved to the new service, since messages alone do not come at the time it is due.

--- a/dotterelhill/control/currency.py
+++ b/dotterelhill/control/currency.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from dotterelhill.entry.logs import logger_of
 from dotterelhill.jobs.tenants.access import Freshness
@@ -20,8 +21,21 @@
 _log = logger_of("currency")
 
 
+@dataclass(frozen=True, slots=True)
+class PendingVersion:
+    """Newest version of the configuration that this process knows of and has not read.
+
+    :param behind_since: time since which this process has known of a newer version than its own
+    :param holder: ``host:port`` of a process that has read it; empty if none is known
+    """
+
+    version: int
+    behind_since: float
+    holder: str = ""
+
+
 class ConfigurationCurrency:
-    """Tracks which configuration versions the leader knows, and since when.
+    """Tracks which configuration versions other processes know, and since when.
 
     :param clock: returns seconds; keeps counting while the process is suspended
     :param own_age: returns the seconds since this process was last at the end of the stream
@@ -48,6 +62,17 @@
         # Versions that the leader has named before this process read them, with the time.
         self._pending: list[tuple[int, float]] = []
         self._refreshed_version = 0
+        self._holder = ""
+        # Set while a newer version may be known.
+        self.is_behind = asyncio.Event()
+
+    @property
+    def pending(self) -> PendingVersion | None:
+        """Return the newest version that this process has not read; None if it knows of none."""
+        self._drop_read_versions()
+        if not self._pending:
+            return None
+        return PendingVersion(self._pending[-1][0], self._pending[0][1], self._holder)
 
     @property
     def age_seconds(self) -> float:
@@ -66,29 +91,49 @@
         behind_seconds = self._clock() - self._pending[0][1]
         return Freshness(self.age_seconds, behind_seconds, self._pending[-1][0])
 
-    def record(self, version: int, age_seconds: float) -> None:
+    def record(self, version: int, age_seconds: float, holder: str = "") -> None:
         """Process what the leader tells about its configuration.
 
-        :param version: version that the leader holds; 0 for a configuration without tenants
+        :param version: version that the leader holds; 0 if it tells none
         :param age_seconds: time since the leader was last known to hold the newest version
+        :param holder: ``host:port`` of a process near this one that has read it; empty for none
         """
         now = self._clock()
-        self._drop_read_versions()
         if not version or version < self._confirmed_version:
             return
         confirmed_at = now - age_seconds
         if version > self._confirmed_version or confirmed_at > self._confirmed_at:
             self._confirmed_version, self._confirmed_at = version, confirmed_at
+        self.record_version(version, holder)
+
+    def record_version(self, version: int, holder: str = "") -> None:
+        """Process that another process has read a version.
+
+        :param holder: ``host:port`` of a process that can hand it on; empty if none is known
+        """
+        now = self._clock()
+        self._drop_read_versions()
         newest = self._pending[-1][0] if self._pending else self._own_version()
         if version > newest and len(self._pending) < MAX_PENDING_VERSIONS:
             self._pending.append((version, now))
-        if not self._pending or now - self._pending[0][1] < REFRESH_AFTER_SECONDS:
+            self._holder = ""
+            self.is_behind.set()
+        if not self._pending or version < self._pending[-1][0]:
+            return
+        self._holder = holder or self._holder
+
+    def refresh_if_due(self) -> None:
+        """Read the stream anew if a version has been known for ``REFRESH_AFTER_SECONDS``.
+
+        A read that is under way may be that of a large configuration, which a repeated abort would
+        keep from ever arriving, so this is done once for a version.
+        """
+        pending = self.pending
+        if pending is None or self._clock() - pending.behind_since < REFRESH_AFTER_SECONDS:
             return
-        # A read that is under way may be that of a large configuration, which a repeated abort
-        # would keep from ever arriving.
         if self._refreshed_version < self._pending[0][0]:
             self._refreshed_version = self._pending[0][0]
-            fields = {"version": self._refreshed_version, "held": self._own_version()}
+            fields = {"version": pending.version, "held": self._own_version()}
             _log.notice("newer configuration is known but not read", extra=fields)
             self._refresh()
 
@@ -111,3 +156,5 @@
         own_version = self._own_version()
         while self._pending and self._pending[0][0] <= own_version:
             del self._pending[0]
+        if not self._pending:
+            self.is_behind.clear()
--- a/dotterelhill/control/feeds.py
+++ b/dotterelhill/control/feeds.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from enum import StrEnum
 from random import Random
 from typing import Protocol
 
@@ -219,6 +220,13 @@
                 await asyncio.sleep(self._pause_seconds)
 
 
+class ConfigurationSource(StrEnum):
+    """Where a process got a version of the configuration from."""
+
+    STORE = "store"
+    PEER = "peer"
+
+
 class ConfigurationFeed:
     """Current fleet configuration and evacuated failure domains.
 
@@ -230,6 +238,7 @@
         self._decoder = decoder
         self._on_change = on_change
         self._config = FleetConfig()
+        self._record: Record | None = None
         self._evacuated: frozenset[str] = frozenset()
 
     @property
@@ -237,6 +246,11 @@
         """Return the newest configuration; it has version 0 until one is read."""
         return self._config
 
+    @property
+    def record(self) -> Record | None:
+        """Return the record of the newest configuration, for other processes; None before it."""
+        return self._record
+
     @property
     def evacuated(self) -> frozenset[str]:
         """Return the evacuated failure domains, in which nothing may start."""
@@ -252,7 +266,7 @@
             decoded = self._decoder.operator_record(record)
             match decoded:
                 case FleetConfig():
-                    self._apply_config(decoded)
+                    self._apply_config(decoded, record, ConfigurationSource.STORE)
                 case Evacuation(domain, True):
                     evacuated.add(domain)
                 case Evacuation(domain, False):
@@ -262,11 +276,24 @@
         self._evacuated = frozenset(evacuated)
         self._on_change()
 
-    def _apply_config(self, config: FleetConfig) -> None:
+    def apply_record_of_peer(self, record: Record) -> None:
+        """Apply a configuration that another process has read from the stream."""
+        decoded = self._decoder.operator_record(record)
+        if isinstance(decoded, FleetConfig):
+            self._apply_config(decoded, record, ConfigurationSource.PEER)
+            self._on_change()
+
+    def _apply_config(
+        self, config: FleetConfig, record: Record, source: ConfigurationSource
+    ) -> None:
         if config.version <= self._config.version:
             return
         _log.notice(
             "configuration in force",
-            extra={"version": config.version, "earlier": self._config.version},
+            extra={
+                "version": config.version,
+                "earlier": self._config.version,
+                "source": str(source),
+            },
         )
-        self._config = config
+        self._config, self._record = config, record
--- a/dotterelhill/control/peers.py
+++ b/dotterelhill/control/peers.py
@@ -13,6 +13,7 @@
 import msgspec
 from aiohttp import web
 
+from dotterelhill.control.feeds import ConfigurationFeed
 from dotterelhill.control.health import ObservedStore
 from dotterelhill.control.interface import Record, StoreError
 from dotterelhill.control.leader import Leader, NotReadyError
@@ -40,10 +41,16 @@
 SUPERSEDED_PATH = "/leader/superseded"
 SUBMISSIONS_PATH = "/leader/submissions"
 WITNESS_PATH = "/leader/witness"
+CONFIGURATION_PATH = "/leader/configuration"
 LINK_PATH = "/leader/relays"
 HELLO_TIMEOUT_SECONDS = 1.0
 # The round trip between two regions takes 40 ms; a peer that needs much longer is failing.
 PEER_TIMEOUT_SECONDS = 0.5
+# A configuration of many routes has hundreds of kilobytes and may pass a narrow link, which copies
+# for others share.
+CONFIGURATION_TIMEOUT_SECONDS = 3.0
+MAX_CONFIGURATION_COPIES = 4
+HELD_PARAMETER = "held"
 
 _log = logger_of("peers")
 
@@ -169,10 +176,20 @@
     :param store: store to which submissions of peers are appended
     :param host: address to listen on
     :param port: port to listen on
+    :param configuration: configuration of this process; None if it hands on none
     """
 
-    def __init__(self, source: LeaderSource, store: ObservedStore, host: str, port: int) -> None:
+    def __init__(
+        self,
+        source: LeaderSource,
+        store: ObservedStore,
+        host: str,
+        port: int,
+        configuration: ConfigurationFeed | None = None,
+    ) -> None:
         super().__init__()
+        self._configuration = configuration
+        self._copies = 0
         self._source = source
         self._store = store
         self._host = host
@@ -216,6 +233,8 @@
             return await self._answer_as_witness(request)
         if path == SUBMISSIONS_PATH:
             return await self._append_for_peer(request)
+        if path == CONFIGURATION_PATH:
+            return await self._send_configuration(request)
         leader = self._source.leader
         if leader is None:
             return web.Response(status=503, text="not leading")
@@ -274,6 +293,26 @@
             return web.Response(status=400, text=str(error))
         return web.Response(body=msgspec.msgpack.encode(answer))
 
+    async def _send_configuration(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Hand on the newest configuration, unless the caller holds it or too many ask at once."""
+        held = request.query.get(HELD_PARAMETER, "")
+        feed = self._configuration
+        if feed is None or not held.isdecimal():
+            return web.Response(status=400)
+        record = feed.record
+        if record is None or feed.config.version <= int(held):
+            return web.Response(status=404)
+        if self._copies >= MAX_CONFIGURATION_COPIES:
+            return web.Response(status=503)
+        answer = web.Response(body=msgspec.msgpack.encode(_StoredRecord(record.key, record.value)))
+        self._copies += 1
+        try:
+            await answer.prepare(request)
+            await answer.write_eof()
+        finally:
+            self._copies -= 1
+        return answer
+
     async def _append_for_peer(self, request: web.BaseRequest) -> web.StreamResponse:
         try:
             record = _RECORD_DECODER.decode(await request.read())
@@ -378,10 +417,33 @@
         if status != 200:
             raise PeerUnreachableError(f"status {status}", is_effect_unknown=status != 503)
 
+    async def configuration(self, address: str, held: int) -> Record:
+        """Return the record of a configuration that is newer than one.
+
+        :param held: version that this process holds
+        :raises PeerUnreachableError: when the peer has no newer one or gives no usable answer
+        """
+        path = f"{CONFIGURATION_PATH}?{urlencode({HELD_PARAMETER: held})}"
+        status, body = await self._call(
+            "GET", address, path, timeout_seconds=CONFIGURATION_TIMEOUT_SECONDS
+        )
+        if status != 200:
+            raise PeerUnreachableError(f"status {status}")
+        try:
+            stored = _RECORD_DECODER.decode(body)
+        except msgspec.MsgspecError as error:
+            raise PeerUnreachableError(f"the answer can't be decoded: {error}") from error
+        return Record(stored.key, stored.value)
+
     async def _call(
-        self, method: str, address: str, path: str, body: bytes | None = None
+        self,
+        method: str,
+        address: str,
+        path: str,
+        body: bytes | None = None,
+        timeout_seconds: float = PEER_TIMEOUT_SECONDS,
     ) -> tuple[int, bytes]:
-        timeout = aiohttp.ClientTimeout(total=PEER_TIMEOUT_SECONDS)
+        timeout = aiohttp.ClientTimeout(total=timeout_seconds, sock_connect=PEER_TIMEOUT_SECONDS)
         url = f"http://{address}{path}"
         try:
             async with self._session().request(method, url, data=body, timeout=timeout) as answer:
--- a/dotterelhill/control/relay_client.py
+++ b/dotterelhill/control/relay_client.py
@@ -53,6 +53,11 @@
 _log = logger_of("relays")
 
 
+def _no_version() -> int:
+    """Return 0, the version of a process that reads no configuration."""
+    return 0
+
+
 def _ignore_notice(notice: EntryNotice, transit_seconds: float) -> None:
     """Ignore the leader's information in a process that serves no clients."""
 
@@ -99,6 +104,7 @@
     :param clock: returns seconds; keeps counting while the process is suspended
     :param on_notice: called with the leader's information for entry processes, and with the time
         in seconds for which its message was on its way
+    :param config_version: returns the version of the configuration that this process holds
     """
 
     def __init__(
@@ -107,8 +113,10 @@
         socket: MessageSocket,
         clock: Callable[[], float],
         on_notice: NoticeHandler = _ignore_notice,
+        config_version: Callable[[], int] = _no_version,
     ) -> None:
         self._on_notice = on_notice
+        self._config_version = config_version
         self._caller = caller
         self._socket = socket
         self._clock = clock
@@ -217,7 +225,8 @@
                 await asyncio.sleep(BATCH_SECONDS)
             self._has_answers.clear()
             answers, self._answers = self._answers, []
-            await self._socket.send_bytes(ENCODER.encode(RelayMessage(self._is_leaving, answers)))
+            message = RelayMessage(self._is_leaving, answers, self._config_version())
+            await self._socket.send_bytes(ENCODER.encode(message))
 
     def cancel_calls(self) -> None:
         """Cancel the calls in progress, whose answers nobody would receive."""
@@ -235,6 +244,7 @@
     :param session: returns the HTTP session to use
     :param clock: returns seconds; keeps counting while the process is suspended
     :param on_notice: see :class:`RelaySession`
+    :param config_version: see :class:`RelaySession`
     """
 
     def __init__(
@@ -246,9 +256,11 @@
         clock: Callable[[], float],
         random: Random,
         on_notice: NoticeHandler = _ignore_notice,
+        config_version: Callable[[], int] = _no_version,
     ) -> None:
         super().__init__()
         self._on_notice = on_notice
+        self._config_version = config_version
         self._hello = hello
         self._leader_address = leader_address
         self._caller = caller
@@ -309,7 +321,9 @@
                 max_msg_size=MAX_MESSAGE_BYTES,
                 timeout=aiohttp.ClientWSTimeout(ws_close=0.3),
             )
-        session = RelaySession(self._caller, socket, self._clock, self._on_notice)
+        session = RelaySession(
+            self._caller, socket, self._clock, self._on_notice, self._config_version
+        )
         sender = None
         try:
             await socket.send_bytes(ENCODER.encode(self._hello))
--- a/dotterelhill/control/relay_messages.py
+++ b/dotterelhill/control/relay_messages.py
@@ -81,12 +81,15 @@
 class EntryNotice(msgspec.Struct, frozen=True, array_like=True):
     """What the leader tells entry processes about the configuration, tenants and queues.
 
-    :param config_version: version that the leader holds; 0 when it has no tenants
+    :param config_version: version that the leader holds; 0 when it has none, and from builds that
+        do not tell that of a configuration without tenants
     :param config_age_seconds: time since the leader was last known to hold the newest version
     :param rates: rates of the tenants that are over their share; None when the leader can't tell
     :param process_count: number of processes among which the rates are divided
     :param queues: verdicts about the queues whose submissions are refused in part; None when the
         leader can't tell, and from builds that do not tell them
+    :param config_holder: ``host:port`` of a process in the failure domain of the receiver that has
+        read this version; empty if there is none, or if the receiver has read it
     """
 
     config_version: int = 0
@@ -94,6 +97,7 @@
     rates: dict[str, AdmittedRate] | None = None
     process_count: int = 1
     queues: dict[str, QueueVerdict] | None = None
+    config_holder: str = ""
 
 
 class LeaderMessage(msgspec.Struct, frozen=True, array_like=True):
@@ -125,10 +129,13 @@
     """Message of a relay to the leader.
 
     :param is_leaving: whether the process is about to stop and takes no further calls
+    :param config_version: version of the configuration that it holds; 0 for none, and from builds
+        that do not tell it
     """
 
     is_leaving: bool
     answers: list[RelayedAnswer]
+    config_version: int = 0
 
 
 ENCODER = msgspec.msgpack.Encoder()
--- a/dotterelhill/control/relay_pool.py
+++ b/dotterelhill/control/relay_pool.py
@@ -97,6 +97,7 @@
     :param leadership: lease of this process, whose state every message tells
     :param clock: returns seconds; keeps counting while the process is suspended
     :param entry_notice: returns the information for entry processes
+    :param holders: processes that hold the newest configuration
     """
 
     def __init__(
@@ -106,8 +107,11 @@
         leadership: Leadership,
         clock: Callable[[], float],
         entry_notice: Callable[[], EntryNotice] = EntryNotice,
+        holders: ConfigurationHolders | None = None,
     ) -> None:
         self._entry_notice = entry_notice
+        self._holders = holders or ConfigurationHolders()
+        self._config_version = 0
         self._hello = hello
         self._socket = socket
         self._leadership = leadership
@@ -194,11 +198,19 @@
                 calls,
                 leadership.ended_epoch,
                 leadership.loading_progress,
-                self._entry_notice(),
+                self._notice(),
                 self._prefixes.take_new(),
             )
             await self._socket.send_bytes(ENCODER.encode(message))
 
+    def _notice(self) -> EntryNotice:
+        """Return the information for the relay, which names a holder while it lacks a version."""
+        notice = self._entry_notice()
+        if self._config_version >= notice.config_version:
+            return notice
+        holder = self._holders.address_in(self._hello.failure_domain, notice.config_version)
+        return msgspec.structs.replace(notice, config_holder=holder) if holder else notice
+
     def keep_alive(self) -> None:
         """Send a heartbeat if the last message was sent about ``HEARTBEAT_SECONDS`` ago.
 
@@ -215,6 +227,9 @@
         message = RELAY_DECODER.decode(data)
         self._heard_at = self._clock()
         self._is_leaving = self._is_leaving or message.is_leaving
+        if message.config_version > self._config_version:
+            self._config_version = message.config_version
+            self._holders.record(self._hello, message.config_version)
         for answer in message.answers:
             pending = self._pending.pop(answer.number, None)
             if pending is not None:
@@ -290,6 +305,39 @@
             return RelayError(answer.reason)
 
 
+class ConfigurationHolders:
+    """Relays that hold the newest configuration, one of each failure domain.
+
+    :param on_version: called with a version that a relay has read and with the relay's address
+    """
+
+    def __init__(self, on_version: Callable[[int, str], None] | None = None) -> None:
+        self._on_version = on_version
+        # Version and address of the first process of each failure domain that held it.
+        self._by_domain: dict[str, tuple[int, str]] = {}
+
+    def address_in(self, failure_domain: str, version: int) -> str:
+        """Return the address of a process that holds a version; empty if none is known."""
+        known, address = self._by_domain.get(failure_domain, (0, ""))
+        return address if known >= version else ""
+
+    def record(self, hello: Hello, version: int) -> None:
+        """Record that a relay holds a version."""
+        if not hello.address:
+            return
+        known, _ = self._by_domain.get(hello.failure_domain, (0, ""))
+        if version > known:
+            self._by_domain[hello.failure_domain] = (version, hello.address)
+        if self._on_version is not None:
+            self._on_version(version, hello.address)
+
+    def remove(self, hello: Hello) -> None:
+        """Forget a relay whose connection was lost."""
+        known = self._by_domain.get(hello.failure_domain)
+        if known is not None and known[1] == hello.address:
+            del self._by_domain[hello.failure_domain]
+
+
 class RelayPool:
     """Relays of one term of leadership, which sends calls to minions through them.
 
@@ -299,6 +347,8 @@
     :param lag: delay of the event loop
     :param entry_notice: returns the information for entry processes
     :param failure_domain: failure domain of the VM of this process
+    :param on_config_version: called with a version of the configuration that a relay has read and
+        with the relay's address
     """
 
     def __init__(
@@ -309,8 +359,10 @@
         lag: LoopLag,
         entry_notice: Callable[[], EntryNotice] = EntryNotice,
         failure_domain: str = "",
+        on_config_version: Callable[[int, str], None] | None = None,
     ) -> None:
         self._entry_notice = entry_notice
+        self._holders = ConfigurationHolders(on_config_version)
         self._failure_domain = failure_domain
         self._direct = direct
         self._leadership = leadership
@@ -375,7 +427,9 @@
         earlier = self._links.pop(hello.incarnation, None)
         if earlier is not None:
             self._end(earlier, "the relay has connected again")
-        link = RelayLink(hello, socket, self._leadership, self._clock, self._entry_notice)
+        link = RelayLink(
+            hello, socket, self._leadership, self._clock, self._entry_notice, self._holders
+        )
         self._links[hello.incarnation] = link
         self._choose_relays()
         return link
@@ -384,6 +438,7 @@
         """Remove a relay; its calls without an answer fail."""
         if self._links.get(link.hello.incarnation) is link:
             del self._links[link.hello.incarnation]
+            self._holders.remove(link.hello)
             _log.info(
                 "relay lost",
                 extra={"relay": link.hello.incarnation, "reason": reason, "left": len(self._links)},
--- a/dotterelhill/control/tests/currency.feature
+++ b/dotterelhill/control/tests/currency.feature
@@ -68,3 +68,53 @@
     Given a process that follows the configuration over a store with 0.005 s latency
     When the store answers polls at once for 3 s and the process is silent after the last one
     Then its configuration is as old as that poll
+
+  Scenario Outline: A process that the store turns away lacks a published version although others have read it
+    Given 7 entry processes of 3 failure domains that are connected to a leader
+    When the store is <trouble> for processes "<names>"
+    And 1 seconds later a version with a new queue is published
+    Then all processes have it in force within 4 s
+    And no process has refused the new queue for good
+
+    Examples: p0 leads
+      | trouble         | names          |
+      | silent          | p1 p4          |
+      | down            | p1 p4          |
+      | cut off         | p1 p2 p3 p4 p5 |
+      | dead connection | p0 p1          |
+      | silent          | p0             |
+      | cut off         | p0 p1 p3       |
+
+  Scenario: A process that neither reads the store nor reaches another one refuses a new queue for good
+    Given 7 entry processes of 3 failure domains that are connected to a leader
+    When the store is silent for processes "p1"
+    And process "p1" reaches no other one
+    And 1 seconds later a version with a new queue is published
+    And 8 seconds pass in the fleet
+    Then process "p1" says of the new queue "the configuration may be outdated"
+    And process "p1" handles requests for the queues that it knows
+    When all troubles of the fleet end
+    Then all processes have it in force within 4 s
+
+  Scenario: All processes copy a version from the leader although a process near them has it
+    Given 9 entry processes of 3 failure domains that are connected to a leader
+    When the store is silent for processes "p4 p5 p7 p8"
+    And 1 seconds later a version with a new queue is published
+    Then all processes have it in force within 4 s
+    And the leader has sent 0 copies
+
+  Scenario Outline: A process lacks a version, or refuses its queue for good, after troubles that a search has found
+    When troubles of single paths are played with seeds <first> to <last>
+    Then no fault was found
+
+    Examples:
+      | first | last |
+      | 1     | 6    |
+      | 7     | 12   |
+
+  Scenario: A configuration is handed on to more processes at a time than the link of the sender carries
+    Given a peer server that holds a configuration of 32 megabytes, version 3
+    When 8 processes that hold version 2 ask for it at once and read slowly
+    Then at most 4 get it at first, and the others are refused
+    And a process that holds version 3 gets none
+    And a process that holds version 2 gets the record of version 3
--- a/dotterelhill/control/tests/steps/currency_steps.py
+++ b/dotterelhill/control/tests/steps/currency_steps.py
@@ -6,10 +6,13 @@
 import looptime
 from behave import given, then, use_step_matcher, when
 
+from dotterelhill.control.config_exchange import ConfigurationExchange
 from dotterelhill.control.currency import ConfigurationCurrency
 from dotterelhill.control.feeds import CONFIGURATION_WAIT_SECONDS, Follower
 from dotterelhill.control.health import ObservedStore
 from dotterelhill.control.interface import Batch, Record, StoreError, Stream
+from dotterelhill.control.tests.currency_world import CurrencyFleet
+from dotterelhill.jobs.tenants.access import Granted, Refusal
 
 use_step_matcher("re")
 
@@ -83,7 +86,12 @@
             self.follower.refresh,
             lambda: observed.is_unavailable,
         )
-        self.run(self.follower.start())
+        exchange = ConfigurationExchange(
+            self.currency, None, None, lambda: "", self.now, random.Random(4)
+        )
+        self.services = (self.follower, exchange)
+        for service in self.services:
+            self.run(service.start())
         self.advance(10.0)
 
     def now(self) -> float:
@@ -105,7 +113,8 @@
 
     def close(self) -> None:
         async def finish() -> None:
-            await self.follower.stop()
+            for service in self.services:
+                await service.stop()
             pending = asyncio.all_tasks() - {asyncio.current_task()}
             for task in pending:
                 task.cancel()
@@ -247,3 +256,87 @@
     world = context.world
     least_seconds = world.now() - context.last_read_at - 2 * STEP_SECONDS
     assert world.currency.age_seconds >= least_seconds, (world.currency.age_seconds, least_seconds)
+
+
+@given(r"(?P<count>\d+) entry processes of 3 failure domains that are connected to a leader")
+def new_fleet(context, count):
+    context.fleet = CurrencyFleet(int(count))
+    context.add_cleanup(context.fleet.close)
+
+
+@when(r'the store is (?P<trouble>[\w ]+) for processes "(?P<names>[^"]+)"')
+def trouble_store(context, trouble, names):
+    for name in names.split():
+        context.fleet.processes[name].path.set_trouble(trouble)
+
+
+@when(r'process "(?P<name>\w+)" reaches no other one')
+def cut_links(context, name):
+    context.fleet.processes[name].has_links = False
+
+
+@when(r"(?P<seconds>\d+) seconds later a version with a new queue is published")
+def publish_later(context, seconds):
+    context.fleet.advance(float(seconds))
+    context.new_queue = f"q{context.fleet.publish()}"
+
+
+@when(r"(?P<seconds>\d+) seconds pass in the fleet")
+def pass_fleet_time(context, seconds):
+    context.fleet.advance_checked(float(seconds))
+
+
+@when(r"all troubles of the fleet end")
+def end_troubles(context):
+    for process in context.fleet.processes.values():
+        process.path.set_trouble("")
+        process.has_links = True
+
+
+@then(r"all processes have it in force within (?P<seconds>\d+) s")
+def check_fleet(context, seconds):
+    fleet = context.fleet
+    fleet.advance_checked(float(seconds))
+    newest = max(fleet.published)
+    versions = {name: one.feed.config.version for name, one in fleet.processes.items()}
+    assert set(versions.values()) == {newest}, versions
+
+
+@then(r"no process has refused the new queue for good")
+def check_no_fault(context):
+    context.fleet.advance_checked(3.0)
+    assert not context.fleet.faults, context.fleet.faults
+
+
+@then(r'process "(?P<name>\w+)" says of the new queue "(?P<text>[^"]+)"')
+def check_says(context, name, text):
+    decision = context.fleet.processes[name].decide(context.new_queue)
+    assert decision == Refusal(text), decision
+
+
+@then(r'process "(?P<name>\w+)" handles requests for the queues that it knows')
+def check_known_queues(context, name):
+    decision = context.fleet.processes[name].decide("q1")
+    assert isinstance(decision, Granted), decision
+
+
+@then(r"the leader has sent (?P<count>\d+) copies")
+def check_copies(context, count):
+    sent = {name: one.copies_sent for name, one in context.fleet.processes.items()}
+    assert sent[context.fleet.leader.name] == int(count) and sum(sent.values()) == 4, sent
+
+
+@when(r"troubles of single paths are played with seeds (?P<first>\d+) to (?P<last>\d+)")
+def search(context, first, last):
+    context.found = {}
+    for seed in range(int(first), int(last) + 1):
+        fleet = CurrencyFleet(7, seed)
+        try:
+            context.found |= {(seed, key): text for key, text in fleet.play().items()}
+        finally:
+            fleet.close()
+
+
+@then(r"no fault was found")
+def check_search(context):
+    assert not context.found, context.found
--- a/dotterelhill/control/tests/steps/mixed_builds_steps.py
+++ b/dotterelhill/control/tests/steps/mixed_builds_steps.py
@@ -49,7 +49,8 @@
 
 def present_samples():
     """Return the encoded form of the newest definitions, with each new field in use."""
-    notice = relay_messages.EntryNotice(7, 0.5, {"t": AdmittedRate(1.0, 9.0, 4.0)}, 3)
+    rates = {"t": AdmittedRate(1.0, 9.0, 4.0)}
+    notice = relay_messages.EntryNotice(7, 0.5, rates, 3, config_holder="b:1")
     calls = [relay_messages.RelayedCall(*CALL)]
     pack, answer = msgspec.msgpack.encode, relay_messages.RelayedAnswer(1, 200, b"x")
     return {
@@ -64,7 +65,7 @@
         "leader message": pack(
             relay_messages.LeaderMessage("a/1", 1.0, True, True, calls, 2, 5, notice)
         ),
-        "relay message": pack(relay_messages.RelayMessage(False, [answer])),
+        "relay message": pack(relay_messages.RelayMessage(False, [answer], 7)),
         "submission": progress.encode_submission(present_submission("t")),
         "progress": progress.encode_progress(present_progress()),
     }
@@ -144,6 +145,7 @@
         "address": "",
         "loading_progress": None,
         "entry": relay_messages.EntryNotice(),
+        "config_version": 0,
         "tenant": "",
     }
     for name in added & set(defaults):
--- a/dotterelhill/platform/process.py
+++ b/dotterelhill/platform/process.py
@@ -15,6 +15,7 @@
 import aiohttp
 import mode
 
+from dotterelhill.control.config_exchange import ConfigurationExchange, entry_notice
 from dotterelhill.control.currency import ConfigurationCurrency
 from dotterelhill.control.election import MAX_START_DELAY_SECONDS, Election
 from dotterelhill.control.feeds import (
@@ -148,6 +149,7 @@
             boot_seconds,
             self._random,
             self._receive_notice,
+            lambda: self._configuration.config.version,
         )
         peers = PeerClient(self._open_session)
         self._election = Election(
@@ -162,7 +164,19 @@
             self._relay_client.leader_clock,
         )
         self._peer_server = PeerServer(
-            self._election, self._store, settings.peer_address.host, settings.peer_address.port
+            self._election,
+            self._store,
+            settings.peer_address.host,
+            settings.peer_address.port,
+            self._configuration,
+        )
+        self._config_exchange = ConfigurationExchange(
+            self._currency,
+            self._configuration,
+            peers,
+            self._remote_leader_address,
+            boot_seconds,
+            self._random,
         )
         job_service = JobService(self._store, self._election, peers, boot_seconds, self._random)
         self._ingress = Ingress(
@@ -209,17 +223,8 @@
 
     def _entry_notice(self) -> EntryNotice:
         """Return what entry processes have to know, while this process leads."""
-        config = self._configuration.config
-        leader = self._election.leader
-        queues = None if leader is None else leader.queue_verdicts()
-        if not config.tenants:
-            return EntryNotice(queues=queues)
-        rates = None if leader is None else leader.admitted_rates()
-        if leader is None or rates is None:
-            return EntryNotice(config.version, self._config_follower.age_seconds, queues=queues)
-        process_count = leader.relays.link_count + 1
-        return EntryNotice(
-            config.version, self._config_follower.age_seconds, rates, process_count, queues
+        return entry_notice(
+            self._configuration, self._config_follower.age_seconds, self._election.leader
         )
 
     def _current_admission(self) -> EntryAdmission:
@@ -246,7 +251,8 @@
     def _receive_notice(self, notice: EntryNotice, transit_seconds: float) -> None:
         self._apply_rates(notice)
         self._apply_verdicts(notice.queues)
-        self._currency.record(notice.config_version, notice.config_age_seconds + transit_seconds)
+        age_seconds = notice.config_age_seconds + transit_seconds
+        self._currency.record(notice.config_version, age_seconds, notice.config_holder)
 
     def _remote_leader_address(self) -> str:
         """Return the address of the leader; empty while this process leads or knows none."""
@@ -262,6 +268,7 @@
             lag,
             self._entry_notice,
             settings.failure_domain,
+            self._currency.record_version,
         )
         return Leader(
             LeaderParts(
@@ -317,6 +324,7 @@
             self._peer_server,
             self._election,
             self._relay_client,
+            self._config_exchange,
             self._ingress,
         ]
         for service in services:
