Do not abort a read of the configuration, or ask the leader as well, while its parts arrive

A large configuration takes seconds over the link between regions. Now that the leader names its version to every process, also without tenants, a process that was reading it would have begun anew after 0.4 s, and asked the leader for a second copy after 1.5 s, over the same link. The store client reports each part of an answer about the configuration, and while parts arrive nothing is repeated.

--- a/dotterelhill/control/config_exchange.py
+++ b/dotterelhill/control/config_exchange.py
@@ -87,7 +87,8 @@
             wait_seconds = ASK_HOLDER_SECONDS if pending.holder else ASK_LEADER_SECONDS
             left_seconds = pending.behind_since + wait_seconds - self._clock()
             address = pending.holder or self._leader_address()
-            if left_seconds > 0.0 or not address:
+            is_arriving = not pending.holder and self._currency.is_receiving
+            if left_seconds > 0.0 or not address or is_arriving:
                 # A holder may become known meanwhile.
                 await asyncio.sleep(STEP_SECONDS)
                 continue
--- a/dotterelhill/control/currency.py
+++ b/dotterelhill/control/currency.py
@@ -42,6 +42,7 @@
     :param own_version: returns the version that this process holds
     :param refresh: reads the stream anew over another connection
     :param is_store_away: returns whether the store counts as unavailable
+    :param is_receiving: returns whether an answer of the stream is arriving
     """
 
     def __init__(
@@ -51,7 +52,9 @@
         own_version: Callable[[], int],
         refresh: Callable[[], None],
         is_store_away: Callable[[], bool],
+        is_receiving: Callable[[], bool],
     ) -> None:
+        self._is_receiving = is_receiving
         self._is_store_away = is_store_away
         self._clock = clock
         self._own_age = own_age
@@ -122,15 +125,22 @@
             return
         self._holder = holder or self._holder
 
+    @property
+    def is_receiving(self) -> bool:
+        """Return whether an answer of the stream is arriving."""
+        return self._is_receiving()
+
     def refresh_if_due(self) -> None:
         """Read the stream anew if a version has been known for ``REFRESH_AFTER_SECONDS``.
 
         A read that is under way may be that of a large configuration, which a repeated abort would
-        keep from ever arriving, so this is done once for a version.
+        keep from ever arriving, so this is done once for a version, and not while parts arrive.
         """
         pending = self.pending
         if pending is None or self._clock() - pending.behind_since < REFRESH_AFTER_SECONDS:
             return
+        if self._is_receiving():
+            return
         if self._refreshed_version < self._pending[0][0]:
             self._refreshed_version = self._pending[0][0]
             fields = {"version": pending.version, "held": self._own_version()}
--- a/dotterelhill/control/feeds.py
+++ b/dotterelhill/control/feeds.py
@@ -32,6 +32,8 @@
 # by up to 1.0 + 1.2 + 0.4 + 0.4 s, of the 4 s within which it must be in force.
 CONFIGURATION_WAIT_SECONDS = 1.0
 RETRY_SECONDS = (0.1, 0.4)
+# An answer of which a part has arrived within this time is still arriving.
+RECEIVING_SECONDS = 0.4
 
 _log = logger_of("feeds")
 
@@ -96,6 +98,7 @@
         self._partial_snapshot = PartialRead()
         self._snapshot_sent_at = float("-inf")
         self._last_read_at = float("-inf")
+        self._progress_at = float("-inf")
         self._is_at_end = True
         self._is_failing = False
         # Task that reads, while it does.
@@ -108,6 +111,15 @@
         """Return the seconds since this follower was last known to be at the end of the stream."""
         return self._clock() - self._last_read_at
 
+    @property
+    def is_receiving(self) -> bool:
+        """Return whether parts of an answer have arrived lately."""
+        return self._clock() - self._progress_at < RECEIVING_SECONDS
+
+    def record_progress(self) -> None:
+        """Record that a part of an answer has arrived."""
+        self._progress_at = self._clock()
+
     def refresh(self) -> None:
         """Abort the read in progress, whose connection may be dead, and read again at once."""
         if self._reading is not None and not self._is_refreshing:
--- a/dotterelhill/control/tests/currency.feature
+++ b/dotterelhill/control/tests/currency.feature
@@ -22,6 +22,19 @@
     Then version 2 is in force within 6.5 s
     And at most 1 read was aborted
 
+  Scenario Outline: A large version is requested again, or from the leader, although it is arriving
+    Given a process that follows the configuration over a store whose answers arrive for <delay> s
+    And the leader names versions to it: yes
+    When version 2 is stored at the same moment
+    Then version 2 is in force within <limit> s
+    And at most 0 read was aborted
+    And it has asked the leader for 0 versions
+
+    Examples:
+      | delay | limit |
+      | 1.2   | 2.5   |
+      | 2.5   | 4.0   |
+
   Scenario: The leader's messages confirm a version that this process has not read
     Given a process that follows the configuration over a store with 0.005 s latency
     And the leader names versions to it: yes
--- a/dotterelhill/control/tests/currency_world.py
+++ b/dotterelhill/control/tests/currency_world.py
@@ -134,6 +134,7 @@
             lambda: self.feed.config.version,
             self.follower.refresh,
             lambda: observed.is_unavailable,
+            lambda: self.follower.is_receiving,
         )
         self.exchange = ConfigurationExchange(
             self.currency, self.feed, self, self._leader_address, now, rng
--- a/dotterelhill/control/tests/steps/currency_steps.py
+++ b/dotterelhill/control/tests/steps/currency_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from types import SimpleNamespace
 
 import looptime
 from behave import given, then, use_step_matcher, when
@@ -11,6 +12,7 @@
 from dotterelhill.control.feeds import CONFIGURATION_WAIT_SECONDS, Follower
 from dotterelhill.control.health import ObservedStore
 from dotterelhill.control.interface import Batch, Record, StoreError, Stream
+from dotterelhill.control.peers import PeerUnreachableError
 from dotterelhill.control.tests.currency_world import CurrencyFleet
 from dotterelhill.jobs.tenants.access import Granted, Refusal
 
@@ -30,6 +32,8 @@
         self.is_away = False
         # Whether an empty answer comes before the wait of the poll is over.
         self.is_answering_early = False
+        # Time in which the parts of an answer with records arrive.
+        self.arrival_seconds = 0.0
         self.connection = self.silent_connection = 0
         self.aborted = 0
 
@@ -47,6 +51,8 @@
                     break
                 await asyncio.sleep(STEP_SECONDS)
                 waited += STEP_SECONDS
+            if self.versions[start:]:
+                await self._arrive()
             if self.is_away or connection < self.silent_connection:
                 await asyncio.sleep(ANSWER_TIMEOUT_SECONDS + wait_seconds - waited)
                 self.connection += 1
@@ -58,6 +64,12 @@
         records = tuple(Record("config", b"%d" % version) for version in self.versions[start:])
         return Batch(records, len(self.versions))
 
+    async def _arrive(self) -> None:
+        until = self._world.now() + self.arrival_seconds
+        while self._world.now() < until:
+            await asyncio.sleep(0.1)
+            self._world.follower.record_progress()
+
 
 class World:
     """One process with its follower, in virtual time."""
@@ -85,9 +97,12 @@
             lambda: self.version,
             self.follower.refresh,
             lambda: observed.is_unavailable,
+            lambda: self.follower.is_receiving,
         )
+        self.asked = 0
+        feed = SimpleNamespace(config=SimpleNamespace(version=1))
         exchange = ConfigurationExchange(
-            self.currency, None, None, lambda: "", self.now, random.Random(4)
+            self.currency, feed, self, lambda: "leader:1", self.now, random.Random(4)
         )
         self.services = (self.follower, exchange)
         for service in self.services:
@@ -97,6 +112,11 @@
     def now(self) -> float:
         return self.loop.time() + self.suspended_seconds
 
+    async def configuration(self, address, held):
+        """Count a call to the leader, which does not answer it."""
+        self.asked += 1
+        raise PeerUnreachableError("no answer")
+
     def _apply(self, records, is_snapshot) -> None:
         self.version = int(records[-1].value)
 
@@ -130,6 +150,15 @@
     context.add_cleanup(context.world.close)
 
 
+@given(
+    r"a process that follows the configuration over a store whose answers arrive for "
+    r"(?P<seconds>[\d.]+) s"
+)
+def new_slow_world(context, seconds):
+    new_world(context, "0.005")
+    context.world.store.arrival_seconds = float(seconds)
+
+
 @given(r"the leader names versions to it: (?P<link>yes|no)")
 def link_leader(context, link):
     if link == "yes":
@@ -340,3 +369,8 @@
 @then(r"no fault was found")
 def check_search(context):
     assert not context.found, context.found
+
+
+@then(r"it has asked the leader for (?P<count>\d+) versions")
+def check_asked(context, count):
+    assert context.world.asked == int(count), context.world.asked
--- a/dotterelhill/platform/process.py
+++ b/dotterelhill/platform/process.py
@@ -108,6 +108,7 @@
                 settings.store_address,
                 settings.partitions,
                 self._config_session,
+                lambda: self._config_follower.record_progress(),
             ),
             boot_seconds,
         )
@@ -131,6 +132,7 @@
             lambda: self._configuration.config.version,
             self._config_follower.refresh,
             lambda: self._store.is_unavailable,
+            lambda: self._config_follower.is_receiving,
         )
         self._admission = EntryAdmission(self._random)
         self._queue_admission = QueueAdmission(self._random)
--- a/dotterelhill/platform/store.py
+++ b/dotterelhill/platform/store.py
@@ -120,6 +120,10 @@
     return tuple(records), count
 
 
+def _ignore_progress() -> None:
+    """Ignore that a part of an answer has arrived."""
+
+
 class PlatformStore:
     """HTTP client that maps the streams of the control processes to topics of the store.
 
@@ -128,6 +132,7 @@
     :param partitions: number of partitions of each topic that belongs to the system
     :param config_session: returns the HTTP session for reads of the configuration; the first one if
         None
+    :param on_config_bytes: called when a part of an answer about the configuration has arrived
     """
 
     def __init__(
@@ -136,7 +141,9 @@
         address: str,
         partitions: int,
         config_session: Callable[[], aiohttp.ClientSession] | None = None,
+        on_config_bytes: Callable[[], None] = _ignore_progress,
     ) -> None:
+        self._on_config_bytes = on_config_bytes
         self._session = session
         self._config_session = config_session or session
         self._base_url = f"http://{address}"
@@ -254,7 +261,13 @@
             async with session.request(
                 method, self._base_url + path, params=params, data=body, timeout=timeout
             ) as answer:
-                return answer.status, await answer.read()
+                if not is_config:
+                    return answer.status, await answer.read()
+                parts = []
+                async for part in answer.content.iter_any():
+                    parts.append(part)
+                    self._on_config_bytes()
+                return answer.status, b"".join(parts)
         except aiohttp.ClientConnectorError as error:
             raise StoreError(f"{path}: {error}") from error
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
