Follow a later leader of which another process knows while the store turns this one away

A process read claims from the store alone; the former leader, which it went on asking, knew its successor and did not tell. Now the status of a process names the newest claim that it knows of, and one that asks it follows that claim. The claim was read from the store or announced by its process, so no more is trusted than before. Earlier builds ignore the field. Not covered: a leader that is killed while the store turns a process away, since that process knows nobody else to ask.

Scenario 'Processes whose store calls are refused reject all jobs once another process leads' failed before (two of three such processes still followed the former leader after 4.5 s) and passes now.

--- a/dotterelhill/control/election.py
+++ b/dotterelhill/control/election.py
@@ -148,6 +148,15 @@
         """Return the steps of loading done in the current term; None when it is not loading."""
         return self._leadership.loading_progress
 
+    @property
+    def newest_claim(self) -> Claim | None:
+        """Return the newest claim that this process knows of; None when it knows of none."""
+        if self._leadership.own_claim is not None:
+            return self._leadership.own_claim
+        if not self._leader_epoch:
+            return None
+        return Claim(self._leader_epoch, self._leader_incarnation, self._leader_address)
+
     @property
     def settlement(self) -> Settlement | None:
         """Return until when leaders before the newest own term can renew leases."""
@@ -163,6 +172,12 @@
         """Return the address of the last known leader; empty when none was known yet."""
         return self._leader_address
 
+    @property
+    def _newest_known_epoch(self) -> int:
+        """Return the newest epoch of which this process knows that it was claimed."""
+        leadership = self._leadership
+        return max(self._newest_remembered_epoch, leadership.epoch, leadership.ended_epoch)
+
     def accept_claim(self, claim: Claim) -> None:
         """Accept the claim of another process and drop an own earlier one.
 
@@ -179,8 +194,8 @@
         The process of that claim may renew leases for a time after an answer that names no later
         one, so a later leader is told when the newest such answer was given.
         """
-        leadership, now = self._leadership, self._clock()
-        known_epoch = max(self._newest_remembered_epoch, leadership.epoch, leadership.ended_epoch)
+        now = self._clock()
+        known_epoch = self._newest_known_epoch
         if claim.epoch > known_epoch:
             self.accept_claim(claim)
             known_epoch = claim.epoch
@@ -197,6 +212,16 @@
         self._leader_incarnation = claim.incarnation
         self._leader_epoch = claim.epoch
 
+    def _learn_claim(self, claim: Claim | None) -> None:
+        """Follow a later leader that another process knows of.
+
+        The store may turn this process away, so that it does not read the claim itself.
+        """
+        if claim is None or claim.epoch <= self._newest_known_epoch:
+            return
+        _log.notice("later leader is known to a peer", extra={"epoch": claim.epoch})
+        self._remember(claim)
+
     def stop_claiming(self) -> None:
         """Make no further claims, because the process is about to stop."""
         self._has_stopped_claiming = True
@@ -485,6 +510,7 @@
             status = await self._peers.status(address)
         except PeerUnreachableError as error:
             return LeaderCondition.REFUSED if error.is_refused else LeaderCondition.SILENT
+        self._learn_claim(status.newest_claim)
         self._loading.record(status.incarnation, status.loading_progress)
         return self._loading.refine(condition_in_term(status, incarnation, epoch))
 
--- a/dotterelhill/control/peers.py
+++ b/dotterelhill/control/peers.py
@@ -64,6 +64,8 @@
     :param ended_epoch: newest epoch that the process has led and ended; 0 for none
     :param loading_progress: steps of loading done in this term; None when it is not loading, and
         from builds that do not tell it
+    :param newest_claim: newest claim that the process knows of; None when it knows of none, and
+        from builds that do not tell it
     """
 
     incarnation: str
@@ -71,6 +73,7 @@
     is_able: bool
     ended_epoch: int = 0
     loading_progress: int | None = None
+    newest_claim: Claim | None = None
 
 
 def condition_in_term(
@@ -150,6 +153,11 @@
         """Return the steps of loading done in the current term; None when it is not loading."""
         ...
 
+    @property
+    def newest_claim(self) -> Claim | None:
+        """Return the newest claim that this process knows of; None when it knows of none."""
+        ...
+
     @property
     def settlement(self) -> Settlement | None:
         """Return until when leaders before the newest own term can renew leases."""
@@ -225,6 +233,7 @@
                 source.is_able,
                 source.ended_epoch,
                 source.loading_progress,
+                source.newest_claim,
             )
             return web.Response(body=msgspec.json.encode(status))
         if path == SUPERSEDED_PATH:
--- a/dotterelhill/control/tests/cluster.feature
+++ b/dotterelhill/control/tests/cluster.feature
@@ -88,6 +88,16 @@
     And 3 seconds pass
     Then every process shows job "j" as "completed"
 
+  Scenario: Processes whose store calls are refused reject all jobs once another process leads
+    Given processes "a b c d e f g h" that have run for 3 seconds
+    When the store refuses all calls of 4 processes, the leader among them
+    And 4.5 seconds pass
+    Then another process leads
+    And each process that the store refuses knows the leader
+    When a job of 2 tasks is submitted at each process that the store refuses
+    And 3 seconds pass
+    Then 6 starts were carried out
+
   @not-run
   Scenario: A job that is refused while the store is unavailable runs later
     When the store is unavailable to all processes
--- a/dotterelhill/control/tests/cluster_world.py
+++ b/dotterelhill/control/tests/cluster_world.py
@@ -507,6 +507,7 @@
             election.is_able,
             election.ended_epoch,
             election.loading_progress,
+            election.newest_claim,
         )
 
     async def announce_claim(self, address, claim):
--- a/dotterelhill/control/tests/steps/cluster_steps.py
+++ b/dotterelhill/control/tests/steps/cluster_steps.py
@@ -338,6 +338,30 @@
     context.cluster.processes[context.chosen_name].store.is_down = True
 
 
+@when(r"the store refuses all calls of (?P<count>\d+) processes, the leader among them")
+def refuse_many(context, count):
+    cluster = context.cluster
+    others = [name for name in cluster.processes if name != context.first_leader]
+    context.refused_names = others[: int(count) - 1]
+    for name in [context.first_leader, *context.refused_names]:
+        cluster.processes[name].store.is_down = True
+
+
+@then(r"each process that the store refuses knows the leader")
+def check_known_leader(context):
+    known = {
+        name: context.cluster.processes[name].election.leader_address
+        for name in context.refused_names
+    }
+    assert set(known.values()) == set(context.cluster.leaders), (known, context.cluster.leaders)
+
+
+@when(r"a job of (?P<count>\d+) tasks is submitted at each process that the store refuses")
+def submit_at_refused(context, count):
+    for number, name in enumerate(context.refused_names):
+        context.cluster.submit(name, f"j{number}", int(count))
+
+
 def set_store_down(context, is_down):
     for process in context.cluster.processes.values():
         process.store.is_down = is_down
--- a/dotterelhill/control/tests/steps/mixed_builds_steps.py
+++ b/dotterelhill/control/tests/steps/mixed_builds_steps.py
@@ -52,15 +52,16 @@
     rates = {"t": AdmittedRate(1.0, 9.0, 4.0)}
     notice = relay_messages.EntryNotice(7, 0.5, rates, 3, config_holder="b:1")
     calls = [relay_messages.RelayedCall(*CALL)]
+    claim = leadership.Claim(4, "a/1", "a:1")
     pack, answer = msgspec.msgpack.encode, relay_messages.RelayedAnswer(1, 200, b"x")
     return {
-        "claim": pack(leadership.Claim(4, "a/1", "a:1")),
+        "claim": pack(claim),
         "renewal": pack(
             leadership.Renewal(
                 4, True, 8.5, 1.0, leadership.Witness("b/1", "b:1"), {"m1@1": 900}, 1.0
             )
         ),
-        "peer status": msgspec.json.encode(peers.PeerStatus("a/1", True, True, 3, 12)),
+        "peer status": msgspec.json.encode(peers.PeerStatus("a/1", True, True, 3, 12, claim)),
         "hello": pack(relay_messages.Hello("a/1", "d", 2.0, True, "a:1")),
         "leader message": pack(
             relay_messages.LeaderMessage("a/1", 1.0, True, True, calls, 2, 5, notice)
@@ -146,6 +147,7 @@
         "loading_progress": None,
         "entry": relay_messages.EntryNotice(),
         "config_version": 0,
+        "newest_claim": None,
         "tenant": "",
     }
     for name in added & set(defaults):
