Bound the part of a slow leader's time in which fillers are tried on all minions

Waiting fillers were tried again on all 446 minions each 0.1 s, however long that takes, so that each round of a slow leader did, which made it slow: an overload that keeps itself up. Profiled (trial), these searches and the claims of fillers are three quarters of a round.

A fast leader tries them each 0.1 s as before.

Class of fault: optional work at a fixed interval instead of a share of the resource that it uses.

--- a/dotterelhill/jobs/placement/attempts.py
+++ b/dotterelhill/jobs/placement/attempts.py
@@ -27,6 +27,10 @@
 # With thousands of waiting fillers, each attempt to place them takes milliseconds, while headroom
 # changes within some tenths of a second.
 FILLER_RETRY_SECONDS = 0.1
+# Rounds in which they are tried take at most this share of the time, so that short tasks, which any
+# round may start, do not wait for them. They are tried at the latest after the longer interval.
+MAX_FILLER_RETRY_SHARE = 0.2
+MAX_FILLER_RETRY_SECONDS = 2.0
 # Clients choose the sizes of tasks; the limit bounds the memory that they use.
 MAX_SIZES = 16_384
 
@@ -75,8 +79,17 @@
         # Changes when all sizes are forgotten, so that jobs look up theirs again.
         self._generation = 0
         self._fillers_since = -inf
+        # Duration of the newest round in which fillers were tried on all minions.
+        self._retry_round_seconds = 0.0
+        self._is_retry_round = False
         self._tenant_failures: set[tuple[str, TaskSize]] = set()
 
+    @property
+    def _retry_seconds(self) -> float:
+        """Return the interval in which fillers are tried again on all minions."""
+        longer_seconds = self._retry_round_seconds / MAX_FILLER_RETRY_SHARE
+        return max(FILLER_RETRY_SECONDS, min(MAX_FILLER_RETRY_SECONDS, longer_seconds))
+
     def begin_round(
         self,
         by_service: Mapping[str, Sequence[Minion]],
@@ -111,7 +124,8 @@
             minion in self._seen and self._seen[minion].changed_round == self._round_number
             for minion in reclaimed
         )
-        if has_place or now - self._fillers_since > FILLER_RETRY_SECONDS:
+        self._is_retry_round = has_place or now - self._fillers_since > self._retry_seconds
+        if self._is_retry_round:
             self._fillers_since = now
             for task_class in self._classes.values():
                 if task_class.is_filler:
@@ -137,6 +151,11 @@
         seen.round_number = number
         return seen
 
+    def record_planning(self, seconds: float) -> None:
+        """Record how long it took to plan the newest round, in seconds."""
+        if self._is_retry_round:
+            self._retry_round_seconds = seconds
+
     def record_start(self, minion: Minion) -> None:
         """Record that a task was started, which leaves less room than before."""
         seen = self._seen.get(minion)
--- a/dotterelhill/jobs/placement/placement.py
+++ b/dotterelhill/jobs/placement/placement.py
@@ -324,6 +324,10 @@
                 best, best_cost = minion, cost
         return best
 
+    def record_planning(self, seconds: float) -> None:
+        """Record how long it took to plan the newest round, in seconds."""
+        self._attempts.record_planning(seconds)
+
     def choose_stops(
         self, minions: Mapping[str, Minion], queue_of: QueueLookup, now: float, unix_ms: int
     ) -> list[EmptiedMinion]:
--- a/dotterelhill/jobs/placement/tests/rounds.feature
+++ b/dotterelhill/jobs/placement/tests/rounds.feature
@@ -25,3 +25,17 @@
       | claimed         | no cost               |
       | slow            | no cost               |
       | like all others | the cost of the first |
+
+  Scenario Outline: Fillers that fit nowhere take most of the time of a leader that plans slowly, or wait on one that plans fast
+    Given a filler that fits on none of 20 minions
+    And rounds of <search> s in which it is tried on all minions, and of <other> s else
+    When rounds are planned for 20 s, with pauses of <pause> s
+    Then it was tried on all minions for <least> to <most> of the time
+    And it was tried at least each <interval> s
+
+    Examples: a search may take a fifth of the time, a filler claims a minion after 2 s
+      | search | other | pause | least | most | interval |
+      | 0.2    | 0.02  | 0.1   | 0.1   | 0.2  | 1.2      |
+      | 0.05   | 0.02  | 0.05  | 0.1   | 0.2  | 0.4      |
+      | 0.004  | 0.002 | 0.03  | 0.02  | 0.1  | 0.15     |
+      | 1.5    | 0.1   | 0.1   | 0.2   | 0.75 | 2.2      |
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -1162,6 +1162,10 @@
             for run in self._interference.runs_to_move(minion, now):
                 self._stop(minion, run, now)
 
+    def record_planning(self, seconds: float) -> None:
+        """Record how long the newest call of ``plan`` took, in seconds."""
+        self._placement.record_planning(seconds)
+
     def _stop_for_short_tasks(self, now: float, unix_ms: int) -> None:
         """Stop lasting runs where short tasks have waited and fit nowhere."""
         for emptied in self._placement.choose_stops(self._minions, self._queue_of, now, unix_ms):
