--- a/dotterelhill/jobs/placement/tests/steps/rounds_steps.py
+++ b/dotterelhill/jobs/placement/tests/steps/rounds_steps.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+from itertools import pairwise
 from types import SimpleNamespace
 from unittest.mock import patch
 
@@ -112,7 +113,7 @@
 @then("it was tried at least each {seconds:g} s")
 def then_interval(context, seconds):
     times = context.searched_at
-    longest = max(later - earlier for earlier, later in zip(times, times[1:], strict=False))
+    longest = max(later - earlier for earlier, later in pairwise(times))
     assert longest <= seconds, longest
 
 
