Answer a request for an unknown queue at once, not after a wait for a newer configuration

A request for a queue of version 4, sent at 8.681 s, was answered 200 at 9.345 s; one for a queue that version 4 dropped, sent at 8.931 s, was answered 200 at 9.187 s.

A caller that sent its request earlier got the newer configuration and one that sent later the older one. Now such a request gets its 503 with Retry-After at once, as the house rules ask of what can't be served. The wait of deployments with tenants, for a process that was suspended, is as it was.

--- a/dotterelhill/control/currency.py
+++ b/dotterelhill/control/currency.py
@@ -147,18 +147,16 @@
             _log.notice("newer configuration is known but not read", extra=fields)
             self._refresh()
 
-    async def settle(self, current_seconds: float, *, needs_newest: bool = False) -> None:
+    async def settle(self, current_seconds: float) -> None:
         """Wait until the configuration is current, unless the store is known to be away.
 
         A process that was suspended would otherwise answer with what it held before.
 
         :param current_seconds: age up to which a configuration counts as current
-        :param needs_newest: whether to wait for a newer version that is known, too
         """
         until = self._clock() + SETTLE_SECONDS
-        while self._clock() < until:
-            is_late = self.age_seconds > current_seconds and not self._is_store_away()
-            if not is_late and not (needs_newest and self.freshness.behind_seconds):
+        while self.age_seconds > current_seconds and not self._is_store_away():
+            if self._clock() >= until:
                 return
             await asyncio.sleep(SETTLE_STEP_SECONDS)
 
--- a/dotterelhill/platform/ingress.py
+++ b/dotterelhill/platform/ingress.py
@@ -310,16 +310,10 @@
 
     async def _response_to(self, request: web.BaseRequest) -> web.Response:
         started_at = time.monotonic()
-        access = self._check_access(request)
-        if access is Refusal.OUTDATED or self._config().tenants:
-            # A newer configuration is usually on its way, unless it has been for long.
-            behind_seconds = self._currency.freshness.behind_seconds
-            needs_newest = (
-                access is Refusal.OUTDATED and behind_seconds <= self._access.behind_seconds
-            )
-            await self._currency.settle(self._access.current_seconds, needs_newest=needs_newest)
-            access = self._check_access(request)
+        if self._config().tenants:
+            await self._currency.settle(self._access.current_seconds)
         config = self._config()
+        access = self._check_access(request)
         fields: dict[str, object] = {}
         match access:
             case Refusal.NO_CONFIGURATION:
