Serve each of several routes that have one name

A queue was kept by the name of its route, so of two routes of one name only the last was served and requests to the other got 404 although the route was there. The queue of a later route of a name is now named by its host and path as well.

Scenario 'A route is not served because another route has the same name' fails on the code before.

--- a/dotterelhill/platform/records.py
+++ b/dotterelhill/platform/records.py
@@ -166,10 +166,11 @@
 
 def fleet_config(config: ConfigRecord) -> FleetConfig:
     """Return the fleet configuration that a record holds."""
-    queues = {}
+    queues: dict[str, Queue] = {}
     for route in config.routes:
-        queues[route.name] = Queue(
-            name=route.name,
+        name = route.name if route.name not in queues else _unique_name(route)
+        queues[name] = Queue(
+            name=name,
             host=route.host,
             path_prefix=route.pathPrefix,
             service=route.service,
@@ -199,6 +200,14 @@
     return FleetConfig(config.version, queues, pools, limits, tenants, ApiKeys.from_tenants(keys))
 
 
+def _unique_name(route: _Route) -> str:
+    """Return a name for the queue of a route whose own name belongs to an earlier one.
+
+    The platform selects a route by host and path, and states no more of its name.
+    """
+    return f"{route.name}@{route.host}{route.pathPrefix}"
+
+
 def _tenant_name(name: str) -> str:
     """Return a name that fits into record keys and that differs from that of no tenant.
 
--- a/dotterelhill/platform/tests/adapter.feature
+++ b/dotterelhill/platform/tests/adapter.feature
@@ -128,6 +128,11 @@
     When configurations 7 and an invalid one are read
     Then configuration 7 is in force
 
+  Scenario: A route is not served because another route has the same name
+    When a configuration is read in which routes to "/a/", "/b/" and "/c/" have one name
+    Then a request to each of "/a/1 /b/1 /c/1" selects the route of its path
+    And no two queues have one name
+
   Scenario Outline: An unusual tenant makes the configuration unreadable or leaves it without keys
     When a configuration with a tenant with <entry> is read
     Then its key belongs to a tenant of weight <weight> and a limit of <limit>
--- a/dotterelhill/platform/tests/steps/adapter_steps.py
+++ b/dotterelhill/platform/tests/steps/adapter_steps.py
@@ -332,6 +332,27 @@
     apply_operator_records(context, [config_record(7), Record("config", b'{"version":8}')])
 
 
+@when(r'a configuration is read in which routes to "/a/", "/b/" and "/c/" have one name')
+def read_one_name(context):
+    config = json.loads(config_record(7).value)
+    (route,) = config["routes"]
+    config["routes"] = [{**route, "pathPrefix": f"/{letter}/"} for letter in "abc"]
+    apply_operator_records(context, [Record("config", json.dumps(config).encode())])
+
+
+@then(r'a request to each of "(?P<paths>[^"]+)" selects the route of its path')
+def check_routes(context, paths):
+    for path in paths.split():
+        queue = context.feed.config.queue_for("h", path)
+        assert queue is not None and path.startswith(queue.path_prefix), (path, queue)
+
+
+@then(r"no two queues have one name")
+def check_names(context):
+    queues = context.feed.config.queues
+    assert {queue.name for queue in queues.values()} == set(queues) and len(queues) == 3, queues
+
+
 @when(r'the evacuation of failure domain "(?P<domain>\w+)" starts and ends')
 def start_and_end_evacuation(context, domain):
     key = f"evacuate/{domain}"
