Treat a configuration as outdated once a record that can't be decoded has followed it

The older version stays in force, but counts as outdated: unknown queues get 503 with Retry-After, and the leader does not confirm it to others.

Scenario 'Requests for unknown queues are refused for good because a newer configuration can't be decoded' fails on the code before.

--- a/dotterelhill/control/feeds.py
+++ b/dotterelhill/control/feeds.py
@@ -49,11 +49,18 @@
     is_active: bool
 
 
+@dataclass(frozen=True, slots=True)
+class UnreadableConfiguration:
+    """Configuration that this build can't decode."""
+
+
 class RecordDecoder(Protocol):
     """Decoder of records that operators and minions write."""
 
-    def operator_record(self, record: Record) -> FleetConfig | Evacuation | None:
-        """Decode a record of the configuration stream; return None when it is invalid."""
+    def operator_record(
+        self, record: Record
+    ) -> FleetConfig | Evacuation | UnreadableConfiguration | None:
+        """Decode a record of the configuration stream; return None when it is of another kind."""
         ...
 
     def minion_record(self, record: Record) -> MinionFacts | None:
@@ -251,6 +258,7 @@
         self._on_change = on_change
         self._config = FleetConfig()
         self._record: Record | None = None
+        self._is_outdated = False
         self._evacuated: frozenset[str] = frozenset()
 
     @property
@@ -258,6 +266,11 @@
         """Return the newest configuration; it has version 0 until one is read."""
         return self._config
 
+    @property
+    def is_outdated(self) -> bool:
+        """Return whether a record that can't be decoded has followed the newest configuration."""
+        return self._is_outdated
+
     @property
     def record(self) -> Record | None:
         """Return the record of the newest configuration, for other processes; None before it."""
@@ -279,6 +292,8 @@
             match decoded:
                 case FleetConfig():
                     self._apply_config(decoded, record, ConfigurationSource.STORE)
+                case UnreadableConfiguration():
+                    self._is_outdated = True
                 case Evacuation(domain, True):
                     evacuated.add(domain)
                 case Evacuation(domain, False):
@@ -308,4 +323,4 @@
                 "source": str(source),
             },
         )
-        self._config, self._record = config, record
+        self._config, self._record, self._is_outdated = config, record, False
--- a/dotterelhill/platform/process.py
+++ b/dotterelhill/platform/process.py
@@ -9,6 +9,7 @@
 import time
 from collections.abc import Mapping
 from contextlib import suppress
+from math import inf
 from pathlib import Path
 from random import Random
 
@@ -128,7 +129,7 @@
         )
         self._currency = ConfigurationCurrency(
             boot_seconds,
-            lambda: self._config_follower.age_seconds,
+            self._config_age_seconds,
             lambda: self._configuration.config.version,
             self._config_follower.refresh,
             lambda: self._store.is_unavailable,
@@ -225,9 +226,11 @@
 
     def _entry_notice(self) -> EntryNotice:
         """Return what entry processes have to know, while this process leads."""
-        return entry_notice(
-            self._configuration, self._config_follower.age_seconds, self._election.leader
-        )
+        return entry_notice(self._configuration, self._config_age_seconds(), self._election.leader)
+
+    def _config_age_seconds(self) -> float:
+        """Return the time since the configuration was last read as the newest one."""
+        return inf if self._configuration.is_outdated else self._config_follower.age_seconds
 
     def _current_admission(self) -> EntryAdmission:
         """Return the admission of this process, which gets no messages while it leads."""
--- a/dotterelhill/platform/records.py
+++ b/dotterelhill/platform/records.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from dotterelhill.control.feeds import Evacuation
+from dotterelhill.control.feeds import Evacuation, UnreadableConfiguration
 from dotterelhill.control.interface import Record
 from dotterelhill.entry.logs import logger_of
 from dotterelhill.jobs.fleet import MinionFacts
@@ -119,8 +119,10 @@
 class PlatformRecords:
     """Decoder of the records of the configuration and minion streams."""
 
-    def operator_record(self, record: Record) -> FleetConfig | Evacuation | None:
-        """Decode an operator's record; return None if it is invalid or of another kind."""
+    def operator_record(
+        self, record: Record
+    ) -> FleetConfig | Evacuation | UnreadableConfiguration | None:
+        """Decode an operator's record; return None if it is of another kind."""
         if record.key.startswith(EVACUATE_PREFIX):
             domain = record.key.removeprefix(EVACUATE_PREFIX)
             return Evacuation(domain, record.value is not None)
@@ -130,7 +132,7 @@
             return fleet_config(decode_config(record.value))
         except msgspec.MsgspecError as error:
             _log.error("configuration record can't be decoded", extra={"reason": str(error)})
-            return None
+            return UnreadableConfiguration()
 
     def minion_record(self, record: Record) -> MinionFacts | None:
         """Decode a minion's entry; return None if it is removed, invalid or has another state."""
--- a/dotterelhill/platform/tests/adapter.feature
+++ b/dotterelhill/platform/tests/adapter.feature
@@ -133,6 +133,12 @@
     Then a request to each of "/a/1 /b/1 /c/1" selects the route of its path
     And no two queues have one name
 
+  Scenario: Requests for unknown queues are refused for good because a newer configuration can't be decoded
+    When configurations 7 and an invalid one are read
+    Then the configuration counts as outdated
+    When configuration 9 is read
+    Then the configuration counts as current
+
   Scenario Outline: An unusual tenant makes the configuration unreadable or leaves it without keys
     When a configuration with a tenant with <entry> is read
     Then its key belongs to a tenant of weight <weight> and a limit of <limit>
--- a/dotterelhill/platform/tests/steps/adapter_steps.py
+++ b/dotterelhill/platform/tests/steps/adapter_steps.py
@@ -353,6 +353,16 @@
     assert {queue.name for queue in queues.values()} == set(queues) and len(queues) == 3, queues
 
 
+@when(r"configuration (?P<version>\d+) is read")
+def read_configuration(context, version):
+    context.feed.apply_records((config_record(int(version)),), False)
+
+
+@then(r"the configuration counts as (?P<state>outdated|current)")
+def check_outdated(context, state):
+    assert context.feed.is_outdated is (state == "outdated")
+
+
 @when(r'the evacuation of failure domain "(?P<domain>\w+)" starts and ends')
 def start_and_end_evacuation(context, domain):
     key = f"evacuate/{domain}"
