Ask the witness of a dead leader for its successor while the store turns this process away

A leader has a witness, which the next one informs before it renews leases. It now tells each relay the address of its witness, once, and a process that can read neither the store nor that leader asks the witness, whose status names the newest claim.

Scenario 'Processes whose store calls are refused reject all jobs once the leader is dead and another process leads' failed before (two of three such processes still knew the dead leader after 6 s) and passes now.

--- a/dotterelhill/control/election.py
+++ b/dotterelhill/control/election.py
@@ -83,6 +83,8 @@
         connection
     :param leader_clock: returns the newest reading of the clock of an incarnation that led; None
         when there is none
+    :param witness_address: returns the address of the witness of the leader that this process was
+        connected to last; empty if none is known
     """
 
     def __init__(
@@ -96,6 +98,7 @@
         processors: float = FULL_PROCESSORS,
         linked_condition: Callable[[str, str, int], LeaderCondition | None] = lambda *_: None,
         leader_clock: Callable[[str], LeaderClock | None] = lambda _: None,
+        witness_address: Callable[[], str] = lambda: "",
     ) -> None:
         super().__init__()
         self._leadership = leadership
@@ -104,6 +107,7 @@
         self._new_leader = new_leader
         self._linked_condition = linked_condition
         self._leader_clock = leader_clock
+        self._witness_address = witness_address
         self._clock = clock
         self._random = random
         missing_processors = max(0.0, FULL_PROCESSORS - processors)
@@ -286,6 +290,7 @@
                 self._set_store_failing(False, "")
             except StoreError as error:
                 self._set_store_failing(True, str(error))
+                await self._ask_for_later_claim()
             except Exception as error:
                 # The process keeps serving clients, and the next check may succeed.
                 _log.exception("leader can't be checked", extra={"reason": repr(error)})
@@ -294,6 +299,18 @@
             )
             await asyncio.sleep(seconds * self._random.uniform(0.8, 1.2))
 
+    async def _ask_for_later_claim(self) -> None:
+        """Ask the witness of the last known leader for a later one, which informs the witness.
+
+        Neither the store nor that leader has told of one; the leader may be dead.
+        """
+        address = self._witness_address()
+        if not address:
+            return
+        with contextlib.suppress(PeerUnreachableError):
+            status = await self._peers.status(address)
+            self._learn_claim(status.newest_claim)
+
     def _set_store_failing(self, is_failing: bool, reason: str) -> None:
         if is_failing != self._is_store_failing:
             self._is_store_failing = is_failing
--- a/dotterelhill/control/relay_client.py
+++ b/dotterelhill/control/relay_client.py
@@ -130,6 +130,12 @@
         self._newest: LeaderMessage | None = None
         self._leader_clock: LeaderClock | None = None
         self._loading = LoadingWatch(clock)
+        self._witness_address = ""
+
+    @property
+    def witness_address(self) -> str:
+        """Return the address of the leader's witness; empty if the leader has told none."""
+        return self._witness_address
 
     @property
     def leader_clock(self) -> LeaderClock | None:
@@ -160,6 +166,7 @@
         message = LEADER_DECODER.decode(data)
         # Later messages name the prefixes, also when the calls of this one are too late.
         self._prefixes.update(message.prefixes)
+        self._witness_address = message.witness_address or self._witness_address
         now = self._clock()
         self._record_clock(LeaderClock(message.incarnation, message.sent_at, now))
         extra_seconds = self._transit.extra_seconds(message.sent_at, now)
@@ -271,6 +278,16 @@
         self._address = ""
         self._is_leaving = False
         self._earlier_clock: LeaderClock | None = None
+        self._earlier_witness = ""
+
+    @property
+    def witness_address(self) -> str:
+        """Return the address of the witness of the leader that this process was connected to last.
+
+        That process is informed of the next leader, and so can name it. Empty if none is known.
+        """
+        session = self._relay_session
+        return (session.witness_address if session is not None else "") or self._earlier_witness
 
     def leader_clock(self, incarnation: str) -> LeaderClock | None:
         """Return a reading of the clock of a leader; None when its messages gave none.
@@ -338,6 +355,7 @@
         finally:
             self._relay_session = None
             self._earlier_clock = session.leader_clock or self._earlier_clock
+            self._earlier_witness = session.witness_address or self._earlier_witness
             session.cancel_calls()
             if sender is not None:
                 sender.cancel()
--- a/dotterelhill/control/relay_pool.py
+++ b/dotterelhill/control/relay_pool.py
@@ -121,6 +121,8 @@
         self._pending: dict[int, _PendingCall] = {}
         self._outbox: list[RelayedCall] = []
         self._prefixes = SentPrefixes()
+        # Address of the witness that the relay was told last.
+        self._told_witness = ""
         self._has_calls = asyncio.Event()
         # The relay compares the transit times of later messages with that of the first one.
         self._has_calls.set()
@@ -200,9 +202,18 @@
                 leadership.loading_progress,
                 self._notice(),
                 self._prefixes.take_new(),
+                self._new_witness(),
             )
             await self._socket.send_bytes(ENCODER.encode(message))
 
+    def _new_witness(self) -> str:
+        """Return the address of the witness if the relay was not told of it yet, or empty."""
+        witness = self._leadership.witness
+        if witness is None or witness.address == self._told_witness:
+            return ""
+        self._told_witness = witness.address
+        return witness.address
+
     def _notice(self) -> EntryNotice:
         """Return the information for the relay, which names a holder while it lacks a version."""
         notice = self._entry_notice()
--- a/dotterelhill/control/tests/cluster.feature
+++ b/dotterelhill/control/tests/cluster.feature
@@ -98,6 +98,14 @@
     And 3 seconds pass
     Then 6 starts were carried out
 
+  Scenario: Processes whose store calls are refused reject all jobs once the leader is dead and another process leads
+    Given processes "a b c d e f g h" that have run for 3 seconds
+    When the store refuses all calls of 3 processes, the leader not among them
+    And the leader is killed
+    And 6 seconds pass
+    Then another process leads
+    And each process that the store refuses knows the leader
+
   @not-run
   Scenario: A job that is refused while the store is unavailable runs later
     When the store is unavailable to all processes
--- a/dotterelhill/control/tests/cluster_world.py
+++ b/dotterelhill/control/tests/cluster_world.py
@@ -618,6 +618,8 @@
         incarnation = f"{name}/{number}"
         clock = self.clock = ProcessClock(cluster.loop, cluster.clock_spacing_seconds * number)
         self.gone_at = float("inf")
+        # Address of the witness of the leader that this process was connected to last.
+        self.known_witness = ""
         rng = random.Random(number)
         self.leadership = Leadership(observed, incarnation, name, clock)
         self.decoder = FakeDecoder()
@@ -680,6 +682,7 @@
             rng,
             processors,
             leader_clock=self._read_leader_clock,
+            witness_address=lambda: self.known_witness,
         )
         self.job_service = JobService(observed, self.election, peers, clock, rng)
         self._cluster = cluster
@@ -810,6 +813,10 @@
 
     def kill(self, name: str) -> None:
         process = self.processes[name]
+        if process.leadership.witness is not None:
+            for other in self.processes.values():
+                if self.has_path(other.name, name):
+                    other.known_witness = process.leadership.witness.address
         process.is_running = False
         process.gone_at = min(process.gone_at, self.loop.time())
         # A killed process stops acting without informing other processes.
--- a/dotterelhill/control/tests/steps/cluster_steps.py
+++ b/dotterelhill/control/tests/steps/cluster_steps.py
@@ -347,6 +347,14 @@
         cluster.processes[name].store.is_down = True
 
 
+@when(r"the store refuses all calls of (?P<count>\d+) processes, the leader not among them")
+def refuse_others(context, count):
+    others = [name for name in context.cluster.processes if name != context.first_leader]
+    context.refused_names = others[: int(count)]
+    for name in context.refused_names:
+        context.cluster.processes[name].store.is_down = True
+
+
 @then(r"each process that the store refuses knows the leader")
 def check_known_leader(context):
     known = {
--- a/dotterelhill/control/tests/steps/mixed_builds_steps.py
+++ b/dotterelhill/control/tests/steps/mixed_builds_steps.py
@@ -64,7 +64,9 @@
         "peer status": msgspec.json.encode(peers.PeerStatus("a/1", True, True, 3, 12, claim)),
         "hello": pack(relay_messages.Hello("a/1", "d", 2.0, True, "a:1")),
         "leader message": pack(
-            relay_messages.LeaderMessage("a/1", 1.0, True, True, calls, 2, 5, notice)
+            relay_messages.LeaderMessage(
+                "a/1", 1.0, True, True, calls, 2, 5, notice, witness_address="b:1"
+            )
         ),
         "relay message": pack(relay_messages.RelayMessage(False, [answer], 7)),
         "submission": progress.encode_submission(present_submission("t")),
@@ -148,6 +150,7 @@
         "entry": relay_messages.EntryNotice(),
         "config_version": 0,
         "newest_claim": None,
+        "witness_address": "",
         "tenant": "",
     }
     for name in added & set(defaults):
--- a/dotterelhill/platform/process.py
+++ b/dotterelhill/platform/process.py
@@ -165,6 +165,7 @@
             settings.processors,
             self._relay_client.condition,
             self._relay_client.leader_clock,
+            lambda: self._relay_client.witness_address,
         )
         self._peer_server = PeerServer(
             self._election,
