--- a/dotterelhill/control/relay_messages.py
+++ b/dotterelhill/control/relay_messages.py
@@ -112,8 +112,8 @@
         builds that do not tell it
     :param entry: information for the entry processes
     :param prefixes: prefixes of call bodies that the relay keeps from now on, by number
-    :param witness_address: ``host:port`` of the process that will know of the next leader; empty if there
-        is none or this relay was told before, and from builds that do not tell it
+    :param witness_address: ``host:port`` of the process that will know of the next leader; empty if
+        there is none or this relay was told before, and from builds that do not tell it
     """
 
     incarnation: str
