Tell relays of the witness without work for each message

Each message of the leader looked the witness up and built its notice in a call of its own. Now the pool, which chooses the witness once a renewal, hands a changed address to the links.

Scenario 'relays are not told, or told again with each message, which process knows of the next leader'.

--- a/dotterelhill/control/relay_pool.py
+++ b/dotterelhill/control/relay_pool.py
@@ -121,8 +121,8 @@
         self._pending: dict[int, _PendingCall] = {}
         self._outbox: list[RelayedCall] = []
         self._prefixes = SentPrefixes()
-        # Address of the witness that the relay was told last.
-        self._told_witness = ""
+        # Address of the witness, until the relay is told of it.
+        self._untold_witness = ""
         self._has_calls = asyncio.Event()
         # The relay compares the transit times of later messages with that of the first one.
         self._has_calls.set()
@@ -192,6 +192,9 @@
             self._sent_at = self._clock()
             calls, self._outbox = self._outbox, []
             leadership = self._leadership
+            notice = self._entry_notice()
+            if self._config_version < notice.config_version:
+                notice = self._with_holder(notice)
             message = LeaderMessage(
                 leadership.incarnation,
                 self._clock(),
@@ -200,28 +203,22 @@
                 calls,
                 leadership.ended_epoch,
                 leadership.loading_progress,
-                self._notice(),
+                notice,
                 self._prefixes.take_new(),
-                self._new_witness(),
+                self._untold_witness,
             )
+            self._untold_witness = ""
             await self._socket.send_bytes(ENCODER.encode(message))
 
-    def _new_witness(self) -> str:
-        """Return the address of the witness if the relay was not told of it yet, or empty."""
-        witness = self._leadership.witness
-        if witness is None or witness.address == self._told_witness:
-            return ""
-        self._told_witness = witness.address
-        return witness.address
-
-    def _notice(self) -> EntryNotice:
-        """Return the information for the relay, which names a holder while it lacks a version."""
-        notice = self._entry_notice()
-        if self._config_version >= notice.config_version:
-            return notice
+    def _with_holder(self, notice: EntryNotice) -> EntryNotice:
+        """Return the information for a relay that lacks a version, with a process that holds it."""
         holder = self._holders.address_in(self._hello.failure_domain, notice.config_version)
         return msgspec.structs.replace(notice, config_holder=holder) if holder else notice
 
+    def tell_witness(self, address: str) -> None:
+        """Tell the relay the address of the leader's witness with the next message."""
+        self._untold_witness = address
+
     def keep_alive(self) -> None:
         """Send a heartbeat if the last message was sent about ``HEARTBEAT_SECONDS`` ago.
 
@@ -387,6 +384,8 @@
         self._chosen_relays: dict[tuple[str, str], RelayLink] = {}
         self._direct_until: dict[str, float] = {}
         self._direct_seconds: dict[str, float] = {}
+        # Address of the witness that the relays were told of.
+        self._witness_address = ""
         self._is_closed = False
         self._closing: set[asyncio.Task[None]] = set()
 
@@ -420,6 +419,11 @@
             rank = (is_elsewhere, witness == current, hello.processors)
             if chosen is None or rank > best_rank:
                 chosen, best_rank = witness, rank
+        address = chosen.address if chosen is not None else ""
+        if address != self._witness_address:
+            self._witness_address = address
+            for link in self._links.values():
+                link.tell_witness(address)
         return chosen
 
     def set_minion_counts(self, counts: Mapping[str, int]) -> None:
@@ -442,6 +446,7 @@
             hello, socket, self._leadership, self._clock, self._entry_notice, self._holders
         )
         self._links[hello.incarnation] = link
+        link.tell_witness(self._witness_address)
         self._choose_relays()
         return link
 
--- a/dotterelhill/control/tests/relays.feature
+++ b/dotterelhill/control/tests/relays.feature
@@ -40,6 +40,12 @@
     When relay "b" leaves and connects again at once
     Then the witness of the leader is "c"
 
+  Scenario: relays are not told, or told again with each message, which process knows of the next leader
+    When relay "w" connects as a witness beside the others, and then one more relay
+    And 2 seconds pass on the links
+    Then each relay knows the address of the witness
+    And each link has carried that address once
+
   Scenario: the witness is lost with the failure domain of the leader, or answers late
     When relays connect that can be witnesses
       | name | domain | processors |
--- a/dotterelhill/control/tests/steps/relay_steps.py
+++ b/dotterelhill/control/tests/steps/relay_steps.py
@@ -285,6 +285,34 @@
         context.relay_world.run(connect_witness(context, row["name"], row["domain"], processors))
 
 
+@when(r'relay "(?P<name>\w+)" connects as a witness beside the others, and then one more relay')
+def connect_beside(context, name):
+    world = context.relay_world
+    context.links = {}
+    world.run(connect_witness(context, name))
+    world.pool.choose_witness(None)
+    world.add_relays(1)
+    context.witness_address = f"{name}:1"
+
+
+@when(r"(?P<seconds>\d+) seconds pass on the links")
+def pass_link_time(context, seconds):
+    context.relay_world.run(asyncio.sleep(float(seconds)))
+
+
+@then(r"each relay knows the address of the witness")
+def check_told(context):
+    for relay in context.relay_world.relays:
+        assert relay.session.witness_address == context.witness_address, relay.name
+
+
+@then(r"each link has carried that address once")
+def check_told_once(context):
+    for relay in context.relay_world.relays:
+        told = [LEADER_DECODER.decode(data).witness_address for data in relay.to_relay.messages]
+        assert len(told) > 2 and sum(map(bool, told)) == 1, told
+
+
 @when(r'relay "(?P<name>\w+)" leaves and connects again at once')
 def reconnect_witness(context, name):
     context.links[name].receive(ENCODER.encode(RelayMessage(True, [])))
