Measure how long the planning of each round takes

Nothing told of the rounds of 0.14 to 0.3 s behind the report of SHORT: the lag of the event loop leaves planning out, and the time from the plan to the answer of a start counts much else. The quantiles jobs.plan_seconds do. Scenario 'Nothing tells how long the rounds of a slow leader take'.

--- a/dotterelhill/control/leader.py
+++ b/dotterelhill/control/leader.py
@@ -546,6 +546,7 @@
         self._scheduler.plan(began_at, self._parts.unix_ms(), limit)
         planning_seconds = self._clock() - began_at
         self._scheduler.record_planning(planning_seconds)
+        self._parts.metrics.observe("jobs.plan_seconds", planning_seconds)
         self._start_window.record_planning(planning_seconds)
         self._parts.lag.record_planning(planning_seconds)
         self._send_orders()
--- a/dotterelhill/control/tests/cluster.feature
+++ b/dotterelhill/control/tests/cluster.feature
@@ -37,6 +37,11 @@
   Scenario: A gauge of the leader is missing in the table of metrics, so that reading the metrics fails
     Then all gauges of the leader can be read, with "jobs.overdue_lasting_tasks jobs.overdue_short_tasks jobs.overdue_filler_tasks jobs.overdue_wait_seconds" at 0
 
+  Scenario: Nothing tells how long the rounds of a slow leader take
+    When the leader plans for 0.2 seconds in each round
+    And 5 seconds pass
+    Then the median of "jobs.plan_seconds" is about 0.2 seconds
+
   Scenario: A leader whose store calls are refused keeps the leadership
     When the store refuses all calls of the leader
     And 3.5 seconds pass
--- a/dotterelhill/control/tests/steps/cluster_steps.py
+++ b/dotterelhill/control/tests/steps/cluster_steps.py
@@ -113,6 +113,18 @@
     assert [gauges[name] for name in names.split()] == [0.0] * len(names.split()), gauges
 
 
+@when(r"the leader plans for (?P<seconds>[\d.]+) seconds in each round")
+def slow_rounds(context, seconds):
+    context.cluster.seconds_per_plan = float(seconds)
+
+
+@then(r'the median of "(?P<name>[\w.]+)" is about (?P<seconds>[\d.]+) seconds')
+def check_median(context, name, seconds):
+    distributions = context.cluster.processes[context.first_leader].metrics.state.distributions
+    found = distributions[name]
+    assert abs(found.quantiles["p50"] / float(seconds) - 1.0) < 0.05 and found.count > 5, found
+
+
 @when(r"the leader is killed and starts again")
 def restart_leader(context):
     name = context.cluster.leaders[0]
--- a/dotterelhill/entry/metrics.py
+++ b/dotterelhill/entry/metrics.py
@@ -101,6 +101,7 @@
     Metric("clients.seconds", _Q, "seconds", "from the head to the answer", "method"),
     Metric("jobs.starts", _C, "orders", "start orders by what became of them", "outcome"),
     Metric("jobs.start_wait_seconds", _Q, "seconds", "from the plan to the answer of a start"),
+    Metric("jobs.plan_seconds", _Q, "seconds", "duration of the planning of a round"),
     Metric("jobs.decisions", _C, "decisions", "decisions of the scheduler", "decision"),
     Metric("jobs.polls", _C, "calls", "polls of minions by what became of them", "result"),
     Metric("jobs.known", _G, "jobs", "jobs that the leader knows"),
