Read the longest tenth of the rounds, since the first ones of a test take no time

The 90th percentile is the value that the scenario is about; the bound of 5 % is the same. It fails without the metric.

--- a/dotterelhill/control/tests/cluster.feature
+++ b/dotterelhill/control/tests/cluster.feature
@@ -40,7 +40,7 @@
   Scenario: Nothing tells how long the rounds of a slow leader take
     When the leader plans for 0.2 seconds in each round
     And 5 seconds pass
-    Then the median of "jobs.plan_seconds" is about 0.2 seconds
+    Then the longest tenth of "jobs.plan_seconds" is about 0.2 seconds
 
   Scenario: A leader whose store calls are refused keeps the leadership
     When the store refuses all calls of the leader
--- a/dotterelhill/control/tests/steps/cluster_steps.py
+++ b/dotterelhill/control/tests/steps/cluster_steps.py
@@ -118,11 +118,11 @@
     context.cluster.seconds_per_plan = float(seconds)
 
 
-@then(r'the median of "(?P<name>[\w.]+)" is about (?P<seconds>[\d.]+) seconds')
-def check_median(context, name, seconds):
+@then(r'the longest tenth of "(?P<name>[\w.]+)" is about (?P<seconds>[\d.]+) seconds')
+def check_longest_tenth(context, name, seconds):
     distributions = context.cluster.processes[context.first_leader].metrics.state.distributions
     found = distributions[name]
-    assert abs(found.quantiles["p50"] / float(seconds) - 1.0) < 0.05 and found.count > 5, found
+    assert abs(found.quantiles["p90"] / float(seconds) - 1.0) < 0.05 and found.count > 5, found
 
 
 @when(r"the leader is killed and starts again")
