--- a/dotterelhill/control/relay_pool.py
+++ b/dotterelhill/control/relay_pool.py
@@ -90,6 +90,39 @@
     expires_at: float
 
 
+class ConfigurationHolders:
+    """Relays that hold the newest configuration, one of each failure domain.
+
+    :param on_version: called with a version that a relay has read and with the relay's address
+    """
+
+    def __init__(self, on_version: Callable[[int, str], None] | None = None) -> None:
+        self._on_version = on_version
+        # Version and address of the first process of each failure domain that held it.
+        self._by_domain: dict[str, tuple[int, str]] = {}
+
+    def address_in(self, failure_domain: str, version: int) -> str:
+        """Return the address of a process that holds a version; empty if none is known."""
+        known, address = self._by_domain.get(failure_domain, (0, ""))
+        return address if known >= version else ""
+
+    def record(self, hello: Hello, version: int) -> None:
+        """Record that a relay holds a version."""
+        if not hello.address:
+            return
+        known, _ = self._by_domain.get(hello.failure_domain, (0, ""))
+        if version > known:
+            self._by_domain[hello.failure_domain] = (version, hello.address)
+        if self._on_version is not None:
+            self._on_version(version, hello.address)
+
+    def remove(self, hello: Hello) -> None:
+        """Forget a relay whose connection was lost."""
+        known = self._by_domain.get(hello.failure_domain)
+        if known is not None and known[1] == hello.address:
+            del self._by_domain[hello.failure_domain]
+
+
 class RelayLink:
     """Connection of the leader to one relay.
 
@@ -313,39 +346,6 @@
             return RelayError(answer.reason)
 
 
-class ConfigurationHolders:
-    """Relays that hold the newest configuration, one of each failure domain.
-
-    :param on_version: called with a version that a relay has read and with the relay's address
-    """
-
-    def __init__(self, on_version: Callable[[int, str], None] | None = None) -> None:
-        self._on_version = on_version
-        # Version and address of the first process of each failure domain that held it.
-        self._by_domain: dict[str, tuple[int, str]] = {}
-
-    def address_in(self, failure_domain: str, version: int) -> str:
-        """Return the address of a process that holds a version; empty if none is known."""
-        known, address = self._by_domain.get(failure_domain, (0, ""))
-        return address if known >= version else ""
-
-    def record(self, hello: Hello, version: int) -> None:
-        """Record that a relay holds a version."""
-        if not hello.address:
-            return
-        known, _ = self._by_domain.get(hello.failure_domain, (0, ""))
-        if version > known:
-            self._by_domain[hello.failure_domain] = (version, hello.address)
-        if self._on_version is not None:
-            self._on_version(version, hello.address)
-
-    def remove(self, hello: Hello) -> None:
-        """Forget a relay whose connection was lost."""
-        known = self._by_domain.get(hello.failure_domain)
-        if known is not None and known[1] == hello.address:
-            del self._by_domain[hello.failure_domain]
-
-
 class RelayPool:
     """Relays of one term of leadership, which sends calls to minions through them.
 
--- a/dotterelhill/control/tests/cluster_world.py
+++ b/dotterelhill/control/tests/cluster_world.py
@@ -76,6 +76,14 @@
 StreamPartition = tuple[Stream, int]
 
 
+async def cancel_other_tasks() -> None:
+    """Cancel all tasks but the present one, and wait until they have ended."""
+    pending = asyncio.all_tasks() - {asyncio.current_task()}
+    for task in pending:
+        task.cancel()
+    await asyncio.gather(*pending, return_exceptions=True)
+
+
 class MemoryStore:
     """In-memory store that enforces conditional, fenced and sequenced appends."""
 
@@ -879,11 +887,5 @@
             if process.is_running:
                 self.kill(name)
 
-        async def finish() -> None:
-            pending = asyncio.all_tasks() - {asyncio.current_task()}
-            for task in pending:
-                task.cancel()
-            await asyncio.gather(*pending, return_exceptions=True)
-
-        self.run(finish())
+        self.run(cancel_other_tasks())
         self.loop.close()
--- a/dotterelhill/control/tests/currency_world.py
+++ b/dotterelhill/control/tests/currency_world.py
@@ -30,7 +30,12 @@
 from dotterelhill.control.relay_client import RelaySession
 from dotterelhill.control.relay_messages import SILENCE_SECONDS, Hello
 from dotterelhill.control.relay_pool import RelayPool
-from dotterelhill.control.tests.cluster_world import MemoryStore, NoCaller, StoreView
+from dotterelhill.control.tests.cluster_world import (
+    MemoryStore,
+    NoCaller,
+    StoreView,
+    cancel_other_tasks,
+)
 from dotterelhill.jobs.queues import FleetConfig, Queue
 from dotterelhill.jobs.tenants.access import AccessSettings, Refusal, check_access
 
@@ -303,10 +308,7 @@
             for process in self.processes.values():
                 if process.is_running:
                     await process.stop()
-            pending = asyncio.all_tasks() - {asyncio.current_task()}
-            for task in pending:
-                task.cancel()
-            await asyncio.gather(*pending, return_exceptions=True)
+            await cancel_other_tasks()
 
         self.run(finish())
         self.loop.close()
--- a/dotterelhill/control/tests/steps/currency_steps.py
+++ b/dotterelhill/control/tests/steps/currency_steps.py
@@ -13,6 +13,7 @@
 from dotterelhill.control.health import ObservedStore
 from dotterelhill.control.interface import Batch, Record, StoreError, Stream
 from dotterelhill.control.peers import PeerUnreachableError
+from dotterelhill.control.tests.cluster_world import cancel_other_tasks
 from dotterelhill.control.tests.currency_world import CurrencyFleet
 from dotterelhill.jobs.tenants.access import Granted, Refusal
 
@@ -135,10 +136,7 @@
         async def finish() -> None:
             for service in self.services:
                 await service.stop()
-            pending = asyncio.all_tasks() - {asyncio.current_task()}
-            for task in pending:
-                task.cancel()
-            await asyncio.gather(*pending, return_exceptions=True)
+            await cancel_other_tasks()
 
         self.run(finish())
         self.loop.close()
