--- a/review/3/case.py
+++ b/review/3/case.py
@@ -20,48 +20,61 @@
 CPU = 1000
 FINISH_SECONDS = 14.0
 IDLE_SECONDS = 4.0
+STEP = {"count": 1, "cpu": CPU, "memMb": 100, "estimateMs": 400}
 
 
-async def submit_scheduled(system: System, occurrences: int) -> None:
-    """Submit the scheduled jobs, which have one small task for each occurrence."""
+async def submit_scheduled(system: System, occurrences: int) -> list[str]:
+    """Submit the scheduled jobs, which have one small task for each occurrence.
+
+    :returns: the jobs that were accepted
+    """
     first_ms = int(time.time() * 1000) + FIRST_MS
-    step = {"count": 1, "cpu": CPU, "memMb": 100, "estimateMs": 400}
+    accepted = []
     for number in range(SCHEDULED_JOBS):
         job = f"00000000000000{number:02x}"
         spec = {
             "spec": "report",
-            "steps": [step],
+            "steps": [STEP],
             "repeatCount": occurrences,
             "firstRunMs": first_ms,
             "intervalMs": INTERVAL_MS,
         }
-        await system.submit(job, spec, system.processes[number % len(system.processes)])
+        process = system.processes[number % len(system.processes)]
+        if await system.try_submit(job, spec, process, tries=1):
+            accepted.append(job)
         await asyncio.sleep(0.3)
+    return accepted
 
 
 async def case(system: System, is_troubled: bool) -> list[str]:
     """Run the case and return the breaks that were seen."""
     await system.start(processes=3, minions=8)
     watch = asyncio.create_task(system.watch_memory(MEMORY_MB))
-    await submit_scheduled(system, OCCURRENCES if is_troubled else 20)
+    scheduled = await submit_scheduled(system, OCCURRENCES if is_troubled else 20)
     await asyncio.sleep(5)
-    jobs = [f"5c0e7a21d94b{number:04x}" for number in range(6)]
-    step = {"count": 1, "cpu": CPU, "memMb": 100, "estimateMs": 400}
-    for job in jobs:
+    small = []
+    for number in range(6):
+        job = f"5c0e7a21d94b{number:04x}"
         system.plans[f"{job}.0"] = TaskPlan(400, CPU)
-        await system.submit(job, {"spec": "card", "steps": [step]}, system.processes[1])
+        process = system.processes[number % len(system.processes)]
+        if await system.try_submit(job, {"spec": "card", "steps": [STEP]}, process):
+            small.append(job)
     await asyncio.sleep(FINISH_SECONDS)
-    idle = await system.find_idle(jobs, CPU, IDLE_SECONDS)
+    idle = await system.find_idle(small, CPU, IDLE_SECONDS)
+    asked = [*scheduled[:4], *small]
+    states = await asyncio.gather(*(system.state(job) for job in asked))
+    watch.cancel()
     breaks = []
-    for job in jobs:
-        state = await system.state(job)
+    for job, state in zip(asked, states, strict=True):
+        if not state:
+            breaks.append(f"LOST: {job} was accepted, and no process tells its state")
         if job in idle and state not in ("completed", "failed"):
             breaks.append(
-                f"LOST: {job} was accepted, is {state or 'without an answer'}, and has had nothing "
-                f"running for {IDLE_SECONDS:.0f} s, {FINISH_SECONDS:.0f} s after the traffic"
+                f"LOST: {job} was accepted and has had nothing running for {IDLE_SECONDS:.0f} s, "
+                f"{FINISH_SECONDS:.0f} s after the traffic"
             )
-    watch.cancel()
     kills = Counter(fields["name"] for _, fields in system.record.of("over memory"))
+    print(f"{len(scheduled)} scheduled and {len(small)} small jobs were accepted")
     print(f"processes over {MEMORY_MB:.0f} MB: {dict(kills)}")
     return breaks
 
--- a/review/lib/minions.py
+++ b/review/lib/minions.py
@@ -159,17 +159,14 @@
         """Return the steady clock, which begins at the start of this life."""
         return int(1000 * (time.monotonic() - self._born_at))
 
-    async def start(self, port: int = 0) -> None:
-        """Begin to serve and to write the entry.
-
-        :param port: port to listen on; 0 for a free one
-        """
+    async def start(self) -> None:
+        """Begin to serve and to write the entry."""
         self._born_ms, self._born_at = int(1000 * time.time()), time.monotonic() - 1.0
         self._runner = web.ServerRunner(
             web.Server(self._answer, access_log=None), shutdown_timeout=0.01
         )
         await self._runner.setup()
-        site = web.TCPSite(self._runner, self.host, port, reuse_address=True)
+        site = web.TCPSite(self._runner, self.host, 0)
         await site.start()
         port = site._server.sockets[0].getsockname()[1]  # type: ignore[union-attr]
         self.address = f"{self.host}:{port}"
@@ -253,10 +250,6 @@
         )
         self._has_ended.set()
 
-    def fail_run(self, task: str) -> None:
-        """Let a run fail through its own fault."""
-        self._end(self.runs[task], "failed")
-
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         body = json.loads(await request.read() or b"{}")
         if request.headers.get("Expect-Instance", self.minion_id) != self.minion_id:
--- a/review/lib/system.py
+++ b/review/lib/system.py
@@ -196,7 +196,6 @@
             **bounds,
         }
         self._session: aiohttp.ClientSession | None = None
-        self._crash_count = 0
 
     def _plan_of(self, task: str) -> TaskPlan:
         job, _, step, _ = task.split(".")
@@ -231,20 +230,6 @@
                 return
         raise Unrunnable("the processes did not become ready")
 
-    async def crash_minion(self, minion: Minion, down_seconds: float) -> None:
-        """Crash a minion; another one is back at its address after a time."""
-        self.record("crash", minion=minion.minion_id, runs=len(minion.runs))
-        await minion.crash()
-        await asyncio.sleep(down_seconds)
-        self._crash_count += 1
-        successor = Minion(
-            self.world, f"i-f{self._crash_count:07x}", minion.host, minion.zone, minion.service,
-            minion.rack, minion.capacity,
-        )  # fmt: skip
-        await successor.start(int(minion.address.rpartition(":")[2]))
-        self.record("back", minion=successor.minion_id)
-        await minion.forget_entry()
-
     async def watch_memory(self, limit_mb: float) -> None:
         """Kill processes that exceed their memory and start them again, as the platform does."""
         while True:
@@ -319,21 +304,25 @@
         self.record("state", job=job, state="no answer")
         return ""
 
-    async def submit(self, job: str, spec: dict[str, Any], process: Process) -> int:
-        """Submit a job; repeat the request after an answer that leaves the outcome open."""
-        for _ in range(5):
+    async def try_submit(
+        self, job: str, spec: dict[str, Any], process: Process, tries: int = 5
+    ) -> bool:
+        """Submit a job; repeat the request after an answer that leaves the outcome open.
+
+        :returns: whether the job was accepted
+        """
+        for _ in range(tries):
             status, _ = await self._call("POST", job, process, spec)
             self.record("submitted", job=job, status=status, to=process.name)
             if status == 200:
-                return status
+                return True
             await asyncio.sleep(0.5)
-        raise Unrunnable(f"job {job} was not accepted")
+        return False
 
-    async def cancel(self, job: str, process: Process) -> int:
-        """Cancel a job."""
-        status, _ = await self._call("DELETE", job, process)
-        self.record("cancelled", job=job, status=status, to=process.name)
-        return status
+    async def submit(self, job: str, spec: dict[str, Any], process: Process) -> None:
+        """Submit a job, which has to be accepted for the case to run."""
+        if not await self.try_submit(job, spec, process):
+            raise Unrunnable(f"job {job} was not accepted")
 
     async def find_idle(self, jobs: list[str], cpu: int, seconds: float) -> list[str]:
         """Return the jobs with nothing running for a time while there is room for them.
@@ -389,12 +378,17 @@
     """
 
     async def play() -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        # An interrupted case ends its processes as well.
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         system = System(folder, **bounds)
         is_troubled = os.environ.get("TROUBLE", "1") != "0"
         try:
             async with asyncio.timeout(112):
                 breaks = await case(system, is_troubled)
-        except (Unrunnable, TimeoutError) as error:
+        except (Unrunnable, TimeoutError, asyncio.CancelledError) as error:
             system.record("could not run", reason=repr(error))
             print("could not run:", repr(error))
             return 2
