Remove the submission of an ended job before its progress, until it has succeeded

Cause: a job past its retention was removed in two appends, first the progress, then the submission. The second one was not repeated when it failed, and the partitions after the failing one were left out. A submission without progress is a new job to the next leader. A leader that ends between the two appends leaves the same state without any fault of the store. Traced with the record of the case: the store resets 3 of 12 partitions, the line "ended jobs could not be removed" follows, and the next leader counts these jobs as queued.

Change: control/removal.py removes submissions first and repeats until each partition has accepted; the job is known and shown as ended until then, and its progress is deleted in the next write. A leader deletes progress without a submission, unless the submission is there and can't be decoded. Ruled out: removing both in one append, since the streams differ in topic and partition.

--- a/dotterelhill/control/leader.py
+++ b/dotterelhill/control/leader.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Callable, Coroutine, Mapping
+from collections.abc import Callable, Coroutine, Mapping, Sequence
 from contextlib import suppress
 from dataclasses import dataclass
 from functools import partial
@@ -34,13 +34,9 @@
 from dotterelhill.control.loop_lag import LoopLag
 from dotterelhill.control.poll_window import FirstPollWindow
 from dotterelhill.control.relay_pool import RelayPool
+from dotterelhill.control.removal import SubmissionRemoval
 from dotterelhill.control.start_window import SentOrder, StartWindow
-from dotterelhill.control.submissions import (
-    append_submissions,
-    cancellation_key,
-    is_cancellation,
-    owner_of,
-)
+from dotterelhill.control.submissions import cancellation_key, is_cancellation, owner_of
 from dotterelhill.control.work_slices import WorkSlices
 from dotterelhill.entry.logs import logger_of
 from dotterelhill.entry.metrics import Metrics
@@ -60,12 +56,12 @@
 from dotterelhill.jobs.tenants.admission import AdmissionPolicy, AdmittedRate
 from dotterelhill.jobs.tenants.loads import TenantLoad
 
-# Key of the interference estimates in the progress stream. Job ids, the other keys of the stream,
-# contain no "@".
+# Keys of the progress stream with this prefix belong to no job. Earlier builds store the ends of
+# leases as "@leases".
+RESERVED_PREFIX = "@"
+# Key of the interference estimates in the progress stream.
 MODEL_KEY = "@interference"
 MODEL_STORE_INTERVAL_SECONDS = 4.0
-# Key of the ends of leases that earlier builds store in the progress stream.
-EARLIER_LEASES_KEY = "@leases"
 FENCED_WRITER = "leader"
 # Changes within this time are batched into one write; the store handles several hundred writes a
 # second.
@@ -196,6 +192,11 @@
         self._stored_progress: dict[str, bytes] = {}
         # Keys of the records of tenants by job id, which are removed together with the job.
         self._tenant_keys: dict[str, set[str]] = {}
+        # Ids of jobs whose submissions this build can't decode; another one may run them.
+        self._undecoded_job_ids: set[str] = set()
+        self._removal = SubmissionRemoval(
+            parts.store, self._remove_jobs, parts.random, parts.metrics
+        )
         self._admission = AdmissionPolicy()
         self._rates: dict[str, AdmittedRate] = {}
         self._rates_at = float("-inf")
@@ -257,6 +258,7 @@
             "jobs.reserved_wait_seconds": self._scheduler.longest_reserved_wait_seconds,
             "jobs.minions_on_probation": self._scheduler.uneven.probation_count,
             "jobs.short_pool_minions": self._scheduler.short_pool_minion_count,
+            "jobs.pending_removals": self._removal.pending_count,
             "jobs.loop_lag_seconds": self._parts.lag.seconds,
             **shortage_gauges(self._scheduler.shortage),
         }
@@ -338,6 +340,7 @@
             for follower in [*self._submission_followers, self._minion_follower]:
                 await follower.start()
             self._is_loaded = True
+            self._spawn(self._removal.run())
             self._scheduler.record_restored_runs(self._clock())
             self._parts.leadership.end_loading()
             await self._wait_for_lease()
@@ -399,7 +402,7 @@
         for record in progress.records:
             if record.key == MODEL_KEY and record.value is not None:
                 self._load_model(record.value)
-            elif record.value is not None and record.key != EARLIER_LEASES_KEY:
+            elif record.value is not None and not record.key.startswith(RESERVED_PREFIX):
                 self._stored_progress[record.key] = record.value
         await _gather_or_cancel(
             *(
@@ -407,9 +410,12 @@
                 for follower in self._submission_followers
             )
         )
-        orphans = len(self._stored_progress)
+        # A submission is removed before the progress of its job.
+        orphans = self._stored_progress.keys() - self._undecoded_job_ids
         if orphans:
-            _log.warning("stored progress without a submission is ignored", extra={"jobs": orphans})
+            fields = {"jobs": len(orphans)}
+            _log.notice("stored progress without a submission is removed", extra=fields)
+            self._scheduler.remove_orphans(sorted(orphans))
         self._stored_progress.clear()
 
     def _load_model(self, data: bytes) -> None:
@@ -461,6 +467,7 @@
                 continue
             submission = _decode_record(record)
             if submission is None:
+                self._undecoded_job_ids.add(job_id)
                 continue
             known = first.setdefault(submission.job_id, submission)
             if known is submission:
@@ -575,21 +582,17 @@
             records.append(Record(MODEL_KEY, self._scheduler.sharing.model.to_record()))
         if records:
             await self._append(records)
-        if changes.removed:
-            await self._remove_submissions(changes.removed)
-
-    async def _remove_submissions(self, job_ids: list[str]) -> None:
-        records = []
+        for job_id in changes.expired:
+            keys = [job_id, cancellation_key(job_id), *self._tenant_keys.get(job_id, ())]
+            self._removal.add(job_id, keys)
+        for job_id, tenant in changes.expired_cancellations:
+            self._removal.add(job_id, [cancellation_key(job_id, tenant)])
+
+    def _remove_jobs(self, job_ids: Sequence[str]) -> None:
+        """Remove jobs whose submissions are removed from the store."""
         for job_id in job_ids:
-            records.append(Record(job_id, None))
-            records.append(Record(cancellation_key(job_id), None))
-            for key in sorted(self._tenant_keys.pop(job_id, ())):
-                records.append(Record(key, None))
-        try:
-            await append_submissions(self._parts.store, records)
-        except StoreError as error:
-            # The submissions remain; a later leader finds them without progress.
-            _log.warning("ended jobs could not be removed", extra={"reason": str(error)})
+            self._tenant_keys.pop(job_id, None)
+        self._scheduler.remove_jobs(job_ids, self._clock())
 
     async def _append(self, records: list[Record]) -> None:
         """Append to the progress stream, retrying until the append has succeeded.
--- a/dotterelhill/control/tests/steps/cluster_steps.py
+++ b/dotterelhill/control/tests/steps/cluster_steps.py
@@ -81,6 +81,7 @@
     context.cluster.store.streams[Stream.MINIONS, 0].append(Record(name, None))
 
 
+@given(r"the lines of leaders are kept")
 @when(r"the lines of leaders are kept")
 def keep_lines(context):
     context.leader_log = logbook.TestHandler()
--- a/dotterelhill/jobs/changes.py
+++ b/dotterelhill/jobs/changes.py
@@ -65,7 +65,10 @@
     :param states: state of each of those jobs when the write begins, by job id
     :param starts: runs whose start orders may be sent after the write is durable
     :param ends: highest processed end number of each minion
-    :param removed: ids of jobs whose records have to be deleted
+    :param removed: ids of jobs whose progress has to be deleted
+    :param expired: ids of ended jobs whose submissions have to be deleted
+    :param expired_cancellations: job ids and tenants of cancellations whose records have to be
+        deleted, since no job was submitted
     """
 
     jobs: list[Job] = field(default_factory=list)
@@ -73,6 +76,8 @@
     starts: list[Run] = field(default_factory=list)
     ends: list[tuple[Minion, int]] = field(default_factory=list)
     removed: list[str] = field(default_factory=list)
+    expired: list[str] = field(default_factory=list)
+    expired_cancellations: list[tuple[str, str]] = field(default_factory=list)
 
 
 @dataclass(frozen=True, slots=True)
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -64,7 +64,7 @@
 from dotterelhill.jobs.placement.start_bound import OverdueStep, StartBound, explain
 from dotterelhill.jobs.placement.waiting import JobOrder
 from dotterelhill.jobs.queues import FleetConfig, Queue
-from dotterelhill.jobs.retention import EndedJobs
+from dotterelhill.jobs.retention import EndedJobs, RemovedSubmissions
 from dotterelhill.jobs.shortage.control import ShortageControl
 from dotterelhill.jobs.tenants.gauges import TenantGauges
 from dotterelhill.jobs.tenants.limits import TenantLimits
@@ -158,8 +158,12 @@
         self._planned_runs: list[Run] = []
         self._orders: list[Order] = []
         self._decisions: list[Decision] = []
-        self._removed_job_ids: list[str] = []
+        # Ids of jobs whose progress has to be deleted, in order.
+        self._removed_job_ids: dict[str, None] = {}
+        self._expired_job_ids: list[str] = []
+        self._removed_submissions = RemovedSubmissions(settings.retention_seconds)
         self._early_cancellations: dict[tuple[str, str], float] = {}
+        self._expired_cancellations: list[tuple[str, str]] = []
         self._unlisted_lease_ends: dict[str, float] = {}
         # Ends of leases by incarnation that an earlier leader stored, where they are earlier.
         self._stored_lease_ends: dict[str, float] = {}
@@ -269,7 +273,13 @@
                 if not known.tasks:
                     self._mark_dirty(known)
             return
+        if self._removed_submissions.has(submission):
+            return
         job = self._jobs[job_id] = Job(submission)
+        if job_id in self._removed_job_ids:
+            # The progress of an earlier job with this id must not become that of this one.
+            del self._removed_job_ids[job_id]
+            self._mark_dirty(job)
         if self._planned_unix_ms is not None:
             # Jobs that are loaded before the first round arrived at an earlier leader.
             self._tenant_loads.record_arrival(submission.tenant, now)
@@ -313,6 +323,19 @@
         if is_cancelled and job.state not in FINAL_STATES:
             self._end_job(job, JobState.CANCELLED, now)
 
+    def remove_jobs(self, job_ids: Iterable[str], now: float) -> None:
+        """Remove ended jobs whose submissions are no longer stored; unknown ids are ignored."""
+        for job_id in job_ids:
+            job = self._jobs.pop(job_id, None)
+            if job is None:
+                continue
+            self._removed_submissions.add(job.submission, now)
+            self._removed_job_ids[job_id] = None
+
+    def remove_orphans(self, job_ids: Iterable[str]) -> None:
+        """Delete stored progress of jobs whose submissions are no longer stored."""
+        self._removed_job_ids.update(dict.fromkeys(job_ids))
+
     def record_restored_runs(self, now: float) -> None:
         """Record for the log what became of the stored runs when this leader has loaded them.
 
@@ -1406,7 +1429,7 @@
         self._planned_runs.append(run)
 
     def _expire_state(self, now: float) -> None:
-        """Release runs whose leases have expired and remove jobs past their retention time."""
+        """Release runs whose leases have expired and find jobs past their retention time."""
         for minion in list(self._minions.values()):
             if now < minion.lease_until:
                 continue
@@ -1424,9 +1447,10 @@
         for owner, cancelled_at in list(self._early_cancellations.items()):
             if now - cancelled_at >= self._settings.retention_seconds:
                 del self._early_cancellations[owner]
+                self._expired_cancellations.append(owner)
         for job in self._ended_jobs.take_expired(now):
-            del self._jobs[job.job_id]
-            self._removed_job_ids.append(job.job_id)
+            self._expired_job_ids.append(job.job_id)
+        self._removed_submissions.expire(now)
 
     def _release_unlisted(self, key: str, now: float) -> None:
         """Release the tasks of an unlisted incarnation, given as ``minion_id@born_ms``."""
@@ -1442,7 +1466,13 @@
     def take_changes(self) -> Changes:
         """Return the changes that the next durable write has to cover, and reset them."""
         changes = Changes(
-            list(self._dirty_jobs.values()), {}, self._planned_runs, [], self._removed_job_ids
+            list(self._dirty_jobs.values()),
+            {},
+            self._planned_runs,
+            [],
+            list(self._removed_job_ids),
+            self._expired_job_ids,
+            self._expired_cancellations,
         )
         for changed in changes.jobs:
             changes.states[changed.job_id] = changed.state
@@ -1451,7 +1481,8 @@
                 changes.ends.append((minion, minion.processed_end))
         self._dirty_jobs = {}
         self._planned_runs = []
-        self._removed_job_ids = []
+        self._removed_job_ids = {}
+        self._expired_job_ids, self._expired_cancellations = [], []
         return changes
 
     def commit(self, changes: Changes, now: float) -> list[StartOrder]:
