Bound the estimates of interference, in memory and in the stored record

Cause: HeadroomModel kept an effect for each pair of images that ever ran beside each other and never removed one. All of it is one record in the same append as the progress of jobs. With 300 images of 100 characters beside 8 others the record exceeded recordBytes, and each write of progress was refused.

Change: at most 4,096 effects and 1,024 troughs are kept, those used last. The record holds the newest of them that fit into recordBytes, which was read from the settings and used nowhere. A name of an image of more than 128 bytes is replaced by its digest.

--- a/dotterelhill/control/interface.py
+++ b/dotterelhill/control/interface.py
@@ -39,6 +39,26 @@
     value: bytes | None
 
 
+# Bytes of the length of a key, which a record holds before its key.
+KEY_LENGTH_BYTES = 1
+
+
+@dataclass(frozen=True, slots=True)
+class StoreLimits:
+    """Sizes that the store accepts.
+
+    :param record_bytes: largest size of the key and the value of a record
+    :param call_bytes: largest size of all records of one append
+    """
+
+    record_bytes: int = 262_144
+    call_bytes: int = 2_097_152
+
+    def value_bytes(self, key: str) -> int:
+        """Return the largest size of the value of a record."""
+        return self.record_bytes - KEY_LENGTH_BYTES - len(key.encode())
+
+
 @dataclass(frozen=True, slots=True)
 class Batch:
     """Consecutive records of a stream.
--- a/dotterelhill/control/leader.py
+++ b/dotterelhill/control/leader.py
@@ -6,7 +6,7 @@
 from collections import Counter
 from collections.abc import Callable, Coroutine, Mapping, Sequence
 from contextlib import suppress
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from functools import partial
 from random import Random
 from typing import Any
@@ -27,6 +27,7 @@
     Store,
     StoreError,
     StoreFencedError,
+    StoreLimits,
     StoreSequenceError,
     Stream,
 )
@@ -105,6 +106,7 @@
     :param unix_ms: returns Unix time in milliseconds
     :param slices: slices of long work, between which the event loop runs
     :param tenant_loads: returns the load of each tenant with jobs, given the time
+    :param limits: sizes that the store accepts
     """
 
     store: Store
@@ -121,6 +123,7 @@
     metrics: Metrics
     slices: WorkSlices
     tenant_loads: Callable[[Scheduler, float], Mapping[str, TenantLoad]] = Scheduler.tenant_loads
+    limits: StoreLimits = field(default_factory=StoreLimits)
 
 
 class _BegunStart(msgspec.Struct, frozen=True):
@@ -579,7 +582,8 @@
         records += [Record(job_id, None) for job_id in changes.removed]
         if records and self._clock() - self._model_stored_at > MODEL_STORE_INTERVAL_SECONDS:
             self._model_stored_at = self._clock()
-            records.append(Record(MODEL_KEY, self._scheduler.sharing.model.to_record()))
+            model_bytes = self._parts.limits.value_bytes(MODEL_KEY)
+            records.append(Record(MODEL_KEY, self._scheduler.sharing.model.to_record(model_bytes)))
         if records:
             await self._append(records)
         for job_id in changes.expired:
--- a/dotterelhill/control/tests/cluster_world.py
+++ b/dotterelhill/control/tests/cluster_world.py
@@ -23,6 +23,7 @@
     StoreConflictError,
     StoreError,
     StoreFencedError,
+    StoreLimits,
     StoreSequenceError,
     Stream,
 )
@@ -93,6 +94,9 @@
         self.fences: dict[tuple[StreamPartition, str], tuple[int, int]] = {}
         self.append_results: dict[tuple[StreamPartition, str, int, int], int] = {}
         self.is_slow = False
+        self.limits = StoreLimits()
+        # Stream, number and size of the records of each append that was refused for its size.
+        self.oversized: list[tuple[Stream, int, int]] = []
         # Number of records of a stream that fit into one read, where it is limited.
         self.records_per_read: dict[Stream, int] = {}
         self._partition_locks: defaultdict[StreamPartition, asyncio.Lock] = defaultdict(
@@ -182,6 +186,11 @@
         if stream is Stream.SUBMISSIONS:
             self.appends += 1
         await self._reach(stream)
+        sizes = [1 + len(one.key.encode()) + len(one.value or b"") for one in records]
+        limits = self._store.limits
+        if max(sizes, default=0) > limits.record_bytes or sum(sizes) > limits.call_bytes:
+            self._store.oversized.append((stream, len(records), sum(sizes)))
+            raise StoreError("status 400")
         await self._store.wait_for_partition((stream, partition))
         end = self._store.append((stream, partition), records, at, fence)
         if self.lost_answers:
@@ -656,6 +665,7 @@
                     rng,
                     self.metrics,
                     slices,
+                    limits=cluster.store.limits,
                 ),
                 renewals_end,
                 lease_ends,
--- a/dotterelhill/jobs/interference/headroom.py
+++ b/dotterelhill/jobs/interference/headroom.py
@@ -19,7 +19,9 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from heapq import nsmallest
 from math import sqrt
+from typing import Protocol, TypeVar
 
 import msgspec
 
@@ -56,6 +58,13 @@
 INITIAL_TROUGH = 1.5
 # Headroom above this is cut off: it shows only that the task is idle.
 MAX_HEADROOM = 10.0
+# Clients choose the names of images; the limits bound the memory that estimates use.
+MAX_EFFECTS = 4096
+MAX_TROUGHS = 1024
+# Bytes that the stored form of an effect or a trough takes besides the names of its images.
+STORED_EFFECT_BYTES = 29
+STORED_TROUGH_BYTES = 14
+STORED_HEADER_BYTES = 32
 
 ImagePair = tuple[str, str]
 
@@ -72,11 +81,38 @@
 EffectShare = tuple[Estimate, float]
 
 
+class _Dated(Protocol):
+    """An estimate with the loop time of its newest use."""
+
+    at: float
+
+
+KeyT = TypeVar("KeyT")
+DatedT = TypeVar("DatedT", bound=_Dated)
+
+
+def _newest_first(estimates: Mapping[KeyT, DatedT]) -> list[tuple[KeyT, DatedT]]:
+    """Return estimates in the order of their newest use."""
+    return sorted(estimates.items(), key=lambda entry: -entry[1].at)
+
+
+def _make_room(estimates: dict[KeyT, DatedT], limit: int) -> None:
+    """Drop the eighth of the estimates that was not used for longest where the limit is reached."""
+    if len(estimates) < limit:
+        return
+    for key, _ in nsmallest(limit // 8, estimates.items(), key=lambda entry: entry[1].at):
+        del estimates[key]
+
+
 @dataclass(slots=True)
 class _ImageTrough:
-    """Estimate of the lowest baseline headroom of an image, reached at its peak load."""
+    """Estimate of the lowest baseline headroom of an image, reached at its peak load.
+
+    :param at: loop time of the newest report of a task of the image, in seconds
+    """
 
     trough: float = INITIAL_TROUGH
+    at: float = float("-inf")
 
 
 class _StoredModel(msgspec.Struct, frozen=True):
@@ -214,7 +250,9 @@
         self.cycles.observe(key, headroom + effect_sum, now)
         trough = self.troughs.get(image)
         if trough is None:
+            _make_room(self.troughs, MAX_TROUGHS)
             trough = self.troughs[image] = _ImageTrough()
+        trough.at = now
         if mean < trough.trough:
             trough.trough -= TROUGH_FALL
         else:
@@ -224,13 +262,28 @@
         """Remove a serving task that has ended."""
         self.baselines.pop(key, None)
 
-    def to_record(self) -> bytes:
+    def to_record(self, max_bytes: int) -> bytes:
         """Return the stored form of effects, troughs and period for a later leader.
 
-        Baseline headrooms are left out because they are soon out of date.
+        Baseline headrooms are left out because they are soon out of date. Estimates that were not
+        used for longest are left out where the others fill the record.
+
+        :param max_bytes: largest size of the record; at most half of it is used for troughs
         """
-        effects = [(*pair, value.mean, value.variance) for pair, value in self.effects.items()]
-        troughs = {name: image.trough for name, image in self.troughs.items()}
+        troughs = {}
+        left = max_bytes // 2 - STORED_HEADER_BYTES
+        for image, trough in _newest_first(self.troughs):
+            left -= len(image.encode()) + STORED_TROUGH_BYTES
+            if left < 0:
+                break
+            troughs[image] = trough.trough
+        effects = []
+        left = max_bytes // 2 + max(0, left)
+        for pair, effect in _newest_first(self.effects):
+            left -= len(pair[0].encode()) + len(pair[1].encode()) + STORED_EFFECT_BYTES
+            if left < 0:
+                break
+            effects.append((*pair, effect.mean, effect.variance))
         return msgspec.msgpack.encode(_StoredModel(effects, troughs, self.cycles.period_seconds))
 
     def load_record(self, data: bytes, now: float) -> None:
@@ -242,7 +295,7 @@
         for serving, filler, mean, variance in stored.effects:
             self.effects[serving, filler] = Estimate(mean, variance, now)
         for name, trough in stored.troughs.items():
-            self.troughs[name] = _ImageTrough(trough)
+            self.troughs[name] = _ImageTrough(trough, now)
         if stored.period_seconds is not None:
             self.cycles.assume_period(stored.period_seconds)
 
@@ -250,6 +303,7 @@
         """Return the estimate for a pair of images with its variance brought up to ``now``."""
         estimate = self.effects.get((image, filler))
         if estimate is None:
+            _make_room(self.effects, MAX_EFFECTS)
             estimate = Estimate(INITIAL_EFFECT, INITIAL_EFFECT_VARIANCE, now)
             self.effects[image, filler] = estimate
             return estimate
--- a/dotterelhill/jobs/tests/sharing.feature
+++ b/dotterelhill/jobs/tests/sharing.feature
@@ -108,6 +108,19 @@
     When a new leader takes over with the stored estimates
     Then the effect of "print" on "web" is 9
 
+  Scenario Outline: the estimates of images that no longer run fill the memory and the stored record
+    # Guards against LOST of review/1: the store refused a record that grew with each new image.
+    Given serving job "s" of image "web" with target 50 ms on "m1"
+    When <count> pairs of images with names of <length> bytes run beside each other
+    Then the stored estimates take at most <size> bytes, with the newest <kept> pairs
+    And the leader knows at most 4096 effects and 1024 troughs
+
+    Examples:
+      | count | length | size   | kept |
+      | 3000  | 100    | 262144 | 500  |
+      | 6000  | 20     | 262144 | 1000 |
+      | 300   | 128    | 8192   | 10   |
+
   Scenario: a job that is already too late starts before one that can end in time
     Given a fleet with minions "m1" of 1 processors
     And job "old" of 1 task of 1 processors
--- a/dotterelhill/jobs/tests/steps/cycles_steps.py
+++ b/dotterelhill/jobs/tests/steps/cycles_steps.py
@@ -13,6 +13,7 @@
 use_step_matcher("re")
 
 START = 80_000.0
+RECORD_BYTES = 262_144
 REPORT_SECONDS = 0.4
 TARGET_MS = 50
 # Both loads are reported for two periods.
@@ -80,7 +81,7 @@
 
 @when(r"the estimates are stored and loaded again")
 def reload_estimates(context):
-    stored = context.loads.model.to_record()
+    stored = context.loads.model.to_record(RECORD_BYTES)
     context.loads.model = HeadroomModel()
     context.loads.model.load_record(stored, context.loads.now)
 
--- a/dotterelhill/jobs/tests/steps/sharing_steps.py
+++ b/dotterelhill/jobs/tests/steps/sharing_steps.py
@@ -4,13 +4,15 @@
 
 from behave import given, then, use_step_matcher, when
 
-from dotterelhill.jobs.interference.headroom import Estimate
+from dotterelhill.jobs.interference.headroom import Estimate, HeadroomModel
 from dotterelhill.jobs.model import Step, TaskKey
 from dotterelhill.jobs.resources import ResourceVector
 
 use_step_matcher("re")
 
 ROUND_SECONDS = 0.1
+RECORD_BYTES = 262_144
+PAIR_SECONDS = 0.1
 
 
 def serving(count: int, image: str, target: int = 50, **more) -> Step:
@@ -121,11 +123,44 @@
 
 @when(r"a new leader takes over with the stored estimates")
 def take_over_with_estimates(context):
-    record = context.fleet.scheduler.sharing.model.to_record()
+    record = context.fleet.scheduler.sharing.model.to_record(RECORD_BYTES)
     context.fleet.take_over()
     context.fleet.scheduler.sharing.model.load_record(record, context.fleet.now)
 
 
+@when(r"(?P<count>\d+) pairs of images with names of (?P<length>\d+) bytes run beside each other")
+def observe_pairs(context, count, length):
+    model, now = context.fleet.scheduler.sharing.model, context.fleet.now
+    context.pairs = []
+    for number in range(int(count)):
+        serving_image, filler_image = (f"{name}{number}".ljust(int(length), "x") for name in "sf")
+        now += PAIR_SECONDS
+        shares = model.effect_shares(serving_image, {filler_image: 0.5}, now)
+        model.observe(TaskKey("j", 0, 0, number), serving_image, 2.0, shares, now)
+        context.pairs.append((serving_image, filler_image))
+
+
+@then(
+    r"the stored estimates take at most (?P<size>\d+) bytes, with the newest (?P<count>\d+) pairs"
+)
+def check_stored_estimates(context, size, count):
+    model = context.fleet.scheduler.sharing.model
+    record = model.to_record(int(size))
+    assert len(record) <= int(size), len(record)
+    restored = HeadroomModel()
+    restored.load_record(record, context.fleet.now)
+    kept = context.pairs[-int(count) :]
+    assert all(pair in restored.effects for pair in kept), len(restored.effects)
+    assert all(pair[0] in restored.troughs for pair in kept), len(restored.troughs)
+
+
+@then(r"the leader knows at most (?P<effects>\d+) effects and (?P<troughs>\d+) troughs")
+def check_known_estimates(context, effects, troughs):
+    model = context.fleet.scheduler.sharing.model
+    assert len(model.effects) <= int(effects), len(model.effects)
+    assert len(model.troughs) <= int(troughs), len(model.troughs)
+
+
 @when(r"(?P<seconds>\d+) seconds pass without a scheduling round")
 def advance_clock(context, seconds):
     context.fleet.now += int(seconds)
--- a/dotterelhill/platform/ingress.py
+++ b/dotterelhill/platform/ingress.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field, replace
+from hashlib import sha256
 
 import mode
 import msgspec
@@ -45,6 +46,9 @@
 # A job with more tasks is refused: no fleet of the target size can run it.
 LARGEST_TASK_COUNT = 20000
 LARGEST_STEP_COUNT = 200
+# Longer names of images are replaced by their digests: each pair of images that run beside each
+# other is learned and stored.
+LARGEST_IMAGE_BYTES = 128
 DEADLINE_HEADER = "Deadline-Ms"
 KEY_HEADER = "Api-Key"
 # Part of the deadline that is reserved for sending the answer to the client.
@@ -163,13 +167,25 @@
         anti_affinity=step.antiAffinity,
         is_speculative=step.speculative,
         is_lasting=step.perpetual,
-        image=step.image,
+        image=_image_name(step.image),
         target_tail_ms=step.targetMs,
         is_filler=step.fills,
         may_miss=step.mayMiss,
     )
 
 
+def _image_name(image: str) -> str:
+    """Return a name of bounded length that differs from that of each other image.
+
+    >>> _image_name("web"), len(_image_name("w" * 1000))
+    ('web', 71)
+    """
+    data = image.encode()
+    if len(data) <= LARGEST_IMAGE_BYTES:
+        return image
+    return "sha256:" + sha256(data).hexdigest()
+
+
 @dataclass(frozen=True, slots=True)
 class _Reply:
     """Answer to a client.
--- a/dotterelhill/platform/process.py
+++ b/dotterelhill/platform/process.py
@@ -25,7 +25,7 @@
     Follower,
 )
 from dotterelhill.control.health import ObservedStore
-from dotterelhill.control.interface import Stream
+from dotterelhill.control.interface import StoreLimits, Stream
 from dotterelhill.control.job_service import JobService
 from dotterelhill.control.leader import Leader, LeaderParts
 from dotterelhill.control.leadership import Leadership
@@ -297,6 +297,7 @@
                 random=self._random,
                 metrics=self._metrics,
                 slices=WorkSlices(boot_seconds),
+                limits=StoreLimits(settings.record_bytes, settings.call_bytes),
             ),
             renewals_end,
             lease_ends,
