Keep each write within the sizes that the store accepts, and hold a refused job alone

Cause: progress of a job with many running tasks, and the removals of one round, were one record and one append of any size. Leader._append repeated a refusal for good like a silence, every 0.1 s.

Change: progress that does not fit into a record is stored in parts of blocks of 256 tasks, of which only changed ones are written; a write is divided into appends of at most callBytes. The state of a job goes first, and all that is stored of a task is in one part, so that a write that ends after any append leaves no contradiction. A record that is refused for good (400, 413, 422 or above the limits) is found by bisection; nothing of its job starts, ends of its runs are not acknowledged, and it is written again each 5 s. A submission that can't be stored is answered with 413. The append loop moves from leader.py to control/progress_store.py. Ruled out: failing a job whose progress is refused, since only its own record is at fault, and its end could not be stored either.

--- a/dotterelhill/control/health.py
+++ b/dotterelhill/control/health.py
@@ -14,6 +14,7 @@
     StoreConflictError,
     StoreError,
     StoreFencedError,
+    StoreRefusedError,
     StoreSequenceError,
     Stream,
 )
@@ -24,7 +25,13 @@
 UNAVAILABLE_SECONDS = 1.0
 UNAVAILABLE_FAILURES = 2
 
-_ANSWER_ERRORS = (StoreConflictError, StoreFencedError, StoreSequenceError, HistoryDroppedError)
+_ANSWER_ERRORS = (
+    StoreConflictError,
+    StoreFencedError,
+    StoreRefusedError,
+    StoreSequenceError,
+    HistoryDroppedError,
+)
 
 _log = logger_of("store")
 
--- a/dotterelhill/control/interface.py
+++ b/dotterelhill/control/interface.py
@@ -12,6 +12,9 @@
 from dotterelhill.jobs.fleet import Minion, MinionReport
 from dotterelhill.jobs.orders import PaceOrder, StartOrder, StartOutcome, StopOrder
 
+# Bytes of the length of a key, which a record holds before its key.
+KEY_LENGTH_BYTES = 1
+
 
 class Stream(StrEnum):
     """Keyed streams of the store, which retains the newest record of each key.
@@ -38,9 +41,10 @@
     key: str
     value: bytes | None
 
-
-# Bytes of the length of a key, which a record holds before its key.
-KEY_LENGTH_BYTES = 1
+    @property
+    def content_bytes(self) -> int:
+        """Return the size of the record as the store limits it."""
+        return KEY_LENGTH_BYTES + len(self.key.encode()) + len(self.value or b"")
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,6 +114,10 @@
         self.is_effect_unknown = is_effect_unknown
 
 
+class StoreRefusedError(StoreError):
+    """Raised when the store will never accept an append, whenever it is repeated."""
+
+
 class StoreConflictError(StoreError):
     """Raised when the partition does not end at the offset that the append requires."""
 
--- a/dotterelhill/control/job_service.py
+++ b/dotterelhill/control/job_service.py
@@ -9,7 +9,7 @@
 
 from dotterelhill.control.election import Election
 from dotterelhill.control.health import ObservedStore
-from dotterelhill.control.interface import Record, StoreError
+from dotterelhill.control.interface import Record, StoreError, StoreRefusedError
 from dotterelhill.control.leader import NotReadyError
 from dotterelhill.control.peers import PeerClient, PeerUnreachableError
 from dotterelhill.control.submissions import append_submissions, cancellation_key, submission_key
@@ -32,6 +32,10 @@
     """Raised when a record is not stored and will not be."""
 
 
+class RecordRefusedError(NotStoredError):
+    """Raised when the store will never accept a record."""
+
+
 class OutcomeUnknownError(Exception):
     """Raised when a record may or may not be stored."""
 
@@ -91,7 +95,8 @@
         :param timeout_seconds: time until the client's request times out
         :param check: called before each attempt to store the job
         :raises AccessRefusedError: when ``check`` raises it before the first attempt
-        :raises NotStoredError: when the job is not stored and will not be
+        :raises NotStoredError: when the job is not stored and will not be; as a
+            :class:`RecordRefusedError` where the store will never accept it
         :raises OutcomeUnknownError: when the job may or may not be stored
         """
         job_id, tenant = submission.job_id, submission.tenant
@@ -142,6 +147,8 @@
                 try:
                     await append_submissions(self._store, [record])
                     return
+                except StoreRefusedError as error:
+                    raise RecordRefusedError(str(error)) from error
                 except StoreError as error:
                     may_be_stored = may_be_stored or error.is_effect_unknown
                     reason = str(error)
--- a/dotterelhill/control/leader.py
+++ b/dotterelhill/control/leader.py
@@ -15,7 +15,6 @@
 
 from dotterelhill.control.feeds import ConfigurationFeed, Follower, RecordDecoder
 from dotterelhill.control.interface import (
-    Fence,
     FencedByMinionError,
     MinionError,
     Minions,
@@ -28,12 +27,16 @@
     StoreError,
     StoreFencedError,
     StoreLimits,
-    StoreSequenceError,
     Stream,
 )
 from dotterelhill.control.leadership import Leadership
 from dotterelhill.control.loop_lag import LoopLag
 from dotterelhill.control.poll_window import FirstPollWindow
+from dotterelhill.control.progress_store import (
+    APPEND_RETRY_SECONDS,
+    RESERVED_PREFIX,
+    ProgressStore,
+)
 from dotterelhill.control.relay_pool import RelayPool
 from dotterelhill.control.removal import SubmissionRemoval
 from dotterelhill.control.start_window import SentOrder, StartWindow
@@ -45,31 +48,22 @@
 from dotterelhill.jobs.fleet import Minion
 from dotterelhill.jobs.model import Job, JobState, Submission
 from dotterelhill.jobs.orders import Order, PaceOrder, StartOrder, StartOutcome, StopOrder
-from dotterelhill.jobs.progress import (
-    apply_progress,
-    decode_submission,
-    encode_progress,
-    stored_tenant,
-)
+from dotterelhill.jobs.progress import decode_submission, stored_tenant
+from dotterelhill.jobs.progress_parts import StoredProgress, apply_stored_progress
 from dotterelhill.jobs.scheduler import Scheduler
 from dotterelhill.jobs.shortage.control import shortage_gauges
 from dotterelhill.jobs.shortage.refusal import QueueVerdict
 from dotterelhill.jobs.tenants.admission import AdmissionPolicy, AdmittedRate
 from dotterelhill.jobs.tenants.loads import TenantLoad
 
-# Keys of the progress stream with this prefix belong to no job. Earlier builds store the ends of
-# leases as "@leases".
-RESERVED_PREFIX = "@"
 # Key of the interference estimates in the progress stream.
-MODEL_KEY = "@interference"
+MODEL_KEY = RESERVED_PREFIX + "interference"
 MODEL_STORE_INTERVAL_SECONDS = 4.0
-FENCED_WRITER = "leader"
 # Changes within this time are batched into one write; the store handles several hundred writes a
 # second.
 MIN_WRITE_INTERVAL_SECONDS = 0.02
 # Longest interval between scheduling rounds, which also check leases and retries.
 TICK_SECONDS = 0.1
-APPEND_RETRY_SECONDS = 0.1
 # Shortest interval between polls of one minion; a poll reports all runs that ended meanwhile.
 MIN_POLL_INTERVAL_SECONDS = 0.05
 POLL_RETRY_SECONDS = (0.05, 0.3)
@@ -160,10 +154,8 @@
         self._epoch = parts.leadership.epoch
         self._scheduler = Scheduler(parts.settings, renewals_end)
         self._wake_event = asyncio.Event()
-        self._sequence = 0
         self._is_loaded = False
         self._has_ended = False
-        self._is_store_failing = False
         self._model_stored_at = self._clock()
         self._scheduler.apply_stored_leases(lease_ends or {})
         self._background: set[asyncio.Task[None]] = set()
@@ -192,13 +184,20 @@
             wait_seconds=0.0,
             pause_seconds=MINION_LIST_INTERVAL_SECONDS,
         )
-        self._stored_progress: dict[str, bytes] = {}
+        self._stored_progress: dict[str, StoredProgress] = {}
         # Keys of the records of tenants by job id, which are removed together with the job.
         self._tenant_keys: dict[str, set[str]] = {}
         # Ids of jobs whose submissions this build can't decode; another one may run them.
         self._undecoded_job_ids: set[str] = set()
         self._removal = SubmissionRemoval(
-            parts.store, self._remove_jobs, parts.random, parts.metrics
+            parts.store,
+            self._remove_jobs,
+            parts.random,
+            parts.metrics,
+            parts.limits.call_bytes,
+        )
+        self._progress = ProgressStore(
+            parts.store, parts.leadership, parts.clock, parts.random, parts.metrics, parts.limits
         )
         self._admission = AdmissionPolicy()
         self._rates: dict[str, AdmittedRate] = {}
@@ -262,6 +261,7 @@
             "jobs.minions_on_probation": self._scheduler.uneven.probation_count,
             "jobs.short_pool_minions": self._scheduler.short_pool_minion_count,
             "jobs.pending_removals": self._removal.pending_count,
+            "jobs.unstored": self._scheduler.unstored_job_count,
             "jobs.loop_lag_seconds": self._parts.lag.seconds,
             **shortage_gauges(self._scheduler.shortage),
         }
@@ -392,7 +392,7 @@
 
     async def _load(self) -> None:
         """Fence earlier leaders, then load the state that they have stored."""
-        await self._append([])
+        await self._progress.fence()
         # A submission is stored before its progress. Reading the submissions after the progress
         # therefore finds the submission of each progress record.
         pages = PartialRead()
@@ -405,8 +405,7 @@
         for record in progress.records:
             if record.key == MODEL_KEY and record.value is not None:
                 self._load_model(record.value)
-            elif record.value is not None and not record.key.startswith(RESERVED_PREFIX):
-                self._stored_progress[record.key] = record.value
+        self._stored_progress = self._progress.group(progress.records)
         await _gather_or_cancel(
             *(
                 self._retry_on_store_error(partial(follower.load, self._restore_submissions))
@@ -490,7 +489,9 @@
         An earlier leader may have decided otherwise, by the order of arrival.
         """
         stored = self._stored_progress.get(submission.job_id)
-        is_other = stored is not None and stored_tenant(stored) != submission.tenant
+        is_other = False
+        if stored is not None and stored.whole is not None:
+            is_other = stored_tenant(stored.whole) != submission.tenant
         return is_other, submission.accepted_ms, submission.tenant
 
     def _apply_submission(self, submission: Submission, now: float) -> None:
@@ -500,7 +501,7 @@
             return
         job = Job(submission)
         try:
-            apply_progress(job, stored)
+            apply_stored_progress(job, stored)
         except msgspec.MsgspecError as error:
             fields = {"job": job.job_id, "reason": str(error)}
             _log.error("stored progress can't be decoded; the job is not run", extra=fields)
@@ -561,11 +562,11 @@
         self._parts.lag.record_planning(planning_seconds)
         self._send_orders()
         changes = self._scheduler.take_changes()
-        await self._store_changes(changes)
+        unstored = await self._store_changes(changes)
         if not self._parts.leadership.has_claim:
             return
         self._record_minion_list()
-        for start in self._scheduler.commit(changes, self._clock()):
+        for start in self._scheduler.commit(changes, self._clock(), unstored):
             self._begin_start(start)
 
     def _record_minion_list(self) -> None:
@@ -577,20 +578,23 @@
         for order in self._scheduler.take_orders():
             self._begin_order(order)
 
-    async def _store_changes(self, changes: Changes) -> None:
-        records = [Record(job.job_id, encode_progress(job)) for job in changes.jobs]
-        records += [Record(job_id, None) for job_id in changes.removed]
-        if records and self._clock() - self._model_stored_at > MODEL_STORE_INTERVAL_SECONDS:
-            self._model_stored_at = self._clock()
-            model_bytes = self._parts.limits.value_bytes(MODEL_KEY)
-            records.append(Record(MODEL_KEY, self._scheduler.sharing.model.to_record(model_bytes)))
-        if records:
-            await self._append(records)
+    async def _store_changes(self, changes: Changes) -> frozenset[str]:
+        """Store changes and return the ids of the jobs whose progress is not stored."""
+        unstored: frozenset[str] = frozenset()
+        if changes.jobs or changes.removed:
+            estimates = []
+            if self._clock() - self._model_stored_at > MODEL_STORE_INTERVAL_SECONDS:
+                self._model_stored_at = self._clock()
+                model_bytes = self._parts.limits.value_bytes(MODEL_KEY)
+                value = self._scheduler.sharing.model.to_record(model_bytes)
+                estimates.append(Record(MODEL_KEY, value))
+            unstored = await self._progress.write(changes.jobs, changes.removed, estimates)
         for job_id in changes.expired:
             keys = [job_id, cancellation_key(job_id), *self._tenant_keys.get(job_id, ())]
             self._removal.add(job_id, keys)
         for job_id, tenant in changes.expired_cancellations:
             self._removal.add(job_id, [cancellation_key(job_id, tenant)])
+        return unstored
 
     def _remove_jobs(self, job_ids: Sequence[str]) -> None:
         """Remove jobs whose submissions are removed from the store."""
@@ -598,39 +602,6 @@
             self._tenant_keys.pop(job_id, None)
         self._scheduler.remove_jobs(job_ids, self._clock())
 
-    async def _append(self, records: list[Record]) -> None:
-        """Append to the progress stream, retrying until the append has succeeded.
-
-        :raises StoreFencedError: when a later leader has appended or the claim is lost
-        """
-        while True:
-            fence = Fence(FENCED_WRITER, self._epoch, self._sequence)
-            try:
-                await self._parts.store.append(Stream.PROGRESS, records, fence=fence)
-            except StoreFencedError:
-                raise
-            except StoreSequenceError as error:
-                _log.warning(
-                    "append to the progress stream was out of sequence",
-                    extra={"sequence": self._sequence, "expected": error.expected},
-                )
-                self._sequence = error.expected
-                continue
-            except StoreError as error:
-                if not self._parts.leadership.has_claim:
-                    raise StoreFencedError("claim lost during a write") from error
-                if not self._is_store_failing:
-                    self._is_store_failing = True
-                    _log.warning("progress can't be stored; retrying", extra={"reason": str(error)})
-                await asyncio.sleep(self._parts.random.uniform(0.5, 1.5) * APPEND_RETRY_SECONDS)
-                continue
-            if self._is_store_failing:
-                self._is_store_failing = False
-                _log.notice("progress is stored again", extra={"records": len(records)})
-            if records:
-                self._sequence += 1
-            return
-
     def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(coroutine)
         self._background.add(task)
--- a/dotterelhill/control/removal.py
+++ b/dotterelhill/control/removal.py
@@ -15,6 +15,7 @@
 from itertools import islice
 from random import Random
 
+from dotterelhill.control.batches import batches
 from dotterelhill.control.interface import Record, Store, StoreError, Stream
 from dotterelhill.control.submissions import partition_of
 from dotterelhill.entry.logs import logger_of
@@ -23,8 +24,7 @@
 # Jobs whose time is over within this time are removed together.
 REMOVAL_INTERVAL_SECONDS = 0.5
 RETRY_SECONDS = (1.0, 2.0)
-# Bounds the size of one append.
-MAX_JOBS_PER_APPEND = 500
+MAX_JOBS_AT_ONCE = 500
 
 _log = logger_of("leader")
 
@@ -33,6 +33,7 @@
     """Removes the records of jobs from the submission stream, one partition after the other.
 
     :param on_removed: called with the ids of the jobs whose records are certainly removed
+    :param call_bytes: largest size of an append
     """
 
     def __init__(
@@ -41,11 +42,13 @@
         on_removed: Callable[[Sequence[str]], None],
         random: Random,
         metrics: Metrics,
+        call_bytes: int,
     ) -> None:
         self._store = store
         self._on_removed = on_removed
         self._random = random
         self._metrics = metrics
+        self._call_bytes = call_bytes
         # Keys to remove by job id, by partition.
         self._pending: dict[int, dict[str, set[str]]] = {}
         self._is_failing = False
@@ -74,10 +77,11 @@
         """Remove pending records from one partition; return False when the append failed."""
         pending = self._pending[partition]
         while pending:
-            group = dict(islice(pending.items(), MAX_JOBS_PER_APPEND))
+            group = dict(islice(pending.items(), MAX_JOBS_AT_ONCE))
             records = [Record(key, None) for keys in group.values() for key in sorted(keys)]
             try:
-                await self._store.append(Stream.SUBMISSIONS, records, partition=partition)
+                for batch in batches(records, self._call_bytes):
+                    await self._store.append(Stream.SUBMISSIONS, batch, partition=partition)
             except StoreError as error:
                 self._record_failure(partition, error)
                 return False
--- a/dotterelhill/control/tests/cluster_world.py
+++ b/dotterelhill/control/tests/cluster_world.py
@@ -24,6 +24,7 @@
     StoreError,
     StoreFencedError,
     StoreLimits,
+    StoreRefusedError,
     StoreSequenceError,
     Stream,
 )
@@ -163,6 +164,8 @@
         self.pages_read: Counter[Stream] = Counter()
         self.newest_seconds: dict[Stream, float] = {}
         self.lost_answers = 0
+        # Keys of the progress stream that the store never accepts.
+        self.refused_progress: set[str] = set()
         self.appends = 0
         self.latency_seconds = 0.0
         # Time that a read which is cancelled takes to end.
@@ -186,11 +189,15 @@
         if stream is Stream.SUBMISSIONS:
             self.appends += 1
         await self._reach(stream)
-        sizes = [1 + len(one.key.encode()) + len(one.value or b"") for one in records]
+        sizes = [5 + len(one.key.encode()) + len(one.value or b"") for one in records]
         limits = self._store.limits
         if max(sizes, default=0) > limits.record_bytes or sum(sizes) > limits.call_bytes:
             self._store.oversized.append((stream, len(records), sum(sizes)))
-            raise StoreError("status 400")
+            raise StoreRefusedError("status 400")
+        if stream is Stream.PROGRESS and self.refused_progress.intersection(
+            one.key for one in records
+        ):
+            raise StoreRefusedError("status 400")
         await self._store.wait_for_partition((stream, partition))
         end = self._store.append((stream, partition), records, at, fence)
         if self.lost_answers:
--- a/dotterelhill/entry/metrics.py
+++ b/dotterelhill/entry/metrics.py
@@ -106,6 +106,8 @@
     Metric("jobs.polls", _C, "calls", "polls of minions by what became of them", "result"),
     Metric("jobs.removals", _C, "appends", "removals of ended jobs from the store", "result"),
     Metric("jobs.pending_removals", _G, "jobs", "ended jobs that are not removed yet"),
+    Metric("jobs.refused_records", _C, "records", "records of progress refused by the store"),
+    Metric("jobs.unstored", _G, "jobs", "jobs held since their progress can't be stored"),
     Metric("jobs.known", _G, "jobs", "jobs that the leader knows"),
     Metric("jobs.waiting_tasks", _G, "tasks", "tasks that could start"),
     Metric("jobs.waiting_lasting_tasks", _G, "tasks", "lasting tasks that do not run"),
--- a/dotterelhill/jobs/changes.py
+++ b/dotterelhill/jobs/changes.py
@@ -65,6 +65,8 @@
     :param states: state of each of those jobs when the write begins, by job id
     :param starts: runs whose start orders may be sent after the write is durable
     :param ends: highest processed end number of each minion
+    :param job_ends: lowest number of an end on each minion whose effect is part of the progress of
+        a job, by job id
     :param removed: ids of jobs whose progress has to be deleted
     :param expired: ids of ended jobs whose submissions have to be deleted
     :param expired_cancellations: job ids and tenants of cancellations whose records have to be
@@ -75,6 +77,7 @@
     states: dict[str, JobState] = field(default_factory=dict)
     starts: list[Run] = field(default_factory=list)
     ends: list[tuple[Minion, int]] = field(default_factory=list)
+    job_ends: dict[str, dict[Minion, int]] = field(default_factory=dict)
     removed: list[str] = field(default_factory=list)
     expired: list[str] = field(default_factory=list)
     expired_cancellations: list[tuple[str, str]] = field(default_factory=list)
--- a/dotterelhill/jobs/model.py
+++ b/dotterelhill/jobs/model.py
@@ -323,6 +323,7 @@
 class Job:
     """A submitted job and its progress.
 
+    :param progress_parts: number of parts in which the progress is stored
     :ivar job_id: job id, which the client chose
     :param state: current state, which may not be stored yet
     :param stored_state: state in the store; clients see this one
@@ -341,6 +342,7 @@
     done_bits: dict[tuple[int, int], int] = field(default_factory=dict)
     is_cancellation_requested: bool = False
     ended_at: float = 0.0
+    progress_parts: int = 1
     job_id: str = field(init=False)
 
     def __post_init__(self) -> None:
--- a/dotterelhill/jobs/progress.py
+++ b/dotterelhill/jobs/progress.py
@@ -9,7 +9,7 @@
 _STATES = tuple(JobState)
 
 
-class _TaskRecord(msgspec.Struct, array_like=True):
+class TaskRecord(msgspec.Struct, array_like=True):
     """Stored state of a task that is not done or whose run may still be present."""
 
     occurrence: int
@@ -46,7 +46,7 @@
     """
 
     state: int
-    tasks: list[_TaskRecord]
+    tasks: list[TaskRecord]
     done: list[_DoneRecord]
     tenant: str = ""
 
@@ -82,7 +82,7 @@
     rows = []
     for task in job.tasks.values():
         if task.minion_id or not (task.is_done or is_ended):
-            rows.append(_task_row(task))
+            rows.append(task_row(task, task.checkpoint))
     done_records = []
     if not is_ended:
         for (occurrence, step), bits in job.done_bits.items():
@@ -94,8 +94,16 @@
     return _ENCODER.encode(fields)
 
 
-def _task_row(task: Task) -> tuple[object, ...]:
-    """Return the fields of a :class:`_TaskRecord` up to the last one that is not its default."""
+def encode_state(job: Job) -> bytes:
+    """Return the stored form of a job's progress without that of its tasks."""
+    fields: list[object] = [_STATES.index(job.state), (), ()]
+    if job.submission.tenant:
+        fields.append(job.submission.tenant)
+    return _ENCODER.encode(fields)
+
+
+def task_row(task: Task, checkpoint: str) -> tuple[object, ...]:
+    """Return the fields of a :class:`TaskRecord` up to the last one that is not its default."""
     key = task.key
     row = (
         key.occurrence,
@@ -105,7 +113,7 @@
         task.failures,
         task.minion_id,
         task.minion_born_ms,
-        task.checkpoint,
+        checkpoint,
     )
     if task.copy_run_id or task.copy_minion_id or task.is_copy_proven or task.is_restarted:
         return (
@@ -132,6 +140,26 @@
         return None
 
 
+def stored_task(job_id: str, row: TaskRecord) -> Task:
+    """Return the task that a stored record describes."""
+    return Task(
+        TaskKey(job_id, row.occurrence, row.step, row.index),
+        run_id=row.run_id,
+        minion_id=row.minion_id,
+        minion_born_ms=row.minion_born_ms,
+        failures=row.failures,
+        checkpoint=row.checkpoint,
+        crashes=row.crashes,
+        doubtful_crashes=row.doubtful_crashes,
+        is_proven=row.is_proven,
+        copy_run_id=row.copy_run_id,
+        copy_minion_id=row.copy_minion_id,
+        copy_born_ms=row.copy_born_ms,
+        is_copy_proven=row.is_copy_proven,
+        is_restarted=row.is_restarted,
+    )
+
+
 def apply_progress(job: Job, data: bytes) -> None:
     """Restore the progress of a newly loaded job from its stored record.
 
@@ -140,23 +168,8 @@
     record = _PROGRESS_DECODER.decode(data)
     job.state = job.stored_state = _STATES[record.state]
     for row in record.tasks:
-        key = TaskKey(job.job_id, row.occurrence, row.step, row.index)
-        job.tasks[key] = Task(
-            key,
-            run_id=row.run_id,
-            minion_id=row.minion_id,
-            minion_born_ms=row.minion_born_ms,
-            failures=row.failures,
-            checkpoint=row.checkpoint,
-            crashes=row.crashes,
-            doubtful_crashes=row.doubtful_crashes,
-            is_proven=row.is_proven,
-            copy_run_id=row.copy_run_id,
-            copy_minion_id=row.copy_minion_id,
-            copy_born_ms=row.copy_born_ms,
-            is_copy_proven=row.is_copy_proven,
-            is_restarted=row.is_restarted,
-        )
+        task = stored_task(job.job_id, row)
+        job.tasks[task.key] = task
     for step in record.done:
         bits = int.from_bytes(step.bits, "little")
         for index in range(bits.bit_length()):
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -12,7 +12,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence, Set
 from math import inf
 
 from dotterelhill.jobs.changes import Changes, Decision, SchedulerSettings
@@ -72,6 +72,7 @@
 from dotterelhill.jobs.tenants.reclaim import Reclaim
 from dotterelhill.jobs.tenants.shares import TenantShares
 from dotterelhill.jobs.tenants.usage import TenantUsage
+from dotterelhill.jobs.unstored import UnstoredJobs
 
 # An unanswered stop order is sent again after this time. A delayed order may still be carried out
 # after 2 s or more.
@@ -156,6 +157,9 @@
         # Number of changes of jobs that have to be stored.
         self._dirty_count = 0
         self._planned_runs: list[Run] = []
+        self._unstored_jobs = UnstoredJobs()
+        # Ends of runs since the newest durable write, as in ``Changes.job_ends``.
+        self._job_ends: dict[str, dict[Minion, int]] = {}
         self._orders: list[Order] = []
         self._decisions: list[Decision] = []
         # Ids of jobs whose progress has to be deleted, in order.
@@ -220,6 +224,11 @@
         """Return the number of tasks that wait for a minion."""
         return self._placement.waiting_tasks
 
+    @property
+    def unstored_job_count(self) -> int:
+        """Return the number of jobs that are held because their progress can't be stored."""
+        return self._unstored_jobs.count
+
     @property
     def had_starts_left(self) -> bool:
         """Return whether the newest round tried every waiting task."""
@@ -329,6 +338,7 @@
             job = self._jobs.pop(job_id, None)
             if job is None:
                 continue
+            self._unstored_jobs.release(job_id)
             self._removed_submissions.add(job.submission, now)
             self._removed_job_ids[job_id] = None
 
@@ -814,6 +824,7 @@
         job = self._jobs.get(end.key.job_id)
         if job is None or not 0 <= end.key.step < len(job.submission.steps):
             return
+        self._job_ends.setdefault(end.key.job_id, {}).setdefault(minion, end.number)
         self._process_task_end(job, run, minion, end, now)
         if run is not None and end.kind is EndKind.DONE:
             # Last, since an error here must not leave the task assigned to a run that is gone.
@@ -1451,6 +1462,8 @@
         for job in self._ended_jobs.take_expired(now):
             self._expired_job_ids.append(job.job_id)
         self._removed_submissions.expire(now)
+        for job_id in self._unstored_jobs.take_due(now):
+            self._mark_dirty(self._jobs[job_id])
 
     def _release_unlisted(self, key: str, now: float) -> None:
         """Release the tasks of an unlisted incarnation, given as ``minion_id@born_ms``."""
@@ -1466,33 +1479,47 @@
     def take_changes(self) -> Changes:
         """Return the changes that the next durable write has to cover, and reset them."""
         changes = Changes(
-            list(self._dirty_jobs.values()),
-            {},
-            self._planned_runs,
-            [],
-            list(self._removed_job_ids),
-            self._expired_job_ids,
-            self._expired_cancellations,
+            jobs=list(self._dirty_jobs.values()),
+            starts=self._planned_runs,
+            job_ends=self._job_ends,
+            removed=list(self._removed_job_ids),
+            expired=self._expired_job_ids,
+            expired_cancellations=self._expired_cancellations,
         )
         for changed in changes.jobs:
             changes.states[changed.job_id] = changed.state
         for minion in self._minions.values():
             if minion.processed_end > minion.durable_end:
                 changes.ends.append((minion, minion.processed_end))
+        self._job_ends = {}
         self._dirty_jobs = {}
         self._planned_runs = []
         self._removed_job_ids = {}
         self._expired_job_ids, self._expired_cancellations = [], []
         return changes
 
-    def commit(self, changes: Changes, now: float) -> list[StartOrder]:
-        """Mark ``changes`` as durable and return the start orders that may be sent now."""
+    def commit(
+        self, changes: Changes, now: float, unstored: Set[str] = frozenset()
+    ) -> list[StartOrder]:
+        """Mark ``changes`` as durable and return the start orders that may be sent now.
+
+        :param unstored: ids of the jobs whose progress the store refuses for good
+        """
         for changed in changes.jobs:
+            if changed.job_id in unstored:
+                self._hold_unstored(changed, changes.job_ends.get(changed.job_id, {}), now)
+                continue
             changed.stored_state = changes.states[changed.job_id]
+            if self._unstored_jobs.release(changed.job_id) and not changed.is_ended:
+                self._placement.add_job(changed)
         for minion, number in changes.ends:
+            number = self._unstored_jobs.acknowledgeable_end(minion, number)
             minion.durable_end = max(minion.durable_end, number)
         orders = []
         withheld = self._withheld_starts(changes.starts, now)
+        for run in changes.starts:
+            if run.key.job_id in unstored:
+                withheld[run] = "progress of its job can't be stored"
         for run in changes.starts:
             target = self._minions.get(run.minion_id)
             job = self._jobs.get(run.key.job_id)
@@ -1506,6 +1533,12 @@
             orders.append(StartOrder(target, run, job.submission.payload, checkpoint))
         return orders
 
+    def _hold_unstored(self, job: Job, ends: Mapping[Minion, int], now: float) -> None:
+        """Hold a job whose progress was refused, until a later attempt succeeds."""
+        if self._jobs.get(job.job_id) is job:
+            self._unstored_jobs.hold(job.job_id, ends, now)
+            self._placement.remove_job(job)
+
     def _withheld_starts(self, planned: Sequence[Run], now: float) -> dict[Run, str]:
         """Return the planned runs that may no longer start, each with the reason for the log."""
         reasons = {}
--- a/dotterelhill/jobs/tests/progress.feature
+++ b/dotterelhill/jobs/tests/progress.feature
@@ -9,3 +9,15 @@
       | 1    |
       | 2    |
       | 3    |
+
+  Scenario Outline: Parts of the progress of a large job contradict each other when only some of them were stored
+    # Guards against a write of several appends that ends after any of them.
+    When a job of <count> tasks goes through 15 rounds of changes in records of <size> bytes, and writes end early, with seed <seed>
+    Then each task is restored as it was stored by the newest write of its part
+    And the progress took several parts
+
+    Examples:
+      | count | size  | seed |
+      | 4000  | 16000 | 1    |
+      | 4000  | 16000 | 2    |
+      | 8000  | 30000 | 3    |
--- a/dotterelhill/jobs/tests/steps/progress_steps.py
+++ b/dotterelhill/jobs/tests/steps/progress_steps.py
@@ -6,10 +6,16 @@
 
 from dotterelhill.jobs.model import Job, JobState, Schedule, Step, Submission, Task, TaskKey
 from dotterelhill.jobs.progress import apply_progress, encode_progress
+from dotterelhill.jobs.progress_parts import (
+    StoredProgress,
+    apply_stored_progress,
+    encode_parts,
+)
 from dotterelhill.jobs.queues import Queue
 from dotterelhill.jobs.resources import ResourceVector
 
 QUEUE = Queue("q", "h", "/q/", "pool")
+CHANGES_PER_ROUND = 400
 # Fields of a task that the next leader needs while the task is not done or has a run.
 STORED_FIELDS = (
     "is_done",
@@ -110,3 +116,54 @@
 @then("the progress that is stored after each change restores the same tasks")
 def check_restored(context):
     assert context.comparisons and not context.differences, context.differences[0]
+
+
+@when(
+    "a job of {count:d} tasks goes through {rounds:d} rounds of changes in records of {size:d} "
+    "bytes, and writes end early, with seed {seed:d}"
+)
+def change_large_job(context, count, rounds, size, seed):
+    source = random.Random(seed)
+    steps = (Step(count, ResourceVector(1, 1)), Step(3, ResourceVector(1, 1)))
+    job = Job(Submission("5c0e7a21d94b36f8", QUEUE, 1, "x", steps))
+    stored = StoredProgress(encode_progress(job))
+    # States of each task that the store may hold: that of the last whole write, and later ones.
+    possible = {}
+    context.differences, context.part_counts = [], set()
+    for _ in range(rounds):
+        for _ in range(CHANGES_PER_ROUND):
+            step = source.choice((0, 0, 0, 1))
+            index = source.randrange(steps[step].count)
+            change_task(job, job.task(TaskKey(job.job_id, 0, step, index)), source)
+        for key, state in needed_tasks(job).items():
+            possible.setdefault(key, [None]).append(state)
+        records = list(encode_parts(job, size).items())
+        context.part_counts.add(job.progress_parts)
+        assert all(len(value) <= size for _, value in records)
+        written = source.choice((len(records), source.randrange(len(records) + 1)))
+        for part, value in records[:written]:
+            if part is None:
+                stored.whole = value
+            else:
+                stored.parts[part] = value
+        if written == len(records):
+            for part in list(stored.parts):
+                if part not in dict(records):
+                    del stored.parts[part]
+            possible = {key: states[-1:] for key, states in possible.items()}
+        restored = Job(job.submission)
+        apply_stored_progress(restored, stored)
+        found = needed_tasks(restored)
+        for key, states in possible.items():
+            if found.get(key) not in states:
+                context.differences.append((key, found.get(key), states))
+
+
+@then("each task is restored as it was stored by the newest write of its part")
+def check_parts(context):
+    assert not context.differences, context.differences[0]
+
+
+@then("the progress took several parts")
+def check_part_counts(context):
+    assert max(context.part_counts) > 1, context.part_counts
--- a/dotterelhill/platform/ingress.py
+++ b/dotterelhill/platform/ingress.py
@@ -17,7 +17,12 @@
 from aiohttp.http_exceptions import HttpProcessingError
 
 from dotterelhill.control.currency import ConfigurationCurrency
-from dotterelhill.control.job_service import JobService, NotStoredError, OutcomeUnknownError
+from dotterelhill.control.job_service import (
+    JobService,
+    NotStoredError,
+    OutcomeUnknownError,
+    RecordRefusedError,
+)
 from dotterelhill.control.leader import NotReadyError
 from dotterelhill.entry.logs import logger_of
 from dotterelhill.entry.metrics import OTHER_LABEL, Metrics
@@ -431,6 +436,8 @@
             return _refusal_reply(error.refusal)
         except _AdmissionRefusedError as error:
             return self._refuse_admission(error.refusal, access.tenant, name)
+        except RecordRefusedError as error:
+            return _Reply(413, f"job: too large to be stored: {error}")
         except (NotStoredError, NotReadyError) as error:
             return _Reply(503, str(error), is_retry_advised=True)
         except OutcomeUnknownError as error:
--- a/dotterelhill/platform/process.py
+++ b/dotterelhill/platform/process.py
@@ -98,6 +98,7 @@
         super().__init__()
         self._settings = settings
         self._random = random or Random()
+        self._store_limits = StoreLimits(settings.record_bytes, settings.call_bytes)
         self._incarnation = new_incarnation_id(settings.vm_name)
         self._metrics = LocalMetrics()
         self._metrics.add_gauges(self._gauges)
@@ -110,6 +111,7 @@
                 settings.partitions,
                 self._config_session,
                 lambda: self._config_follower.record_progress(),
+                self._store_limits,
             ),
             boot_seconds,
         )
@@ -297,7 +299,7 @@
                 random=self._random,
                 metrics=self._metrics,
                 slices=WorkSlices(boot_seconds),
-                limits=StoreLimits(settings.record_bytes, settings.call_bytes),
+                limits=self._store_limits,
             ),
             renewals_end,
             lease_ends,
--- a/dotterelhill/platform/store.py
+++ b/dotterelhill/platform/store.py
@@ -18,6 +18,8 @@
     StoreConflictError,
     StoreError,
     StoreFencedError,
+    StoreLimits,
+    StoreRefusedError,
     StoreSequenceError,
     Stream,
 )
@@ -27,6 +29,8 @@
 READ_TIMEOUT_SECONDS = 1.2
 TOTAL_TIMEOUT_SECONDS = 12.0
 CONNECT_TIMEOUT_SECONDS = 0.6
+# Statuses with which the store refuses records whenever they are sent again.
+REFUSED_STATUSES = frozenset({400, 413, 422})
 LENGTH_BYTES = 4
 READ_HEADER_BYTES = 16
 # One read returns up to 1,024 KB, and a record takes up to 256 KB. So a shorter answer than this
@@ -133,6 +137,7 @@
     :param config_session: returns the HTTP session for reads of the configuration; the first one if
         None
     :param on_config_bytes: called when a part of an answer about the configuration has arrived
+    :param limits: sizes that the store accepts
     """
 
     def __init__(
@@ -142,7 +147,9 @@
         partitions: int,
         config_session: Callable[[], aiohttp.ClientSession] | None = None,
         on_config_bytes: Callable[[], None] = _ignore_progress,
+        limits: StoreLimits | None = None,
     ) -> None:
+        self._limits = limits or StoreLimits()
         self._on_config_bytes = on_config_bytes
         self._session = session
         self._config_session = config_session or session
@@ -180,7 +187,11 @@
             params["producer"] = fence.writer
             params["epoch"] = str(fence.epoch)
             params["sequence"] = str(fence.sequence)
-        status, body = await self._call("POST", "/log-append", params, encode_records(records))
+        data = encode_records(records)
+        largest = max((record.content_bytes for record in records), default=0)
+        if largest > self._limits.record_bytes or len(data) > self._limits.call_bytes:
+            raise StoreRefusedError(f"append: {len(data)} bytes, largest record {largest}")
+        status, body = await self._call("POST", "/log-append", params, data)
         if status == 200:
             return _decode_answer(_APPEND_DECODER, body, is_append=True).end
         if status == 412:
@@ -191,6 +202,8 @@
                 raise StoreFencedError("a later leader has written")
             if refusal.reason == "seq":
                 raise StoreSequenceError(max(refusal.sequence, refusal.expected))
+        if status in REFUSED_STATUSES:
+            raise StoreRefusedError(f"append: status {status}")
         is_refused = 400 <= status < 500 or status in (503, 507)
         raise StoreError(f"append: status {status}", is_effect_unknown=not is_refused)
 
--- a/dotterelhill/platform/tests/steps/store_steps.py
+++ b/dotterelhill/platform/tests/steps/store_steps.py
@@ -104,6 +104,17 @@
     asyncio.run(call_store(context, lambda store: store.append(Stream.PROGRESS, [record])))
 
 
+@when(r"a record of (?P<size>\d+) bytes is appended")
+def append_sized(context, size):
+    record = Record("k", b"v" * int(size))
+    asyncio.run(call_store(context, lambda store: store.append(Stream.PROGRESS, [record])))
+
+
+@then(r"(?P<count>\d+) calls were made")
+def check_calls(context, count):
+    assert context.calls == int(count), context.calls
+
+
 @then(r"the complete configuration is read with (?P<count>\d+) call")
 def check_read(context, count):
     assert context.error is None, context.error
--- a/dotterelhill/platform/tests/store.feature
+++ b/dotterelhill/platform/tests/store.feature
@@ -26,6 +26,19 @@
       | 503    |
       | 507    |
 
+  Scenario Outline: An append that the store will never accept is repeated like one during an outage
+    # Guards against the second half of review/1: a record that is too large was sent for ever.
+    Given a store on loopback that answers <status>
+    When a record of <size> bytes is appended
+    Then the append fails as StoreRefusedError
+    And <calls> calls were made
+
+    Examples:
+      | status | size   | calls |
+      | 400    | 10     | 1     |
+      | 413    | 10     | 1     |
+      | 200    | 262144 | 0     |
+
   Scenario Outline: A fenced, out-of-sequence or conflicting append is reported as an outage
     Given a store on loopback that answers <status> with <body>
     When a record is appended
