Refuse submissions while the known jobs take a quarter of the smallest memory

Cause: LARGEST_TASK_COUNT bounds one job, and nothing bounded the sum.

Change: jobs/memory.py estimates the memory of a job by the measured slopes. The leader compares the sum with a quarter of the memory of the smallest connected process, which relays tell in their first message, and tells the entry processes, which answer 429 with Retry-After; a repetition of an accepted submission is never refused. Ruled out: the resident size of the leader as the measure, since it does not fall when jobs end, and a smaller process may lead next.

--- a/dotterelhill/control/config_exchange.py
+++ b/dotterelhill/control/config_exchange.py
@@ -114,10 +114,11 @@
     """
     config = feed.config
     queues = None if leader is None else leader.queue_verdicts()
+    is_full = leader is not None and leader.is_full
     rates = None
     if leader is not None and config.tenants:
         rates = leader.admitted_rates()
     if leader is None or rates is None:
-        return EntryNotice(config.version, age_seconds, queues=queues)
+        return EntryNotice(config.version, age_seconds, queues=queues, is_full=is_full)
     process_count = leader.relays.link_count + 1
-    return EntryNotice(config.version, age_seconds, rates, process_count, queues)
+    return EntryNotice(config.version, age_seconds, rates, process_count, queues, is_full=is_full)
--- a/dotterelhill/control/leader.py
+++ b/dotterelhill/control/leader.py
@@ -46,6 +46,7 @@
 from dotterelhill.entry.metrics import Metrics
 from dotterelhill.jobs.changes import Changes, SchedulerSettings
 from dotterelhill.jobs.fleet import Minion
+from dotterelhill.jobs.memory import JobMemory
 from dotterelhill.jobs.model import Job, JobState, Submission
 from dotterelhill.jobs.orders import Order, PaceOrder, StartOrder, StartOutcome, StopOrder
 from dotterelhill.jobs.progress import decode_submission, stored_tenant
@@ -101,6 +102,7 @@
     :param slices: slices of long work, between which the event loop runs
     :param tenant_loads: returns the load of each tenant with jobs, given the time
     :param limits: sizes that the store accepts
+    :param memory_mb: memory that this process may use; 0 if it is not limited
     """
 
     store: Store
@@ -118,6 +120,7 @@
     slices: WorkSlices
     tenant_loads: Callable[[Scheduler, float], Mapping[str, TenantLoad]] = Scheduler.tenant_loads
     limits: StoreLimits = field(default_factory=StoreLimits)
+    memory_mb: float = 0.0
 
 
 class _BegunStart(msgspec.Struct, frozen=True):
@@ -199,6 +202,7 @@
         self._progress = ProgressStore(
             parts.store, parts.leadership, parts.clock, parts.random, parts.metrics, parts.limits
         )
+        self._job_memory = JobMemory()
         self._admission = AdmissionPolicy()
         self._rates: dict[str, AdmittedRate] = {}
         self._rates_at = float("-inf")
@@ -261,6 +265,7 @@
             "jobs.minions_on_probation": self._scheduler.uneven.probation_count,
             "jobs.short_pool_minions": self._scheduler.short_pool_minion_count,
             "jobs.pending_removals": self._removal.pending_count,
+            "jobs.known_bytes": self._scheduler.known_bytes,
             "jobs.unstored": self._scheduler.unstored_job_count,
             "jobs.loop_lag_seconds": self._parts.lag.seconds,
             **shortage_gauges(self._scheduler.shortage),
@@ -277,6 +282,13 @@
             self._rates = self._admission.rates(loads, self._parts.configuration.config.tenants)
         return self._rates
 
+    @property
+    def is_full(self) -> bool:
+        """Return whether no further job may be accepted, for want of memory in some process."""
+        sizes = [self._parts.memory_mb, *self._parts.relays.memory_mb]
+        least_mb = min((size for size in sizes if size > 0.0), default=0.0)
+        return self._job_memory.is_full(self._scheduler.known_bytes, least_mb)
+
     def queue_verdicts(self) -> dict[str, QueueVerdict] | None:
         """Return the verdicts about queues; None while loading, or without shortage control."""
         shortage = self._scheduler.shortage
--- a/dotterelhill/control/relay_messages.py
+++ b/dotterelhill/control/relay_messages.py
@@ -28,6 +28,7 @@
     :param keeps_prefixes: whether it keeps the prefixes of call bodies
     :param address: ``host:port`` at which it answers as a witness of the leader; empty from builds
         that can't
+    :param memory_mb: memory that it may use, in MB; 0 from builds that do not tell it
     """
 
     incarnation: str
@@ -35,6 +36,7 @@
     processors: float
     keeps_prefixes: bool = False
     address: str = ""
+    memory_mb: float = 0.0
 
 
 class RelayedCall(msgspec.Struct, frozen=True, array_like=True, omit_defaults=True):
@@ -90,6 +92,7 @@
         leader can't tell, and from builds that do not tell them
     :param config_holder: ``host:port`` of a process in the failure domain of the receiver that has
         read this version; empty if there is none, or if the receiver has read it
+    :param is_full: whether no further job may be accepted, for want of memory
     """
 
     config_version: int = 0
@@ -98,6 +101,7 @@
     process_count: int = 1
     queues: dict[str, QueueVerdict] | None = None
     config_holder: str = ""
+    is_full: bool = False
 
 
 class LeaderMessage(msgspec.Struct, frozen=True, array_like=True):
--- a/dotterelhill/control/relay_pool.py
+++ b/dotterelhill/control/relay_pool.py
@@ -14,7 +14,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from functools import partial
 from math import ceil
 from typing import Protocol
@@ -394,6 +394,12 @@
         """Return the time for which an answer may wait unread because the event loop is late."""
         return min(MAX_LAG_ALLOWANCE_SECONDS, 2.0 * self._lag.seconds)
 
+    @property
+    def memory_mb(self) -> Iterator[float]:
+        """Yield the memory that each connected process may use, in MB; 0 where it is not known."""
+        for link in self._links.values():
+            yield link.hello.memory_mb
+
     @property
     def link_count(self) -> int:
         """Return the number of connected relays."""
--- a/dotterelhill/control/tests/cluster_world.py
+++ b/dotterelhill/control/tests/cluster_world.py
@@ -492,6 +492,10 @@
         super().__init__(*arguments)
         self._cluster, self._name = cluster, name
 
+    @property
+    def memory_mb(self):
+        return [self._cluster.memory_mb] * (len(self._cluster.processes) - 1)
+
     def choose_witness(self, current):
         witnesses = []
         for process in self._cluster.possible_witnesses(self._name):
@@ -758,6 +762,8 @@
         # Time for which each plan of a leader keeps its event loop.
         self.seconds_per_plan = 0.0
         self.has_slices = True
+        # Memory of a process that does not lead in MB; 0 if it is not limited.
+        self.memory_mb = 0.0
         # Whether minions hold polls back until a run ends, for as long as the leader asks.
         self.is_polling_long = False
         self.loop = looptime.new_event_loop(**self.loop_options)
--- a/dotterelhill/jobs/placement/opening.py
+++ b/dotterelhill/jobs/placement/opening.py
@@ -14,12 +14,10 @@
 from heapq import heappop, heappush
 from itertools import count
 
+from dotterelhill.jobs.memory import MAX_OPEN_TASKS
 from dotterelhill.jobs.model import Job, TaskKey
 from dotterelhill.jobs.placement.waiting import OccurrenceStep, WaitingJob
 
-# A leader starts several hundred tasks a second, and rounds are at most 0.1 s apart.
-MAX_OPEN_TASKS = 1024
-
 
 class TaskOpening:
     """Tasks of active jobs that do not wait for a minion yet."""
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -37,6 +37,7 @@
     lease_end,
 )
 from dotterelhill.jobs.interference.sharing import InterferenceControl
+from dotterelhill.jobs.memory import job_bytes
 from dotterelhill.jobs.minions.capacity import StartHold, runs_beyond_capacity
 from dotterelhill.jobs.minions.health import Exclusion
 from dotterelhill.jobs.minions.uneven import UnevenMinions
@@ -158,6 +159,7 @@
         self._dirty_count = 0
         self._planned_runs: list[Run] = []
         self._unstored_jobs = UnstoredJobs()
+        self._known_bytes = 0
         # Ends of runs since the newest durable write, as in ``Changes.job_ends``.
         self._job_ends: dict[str, dict[Minion, int]] = {}
         self._orders: list[Order] = []
@@ -224,6 +226,11 @@
         """Return the number of tasks that wait for a minion."""
         return self._placement.waiting_tasks
 
+    @property
+    def known_bytes(self) -> int:
+        """Return the estimated memory that all known jobs take, in bytes."""
+        return self._known_bytes
+
     @property
     def unstored_job_count(self) -> int:
         """Return the number of jobs that are held because their progress can't be stored."""
@@ -285,6 +292,7 @@
         if self._removed_submissions.has(submission):
             return
         job = self._jobs[job_id] = Job(submission)
+        self._known_bytes += job_bytes(submission, is_ended=False)
         if job_id in self._removed_job_ids:
             # The progress of an earlier job with this id must not become that of this one.
             del self._removed_job_ids[job_id]
@@ -314,6 +322,7 @@
     def restore(self, job: Job, now: float) -> None:
         """Add a job with the progress that an earlier leader stored."""
         self._jobs[job.job_id] = job
+        self._known_bytes += job_bytes(job.submission, is_ended=job.is_ended)
         if job.state in FINAL_STATES:
             job.ended_at = now
             self._ended_jobs.add(job)
@@ -340,6 +349,7 @@
             job = self._jobs.pop(job_id, None)
             if job is None:
                 continue
+            self._known_bytes -= job_bytes(job.submission, is_ended=True)
             self._unstored_jobs.release(job_id)
             self._removed_submissions.add(job.submission, now)
             self._removed_job_ids[job_id] = None
@@ -468,6 +478,8 @@
         """
         job.state = state
         job.ended_at = now
+        self._known_bytes -= job_bytes(job.submission, is_ended=False)
+        self._known_bytes += job_bytes(job.submission, is_ended=True)
         self._ended_jobs.add(job)
         self._active_jobs.pop(job.job_id, None)
         self._placement.remove_job(job)
--- a/dotterelhill/jobs/shortage/entry.py
+++ b/dotterelhill/jobs/shortage/entry.py
@@ -58,14 +58,23 @@
         self._random = random
         self._verdicts: Mapping[str, QueueVerdict] = {}
         self._verdicts_at = float("-inf")
+        self._full_at = float("-inf")
         self._buckets: dict[str, _Bucket] = {}
 
     def receive(self, verdicts: Mapping[str, QueueVerdict], now: float) -> None:
         """Replace the verdicts by those of the leader, which hold for some seconds."""
         self._verdicts, self._verdicts_at = verdicts, now
 
+    def receive_fullness(self, is_full: bool, now: float) -> None:
+        """Note whether the leader accepts no further job, which holds for some seconds."""
+        self._full_at = now if is_full else float("-inf")
+
     def admit(self, submission: Submission, now: float) -> AdmissionRefused | None:
         """Return the refusal of a submission; None if it is admitted."""
+        if now - self._full_at <= VERDICTS_VALID_SECONDS:
+            # Nobody knows when jobs end that wait for a minion or for their time.
+            retry_seconds = spread_retry_seconds(MAX_RETRY_SECONDS, self._random)
+            return AdmissionRefused(RefusalReason.FULL, retry_seconds)
         verdict = self._verdicts.get(submission.queue.name)
         if verdict is None or now - self._verdicts_at > VERDICTS_VALID_SECONDS:
             self._buckets.pop(submission.queue.name, None)
--- a/dotterelhill/jobs/tenants/admission.py
+++ b/dotterelhill/jobs/tenants/admission.py
@@ -78,6 +78,7 @@
     APPENDS = "too many submissions of the tenant are being stored"
     BACKLOG = "the queue has more work than can end in useful time"
     TASK_SIZE = "a task needs more than the limit of the tenant"
+    FULL = "the accepted jobs take all memory that is left to jobs"
 
 
 @dataclass(frozen=True, slots=True)
--- a/dotterelhill/jobs/tests/opening.feature
+++ b/dotterelhill/jobs/tests/opening.feature
@@ -33,3 +33,10 @@
     When a gang of 1500 tasks is accepted
     And 2 rounds pass
     Then 1500 starts were sent in total
+
+  Scenario: The memory of jobs is counted wrongly, so that submissions are refused for ever or never
+    Given a fleet with minions "m1 m2" of 900 processors
+    When a job of 2 steps of 3 tasks that runs 1 times is accepted, all of them due
+    And rounds pass in which each run ends, with a new leader after 1 of them
+    And the removal of all jobs succeeds after their retention
+    Then no memory of jobs is counted
--- a/dotterelhill/jobs/tests/steps/opening_steps.py
+++ b/dotterelhill/jobs/tests/steps/opening_steps.py
@@ -99,3 +99,18 @@
 @then(r"the leader remembers at most (?P<most>\d+) tasks of the job at a time")
 def check_known(context, most):
     assert max(context.known_counts) <= int(most), max(context.known_counts)
+
+
+@when(r"the removal of all jobs succeeds after their retention")
+def remove_jobs(context):
+    fleet = context.fleet
+    assert fleet.scheduler.known_bytes > 0
+    fleet.now += fleet.settings.retention_seconds
+    fleet.plan()
+    assert fleet.changes.expired == ["j"], fleet.changes
+    fleet.scheduler.remove_jobs(fleet.changes.expired, fleet.now)
+
+
+@then(r"no memory of jobs is counted")
+def check_no_bytes(context):
+    assert context.fleet.scheduler.known_bytes == 0, context.fleet.scheduler.known_bytes
--- a/dotterelhill/platform/ingress.py
+++ b/dotterelhill/platform/ingress.py
@@ -543,7 +543,12 @@
         :param prefix: part of the submission that is refused
         """
         reason = f"{prefix}{refused.reason}"
-        subject = "queue" if refused.reason is RefusalReason.BACKLOG else "tenant"
+        subject = "tenant"
+        match refused.reason:
+            case RefusalReason.BACKLOG:
+                subject = "queue"
+            case RefusalReason.FULL:
+                subject = "fleet"
         self._metrics.count("clients.refused", label=f"{subject}_{refused.reason.name.lower()}")
         if tenant:
             if len(self._tenant_labels) < MAX_TENANT_LABELS:
--- a/dotterelhill/platform/process.py
+++ b/dotterelhill/platform/process.py
@@ -147,6 +147,7 @@
                 settings.processors,
                 keeps_prefixes=True,
                 address=str(settings.peer_address),
+                memory_mb=settings.memory_mb,
             ),
             self._remote_leader_address,
             self._minion_caller,
@@ -245,6 +246,7 @@
         """Return the admission by queue of this process, which gets no messages while it leads."""
         if self._election.leader is not None:
             self._apply_verdicts(self._election.leader.queue_verdicts())
+            self._queue_admission.receive_fullness(self._election.leader.is_full, boot_seconds())
         return self._queue_admission
 
     def _apply_verdicts(self, verdicts: Mapping[str, QueueVerdict] | None) -> None:
@@ -259,6 +261,7 @@
     def _receive_notice(self, notice: EntryNotice, transit_seconds: float) -> None:
         self._apply_rates(notice)
         self._apply_verdicts(notice.queues)
+        self._queue_admission.receive_fullness(notice.is_full, boot_seconds())
         age_seconds = notice.config_age_seconds + transit_seconds
         self._currency.record(notice.config_version, age_seconds, notice.config_holder)
 
@@ -300,6 +303,7 @@
                 metrics=self._metrics,
                 slices=WorkSlices(boot_seconds),
                 limits=self._store_limits,
+                memory_mb=settings.memory_mb,
             ),
             renewals_end,
             lease_ends,
--- a/dotterelhill/platform/settings.py
+++ b/dotterelhill/platform/settings.py
@@ -23,6 +23,7 @@
 class _Limits(msgspec.Struct, frozen=True):
     cpuShare: float = 1.0
     cores: float = 1.0
+    memoryMb: float = 0.0
 
 
 class _Platform(msgspec.Struct, frozen=True):
@@ -100,6 +101,7 @@
     :param capacity_valid_seconds: longest age of the list of minions with which tasks start on
         minions that don't guard their capacity
     :param processors: number of processors that the process may use
+    :param memory_mb: memory that it may use, in MB; 0 if it is not limited
     :param access: time limits for the use of a configuration that may be outdated
     :param switches: parts of the scheduler that are turned on
     """
@@ -119,6 +121,7 @@
     grace_seconds: float
     capacity_valid_seconds: float
     processors: float
+    memory_mb: float
     access: AccessSettings
     switches: Switches
 
@@ -158,6 +161,7 @@
         grace_seconds=_require_positive("bounds.graceS", file.bounds.graceS),
         capacity_valid_seconds=_capacity_valid_seconds(file),
         processors=file.limits.cpuShare * file.limits.cores,
+        memory_mb=max(0.0, file.limits.memoryMb),
         access=_access_settings(file.bounds),
         switches=switches,
     )
--- a/dotterelhill/platform/tests/ingress.feature
+++ b/dotterelhill/platform/tests/ingress.feature
@@ -66,6 +66,19 @@
       | /open/00000000000000a1 |      | 429 with Retry-After | 2     |
       | /q/0000000000000000    | good | 200                  | 3     |
 
+  Scenario: Jobs are accepted until their memory ends each process that leads
+    # Guards against review/3 by other jobs: each accepted job costs memory in every leader.
+    Given a leader without memory for further jobs, and a job that was accepted before
+    When POST "/q/00000000000000a1" is sent with key "good"
+    Then the answer is 429 with Retry-After
+    And 1 appends were tried
+    And the refusals are counted as "clients.refused.fleet_full"
+    When POST "/q/0000000000000000" is sent with key "good"
+    Then the answer is 200
+    When the leader has memory again
+    And POST "/q/00000000000000a1" is sent with key "good"
+    Then the answer is 200
+
   Scenario Outline: A job that can never start is accepted, or one that fits is refused
     Given a limit of <limit> thousandths of a processor
     When POST "/q/00000000000000a1" is sent with key "good"
--- a/dotterelhill/platform/tests/steps/ingress_steps.py
+++ b/dotterelhill/platform/tests/steps/ingress_steps.py
@@ -213,6 +213,18 @@
         assert world.send("POST", f"/{queue}/{0:016x}", "good").status == 200
 
 
+@given(r"a leader without memory for further jobs, and a job that was accepted before")
+def fill_memory(context):
+    world = context.world
+    assert world.send("POST", f"/q/{0:016x}", "good").status == 200
+    world.queue_admission.receive_fullness(True, world.loop.time())
+
+
+@when(r"the leader has memory again")
+def free_memory(context):
+    context.world.queue_admission.receive_fullness(False, context.world.loop.time())
+
+
 @then(r"each stored submission names the failure domain of the process")
 def check_domains(context):
     for record in context.world.store.records:
