Withdraw crashes that were none, and rule out the platform before a job is given up

Cause: a lease that ended counted as a crash in doubt for good, and four doubts gave a job up, although the same incarnation answered again seconds later and so nothing had crashed. Runs that had lived for long counted after a change of the leader, whose proof was not stored, and two crashes by the platform decided alone, however many other minions it crashed at the time.

Change: such a count is an open doubt about an incarnation, stored with the task; it is withdrawn when that incarnation answers, and counts when another one takes its place. A task at its limit of four waits while doubts are open. The proof of a lasting run is stored. The number of certain crashes needed follows from the rate of crashes without a possible cause (2 on a quiet fleet, as before, up to 3), one that coincides with two of these is taken off once until the task survives, and suspects are tested where the platform crashed least. The verdict falls 1.5 s later. The limits of deadly tasks stay: at most four crashes. crash_world.py and cluster_world.py give minions births that are times, as the platform does, instead of 1, 2, 3. The state of a job in parts is written after its parts while its record holds tasks of which a part is not stored (found by progress.feature with other random changes).

--- a/dotterelhill/control/progress_store.py
+++ b/dotterelhill/control/progress_store.py
@@ -4,7 +4,7 @@
 ===========
 
 One write covers the changes of a round, and its records are divided into appends that the store
-accepts. The record of a job's state precedes its parts. A record that the store refuses for good is
+accepts. A record that the store refuses for good is
 found by bisection and left out, so that it holds up no other job; it is tried again later.
 """
 
@@ -32,19 +32,24 @@
 from dotterelhill.entry.logs import logger_of
 from dotterelhill.entry.metrics import Metrics
 from dotterelhill.jobs.model import Job
+from dotterelhill.jobs.progress import encode_progress
 from dotterelhill.jobs.progress_parts import (
     MAX_PARTS,
+    PART_SEPARATOR,
     PartKey,
     ProgressTooLargeError,
     StoredProgress,
     encode_parts,
     parse_record_key,
+    write_order,
 )
 
 FENCED_WRITER = "leader"
 APPEND_RETRY_SECONDS = 0.1
 # A record that was refused is not sent again within this time.
 REFUSED_RETRY_SECONDS = 5.0
+# The store takes keys of up to 255 bytes.
+MAX_KEY_BYTES = 256
 # Keys with this prefix belong to no job. Earlier builds store the ends of leases as "@leases".
 RESERVED_PREFIX = "@"
 
@@ -80,6 +85,8 @@
         self._parts: dict[str, dict[PartKey, int]] = {}
         # Time of the newest refusal of a record by job id, or by the key of a record of no job.
         self._refused_at: dict[str, float] = {}
+        # Smaller progress fits into one record, whatever the id of the job is.
+        self._max_whole_bytes = limits.record_bytes - MAX_KEY_BYTES
 
     @property
     def refused_count(self) -> int:
@@ -121,6 +128,11 @@
         groups: list[list[Record]] = []
         refused: set[str] = set()
         for job in jobs:
+            if job.progress_parts == 1 and job.job_id not in self._refused_at:
+                value = encode_progress(job)
+                if len(value) <= self._max_whole_bytes:
+                    groups.append([Record(job.job_id, value)])
+                    continue
             records = self._records_of(job)
             if records is None:
                 refused.add(job.job_id)
@@ -155,7 +167,7 @@
             return None
         known = self._parts.get(job.job_id, {})
         records = []
-        for part, value in encoded.items():
+        for part, value in write_order(encoded, known):
             if part is None:
                 records.append(Record(job.job_id, value))
             elif known.get(part) != crc32(value):
@@ -188,6 +200,8 @@
             refused = await self._append_or_split(records[:middle])
             return refused | await self._append_or_split(records[middle:])
         for record in records:
+            if not self._refused_at and PART_SEPARATOR not in record.key:
+                continue
             owner, part = parse_record_key(record.key)
             self._refused_at.pop(owner, None)
             if part is None:
--- a/dotterelhill/control/tests/cluster_world.py
+++ b/dotterelhill/control/tests/cluster_world.py
@@ -812,6 +812,7 @@
 
         def start_again() -> None:
             minion.is_dead = False
+            minion.born_ms = max(minion.born_ms, self.unix_ms(name))
             record = Record(name, b"8000@%d" % minion.born_ms)
             self.store.streams[Stream.MINIONS, 0].append(record)
 
--- a/dotterelhill/jobs/crashes/isolation.py
+++ b/dotterelhill/jobs/crashes/isolation.py
@@ -30,6 +30,8 @@
         self._claims: dict[TaskKey, Minion] = {}
         self._isolated: set[Minion] = set()
         self._allowance = 0
+        # Minions that the platform has crashed lately, by failure domain.
+        self._risks: Mapping[str, int] = {}
         self._shared_limit = AttemptLimit(MAX_SHARED_ATTEMPTS)
         # Task that starts, or waits to start, on a minion that does not admit it. There is one at a
         # time until it is proven, since each may crash serving tasks.
@@ -55,6 +57,7 @@
         :param pools: minions on which tasks may start, by service
         """
         self._shared_limit.begin_round()
+        self._risks = self._suspicion.platform_crashes.risks()
         tested_incarnations = set()
         waiting_keys = set()
         is_forced_tested = False
@@ -97,9 +100,19 @@
         for minion in self.open_minions(pool):
             if minion.is_answering and not has_unproven_runs(minion):
                 quiet.append(minion)
-        quiet.sort(key=lambda minion: (_work_at_risk(minion, now), minion.facts.born_ms))
+        quiet.sort(
+            key=lambda minion: (
+                self._risk(minion),
+                _work_at_risk(minion, now),
+                minion.facts.born_ms,
+            )
+        )
         return quiet
 
+    def _risk(self, minion: Minion) -> float:
+        """Return how likely the platform crashes a minion during a test, to compare minions."""
+        return float(self._risks.get(minion.facts.failure_domain, 0))
+
     def isolate(self, minion: Minion) -> None:
         """Isolate a minion on which a suspected task is about to start."""
         self._isolated.add(minion)
@@ -135,7 +148,9 @@
             if cost is None:
                 continue
             # Freshly started minions come last: the platform may crash one again.
-            rank = (cost[0], _work_at_risk(minion, now), minion.facts.born_ms)
+            rank = (
+                self._risk(minion), cost[0], _work_at_risk(minion, now), minion.facts.born_ms
+            )  # fmt: skip
             if best is None or rank < best_rank:
                 best, best_rank = minion, rank
         if best is None:
@@ -171,7 +186,12 @@
                 not run.is_proven and self._suspicion.is_suspected(run.key)
                 for run in minion.runs.values()
             )
-            rank = (float(suspect_count), _work_at_risk(minion, now), minion.facts.born_ms)
+            rank = (
+                float(suspect_count),
+                self._risk(minion),
+                _work_at_risk(minion, now),
+                minion.facts.born_ms,
+            )
             if best is None or rank < best_rank:
                 best, best_rank = minion, rank
         if best is not None:
--- a/dotterelhill/jobs/crashes/suspicion.py
+++ b/dotterelhill/jobs/crashes/suspicion.py
@@ -12,11 +12,16 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Iterator, Mapping, Sequence, Set
 from dataclasses import dataclass, field
 from enum import Enum, auto
 
+from dotterelhill.jobs.crashes.platform_crashes import (
+    MAX_CRASHES,
+    MIN_CRASHES,
+    PlatformCrashes,
+)
 from dotterelhill.jobs.fleet import Minion, Run, RunState
 from dotterelhill.jobs.model import Job, Task, TaskKey
 
@@ -26,11 +31,16 @@
 PROVEN_AFTER_MS = 250
 # A task whose run has lived for this time is no longer suspected.
 SUSPECT_SURVIVAL_MS = 5000
-# The platform allows a job to be given up once two minions have crashed under a task, and two more
-# starts once three have.
-MIN_CERTAIN_CRASHES = 2
-CRASHES_TO_GIVE_UP = 3
-CRASHES_TO_GIVE_UP_IN_DOUBT = 4
+# A task that was lost with so many minions waits for one of them to answer or to be gone, while all
+# of them may only have been cut off.
+CRASHES_TO_WAIT = 3
+MAX_DOUBT_WAIT_SECONDS = 10.0
+# A job is given up this long after the crash that decides it. The ends of minions that the platform
+# has crashed together are noticed within this time.
+VERDICT_SECONDS = 1.5
+# A deadly task whose crash coincides with others by chance must still reach its limit in time, so
+# that two more starts after three crashes are not exceeded.
+MAX_COMMON_CRASHES = 1
 # Minions that fall silent within this time of each other, and stay so, crash for a common cause.
 COMMON_CRASH_SECONDS = 0.1
 # Several tasks may each crash a minion at the same moment, so one other silent minion is no sign.
@@ -54,12 +64,15 @@
 
     :param crashed_at: loop time at which its newest crash was noticed
     :param minion_ids: minions that crashed under it, as far as this leader knows
+    :param verdict_at: loop time at which its job is given up unless the crashes turn out to be the
+        platform's; None while the crashes are too few
     """
 
     job: Job
     task: Task
     crashed_at: float
     minion_ids: list[str] = field(default_factory=list)
+    verdict_at: float | None = None
 
     @property
     def is_tested(self) -> bool:
@@ -70,7 +83,17 @@
     def may_share(self) -> bool:
         """Return whether a test beside other runs is worth the crash that it may cause."""
         certain_crashes = self.task.crashes - self.task.doubtful_crashes
-        return certain_crashes < MIN_CERTAIN_CRASHES and self.task.crashes <= MAX_SHARED_CRASHES
+        return certain_crashes < MIN_CRASHES and self.task.crashes <= MAX_SHARED_CRASHES
+
+    def may_start(self, now: float) -> bool:
+        """Return whether a test now would be conclusive and within the limit of crashes."""
+        task = self.task
+        if not task.open_doubts:
+            return True
+        if task.crashes >= MAX_CRASHES:
+            return False
+        is_waiting = task.crashes >= CRASHES_TO_WAIT and len(task.open_doubts) == task.crashes
+        return not is_waiting or now - self.crashed_at >= MAX_DOUBT_WAIT_SECONDS
 
     @property
     def is_open(self) -> bool:
@@ -142,16 +165,17 @@
     return False
 
 
-def is_given_up(task: Task, *, is_of_one_job: bool) -> bool:
+def is_given_up(task: Task, needed_crashes: int, *, is_of_one_job: bool) -> bool:
     """Return whether a task has crashed so many minions that its job is given up.
 
+    :param needed_crashes: number of certain crashes that rule out chance
     :param is_of_one_job: whether only its job can have caused the newest crash
     """
-    if task.crashes >= CRASHES_TO_GIVE_UP_IN_DOUBT:
-        return True
-    if task.crashes - task.doubtful_crashes < MIN_CERTAIN_CRASHES:
+    if task.crashes >= MAX_CRASHES:
+        return not task.open_doubts
+    if task.crashes - task.doubtful_crashes < needed_crashes:
         return False
-    return is_of_one_job or task.crashes >= CRASHES_TO_GIVE_UP
+    return is_of_one_job or task.crashes > needed_crashes
 
 
 def _is_under_suspicion(task: Task) -> bool:
@@ -181,6 +205,14 @@
         self._silences: deque[_Silence] = deque(maxlen=MAX_SILENCES)
         # Time of the newest crash under a task that starts alone only.
         self._alone_crashed_at = float("-inf")
+        self._platform_crashes = PlatformCrashes()
+        # Crashes for a common cause that were taken off the count of a task since it survived.
+        self._common_crashes: Counter[TaskKey] = Counter()
+
+    @property
+    def platform_crashes(self) -> PlatformCrashes:
+        """Return the recent crashes of minions."""
+        return self._platform_crashes
 
     @property
     def has_suspects(self) -> bool:
@@ -218,12 +250,15 @@
         """Remove a job that has ended."""
         self._by_job.pop(job.job_id, None)
         self._counted.difference_update(job.tasks)
+        for key in job.tasks:
+            self._common_crashes.pop(key, None)
 
     def clear(self, task: Task) -> bool:
         """Drop the crashes counted against a task and return whether there were any."""
         if not task.crashes:
             return False
         task.crashes = task.doubtful_crashes = 0
+        task.open_doubts = ()
         self._counted.discard(task.key)
         suspects = self._by_job.get(task.key.job_id, {})
         suspects.pop(task.key, None)
@@ -263,6 +298,46 @@
         suspect.minion_ids.append(minion_id)
         return suspect
 
+    def record_survival(self, task: Task) -> bool:
+        """Drop the crashes counted against a task that has survived a test.
+
+        :returns: whether there were any
+        """
+        self._common_crashes.pop(task.key, None)
+        return self.clear(task)
+
+    def withdraw_common_crash(self, task: Task, *, is_doubtful: bool) -> bool:
+        """Take a crash for a common cause off the count of a task; return whether it was."""
+        if self._common_crashes[task.key] >= MAX_COMMON_CRASHES:
+            return False
+        self._common_crashes[task.key] += 1
+        self.withdraw_crash(task, is_doubtful=is_doubtful)
+        return True
+
+    def withdraw_crash(self, task: Task, *, is_doubtful: bool) -> None:
+        """Take a crash off the count of a task, since it turned out not to be one."""
+        if task.crashes <= 1:
+            self.clear(task)
+            return
+        task.crashes -= 1
+        task.doubtful_crashes -= is_doubtful and task.doubtful_crashes > 0
+        suspect = self.suspect_of(task.key)
+        if suspect is not None:
+            suspect.verdict_at = None
+
+    def suspect_of(self, key: TaskKey) -> Suspect | None:
+        """Return a suspected task; None if it is not suspected."""
+        return self._by_job.get(key.job_id, {}).get(key)
+
+    def take_verdicts(self, now: float) -> list[Suspect]:
+        """Return the suspected tasks whose verdicts are due."""
+        due = []
+        for suspect in self.suspects:
+            if suspect.verdict_at is not None and now >= suspect.verdict_at:
+                suspect.verdict_at = None
+                due.append(suspect)
+        return due
+
     def record_silence(self, minion: Minion, now: float) -> None:
         """Record that a minion has fallen silent."""
         # To a new leader, all minions that are down fall silent at once.
@@ -311,7 +386,7 @@
         return Crash(tuple(likely), is_of_one_job, is_shared)
 
     def tasks_to_test(
-        self, job: Job, occurrence_step: OccurrenceStep, keys: Sequence[TaskKey]
+        self, job: Job, occurrence_step: OccurrenceStep, keys: Sequence[TaskKey], now: float
     ) -> list[TaskKey]:
         """Return the suspected ones of the waiting tasks of a step that may start in isolation.
 
@@ -319,7 +394,9 @@
         minions. So they are tested one by one until a task of the step has survived.
         """
         suspects = self._by_job.get(job.job_id, {})
-        waiting = [key for key in keys if key in suspects]
+        if _has_pending_verdict(suspects):
+            return []
+        waiting = [key for key in keys if key in suspects and suspects[key].may_start(now)]
         waiting.sort(key=lambda key: -suspects[key].task.crashes)
         if not waiting or _has_survivor(job, occurrence_step):
             return waiting
@@ -340,7 +417,9 @@
         if now - crashed_at < ISOLATION_SECONDS:
             return []
         return [
-            key for key in self.tasks_to_test(job, occurrence_step, keys) if suspects[key].may_share
+            key
+            for key in self.tasks_to_test(job, occurrence_step, keys, now)
+            if suspects[key].may_share
         ]
 
     def alone_wait_seconds(self, key: TaskKey, now: float) -> float:
@@ -367,6 +446,8 @@
         suspects = self._by_job.get(job.job_id)
         if suspects is None:
             return keys
+        if _has_pending_verdict(suspects):
+            return []
         step = job.submission.steps[occurrence_step[1]]
         if step.is_gang:
             return keys if self._may_gang_start(suspects, keys, now) else []
@@ -382,11 +463,19 @@
         suspects: Mapping[TaskKey, Suspect], keys: Sequence[TaskKey], now: float
     ) -> bool:
         for key in keys:
-            if key in suspects and now - suspects[key].crashed_at < ISOLATION_SECONDS:
+            suspect = suspects.get(key)
+            if suspect is None:
+                continue
+            if now - suspect.crashed_at < ISOLATION_SECONDS or not suspect.may_start(now):
                 return False
         return True
 
 
+def _has_pending_verdict(suspects: Mapping[TaskKey, Suspect]) -> bool:
+    """Return whether a job is about to be given up for one of its suspected tasks."""
+    return any(suspect.verdict_at is not None for suspect in suspects.values())
+
+
 def _has_survivor(job: Job, occurrence_step: OccurrenceStep) -> bool:
     """Return whether a task of a step is done or was proven to leave its minion alive."""
     if job.done_counts.get(occurrence_step, 0):
--- a/dotterelhill/jobs/memory.py
+++ b/dotterelhill/jobs/memory.py
@@ -32,8 +32,9 @@
     size = JOB_BYTES + STEP_BYTES * len(submission.steps) + len(submission.payload)
     if is_ended:
         return size
-    tasks = sum(min(step.count, MAX_OPEN_TASKS) for step in submission.steps)
-    return size + OPEN_TASK_BYTES * tasks
+    for step in submission.steps:
+        size += OPEN_TASK_BYTES * (step.count if step.count < MAX_OPEN_TASKS else MAX_OPEN_TASKS)
+    return size
 
 
 class JobMemory:
--- a/dotterelhill/jobs/model.py
+++ b/dotterelhill/jobs/model.py
@@ -240,6 +240,8 @@
     :param copy_born_ms: incarnation of that minion, as Unix ms of its start
     :param is_copy_proven: as ``is_proven``, for the copy
     :param is_restarted: whether a run was stopped to start the task again elsewhere
+    :param open_doubts: incarnations that may only have been cut off when their crash was counted,
+        as ``minion_id@born_ms``
     """
 
     key: TaskKey
@@ -258,6 +260,7 @@
     copy_born_ms: int = 0
     is_copy_proven: bool = False
     is_restarted: bool = False
+    open_doubts: tuple[str, ...] = ()
 
     @property
     def is_assigned(self) -> bool:
@@ -384,7 +387,8 @@
         """Return the execution state of a task and create it on first use."""
         task = self.tasks.get(key)
         if task is None:
-            task = self.tasks[key] = Task(key, is_done=self.is_task_done(key))
+            is_done = bool(self.done_bits) and self.is_task_done(key)
+            task = self.tasks[key] = Task(key, is_done=is_done)
         return task
 
     def is_task_done(self, key: TaskKey) -> bool:
@@ -421,7 +425,8 @@
         self.done_bits[occurrence_step] = (
             self.done_bits.get(occurrence_step, 0) | 1 << task.key.index
         )
-        if self.is_step_done(*occurrence_step):
+        step = self.submission.steps[task.key.step]
+        if self.done_counts[occurrence_step] == step.count:
             self.done_steps += 1
             while self.first_unfinished < self.submission.occurrence_count:
                 if not self.is_occurrence_done(self.first_unfinished):
--- a/dotterelhill/jobs/placement/opening.py
+++ b/dotterelhill/jobs/placement/opening.py
@@ -15,7 +15,7 @@
 from itertools import count
 
 from dotterelhill.jobs.memory import MAX_OPEN_TASKS
-from dotterelhill.jobs.model import Job, TaskKey
+from dotterelhill.jobs.model import TaskKey
 from dotterelhill.jobs.placement.waiting import OccurrenceStep, WaitingJob
 
 
@@ -124,10 +124,15 @@
         limit = step.count if step.is_gang else MAX_OPEN_TASKS
         earlier_count = len(keys)
         index = waiting.next_indices[occurrence_step]
+        tasks, done_bits = job.tasks, job.done_bits.get(occurrence_step, 0)
         while index < step.count and len(keys) < limit:
             key = TaskKey(job.job_id, occurrence, number, index)
+            is_done = bool(done_bits >> index & 1)
             index += 1
-            if key not in known_keys and is_startable(job, key):
+            # Written out, since this runs for each task of each job.
+            if key in tasks:
+                is_done = tasks[key].is_done or tasks[key].is_assigned
+            if not is_done and key not in known_keys:
                 keys.append(key)
         waiting.next_indices[occurrence_step] = index
         if index >= step.count:
@@ -135,11 +140,3 @@
         if keys:
             waiting.pending[occurrence_step] = keys
         return len(keys) - earlier_count
-
-
-def is_startable(job: Job, key: TaskKey) -> bool:
-    """Return whether a task is neither done nor assigned to a minion."""
-    task = job.tasks.get(key)
-    if task is not None:
-        return not (task.is_done or task.is_assigned)
-    return not job.is_task_done(key)
--- a/dotterelhill/jobs/placement/placement.py
+++ b/dotterelhill/jobs/placement/placement.py
@@ -595,7 +595,7 @@
                 step = job.submission.steps[occurrence_step[1]]
                 if not step.is_gang:
                     yield from self._choose_isolated_step_starts(job, step, keys, pool, now)
-                elif self._suspicion.tasks_to_test(job, occurrence_step, keys):
+                elif self._suspicion.tasks_to_test(job, occurrence_step, keys, now):
                     quiet = self._isolation.quiet_minions(pool, now)
                     for start in self._choose_gang_starts(job, step, keys, quiet, now):
                         self._isolation.isolate(start[2])
@@ -616,7 +616,7 @@
 
         candidates = pool if self._most_room.may_start(step, pool, now) else ()
         overdue = set(self._suspicion.overdue_tasks(job, occurrence_step, keys, now))
-        for key in self._suspicion.tasks_to_test(job, occurrence_step, keys):
+        for key in self._suspicion.tasks_to_test(job, occurrence_step, keys, now):
             if not self._limits.allows(job.submission.tenant, step):
                 self._isolation.drop_claim(key)
                 continue
--- a/dotterelhill/jobs/progress.py
+++ b/dotterelhill/jobs/progress.py
@@ -28,6 +28,7 @@
     copy_born_ms: int = 0
     is_copy_proven: bool = False
     is_restarted: bool = False
+    open_doubts: tuple[str, ...] = ()
 
 
 class _DoneRecord(msgspec.Struct, array_like=True):
@@ -115,7 +116,8 @@
         task.minion_born_ms,
         checkpoint,
     )
-    if task.copy_run_id or task.copy_minion_id or task.is_copy_proven or task.is_restarted:
+    has_copy = task.copy_run_id or task.copy_minion_id or task.is_copy_proven
+    if has_copy or task.is_restarted or task.open_doubts:
         return (
             *row,
             task.crashes,
@@ -126,6 +128,7 @@
             task.copy_born_ms,
             task.is_copy_proven,
             task.is_restarted,
+            task.open_doubts,
         )
     if task.crashes or task.doubtful_crashes or task.is_proven:
         return (*row, task.crashes, task.doubtful_crashes, task.is_proven)
@@ -157,6 +160,7 @@
         copy_born_ms=row.copy_born_ms,
         is_copy_proven=row.is_copy_proven,
         is_restarted=row.is_restarted,
+        open_doubts=row.open_doubts,
     )
 
 
--- a/dotterelhill/jobs/progress_parts.py
+++ b/dotterelhill/jobs/progress_parts.py
@@ -12,6 +12,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
 
 import msgspec
@@ -104,8 +105,23 @@
     return (occurrence + step + (index >> BLOCK_BITS)) % parts
 
 
+def write_order(
+    records: Mapping[PartKey | None, bytes], stored: Collection[PartKey]
+) -> list[tuple[PartKey | None, bytes]]:
+    """Return the records of a job in the order in which they are written.
+
+    The state goes first, unless its record still holds tasks of which a part is not stored.
+
+    :param stored: parts that are stored
+    """
+    ordered = list(records.items())
+    if any(part is not None and part not in stored for part in records):
+        ordered.sort(key=lambda record: record[0] is None)
+    return ordered
+
+
 def encode_parts(job: Job, max_bytes: int) -> dict[PartKey | None, bytes]:
-    """Return the records of a job's progress, the one of its state, with the key None, first.
+    """Return the records of a job's progress, that of its state with the key None.
 
     The number of parts is kept with the job.
 
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -12,11 +12,15 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable, Iterable, Mapping, Sequence, Set
 from math import inf
 
 from dotterelhill.jobs.changes import Changes, Decision, SchedulerSettings
+from dotterelhill.jobs.crashes.doubts import Doubt, Doubts, close_doubt
+from dotterelhill.jobs.crashes.platform_crashes import CrashEvent, has_common_birth
 from dotterelhill.jobs.crashes.suspicion import (
+    VERDICT_SECONDS,
     CrashSuspicion,
     Presence,
     Suspect,
@@ -87,6 +91,7 @@
 SHARING_POLL_SECONDS = 0.4
 # A poll that is lost alone is repeated and answered within this time on a prompt event loop.
 SILENT_SECONDS_TO_CLOSE_LEASE = 0.35
+MAX_CLEARED = 256
 # The search for a minion takes up to 0.3 ms for each straggler, and a round has 25 ms.
 MAX_STRAGGLERS_PLACED = 8
 
@@ -116,6 +121,9 @@
         self._evacuated_domains: frozenset[str] = frozenset()
         self._interference = InterferenceControl(settings.harm_seconds)
         self._suspicion = CrashSuspicion()
+        self._doubts = Doubts()
+        # Crashes that were taken off the count of a task for a common cause.
+        self._cleared_crashes: deque[tuple[CrashEvent, TaskKey]] = deque(maxlen=MAX_CLEARED)
         self._failing = FailingTasks()
         self._durations = DurationModel()
         self._tenant_usage = TenantUsage()
@@ -329,6 +337,8 @@
         else:
             self._activate(job)
             self._suspicion.restore(job, now)
+            for task in job.tasks.values():
+                self._doubts.restore(task, now)
         for task in job.tasks.values():
             for assignment in task.assignments:
                 # Counted even if its minion is not listed: the run may exist until its lease ends.
@@ -613,6 +623,7 @@
             return
         if known is not None:
             self._release_minion(known, now, "minion restarted as another incarnation")
+        self._confirm_doubts(facts.minion_id, facts.born_ms, now)
         minion = Minion(facts, lease_until=now)
         minion.lease_until = max(now, self._inherited_lease_end(minion.incarnation))
         minion.is_lease_closed = minion.incarnation in self._closed_leases
@@ -675,11 +686,14 @@
         if report.born_ms and report.born_ms != minion.facts.born_ms:
             # This incarnation was listed before the poll was sent, so a later one has answered.
             self._release_minion(minion, now, "minion restarted as another incarnation")
+            self._confirm_doubts(minion.minion_id, report.born_ms, now)
             del self._minions[minion.minion_id]
             facts = minion.doubtful_facts
             if facts is not None and facts.born_ms == report.born_ms:
                 self.update_minion(facts, now)
             return
+        if self._doubts.by_incarnation:
+            self._withdraw_doubts(minion.incarnation)
         minion.clock_ms, minion.clock_at = report.clock_ms, now
         minion.last_report_at = now
         if not minion.is_answering:
@@ -796,7 +810,7 @@
         match presence:
             case Presence.PROVEN:
                 task.mark_proven(run.run_id)
-                if task.crashes:
+                if task.crashes or run.step.is_lasting:
                     # Otherwise a later leader would hold a crash of the platform against the task.
                     self._mark_dirty(job)
             case Presence.SURVIVING if task.crashes:
@@ -805,7 +819,7 @@
     def _clear_suspicion(self, job: Job, task: Task) -> None:
         """Lift the suspicion that a task crashes minions, if there is one."""
         crashes = task.crashes
-        if not self._suspicion.clear(task):
+        if not self._suspicion.record_survival(task):
             return
         self._mark_dirty(job)
         self._record_decision(
@@ -838,7 +852,11 @@
         job = self._jobs.get(end.key.job_id)
         if job is None or not 0 <= end.key.step < len(job.submission.steps):
             return
-        self._job_ends.setdefault(end.key.job_id, {}).setdefault(minion, end.number)
+        job_ends = self._job_ends
+        if job.job_id not in job_ends:
+            job_ends[job.job_id] = {minion: end.number}
+        elif minion not in job_ends[job.job_id]:
+            job_ends[job.job_id][minion] = end.number
         self._process_task_end(job, run, minion, end, now)
         if run is not None and end.kind is EndKind.DONE:
             # Last, since an error here must not leave the task assigned to a run that is gone.
@@ -967,20 +985,26 @@
         :param is_certain: whether the incarnation has certainly ended, and was not only cut off
         """
         self._interference.remove_minion(minion)
-        given_up = self._process_crash(minion, now, is_certain=is_certain)
+        if not minion.facts.is_draining:
+            suspects = self._process_crash(minion, now, is_certain=is_certain)
+            if is_certain:
+                # Its runs may have been released before, when its lease ended.
+                for doubt in self._doubts.take(minion.incarnation):
+                    suspects.append(doubt.key)
+                    self._close_doubt(minion.incarnation, doubt, now, is_gone=True)
+                ended_at = now if minion.silent_at is None else minion.silent_at
+                domain = minion.facts.failure_domain
+                self._record_crash(
+                    minion.minion_id, domain, minion.last_report_at, ended_at, suspects
+                )
         for run in list(minion.runs.values()):
             self._release_run(minion, run, now, reason)
-        for suspect in given_up:
-            self._give_up(suspect, now)
 
-    def _process_crash(self, minion: Minion, now: float, *, is_certain: bool) -> list[Suspect]:
-        """Count a crash against the tasks that may have caused it.
-
-        :returns: the tasks that have crashed so many minions that their jobs are given up
-        """
-        given_up: list[Suspect] = []
-        if not minion.runs or minion.facts.is_draining:
-            return given_up
+    def _process_crash(self, minion: Minion, now: float, *, is_certain: bool) -> list[TaskKey]:
+        """Count a crash against the tasks that may have caused it, and return these."""
+        counted: list[TaskKey] = []
+        if not minion.runs:
+            return counted
         crash = self._suspicion.crash_of(minion, is_certain=is_certain)
         self._record_minion_decision(
             "minion crashed under runs", minion, suspects=len(crash.suspects)
@@ -990,14 +1014,110 @@
             task = job.tasks.get(run.key) if job is not None else None
             if job is None or task is None or job.state in FINAL_STATES or task.is_done:
                 continue
-            is_doubtful = not is_certain or run.present_clock_ms is None or crash.is_shared
-            suspect = self._count_crash(
-                job, task, minion.minion_id, now, is_doubtful=is_doubtful,
-                is_inherited=run.is_inherited,
+            is_otherwise_doubtful = (
+                run.present_clock_ms is None or crash.is_shared or run.is_inherited
+            )
+            self._count_crash(
+                job, task, minion.minion_id, now,
+                is_doubtful=not is_certain or is_otherwise_doubtful, is_inherited=run.is_inherited,
             )  # fmt: skip
-            if suspect is not None and is_given_up(task, is_of_one_job=crash.is_of_one_job):
-                given_up.append(suspect)
-        return given_up
+            counted.append(task.key)
+            if not is_certain:
+                doubt = Doubt(task.key, now, crash.is_of_one_job, is_otherwise_doubtful)
+                self._doubts.add(task, minion.incarnation, doubt)
+            self._judge(task, now, is_of_one_job=is_certain and crash.is_of_one_job)
+        return counted
+
+    def _record_crash(
+        self,
+        minion_id: str,
+        failure_domain: str,
+        began_at: float,
+        at: float,
+        suspects: Sequence[TaskKey],
+    ) -> None:
+        """Record the certain end of an incarnation, and clear the tasks that did not cause it.
+
+        :param began_at: loop time after which it ended
+        :param at: loop time by which it had ended
+        :param suspects: tasks that count it as a crash
+        """
+        event = CrashEvent(minion_id, failure_domain, began_at, at, tuple(suspects))
+        for common in self._suspicion.platform_crashes.record(event):
+            for key in common.suspects:
+                if (common, key) not in self._cleared_crashes:
+                    self._cleared_crashes.append((common, key))
+                    self._withdraw_crash(key, common.minion_id, "several minions ended together")
+
+    def _withdraw_crash(
+        self, key: TaskKey, minion_id: str, reason: str, *, is_doubtful: bool = False
+    ) -> None:
+        """Take a crash off the count of a task, in the store as well.
+
+        :param is_doubtful: whether the minion has only been cut off
+        """
+        job = self._active_jobs.get(key.job_id)
+        task = job.tasks.get(key) if job is not None else None
+        if job is None or task is None or not task.crashes:
+            return
+        if is_doubtful:
+            self._suspicion.withdraw_crash(task, is_doubtful=True)
+        elif not self._suspicion.withdraw_common_crash(task, is_doubtful=False):
+            return
+        self._mark_dirty(job)
+        self._record_decision(
+            "crash withdrawn", job.job_id, task=str(key), crashes=task.crashes, minion=minion_id,
+            reason=reason,
+        )  # fmt: skip
+
+    def _withdraw_doubts(self, incarnation: str) -> None:
+        """Withdraw the crashes of an incarnation that answers, and so has only been cut off."""
+        for doubt in self._doubts.take(incarnation):
+            job = self._active_jobs.get(doubt.key.job_id)
+            task = job.tasks.get(doubt.key) if job is not None else None
+            if task is not None and close_doubt(task, incarnation):
+                minion_id, _, _ = incarnation.partition("@")
+                self._withdraw_crash(
+                    doubt.key, minion_id, "its minion answers again", is_doubtful=True
+                )
+
+    def _confirm_doubts(self, minion_id: str, born_ms: int, now: float) -> None:
+        """Process that earlier incarnations of a minion are certainly gone.
+
+        :param born_ms: birth of the present one as Unix ms
+        """
+        doubts = self._doubts.take_replaced(minion_id, f"{minion_id}@{born_ms}")
+        if not doubts:
+            return
+        for incarnation, doubt in doubts:
+            self._close_doubt(incarnation, doubt, now, is_gone=True)
+
+    def _close_doubt(self, incarnation: str, doubt: Doubt, now: float, *, is_gone: bool) -> None:
+        """Count a doubtful crash for good.
+
+        :param is_gone: whether the minion has certainly crashed, and was not only lost from sight
+        """
+        job = self._active_jobs.get(doubt.key.job_id)
+        task = job.tasks.get(doubt.key) if job is not None else None
+        if job is None or task is None or not close_doubt(task, incarnation):
+            return
+        if is_gone and not doubt.is_otherwise_doubtful and task.doubtful_crashes:
+            task.doubtful_crashes -= 1
+        self._mark_dirty(job)
+        self._judge(task, now, is_of_one_job=is_gone and doubt.is_of_one_job)
+
+    def _judge(self, task: Task, now: float, *, is_of_one_job: bool) -> None:
+        """Plan to give up the job of a task that has crashed too many minions.
+
+        :param is_of_one_job: whether only its job can have caused the newest crash
+        """
+        suspect = self._suspicion.suspect_of(task.key)
+        if suspect is None or suspect.verdict_at is not None:
+            return
+        platform_crashes = self._suspicion.platform_crashes
+        needed_crashes = platform_crashes.needed_crashes(len(self._minions), now)
+        if is_given_up(task, needed_crashes, is_of_one_job=is_of_one_job):
+            suspect.verdict_at = now + VERDICT_SECONDS
 
     def _count_crash(
         self,
@@ -1008,8 +1128,8 @@
         *,
         is_doubtful: bool,
         is_inherited: bool,
-    ) -> Suspect | None:
-        """Count a crash against a task and return it if it is suspected from now on."""
+    ) -> None:
+        """Count a crash against a task, which may be suspected from now on."""
         suspect = self._suspicion.count_crash(
             job, task, minion_id, now, is_doubtful=is_doubtful, is_inherited=is_inherited
         )
@@ -1020,7 +1140,6 @@
         self._record_decision(
             message, job.job_id, task=str(task.key), crashes=task.crashes, minion=minion_id
         )
-        return suspect
 
     def _give_up(self, suspect: Suspect, now: float) -> None:
         """Fail the job of a task that has crashed several minions."""
@@ -1037,15 +1156,18 @@
         self, job: Job, task: Task, assignment: Assignment, now: float, reason: str
     ) -> None:
         """Release a run that an earlier leader assigned to an incarnation that is gone."""
-        suspect: Suspect | None = None
         is_waiting = job.state not in FINAL_STATES and not task.is_done
-        if is_waiting and not assignment.is_proven:
-            suspect = self._count_crash(
+        minion = self._minions.get(assignment.minion_id)
+        births_ms = [one.facts.born_ms for one in self._minions.values()]
+        is_common = minion is not None and has_common_birth(minion.facts.born_ms, births_ms)
+        if is_waiting and not assignment.is_proven and not is_common:
+            self._count_crash(
                 job, task, assignment.minion_id, now, is_doubtful=True, is_inherited=True
             )
+            if minion is None:
+                self._doubts.add(task, assignment.incarnation, Doubt(task.key, now))
+            self._judge(task, now, is_of_one_job=False)
         self._release_task(job, task, assignment, self._unknown_run_end(now), reason)
-        if suspect is not None and is_given_up(task, is_of_one_job=False):
-            self._give_up(suspect, now)
 
     def _release_run(self, minion: Minion, run: Run, now: float, reason: str) -> None:
         """Detach a run that can't be present on its minion and release its task."""
@@ -1175,6 +1297,8 @@
         self._planned_unix_ms = unix_ms
         self._stop_stragglers(now)
         self._expire_state(now)
+        if self._suspicion.has_suspects or self._doubts.by_incarnation:
+            self._decide_verdicts(now)
         self._record_hold(now)
         self._report_waits(now, unix_ms)
         if self._shortage is not None:
@@ -1481,6 +1605,13 @@
         for job_id in self._unstored_jobs.take_due(now):
             self._mark_dirty(self._jobs[job_id])
 
+    def _decide_verdicts(self, now: float) -> None:
+        """Give up the jobs of tasks that have crashed too many minions."""
+        for incarnation, doubt in self._doubts.take_old(now):
+            self._close_doubt(incarnation, doubt, now, is_gone=False)
+        for suspect in self._suspicion.take_verdicts(now):
+            self._give_up(suspect, now)
+
     def _release_unlisted(self, key: str, now: float) -> None:
         """Release the tasks of an unlisted incarnation, given as ``minion_id@born_ms``."""
         for job in list(self._jobs.values()):
@@ -1521,18 +1652,20 @@
 
         :param unstored: ids of the jobs whose progress the store refuses for good
         """
+        has_unstored = bool(unstored) or self._unstored_jobs.count > 0
         for changed in changes.jobs:
             if changed.job_id in unstored:
                 self._hold_unstored(changed, changes.job_ends.get(changed.job_id, {}), now)
                 continue
             changed.stored_state = changes.states[changed.job_id]
-            is_released = self._unstored_jobs.release(changed.job_id)
-            if changed.is_ended:
+            is_released = has_unstored and self._unstored_jobs.release(changed.job_id)
+            if changed.ended_at:
                 changed.forget_tasks()
             elif is_released:
                 self._placement.add_job(changed)
         for minion, number in changes.ends:
-            number = self._unstored_jobs.acknowledgeable_end(minion, number)
+            if has_unstored:
+                number = self._unstored_jobs.acknowledgeable_end(minion, number)
             minion.durable_end = max(minion.durable_end, number)
         orders = []
         withheld = self._withheld_starts(changes.starts, now)
--- a/dotterelhill/jobs/tests/crash_world.py
+++ b/dotterelhill/jobs/tests/crash_world.py
@@ -92,12 +92,12 @@
             self.silent.discard(name)
             facts = self.facts[name]
             if self.is_takeover_at_return:
-                self.facts[name] = replace(facts, born_ms=facts.born_ms + 1)
+                self.facts[name] = replace(facts, born_ms=self.unix_ms)
                 self.end_numbers[name] = 0
                 self.take_over()
                 continue
             self.list_minion(
-                name, facts.capacity.cpu, born_ms=facts.born_ms + 1, domain=facts.failure_domain
+                name, facts.capacity.cpu, born_ms=self.unix_ms, domain=facts.failure_domain
             )
 
     def take_over(self) -> None:
--- a/dotterelhill/jobs/tests/steps/progress_steps.py
+++ b/dotterelhill/jobs/tests/steps/progress_steps.py
@@ -10,6 +10,7 @@
     StoredProgress,
     apply_stored_progress,
     encode_parts,
+    write_order,
 )
 from dotterelhill.jobs.queues import Queue
 from dotterelhill.jobs.resources import ResourceVector
@@ -32,6 +33,7 @@
     "copy_born_ms",
     "is_copy_proven",
     "is_restarted",
+    "open_doubts",
 )
 
 
@@ -66,6 +68,7 @@
         case _:
             task.crashes += 1
             task.doubtful_crashes += source.randint(0, 1)
+            task.open_doubts = (f"{minion_id}@{born_ms}",) * source.randint(0, 2)
             task.is_restarted = task.is_restarted or source.random() < 0.3
 
 
@@ -137,7 +140,7 @@
             change_task(job, job.task(TaskKey(job.job_id, 0, step, index)), source)
         for key, state in needed_tasks(job).items():
             possible.setdefault(key, [None]).append(state)
-        records = list(encode_parts(job, size).items())
+        records = write_order(encode_parts(job, size), stored.parts)
         context.part_counts.add(job.progress_parts)
         assert all(len(value) <= size for _, value in records)
         written = source.choice((len(records), source.randrange(len(records) + 1)))
