Write the key of the estimates out, since it leaves the process

Cause: the key was joined from its prefix, so that the list of outer names did not find it. Change: the literal again, the same value. Result: records.feature passes.

--- a/dotterelhill/control/leader.py
+++ b/dotterelhill/control/leader.py
@@ -32,11 +32,7 @@
 from dotterelhill.control.leadership import Leadership
 from dotterelhill.control.loop_lag import LoopLag
 from dotterelhill.control.poll_window import FirstPollWindow
-from dotterelhill.control.progress_store import (
-    APPEND_RETRY_SECONDS,
-    RESERVED_PREFIX,
-    ProgressStore,
-)
+from dotterelhill.control.progress_store import APPEND_RETRY_SECONDS, ProgressStore
 from dotterelhill.control.relay_pool import RelayPool
 from dotterelhill.control.removal import SubmissionRemoval
 from dotterelhill.control.start_window import SentOrder, StartWindow
@@ -58,7 +54,7 @@
 from dotterelhill.jobs.tenants.loads import TenantLoad
 
 # Key of the interference estimates in the progress stream.
-MODEL_KEY = RESERVED_PREFIX + "interference"
+MODEL_KEY = "@interference"
 MODEL_STORE_INTERVAL_SECONDS = 4.0
 # Changes within this time are batched into one write; the store handles several hundred writes a
 # second.
