Test the answer to a submission that the store never accepts

What callers would see: a job whose record the store refuses for good was answered like a silence of the store, so the client repeated it until its deadline.

--- a/dotterelhill/platform/tests/ingress.feature
+++ b/dotterelhill/platform/tests/ingress.feature
@@ -136,3 +136,15 @@
     And the configuration with queue "new" arrives 0.2 seconds after the request
     When GET "/new/" is sent with key ""
     Then the answer is 503 with Retry-After
+
+  Scenario Outline: A job that the store never accepts is repeated by its client until the deadline
+    # Guards against LOST of review/1: a record that was refused for good was answered like a silence.
+    Given the store <failure>
+    When POST "/q/00000000000000a1" is sent with key "good"
+    Then the answer is <answer>
+    And 1 appends were tried
+
+    Examples:
+      | failure                               | answer               |
+      | refuses each record for good          | 413                  |
+      | stores nothing                        | 503 with Retry-After |
--- a/dotterelhill/platform/tests/steps/ingress_steps.py
+++ b/dotterelhill/platform/tests/steps/ingress_steps.py
@@ -13,7 +13,7 @@
 from aiohttp.test_utils import make_mocked_request
 from behave import given, then, use_step_matcher, when
 
-from dotterelhill.control.interface import StoreError
+from dotterelhill.control.interface import StoreError, StoreRefusedError
 from dotterelhill.control.job_service import JobService
 from dotterelhill.entry.metrics import LocalMetrics
 from dotterelhill.jobs.progress import decode_submission
@@ -213,6 +213,12 @@
         assert world.send("POST", f"/{queue}/{0:016x}", "good").status == 200
 
 
+@given(r"the store (?P<failure>refuses each record for good|stores nothing)")
+def fail_appends(context, failure):
+    error = StoreRefusedError if failure.startswith("refuses") else StoreError
+    context.world.store.error = error("append answered with an error")
+
+
 @given(r"a leader without memory for further jobs, and a job that was accepted before")
 def fill_memory(context):
     world = context.world
