Move the counting of crashes out of the scheduler

Change: jobs/crashes/counting.py holds the counts, their withdrawal and the verdicts; the property is removed. Behaviour, log lines and stored records are as before.

--- a/dotterelhill/control/progress_store.py
+++ b/dotterelhill/control/progress_store.py
@@ -88,11 +88,6 @@
         # Smaller progress fits into one record, whatever the id of the job is.
         self._max_whole_bytes = limits.record_bytes - MAX_KEY_BYTES
 
-    @property
-    def refused_count(self) -> int:
-        """Return the number of jobs whose progress the store refuses."""
-        return len(self._refused_at)
-
     async def fence(self) -> None:
         """Make the store refuse the writes of earlier leaders.
 
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -12,19 +12,16 @@
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Callable, Iterable, Mapping, Sequence, Set
 from math import inf
 
 from dotterelhill.jobs.changes import Changes, Decision, SchedulerSettings
-from dotterelhill.jobs.crashes.doubts import Doubt, Doubts, close_doubt
-from dotterelhill.jobs.crashes.platform_crashes import CrashEvent, has_common_birth
+from dotterelhill.jobs.crashes.counting import CrashCounting
+from dotterelhill.jobs.crashes.doubts import Doubts
 from dotterelhill.jobs.crashes.suspicion import (
-    VERDICT_SECONDS,
     CrashSuspicion,
     Presence,
     Suspect,
-    is_given_up,
     observed_presence,
 )
 from dotterelhill.jobs.durations.model import DurationModel
@@ -91,7 +88,6 @@
 SHARING_POLL_SECONDS = 0.4
 # A poll that is lost alone is repeated and answered within this time on a prompt event loop.
 SILENT_SECONDS_TO_CLOSE_LEASE = 0.35
-MAX_CLEARED = 256
 # The search for a minion takes up to 0.3 ms for each straggler, and a round has 25 ms.
 MAX_STRAGGLERS_PLACED = 8
 
@@ -122,8 +118,14 @@
         self._interference = InterferenceControl(settings.harm_seconds)
         self._suspicion = CrashSuspicion()
         self._doubts = Doubts()
-        # Crashes that were taken off the count of a task for a common cause.
-        self._cleared_crashes: deque[tuple[CrashEvent, TaskKey]] = deque(maxlen=MAX_CLEARED)
+        self._crashes = CrashCounting(
+            self._active_jobs,
+            self._minions,
+            self._suspicion,
+            self._doubts,
+            self._mark_dirty,
+            self._append_decision,
+        )
         self._failing = FailingTasks()
         self._durations = DurationModel()
         self._tenant_usage = TenantUsage()
@@ -336,9 +338,7 @@
             self._ended_jobs.add(job)
         else:
             self._activate(job)
-            self._suspicion.restore(job, now)
-            for task in job.tasks.values():
-                self._doubts.restore(task, now)
+            self._crashes.restore(job, now)
         for task in job.tasks.values():
             for assignment in task.assignments:
                 # Counted even if its minion is not listed: the run may exist until its lease ends.
@@ -623,7 +623,7 @@
             return
         if known is not None:
             self._release_minion(known, now, "minion restarted as another incarnation")
-        self._confirm_doubts(facts.minion_id, facts.born_ms, now)
+        self._crashes.confirm_doubts(facts.minion_id, facts.born_ms, now)
         minion = Minion(facts, lease_until=now)
         minion.lease_until = max(now, self._inherited_lease_end(minion.incarnation))
         minion.is_lease_closed = minion.incarnation in self._closed_leases
@@ -686,14 +686,14 @@
         if report.born_ms and report.born_ms != minion.facts.born_ms:
             # This incarnation was listed before the poll was sent, so a later one has answered.
             self._release_minion(minion, now, "minion restarted as another incarnation")
-            self._confirm_doubts(minion.minion_id, report.born_ms, now)
+            self._crashes.confirm_doubts(minion.minion_id, report.born_ms, now)
             del self._minions[minion.minion_id]
             facts = minion.doubtful_facts
             if facts is not None and facts.born_ms == report.born_ms:
                 self.update_minion(facts, now)
             return
         if self._doubts.by_incarnation:
-            self._withdraw_doubts(minion.incarnation)
+            self._crashes.withdraw_doubts(minion.incarnation)
         minion.clock_ms, minion.clock_at = report.clock_ms, now
         minion.last_report_at = now
         if not minion.is_answering:
@@ -986,159 +986,10 @@
         """
         self._interference.remove_minion(minion)
         if not minion.facts.is_draining:
-            suspects = self._process_crash(minion, now, is_certain=is_certain)
-            if is_certain:
-                # Its runs may have been released before, when its lease ended.
-                for doubt in self._doubts.take(minion.incarnation):
-                    suspects.append(doubt.key)
-                    self._close_doubt(minion.incarnation, doubt, now, is_gone=True)
-                ended_at = now if minion.silent_at is None else minion.silent_at
-                domain = minion.facts.failure_domain
-                self._record_crash(
-                    minion.minion_id, domain, minion.last_report_at, ended_at, suspects
-                )
+            self._crashes.count_lost_minion(minion, now, is_certain=is_certain)
         for run in list(minion.runs.values()):
             self._release_run(minion, run, now, reason)
 
-    def _process_crash(self, minion: Minion, now: float, *, is_certain: bool) -> list[TaskKey]:
-        """Count a crash against the tasks that may have caused it, and return these."""
-        counted: list[TaskKey] = []
-        if not minion.runs:
-            return counted
-        crash = self._suspicion.crash_of(minion, is_certain=is_certain)
-        self._record_minion_decision(
-            "minion crashed under runs", minion, suspects=len(crash.suspects)
-        )
-        for run in crash.suspects:
-            job = self._jobs.get(run.key.job_id)
-            task = job.tasks.get(run.key) if job is not None else None
-            if job is None or task is None or job.state in FINAL_STATES or task.is_done:
-                continue
-            is_otherwise_doubtful = (
-                run.present_clock_ms is None or crash.is_shared or run.is_inherited
-            )
-            self._count_crash(
-                job, task, minion.minion_id, now,
-                is_doubtful=not is_certain or is_otherwise_doubtful, is_inherited=run.is_inherited,
-            )  # fmt: skip
-            counted.append(task.key)
-            if not is_certain:
-                doubt = Doubt(task.key, now, crash.is_of_one_job, is_otherwise_doubtful)
-                self._doubts.add(task, minion.incarnation, doubt)
-            self._judge(task, now, is_of_one_job=is_certain and crash.is_of_one_job)
-        return counted
-
-    def _record_crash(
-        self,
-        minion_id: str,
-        failure_domain: str,
-        began_at: float,
-        at: float,
-        suspects: Sequence[TaskKey],
-    ) -> None:
-        """Record the certain end of an incarnation, and clear the tasks that did not cause it.
-
-        :param began_at: loop time after which it ended
-        :param at: loop time by which it had ended
-        :param suspects: tasks that count it as a crash
-        """
-        event = CrashEvent(minion_id, failure_domain, began_at, at, tuple(suspects))
-        for common in self._suspicion.platform_crashes.record(event):
-            for key in common.suspects:
-                if (common, key) not in self._cleared_crashes:
-                    self._cleared_crashes.append((common, key))
-                    self._withdraw_crash(key, common.minion_id, "several minions ended together")
-
-    def _withdraw_crash(
-        self, key: TaskKey, minion_id: str, reason: str, *, is_cut_off: bool = False
-    ) -> None:
-        """Take a crash off the count of a task, in the store as well.
-
-        :param is_cut_off: whether the minion has only been cut off; otherwise it has crashed for a
-            cause that it shares with others
-        """
-        job = self._active_jobs.get(key.job_id)
-        task = job.tasks.get(key) if job is not None else None
-        if job is None or task is None or not task.crashes:
-            return
-        if is_cut_off:
-            self._suspicion.withdraw_crash(task, is_doubtful=True)
-        elif not self._suspicion.withdraw_common_crash(task):
-            return
-        self._mark_dirty(job)
-        self._record_decision(
-            "crash withdrawn", job.job_id, task=str(key), crashes=task.crashes, minion=minion_id,
-            reason=reason,
-        )  # fmt: skip
-
-    def _withdraw_doubts(self, incarnation: str) -> None:
-        """Withdraw the crashes of an incarnation that answers, and so has only been cut off."""
-        for doubt in self._doubts.take(incarnation):
-            job = self._active_jobs.get(doubt.key.job_id)
-            task = job.tasks.get(doubt.key) if job is not None else None
-            if task is not None and close_doubt(task, incarnation):
-                minion_id, _, _ = incarnation.partition("@")
-                reason = "its minion answers again"
-                self._withdraw_crash(doubt.key, minion_id, reason, is_cut_off=True)
-
-    def _confirm_doubts(self, minion_id: str, born_ms: int, now: float) -> None:
-        """Process that earlier incarnations of a minion are certainly gone.
-
-        :param born_ms: birth of the present one as Unix ms
-        """
-        present = f"{minion_id}@{born_ms}"
-        for incarnation, doubt in self._doubts.take_replaced(minion_id, present):
-            self._close_doubt(incarnation, doubt, now, is_gone=True)
-
-    def _close_doubt(self, incarnation: str, doubt: Doubt, now: float, *, is_gone: bool) -> None:
-        """Count a doubtful crash for good.
-
-        :param is_gone: whether the minion has certainly crashed, and was not only lost from sight
-        """
-        job = self._active_jobs.get(doubt.key.job_id)
-        task = job.tasks.get(doubt.key) if job is not None else None
-        if job is None or task is None or not close_doubt(task, incarnation):
-            return
-        if is_gone and not doubt.is_otherwise_doubtful and task.doubtful_crashes:
-            task.doubtful_crashes -= 1
-        self._mark_dirty(job)
-        self._judge(task, now, is_of_one_job=is_gone and doubt.is_of_one_job)
-
-    def _judge(self, task: Task, now: float, *, is_of_one_job: bool) -> None:
-        """Plan to give up the job of a task that has crashed too many minions.
-
-        :param is_of_one_job: whether only its job can have caused the newest crash
-        """
-        suspect = self._suspicion.suspect_of(task.key)
-        if suspect is None or suspect.verdict_at is not None:
-            return
-        platform_crashes = self._suspicion.platform_crashes
-        needed_crashes = platform_crashes.needed_crashes(len(self._minions), now)
-        if is_given_up(task, needed_crashes, is_of_one_job=is_of_one_job):
-            suspect.verdict_at = now + VERDICT_SECONDS
-
-    def _count_crash(
-        self,
-        job: Job,
-        task: Task,
-        minion_id: str,
-        now: float,
-        *,
-        is_doubtful: bool,
-        is_inherited: bool,
-    ) -> None:
-        """Count a crash against a task, which may be suspected from now on."""
-        suspect = self._suspicion.count_crash(
-            job, task, minion_id, now, is_doubtful=is_doubtful, is_inherited=is_inherited
-        )
-        self._mark_dirty(job)
-        message = "task suspected of crashing minions"
-        if suspect is None:
-            message = "crash of a minion counted in doubt"
-        self._record_decision(
-            message, job.job_id, task=str(task.key), crashes=task.crashes, minion=minion_id
-        )
-
     def _give_up(self, suspect: Suspect, now: float) -> None:
         """Fail the job of a task that has crashed several minions."""
         job, task = suspect.job, suspect.task
@@ -1154,17 +1005,8 @@
         self, job: Job, task: Task, assignment: Assignment, now: float, reason: str
     ) -> None:
         """Release a run that an earlier leader assigned to an incarnation that is gone."""
-        is_waiting = job.state not in FINAL_STATES and not task.is_done
-        minion = self._minions.get(assignment.minion_id)
-        births_ms = [one.facts.born_ms for one in self._minions.values()]
-        is_common = minion is not None and has_common_birth(minion.facts.born_ms, births_ms)
-        if is_waiting and not assignment.is_proven and not is_common:
-            self._count_crash(
-                job, task, assignment.minion_id, now, is_doubtful=True, is_inherited=True
-            )
-            if minion is None:
-                self._doubts.add(task, assignment.incarnation, Doubt(task.key, now))
-            self._judge(task, now, is_of_one_job=False)
+        if job.state not in FINAL_STATES and not task.is_done:
+            self._crashes.count_stored_run(job, task, assignment, now)
         self._release_task(job, task, assignment, self._unknown_run_end(now), reason)
 
     def _release_run(self, minion: Minion, run: Run, now: float, reason: str) -> None:
@@ -1605,9 +1447,7 @@
 
     def _decide_verdicts(self, now: float) -> None:
         """Give up the jobs of tasks that have crashed too many minions."""
-        for incarnation, doubt in self._doubts.take_old(now):
-            self._close_doubt(incarnation, doubt, now, is_gone=False)
-        for suspect in self._suspicion.take_verdicts(now):
+        for suspect in self._crashes.take_verdicts(now):
             self._give_up(suspect, now)
 
     def _release_unlisted(self, key: str, now: float) -> None:
@@ -1739,6 +1579,9 @@
         """Record a decision about a job for the log."""
         self._decisions.append(Decision(message, job_id, fields))
 
+    def _append_decision(self, decision: Decision) -> None:
+        self._decisions.append(decision)
+
     def _record_minion_decision(self, message: str, minion: Minion, **more: object) -> None:
         """Record a decision about a minion for the log."""
         fields: dict[str, object] = {
