Record the beginning of a run where its presence is judged

Change: the beginning is recorded in _process_presence, which sees the first report that lists a run.

--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -807,8 +807,6 @@
             state = run.state
             if state is sent or state is unknown:
                 run.state = RunState.PRESENT
-                if key.job_id in jobs:
-                    jobs[key.job_id].has_begun = True
             if run.settled_at is None:
                 run.settled_at = now
             run.percent = row.percent
@@ -844,6 +842,7 @@
         task = job.tasks.get(run.key) if job is not None else None
         if job is None or task is None or not task.assignment_of(run.minion_id, run.run_id):
             return
+        job.has_begun = True
         match presence:
             case Presence.PROVEN:
                 task.mark_proven(run.run_id)
