Check in the histories of late orders that no task starts after its acknowledged end

Cause: the world judged two runs at one time only, where rule TWICE also forbids a start after an end that was taken note of. Change: the world remembers the ends that a poll has acknowledged.

--- a/dotterelhill/jobs/tests/late_order_world.py
+++ b/dotterelhill/jobs/tests/late_order_world.py
@@ -7,6 +7,7 @@
 from random import Random
 
 from dotterelhill.jobs.fleet import EndKind, Minion, MinionReport, Run, RunReport
+from dotterelhill.jobs.model import TaskKey
 from dotterelhill.jobs.orders import StartOrder, StartOutcome, StopOrder
 from dotterelhill.jobs.resources import ResourceVector
 from dotterelhill.jobs.tests.capacity_world import (
@@ -51,6 +52,8 @@
         # Loop time at which the clock of a minion showed 0.
         self.clock_zero = dict.fromkeys(self.true, self.now - 500.0)
         self.late_start_count = 0
+        # Tasks whose end as done was acknowledged to their minion; they must not start again.
+        self.noted: set[TaskKey] = set()
         # Runs for which room was held in vain at the end of the history.
         self.kept_runs: set[Run] = set()
 
@@ -208,6 +211,7 @@
         self.scheduler.start_answered(order.run, outcome, sent_at, self.now, clock_ms)
 
     def check_single_place(self, order: StartOrder) -> None:
+        """Check that a task begins only once at a time, and not after an acknowledged end."""
         key = order.run.key
         others = [
             name
@@ -215,6 +219,8 @@
             if key in minion.runs and name != order.minion.minion_id
         ]
         assert not others, (key, order.run.run_id, others, self.now)
+        is_over = key in self.noted and not order.run.step.is_lasting
+        assert not is_over, (key, order.run.run_id, "its end was acknowledged", self.now)
 
     def stop(self, order: StopOrder) -> None:
         name = order.minion.minion_id
@@ -258,6 +264,9 @@
             for key, run in true.runs.items():
                 measure = 30.0 if run.step.is_lasting else float(run.step.room.cpu)
                 rows.append(RunReport(key, run.run_id, "", 100, measure))
+            for end in self.ends[name]:
+                if end.number <= acked and end.kind is EndKind.DONE:
+                    self.noted.add(end.key)
             ends = tuple(end for end in self.ends[name] if end.number > acked)
             reports.append(MinionReport(self.born[name], self.clock_ms(name), tuple(rows), ends))
             return True
