--- a/dotterelhill/control/leader.py
+++ b/dotterelhill/control/leader.py
@@ -708,6 +708,7 @@
                 "task": str(run.key),
                 "run": run.run_id,
                 "minion": minion.minion_id,
+                "born_ms": minion.facts.born_ms,
                 "kind": run.step.kind,
                 "outcome": str(outcome),
                 "waited_ms": round(1000 * (now - run.planned_at)),
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -803,6 +803,7 @@
             if run is None or run.run_id != row.run_id:
                 # No stored progress names this run: its job is removed or the run was released.
                 self._orders.append(StopOrder(minion, key, row.run_id))
+                self._record_unassigned_run(minion, key, row.run_id)
                 continue
             present.add(key)
             state = run.state
@@ -836,6 +837,17 @@
         self._interference.observe(minion, now)
         return present
 
+    def _record_unassigned_run(self, minion: Minion, key: TaskKey, run_id: int) -> None:
+        """Record for the log that a minion runs what is not assigned to it."""
+        job = self._jobs.get(key.job_id)
+        task = job.tasks.get(key) if job is not None else None
+        assigned = [] if task is None else [one.minion_id for one in task.assignments]
+        self._record_decision(
+            "run that is not assigned is stopped", key.job_id, task=str(key), run=run_id,
+            minion=minion.minion_id, born_ms=minion.facts.born_ms, assigned=assigned,
+            is_done=task is not None and task.is_done,
+        )  # fmt: skip
+
     def _process_presence(self, run: Run, clock_ms: int) -> None:
         """Process a report that lists a run, which may clear its task of crashing minions."""
         presence = observed_presence(run, clock_ms)
@@ -1052,6 +1064,11 @@
         if report is not None:
             present = {row.key for row in report.running}
             late = [run for run in late if not run.is_inherited or run.key in present]
+        earlier_starts = sum(1 for _ in self._late_starts.on_minion(minion.minion_id, now))
+        self._record_minion_decision(
+            "minion began again under its id", minion, late_runs=len(late),
+            earlier_starts=earlier_starts, lease_left_ms=round(1000 * (minion.lease_until - now)),
+        )  # fmt: skip
         self._count_lost_minion(minion, now, is_certain=True)
         for run in late:
             minion.detach(run)
@@ -1116,7 +1133,7 @@
             return
         self._record_decision(
             "run lost", job.job_id, task=str(task.key), run=assignment.run_id,
-            minion=assignment.minion_id, reason=reason,
+            minion=assignment.minion_id, born_ms=assignment.born_ms, reason=reason,
             kind=job.submission.steps[task.key.step].kind,
         )  # fmt: skip
         self._requeue(job, task)
@@ -1516,7 +1533,10 @@
             if now < minion.lease_until:
                 continue
             if minion.runs:
-                self._record_minion_decision("lease of unreachable minion has ended", minion)
+                silent_ms = round(1000 * (now - minion.last_report_at))
+                self._record_minion_decision(
+                    "lease of unreachable minion has ended", minion, silent_ms=silent_ms
+                )
                 self._release_minion(minion, now, "lease expired", is_certain=False)
             minion.is_synced = False
             if not minion.is_listed:
