--- a/dotterelhill/control/election.py
+++ b/dotterelhill/control/election.py
@@ -242,7 +242,8 @@
             if self._leader is None:
                 await self._leadership.resign()
             else:
-                await self._leadership.resign(self._leader.stop_calls)
+                fence = self._leader.scheduler.highest_fence
+                await self._leadership.resign(self._leader.stop_calls, fence)
         finally:
             if self._term_task is not None:
                 self._term_task.cancel()
@@ -472,7 +473,7 @@
             settled_at = renewals_end
             if is_settled:
                 settled_at = now
-            elif settlement is not None and settlement.epoch == claim.epoch:
+            elif settlement is not None and settlement.epoch == claim.led_epoch:
                 settled_at = settlement.latest_time(now)
             wait_ms = max(0, round(1000.0 * (min(settled_at, renewals_end) - now)))
             term = {"epoch": claim.epoch, "wait_for_earlier_ms": wait_ms}
--- a/dotterelhill/control/interface.py
+++ b/dotterelhill/control/interface.py
@@ -202,7 +202,7 @@
 
 
 class FencedByMinionError(MinionError):
-    """Raised when a minion has received orders of a later leader."""
+    """Raised when a minion has carried out a call with a higher fencing token."""
 
 
 class OtherIncarnationError(MinionError):
@@ -271,13 +271,13 @@
 class Minions(Protocol):
     """Client for calls to minions.
 
-    Each call carries the leader's fencing epoch.
+    Each call carries a fencing token: the epoch of the leader plus the fence of the minion.
     """
 
     def submit_start(
         self,
         order: StartOrder,
-        epoch: int,
+        token: int,
         deadline_ms: int,
         on_answer: StartAnswerHandler,
     ) -> bool:
@@ -285,24 +285,24 @@
 
         :param deadline_ms: end of the lease on the minion's clock
         :param on_answer: called once with the outcome, or with the error when the minion has
-            received orders of a later leader
+            carried out a call with a higher token
         :returns: False when no relay takes the order, so that it has to be sent by ``start``
         """
         ...
 
     async def start(
-        self, order: StartOrder, epoch: int, deadline_ms: int
+        self, order: StartOrder, token: int, deadline_ms: int
     ) -> tuple[StartOutcome, int | None]:
         """Start a run.
 
         :param deadline_ms: end of the lease on the minion's clock
         :returns: outcome, and the minion's clock in ms if the minion answered
-        :raises FencedByMinionError: when the minion has received orders of a later leader
+        :raises FencedByMinionError: when the minion has carried out a call with a higher token
         """
         ...
 
     def submit_order(
-        self, order: StopOrder | PaceOrder, epoch: int, on_answer: OrderAnswerHandler
+        self, order: StopOrder | PaceOrder, token: int, on_answer: OrderAnswerHandler
     ) -> bool:
         """Stop a run or set its pace through a relay, without a task that waits for the answer.
 
@@ -312,14 +312,14 @@
         """
         ...
 
-    async def stop(self, order: StopOrder, epoch: int) -> None:
+    async def stop(self, order: StopOrder, token: int) -> None:
         """Stop a run.
 
         :raises MinionError: when the minion gave no usable answer
         """
         ...
 
-    async def set_pace(self, order: PaceOrder, epoch: int) -> None:
+    async def set_pace(self, order: PaceOrder, token: int) -> None:
         """Set the pace of a run.
 
         :raises MinionError: when the minion gave no usable answer
@@ -327,7 +327,7 @@
         ...
 
     async def renew(
-        self, minion: Minion, epoch: int, deadline_ms: int | None, wait_seconds: float
+        self, minion: Minion, token: int, deadline_ms: int | None, wait_seconds: float
     ) -> MinionReport:
         """Renew the lease of all runs, acknowledge stored ends of runs, and return the report.
 
--- a/dotterelhill/control/leader.py
+++ b/dotterelhill/control/leader.py
@@ -29,7 +29,7 @@
     StoreLimits,
     Stream,
 )
-from dotterelhill.control.leadership import Leadership
+from dotterelhill.control.leadership import FENCES_PER_TERM, Leadership
 from dotterelhill.control.loop_lag import LoopLag
 from dotterelhill.control.poll_window import FirstPollWindow
 from dotterelhill.control.progress_store import APPEND_RETRY_SECONDS, ProgressStore
@@ -76,12 +76,18 @@
 RATES_INTERVAL_SECONDS = 0.4
 # Whether the fleet is full is part of every message to a relay, too.
 FULLNESS_INTERVAL_SECONDS = 0.4
+# Fences that are left when a term ends, since calls of one round raise them further.
+MIN_FENCES_LEFT = 4096
 # The leader reads a stored submission within this time unless the store is failing.
 MAX_SUBMISSIONS_AGE_SECONDS = 3.0
 
 _log = logger_of("leader")
 
 
+class _OutdatedPollError(MinionError):
+    """Raised when a call of this leader with a higher fencing token has overtaken a poll."""
+
+
 class NotReadyError(Exception):
     """Raised when the process can't report the state of the fleet at present."""
 
@@ -126,12 +132,14 @@
 
     :param sent_at: time at which it was sent, in seconds
     :param deadline_ms: end of the lease on the minion's clock
+    :param token: fencing token that it carries
     :param window_order: what the start window has to know of it
     """
 
     order: StartOrder
     sent_at: float
     deadline_ms: int
+    token: int
     window_order: SentOrder
 
 
@@ -561,6 +569,9 @@
             self._send_orders()
             if not self._parts.leadership.is_leading:
                 continue
+            if self._scheduler.highest_fence >= FENCES_PER_TERM - MIN_FENCES_LEFT:
+                self._parts.leadership.drop("fencing tokens of the term are used up")
+                return
             self._start_polls()
             await self._run_scheduling_round()
             await asyncio.sleep(MIN_WRITE_INTERVAL_SECONDS)
@@ -638,7 +649,7 @@
         on_answer = partial(self._process_start_answer, started)
         try:
             is_sent = self._parts.minions.submit_start(
-                order, self._epoch, started.deadline_ms, on_answer
+                order, started.token, started.deadline_ms, on_answer
             )
         except Exception as error:
             # The failure of one order must not end the term; its effect is unknown.
@@ -662,14 +673,15 @@
         if deadline_ms is None:
             self._scheduler.start_answered(order.run, StartOutcome.NOT_SENT, sent_at, sent_at)
             return None
-        return _BegunStart(order, sent_at, deadline_ms, self._start_window.begin())
+        token = self._epoch + order.run.fence
+        return _BegunStart(order, sent_at, deadline_ms, token, self._start_window.begin())
 
     async def _send_start_directly(self, started: _BegunStart) -> None:
         order = started.order
         answer: StartAnswer | FencedByMinionError = StartAnswer(StartOutcome.UNKNOWN)
         try:
             answer = StartAnswer(
-                *await self._parts.minions.start(order, self._epoch, started.deadline_ms)
+                *await self._parts.minions.start(order, started.token, started.deadline_ms)
             )
         except FencedByMinionError as error:
             answer = error
@@ -693,9 +705,11 @@
         self, started: _BegunStart, answer: StartAnswer | FencedByMinionError
     ) -> None:
         if isinstance(answer, FencedByMinionError):
-            self._start_window.end(started.window_order)
-            self._parts.leadership.drop(str(answer))
-            return
+            if not self._is_outdated(started.order.minion, started.token):
+                self._start_window.end(started.window_order)
+                self._parts.leadership.drop(str(answer))
+                return
+            answer = StartAnswer(StartOutcome.FENCED)
         outcome, clock_ms = answer.outcome, answer.clock_ms
         is_sent = outcome is not StartOutcome.NOT_SENT
         self._start_window.end(started.window_order, is_sent=is_sent)
@@ -727,40 +741,42 @@
         # These orders extend no lease, so the leader's own lease is enough.
         if not (leadership.is_leading or leadership.is_lease_renewal_allowed):
             return
-        on_answer = partial(self._process_order_answer, order)
+        token = self._token(order.minion)
+        on_answer = partial(self._process_order_answer, order, token)
         try:
-            is_sent = self._parts.minions.submit_order(order, self._epoch, on_answer)
+            is_sent = self._parts.minions.submit_order(order, token, on_answer)
         except Exception as error:
             self._log_unexpected_error(type(order).__name__, order.minion, error)
             return
         if not is_sent:
-            self._spawn(self._send_order(order))
+            self._spawn(self._send_order(order, token))
 
-    async def _send_order(self, order: Order) -> None:
+    async def _send_order(self, order: Order, token: int) -> None:
         answer: MinionError | None = None
         try:
             match order:
                 case StopOrder():
-                    await self._parts.minions.stop(order, self._epoch)
+                    await self._parts.minions.stop(order, token)
                 case PaceOrder():
-                    await self._parts.minions.set_pace(order, self._epoch)
+                    await self._parts.minions.set_pace(order, token)
         except MinionError as error:
             answer = error
         except Exception as error:
             self._log_unexpected_error(type(order).__name__, order.minion, error)
             return
-        self._process_order_answer(order, answer)
+        self._process_order_answer(order, token, answer)
 
-    def _process_order_answer(self, order: Order, error: MinionError | None) -> None:
+    def _process_order_answer(self, order: Order, token: int, error: MinionError | None) -> None:
         if self._has_ended:
             return
         try:
-            self._record_order_answer(order, error)
+            self._record_order_answer(order, token, error)
         except Exception as unexpected:
             self._log_unexpected_error(type(order).__name__, order.minion, unexpected)
 
-    def _record_order_answer(self, order: Order, error: MinionError | None) -> None:
-        if isinstance(error, FencedByMinionError):
+    def _record_order_answer(self, order: Order, token: int, error: MinionError | None) -> None:
+        is_fenced = isinstance(error, FencedByMinionError)
+        if is_fenced and not self._is_outdated(order.minion, token):
             self._parts.leadership.drop(str(error))
         elif error is not None:
             fields = {"minion": order.minion.minion_id, "reason": str(error)}
@@ -770,6 +786,15 @@
         elif isinstance(order, StopOrder):
             self._scheduler.stop_answered(order.minion, order.key, order.run_id, self._clock())
 
+    def _token(self, minion: Minion) -> int:
+        """Return the fencing token of a call to a minion that is sent now."""
+        return self._epoch + minion.fence
+
+    def _is_outdated(self, minion: Minion, token: int) -> bool:
+        """Return whether this leader has sent calls with a higher token to a minion id."""
+        is_current = self._scheduler.minions.get(minion.minion_id) is minion
+        return not is_current or token < self._token(minion)
+
     def _log_unexpected_error(self, call: str, minion: Minion, error: Exception) -> None:
         fields = {"call": call, "minion": minion.minion_id, "reason": repr(error)}
         _log.error("call to a minion failed unexpectedly", extra=fields)
@@ -793,6 +818,8 @@
                 continue
             try:
                 is_round_due = await self._poll_once(minion, is_renewing=not is_confirming)
+            except _OutdatedPollError:
+                continue
             except FencedByMinionError as error:
                 self._parts.leadership.drop(str(error))
                 return
@@ -855,8 +882,14 @@
         wait_seconds = 0.0
         if deadline_ms is not None:
             wait_seconds = self._scheduler.poll_wait_seconds(minion)
-        report = await self._parts.minions.renew(minion, self._epoch, deadline_ms, wait_seconds)
-        return self._scheduler.report(minion, report, sent_at, self._clock())
+        fence, token = minion.fence, self._token(minion)
+        try:
+            report = await self._parts.minions.renew(minion, token, deadline_ms, wait_seconds)
+        except FencedByMinionError as error:
+            if self._is_outdated(minion, token):
+                raise _OutdatedPollError(str(error)) from error
+            raise
+        return self._scheduler.report(minion, report, sent_at, self._clock(), fence)
 
     async def _log_decisions(self) -> None:
         self._parts.slices.begin()
--- a/dotterelhill/control/leadership.py
+++ b/dotterelhill/control/leadership.py
@@ -56,6 +56,10 @@
 
 RESIGNATION_RETRY_SECONDS = 0.1
 
+# Fencing tokens that a term has for its calls to minions, from its epoch on. The next claim begins
+# above them.
+FENCES_PER_TERM = 1 << 16
+
 LEADER_KEY = "leader"
 RENEWAL_KEY = "renewal"
 
@@ -71,12 +75,20 @@
     :param incarnation: incarnation id of the claiming process
     :param address: ``host:port`` at which the process answers its peers
     :param is_resigned: whether the process has resigned
+    :param term_epoch: epoch of the term that a resignation ends; 0 if it is ``epoch``, which is
+        raised to the highest fencing token of the term, since an earlier build claims the next one
     """
 
     epoch: int
     incarnation: str
     address: str
     is_resigned: bool = False
+    term_epoch: int = 0
+
+    @property
+    def led_epoch(self) -> int:
+        """Return the epoch of the term that the record begins or ends."""
+        return self.term_epoch or self.epoch
 
 
 class Witness(msgspec.Struct, frozen=True, array_like=True):
@@ -424,7 +436,7 @@
                 raise StoreError(f"the newest claim can't be decoded: {error}") from error
         if claim is None:
             return LeadershipState(None, batch.next_offset)
-        if renewal is None or renewal.epoch != claim.epoch:
+        if renewal is None or renewal.epoch != claim.led_epoch:
             return LeadershipState(claim, batch.next_offset, is_settled=False)
         state = LeadershipState(
             claim,
@@ -449,7 +461,7 @@
         :raises StoreError: when the append failed or its outcome can't be determined
         """
         sent_at = self._clock()
-        epoch = state.claim.epoch + 1 if state.claim else 1
+        epoch = state.claim.epoch + FENCES_PER_TERM if state.claim else 1
         claim = Claim(epoch, self._incarnation, self._address)
         record = Record(LEADER_KEY, msgspec.msgpack.encode(claim))
         try:
@@ -556,20 +568,29 @@
         self._unanswered_at = None
         self._valid_until = max(self._valid_until, renewed_at + LEASE_SECONDS)
 
-    async def resign(self, stop_calls: Callable[[], None] = lambda: None) -> None:
+    async def resign(
+        self, stop_calls: Callable[[], None] = lambda: None, highest_fence: int = 0
+    ) -> None:
         """Give up the claim and record this, so that other processes can claim immediately.
 
         It is recorded at the latest ``LEASE_SECONDS`` later, or not at all: other processes claim
         by then since the stream does not grow.
 
         :param stop_calls: called once the claim is given up, before that is recorded
+        :param highest_fence: highest difference of a fencing token of the term from its epoch
         """
         claim = self._claim
         if claim is None:
             return
         self.drop("resigned")
         stop_calls()
-        resigned = Claim(claim.epoch, claim.incarnation, claim.address, is_resigned=True)
+        resigned = Claim(
+            claim.epoch + highest_fence,
+            claim.incarnation,
+            claim.address,
+            is_resigned=True,
+            term_epoch=claim.epoch if highest_fence else 0,
+        )
         record = Record(LEADER_KEY, msgspec.msgpack.encode(resigned))
         end, tries_until = self._end, self._clock() + LEASE_SECONDS
         reason = ""
@@ -713,8 +734,9 @@
         if now - self._seen_at >= CLAIM_SERIES_SECONDS:
             self._count = 0
         elif claim.incarnation != self._incarnation:
-            # Claims that this process did not see count as well.
-            self._count = min(self._count + claim.epoch - self._epoch, 4)
+            # Claims that this process did not see count too. Those of earlier builds differ by 1.
+            claims = max(1, (claim.epoch - self._epoch) // FENCES_PER_TERM)
+            self._count = min(self._count + claims, 4)
         self._epoch, self._incarnation, self._seen_at = claim.epoch, claim.incarnation, now
 
 
--- a/dotterelhill/control/tests/cluster.feature
+++ b/dotterelhill/control/tests/cluster.feature
@@ -204,6 +204,17 @@
       | 0.6     | 4.8    |
       | 0.6     | 5.0    |
 
+  Scenario Outline: A minion refuses a call that <overtaken by>, and the leader <does not>
+    When job "j" of 4 tasks of 2 seconds is submitted at a process that does not lead
+    And <event> while calls are on their way
+    And 4 seconds pass
+    Then the first leader <outcome>
+
+    Examples:
+      | overtaken by                                       | does not       | event                                             | outcome                           |
+      | a newer one of the same leader has overtaken       | ends its term  | the fence of each minion rises                    | still leads with its first epoch  |
+      | was sent before a later leader reached that minion | goes on        | each minion carries out a call of a later leader  | has ended its first term          |
+
   Scenario: An answer of one minion that can't be processed ends the term of each leader in turn
     When 6 calls of the leader to minions fail with an unexpected error
     And job "j" of 4 tasks is submitted at a process that does not lead
--- a/dotterelhill/jobs/fleet.py
+++ b/dotterelhill/jobs/fleet.py
@@ -82,6 +82,7 @@
     :param is_partial: whether its duration is not that of a whole run at full pace
     :param is_extra: whether the run was started because another run of its task took too long
     :param saved_at: loop time of the first report of its newest checkpoint; None before the first
+    :param fence: fence that its start order carried; see :class:`Minion`
     """
 
     key: TaskKey
@@ -104,6 +105,7 @@
     is_partial: bool = False
     is_extra: bool = False
     saved_at: float | None = None
+    fence: int = -1
 
     @property
     def may_start_late(self) -> bool:
@@ -179,6 +181,9 @@
     :param is_answering: whether the newest poll was answered
     :param is_lease_closed: whether a stored record may tell later leaders that its lease is not
         extended
+    :param fence: part of the fencing token of calls to this minion that rises within a term: with
+        each life of the minion and each loss of an answer. A minion that has carried out a call
+        does nothing for calls with a lower fence, whatever life they were meant for.
     :param silent_at: loop time of the first poll without an answer; None while polls are answered
     :param lease_until: loop time by which the last lease has certainly expired
     :param clock_ms: clock of the minion in its newest answer; None before the first
@@ -205,6 +210,7 @@
     is_synced: bool = False
     is_answering: bool = True
     is_lease_closed: bool = False
+    fence: int = 0
     silent_at: float | None = None
     runs: dict[TaskKey, Run] = field(default_factory=dict)
     clock_ms: int | None = None
--- a/dotterelhill/jobs/orders.py
+++ b/dotterelhill/jobs/orders.py
@@ -61,5 +61,6 @@
     NO_ROOM = "no room"
     OUTDATED = "outdated run"
     LATE = "late"
+    FENCED = "fenced"
     OTHER_INCARNATION = "other incarnation"
     REFUSED = "refused"
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -185,6 +185,9 @@
         # Those of them whose end has been counted against the runs that may have caused it.
         self._counted_incarnations: set[str] = set()
         self._late_starts = LateStarts()
+        # Fence of a minion that is not known, higher than those of minions that were removed.
+        self._first_fence = 0
+        self._highest_fence = 0
         # Ends of leases by incarnation that an earlier leader stored, where they are earlier.
         self._stored_lease_ends: dict[str, float] = {}
         # Incarnations whose leases a stored record may call closed.
@@ -235,6 +238,11 @@
         """Return the check of the bound within which accepted tasks start."""
         return self._start_bound
 
+    @property
+    def highest_fence(self) -> int:
+        """Return the highest fence that a call to a minion has carried in this term."""
+        return self._highest_fence
+
     @property
     def waiting_tasks(self) -> int:
         """Return the number of tasks that wait for a minion."""
@@ -473,6 +481,8 @@
             task.key, assignment.run_id, step, minion.minion_id, RunState.STOPPING, now,
             settled_at=None if is_own else now, is_proven=True, is_inherited=not is_own,
         )  # fmt: skip
+        if is_own:
+            run.fence = minion.fence - 1
         minion.attach(run)
         minion.extend_lease(now, self._settings.lease_seconds)
         if is_own:
@@ -660,6 +670,11 @@
             self._release_replaced(known, now)
         self._crashes.confirm_doubts(facts.minion_id, facts.born_ms, now)
         minion = Minion(facts, lease_until=now)
+        if known is None:
+            minion.fence = self._first_fence
+        else:
+            minion.fence = known.fence
+            self._raise_fence(minion)
         minion.lease_until = max(now, self._inherited_lease_end(minion.incarnation))
         minion.is_lease_closed = minion.incarnation in self._closed_leases
         self._minions[facts.minion_id] = minion
@@ -699,17 +714,20 @@
             minion.is_listed, minion.doubtful_facts = False, None
             self._record_minion_decision("minion not listed", minion)
 
-    def report(self, minion: Minion, report: MinionReport, sent_at: float, now: float) -> bool:
+    def report(
+        self, minion: Minion, report: MinionReport, sent_at: float, now: float, fence: int = 0
+    ) -> bool:
         """Process the report of a minion about its running and ended tasks.
 
         :param sent_at: loop time at which the poll was sent
+        :param fence: fence that the poll carried
         :returns: whether it changes what may start or has to be stored
         """
         if self._minions.get(minion.minion_id) is not minion:
             return False
         changes, processed_end = minion.change_count, minion.processed_end
         dirty, exclusion = self._dirty_count, self._exclusion(minion, now)
-        self._process_report(minion, report, sent_at, now)
+        self._process_report(minion, report, sent_at, now, fence)
         return (
             minion.change_count != changes
             or minion.processed_end != processed_end
@@ -719,20 +737,24 @@
         )
 
     def _process_report(
-        self, minion: Minion, report: MinionReport, sent_at: float, now: float
+        self, minion: Minion, report: MinionReport, sent_at: float, now: float, fence: int
     ) -> None:
         """Process the report of a current minion as ``report`` does."""
         if report.born_ms and report.born_ms != minion.facts.born_ms:
             # This incarnation was listed before the poll was sent, so a later one has answered.
-            self._release_replaced(minion, now, report)
+            self._release_replaced(minion, now, report, fence)
             self._crashes.confirm_doubts(minion.minion_id, report.born_ms, now)
-            del self._minions[minion.minion_id]
+            self._remove_minion(minion)
             facts = minion.doubtful_facts
             if facts is not None and facts.born_ms == report.born_ms:
                 self.update_minion(facts, now)
             return
         if self._doubts.by_incarnation:
             self._crashes.withdraw_doubts(minion.incarnation)
+        if minion.clock_ms is None:
+            # Calls to an earlier incarnation, which this one refuses from now on, may have extended
+            # its lease by a full one until it answered.
+            minion.extend_lease(now, self._settings.lease_seconds)
         minion.clock_ms, minion.clock_at = report.clock_ms, now
         minion.last_report_at = now
         if not minion.is_answering:
@@ -749,7 +771,7 @@
         if is_complete_list and not minion.runs.keys() <= present:
             for run in list(minion.runs.values()):
                 if run.key not in present:
-                    self._process_absence(minion, run, sent_at, now)
+                    self._process_absence(minion, run, sent_at, now, fence)
         minion.is_synced = minion.is_synced or is_complete_list
         self._orders.extend(self._interference.pace_orders(minion, now))
 
@@ -757,6 +779,8 @@
         """Mark a minion as not answering; its runs are kept until its lease has expired."""
         if minion.is_answering:
             minion.is_answering, minion.silent_at = False, now
+            # A later incarnation refuses the calls of before once it has carried out one of after.
+            self._raise_fence(minion)
             self._suspicion.record_silence(minion, now)
             self._record_minion_decision(f"minion does not answer: {reason}", minion)
 
@@ -764,7 +788,7 @@
         """Remove a minion that is proven gone because another one answers at its address."""
         if self._minions.get(minion.minion_id) is minion:
             self._release_minion(minion, now, "another minion answers at its address")
-            del self._minions[minion.minion_id]
+            self._remove_minion(minion)
 
     def poll_wait_seconds(self, minion: Minion) -> float:
         """Return how long the next poll of a minion may wait for the end of a run, in seconds."""
@@ -804,6 +828,8 @@
             key = row.key
             run = runs.get(key)
             if run is None or run.run_id != row.run_id:
+                # While an earlier run of the task is here, the task may start nowhere else.
+                present.add(key)
                 # No stored progress names this run: its job is removed or the run was released.
                 self._orders.append(StopOrder(minion, key, row.run_id))
                 self._record_unassigned_run(minion, key, row.run_id)
@@ -878,11 +904,21 @@
             "task no longer suspected", job.job_id, task=str(task.key), crashes=crashes
         )
 
-    def _process_absence(self, minion: Minion, run: Run, sent_at: float, now: float) -> None:
-        """Process a report that lacks a run; ``sent_at`` is the time of its poll."""
+    def _process_absence(
+        self, minion: Minion, run: Run, sent_at: float, now: float, fence: int
+    ) -> None:
+        """Process a report that lacks a run.
+
+        :param sent_at: loop time at which the poll was sent
+        :param fence: fence that the poll carried
+        """
+        # The minion refuses the start order from now on.
+        is_fenced = run.fence < fence
         match run.state:
             case RunState.PLANNED | RunState.SENT:
                 return
+            case RunState.UNKNOWN | RunState.STOPPING if is_fenced:
+                self._release_run(minion, run, now, "not in the minion's report after its fence")
             case RunState.UNKNOWN:
                 # The start order may still be carried out later, unless a stop order precedes it.
                 if run.settled_at is not None and run.settled_at < sent_at:
@@ -1052,21 +1088,35 @@
         )  # fmt: skip
         self._end_job(job, JobState.FAILED, now, reason="a task crashed its minions")
 
+    def _raise_fence(self, minion: Minion) -> None:
+        """Let the next calls to a minion exclude those of before, once one is carried out."""
+        minion.fence += 1
+        self._highest_fence = max(self._highest_fence, minion.fence)
+
+    def _remove_minion(self, minion: Minion) -> None:
+        """Remove a minion; the calls to later incarnations under its id get a higher fence."""
+        del self._minions[minion.minion_id]
+        self._first_fence = max(self._first_fence, minion.fence + 1)
+
     def _release_replaced(
-        self, minion: Minion, now: float, report: MinionReport | None = None
+        self,
+        minion: Minion,
+        now: float,
+        report: MinionReport | None = None,
+        fence: int = 0,
     ) -> None:
         """Release the runs of an incarnation after which another one has begun under its id.
 
         That one takes start orders which were meant for the earlier one, so tasks whose start may
         still be carried out stay assigned until it is listed.
 
-        :param report: report of the later incarnation, whose fencing token excludes orders of
-            earlier leaders; None without one
+        :param report: report of the later incarnation; None without one
+        :param fence: fence of the poll that it answers, from which on it refuses lower ones
         """
         late = [run for run in minion.runs.values() if run.may_start_late]
         if report is not None:
             present = {row.key for row in report.running}
-            late = [run for run in late if not run.is_inherited or run.key in present]
+            late = [run for run in late if run.fence >= fence or run.key in present]
         earlier_starts = sum(1 for _ in self._late_starts.on_minion(minion.minion_id, now))
         self._record_minion_decision(
             "minion began again under its id", minion, late_runs=len(late),
@@ -1185,6 +1235,7 @@
                 if run.state is RunState.SENT:
                     run.state = RunState.UNKNOWN
                 self._late_starts.add(minion.minion_id, run.key, run.run_id, now)
+                self._raise_fence(minion)
                 # Only the answer to a stop proves that a late start has no effect.
                 if run.state is not RunState.STOPPING:
                     run.settled_at = now
@@ -1543,7 +1594,7 @@
                 self._release_minion(minion, now, "lease expired", is_certain=False)
             minion.is_synced = False
             if not minion.is_listed:
-                del self._minions[minion.minion_id]
+                self._remove_minion(minion)
         for key, until in list(self._unlisted_lease_ends.items()):
             if now < until:
                 continue
@@ -1633,7 +1684,7 @@
             if run in withheld:
                 self._release_run(target, run, now, withheld[run])
                 continue
-            run.state = RunState.SENT
+            run.state, run.fence = RunState.SENT, target.fence
             checkpoint = job.task(run.key).checkpoint
             orders.append(StartOrder(target, run, job.submission.payload, checkpoint))
         return orders
--- a/dotterelhill/jobs/tests/late_orders.feature
+++ b/dotterelhill/jobs/tests/late_orders.feature
@@ -77,6 +77,46 @@
     And 2 rounds pass
     Then 2 starts were sent in total
 
+  @single-place
+  Scenario Outline: a later life of a minion carries out calls to the former one after it has answered
+    # Guards against TWICE: without a higher fencing token a late call extends the lease of all that runs there.
+    Given a fleet with minions "m1" of 4 processors
+    And job "a" of 1 task of 1 processors
+    When the minions report
+    And the scheduler plans
+    And the plan is stored, and its starts are on their way
+    And <event>
+    Then the fence of its minion is higher than that of the newest start
+
+    Examples:
+      | event                                                                  |
+      | the minion of the newest start begins again under its id               |
+      | the minion of the newest start falls silent                            |
+      | the minion of the newest start is removed and begins again under its id |
+      | the start of job "a" gets no answer                                    |
+
+  @single-place
+  Scenario: a later life that answers a poll without a lease is taken to hold none from former calls
+    Given a fleet with minions "m1" of 4 processors
+    When 8 seconds pass in rounds
+    And job "a" of 1 task of 1 processors is submitted
+    And 1 rounds pass
+    And the minion of the newest start begins again under its id
+    And the later life answers a poll that extends no lease
+    Then its lease is taken to last for 6.1 seconds
+
+  @single-place
+  Scenario: a task starts elsewhere although the answer of a later life lists an earlier run of it
+    Given a fleet with minions "m1 m2" of 4 processors
+    And job "a" of 1 task of 1 processors
+    When the minions report
+    And the scheduler plans
+    And the plan is stored, and its starts are on their way
+    And the minion of the newest start begins again under its id
+    And the later life reports run 0 of the task after its fence
+    And 2 rounds pass
+    Then 1 starts were sent in total
+
   @single-place
   Scenario: a start of this leader that a later life may carry out is released with the leases of earlier leaders
     # Guards against TWICE: a takeover shortens the waits for earlier leaders, which have not ordered this start.
--- a/dotterelhill/jobs/tests/steps/late_orders_steps.py
+++ b/dotterelhill/jobs/tests/steps/late_orders_steps.py
@@ -4,6 +4,7 @@
 
 from behave import then, use_step_matcher, when
 
+from dotterelhill.jobs.fleet import MinionReport, RunReport
 from dotterelhill.jobs.orders import StartOutcome
 from dotterelhill.jobs.tests.late_order_world import run_late_orders
 
@@ -70,6 +71,53 @@
     fleet.scheduler.update_minion(fleet.facts[fleet.sent[-1].minion.minion_id], fleet.now)
 
 
+def newest_minion(context):
+    return context.fleet.scheduler.minions[context.fleet.sent[-1].minion.minion_id]
+
+
+@when(r"the minion of the newest start falls silent")
+def silence_newest_minion(context):
+    context.fleet.scheduler.mark_minion_silent(newest_minion(context), "", context.fleet.now)
+
+
+@when(r"the minion of the newest start is removed and begins again under its id")
+def remove_and_restart_minion(context):
+    fleet = context.fleet
+    name = fleet.sent[-1].minion.minion_id
+    fleet.scheduler.remove_replaced_minion(newest_minion(context), fleet.now)
+    fleet.scheduler.update_minion(replace(fleet.facts[name], born_ms=fleet.unix_ms), fleet.now)
+
+
+@when(r"the later life answers a poll that extends no lease")
+def answer_without_lease(context):
+    answer_later_life(context, ())
+
+
+@when(r"the later life reports run (?P<run_id>\d+) of the task after its fence")
+def report_earlier_run(context, run_id):
+    key = context.fleet.sent[-1].run.key
+    context.fleet.running[context.fleet.sent[-1].minion.minion_id][key] = int(run_id)
+    answer_later_life(context, (RunReport(key, int(run_id), "", 100, None),))
+
+
+def answer_later_life(context, rows):
+    fleet, minion = context.fleet, newest_minion(context)
+    report = MinionReport(minion.facts.born_ms, 100, rows, ())
+    fleet.scheduler.report(minion, report, fleet.now, fleet.now, minion.fence)
+
+
+@then(r"the fence of its minion is higher than that of the newest start")
+def check_fence(context):
+    fences = newest_minion(context).fence, context.fleet.sent[-1].run.fence
+    assert fences[0] > fences[1], fences
+
+
+@then(r"its lease is taken to last for (?P<seconds>[\d.]+) seconds")
+def check_lease(context, seconds):
+    left = newest_minion(context).lease_until - context.fleet.now
+    assert left >= float(seconds), left
+
+
 @when(r"leaders before this one turn out to have ended (?P<seconds>\d+) seconds ago")
 def end_earlier_leaders(context, seconds):
     context.fleet.scheduler.end_earlier_renewals(context.fleet.now - float(seconds))
--- a/dotterelhill/platform/minions.py
+++ b/dotterelhill/platform/minions.py
@@ -135,16 +135,16 @@
         self._submit = submit
 
     async def start(
-        self, order: StartOrder, epoch: int, deadline_ms: int
+        self, order: StartOrder, token: int, deadline_ms: int
     ) -> tuple[StartOutcome, int | None]:
         """Start a run.
 
-        :param epoch: fencing token of the leader
+        :param token: fencing token of the call
         :param deadline_ms: end of the lease on the minion's clock
         :returns: outcome, and the minion's clock in ms if the minion answered
-        :raises FencedByMinionError: when the minion has received orders of a later leader
+        :raises FencedByMinionError: when the minion has carried out a call with a higher token
         """
-        call = _start_call(order, epoch, deadline_ms)
+        call = _start_call(order, token, deadline_ms)
         try:
             answer = await self._caller.call(call)
         except MinionNotReachedError:
@@ -157,14 +157,14 @@
     def submit_start(
         self,
         order: StartOrder,
-        epoch: int,
+        token: int,
         deadline_ms: int,
         on_answer: StartAnswerHandler,
     ) -> bool:
         """Start a run through a relay; see :meth:`Minions.submit_start`."""
         if self._submit is None:
             return False
-        call = _start_call(order, epoch, deadline_ms)
+        call = _start_call(order, token, deadline_ms)
         return self._submit(call, partial(self._process_start_answer, order, on_answer))
 
     def _process_start_answer(
@@ -189,7 +189,7 @@
     def _start_answer(self, order: StartOrder, call_answer: MinionAnswer) -> StartAnswer:
         """Return the outcome that an answer tells.
 
-        :raises FencedByMinionError: when the minion has received orders of a later leader
+        :raises FencedByMinionError: when the minion has carried out a call with a higher token
         """
         status = call_answer.status
         answer = _decode_answer(call_answer.body)
@@ -209,28 +209,28 @@
             return StartAnswer(StartOutcome.REFUSED, answer.clockMs)
         return StartAnswer(StartOutcome.UNKNOWN, answer.clockMs)
 
-    async def stop(self, order: StopOrder, epoch: int) -> None:
+    async def stop(self, order: StopOrder, token: int) -> None:
         """Stop a run.
 
         :raises MinionError: when the minion did not confirm the stop
         """
-        self._check_order(order, await self._caller.call(_order_call(order, epoch)))
+        self._check_order(order, await self._caller.call(_order_call(order, token)))
 
-    async def set_pace(self, order: PaceOrder, epoch: int) -> None:
+    async def set_pace(self, order: PaceOrder, token: int) -> None:
         """Set the pace of a run.
 
         :raises MinionError: when the minion did not confirm the pace
         """
-        self._check_order(order, await self._caller.call(_order_call(order, epoch)))
+        self._check_order(order, await self._caller.call(_order_call(order, token)))
 
     def submit_order(
-        self, order: StopOrder | PaceOrder, epoch: int, on_answer: OrderAnswerHandler
+        self, order: StopOrder | PaceOrder, token: int, on_answer: OrderAnswerHandler
     ) -> bool:
         """Stop a run or set its pace through a relay; see :meth:`Minions.submit_order`."""
         if self._submit is None:
             return False
         on_call_answer = partial(self._process_order_answer, order, on_answer)
-        return self._submit(_order_call(order, epoch), on_call_answer)
+        return self._submit(_order_call(order, token), on_call_answer)
 
     def _process_order_answer(
         self,
@@ -260,7 +260,7 @@
         raise MinionError(f"{name}: status {answer.status}")
 
     async def renew(
-        self, minion: Minion, epoch: int, deadline_ms: int | None, wait_seconds: float
+        self, minion: Minion, token: int, deadline_ms: int | None, wait_seconds: float
     ) -> MinionReport:
         """Renew the lease of all runs, acknowledge stored ends of runs, and return the report.
 
@@ -269,7 +269,7 @@
         :raises MinionError: when the minion gave no usable answer
         """
         body = {
-            "fenceToken": epoch,
+            "fenceToken": token,
             "ackedUpto": minion.durable_end,
             "waitMs": int(1000 * wait_seconds),
         }
@@ -290,7 +290,7 @@
     @staticmethod
     def _check_fence(status: int, answer: _Answer) -> None:
         if status == 409 and answer.reason == "fence":
-            raise FencedByMinionError("a minion has orders of a later leader")
+            raise FencedByMinionError("a minion has carried out a call with a higher fencing token")
 
     async def _call(
         self,
@@ -321,12 +321,12 @@
 _kept_spec_prefix = lru_cache(MAX_PAYLOADS)(_spec_prefix)
 
 
-def _start_call(order: StartOrder, epoch: int, deadline_ms: int) -> MinionCall:
+def _start_call(order: StartOrder, token: int, deadline_ms: int) -> MinionCall:
     body: dict[str, Any] = {
         "task": str(order.run.key),
         "runId": order.run.run_id,
         "deadlineMs": deadline_ms,
-        "fenceToken": epoch,
+        "fenceToken": token,
     }
     if order.checkpoint:
         body["checkpoint"] = order.checkpoint
@@ -342,18 +342,18 @@
     )
 
 
-def _order_call(order: StopOrder | PaceOrder, epoch: int) -> MinionCall:
+def _order_call(order: StopOrder | PaceOrder, token: int) -> MinionCall:
     match order:
         case StopOrder():
             path = "/run-stop"
-            body = {"task": str(order.key), "runId": order.run_id, "fenceToken": epoch}
+            body = {"task": str(order.key), "runId": order.run_id, "fenceToken": token}
         case PaceOrder():
             path = "/pace"
             body = {
                 "task": str(order.run.key),
                 "runId": order.run.run_id,
                 "percent": order.percent,
-                "fenceToken": epoch,
+                "fenceToken": token,
             }
     facts = order.minion.facts
     return MinionCall(
