--- a/dotterelhill/control/leader.py
+++ b/dotterelhill/control/leader.py
@@ -63,6 +63,7 @@
 TICK_SECONDS = 0.1
 # Shortest interval between polls of one minion; a poll reports all runs that ended meanwhile.
 MIN_POLL_INTERVAL_SECONDS = 0.05
+DEFERRED_POLL_INTERVAL_SECONDS = 0.3
 POLL_RETRY_SECONDS = (0.05, 0.3)
 MINION_LIST_INTERVAL_SECONDS = 0.5
 # Reads of the store that a loading leader has in progress. Their answers share the processor with
@@ -862,8 +863,10 @@
             self._send_orders()
             if is_round_due:
                 self._wake_event.set()
-            pause_seconds = self._scheduler.poll_pause_seconds(minion)
-            await asyncio.sleep(max(MIN_POLL_INTERVAL_SECONDS, pause_seconds))
+            # A poll returns at once while an end is not acknowledged.
+            is_waiting = minion.has_deferred_end
+            seconds = DEFERRED_POLL_INTERVAL_SECONDS if is_waiting else MIN_POLL_INTERVAL_SECONDS
+            await asyncio.sleep(seconds)
 
     async def _poll_once(self, minion: Minion, *, is_renewing: bool) -> bool:
         """Poll a minion and process its report.
@@ -887,7 +890,8 @@
         wait_seconds = 0.0
         if deadline_ms is not None:
             wait_seconds = self._scheduler.poll_wait_seconds(minion)
-        fence, token = minion.fence, self._token(minion)
+        fence = minion.fence
+        token = self._epoch + fence
         try:
             report = await self._parts.minions.renew(minion, token, deadline_ms, wait_seconds)
         except FencedByMinionError as error:
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -777,8 +777,11 @@
         if not minion.is_answering:
             minion.is_answering, minion.silent_at = True, None
             self._record_minion_decision("minion answers again", minion)
-        deferred = self._process_ends(minion, report, now)
-        present = self._process_running(minion, report, now) | deferred
+        deferred = self._process_ends(minion, report, now) if report.ended else None
+        minion.has_deferred_end = bool(deferred)
+        present = self._process_running(minion, report, now)
+        if deferred:
+            present |= deferred
         is_complete_list = len(report.ended) < END_LIST_LIMIT
         if is_complete_list and not minion.runs.keys() <= present:
             for run in list(minion.runs.values()):
@@ -825,13 +828,6 @@
             return SHARING_POLL_SECONDS
         return MAX_POLL_SECONDS_WITH_RUNS if minion.runs else MAX_POLL_SECONDS
 
-    def poll_pause_seconds(self, minion: Minion) -> float:
-        """Return the least time between polls of a minion, in seconds.
-
-        Each poll returns at once while an end is not acknowledged.
-        """
-        return UNRESOLVED_POLL_SECONDS if minion.has_deferred_end else 0.0
-
     def _process_running(self, minion: Minion, report: MinionReport, now: float) -> set[TaskKey]:
         """Update the runs that a report lists as running.
 
@@ -994,7 +990,8 @@
         for end in report.ended:
             if end.number <= minion.processed_end or end.number in minion.processed_early:
                 continue
-            if end.key is not None and self._is_end_deferred(minion, end, now):
+            if self._do_ids_return and self._is_end_deferred(minion, end, now):
+                assert end.key is not None
                 deferred.add(end.key)
                 continue
             # An end that could not be processed to the end is in the next report again.
@@ -1006,7 +1003,6 @@
         if not deferred and minion.processed_early:
             minion.processed_end = max(minion.processed_end, *minion.processed_early)
             minion.processed_early.clear()
-        minion.has_deferred_end = bool(deferred)
         return deferred
 
     def _is_end_deferred(self, minion: Minion, end: EndReport, now: float) -> bool:
@@ -1015,7 +1011,7 @@
         An earlier start of the task may still be carried out by the next incarnation, after an end
         that was acknowledged. With that incarnation an end that was not acknowledged is lost.
         """
-        if end.kind is not EndKind.DONE or end.key is None or not self._do_ids_return:
+        if end.kind is not EndKind.DONE or end.key is None:
             return False
         run = minion.runs.get(end.key)
         if run is None or run.run_id != end.run_id or not run.restarts_in_place:
