--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -449,7 +449,8 @@
             is_counted = assignment.incarnation in self._counted_incarnations
             if minion is not None and (is_counted or minion.facts.born_ms > assignment.born_ms):
                 self.record_returned_id()
-                if assignment.is_proven:
+                # Of an incarnation that this leader has counted, only late starts are left.
+                if assignment.is_proven and not is_counted:
                     reason = "minion restarted as another incarnation"
                     self._release_stored_run(job, task, assignment, now, reason)
                 else:
