--- a/dotterelhill/jobs/fleet.py
+++ b/dotterelhill/jobs/fleet.py
@@ -83,10 +83,8 @@
     :param is_extra: whether the run was started because another run of its task took too long
     :param saved_at: loop time of the first report of its newest checkpoint; None before the first
     :param fence: fence that its start order carried; see :class:`Minion`
-    :param late_until: loop time until which this start order, or an earlier one of its task to the
-        same minion id, may be carried out late; -inf while it has an answer
-    :param restarts_in_place: number of runs in a row on the same minion whose starts had no answer,
-        and which this one replaces
+    :param late_until: loop time until which its start order may be carried out late; -inf unless
+        its answer is overdue
     """
 
     key: TaskKey
@@ -111,21 +109,13 @@
     saved_at: float | None = None
     fence: int = -1
     late_until: float = float("-inf")
-    restarts_in_place: int = 0
 
-    def may_start_late(self, now: float) -> bool:
-        """Return whether a start order may still be carried out, as far as is known."""
-        if now < self.late_until:
-            return True
+    @property
+    def may_start_late(self) -> bool:
+        """Return whether its start order may still be carried out, as far as is known."""
         is_known_present = self.is_proven or self.present_clock_ms is not None
         return self.state is not RunState.PLANNED and not is_known_present
 
-    def mark_present(self) -> None:
-        """Record that the run has begun, so that its own start order is not carried out later."""
-        self.state = RunState.PRESENT
-        if not self.restarts_in_place:
-            self.late_until = float("-inf")
-
 
 class EndKind(StrEnum):
     """Way in which a run ended, as reported by its minion."""
@@ -194,6 +184,8 @@
     :param is_answering: whether the newest poll was answered
     :param is_lease_closed: whether a stored record may tell later leaders that its lease is not
         extended
+    :param own_lease_until: loop time by which the leases have expired that this leader or, before
+        the first answer to it, calls to earlier incarnations have granted
     :param fence: part of the fencing token of calls to this minion that rises within a term: with
         each life of the minion and each loss of an answer. A minion that has carried out a call
         does nothing for calls with a lower fence, whatever life they were meant for.
@@ -226,6 +218,7 @@
     is_synced: bool = False
     is_answering: bool = True
     is_lease_closed: bool = False
+    own_lease_until: float = float("-inf")
     fence: int = 0
     has_lapsed: bool = False
     silent_at: float | None = None
@@ -362,7 +355,9 @@
 
     def extend_lease(self, now: float, hold_seconds: float) -> None:
         """Extend the recorded lease for an order sent now that holds for ``hold_seconds``."""
-        self.lease_until = max(self.lease_until, lease_end(now, hold_seconds))
+        until = lease_end(now, hold_seconds)
+        self.own_lease_until = max(self.own_lease_until, until)
+        self.lease_until = max(self.lease_until, until)
 
     def run_count(self, job_id: str, occurrence: int, step: int) -> int:
         """Return the number of runs of one occurrence of a step on this minion."""
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -89,10 +89,10 @@
 SHARING_POLL_SECONDS = 0.4
 # A poll that is lost alone is repeated and answered within this time on a prompt event loop.
 SILENT_SECONDS_TO_CLOSE_LEASE = 0.35
-# Starts in a row without an answer after which a task is not started on the same minion again: one
+# A task starts again on the minion that has left up to as many of its starts without an answer: one
 # on a platform whose minions are not known to begin again under their ids, and more on others.
-MAX_RESTARTS_IN_PLACE = 1
-MAX_RESTARTS_WHERE_IDS_RETURN = 3
+MAX_UNANSWERED_STARTS = 1
+MAX_UNANSWERED_STARTS_WHERE_IDS_RETURN = 3
 # The search for a minion takes up to 0.3 ms for each straggler, and a round has 25 ms.
 MAX_STRAGGLERS_PLACED = 8
 
@@ -189,6 +189,8 @@
         # Those of them whose end has been counted against the runs that may have caused it.
         self._counted_incarnations: set[str] = set()
         self._late_starts = LateStarts()
+        # Jobs of tasks, by task, that wait since a later life may begin them.
+        self._pinned: dict[TaskKey, Job] = {}
         # Whether a minion has begun again under its id.
         self._do_ids_return = False
         # Fence of a minion that is not known, higher than those of minions that were removed.
@@ -602,14 +604,10 @@
 
     def _limit_inherited_leases(self, until: float, stored_ends: Mapping[str, float]) -> None:
         """Set new bounds for the leases of earlier leaders."""
-        # A lease that this leader has renewed itself ends at another time.
-        inherited = []
-        for minion in self._minions.values():
-            if minion.lease_until == self._inherited_lease_end(minion.incarnation):
-                inherited.append(minion)
         self._earlier_lease_end, self._stored_lease_ends = until, dict(stored_ends)
-        for minion in inherited:
-            minion.lease_until = self._inherited_lease_end(minion.incarnation)
+        for minion in self._minions.values():
+            earlier_until = self._inherited_lease_end(minion.incarnation)
+            minion.lease_until = min(minion.lease_until, max(minion.own_lease_until, earlier_until))
         for key, unlisted_until in self._unlisted_lease_ends.items():
             if key in self._counted_incarnations:
                 # This leader has ordered starts there itself.
@@ -686,6 +684,7 @@
         minion = Minion(facts, lease_until=now)
         if known is None:
             minion.fence = self._first_fence
+            self._highest_fence = max(self._highest_fence, minion.fence)
         else:
             minion.fence = known.fence
             self._raise_fence(minion)
@@ -853,7 +852,7 @@
             present.add(key)
             state = run.state
             if state is sent or state is unknown:
-                run.mark_present()
+                self._process_beginning(run)
             if run.settled_at is None:
                 run.settled_at = now
             run.percent = row.percent
@@ -882,6 +881,12 @@
         self._interference.observe(minion, now)
         return present
 
+    def _process_beginning(self, run: Run) -> None:
+        """Process that a run is known to have begun, so that its start does not come late."""
+        if run.state is RunState.UNKNOWN:
+            self._late_starts.withdraw(run.minion_id, run.key, run.run_id)
+        run.state, run.late_until = RunState.PRESENT, -inf
+
     def _record_unassigned_run(self, minion: Minion, key: TaskKey, run_id: int) -> None:
         """Record for the log that a minion runs what is not assigned to it."""
         job = self._jobs.get(key.job_id)
@@ -933,9 +938,7 @@
         match run.state:
             case RunState.PLANNED | RunState.SENT:
                 return
-            case RunState.UNKNOWN if is_fenced:
-                self._release_unanswered(minion, run, now)
-            case RunState.STOPPING if is_fenced:
+            case RunState.UNKNOWN | RunState.STOPPING if is_fenced:
                 self._release_run(minion, run, now, "not in the minion's report after its fence")
             case RunState.UNKNOWN:
                 # The start order may still be carried out later, unless a stop order precedes it.
@@ -950,38 +953,6 @@
                 if run.settled_at is not None and run.settled_at < sent_at:
                     self._release_run(minion, run, now, "not in the minion's report")
 
-    def _release_unanswered(self, minion: Minion, run: Run, now: float) -> None:
-        """Release a run whose start order its minion refuses, and start its task there again.
-
-        The next incarnation of the minion may still carry the order out. A run on the same minion
-        does not survive that one, and a run elsewhere would. Where ids are known to return, a task
-        that can't start there waits until the order is not carried out any more.
-        """
-        job = self._jobs.get(run.key.job_id)
-        is_over = job is None or job.state in FINAL_STATES or job.task(run.key).is_done
-        is_restarted = not is_over and self._may_restart_in_place(minion, run, now)
-        has_to_wait = self._do_ids_return and now < run.late_until
-        if has_to_wait and not (is_over or is_restarted or run.step.is_lasting or run.step.is_gang):
-            return
-        self._release_run(minion, run, now, "not in the minion's report after its fence")
-        if not is_restarted or job is None or job.task(run.key).is_assigned:
-            return
-        self._placement.withdraw(job, job.task(run.key))
-        self._plan_run(job, run.key, minion, now)
-        minion.health.record_start(now)
-        again = minion.runs[run.key]
-        again.late_until, again.restarts_in_place = run.late_until, run.restarts_in_place + 1
-
-    def _may_restart_in_place(self, minion: Minion, run: Run, now: float) -> bool:
-        """Return whether a task may start again on the minion that did not answer its start."""
-        limit = MAX_RESTARTS_WHERE_IDS_RETURN if self._do_ids_return else MAX_RESTARTS_IN_PLACE
-        if run.step.is_gang or run.restarts_in_place >= limit:
-            return False
-        if self._exclusion(minion, now) is not None or runs_beyond_capacity([run], self._minions):
-            return False
-        job = self._jobs[run.key.job_id]
-        return self._tenant_limits.allows(job.submission.tenant, run.step)
-
     def _process_ends(self, minion: Minion, report: MinionReport, now: float) -> set[TaskKey]:
         """Process the ends in a report that were not processed before.
 
@@ -1015,10 +986,12 @@
         if end.kind is not EndKind.DONE or end.key is None:
             return False
         run = minion.runs.get(end.key)
-        if run is None or run.run_id != end.run_id or not run.restarts_in_place:
+        if run is None or run.run_id != end.run_id:
             return False
+        self._late_starts.withdraw(minion.minion_id, end.key, end.run_id)
         job = self._jobs.get(end.key.job_id)
-        if job is None or job.state in FINAL_STATES or now >= run.late_until:
+        is_late = now < self._late_starts.until(minion.minion_id, end.key)
+        if job is None or job.state in FINAL_STATES or not is_late:
             return False
         # Its duration is not known any more when its end is processed.
         run.is_partial = True
@@ -1206,7 +1179,11 @@
         :param fence: fence of the poll that it answers, from which on it refuses lower ones
         """
         self._do_ids_return = True
-        late = [run for run in minion.runs.values() if run.may_start_late(now)]
+        late = []
+        for run in minion.runs.values():
+            earlier_until = self._late_starts.until(minion.minion_id, run.key)
+            if run.may_start_late or now < earlier_until:
+                late.append(run)
         if report is not None:
             present = {row.key for row in report.running}
             late = [run for run in late if run.fence >= fence or run.key in present]
@@ -1215,7 +1192,8 @@
             "minion began again under its id", minion, late_runs=len(late),
             earlier_starts=earlier_starts, lease_left_ms=round(1000 * (minion.lease_until - now)),
         )  # fmt: skip
-        self._count_lost_minion(minion, now, is_certain=True)
+        if not minion.has_lapsed:
+            self._count_lost_minion(minion, now, is_certain=True)
         for run in late:
             minion.detach(run)
             job = self._jobs.get(run.key.job_id)
@@ -1228,6 +1206,9 @@
             until = lease_end(starts_until, self._settings.lease_seconds)
             self._unlisted_lease_ends[minion.incarnation] = until
             self._counted_incarnations.add(minion.incarnation)
+        if minion.has_lapsed:
+            # The runs that are left were counted when the lease had ended.
+            self._count_lost_minion(minion, now, is_certain=True)
         for run in list(minion.runs.values()):
             self._release_run(minion, run, now, "minion restarted as another incarnation")
 
@@ -1289,9 +1270,59 @@
 
     def _requeue(self, job: Job, task: Task) -> None:
         """Let a task wait for another run unless one may be present."""
-        if not task.is_assigned:
+        if task.is_assigned:
+            return
+        if self._late_starts.has_any(task.key):
+            self._pinned[task.key] = job
+        else:
             self._placement.requeue(job, task)
 
+    def _place_pinned(self, now: float) -> None:
+        """Plan runs of tasks of which a later life of a minion may carry out an earlier start.
+
+        Such a task starts again on the same minion, where its run does not survive that life. Where
+        ids are known to return, it waits rather than start elsewhere, unless it lasts or needs a
+        minion of its own, since it is suspected of crashing minions.
+        """
+        for key, job in list(self._pinned.items()):
+            task = job.task(key)
+            if job.state in FINAL_STATES or task.is_done or task.is_assigned:
+                del self._pinned[key]
+                continue
+            minion_ids = self._late_starts.of_task(key, now)
+            minion = self._minions.get(minion_ids[0]) if minion_ids else None
+            if minion is not None and self._may_start_again(job, task, minion, minion_ids, now):
+                del self._pinned[key]
+                self._plan_run(job, key, minion, now)
+                minion.health.record_start(now)
+                continue
+            step, is_suspected = job.submission.steps[key.step], self._suspicion.is_suspected(key)
+            has_to_wait = self._do_ids_return and not (step.is_lasting or step.is_gang)
+            if not minion_ids or not has_to_wait or is_suspected:
+                del self._pinned[key]
+                self._placement.requeue(job, task)
+
+    def _may_start_again(
+        self, job: Job, task: Task, minion: Minion, late_on: Sequence[str], now: float
+    ) -> bool:
+        """Return whether a task may start again on the minion that did not answer its start.
+
+        :param late_on: minion id of each start of the task that may still be carried out
+        """
+        limit = MAX_UNANSWERED_STARTS
+        if self._do_ids_return:
+            limit = MAX_UNANSWERED_STARTS_WHERE_IDS_RETURN
+        step, queue = job.submission.steps[task.key.step], self._queue_of(job)
+        if step.is_gang or len(late_on) > limit or set(late_on) != {minion.minion_id}:
+            return False
+        if queue.service != minion.facts.service or queue.needs_advice:
+            return False
+        if task.key in minion.runs or self._suspicion.is_suspected(task.key):
+            return False
+        if self._exclusion(minion, now) is not None or not minion.has_room_for(step):
+            return False
+        return self._tenant_limits.allows(job.submission.tenant, step)
+
     # Answers to orders
 
     def start_answered(
@@ -1415,6 +1446,7 @@
                 case Exclusion.SET_ASIDE if minion.health.is_trial_due(now):
                     for_trial.append(minion)
         self._decisions += self._uneven.begin_round(self._minions.values(), usable, for_trial, now)
+        self._place_pinned(now)
         for job, key, minion in self._placement.choose_starts(
             usable, for_trial, self._queue_of, now, unix_ms, max_starts
         ):
@@ -1700,6 +1732,7 @@
         for job in self._ended_jobs.take_expired(now):
             self._expired_job_ids.append(job.job_id)
         self._removed_submissions.expire(now)
+        self._late_starts.expire(now)
         for job_id in self._unstored_jobs.take_due(now):
             self._mark_dirty(self._jobs[job_id])
 
@@ -1711,7 +1744,9 @@
         """
         lease_seconds, lapsed = self._settings.lease_seconds, []
         for run in minion.runs.values():
-            if run.step.is_lasting or now >= lease_end(run.late_until, lease_seconds):
+            late_until = self._late_starts.until(minion.minion_id, run.key)
+            late_until = max(late_until, run.late_until)
+            if run.step.is_lasting or now >= lease_end(late_until, lease_seconds):
                 lapsed.append(run)
         if not lapsed:
             return
