--- a/dotterelhill/jobs/tests/late_orders.feature
+++ b/dotterelhill/jobs/tests/late_orders.feature
@@ -274,6 +274,107 @@
     When histories of late orders 4 7 43 54 179 213 235 239 306 400 427 are played with rebirths and cuts soon after
     Then no start went beyond the room of its minion, and no task ran twice
 
+  @known-red @single-place
+  Scenario Outline: a task whose first start may still be carried out starts elsewhere once the run that replaced it <how>
+    # Guards against TWICE: the next life of the first minion knows nothing of what has excluded the first start.
+    Given a fleet with minions "m1 m2" of 4 processors
+    And polls carry the fences of their minions
+    And a minion has begun again under its id
+    And job "a" of 1 checkpointing task
+    When a round passes in which starts get no answer
+    And <event>
+    And 5 rounds pass
+    Then all of them went to one minion
+
+    Examples:
+      | how                      | event                                                         |
+      | is not sent              | a round passes in which starts are answered as "not sent"     |
+      | is refused               | a round passes in which starts are answered as "no room"      |
+      | is withheld              | the minion of the newest start drains before its next start   |
+      | has failed               | the run that replaced it ends as "failed"                     |
+      | has stopped              | the run that replaced it is stopped as its minion drains      |
+
+  @known-red @single-place
+  Scenario Outline: a start that one later life refuses is carried out by the life after that while its task runs elsewhere
+    # Guards against TWICE: the second life refuses it by its fence, of which the third one knows nothing.
+    Given a fleet with minions "m1 m2" of 4 processors
+    And polls carry the fences of their minions
+    And job "a" of 1 task of 1 processors
+    When a round passes in which starts get no answer
+    And <rounds> rounds pass
+    And the minion of the newest start begins again under its id
+    And 5 rounds pass
+    Then all of them went to one minion
+
+    Examples:
+      | rounds |
+      | 0      |
+      | 2      |
+
+  @known-red @single-place
+  Scenario: a gang starts elsewhere while a later life may carry out the start of one of its tasks
+    # Guards against TWICE: only single tasks wait for their late starts.
+    Given a fleet with minions "m1 m2" of 4 processors
+    And polls carry the fences of their minions
+    And a minion has begun again under its id
+    And job "a" of a gang of 2 tasks of 1 processors
+    When a round passes in which starts get no answer
+    And the minion of the newest start begins to drain
+    And 3 rounds pass
+    Then 2 starts were sent in total
+
+  @known-red @single-place
+  Scenario Outline: a lease <which> is taken to end with those of earlier leaders
+    # Guards against TWICE: after a cut, all tasks of the minion start elsewhere while their runs hold that lease.
+    Given a minion "m1" of a new leader, which takes earlier ones to renew leases for 3.5 seconds
+    When it first answers after 2 seconds
+    And <event>
+    And leaders before this one turn out to have ended 3 seconds ago
+    Then its lease is taken to last for 6.1 seconds
+
+    Examples:
+      | which                                            | event                             |
+      | that a call to the former life may have extended | its lease is not renewed          |
+      | that this leader has renewed                     | its lease is renewed              |
+
+  @known-red
+  Scenario: the loss of a minion counts twice against a task that was kept when the lease had ended
+    # Guards against LOST: a sound job is given up after half as many losses.
+    Given a fleet with minions "m1" of 4 processors
+    And job "b" of 1 task of 1 processors
+    When 1 rounds pass
+    And job "a" of 1 task of 1 processors is submitted
+    And a round passes in which starts get no answer
+    And the minion of the newest start stops answering
+    And 7 seconds pass in rounds
+    And the minion of the newest start begins again under its id
+    Then at most 1 crash is counted against the task of job "a"
+
+  @known-red
+  Scenario: calls to a minion that is back carry a fence above the highest one that a resignation records
+    # Guards against two leaders with one fencing token: an earlier build claims the number after the recorded one.
+    Given a fleet with minions "m1" of 4 processors
+    And job "a" of 1 task of 1 processors
+    When 1 rounds pass
+    And the minion of the newest start is removed and begins again under its id
+    Then the highest fence is at least that of its minion
+
+  @known-red
+  Scenario Outline: a task starts again on the minion that did not answer although its queue <change>
+    # Guards against CONFIG and ROUTE: such a start does not pass through placement.
+    Given a fleet with minions "m1" of 4 processors
+    And polls carry the fences of their minions
+    And job "a" of 1 task of 1 processors
+    When a round passes in which starts get no answer
+    And <event>
+    And 3 rounds pass
+    Then 1 starts were sent in total
+
+    Examples:
+      | change                   | event                                    |
+      | has moved to a new pool  | queue "short" moves to pool "other"      |
+      | needs advice             | queue "short" begins to need advice      |
+
   Scenario: a job of which no run has begun doesn't count as waiting, since its start was ordered
     # Guards against MIXED: the number of waiting jobs left out those whose starts had no answer.
     Given a fleet with minions "m1" of 4 processors
--- a/dotterelhill/jobs/tests/steps/late_orders_steps.py
+++ b/dotterelhill/jobs/tests/steps/late_orders_steps.py
@@ -4,9 +4,12 @@
 
 from behave import given, then, use_step_matcher, when
 
-from dotterelhill.jobs.fleet import MinionReport, RunReport
+from dotterelhill.jobs.fleet import EndKind, MinionReport, RunReport
 from dotterelhill.jobs.orders import StartOutcome
+from dotterelhill.jobs.scheduler import Scheduler
+from dotterelhill.jobs.tests.fleet_world import HOLD_SECONDS, FleetWorld
 from dotterelhill.jobs.tests.late_order_world import run_late_orders
+from dotterelhill.jobs.tests.steps.scheduler_steps import only_task, tasks
 
 use_step_matcher("re")
 
@@ -153,7 +156,8 @@
 
 @then(r"its lease is taken to last for (?P<seconds>[\d.]+) seconds")
 def check_lease(context, seconds):
-    left = newest_minion(context).lease_until - context.fleet.now
+    minion = newest_minion(context) if context.fleet.sent else context.minion
+    left = minion.lease_until - context.fleet.now
     assert left >= float(seconds), left
 
 
@@ -208,3 +212,92 @@
 def check_waiting_jobs(context, count):
     waiting = context.fleet.scheduler.waiting_by_queue()
     assert sum(waiting.values()) == int(count), waiting
+
+
+@given(r'job "(?P<job>\w+)" of 1 checkpointing task')
+def submit_checkpointing(context, job):
+    context.fleet.submit(job, (tasks(1, 1, is_checkpointing=True),))
+
+
+@when(r'a round passes in which starts are answered as "(?P<outcome>[\w ]+)"')
+def run_round_refusing_starts(context, outcome):
+    context.fleet.run_round(StartOutcome(outcome))
+
+
+@when(r"the minion of the newest start drains before its next start")
+def drain_before_start(context):
+    fleet = context.fleet
+    fleet.poll()
+    fleet.plan()
+    drain_newest_minion(context)
+    fleet.deliver(fleet.commit(), StartOutcome.STARTED)
+
+
+@when(r'the run that replaced it ends as "(?P<kind>\w+)"')
+def end_replacing_run(context, kind):
+    fleet = context.fleet
+    fleet.run_round()
+    (key,) = fleet.running[fleet.sent[-1].minion.minion_id]
+    fleet.end(fleet.sent[-1].minion.minion_id, key, EndKind(kind))
+    # Other minions are preferred to one on which a run has failed.
+    fleet.list_minion(fleet.sent[-1].minion.minion_id, is_draining=True)
+
+
+@when(r"the run that replaced it is stopped as its minion drains")
+def stop_replacing_run(context):
+    fleet = context.fleet
+    fleet.run_round()
+    drain_newest_minion(context)
+    fleet.run_round()
+    (stop,) = fleet.stops
+    fleet.end(stop.minion.minion_id, stop.key, EndKind.STOPPED)
+
+
+@given(
+    r'a minion "(?P<name>\w+)" of a new leader, '
+    r"which takes earlier ones to renew leases for (?P<seconds>[\d.]+) seconds"
+)
+def lead_anew(context, name, seconds):
+    fleet = context.fleet = FleetWorld()
+    fleet.scheduler = Scheduler(fleet.settings, fleet.now + float(seconds))
+    fleet.configure()
+    fleet.list_minion(name)
+    context.minion = fleet.scheduler.minions[name]
+
+
+@when(r"it first answers after (?P<seconds>\d+) seconds")
+def answer_first(context, seconds):
+    fleet = context.fleet
+    fleet.now += float(seconds)
+    report = MinionReport(context.minion.facts.born_ms, 1000, (), ())
+    fleet.scheduler.report(context.minion, report, fleet.now, fleet.now, context.minion.fence)
+
+
+@when(r"its lease is not renewed")
+def keep_lease(context):
+    pass
+
+
+@when(r"its lease is renewed")
+def renew_lease(context):
+    assert context.minion.grant_lease(context.fleet.now, HOLD_SECONDS) is not None
+
+
+@when(r'queue "(?P<name>\w+)" moves to pool "(?P<pool>\w+)"')
+def move_queue(context, name, pool):
+    fleet = context.fleet
+    fleet.queues[name] = replace(fleet.queues[name], service=pool)
+    fleet.config_version += 1
+    fleet.configure()
+
+
+@then(r'at most (?P<count>\d+) crash is counted against the task of job "(?P<job>\w+)"')
+def check_crashes(context, count, job):
+    task = context.fleet.scheduler.jobs[job].task(only_task(job))
+    assert task.crashes <= int(count), task.crashes
+
+
+@then(r"the highest fence is at least that of its minion")
+def check_highest_fence(context):
+    fences = context.fleet.scheduler.highest_fence, newest_minion(context).fence
+    assert fences[0] >= fences[1], fences
