--- a/dotterelhill/control/tests/steps/takeover_steps.py
+++ b/dotterelhill/control/tests/steps/takeover_steps.py
@@ -4,7 +4,7 @@
 
 from behave import then, use_step_matcher, when
 
-from dotterelhill.control.tests import domain_world, takeover_world
+from dotterelhill.control.tests import domain_world, recut_world, takeover_world
 
 use_step_matcher("re")
 
@@ -27,6 +27,11 @@
     play_days(context, domain_world.play, seeds)
 
 
+@when(r'days on which minions begin again and are cut off are played with seeds "(?P<seeds>[^"]*)"')
+def play_recut_days(context, seeds):
+    play_days(context, recut_world.play, seeds)
+
+
 @then(r"no work was forgotten, doubled or left waiting")
 def check_faults(context):
     assert not context.faults, context.faults
@@ -48,3 +53,12 @@
     assert counts["domains cut off"] >= int(cuts), counts
     assert counts["steps of clocks"] >= int(steps), counts
     assert counts["minions reborn under their ids"] > 0, counts
+
+
+@then(
+    r"minions that had begun again were cut off (?P<cuts>\d+) times "
+    r"and carried out (?P<calls>\d+) calls to their former lives"
+)
+def check_recut_coverage(context, cuts, calls):
+    assert context.counts["minions cut off"] >= int(cuts), context.counts
+    assert context.counts["calls to a former life"] >= int(calls), context.counts
--- a/dotterelhill/control/tests/takeover_world.py
+++ b/dotterelhill/control/tests/takeover_world.py
@@ -85,6 +85,12 @@
     closed: dict[TaskKey, int] = field(default_factory=dict)
     # Key, run, begin, end and kind of each run that has ended; None for one that was terminated.
     spans: list[tuple[TaskKey, int, float, float, EndKind | None]] = field(default_factory=list)
+    # Newest time at which an expired lease was renewed.
+    lapsed_at: float = float("-inf")
+    # Number, key and time of each end as done that is not acknowledged.
+    done: list[tuple[int, TaskKey, float]] = field(default_factory=list)
+    # Key and time of each end as done that counts as acknowledged by the rule TWICE.
+    acknowledged: list[tuple[TaskKey, float]] = field(default_factory=list)
 
     @property
     def born_ms(self) -> int:
@@ -118,6 +124,8 @@
         if kind is not None:
             self.count += 1
             self.ended.append(EndReport(self.count, key, run.run_id, kind, ""))
+        if kind is EndKind.DONE:
+            self.done.append((self.count, key, ended_at))
 
     def terminate(self, now: float) -> None:
         self.advance(now)
@@ -137,6 +145,8 @@
         self.fence = epoch
 
     def extend_lease(self, now: float, deadline_ms: int) -> None:
+        if self.clock_ms(now) > self.lease_ms:
+            self.lapsed_at = now
         longest_ms = int(min(deadline_ms, self.clock_ms(now) + self.max_hold_ms))
         self.lease_ms = max(self.lease_ms, longest_ms)
 
@@ -161,8 +171,17 @@
         if run is not None and run.run_id <= run_id:
             run.stops_at = min(run.stops_at, now + STOP_SECONDS)
 
+    def acknowledge(self, now: float, acked_upto: int) -> None:
+        """Forget ends; those before the newest lapse of the lease don't count as acknowledged."""
+        self.ended = [end for end in self.ended if end.number > acked_upto]
+        for number, key, ended_at in self.done:
+            if number <= acked_upto and self.clock_ms(now) <= self.lease_ms:
+                if ended_at > self.lapsed_at:
+                    self.acknowledged.append((key, ended_at))
+        self.done = [item for item in self.done if item[0] > acked_upto]
+
     def report(self, now: float, durable_end: int) -> MinionReport:
-        self.ended = [end for end in self.ended if end.number > durable_end]
+        self.acknowledge(now, durable_end)
         rows = []
         for key, run in self.running.items():
             measure = 5.0 if run.step.is_lasting else 500.0
@@ -191,6 +210,7 @@
             if minion is None or address in cluster.cut_addresses:
                 raise MinionError("refused")
             minion.accept(cluster.loop.time(), epoch, known.minion_id)
+            cluster.counts["calls to a former life"] += minion.born_ms != known.facts.born_ms
             return carry_out(minion)
 
         def arrive_late() -> None:
@@ -211,11 +231,12 @@
             if self._is_lost(address):
                 raise MinionError("no answer")
             return result
-        match random.randrange(3):
+        fate = random.randrange(3)
+        match 1 if cluster.is_always_late else fate:
             case 0:
                 arrive()
             case 1:
-                cluster.loop.call_later(random.uniform(0.2, 3.0), arrive_late)
+                cluster.loop.call_later(random.uniform(*cluster.late_seconds), arrive_late)
         cluster.counts["calls without an answer"] += 1
         await asyncio.sleep(CALL_TIMEOUT_SECONDS)
         raise MinionError("no answer")
@@ -254,6 +275,8 @@
         def carry_out(fleet_minion):
             if deadline_ms is not None:
                 fleet_minion.extend_lease(cluster.loop.time(), deadline_ms)
+            if cluster.has_late_acknowledgements:
+                fleet_minion.acknowledge(cluster.loop.time(), durable_end)
             return fleet_minion
 
         durable_end = minion.durable_end
@@ -280,6 +303,12 @@
 
     # Empty cycles before each step of time, which are most of the cost of a play.
     loop_options = {"noop_cycles": 1}
+    # Whether each call without an answer is carried out late, not only a third of them.
+    is_always_late = False
+    # Least and longest time after which a call without an answer is carried out.
+    late_seconds = (0.2, 3.0)
+    # Whether a poll that is carried out late acknowledges ends.
+    has_late_acknowledgements = False
 
     def __init__(self, seed: int, minion_count: int = 12) -> None:
         self.random = Random(seed)
@@ -749,15 +778,21 @@
 
     def check_overlaps(self) -> None:
         spans = []
+        done_at: dict[TaskKey, float] = {}
         for minion in self.every_minion:
             spans.extend(minion.spans)
             for key, run in minion.running.items():
                 spans.append((key, run.run_id, run.begun_at, self.now, None))
+            for key, ended_at in minion.acknowledged:
+                done_at[key] = min(ended_at, done_at.get(key, ended_at))
         spans.sort(key=lambda span: (span[0], span[2]))
         self.counts["runs"] = len(spans)
         for earlier, later in pairwise(spans):
             if earlier[0] == later[0] and later[2] < earlier[3]:
                 self.fault(earlier[0], f"ran twice at once: {earlier[1:]}, {later[1:]}")
+        for key, *run in spans:
+            if key in done_at and run[1] > done_at[key]:
+                self.fault(key, f"began after its end at {done_at[key]:.2f} s: {run}")
 
 
 KINDS = ("takeovers", "waves", "mix", "pairs")
