--- a/dotterelhill/jobs/fleet.py
+++ b/dotterelhill/jobs/fleet.py
@@ -318,9 +318,11 @@
         """
         if self.clock_ms is None:
             return False
-        # The newest reading may have overtaken the answer.
-        overtaken_ms = 1000.0 * max(0.0, self.clock_at - sent_at) * (1.0 + MINION_CLOCK_DRIFT)
-        return clock_ms < self.clock_ms - overtaken_ms - 1.0
+        # The newest reading may have overtaken the answer; otherwise the clock went on until the call
+        # was sent. That of this process may drift, too.
+        passed_ms = 1000.0 * (sent_at - self.clock_at)
+        passed_ms *= 1.0 + MINION_CLOCK_DRIFT if passed_ms < 0.0 else 1.0 - 2.0 * MINION_CLOCK_DRIFT
+        return clock_ms < self.clock_ms + passed_ms - 1.0
 
     def grant_lease(self, now: float, hold_seconds: float) -> int | None:
         """Extend the lease of all runs by an order sent now, and return its end for the order.
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -1341,8 +1341,7 @@
         if minion is None or minion.runs.get(run.key) is not run:
             return
         if clock_ms is not None:
-            is_earlier = minion.clock_ms is not None and clock_ms < minion.clock_ms
-            if is_earlier and minion.is_clock_of_other_life(clock_ms, sent_at):
+            if minion.is_clock_of_other_life(clock_ms, sent_at):
                 # A later incarnation has answered, and the run is not on this one.
                 outcome, clock_ms = StartOutcome.UNKNOWN, None
             else:
--- a/dotterelhill/jobs/tests/late_orders.feature
+++ b/dotterelhill/jobs/tests/late_orders.feature
@@ -250,6 +250,18 @@
     Then 1 starts were sent in total
     And a stop of run 1 was sent
 
+  @single-place
+  Scenario: the answer of a later life counts as that of a life that was hardly older when it answered last
+    # Guards against TWICE: the clock of the later life is above the newest reading of the former one, which is 5 s old.
+    Given a fleet with minions "m1 m2" of 4 processors
+    And job "a" of 1 task of 1 processors
+    When the minions report with clocks of 100 ms
+    And 5 seconds pass without reports
+    And the scheduler plans
+    And the plan is stored, and its starts are on their way
+    And the start of job "a" is answered with a clock of 1500 ms
+    Then the run of job "a" is not known to have begun
+
   Scenario: a stop that a former life has answered is taken as one of the life that may still carry out the start
     Given a fleet with minions "m1" of 4 processors
     And job "a" of 1 task of 1 processors
--- a/dotterelhill/jobs/tests/steps/late_orders_steps.py
+++ b/dotterelhill/jobs/tests/steps/late_orders_steps.py
@@ -48,6 +48,34 @@
     answer_start(context, job, StartOutcome.STARTED, 100)
 
 
+@when(r"the minions report with clocks of (?P<clock_ms>\d+) ms")
+def report_young_clocks(context, clock_ms):
+    fleet = context.fleet
+    for name, minion in fleet.scheduler.minions.items():
+        report = MinionReport(fleet.facts[name].born_ms, int(clock_ms), (), ())
+        fleet.scheduler.report(minion, report, fleet.now, fleet.now)
+        minion.extend_lease(fleet.now + 8.0, fleet.settings.lease_seconds)
+
+
+@when(r"(?P<seconds>\d+) seconds pass without reports")
+def pass_time(context, seconds):
+    context.fleet.now += float(seconds)
+    # Minions that were silent for so long would get no starts.
+    for minion in context.fleet.scheduler.minions.values():
+        minion.last_report_at = context.fleet.now
+
+
+@when(r'the start of job "(?P<job>\w+)" is answered with a clock of (?P<clock_ms>\d+) ms')
+def answer_with_clock(context, job, clock_ms):
+    answer_start(context, job, StartOutcome.STARTED, int(clock_ms))
+
+
+@then(r'the run of job "(?P<job>\w+)" is not known to have begun')
+def check_not_begun(context, job):
+    (order,) = [one for one in context.fleet.sent if one.run.key.job_id == job]
+    assert order.run.may_start_late, order.run
+
+
 @when(r'the start of job "(?P<job>\w+)" is carried out late')
 def carry_out_late(context, job):
     (order,) = [one for one in context.fleet.sent if one.run.key.job_id == job]
