--- a/dotterelhill/jobs/crashes/counting.py
+++ b/dotterelhill/jobs/crashes/counting.py
@@ -6,7 +6,13 @@
 from collections.abc import Callable, Mapping, Sequence
 
 from dotterelhill.jobs.changes import Decision
-from dotterelhill.jobs.crashes.doubts import Doubt, Doubts, close_doubt
+from dotterelhill.jobs.crashes.doubts import (
+    Doubt,
+    Doubts,
+    Rebirth,
+    close_doubt,
+    take_common_doubts,
+)
 from dotterelhill.jobs.crashes.platform_crashes import CrashEvent, has_common_birth
 from dotterelhill.jobs.crashes.suspicion import (
     VERDICT_SECONDS,
@@ -18,6 +24,7 @@
 from dotterelhill.jobs.model import Assignment, Job, Task, TaskKey
 
 MAX_CLEARED = 256
+MAX_REBIRTHS = 512
 
 
 class CrashCounting:
@@ -46,6 +53,7 @@
         self._on_decision = on_decision
         # Crashes that were taken off the count of a task for a common cause.
         self._cleared: deque[tuple[CrashEvent, TaskKey]] = deque(maxlen=MAX_CLEARED)
+        self._rebirths: deque[Rebirth] = deque(maxlen=MAX_REBIRTHS)
 
     def restore(self, job: Job, now: float) -> None:
         """Add the crashes that an earlier leader counted against the tasks of a job."""
@@ -96,8 +104,23 @@
         :param born_ms: birth of the present one as Unix ms
         """
         present = f"{minion_id}@{born_ms}"
-        for incarnation, doubt in self._doubts.take_replaced(minion_id, present):
+        replaced = self._doubts.take_replaced(minion_id, present)
+        for incarnation, doubt in replaced:
             self._close_doubt(incarnation, doubt, now, is_gone=True)
+        doubts = [doubt for _, doubt in replaced]
+        job_ids = frozenset(doubt.key.job_id for doubt in doubts)
+        is_innocent = all(doubt.is_first for doubt in doubts)
+        self._rebirths.append(Rebirth(minion_id, born_ms, doubts, job_ids, is_innocent))
+        for other_id, doubt in take_common_doubts(self._rebirths, born_ms):
+            task = self._task_of(doubt.key)
+            if task is None or not task.crashes:
+                continue
+            self._suspicion.withdraw_common_crash(
+                task, is_doubtful=doubt.is_otherwise_doubtful, is_proven=True
+            )
+            self._on_change(self._active_jobs[doubt.key.job_id])
+            reason = "several minions began again together"
+            self._record_decision("crash withdrawn", task, other_id, reason=reason)
 
     def take_verdicts(self, now: float) -> list[Suspect]:
         """Return the suspected tasks whose jobs are to be given up."""
@@ -138,7 +161,13 @@
             )
             counted.append(task.key)
             if not is_certain:
-                doubt = Doubt(task.key, now, crash.is_of_one_job, is_otherwise_doubtful)
+                doubt = Doubt(
+                    task.key,
+                    now,
+                    crash.is_of_one_job,
+                    is_otherwise_doubtful,
+                    self._suspicion.is_first_crash(task),
+                )
                 self._doubts.add(task, minion.incarnation, doubt)
             self._judge(task, now, is_of_one_job=is_certain and crash.is_of_one_job)
         return counted
--- a/dotterelhill/jobs/crashes/doubts.py
+++ b/dotterelhill/jobs/crashes/doubts.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from collections import Counter
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
+from dotterelhill.jobs.crashes.platform_crashes import COMMON_BIRTH_MS, MIN_INNOCENT_MINIONS
 from dotterelhill.jobs.model import Task, TaskKey
 
 # A minion that was not heard of for this time counts as gone.
@@ -17,12 +20,45 @@
     :param at: loop time of the count
     :param is_of_one_job: whether only the task's job can have caused the crash, if there was one
     :param is_otherwise_doubtful: whether the crash is in doubt even if the minion is gone
+    :param is_first: whether no other crash was counted against the task since it survived
     """
 
     key: TaskKey
     at: float
     is_of_one_job: bool = False
     is_otherwise_doubtful: bool = True
+    is_first: bool = False
+
+
+@dataclass(frozen=True, slots=True, eq=False)
+class Rebirth:
+    """First listing of an incarnation, with the doubts about earlier ones of its minion.
+
+    :param job_ids: jobs that may have ended the earlier ones
+    :param is_innocent: whether no task may have done so that was suspected before
+    """
+
+    minion_id: str
+    born_ms: int
+    doubts: list[Doubt]
+    job_ids: frozenset[str]
+    is_innocent: bool
+
+
+def take_common_doubts(rebirths: Iterable[Rebirth], born_ms: int) -> Iterator[tuple[str, Doubt]]:
+    """Yield and forget the doubts, with their minions, that a common restart explains.
+
+    Minions that began again together ended for a common cause. That is not the task of a job that
+    two innocent ones of them did not run.
+    """
+    together = [one for one in rebirths if abs(one.born_ms - born_ms) <= COMMON_BIRTH_MS]
+    innocent = [one for one in together if one.is_innocent]
+    with_job = Counter(job_id for one in innocent for job_id in one.job_ids)
+    for one in together:
+        for doubt in one.doubts.copy():
+            if len(innocent) - with_job[doubt.key.job_id] >= MIN_INNOCENT_MINIONS:
+                one.doubts.remove(doubt)
+                yield one.minion_id, doubt
 
 
 class Doubts:
--- a/dotterelhill/jobs/crashes/suspicion.py
+++ b/dotterelhill/jobs/crashes/suspicion.py
@@ -306,12 +306,22 @@
         self._common_crashes.pop(task.key, None)
         return self.clear(task)
 
-    def withdraw_common_crash(self, task: Task) -> bool:
-        """Take a crash for a common cause off the count of a task; return whether it was."""
-        if self._common_crashes[task.key] >= MAX_COMMON_CRASHES:
+    def is_first_crash(self, task: Task) -> bool:
+        """Return whether the newest crash is the only one under a task since it survived."""
+        return task.crashes == 1 and not self._common_crashes[task.key]
+
+    def withdraw_common_crash(
+        self, task: Task, *, is_doubtful: bool = False, is_proven: bool = False
+    ) -> bool:
+        """Take a crash for a common cause off the count of a task; return whether it was.
+
+        :param is_doubtful: whether it was counted in doubt
+        :param is_proven: whether the task can't have caused it, so that the limit doesn't apply
+        """
+        if not is_proven and self._common_crashes[task.key] >= MAX_COMMON_CRASHES:
             return False
         self._common_crashes[task.key] += 1
-        self.withdraw_crash(task, is_doubtful=False)
+        self.withdraw_crash(task, is_doubtful=is_doubtful)
         return True
 
     def withdraw_crash(self, task: Task, *, is_doubtful: bool) -> None:
--- a/dotterelhill/jobs/tests/innocence.feature
+++ b/dotterelhill/jobs/tests/innocence.feature
@@ -62,7 +62,6 @@
       | unsettled | completed |
       | settled   | failed    |
 
-  @known-red
   Scenario: a job is given up after its minions began again behind a cut together with busy ones
     # Guards against LOST of issue 57: a later incarnation of a minion whose lease had ended turns the crash in doubt
     # into a certain one, although all minions of the cut began again at once, under runs of several jobs.
@@ -71,3 +70,20 @@
     And 20 seconds pass with crashes
     Then job "a" is shown as "running"
     And no crash of job "a" is counted or stored
+
+  Scenario Outline: deadly tasks whose minions are away together for longer than the lease excuse one another without limit
+    Given crashed minions are down for <seconds> seconds
+    And the entries of crashed minions are removed
+    And deadly job "x" of 1 task of 6 processors
+    And deadly job "y" of 1 task of 6 processors
+    And deadly job "z" of 1 task of 6 processors
+    When 150 seconds pass with crashes
+    Then no deadly task was started more than twice after 3 crashes
+    And job "x" is shown as "failed"
+    And job "y" is shown as "failed"
+    And job "z" is shown as "failed"
+
+    Examples:
+      | seconds |
+      | 8       |
+      | 12      |
