--- a/dotterelhill/jobs/crashes/suspicion.py
+++ b/dotterelhill/jobs/crashes/suspicion.py
@@ -191,7 +191,8 @@
     """Return the runs whose start was sent to a minion and that are not proven."""
     unproven = []
     for run in minion.runs.values():
-        if run.state is not RunState.PLANNED and not run.is_proven:
+        is_here = run.state is not RunState.PLANNED and not run.is_on_later_life
+        if is_here and not run.is_proven:
             unproven.append(run)
     return unproven
 
--- a/dotterelhill/jobs/fleet.py
+++ b/dotterelhill/jobs/fleet.py
@@ -83,6 +83,7 @@
     :param is_extra: whether the run was started because another run of its task took too long
     :param saved_at: loop time of the first report of its newest checkpoint; None before the first
     :param fence: fence that its start order carried; see :class:`Minion`
+    :param is_on_later_life: whether a later incarnation has answered its start, and may run it
     :param late_until: loop time until which its start order may be carried out late; -inf unless
         its answer is overdue
     """
@@ -108,6 +109,7 @@
     is_extra: bool = False
     saved_at: float | None = None
     fence: int = -1
+    is_on_later_life: bool = False
     late_until: float = float("-inf")
 
     @property
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -1344,6 +1344,7 @@
             if minion.is_clock_of_other_life(clock_ms, sent_at):
                 # A later incarnation has answered, and the run is not on this one.
                 outcome, clock_ms = StartOutcome.UNKNOWN, None
+                run.is_on_later_life = True
             else:
                 minion.clock_ms, minion.clock_at = clock_ms, now
         match outcome:
--- a/dotterelhill/jobs/tests/late_orders.feature
+++ b/dotterelhill/jobs/tests/late_orders.feature
@@ -250,6 +250,17 @@
     Then 1 starts were sent in total
     And a stop of run 1 was sent
 
+  Scenario: a start that only a later life has carried out counts as a crash of the former one
+    # Guards against LOST: a sound job is given up after crashes of minions that never ran it.
+    Given a fleet with minions "m1 m2" of 4 processors
+    And job "a" of 1 task of 1 processors
+    When the minions report
+    And the scheduler plans
+    And the plan is stored, and its starts are on their way
+    And the start of job "a" is answered by a later life
+    And the minion of the newest start begins again under its id
+    Then at most 0 crash is counted against the task of job "a"
+
   @single-place
   Scenario: the answer of a later life counts as that of a life that was hardly older when it answered last
     # Guards against TWICE: the clock of the later life is above the newest reading of the former one, which is 5 s old.
