--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -1186,6 +1186,7 @@
                 late.append(run)
         if report is not None:
             present = {row.key for row in report.running}
+            present.update(end.key for end in report.ended if end.key is not None)
             late = [run for run in late if run.fence >= fence or run.key in present]
         earlier_starts = sum(1 for _ in self._late_starts.on_minion(minion.minion_id, now))
         self._record_minion_decision(
@@ -1206,11 +1207,11 @@
             until = lease_end(starts_until, self._settings.lease_seconds)
             self._unlisted_lease_ends[minion.incarnation] = until
             self._counted_incarnations.add(minion.incarnation)
-        if minion.has_lapsed:
-            # The runs that are left were counted when the lease had ended.
-            self._count_lost_minion(minion, now, is_certain=True)
         for run in list(minion.runs.values()):
             self._release_run(minion, run, now, "minion restarted as another incarnation")
+        if minion.has_lapsed:
+            # Its runs were counted when the lease had ended, so that none counts now.
+            self._count_lost_minion(minion, now, is_certain=True)
 
     def _count_lost_minion(self, minion: Minion, now: float, *, is_certain: bool) -> None:
         """Record the end of an incarnation, and count it against the runs that may have caused it.
--- a/dotterelhill/jobs/tests/late_orders.feature
+++ b/dotterelhill/jobs/tests/late_orders.feature
@@ -353,6 +353,19 @@
       | 0      |
       | 2      |
 
+  @single-place
+  Scenario: a task starts elsewhere although the answer of a later life that is not listed lists the end of its late start
+    # Guards against TWICE by a start before an end that is acknowledged later.
+    Given a fleet with minions "m1 m2" of 4 processors
+    And polls carry the fences of their minions
+    And job "a" of 1 task of 1 processors
+    When a round passes in which starts get no answer
+    And the minion of the newest start begins again under its id, before it is listed
+    And the start of job "a" is carried out late
+    And the task of job "a" ends as "done"
+    And 2 rounds pass
+    Then 1 starts were sent in total
+
   @known-red @single-place
   Scenario: a gang starts elsewhere while a later life may carry out the start of one of its tasks
     # Guards against TWICE: only single tasks wait for their late starts.
@@ -379,18 +392,25 @@
       | that a call to the former life may have extended | its lease is not renewed          |
       | that this leader has renewed                     | its lease is renewed              |
 
-  Scenario: the loss of a minion counts twice against a task that was kept when the lease had ended
+  Scenario Outline: the loss of a minion counts twice against a task that was kept when the lease had ended
     # Guards against LOST: a sound job is given up after half as many losses.
     Given a fleet with minions "m1" of 4 processors
+    And polls carry the fences of their minions
     And job "b" of 1 task of 1 processors
     When 1 rounds pass
     And job "a" of 1 task of 1 processors is submitted
     And a round passes in which starts get no answer
     And the minion of the newest start stops answering
     And 7 seconds pass in rounds
-    And the minion of the newest start begins again under its id
+    And the minion of the newest start begins again under its id<when>
+    And 1 rounds pass
     Then at most 1 crash is counted against the task of job "a"
 
+    Examples:
+      | when                  |
+      |                       |
+      | , before it is listed |
+
   Scenario: calls to a minion that is back carry a fence above the highest one that a resignation records
     # Guards against two leaders with one fencing token: an earlier build claims the number after the recorded one.
     Given a fleet with minions "m1" of 4 processors
--- a/dotterelhill/jobs/tests/steps/late_orders_steps.py
+++ b/dotterelhill/jobs/tests/steps/late_orders_steps.py
@@ -93,6 +93,7 @@
     facts = replace(fleet.facts[name], born_ms=-1000 if is_set_back else fleet.unix_ms)
     fleet.facts[name] = facts
     fleet.running[name], fleet.ends[name], fleet.end_numbers[name] = {}, [], 0
+    fleet.silent.discard(name)
     if how is None or is_set_back:
         fleet.scheduler.update_minion(facts, fleet.now)
 
