--- a/dotterelhill/jobs/tests/late_orders.feature
+++ b/dotterelhill/jobs/tests/late_orders.feature
@@ -311,6 +311,19 @@
       | 0      |
       | 2      |
 
+  @known-red @single-place
+  Scenario: a task starts elsewhere although the answer of a later life that is not listed lists the end of its late start
+    # Guards against TWICE by a start before an end that is acknowledged later.
+    Given a fleet with minions "m1 m2" of 4 processors
+    And polls carry the fences of their minions
+    And job "a" of 1 task of 1 processors
+    When a round passes in which starts get no answer
+    And the minion of the newest start begins again under its id, before it is listed
+    And the start of job "a" is carried out late
+    And the task of job "a" ends as "done"
+    And 2 rounds pass
+    Then 1 starts were sent in total
+
   @known-red @single-place
   Scenario: a gang starts elsewhere while a later life may carry out the start of one of its tasks
     # Guards against TWICE: only single tasks wait for their late starts.
--- a/dotterelhill/platform/tests/adapter.feature
+++ b/dotterelhill/platform/tests/adapter.feature
@@ -160,3 +160,10 @@
   Scenario: A truncated record at the end of an answer is decoded
     When records are decoded of which the last one is truncated
     Then only the complete records are returned
+
+  @known-red
+  Scenario: A poll of a silent minion acknowledges ends of the life that answers it with the numbers of a former life
+    # Guards against TWICE: the ends of a later life, whose numbers begin anew, are forgotten before any report lists them.
+    Given a minion whose ends up to number 30 are stored
+    When it falls silent and is polled again
+    Then the poll acknowledges no end
--- a/dotterelhill/platform/tests/steps/adapter_steps.py
+++ b/dotterelhill/platform/tests/steps/adapter_steps.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import asyncio
+import contextlib
 import json
 import os
 import subprocess
@@ -13,10 +15,14 @@
 from behave import given, then, use_step_matcher, when
 
 from dotterelhill.control.feeds import ConfigurationFeed
-from dotterelhill.control.interface import Record
+from dotterelhill.control.interface import MinionError, Record
+from dotterelhill.jobs.changes import SchedulerSettings
+from dotterelhill.jobs.fleet import MinionFacts
 from dotterelhill.jobs.queues import Queue
 from dotterelhill.jobs.resources import ResourceVector
+from dotterelhill.jobs.scheduler import Scheduler
 from dotterelhill.platform.ingress import BadJobError, decode_job
+from dotterelhill.platform.minions import PlatformMinions
 from dotterelhill.platform.records import PlatformRecords
 from dotterelhill.platform.settings import SettingsError, load_settings
 from dotterelhill.platform.store import decode_records, encode_records
@@ -389,3 +395,37 @@
 @then(r"only the complete records are returned")
 def check_complete_records(context):
     assert context.records == (Record("a", b"1"), Record("b", None)), context.records
+
+
+class RecordingCaller:
+    """Caller whose minion never answers."""
+
+    def __init__(self) -> None:
+        self.calls = []
+
+    async def call(self, call):
+        self.calls.append(call)
+        raise MinionError("no answer")
+
+
+@given(r"a minion whose ends up to number (?P<number>\d+) are stored")
+def new_minion(context, number):
+    context.scheduler = Scheduler(SchedulerSettings(6.0, 120.0, 4.0, 2.9), 0.0)
+    facts = MinionFacts("m1", 1, "pool", "h:1", "caxias", ("a", "r1"), ResourceVector(4000, 1000))
+    context.scheduler.update_minion(facts, 0.0)
+    context.scheduler.minions["m1"].durable_end = int(number)
+
+
+@when(r"it falls silent and is polled again")
+def poll_silent_minion(context):
+    caller, minion = RecordingCaller(), context.scheduler.minions["m1"]
+    context.scheduler.mark_minion_silent(minion, "no answer", 1.0)
+    with contextlib.suppress(MinionError):
+        asyncio.run(PlatformMinions(caller).renew(minion, 1, None, 0.0))
+    (context.call,) = caller.calls
+
+
+@then(r"the poll acknowledges no end")
+def check_acknowledged(context):
+    body = json.loads(context.call.body)
+    assert body["ackedUpto"] == 0, body
