Tell answers of later lives by clocks that are ahead, too, and keep their clocks apart

What callers saw: a task runs twice at once after a minion has begun again under its id, with no order late.

Cause: the answer to a start names no life, so the leader compares its clock with the one that it expects. Only a clock that was behind counted as that of a later life. Its answer then made the run one of the former life, which was released at the rebirth, and the task started elsewhere while the later life ran it. The clock of a refusal ("late") became that of the former life, by which further leases would have been granted.

Change: readings bound the difference of the clocks from both sides, and a reading outside is one of a later life: its refusals hold, its start counts as without an answer, its clock is not taken, and the minion gets no further starts until it has answered a poll. A log line tells both clocks.

Test: both examples of the scenario failed before.

--- a/dotterelhill/jobs/fleet.py
+++ b/dotterelhill/jobs/fleet.py
@@ -9,12 +9,11 @@
 import msgspec
 
 from dotterelhill.jobs.durations.speed import MinionSpeed
+from dotterelhill.jobs.minions.clock import MINION_CLOCK_DRIFT, MinionClock
 from dotterelhill.jobs.minions.health import MinionHealth
 from dotterelhill.jobs.model import Step, TaskKey
 from dotterelhill.jobs.resources import ResourceVector
 
-# A minion's monotonic clock may run this much slower than true time: a limit of the platform.
-MINION_CLOCK_DRIFT = 0.02
 # Covers the time between reading the clock here and sending the order that extends the lease.
 LEASE_SLACK_SECONDS = 0.1
 # A list of ends with this length may be truncated, so a run missing from it may be listed later.
@@ -194,6 +193,7 @@
     :param has_lapsed: whether its lease has ended since its newest report
     :param silent_at: loop time of the first poll without an answer; None while polls are answered
     :param lease_until: loop time by which the last lease has certainly expired
+    :param clock: bounds of its clock, which tell its answers from those of other incarnations
     :param clock_ms: clock of the minion in its newest answer; None before the first
     :param clock_at: loop time at which that answer arrived
     :param granted_until_ms: end of the newest lease on the minion's clock in ms; None before one
@@ -225,6 +225,7 @@
     has_lapsed: bool = False
     silent_at: float | None = None
     runs: dict[TaskKey, Run] = field(default_factory=dict)
+    clock: MinionClock = field(default_factory=MinionClock)
     clock_ms: int | None = None
     clock_at: float = 0.0
     granted_until_ms: int | None = None
@@ -312,19 +313,14 @@
         else:
             self.short_cpu += cpu
 
-    def is_clock_of_other_life(self, clock_ms: int, sent_at: float) -> bool:
-        """Return whether an answer is of another incarnation, since its clock began anew.
+    def record_clock(self, clock_ms: int, sent_at: float, now: float) -> None:
+        """Record a reading of the clock of this incarnation.
 
-        :param clock_ms: clock in the answer
-        :param sent_at: loop time at which the call was sent
+        :param clock_ms: reading in ms
+        :param sent_at: loop time at which the call was sent that it answers
         """
-        if self.clock_ms is None:
-            return False
-        # The newest reading may have overtaken the answer; otherwise the clock went on until this
-        # call was sent. The clock of this process may drift, too.
-        passed_ms = 1000.0 * (sent_at - self.clock_at)
-        passed_ms *= 1.0 + MINION_CLOCK_DRIFT if passed_ms < 0.0 else 1.0 - 2.0 * MINION_CLOCK_DRIFT
-        return clock_ms < self.clock_ms + passed_ms - 1.0
+        self.clock.record(clock_ms, sent_at, now)
+        self.clock_ms, self.clock_at = clock_ms, now
 
     def grant_lease(self, now: float, hold_seconds: float) -> int | None:
         """Extend the lease of all runs by an order sent now, and return its end for the order.
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -772,7 +772,7 @@
             # Calls to an earlier incarnation, which this one refuses from now on, may have extended
             # its lease by a full one until it answered.
             minion.extend_lease(now, self._settings.lease_seconds)
-        minion.clock_ms, minion.clock_at = report.clock_ms, now
+        minion.record_clock(report.clock_ms, sent_at, now)
         minion.last_report_at, minion.has_lapsed = now, False
         if not minion.is_answering:
             minion.is_answering, minion.silent_at = True, None
@@ -1342,12 +1342,11 @@
         if minion is None or minion.runs.get(run.key) is not run:
             return
         if clock_ms is not None:
-            if minion.is_clock_of_other_life(clock_ms, sent_at):
-                # A later incarnation has answered, and the run is not on this one.
-                outcome, clock_ms = StartOutcome.UNKNOWN, None
-                run.is_on_later_life = True
+            if minion.clock.agrees(clock_ms, sent_at, now):
+                minion.record_clock(clock_ms, sent_at, now)
             else:
-                minion.clock_ms, minion.clock_at = clock_ms, now
+                outcome = self._process_later_life(minion, run, outcome, clock_ms, now)
+                clock_ms = None
         match outcome:
             case StartOutcome.STARTED:
                 if run.state in (RunState.SENT, RunState.UNKNOWN):
@@ -1378,6 +1377,27 @@
             case _:
                 self._release_run(minion, run, now, f"start refused: {outcome}")
 
+    def _process_later_life(
+        self, minion: Minion, run: Run, outcome: StartOutcome, clock_ms: int, now: float
+    ) -> StartOutcome:
+        """Process that a later incarnation has answered a start; return the outcome on this one.
+
+        :param clock_ms: clock of the later incarnation
+        """
+        expected_ms = None
+        if minion.clock_ms is not None:
+            expected_ms = minion.clock_ms + round(1000 * (now - minion.clock_at))
+        self._record_minion_decision(
+            "start answered by a later incarnation", minion, task=str(run.key), run=run.run_id,
+            outcome=str(outcome), clock_ms=clock_ms, expected_clock_ms=expected_ms,
+        )  # fmt: skip
+        # Further starts would run on the later incarnation, too.
+        self.mark_minion_silent(minion, "a later incarnation has answered", now)
+        if outcome is not StartOutcome.STARTED:
+            return outcome
+        run.is_on_later_life = True
+        return StartOutcome.UNKNOWN
+
     def stop_answered(self, minion: Minion, key: TaskKey, run_id: int, now: float) -> None:
         """Process the answer to a stop order; a later report without the run proves its absence."""
         run = minion.runs.get(key)
--- a/dotterelhill/jobs/tests/late_orders.feature
+++ b/dotterelhill/jobs/tests/late_orders.feature
@@ -275,6 +275,23 @@
     And the start of job "a" is answered with a clock of 1500 ms
     Then the run of job "a" is not known to have begun
 
+  @single-place
+  Scenario Outline: the answer of a later life whose clock is ahead <how>
+    # Guards against TWICE: the clock of each life begins at a value of its own, so that of the later one may be the higher one.
+    Given a fleet with minions "m1 m2" of 4 processors
+    And job "a" of 1 task of 1 processors
+    When the minions report with clocks of 100 ms
+    And the scheduler plans
+    And the plan is stored, and its starts are on their way
+    And the start of job "a" is answered as "<outcome>" with a clock of <clock> ms
+    Then the run of job "a" is not known to have begun
+    And the minion of job "a" is not used and keeps its clock
+
+    Examples:
+      | how                                                        | outcome | clock |
+      | counts as that of the life on which a start was ordered    | started | 3100  |
+      | makes its clock the one by which former leases are granted | late    | 90000 |
+
   Scenario: a stop that a former life has answered is taken as one of the life that may still carry out the start
     Given a fleet with minions "m1" of 4 processors
     And job "a" of 1 task of 1 processors
--- a/dotterelhill/jobs/tests/steps/late_orders_steps.py
+++ b/dotterelhill/jobs/tests/steps/late_orders_steps.py
@@ -70,6 +70,22 @@
     answer_start(context, job, StartOutcome.STARTED, int(clock_ms))
 
 
+@when(
+    r'the start of job "(?P<job>\w+)" is answered as "(?P<outcome>\w+)" '
+    r"with a clock of (?P<clock_ms>\d+) ms"
+)
+def answer_outcome_with_clock(context, job, outcome, clock_ms):
+    answer_start(context, job, StartOutcome(outcome), int(clock_ms))
+
+
+@then(r'the minion of job "(?P<job>\w+)" is not used and keeps its clock')
+def check_minion_unused(context, job):
+    (order,) = [one for one in context.fleet.sent if one.run.key.job_id == job]
+    minion = context.fleet.scheduler.minions[order.minion.minion_id]
+    assert minion.clock_ms == 100, minion.clock_ms
+    assert not minion.is_answering
+
+
 @then(r'the run of job "(?P<job>\w+)" is not known to have begun')
 def check_not_begun(context, job):
     (order,) = [one for one in context.fleet.sent if one.run.key.job_id == job]
