Take a run that the report of a later life lists for one of that life

Cause: when a poll shows that a minion has begun again, the runs of the former life whose start was answered were released, also those that the same report lists. Such a run is one that the later life has begun, so its task started elsewhere until it had been stopped. The clock of the answer usually tells the lives apart; this covers clocks that agree by chance, and earlier starts of the same task.

Change: a run that the report lists, as running or ended, is held as a late start.

--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -1179,15 +1179,16 @@
         :param fence: fence of the poll that it answers, from which on it refuses lower ones
         """
         self._do_ids_return = True
-        late = []
+        late, listed = [], set[TaskKey]()
+        if report is not None:
+            listed.update(row.key for row in report.running)
+            listed.update(end.key for end in report.ended if end.key is not None)
         for run in minion.runs.values():
             earlier_until = self._late_starts.until(minion.minion_id, run.key)
-            if run.may_start_late or now < earlier_until:
+            may_come = run.may_start_late or now < earlier_until
+            is_fenced = report is not None and run.fence < fence
+            if run.key in listed or (may_come and not is_fenced):
                 late.append(run)
-        if report is not None:
-            present = {row.key for row in report.running}
-            present.update(end.key for end in report.ended if end.key is not None)
-            late = [run for run in late if run.fence >= fence or run.key in present]
         earlier_starts = sum(1 for _ in self._late_starts.on_minion(minion.minion_id, now))
         self._record_minion_decision(
             "minion began again under its id", minion, late_runs=len(late),
--- a/dotterelhill/jobs/tests/late_orders.feature
+++ b/dotterelhill/jobs/tests/late_orders.feature
@@ -292,6 +292,21 @@
       | counts as that of the life on which a start was ordered    | started | 3100  |
       | makes its clock the one by which former leases are granted | late    | 90000 |
 
+  @single-place
+  Scenario: a run that the report of a later life lists is taken for one that was lost with the former life
+    # Guards against TWICE: the task starts elsewhere until the later life has stopped the run.
+    Given a fleet with minions "m1 m2" of 4 processors
+    And polls carry the fences of their minions
+    And job "a" of 1 task of 1 processors
+    When 1 rounds pass
+    And the minion of the newest start begins again under its id, before it is listed
+    And the start of job "a" is carried out late
+    And 1 rounds pass
+    And its entry is read
+    And 2 rounds pass
+    Then 1 starts were sent in total
+    And a stop of run 1 was sent
+
   Scenario: a stop that a former life has answered is taken as one of the life that may still carry out the start
     Given a fleet with minions "m1" of 4 processors
     And job "a" of 1 task of 1 processors
