Hold tasks for their late starts before the first rebirth is seen, too

Cause: a start without an answer may be carried out by a later life of its minion. Its task was held for that only once a leader of the fleet had seen a minion begin again under its id (`do_ids_return`), so the first rebirth was the one without a guard.

Change: each leader guards from its first round on; the flag, its record in the renewals and what depended on it are gone. So a success now counts at once, and only its acknowledgement waits: a start that a later life carries out then follows no acknowledged end, and an order that the platform has delayed is not held against the time for which the job is shown as completed.

Tests: two examples asserted the course without a guard and now assert the one with it; both failed before. The scenario of an end as done asserted that its job is shown as running; it now asserts that the end is not acknowledged for as long. The scenario that a later leader knows of rebirths is gone with its subject.

--- a/dotterelhill/control/leader.py
+++ b/dotterelhill/control/leader.py
@@ -63,7 +63,7 @@
 TICK_SECONDS = 0.1
 # Shortest interval between polls of one minion; a poll reports all runs that ended meanwhile.
 MIN_POLL_INTERVAL_SECONDS = 0.05
-DEFERRED_POLL_INTERVAL_SECONDS = 0.3
+WITHHELD_POLL_INTERVAL_SECONDS = 0.3
 POLL_RETRY_SECONDS = (0.05, 0.3)
 MINION_LIST_INTERVAL_SECONDS = 0.5
 # Reads of the store that a loading leader has in progress. Their answers share the processor with
@@ -163,8 +163,6 @@
         self._clock = parts.clock
         self._epoch = parts.leadership.epoch
         self._scheduler = Scheduler(parts.settings, renewals_end)
-        if parts.leadership.do_ids_return:
-            self._scheduler.record_returned_id()
         self._wake_event = asyncio.Event()
         self._is_loaded = False
         self._has_ended = False
@@ -342,8 +340,6 @@
         :raises StoreError: when the renewal failed or its outcome can't be determined
         """
         scheduler = self._scheduler
-        if scheduler.do_ids_return:
-            leadership.record_returned_id()
         closed = scheduler.closed_leases
         ends = scheduler.close_leases(self._clock(), self._parts.relays.unread_seconds)
         if leadership.has_unanswered_renewal:
@@ -864,8 +860,8 @@
             if is_round_due:
                 self._wake_event.set()
             # A poll returns at once while an end is not acknowledged.
-            is_waiting = minion.has_deferred_end
-            seconds = DEFERRED_POLL_INTERVAL_SECONDS if is_waiting else MIN_POLL_INTERVAL_SECONDS
+            is_waiting = minion.has_withheld_end
+            seconds = WITHHELD_POLL_INTERVAL_SECONDS if is_waiting else MIN_POLL_INTERVAL_SECONDS
             await asyncio.sleep(seconds)
 
     async def _poll_once(self, minion: Minion, *, is_renewing: bool) -> bool:
--- a/dotterelhill/control/leadership.py
+++ b/dotterelhill/control/leadership.py
@@ -117,7 +117,6 @@
         leader extends only when a later renewal without it is stored, by ``minion_id@born_ms``
     :param unwitnessed_seconds: time in seconds, from ``sent_at`` on, for which the leader needs no
         answer of the witness; None from builds that need none while their own lease lasts
-    :param do_ids_return: whether a minion has begun again under its id, in this term or before
 
     >>> earlier = msgspec.msgpack.decode(msgspec.msgpack.encode([5, True]), type=Renewal)
     >>> earlier == Renewal(5, True, None, None, None, {}, None)
@@ -131,7 +130,6 @@
     witness: Witness | None = None
     closed_ms: dict[str, int] = {}
     unwitnessed_seconds: float | None = None
-    do_ids_return: bool = False
 
 
 class Settlement(msgspec.Struct, frozen=True, array_like=True):
@@ -210,8 +208,6 @@
     :param closed_ms: leases that this renewal calls closed; see :class:`Renewal`
     :param unwitnessed_seconds: time in seconds from this renewal on for which the leader renews
         leases without answers of its witness
-    :param do_ids_return: whether the newest stored renewal of any term tells that minions begin
-        again under their ids
     """
 
     claim: Claim | None
@@ -222,7 +218,6 @@
     witness: Witness | None = None
     closed_ms: Mapping[str, int] = field(default_factory=dict)
     unwitnessed_seconds: float = LEASE_SECONDS
-    do_ids_return: bool = False
 
     def lease_ends(self, renewed_by: float) -> dict[str, float]:
         """Return the times of this process by which the closed leases have certainly ended.
@@ -297,7 +292,6 @@
         self._witnesses: frozenset[Witness] = frozenset()
         # Times until which answers of witnesses count.
         self._witnessed_until: dict[Witness, float] = {}
-        self._do_ids_return = False
 
     @property
     def incarnation(self) -> str:
@@ -309,15 +303,6 @@
         """Return the epoch of this process's claim; 0 when it has none."""
         return self._claim.epoch if self._claim else 0
 
-    @property
-    def do_ids_return(self) -> bool:
-        """Return whether minions are known to begin again under their ids."""
-        return self._do_ids_return
-
-    def record_returned_id(self) -> None:
-        """Record that a minion has begun again under its id, for the next renewals."""
-        self._do_ids_return = True
-
     @property
     def ended_epoch(self) -> int:
         """Return the newest epoch that this process has led and ended; 0 for none."""
@@ -454,9 +439,7 @@
         if renewal is None:
             return LeadershipState(claim, batch.next_offset, is_settled=False)
         if renewal.epoch != claim.led_epoch:
-            return LeadershipState(
-                claim, batch.next_offset, is_settled=False, do_ids_return=renewal.do_ids_return
-            )
+            return LeadershipState(claim, batch.next_offset, is_settled=False)
         state = LeadershipState(
             claim,
             batch.next_offset,
@@ -464,7 +447,6 @@
             renewal.sent_at,
             witness=renewal.witness,
             closed_ms=renewal.closed_ms,
-            do_ids_return=renewal.do_ids_return,
         )
         if renewal.unwitnessed_seconds is not None:
             state = replace(state, unwitnessed_seconds=renewal.unwitnessed_seconds)
@@ -500,7 +482,6 @@
             _log.notice("leadership lost", extra={"epoch": epoch, "reason": "claim superseded"})
             return False
         self._claim, self._end = claim, end
-        self._do_ids_return = self._do_ids_return or state.do_ids_return
         self._loading_progress = 0
         self._claim_lost = asyncio.Event()
         self._valid_until = sent_at + LEASE_SECONDS
@@ -555,7 +536,6 @@
             self._witness,
             closed_ms,
             UNWITNESSED_SECONDS,
-            self._do_ids_return,
         )
         record = Record(RENEWAL_KEY, msgspec.msgpack.encode(renewal))
         try:
--- a/dotterelhill/control/tests/cluster.feature
+++ b/dotterelhill/control/tests/cluster.feature
@@ -215,18 +215,6 @@
       | a newer one of the same leader has overtaken       | ends its term  | the fence of each minion rises                    | still leads with its first epoch  |
       | was sent before a later leader reached that minion | goes on        | each minion carries out a call of a later leader  | has ended its first term          |
 
-  Scenario Outline: A later leader lets tasks end whose earlier starts a later life of their minion may carry out
-    When the leader learns that a minion has begun again under its id
-    And 1 seconds pass
-    And <change>
-    And 6 seconds pass
-    Then the present leader knows that minions begin again under their ids
-
-    Examples:
-      | change                     |
-      | the leader is killed       |
-      | the present leader resigns |
-
   Scenario: An answer of one minion that can't be processed ends the term of each leader in turn
     When 6 calls of the leader to minions fail with an unexpected error
     And job "j" of 4 tasks is submitted at a process that does not lead
--- a/dotterelhill/control/tests/steps/cluster_steps.py
+++ b/dotterelhill/control/tests/steps/cluster_steps.py
@@ -458,19 +458,6 @@
             return
 
 
-@when(r"the leader learns that a minion has begun again under its id")
-def record_returned_id(context):
-    process = context.cluster.processes[context.first_leader]
-    process.election.leader.scheduler.record_returned_id()
-
-
-@then(r"the present leader knows that minions begin again under their ids")
-def check_returned_id(context):
-    (name,) = context.cluster.leaders
-    assert name != context.first_leader, name
-    assert context.cluster.processes[name].election.leader.scheduler.do_ids_return
-
-
 @then(r"the first leader has ended its first term")
 def check_ended_term(context):
     leadership = context.cluster.processes[context.first_leader].leadership
--- a/dotterelhill/jobs/fleet.py
+++ b/dotterelhill/jobs/fleet.py
@@ -198,9 +198,11 @@
     :param clock_at: loop time at which that answer arrived
     :param granted_until_ms: end of the newest lease on the minion's clock in ms; None before one
     :param last_report_at: loop time of the newest report
-    :param processed_end: highest end number up to which all were processed
-    :param processed_early: higher numbers of ends that were processed, beyond a deferred one
-    :param has_deferred_end: whether its newest report lists an end that is not processed yet
+    :param processed_end: highest end number up to which all were processed and may be acknowledged
+    :param unacknowledged: higher numbers of ends that were processed, each with the loop time from
+        which it may be acknowledged
+    :param has_withheld_end: whether its newest report lists an end that must not be acknowledged
+        yet
     :param durable_end: highest end number whose effect is durable, which acknowledges it
     :param health: failed and refused runs
     :param speed: ratio of observed to expected durations
@@ -231,8 +233,8 @@
     granted_until_ms: int | None = None
     last_report_at: float = 0.0
     processed_end: int = 0
-    processed_early: set[int] = field(default_factory=set)
-    has_deferred_end: bool = False
+    unacknowledged: dict[int, float] = field(default_factory=dict)
+    has_withheld_end: bool = False
     durable_end: int = 0
     health: MinionHealth = field(default_factory=MinionHealth)
     speed: MinionSpeed = field(default_factory=MinionSpeed)
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -89,10 +89,8 @@
 SHARING_POLL_SECONDS = 0.4
 # A poll that is lost alone is repeated and answered within this time on a prompt event loop.
 SILENT_SECONDS_TO_CLOSE_LEASE = 0.35
-# A task starts again on the minion that has left up to as many of its starts without an answer: one
-# on a platform whose minions are not known to begin again under their ids, and more on others.
-MAX_UNANSWERED_STARTS = 1
-MAX_UNANSWERED_STARTS_WHERE_IDS_RETURN = 3
+# A task starts again on the minion that has left up to as many of its starts without an answer.
+MAX_UNANSWERED_STARTS = 3
 # The search for a minion takes up to 0.3 ms for each straggler, and a round has 25 ms.
 MAX_STRAGGLERS_PLACED = 8
 
@@ -191,8 +189,6 @@
         self._late_starts = LateStarts()
         # Jobs of tasks, by task, that wait since a later life may begin them.
         self._pinned: dict[TaskKey, Job] = {}
-        # Whether a minion has begun again under its id.
-        self._do_ids_return = False
         # Fence of a minion that is not known, higher than those of minions that were removed.
         self._first_fence = 0
         self._highest_fence = 0
@@ -246,11 +242,6 @@
         """Return the check of the bound within which accepted tasks start."""
         return self._start_bound
 
-    @property
-    def do_ids_return(self) -> bool:
-        """Return whether minions are known to begin again under their ids."""
-        return self._do_ids_return
-
     @property
     def highest_fence(self) -> int:
         """Return the highest fence that a call to a minion has carried in this term."""
@@ -450,7 +441,6 @@
         if minion is None or minion.facts.born_ms != assignment.born_ms:
             is_counted = assignment.incarnation in self._counted_incarnations
             if minion is not None and (is_counted or minion.facts.born_ms > assignment.born_ms):
-                self.record_returned_id()
                 # Of an incarnation that this leader has counted, only late starts are left.
                 if assignment.is_proven and not is_counted:
                     reason = "minion restarted as another incarnation"
@@ -716,10 +706,6 @@
                         self._attach_stored_run(job, task, assignment, now)
         self._counted_incarnations.difference_update(unlisted)
 
-    def record_returned_id(self) -> None:
-        """Record that minions of this platform may begin again under their ids."""
-        self._do_ids_return = True
-
     def record_minion_list(self, read_at: float) -> None:
         """Record the loop time at which the list of minions was last read to its end."""
         self._hold.record_list(read_at)
@@ -777,11 +763,8 @@
         if not minion.is_answering:
             minion.is_answering, minion.silent_at = True, None
             self._record_minion_decision("minion answers again", minion)
-        deferred = self._process_ends(minion, report, now) if report.ended else None
-        minion.has_deferred_end = bool(deferred)
+        self._process_ends(minion, report, now)
         present = self._process_running(minion, report, now)
-        if deferred:
-            present |= deferred
         is_complete_list = len(report.ended) < END_LIST_LIMIT
         if is_complete_list and not minion.runs.keys() <= present:
             for run in list(minion.runs.values()):
@@ -953,49 +936,42 @@
                 if run.settled_at is not None and run.settled_at < sent_at:
                     self._release_run(minion, run, now, "not in the minion's report")
 
-    def _process_ends(self, minion: Minion, report: MinionReport, now: float) -> set[TaskKey]:
+    def _process_ends(self, minion: Minion, report: MinionReport, now: float) -> None:
         """Process the ends in a report that were not processed before.
 
-        :returns: keys of runs whose ends are left for a later report, and not acknowledged
+        They are acknowledged in order, up to the first one that must not be acknowledged yet.
         """
-        deferred: set[TaskKey] = set()
+        is_withheld = False
         for end in report.ended:
-            if end.number <= minion.processed_end or end.number in minion.processed_early:
+            if end.number <= minion.processed_end:
                 continue
-            if self._do_ids_return and self._is_end_deferred(minion, end, now):
-                assert end.key is not None
-                deferred.add(end.key)
-                continue
-            # An end that could not be processed to the end is in the next report again.
-            self._process_end(minion, end, now)
-            if deferred:
-                minion.processed_early.add(end.number)
-            else:
+            if end.number not in minion.unacknowledged:
+                withheld_until = self._withheld_until(minion, end)
+                # An end that could not be processed to the end is in the next report again.
+                self._process_end(minion, end, now)
+                minion.unacknowledged[end.number] = withheld_until
+            is_withheld = is_withheld or now < minion.unacknowledged[end.number]
+            if not is_withheld:
                 minion.processed_end = end.number
-        if not deferred and minion.processed_early:
-            minion.processed_end = max(minion.processed_end, *minion.processed_early)
-            minion.processed_early.clear()
-        return deferred
+                del minion.unacknowledged[end.number]
+        minion.has_withheld_end = is_withheld
 
-    def _is_end_deferred(self, minion: Minion, end: EndReport, now: float) -> bool:
-        """Return whether a success must not count yet.
+    def _withheld_until(self, minion: Minion, end: EndReport) -> float:
+        """Return the loop time from which an end may be acknowledged; -inf for at once.
 
-        An earlier start of the task may still be carried out by the next incarnation, after an end
-        that was acknowledged. With that incarnation an end that was not acknowledged is lost.
+        The next incarnation may still carry out an earlier start of a task that is done. Such a
+        start must not follow an acknowledged end.
         """
         if end.kind is not EndKind.DONE or end.key is None:
-            return False
+            return -inf
         run = minion.runs.get(end.key)
         if run is None or run.run_id != end.run_id:
-            return False
+            return -inf
         self._late_starts.withdraw(minion.minion_id, end.key, end.run_id)
         job = self._jobs.get(end.key.job_id)
-        is_late = now < self._late_starts.until(minion.minion_id, end.key)
-        if job is None or job.state in FINAL_STATES or not is_late:
-            return False
-        # Its duration is not known any more when its end is processed.
-        run.is_partial = True
-        return not run.step.is_lasting
+        if job is None or job.state in FINAL_STATES or run.step.is_lasting:
+            return -inf
+        return self._late_starts.until(minion.minion_id, end.key)
 
     def _process_end(self, minion: Minion, end: EndReport, now: float) -> None:
         """Process a reported end of a run; a repeated call has no effect."""
@@ -1178,7 +1154,6 @@
         :param report: report of the later incarnation; None without one
         :param fence: fence of the poll that it answers, from which on it refuses lower ones
         """
-        self._do_ids_return = True
         late, listed = [], set[TaskKey]()
         if report is not None:
             listed.update(row.key for row in report.running)
@@ -1282,9 +1257,9 @@
     def _place_pinned(self, now: float) -> None:
         """Plan runs of tasks of which a later life of a minion may carry out an earlier start.
 
-        Such a task starts again on the same minion, where its run does not survive that life. Where
-        ids are known to return, it waits rather than start elsewhere, unless it lasts or needs a
-        minion of its own, since it is suspected of crashing minions.
+        Such a task starts again on the same minion, where its run does not survive that life. It
+        waits rather than start elsewhere, unless it lasts or needs a minion of its own, since it is
+        suspected of crashing minions.
         """
         for key, job in list(self._pinned.items()):
             task = job.task(key)
@@ -1299,7 +1274,7 @@
                 minion.health.record_start(now)
                 continue
             step, is_suspected = job.submission.steps[key.step], self._suspicion.is_suspected(key)
-            has_to_wait = self._do_ids_return and not (step.is_lasting or step.is_gang)
+            has_to_wait = not (step.is_lasting or step.is_gang)
             if not minion_ids or not has_to_wait or is_suspected:
                 del self._pinned[key]
                 self._placement.requeue(job, task)
@@ -1311,11 +1286,12 @@
 
         :param late_on: minion id of each start of the task that may still be carried out
         """
-        limit = MAX_UNANSWERED_STARTS
-        if self._do_ids_return:
-            limit = MAX_UNANSWERED_STARTS_WHERE_IDS_RETURN
         step, queue = job.submission.steps[task.key.step], self._queue_of(job)
-        if step.is_gang or len(late_on) > limit or set(late_on) != {minion.minion_id}:
+        if (
+            step.is_gang
+            or len(late_on) > MAX_UNANSWERED_STARTS
+            or set(late_on) != {minion.minion_id}
+        ):
             return False
         if queue.service != minion.facts.service or queue.needs_advice:
             return False
@@ -1761,15 +1737,14 @@
     def _release_lapsed(self, minion: Minion, now: float) -> None:
         """Release the runs of a minion whose lease has ended.
 
-        Where ids are known to return, a start that a later incarnation may still carry out, behind
-        a cut, keeps its task until the lease of that run has ended as well. Lasting tasks have to
-        run again earlier.
+        A start that a later incarnation may still carry out, behind a cut, keeps its task until the
+        lease of that run has ended as well. Lasting tasks have to run again earlier.
         """
         lease_seconds, lapsed = self._settings.lease_seconds, []
         for run in minion.runs.values():
             late_until = self._late_starts.until(minion.minion_id, run.key)
             late_until = max(late_until, run.late_until)
-            is_kept = self._do_ids_return and now < lease_end(late_until, lease_seconds)
+            is_kept = now < lease_end(late_until, lease_seconds)
             if run.step.is_lasting or not is_kept:
                 lapsed.append(run)
         if not lapsed:
--- a/dotterelhill/jobs/tests/late_order_world.py
+++ b/dotterelhill/jobs/tests/late_order_world.py
@@ -91,10 +91,7 @@
         if self.now >= self.list_silent_until:
             self.epoch += 1
             self.next_poll_at = dict.fromkeys(self.true, self.now)
-        do_ids_return = self.scheduler.do_ids_return
         super().replace_leader()
-        if do_ids_return:
-            self.scheduler.record_returned_id()
 
     def advance_minion(self, name: str, minion: TrueMinion) -> None:
         if self.has_chance(0.002):
--- a/dotterelhill/jobs/tests/late_orders.feature
+++ b/dotterelhill/jobs/tests/late_orders.feature
@@ -40,7 +40,7 @@
     Examples:
       | seeds                                   | late |
       | 172 194 284 287 302 413 523 617 662 927 | 20   |
-      | 0 1 2 3 4 5 6 7 8 9                     | 20   |
+      | 0 1 2 3 4 5 6 7 8 9 10 11 12 13 14 15   | 20   |
 
   @single-place
   Scenario Outline: a task starts elsewhere while its start may be carried out by a later life of its minion
@@ -159,8 +159,8 @@
 
     Examples:
       | when                                                                     | past                                   | kind         | early |
-      | late, although ids of minions are not known to return                    | no minion has begun again under its id | task         | 2     |
-      | while a later life may carry out its start, as ids are known to return   | a minion has begun again under its id  | task         | 1     |
+      | while a later life may carry out its start, the first one to be seen     | no minion has begun again under its id | task         | 1     |
+      | while a later life may carry out its start                               | a minion has begun again under its id  | task         | 1     |
       | later than a lasting task may                                            | a minion has begun again under its id  | lasting task | 2     |
 
   @single-place
@@ -174,7 +174,7 @@
     And all of them went to one minion
 
   @single-place
-  Scenario: a task ends as done while the next life of its minion may carry an earlier start of it out
+  Scenario: an end as done is acknowledged while the next life of its minion may carry out an earlier start of the task
     # Guards against TWICE by a start after an acknowledged end.
     Given a fleet with minions "m1 m2" of 4 processors
     And polls carry the fences of their minions
@@ -185,12 +185,14 @@
     And 2 rounds pass
     And the task of job "a" ends as "done"
     And 2 rounds pass
-    Then job "a" is shown as "running"
+    Then job "a" is shown as "completed"
     And no end is acknowledged
     When the task of job "b" ends as "failed"
-    And 12.5 seconds pass in rounds
-    Then job "a" is shown as "completed"
+    And 10 seconds pass in rounds
+    Then the end of job "a" is not acknowledged
     And 3 starts of job "b" were sent
+    When 2.5 seconds pass in rounds
+    Then the end of job "a" is acknowledged
 
   @single-place
   Scenario Outline: a task of a silent minion starts elsewhere <when> its lease has ended, while a later life may begin it
@@ -207,7 +209,7 @@
     Examples:
       | when                                | past                                   | kind         | early |
       | as soon as                          | a minion has begun again under its id  | task         | 1     |
-      | late, on a platform of new ids, as  | no minion has begun again under its id | task         | 2     |
+      | before any rebirth, as soon as      | no minion has begun again under its id | task         | 1     |
       | later than a lasting task may after | a minion has begun again under its id  | lasting task | 2     |
 
   @single-place
--- a/dotterelhill/jobs/tests/steps/late_orders_steps.py
+++ b/dotterelhill/jobs/tests/steps/late_orders_steps.py
@@ -211,6 +211,12 @@
     context.fleet.scheduler.end_earlier_renewals(context.fleet.now - float(seconds))
 
 
+@then(r'the end of job "(?P<job>\w+)" is (?P<negation>not )?acknowledged')
+def check_acknowledgement(context, job, negation):
+    (name,) = {one.minion.minion_id for one in context.fleet.sent if one.run.key.job_id == job}
+    assert bool(context.fleet.scheduler.minions[name].durable_end) is not bool(negation)
+
+
 @then(r"(?P<count>\d+) stops were sent to the later life")
 def check_later_stops(context, count):
     facts = context.fleet.facts[context.fleet.sent[-1].minion.minion_id]
