Keep a lasting task for the lease that a start gave a later life of its minion

Cause: when a later life has answered a start, it holds the run for a full lease from then on. The leader still counted from the newest renewal of the former life, and started the task elsewhere up to 2 s too early if the later life was cut off before it could be polled. Tasks that don't last were kept longer anyway. The end of the lease that is stored for the next leader had the same fault, for all tasks.

Change: such a run is kept, and its end is stored, until a full lease after the answer. Test: the scenario failed before (second start after 6.5 s).

--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -614,7 +614,10 @@
         for minion in self._minions.values():
             if not minion.runs or not self._is_unreached(minion, now - unread_seconds):
                 continue
-            ends[minion.incarnation] = minion.lease_until
+            later_starts = [run.late_until for run in minion.runs.values() if run.is_on_later_life]
+            begun_at = max(later_starts, default=-inf) - LATE_SECONDS
+            later_end = lease_end(begun_at, self._settings.lease_seconds)
+            ends[minion.incarnation] = max(minion.lease_until, later_end)
             minion.is_lease_closed = True
         self._closed_leases.update(ends)
         return ends
@@ -1738,14 +1741,16 @@
         """Release the runs of a minion whose lease has ended.
 
         A start that a later incarnation may still carry out, behind a cut, keeps its task until the
-        lease of that run has ended as well. Lasting tasks have to run again earlier.
+        lease of that run has ended as well. Lasting tasks have to run again earlier: they are only
+        kept for a start that a later incarnation has answered.
         """
         lease_seconds, lapsed = self._settings.lease_seconds, []
         for run in minion.runs.values():
             late_until = self._late_starts.until(minion.minion_id, run.key)
             late_until = max(late_until, run.late_until)
-            is_kept = now < lease_end(late_until, lease_seconds)
-            if run.step.is_lasting or not is_kept:
+            if run.step.is_lasting:
+                late_until = run.late_until - LATE_SECONDS if run.is_on_later_life else -inf
+            if now >= lease_end(late_until, lease_seconds):
                 lapsed.append(run)
         if not lapsed:
             return
--- a/dotterelhill/jobs/tests/late_orders.feature
+++ b/dotterelhill/jobs/tests/late_orders.feature
@@ -254,6 +254,21 @@
     Then 1 starts were sent in total
     And a stop of run 1 was sent
 
+  @single-place
+  Scenario: a lasting task that a later life has begun starts elsewhere when the lease of the former life has ended
+    # Guards against TWICE: the later life holds its run for a full lease from the start on, whenever the former one was renewed.
+    Given a fleet with minions "m1 m2" of 4 processors
+    And job "a" of 1 lasting task of 1 processors
+    When the minions report
+    And the scheduler plans
+    And the plan is stored, and its starts are on their way
+    And the start of job "a" is answered by a later life
+    And the minion of the newest start stops answering
+    And 5.5 seconds pass in rounds
+    Then 1 starts were sent in total
+    When 1 seconds pass in rounds
+    Then 2 starts were sent in total
+
   Scenario: a start that only a later life has carried out counts as a crash of the former one
     # Guards against LOST: a sound job is given up after crashes of minions that never ran it.
     Given a fleet with minions "m1 m2" of 4 processors
