Hold tasks for starts of an earlier leader that a later life may carry out

Cause: a new leader does not know which starts of the earlier one were answered. It took a run that its minion lacks, or whose lease has ended, for gone, and started the task elsewhere; a later life of that minion could carry the start out.

Change: a stored run that is not proven to have lived counts as a start without an answer from the takeover on, until a report lists it. A start that moves to a later life counts likewise until its time is over, so also for the life after that. On a minion that is not listed, proven and lasting tasks are released with its lease, the others when their starts can't come any more; before, one lasting task shortened the wait of all.

Tests: both examples failed before.

--- a/dotterelhill/jobs/minions/late_starts.py
+++ b/dotterelhill/jobs/minions/late_starts.py
@@ -37,7 +37,10 @@
         self._by_task: dict[TaskKey, list[_LateStart]] = {}
 
     def add(self, minion_id: str, key: TaskKey, run_id: int, now: float) -> None:
-        """Add a start order whose answer is overdue."""
+        """Add a start order whose answer is overdue, unless it is known."""
+        for known in self._by_task.get(key, ()):
+            if (known.minion_id, known.run_id) == (minion_id, run_id):
+                return
         start = _LateStart(minion_id, key, run_id, now)
         self._starts.append(start)
         self._by_task.setdefault(key, []).append(start)
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -183,7 +183,10 @@
         self._removed_submissions = RemovedSubmissions(settings.retention_seconds)
         self._early_cancellations: dict[tuple[str, str], float] = {}
         self._expired_cancellations: list[tuple[str, str]] = []
+        # Time until which an incarnation that is not listed may have runs, by incarnation, and a
+        # later one for runs that a later incarnation may have begun.
         self._unlisted_lease_ends: dict[str, float] = {}
+        self._unlisted_late_ends: dict[str, float] = {}
         # Those of them whose end has been counted against the runs that may have caused it.
         self._counted_incarnations: set[str] = set()
         self._late_starts = LateStarts()
@@ -451,6 +454,8 @@
             # The minion is not listed, but its lease may not have expired yet.
             lease_until = self._inherited_lease_end(assignment.incarnation)
             self._unlisted_lease_ends.setdefault(assignment.incarnation, lease_until)
+            late_end = lease_end(now + LATE_SECONDS, self._settings.lease_seconds)
+            self._unlisted_late_ends.setdefault(assignment.incarnation, late_end)
             return
         step = job.submission.steps[task.key.step]
         run = Run(
@@ -463,6 +468,9 @@
             settled_at=now,
         )
         run.is_proven, run.is_inherited = assignment.is_proven, True
+        if not run.is_proven:
+            # The earlier leader's order may not have been answered.
+            run.late_until = now + LATE_SECONDS
         run.is_extra = assignment.is_copy or task.is_restarted
         minion.attach(run)
         if job.state in FINAL_STATES or task.is_done:
@@ -487,6 +495,7 @@
             settled_at=None if is_own else now, is_proven=True, is_inherited=not is_own,
         )  # fmt: skip
         run.late_until = now + LATE_SECONDS
+        self._late_starts.add(minion.minion_id, run.key, run.run_id, now)
         if is_own:
             run.fence = minion.fence - 1
         minion.attach(run)
@@ -700,6 +709,7 @@
             return
         for key in unlisted:
             del self._unlisted_lease_ends[key]
+            self._unlisted_late_ends.pop(key, None)
         for job in list(self._jobs.values()):
             for task in job.tasks.values():
                 for assignment in task.assignments:
@@ -837,7 +847,7 @@
                 continue
             present.add(key)
             state = run.state
-            if state is sent or state is unknown:
+            if state is sent or state is unknown or run.late_until > now:
                 self._process_beginning(run)
             if run.settled_at is None:
                 run.settled_at = now
@@ -869,9 +879,10 @@
 
     def _process_beginning(self, run: Run) -> None:
         """Process that a run is known to have begun, so that its start does not come late."""
-        if run.state is RunState.UNKNOWN:
-            self._late_starts.withdraw(run.minion_id, run.key, run.run_id)
-        run.state, run.late_until = RunState.PRESENT, -inf
+        self._late_starts.withdraw(run.minion_id, run.key, run.run_id)
+        run.late_until = -inf
+        if run.state is not RunState.STOPPING:
+            run.state = RunState.PRESENT
 
     def _record_unassigned_run(self, minion: Minion, key: TaskKey, run_id: int) -> None:
         """Record for the log that a minion runs what is not assigned to it."""
@@ -937,6 +948,9 @@
                     self._stop(minion, run, now)
             case RunState.PRESENT:
                 if run.settled_at is not None and run.settled_at < sent_at:
+                    if run.is_inherited and run.may_start_late:
+                        # Whether the earlier leader's order was answered is not known.
+                        self._late_starts.add(minion.minion_id, run.key, run.run_id, now)
                     self._release_run(minion, run, now, "not in the minion's report")
 
     def _process_ends(self, minion: Minion, report: MinionReport, now: float) -> None:
@@ -1042,6 +1056,7 @@
 
     def _detach_ended_run(self, minion: Minion, key: TaskKey, end: EndReport) -> Run | None:
         """Detach the run that ended; return None if it is not attached."""
+        self._late_starts.withdraw(minion.minion_id, key, end.run_id)
         run = minion.runs.get(key)
         if run is None or run.run_id != end.run_id:
             return None
@@ -1180,11 +1195,10 @@
             task = job.tasks.get(run.key) if job is not None else None
             if task is None or task.assignment_of(minion.minion_id, run.run_id) is None:
                 continue
-            # Lasting tasks have to run again earlier.
-            is_lasting = any(one.step.is_lasting for one in late)
-            starts_until = now if is_lasting else now + LATE_SECONDS
-            until = lease_end(starts_until, self._settings.lease_seconds)
-            self._unlisted_lease_ends[minion.incarnation] = until
+            lease_seconds = self._settings.lease_seconds
+            self._unlisted_lease_ends[minion.incarnation] = lease_end(now, lease_seconds)
+            late_end = lease_end(now + LATE_SECONDS, lease_seconds)
+            self._unlisted_late_ends[minion.incarnation] = late_end
             self._counted_incarnations.add(minion.incarnation)
         for run in list(minion.runs.values()):
             self._release_run(minion, run, now, "minion restarted as another incarnation")
@@ -1723,8 +1737,13 @@
         for key, until in list(self._unlisted_lease_ends.items()):
             if now < until:
                 continue
+            late_end = self._unlisted_late_ends.get(key, until)
+            self._release_unlisted(key, now, are_late_kept=now < late_end)
+            if now < late_end:
+                self._unlisted_lease_ends[key] = late_end
+                continue
             del self._unlisted_lease_ends[key]
-            self._release_unlisted(key, now)
+            self._unlisted_late_ends.pop(key, None)
             self._counted_incarnations.discard(key)
         for owner, cancelled_at in list(self._early_cancellations.items()):
             if now - cancelled_at >= self._settings.retention_seconds:
@@ -1769,14 +1788,22 @@
         for suspect in self._crashes.take_verdicts(now):
             self._give_up(suspect, now)
 
-    def _release_unlisted(self, key: str, now: float) -> None:
-        """Release the tasks of an unlisted incarnation, given as ``minion_id@born_ms``."""
+    def _release_unlisted(self, key: str, now: float, *, are_late_kept: bool) -> None:
+        """Release the tasks of an unlisted incarnation, given as ``minion_id@born_ms``.
+
+        :param are_late_kept: whether tasks stay assigned that a later incarnation may have begun;
+            lasting tasks have to run again earlier
+        """
         for job in list(self._jobs.values()):
             for task in job.tasks.values():
+                is_lasting = job.submission.steps[task.key.step].is_lasting
                 for assignment in task.assignments:
-                    if assignment.incarnation == key:
-                        reason = "lease of unlisted minion expired"
-                        self._release_stored_run(job, task, assignment, now, reason)
+                    if assignment.incarnation != key:
+                        continue
+                    if are_late_kept and not (is_lasting or assignment.is_proven):
+                        continue
+                    reason = "lease of unlisted minion expired"
+                    self._release_stored_run(job, task, assignment, now, reason)
 
     # Durable writes
 
--- a/dotterelhill/jobs/tests/late_orders.feature
+++ b/dotterelhill/jobs/tests/late_orders.feature
@@ -241,6 +241,27 @@
     Then 1 starts were sent in total
     And a stop of run 1 was sent
 
+  @single-place
+  Scenario Outline: a task of an earlier leader starts elsewhere <when>, while a later life may begin it
+    # Guards against TWICE: a new leader doesn't know which starts of the earlier one were answered.
+    Given a fleet with minions "m1 m2" of 4 processors
+    And polls carry the fences of their minions
+    And job "a" of 1 task of 1 processors
+    When the minions report
+    And the scheduler plans
+    And the plan is stored, and its starts are on their way
+    And a new leader takes over
+    And the minion of the newest start <event>
+    And <seconds> seconds pass in rounds
+    Then 1 starts were sent in total
+    When 13 seconds pass in rounds
+    Then 2 starts were sent in total
+
+    Examples:
+      | when                           | event           | seconds |
+      | as soon as its minion lacks it | begins to drain | 2       |
+      | as soon as its lease has ended | stops answering | 7       |
+
   @single-place
   Scenario: the answer of a later life counts as that of the life on which a start was ordered
     Given a fleet with minions "m1 m2" of 4 processors
