Acknowledge ends only in polls of a minion whose newest report lists some

Cause: each poll carried the number of the newest acknowledged end, needed or not. A later life numbers its ends anew and forgets those up to that number when it carries such a poll out late, before any report has listed them.

Change: a poll acknowledges nothing where the newest report lists no end. Test: the scenario of the adapter has examples for a minion that lists no ends, which failed before, and for one that does, beside the one for a silent minion.

--- a/dotterelhill/jobs/fleet.py
+++ b/dotterelhill/jobs/fleet.py
@@ -201,6 +201,7 @@
     :param processed_end: highest end number up to which all were processed and may be acknowledged
     :param unacknowledged: higher numbers of ends that were processed, each with the loop time from
         which it may be acknowledged
+    :param has_listed_ends: whether its newest report lists ends, which can be acknowledged
     :param has_withheld_end: whether its newest report lists an end that must not be acknowledged
         yet
     :param durable_end: highest end number whose effect is durable, which acknowledges it
@@ -234,6 +235,7 @@
     last_report_at: float = 0.0
     processed_end: int = 0
     unacknowledged: dict[int, float] = field(default_factory=dict)
+    has_listed_ends: bool = False
     has_withheld_end: bool = False
     durable_end: int = 0
     health: MinionHealth = field(default_factory=MinionHealth)
@@ -255,6 +257,15 @@
         """Return the incarnation as ``minion_id@born_ms``."""
         return f"{self.facts.minion_id}@{self.facts.born_ms}"
 
+    @property
+    def acknowledged_end(self) -> int:
+        """Return the number of the newest end that the next poll acknowledges; 0 for none.
+
+        A later incarnation, whose ends are numbered anew, may carry out the poll, so nothing is
+        acknowledged without need.
+        """
+        return self.durable_end if self.is_answering and self.has_listed_ends else 0
+
     @property
     def free(self) -> ResourceVector:
         """Return the capacity that no run reserves."""
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -777,6 +777,7 @@
         if not minion.is_answering:
             minion.is_answering, minion.silent_at = True, None
             self._record_minion_decision("minion answers again", minion)
+        minion.has_listed_ends = bool(report.ended)
         self._process_ends(minion, report, now)
         present = self._process_running(minion, report, now)
         is_complete_list = len(report.ended) < END_LIST_LIMIT
--- a/dotterelhill/jobs/tests/late_order_world.py
+++ b/dotterelhill/jobs/tests/late_order_world.py
@@ -271,7 +271,7 @@
     def poll_minion(self, name: str, state: Minion) -> None:
         sent_at, true = self.now, self.true[name]
         deadline_ms = state.grant_lease(sent_at, HOLD_SECONDS) if state.is_answering else None
-        acked = state.durable_end if state.is_answering else 0
+        acked = state.acknowledged_end
         fence, reports = state.fence, []
 
         def carry_out(is_late: bool) -> bool:
--- a/dotterelhill/platform/minions.py
+++ b/dotterelhill/platform/minions.py
@@ -268,10 +268,9 @@
         :param wait_seconds: longest time to wait for a run to end
         :raises MinionError: when the minion gave no usable answer
         """
-        # A later incarnation, whose ends are numbered anew, may answer instead of a silent minion.
         body = {
             "fenceToken": token,
-            "ackedUpto": minion.durable_end if minion.is_answering else 0,
+            "ackedUpto": minion.acknowledged_end,
             "waitMs": int(1000 * wait_seconds),
         }
         if deadline_ms is not None:
--- a/dotterelhill/platform/tests/adapter.feature
+++ b/dotterelhill/platform/tests/adapter.feature
@@ -161,8 +161,14 @@
     When records are decoded of which the last one is truncated
     Then only the complete records are returned
 
-  Scenario: A poll of a silent minion acknowledges ends of the life that answers it with the numbers of a former life
+  Scenario Outline: A poll of a minion <state> acknowledges ends of the life that answers it with the numbers of a former life
     # Guards against TWICE: the ends of a later life, whose numbers begin anew, are forgotten before any report lists them.
-    Given a minion whose ends up to number 30 are stored
-    When it falls silent and is polled again
-    Then the poll acknowledges no end
+    Given a minion that lists ends, which are stored up to number 30
+    When it <event> and is polled again
+    Then the poll acknowledges ends up to <number>
+
+    Examples:
+      | state                         | event         | number |
+      | that is silent                | falls silent  | 0      |
+      | all of whose ends are settled | lists no ends | 0      |
+      | that lists an end, too seldom | answers       | 30     |
--- a/dotterelhill/platform/tests/steps/adapter_steps.py
+++ b/dotterelhill/platform/tests/steps/adapter_steps.py
@@ -17,7 +17,7 @@
 from dotterelhill.control.feeds import ConfigurationFeed
 from dotterelhill.control.interface import MinionError, Record
 from dotterelhill.jobs.changes import SchedulerSettings
-from dotterelhill.jobs.fleet import MinionFacts
+from dotterelhill.jobs.fleet import EndKind, EndReport, MinionFacts, MinionReport
 from dotterelhill.jobs.queues import Queue
 from dotterelhill.jobs.resources import ResourceVector
 from dotterelhill.jobs.scheduler import Scheduler
@@ -408,24 +408,31 @@
         raise MinionError("no answer")
 
 
-@given(r"a minion whose ends up to number (?P<number>\d+) are stored")
+@given(r"a minion that lists ends, which are stored up to number (?P<number>\d+)")
 def new_minion(context, number):
     context.scheduler = Scheduler(SchedulerSettings(6.0, 120.0, 4.0, 2.9), 0.0)
     facts = MinionFacts("m1", 1, "pool", "h:1", "caxias", ("a", "r1"), ResourceVector(4000, 1000))
     context.scheduler.update_minion(facts, 0.0)
-    context.scheduler.minions["m1"].durable_end = int(number)
+    minion = context.scheduler.minions["m1"]
+    end = EndReport(1, None, 1, EndKind.FAILED, "")
+    context.scheduler.report(minion, MinionReport(1, 1000, (), (end,)), 0.5, 0.5)
+    minion.durable_end = int(number)
 
 
-@when(r"it falls silent and is polled again")
-def poll_silent_minion(context):
+@when(r"it (?P<event>falls silent|lists no ends|answers) and is polled again")
+def poll_minion_again(context, event):
     caller, minion = RecordingCaller(), context.scheduler.minions["m1"]
-    context.scheduler.mark_minion_silent(minion, "no answer", 1.0)
+    match event:
+        case "falls silent":
+            context.scheduler.mark_minion_silent(minion, "no answer", 1.0)
+        case "lists no ends":
+            context.scheduler.report(minion, MinionReport(1, 1500, (), ()), 1.0, 1.0)
     with contextlib.suppress(MinionError):
         asyncio.run(PlatformMinions(caller).renew(minion, 1, None, 0.0))
     (context.call,) = caller.calls
 
 
-@then(r"the poll acknowledges no end")
-def check_acknowledged(context):
+@then(r"the poll acknowledges ends up to (?P<number>\d+)")
+def check_acknowledged(context, number):
     body = json.loads(context.call.body)
-    assert body["ackedUpto"] == 0, body
+    assert body["ackedUpto"] == int(number), body
