Hold a run that no report of its life has listed when its minion begins again

Cause: the clock of a later life may agree with that of the former one by chance, within the time that a call takes, so its answer to a start makes the run one of the former life.

Change: only a run that a report has listed, or that is proven, counts as begun on its life. The others are held until the later life has answered with the higher fence.

--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -496,9 +496,10 @@
             settled_at=None if is_own else now, is_proven=True, is_inherited=not is_own,
         )  # fmt: skip
         run.late_until = now + LATE_SECONDS
-        self._late_starts.add(minion.minion_id, run.key, run.run_id, now)
         if is_own:
             run.fence = minion.fence - 1
+        else:
+            self._late_starts.add(minion.minion_id, run.key, run.run_id, now)
         minion.attach(run)
         minion.extend_lease(now, self._settings.lease_seconds)
         if is_own:
@@ -851,6 +852,7 @@
             state = run.state
             if state is sent or state is unknown or run.late_until > now:
                 self._process_beginning(run)
+            run.is_reported = True
             if run.settled_at is None:
                 run.settled_at = now
             run.percent = row.percent
@@ -1180,10 +1182,15 @@
             listed.update(end.key for end in report.ended if end.key is not None)
         for run in minion.runs.values():
             earlier_until = self._late_starts.until(minion.minion_id, run.key)
-            may_come = run.may_start_late or now < earlier_until
+            # The clock of a later incarnation may agree with that of this one by chance.
+            is_known_here = run.is_reported or run.is_proven or run.state is RunState.PLANNED
+            may_come = not is_known_here or now < earlier_until
             is_fenced = report is not None and run.fence < fence
-            if run.key in listed or (may_come and not is_fenced):
-                late.append(run)
+            if run.key not in listed and (is_fenced or not may_come):
+                continue
+            late.append(run)
+            if run.state is RunState.SENT:
+                self._late_starts.add(minion.minion_id, run.key, run.run_id, now)
         earlier_starts = sum(1 for _ in self._late_starts.on_minion(minion.minion_id, now))
         self._record_minion_decision(
             "minion began again under its id", minion, late_runs=len(late),
--- a/dotterelhill/jobs/tests/late_orders.feature
+++ b/dotterelhill/jobs/tests/late_orders.feature
@@ -330,6 +330,22 @@
       | counts as that of the life on which a start was ordered    | started | 3100  |
       | makes its clock the one by which former leases are granted | late    | 90000 |
 
+  @single-place
+  Scenario: a run of a later life whose clock agrees with the former one by chance is released with the former life
+    # Guards against TWICE: the task starts elsewhere although no report of the former life has listed its run.
+    Given a fleet with minions "m1 m2" of 4 processors
+    And polls carry the fences of their minions
+    And job "a" of 1 task of 1 processors
+    When the minions report
+    And the scheduler plans
+    And the plan is stored, and its starts are on their way
+    And the start of job "a" is answered after it was stopped
+    And the minion of the newest start begins again under its id
+    And the start of job "a" is carried out late
+    And 3 rounds pass
+    Then 1 starts were sent in total
+    And a stop of run 1 was sent
+
   @single-place
   Scenario: a run that the report of a later life lists is taken for one that was lost with the former life
     # Guards against TWICE: the task starts elsewhere until the later life has stopped the run.
