--- a/dotterelhill/jobs/tests/late_orders.feature
+++ b/dotterelhill/jobs/tests/late_orders.feature
@@ -543,3 +543,107 @@
     When a round passes in which starts get no answer
     And a new leader takes over
     Then 1 job waits
+
+  @known-red @single-place
+  Scenario: a start on its way when a later life answers with the higher fence is carried out by the life after that
+    # Guards against TWICE: the start is released without a record of it, so its task starts elsewhere at once.
+    Given a fleet with minions "m1 m2" of 4 processors
+    And polls carry the fences of their minions
+    And job "a" of 1 task of 1 processors
+    When the minions report
+    And the scheduler plans
+    And the plan is stored, and its starts are on their way
+    And the minion of the newest start falls silent
+    And the minion of the newest start begins again under its id, before it is listed
+    And 1 rounds pass
+    And its entry is read
+    And 5 rounds pass
+    Then all of them went to one minion
+
+  @known-red @single-place
+  Scenario: a start of an earlier leader that a listed later life lacks is carried out by the life after that
+    # Guards against TWICE: the later life has refused it by its fence, of which the next one knows nothing.
+    Given a fleet with minions "m1 m2" of 4 processors
+    And polls carry the fences of their minions
+    And job "a" of 1 task of 1 processors
+    When the minions report
+    And the scheduler plans
+    And the plan is stored, and its starts are on their way
+    And a new leader takes over
+    And the minion of the newest start begins again under its id
+    And the minion of the newest start begins to drain
+    And 5 rounds pass
+    Then 1 starts were sent in total
+    When 13 seconds pass in rounds
+    Then 2 starts were sent in total
+
+  @known-red @single-place
+  Scenario: a start of an earlier leader that an unlisted later life lacks is carried out by the life after that
+    Given a fleet with minions "m1 m2" of 4 processors
+    And polls carry the fences of their minions
+    And job "a" of 1 task of 1 processors
+    When the minions report
+    And the scheduler plans
+    And the plan is stored, and its starts are on their way
+    And a new leader takes over
+    And the minion of the newest start begins again under its id, before it is listed
+    And 5 rounds pass
+    Then 1 starts were sent in total
+
+  @known-red @single-place
+  Scenario: a start of an earlier leader that was replaced is carried out by a later life while its task runs elsewhere
+    # Guards against TWICE: the stored plan names only the run that replaced it, which ends with the former life.
+    Given a fleet with minions "m1 m2" of 4 processors
+    And polls carry the fences of their minions
+    And job "a" of 1 task of 1 processors
+    When a round passes in which starts get no answer
+    And 5 rounds pass
+    Then all of them went to one minion
+    And 2 starts were sent in total
+    When a new leader takes over
+    And 5 rounds pass
+    And the minion of the newest start begins again under its id
+    And the minion of the newest start begins to drain
+    And 5 rounds pass
+    Then 2 starts were sent in total
+
+  @known-red @single-place
+  Scenario: a lasting task that a later life has begun starts elsewhere although a later start has extended its lease there
+    # Guards against TWICE: each call that the later life carries out extends the lease of all its runs.
+    Given a fleet with minions "m1" of 4 processors
+    And job "a" of 1 lasting task of 1 processors
+    And job "b" of 1 task of 1 processors
+    When the minions report
+    And the scheduler plans
+    And the plan is stored, and its starts are on their way
+    And minion "m2" of 4 processors is listed
+    And the start of job "a" is answered by a later life
+    And the start of job "b" is answered by a later life 0.8 seconds after
+    And the minion of job "b" stops answering
+    And 5.8 seconds pass in rounds
+    Then 1 starts of job "a" were sent
+    When 1.5 seconds pass in rounds
+    Then 2 starts of job "a" were sent
+
+  @known-red @single-place
+  Scenario: a task that has run for long waits for its late start when its minion is lost with the leader
+    # Its start can't come any more, but the proof that the run lived is not stored.
+    Given a fleet with minions "m1 m2" of 4 processors
+    And polls carry the fences of their minions
+    And job "a" of 1 task of 1 processors
+    When 20 seconds pass in rounds
+    And a new leader takes over
+    And the minion of the newest start stops answering
+    And 7 seconds pass in rounds
+    Then 2 starts were sent in total
+
+  @known-red @single-place
+  Scenario: a sound job is given up since its task starts again and again on a minion that begins again
+    # Guards against LOST: the task is suspected, and starts although the verdict on it is open.
+    Given a fleet with minions "m1 m2 m3 m4" of 4 processors
+    And polls carry the fences of their minions
+    And job "a" of 1 task of 1 processors
+    When a round passes in which starts get no answer
+    And 6 times, the minion of the first start begins again under its id and 2 rounds pass
+    And 2 seconds pass in rounds
+    Then job "a" is shown as "running"
--- a/dotterelhill/jobs/tests/steps/late_orders_steps.py
+++ b/dotterelhill/jobs/tests/steps/late_orders_steps.py
@@ -48,6 +48,21 @@
     answer_start(context, job, StartOutcome.STARTED, 100)
 
 
+@when(
+    r'the start of job "(?P<job>\w+)" is answered by a later life (?P<seconds>[\d.]+) seconds after'
+)
+def answer_later_from_later_life(context, job, seconds):
+    fleet = context.fleet
+    (order,) = [one for one in fleet.sent if one.run.key.job_id == job]
+    # The time of the newest answer.
+    fleet.now += float(seconds) - 0.1
+    clock_ms = 100 + int(1000 * float(seconds))
+    fleet.scheduler.start_answered(
+        order.run, StartOutcome.STARTED, fleet.now - 1.0, fleet.now, clock_ms
+    )
+    fleet.now += 0.1
+
+
 @when(r"the minions report with clocks of (?P<clock_ms>\d+) ms")
 def report_young_clocks(context, clock_ms):
     fleet = context.fleet
@@ -151,6 +166,26 @@
     silence_newest_minion(context)
 
 
+@when(r'the minion of job "(?P<job>\w+)" stops answering')
+def stop_minion_of_job(context, job):
+    (order,) = [one for one in context.fleet.sent if one.run.key.job_id == job]
+    minion = context.fleet.scheduler.minions[order.minion.minion_id]
+    context.fleet.silent.add(minion.minion_id)
+    context.fleet.scheduler.mark_minion_silent(minion, "", context.fleet.now)
+
+
+@when(
+    r"(?P<times>\d+) times, the minion of the first start begins again under its id "
+    r"and (?P<count>\d+) rounds pass"
+)
+def restart_first_minion(context, times, count):
+    fleet = context.fleet
+    for _ in range(int(times)):
+        fleet.list_minion(fleet.sent[0].minion.minion_id, born_ms=fleet.unix_ms)
+        for _ in range(int(count)):
+            fleet.run_round()
+
+
 @then(r"all of them went to one minion")
 def check_one_minion(context):
     minions = {order.minion.minion_id for order in context.fleet.sent}
