Remember each start that may come late when its minion begins again

Cause: a start on its way (SENT), or one of an earlier leader, was released without a record of it when the later life had refused it by its fence; the answer that never came found its run detached. The task started elsewhere at once, and the life after that could carry the start out within 12 s. A minion that crashes silently gets starts until its poll times out, so all starts of the last second are such ones.

Change: each run of the former life whose beginning is not known is recorded as a late start before it is held or released.

--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -1182,6 +1182,8 @@
             listed.update(end.key for end in report.ended if end.key is not None)
         for run in minion.runs.values():
             earlier_until = self._late_starts.until(minion.minion_id, run.key)
+            if run.may_start_late:
+                self._late_starts.add(minion.minion_id, run.key, run.run_id, now)
             # The clock of a later incarnation may agree with that of this one by chance.
             is_known_here = run.is_reported or run.is_proven or run.state is RunState.PLANNED
             may_come = not is_known_here or now < earlier_until
@@ -1189,8 +1191,6 @@
             if run.key not in listed and (is_fenced or not may_come):
                 continue
             late.append(run)
-            if run.state is RunState.SENT:
-                self._late_starts.add(minion.minion_id, run.key, run.run_id, now)
         earlier_starts = sum(1 for _ in self._late_starts.on_minion(minion.minion_id, now))
         self._record_minion_decision(
             "minion began again under its id", minion, late_runs=len(late),
--- a/dotterelhill/jobs/tests/late_orders.feature
+++ b/dotterelhill/jobs/tests/late_orders.feature
@@ -544,7 +544,7 @@
     And a new leader takes over
     Then 1 job waits
 
-  @known-red @single-place
+  @single-place
   Scenario: a start on its way when a later life answers with the higher fence is carried out by the life after that
     # Guards against TWICE: the start is released without a record of it, so its task starts elsewhere at once.
     Given a fleet with minions "m1 m2" of 4 processors
@@ -560,7 +560,7 @@
     And 5 rounds pass
     Then all of them went to one minion
 
-  @known-red @single-place
+  @single-place
   Scenario: a start of an earlier leader that a listed later life lacks is carried out by the life after that
     # Guards against TWICE: the later life has refused it by its fence, of which the next one knows nothing.
     Given a fleet with minions "m1 m2" of 4 processors
@@ -577,7 +577,7 @@
     When 13 seconds pass in rounds
     Then 2 starts were sent in total
 
-  @known-red @single-place
+  @single-place
   Scenario: a start of an earlier leader that an unlisted later life lacks is carried out by the life after that
     Given a fleet with minions "m1 m2" of 4 processors
     And polls carry the fences of their minions
