Count the time of an earlier leader's starts from the takeover alone

Cause: a stored run of an incarnation that is not listed was held anew for 12 s and a lease at each listing of its id.

Change: the time until which such a start may come is set once a term. Test: the scenario failed before (one start after 19 s).

--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -195,6 +195,8 @@
         # Those of them whose end has been counted against the runs that may have caused it.
         self._counted_incarnations: set[str] = set()
         self._late_starts = LateStarts()
+        # Time until which a start of an earlier leader may be carried out late.
+        self._earlier_starts_until = -inf
         # Jobs of tasks, by task, that wait since a later life may begin them.
         self._pinned: dict[TaskKey, Job] = {}
         # Fence of a minion that is not known, higher than those of minions that were removed.
@@ -355,6 +357,8 @@
 
     def restore(self, job: Job, now: float) -> None:
         """Add a job with the progress that an earlier leader stored."""
+        if self._earlier_starts_until == -inf:
+            self._earlier_starts_until = now + LATE_SECONDS
         self._jobs[job.job_id] = job
         job.has_begun = job.state is not JobState.QUEUED
         self._known_bytes += job_bytes(job.submission, is_ended=job.is_ended)
@@ -459,7 +463,7 @@
             # The minion is not listed, but its lease may not have expired yet.
             lease_until = self._inherited_lease_end(assignment.incarnation)
             self._unlisted_lease_ends.setdefault(assignment.incarnation, lease_until)
-            late_end = lease_end(now + LATE_SECONDS, self._settings.lease_seconds)
+            late_end = lease_end(self._earlier_starts_until, self._settings.lease_seconds)
             self._unlisted_late_ends.setdefault(assignment.incarnation, late_end)
             return
         step = job.submission.steps[task.key.step]
@@ -475,7 +479,7 @@
         run.is_proven, run.is_inherited = assignment.is_proven, True
         if not run.is_proven:
             # The earlier leader's order may not have been answered.
-            run.late_until = now + LATE_SECONDS
+            run.late_until = self._earlier_starts_until
         run.is_extra = assignment.is_copy or task.is_restarted
         minion.attach(run)
         if job.state in FINAL_STATES or task.is_done:
@@ -499,11 +503,12 @@
             task.key, assignment.run_id, step, minion.minion_id, RunState.STOPPING, now,
             settled_at=None if is_own else now, is_proven=True, is_inherited=not is_own,
         )  # fmt: skip
-        run.late_until = now + LATE_SECONDS
         if is_own:
-            run.fence = minion.fence - 1
+            run.late_until, run.fence = now + LATE_SECONDS, minion.fence - 1
         else:
-            self._late_starts.add(minion.minion_id, run.key, run.run_id, now)
+            run.late_until = self._earlier_starts_until
+            taken_over_at = self._earlier_starts_until - LATE_SECONDS
+            self._late_starts.add(minion.minion_id, run.key, run.run_id, taken_over_at)
         minion.attach(run)
         minion.extend_lease(now, self._settings.lease_seconds)
         if is_own:
@@ -966,7 +971,8 @@
                 if run.settled_at is not None and run.settled_at < sent_at:
                     if run.is_inherited and run.may_start_late:
                         # Whether the earlier leader's order was answered is not known.
-                        self._late_starts.add(minion.minion_id, run.key, run.run_id, now)
+                        at = self._earlier_starts_until - LATE_SECONDS
+                        self._late_starts.add(minion.minion_id, run.key, run.run_id, at)
                     self._release_run(minion, run, now, "not in the minion's report")
 
     def _process_ends(self, minion: Minion, report: MinionReport, now: float) -> None:
--- a/dotterelhill/jobs/tests/late_orders.feature
+++ b/dotterelhill/jobs/tests/late_orders.feature
@@ -262,6 +262,21 @@
       | as soon as its minion lacks it | begins to drain | 2       |
       | as soon as its lease has ended | stops answering | 7       |
 
+  Scenario: a task of an earlier leader waits anew each time that its minion is listed with an earlier birth
+    # Guards against LOST: the wall clock of the minion was set back, so none of its lives is known to be a later one.
+    Given a fleet with minions "m1 m2" of 4 processors
+    And polls carry the fences of their minions
+    And job "a" of 1 task of 1 processors
+    When the minions report
+    And the scheduler plans
+    And the plan is stored, and its starts are on their way
+    And the minion of the newest start is born again, earlier by its clock
+    And a new leader takes over
+    And 10 seconds pass in rounds
+    And the minion of the newest start is born again, earlier by its clock
+    And 9 seconds pass in rounds
+    Then 2 starts were sent in total
+
   @single-place
   Scenario: the answer of a later life counts as that of the life on which a start was ordered
     Given a fleet with minions "m1 m2" of 4 processors
--- a/dotterelhill/jobs/tests/steps/late_orders_steps.py
+++ b/dotterelhill/jobs/tests/steps/late_orders_steps.py
@@ -129,6 +129,13 @@
         fleet.scheduler.update_minion(facts, fleet.now)
 
 
+@when(r"the minion of the newest start is born again, earlier by its clock")
+def restart_minion_with_earlier_clock(context):
+    fleet = context.fleet
+    name = fleet.sent[-1].minion.minion_id
+    fleet.list_minion(name, born_ms=fleet.facts[name].born_ms - 1000)
+
+
 @when(r"its entry is read")
 def list_restarted_minion(context):
     fleet = context.fleet
