--- a/dotterelhill/jobs/tests/late_orders.feature
+++ b/dotterelhill/jobs/tests/late_orders.feature
@@ -662,3 +662,28 @@
     And 6 times, the minion of the first start begins again under its id and 2 rounds pass
     And 2 seconds pass in rounds
     Then job "a" is shown as "running"
+
+  @known-red @single-place
+  Scenario: a task never runs since it starts again and again on a minion that answers polls, but no starts
+    # Guards against LOST: nothing but the start of the task tells that the minion is not sound.
+    Given a fleet with minions "m1 m2 m3" of 4 processors
+    And polls carry the fences of their minions
+    And job "a" of 1 task of 1 processors
+    When 60 seconds pass in rounds in which the minion of the first start neither answers nor carries out starts
+    Then the task of job "a" runs
+
+  @known-red @single-place
+  Scenario: a task that waits for its late start starts again beside a suspected one that is tested on the same minion
+    # Guards against LOST: the next loss of the minion counts against both. Placement keeps other tasks away meanwhile.
+    Given a fleet with minions "m1" of 4 processors
+    And polls carry the fences of their minions
+    And job "a" of 1 task of 1 processors
+    And job "b" of 1 task of 1 processors
+    When the minions report
+    And the scheduler plans
+    And the plan is stored, and its starts are on their way
+    And the start of job "a" gets no answer
+    And the start of job "b" is answered by a later life
+    And the minion of the newest start begins again under its id
+    And 1 rounds pass
+    Then 3 starts were sent in total
--- a/dotterelhill/jobs/tests/steps/late_orders_steps.py
+++ b/dotterelhill/jobs/tests/steps/late_orders_steps.py
@@ -193,6 +193,34 @@
             fleet.run_round()
 
 
+@when(
+    r"(?P<seconds>\d+) seconds pass in rounds in which the minion of the first start neither "
+    r"answers nor carries out starts"
+)
+def run_rounds_beside_deaf_minion(context, seconds):
+    fleet, unanswered = context.fleet, []
+    until = fleet.now + float(seconds)
+    while fleet.now < until:
+        for order in [one for at, one in unanswered if at + 1.0 <= fleet.now]:
+            sent_at = fleet.now - 1.0
+            fleet.scheduler.start_answered(order.run, StartOutcome.UNKNOWN, sent_at, fleet.now)
+        unanswered = [(at, one) for at, one in unanswered if at + 1.0 > fleet.now]
+        fleet.poll()
+        fleet.plan()
+        for order in fleet.commit():
+            if order.minion.minion_id == fleet.sent[0].minion.minion_id:
+                unanswered.append((fleet.now, order))
+            else:
+                fleet.deliver([order], StartOutcome.STARTED)
+        fleet.now += ROUND_SECONDS
+
+
+@then(r'the task of job "(?P<job>\w+)" runs')
+def check_running(context, job):
+    name = context.fleet.minion_running(only_task(job))
+    assert name is not None, [str(order.run.run_id) for order in context.fleet.sent]
+
+
 @then(r"all of them went to one minion")
 def check_one_minion(context):
     minions = {order.minion.minion_id for order in context.fleet.sent}
