--- a/dotterelhill/jobs/tests/late_orders.feature
+++ b/dotterelhill/jobs/tests/late_orders.feature
@@ -687,3 +687,13 @@
     And the minion of the newest start begins again under its id
     And 1 rounds pass
     Then 3 starts were sent in total
+
+  @known-red @single-place
+  Scenario: a task waits for the late start of a minion at whose address another one answers, which refuses it by its header
+    Given a fleet with minions "m1 m2" of 4 processors
+    And polls carry the fences of their minions
+    And job "a" of 1 task of 1 processors
+    When a round passes in which starts get no answer
+    And another minion answers at the address of the minion of the newest start
+    And 2 rounds pass
+    Then 2 starts were sent in total
--- a/dotterelhill/jobs/tests/steps/late_orders_steps.py
+++ b/dotterelhill/jobs/tests/steps/late_orders_steps.py
@@ -245,6 +245,13 @@
     fleet.scheduler.update_minion(replace(fleet.facts[name], born_ms=fleet.unix_ms), fleet.now)
 
 
+@when(r"another minion answers at the address of the minion of the newest start")
+def replace_newest_minion(context):
+    fleet, minion = context.fleet, newest_minion(context)
+    fleet.scheduler.remove_replaced_minion(minion, fleet.now)
+    del fleet.facts[minion.minion_id]
+
+
 @when(r"the later life answers a poll that extends no lease")
 def answer_without_lease(context):
     answer_later_life(context, ())
