--- a/dotterelhill/jobs/tests/late_orders.feature
+++ b/dotterelhill/jobs/tests/late_orders.feature
@@ -697,3 +697,17 @@
     And another minion answers at the address of the minion of the newest start
     And 2 rounds pass
     Then 2 starts were sent in total
+
+  @known-red @single-place
+  Scenario: a task that waits for its late start begins elsewhere when the leader changes
+    # Guards against TWICE: starts without an answer whose runs were released are not stored.
+    Given a fleet with minions "m1 m2" of 4 processors
+    And polls carry the fences of their minions
+    And job "a" of 1 task of 1 processors
+    When a round passes in which starts get no answer
+    And the minion of the newest start begins to drain
+    And 3 rounds pass
+    Then 1 starts were sent in total
+    When a new leader takes over
+    And 3 rounds pass
+    Then 1 starts were sent in total
