--- a/dotterelhill/jobs/tests/late_orders.feature
+++ b/dotterelhill/jobs/tests/late_orders.feature
@@ -711,3 +711,19 @@
     When a new leader takes over
     And 3 rounds pass
     Then 1 starts were sent in total
+
+  @known-red @single-place
+  Scenario: a task starts elsewhere while a report lists a run of it that no leader knew of
+    # Guards against TWICE: the run is told to stop, but its task, which is assigned to no minion, does not wait for its end.
+    Given a fleet with minions "m1" of 4 processors
+    And polls carry the fences of their minions
+    And job "a" of 1 task of 1 processors
+    When a round passes in which starts get no answer
+    And the minion of the newest start begins to drain
+    And 3 rounds pass
+    And a new leader takes over
+    And the start of job "a" is carried out late
+    And 2 rounds pass
+    And minion "m2" of 4 processors is listed
+    And 3 rounds pass
+    Then 1 starts were sent in total
