--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -1812,17 +1812,7 @@
             minion.is_synced = False
             if not minion.is_listed and not minion.runs:
                 self._remove_minion(minion)
-        for key, until in list(self._unlisted_lease_ends.items()):
-            if now < until:
-                continue
-            late_end = self._unlisted_late_ends.get(key, until)
-            self._release_unlisted(key, now, are_late_kept=now < late_end)
-            if now < late_end:
-                self._unlisted_lease_ends[key] = late_end
-                continue
-            del self._unlisted_lease_ends[key]
-            self._unlisted_late_ends.pop(key, None)
-            self._counted_incarnations.discard(key)
+        self._expire_unlisted(now)
         for owner, cancelled_at in list(self._early_cancellations.items()):
             if now - cancelled_at >= self._settings.retention_seconds:
                 del self._early_cancellations[owner]
@@ -1878,22 +1868,36 @@
         for suspect in self._crashes.take_verdicts(now):
             self._give_up(suspect, now)
 
-    def _release_unlisted(self, key: str, now: float, *, are_late_kept: bool) -> None:
-        """Release the tasks of an unlisted incarnation, given as ``minion_id@born_ms``.
+    def _expire_unlisted(self, now: float) -> None:
+        """Release the tasks of unlisted incarnations whose leases have ended.
 
-        :param are_late_kept: whether tasks stay assigned that a later incarnation may have begun;
-            lasting tasks have to run again earlier
+        Tasks that a later incarnation may have begun stay assigned for longer, except lasting ones,
+        which have to run again earlier.
         """
+        # Whether the late starts are over as well, by incarnation.
+        expired: dict[str, bool] = {}
+        for key, until in self._unlisted_lease_ends.items():
+            if now >= until:
+                expired[key] = now >= self._unlisted_late_ends.get(key, until)
+        if not expired:
+            return
         for job in list(self._jobs.values()):
             for task in job.tasks.values():
-                is_lasting = job.submission.steps[task.key.step].is_lasting
                 for assignment in task.assignments:
-                    if assignment.incarnation != key:
+                    are_late_over = expired.get(assignment.incarnation)
+                    if are_late_over is None:
                         continue
-                    if are_late_kept and not (is_lasting or assignment.is_proven):
-                        continue
-                    reason = "lease of unlisted minion expired"
-                    self._release_stored_run(job, task, assignment, now, reason)
+                    is_lasting = job.submission.steps[task.key.step].is_lasting
+                    if are_late_over or is_lasting or assignment.is_proven:
+                        reason = "lease of unlisted minion expired"
+                        self._release_stored_run(job, task, assignment, now, reason)
+        for key, are_late_over in expired.items():
+            if not are_late_over:
+                self._unlisted_lease_ends[key] = self._unlisted_late_ends[key]
+                continue
+            del self._unlisted_lease_ends[key]
+            self._unlisted_late_ends.pop(key, None)
+            self._counted_incarnations.discard(key)
 
     # Durable writes
 
