Hold no speculative task for its late starts

Several runs of a speculative task may be present at once, also a start after the end of another, so holding such a task guards against nothing.

--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -1013,7 +1013,9 @@
             return -inf
         self._withdraw_late_start(minion.minion_id, end.key, end.run_id)
         job = self._jobs.get(end.key.job_id)
-        if job is None or job.state in FINAL_STATES or run.step.is_lasting:
+        if job is None or job.state in FINAL_STATES:
+            return -inf
+        if run.step.is_lasting or run.step.is_speculative:
             return -inf
         return self._late_starts.until(minion.minion_id, end.key)
 
@@ -1299,7 +1301,9 @@
         """Let a task wait for another run unless one may be present."""
         if task.is_assigned:
             return
-        if self._late_starts.has_any(task.key):
+        step = job.submission.steps[task.key.step]
+        # Several runs of a speculative task may be present at once.
+        if self._late_starts.has_any(task.key) and not step.is_speculative:
             self._pinned[task.key] = job
         else:
             self._placement.requeue(job, task)
@@ -1326,6 +1330,8 @@
 
     def _restore_late_starts(self, job: Job, task: Task) -> None:
         """Hold a task for the late starts that an earlier leader has stored."""
+        if job.submission.steps[task.key.step].is_speculative:
+            return
         at = self._earlier_starts_until - LATE_SECONDS
         for minion_id, run_id in task.late_starts:
             self._late_starts.add(minion_id, task.key, run_id, at)
@@ -1849,6 +1855,8 @@
             late_until = max(late_until, run.late_until)
             if run.step.is_lasting:
                 late_until = minion.later_life_at if run.is_on_later_life else -inf
+            elif run.step.is_speculative:
+                late_until = -inf
             if now >= lease_end(late_until, lease_seconds):
                 lapsed.append(run)
         if not lapsed:
@@ -1872,7 +1880,7 @@
         """Release the tasks of unlisted incarnations whose leases have ended.
 
         Tasks that a later incarnation may have begun stay assigned for longer, except lasting ones,
-        which have to run again earlier.
+        which have to run again earlier, and speculative ones.
         """
         # Whether the late starts are over as well, by incarnation.
         expired: dict[str, bool] = {}
@@ -1887,8 +1895,9 @@
                     are_late_over = expired.get(assignment.incarnation)
                     if are_late_over is None:
                         continue
-                    is_lasting = job.submission.steps[task.key.step].is_lasting
-                    if are_late_over or is_lasting or assignment.is_proven:
+                    step = job.submission.steps[task.key.step]
+                    is_kept = not (step.is_lasting or step.is_speculative or assignment.is_proven)
+                    if are_late_over or not is_kept:
                         reason = "lease of unlisted minion expired"
                         self._release_stored_run(job, task, assignment, now, reason)
         for key, are_late_over in expired.items():
