--- a/dotterelhill/control/tests/takeovers.feature
+++ b/dotterelhill/control/tests/takeovers.feature
@@ -41,7 +41,7 @@
     Then no work was forgotten, doubled or left waiting
     And minions that had begun again were cut off 32 times and carried out 16 calls to their former lives
 
-  @known-flaky
+  @single-place
   Scenario: Work is doubled when a minion carries out a start to its former life and no rebirth was seen before
     When days on which minions begin again and are cut off are played with seeds "552"
     Then no work was forgotten, doubled or left waiting
