Play rebirths with clocks that begin anywhere and crashes that reset no connection

In the worlds with the real leader each life of a minion began its clock at 0, and a crash reset its connections, so that a leader noticed it within 0.1 s. The platform says that a minion that crashes sends nothing: polls then end by their time-out, and starts that are sent meanwhile are answered by the next life.

--- a/dotterelhill/control/tests/takeover_world.py
+++ b/dotterelhill/control/tests/takeover_world.py
@@ -9,6 +9,7 @@
 import logging
 import sys
 from collections import Counter, defaultdict
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from itertools import pairwise
 from random import Random
@@ -76,6 +77,8 @@
     is_listed: bool = False
     # Difference of its wall clock from the time of the cluster.
     wall_offset: float = 0.0
+    # First reading of its clock, in seconds.
+    first_clock: float = 0.0
     max_hold_ms: float = float("inf")
     fence: int = 0
     lease_ms: int = 0
@@ -97,7 +100,7 @@
         return int(1000 * (self.born_at + self.wall_offset)) + 1
 
     def clock_ms(self, now: float) -> int:
-        return int(1000 * self.rate * (now - self.born_at))
+        return int(1000 * (self.first_clock + self.rate * (now - self.born_at)))
 
     def free(self) -> ResourceVector:
         free = ResourceVector(CPU, MEMORY_MB)
@@ -106,7 +109,7 @@
         return free
 
     def advance(self, now: float) -> None:
-        lapses_at = self.born_at + self.lease_ms / 1000 / self.rate
+        lapses_at = self.born_at + (self.lease_ms / 1000 - self.first_clock) / self.rate
         for key, run in list(self.running.items()):
             kinds = (
                 (run.ends_at, EndKind.DONE),
@@ -221,8 +224,11 @@
 
         address = known.facts.address
         if self._is_lost(address) or address in cluster.cut_addresses:
+            if not self.is_cut_off:
+                cluster.hold_call(address, arrive_late)
             await asyncio.sleep(CALL_TIMEOUT_SECONDS)
             raise MinionError("no answer")
+        await self._wait_for_next_life(address, arrive_late)
         # The order of calls at one moment varies, so each minion has its own sequence of faults.
         random = cluster.call_random(known.minion_id)
         if random.random() >= cluster.call_fault_share:
@@ -241,6 +247,16 @@
         await asyncio.sleep(CALL_TIMEOUT_SECONDS)
         raise MinionError("no answer")
 
+    async def _wait_for_next_life(self, address, arrive_late):
+        """Wait while a minion is down that sends nothing, until the call times out."""
+        cluster = self._cluster
+        ends_at = cluster.loop.time() + CALL_TIMEOUT_SECONDS
+        while cluster.are_crashes_silent and not cluster.by_address[address].is_alive:
+            await asyncio.sleep(CALL_SECONDS)
+            if cluster.loop.time() > ends_at:
+                cluster.hold_call(address, arrive_late)
+                raise MinionError("no answer")
+
     async def start(self, order, epoch, deadline_ms):
         cluster = self._cluster
 
@@ -285,14 +301,17 @@
         while True:
             now = cluster.loop.time()
             fleet_minion.advance(now)
-            if not fleet_minion.is_alive or self.is_cut_off:
+            is_gone = not fleet_minion.is_alive
+            if self.is_cut_off or (is_gone and not cluster.are_crashes_silent):
                 raise MinionError("connection reset")
-            if self._is_lost(fleet_minion.address):
+            is_cut = cluster.are_crashes_silent and fleet_minion.address in cluster.cut_addresses
+            if is_gone or is_cut or self._is_lost(fleet_minion.address):
                 await asyncio.sleep(answer_at + CALL_TIMEOUT_SECONDS - now)
                 raise MinionError("no answer")
             has_end = any(end.number > durable_end for end in fleet_minion.ended)
             if has_end or now >= answer_at:
-                report = fleet_minion.report(now, durable_end)
+                is_acknowledged = cluster.are_crashes_silent
+                report = fleet_minion.report(now, 0 if is_acknowledged else durable_end)
                 await asyncio.sleep(CALL_SECONDS)
                 return report
             await asyncio.sleep(max(CALL_SECONDS, min(STEP_SECONDS, answer_at - now)))
@@ -309,6 +328,12 @@
     late_seconds = (0.2, 3.0)
     # Whether a poll that is carried out late acknowledges ends.
     has_late_acknowledgements = False
+    # Whether a minion that crashes resets no connection, so that calls to it wait for its next
+    # life, and polls for their time-out.
+    are_crashes_silent = False
+    # Share of the calls which time out while no path leads to the minion, or it is down, that are
+    # carried out when it can be reached.
+    held_share = 0.0
 
     def __init__(self, seed: int, minion_count: int = 12) -> None:
         self.random = Random(seed)
@@ -316,6 +341,8 @@
         self.call_fault_share = 0.0
         self.by_address: dict[str, FleetMinion] = {}
         self.cut_addresses: set[str] = set()
+        # Calls that are carried out when a minion can be reached, by address.
+        self.held_calls: defaultdict[str, list[Callable[[], None]]] = defaultdict(list)
         self.every_minion: list[FleetMinion] = []
         self.is_guarded = self.random.random() < 0.5
         self.seed = seed
@@ -365,6 +392,11 @@
         self.prepare_minion(minion)
         self.every_minion.append(minion)
         self.by_address[address] = minion
+        self.announce(minion)
+        self.deliver_held_calls(address)
+
+    def announce(self, minion: FleetMinion) -> None:
+        """List a minion that has begun."""
         self.write_entry(minion)
 
     def prepare_minion(self, minion: FleetMinion) -> None:
@@ -418,9 +450,21 @@
             self.cut_addresses.discard(minion.address)
             if minion.is_alive:
                 self.write_entry(minion)
+            self.deliver_held_calls(minion.address)
 
         self.at(seconds, end)
 
+    def hold_call(self, address: str, arrive: Callable[[], None]) -> None:
+        """Keep a call that has timed out until its minion can be reached, or lose it."""
+        if self.held_share and self.call_random(address).random() < self.held_share:
+            self.held_calls[address].append(arrive)
+
+    def deliver_held_calls(self, address: str) -> None:
+        minion = self.by_address[address]
+        if minion.is_alive and self.is_reached(minion):
+            for arrive in self.held_calls.pop(address, ()):
+                arrive()
+
     def is_reached(self, minion: FleetMinion) -> bool:
         return minion.address not in self.cut_addresses
 
