--- a/dotterelhill/jobs/fleet.py
+++ b/dotterelhill/jobs/fleet.py
@@ -9,12 +9,11 @@
 import msgspec
 
 from dotterelhill.jobs.durations.speed import MinionSpeed
+from dotterelhill.jobs.minions.clock import MINION_CLOCK_DRIFT, MinionClock
 from dotterelhill.jobs.minions.health import MinionHealth
 from dotterelhill.jobs.model import Step, TaskKey
 from dotterelhill.jobs.resources import ResourceVector
 
-# A minion's monotonic clock may run this much slower than true time: a limit of the platform.
-MINION_CLOCK_DRIFT = 0.02
 # Covers the time between reading the clock here and sending the order that extends the lease.
 LEASE_SLACK_SECONDS = 0.1
 # A list of ends with this length may be truncated, so a run missing from it may be listed later.
@@ -77,6 +76,7 @@
         without an answer may be carried out after newer ones
     :param present_clock_ms: clock of the minion when the run was first known to be present; None
         before
+    :param is_reported: whether a report of this incarnation has listed the run
     :param is_proven: whether the run has lived long enough to not have crashed its minion
     :param is_inherited: whether an earlier leader planned the run
     :param is_partial: whether its duration is not that of a whole run at full pace
@@ -103,6 +103,7 @@
     paced_at: float = 0.0
     pace_repeated_until: float = float("-inf")
     present_clock_ms: int | None = None
+    is_reported: bool = False
     is_proven: bool = False
     is_inherited: bool = False
     is_partial: bool = False
@@ -194,13 +195,17 @@
     :param has_lapsed: whether its lease has ended since its newest report
     :param silent_at: loop time of the first poll without an answer; None while polls are answered
     :param lease_until: loop time by which the last lease has certainly expired
+    :param clock: bounds of its clock, which tell its answers from those of other incarnations
     :param clock_ms: clock of the minion in its newest answer; None before the first
     :param clock_at: loop time at which that answer arrived
     :param granted_until_ms: end of the newest lease on the minion's clock in ms; None before one
     :param last_report_at: loop time of the newest report
-    :param processed_end: highest end number up to which all were processed
-    :param processed_early: higher numbers of ends that were processed, beyond a deferred one
-    :param has_deferred_end: whether its newest report lists an end that is not processed yet
+    :param processed_end: highest end number up to which all were processed and may be acknowledged
+    :param unacknowledged: higher numbers of ends that were processed, each with the loop time from
+        which it may be acknowledged
+    :param has_listed_ends: whether its newest report lists ends, which can be acknowledged
+    :param has_withheld_end: whether its newest report lists an end that must not be acknowledged
+        yet
     :param durable_end: highest end number whose effect is durable, which acknowledges it
     :param health: failed and refused runs
     :param speed: ratio of observed to expected durations
@@ -225,13 +230,15 @@
     has_lapsed: bool = False
     silent_at: float | None = None
     runs: dict[TaskKey, Run] = field(default_factory=dict)
+    clock: MinionClock = field(default_factory=MinionClock)
     clock_ms: int | None = None
     clock_at: float = 0.0
     granted_until_ms: int | None = None
     last_report_at: float = 0.0
     processed_end: int = 0
-    processed_early: set[int] = field(default_factory=set)
-    has_deferred_end: bool = False
+    unacknowledged: dict[int, float] = field(default_factory=dict)
+    has_listed_ends: bool = False
+    has_withheld_end: bool = False
     durable_end: int = 0
     health: MinionHealth = field(default_factory=MinionHealth)
     speed: MinionSpeed = field(default_factory=MinionSpeed)
@@ -252,6 +259,15 @@
         """Return the incarnation as ``minion_id@born_ms``."""
         return f"{self.facts.minion_id}@{self.facts.born_ms}"
 
+    @property
+    def acknowledged_end(self) -> int:
+        """Return the number of the newest end that the next poll acknowledges; 0 for none.
+
+        A later incarnation, whose ends are numbered anew, may carry out the poll, so nothing is
+        acknowledged without need.
+        """
+        return self.durable_end if self.is_answering and self.has_listed_ends else 0
+
     @property
     def free(self) -> ResourceVector:
         """Return the capacity that no run reserves."""
@@ -312,19 +328,14 @@
         else:
             self.short_cpu += cpu
 
-    def is_clock_of_other_life(self, clock_ms: int, sent_at: float) -> bool:
-        """Return whether an answer is of another incarnation, since its clock began anew.
+    def record_clock(self, clock_ms: int, sent_at: float, now: float) -> None:
+        """Record a reading of the clock of this incarnation.
 
-        :param clock_ms: clock in the answer
-        :param sent_at: loop time at which the call was sent
+        :param clock_ms: reading in ms
+        :param sent_at: loop time at which the call was sent that it answers
         """
-        if self.clock_ms is None:
-            return False
-        # The newest reading may have overtaken the answer; otherwise the clock went on until this
-        # call was sent. The clock of this process may drift, too.
-        passed_ms = 1000.0 * (sent_at - self.clock_at)
-        passed_ms *= 1.0 + MINION_CLOCK_DRIFT if passed_ms < 0.0 else 1.0 - 2.0 * MINION_CLOCK_DRIFT
-        return clock_ms < self.clock_ms + passed_ms - 1.0
+        self.clock.record(clock_ms, sent_at, now)
+        self.clock_ms, self.clock_at = clock_ms, now
 
     def grant_lease(self, now: float, hold_seconds: float) -> int | None:
         """Extend the lease of all runs by an order sent now, and return its end for the order.
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -18,6 +18,7 @@
 from dotterelhill.jobs.changes import Changes, Decision, SchedulerSettings
 from dotterelhill.jobs.crashes.counting import CrashCounting
 from dotterelhill.jobs.crashes.doubts import Doubts
+from dotterelhill.jobs.crashes.isolation import has_unproven_runs
 from dotterelhill.jobs.crashes.suspicion import (
     CrashSuspicion,
     Presence,
@@ -89,10 +90,8 @@
 SHARING_POLL_SECONDS = 0.4
 # A poll that is lost alone is repeated and answered within this time on a prompt event loop.
 SILENT_SECONDS_TO_CLOSE_LEASE = 0.35
-# A task starts again on the minion that has left up to as many of its starts without an answer: one
-# on a platform whose minions are not known to begin again under their ids, and more on others.
-MAX_UNANSWERED_STARTS = 1
-MAX_UNANSWERED_STARTS_WHERE_IDS_RETURN = 3
+# A task starts again on the minion that has left up to as many of its starts without an answer.
+MAX_UNANSWERED_STARTS = 3
 # The search for a minion takes up to 0.3 ms for each straggler, and a round has 25 ms.
 MAX_STRAGGLERS_PLACED = 8
 
@@ -185,14 +184,15 @@
         self._removed_submissions = RemovedSubmissions(settings.retention_seconds)
         self._early_cancellations: dict[tuple[str, str], float] = {}
         self._expired_cancellations: list[tuple[str, str]] = []
+        # Time until which an incarnation that is not listed may have runs, by incarnation, and a
+        # later one for runs that a later incarnation may have begun.
         self._unlisted_lease_ends: dict[str, float] = {}
+        self._unlisted_late_ends: dict[str, float] = {}
         # Those of them whose end has been counted against the runs that may have caused it.
         self._counted_incarnations: set[str] = set()
         self._late_starts = LateStarts()
         # Jobs of tasks, by task, that wait since a later life may begin them.
         self._pinned: dict[TaskKey, Job] = {}
-        # Whether a minion has begun again under its id.
-        self._do_ids_return = False
         # Fence of a minion that is not known, higher than those of minions that were removed.
         self._first_fence = 0
         self._highest_fence = 0
@@ -246,11 +246,6 @@
         """Return the check of the bound within which accepted tasks start."""
         return self._start_bound
 
-    @property
-    def do_ids_return(self) -> bool:
-        """Return whether minions are known to begin again under their ids."""
-        return self._do_ids_return
-
     @property
     def highest_fence(self) -> int:
         """Return the highest fence that a call to a minion has carried in this term."""
@@ -450,7 +445,6 @@
         if minion is None or minion.facts.born_ms != assignment.born_ms:
             is_counted = assignment.incarnation in self._counted_incarnations
             if minion is not None and (is_counted or minion.facts.born_ms > assignment.born_ms):
-                self.record_returned_id()
                 # Of an incarnation that this leader has counted, only late starts are left.
                 if assignment.is_proven and not is_counted:
                     reason = "minion restarted as another incarnation"
@@ -461,6 +455,8 @@
             # The minion is not listed, but its lease may not have expired yet.
             lease_until = self._inherited_lease_end(assignment.incarnation)
             self._unlisted_lease_ends.setdefault(assignment.incarnation, lease_until)
+            late_end = lease_end(now + LATE_SECONDS, self._settings.lease_seconds)
+            self._unlisted_late_ends.setdefault(assignment.incarnation, late_end)
             return
         step = job.submission.steps[task.key.step]
         run = Run(
@@ -473,6 +469,9 @@
             settled_at=now,
         )
         run.is_proven, run.is_inherited = assignment.is_proven, True
+        if not run.is_proven:
+            # The earlier leader's order may not have been answered.
+            run.late_until = now + LATE_SECONDS
         run.is_extra = assignment.is_copy or task.is_restarted
         minion.attach(run)
         if job.state in FINAL_STATES or task.is_done:
@@ -499,6 +498,8 @@
         run.late_until = now + LATE_SECONDS
         if is_own:
             run.fence = minion.fence - 1
+        else:
+            self._late_starts.add(minion.minion_id, run.key, run.run_id, now)
         minion.attach(run)
         minion.extend_lease(now, self._settings.lease_seconds)
         if is_own:
@@ -624,7 +625,10 @@
         for minion in self._minions.values():
             if not minion.runs or not self._is_unreached(minion, now - unread_seconds):
                 continue
-            ends[minion.incarnation] = minion.lease_until
+            later_starts = [run.late_until for run in minion.runs.values() if run.is_on_later_life]
+            begun_at = max(later_starts, default=-inf) - LATE_SECONDS
+            later_end = lease_end(begun_at, self._settings.lease_seconds)
+            ends[minion.incarnation] = max(minion.lease_until, later_end)
             minion.is_lease_closed = True
         self._closed_leases.update(ends)
         return ends
@@ -707,6 +711,7 @@
             return
         for key in unlisted:
             del self._unlisted_lease_ends[key]
+            self._unlisted_late_ends.pop(key, None)
         for job in list(self._jobs.values()):
             for task in job.tasks.values():
                 for assignment in task.assignments:
@@ -716,10 +721,6 @@
                         self._attach_stored_run(job, task, assignment, now)
         self._counted_incarnations.difference_update(unlisted)
 
-    def record_returned_id(self) -> None:
-        """Record that minions of this platform may begin again under their ids."""
-        self._do_ids_return = True
-
     def record_minion_list(self, read_at: float) -> None:
         """Record the loop time at which the list of minions was last read to its end."""
         self._hold.record_list(read_at)
@@ -772,16 +773,14 @@
             # Calls to an earlier incarnation, which this one refuses from now on, may have extended
             # its lease by a full one until it answered.
             minion.extend_lease(now, self._settings.lease_seconds)
-        minion.clock_ms, minion.clock_at = report.clock_ms, now
+        minion.record_clock(report.clock_ms, sent_at, now)
         minion.last_report_at, minion.has_lapsed = now, False
         if not minion.is_answering:
             minion.is_answering, minion.silent_at = True, None
             self._record_minion_decision("minion answers again", minion)
-        deferred = self._process_ends(minion, report, now) if report.ended else None
-        minion.has_deferred_end = bool(deferred)
+        minion.has_listed_ends = bool(report.ended)
+        self._process_ends(minion, report, now)
         present = self._process_running(minion, report, now)
-        if deferred:
-            present |= deferred
         is_complete_list = len(report.ended) < END_LIST_LIMIT
         if is_complete_list and not minion.runs.keys() <= present:
             for run in list(minion.runs.values()):
@@ -851,8 +850,9 @@
                 continue
             present.add(key)
             state = run.state
-            if state is sent or state is unknown:
+            if state is sent or state is unknown or run.late_until > now:
                 self._process_beginning(run)
+            run.is_reported = True
             if run.settled_at is None:
                 run.settled_at = now
             run.percent = row.percent
@@ -883,9 +883,10 @@
 
     def _process_beginning(self, run: Run) -> None:
         """Process that a run is known to have begun, so that its start does not come late."""
-        if run.state is RunState.UNKNOWN:
-            self._late_starts.withdraw(run.minion_id, run.key, run.run_id)
-        run.state, run.late_until = RunState.PRESENT, -inf
+        self._late_starts.withdraw(run.minion_id, run.key, run.run_id)
+        run.late_until = -inf
+        if run.state is not RunState.STOPPING:
+            run.state = RunState.PRESENT
 
     def _record_unassigned_run(self, minion: Minion, key: TaskKey, run_id: int) -> None:
         """Record for the log that a minion runs what is not assigned to it."""
@@ -951,51 +952,47 @@
                     self._stop(minion, run, now)
             case RunState.PRESENT:
                 if run.settled_at is not None and run.settled_at < sent_at:
+                    if run.is_inherited and run.may_start_late:
+                        # Whether the earlier leader's order was answered is not known.
+                        self._late_starts.add(minion.minion_id, run.key, run.run_id, now)
                     self._release_run(minion, run, now, "not in the minion's report")
 
-    def _process_ends(self, minion: Minion, report: MinionReport, now: float) -> set[TaskKey]:
+    def _process_ends(self, minion: Minion, report: MinionReport, now: float) -> None:
         """Process the ends in a report that were not processed before.
 
-        :returns: keys of runs whose ends are left for a later report, and not acknowledged
+        They are acknowledged in order, up to the first one that must not be acknowledged yet.
         """
-        deferred: set[TaskKey] = set()
+        is_withheld = False
         for end in report.ended:
-            if end.number <= minion.processed_end or end.number in minion.processed_early:
-                continue
-            if self._do_ids_return and self._is_end_deferred(minion, end, now):
-                assert end.key is not None
-                deferred.add(end.key)
+            if end.number <= minion.processed_end:
                 continue
-            # An end that could not be processed to the end is in the next report again.
-            self._process_end(minion, end, now)
-            if deferred:
-                minion.processed_early.add(end.number)
-            else:
+            if end.number not in minion.unacknowledged:
+                withheld_until = self._withheld_until(minion, end)
+                # An end that could not be processed to the end is in the next report again.
+                self._process_end(minion, end, now)
+                minion.unacknowledged[end.number] = withheld_until
+            is_withheld = is_withheld or now < minion.unacknowledged[end.number]
+            if not is_withheld:
                 minion.processed_end = end.number
-        if not deferred and minion.processed_early:
-            minion.processed_end = max(minion.processed_end, *minion.processed_early)
-            minion.processed_early.clear()
-        return deferred
+                del minion.unacknowledged[end.number]
+        minion.has_withheld_end = is_withheld
 
-    def _is_end_deferred(self, minion: Minion, end: EndReport, now: float) -> bool:
-        """Return whether a success must not count yet.
+    def _withheld_until(self, minion: Minion, end: EndReport) -> float:
+        """Return the loop time from which an end may be acknowledged; -inf for at once.
 
-        An earlier start of the task may still be carried out by the next incarnation, after an end
-        that was acknowledged. With that incarnation an end that was not acknowledged is lost.
+        The next incarnation may still carry out an earlier start of a task that is done. Such a
+        start must not follow an acknowledged end.
         """
         if end.kind is not EndKind.DONE or end.key is None:
-            return False
+            return -inf
         run = minion.runs.get(end.key)
         if run is None or run.run_id != end.run_id:
-            return False
+            return -inf
         self._late_starts.withdraw(minion.minion_id, end.key, end.run_id)
         job = self._jobs.get(end.key.job_id)
-        is_late = now < self._late_starts.until(minion.minion_id, end.key)
-        if job is None or job.state in FINAL_STATES or not is_late:
-            return False
-        # Its duration is not known any more when its end is processed.
-        run.is_partial = True
-        return not run.step.is_lasting
+        if job is None or job.state in FINAL_STATES or run.step.is_lasting:
+            return -inf
+        return self._late_starts.until(minion.minion_id, end.key)
 
     def _process_end(self, minion: Minion, end: EndReport, now: float) -> None:
         """Process a reported end of a run; a repeated call has no effect."""
@@ -1063,6 +1060,7 @@
 
     def _detach_ended_run(self, minion: Minion, key: TaskKey, end: EndReport) -> Run | None:
         """Detach the run that ended; return None if it is not attached."""
+        self._late_starts.withdraw(minion.minion_id, key, end.run_id)
         run = minion.runs.get(key)
         if run is None or run.run_id != end.run_id:
             return None
@@ -1178,16 +1176,21 @@
         :param report: report of the later incarnation; None without one
         :param fence: fence of the poll that it answers, from which on it refuses lower ones
         """
-        self._do_ids_return = True
-        late = []
+        late, listed = [], set[TaskKey]()
+        if report is not None:
+            listed.update(row.key for row in report.running)
+            listed.update(end.key for end in report.ended if end.key is not None)
         for run in minion.runs.values():
             earlier_until = self._late_starts.until(minion.minion_id, run.key)
-            if run.may_start_late or now < earlier_until:
-                late.append(run)
-        if report is not None:
-            present = {row.key for row in report.running}
-            present.update(end.key for end in report.ended if end.key is not None)
-            late = [run for run in late if run.fence >= fence or run.key in present]
+            # The clock of a later incarnation may agree with that of this one by chance.
+            is_known_here = run.is_reported or run.is_proven or run.state is RunState.PLANNED
+            may_come = not is_known_here or now < earlier_until
+            is_fenced = report is not None and run.fence < fence
+            if run.key not in listed and (is_fenced or not may_come):
+                continue
+            late.append(run)
+            if run.state is RunState.SENT:
+                self._late_starts.add(minion.minion_id, run.key, run.run_id, now)
         earlier_starts = sum(1 for _ in self._late_starts.on_minion(minion.minion_id, now))
         self._record_minion_decision(
             "minion began again under its id", minion, late_runs=len(late),
@@ -1201,11 +1204,10 @@
             task = job.tasks.get(run.key) if job is not None else None
             if task is None or task.assignment_of(minion.minion_id, run.run_id) is None:
                 continue
-            # Lasting tasks have to run again earlier.
-            is_lasting = any(one.step.is_lasting for one in late)
-            starts_until = now if is_lasting else now + LATE_SECONDS
-            until = lease_end(starts_until, self._settings.lease_seconds)
-            self._unlisted_lease_ends[minion.incarnation] = until
+            lease_seconds = self._settings.lease_seconds
+            self._unlisted_lease_ends[minion.incarnation] = lease_end(now, lease_seconds)
+            late_end = lease_end(now + LATE_SECONDS, lease_seconds)
+            self._unlisted_late_ends[minion.incarnation] = late_end
             self._counted_incarnations.add(minion.incarnation)
         for run in list(minion.runs.values()):
             self._release_run(minion, run, now, "minion restarted as another incarnation")
@@ -1281,9 +1283,8 @@
     def _place_pinned(self, now: float) -> None:
         """Plan runs of tasks of which a later life of a minion may carry out an earlier start.
 
-        Such a task starts again on the same minion, where its run does not survive that life. Where
-        ids are known to return, it waits rather than start elsewhere, unless it lasts or needs a
-        minion of its own, since it is suspected of crashing minions.
+        Such a task starts again on the same minion, where its run does not survive that life. It
+        waits rather than start elsewhere, unless it lasts.
         """
         for key, job in list(self._pinned.items()):
             task = job.task(key)
@@ -1297,9 +1298,7 @@
                 self._plan_run(job, key, minion, now)
                 minion.health.record_start(now)
                 continue
-            step, is_suspected = job.submission.steps[key.step], self._suspicion.is_suspected(key)
-            has_to_wait = self._do_ids_return and not (step.is_lasting or step.is_gang)
-            if not minion_ids or not has_to_wait or is_suspected:
+            if not minion_ids or job.submission.steps[key.step].is_lasting:
                 del self._pinned[key]
                 self._placement.requeue(job, task)
 
@@ -1310,16 +1309,21 @@
 
         :param late_on: minion id of each start of the task that may still be carried out
         """
-        limit = MAX_UNANSWERED_STARTS
-        if self._do_ids_return:
-            limit = MAX_UNANSWERED_STARTS_WHERE_IDS_RETURN
         step, queue = job.submission.steps[task.key.step], self._queue_of(job)
-        if step.is_gang or len(late_on) > limit or set(late_on) != {minion.minion_id}:
+        if (
+            step.is_gang
+            or len(late_on) > MAX_UNANSWERED_STARTS
+            or set(late_on) != {minion.minion_id}
+        ):
             return False
         if queue.service != minion.facts.service or queue.needs_advice:
             return False
-        if task.key in minion.runs or self._suspicion.is_suspected(task.key):
+        if task.key in minion.runs:
             return False
+        if self._suspicion.is_suspected(task.key):
+            # It may crash the minion, which must not be held against other tasks.
+            if has_unproven_runs(minion) or self._placement.isolation.is_claimed(minion):
+                return False
         if self._exclusion(minion, now) is not None or not minion.has_room_for(step):
             return False
         return self._tenant_limits.allows(job.submission.tenant, step)
@@ -1342,12 +1346,11 @@
         if minion is None or minion.runs.get(run.key) is not run:
             return
         if clock_ms is not None:
-            if minion.is_clock_of_other_life(clock_ms, sent_at):
-                # A later incarnation has answered, and the run is not on this one.
-                outcome, clock_ms = StartOutcome.UNKNOWN, None
-                run.is_on_later_life = True
+            if minion.clock.agrees(clock_ms, sent_at, now):
+                minion.record_clock(clock_ms, sent_at, now)
             else:
-                minion.clock_ms, minion.clock_at = clock_ms, now
+                outcome = self._process_later_life(minion, run, outcome, clock_ms, now)
+                clock_ms = None
         match outcome:
             case StartOutcome.STARTED:
                 if run.state in (RunState.SENT, RunState.UNKNOWN):
@@ -1378,6 +1381,27 @@
             case _:
                 self._release_run(minion, run, now, f"start refused: {outcome}")
 
+    def _process_later_life(
+        self, minion: Minion, run: Run, outcome: StartOutcome, clock_ms: int, now: float
+    ) -> StartOutcome:
+        """Process that a later incarnation has answered a start; return the outcome on this one.
+
+        :param clock_ms: clock of the later incarnation
+        """
+        expected_ms = None
+        if minion.clock_ms is not None:
+            expected_ms = minion.clock_ms + round(1000 * (now - minion.clock_at))
+        self._record_minion_decision(
+            "start answered by a later incarnation", minion, task=str(run.key), run=run.run_id,
+            outcome=str(outcome), clock_ms=clock_ms, expected_clock_ms=expected_ms,
+        )  # fmt: skip
+        # Further starts would run on the later incarnation, too.
+        self.mark_minion_silent(minion, "a later incarnation has answered", now)
+        if outcome is not StartOutcome.STARTED:
+            return outcome
+        run.is_on_later_life = True
+        return StartOutcome.UNKNOWN
+
     def stop_answered(self, minion: Minion, key: TaskKey, run_id: int, now: float) -> None:
         """Process the answer to a stop order; a later report without the run proves its absence."""
         run = minion.runs.get(key)
@@ -1723,8 +1747,13 @@
         for key, until in list(self._unlisted_lease_ends.items()):
             if now < until:
                 continue
+            late_end = self._unlisted_late_ends.get(key, until)
+            self._release_unlisted(key, now, are_late_kept=now < late_end)
+            if now < late_end:
+                self._unlisted_lease_ends[key] = late_end
+                continue
             del self._unlisted_lease_ends[key]
-            self._release_unlisted(key, now)
+            self._unlisted_late_ends.pop(key, None)
             self._counted_incarnations.discard(key)
         for owner, cancelled_at in list(self._early_cancellations.items()):
             if now - cancelled_at >= self._settings.retention_seconds:
@@ -1740,16 +1769,17 @@
     def _release_lapsed(self, minion: Minion, now: float) -> None:
         """Release the runs of a minion whose lease has ended.
 
-        Where ids are known to return, a start that a later incarnation may still carry out, behind
-        a cut, keeps its task until the lease of that run has ended as well. Lasting tasks have to
-        run again earlier.
+        A start that a later incarnation may still carry out, behind a cut, keeps its task until the
+        lease of that run has ended as well. Lasting tasks have to run again earlier: they are only
+        kept for a start that a later incarnation has answered.
         """
         lease_seconds, lapsed = self._settings.lease_seconds, []
         for run in minion.runs.values():
             late_until = self._late_starts.until(minion.minion_id, run.key)
             late_until = max(late_until, run.late_until)
-            is_kept = self._do_ids_return and now < lease_end(late_until, lease_seconds)
-            if run.step.is_lasting or not is_kept:
+            if run.step.is_lasting:
+                late_until = run.late_until - LATE_SECONDS if run.is_on_later_life else -inf
+            if now >= lease_end(late_until, lease_seconds):
                 lapsed.append(run)
         if not lapsed:
             return
@@ -1768,14 +1798,22 @@
         for suspect in self._crashes.take_verdicts(now):
             self._give_up(suspect, now)
 
-    def _release_unlisted(self, key: str, now: float) -> None:
-        """Release the tasks of an unlisted incarnation, given as ``minion_id@born_ms``."""
+    def _release_unlisted(self, key: str, now: float, *, are_late_kept: bool) -> None:
+        """Release the tasks of an unlisted incarnation, given as ``minion_id@born_ms``.
+
+        :param are_late_kept: whether tasks stay assigned that a later incarnation may have begun;
+            lasting tasks have to run again earlier
+        """
         for job in list(self._jobs.values()):
             for task in job.tasks.values():
+                is_lasting = job.submission.steps[task.key.step].is_lasting
                 for assignment in task.assignments:
-                    if assignment.incarnation == key:
-                        reason = "lease of unlisted minion expired"
-                        self._release_stored_run(job, task, assignment, now, reason)
+                    if assignment.incarnation != key:
+                        continue
+                    if are_late_kept and not (is_lasting or assignment.is_proven):
+                        continue
+                    reason = "lease of unlisted minion expired"
+                    self._release_stored_run(job, task, assignment, now, reason)
 
     # Durable writes
 
--- a/dotterelhill/jobs/tests/late_order_world.py
+++ b/dotterelhill/jobs/tests/late_order_world.py
@@ -104,10 +104,7 @@
         if self.now >= self.list_silent_until:
             self.epoch += 1
             self.next_poll_at = dict.fromkeys(self.true, self.now)
-        do_ids_return = self.scheduler.do_ids_return
         super().replace_leader()
-        if do_ids_return:
-            self.scheduler.record_returned_id()
 
     def advance_minion(self, name: str, minion: TrueMinion) -> None:
         if self.has_chance(0.002):
@@ -308,7 +305,7 @@
     def poll_minion(self, name: str, state: Minion) -> None:
         sent_at, true = self.now, self.true[name]
         deadline_ms = state.grant_lease(sent_at, HOLD_SECONDS) if state.is_answering else None
-        acked = state.durable_end if state.is_answering else 0
+        acked = state.acknowledged_end
         fence, reports = state.fence, []
 
         def carry_out(is_late: bool) -> bool:
--- a/dotterelhill/jobs/tests/late_orders.feature
+++ b/dotterelhill/jobs/tests/late_orders.feature
@@ -40,7 +40,7 @@
     Examples:
       | seeds                                   | late |
       | 172 194 284 287 302 413 523 617 662 927 | 20   |
-      | 0 1 2 3 4 5 6 7 8 9                     | 20   |
+      | 0 1 2 3 4 5 6 7 8 9 10 11 12 13 14 15   | 20   |
 
   @single-place
   Scenario Outline: a task starts elsewhere while its start may be carried out by a later life of its minion
@@ -159,8 +159,8 @@
 
     Examples:
       | when                                                                     | past                                   | kind         | early |
-      | late, although ids of minions are not known to return                    | no minion has begun again under its id | task         | 2     |
-      | while a later life may carry out its start, as ids are known to return   | a minion has begun again under its id  | task         | 1     |
+      | while a later life may carry out its start, the first one to be seen     | no minion has begun again under its id | task         | 1     |
+      | while a later life may carry out its start                               | a minion has begun again under its id  | task         | 1     |
       | later than a lasting task may                                            | a minion has begun again under its id  | lasting task | 2     |
 
   @single-place
@@ -174,7 +174,7 @@
     And all of them went to one minion
 
   @single-place
-  Scenario: a task ends as done while the next life of its minion may carry an earlier start of it out
+  Scenario: an end as done is acknowledged while the next life of its minion may carry out an earlier start of the task
     # Guards against TWICE by a start after an acknowledged end.
     Given a fleet with minions "m1 m2" of 4 processors
     And polls carry the fences of their minions
@@ -185,12 +185,14 @@
     And 2 rounds pass
     And the task of job "a" ends as "done"
     And 2 rounds pass
-    Then job "a" is shown as "running"
+    Then job "a" is shown as "completed"
     And no end is acknowledged
     When the task of job "b" ends as "failed"
-    And 12.5 seconds pass in rounds
-    Then job "a" is shown as "completed"
+    And 10 seconds pass in rounds
+    Then the end of job "a" is not acknowledged
     And 3 starts of job "b" were sent
+    When 2.5 seconds pass in rounds
+    Then the end of job "a" is acknowledged
 
   @single-place
   Scenario Outline: a task of a silent minion starts elsewhere <when> its lease has ended, while a later life may begin it
@@ -207,7 +209,7 @@
     Examples:
       | when                                | past                                   | kind         | early |
       | as soon as                          | a minion has begun again under its id  | task         | 1     |
-      | late, on a platform of new ids, as  | no minion has begun again under its id | task         | 2     |
+      | before any rebirth, as soon as      | no minion has begun again under its id | task         | 1     |
       | later than a lasting task may after | a minion has begun again under its id  | lasting task | 2     |
 
   @single-place
@@ -239,6 +241,27 @@
     Then 1 starts were sent in total
     And a stop of run 1 was sent
 
+  @single-place
+  Scenario Outline: a task of an earlier leader starts elsewhere <when>, while a later life may begin it
+    # Guards against TWICE: a new leader doesn't know which starts of the earlier one were answered.
+    Given a fleet with minions "m1 m2" of 4 processors
+    And polls carry the fences of their minions
+    And job "a" of 1 task of 1 processors
+    When the minions report
+    And the scheduler plans
+    And the plan is stored, and its starts are on their way
+    And a new leader takes over
+    And the minion of the newest start <event>
+    And <seconds> seconds pass in rounds
+    Then 1 starts were sent in total
+    When 13 seconds pass in rounds
+    Then 2 starts were sent in total
+
+    Examples:
+      | when                           | event           | seconds |
+      | as soon as its minion lacks it | begins to drain | 2       |
+      | as soon as its lease has ended | stops answering | 7       |
+
   @single-place
   Scenario: the answer of a later life counts as that of the life on which a start was ordered
     Given a fleet with minions "m1 m2" of 4 processors
@@ -252,6 +275,21 @@
     Then 1 starts were sent in total
     And a stop of run 1 was sent
 
+  @single-place
+  Scenario: a lasting task that a later life has begun starts elsewhere when the lease of the former life has ended
+    # Guards against TWICE: the later life holds its run for a full lease from the start on, whenever the former one was renewed.
+    Given a fleet with minions "m1 m2" of 4 processors
+    And job "a" of 1 lasting task of 1 processors
+    When the minions report
+    And the scheduler plans
+    And the plan is stored, and its starts are on their way
+    And the start of job "a" is answered by a later life
+    And the minion of the newest start stops answering
+    And 5.5 seconds pass in rounds
+    Then 1 starts were sent in total
+    When 1 seconds pass in rounds
+    Then 2 starts were sent in total
+
   Scenario: a start that only a later life has carried out counts as a crash of the former one
     # Guards against LOST: a sound job is given up after crashes of minions that never ran it.
     Given a fleet with minions "m1 m2" of 4 processors
@@ -275,6 +313,54 @@
     And the start of job "a" is answered with a clock of 1500 ms
     Then the run of job "a" is not known to have begun
 
+  @single-place
+  Scenario Outline: the answer of a later life whose clock is ahead <how>
+    # Guards against TWICE: the clock of each life begins at a value of its own, so that of the later one may be the higher one.
+    Given a fleet with minions "m1 m2" of 4 processors
+    And job "a" of 1 task of 1 processors
+    When the minions report with clocks of 100 ms
+    And the scheduler plans
+    And the plan is stored, and its starts are on their way
+    And the start of job "a" is answered as "<outcome>" with a clock of <clock> ms
+    Then the run of job "a" is not known to have begun
+    And the minion of job "a" is not used and keeps its clock
+
+    Examples:
+      | how                                                        | outcome | clock |
+      | counts as that of the life on which a start was ordered    | started | 3100  |
+      | makes its clock the one by which former leases are granted | late    | 90000 |
+
+  @single-place
+  Scenario: a run of a later life whose clock agrees with the former one by chance is released with the former life
+    # Guards against TWICE: the task starts elsewhere although no report of the former life has listed its run.
+    Given a fleet with minions "m1 m2" of 4 processors
+    And polls carry the fences of their minions
+    And job "a" of 1 task of 1 processors
+    When the minions report
+    And the scheduler plans
+    And the plan is stored, and its starts are on their way
+    And the start of job "a" is answered after it was stopped
+    And the minion of the newest start begins again under its id
+    And the start of job "a" is carried out late
+    And 3 rounds pass
+    Then 1 starts were sent in total
+    And a stop of run 1 was sent
+
+  @single-place
+  Scenario: a run that the report of a later life lists is taken for one that was lost with the former life
+    # Guards against TWICE: the task starts elsewhere until the later life has stopped the run.
+    Given a fleet with minions "m1 m2" of 4 processors
+    And polls carry the fences of their minions
+    And job "a" of 1 task of 1 processors
+    When 1 rounds pass
+    And the minion of the newest start begins again under its id, before it is listed
+    And the start of job "a" is carried out late
+    And 1 rounds pass
+    And its entry is read
+    And 2 rounds pass
+    Then 1 starts were sent in total
+    And a stop of run 1 was sent
+
   Scenario: a stop that a former life has answered is taken as one of the life that may still carry out the start
     Given a fleet with minions "m1" of 4 processors
     And job "a" of 1 task of 1 processors
@@ -299,25 +385,24 @@
   Scenario: a task runs twice when minions are cut off soon after they have begun again under their ids
     # Guards against TWICE by calls to a former life: a start that is released there begins in the later life, or a call
     # extends the lease of the later life beyond the end that the leader knows.
-    When histories of late orders 10 18 33 36 67 82 97 98 123 130 160 196 243 281 304 312 are played with rebirths and cuts soon after
+    When histories of late orders 10 18 33 43 67 82 97 98 123 130 160 179 196 213 243 281 304 312 504 589 are played with rebirths and cuts soon after
     Then no start went beyond the room of its minion, and no task ran twice
 
   @single-place
   Scenario: a start that was released on a former life is carried out by a later one before a stop reaches that
-    When histories of late orders 23 27 63 133 164 199 are played with rebirths
+    When histories of late orders 23 27 63 133 164 199 276 279 389 are played with rebirths
     Then no start went beyond the room of its minion, and no task ran twice
 
-  # Lasting tasks can't wait for their late starts, a new leader does not know of them, and ids are not known to return before
-  # the first one does.
+  # Lasting tasks can't wait for their late starts, a late poll of the former life acknowledges ends of the later one, and a new
+  # leader doesn't know which acknowledgements wait.
   @known-red @single-place
   Scenario Outline: a start that was released is carried out by a later life before that has a call with its fence
     When histories of late orders <seeds> are played with rebirths <cuts>
     Then no start went beyond the room of its minion, and no task ran twice
 
     Examples:
-      | seeds                                    | cuts                |
-      | 43 179 213 235 427 504 589 669           | and cuts soon after |
-      | 276 279 389                              |                     |
+      | seeds          | cuts                |
+      | 36 235 427 669 | and cuts soon after |
   @single-place
   Scenario Outline: a task whose first start may still be carried out starts elsewhere once the run that replaced it <how>
     # Guards against TWICE: the next life of the first minion knows nothing of what has excluded the first start.
@@ -338,7 +423,7 @@
       | has failed               | the run that replaced it ends as "failed"                     |
       | has stopped              | the run that replaced it is stopped as its minion drains      |
 
-  @known-red @single-place
+  @single-place
   Scenario Outline: a start that one later life refuses is carried out by the life after that while its task runs elsewhere
     # Guards against TWICE: the second life refuses it by its fence, of which the third one knows nothing.
     Given a fleet with minions "m1 m2" of 4 processors
@@ -368,7 +453,7 @@
     And 2 rounds pass
     Then 1 starts were sent in total
 
-  @known-red @single-place
+  @single-place
   Scenario: a gang starts elsewhere while a later life may carry out the start of one of its tasks
     # Guards against TWICE: only single tasks wait for their late starts.
     Given a fleet with minions "m1 m2" of 4 processors
