--- a/dotterelhill/control/tests/takeover_world.py
+++ b/dotterelhill/control/tests/takeover_world.py
@@ -295,9 +295,10 @@
                 fleet_minion.acknowledge(cluster.loop.time(), durable_end)
             return fleet_minion
 
-        # As PlatformMinions.renew does, which these clients replace.
-        is_silent = cluster.are_crashes_silent and not minion.is_answering
-        durable_end = 0 if is_silent else minion.durable_end
+        durable_end = minion.durable_end
+        if cluster.are_crashes_silent:
+            # As PlatformMinions.renew does, which these clients replace.
+            durable_end = minion.acknowledged_end
         fleet_minion = await self._send(minion, epoch, carry_out)
         answer_at = cluster.loop.time() + wait_seconds
         while True:
