--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -92,6 +92,8 @@
 SILENT_SECONDS_TO_CLOSE_LEASE = 0.35
 # A task starts again on the minion that has left up to as many of its starts without an answer.
 MAX_UNANSWERED_STARTS = 3
+# Time after which the proof that a run has lived is stored, unless its job is stored anyway.
+PROOF_STORE_SECONDS = 2.0
 # The search for a minion takes up to 0.3 ms for each straggler, and a round has 25 ms.
 MAX_STRAGGLERS_PLACED = 8
 
@@ -169,6 +171,8 @@
         self._hold = StartHold(settings.capacity_valid_seconds)
         self._planned_restarts: list[tuple[Minion, Run]] = []
         self._dirty_jobs: dict[str, Job] = {}
+        # Loop time of the oldest proof of a run that is not stored, by job id, the oldest first.
+        self._unstored_proofs: dict[str, float] = {}
         # Number of changes of jobs that have to be stored.
         self._dirty_count = 0
         self._planned_runs: list[Run] = []
@@ -191,6 +195,8 @@
         # Those of them whose end has been counted against the runs that may have caused it.
         self._counted_incarnations: set[str] = set()
         self._late_starts = LateStarts()
+        # Time until which a start of an earlier leader may be carried out late.
+        self._earlier_starts_until = -inf
         # Jobs of tasks, by task, that wait since a later life may begin them.
         self._pinned: dict[TaskKey, Job] = {}
         # Fence of a minion that is not known, higher than those of minions that were removed.
@@ -351,6 +357,8 @@
 
     def restore(self, job: Job, now: float) -> None:
         """Add a job with the progress that an earlier leader stored."""
+        if self._earlier_starts_until == -inf:
+            self._earlier_starts_until = now + LATE_SECONDS
         self._jobs[job.job_id] = job
         job.has_begun = job.state is not JobState.QUEUED
         self._known_bytes += job_bytes(job.submission, is_ended=job.is_ended)
@@ -455,7 +463,7 @@
             # The minion is not listed, but its lease may not have expired yet.
             lease_until = self._inherited_lease_end(assignment.incarnation)
             self._unlisted_lease_ends.setdefault(assignment.incarnation, lease_until)
-            late_end = lease_end(now + LATE_SECONDS, self._settings.lease_seconds)
+            late_end = lease_end(self._earlier_starts_until, self._settings.lease_seconds)
             self._unlisted_late_ends.setdefault(assignment.incarnation, late_end)
             return
         step = job.submission.steps[task.key.step]
@@ -471,7 +479,7 @@
         run.is_proven, run.is_inherited = assignment.is_proven, True
         if not run.is_proven:
             # The earlier leader's order may not have been answered.
-            run.late_until = now + LATE_SECONDS
+            run.late_until = self._earlier_starts_until
         run.is_extra = assignment.is_copy or task.is_restarted
         minion.attach(run)
         if job.state in FINAL_STATES or task.is_done:
@@ -495,11 +503,12 @@
             task.key, assignment.run_id, step, minion.minion_id, RunState.STOPPING, now,
             settled_at=None if is_own else now, is_proven=True, is_inherited=not is_own,
         )  # fmt: skip
-        run.late_until = now + LATE_SECONDS
         if is_own:
-            run.fence = minion.fence - 1
+            run.late_until, run.fence = now + LATE_SECONDS, minion.fence - 1
         else:
-            self._late_starts.add(minion.minion_id, run.key, run.run_id, now)
+            run.late_until = self._earlier_starts_until
+            taken_over_at = self._earlier_starts_until - LATE_SECONDS
+            self._late_starts.add(minion.minion_id, run.key, run.run_id, taken_over_at)
         minion.attach(run)
         minion.extend_lease(now, self._settings.lease_seconds)
         if is_own:
@@ -771,13 +780,16 @@
             # Calls to an earlier incarnation, which this one refuses from now on, may have extended
             # its lease by a full one until it answered.
             minion.extend_lease(now, self._settings.lease_seconds)
-        minion.record_clock(report.clock_ms, sent_at, now)
+        if not minion.clock.accepts(report.clock_ms, sent_at, now):
+            minion.clock.reset(report.clock_ms, sent_at, now)
+        minion.clock_ms, minion.clock_at = report.clock_ms, now
         minion.last_report_at, minion.has_lapsed = now, False
         if not minion.is_answering:
             minion.is_answering, minion.silent_at = True, None
             self._record_minion_decision("minion answers again", minion)
-        minion.has_listed_ends = bool(report.ended)
-        self._process_ends(minion, report, now)
+        minion.has_listed_ends, minion.has_withheld_end = bool(report.ended), False
+        if report.ended:
+            self._process_ends(minion, report, now)
         present = self._process_running(minion, report, now)
         is_complete_list = len(report.ended) < END_LIST_LIMIT
         if is_complete_list and not minion.runs.keys() <= present:
@@ -872,7 +884,7 @@
                     task.checkpoint = checkpoint
                     run.saved_at = now if is_synced else run.saved_at
             if not run.is_proven or key in counted_crashes:
-                self._process_presence(run, report.clock_ms)
+                self._process_presence(run, report.clock_ms, now)
             if state is stopping:
                 self._stop(minion, run, now)
         minion.health.record_work(working_planned_at, now)
@@ -881,8 +893,9 @@
 
     def _process_beginning(self, run: Run) -> None:
         """Process that a run is known to have begun, so that its start does not come late."""
-        self._late_starts.withdraw(run.minion_id, run.key, run.run_id)
-        run.late_until = -inf
+        if run.late_until > -inf:
+            self._late_starts.withdraw(run.minion_id, run.key, run.run_id)
+            run.late_until = -inf
         if run.state is not RunState.STOPPING:
             run.state = RunState.PRESENT
 
@@ -897,8 +910,12 @@
             is_done=task is not None and task.is_done,
         )  # fmt: skip
 
-    def _process_presence(self, run: Run, clock_ms: int) -> None:
-        """Process a report that lists a run, which may clear its task of crashing minions."""
+    def _process_presence(self, run: Run, clock_ms: int, now: float) -> None:
+        """Process a report that lists a run, which may clear its task of crashing minions.
+
+        The proof that it has lived is stored soon, if not with something else: a later leader holds
+        the other tasks for starts that may come late.
+        """
         presence = observed_presence(run, clock_ms)
         job = self._jobs.get(run.key.job_id)
         task = job.tasks.get(run.key) if job is not None else None
@@ -911,6 +928,8 @@
                 if task.crashes or run.step.is_lasting:
                     # Otherwise a later leader would hold a crash of the platform against the task.
                     self._mark_dirty(job)
+                else:
+                    self._unstored_proofs.setdefault(job.job_id, now)
             case Presence.SURVIVING if task.crashes:
                 self._clear_suspicion(job, task)
 
@@ -952,7 +971,8 @@
                 if run.settled_at is not None and run.settled_at < sent_at:
                     if run.is_inherited and run.may_start_late:
                         # Whether the earlier leader's order was answered is not known.
-                        self._late_starts.add(minion.minion_id, run.key, run.run_id, now)
+                        at = self._earlier_starts_until - LATE_SECONDS
+                        self._late_starts.add(minion.minion_id, run.key, run.run_id, at)
                     self._release_run(minion, run, now, "not in the minion's report")
 
     def _process_ends(self, minion: Minion, report: MinionReport, now: float) -> None:
@@ -981,7 +1001,7 @@
         The next incarnation may still carry out an earlier start of a task that is done. Such a
         start must not follow an acknowledged end.
         """
-        if end.kind is not EndKind.DONE or end.key is None:
+        if end.kind is not EndKind.DONE or end.key is None or not self._late_starts:
             return -inf
         run = minion.runs.get(end.key)
         if run is None or run.run_id != end.run_id:
@@ -1058,7 +1078,8 @@
 
     def _detach_ended_run(self, minion: Minion, key: TaskKey, end: EndReport) -> Run | None:
         """Detach the run that ended; return None if it is not attached."""
-        self._late_starts.withdraw(minion.minion_id, key, end.run_id)
+        if self._late_starts:
+            self._late_starts.withdraw(minion.minion_id, key, end.run_id)
         run = minion.runs.get(key)
         if run is None or run.run_id != end.run_id:
             return None
@@ -1344,8 +1365,8 @@
         if minion is None or minion.runs.get(run.key) is not run:
             return
         if clock_ms is not None:
-            if minion.clock.agrees(clock_ms, sent_at, now):
-                minion.record_clock(clock_ms, sent_at, now)
+            if minion.clock.accepts(clock_ms, sent_at, now):
+                minion.clock_ms, minion.clock_at = clock_ms, now
             else:
                 outcome = self._process_later_life(minion, run, outcome, clock_ms, now)
                 clock_ms = None
@@ -1764,6 +1785,17 @@
         self._late_starts.expire(now)
         for job_id in self._unstored_jobs.take_due(now):
             self._mark_dirty(self._jobs[job_id])
+        self._store_proofs(now)
+
+    def _store_proofs(self, now: float) -> None:
+        """Include the jobs in the next write whose proofs have waited for long enough."""
+        while self._unstored_proofs:
+            job_id, proven_at = next(iter(self._unstored_proofs.items()))
+            if now - proven_at < PROOF_STORE_SECONDS:
+                return
+            del self._unstored_proofs[job_id]
+            if job_id in self._active_jobs:
+                self._mark_dirty(self._active_jobs[job_id])
 
     def _release_lapsed(self, minion: Minion, now: float) -> None:
         """Release the runs of a minion whose lease has ended.
@@ -1828,6 +1860,7 @@
         )
         for changed in changes.jobs:
             changes.states[changed.job_id] = changed.state
+            self._unstored_proofs.pop(changed.job_id, None)
         for minion in self._minions.values():
             if minion.processed_end > minion.durable_end:
                 changes.ends.append((minion, minion.processed_end))
