--- a/dotterelhill/control/tests/takeovers.feature
+++ b/dotterelhill/control/tests/takeovers.feature
@@ -44,7 +44,7 @@
   # Guards against TWICE with no call carried out late: the next life of a minion answers starts that
   # were sent before its crash was noticed, with a clock that may be ahead of the former one ("plain")
   # or before the leader hears of that life ("late entry").
-  @known-red
+  @single-place
   Scenario Outline: Work is doubled when the next lives of minions answer starts that were sent before their crashes were noticed
     When days on which minions begin again in the kind "<kind>" are played with seeds "<seeds>"
     Then no work was forgotten, doubled or left waiting
@@ -57,7 +57,6 @@
 
   # Guards against LOST: a leader holds the tasks of an earlier one for starts that may come late anew
   # each time their minion is listed, if that began again with its wall clock set back.
-  @known-red
   Scenario: Tasks of an earlier leader wait ever longer when their minions begin again with clocks set back
     When days on which minions begin again in the kind "clock set back" are played with seeds "11 37", and calls are carried out late
     Then no work was forgotten, doubled or left waiting
