Plan a task once that waits for its late start

What callers saw: one leader starts two runs of a task on two minions in one round. Cause: a task that waits apart from placement is neither done nor assigned, so an end of an earlier step that is reported again, as after each change of the leader, opened it to placement as well; the round planned it in both ways.

Change: such a task is taken out of placement in each round. Test: the scenario failed before (three starts).

--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -1350,6 +1350,8 @@
             if job.state in FINAL_STATES or task.is_done or task.is_assigned:
                 del self._pinned[key]
                 continue
+            # Reports of ends may have opened its step to placement meanwhile.
+            self._placement.withdraw(job, task)
             if self._unstored_jobs.has(job.job_id):
                 continue
             minion_ids = self._late_starts.of_task(key, now)
--- a/dotterelhill/jobs/tests/late_orders.feature
+++ b/dotterelhill/jobs/tests/late_orders.feature
@@ -163,6 +163,17 @@
       | while a later life may carry out its start                               | a minion has begun again under its id  | task         | 1     |
       | later than a lasting task may                                            | a minion has begun again under its id  | lasting task | 2     |
 
+  @single-place
+  Scenario: a task that waits for its late start is planned twice since an end that is reported again opens its step
+    Given a fleet with minions "m1 m2" of 4 processors
+    And polls carry the fences of their minions
+    And job "a" of 1 task of 1 processors
+    When a round passes in which starts get no answer
+    And the scheduler learns that the minion lacks the run
+    And the step of job "a" is opened again
+    And 1 rounds pass
+    Then 2 starts were sent in total
+
   @single-place
   Scenario: a task that gets no answer from its minion again and again starts elsewhere beside its late starts
     Given a fleet with minions "m1 m2" of 4 processors
--- a/dotterelhill/jobs/tests/steps/late_orders_steps.py
+++ b/dotterelhill/jobs/tests/steps/late_orders_steps.py
@@ -221,6 +221,17 @@
     assert name is not None, [str(order.run.run_id) for order in context.fleet.sent]
 
 
+@when(r"the scheduler learns that the minion lacks the run")
+def report_absence(context):
+    context.fleet.poll()
+
+
+@when(r'the step of job "(?P<job>\w+)" is opened again')
+def reopen_step(context, job):
+    scheduler = context.fleet.scheduler
+    scheduler._placement.requeue(scheduler.jobs[job], scheduler.jobs[job].tasks[only_task(job)])
+
+
 @then(r"all of them went to one minion")
 def check_one_minion(context):
     minions = {order.minion.minion_id for order in context.fleet.sent}
