Count the time of stored late starts from when their answers were due

Change: the record tells the Unix time at which the answer was overdue. A clock that was set back makes the wait longer, 12 s from the takeover at most.

--- a/dotterelhill/jobs/model.py
+++ b/dotterelhill/jobs/model.py
@@ -244,7 +244,7 @@
     :param open_doubts: incarnations that may only have been cut off when their crash was counted,
         as ``minion_id@born_ms``
     :param late_starts: starts without an answer that may be carried out late, each as the id of the
-        minion and the number of the run
+        minion, the number of the run and the Unix ms at which the answer was overdue
     """
 
     key: TaskKey
@@ -264,7 +264,7 @@
     is_copy_proven: bool = False
     is_restarted: bool = False
     open_doubts: tuple[str, ...] = ()
-    late_starts: tuple[tuple[str, int], ...] = ()
+    late_starts: tuple[tuple[str, int, int], ...] = ()
 
     @property
     def is_assigned(self) -> bool:
--- a/dotterelhill/jobs/progress.py
+++ b/dotterelhill/jobs/progress.py
@@ -29,7 +29,7 @@
     is_copy_proven: bool = False
     is_restarted: bool = False
     open_doubts: tuple[str, ...] = ()
-    late_starts: tuple[tuple[str, int], ...] = ()
+    late_starts: tuple[tuple[str, int, int], ...] = ()
 
 
 class _DoneRecord(msgspec.Struct, array_like=True):
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -196,6 +196,8 @@
         # Those of them whose end has been counted against the runs that may have caused it.
         self._counted_incarnations: set[str] = set()
         self._late_starts = LateStarts()
+        # Those of earlier leaders until the first round: time in Unix ms, minion id, task and run.
+        self._restored_late_starts: list[tuple[int, str, TaskKey, int]] = []
         # Time until which a start of an earlier leader may be carried out late.
         self._earlier_starts_until = -inf
         # Jobs of tasks, by task, that wait since a later life may begin them.
@@ -478,8 +480,6 @@
             settled_at=now,
         )
         run.is_proven, run.is_inherited = assignment.is_proven, True
-        if (minion.minion_id, run.run_id) in task.late_starts:
-            run.late_until = self._earlier_starts_until
         run.is_extra = assignment.is_copy or task.is_restarted
         minion.attach(run)
         if job.state in FINAL_STATES or task.is_done:
@@ -1319,8 +1319,13 @@
         """Include the late starts of a task in its progress, for later leaders."""
         job = self._jobs.get(key.job_id)
         task = job.tasks.get(key) if job is not None else None
-        if task is not None:
-            task.late_starts = self._late_starts.known(key)
+        if task is None:
+            return
+        stored = {(minion_id, run_id): unix_ms for minion_id, run_id, unix_ms in task.late_starts}
+        task.late_starts = tuple(
+            (*start, stored.get(start, self._planned_unix_ms or 0))
+            for start in self._late_starts.known(key)
+        )
 
     def _store_late_starts(self, key: TaskKey) -> None:
         """Include the job of a task with late starts in the next durable write."""
@@ -1332,13 +1337,20 @@
         """Hold a task for the late starts that an earlier leader has stored."""
         if job.submission.steps[task.key.step].is_speculative:
             return
-        at = self._earlier_starts_until - LATE_SECONDS
-        for minion_id, run_id in task.late_starts:
-            self._late_starts.add(minion_id, task.key, run_id, at)
+        for minion_id, run_id, unix_ms in task.late_starts:
+            self._restored_late_starts.append((unix_ms, minion_id, task.key, run_id))
         if not task.is_assigned and not task.is_done and job.state not in FINAL_STATES:
             self._placement.withdraw(job, task)
             self._pinned[task.key] = job
 
+    def _add_restored_late_starts(self, now: float) -> None:
+        """Add the late starts of earlier leaders, with their ages by the wall clock."""
+        restored, self._restored_late_starts = self._restored_late_starts, []
+        for late_ms, minion_id, key, run_id in sorted(restored):
+            age_seconds = ((self._planned_unix_ms or 0) - late_ms) / 1000.0
+            age_seconds = min(max(0.0, age_seconds), LATE_SECONDS)
+            self._late_starts.add(minion_id, key, run_id, now - age_seconds)
+
     def _place_pinned(self, now: float) -> None:
         """Plan runs of tasks of which a later life of a minion may carry out an earlier start.
 
@@ -1820,6 +1832,7 @@
 
     def _expire_state(self, now: float) -> None:
         """Release runs whose leases have expired and find jobs past their retention time."""
+        self._add_restored_late_starts(now)
         for minion in list(self._minions.values()):
             if now < minion.lease_until:
                 continue
