--- a/review/world/net.py
+++ b/review/world/net.py
@@ -83,7 +83,9 @@
         return f"{self.host}:{self.port}"
 
     async def start(self) -> None:
-        """Open the port; a port of 0 is replaced by a free one."""
+        """Open the port unless it is open; a port of 0 is replaced by a free one."""
+        if self._server is not None:
+            return
         self._server = await asyncio.start_server(
             self._serve, self.host, self.port, limit=1 << 22, reuse_address=True
         )
