--- a/review/world-3/world3.py
+++ b/review/world-3/world3.py
@@ -33,7 +33,8 @@
 GANG_WAIT_MS = 3000
 CHECKPOINT_MS = 1000
 RESTORE_MS = 600
-PACE_MS = 100
+# Callers give up sooner on a call without an answer.
+CUT_OFF_SECONDS = 20.0
 SERVICE = "pool"
 HOST = "review.example"
 METRICS_PORT = 9464
@@ -330,6 +331,11 @@
         self.leaves_at = 0.0
         self.tasks: dict[str, Task] = {}
         self.born_ms = 0
+        # Called with path and task of each call; True leaves it unanswered, to be carried out late.
+        self.is_late: Callable[[str, str], bool] | None = None
+        # Whether the minion is cut off from all others; what it got before is carried out.
+        self.is_cut = False
+        self.call_count = 0
         # Called with each accepted start before it is answered; may end this life.
         self.on_start: Callable[[Minion, str], Coroutine[Any, Any, None]] | None = None
         self.refuses_starts = False
@@ -343,7 +349,9 @@
         self.past_runs: dict[str, int] = {}
         self.lease_until_ms = 0.0
         self.changed = asyncio.Event()
-        self._clock_began = time.monotonic() - random.uniform(10.0, 5000.0)
+        # The clock starts anew with each life; the first one has lasted for long.
+        age_seconds = random.uniform(1000.0, 5000.0) if not self.born_ms else 0.0
+        self._clock_began = time.monotonic() - age_seconds
 
     @property
     def clock_ms(self) -> int:
@@ -382,6 +390,19 @@
             3 * HEARTBEAT_MS / 1000.0, lambda: self._expire_entry(born)
         )
 
+    def begin_again_behind_cut(self) -> None:
+        """End this life and begin another one under this id, while the minion is cut off."""
+        self.log.add("minion crashes", minion=self.minion_id, running=sorted(self.tasks))
+        lost = list(self.tasks.values())
+        self._reset()
+        self.born_ms = int(time.time() * 1000)
+        for task in lost:
+            self._break_gang(task)
+        self.log.add(
+            "minion begins", minion=self.minion_id, born=self.born_ms, kind=self.kind,
+            cpu=self.capacity["cpu"],
+        )  # fmt: skip
+
     def drain(self, seconds: float) -> None:
         """Report that this minion drains, and let it leave after a time."""
         self.state = "draining"
@@ -398,7 +419,7 @@
         beat_at = 0.0
         while self.is_alive:
             now = time.monotonic()
-            if now >= beat_at:
+            if now >= beat_at and not self.is_cut:
                 beat_at = now + HEARTBEAT_MS / 1000.0
                 self._write_entry()
             self.advance()
@@ -502,6 +523,17 @@
         if request.headers.get("Expect-Instance", self.minion_id) != self.minion_id:
             return answer(421, {"clockMs": self.clock_ms})
         born = self.born_ms
+        if self.is_cut:
+            await asyncio.sleep(CUT_OFF_SECONDS)
+            raise web.HTTPServiceUnavailable
+        self.call_count += 1
+        if self.is_late is not None and self.is_late(request.path, body.get("task", "")):
+            self.log.add(
+                "call is late", minion=self.minion_id, path=request.path, task=body.get("task")
+            )
+            self.world.spawn(self._carry_out_late(request.path, body))
+            await asyncio.sleep(CUT_OFF_SECONDS)
+            raise web.HTTPServiceUnavailable
         if body.get("fenceToken", 0) < self.fence:
             return answer(409, {"clockMs": self.clock_ms, "reason": "fence"})
         response = await self._carry_out(request.path, body)
@@ -510,6 +542,18 @@
             return answer(503)
         return response
 
+    async def _carry_out_late(self, path: str, body: dict[str, Any]) -> None:
+        """Carry out a call late; a later life does so if the minion has begun again."""
+        await asyncio.sleep(self.world.late_seconds)
+        is_fenced = body.get("fenceToken", 0) < self.fence
+        has_effect = self.is_alive and not is_fenced
+        self.log.add(
+            "late call", minion=self.minion_id, path=path, task=body.get("task"),
+            born=self.born_ms, has_effect=has_effect,
+        )  # fmt: skip
+        if has_effect:
+            await self._carry_out(path, {**body, "waitMs": 0})
+
     async def _carry_out(self, path: str, body: dict[str, Any]) -> web.Response:
         self.fence = max(self.fence, body.get("fenceToken", 0))
         match path:
@@ -699,6 +743,8 @@
         self.host = loopback_host()
         self.store = Store(self.log, self.host)
         self.gangs = Gangs()
+        # A call that is left unanswered is carried out this much later; 2 to 12 s are allowed.
+        self.late_seconds = 4.0
         self.minions: dict[str, Minion] = {}
         self.processes: list[Process] = []
         self.jobs: dict[str, dict[str, Any]] = {}
