--- a/review/world-3/world3.py
+++ b/review/world-3/world3.py
@@ -882,7 +882,8 @@
         try:
             async with asyncio.timeout(100.0):
                 breaks = await play(world, is_troubled)
-        except (CannotRunError, TimeoutError) as error:
+        except Exception as error:
+            # An error of the script or of a stand-in shows nothing about the rule.
             world.log.add("can't run", reason=repr(error))
             print(f"can't run: {error!r}")
             return 2
@@ -899,4 +900,9 @@
         world.log.close()
         return 1 if breaks else 0
 
-    sys.exit(asyncio.run(main()))
+    try:
+        status = asyncio.run(main())
+    except Exception as error:
+        print(f"can't run: {error!r}")
+        status = 2
+    sys.exit(status)
