Log and export how many jobs a leader counts as waiting

Change: `stored runs restored` carries `waiting_jobs`, and the gauge `jobs.waiting_jobs` shows the number.

Result: the scenario of the log line and that of the gauges fail without the change and pass with it. No decision depends on either.

--- a/dotterelhill/control/leader.py
+++ b/dotterelhill/control/leader.py
@@ -255,6 +255,7 @@
         overdue = self._scheduler.start_bound.task_counts
         return {
             "jobs.known": len(self._scheduler.jobs),
+            "jobs.waiting_jobs": self._scheduler.waiting_job_count,
             "jobs.waiting_tasks": self._scheduler.waiting_tasks,
             "jobs.waiting_lasting_tasks": self._scheduler.lasting_waits.task_count,
             "jobs.lasting_wait_seconds": self._scheduler.lasting_waits.longest_seconds,
--- a/dotterelhill/control/tests/cluster.feature
+++ b/dotterelhill/control/tests/cluster.feature
@@ -35,7 +35,7 @@
     And a leader tells once that it has restored the runs of 1 jobs, of which those on "m1" are unlisted
 
   Scenario: A gauge of the leader is missing in the table of metrics, so that reading the metrics fails
-    Then all gauges of the leader can be read, with "jobs.overdue_lasting_tasks jobs.overdue_short_tasks jobs.overdue_filler_tasks jobs.overdue_wait_seconds" at 0
+    Then all gauges of the leader can be read, with "jobs.waiting_jobs jobs.overdue_lasting_tasks jobs.overdue_short_tasks jobs.overdue_filler_tasks jobs.overdue_wait_seconds" at 0
 
   Scenario: Nothing tells how long the rounds of a slow leader take
     When the leader plans for 0.2 seconds in each round
--- a/dotterelhill/control/tests/steps/cluster_steps.py
+++ b/dotterelhill/control/tests/steps/cluster_steps.py
@@ -102,7 +102,7 @@
     unlisted = started.pop(name)
     assert unlisted and sum(started.values()), started
     expected = {"jobs": int(jobs), "attached": sum(started.values()), "unlisted": unlisted}
-    expected |= {"incarnations": 1, "queued": 0}
+    expected |= {"incarnations": 1, "queued": 0, "waiting_jobs": 0}
     assert {field: restored[0][field] for field in expected} == expected, restored
     assert 0 < restored[0]["released_within_ms"] <= 10000, restored
 
--- a/dotterelhill/entry/metrics.py
+++ b/dotterelhill/entry/metrics.py
@@ -110,6 +110,7 @@
     Metric("jobs.unstored", _G, "jobs", "jobs held since their progress can't be stored"),
     Metric("jobs.known", _G, "jobs", "jobs that the leader knows"),
     Metric("jobs.known_bytes", _G, "bytes", "memory that these jobs take, as estimated"),
+    Metric("jobs.waiting_jobs", _G, "jobs", "accepted jobs of which no task has started"),
     Metric("jobs.waiting_tasks", _G, "tasks", "tasks that could start"),
     Metric("jobs.waiting_lasting_tasks", _G, "tasks", "lasting tasks that do not run"),
     Metric("jobs.lasting_wait_seconds", _G, "seconds", "longest time that one has not run"),
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -260,6 +260,11 @@
         """Return the highest fence that a call to a minion has carried in this term."""
         return self._highest_fence
 
+    @property
+    def waiting_job_count(self) -> int:
+        """Return the number of accepted jobs without a start yet."""
+        return sum(self.waiting_by_queue().values())
+
     @property
     def waiting_tasks(self) -> int:
         """Return the number of tasks that wait for a minion."""
@@ -425,6 +430,7 @@
             "incarnations": len(self._unlisted_lease_ends),
             "released_within_ms": round(1000 * max(0.0, until - now)),
             "queued": self._placement.waiting_tasks,
+            "waiting_jobs": self.waiting_job_count,
         }
         self._decisions.append(Decision("stored runs restored", "", fields))
 
