Store whether a run of a job has begun, so that `waiting` outlasts the leader

Cause: `Scheduler.restore` took each job whose stored state is RUNNING for one that has begun. That state is stored with the plan of a run, before the start order is sent. Where the minions refuse the start (503) or leave it unanswered, nothing has begun.

Evidence: with the log line of the leader that takes over tells `jobs` 8, `queued` 8 and `waiting_jobs` 0 in the moment in which it has loaded, so neither the cached answers of other processes nor jobs that are not loaded explain the 0.

Change: the record of progress ends with `has_begun`, written once it is true: a job is stored once more when its first run is known to have begun (answer to a start, report, or end). No write more for each start. A record without the field, as earlier builds write it, counts as begun only where its tasks prove it: one is done, has failed, has a checkpoint or a run that lasted. Otherwise the first report of the minion tells. Earlier builds ignore the field. Counting each restored job as waiting would be no mend: a job whose only run was lost together with the leader would wait again.

`crashes_steps.py` builds the record of an earlier version from the first three fields of the present one, as before; it no longer breaks on further fields.

--- a/dotterelhill/control/tests/cluster.feature
+++ b/dotterelhill/control/tests/cluster.feature
@@ -24,6 +24,19 @@
     Then every process shows job "j" as "completed"
     And 4 starts were carried out
 
+  Scenario: After the leader dies, a job whose starts were all refused no longer counts as waiting
+    # Guards against MIXED (issue 70) at every process that clients ask.
+    When the minions refuse all starts
+    And job "j" of 4 tasks of 10 seconds is submitted at a process that does not lead
+    And 1 seconds pass
+    Then every process tells that 1 job waits
+    When the leader is killed
+    And 5 seconds pass
+    Then every process tells that 1 job waits
+    When the minions take starts again
+    And 2 seconds pass
+    Then every process tells that 0 jobs wait
+
   Scenario: A new leader does not tell which stored runs it knows and which keep their tasks waiting
     When job "j" of 10 tasks of 20 seconds is submitted at a process that does not lead
     And 1 seconds pass
--- a/dotterelhill/control/tests/steps/cluster_steps.py
+++ b/dotterelhill/control/tests/steps/cluster_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from itertools import pairwise
+from math import inf
 
 import logbook
 from behave import given, then, use_step_matcher, when
@@ -77,6 +78,27 @@
     context.cluster.kill(context.cluster.leaders[0])
 
 
+@when(r"the minions refuse all starts")
+def refuse_all_starts(context):
+    for process in context.cluster.processes.values():
+        process.minions.refused_starts = inf
+
+
+@when(r"the minions take starts again")
+def take_all_starts(context):
+    for process in context.cluster.processes.values():
+        process.minions.refused_starts = 0
+
+
+@then(r"every process tells that (?P<count>\d+) jobs? waits?")
+def check_waiting_jobs(context, count):
+    cluster = context.cluster
+    for name, process in cluster.processes.items():
+        if process.is_running:
+            told = cluster.run(process.job_service.waiting_job_count(QUEUE.name))
+            assert told == int(count), (name, told)
+
+
 @when(r'minion "(?P<name>\w+)" is no longer listed')
 def remove_from_list(context, name):
     context.cluster.store.streams[Stream.MINIONS, 0].append(Record(name, None))
--- a/dotterelhill/control/tests/steps/mixed_builds_steps.py
+++ b/dotterelhill/control/tests/steps/mixed_builds_steps.py
@@ -37,7 +37,7 @@
 
 
 def present_progress():
-    job = model.Job(present_submission("t"), state=model.JobState.RUNNING)
+    job = model.Job(present_submission("t"), state=model.JobState.RUNNING, has_begun=True)
     done = job.task(model.TaskKey("j", 0, 0, 0))
     job.mark_done(done)
     running = job.task(model.TaskKey("j", 0, 0, 1))
--- a/dotterelhill/jobs/model.py
+++ b/dotterelhill/jobs/model.py
@@ -351,8 +351,8 @@
     :param done_steps: number of steps of all occurrences of which all tasks are done
     :param first_unfinished: first occurrence of which not all tasks are done
     :param ended_at: loop time in seconds at which the job reached a final state
-    :param has_begun: whether a run is known to have begun on a minion, or an earlier leader has
-        planned one
+    :param has_begun: whether a run is known to have begun on a minion; the state is ``RUNNING`` as
+        soon as one is planned
     """
 
     submission: Submission
@@ -377,6 +377,19 @@
         """Return whether the job is in a final state."""
         return self.state in FINAL_STATES
 
+    @property
+    def has_outcome(self) -> bool:
+        """Return whether the state of the tasks proves that a run has begun.
+
+        A run that was refused, or that was lost with its minion, leaves no outcome.
+        """
+        if self.done_counts or self.first_unfinished:
+            return True
+        for task in self.tasks.values():
+            if task.failures or task.checkpoint or task.is_proven or task.is_copy_proven:
+                return True
+        return False
+
     @property
     def has_assigned_task(self) -> bool:
         """Return whether a run of a task may be present on a minion."""
--- a/dotterelhill/jobs/progress.py
+++ b/dotterelhill/jobs/progress.py
@@ -44,13 +44,15 @@
     """Stored progress of a job.
 
     :param state: index of the job state in ``JobState``
-    :param tenant: tenant that owns the job; the field is absent in the record of other jobs
+    :param tenant: tenant that owns the job; the field may be absent in the record of other jobs
+    :param has_begun: whether a run has begun; earlier builds neither write nor read it
     """
 
     state: int
     tasks: list[TaskRecord]
     done: list[_DoneRecord]
     tenant: str = ""
+    has_begun: bool = False
 
 
 _PROGRESS_DECODER = msgspec.msgpack.Decoder(_ProgressRecord)
@@ -73,34 +75,31 @@
     return _SUBMISSION_DECODER.decode(data)
 
 
-def encode_progress(job: Job) -> bytes:
+def encode_progress(job: Job, *, has_tasks: bool = True) -> bytes:
     """Return the stored form of a job's progress.
 
     Progress is written at every start and end of a run, so each done task takes only one bit of
     the record. The record of a job in a final state holds only that state and the runs that may
     still be present and have to be stopped.
+
+    :param has_tasks: whether the record holds the progress of the tasks
     """
     is_ended = job.is_ended
-    rows = []
-    for task in job.tasks.values():
-        if task.minion_id or not (task.is_done or is_ended):
-            rows.append(task_row(task, task.checkpoint))
-    done_records = []
-    if not is_ended:
-        for (occurrence, step), bits in job.done_tasks():
-            data = bits.to_bytes((bits.bit_length() + 7) // 8, "little")
-            done_records.append((occurrence, step, data))
+    rows, done_records = [], []
+    if has_tasks:
+        for task in job.tasks.values():
+            if task.minion_id or not (task.is_done or is_ended):
+                rows.append(task_row(task, task.checkpoint))
+        if not is_ended:
+            for (occurrence, step), bits in job.done_tasks():
+                data = bits.to_bytes((bits.bit_length() + 7) // 8, "little")
+                done_records.append((occurrence, step, data))
     fields: list[object] = [_STATES.index(job.state), rows, done_records]
-    if job.submission.tenant:
-        fields.append(job.submission.tenant)
-    return _ENCODER.encode(fields)
-
-
-def encode_state(job: Job) -> bytes:
-    """Return the stored form of a job's progress without that of its tasks."""
-    fields: list[object] = [_STATES.index(job.state), (), ()]
-    if job.submission.tenant:
+    has_begun = job.has_begun and not is_ended
+    if job.submission.tenant or has_begun:
         fields.append(job.submission.tenant)
+    if has_begun:
+        fields.append(has_begun)
     return _ENCODER.encode(fields)
 
 
@@ -174,6 +173,7 @@
     """
     record = _PROGRESS_DECODER.decode(data)
     job.state = job.stored_state = _STATES[record.state]
+    job.has_begun = record.has_begun
     for row in record.tasks:
         task = stored_task(job.job_id, row)
         job.tasks[task.key] = task
--- a/dotterelhill/jobs/progress_parts.py
+++ b/dotterelhill/jobs/progress_parts.py
@@ -22,7 +22,6 @@
     TaskRecord,
     apply_progress,
     encode_progress,
-    encode_state,
     stored_task,
     task_row,
 )
@@ -135,7 +134,7 @@
             if len(whole) <= max_bytes:
                 return {None: whole}
         else:
-            records: dict[PartKey | None, bytes] = {None: encode_state(job)}
+            records: dict[PartKey | None, bytes] = {None: encode_progress(job, has_tasks=False)}
             records |= _encoded_parts(job, max_checkpoint_bytes)
             if all(len(record) <= max_bytes for record in records.values()):
                 return records
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -368,7 +368,8 @@
         if self._earlier_starts_until == -inf:
             self._earlier_starts_until = now + LATE_SECONDS
         self._jobs[job.job_id] = job
-        job.has_begun = job.state is not JobState.QUEUED
+        # A record of an earlier build doesn't tell whether a run has begun.
+        job.has_begun = job.has_begun or job.has_outcome
         self._known_bytes += job_bytes(job.submission, is_ended=job.is_ended)
         if job.state in FINAL_STATES:
             job.ended_at = now
@@ -899,6 +900,15 @@
         self._interference.observe(minion, now)
         return present
 
+    def _record_beginning(self, job: Job) -> None:
+        """Record that a run of a job has begun, so that the job no longer counts as waiting.
+
+        It is stored once for each job: a later leader can't tell it from the plan of the run.
+        """
+        job.has_begun = True
+        if not job.is_ended:
+            self._mark_dirty(job)
+
     def _process_beginning(self, run: Run) -> None:
         """Process that a run is known to have begun, so that its start does not come late."""
         if run.late_until > -inf:
@@ -929,7 +939,8 @@
         task = job.tasks.get(run.key) if job is not None else None
         if job is None or task is None or not task.assignment_of(run.minion_id, run.run_id):
             return
-        job.has_begun = True
+        if not job.has_begun:
+            self._record_beginning(job)
         match presence:
             case Presence.PROVEN:
                 task.mark_proven(run.run_id)
@@ -1033,6 +1044,8 @@
             job_ends[job.job_id] = {minion: end.number}
         elif minion not in job_ends[job.job_id]:
             job_ends[job.job_id][minion] = end.number
+        if not job.has_begun:
+            self._record_beginning(job)
         self._process_task_end(job, run, minion, end, now)
         if run is not None and end.kind is EndKind.DONE:
             # Last, since an error here must not leave the task assigned to a run that is gone.
@@ -1047,7 +1060,6 @@
         """
         assert end.key is not None
         planned_at = run.planned_at if run is not None else None
-        job.has_begun = True
         task = job.task(end.key)
         assignment = task.assignment_of(minion.minion_id, end.run_id)
         is_current = run is not None or assignment is not None
@@ -1452,8 +1464,8 @@
                     run.state = RunState.PRESENT
                 run.settled_at = now
                 job = self._jobs.get(run.key.job_id)
-                if job is not None:
-                    job.has_begun = True
+                if job is not None and not job.has_begun:
+                    self._record_beginning(job)
                 self._start_bound.record_run(run.key.job_id, now)
                 if run.present_clock_ms is None:
                     run.present_clock_ms = clock_ms
--- a/dotterelhill/jobs/tests/late_orders.feature
+++ b/dotterelhill/jobs/tests/late_orders.feature
@@ -582,7 +582,6 @@
     When a new leader takes over
     Then 0 jobs wait
 
-  @known-red
   Scenario: a job of which no run has begun doesn't count as waiting after a change of the leader
     Given a fleet with minions "m1" of 4 processors
     And job "a" of 1 task of 4 processors
--- a/dotterelhill/jobs/tests/steps/crashes_steps.py
+++ b/dotterelhill/jobs/tests/steps/crashes_steps.py
@@ -283,7 +283,7 @@
 @then(r"progress stored without crashes is restored")
 def check_earlier_progress(context):
     fleet = context.fleet
-    state, tasks, done = msgspec.msgpack.decode(fleet.stored["a"])
+    state, tasks, done, *_ = msgspec.msgpack.decode(fleet.stored["a"])
     # The fields that an earlier version did not have are the last three.
     earlier = msgspec.msgpack.encode([state, [row[:-3] for row in tasks], done])
     job = Job(fleet.submitted[0])
--- a/dotterelhill/jobs/tests/steps/progress_steps.py
+++ b/dotterelhill/jobs/tests/steps/progress_steps.py
@@ -104,6 +104,7 @@
             occurrence = source.randrange(job.submission.occurrence_count)
             task = job.task(TaskKey(job.job_id, occurrence, step, index))
             change_task(job, task, source)
+            job.has_begun = job.has_begun or source.random() < 0.02
             if source.random() < 0.01:
                 job.state = JobState.CANCELLED
             restored = Job(job.submission)
@@ -111,6 +112,7 @@
             found, expected = needed_tasks(restored), needed_tasks(job)
             context.comparisons += 1
             assert restored.state is job.state
+            assert restored.has_begun is (job.has_begun and not job.is_ended)
             for key in found.keys() | expected.keys():
                 if found.get(key) != expected.get(key):
                     context.differences.append((found.get(key), expected.get(key)))
@@ -138,6 +140,7 @@
             step = source.choice((0, 0, 0, 1))
             index = source.randrange(steps[step].count)
             change_task(job, job.task(TaskKey(job.job_id, 0, step, index)), source)
+        job.has_begun = job.has_begun or source.random() < 0.2
         for key, state in needed_tasks(job).items():
             possible.setdefault(key, [None]).append(state)
         records = write_order(encode_parts(job, size), stored.parts)
@@ -156,6 +159,8 @@
             possible = {key: states[-1:] for key, states in possible.items()}
         restored = Job(job.submission)
         apply_stored_progress(restored, stored)
+        if written == len(records):
+            assert restored.has_begun is job.has_begun
         found = needed_tasks(restored)
         for key, states in possible.items():
             if found.get(key) not in states:
--- /dev/null
+++ b/dotterelhill/jobs/tests/waiting_jobs.feature
@@ -0,0 +1,77 @@
+Feature: Number of jobs of which no task has started
+
+  Scenario Outline: a job whose starts were answered as "<outcome>" doesn't count as waiting after a change of the leader
+    # Guards against MIXED (issue 70): a later leader took each job with a planned start for one that has begun.
+    Given a fleet with minions "m1" of 4 processors
+    And job "a" of 1 task of 4 processors
+    When a round passes in which starts are answered as "<outcome>"
+    And a round passes in which starts are answered as "<outcome>"
+    Then 1 job waits
+    When a new leader takes over
+    Then 1 job waits
+    When 5 seconds pass in rounds
+    Then job "a" has started
+    And 0 jobs wait
+
+    Examples:
+      | outcome           |
+      | unhealthy         |
+      | no room           |
+      | not sent          |
+      | late              |
+      | other incarnation |
+
+  Scenario: a job that has begun counts as waiting after the leader and the minion of its only run are lost
+    # A later leader has only the stored progress to tell that the job has begun.
+    Given a fleet with minions "m1" of 4 processors
+    And job "a" of 1 task of 4 processors
+    When 2 rounds pass
+    And the minion of job "a" falls silent
+    And a new leader takes over
+    Then 0 jobs wait
+    When 10 seconds pass in rounds
+    Then 0 jobs wait
+
+  Scenario: the beginning of a job is stored with each of its runs, or in each round
+    Given a fleet with minions "m1 m2" of 4 processors
+    And job "a" of 4 tasks of 1 processors
+    When 2 rounds pass
+    Then the newest round has stored the progress of 1 job
+    When 1 rounds pass
+    Then the newest round has stored the progress of 0 jobs
+
+  Scenario Outline: a job that an earlier build has stored counts as waiting although <event>
+    # The record of an earlier build doesn't tell whether a run has begun.
+    Given a fleet with minions "m1" of 4 processors
+    And job "a" of 3 tasks of 1 processors
+    When 1 rounds pass
+    And <event>
+    And 1 rounds pass
+    And a leader of an earlier build has stored the progress of job "a"
+    And a new leader takes over
+    Then 0 jobs wait
+
+    Examples:
+      | event                                   |
+      | one task of job "a" ends as "done"      |
+      | one task of job "a" ends as "failed"    |
+      | one task of job "a" has saved its state |
+      | 0.4 seconds pass in rounds              |
+
+  Scenario: a job that an earlier build has stored doesn't count as waiting although its starts were refused
+    Given a fleet with minions "m1" of 4 processors
+    And job "a" of 3 tasks of 1 processors
+    When a round passes in which starts are answered as "unhealthy"
+    And a leader of an earlier build has stored the progress of job "a"
+    And a new leader takes over
+    And the minions report
+    Then 1 job waits
+
+  Scenario: a job that an earlier build has started counts as waiting once its minion has reported
+    Given a fleet with minions "m1" of 4 processors
+    And job "a" of 3 tasks of 1 processors
+    When 1 rounds pass
+    And a leader of an earlier build has stored the progress of job "a"
+    And a new leader takes over
+    And the minions report
+    Then 0 jobs wait
