Show a job as queued until a task has started

Clients were shown the stored state, which is RUNNING from the plan on.

Change: `state_of` shows QUEUED while no run is known to have begun, so both answers agree, before and after a change of the leader.

Tests: the outline on refused and unanswered starts, and the states in the scenario of the cluster, failed without the change.

--- a/dotterelhill/control/tests/cluster.feature
+++ b/dotterelhill/control/tests/cluster.feature
@@ -30,9 +30,11 @@
     And job "j" of 4 tasks of 10 seconds is submitted at a process that does not lead
     And 1 seconds pass
     Then every process tells that 1 job waits
+    And every process shows job "j" as "queued"
     When the leader is killed
     And 5 seconds pass
     Then every process tells that 1 job waits
+    And every process shows job "j" as "queued"
     When the minions take starts again
     And 2 seconds pass
     Then every process tells that 0 jobs wait
--- a/dotterelhill/jobs/model.py
+++ b/dotterelhill/jobs/model.py
@@ -343,7 +343,8 @@
     :param progress_parts: number of parts in which the progress is stored
     :ivar job_id: job id, which the client chose
     :param state: current state, which may not be stored yet
-    :param stored_state: state in the store; clients see this one
+    :param stored_state: state in the store; clients see this one, but a job that has not begun as
+        ``QUEUED``
     :param tasks: tasks with execution state, by key
     :param done_counts: number of tasks done, by occurrence and step, from the first unfinished
         occurrence on
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -522,9 +522,16 @@
             self._stop(minion, run, now)
 
     def state_of(self, job_id: str, tenant: str = "") -> JobState | None:
-        """Return the stored state of a job, or None for a job that the tenant does not know."""
+        """Return the state of a job for clients, or None for a job that the tenant does not know.
+
+        A job is queued until a task has started, although its state is stored with the first plan.
+        """
         job = self._jobs.get(job_id)
-        return None if job is None or not job.is_visible_to(tenant) else job.stored_state
+        if job is None or not job.is_visible_to(tenant):
+            return None
+        if job.stored_state is JobState.RUNNING and not job.has_begun:
+            return JobState.QUEUED
+        return job.stored_state
 
     def waiting_by_queue(self) -> dict[str, int]:
         """Return the number of accepted jobs without a start yet, by queue name."""
--- a/dotterelhill/jobs/tests/steps/waiting_jobs_steps.py
+++ b/dotterelhill/jobs/tests/steps/waiting_jobs_steps.py
@@ -24,6 +24,13 @@
     context.fleet.checkpoints[key] = "c1"
 
 
+@when(r"1 rounds pass without starts")
+def run_round_without_starts(context):
+    context.fleet.poll()
+    context.fleet.plan(0)
+    context.fleet.commit()
+
+
 @then(r"the newest round has stored the progress of (?P<count>\d+) jobs?")
 def check_stored_jobs(context, count):
     jobs = [job.job_id for job in context.fleet.changes.jobs]
--- a/dotterelhill/jobs/tests/waiting_jobs.feature
+++ b/dotterelhill/jobs/tests/waiting_jobs.feature
@@ -1,4 +1,4 @@
-Feature: Number of jobs of which no task has started
+Feature: Jobs of which no task has started
 
   Scenario Outline: a job whose starts were answered as "<outcome>" doesn't count as waiting after a change of the leader
     # Guards against MIXED (issue 70): a later leader took each job with a planned start for one that has begun.
@@ -32,6 +32,30 @@
     When 10 seconds pass in rounds
     Then 0 jobs wait
 
+  Scenario Outline: a job whose starts <event> is shown as running, although no task has started
+    # The state of the job is stored with the plan of a run, before its start is ordered.
+    Given a fleet with minions "m1" of 4 processors
+    And job "a" of 1 task of 4 processors
+    When a round passes in which starts <event>
+    And 1 rounds pass without starts
+    Then job "a" is shown as "queued"
+    When a new leader takes over
+    Then job "a" is shown as "queued"
+    When 15 seconds pass in rounds
+    Then job "a" is shown as "running"
+
+    Examples:
+      | event                       |
+      | are answered as "unhealthy" |
+      | get no answer               |
+
+  Scenario: a job that has begun is shown as queued after a change of the leader
+    Given a fleet with minions "m1" of 4 processors
+    And job "a" of 1 task of 4 processors
+    When 2 rounds pass
+    And a new leader takes over
+    Then job "a" is shown as "running"
+
   Scenario: the beginning of a job is stored with each of its runs, or in each round
     Given a fleet with minions "m1 m2" of 4 processors
     And job "a" of 4 tasks of 1 processors
