Count a tenant's jobs as started when they begin, not when they are planned

What callers saw: where the starts of a tenant's jobs are refused, the load of the tenant told no waiting jobs and a high rate of starts, so that entry processes admit more of its jobs, or tell its clients to come back too early.

Change: the load counts jobs that have not begun, and a start is counted when a first run is known to have begun. Runs that a new leader finds before its first round began under an earlier one and are not counted, as with arrivals.

--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -907,12 +907,15 @@
         self._interference.observe(minion, now)
         return present
 
-    def _record_beginning(self, job: Job) -> None:
+    def _record_beginning(self, job: Job, now: float) -> None:
         """Record that a run of a job has begun, so that the job no longer counts as waiting.
 
         It is stored once for each job: a later leader can't tell it from the plan of the run.
         """
         job.has_begun = True
+        if self._planned_unix_ms is not None:
+            # Runs that are found before the first round began under an earlier leader.
+            self._tenant_loads.record_start(job.submission.tenant, now)
         if not job.is_ended:
             self._mark_dirty(job)
 
@@ -947,7 +950,7 @@
         if job is None or task is None or not task.assignment_of(run.minion_id, run.run_id):
             return
         if not job.has_begun:
-            self._record_beginning(job)
+            self._record_beginning(job, now)
         match presence:
             case Presence.PROVEN:
                 task.mark_proven(run.run_id)
@@ -1052,7 +1055,7 @@
         elif minion not in job_ends[job.job_id]:
             job_ends[job.job_id][minion] = end.number
         if not job.has_begun:
-            self._record_beginning(job)
+            self._record_beginning(job, now)
         self._process_task_end(job, run, minion, end, now)
         if run is not None and end.kind is EndKind.DONE:
             # Last, since an error here must not leave the task assigned to a run that is gone.
@@ -1472,7 +1475,7 @@
                 run.settled_at = now
                 job = self._jobs.get(run.key.job_id)
                 if job is not None and not job.has_begun:
-                    self._record_beginning(job)
+                    self._record_beginning(job, now)
                 self._start_bound.record_run(run.key.job_id, now)
                 if run.present_clock_ms is None:
                     run.present_clock_ms = clock_ms
@@ -1847,8 +1850,6 @@
         run.is_partial, run.is_extra = bool(task.checkpoint), is_extra
         minion.attach(run)
         self._count_run(job, task, minion.minion_id, run_id)
-        if job.state is JobState.QUEUED:
-            self._tenant_loads.record_start(job.submission.tenant, now)
         job.state = JobState.RUNNING
         self._mark_dirty(job)
         self._planned_runs.append(run)
--- a/dotterelhill/jobs/tenants/loads.py
+++ b/dotterelhill/jobs/tenants/loads.py
@@ -8,7 +8,7 @@
 from typing import NamedTuple
 
 from dotterelhill.jobs.fleet import Minion
-from dotterelhill.jobs.model import Job, JobState, Step, TaskKey
+from dotterelhill.jobs.model import Job, Step, TaskKey
 from dotterelhill.jobs.placement.waiting import RankKey
 from dotterelhill.jobs.resources import ResourceVector
 from dotterelhill.jobs.tenants.limits import TenantLimits
@@ -187,8 +187,7 @@
             tenant = job.submission.tenant
             if not tenant:
                 continue
-            is_queued = job.state is JobState.QUEUED
-            waiting_jobs[tenant] = waiting_jobs.get(tenant, 0) + is_queued
+            waiting_jobs[tenant] = waiting_jobs.get(tenant, 0) + (not job.has_begun)
             if service in waits.services:
                 short.add(tenant)
         self._drop_old_rates(now)
--- a/dotterelhill/jobs/tenants/tests/loads.feature
+++ b/dotterelhill/jobs/tenants/tests/loads.feature
@@ -43,6 +43,25 @@
     When 20 seconds pass in rounds
     Then tenant "t" has arrivals of 0.0 to 0.0 and starts of 0.0 to 0.0 a second
 
+  Scenario: a backlog of jobs whose starts are refused counts as started, so that a tenant is told to come back too early
+    Given each of "t" submits 6 jobs of 1 tasks
+    When 2 seconds pass in rounds in which starts are refused
+    Then tenant "t" has 6 waiting jobs
+    And tenant "t" has arrivals of 0.0 to 0.0 and starts of 0.0 to 0.0 a second
+    When a new leader takes over
+    And a round with at most 0 starts passes
+    Then tenant "t" has 6 waiting jobs
+    When 5 seconds pass in rounds
+    Then tenant "t" has 0 waiting jobs
+
+  Scenario: jobs that began under an earlier leader count as starts of a new one
+    Given each of "t" submits 6 jobs of 1 tasks
+    When 1 rounds pass
+    And a new leader takes over
+    And 1 rounds pass
+    Then tenant "t" has 0 waiting jobs
+    And tenant "t" has arrivals of 0.0 to 0.0 and starts of 0.0 to 0.0 a second
+
   Scenario: a backlog of a tenant is expected to drain far sooner or later than it does
     Given each of "t u" submits 40 jobs of 1 tasks
     When the oldest run ends every 0.2 seconds for 6 seconds
--- a/dotterelhill/jobs/tenants/tests/steps/load_steps.py
+++ b/dotterelhill/jobs/tenants/tests/steps/load_steps.py
@@ -60,6 +60,12 @@
     assert (str(load.is_short), str(load.waits_for_capacity)) == (short, waits), load
 
 
+@then(r'tenant "(?P<tenant>\w+)" has (?P<count>\d+) waiting jobs')
+def check_waiting_jobs(context, tenant, count):
+    load = load_of(context.fleet, tenant)
+    assert load.waiting_jobs == int(count), load
+
+
 @then(
     r'tenant "(?P<tenant>\w+)" has arrivals of (?P<low>[\d.]+) to (?P<high>[\d.]+) '
     r"and starts of (?P<least>[\d.]+) to (?P<most>[\d.]+) a second"
