Keep the wait of fillers whose starts were refused over a change of the leader

What callers saw: a filler whose starts were refused, and that waits without headroom, waits for a claim of a minion anew under each leader.

A leader counts the time since the acceptance of a job as its wait only where nothing of the job has started; it took the state RUNNING, which is stored with a plan, for a start.

Change: `_stored_wait_seconds` asks whether the job has begun.

Tests: "the wait of a filler whose starts were refused begins anew with each leader" failed without the change: no start within 1.5 s of the takeover.

--- a/dotterelhill/jobs/placement/filler_claims.py
+++ b/dotterelhill/jobs/placement/filler_claims.py
@@ -10,7 +10,7 @@
 
 from dotterelhill.jobs.fleet import Minion
 from dotterelhill.jobs.interference.sharing import MIN_FILLER_CPU_SHARE, InterferenceControl
-from dotterelhill.jobs.model import Job, JobState, Step, TaskKey
+from dotterelhill.jobs.model import Job, Step, TaskKey
 from dotterelhill.jobs.placement.waiting import (
     RankedJob,
     has_required_label,
@@ -313,7 +313,7 @@
 
     Where nothing of a job has started, its tasks wait since it was accepted and due.
     """
-    if job.state is not JobState.QUEUED:
+    if job.has_begun:
         return 0.0
     began_ms = max(job.submission.accepted_ms, job.submission.due_ms(occurrence))
     return max(0, unix_ms - began_ms) / 1000.0
--- a/dotterelhill/jobs/tests/start_bound.feature
+++ b/dotterelhill/jobs/tests/start_bound.feature
@@ -60,6 +60,13 @@
     And 1 times, a new leader takes over and 1.5 seconds pass
     Then job "f" has started
 
+  Scenario: the wait of a filler whose starts were refused begins anew with each leader
+    Given a fleet of 4 minions of 32 processors that may crash
+    And job "f" of 1 filler of 7 processors that takes headroom
+    When a serving task starts on each minion, while starts of job "f" are refused for 6 seconds
+    And 1 times, a new leader takes over and 1.5 seconds pass
+    Then job "f" has started
+
   Scenario: a filler that may have crashed its minion never starts while serving tasks leave no headroom
     Given a fleet of 4 minions of 32 processors that may crash
     And a serving task on each minion that leaves no headroom for fillers of unknown effect
--- a/dotterelhill/jobs/tests/steps/start_bound_steps.py
+++ b/dotterelhill/jobs/tests/steps/start_bound_steps.py
@@ -6,6 +6,7 @@
 
 from dotterelhill.jobs.fleet import EndKind
 from dotterelhill.jobs.model import Step, TaskKey
+from dotterelhill.jobs.orders import StartOutcome
 from dotterelhill.jobs.progress import encode_progress
 from dotterelhill.jobs.queues import Tenant
 from dotterelhill.jobs.resources import ResourceVector
@@ -48,6 +49,29 @@
     fleet.run_seconds(6.0)
 
 
+@when(
+    r'a serving task starts on each minion, while starts of job "(?P<job>\w+)" are refused for '
+    r"(?P<seconds>\d+) seconds"
+)
+def refuse_starts_of_job(context, job, seconds):
+    fleet = context.fleet
+    submit_serving_tasks(fleet, len(fleet.facts), 46.0)
+    refused = 0
+    for _ in range(round(float(seconds) / ROUND_SECONDS)):
+        fleet.poll()
+        fleet.plan()
+        for order in fleet.commit():
+            if order.run.key.job_id == job:
+                refused += 1
+                fleet.sent.remove(order)
+                outcome = StartOutcome.REFUSED
+                fleet.scheduler.start_answered(order.run, outcome, fleet.now, fleet.now)
+            else:
+                fleet.deliver([order], StartOutcome.STARTED)
+        fleet.now += ROUND_SECONDS
+    assert refused, "no start was refused"
+
+
 @given(r'job "(?P<job>\w+)" of 1 filler of (?P<cpu>\d+) processors that takes headroom')
 @when(r'job "(?P<job>\w+)" of 1 filler of (?P<cpu>\d+) processors that takes headroom is submitted')
 def submit_one_filler(context, job, cpu):
