Rank a job whose starts were all refused as one that has not begun

What callers saw: with shortage control on (a switch, off by default), a job whose starts were all refused keeps the precedence of jobs that have begun over equal ones.

Change: a job has precedence if it has begun or its first start is on its way; so the order is as before while starts are answered.

Tests: the row "a job whose starts were all refused makes an equal one late" failed without the change; "an equal job precedes one whose first start is on its way" guards what stays.

--- a/dotterelhill/jobs/shortage/order.py
+++ b/dotterelhill/jobs/shortage/order.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping
 from math import floor, log
 
-from dotterelhill.jobs.model import JobState, Timeliness
+from dotterelhill.jobs.model import Timeliness
 from dotterelhill.jobs.placement.waiting import RankKey
 from dotterelhill.jobs.shortage.demand import TrackedJob
 from dotterelhill.jobs.shortage.finish import QueueOutlook
@@ -68,10 +68,10 @@
     if timeliness != Timeliness.IN_TIME:
         return key
     ratio = value_of(job.total_work, mean_work) / max(MIN_WORK, job.left_work)
-    # Begun jobs come first within one step of the ratio. Among the others, the least slack first
-    # would let each job make the next one late.
+    # Jobs that have begun, or whose first start is on its way, come first within one step of the
+    # ratio. Among the others, the least slack first would let each job make the next one late.
     step = 2.0 * floor(log(ratio, EQUAL_RATIO))
-    begun = job.job.state is JobState.RUNNING
+    begun = job.job.has_begun or job.job.has_assigned_task
     tie = SLACK_WEIGHT * slack
     number = -step - begun - tie
     return (priority, BELOW_FLOOR if is_below else timeliness, number, sequence)
--- a/dotterelhill/jobs/shortage/tests/shortage.feature
+++ b/dotterelhill/jobs/shortage/tests/shortage.feature
@@ -17,6 +17,8 @@
       | a job that will be late precedes one that can be in time | work 4, left 4, slack 9, in time | work 4, left 1, slack -1, late |
       | a job with less value for its capacity precedes another | work 4, left 2, slack 9, in time | work 4, left 4, slack 1, in time |
       | an equal job precedes one that has begun               | work 4, left 4, slack 1, begun | work 4, left 4, slack 9, in time |
+      | an equal job precedes one whose first start is on its way | work 4, left 4, slack 1, planned | work 4, left 4, slack 9, in time |
+      | a job whose starts were all refused makes an equal one late | work 4, left 4, slack 9, in time | work 4, left 4, slack 1, refused |
       | a job with little slack makes an equal one late        | work 4, left 4, slack 9, in time | work 4, left 4, slack 1, in time |
 
   Scenario Outline: <failure>
--- a/dotterelhill/jobs/shortage/tests/steps/shortage_steps.py
+++ b/dotterelhill/jobs/shortage/tests/steps/shortage_steps.py
@@ -6,7 +6,7 @@
 
 from dotterelhill.jobs.changes import Switches
 from dotterelhill.jobs.fleet import EndKind
-from dotterelhill.jobs.model import Job, JobState, Step, Submission, Timeliness
+from dotterelhill.jobs.model import Job, JobState, Step, Submission, TaskKey, Timeliness
 from dotterelhill.jobs.resources import ResourceVector
 from dotterelhill.jobs.scheduler import Scheduler
 from dotterelhill.jobs.shortage.demand import TrackedJob
@@ -121,7 +121,11 @@
     if mean:
         context.mean_work, context.ranks = float(mean), []
     submission = Submission("a", FleetWorld.queue("q", 0), 0, "spec", ())
-    job = Job(submission, JobState.RUNNING if state == "begun" else JobState.QUEUED)
+    has_plan = state in ("begun", "planned", "refused")
+    job = Job(submission, JobState.RUNNING if has_plan else JobState.QUEUED)
+    job.has_begun = state == "begun"
+    if state == "planned":
+        job.task(TaskKey("a", 0, 0, 0)).assign("m1", 1)
     tracked = TrackedJob(job, submission.queue, float(work), left_work=float(left))
     key = (0, Timeliness.LATE if state == "late" else Timeliness.IN_TIME, float(slack), 1)
     context.ranks.append(shortage_key(tracked, key, context.mean_work, is_below=False))
