--- a/dotterelhill/jobs/model.py
+++ b/dotterelhill/jobs/model.py
@@ -379,10 +379,10 @@
         return self.state in FINAL_STATES
 
     @property
-    def has_outcome(self) -> bool:
+    def has_proven_beginning(self) -> bool:
         """Return whether the state of the tasks proves that a run has begun.
 
-        A run that was refused, or that was lost with its minion, leaves no outcome.
+        A run that was lost with its minion soon after its start leaves no proof.
         """
         if self.done_counts or self.first_unfinished:
             return True
--- a/dotterelhill/jobs/scheduler.py
+++ b/dotterelhill/jobs/scheduler.py
@@ -369,7 +369,7 @@
             self._earlier_starts_until = now + LATE_SECONDS
         self._jobs[job.job_id] = job
         # A record of an earlier build doesn't tell whether a run has begun.
-        job.has_begun = job.has_begun or job.has_outcome
+        job.has_begun = job.has_begun or job.has_proven_beginning
         self._known_bytes += job_bytes(job.submission, is_ended=job.is_ended)
         if job.state in FINAL_STATES:
             job.ended_at = now
