--- a/dotterelhill/jobs/tests/steps/waiting_jobs_steps.py
+++ b/dotterelhill/jobs/tests/steps/waiting_jobs_steps.py
@@ -31,7 +31,7 @@
     context.fleet.checkpoints[key] = "c1"
 
 
-@when(r"1 rounds pass without starts")
+@when(r"a round passes without starts")
 def run_round_without_starts(context):
     context.fleet.poll()
     context.fleet.plan(0)
--- a/dotterelhill/jobs/tests/waiting_jobs.feature
+++ b/dotterelhill/jobs/tests/waiting_jobs.feature
@@ -42,7 +42,7 @@
     Given a fleet with minions "m1" of 4 processors
     And job "a" of 1 task of 4 processors
     When a round passes in which starts <event>
-    And 1 rounds pass without starts
+    And a round passes without starts
     Then job "a" is shown as "queued"
     When a new leader takes over
     Then job "a" is shown as "queued"
